Lay out the repository and the core's public interfaces

Cause: nothing stood yet; parts built side by side need one contract. Conclusion: the parts can be built and tested separately.

--- /dev/null
+++ b/include/roseworks/controller.hpp
@@ -0,0 +1,274 @@
+#pragma once
+
+#include <roseworks/fleet_state.hpp>
+#include <roseworks/ids.hpp>
+#include <roseworks/instant.hpp>
+#include <roseworks/record.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace roseworks
+{
+
+/// One entry read from the log.
+struct log_entry
+{
+    log_offset offset;
+    std::vector<std::byte> bytes;
+};
+
+/// A batch of records for one append; the number names it in the answer.
+struct append_batch
+{
+    std::uint64_t batch = 0;
+    std::vector<std::vector<std::byte>> entries;
+};
+
+/// What became of an append.
+enum class append_outcome : std::uint8_t
+{
+    done,
+    refused, ///< the log said no: nothing was appended
+    unknown  ///< no answer: it may have been appended; sent again
+};
+
+/// An order to load or unload.
+enum class order_action : std::uint8_t
+{
+    load,
+    unload
+};
+
+struct engine_order
+{
+    std::uint64_t order = 0; ///< names it in the answer
+    std::string order_id;    ///< idempotency id on the engine
+    engine_id engine;
+    std::string address;
+    bool checks_credential = false;
+    fence held;
+    order_action action = order_action::load;
+    replica_id replica;
+    std::string servable;
+    bool is_adapter = false;
+    std::string version;
+    std::string base;
+    std::uint32_t memory_mib = 0;
+};
+
+/// What became of an order.
+enum class order_outcome : std::uint8_t
+{
+    accepted,
+    stale_fence,
+    out_of_memory,
+    not_found, ///< unload of a replica that isn't there
+    refused,   ///< any other refusal: nothing was done
+    not_sent,  ///< no byte left
+    unknown    ///< no answer: read the engine's state
+};
+
+/// Read an engine's state.
+struct read_engine
+{
+    engine_id engine;
+    std::string address;
+};
+
+/// A replica as an engine reports it.
+struct resident
+{
+    replica_id replica;
+    replica_state state = replica_state::loading;
+    std::string servable;
+    std::uint32_t memory_mib = 0;
+};
+
+/// An engine's own report. A hint: it lags.
+struct engine_report
+{
+    engine_id engine;
+    bool reachable = false;
+    std::uint64_t incarnation = 0;
+    std::uint32_t memory_used_mib = 0;
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::vector<resident> residents;
+    std::vector<std::string> cached_in_memory;
+    std::vector<std::string> cached_on_disk;
+};
+
+/// One VM of the platform's list. A hint: it lags.
+struct vm_entry
+{
+    std::string vm;
+    std::string address;
+    std::string data_centre;
+    bool is_router = false;
+    bool leaving = false;
+};
+
+/// A servable wanted by this router or, as heard over UDP, by another.
+struct servable_demand
+{
+    servable_id servable;
+    priority urgency = priority::normal;
+    std::uint32_t waiting = 0;
+    session_id from; ///< 0: this router
+};
+
+/// Send this router's demand to the proposer of the servable.
+struct forward_demand
+{
+    session_id to;
+    std::string peer_address;
+    servable_demand what;
+};
+
+/// Result of a claim that this router asked for.
+struct claim_result
+{
+    claim_key key;
+    enum class status : std::uint8_t
+    {
+        granted,
+        held,       ///< another call holds the key
+        unavailable ///< the log can't decide now; nothing was claimed
+    };
+    status result = status::granted;
+    claim_outcome outcome = claim_outcome::open; ///< of the holder's call
+    std::uint16_t http_status = 0;
+    std::string body;
+};
+
+/// A record was folded (for logs, metrics and tests).
+struct folded_record
+{
+    log_offset offset;
+    record value;
+    fold_result result;
+};
+
+/// The decided state changed: publish a new routing table.
+struct publish_table
+{
+};
+
+/// This router has said it leaves and its leave record is folded.
+struct left
+{
+};
+
+using control_command = std::variant<
+    append_batch,
+    engine_order,
+    read_engine,
+    forward_demand,
+    claim_result,
+    folded_record,
+    publish_table,
+    left>;
+
+/** Drives one router's part in the fleet: a deterministic state machine.
+
+    Folds the log, keeps this router's session and engine leases, proposes
+    replicas for demand, orders engines to load and unload, reconciles lost
+    answers, claims idempotency keys, writes checkpoints, and stops ordering
+    when its leases lapse. All effects leave as commands.
+
+    Lease arithmetic: a lease counts from just before its renewal was handed
+    out as an append; orders stop `margin` before its end. A taker counts the
+    full term plus margin from when it read the last renewal.
+*/
+class controller
+{
+public:
+    struct options
+    {
+        std::string name; ///< VM name
+        std::string data_centre;
+        std::string peer_address;
+        std::string http_address;
+        std::uint64_t incarnation = 0;
+        duration lease_term = std::chrono::seconds(30);
+        duration lease_renew = std::chrono::seconds(10);
+        duration lease_margin = std::chrono::seconds(3);
+        duration demand_hold = std::chrono::seconds(2); ///< a demand's life
+        duration append_retry_min = std::chrono::milliseconds(50);
+        duration append_retry_max = std::chrono::seconds(5);
+        duration engine_poll = std::chrono::milliseconds(500);
+        duration idle_ttl = std::chrono::minutes(5);
+        duration claim_timeout = std::chrono::seconds(2);
+        duration log_silence = std::chrono::seconds(5); ///< then: unavailable
+        std::size_t max_batch_bytes = std::size_t(256) << 10;
+        std::uint64_t checkpoint_records = 50'000; ///< records between two
+        std::uint64_t seed = 1;
+        fleet_state::options fold;
+    };
+
+    explicit controller(options settings);
+    ~controller();
+    controller(controller&&) noexcept;
+    controller& operator=(controller&&) noexcept;
+
+    /// Start: with an empty state, or one restored from a checkpoint.
+    void start(fleet_state state, stamp_ms wall, instant now);
+
+    /// Entries were read; `next` is the log's end as then known.
+    void log_read(
+        std::span<const log_entry> entries,
+        log_offset next,
+        stamp_ms wall,
+        instant now);
+    /// The log couldn't be read.
+    void log_unreachable(instant now);
+    /// An append was answered or wasn't.
+    void
+    append_answered(std::uint64_t batch, append_outcome outcome, instant now);
+    void
+    order_answered(std::uint64_t order, order_outcome outcome, instant now);
+    void engine_read(const engine_report& report, instant now);
+    void vms_listed(std::span<const vm_entry> vms, instant now);
+    /// Sessions that membership thinks alive (this one included). A hint.
+    void peers_changed(std::span<const session_id> alive, instant now);
+    void demanded(const servable_demand& what, instant now);
+    /// A replica here has finished its last request or started one (for idle
+    /// times; a hint).
+    void used(servable_id servable, instant now);
+    void claim(claim_key key, instant now);
+    void close_claim(claim_close what, instant now);
+    void crash_seen(fingerprint request, engine_id engine, instant now);
+    /// Shut down: give leases back, then leave.
+    void leave(instant now);
+    void tick(stamp_ms wall, instant now);
+
+    /// Commands since the last call, in order.
+    std::vector<control_command> take_commands();
+
+    /// Called immediately before an order's bytes are written.
+    /// @return Whether the lease it was issued under still holds.
+    bool may_send(const engine_order& order, instant now) const;
+
+    /// @return When `tick` has work next.
+    instant next_tick() const;
+
+    const fleet_state& state() const;
+    /// @return Whether the log was read lately.
+    bool log_available(instant now) const;
+    /// @return Whether this router's join is folded.
+    bool joined() const;
+    session_id session() const;
+
+private:
+    class impl;
+    std::unique_ptr<impl> self;
+};
+
+} // namespace roseworks
--- /dev/null
+++ b/include/roseworks/dispatcher.hpp
@@ -0,0 +1,186 @@
+#pragma once
+
+#include <roseworks/ids.hpp>
+#include <roseworks/instant.hpp>
+#include <roseworks/routing_table.hpp>
+#include <roseworks/verdict.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace roseworks
+{
+
+/// A request's place in the dispatcher; unique within a router's run.
+using ticket = strong_id<struct ticket_tag, std::uint64_t>;
+
+/// What admission needs to know of a request.
+struct request_info
+{
+    std::string target; ///< servable's or service's name
+    bool is_service = false;
+    std::string caller = "anonymous";
+    priority asked = priority::normal; ///< capped by the caller's class
+    instant deadline;
+    fingerprint content;
+    std::uint64_t prefix = 0; ///< hash of the prompt's head; 0: none
+    std::uint32_t prompt_bytes = 0;
+    std::uint32_t max_tokens = 16;
+    bool repeatable = true;
+    std::size_t held_bytes = 0; ///< memory the request holds here
+};
+
+/// Start the request on this backend server.
+struct grant
+{
+    ticket request;
+    engine_id engine; ///< 0 for a plain service
+    replica_id replica;
+    std::string address;       ///< ip:port
+    std::uint32_t attempt = 0; ///< 0 for the first
+};
+
+/// Answer the caller with a refusal; the request is forgotten.
+struct refusal
+{
+    ticket request;
+    refusal_reason reason = refusal_reason::none;
+    verdict outcome = verdict::not_run;
+    duration retry_after{};
+};
+
+/// A servable without enough ready replicas has requests waiting.
+struct demand
+{
+    servable_id servable;
+    priority urgency = priority::normal;
+    std::uint32_t waiting = 0;
+    instant earliest_deadline;
+};
+
+/// Tell the control thread that a backend server died under this request.
+struct crash_seen
+{
+    fingerprint request;
+    engine_id engine;
+};
+
+using dispatch_command = std::variant<grant, refusal, demand, crash_seen>;
+
+/// How an attempt ended, as the backend leg saw it.
+struct attempt_result
+{
+    enum class end : std::uint8_t
+    {
+        answered,        ///< the whole answer came
+        refused_not_run, ///< the server said that it did not run
+        not_sent,        ///< no byte left: connect failed or timed out
+        broken,          ///< connection broke after bytes were sent
+        no_progress,     ///< a progress timer ran out after bytes were sent
+        caller_left      ///< the caller closed its connection
+    };
+
+    end how = end::answered;
+    bool answer_started = false; ///< bytes were passed to the caller
+    std::uint32_t tokens = 0;    ///< tokens delivered
+    duration first_byte{};       ///< from sending to the first byte
+    duration total{};            ///< from sending to the end
+};
+
+/// A backend server's own report of its load; lags.
+struct load_report
+{
+    engine_id engine;
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+};
+
+/** Decides which request starts where and when, and which is refused.
+
+    Bounded queues per target; strict priority with ageing, earliest deadline
+    first inside a class, fair between callers; two choices by load for the
+    replica; retries within a budget; refusal as soon as a deadline can't be
+    met. Hints only, apart from one promise that rests on no hint: every ticket
+    gets exactly one final answer (a refusal, or `finished` without a new
+    grant), and a request that isn't repeatable gets no second grant once an
+    attempt may have reached a backend server.
+
+    Not thread-safe: the owner serializes calls. Deterministic for a seed.
+*/
+class dispatcher
+{
+public:
+    struct options
+    {
+        std::uint32_t max_queued_per_target = 1000;
+        std::uint32_t max_queued = 4000;
+        std::size_t max_held_bytes = std::size_t(512) << 20;
+        std::uint32_t retry_budget_percent = 20;
+        std::uint32_t max_attempts = 3;
+        duration ageing = std::chrono::seconds(30); ///< wait worth one class
+        duration demand_interval = std::chrono::milliseconds(50);
+        std::string data_centre; ///< own, preferred while not loaded
+        std::uint64_t seed = 1;
+    };
+
+    explicit dispatcher(options settings);
+    ~dispatcher();
+    dispatcher(dispatcher&&) noexcept;
+    dispatcher& operator=(dispatcher&&) noexcept;
+
+    /// A request has arrived. A refusal may be among the next commands.
+    ticket submit(request_info info, instant now);
+
+    /// An attempt has ended. Either the request is final, or a new grant or a
+    /// refusal for the same ticket follows.
+    /// @return Whether the request is final, with its verdict to be told when
+    ///         nothing was passed to the caller yet.
+    struct finish
+    {
+        bool final_answer = true;
+        verdict outcome = verdict::answered;
+        refusal_reason reason = refusal_reason::none;
+    };
+    finish finished(ticket request, const attempt_result& result, instant now);
+
+    /// The caller left, or a claim was refused, before the attempt was sent:
+    /// forgets the request. A granted slot becomes free.
+    void abandon(ticket request, instant now);
+
+    /// A new table is in force.
+    void table_changed(routing_table_ptr table, instant now);
+
+    /// A backend server reported its load.
+    void load_reported(const load_report& report, instant now);
+
+    /// Backend servers on this VM get no new work from now on.
+    void vm_leaving(std::string_view vm, bool leaving, instant now);
+
+    /// This router shuts down: waiting requests are refused as not run once
+    /// `draining`; those granted go on.
+    void drain(instant now);
+
+    /// Time passes: refuses what can't be met, sends demand again.
+    void tick(instant now);
+
+    /// Commands since the last call, in order.
+    std::vector<dispatch_command> take_commands();
+
+    /// @return When `tick` has work next; empty when nothing waits.
+    std::optional<instant> next_tick() const;
+
+    std::size_t queued() const;
+    std::size_t in_flight() const;
+
+private:
+    class impl;
+    std::unique_ptr<impl> self;
+};
+
+} // namespace roseworks
--- /dev/null
+++ b/include/roseworks/record.hpp
@@ -0,0 +1,232 @@
+#pragma once
+
+#include <roseworks/ids.hpp>
+#include <roseworks/instant.hpp>
+#include <roseworks/specs.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace roseworks
+{
+
+/// Identity of a record, chosen by its author before the first append. An
+/// append whose answer was lost is sent again under the same id.
+struct record_id
+{
+    author_id author;
+    std::uint64_t incarnation = 0; ///< microseconds at the process's start
+    std::uint64_t sequence = 0;
+
+    friend auto operator<=>(const record_id&, const record_id&) = default;
+};
+
+/// One entity put or removed by an operator.
+struct entity_change
+{
+    entity_kind kind = entity_kind::model;
+    std::string name;
+    revision expected; ///< 0: it must not exist
+    std::uint16_t schema = newest_entity_schema;
+    std::optional<entity_spec> spec; ///< empty: remove
+    /// Encoded spec of a schema newer than this program's; carried on as is.
+    std::vector<std::byte> unread;
+};
+
+/// Operators' changes, accepted all together or not at all.
+struct config_change
+{
+    std::string author; ///< operator's name, for the trail
+    std::string note;
+    std::vector<entity_change> changes;
+    /// HMAC over the changes by the operators' key; empty when not signed.
+    std::vector<std::byte> signature;
+};
+
+/// A router process starts. Ends the sessions of older incarnations of the
+/// same author: one address can be bound by one process only.
+struct router_join
+{
+    std::string name;
+    std::string data_centre;
+    std::string peer_address; ///< UDP ip:port
+    std::string http_address;
+};
+
+/// A router stops cleanly: no order of it is in flight; its leases are free.
+struct router_leave
+{
+    session_id session;
+};
+
+/// Proof that a router's process is gone: its VM left the platform's list,
+/// or an operator said so.
+struct router_gone
+{
+    session_id session;
+    std::string evidence;
+};
+
+/// Renews every lease of a session with one record.
+struct session_renew
+{
+    session_id session;
+};
+
+/// Takes an engine's lease. `previous` and `previous_renewal` name what the
+/// taker saw lapse; the fold rejects the record when the holder renewed since.
+struct lease_acquire
+{
+    engine_id engine;
+    session_id session;
+    session_id previous; ///< 0: nobody held it
+    log_offset previous_renewal;
+};
+
+/// Gives an engine's lease back; no order of the holder is in flight.
+struct lease_release
+{
+    engine_id engine;
+    session_id session;
+};
+
+/// A replica shall be loaded on an engine. Valid while the revisions named
+/// are still current, the servable has fewer replicas than its maximum and
+/// the engine has memory for it, counting all that isn't proven gone.
+struct replica_decide
+{
+    servable_id servable;
+    revision servable_revision;
+    engine_id engine;
+    revision engine_revision;
+    replica_id base;    ///< adapters: the base's replica there
+    session_id session; ///< proposer
+    priority urgency = priority::normal;
+};
+
+/// Life cycle of a replica.
+enum class replica_state : std::uint8_t
+{
+    decided, ///< waits for a weight-store slot
+    loading, ///< holds a slot; the lease holder orders the load
+    ready,
+    draining,  ///< no new requests; those running end
+    unloading, ///< the lease holder orders the unload
+    failed,    ///< the load failed; memory is held until proven gone
+    gone       ///< proven gone; memory is free
+};
+
+/// The engine's lease holder (or, for `draining`, any router) moves a replica
+/// on. Rejected when the transition isn't legal or the fence isn't current.
+struct replica_report
+{
+    replica_id replica;
+    replica_state to = replica_state::ready;
+    fence held; ///< 0 for `draining`
+    session_id session;
+    std::string cause; ///< short, for the trail
+};
+
+/// 128-bit hash of caller and idempotency key.
+struct claim_key
+{
+    std::uint64_t high = 0;
+    std::uint64_t low = 0;
+
+    friend auto operator<=>(const claim_key&, const claim_key&) = default;
+};
+
+/// Claims a key before a non-repeatable request is sent. The first wins.
+struct claim_open
+{
+    claim_key key;
+    session_id session;
+};
+
+/// What became of a claimed request.
+enum class claim_outcome : std::uint8_t
+{
+    open, ///< unknown: may be running
+    answered,
+    may_have_run,
+    not_run ///< certain: the key may be claimed anew
+};
+
+/// Closes a claim. Only the session that opened it may.
+struct claim_close
+{
+    claim_key key;
+    session_id session;
+    claim_outcome outcome = claim_outcome::answered;
+    std::uint16_t status = 0; ///< HTTP status of the answer
+    std::string body;         ///< the answer, when small enough
+};
+
+/// A backend server died while it ran the request with this fingerprint.
+struct request_suspect
+{
+    fingerprint request;
+    engine_id engine; ///< 0: a plain service
+    session_id session;
+};
+
+/// An operator lets a blocked request through again.
+struct request_unblock
+{
+    fingerprint request;
+    std::string author;
+};
+
+/// Part of a checkpoint of the folded state at `at`.
+struct checkpoint_chunk
+{
+    log_offset at; ///< state after folding this offset
+    std::uint64_t state_hash = 0;
+    std::uint32_t index = 0;
+    std::uint32_t count = 0;
+    std::vector<std::byte> data;
+};
+
+/// A record of a kind newer than this program: carried and reported.
+struct unknown_record
+{
+    std::uint8_t kind = 0;
+    std::vector<std::byte> data;
+};
+
+/// Content of a record. The order of alternatives is the wire's kind number:
+/// append only.
+using record_payload = std::variant<
+    unknown_record,
+    config_change,
+    router_join,
+    router_leave,
+    router_gone,
+    session_renew,
+    lease_acquire,
+    lease_release,
+    replica_decide,
+    replica_report,
+    claim_open,
+    claim_close,
+    request_suspect,
+    request_unblock,
+    checkpoint_chunk>;
+
+/// Newest schema of the envelope and record payloads.
+inline constexpr std::uint16_t newest_record_schema = 1;
+
+/// What is appended to the log.
+struct record
+{
+    std::uint16_t schema = newest_record_schema;
+    record_id id;
+    stamp_ms stamp = 0; ///< author's wall clock
+    record_payload payload;
+};
+
+} // namespace roseworks
--- /dev/null
+++ b/src/adapters/metrics/latency.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "adapters/metrics/label_set.hpp"
+#include "adapters/metrics/latency_histogram.hpp"
+#include "adapters/metrics/metric.hpp"
+
+#include <array>
+#include <chrono>
+#include <ostream>
+
+namespace roseworks::metrics
+{
+
+namespace detail
+{
+
+/// Writes the cumulative buckets, the sum and the count of one series. Every
+/// tenth bin edge becomes a bucket, so that a scrape stays small.
+class bucket_writer
+{
+public:
+    /// @param metric_name the metric's name without suffix.
+    /// @param label_text  the series' labels, as `label_set::text` gives them.
+    bucket_writer(std::string_view metric_name, std::string_view label_text);
+
+    void write(std::ostream& out, const latency_histogram& histogram) const;
+
+private:
+    std::string name;
+    std::string labels;
+};
+
+} // namespace detail
+
+/// Latencies for each combination of labels, exposed as a Prometheus histogram
+/// in seconds. Thread-safe and lock-free.
+template <typename... Labels>
+class latency final : public metric
+{
+public:
+    using metric::metric;
+
+    /// Counts one latency of a combination.
+    void record(std::chrono::nanoseconds value, Labels... labels)
+    {
+        this->cells[label_set<Labels...>::index(labels...)].record(value);
+    }
+
+    /// @return the histogram of a combination.
+    const latency_histogram& histogram(Labels... labels) const
+    {
+        return this->cells[label_set<Labels...>::index(labels...)];
+    }
+
+    void write(std::ostream& out) const override
+    {
+        this->write_head(out, "histogram");
+        for (std::size_t cell = 0; cell < this->cells.size(); ++cell)
+        {
+            detail::bucket_writer(
+                this->name(), label_set<Labels...>::text(cell))
+                .write(out, this->cells[cell]);
+        }
+    }
+
+private:
+    std::array<latency_histogram, label_set<Labels...>::size> cells;
+};
+
+} // namespace roseworks::metrics
--- /dev/null
+++ b/src/adapters/settings/router_settings.hpp
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "adapters/events/line_format.hpp"
+#include "adapters/settings/socket_address.hpp"
+#include "ports/event_sink.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace roseworks::settings
+{
+
+using std::chrono::milliseconds;
+
+/// `[router]`: who this process is and where callers reach it.
+struct router_section
+{
+    std::string name;
+    std::string data_centre;
+    socket_address listen;
+    std::uint32_t traffic_threads = 0;
+    milliseconds drain_limit{};
+    /// Where the bound addresses are written; empty for nowhere.
+    std::string address_file;
+};
+
+/// `[peers]`: gossip between routers over UDP.
+struct peers_section
+{
+    socket_address listen;
+    std::vector<socket_address> seeds;
+    milliseconds probe_interval{};
+    std::uint32_t probe_fanout = 0;
+    milliseconds suspect_after{};
+    /// Empty: datagrams carry no authentication code.
+    std::string mac_key_file;
+};
+
+/// `[log]`: the platform's append-only log.
+struct log_section
+{
+    socket_address address;
+    milliseconds poll_wait{};
+    std::uint32_t max_batch_bytes = 0;
+    milliseconds append_timeout{};
+    milliseconds retry_max{};
+};
+
+/// `[vm_list]`: the platform's lagging list of VMs.
+struct vm_list_section
+{
+    std::optional<socket_address> address;
+    milliseconds poll{};
+};
+
+/// `[leases]`: the right to order an engine.
+struct leases_section
+{
+    milliseconds term{};
+    milliseconds renew{};
+    milliseconds margin{};
+};
+
+/// `[traffic]`: limits and timeouts of requests and connections.
+struct traffic_section
+{
+    milliseconds default_deadline{};
+    milliseconds max_deadline{};
+    std::uint32_t max_header_bytes = 0;
+    std::uint32_t max_body_bytes = 0;
+    std::uint32_t max_queued_per_model = 0;
+    std::uint32_t max_queued = 0;
+    std::uint32_t max_connections = 0;
+    milliseconds connect_timeout{};
+    milliseconds first_byte_timeout{};
+    milliseconds idle_byte_timeout{};
+    milliseconds connection_max_age{};
+    std::uint32_t retry_budget_percent = 0;
+    std::uint32_t stream_buffer_bytes = 0;
+    milliseconds caller_idle{};
+    std::uint32_t backend_connections_max_idle = 0;
+};
+
+/// `[engines]`: reading and ordering the model engines.
+struct engines_section
+{
+    milliseconds poll{};
+    milliseconds order_timeout{};
+    /// Empty: orders carry no credential.
+    std::string credentials_file;
+};
+
+/// How long an idle replica stays.
+enum class placement_strategy : std::uint8_t
+{
+    fixed_ttl,
+    break_even,
+    histogram
+};
+
+/// `[placement]`: when replicas come and go.
+struct placement_section
+{
+    placement_strategy strategy = placement_strategy::break_even;
+    milliseconds idle_ttl{};
+    milliseconds demand_interval{};
+};
+
+/// `[logging]`: where events are written.
+struct logging_section
+{
+    event_level level = event_level::info;
+    events::line_format format = events::line_format::text;
+    /// Empty: the standard error stream.
+    std::string file;
+};
+
+/// Everything the router's settings file says, checked. The defaults of the
+/// keys are in settings_table.cpp, not here: a value-initialised struct is not
+/// a usable configuration, `load_router_settings` makes one.
+struct router_settings
+{
+    router_section router;
+    peers_section peers;
+    log_section log;
+    vm_list_section vm_list;
+    leases_section leases;
+    traffic_section traffic;
+    engines_section engines;
+    placement_section placement;
+    logging_section logging;
+};
+
+} // namespace roseworks::settings
--- /dev/null
+++ b/src/ports/event_sink.hpp
@@ -0,0 +1,168 @@
+#pragma once
+
+#include <concepts>
+#include <cstdint>
+#include <initializer_list>
+#include <limits>
+#include <span>
+#include <string_view>
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+namespace roseworks
+{
+
+/// How much an event matters to an operator, in rising order.
+enum class event_level : std::uint8_t
+{
+    debug,
+    info,
+    warn,
+    error
+};
+
+/// The numbered events. The number is the enumerator's value, is printed as
+/// `RW<number>`, and is never given to another event. The catalogue row of
+/// each (level, text, fields, remedy) is in adapters/events/event_catalogue
+/// and in docs/EVENTS.md.
+enum class event_id : std::uint16_t
+{
+    // 10xx: the process.
+    router_started = 1001,
+    router_ready = 1002,
+    drain_started = 1003,
+    drain_finished = 1004,
+    router_stopped = 1005,
+    settings_refused = 1006,
+    drain_limit_reached = 1007,
+    listen_failed = 1008,
+    internal_error = 1009,
+
+    // 11xx: the log and the folded state.
+    log_unreachable = 1101,
+    log_back = 1102,
+    log_gap = 1103,
+    append_answer_lost = 1104,
+    append_retried = 1105,
+    record_rejected = 1106,
+    schema_unknown = 1107,
+    checkpoint_written = 1108,
+    checkpoint_adopted = 1109,
+    checkpoint_diverged = 1110,
+    configuration_accepted = 1111,
+    record_malformed = 1112,
+
+    // 12xx: leases.
+    lease_acquired = 1201,
+    lease_lost = 1202,
+    lease_lapsed = 1203,
+    lease_released = 1204,
+
+    // 13xx: replicas and orders to engines.
+    replica_decided = 1301,
+    replica_loading = 1302,
+    replica_ready = 1303,
+    replica_unloading = 1304,
+    replica_gone = 1305,
+    replica_failed = 1306,
+    order_refused_stale_fence = 1307,
+    order_answer_lost = 1308,
+    order_reconciled = 1309,
+    order_refused = 1310,
+    order_sent = 1311,
+
+    // 14xx: peers and the VM list.
+    peer_joined = 1401,
+    peer_suspected = 1402,
+    peer_gone = 1403,
+    datagram_rejected = 1404,
+    vm_leaving = 1405,
+    vm_list_unreachable = 1406,
+    vm_list_back = 1407,
+
+    // 15xx: engines and plain services.
+    engine_unreachable = 1501,
+    engine_back = 1502,
+    connection_silent = 1503,
+    late_answer_dropped = 1504,
+    cache_events_missed = 1505,
+
+    // 16xx: requests.
+    request_refused = 1601,
+    request_retried = 1602,
+    retry_budget_empty = 1603,
+    stream_cut = 1604,
+    crash_suspected = 1605,
+    fingerprint_blocked = 1606,
+    fingerprint_unblocked = 1607,
+    claim_lost = 1608,
+    claim_unavailable = 1609,
+    caller_left = 1610,
+    bad_request = 1611
+};
+
+/// A named value of an event: text or a signed 64-bit integer. The text is
+/// borrowed and has to live until `event_sink::emit` returns.
+struct event_field
+{
+    std::string_view name;
+    std::variant<std::string_view, std::int64_t> value;
+
+    event_field(std::string_view field_name, std::string_view text)
+        : name(field_name)
+        , value(text)
+    {
+    }
+
+    /// Unsigned values beyond the signed range are held at its maximum; send
+    /// hashes as hexadecimal text.
+    template <std::integral Integer>
+    event_field(std::string_view field_name, Integer number)
+        : name(field_name)
+        , value(saturate(number))
+    {
+    }
+
+private:
+    template <std::integral Integer>
+    static std::int64_t saturate(Integer number)
+    {
+        if constexpr (std::is_unsigned_v<Integer> && sizeof(Integer) == 8)
+        {
+            constexpr auto limit = std::numeric_limits<std::int64_t>::max();
+            if (number > static_cast<std::uint64_t>(limit))
+                return limit;
+        }
+        return static_cast<std::int64_t>(number);
+    }
+};
+
+/// One event as it happened. The fields are borrowed.
+struct event_record
+{
+    event_id id;
+    std::span<const event_field> fields;
+};
+
+/// Port: where the router's numbered events go. Implementations may be called
+/// from any thread, don't throw, and keep nothing of the record.
+class event_sink
+{
+public:
+    virtual ~event_sink() = default;
+
+    /// Takes one event.
+    /// @param record the event; borrowed for the call only.
+    virtual void emit(const event_record& record) noexcept = 0;
+
+    /// Shorthand: `events.report(event_id::lease_lapsed, {{"engine", name}})`.
+    /// @param id     the event.
+    /// @param fields its values, named as in the catalogue.
+    void report(event_id id, std::initializer_list<event_field> fields = {})
+    {
+        this->emit({id, std::span(fields.begin(), fields.size())});
+    }
+};
+
+} // namespace roseworks
