--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# The commands that people and CI use. Builds go to build/<preset>.
+
+PRESET ?= release
+BUILD  := build/$(PRESET)
+JOBS   ?= $(shell nproc)
+
+.PHONY: all deps configure demo test bench lint format golden capacity soak clean
+
+all: configure
+	cmake --build $(BUILD) -j $(JOBS)
+
+deps:
+	./scripts/install-deps
+
+configure: deps
+	cmake --preset $(PRESET) >/dev/null
+
+demo: all
+	./scripts/demo $(BUILD)/bin
+
+test: all
+	ctest --test-dir $(BUILD) --output-on-failure -j $(JOBS)
+
+bench: all
+	./scripts/bench $(BUILD)/bin
+
+capacity: all
+	./scripts/capacity $(BUILD)/bin
+
+lint: configure
+	./scripts/lint $(BUILD)
+
+format: deps
+	./scripts/format
+
+golden: all
+	./scripts/golden-update $(BUILD)/bin
+
+clean:
+	rm -rf build
--- /dev/null
+++ b/bench/membership/bench_membership.cpp
@@ -0,0 +1,187 @@
+/** Control traffic between routers against their number: real UDP sockets on
+    loopback, all in one process, at the default probe interval of 1 s.
+
+    Prints per router: datagrams/s, bytes/s, processor time and, once one
+    router falls silent, the time until every other one has given it up.
+*/
+#include "adapters/peers/udp_peers.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <cstdio>
+#include <ctime>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace roseworks;
+
+namespace
+{
+
+namespace asio = boost::asio;
+
+constexpr auto settle_time = std::chrono::seconds(3);
+constexpr auto measured_time = std::chrono::seconds(6);
+constexpr auto detection_limit = std::chrono::seconds(40);
+
+class real_clock : public clock_port
+{
+public:
+    instant now() const override
+    {
+        return instant(std::chrono::duration_cast<duration>(
+            std::chrono::steady_clock::now().time_since_epoch()));
+    }
+
+    stamp_ms wall() const override
+    {
+        return 0;
+    }
+};
+
+class silent_sink : public event_sink
+{
+public:
+    void emit(const event_record& /*record*/) noexcept override {}
+};
+
+class alive_counter : public peer_listener
+{
+public:
+    void demand_heard(const servable_demand& /*what*/) override {}
+
+    void peers_alive(std::span<const session_id> sessions) override
+    {
+        this->alive = sessions.size();
+    }
+
+    std::size_t alive = 0;
+};
+
+/// A fleet of peers in this process.
+class fleet
+{
+public:
+    explicit fleet(std::size_t count)
+        : listeners(count)
+    {
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            udp_peers::options settings;
+            settings.listen = {asio::ip::address_v4::loopback(), 0};
+            settings.first_counter = 1;
+            settings.probing.seed = i + 1;
+            this->nodes.push_back(std::make_unique<udp_peers>(
+                this->context,
+                mac_keys::unauthenticated(),
+                settings,
+                this->clock,
+                this->events));
+        }
+        this->introduce();
+    }
+
+    void run_for(std::chrono::steady_clock::duration time)
+    {
+        this->context.run_for(time);
+    }
+
+    /// @return Seconds until all others gave the last router up.
+    double time_to_detect()
+    {
+        const auto start = std::chrono::steady_clock::now();
+        this->nodes.back()->stop();
+        const auto all_know = [&]
+        {
+            for (std::size_t i = 0; i + 1 < this->listeners.size(); ++i)
+            {
+                if (this->listeners[i].alive != this->nodes.size() - 1)
+                    return false;
+            }
+            return true;
+        };
+        while (!all_know() &&
+               std::chrono::steady_clock::now() - start < detection_limit)
+            this->context.run_for(std::chrono::milliseconds(50));
+        const std::chrono::duration<double> taken =
+            std::chrono::steady_clock::now() - start;
+        return taken.count();
+    }
+
+    udp_peers::counters total() const
+    {
+        udp_peers::counters sum;
+        for (const auto& node : this->nodes)
+        {
+            sum.datagrams_sent += node->traffic().datagrams_sent;
+            sum.bytes_sent += node->traffic().bytes_sent;
+            sum.bytes_received += node->traffic().bytes_received;
+        }
+        return sum;
+    }
+
+private:
+    void introduce()
+    {
+        std::vector<peer_session> list;
+        for (std::size_t i = 0; i < this->nodes.size(); ++i)
+        {
+            list.push_back(
+                {session_id(i + 1), "", "", this->nodes[i]->address()});
+        }
+        for (std::size_t i = 0; i < this->nodes.size(); ++i)
+        {
+            this->nodes[i]->start(this->listeners[i]);
+            this->nodes[i]->sessions_changed(session_id(i + 1), list);
+        }
+    }
+
+    asio::io_context context;
+    real_clock clock;
+    silent_sink events;
+    std::vector<alive_counter> listeners;
+    std::vector<std::unique_ptr<udp_peers>> nodes;
+};
+
+double cpu_seconds()
+{
+    return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
+
+void print(
+    const char* name, std::size_t routers, double value, const char* unit)
+{
+    std::printf("%s_n%zu=%.3f %s\n", name, routers, value, unit);
+}
+
+void measure(std::size_t routers)
+{
+    fleet nodes(routers);
+    nodes.run_for(settle_time);
+    const auto before = nodes.total();
+    const double cpu_before = cpu_seconds();
+    nodes.run_for(measured_time);
+    const double cpu = cpu_seconds() - cpu_before;
+    const auto after = nodes.total();
+    const double seconds = std::chrono::duration<double>(measured_time).count();
+    const double scale = seconds * static_cast<double>(routers);
+    const auto datagrams =
+        static_cast<double>(after.datagrams_sent - before.datagrams_sent);
+    const auto bytes =
+        static_cast<double>(after.bytes_sent - before.bytes_sent);
+    print("membership_datagrams", routers, datagrams / scale, "per_router_s");
+    print("membership_bytes", routers, bytes / scale, "B_per_router_s");
+    print("membership_cpu", routers, cpu / scale * 100, "percent_core");
+    print("membership_detect", routers, nodes.time_to_detect(), "s");
+}
+
+} // namespace
+
+int main()
+{
+    for (std::size_t routers : {2, 9, 50, 200})
+        measure(routers);
+}
--- a/cmake/helpers.cmake
+++ b/cmake/helpers.cmake
@@ -3,7 +3,7 @@
 
 add_library(roseworks_flags INTERFACE)
 target_compile_options(roseworks_flags INTERFACE
-    -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Werror=return-type)
+    -Wall -Wextra -Wpedantic -Wshadow=local -Wno-missing-field-initializers -Wnon-virtual-dtor -Werror=return-type)
 target_compile_definitions(roseworks_flags INTERFACE
     BOOST_ASIO_NO_DEPRECATED
     BOOST_ASIO_DISABLE_BOOST_COROUTINE
