--- /dev/null
+++ b/src/adapters/events/event_catalogue.cpp
@@ -0,0 +1,353 @@
+#include "adapters/events/event_catalogue.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <iterator>
+#include <ostream>
+
+namespace roseworks::events
+{
+
+namespace
+{
+
+using enum event_id;
+using enum event_level;
+
+constexpr std::string_view nothing = "Nothing.";
+
+constexpr event_entry entries[] = {
+    // clang-format off
+    {router_started, info, "router_started",
+     "The process has read its settings and starts.",
+     "data_centre, version, incarnation", nothing},
+    {router_ready, info, "router_ready",
+     "The log is folded to its end; the router takes requests.",
+     "offset, records, elapsed_ms, http, udp", nothing},
+    {drain_started, info, "drain_started",
+     "A shutdown was asked for: no new request is taken.",
+     "in_flight, queued, signal", nothing},
+    {drain_finished, info, "drain_finished",
+     "No request is in flight any more.",
+     "elapsed_ms, unfinished", nothing},
+    {router_stopped, info, "router_stopped",
+     "The process ends.",
+     "status", nothing},
+    {settings_refused, error, "settings_refused",
+     "The settings file has a problem; the process does not start.",
+     "file, line, section, key, reason, allowed",
+     "Correct the key; docs/SETTINGS.md says what is allowed."},
+    {drain_limit_reached, warn, "drain_limit_reached",
+     "Requests were still in flight at the drain limit and were ended with an "
+     "explicit error.",
+     "unfinished, limit_ms",
+     "Raise router.drain_limit_ms if the platform leaves more time."},
+    {listen_failed, error, "listen_failed",
+     "An address of the settings cannot be listened on.",
+     "address, protocol, reason",
+     "See which process holds the address, or correct the settings."},
+    {internal_error, error, "internal_error",
+     "A fault of the program was contained.",
+     "where, reason",
+     "Report it with the lines around it."},
+
+    {log_unreachable, warn, "log_unreachable",
+     "The log does not answer. Serving goes on from the folded state; nothing "
+     "new is decided.",
+     "address, reason, offset",
+     "See to the log service if it lasts."},
+    {log_back, info, "log_back",
+     "The log answers again.",
+     "address, offset, elapsed_ms", nothing},
+    {log_gap, error, "log_gap",
+     "The log has forgotten entries this router has not read; it rejoins from "
+     "a checkpoint.",
+     "wanted, first_offset",
+     "See that the log keeps entries longer than a router may be away."},
+    {append_answer_lost, warn, "append_answer_lost",
+     "The answer to an append was lost; its records may be in the log.",
+     "records, bytes, reason, record_id", nothing},
+    {append_retried, info, "append_retried",
+     "Records whose fate is unknown were appended again under the same ids.",
+     "records, attempt, record_id", nothing},
+    {record_rejected, info, "record_rejected",
+     "A record lost against an earlier one; every router rejects it alike.",
+     "offset, kind, record_id, reason, winner",
+     "Nothing, unless it is a change of yours: see who won and send it anew."},
+    {schema_unknown, warn, "schema_unknown",
+     "A record has a schema version or kind this router cannot read. It keeps "
+     "the last it could and does not act on that entity.",
+     "offset, kind, schema, entity",
+     "Update this router."},
+    {checkpoint_written, info, "checkpoint_written",
+     "A checkpoint of the folded state was appended.",
+     "offset, bytes, chunks, hash, elapsed_ms", nothing},
+    {checkpoint_adopted, info, "checkpoint_adopted",
+     "The state was loaded from a checkpoint.",
+     "offset, bytes, hash, elapsed_ms, source", nothing},
+    {checkpoint_diverged, error, "checkpoint_diverged",
+     "A checkpoint disagrees with this router's own fold; it is not adopted.",
+     "offset, expected, found, author",
+     "Run roseworks-audit over the log, replace the router it finds wrong and "
+     "report it."},
+    {configuration_accepted, info, "configuration_accepted",
+     "A change of the published configuration is in force.",
+     "offset, kind, entity, revision, author", nothing},
+    {record_malformed, error, "record_malformed",
+     "An entry of the log cannot be decoded; every router skips it alike.",
+     "offset, bytes, reason",
+     "Find what else writes to the log."},
+
+    {lease_acquired, info, "lease_acquired",
+     "This router may order the engine.",
+     "engine, offset, term_ms", nothing},
+    {lease_lost, warn, "lease_lost",
+     "Another router took the lease.",
+     "engine, holder, offset", nothing},
+    {lease_lapsed, warn, "lease_lapsed",
+     "The lease could not be renewed in time; orders to the engine stop.",
+     "engine, age_ms, term_ms",
+     "See whether the log is away or the VM was paused."},
+    {lease_released, info, "lease_released",
+     "This router gave the lease back.",
+     "engine, offset", nothing},
+
+    {replica_decided, info, "replica_decided",
+     "A replica's place was decided in the log; its memory is reserved.",
+     "replica, servable, engine, memory_mib, offset, reason", nothing},
+    {replica_loading, info, "replica_loading",
+     "The replica holds a slot of the weight store and loads.",
+     "replica, servable, engine, offset, waited_ms", nothing},
+    {replica_ready, info, "replica_ready",
+     "The replica serves.",
+     "replica, servable, engine, offset, elapsed_ms", nothing},
+    {replica_unloading, info, "replica_unloading",
+     "The replica takes no new requests and is being unloaded.",
+     "replica, servable, engine, offset, reason", nothing},
+    {replica_gone, info, "replica_gone",
+     "The replica is proven gone; its memory is free.",
+     "replica, servable, engine, offset, proof", nothing},
+    {replica_failed, warn, "replica_failed",
+     "The replica could not be loaded or broke.",
+     "replica, servable, engine, offset, reason",
+     "See the engine's own log; if it goes on, withdraw the version."},
+    {order_refused_stale_fence, warn, "order_refused_stale_fence",
+     "The engine has seen a higher fencing number: this router's order was "
+     "late and did nothing.",
+     "engine, order_id, fence, highest",
+     "See whether this VM was paused."},
+    {order_answer_lost, warn, "order_answer_lost",
+     "The answer to an order was lost; the engine's state will tell.",
+     "engine, order_id, action, replica, reason", nothing},
+    {order_reconciled, info, "order_reconciled",
+     "The engine's state told what became of an order.",
+     "engine, order_id, action, replica, outcome", nothing},
+    {order_refused, warn, "order_refused",
+     "The engine refused an order.",
+     "engine, order_id, action, replica, status, reason",
+     "On 401 correct engines.credentials_file; on 507 compare the engine's "
+     "memory with its record."},
+    {order_sent, debug, "order_sent",
+     "An order went to an engine.",
+     "engine, order_id, action, replica, fence", nothing},
+
+    {peer_joined, info, "peer_joined",
+     "Another router answers.",
+     "peer, address, incarnation", nothing},
+    {peer_suspected, warn, "peer_suspected",
+     "Another router has been silent for too long.",
+     "peer, address, silent_ms", nothing},
+    {peer_gone, info, "peer_gone",
+     "Another router left or was replaced.",
+     "peer, address, reason", nothing},
+    {datagram_rejected, warn, "datagram_rejected",
+     "A datagram was malformed or not authentic and was dropped.",
+     "address, bytes, reason, count",
+     "Compare peers.mac_key_file of the routers; else find the sender."},
+    {vm_leaving, info, "vm_leaving",
+     "A VM is leaving; it gets no new work.",
+     "vm, address, role", nothing},
+    {vm_list_unreachable, warn, "vm_list_unreachable",
+     "The VM list does not answer; the last one read stays in use.",
+     "address, reason",
+     "See to the VM list's service if it lasts."},
+    {vm_list_back, info, "vm_list_back",
+     "The VM list answers again.",
+     "address, elapsed_ms", nothing},
+
+    {engine_unreachable, warn, "engine_unreachable",
+     "An engine or plain service does not answer; requests go elsewhere.",
+     "engine, address, reason",
+     "See to the backend server if it lasts."},
+    {engine_back, info, "engine_back",
+     "The engine or plain service answers again.",
+     "engine, address, elapsed_ms, incarnation", nothing},
+    {connection_silent, warn, "connection_silent",
+     "An open connection went silent while new ones work; it was replaced.",
+     "engine, address, silent_ms, age_ms",
+     "If frequent, lower traffic.connection_max_age_ms."},
+    {late_answer_dropped, warn, "late_answer_dropped",
+     "An answer came late or for another request and was dropped.",
+     "engine, request_id, got_request_id", nothing},
+    {cache_events_missed, info, "cache_events_missed",
+     "Cache events of an engine are missing; prefix affinity starts anew.",
+     "engine, wanted, got", nothing},
+
+    {request_refused, debug, "request_refused",
+     "A request was refused; it did not run.",
+     "request_id, servable, caller, priority, reason, status, retry_after_ms",
+     nothing},
+    {request_retried, info, "request_retried",
+     "A request was sent to another backend server.",
+     "request_id, servable, engine, attempt, reason", nothing},
+    {retry_budget_empty, warn, "retry_budget_empty",
+     "A model's retry budget is spent; its failures are answered as they are.",
+     "servable, request_id",
+     "See why so many requests of the model fail."},
+    {stream_cut, warn, "stream_cut",
+     "An engine's stream ended early; it was resumed or ended with an explicit "
+     "error.",
+     "request_id, servable, engine, bytes, outcome, reason", nothing},
+    {crash_suspected, warn, "crash_suspected",
+     "A backend server died while it ran a request; its like runs alone.",
+     "fingerprint, servable, engine, request_id, caller", nothing},
+    {fingerprint_blocked, error, "fingerprint_blocked",
+     "Requests with this fingerprint crashed backend servers again and are "
+     "refused for a time.",
+     "fingerprint, servable, crashes, block_ms",
+     "Tell the caller and the model's owner."},
+    {fingerprint_unblocked, info, "fingerprint_unblocked",
+     "Requests with this fingerprint are allowed again.",
+     "fingerprint, servable", nothing},
+    {claim_lost, info, "claim_lost",
+     "An idempotency key is held by an earlier request; this one did not run.",
+     "request_id, caller, holder, offset", nothing},
+    {claim_unavailable, warn, "claim_unavailable",
+     "A claim on an idempotency key cannot be decided; the request was refused "
+     "as not run.",
+     "request_id, caller, reason",
+     "See to the log service if it lasts."},
+    {caller_left, debug, "caller_left",
+     "The caller closed its connection before the answer ended.",
+     "request_id, servable, caller, bytes", nothing},
+    {bad_request, debug, "bad_request",
+     "A request was malformed or too large.",
+     "request_id, address, status, reason", nothing},
+    // clang-format on
+};
+
+constexpr bool numbers_rise()
+{
+    return std::ranges::is_sorted(
+        entries, std::ranges::less_equal(), &event_entry::id);
+}
+
+static_assert(numbers_rise(), "an event number stands twice or out of order");
+
+struct chapter
+{
+    /// The first two digits of its events' numbers.
+    int hundred;
+    std::string_view title;
+};
+
+constexpr chapter chapters[] = {
+    {10, "The process"},
+    {11, "The log and the folded state"},
+    {12, "Leases"},
+    {13, "Replicas and orders to engines"},
+    {14, "Peers and the VM list"},
+    {15, "Engines and plain services"},
+    {16, "Requests"},
+};
+
+constexpr std::string_view introduction = R"(# Events
+
+<!-- Generated: `events-reference > docs/EVENTS.md`. -->
+
+What the programs write to their log. Each kind of event has a number that is
+never given to another. As text a line is
+`<UTC time> <LEVEL> <VM> RW<number> <name> <field>=<value> ...`; as JSON it is
+an object with `time`, `level`, `vm`, `event`, `name`, `text` and `fields`.
+Values from outside are escaped, kept on their line and cut at 512 bytes. Which
+levels are written, how and where is in the section `[logging]` of the
+settings. An event carries those of its fields that are known. Fields ending in
+`_ms` are milliseconds, in `_mib` MiB.
+
+What was decided, by whom and why is not here but in the log itself:
+`roseworks-audit` shows that trail.
+)";
+
+void write_entry(std::ostream& out, const event_entry& entry)
+{
+    out << "| RW" << entry.number() << " | `" << entry.name << "` | "
+        << to_string(entry.level) << " | " << entry.text << " | "
+        << entry.fields << " | " << entry.remedy << " |\n";
+}
+
+} // namespace
+
+bool event_entry::has_field(std::string_view field) const
+{
+    constexpr std::string_view separator = ", ";
+    std::string_view rest = this->fields;
+    while (!rest.empty())
+    {
+        const auto end = rest.find(separator);
+        if (rest.substr(0, end) == field)
+            return true;
+        if (end == std::string_view::npos)
+            return false;
+        rest.remove_prefix(end + separator.size());
+    }
+    return false;
+}
+
+std::span<const event_entry> catalogue()
+{
+    return entries;
+}
+
+const event_entry* find_entry(event_id id)
+{
+    const auto found = std::ranges::lower_bound(
+        entries, id, std::ranges::less(), &event_entry::id);
+    if (found == std::end(entries) || found->id != id)
+        return nullptr;
+    return &*found;
+}
+
+std::string_view to_string(event_level level)
+{
+    switch (level)
+    {
+    case event_level::debug:
+        return "debug";
+    case event_level::info:
+        return "info";
+    case event_level::warn:
+        return "warn";
+    case event_level::error:
+        return "error";
+    }
+    return "";
+}
+
+void write_catalogue(std::ostream& out)
+{
+    constexpr int numbers_per_chapter = 100;
+    out << introduction;
+    for (const chapter& each : chapters)
+    {
+        out << "\n## " << each.title << "\n\n"
+            << "| number | name | level | what happened | fields | what to do "
+               "|\n|---|---|---|---|---|---|\n";
+        for (const event_entry& entry : entries)
+        {
+            if (entry.number() / numbers_per_chapter == each.hundred)
+                write_entry(out, entry);
+        }
+    }
+}
+
+} // namespace roseworks::events
--- a/src/adapters/events/event_catalogue.hpp
+++ b/src/adapters/events/event_catalogue.hpp
@@ -14,8 +14,8 @@
 struct event_entry
 {
     event_id id;
-    std::string_view name;
     event_level level;
+    std::string_view name;
     /// What happened, one sentence.
     std::string_view text;
     /// The names of the fields it may carry, separated by ", ".
--- a/src/adapters/events/null_event_sink.hpp
+++ b/src/adapters/events/null_event_sink.hpp
@@ -9,9 +9,7 @@
 class null_event_sink final : public event_sink
 {
 public:
-    void emit(const event_record&) noexcept override
-    {
-    }
+    void emit(const event_record&) noexcept override {}
 };
 
 } // namespace roseworks::events
--- a/src/adapters/metrics/counter.hpp
+++ b/src/adapters/metrics/counter.hpp
@@ -44,7 +44,7 @@
         this->write_head(out, "counter");
         for (std::size_t cell = 0; cell < this->cells.size(); ++cell)
         {
-            this->write_series(out, "", label_set<Labels...>::text(cell));
+            this->write_series(out, label_set<Labels...>::text(cell));
             out << this->cells[cell].load(std::memory_order_relaxed) << '\n';
         }
     }
--- a/src/adapters/metrics/latency.hpp
+++ b/src/adapters/metrics/latency.hpp
@@ -6,7 +6,10 @@
 
 #include <array>
 #include <chrono>
-#include <ostream>
+#include <cstdint>
+#include <iosfwd>
+#include <string>
+#include <string_view>
 
 namespace roseworks::metrics
 {
@@ -26,6 +29,15 @@
     void write(std::ostream& out, const latency_histogram& histogram) const;
 
 private:
+    void write_bucket(
+        std::ostream& out,
+        std::string_view edge,
+        std::uint64_t cumulative) const;
+    void write_total(
+        std::ostream& out,
+        std::string_view suffix,
+        std::string_view value) const;
+
     std::string name;
     std::string labels;
 };
--- a/src/adapters/metrics/metric.hpp
+++ b/src/adapters/metrics/metric.hpp
@@ -30,10 +30,7 @@
     void write_head(std::ostream& out, std::string_view type) const;
 
     /// Writes `name{labels} `, without braces when there are no labels.
-    void write_series(
-        std::ostream& out,
-        std::string_view suffix,
-        std::string_view labels) const;
+    void write_series(std::ostream& out, std::string_view labels) const;
 
 private:
     std::string full_name;
--- a/src/adapters/metrics/metrics_registry.hpp
+++ b/src/adapters/metrics/metrics_registry.hpp
@@ -28,7 +28,8 @@
     /// @param help one line of text.
     /// @return the metric, owned by the registry.
     template <typename... Labels>
-    counter<Labels...>& add_counter(std::string_view name, std::string_view help)
+    counter<Labels...>&
+    add_counter(std::string_view name, std::string_view help)
     {
         return this->add<counter<Labels...>>(name, help);
     }
@@ -42,7 +43,8 @@
 
     /// As `add_counter`, for latencies; the name should end in `_seconds`.
     template <typename... Labels>
-    latency<Labels...>& add_latency(std::string_view name, std::string_view help)
+    latency<Labels...>&
+    add_latency(std::string_view name, std::string_view help)
     {
         return this->add<latency<Labels...>>(name, help);
     }
--- a/src/adapters/metrics/percentile.hpp
+++ b/src/adapters/metrics/percentile.hpp
@@ -35,7 +35,9 @@
     const auto& axis = histogram.axis(0);
     const int size = axis.size();
     const auto count_at = [&histogram](int bin)
-    { return detail::bin_content(histogram.at(bin)); };
+    {
+        return detail::bin_content(histogram.at(bin));
+    };
 
     double total = 0;
     for (int bin = -1; bin <= size; ++bin)
