--- /dev/null
+++ b/bench/dispatch/bench_dispatch.cpp
@@ -0,0 +1,284 @@
+#include "core/routing/sharded_table.hpp"
+#include "overload_experiment.hpp"
+
+#include <roseworks/dispatcher.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <malloc.h>
+#include <new>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+std::atomic<std::size_t> heap_bytes{0};
+
+} // namespace
+
+// Counts what the allocator hands out, its rounding included.
+void* operator new(std::size_t size)
+{
+    void* block = std::malloc(size);
+    if (block == nullptr)
+    {
+        throw std::bad_alloc();
+    }
+    heap_bytes += malloc_usable_size(block) + sizeof(std::size_t);
+    return block;
+}
+
+void operator delete(void* block) noexcept
+{
+    if (block != nullptr)
+    {
+        heap_bytes -= malloc_usable_size(block) + sizeof(std::size_t);
+    }
+    std::free(block);
+}
+
+void operator delete(void* block, std::size_t) noexcept
+{
+    operator delete(block);
+}
+
+namespace
+{
+
+using namespace roseworks;
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t adapters = 87'000;
+
+class stopwatch
+{
+public:
+    double nanoseconds_per(std::size_t count) const
+    {
+        const auto passed = std::chrono::steady_clock::now() - this->start;
+        return std::chrono::duration<double, std::nano>(passed).count() /
+               static_cast<double>(count);
+    }
+
+private:
+    std::chrono::steady_clock::time_point start =
+        std::chrono::steady_clock::now();
+};
+
+void print(const std::string& name, double value, const char* unit)
+{
+    std::printf("%s=%.4g %s\n", name.c_str(), value, unit);
+}
+
+servable_routes
+make_model(std::uint32_t id, std::uint32_t replicas, std::uint16_t streams)
+{
+    servable_routes entry;
+    entry.id = servable_id(id);
+    entry.name = "model" + std::to_string(id);
+    entry.max_streams = streams;
+    entry.max_replicas = 16;
+    for (std::uint32_t i = 1; i <= replicas; ++i)
+    {
+        entry.ready.push_back(
+            {replica_id(id * 100 + i),
+             engine_id(id * 100 + i),
+             "10.0.0." + std::to_string(i) + ":8080",
+             "here",
+             "vm" + std::to_string(i)});
+    }
+    return entry;
+}
+
+request_info make_request(const std::string& target, instant now)
+{
+    request_info info;
+    info.target = target;
+    info.deadline = now + 1h;
+    return info;
+}
+
+/// One request after the other over 100 models, with a free slot for each.
+void measure_cycles()
+{
+    detail::sharded_table table;
+    std::vector<std::string> names;
+    for (std::uint32_t id = 1; id <= 100; ++id)
+    {
+        table.put(make_model(id, 4, 8));
+        names.push_back("model" + std::to_string(id));
+    }
+    dispatcher core(dispatcher::options{});
+    instant now{1h};
+    core.table_changed(table.publish(), now);
+
+    constexpr std::size_t rounds = 500'000;
+    attempt_result result;
+    result.total = 100ms;
+    result.first_byte = 10ms;
+    const stopwatch watch;
+    for (std::size_t i = 0; i < rounds; ++i)
+    {
+        now += 10us;
+        const ticket id = core.submit(make_request(names[i % 100], now), now);
+        core.take_commands();
+        core.finished(id, result, now);
+        core.take_commands();
+    }
+    const double each = watch.nanoseconds_per(rounds);
+    print("dispatch_cycle", each, "ns");
+    print("dispatch_cycles_per_second", 1e9 / each, "1/s");
+}
+
+/// Submits to a target at which 4000 wait already.
+void measure_queue()
+{
+    dispatcher::options settings;
+    settings.max_queued = 10'000;
+    settings.max_queued_per_target = 10'000;
+    dispatcher core(settings);
+    detail::sharded_table table;
+    table.put(make_model(1, 1, 1));
+    instant now{1h};
+    core.table_changed(table.publish(), now);
+
+    const auto submit = [&core, &now](std::size_t i)
+    {
+        now += 10us;
+        request_info info = make_request("model1", now);
+        info.caller = "caller" + std::to_string(i % 20);
+        info.deadline += std::chrono::milliseconds(i * 7919 % 100'000);
+        return core.submit(std::move(info), now);
+    };
+    const std::size_t before = heap_bytes;
+    for (std::size_t i = 0; i < 4001; ++i)
+    {
+        submit(i);
+    }
+    print(
+        "queue_bytes_per_waiting_request",
+        static_cast<double>(heap_bytes - before) / 4000,
+        "B");
+
+    constexpr std::size_t rounds = 20'000;
+    const stopwatch watch;
+    for (std::size_t i = 0; i < rounds; ++i)
+    {
+        core.abandon(submit(i), now);
+    }
+    core.take_commands();
+    print("queue_4000_submit_and_abandon", watch.nanoseconds_per(rounds), "ns");
+
+    constexpr std::size_t ticks = 200;
+    const stopwatch tick_watch;
+    for (std::size_t i = 0; i < ticks; ++i)
+    {
+        now += 50ms;
+        core.tick(now);
+    }
+    core.take_commands();
+    print("queue_4000_tick", tick_watch.nanoseconds_per(ticks) / 1000, "us");
+}
+
+servable_routes make_adapter(std::uint32_t id)
+{
+    servable_routes entry;
+    entry.id = servable_id(id);
+    entry.name = "customer-" + std::to_string(100'000 + id) + "-summaries";
+    entry.is_adapter = true;
+    entry.max_replicas = 1;
+    return entry;
+}
+
+/// Size of a table of 87,000 adapters and the cost of one change of it.
+void measure_table()
+{
+    const std::size_t before = heap_bytes;
+    detail::sharded_table table;
+    for (std::uint32_t id = 1; id <= adapters; ++id)
+    {
+        table.put(make_adapter(id));
+    }
+    routing_table_ptr current = table.publish();
+    print(
+        "table_bytes_per_adapter",
+        static_cast<double>(heap_bytes - before) / adapters,
+        "B");
+
+    constexpr std::uint32_t changes = 20'000;
+    const servable_routes ready = make_model(1, 1, 8);
+    const stopwatch watch;
+    for (std::uint32_t i = 0; i < changes; ++i)
+    {
+        servable_routes entry = make_adapter(1 + i * 7919 % adapters);
+        entry.ready = ready.ready;
+        table.put(std::move(entry));
+        current = table.publish();
+    }
+    print("table_change", watch.nanoseconds_per(changes) / 1000, "us");
+
+    const std::size_t held = heap_bytes;
+    const routing_table_ptr old = current;
+    table.put(make_adapter(4242));
+    current = table.publish();
+    print(
+        "table_bytes_per_change_while_the_old_is_held",
+        static_cast<double>(heap_bytes - held),
+        "B");
+
+    constexpr std::uint32_t lookups = 1'000'000;
+    std::vector<std::string> names;
+    for (std::uint32_t i = 0; i < 1000; ++i)
+    {
+        names.push_back(make_adapter(1 + i * 7919 % adapters).name);
+    }
+    std::size_t found = 0;
+    const stopwatch lookup_watch;
+    for (std::uint32_t i = 0; i < lookups; ++i)
+    {
+        found += current->find_servable(names[i % 1000]) != nullptr ? 1 : 0;
+    }
+    print("table_lookup", lookup_watch.nanoseconds_per(lookups), "ns");
+    print("table_lookups_found", static_cast<double>(found), "of 1000000");
+}
+
+void measure_overload()
+{
+    for (const double load : {0.5, 1.0, 2.0, 4.0})
+    {
+        for (const auto kind :
+             {bench::discipline::dispatcher, bench::discipline::fcfs})
+        {
+            const bool is_fcfs = kind == bench::discipline::fcfs;
+            const auto result = bench::run_overload(kind, load, 42);
+            char prefix[64];
+            std::snprintf(
+                prefix,
+                sizeof(prefix),
+                "overload_%gx_%s_",
+                load,
+                is_fcfs ? "fcfs" : "dispatcher");
+            const std::string name(prefix);
+            print(name + "goodput", result.goodput, "1/s");
+            print(name + "urgent_p99", result.urgent_p99_ms, "ms");
+            print(name + "urgent_timely", 100 * result.urgent_timely, "%");
+            print(name + "normal_timely", 100 * result.normal_timely, "%");
+            print(name + "batch_timely", 100 * result.batch_timely, "%");
+            print(name + "refused", 100 * result.refused, "%");
+        }
+    }
+}
+
+} // namespace
+
+int main()
+{
+    measure_cycles();
+    measure_queue();
+    measure_table();
+    measure_overload();
+    return 0;
+}
--- /dev/null
+++ b/bench/policy/replay_options.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "core/placement/strategies/preload_source.hpp"
+
+#include <roseworks/instant.hpp>
+#include <roseworks/placement_strategy.hpp>
+
+#include <memory>
+#include <vector>
+
+namespace roseworks::bench
+{
+
+/// What a replay does beside the hold times and evictions of its strategy.
+struct replay_options
+{
+    /// Engines that hold the checkpoint in memory or on disk come first.
+    bool tier_choice = false;
+    /// Store slots go to the most urgent, then by age; else by age alone.
+    bool urgent_slots = false;
+    /// A load from an engine's own memory or disk takes no store slot.
+    bool local_without_slot = false;
+    /// Models on no engine's disk are fetched while the store is idle.
+    bool staging = false;
+    /// An adapter is held and evicted as if it took its base's load time.
+    bool adapters_like_base = false;
+    policy_spec policy; ///< weights given to the strategy
+    /// Figures are taken from here to the trace's end.
+    duration warm_up = std::chrono::hours(24);
+    /// Load times from an engine's disk and memory against the remote one.
+    double disk_factor = 0.35;
+    double memory_factor = 0.08;
+};
+
+/// The parts of a strategy that learn; used up by one replay.
+struct replay_strategy
+{
+    std::unique_ptr<placement_strategy> holds;
+    std::vector<std::unique_ptr<preload_source>> preloads;
+};
+
+} // namespace roseworks::bench
--- /dev/null
+++ b/bench/policy/strategy_list.cpp
@@ -0,0 +1,182 @@
+#include "strategy_list.hpp"
+
+#include "core/placement/strategies/companions.hpp"
+#include "core/placement/strategies/gap_cost.hpp"
+#include "core/placement/strategies/idle_histogram.hpp"
+#include "core/placement/strategies/periodic_callers.hpp"
+#include "core/placement/strategies/reload_cost_eviction.hpp"
+
+#include <algorithm>
+#include <array>
+#include <memory>
+#include <utility>
+
+namespace roseworks::bench
+{
+
+namespace
+{
+
+/// A companion followed at least this share of a caller's visits.
+constexpr double companion_least_share = 0.4;
+
+constexpr std::array strategies{
+    named_strategy{.name = "fixed_ttl"},
+    named_strategy{.name = "break_even", .holds = hold_kind::break_even},
+    named_strategy{.name = "gap_cost", .holds = hold_kind::gap_cost},
+    named_strategy{.name = "reload_cost", .reload_cost_eviction = true},
+    named_strategy{.name = "tier_choice", .tier_choice = true},
+    named_strategy{.name = "urgent_slots", .urgent_slots = true},
+    named_strategy{
+        .name = "local_without_slot",
+        .tier_choice = true,
+        .local_without_slot = true},
+    named_strategy{.name = "staging", .tier_choice = true, .staging = true},
+    named_strategy{.name = "periodic", .periodic = true},
+    named_strategy{.name = "companions", .companions = true},
+    named_strategy{.name = "idle_histogram", .idle_histogram = true},
+    named_strategy{.name = "merged_adapters", .merged_adapters = true},
+    named_strategy{
+        .name = "break_even_adapters",
+        .holds = hold_kind::break_even,
+        .adapters_like_base = true},
+    named_strategy{
+        .name = "gap_cost_adapters",
+        .holds = hold_kind::gap_cost,
+        .adapters_like_base = true},
+    named_strategy{
+        .name = "core_today",
+        .holds = hold_kind::break_even,
+        .tier_choice = true,
+        .urgent_slots = true},
+    named_strategy{
+        .name = "combined",
+        .holds = hold_kind::gap_cost,
+        .tier_choice = true,
+        .urgent_slots = true,
+        .local_without_slot = true,
+        .periodic = true,
+        .adapters_like_base = true},
+    named_strategy{
+        .name = "combined_companions",
+        .holds = hold_kind::gap_cost,
+        .tier_choice = true,
+        .urgent_slots = true,
+        .local_without_slot = true,
+        .periodic = true,
+        .companions = true,
+        .adapters_like_base = true},
+    named_strategy{
+        .name = "combined_staging",
+        .holds = hold_kind::gap_cost,
+        .tier_choice = true,
+        .urgent_slots = true,
+        .local_without_slot = true,
+        .staging = true,
+        .periodic = true,
+        .adapters_like_base = true},
+    named_strategy{
+        .name = "clairvoyant",
+        .holds = hold_kind::clairvoyant,
+        .tier_choice = true,
+        .urgent_slots = true,
+        .local_without_slot = true,
+        .adapters_like_base = true}};
+
+std::unique_ptr<placement_strategy>
+make_holds(hold_kind kind, duration setting, const future_uses& future)
+{
+    switch (kind)
+    {
+    case hold_kind::fixed_ttl:
+        return make_placement_strategy(placement_kind::fixed_ttl, setting);
+    case hold_kind::break_even:
+        return make_placement_strategy(placement_kind::break_even, setting);
+    case hold_kind::gap_cost:
+        return std::make_unique<detail::gap_cost>(setting);
+    case hold_kind::clairvoyant:
+        return std::make_unique<clairvoyant_hold>(future, setting);
+    }
+    return nullptr;
+}
+
+} // namespace
+
+std::span<const named_strategy> list_strategies()
+{
+    return strategies;
+}
+
+const named_strategy* find_strategy(std::string_view name)
+{
+    const auto found = std::find_if(
+        strategies.begin(),
+        strategies.end(),
+        [name](const named_strategy& item)
+        {
+            return item.name == name;
+        });
+    return found == strategies.end() ? nullptr : &*found;
+}
+
+replay_strategy make_replay_strategy(
+    const named_strategy& which, duration setting, const future_uses& future)
+{
+    replay_strategy made;
+    made.holds = make_holds(which.holds, setting, future);
+    if (which.reload_cost_eviction)
+    {
+        made.holds = std::make_unique<detail::reload_cost_eviction>(
+            std::move(made.holds));
+    }
+    if (which.periodic)
+    {
+        made.preloads.push_back(std::make_unique<detail::periodic_callers>());
+    }
+    if (which.companions)
+    {
+        made.preloads.push_back(
+            std::make_unique<detail::companions>(companion_least_share));
+    }
+    if (which.idle_histogram)
+    {
+        made.preloads.push_back(std::make_unique<detail::idle_histogram>());
+    }
+    if (which.holds == hold_kind::clairvoyant)
+    {
+        made.preloads.push_back(std::make_unique<clairvoyant_preload>(future));
+    }
+    return made;
+}
+
+replay_options make_replay_options(const named_strategy& which)
+{
+    replay_options options;
+    options.tier_choice = which.tier_choice;
+    options.urgent_slots = which.urgent_slots;
+    options.local_without_slot = which.local_without_slot;
+    options.staging = which.staging;
+    options.adapters_like_base = which.adapters_like_base;
+    return options;
+}
+
+trace merge_adapters(const trace& source)
+{
+    trace merged = source;
+    for (traced_servable& servable : merged.servables)
+    {
+        if (!servable.base)
+        {
+            continue;
+        }
+        const traced_servable& base = source.servables[*servable.base];
+        servable.memory_mib += base.memory_mib;
+        servable.load_ms += base.load_ms;
+        servable.accelerators = base.accelerators;
+        servable.max_streams = base.max_streams;
+        servable.base.reset();
+    }
+    return merged;
+}
+
+} // namespace roseworks::bench
--- /dev/null
+++ b/include/roseworks/checkpoint.hpp
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <roseworks/fleet_state.hpp>
+#include <roseworks/ids.hpp>
+#include <roseworks/record.hpp>
+
+#include <boost/leaf/result.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace roseworks
+{
+
+/// A snapshot of the folded state, as written to the log in chunks.
+struct checkpoint
+{
+    log_offset at; ///< state after folding this offset
+    std::uint64_t state_hash = 0;
+    std::vector<std::byte> bytes;
+};
+
+/// LEAF error object: a checkpoint that isn't what it says it is.
+struct checkpoint_error
+{
+    std::string what;
+};
+
+/** Take a checkpoint of a state.
+
+    @param state The state.
+    @return      Its snapshot, offset and hash.
+*/
+checkpoint take_checkpoint(const fleet_state& state);
+
+/** Cut a checkpoint into records' payloads.
+
+    @param whole       The checkpoint.
+    @param chunk_bytes Most data bytes in a chunk; at least 1.
+    @return            At least one chunk.
+*/
+std::vector<checkpoint_chunk>
+cut_checkpoint(const checkpoint& whole, std::size_t chunk_bytes);
+
+/** Rebuild the state of a checkpoint.
+
+    @param whole    A complete checkpoint; may be damaged.
+    @param settings Options of the fold.
+    @return         The state, or a `codec_error` or `checkpoint_error` when the
+                    bytes don't give the stated offset and hash.
+*/
+boost::leaf::result<fleet_state>
+restore_checkpoint(const checkpoint& whole, fleet_state::options settings);
+
+/** Puts chunks read from the log together.
+
+    Keeps the newest few checkpoints under way and gives each complete one out
+    once. Chunks that contradict each other are never mixed: a set is named by
+    its offset, hash and count. Holds at most `max_bytes` of data.
+*/
+class checkpoint_assembler
+{
+public:
+    explicit checkpoint_assembler(
+        std::size_t max_bytes = std::size_t(64) << 20);
+
+    /** Add a chunk.
+
+        @param part What was read; may be hostile or seen before.
+        @return     The checkpoint that it completes.
+    */
+    std::optional<checkpoint> add(const checkpoint_chunk& part);
+
+private:
+    struct set_name
+    {
+        log_offset at;
+        std::uint64_t state_hash = 0;
+        std::uint32_t count = 0;
+
+        bool operator==(const set_name&) const = default;
+        bool operator<(const set_name& other) const;
+    };
+
+    using parts = std::map<std::uint32_t, std::vector<std::byte>>;
+
+    void make_room(std::size_t bytes);
+    checkpoint join(const set_name& name) const;
+
+    std::size_t max_bytes;
+    std::size_t held_bytes = 0;
+    std::map<set_name, parts> sets;
+    std::optional<set_name> last_given;
+};
+
+} // namespace roseworks
--- a/include/roseworks/codec.hpp
+++ b/include/roseworks/codec.hpp
@@ -19,8 +19,14 @@
     std::size_t position = 0; ///< byte at which reading failed
 };
 
+/// Longest record that `decode` takes.
+inline constexpr std::size_t max_record_bytes = std::size_t(4) << 20;
+
 /** Encode a record for the log (cereal's portable binary, little-endian).
 
+    An `entity_change` is written in the schema that it names, so that records
+    for old readers can be made: in schema 1, `min_replicas` is left out.
+
     @param value The record.
     @return      Its bytes; the same bytes for equal records.
 */
@@ -37,4 +43,21 @@
 */
 boost::leaf::result<record> decode(std::span<std::byte const> bytes);
 
+/** Sign an operator's change (HMAC-SHA256 over author, note and changes).
+
+    @param value The change; its `signature` is not read.
+    @param key   The operators' key.
+    @return      The signature to put into the change.
+*/
+std::vector<std::byte>
+sign(const config_change& value, std::span<std::byte const> key);
+
+/** Check an operator's signature in constant time.
+
+    @param value The change with its signature.
+    @param key   The operators' key.
+    @return      Whether the signature is of this key and content.
+*/
+bool signed_by(const config_change& value, std::span<std::byte const> key);
+
 } // namespace roseworks
--- a/include/roseworks/controller.hpp
+++ b/include/roseworks/controller.hpp
@@ -3,6 +3,7 @@
 #include <roseworks/fleet_state.hpp>
 #include <roseworks/ids.hpp>
 #include <roseworks/instant.hpp>
+#include <roseworks/placement_strategy.hpp>
 #include <roseworks/record.hpp>
 
 #include <cstddef>
@@ -89,6 +90,9 @@
     replica_state state = replica_state::loading;
     std::string servable;
     std::uint32_t memory_mib = 0;
+    std::uint32_t running = 0; ///< requests running on it
+    std::uint64_t served = 0;  ///< requests started on it since its load
+    std::string version;       ///< empty: not reported
 };
 
 /// An engine's own report. A hint: it lags.
@@ -161,9 +165,22 @@
 {
 };
 
-/// This router has said it leaves and its leave record is folded.
+/// This router has said it leaves and its leave record is folded; or it has
+/// given up on that, and its session stays unproven until somebody proves the
+/// process gone.
 struct left
 {
+    bool clean = true; ///< whether the leave record is folded
+};
+
+/// A complete checkpoint in the log disagrees with this router's own fold.
+/// Never adopted: an operator has to look.
+struct divergence_alarm
+{
+    log_offset at;
+    std::uint64_t own_hash = 0;
+    std::uint64_t logged_hash = 0;
+    author_id author; ///< who wrote the checkpoint
 };
 
 using control_command = std::variant<
@@ -174,7 +191,8 @@
     claim_result,
     folded_record,
     publish_table,
-    left>;
+    left,
+    divergence_alarm>;
 
 /** Drives one router's part in the fleet: a deterministic state machine.
 
@@ -211,6 +229,19 @@
         std::uint64_t checkpoint_records = 50'000; ///< records between two
         std::uint64_t seed = 1;
         fleet_state::options fold;
+        placement_kind placement = placement_kind::break_even;
+        /// Engine reports may be this old when they arrive.
+        duration report_lag = std::chrono::seconds(1);
+        /// Running requests may go on for so long on a draining replica.
+        duration drain_grace = std::chrono::seconds(30);
+        /// The next router in line steps in for a silent proposer.
+        duration proposer_patience = std::chrono::seconds(1);
+        /// A replica used within this time is never evicted.
+        duration evict_grace = std::chrono::seconds(10);
+        /// After an order's answer was lost, its replica isn't reported gone.
+        duration order_settle = std::chrono::seconds(5);
+        /// `leave` gives up after this time.
+        duration leave_limit = std::chrono::seconds(30);
     };
 
     explicit controller(options settings);
--- a/include/roseworks/fleet_state.hpp
+++ b/include/roseworks/fleet_state.hpp
@@ -152,8 +152,8 @@
     std::string_view data_centre;
     std::string_view peer_address;
     std::string_view http_address;
-    log_offset last_renewal;
-    bool ended = false; ///< left, replaced or proven gone
+    log_offset last_renewal; ///< join, renewal or acquired lease
+    bool ended = false;      ///< left, replaced or proven gone: it's dead
 };
 
 /// A claim on an idempotency key.
@@ -224,11 +224,12 @@
     log_offset folded() const;
 
     /// Highest stamp folded: the log's own time, in ms. Never goes back, and
-    /// no single record moves it by more than an hour.
+    /// no record after the first moves it by more than an hour.
     stamp_ms log_time() const;
 
-    /// Hash of the whole state (xxHash64 over its snapshot); equal on every
-    /// router that has folded the same offset.
+    /// Hash of the whole state (xxHash64 over its snapshot, but for the
+    /// offset); equal on every router that has folded the same offset. Chunks
+    /// of checkpoints and skipped entries don't change it.
     std::uint64_t hash() const;
 
     /// The whole state as bytes, equal for equal states.
@@ -261,9 +262,9 @@
     std::optional<entity_spec>
     entity(entity_kind kind, std::string_view name) const;
     void for_each_servable(
-        const std::function<void(servable_view const&)>& visit) const;
+        const std::function<void(const servable_view&)>& visit) const;
     void
-    for_each_engine(const std::function<void(engine_view const&)>& visit) const;
+    for_each_engine(const std::function<void(const engine_view&)>& visit) const;
     void for_each_service(
         const std::function<void(service_id, std::string_view)>& visit) const;
     void for_each_caller(
@@ -272,15 +273,16 @@
     // Replicas.
     std::optional<replica_view> replica(replica_id id) const;
     void for_each_replica(
-        const std::function<void(replica_view const&)>& visit) const;
+        const std::function<void(const replica_view&)>& visit) const;
     void for_each_replica_of(
         servable_id id,
-        const std::function<void(replica_view const&)>& visit) const;
+        const std::function<void(const replica_view&)>& visit) const;
     void for_each_replica_on(
         engine_id id,
-        const std::function<void(replica_view const&)>& visit) const;
-    /// @return Whether an ended session of unproven death may still have an
-    ///         order in flight to this engine (one that ignores fencing).
+        const std::function<void(const replica_view&)>& visit) const;
+    /// @return Whether a former lease holder that isn't proven gone may still
+    ///         have an order in flight to this engine (one that ignores
+    ///         fencing).
     bool order_may_be_in_flight(engine_id id) const;
 
     // Sessions.
@@ -288,7 +290,7 @@
     /// @return The newest session of an author that hasn't ended.
     session_id live_session(author_id author) const;
     void for_each_session(
-        const std::function<void(session_view const&)>& visit) const;
+        const std::function<void(const session_view&)>& visit) const;
 
     // Claims and blocked requests.
     std::optional<claim_view> claim(claim_key key) const;
--- /dev/null
+++ b/include/roseworks/placement_strategy.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <roseworks/fleet_state.hpp>
+#include <roseworks/ids.hpp>
+#include <roseworks/instant.hpp>
+#include <roseworks/specs.hpp>
+
+#include <cstdint>
+#include <memory>
+
+namespace roseworks
+{
+
+/** How long idle replicas are kept, and which goes first when memory is short.
+
+    A hint: each router asks its own strategy, fed with what it saw. Whatever it
+    says, the fold keeps replicas and memory within what is declared.
+*/
+class placement_strategy
+{
+public:
+    virtual ~placement_strategy() = default;
+
+    /** Learn that a servable was used.
+
+        @param id  The servable.
+        @param now When.
+    */
+    virtual void used(servable_id id, instant now) = 0;
+
+    /** How long a replica is kept idle before it is unloaded.
+
+        @param what   The servable.
+        @param policy The deployment's weights.
+        @return       Time since its last use.
+    */
+    virtual duration
+    hold(const servable_view& what, const policy_spec& policy) const = 0;
+
+    /** Order of eviction when an engine's memory is short.
+
+        @param what   The servable.
+        @param idle   Time since the replica's last use.
+        @param policy The deployment's weights.
+        @return       The replica with the highest value goes first.
+    */
+    virtual double eviction_value(
+        const servable_view& what,
+        duration idle,
+        const policy_spec& policy) const = 0;
+};
+
+/// The strategies to choose from.
+enum class placement_kind : std::uint8_t
+{
+    fixed_ttl, ///< one time to live for all, least recently used goes first
+    break_even ///< idle cost against reload cost, by past gaps between uses
+};
+
+/** Make a strategy.
+
+    @param kind     Which.
+    @param idle_ttl Time to live; for `break_even`, that of a servable with the
+                    reference load time at equal weights.
+    @return         The strategy.
+*/
+std::unique_ptr<placement_strategy>
+make_placement_strategy(placement_kind kind, duration idle_ttl);
+
+} // namespace roseworks
--- /dev/null
+++ b/include/roseworks/record_text.hpp
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <roseworks/specs.hpp>
+
+#include <boost/leaf/result.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace roseworks
+{
+
+/// One thing wrong with a text of records.
+struct text_problem
+{
+    std::size_t line = 0; ///< counted from 1
+    std::string section;  ///< as written between the brackets
+    std::string field;    ///< empty when the section itself is wrong
+    std::string reason;
+    std::string allowed; ///< range or words; empty when there is no rule
+};
+
+/// LEAF error object of `parse_records`: every problem, by line.
+struct text_problems
+{
+    std::vector<text_problem> all;
+};
+
+/// @return `12: [model a] memory_mib: out of range: 0; allowed: 1 to 16777216`.
+std::string to_string(const text_problem& problem);
+
+/// One entity as an operator wants it.
+struct desired_entity
+{
+    std::string name;
+    std::uint16_t schema = newest_entity_schema;
+    entity_spec spec;
+    std::size_t line = 0; ///< of its section
+
+    entity_kind kind() const
+    {
+        return kind_of(this->spec);
+    }
+};
+
+/// The content of a text of records, in the order written.
+struct desired_fleet
+{
+    std::uint16_t schema = newest_entity_schema;
+    std::vector<desired_entity> entities;
+
+    /// @return The entity, null when it isn't there.
+    const desired_entity* find(entity_kind kind, std::string_view name) const;
+};
+
+/// Name of the only policy entity.
+inline constexpr std::string_view policy_name = "policy";
+
+/// @return `model`, `adapter`, `engine`, `service`, `caller` or `policy`.
+std::string_view to_string(entity_kind kind);
+
+/** Read a text of records (docs/RECORDS.md).
+
+    A section of schema 1 is upcast; the schema it was written in is kept in
+    `desired_entity::schema`.
+
+    @param text The whole text.
+    @return     What it declares; or `text_problems` with every problem.
+*/
+boost::leaf::result<desired_fleet> parse_records(std::string_view text);
+
+/** Write a text of records that `parse_records` reads back.
+
+    @param fleet What to write.
+    @return      The text; the same text for equal content.
+*/
+std::string print_records(const desired_fleet& fleet);
+
+/// One field of a spec as text.
+struct field_text
+{
+    std::string_view name;
+    std::string value;
+
+    bool operator==(const field_text&) const = default;
+};
+
+/** The fields of a spec.
+
+    @param spec   The spec.
+    @param schema Schema in whose fields it is shown.
+    @return       Names and values in the order of docs/RECORDS.md.
+*/
+std::vector<field_text>
+fields_of(const entity_spec& spec, std::uint16_t schema = newest_entity_schema);
+
+/// @return docs/RECORDS.md, written from the table that drives the parser.
+std::string field_reference();
+
+} // namespace roseworks
--- /dev/null
+++ b/src/adapters/edge/backend_connection.cpp
@@ -0,0 +1,81 @@
+#include "adapters/edge/backend_connection.hpp"
+
+#include <boost/asio/ip/address.hpp>
+
+#include <charconv>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string_view>
+#include <sys/socket.h>
+
+namespace roseworks::edge
+{
+
+namespace
+{
+
+constexpr int keepalive_idle_seconds = 10;
+constexpr int keepalive_interval_seconds = 3;
+constexpr int keepalive_probes = 3;
+
+void set_tcp_option(int handle, int name, int value)
+{
+    // Best effort: the progress timers hold without them.
+    ::setsockopt(handle, IPPROTO_TCP, name, &value, sizeof(value));
+}
+
+void watch_peer(tcp::socket& socket, std::chrono::milliseconds unacknowledged)
+{
+    beast::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    const int handle = socket.native_handle();
+    set_tcp_option(handle, TCP_KEEPIDLE, keepalive_idle_seconds);
+    set_tcp_option(handle, TCP_KEEPINTVL, keepalive_interval_seconds);
+    set_tcp_option(handle, TCP_KEEPCNT, keepalive_probes);
+    set_tcp_option(
+        handle, TCP_USER_TIMEOUT, static_cast<int>(unacknowledged.count()));
+}
+
+} // namespace
+
+bool parse_address(const std::string& address, tcp::endpoint& into)
+{
+    const auto colon = address.rfind(':');
+    if (colon == std::string::npos)
+        return false;
+    std::uint16_t port = 0;
+    const char* const end = address.data() + address.size();
+    const auto [stop, error] =
+        std::from_chars(address.data() + colon + 1, end, port);
+    if (error != std::errc() || stop != end || port == 0)
+        return false;
+    std::string ip = address.substr(0, colon);
+    if (ip.size() > 2 && ip.front() == '[' && ip.back() == ']')
+        ip = ip.substr(1, ip.size() - 2);
+    beast::error_code failed;
+    const auto parsed = asio::ip::make_address(ip, failed);
+    if (failed)
+        return false;
+    into = tcp::endpoint(parsed, port);
+    return true;
+}
+
+asio::awaitable<bool> connect(
+    backend_connection& connection,
+    std::chrono::steady_clock::duration limit,
+    std::chrono::milliseconds unacknowledged)
+{
+    tcp::endpoint endpoint;
+    if (!parse_address(connection.address, endpoint))
+        co_return false;
+    connection.stream.expires_after(limit);
+    const auto [error] =
+        co_await connection.stream.async_connect(endpoint, quietly);
+    if (error)
+        co_return false;
+    watch_peer(connection.stream.socket(), unacknowledged);
+    co_return true;
+}
+
+} // namespace roseworks::edge
--- /dev/null
+++ b/src/adapters/edge/backend_pool.cpp
@@ -0,0 +1,205 @@
+#include "adapters/edge/backend_pool.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <sys/socket.h>
+#include <utility>
+
+namespace roseworks::edge
+{
+
+namespace
+{
+
+constexpr unsigned version_1_1 = 11;
+
+enum class idle_state : std::uint8_t
+{
+    quiet,
+    closed,
+    has_bytes
+};
+
+idle_state look_at(backend_connection& connection)
+{
+    char byte = 0;
+    const auto count = ::recv(
+        connection.stream.socket().native_handle(),
+        &byte,
+        1,
+        MSG_PEEK | MSG_DONTWAIT);
+    if (count > 0)
+        return idle_state::has_bytes;
+    const bool nothing = count < 0 && (errno == EAGAIN || errno == EINTR);
+    return nothing ? idle_state::quiet : idle_state::closed;
+}
+
+/// The cancel call owns all it uses, so that it may outlive the pool.
+asio::awaitable<void> send_cancel(
+    backend_connection_ptr connection,
+    std::string request_id,
+    std::chrono::milliseconds connect_limit,
+    std::chrono::milliseconds limit)
+{
+    const bool open = co_await connect(*connection, connect_limit, limit);
+    if (!open)
+        co_return;
+    http::request<http::string_body> request(
+        http::verb::post, "/v1/engine/cancel", version_1_1);
+    request.set(http::field::host, connection->address);
+    request.set(http::field::content_type, "application/json");
+    request.keep_alive(false);
+    boost::json::object body;
+    body["request_id"] = request_id;
+    request.body() = boost::json::serialize(body);
+    request.prepare_payload();
+    connection->stream.expires_after(limit);
+    const auto [not_sent, sent] =
+        co_await http::async_write(connection->stream, request, quietly);
+    if (not_sent)
+        co_return;
+    http::response<http::string_body> ignored;
+    co_await http::async_read(
+        connection->stream, connection->buffer, ignored, quietly);
+}
+
+} // namespace
+
+backend_pool::backend_pool(asio::any_io_executor loop, edge_context& shared)
+    : context(shared)
+    , executor(std::move(loop))
+{
+}
+
+backend_connection_ptr backend_pool::take(const std::string& address)
+{
+    const auto found = this->peers.find(address);
+    if (found == this->peers.end())
+        return nullptr;
+    auto& idle = found->second.idle;
+    while (!idle.empty())
+    {
+        backend_connection_ptr connection = std::move(idle.back());
+        idle.pop_back();
+        if (this->usable(*connection, found->second))
+            return connection;
+    }
+    return nullptr;
+}
+
+backend_connection_ptr backend_pool::make(const std::string& address)
+{
+    return std::make_unique<backend_connection>(
+        this->executor, address, ++this->last_serial, this->context.now());
+}
+
+bool backend_pool::usable(backend_connection& connection, const peer& at)
+{
+    const auto age = this->context.now() - connection.opened;
+    if (age > this->context.options.connection_max_age)
+        return false;
+    if (connection.serial <= std::max(at.suspect, at.dropped))
+        return false;
+    const idle_state state = look_at(connection);
+    if (state == idle_state::has_bytes)
+    {
+        this->context.ports.observer.late_answer_dropped();
+        this->context.ports.events.report(
+            event_id::late_answer_dropped, {{"engine", connection.address}});
+    }
+    return state == idle_state::quiet;
+}
+
+void backend_pool::put(backend_connection_ptr connection)
+{
+    peer& at = this->peers[connection->address];
+    const bool full =
+        at.idle.size() >= this->context.options.max_idle_connections;
+    if (full || connection->buffer.size() != 0 ||
+        !this->usable(*connection, at))
+        return;
+    connection->buffer.shrink_to_fit();
+    connection->pooled = true;
+    at.idle.push_back(std::move(connection));
+}
+
+void backend_pool::answered(const backend_connection& connection)
+{
+    const auto found = this->peers.find(connection.address);
+    if (found == this->peers.end())
+        return;
+    peer& at = found->second;
+    if (at.suspect == 0 || connection.serial <= at.suspect)
+        return;
+    at.dropped = std::max(at.dropped, at.suspect);
+    at.suspect = 0;
+    std::erase_if(
+        at.idle,
+        [&at](const backend_connection_ptr& kept)
+        {
+            return kept->serial <= at.dropped;
+        });
+    this->context.ports.observer.connection_silent(connection.address);
+    this->context.ports.events.report(
+        event_id::connection_silent, {{"address", connection.address}});
+}
+
+void backend_pool::silent(const backend_connection& connection)
+{
+    peer& at = this->peers[connection.address];
+    if (connection.pooled)
+        at.suspect = std::max(at.suspect, connection.serial);
+    else if (connection.serial > at.suspect)
+        at.suspect = 0;
+}
+
+void backend_pool::cancel(
+    const std::string& address, const std::string& request_id)
+{
+    asio::co_spawn(
+        this->executor,
+        send_cancel(
+            this->make(address),
+            request_id,
+            this->context.options.connect_timeout,
+            this->context.options.cancel_timeout),
+        asio::detached);
+}
+
+void backend_pool::sweep()
+{
+    for (auto& [address, at] : this->peers)
+    {
+        std::erase_if(
+            at.idle,
+            [&](const backend_connection_ptr& kept)
+            {
+                return !this->usable(*kept, at);
+            });
+    }
+    std::erase_if(
+        this->peers,
+        [](const auto& entry)
+        {
+            const peer& at = entry.second;
+            return at.idle.empty() && at.suspect == 0 && at.dropped == 0;
+        });
+}
+
+std::size_t backend_pool::idle() const
+{
+    std::size_t total = 0;
+    for (const auto& [address, at] : this->peers)
+        total += at.idle.size();
+    return total;
+}
+
+} // namespace roseworks::edge
--- /dev/null
+++ b/src/adapters/edge/caller_connection.cpp
@@ -0,0 +1,223 @@
+#include "adapters/edge/caller_connection.hpp"
+
+#include "adapters/edge/head_scan.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <array>
+#include <cerrno>
+#include <sys/socket.h>
+#include <utility>
+
+namespace roseworks::edge
+{
+
+namespace
+{
+
+constexpr std::size_t read_bytes = std::size_t(4) << 10;
+constexpr std::size_t linger_bytes = std::size_t(256) << 10;
+constexpr std::chrono::seconds linger_time{1};
+constexpr std::string_view continue_answer = "HTTP/1.1 100 Continue\r\n\r\n";
+
+caller_read closed()
+{
+    return {caller_read::status::closed, {}};
+}
+
+caller_read malformed(std::string detail, unsigned status)
+{
+    return {
+        caller_read::status::malformed, bad_call(std::move(detail), status)};
+}
+
+caller_read from_parser(beast::error_code error)
+{
+    if (error == http::error::body_limit)
+        return malformed("the body is over the limit", 413);
+    if (error == http::error::header_limit)
+        return malformed("the header is over the limit", 431);
+    return malformed(error.message(), 400);
+}
+
+std::string_view view(const beast::flat_buffer& buffer)
+{
+    const auto data = buffer.data();
+    return {static_cast<const char*>(data.data()), data.size()};
+}
+
+bool is_http_error(beast::error_code error)
+{
+    return error.category() ==
+           make_error_code(http::error::bad_chunk).category();
+}
+
+} // namespace
+
+caller_connection::caller_connection(
+    tcp::socket accepted, const edge_options& limits)
+    : stream(std::move(accepted))
+    , options(limits)
+{
+}
+
+asio::awaitable<caller_read> caller_connection::read_head(
+    caller_parser& parser, std::chrono::milliseconds idle)
+{
+    caller_read waited = co_await this->wait_for_request(idle);
+    if (waited.result != caller_read::status::done)
+        co_return waited;
+    caller_read read = co_await this->read_whole_head();
+    if (read.result != caller_read::status::done)
+        co_return read;
+    beast::error_code error;
+    const std::size_t used = parser.put(this->buffer.data(), error);
+    this->buffer.consume(used);
+    if (error)
+        co_return from_parser(error);
+    if (!parser.is_header_done())
+        co_return malformed("the head is incomplete", 400);
+    co_return caller_read{};
+}
+
+asio::awaitable<caller_read>
+caller_connection::wait_for_request(std::chrono::milliseconds idle)
+{
+    if (this->buffer.size() != 0)
+        co_return caller_read{};
+    this->buffer.shrink_to_fit();
+    this->between_requests = true;
+    this->stream.expires_after(idle);
+    const bool came = co_await this->read_some();
+    this->between_requests = false;
+    if (!came)
+        co_return closed();
+    co_return caller_read{};
+}
+
+asio::awaitable<caller_read> caller_connection::read_whole_head()
+{
+    head_scan scan;
+    this->stream.expires_after(this->options.head_timeout);
+    while (true)
+    {
+        const auto known = scan.feed(view(this->buffer));
+        if (known == head_scan::status::malformed)
+            co_return malformed(std::string(scan.fault()), 400);
+        if (scan.size() > this->options.max_header_bytes)
+            co_return malformed("the header is over the limit", 431);
+        if (known == head_scan::status::complete)
+            co_return caller_read{};
+        const bool came = co_await this->read_some();
+        if (!came)
+            co_return closed();
+    }
+}
+
+asio::awaitable<bool> caller_connection::read_some()
+{
+    const auto space = this->buffer.prepare(read_bytes);
+    const auto [error, size] =
+        co_await this->stream.async_read_some(space, quietly);
+    if (error)
+        co_return false;
+    this->buffer.commit(size);
+    co_return true;
+}
+
+asio::awaitable<caller_read> caller_connection::read_body(caller_parser& parser)
+{
+    const auto expect = parser.get()[http::field::expect];
+    if (!expect.empty() && !beast::iequals(expect, "100-continue"))
+        co_return malformed("Expect takes 100-continue", 417);
+    if (!expect.empty() && !parser.is_done() && this->buffer.size() == 0)
+    {
+        const bool sent = co_await this->write_raw(continue_answer);
+        if (!sent)
+            co_return closed();
+    }
+    if (parser.is_done())
+        co_return caller_read{};
+    this->stream.expires_after(this->options.body_timeout);
+    const auto [error, size] =
+        co_await http::async_read(this->stream, this->buffer, parser, quietly);
+    if (!error)
+        co_return caller_read{};
+    if (is_http_error(error) && error != http::error::partial_message &&
+        error != http::error::end_of_stream)
+        co_return from_parser(error);
+    co_return closed();
+}
+
+asio::awaitable<bool> caller_connection::write(whole_answer& answer)
+{
+    this->expire_write();
+    const auto [error, size] =
+        co_await http::async_write(this->stream, answer, quietly);
+    co_return !error;
+}
+
+asio::awaitable<bool>
+caller_connection::write_head_only(const whole_answer& answer)
+{
+    http::response_serializer<http::string_body> serializer(answer);
+    this->expire_write();
+    const auto [error, size] =
+        co_await http::async_write_header(this->stream, serializer, quietly);
+    co_return !error;
+}
+
+asio::awaitable<bool> caller_connection::write_raw(std::string_view bytes)
+{
+    this->expire_write();
+    const asio::const_buffer data(bytes.data(), bytes.size());
+    const auto [error, size] =
+        co_await asio::async_write(this->stream, data, quietly);
+    co_return !error;
+}
+
+asio::awaitable<void> caller_connection::linger_close()
+{
+    beast::error_code error;
+    this->stream.socket().shutdown(tcp::socket::shutdown_send, error);
+    if (error)
+        co_return;
+    this->stream.expires_after(linger_time);
+    std::array<char, read_bytes> discarded;
+    std::size_t total = 0;
+    while (total < linger_bytes)
+    {
+        const auto [failed, size] = co_await this->stream.async_read_some(
+            asio::buffer(discarded), quietly);
+        if (failed)
+            co_return;
+        total += size;
+    }
+}
+
+bool caller_connection::peer_closed()
+{
+    char byte = 0;
+    const auto count = ::recv(
+        this->stream.socket().native_handle(),
+        &byte,
+        1,
+        MSG_PEEK | MSG_DONTWAIT);
+    if (count > 0)
+        return false;
+    return count == 0 || (errno != EAGAIN && errno != EINTR);
+}
+
+void caller_connection::stop_waiting()
+{
+    beast::error_code error;
+    const bool begun = this->stream.socket().available(error) != 0;
+    if (this->between_requests && !begun)
+        this->stream.cancel();
+}
+
+} // namespace roseworks::edge
--- /dev/null
+++ b/src/adapters/edge/edge_context.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "adapters/edge/edge_options.hpp"
+#include "adapters/edge/introspection_port.hpp"
+#include "adapters/edge/traffic_observer.hpp"
+#include "ports/claim_port.hpp"
+#include "ports/clock.hpp"
+#include "ports/dispatch_port.hpp"
+#include "ports/event_sink.hpp"
+
+#include <roseworks/instant.hpp>
+#include <roseworks/routing_table.hpp>
+
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace roseworks::edge
+{
+
+/// What the edge works with. All of it has to outlive the event loops.
+struct edge_dependencies
+{
+    dispatch_port& dispatch;
+    claim_port& claims;
+    introspection_port& introspection;
+    traffic_observer& observer;
+    event_sink& events;
+    clock_port& clock;
+    std::function<routing_table_ptr()> table; ///< newest; null: none yet
+};
+
+/// Shared by the traffic threads of one server.
+struct edge_context
+{
+    edge_context(edge_options settings, edge_dependencies dependencies)
+        : options(settings)
+        , ports(std::move(dependencies))
+    {
+    }
+
+    const edge_options options;
+    const edge_dependencies ports;
+    std::atomic<bool> draining{false};
+    std::atomic<std::size_t> connections{0};
+
+    instant now() const
+    {
+        return this->ports.clock.now();
+    }
+
+    /// @return A request id not given before in this run.
+    std::string next_request_id();
+
+private:
+    std::atomic<std::uint64_t> ids_given{0};
+};
+
+} // namespace roseworks::edge
--- /dev/null
+++ b/src/adapters/edge/edge_options.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace roseworks::edge
+{
+
+/// Limits and timeouts of the edge. Times are wall lengths, sizes bytes.
+struct edge_options
+{
+    using milliseconds = std::chrono::milliseconds;
+
+    // Callers.
+    std::size_t max_header_bytes = std::size_t(16) << 10;
+    std::size_t max_body_bytes = std::size_t(4) << 20;
+    std::size_t max_connections = 10'000;
+    milliseconds default_deadline{60'000};
+    milliseconds max_deadline{3'600'000};
+    milliseconds caller_idle{60'000};   ///< between two requests
+    milliseconds head_timeout{10'000};  ///< for a whole head
+    milliseconds body_timeout{30'000};  ///< for a whole body
+    milliseconds write_timeout{30'000}; ///< for one piece of an answer
+
+    // Backend servers.
+    milliseconds connect_timeout{1'000};
+    milliseconds first_byte_timeout{30'000};
+    milliseconds idle_byte_timeout{10'000};
+    milliseconds connection_max_age{60'000};
+    milliseconds cancel_timeout{2'000};
+    std::size_t max_idle_connections = 16; ///< per address and thread
+    std::size_t max_answer_bytes = std::size_t(8) << 20; ///< when not streamed
+    std::size_t stream_buffer_bytes = std::size_t(64) << 10; ///< one event
+
+    // Claims.
+    std::size_t max_kept_answer_bytes = std::size_t(2) << 10;
+    milliseconds claim_retry_after{1'000};
+
+    std::uint64_t id_seed = 1; ///< random; makes this run's request ids
+};
+
+} // namespace roseworks::edge
--- /dev/null
+++ b/src/adapters/edge/prepared_call.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "adapters/edge/call_headers.hpp"
+#include "adapters/edge/request_target.hpp"
+
+#include <roseworks/dispatcher.hpp>
+#include <roseworks/record.hpp>
+#include <roseworks/routing_table.hpp>
+
+#include <boost/beast/http/verb.hpp>
+#include <boost/leaf/result.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace roseworks::edge
+{
+
+/// A checked call, ready for admission.
+struct prepared_call
+{
+    request_target target;
+    call_headers headers; ///< with a request id, the caller's or the router's
+    boost::beast::http::verb method = boost::beast::http::verb::get;
+    std::string content_type;
+    std::string body;
+    unsigned version = 11;
+    bool keep_alive = true;
+    bool id_from_caller = false;
+    bool stream = false;
+    instant arrived;
+    instant deadline;
+
+    request_info info;
+    std::optional<claim_key> claim; ///< to be claimed before it is sent
+
+    bool is_service() const
+    {
+        return this->target.kind == route_kind::service;
+    }
+};
+
+/// Fills `info`, `claim` and `stream` from the rest.
+///
+/// A call with an idempotency key runs at most once and is claimed. So is a
+/// call to a service that isn't repeatable; without a key its request id
+/// stands for it when the caller sent one, and else it is attempted once
+/// without a claim.
+/// @param call  the call with its body.
+/// @param table the newest routing table, may be null: then a service counts
+///              as not repeatable.
+/// @return      nothing; `call_problem` with 400 for a malformed body.
+boost::leaf::result<void>
+describe_call(prepared_call& call, const routing_table* table);
+
+} // namespace roseworks::edge
--- /dev/null
+++ b/src/adapters/edge/server.cpp
@@ -0,0 +1,241 @@
+#include "adapters/edge/server.hpp"
+
+#include "adapters/edge/traffic_thread.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/leaf/error.hpp>
+
+#include <chrono>
+#include <utility>
+
+namespace roseworks::edge
+{
+
+namespace leaf = boost::leaf;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds drain_poll{10};
+constexpr std::chrono::milliseconds accept_pause{50};
+/// For the explicit errors at the drain limit to leave.
+constexpr std::chrono::seconds last_words{1};
+
+} // namespace
+
+class server::impl : public std::enable_shared_from_this<server::impl>
+{
+public:
+    impl(
+        edge_options settings,
+        edge_dependencies dependencies,
+        std::vector<asio::any_io_executor> loops)
+        : context(
+              std::make_shared<edge_context>(settings, std::move(dependencies)))
+        , acceptor(loops.front())
+    {
+        for (const asio::any_io_executor& loop : loops)
+            this->threads.push_back(
+                std::make_shared<traffic_thread>(loop, this->context));
+    }
+
+    beast::error_code open(const tcp::endpoint& endpoint);
+    void start();
+    asio::awaitable<void> accept();
+    asio::awaitable<void>
+    drain(duration limit, std::function<void(std::size_t)> done);
+    asio::awaitable<void> wait_for_callers(duration limit);
+    void take_waiting();
+    traffic_thread& next_thread();
+    void on_each(void (traffic_thread::*action)());
+    void stop();
+
+    std::shared_ptr<edge_context> context;
+    std::vector<std::shared_ptr<traffic_thread>> threads;
+    tcp::acceptor acceptor; ///< used on the first loop once it accepts
+    tcp::endpoint bound;
+    std::size_t next = 0;
+};
+
+beast::error_code server::impl::open(const tcp::endpoint& endpoint)
+{
+    beast::error_code error;
+    this->acceptor.open(endpoint.protocol(), error);
+    if (!error)
+        this->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        this->acceptor.bind(endpoint, error);
+    if (!error)
+        this->acceptor.listen(tcp::acceptor::max_listen_connections, error);
+    if (!error)
+        this->bound = this->acceptor.local_endpoint(error);
+    if (!error)
+        this->acceptor.non_blocking(true, error);
+    return error;
+}
+
+void server::impl::start()
+{
+    for (const auto& thread : this->threads)
+        thread->start();
+    asio::co_spawn(
+        this->threads.front()->executor,
+        [self = this->shared_from_this()]
+        {
+            return self->accept();
+        },
+        asio::detached);
+}
+
+asio::awaitable<void> server::impl::accept()
+{
+    const auto self = this->shared_from_this();
+    asio::steady_timer pause(this->threads.front()->executor);
+    while (this->acceptor.is_open())
+    {
+        traffic_thread& thread = this->next_thread();
+        auto [error, socket] =
+            co_await this->acceptor.async_accept(thread.executor, quietly);
+        if (error == asio::error::operation_aborted)
+            co_return;
+        if (error)
+        {
+            // Out of descriptors, mostly: waits for some to be given back.
+            pause.expires_after(accept_pause);
+            co_await pause.async_wait(quietly);
+            continue;
+        }
+        thread.serve(std::move(socket));
+    }
+}
+
+traffic_thread& server::impl::next_thread()
+{
+    this->next = (this->next + 1) % this->threads.size();
+    return *this->threads[this->next];
+}
+
+/// Connections in the kernel's backlog would be reset: they are served.
+void server::impl::take_waiting()
+{
+    beast::error_code error;
+    while (!error)
+    {
+        traffic_thread& thread = this->next_thread();
+        tcp::socket socket = this->acceptor.accept(thread.executor, error);
+        if (!error)
+            thread.serve(std::move(socket));
+    }
+}
+
+asio::awaitable<void>
+server::impl::drain(duration limit, std::function<void(std::size_t)> done)
+{
+    const auto self = this->shared_from_this();
+    this->context->draining = true;
+    this->take_waiting();
+    beast::error_code ignored;
+    this->acceptor.close(ignored);
+    this->context->ports.dispatch.drain();
+    this->on_each(&traffic_thread::start_drain);
+    co_await this->wait_for_callers(limit);
+    const std::size_t unfinished = this->context->connections;
+    if (unfinished != 0)
+    {
+        this->on_each(&traffic_thread::force_end);
+        co_await this->wait_for_callers(last_words);
+    }
+    this->on_each(&traffic_thread::stop);
+    done(unfinished);
+}
+
+asio::awaitable<void> server::impl::wait_for_callers(duration limit)
+{
+    const instant end = this->context->now() + limit;
+    asio::steady_timer timer(this->threads.front()->executor);
+    while (this->context->connections != 0 && this->context->now() < end)
+    {
+        timer.expires_after(drain_poll);
+        co_await timer.async_wait(quietly);
+    }
+}
+
+void server::impl::on_each(void (traffic_thread::*action)())
+{
+    for (const auto& thread : this->threads)
+        asio::post(
+            thread->executor,
+            [thread, action]
+            {
+                (thread.get()->*action)();
+            });
+}
+
+void server::impl::stop()
+{
+    beast::error_code ignored;
+    this->acceptor.close(ignored);
+    this->on_each(&traffic_thread::stop);
+}
+
+server::server(
+    edge_options settings,
+    edge_dependencies dependencies,
+    std::vector<asio::any_io_executor> loops)
+    : self(std::make_shared<impl>(
+          settings, std::move(dependencies), std::move(loops)))
+{
+}
+
+server::~server()
+{
+    // What a loop's coroutines still hold must not reach into another loop.
+    beast::error_code ignored;
+    this->self->acceptor.close(ignored);
+    this->self->threads.clear();
+}
+
+leaf::result<tcp::endpoint> server::listen(const tcp::endpoint& endpoint)
+{
+    const beast::error_code error = this->self->open(endpoint);
+    if (error)
+        return leaf::new_error(error);
+    this->self->start();
+    return this->self->bound;
+}
+
+void server::drain(duration limit, std::function<void(std::size_t)> done)
+{
+    asio::co_spawn(
+        this->self->threads.front()->executor,
+        [self = this->self, limit, done = std::move(done)]
+        {
+            return self->drain(limit, done);
+        },
+        asio::detached);
+}
+
+void server::stop()
+{
+    asio::post(
+        this->self->threads.front()->executor,
+        [self = this->self]
+        {
+            self->stop();
+        });
+}
+
+bool server::draining() const
+{
+    return this->self->context->draining;
+}
+
+std::size_t server::connections() const
+{
+    return this->self->context->connections;
+}
+
+} // namespace roseworks::edge
--- /dev/null
+++ b/src/adapters/edge/shared_dispatcher.hpp
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "ports/clock.hpp"
+#include "ports/dispatch_port.hpp"
+
+#include <roseworks/dispatcher.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace roseworks::edge
+{
+
+/** The router's one `dispatcher`, shared by the traffic threads.
+
+    Every call is one short critical section; replies and notices are handed
+    out after it. A timer on the given executor ticks the dispatcher when it
+    has work. Thread-safe. Use through a `shared_ptr`.
+*/
+class shared_dispatcher : public dispatch_port,
+                          public std::enable_shared_from_this<shared_dispatcher>
+{
+public:
+    /// What the control thread is told; called from any thread, must not
+    /// block.
+    struct notices
+    {
+        std::function<void(const demand&)> on_demand;
+        std::function<void(const crash_seen&)> on_crash;
+    };
+
+    /// @param core     the dispatcher.
+    /// @param executor runs the timer.
+    /// @param clock    the steady clock.
+    /// @param tell     takes demand and crashes.
+    static std::shared_ptr<shared_dispatcher> make(
+        dispatcher core,
+        boost::asio::any_io_executor executor,
+        const clock_port& clock,
+        notices tell);
+
+    ticket submit(request_info info, reply_handler handler) override;
+    dispatcher::finish
+    finished(ticket request, const attempt_result& result) override;
+    void abandon(ticket request) override;
+    void drain() override;
+
+    /// See the functions of the same name of `dispatcher`.
+    void table_changed(routing_table_ptr table);
+    void load_reported(const load_report& report);
+    void vm_leaving(std::string_view vm, bool leaving);
+
+    std::size_t queued() const;
+    std::size_t in_flight() const;
+
+    /// Stops the timer; the event loop may then run out of work.
+    void stop();
+
+private:
+    /// What is handed out once the lock is released.
+    struct handout
+    {
+        std::vector<std::pair<reply_handler, reply>> replies;
+        std::vector<demand> demands;
+        std::vector<crash_seen> crashes;
+        bool rearm = false;
+    };
+
+    shared_dispatcher(
+        dispatcher owned,
+        boost::asio::any_io_executor executor,
+        const clock_port& time,
+        notices listener);
+
+    /// Runs `step(now)` under the lock, then hands out what it led to.
+    template <class Step>
+    void locked(Step step);
+    handout collect();
+    void collect(handout& into, const dispatch_command& command);
+    void collect_reply(handout& into, const reply& answer, ticket request);
+    void hand_out(const handout& what);
+    void arm();
+    void restart_timer();
+    void tick();
+
+    mutable std::mutex mutex;
+    dispatcher core;
+    std::unordered_map<ticket, reply_handler> waiters;
+    std::optional<instant> armed;
+    bool stopped = false;
+
+    const clock_port& clock;
+    notices tell;
+    boost::asio::any_io_executor timer_executor;
+    boost::asio::steady_timer timer; ///< used on its executor only
+};
+
+} // namespace roseworks::edge
--- /dev/null
+++ b/src/adapters/edge/sse_reader.cpp
@@ -0,0 +1,108 @@
+#include "adapters/edge/sse_reader.hpp"
+
+#include <utility>
+
+namespace roseworks::edge
+{
+
+namespace
+{
+
+constexpr std::string_view data_field = "data:";
+constexpr std::string_view done_mark = "[DONE]";
+
+/// @return The line's data, without the one space that may lead it.
+std::string_view data_of(std::string_view line)
+{
+    line.remove_prefix(data_field.size());
+    if (line.starts_with(' '))
+        line.remove_prefix(1);
+    return line;
+}
+
+} // namespace
+
+bool sse_reader::feed(std::string_view bytes)
+{
+    for (const char byte : bytes)
+    {
+        this->take(byte);
+        if (this->event.size() > this->limit)
+            return false;
+    }
+    return true;
+}
+
+void sse_reader::take(char byte)
+{
+    const bool completes_cr = this->after_cr && byte == '\n';
+    this->after_cr = byte == '\r';
+    if (completes_cr)
+    {
+        // The second half of a CRLF belongs to the line that has ended.
+        this->last->push_back(byte);
+        if (this->last == &this->event)
+            this->line_start = this->event.size();
+        return;
+    }
+    if (byte != '\r' && byte != '\n')
+    {
+        this->event.push_back(byte);
+        return;
+    }
+    const bool blank = this->event.size() == this->line_start;
+    if (!blank)
+        this->end_line();
+    this->event.push_back(byte);
+    this->line_start = this->event.size();
+    this->last = &this->event;
+    if (blank)
+        this->end_event();
+}
+
+void sse_reader::end_line()
+{
+    const std::string_view line =
+        std::string_view(this->event).substr(this->line_start);
+    if (!line.starts_with(data_field))
+        return;
+    this->is_done = !this->has_data && data_of(line) == done_mark;
+    this->has_data = true;
+}
+
+void sse_reader::end_event()
+{
+    const bool late = !this->done.empty();
+    std::string& target = this->is_done && !late ? this->done : this->ready;
+    if (!late)
+    {
+        target.append(this->event);
+        if (this->has_data && !this->is_done)
+            ++this->data_events;
+    }
+    this->event.clear();
+    this->line_start = 0;
+    this->has_data = false;
+    this->is_done = false;
+    // After [DONE] everything is discarded, also the rest of a CRLF there.
+    this->last = late ? &this->event : &target;
+}
+
+void sse_reader::finish()
+{
+    if (this->event.size() > this->line_start)
+        this->end_line();
+    if (!this->event.empty())
+    {
+        this->event.append("\n\n");
+        this->end_event();
+    }
+    this->after_cr = false;
+}
+
+std::string sse_reader::take_ready()
+{
+    return std::exchange(this->ready, {});
+}
+
+} // namespace roseworks::edge
--- /dev/null
+++ b/src/adapters/platform/http_client.cpp
@@ -0,0 +1,274 @@
+#include "adapters/platform/http_client.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <charconv>
+#include <deque>
+#include <sstream>
+#include <unordered_set>
+#include <utility>
+
+namespace roseworks::platform
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+using asio::ip::tcp;
+using beast::error_code;
+using steady = std::chrono::steady_clock;
+
+std::optional<tcp::endpoint> parse_endpoint(std::string_view address)
+{
+    const auto colon = address.rfind(':');
+    if (colon == std::string_view::npos)
+        return {};
+
+    std::string_view ip = address.substr(0, colon);
+    if (ip.size() > 2 && ip.front() == '[' && ip.back() == ']')
+        ip = ip.substr(1, ip.size() - 2);
+
+    error_code error;
+    const auto parsed = asio::ip::make_address(std::string(ip), error);
+    if (error)
+        return {};
+
+    const std::string_view port = address.substr(colon + 1);
+    std::uint16_t number = 0;
+    const auto [end, failure] =
+        std::from_chars(port.data(), port.data() + port.size(), number);
+    if (failure != std::errc{} || end != port.data() + port.size())
+        return {};
+    return tcp::endpoint(parsed, number);
+}
+
+namespace
+{
+
+struct connection
+{
+    explicit connection(const asio::any_io_executor& executor)
+        : stream(executor)
+    {
+    }
+
+    /// @return Whether the server has neither closed nor sent anything.
+    bool is_quiet()
+    {
+        error_code error;
+        this->stream.socket().non_blocking(true, error);
+        if (error)
+            return false;
+        char byte = 0;
+        this->stream.socket().receive(
+            asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+        return error == asio::error::would_block;
+    }
+
+    beast::tcp_stream stream;
+    steady::time_point idle_since{};
+};
+
+using connection_ptr = std::shared_ptr<connection>;
+
+http::request<http::string_body>
+make_request(http_call& call, const std::string& host)
+{
+    constexpr unsigned http_1_1 = 11;
+    http::request<http::string_body> request(
+        call.method, call.target, http_1_1);
+    request.set(http::field::host, host);
+    if (!call.content_type.empty())
+        request.set(http::field::content_type, call.content_type);
+    if (!call.authorization.empty())
+        request.set(http::field::authorization, call.authorization);
+    request.body() = std::move(call.body);
+    request.prepare_payload();
+    return request;
+}
+
+} // namespace
+
+class http_client::pool
+{
+public:
+    pool(
+        asio::any_io_executor on,
+        tcp::endpoint to,
+        const options& wanted,
+        byte_meter& counted)
+        : executor(std::move(on))
+        , server(to)
+        , host((std::ostringstream() << to).str())
+        , settings(wanted)
+        , meter(counted)
+    {
+    }
+
+    static asio::awaitable<http_answer>
+    exchange(std::shared_ptr<pool> self, http_call call);
+
+    void break_connections()
+    {
+        this->idle.clear();
+        ++this->generation;
+        for (connection* one : this->busy)
+            one->stream.close();
+    }
+
+private:
+    connection_ptr take_idle()
+    {
+        const auto oldest = steady::now() - this->settings.idle_limit;
+        while (!this->idle.empty())
+        {
+            connection_ptr last = std::move(this->idle.back());
+            this->idle.pop_back();
+            if (last->idle_since >= oldest && last->is_quiet())
+                return last;
+        }
+        return {};
+    }
+
+    void keep(connection_ptr used, std::uint64_t taken_in)
+    {
+        if (taken_in != this->generation)
+            return;
+        used->stream.expires_never();
+        used->idle_since = steady::now();
+        this->idle.push_back(std::move(used));
+        if (this->idle.size() > this->settings.max_idle)
+            this->idle.pop_front();
+    }
+
+    asio::awaitable<bool> connect(connection& fresh)
+    {
+        error_code error;
+        fresh.stream.expires_after(this->settings.connect_timeout);
+        co_await fresh.stream.async_connect(
+            this->server, asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            co_return false;
+        fresh.stream.socket().set_option(tcp::no_delay(true), error);
+        co_return true;
+    }
+
+    /// Reads one answer; `no_answer` when it doesn't come whole.
+    asio::awaitable<http_answer> read(connection& from, bool& reusable)
+    {
+        http_answer answer;
+        answer.end = exchange_end::no_answer;
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(this->settings.max_answer_bytes);
+        beast::flat_buffer buffer;
+        error_code error;
+        const std::size_t received = co_await http::async_read(
+            from.stream,
+            buffer,
+            parser,
+            asio::redirect_error(asio::use_awaitable, error));
+        this->meter.received += received;
+        if (error)
+            co_return answer;
+
+        reusable = parser.get().keep_alive() && buffer.size() == 0;
+        answer.end = exchange_end::answered;
+        answer.status = parser.get().result_int();
+        answer.body = std::move(parser.get().body());
+        co_return answer;
+    }
+
+    asio::awaitable<http_answer>
+    write_and_read(connection_ptr with, http_call& call, std::uint64_t taken_in)
+    {
+        http_answer answer;
+        const http::request<http::string_body> request =
+            make_request(call, this->host);
+        with->stream.expires_after(call.timeout);
+        if (call.may_send && !call.may_send())
+        {
+            this->keep(with, taken_in);
+            answer.end = exchange_end::withheld;
+            co_return answer;
+        }
+
+        error_code error;
+        const std::size_t sent = co_await http::async_write(
+            with->stream,
+            request,
+            asio::redirect_error(asio::use_awaitable, error));
+        this->meter.sent += sent;
+        if (error)
+        {
+            answer.end =
+                sent == 0 ? exchange_end::not_sent : exchange_end::no_answer;
+            co_return answer;
+        }
+
+        bool reusable = false;
+        answer = co_await this->read(*with, reusable);
+        if (reusable)
+            this->keep(with, taken_in);
+        co_return answer;
+    }
+
+    asio::any_io_executor executor;
+    tcp::endpoint server;
+    std::string host;
+    options settings;
+    byte_meter& meter;
+    std::deque<connection_ptr> idle;
+    std::unordered_set<connection*> busy;
+    std::uint64_t generation = 0;
+};
+
+asio::awaitable<http_answer>
+http_client::pool::exchange(std::shared_ptr<pool> self, http_call call)
+{
+    const std::uint64_t taken_in = self->generation;
+    http_answer answer;
+    connection_ptr with = self->take_idle();
+    const bool reused = with != nullptr;
+    if (!reused)
+        with = std::make_shared<connection>(self->executor);
+
+    self->busy.insert(with.get());
+    bool open = reused;
+    if (!reused)
+        open = co_await self->connect(*with);
+    if (open && taken_in == self->generation)
+        answer = co_await self->write_and_read(with, call, taken_in);
+    self->busy.erase(with.get());
+    co_return answer;
+}
+
+http_client::http_client(
+    asio::any_io_executor executor,
+    tcp::endpoint server,
+    const options& settings,
+    byte_meter& meter)
+    : connections(
+          std::make_shared<pool>(std::move(executor), server, settings, meter))
+{
+}
+
+asio::awaitable<http_answer> http_client::send(http_call call)
+{
+    return pool::exchange(this->connections, std::move(call));
+}
+
+void http_client::break_connections()
+{
+    this->connections->break_connections();
+}
+
+} // namespace roseworks::platform
--- /dev/null
+++ b/src/adapters/platform/http_vm_list_client.cpp
@@ -0,0 +1,90 @@
+#include "adapters/platform/http_vm_list_client.hpp"
+
+#include "adapters/platform/platform_messages.hpp"
+#include "adapters/platform/rethrow.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include <utility>
+
+namespace roseworks::platform
+{
+
+namespace asio = boost::asio;
+namespace leaf = boost::leaf;
+
+namespace
+{
+
+constexpr unsigned status_ok = 200;
+
+} // namespace
+
+http_vm_list_client::http_vm_list_client(
+    asio::any_io_executor on,
+    asio::ip::tcp::endpoint server,
+    const options& wanted,
+    byte_meter& meter)
+    : executor(on)
+    , settings(wanted)
+    , client(on, server, http_client::options(), meter)
+    , timer(on)
+{
+}
+
+void http_vm_list_client::start(vm_list_listener& wanted)
+{
+    this->listener = &wanted;
+    asio::co_spawn(this->executor, this->poll(), rethrow);
+}
+
+void http_vm_list_client::stop()
+{
+    this->stopped = true;
+    this->timer.cancel();
+    this->client.break_connections();
+}
+
+asio::awaitable<void> http_vm_list_client::poll()
+{
+    while (!this->stopped)
+    {
+        http_call call;
+        call.target = "/v1/vms";
+        call.timeout = this->settings.timeout;
+        const http_answer answer = co_await this->client.send(std::move(call));
+        if (this->stopped)
+            co_return;
+        this->take(answer);
+
+        boost::system::error_code ignored;
+        this->timer.expires_after(this->settings.poll);
+        co_await this->timer.async_wait(
+            asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+void http_vm_list_client::take(const http_answer& answer)
+{
+    if (!answer.is(status_ok))
+    {
+        this->listener->vm_list_failed();
+        return;
+    }
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void>
+        {
+            BOOST_LEAF_AUTO(vms, read_vm_list(answer.body));
+            this->listener->vms_listed(vms);
+            return {};
+        },
+        [&]
+        {
+            this->listener->vm_list_failed();
+        });
+}
+
+} // namespace roseworks::platform
--- /dev/null
+++ b/src/app/control_notices.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <roseworks/controller.hpp>
+#include <roseworks/dispatcher.hpp>
+#include <roseworks/routing_table.hpp>
+
+#include <functional>
+#include <string_view>
+
+namespace roseworks::app
+{
+
+class control_loop;
+
+/// What the control loop tells the rest of the router. Called on the control
+/// thread; must not block.
+struct control_notices
+{
+    std::function<void(routing_table_ptr)> table_published;
+    std::function<void(const load_report&)> load_reported;
+    std::function<void(std::string_view vm, bool leaving)> vm_leaving;
+    std::function<void(const claim_result&)> claim_decided;
+    /// This run of the controller ended; claims it held open get no result.
+    std::function<void()> claims_dropped;
+    /// The log is folded to the end that was known at the start.
+    std::function<void()> caught_up;
+    /// Called about once a second, for `/state` and `/metrics`.
+    std::function<void(const control_loop&)> look;
+    /// The session is over; whether its leave record is folded.
+    std::function<void(bool clean)> left;
+};
+
+} // namespace roseworks::app
--- /dev/null
+++ b/src/core/placement/strategies/periodic_callers.cpp
@@ -0,0 +1,60 @@
+#include "core/placement/strategies/periodic_callers.hpp"
+
+#include <algorithm>
+
+namespace roseworks::detail
+{
+
+namespace
+{
+
+/// A use after a longer pause begins a visit.
+constexpr duration visit_pause = std::chrono::minutes(10);
+/// Intervals that differ by less agree, and the caller may come so much early
+/// or late.
+constexpr duration tolerance = std::chrono::seconds(75);
+constexpr duration day = std::chrono::hours(24);
+constexpr duration day_tolerance = std::chrono::minutes(5);
+
+duration distance(duration one, duration other)
+{
+    return one > other ? one - other : other - one;
+}
+
+} // namespace
+
+bool periodic_callers::regular(const visits& known, duration interval)
+{
+    return distance(interval, day) <= day_tolerance ||
+           (known.interval && distance(interval, *known.interval) <= tolerance);
+}
+
+void periodic_callers::used(
+    const servable_use& use, std::vector<expected_use>& expected)
+{
+    const auto [place, is_new] =
+        this->known_visits.try_emplace({use.caller, use.servable});
+    visits& known = place->second;
+    const bool begins = is_new || use.at - known.last_use > visit_pause;
+    known.last_use = use.at;
+    if (!begins)
+    {
+        return;
+    }
+    if (!is_new)
+    {
+        const duration interval = use.at - known.last_visit;
+        if (regular(known, interval))
+        {
+            const instant next = use.at + interval;
+            const duration slack = distance(interval, day) <= day_tolerance
+                                       ? day_tolerance / 2
+                                       : tolerance;
+            expected.push_back({use.servable, next - slack, next + slack});
+        }
+        known.interval = interval;
+    }
+    known.last_visit = use.at;
+}
+
+} // namespace roseworks::detail
--- /dev/null
+++ b/src/core/request/dispatcher.cpp
@@ -0,0 +1,80 @@
+#include "core/request/dispatcher_impl.hpp"
+
+#include <roseworks/dispatcher.hpp>
+
+#include <utility>
+
+namespace roseworks
+{
+
+dispatcher::dispatcher(options settings)
+    : self(std::make_unique<impl>(std::move(settings)))
+{
+}
+
+dispatcher::~dispatcher() = default;
+dispatcher::dispatcher(dispatcher&&) noexcept = default;
+dispatcher& dispatcher::operator=(dispatcher&&) noexcept = default;
+
+ticket dispatcher::submit(request_info info, instant now)
+{
+    return this->self->submit(std::move(info), now);
+}
+
+dispatcher::finish
+dispatcher::finished(ticket request, const attempt_result& result, instant now)
+{
+    return this->self->finished(request, result, now);
+}
+
+void dispatcher::abandon(ticket request, instant now)
+{
+    this->self->abandon(request, now);
+}
+
+void dispatcher::table_changed(routing_table_ptr table, instant now)
+{
+    this->self->table_changed(std::move(table), now);
+}
+
+void dispatcher::load_reported(const load_report& report, instant now)
+{
+    this->self->load_reported(report, now);
+}
+
+void dispatcher::vm_leaving(std::string_view vm, bool leaving, instant now)
+{
+    this->self->vm_leaving(vm, leaving, now);
+}
+
+void dispatcher::drain(instant)
+{
+    this->self->drain();
+}
+
+void dispatcher::tick(instant now)
+{
+    this->self->tick(now);
+}
+
+std::vector<dispatch_command> dispatcher::take_commands()
+{
+    return this->self->take_commands();
+}
+
+std::optional<instant> dispatcher::next_tick() const
+{
+    return this->self->next_tick();
+}
+
+std::size_t dispatcher::queued() const
+{
+    return this->self->queued();
+}
+
+std::size_t dispatcher::in_flight() const
+{
+    return this->self->in_flight();
+}
+
+} // namespace roseworks
--- /dev/null
+++ b/src/core/request/dispatcher_finish.cpp
@@ -0,0 +1,255 @@
+#include "core/request/dispatcher_impl.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace roseworks
+{
+
+namespace
+{
+
+using end_kind = attempt_result::end;
+
+/// A request under which so many backend servers broke isn't sent again.
+constexpr std::uint32_t crash_limit = 2;
+
+bool is_not_run(end_kind how)
+{
+    return how == end_kind::refused_not_run || how == end_kind::not_sent;
+}
+
+refusal_reason reason_of(const attempt_result& result)
+{
+    if (result.answer_started)
+    {
+        return refusal_reason::stream_cut;
+    }
+    return result.how == end_kind::no_progress ? refusal_reason::backend_timeout
+                                               : refusal_reason::backend_failed;
+}
+
+} // namespace
+
+dispatcher::finish
+dispatcher::impl::finished(ticket id, const attempt_result& result, instant now)
+{
+    const auto found = this->requests.find(id);
+    if (found == this->requests.end() || found->second.at != stage::granted)
+    {
+        // Nothing runs for it here: nothing may be promised either.
+        assert(found == this->requests.end());
+        return {true, verdict::may_have_run, refusal_reason::none};
+    }
+
+    pending& request = found->second;
+    detail::target& where = *request.where;
+    detail::backend* used = where.find(request.replica, request.address);
+    finish outcome;
+    if (result.how == end_kind::answered)
+    {
+        if (used != nullptr)
+        {
+            used->health.succeeded(now);
+        }
+        where.estimator.served(
+            result.total, result.first_byte, request.info.prompt_bytes, now);
+        where.budget.deposit(now);
+        this->release_slot(request);
+        outcome = this->end(id, {});
+    }
+    else if (result.how == end_kind::caller_left)
+    {
+        this->release_slot(request);
+        outcome =
+            this->end(id, {true, verdict::may_have_run, refusal_reason::none});
+    }
+    else
+    {
+        if (used != nullptr)
+        {
+            used->health.failed(now);
+        }
+        outcome = this->failed(request, result, now);
+    }
+
+    where.last_used = now;
+    this->pump(where, now);
+    this->ask_for_replicas(where, now);
+    return outcome;
+}
+
+dispatcher::finish dispatcher::impl::failed(
+    pending& request, const attempt_result& result, instant now)
+{
+    const ticket id = request.item.id;
+    const refusal_reason reason = reason_of(result);
+    const bool not_run = is_not_run(result.how) && !result.answer_started;
+    request.may_have_run = request.may_have_run || !not_run;
+    if (result.how == end_kind::broken && request.info.content)
+    {
+        const detail::backend* used =
+            request.where->find(request.replica, request.address);
+        const engine_id engine =
+            used == nullptr ? engine_id{} : used->where.engine;
+        this->commands.emplace_back(crash_seen{request.info.content, engine});
+        request.suspect = true;
+        ++request.crashes;
+    }
+    this->release_slot(request);
+
+    const verdict outcome =
+        request.may_have_run ? verdict::may_have_run : verdict::not_run;
+    const bool may_retry = !result.answer_started &&
+                           (not_run || request.info.repeatable) &&
+                           request.attempts < this->settings.max_attempts &&
+                           request.crashes < crash_limit;
+    if (!may_retry)
+    {
+        return this->end(id, {true, outcome, reason});
+    }
+    if (this->draining)
+    {
+        return this->end(id, {true, outcome, refusal_reason::draining});
+    }
+    if (now >= request.item.deadline)
+    {
+        return this->end(id, {true, outcome, refusal_reason::deadline});
+    }
+    if (request.info.content && this->table->is_blocked(request.info.content))
+    {
+        return this->end(id, {true, outcome, refusal_reason::blocked});
+    }
+    if (!request.where->budget.withdraw(now))
+    {
+        return this->end(
+            id, {true, outcome, refusal_reason::retries_exhausted});
+    }
+
+    request.tried.push_back(request.server);
+    this->enqueue(request);
+    this->due_by(
+        std::min(request.item.deadline, now + this->settings.demand_interval));
+    return {false, outcome, reason};
+}
+
+void dispatcher::impl::abandon(ticket id, instant now)
+{
+    const auto found = this->requests.find(id);
+    if (found == this->requests.end())
+    {
+        return;
+    }
+    pending& request = found->second;
+    detail::target& where = *request.where;
+    if (request.at == stage::granted)
+    {
+        this->release_slot(request);
+    }
+    else
+    {
+        this->dequeue(request);
+    }
+    this->forget(id);
+    this->pump(where, now);
+}
+
+void dispatcher::impl::release_slot(pending& request)
+{
+    detail::target& where = *request.where;
+    if (detail::backend* used = where.find(request.replica, request.address))
+    {
+        --used->in_flight;
+    }
+    --where.in_flight;
+    where.long_in_flight -= request.item.long_prompt ? 1 : 0;
+    where.drop_unlisted();
+
+    detail::server_state& server = this->loads.at(request.server);
+    --server.own;
+    if (server.exclusive == request.item.id)
+    {
+        server.exclusive = ticket{};
+        --where.suspects_running;
+        this->shared_server_free = true;
+    }
+    else if (server.held && server.own == 0)
+    {
+        this->shared_server_free = true;
+    }
+}
+
+dispatcher::finish dispatcher::impl::end(ticket id, finish outcome)
+{
+    this->forget(id);
+    return outcome;
+}
+
+void dispatcher::impl::enqueue(pending& request)
+{
+    detail::target& where = *request.where;
+    if (request.suspect)
+    {
+        request.at = stage::suspect;
+        where.suspects.push_back(request.item.id);
+    }
+    else
+    {
+        request.at = stage::queued;
+        where.queue.push(request.item);
+    }
+    ++this->queued_count;
+    this->queued_bytes[static_cast<std::size_t>(request.item.level)] +=
+        request.info.held_bytes;
+    this->note_waiting(where);
+}
+
+void dispatcher::impl::dequeue(pending& request)
+{
+    detail::target& where = *request.where;
+    if (request.at == stage::suspect)
+    {
+        if (request.hold)
+        {
+            this->release_hold(request.item.id);
+            this->shared_server_free = true;
+        }
+        std::erase(where.suspects, request.item.id);
+    }
+    else
+    {
+        where.queue.erase(request.item.id);
+    }
+    --this->queued_count;
+    this->queued_bytes[static_cast<std::size_t>(request.item.level)] -=
+        request.info.held_bytes;
+    this->note_waiting(where);
+}
+
+void dispatcher::impl::forget(ticket id)
+{
+    const auto found = this->requests.find(id);
+    assert(found != this->requests.end());
+    this->held_bytes -= found->second.info.held_bytes;
+    this->limits.release(found->second.item.caller);
+    this->requests.erase(found);
+}
+
+void dispatcher::impl::refuse(
+    ticket id, refusal_reason reason, duration retry_after)
+{
+    pending& request = this->requests.at(id);
+    const verdict outcome =
+        request.may_have_run ? verdict::may_have_run : verdict::not_run;
+    this->dequeue(request);
+    this->forget(id);
+    this->commands.emplace_back(refusal{id, reason, outcome, retry_after});
+}
+
+std::vector<dispatch_command> dispatcher::impl::take_commands()
+{
+    return std::exchange(this->commands, {});
+}
+
+} // namespace roseworks
--- /dev/null
+++ b/src/core/request/dispatcher_impl.hpp
@@ -0,0 +1,169 @@
+#pragma once
+
+#include "core/admission/caller_limits.hpp"
+#include "core/request/target.hpp"
+
+#include <roseworks/dispatcher.hpp>
+
+#include <array>
+#include <memory>
+#include <unordered_map>
+
+namespace roseworks
+{
+
+/** The dispatcher's state; its rules are split by event over the sources of
+    this folder. Hint, apart from the promise that `dispatcher` states. */
+class dispatcher::impl
+{
+public:
+    explicit impl(options settings);
+
+    // Arrival and end of requests.
+    ticket submit(request_info info, instant now);
+    finish finished(ticket id, const attempt_result& result, instant now);
+    void abandon(ticket id, instant now);
+
+    // What changes around them.
+    void table_changed(routing_table_ptr next, instant now);
+    void load_reported(const load_report& report, instant now);
+    void vm_leaving(std::string_view vm, bool leaving, instant now);
+    void drain();
+    void tick(instant now);
+
+    std::vector<dispatch_command> take_commands();
+    std::optional<instant> next_tick() const;
+
+    std::size_t queued() const
+    {
+        return this->queued_count;
+    }
+
+    std::size_t in_flight() const
+    {
+        return this->requests.size() - this->queued_count;
+    }
+
+private:
+    enum class stage : std::uint8_t
+    {
+        queued,  ///< in its target's queue
+        suspect, ///< among its target's suspects
+        granted
+    };
+
+    struct pending
+    {
+        request_info info;
+        detail::queue_item item;
+        detail::target* where = nullptr;
+        stage at = stage::queued;
+        bool suspect = false;      ///< to run alone, by this router's own sight
+        bool may_have_run = false; ///< an attempt may have reached a server
+        std::uint32_t attempts = 0; ///< granted so far
+        std::uint32_t crashes = 0;
+        replica_id replica;                     ///< of the running attempt
+        std::string address;                    ///< of the running attempt
+        detail::server_key server{};            ///< of the running attempt
+        std::optional<detail::server_key> hold; ///< kept idle for this suspect
+        std::vector<detail::server_key> tried;
+    };
+
+    using targets =
+        std::unordered_map<std::string, std::unique_ptr<detail::target>>;
+
+    struct by_number
+    {
+        bool operator()(
+            const detail::target* left, const detail::target* right) const
+        {
+            return left->number < right->number;
+        }
+    };
+
+    // dispatcher_submit.cpp
+    refusal_reason check_target(const detail::target& where, instant now) const;
+    detail::target* find_target(const request_info& info, instant now);
+    detail::queue_item make_item(
+        ticket id,
+        const request_info& info,
+        detail::caller_number caller,
+        const caller_spec& spec,
+        instant now) const;
+    void admit(ticket id, instant now);
+    bool make_room(const request_info& info, priority level);
+    void trim(ticket newest);
+    std::optional<detail::queue_item>
+    least_wanted(const detail::target* only, priority below) const;
+    void turn_away(ticket id, refusal_reason reason, duration retry_after);
+    void purge(instant now);
+
+    // dispatcher_pump.cpp
+    void refresh(detail::target& where, instant now);
+    void pump(detail::target& where, instant now);
+    bool grant_next(
+        detail::target& where, std::vector<detail::queue_item>& aside, instant);
+    void grant_to(pending& request, detail::backend& chosen, bool alone);
+    void pump_one(detail::target& where, instant now);
+    void pump_if_freed(instant now);
+    void place_suspect(detail::target& where, instant now);
+    detail::backend*
+    suspect_backend(detail::target& where, const pending& request, instant now);
+    void release_hold(ticket id);
+    void note_waiting(detail::target& where);
+
+    // dispatcher_finish.cpp
+    void release_slot(pending& request);
+    finish failed(pending& request, const attempt_result& result, instant now);
+    finish end(ticket id, finish outcome);
+    void enqueue(pending& request);
+    void dequeue(pending& request);
+    void forget(ticket id);
+    void refuse(ticket id, refusal_reason reason, duration retry_after);
+
+    // dispatcher_tick.cpp
+    duration predicted_wait(
+        const detail::target& where,
+        const detail::queue_item& item,
+        std::size_t ahead,
+        std::span<std::size_t const> usable,
+        instant now) const;
+    duration remaining_cold(const detail::target& where, instant now) const;
+    duration spread(duration value);
+    bool can_start(
+        const detail::target& where,
+        const detail::queue_item& item,
+        duration wait,
+        instant now) const;
+    void examine(detail::target& where, instant now);
+    void serve_waiting(detail::target& where, instant now);
+    void refuse_all(detail::target& where, refusal_reason, duration);
+    void ask_for_replicas(detail::target& where, instant now);
+    void send_demand(detail::target& where, instant now);
+    void due_by(instant when);
+
+    options settings;
+    routing_table_ptr table;
+    std::uint64_t generation = 0;
+    detail::caller_limits limits;
+    detail::server_loads loads;
+    detail::balancer chooser;
+    std::mt19937_64 random;
+    targets servables;
+    targets services;
+    detail::target::leaving_vms leaving;
+    std::set<detail::target*, by_number> waiting;
+    std::unordered_map<ticket, pending> requests;
+    std::vector<dispatch_command> commands;
+    std::optional<instant> due;
+    std::uint64_t last_ticket = 0;
+    std::uint32_t last_target = 0;
+    std::size_t queued_count = 0;
+    std::size_t held_bytes = 0;
+    std::array<std::size_t, detail::class_count> queued_bytes{};
+    instant last_purge;
+    bool draining = false;
+    bool shared_server_free = false; ///< other targets may start there now
+};
+
+} // namespace roseworks
--- /dev/null
+++ b/src/core/request/retry_budget.cpp
@@ -0,0 +1,55 @@
+#include "core/request/retry_budget.hpp"
+
+#include <algorithm>
+
+namespace roseworks::detail
+{
+
+namespace
+{
+
+constexpr std::int64_t whole = 1'000'000;
+constexpr std::int64_t floor_seconds = 10;
+
+} // namespace
+
+retry_budget::retry_budget(std::uint32_t percent_of_answers)
+    : per_answer(whole / 100 * percent_of_answers)
+    , limit(whole * (floor_per_second * floor_seconds + percent_of_answers))
+    , tokens(whole * floor_per_second)
+{
+}
+
+void retry_budget::deposit(instant now)
+{
+    this->refill(now);
+    this->tokens = std::min(this->limit, this->tokens + this->per_answer);
+}
+
+bool retry_budget::withdraw(instant now)
+{
+    this->refill(now);
+    if (this->tokens < whole)
+    {
+        return false;
+    }
+    this->tokens -= whole;
+    return true;
+}
+
+void retry_budget::refill(instant now)
+{
+    if (this->started)
+    {
+        // An instant's unit is a millionth of a second.
+        constexpr std::int64_t longest = floor_seconds * whole;
+        const std::int64_t passed =
+            std::clamp<std::int64_t>((now - this->last).count(), 0, longest);
+        this->tokens =
+            std::min(this->limit, this->tokens + passed * floor_per_second);
+    }
+    this->started = true;
+    this->last = now;
+}
+
+} // namespace roseworks::detail
--- /dev/null
+++ b/src/core/routing/balancer.cpp
@@ -0,0 +1,227 @@
+#include "core/routing/balancer.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace roseworks::detail
+{
+
+namespace
+{
+
+/// Affinity is given up above this multiple of the mean load, plus one.
+constexpr double affinity_bound = 1.25;
+
+std::uint64_t mixed(std::uint64_t value)
+{
+    value += 0x9E3779B97F4A7C15ULL;
+    value = (value ^ (value >> 30)) * 0xBF58476D1CE4E5B9ULL;
+    value = (value ^ (value >> 27)) * 0x94D049BB133111EBULL;
+    return value ^ (value >> 31);
+}
+
+std::uint64_t rendezvous(std::uint64_t prefix, const backend& one)
+{
+    return mixed(mixed(prefix) ^ mixed(one.server ^ one.where.replica.value));
+}
+
+bool was_tried(const backend& one, std::span<const server_key> tried)
+{
+    return std::find(tried.begin(), tried.end(), one.server) != tried.end();
+}
+
+} // namespace
+
+balancer::balancer(std::string own_data_centre, std::uint64_t seed)
+    : data_centre(std::move(own_data_centre))
+    , random(seed)
+{
+}
+
+std::vector<std::size_t>
+balancer::usable(std::span<const backend> all, instant now)
+{
+    std::vector<std::size_t> good;
+    std::vector<std::size_t> bad;
+    for (std::size_t i = 0; i < all.size(); ++i)
+    {
+        if (!all[i].listed || all[i].leaving)
+        {
+            continue;
+        }
+        (all[i].health.ejected(now) ? bad : good).push_back(i);
+    }
+
+    const std::size_t allowance = ejection_allowance(good.size() + bad.size());
+    if (bad.size() > allowance)
+    {
+        // Those whose ejection ends first are let back.
+        std::stable_sort(
+            bad.begin(),
+            bad.end(),
+            [all](std::size_t left, std::size_t right)
+            {
+                return all[left].health.ejected_until() <
+                       all[right].health.ejected_until();
+            });
+        const auto back = static_cast<std::ptrdiff_t>(bad.size() - allowance);
+        good.insert(good.end(), bad.begin(), bad.begin() + back);
+        std::sort(good.begin(), good.end());
+    }
+    return good;
+}
+
+bool balancer::has_slot(
+    const backend& one,
+    std::uint16_t max_streams,
+    bool batch,
+    const server_loads& loads,
+    instant now)
+{
+    if (loads.reserved(one.server))
+    {
+        return false;
+    }
+    const std::uint32_t streams = std::max<std::uint16_t>(max_streams, 1);
+    const std::uint32_t limit = batch && streams > 1 ? streams - 1 : streams;
+    if (one.in_flight >= limit)
+    {
+        return false;
+    }
+    // Others' work counts, but never keeps this router away altogether.
+    return one.in_flight == 0 ||
+           one.in_flight + loads.foreign(one.server, now) < limit;
+}
+
+free_slots balancer::slots(
+    std::span<const backend> all,
+    std::span<std::size_t const> among,
+    std::uint16_t max_streams,
+    const server_loads& loads,
+    instant now)
+{
+    free_slots found;
+    for (const std::size_t i : among)
+    {
+        found.any =
+            found.any || has_slot(all[i], max_streams, false, loads, now);
+        found.batch =
+            found.batch || has_slot(all[i], max_streams, true, loads, now);
+        if (found.any && found.batch)
+        {
+            break;
+        }
+    }
+    return found;
+}
+
+std::optional<std::size_t> balancer::choose(
+    std::span<const backend> all,
+    std::span<std::size_t const> among,
+    const choice_query& query,
+    const server_loads& loads,
+    instant now)
+{
+    std::vector<std::size_t> candidates;
+    for (const std::size_t i : among)
+    {
+        if (!was_tried(all[i], query.tried))
+        {
+            candidates.push_back(i);
+        }
+    }
+    if (candidates.empty())
+    {
+        candidates.assign(among.begin(), among.end());
+    }
+
+    if (query.prefix != 0)
+    {
+        if (const auto near =
+                this->by_prefix(all, candidates, query, loads, now))
+        {
+            return near;
+        }
+    }
+
+    std::erase_if(
+        candidates,
+        [&](std::size_t i)
+        {
+            return !has_slot(
+                all[i], query.max_streams, query.batch, loads, now);
+        });
+    const std::vector<std::size_t> best = this->prefer_own(all, candidates);
+    if (best.empty())
+    {
+        return std::nullopt;
+    }
+    if (best.size() == 1)
+    {
+        return best.front();
+    }
+
+    const std::size_t first = this->draw(best.size());
+    std::size_t second = this->draw(best.size() - 1);
+    second += second >= first ? 1 : 0;
+    const std::uint32_t first_load = loads.load(all[best[first]].server, now);
+    const std::uint32_t second_load = loads.load(all[best[second]].server, now);
+    return best[second_load < first_load ? second : first];
+}
+
+std::vector<std::size_t> balancer::prefer_own(
+    std::span<const backend> all, std::span<std::size_t const> among) const
+{
+    std::vector<std::size_t> own;
+    for (const std::size_t i : among)
+    {
+        if (all[i].where.data_centre == this->data_centre)
+        {
+            own.push_back(i);
+        }
+    }
+    return own.empty() ? std::vector<std::size_t>(among.begin(), among.end())
+                       : own;
+}
+
+std::optional<std::size_t> balancer::by_prefix(
+    std::span<const backend> all,
+    std::span<std::size_t const> among,
+    const choice_query& query,
+    const server_loads& loads,
+    instant now) const
+{
+    const std::vector<std::size_t> near = this->prefer_own(all, among);
+    if (near.empty())
+    {
+        return std::nullopt;
+    }
+
+    double sum = 0;
+    std::size_t best = near.front();
+    for (const std::size_t i : near)
+    {
+        sum += loads.load(all[i].server, now);
+        if (rendezvous(query.prefix, all[i]) >
+            rendezvous(query.prefix, all[best]))
+        {
+            best = i;
+        }
+    }
+    const double mean = sum / static_cast<double>(near.size());
+    if (loads.load(all[best].server, now) > affinity_bound * mean + 1 ||
+        !has_slot(all[best], query.max_streams, query.batch, loads, now))
+    {
+        return std::nullopt;
+    }
+    return best;
+}
+
+std::size_t balancer::draw(std::size_t count)
+{
+    // The high half of a product: no division, and the same on each platform.
+    const std::uint64_t high = this->random() >> 32;
+    return static_cast<std::size_t>((high * count) >> 32);
+}
+
+} // namespace roseworks::detail
--- /dev/null
+++ b/src/core/routing/routing_table_builder.cpp
@@ -0,0 +1,375 @@
+#include "core/routing/sharded_table.hpp"
+
+#include <roseworks/routing_table_builder.hpp>
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace roseworks
+{
+
+namespace
+{
+
+/// Blocks and suspicions that may lapse are looked at again this often, by
+/// the log's own time.
+constexpr stamp_ms lapse_interval_ms = 1000;
+
+} // namespace
+
+class routing_table_builder::impl
+{
+public:
+    void rebuild(const fleet_state& state);
+    void update(const fleet_state& state);
+
+    detail::sharded_table edited;
+
+private:
+    struct placed
+    {
+        servable_id servable;
+        engine_id engine;
+    };
+
+    void apply(const fleet_state& state, const state_change& change);
+    void entity_put(const fleet_state& state, const state_change& change);
+    void entity_removed(const state_change& change);
+    void put_servable(const fleet_state& state, servable_id id);
+    void put_service(const fleet_state& state, service_id id);
+    void put_caller(const fleet_state& state, caller_id id);
+    void put_engine(const fleet_state& state, engine_id id);
+    void put_adapters_of(const fleet_state& state, servable_id base);
+    void moved(const fleet_state& state, const state_change& change);
+    void look_at(const fleet_state& state, fingerprint request);
+    void look_for_lapses(const fleet_state& state);
+
+    /// Replicas that aren't gone: a gone one has no view any more.
+    std::unordered_map<replica_id, placed> replicas;
+    std::unordered_map<caller_id, std::string> callers;
+    stamp_ms last_lapse_check = 0;
+};
+
+void routing_table_builder::impl::rebuild(const fleet_state& state)
+{
+    std::vector<fingerprint> seen = this->edited.blocked();
+    const auto& suspects = this->edited.suspects();
+    seen.insert(seen.end(), suspects.begin(), suspects.end());
+    this->edited.clear();
+    this->replicas.clear();
+    this->callers.clear();
+
+    state.for_each_replica(
+        [this](const replica_view& one)
+        {
+            this->replicas[one.id] = {one.servable, one.engine};
+        });
+    state.for_each_servable(
+        [this, &state](const servable_view& one)
+        {
+            this->put_servable(state, one.id);
+        });
+    state.for_each_service(
+        [this, &state](service_id id, std::string_view)
+        {
+            this->put_service(state, id);
+        });
+    state.for_each_caller(
+        [this, &state](caller_id id, std::string_view)
+        {
+            this->put_caller(state, id);
+        });
+    for (const fingerprint request : seen)
+    {
+        this->look_at(state, request);
+    }
+}
+
+void routing_table_builder::impl::update(const fleet_state& state)
+{
+    for (const state_change& change : state.changes())
+    {
+        this->apply(state, change);
+    }
+    this->look_for_lapses(state);
+}
+
+void routing_table_builder::impl::apply(
+    const fleet_state& state, const state_change& change)
+{
+    using kind = state_change::kind;
+    switch (change.what)
+    {
+    case kind::entity_put:
+        this->entity_put(state, change);
+        break;
+    case kind::entity_removed:
+        this->entity_removed(change);
+        break;
+    case kind::replica_moved:
+        this->moved(state, change);
+        break;
+    case kind::request_suspected:
+    case kind::request_blocked:
+    case kind::request_unblocked:
+        this->look_at(state, change.request);
+        break;
+    default:
+        break;
+    }
+}
+
+void routing_table_builder::impl::entity_put(
+    const fleet_state& state, const state_change& change)
+{
+    const std::uint32_t id = change.entity_id;
+    switch (change.entity)
+    {
+    case entity_kind::model:
+    {
+        const servable_routes* before = this->edited.find(servable_id(id));
+        const std::uint16_t streams = before ? before->max_streams : 0;
+        this->put_servable(state, servable_id(id));
+        const servable_routes* after = this->edited.find(servable_id(id));
+        if (before != nullptr && after != nullptr &&
+            after->max_streams != streams)
+        {
+            this->put_adapters_of(state, servable_id(id));
+        }
+        break;
+    }
+    case entity_kind::adapter:
+        this->put_servable(state, servable_id(id));
+        break;
+    case entity_kind::engine:
+        this->put_engine(state, engine_id(id));
+        break;
+    case entity_kind::service:
+        this->put_service(state, service_id(id));
+        break;
+    case entity_kind::caller:
+        this->put_caller(state, caller_id(id));
+        break;
+    case entity_kind::policy:
+        break;
+    }
+}
+
+void routing_table_builder::impl::entity_removed(const state_change& change)
+{
+    const std::uint32_t id = change.entity_id;
+    switch (change.entity)
+    {
+    case entity_kind::model:
+    case entity_kind::adapter:
+        this->edited.erase(servable_id(id));
+        break;
+    case entity_kind::service:
+        this->edited.erase_service(service_id(id));
+        break;
+    case entity_kind::caller:
+        if (const auto found = this->callers.find(caller_id(id));
+            found != this->callers.end())
+        {
+            this->edited.erase_caller(found->second);
+            this->callers.erase(found);
+        }
+        break;
+    case entity_kind::engine: // only removed when it holds no replica
+    case entity_kind::policy:
+        break;
+    }
+}
+
+void routing_table_builder::impl::put_servable(
+    const fleet_state& state, servable_id id)
+{
+    const auto view = state.servable(id);
+    if (!view)
+    {
+        this->edited.erase(id);
+        return;
+    }
+    servable_routes entry;
+    entry.id = id;
+    entry.name = view->name;
+    entry.is_adapter = view->is_adapter;
+    entry.max_streams = view->max_streams;
+    entry.load_estimate_ms = view->load_estimate_ms;
+    entry.max_replicas = view->max_replicas;
+    state.for_each_replica_of(
+        id,
+        [&state, &entry](const replica_view& one)
+        {
+            const auto engine = state.engine(one.engine);
+            if (one.state != replica_state::ready || !engine ||
+                engine->spec == nullptr || engine->spec->draining)
+            {
+                return;
+            }
+            entry.ready.push_back(
+                {one.id,
+                 one.engine,
+                 engine->spec->address,
+                 engine->spec->data_centre,
+                 engine->spec->vm});
+        });
+    std::sort(
+        entry.ready.begin(),
+        entry.ready.end(),
+        [](const route& left, const route& right)
+        {
+            return left.replica < right.replica;
+        });
+    this->edited.put(std::move(entry));
+}
+
+void routing_table_builder::impl::put_service(
+    const fleet_state& state, service_id id)
+{
+    const service_spec* spec = state.service(id);
+    if (spec == nullptr)
+    {
+        this->edited.erase_service(id);
+        return;
+    }
+    service_routes entry;
+    entry.id = id;
+    entry.name = state.service_name(id);
+    entry.repeatable = spec->repeatable;
+    entry.max_streams = spec->max_streams;
+    entry.backends = spec->backends;
+    this->edited.put(std::move(entry));
+}
+
+void routing_table_builder::impl::put_caller(
+    const fleet_state& state, caller_id id)
+{
+    const caller_spec* spec = state.caller(id);
+    if (spec != nullptr)
+    {
+        this->callers[id] = state.caller_name(id);
+        this->edited.put_caller(state.caller_name(id), *spec);
+    }
+}
+
+void routing_table_builder::impl::put_engine(
+    const fleet_state& state, engine_id id)
+{
+    std::set<servable_id> touched;
+    state.for_each_replica_on(
+        id,
+        [&touched](const replica_view& one)
+        {
+            touched.insert(one.servable);
+        });
+    for (const servable_id one : touched)
+    {
+        this->put_servable(state, one);
+    }
+}
+
+void routing_table_builder::impl::put_adapters_of(
+    const fleet_state& state, servable_id base)
+{
+    std::vector<servable_id> adapters;
+    state.for_each_servable(
+        [&adapters, base](const servable_view& one)
+        {
+            if (one.is_adapter && one.base == base)
+            {
+                adapters.push_back(one.id);
+            }
+        });
+    for (const servable_id one : adapters)
+    {
+        this->put_servable(state, one);
+    }
+}
+
+void routing_table_builder::impl::moved(
+    const fleet_state& state, const state_change& change)
+{
+    if (const auto view = state.replica(change.replica))
+    {
+        this->replicas[view->id] = {view->servable, view->engine};
+    }
+    const auto found = this->replicas.find(change.replica);
+    if (found == this->replicas.end())
+    {
+        return;
+    }
+    const servable_id servable = found->second.servable;
+    if (change.to == replica_state::gone)
+    {
+        this->replicas.erase(found);
+    }
+    if (change.from == replica_state::ready ||
+        change.to == replica_state::ready)
+    {
+        this->put_servable(state, servable);
+    }
+}
+
+void routing_table_builder::impl::look_at(
+    const fleet_state& state, fingerprint request)
+{
+    const bool blocked = state.blocked(request);
+    this->edited.set_blocked(request, blocked);
+    this->edited.set_suspect(
+        request, !blocked && state.suspicion(request) != 0);
+}
+
+void routing_table_builder::impl::look_for_lapses(const fleet_state& state)
+{
+    const stamp_ms now = state.log_time();
+    if (now - this->last_lapse_check < lapse_interval_ms)
+    {
+        return;
+    }
+    this->last_lapse_check = now;
+    std::vector<fingerprint> seen = this->edited.blocked();
+    const auto& suspects = this->edited.suspects();
+    seen.insert(seen.end(), suspects.begin(), suspects.end());
+    for (const fingerprint request : seen)
+    {
+        this->look_at(state, request);
+    }
+}
+
+routing_table_builder::routing_table_builder()
+    : self(std::make_unique<impl>())
+{
+}
+
+routing_table_builder::~routing_table_builder() = default;
+routing_table_builder::routing_table_builder(routing_table_builder&&) noexcept =
+    default;
+routing_table_builder&
+routing_table_builder::operator=(routing_table_builder&&) noexcept = default;
+
+void routing_table_builder::rebuild(const fleet_state& state)
+{
+    this->self->rebuild(state);
+}
+
+void routing_table_builder::update(const fleet_state& state)
+{
+    this->self->update(state);
+}
+
+void routing_table_builder::set_log_available(bool available)
+{
+    this->self->edited.set_log_available(available);
+}
+
+routing_table_ptr routing_table_builder::table()
+{
+    return this->self->edited.publish();
+}
+
+} // namespace roseworks
--- /dev/null
+++ b/src/core/routing/server_loads.cpp
@@ -0,0 +1,51 @@
+#include "core/routing/server_loads.hpp"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace roseworks::detail
+{
+
+server_key key_of_address(std::string_view address)
+{
+    constexpr server_key service_bit = server_key(1) << 63;
+    return XXH3_64bits(address.data(), address.size()) | service_bit;
+}
+
+void server_loads::reported(const load_report& report, instant now)
+{
+    server_state& state = this->at(key_of(report.engine));
+    const std::uint64_t all = std::uint64_t(report.running) + report.waiting;
+    state.foreign =
+        all > state.own ? static_cast<std::uint32_t>(all - state.own) : 0;
+    state.reported = now;
+}
+
+std::uint32_t server_loads::foreign(server_key server, instant now) const
+{
+    const auto found = this->states.find(server);
+    if (found == this->states.end() ||
+        found->second.reported == instant::min() ||
+        now - found->second.reported > report_lifetime)
+    {
+        return 0;
+    }
+    return found->second.foreign;
+}
+
+std::uint32_t server_loads::load(server_key server, instant now) const
+{
+    const auto found = this->states.find(server);
+    const std::uint32_t own =
+        found == this->states.end() ? 0 : found->second.own;
+    return own + this->foreign(server, now);
+}
+
+bool server_loads::reserved(server_key server) const
+{
+    const auto found = this->states.find(server);
+    return found != this->states.end() &&
+           (found->second.exclusive || found->second.held);
+}
+
+} // namespace roseworks::detail
--- /dev/null
+++ b/src/core/state/request_fold.cpp
@@ -0,0 +1,112 @@
+#include "core/state/request_fold.hpp"
+
+#include <string>
+
+namespace roseworks::detail
+{
+
+namespace
+{
+
+fold_result session_over(session_id session)
+{
+    return reject(
+        reject_reason::session_ended,
+        "session " + std::to_string(session.value) + " has ended or never was");
+}
+
+} // namespace
+
+fold_result fold(fold_context& context, const claim_open& value)
+{
+    fleet_data& data = context.data;
+    if (!data.sessions.live(value.session))
+        return session_over(value.session);
+    if (const claim_row* held = data.claims.find(value.key))
+        return reject(
+            reject_reason::claim_held,
+            "session " + std::to_string(held->session.value) +
+                " claimed the key",
+            held->opened);
+    data.claims.open(value.key, value.session, context.offset, data.log_time);
+    state_change& change = context.note(state_change::kind::claim_opened);
+    change.key = value.key;
+    change.session = value.session;
+    return accept();
+}
+
+fold_result fold(fold_context& context, const claim_close& value)
+{
+    fleet_data& data = context.data;
+    const claim_row* row = data.claims.find(value.key);
+    if (row == nullptr)
+        return reject(reject_reason::unknown_entity, "the key isn't claimed");
+    if (row->session != value.session)
+        return reject(
+            reject_reason::not_holder,
+            "session " + std::to_string(row->session.value) +
+                " claimed the key",
+            row->opened);
+    if (!data.sessions.live(value.session))
+        return session_over(value.session);
+    if (row->outcome != claim_outcome::open ||
+        value.outcome == claim_outcome::open)
+        return reject(
+            reject_reason::illegal_transition,
+            "the claim is closed, or would stay open",
+            row->closed);
+    data.claims.close(value, context.offset);
+    state_change& change = context.note(state_change::kind::claim_closed);
+    change.key = value.key;
+    change.session = value.session;
+    return accept();
+}
+
+fold_result fold(fold_context& context, const request_suspect& value)
+{
+    fleet_data& data = context.data;
+    if (!data.sessions.live(value.session))
+        return session_over(value.session);
+    if (value.engine && !data.engines.known(value.engine))
+        return reject(
+            reject_reason::unknown_entity,
+            "engine " + std::to_string(value.engine.value) + " never was");
+    const policy_spec& policy = data.policy.spec;
+    const bool blocks = data.suspects.suspect(
+        value.request,
+        data.log_time + policy.crash_block_ms,
+        policy.crash_threshold);
+    state_change& change = context.note(state_change::kind::request_suspected);
+    change.request = value.request;
+    change.engine = value.engine;
+    change.session = value.session;
+    if (blocks)
+        context.note(state_change::kind::request_blocked).request =
+            value.request;
+    return accept();
+}
+
+fold_result fold(fold_context& context, const request_unblock& value)
+{
+    if (!context.data.suspects.forget(value.request))
+        return reject(
+            reject_reason::unknown_entity, "the request isn't suspect");
+    context.note(state_change::kind::request_unblocked).request = value.request;
+    return accept();
+}
+
+void expire(fold_context& context)
+{
+    fleet_data& data = context.data;
+    const stamp_ms horizon = data.policy.spec.claim_horizon_ms;
+    data.claims.forget_until(data.log_time - horizon);
+    data.suspects.sweep(
+        data.log_time,
+        [&context](fingerprint request)
+        {
+            context.note(state_change::kind::request_unblocked).request =
+                request;
+        });
+}
+
+} // namespace roseworks::detail
--- /dev/null
+++ b/src/core/state/router_fold.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "core/state/fleet_data.hpp"
+
+#include <roseworks/record.hpp>
+
+/// Folds of sessions and engine leases.
+namespace roseworks::detail
+{
+
+fold_result
+fold(fold_context& context, const router_join& value, const record_id& id);
+fold_result fold(fold_context& context, const router_leave& value);
+fold_result fold(fold_context& context, const router_gone& value);
+fold_result fold(fold_context& context, const session_renew& value);
+fold_result fold(fold_context& context, const lease_acquire& value);
+fold_result fold(fold_context& context, const lease_release& value);
+
+} // namespace roseworks::detail
--- a/standins/common/client.cpp
+++ b/standins/common/client.cpp
@@ -10,7 +10,8 @@
 #include <boost/url/encode.hpp>
 #include <boost/url/rfc/unreserved_chars.hpp>
 
-namespace roseworks::standins {
+namespace roseworks::standins
+{
 
 asio::awaitable<unsigned>
 get_status(asio::ip::tcp::endpoint endpoint, std::string target)
--- a/standins/common/client.hpp
+++ b/standins/common/client.hpp
@@ -4,7 +4,8 @@
 
 #include <string>
 
-namespace roseworks::standins {
+namespace roseworks::standins
+{
 
 /// Sends one GET on a connection of its own.
 ///
--- a/standins/common/exchange.cpp
+++ b/standins/common/exchange.cpp
@@ -21,16 +21,17 @@
 #include <sys/socket.h>
 #include <utility>
 
-namespace roseworks::standins {
+namespace roseworks::standins
+{
 
-namespace {
+namespace
+{
 
 constexpr auto quietly = asio::as_tuple(asio::use_awaitable);
 
 } // namespace
 
-exchange::exchange(
-    asio::ip::tcp::socket& client, const http_request& incoming)
+exchange::exchange(asio::ip::tcp::socket& client, const http_request& incoming)
     : socket(client)
     , received(incoming)
 {
@@ -85,14 +86,12 @@
     {
         return fallback;
     }
-    std::uint64_t number = 0;
-    const char* const end = text.data() + text.size();
-    const auto [stop, error] = std::from_chars(text.data(), end, number);
-    if (error != std::errc() || stop != end)
+    const std::optional<std::uint64_t> number = parse_whole_number(text);
+    if (!number)
     {
         throw bad_request(std::string(name) + " is not a whole number");
     }
-    return number;
+    return *number;
 }
 
 json::object exchange::body_object() const
@@ -127,8 +126,7 @@
 {
     std::string text = json::serialize(body);
     std::string content_type = "application/json";
-    co_await this->send_bytes(
-        status, std::move(content_type), std::move(text));
+    co_await this->send_bytes(status, std::move(content_type), std::move(text));
 }
 
 asio::awaitable<void> exchange::send_bytes(
@@ -210,8 +208,8 @@
         return true;
     }
     char byte = 0;
-    const auto count = ::recv(
-        this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const auto count =
+        ::recv(this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     if (count > 0)
     {
         return false;
@@ -230,6 +228,18 @@
            this->received.keep_alive();
 }
 
+std::optional<std::uint64_t> parse_whole_number(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const char* const end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data(), end, number);
+    if (error != std::errc() || stop != end)
+    {
+        return std::nullopt;
+    }
+    return number;
+}
+
 asio::awaitable<void> sleep_for(std::chrono::microseconds duration)
 {
     asio::steady_timer timer(co_await asio::this_coro::executor, duration);
--- a/standins/common/exchange.hpp
+++ b/standins/common/exchange.hpp
@@ -10,10 +10,12 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
-namespace roseworks::standins {
+namespace roseworks::standins
+{
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
@@ -96,6 +98,9 @@
     bool finished = false;
 };
 
+/// Reads a decimal number from 0; empty when the text is none.
+std::optional<std::uint64_t> parse_whole_number(std::string_view text);
+
 /// Waits on the executor of the calling coroutine.
 asio::awaitable<void> sleep_for(std::chrono::microseconds duration);
 
--- a/standins/common/json_fields.cpp
+++ b/standins/common/json_fields.cpp
@@ -3,9 +3,11 @@
 #include <boost/json/value.hpp>
 #include <boost/json/value_to.hpp>
 
-namespace roseworks::standins {
+namespace roseworks::standins
+{
 
-namespace {
+namespace
+{
 
 [[noreturn]] void refuse(std::string_view name, std::string_view expected)
 {
--- a/standins/common/json_fields.hpp
+++ b/standins/common/json_fields.hpp
@@ -7,7 +7,8 @@
 #include <string>
 #include <string_view>
 
-namespace roseworks::standins {
+namespace roseworks::standins
+{
 
 /// The caller sent something that can't be read; answered with 400.
 class bad_request : public std::runtime_error
--- a/standins/common/lagged.hpp
+++ b/standins/common/lagged.hpp
@@ -4,7 +4,8 @@
 #include <deque>
 #include <utility>
 
-namespace roseworks::standins {
+namespace roseworks::standins
+{
 
 /// A value that readers see as it was some time ago.
 template <class Value>
--- a/standins/common/notifier.cpp
+++ b/standins/common/notifier.cpp
@@ -6,11 +6,13 @@
 
 #include <algorithm>
 
-namespace roseworks::standins {
+namespace roseworks::standins
+{
 
 namespace asio = boost::asio;
 
-namespace {
+namespace
+{
 
 /// Keeps a timer in the list while the coroutine that owns it waits.
 class registration
@@ -57,8 +59,7 @@
     }
 }
 
-asio::awaitable<void>
-notifier::wait_until(asio::steady_timer::time_point limit)
+asio::awaitable<void> notifier::wait_until(asio::steady_timer::time_point limit)
 {
     asio::steady_timer timer(co_await asio::this_coro::executor, limit);
     const registration registered(this->waiters, timer);
--- a/standins/common/notifier.hpp
+++ b/standins/common/notifier.hpp
@@ -6,7 +6,8 @@
 #include <chrono>
 #include <vector>
 
-namespace roseworks::standins {
+namespace roseworks::standins
+{
 
 /// Wakes coroutines of one thread when something has changed. A woken
 /// coroutine checks its condition again.
--- a/standins/common/program.cpp
+++ b/standins/common/program.cpp
@@ -6,14 +6,17 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <csignal>
 #include <exception>
 #include <iostream>
 
-namespace roseworks::standins {
+namespace roseworks::standins
+{
 
-namespace {
+namespace
+{
 
 constexpr int exit_usage = 2;
 
@@ -51,6 +54,17 @@
     return options;
 }
 
+std::shared_ptr<cxxopts::Value> text_value(const std::string& fallback)
+{
+    return cxxopts::value<std::string>()->default_value(fallback);
+}
+
+std::shared_ptr<cxxopts::Value> number_value(std::uint64_t fallback)
+{
+    return cxxopts::value<std::uint64_t>()->default_value(
+        std::to_string(fallback));
+}
+
 asio::ip::tcp::endpoint parse_endpoint(std::string_view text)
 {
     const std::size_t colon = text.rfind(':');
@@ -102,7 +116,7 @@
     options.add_options()(
         std::string(label),
         "address:port of the HTTP server, port 0 for a free one",
-        cxxopts::value<std::string>()->default_value("127.0.0.1:0"));
+        text_value("127.0.0.1:0"));
     try
     {
         const cxxopts::ParseResult arguments = options.parse(argc, argv);
--- a/standins/common/program.hpp
+++ b/standins/common/program.hpp
@@ -4,13 +4,15 @@
 
 #include <cxxopts.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <set>
 #include <string>
 #include <string_view>
 
-namespace roseworks::standins {
+namespace roseworks::standins
+{
 
 using service_factory =
     std::function<std::unique_ptr<service>(const cxxopts::ParseResult&)>;
@@ -19,6 +21,12 @@
 cxxopts::Options
 make_options(const std::string& name, const std::string& description);
 
+/// A text option with its default.
+std::shared_ptr<cxxopts::Value> text_value(const std::string& fallback);
+
+/// A whole-number option, read as `std::uint64_t`, with its default.
+std::shared_ptr<cxxopts::Value> number_value(std::uint64_t fallback);
+
 /// Parses `address:port` with a numeric address; throws `bad_request`.
 asio::ip::tcp::endpoint parse_endpoint(std::string_view text);
 
--- a/standins/common/server.cpp
+++ b/standins/common/server.cpp
@@ -14,9 +14,11 @@
 #include <string>
 #include <utility>
 
-namespace roseworks::standins {
+namespace roseworks::standins
+{
 
-namespace {
+namespace
+{
 
 using tcp = asio::ip::tcp;
 
@@ -75,9 +77,7 @@
 } // namespace
 
 server::server(
-    asio::io_context& context,
-    const tcp::endpoint& endpoint,
-    service& target)
+    asio::io_context& context, const tcp::endpoint& endpoint, service& target)
     : acceptor(context, endpoint)
     , handler(target)
 {
--- a/standins/common/server.hpp
+++ b/standins/common/server.hpp
@@ -7,7 +7,8 @@
 
 #include <cstdint>
 
-namespace roseworks::standins {
+namespace roseworks::standins
+{
 
 /// An HTTP/1.1 server with keep-alive on one event loop and one thread.
 class server
--- /dev/null
+++ b/tests/unit/dispatch/harness.hpp
@@ -0,0 +1,171 @@
+#pragma once
+
+#include "core/routing/sharded_table.hpp"
+
+#include <roseworks/dispatcher.hpp>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace roseworks::testing
+{
+
+using namespace std::chrono_literals;
+
+/// A dispatcher on virtual time, with a table that the test edits.
+class harness
+{
+public:
+    explicit harness(dispatcher::options settings = {})
+        : core(std::move(settings))
+    {
+    }
+
+    /// Declares a model with ready replicas on engines `first`, `first + 1`...
+    /// on VMs of the same number, addresses 10.0.0.<engine>:80.
+    void model(
+        const std::string& name,
+        std::uint32_t id,
+        std::uint32_t replicas,
+        std::uint16_t streams = 1,
+        std::uint32_t first = 1,
+        std::uint16_t max_replicas = 4)
+    {
+        servable_routes entry;
+        entry.id = servable_id(id);
+        entry.name = name;
+        entry.max_streams = streams;
+        entry.load_estimate_ms = 10'000;
+        entry.max_replicas = max_replicas;
+        for (std::uint32_t i = 0; i < replicas; ++i)
+        {
+            const std::uint32_t engine = first + i;
+            const std::string number = std::to_string(engine);
+            entry.ready.push_back(
+                {replica_id(id * 1000 + engine),
+                 engine_id(engine),
+                 "10.0.0." + number + ":80",
+                 engine % 2 == 1 ? "odd" : "even",
+                 "vm" + number});
+        }
+        this->table.put(std::move(entry));
+        this->publish();
+    }
+
+    void publish()
+    {
+        this->core.table_changed(this->table.publish(), this->now);
+        this->collect();
+    }
+
+    request_info info(priority asked = priority::normal) const
+    {
+        request_info request;
+        request.target = "m";
+        request.asked = asked;
+        request.deadline = this->now + 1h;
+        return request;
+    }
+
+    ticket submit(request_info request)
+    {
+        const ticket id = this->core.submit(std::move(request), this->now);
+        this->collect();
+        return id;
+    }
+
+    ticket submit(priority asked = priority::normal)
+    {
+        return this->submit(this->info(asked));
+    }
+
+    dispatcher::finish finish(
+        ticket id,
+        attempt_result::end how = attempt_result::end::answered,
+        duration total = 100ms,
+        bool started = false)
+    {
+        attempt_result result;
+        result.how = how;
+        result.total = total;
+        result.first_byte = total / 2;
+        result.answer_started = started;
+        const auto outcome = this->core.finished(id, result, this->now);
+        this->collect();
+        return outcome;
+    }
+
+    void tick(duration passed = 0ms)
+    {
+        this->now += passed;
+        this->core.tick(this->now);
+        this->collect();
+    }
+
+    void collect()
+    {
+        for (dispatch_command& command : this->core.take_commands())
+        {
+            if (auto* given = std::get_if<grant>(&command))
+            {
+                this->order.push_back(given->request);
+                this->grants[given->request].push_back(std::move(*given));
+            }
+            else if (auto* refused = std::get_if<refusal>(&command))
+            {
+                this->refusals[refused->request].push_back(*refused);
+            }
+            else if (auto* wanted = std::get_if<demand>(&command))
+            {
+                this->demands.push_back(*wanted);
+            }
+            else
+            {
+                this->crashes.push_back(std::get<crash_seen>(command));
+            }
+        }
+    }
+
+    bool granted(ticket id) const
+    {
+        return this->grants.contains(id);
+    }
+
+    /// @return The engine of its last grant, 0 without one.
+    std::uint32_t engine(ticket id) const
+    {
+        const auto found = this->grants.find(id);
+        return found == this->grants.end() ? 0
+                                           : found->second.back().engine.value;
+    }
+
+    refusal_reason refused(ticket id) const
+    {
+        const auto found = this->refusals.find(id);
+        return found == this->refusals.end() ? refusal_reason::none
+                                             : found->second.front().reason;
+    }
+
+    /// Gives callers named `urgent` the right to urgent work.
+    void allow_urgent()
+    {
+        caller_spec spec;
+        spec.highest = priority::urgent;
+        this->table.put_caller("anonymous", spec);
+        this->publish();
+    }
+
+    dispatcher core;
+    detail::sharded_table table;
+    instant now{1h};
+    std::vector<ticket> order; ///< of grants
+    std::map<ticket, std::vector<grant>> grants;
+    std::map<ticket, std::vector<refusal>> refusals;
+    std::vector<demand> demands;
+    std::vector<crash_seen> crashes;
+};
+
+} // namespace roseworks::testing
--- /dev/null
+++ b/tests/unit/dispatch/test_routing_table.cpp
@@ -0,0 +1,245 @@
+#include "core/routing/sharded_table.hpp"
+#include "tests/unit/state/fold_log.hpp"
+
+#include <roseworks/routing_table_builder.hpp>
+
+#include <map>
+#include <random>
+
+#include <criterion/criterion.h>
+
+using namespace roseworks;
+
+namespace
+{
+
+/// A fleet of one model, one adapter and one engine, and its table.
+struct routed_fleet : test::fold_log
+{
+    routed_fleet()
+    {
+        this->put_fleet();
+        this->router = this->join(2);
+        this->held = this->lease(this->router);
+        this->builder.rebuild(this->state);
+    }
+
+    /// Moves a replica and updates the table.
+    void move(replica_id id, replica_state to)
+    {
+        cr_assert(
+            test::accepted(this->report(id, to, this->router, this->held)));
+        this->builder.update(this->state);
+    }
+
+    replica_id ready(const std::string& servable, replica_id base = {})
+    {
+        const replica_id id = this->decide(servable, this->router, base);
+        this->builder.update(this->state);
+        this->move(id, replica_state::ready);
+        return id;
+    }
+
+    void
+    put_and_update(entity_kind kind, const std::string& name, entity_spec spec)
+    {
+        cr_assert(test::accepted(this->put_entity(kind, name, spec)));
+        this->builder.update(this->state);
+    }
+
+    std::size_t routes(const std::string& name)
+    {
+        return this->builder.table()->find_servable(name)->ready.size();
+    }
+
+    routing_table_builder builder;
+    session_id router;
+    fence held;
+};
+
+servable_routes make_entry(std::uint32_t id, const std::string& name)
+{
+    servable_routes entry;
+    entry.id = servable_id(id);
+    entry.name = name;
+    return entry;
+}
+
+} // namespace
+
+Test(routing_table, routes_follow_the_replicas_life)
+{
+    routed_fleet fleet;
+    const auto before = fleet.builder.table();
+    cr_assert(before == fleet.builder.table(), "nothing changed");
+    cr_assert_eq(fleet.routes("m"), 0);
+    const replica_id base = fleet.ready("m");
+    cr_assert_eq(fleet.routes("m"), 1);
+    cr_assert_eq(before->find_servable("m")->ready.size(), 0, "immutable");
+    const route there = fleet.builder.table()->find_servable("m")->ready[0];
+    cr_assert(there.replica == base);
+    cr_assert_eq(there.address, "10.0.0.1:7000");
+    const replica_id adapter = fleet.ready("a", base);
+    cr_assert_eq(fleet.routes("a"), 1);
+    fleet.move(adapter, replica_state::draining);
+    cr_assert_eq(fleet.routes("a"), 0);
+    fleet.move(adapter, replica_state::unloading);
+    fleet.move(adapter, replica_state::gone);
+    cr_assert_eq(fleet.routes("a"), 0);
+    cr_assert_eq(fleet.routes("m"), 1);
+}
+
+Test(routing_table, draining_engines_have_no_routes)
+{
+    routed_fleet fleet;
+    fleet.ready("m");
+    engine_spec draining = test::fold_log::engine(1);
+    draining.draining = true;
+    fleet.put_and_update(entity_kind::engine, "e", draining);
+    cr_assert_eq(fleet.routes("m"), 0);
+    fleet.put_and_update(entity_kind::engine, "e", test::fold_log::engine(1));
+    cr_assert_eq(fleet.routes("m"), 1);
+}
+
+Test(routing_table, adapters_have_their_bases_streams)
+{
+    routed_fleet fleet;
+    model_spec wider = test::fold_log::model();
+    wider.max_streams = 21;
+    fleet.put_and_update(entity_kind::model, "m", wider);
+    const auto table = fleet.builder.table();
+    cr_assert_eq(table->find_servable("m")->max_streams, 21);
+    cr_assert_eq(table->find_servable("a")->max_streams, 21);
+    cr_assert(table->find_servable("a")->is_adapter);
+}
+
+Test(routing_table, services_callers_and_removals)
+{
+    routed_fleet fleet;
+    service_spec service;
+    service.backends = {{"10.0.0.9:80", "vm9", "odd"}};
+    service.repeatable = true;
+    fleet.put_and_update(entity_kind::service, "s", service);
+    caller_spec caller;
+    caller.weight = 9;
+    fleet.put_and_update(entity_kind::caller, "c", caller);
+    auto table = fleet.builder.table();
+    cr_assert(table->find_service("s")->repeatable);
+    cr_assert_eq(table->find_caller("c")->weight, 9);
+    cr_assert(table->servable_names() == std::vector<std::string>({"a", "m"}));
+
+    cr_assert(test::accepted(fleet.put_changes(
+        {fleet.removal(entity_kind::service, "s"),
+         fleet.removal(entity_kind::caller, "c"),
+         fleet.removal(entity_kind::adapter, "a")})));
+    fleet.builder.update(fleet.state);
+    table = fleet.builder.table();
+    cr_assert_null(table->find_service("s"));
+    cr_assert_null(table->find_caller("c"));
+    cr_assert_null(table->find_servable("a"));
+    cr_assert_not_null(table->find_servable("m"));
+}
+
+Test(routing_table, suspects_blocks_and_their_lapse)
+{
+    routed_fleet fleet;
+    constexpr fingerprint request(5);
+    const engine_id engine = fleet.state.find_engine("e");
+    const auto crash = [&]
+    {
+        fleet.put(request_suspect{request, engine, fleet.router});
+        fleet.builder.update(fleet.state);
+        return fleet.builder.table();
+    };
+    cr_assert(crash()->is_suspect(request));
+    cr_assert(not fleet.builder.table()->is_blocked(request));
+    cr_assert(crash()->is_blocked(request));
+    for (int i = 0; i < 3; ++i)
+    {
+        fleet.pass(3'000'000);
+        fleet.builder.update(fleet.state);
+    }
+    cr_assert_eq(
+        fleet.builder.table()->is_blocked(request),
+        fleet.state.blocked(request));
+    cr_assert(not fleet.builder.table()->is_blocked(request));
+}
+
+Test(routing_table, a_rebuilt_table_equals_the_one_kept_up)
+{
+    routed_fleet fleet;
+    const replica_id base = fleet.ready("m");
+    fleet.ready("a", base);
+    routing_table_builder other;
+    other.rebuild(fleet.state);
+    for (const char* name : {"m", "a"})
+    {
+        const auto* kept = fleet.builder.table()->find_servable(name);
+        const auto* made = other.table()->find_servable(name);
+        cr_assert(kept->ready[0].replica == made->ready[0].replica);
+        cr_assert_eq(kept->max_streams, made->max_streams);
+        cr_assert(kept->id == made->id);
+    }
+    fleet.builder.set_log_available(false);
+    cr_assert(not fleet.builder.table()->log_available());
+    fleet.builder.rebuild(fleet.state);
+    cr_assert(not fleet.builder.table()->log_available(), "still away");
+}
+
+Test(routing_table, a_change_shares_all_other_leaves)
+{
+    detail::sharded_table table;
+    for (std::uint32_t id = 1; id <= 10'000; ++id)
+    {
+        table.put(make_entry(id, "adapter" + std::to_string(id)));
+    }
+    const auto before = table.publish();
+    table.put(make_entry(5000, "adapter5000"));
+    const auto after = table.publish();
+    std::size_t copied = 0;
+    for (std::uint32_t id = 1; id <= 10'000; ++id)
+    {
+        const servable_id one(id);
+        copied +=
+            before->find_servable(one) != after->find_servable(one) ? 1 : 0;
+    }
+    cr_assert_eq(copied, detail::servable_tree::fan_out);
+}
+
+Test(routing_table, agrees_with_a_plain_map_under_random_edits)
+{
+    detail::sharded_table table;
+    std::map<std::uint32_t, std::string> plain;
+    std::mt19937_64 random(11);
+    for (int i = 0; i < 20'000; ++i)
+    {
+        const auto id = static_cast<std::uint32_t>(1 + random() % 3000);
+        if (random() % 3 == 0)
+        {
+            table.erase(servable_id(id));
+            plain.erase(id);
+        }
+        else
+        {
+            plain[id] = "n" + std::to_string(id + 10'000 * (random() % 2));
+            table.put(make_entry(id, plain[id]));
+        }
+        if (random() % 50 == 0)
+        {
+            table.publish();
+        }
+    }
+    const auto last = table.publish();
+    cr_assert_eq(last->servable_names().size(), plain.size());
+    for (std::uint32_t id = 1; id <= 3000; ++id)
+    {
+        const auto wanted = plain.find(id);
+        const auto* entry = last->find_servable(servable_id(id));
+        cr_assert_eq(entry != nullptr, wanted != plain.end());
+        if (entry != nullptr)
+        {
+            cr_assert_eq(entry->name, wanted->second);
+            cr_assert(last->find_servable(entry->name) == entry);
+        }
+    }
+}
--- /dev/null
+++ b/tests/unit/log_client/log_frames_test.cpp
@@ -0,0 +1,121 @@
+#include "adapters/log/log_frames.hpp"
+
+#include <boost/endian/conversion.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+using namespace roseworks;
+using namespace roseworks::log_client;
+
+namespace
+{
+
+namespace leaf = boost::leaf;
+
+std::string frame(std::uint64_t offset, std::string_view bytes)
+{
+    unsigned char header[12];
+    boost::endian::store_little_u64(header, offset);
+    boost::endian::store_little_u32(
+        header + 8, static_cast<std::uint32_t>(bytes.size()));
+    return std::string(reinterpret_cast<char*>(header), sizeof(header)) +
+           std::string(bytes);
+}
+
+/// @return The number of entries, or the word of the error.
+std::string outcome(std::string_view bytes, std::uint64_t from)
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::string>
+        {
+            BOOST_LEAF_AUTO(entries, parse_log_frames(bytes, log_offset(from)));
+            return std::to_string(entries.size());
+        },
+        [](const log_frame_error& error)
+        {
+            return std::string(error.what) + " at " +
+                   std::to_string(error.position);
+        },
+        []
+        {
+            return std::string("another error");
+        });
+}
+
+void expect(std::string_view bytes, std::uint64_t from, const char* wanted)
+{
+    const std::string got = outcome(bytes, from);
+    cr_expect(got == wanted, "%s instead of %s", got.c_str(), wanted);
+}
+
+} // namespace
+
+Test(log_frames, reads_consecutive_entries)
+{
+    expect("", 1, "0");
+    expect(frame(7, "abc") + frame(8, "") + frame(9, "d"), 7, "3");
+}
+
+Test(log_frames, keeps_the_bytes)
+{
+    const std::string bytes = frame(3, std::string("\0\xff", 2));
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void>
+        {
+            BOOST_LEAF_AUTO(entries, parse_log_frames(bytes, log_offset(3)));
+            cr_assert(entries.size() == 1);
+            cr_expect(entries[0].offset == log_offset(3));
+            const std::vector<std::byte> wanted{std::byte{0}, std::byte{0xff}};
+            cr_expect(entries[0].bytes == wanted);
+            return {};
+        },
+        []
+        {
+            cr_expect(false);
+        });
+}
+
+Test(log_frames, refuses_gaps_and_repeats)
+{
+    expect(frame(8, "a"), 7, "offset gap at 0");
+    expect(frame(7, "a") + frame(9, "b"), 7, "offset gap at 13");
+    expect(frame(7, "a") + frame(7, "b"), 7, "offset gap at 13");
+    expect(frame(0, "a"), 0, "offset gap at 0");
+}
+
+Test(log_frames, refuses_every_cut)
+{
+    const std::string whole = frame(1, "abc") + frame(2, "de");
+    for (std::size_t length = 1; length < whole.size(); ++length)
+    {
+        const bool between_frames = length == frame(1, "abc").size();
+        const std::string got =
+            outcome(std::string_view(whole).substr(0, length), 1);
+        if (between_frames)
+            cr_expect(got == "1");
+        else
+            cr_expect(got.find("cut") != std::string::npos);
+    }
+}
+
+Test(log_frames, a_claimed_length_reads_nothing_beyond)
+{
+    std::string bytes = frame(1, "abc");
+    for (std::size_t at = 8; at < 12; ++at)
+        bytes[at] = '\xff';
+    expect(bytes, 1, "entry cut at 0");
+}
+
+Test(log_frames, an_append_carries_lengths)
+{
+    const std::vector<std::vector<std::byte>> entries{
+        {std::byte{'a'}, std::byte{'b'}}, {}};
+    const std::string wanted("\2\0\0\0ab\0\0\0\0", 10);
+    cr_expect(encode_append(entries) == wanted);
+}
--- /dev/null
+++ b/tools/audit/invariant_checker.cpp
@@ -0,0 +1,457 @@
+#include "tools/audit/invariant_checker.hpp"
+
+#include "tools/common/trail.hpp"
+
+#include <roseworks/plan.hpp>
+
+#include <algorithm>
+
+namespace roseworks::tools
+{
+
+namespace
+{
+
+constexpr stamp_ms max_step_ms = 3'600'000;
+
+/// The replica life cycle as record.hpp states it.
+bool is_legal(replica_state from, replica_state to)
+{
+    using enum replica_state;
+    static const std::set<std::pair<replica_state, replica_state>> moves{
+        {decided, loading},
+        {decided, gone},
+        {loading, ready},
+        {loading, failed},
+        {loading, gone},
+        {ready, draining},
+        {draining, unloading},
+        {unloading, gone},
+        {failed, unloading},
+        {failed, gone}};
+    return moves.contains({from, to});
+}
+
+std::string about(std::string_view kind, std::string_view name)
+{
+    return std::string(kind) + ' ' + std::string(name) + ": ";
+}
+
+std::string about(replica_id id)
+{
+    return about("replica", std::to_string(id.value));
+}
+
+std::uint32_t memory_of(const entity_spec& spec)
+{
+    if (const auto* adapter = std::get_if<adapter_spec>(&spec))
+    {
+        return adapter->memory_mib;
+    }
+    return std::get<model_spec>(spec).memory_mib;
+}
+
+std::uint32_t maximum_of(const entity_spec& spec)
+{
+    if (const auto* adapter = std::get_if<adapter_spec>(&spec))
+    {
+        return adapter->max_replicas;
+    }
+    return std::get<model_spec>(spec).max_replicas;
+}
+
+} // namespace
+
+void invariant_checker::restored(const fleet_state& state)
+{
+    this->log_time = state.log_time();
+    for (const desired_entity& entity : declared_fleet(state).entities)
+    {
+        this->entities[{entity.kind(), entity.name}] = {
+            state.entity_revision(entity.kind(), entity.name), entity.spec};
+    }
+    state.for_each_replica(
+        [&](const replica_view& replica)
+        {
+            this->replicas[replica.id] = {
+                servable_name(state, replica.servable),
+                engine_name(state, replica.engine),
+                replica.memory_mib,
+                replica.state};
+        });
+    state.for_each_engine(
+        [&](const engine_view& engine)
+        {
+            this->leases[engine.id].holder = engine.holder;
+        });
+    state.for_each_session(
+        [&](const session_view& session)
+        {
+            this->sessions[session.id] = {
+                session.author, session.last_renewal, session.ended};
+        });
+}
+
+void invariant_checker::after_fold(
+    const fleet_state& state, const history_entry& entry)
+{
+    if (!entry.value || !entry.result)
+    {
+        return;
+    }
+    this->current = &entry;
+    this->advance_time(*entry.value);
+    if (entry.result->status == fold_status::accepted)
+    {
+        ++this->records;
+        std::visit(
+            [&](const auto& payload)
+            {
+                this->check(step{state, entry}, payload);
+            },
+            entry.value->payload);
+    }
+    this->follow_moves();
+}
+
+void invariant_checker::advance_time(const record& value)
+{
+    if (std::holds_alternative<checkpoint_chunk>(value.payload) ||
+        value.stamp <= this->log_time)
+    {
+        return;
+    }
+    this->log_time = this->log_time == 0
+                         ? value.stamp
+                         : std::min(value.stamp, this->log_time + max_step_ms);
+}
+
+void invariant_checker::check(const step&, const config_change& value)
+{
+    for (const entity_change& change : value.changes)
+    {
+        this->check_change(change);
+    }
+}
+
+void invariant_checker::check_change(const entity_change& change)
+{
+    const entity_key key{change.kind, change.name};
+    const auto known = this->entities.find(key);
+    const revision before =
+        known == this->entities.end() ? revision() : known->second.current;
+    this->require(
+        before == change.expected,
+        about(to_string(change.kind), change.name) +
+            "accepted against revision " +
+            std::to_string(change.expected.value) + ", which is " +
+            std::to_string(before.value));
+    const revision now(this->current->offset.value);
+    this->require(
+        now > before,
+        about(to_string(change.kind), change.name) + "revision reverts");
+    if (change.spec || !change.unread.empty())
+    {
+        this->entities[key] = {now, change.spec};
+        return;
+    }
+    this->entities.erase(key);
+}
+
+void invariant_checker::check(const step& now, const router_join&)
+{
+    const author_id author = now.entry.value->id.author;
+    std::vector<session_id> replaced;
+    for (const auto& [id, session] : this->sessions)
+    {
+        if (session.author == author && !session.ended)
+        {
+            replaced.push_back(id);
+        }
+    }
+    for (const session_id id : replaced)
+    {
+        this->end_session(id);
+    }
+    this->sessions[session_id(now.entry.offset.value)] = {
+        author, now.entry.offset, false};
+}
+
+void invariant_checker::check(const step&, const router_leave& value)
+{
+    this->require_live(value.session, "leaves");
+    this->end_session(value.session);
+}
+
+void invariant_checker::check(const step&, const router_gone& value)
+{
+    this->require_live(value.session, "is gone");
+    this->end_session(value.session);
+}
+
+void invariant_checker::check(const step& now, const session_renew& value)
+{
+    this->require_live(value.session, "renews");
+    this->sessions[value.session].last_renewal = now.entry.offset;
+}
+
+void invariant_checker::check(const step& now, const lease_acquire& value)
+{
+    this->require_live(value.session, "takes a lease");
+    lease_account& lease = this->leases[value.engine];
+    const std::string engine =
+        about("engine", engine_name(now.state, value.engine));
+    if (lease.holder)
+    {
+        const log_offset renewed = this->sessions[lease.holder].last_renewal;
+        this->require(
+            lease.holder == value.previous && renewed == value.previous_renewal,
+            engine + "lease taken while session " +
+                std::to_string(lease.holder.value) + " holds it");
+        lease.lapsed.insert(lease.holder);
+    }
+    lease.lapsed.erase(value.session);
+    lease.holder = value.session;
+}
+
+void invariant_checker::check(const step& now, const lease_release& value)
+{
+    lease_account& lease = this->leases[value.engine];
+    this->require(
+        lease.holder == value.session || lease.lapsed.contains(value.session),
+        about("engine", engine_name(now.state, value.engine)) +
+            "lease released by session " + std::to_string(value.session.value) +
+            ", which never held it");
+    lease.lapsed.erase(value.session);
+    if (lease.holder == value.session)
+    {
+        lease.holder = session_id();
+    }
+}
+
+void invariant_checker::check(const step& now, const replica_decide& value)
+{
+    this->require_live(value.session, "decides a replica");
+    const std::string servable = servable_name(now.state, value.servable);
+    const std::string engine = engine_name(now.state, value.engine);
+    auto known = this->entities.find({entity_kind::model, servable});
+    if (known == this->entities.end())
+    {
+        known = this->entities.find({entity_kind::adapter, servable});
+    }
+    const engine_spec* const there =
+        this->spec_of<engine_spec>(entity_kind::engine, engine);
+    if (known == this->entities.end() || !known->second.spec ||
+        there == nullptr)
+    {
+        this->require(false, about("model", servable) + "not declared");
+        return;
+    }
+    this->require(
+        known->second.current == value.servable_revision,
+        about("model", servable) + "decided for an old revision");
+    const std::uint32_t loaded = this->replicas_of(servable);
+    const std::uint32_t maximum = maximum_of(*known->second.spec);
+    this->require(
+        loaded < maximum,
+        about("model", servable) + std::to_string(loaded + 1) +
+            " replicas, maximum " + std::to_string(maximum));
+    const std::uint32_t memory = memory_of(*known->second.spec);
+    const std::uint64_t reserved = this->reserved_on(engine) + memory;
+    this->require(
+        reserved <= there->memory_mib,
+        about("engine", engine) + std::to_string(reserved) +
+            " MiB reserved of " + std::to_string(there->memory_mib));
+    this->replicas[replica_id(now.entry.offset.value)] = {
+        servable, engine, memory, replica_state::decided};
+}
+
+void invariant_checker::check(const step& now, const replica_report& value)
+{
+    this->require_live(value.session, "reports a replica");
+    const auto replica = this->replicas.find(value.replica);
+    if (replica == this->replicas.end())
+    {
+        this->require(false, about(value.replica) + "reported, yet gone");
+        return;
+    }
+    if (value.to == replica_state::draining)
+    {
+        return; // any router may ask for it
+    }
+    const std::string& engine = replica->second.engine;
+    const engine_id id = now.state.find_engine(engine);
+    const lease_account& lease = this->leases[id];
+    this->require(
+        lease.holder == value.session,
+        about(value.replica) + "reported by session " +
+            std::to_string(value.session.value) +
+            ", which doesn't hold the lease");
+    const engine_spec* const spec =
+        this->spec_of<engine_spec>(entity_kind::engine, engine);
+    const bool ignores =
+        spec != nullptr && spec->fencing == fencing_kind::ignores;
+    const bool was_ordered = replica->second.state != replica_state::decided;
+    this->require(
+        value.to != replica_state::gone || !ignores || !was_ordered ||
+            lease.lapsed.empty(),
+        about(value.replica) +
+            "memory freed while an old holder's order may arrive");
+}
+
+void invariant_checker::check(const step&, const claim_open& value)
+{
+    this->require_live(value.session, "claims a key");
+    const auto known = this->claims.find(value.key);
+    const bool released =
+        known == this->claims.end() ||
+        known->second.outcome == claim_outcome::not_run ||
+        this->log_time - known->second.opened >=
+            static_cast<stamp_ms>(this->policy().claim_horizon_ms);
+    this->require(
+        released, about("claim", to_hex(value.key)) + "has two winners");
+    this->claims[value.key] = {
+        value.session, claim_outcome::open, this->log_time};
+}
+
+void invariant_checker::check(const step&, const claim_close& value)
+{
+    const auto known = this->claims.find(value.key);
+    if (known == this->claims.end())
+    {
+        return; // opened before the checkpoint
+    }
+    this->require(
+        known->second.session == value.session,
+        about("claim", to_hex(value.key)) + "closed by another session");
+    this->require(
+        known->second.outcome == claim_outcome::open,
+        about("claim", to_hex(value.key)) + "closed twice");
+    known->second.outcome = value.outcome;
+}
+
+void invariant_checker::follow_moves()
+{
+    for (const state_change& change : this->current->changes)
+    {
+        if (change.what == state_change::kind::replica_moved)
+        {
+            this->follow_move(change);
+        }
+    }
+}
+
+void invariant_checker::follow_move(const state_change& change)
+{
+    const auto replica = this->replicas.find(change.replica);
+    if (replica == this->replicas.end())
+    {
+        this->require(false, about(change.replica) + "moves, yet is gone");
+        return;
+    }
+    replica_account& account = replica->second;
+    if (change.from == change.to)
+    {
+        return; // its decision
+    }
+    this->require(
+        account.state == change.from && is_legal(change.from, change.to),
+        about(change.replica) + "moves from " +
+            std::string(to_string(account.state)) + " to " +
+            std::string(to_string(change.to)));
+    account.state = change.to;
+    if (change.to == replica_state::gone)
+    {
+        this->replicas.erase(replica);
+        return;
+    }
+    if (change.to == replica_state::loading)
+    {
+        this->check_slots();
+    }
+}
+
+void invariant_checker::check_slots()
+{
+    const auto held = std::count_if(
+        this->replicas.begin(),
+        this->replicas.end(),
+        [](const auto& replica)
+        {
+            return replica.second.state == replica_state::loading;
+        });
+    const std::uint16_t slots = this->policy().store_slots;
+    this->require(
+        held <= slots,
+        std::to_string(held) + " loads at once, " + std::to_string(slots) +
+            " store slots");
+}
+
+void invariant_checker::end_session(session_id session)
+{
+    this->sessions[session].ended = true;
+    for (auto& [engine, lease] : this->leases)
+    {
+        lease.lapsed.erase(session);
+        if (lease.holder == session)
+        {
+            lease.holder = session_id();
+        }
+    }
+}
+
+void invariant_checker::require_live(
+    session_id session, const std::string& what)
+{
+    const auto known = this->sessions.find(session);
+    this->require(
+        known != this->sessions.end() && !known->second.ended,
+        "session " + std::to_string(session.value) + ' ' + what +
+            " after its end");
+}
+
+void invariant_checker::require(bool holds, const std::string& what)
+{
+    if (!holds)
+    {
+        this->found.push_back({this->current->offset, what});
+    }
+}
+
+template <class Spec>
+const Spec*
+invariant_checker::spec_of(entity_kind kind, const std::string& name) const
+{
+    const auto known = this->entities.find({kind, name});
+    const bool readable = known != this->entities.end() && known->second.spec;
+    return readable ? std::get_if<Spec>(&*known->second.spec) : nullptr;
+}
+
+std::uint64_t invariant_checker::reserved_on(const std::string& engine) const
+{
+    std::uint64_t sum = 0;
+    for (const auto& [id, replica] : this->replicas)
+    {
+        sum += replica.engine == engine ? replica.memory_mib : 0;
+    }
+    return sum;
+}
+
+std::uint32_t invariant_checker::replicas_of(const std::string& servable) const
+{
+    std::uint32_t count = 0;
+    for (const auto& [id, replica] : this->replicas)
+    {
+        count += replica.servable == servable ? 1 : 0;
+    }
+    return count;
+}
+
+policy_spec invariant_checker::policy() const
+{
+    const auto* spec = this->spec_of<policy_spec>(
+        entity_kind::policy, std::string(policy_name));
+    return spec == nullptr ? policy_spec{} : *spec;
+}
+
+} // namespace roseworks::tools
--- /dev/null
+++ b/tools/audit/invariant_checker.hpp
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "tools/common/log_history.hpp"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace roseworks::tools
+{
+
+/// A promise that the fold broke.
+struct violation
+{
+    log_offset offset;
+    std::string what;
+};
+
+/** Checks the promises of `fleet_state` again, with books of its own.
+
+    It takes from the fold only what it made of each record (its status, the
+    replicas that moved) and the names behind interned ids, and keeps its own
+    account of entities, replicas, memory, leases, slots and claims from the
+    records. After a start from a checkpoint the account begins with that
+    state; claims older than it are not known.
+*/
+class invariant_checker : public history_observer
+{
+public:
+    void restored(const fleet_state& state) override;
+    void
+    after_fold(const fleet_state& state, const history_entry& entry) override;
+
+    const std::vector<violation>& violations() const
+    {
+        return this->found;
+    }
+
+    /// @return How many accepted records were checked.
+    std::uint64_t checked() const
+    {
+        return this->records;
+    }
+
+private:
+    using entity_key = std::pair<entity_kind, std::string>;
+
+    struct entity_account
+    {
+        revision current;
+        std::optional<entity_spec> spec; ///< empty: schema not known
+    };
+
+    struct replica_account
+    {
+        std::string servable;
+        std::string engine;
+        std::uint32_t memory_mib = 0;
+        replica_state state = replica_state::decided;
+    };
+
+    struct lease_account
+    {
+        session_id holder;
+        /// Holders that lapsed; an order of theirs may still arrive.
+        std::set<session_id> lapsed;
+    };
+
+    struct session_account
+    {
+        author_id author;
+        log_offset last_renewal;
+        bool ended = false;
+    };
+
+    struct claim_account
+    {
+        session_id session;
+        claim_outcome outcome = claim_outcome::open;
+        stamp_ms opened = 0;
+    };
+
+    /// What is being checked.
+    struct step
+    {
+        const fleet_state& state;
+        const history_entry& entry;
+    };
+
+    void advance_time(const record& value);
+    void check(const step& now, const config_change& value);
+    void check(const step& now, const router_join& value);
+    void check(const step& now, const router_leave& value);
+    void check(const step& now, const router_gone& value);
+    void check(const step& now, const session_renew& value);
+    void check(const step& now, const lease_acquire& value);
+    void check(const step& now, const lease_release& value);
+    void check(const step& now, const replica_decide& value);
+    void check(const step& now, const replica_report& value);
+    void check(const step& now, const claim_open& value);
+    void check(const step& now, const claim_close& value);
+
+    /// Records that change nothing which is promised.
+    template <class Payload>
+    void check(const step&, const Payload&)
+    {
+    }
+
+    void check_change(const entity_change& change);
+    void follow_moves();
+    void follow_move(const state_change& change);
+    void check_slots();
+    void end_session(session_id session);
+    void require_live(session_id session, const std::string& what);
+    void require(bool holds, const std::string& what);
+    template <class Spec>
+    const Spec* spec_of(entity_kind kind, const std::string& name) const;
+    std::uint64_t reserved_on(const std::string& engine) const;
+    std::uint32_t replicas_of(const std::string& servable) const;
+    policy_spec policy() const;
+
+    const history_entry* current = nullptr;
+    std::map<entity_key, entity_account> entities;
+    std::map<replica_id, replica_account> replicas;
+    std::map<engine_id, lease_account> leases;
+    std::map<session_id, session_account> sessions;
+    std::map<claim_key, claim_account> claims;
+    stamp_ms log_time = 0;
+    std::uint64_t records = 0;
+    std::vector<violation> found;
+};
+
+} // namespace roseworks::tools
--- /dev/null
+++ b/tools/ctl/command_context.cpp
@@ -0,0 +1,114 @@
+#include "tools/ctl/command.hpp"
+
+#include <charconv>
+#include <cstring>
+#include <fstream>
+#include <iterator>
+
+namespace roseworks::tools
+{
+
+log_session::log_session(
+    const endpoint& server,
+    std::chrono::milliseconds timeout,
+    fleet_state::options settings)
+    : client(server, timeout)
+    , history(this->client, std::move(settings))
+{
+}
+
+command_context::command_context(
+    const cxxopts::ParseResult& given, std::ostream& to)
+    : out(to)
+    , arguments(given)
+{
+}
+
+std::string command_context::text(const std::string& name) const
+{
+    const auto& value = this->arguments[name];
+    const bool known = value.count() != 0 || value.has_default();
+    return known ? value.as<std::string>() : std::string();
+}
+
+bool command_context::flag(const std::string& name) const
+{
+    return this->arguments.count(name) != 0;
+}
+
+boost::leaf::result<std::uint64_t>
+command_context::number(const std::string& name) const
+{
+    const std::string digits = this->text(name);
+    std::uint64_t value = 0;
+    const char* const end = digits.data() + digits.size();
+    const auto [stop, failure] = std::from_chars(digits.data(), end, value);
+    if (failure != std::errc() || stop != end)
+    {
+        return boost::leaf::new_error(
+            input_error{"--" + name + ": not a number: " + digits});
+    }
+    return value;
+}
+
+boost::leaf::result<std::string>
+command_context::argument(const std::string& name) const
+{
+    std::string value = this->text(name);
+    if (value.empty())
+    {
+        return boost::leaf::new_error(input_error{"missing: " + name});
+    }
+    return value;
+}
+
+std::chrono::milliseconds command_context::timeout() const
+{
+    return std::chrono::milliseconds(
+        this->arguments["timeout-ms"].as<std::uint32_t>());
+}
+
+boost::leaf::result<std::vector<std::byte>> command_context::key() const
+{
+    std::vector<std::byte> bytes;
+    const std::string path = this->text("key-file");
+    if (path.empty())
+    {
+        return bytes;
+    }
+    BOOST_LEAF_AUTO(content, read_file(path));
+    while (!content.empty() && content.back() == '\n')
+    {
+        content.pop_back();
+    }
+    bytes.resize(content.size());
+    std::memcpy(bytes.data(), content.data(), content.size());
+    return bytes;
+}
+
+boost::leaf::result<std::unique_ptr<log_session>>
+command_context::open_log() const
+{
+    const std::string address = this->text("log");
+    if (address.empty())
+    {
+        return boost::leaf::new_error(input_error{"--log ip:port is missing"});
+    }
+    BOOST_LEAF_AUTO(server, parse_endpoint(address));
+    fleet_state::options settings;
+    BOOST_LEAF_ASSIGN(settings.operator_key, this->key());
+    return std::make_unique<log_session>(
+        server, this->timeout(), std::move(settings));
+}
+
+boost::leaf::result<std::string> read_file(const std::string& path)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file)
+    {
+        return boost::leaf::new_error(input_error{"can't read " + path});
+    }
+    return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+} // namespace roseworks::tools
--- /dev/null
+++ b/tools/ctl/commands.cpp
@@ -0,0 +1,208 @@
+#include "tools/ctl/command.hpp"
+
+#include <array>
+#include <cstdlib>
+
+namespace roseworks::tools
+{
+
+namespace
+{
+
+std::string default_author()
+{
+    const char* const user = std::getenv("USER");
+    return user == nullptr || *user == '\0' ? "operator" : user;
+}
+
+void no_options(cxxopts::OptionAdder&) {}
+
+void json_option(cxxopts::OptionAdder& options)
+{
+    options("json", "print JSON");
+}
+
+void author_option(cxxopts::OptionAdder& options)
+{
+    options(
+        "author",
+        "who makes the change, for the trail",
+        cxxopts::value<std::string>()->default_value(default_author()));
+    options("note", "why, for the trail", cxxopts::value<std::string>());
+}
+
+void prune_option(cxxopts::OptionAdder& options)
+{
+    options("prune", "remove what the file doesn't name");
+}
+
+void apply_options(cxxopts::OptionAdder& options)
+{
+    prune_option(options);
+    author_option(options);
+    options(
+        "planned-at",
+        "offset that `plan` printed: fail when an entity to change was changed "
+        "since",
+        cxxopts::value<std::string>());
+    options(
+        "wait-routers",
+        "routers' HTTP addresses ip:port,... to wait for",
+        cxxopts::value<std::string>());
+}
+
+void drain_options(cxxopts::OptionAdder& options)
+{
+    author_option(options);
+    options("undo", "let the engine have work again");
+}
+
+void gone_options(cxxopts::OptionAdder& options)
+{
+    author_option(options);
+    options(
+        "evidence",
+        "how it is known that the process is gone",
+        cxxopts::value<std::string>());
+}
+
+void audit_options(cxxopts::OptionAdder& options)
+{
+    json_option(options);
+    options(
+        "from",
+        "first offset to print",
+        cxxopts::value<std::string>()->default_value("1"));
+    options("follow", "go on printing until interrupted");
+    options("all", "print renewals and checkpoints, too");
+}
+
+constexpr std::array table{
+    command{
+        "check",
+        "file",
+        "FILE",
+        "read a text of records and list every problem",
+        false,
+        &no_options,
+        &run_check},
+    command{
+        "plan",
+        "file",
+        "FILE",
+        "print what `apply` would change, and what that leads to",
+        true,
+        &prune_option,
+        &run_plan},
+    command{
+        "apply",
+        "file",
+        "FILE",
+        "publish a text of records",
+        true,
+        &apply_options,
+        &run_apply},
+    command{
+        "show",
+        "what",
+        "[fleet|models|adapters|replicas|engines|leases|claims|blocks]",
+        "print the decided state",
+        true,
+        &json_option,
+        &run_show},
+    command{
+        "explain",
+        "name",
+        "MODEL",
+        "why a model or adapter is loaded where it is, or not loaded",
+        true,
+        &no_options,
+        &run_explain},
+    command{
+        "drain",
+        "engine",
+        "ENGINE",
+        "give an engine no new work",
+        true,
+        &drain_options,
+        &run_drain},
+    command{
+        "unblock",
+        "fingerprint",
+        "FINGERPRINT",
+        "let a blocked request through again",
+        true,
+        &author_option,
+        &run_unblock},
+    command{
+        "gone",
+        "router",
+        "ROUTER",
+        "state that a router's process is gone for good",
+        true,
+        &gone_options,
+        &run_gone},
+    command{
+        "audit",
+        "",
+        "",
+        "print the trail of changes",
+        true,
+        &audit_options,
+        &run_audit},
+    command{
+        "fields",
+        "",
+        "",
+        "print docs/RECORDS.md",
+        false,
+        &no_options,
+        &run_fields},
+    command{
+        "completion",
+        "shell",
+        "bash",
+        "print a completion script",
+        false,
+        &no_options,
+        &run_completion},
+};
+
+} // namespace
+
+std::span<const command> commands()
+{
+    return table;
+}
+
+cxxopts::Options options_of(const command& which)
+{
+    cxxopts::Options options(
+        "roseworksctl " + std::string(which.name), std::string(which.summary));
+    cxxopts::OptionAdder adder = options.add_options();
+    adder("h,help", "print this help");
+    if (which.uses_log)
+    {
+        adder("log", "the log's ip:port", cxxopts::value<std::string>());
+        adder(
+            "timeout-ms",
+            "limit of each call and of each wait",
+            cxxopts::value<std::uint32_t>()->default_value("10000"));
+        adder(
+            "key-file",
+            "file with the key that signs operators' changes, if there is one",
+            cxxopts::value<std::string>());
+    }
+    which.add_options(adder);
+    if (!which.argument.empty())
+    {
+        const std::string name(which.argument);
+        options.add_options("argument")(
+            name, "", cxxopts::value<std::string>());
+        options.parse_positional({name});
+        options.positional_help(std::string(which.argument_help));
+    }
+    return options;
+}
+
+} // namespace roseworks::tools
