--- a/tests/integration/replicas_test.cpp
+++ b/tests/integration/replicas_test.cpp
@@ -3,6 +3,7 @@
 
 #include <csignal>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <criterion/criterion.h>
--- a/tools/audit/invariant_checker.hpp
+++ b/tools/audit/invariant_checker.hpp
@@ -133,4 +133,13 @@
     std::vector<violation> found;
 };
 
+template <class Spec>
+const Spec*
+invariant_checker::spec_of(entity_kind kind, const std::string& name) const
+{
+    const auto known = this->entities.find({kind, name});
+    const bool readable = known != this->entities.end() && known->second.spec;
+    return readable ? std::get_if<Spec>(&*known->second.spec) : nullptr;
+}
+
 } // namespace roseworks::tools
