--- a/src/core/membership/membership.cpp
+++ b/src/core/membership/membership.cpp
@@ -71,7 +71,7 @@
 
     using peer_map = std::map<session_id, peer>;
 
-    void send(session_id to, decltype(peer_message::body) body);
+    void send(session_id to, const decltype(peer_message::body)& body);
     void set_state(session_id session, peer& about, liveness state);
     void merge(const member_update& update, instant now);
     void merge_own(const member_update& update);
@@ -142,12 +142,13 @@
         });
 }
 
-void membership::impl::send(session_id to, decltype(peer_message::body) body)
+void membership::impl::send(
+    session_id to, const decltype(peer_message::body)& body)
 {
     const auto found = this->peers.find(to);
     if (found == this->peers.end() || !this->own)
         return;
-    peer_message message{this->own, std::move(body), {}};
+    peer_message message{this->own, body, {}};
     message.updates = this->news.take(this->peers.size());
     // A member that we think suspect or dead hears it first, to refute it.
     if (found->second.state != liveness::alive)
