--- a/src/adapters/settings/router_settings.hpp
+++ b/src/adapters/settings/router_settings.hpp
@@ -47,6 +47,7 @@
     std::uint32_t max_batch_bytes = 0;
     milliseconds append_timeout{};
     milliseconds retry_max{};
+    std::uint64_t checkpoint_records = 0;
 };
 
 /// `[vm_list]`: the platform's lagging list of VMs.
--- a/src/adapters/settings/settings_table.cpp
+++ b/src/adapters/settings/settings_table.cpp
@@ -211,6 +211,10 @@
     integer_row<in_log, &log_section::retry_max>(
         "log", "retry_max_ms", "5000", 10, 10 * minute_ms, "ms",
         "The longest pause between two attempts while the log is away."),
+    integer_row<in_log, &log_section::checkpoint_records>(
+        "log", "checkpoint_records", "50000", 8, 10'000'000, "records",
+        "Records between two checkpoints; well below what the log keeps. The "
+        "same at every router."),
 
     address_row<in_vm_list, &vm_list_section::address>(
         "vm_list", "address", value_kind::address, unset, 1,
--- a/src/app/graph_options.cpp
+++ b/src/app/graph_options.cpp
@@ -72,6 +72,7 @@
     result.lease_renew = from.leases.renew;
     result.lease_margin = from.leases.margin;
     result.append_retry_max = from.log.retry_max;
+    result.checkpoint_records = from.log.checkpoint_records;
     result.engine_poll = from.engines.poll;
     result.idle_ttl = from.placement.idle_ttl;
     result.max_batch_bytes = from.log.max_batch_bytes;
--- /dev/null
+++ b/tests/integration/platform_test.cpp
@@ -0,0 +1,158 @@
+#include "tests/support/calls.hpp"
+#include "tests/support/fleet.hpp"
+
+#include <csignal>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+using namespace roseworks::test;
+
+namespace
+{
+
+const std::string model = "[model agri-lm]\nversion = 1\n"
+                          "memory_mib = 16000\nmax_replicas = 1\n";
+const std::string short_leases =
+    "[leases]\nterm_ms = 2000\nrenew_ms = 500\nmargin_ms = 200\n";
+
+bool served(const fleet& nodes, std::size_t router, const std::string& name)
+{
+    return send(nodes.router_address(router), completion(name, "x")).status ==
+           200;
+}
+
+void check_verified(const fleet& nodes)
+{
+    const auto audit = nodes.verify();
+    cr_assert_eq(audit.exit_code, 0, "%s", audit.output.c_str());
+}
+
+} // namespace
+
+// "VMs are reclaimed": an engine's VM goes; its replica comes back elsewhere.
+Test(platform, model_of_a_reclaimed_backend_server_comes_back_elsewhere)
+{
+    fleet_setup setup;
+    setup.router_settings = short_leases;
+    fleet nodes(setup);
+    cr_assert_eq(nodes.apply(model).exit_code, 0);
+    cr_assert(served(nodes, 0, "agri-lm"));
+    const auto on_first = get_json(nodes.engine_address(0), "/v1/engine/state");
+    const bool first = !on_first.at("residents").as_array().empty();
+    const std::size_t lost = first ? 0 : 1;
+    nodes.engine(lost).kill();
+    const std::string name = lost == 0 ? "vm-e1" : "vm-e2";
+    cr_assert(
+        control(nodes.vm_list_address(), R"({"remove":[")" + name + "\"]}"));
+    cr_assert(eventually(
+        [&]
+        {
+            return served(nodes, 1, "agri-lm");
+        }));
+    check_verified(nodes);
+}
+
+// "The weight store slows down": callers are served late or refused in time.
+Test(platform, slow_weight_store_refuses_in_time_and_recovers)
+{
+    fleet nodes(fleet_setup{});
+    cr_assert_eq(nodes.apply(model).exit_code, 0);
+    cr_assert(
+        control(nodes.store_address(), R"({"mode":"slow","factor":100})"));
+    http_call call = completion("agri-lm", "x");
+    call.headers["X-Deadline-Ms"] = "3000";
+    const auto refusal = send(nodes.router_address(0), call);
+    cr_assert_eq(refusal.header("x-roseworks-verdict"), "not-run");
+    cr_assert(control(nodes.store_address(), R"({"mode":"up"})"));
+    cr_assert(eventually(
+        [&]
+        {
+            return served(nodes, 0, "agri-lm");
+        }));
+    check_verified(nodes);
+}
+
+// A log outage together with the death of the lease holder.
+Test(platform, log_outage_and_killed_router_together_lose_no_model)
+{
+    fleet_setup setup;
+    setup.router_settings = short_leases;
+    fleet nodes(setup);
+    cr_assert_eq(nodes.apply(model).exit_code, 0);
+    cr_assert(served(nodes, 0, "agri-lm"));
+    cr_assert(control(nodes.log_address(), R"({"mode":"down"})"));
+    nodes.router(0).kill();
+    cr_assert(served(nodes, 1, "agri-lm"));
+    cr_assert(control(nodes.log_address(), R"({"mode":"up"})"));
+    nodes.restart_router(0);
+    cr_assert(nodes.wait_ready());
+    cr_assert(served(nodes, 0, "agri-lm"));
+    cr_assert_eq(resident_peak(nodes, "agri-lm"), 1U);
+    check_verified(nodes);
+}
+
+// Connections to the log go silent for good while new ones work.
+Test(platform, silent_log_connections_are_replaced)
+{
+    fleet_setup setup;
+    setup.proxies = true;
+    setup.router_settings = short_leases;
+    fleet nodes(setup);
+    cr_assert_eq(nodes.apply(model).exit_code, 0);
+    cr_assert(
+        control(nodes.log_proxy(), R"({"mode":"silent","scope":"existing"})"));
+    cr_assert(eventually(
+        [&]
+        {
+            return served(nodes, 0, "agri-lm");
+        }));
+    cr_assert_eq(resident_peak(nodes, "agri-lm"), 1U);
+    check_verified(nodes);
+}
+
+// "Engines report load with a lag": a stale report loads nothing twice.
+Test(platform, lagging_engine_reports_load_nothing_twice)
+{
+    fleet nodes(fleet_setup{});
+    cr_assert_eq(nodes.apply(model).exit_code, 0);
+    for (std::size_t i = 0; i < nodes.engines_count(); ++i)
+    {
+        cr_assert(
+            control(nodes.engine_address(i), R"({"report_lag_ms":1500})"));
+    }
+    cr_assert(eventually(
+        [&]
+        {
+            return served(nodes, 0, "agri-lm");
+        }));
+    cr_assert_eq(resident_peak(nodes, "agri-lm"), 1U);
+    check_verified(nodes);
+}
+
+// Retention passes what a new router would need: it joins by a checkpoint.
+Test(platform, router_joins_by_checkpoint_after_the_log_forgot_its_start)
+{
+    fleet_setup setup;
+    setup.router_settings = short_leases;
+    setup.checkpoint_records = 10;
+    fleet nodes(setup);
+    cr_assert_eq(nodes.apply(model).exit_code, 0);
+    cr_assert(served(nodes, 0, "agri-lm"));
+    const bool written = eventually(
+        [&]
+        {
+            std::string logs;
+            for (std::size_t i = 0; i < nodes.routers(); ++i)
+                logs += nodes.router_log(i);
+            return logs.find("checkpoint_written") != std::string::npos;
+        });
+    cr_assert(written, "no checkpoint was written");
+    // The first checkpoint holds the state at offset 10.
+    cr_assert(control(nodes.log_address(), R"({"trim_to":11})"));
+    nodes.start_router();
+    cr_assert(nodes.wait_ready());
+    cr_assert(served(nodes, nodes.routers() - 1, "agri-lm"));
+}
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -173,6 +173,7 @@
         << "[peers]\nlisten = 127.0.0.1:0\n"
         << "[log]\naddress = " << this->log_server.reached_at()
         << "\npoll_wait_ms = 200\n"
+        << "checkpoint_records = " << this->setup.checkpoint_records << "\n"
         << "[vm_list]\naddress = " << this->vm_list.address
         << "\npoll_ms = 200\n"
         << "[engines]\npoll_ms = 100\n"
@@ -250,9 +251,10 @@
     return list;
 }
 
-program_result fleet::apply(const std::string& text)
+program_result
+fleet::apply(const std::string& text, const std::string& author) const
 {
-    const auto file = this->folder / "records.ini";
+    const auto file = this->folder / (author + ".ini");
     std::ofstream(file) << "[deployment]\nschema = 2\n"
                         << this->backend_records() << text;
     return run_program(
@@ -262,7 +264,7 @@
          "--log",
          this->log_server.address,
          "--author",
-         "test",
+         author,
          "--wait-routers",
          this->live_router_addresses()});
 }
--- a/tests/support/fleet.hpp
+++ b/tests/support/fleet.hpp
@@ -37,6 +37,7 @@
     /// Lines appended to each router's settings, section headers included.
     std::string router_settings;
     std::vector<std::string> log_arguments;
+    std::uint64_t checkpoint_records = 50000;
 };
 
 /** Real processes on loopback: stand-ins and routers, on ephemeral ports.
@@ -51,8 +52,10 @@
 
     /// Publish records with `roseworksctl apply` and wait until every running
     /// router has folded them.
-    /// @param text Records; engines and services of the setup are added.
-    program_result apply(const std::string& text);
+    /// @param text   Records; engines and services of the setup are added.
+    /// @param author Operator's name; operators may race on threads.
+    program_result
+    apply(const std::string& text, const std::string& author = "test") const;
 
     /// Records of the setup's engines and services, as published by `apply`.
     std::string backend_records() const;
