Know blocked requests after a start from a checkpoint

Cause: the routing table learned of suspect and blocked requests only from records it saw folded; a router that began from a checkpoint let a blocked request through until its next crash. Change: fleet_state::for_each_suspect; rebuild() takes every one over. Conclusion: blocks hold on joining routers, too.

--- a/include/roseworks/fleet_state.hpp
+++ b/include/roseworks/fleet_state.hpp
@@ -298,6 +298,8 @@
     bool blocked(fingerprint request) const;
     /// @return Crashes seen for the request; 0 when it isn't suspect.
     std::uint32_t suspicion(fingerprint request) const;
+    /// Every suspect or blocked request, in order of fingerprint.
+    void for_each_suspect(const std::function<void(fingerprint)>& visit) const;
 
 private:
     class impl;
--- a/src/core/routing/routing_table_builder.cpp
+++ b/src/core/routing/routing_table_builder.cpp
@@ -56,9 +56,6 @@
 
 void routing_table_builder::impl::rebuild(const fleet_state& state)
 {
-    std::vector<fingerprint> seen = this->edited.blocked();
-    const auto& suspects = this->edited.suspects();
-    seen.insert(seen.end(), suspects.begin(), suspects.end());
     this->edited.clear();
     this->replicas.clear();
     this->callers.clear();
@@ -83,10 +80,11 @@
         {
             this->put_caller(state, id);
         });
-    for (const fingerprint request : seen)
-    {
-        this->look_at(state, request);
-    }
+    state.for_each_suspect(
+        [this, &state](fingerprint request)
+        {
+            this->look_at(state, request);
+        });
 }
 
 void routing_table_builder::impl::update(const fleet_state& state)
--- a/src/core/state/fleet_state.cpp
+++ b/src/core/state/fleet_state.cpp
@@ -269,6 +269,13 @@
     return row != nullptr && row->blocked;
 }
 
+void fleet_state::for_each_suspect(
+    const std::function<void(fingerprint)>& visit) const
+{
+    for (const auto& [request, row] : this->self->data.suspects.all())
+        visit(request);
+}
+
 std::uint32_t fleet_state::suspicion(fingerprint request) const
 {
     const auto* row = this->self->data.suspects.find(request);
--- a/src/core/state/suspicion_store.hpp
+++ b/src/core/state/suspicion_store.hpp
@@ -55,6 +55,12 @@
         }
     }
 
+    /// @return All entries, in order of fingerprint.
+    const std::map<fingerprint, row_type>& all() const
+    {
+        return this->rows;
+    }
+
     template <class Writer>
     void save(Writer& out) const
     {
--- a/tests/unit/dispatch/test_admission.cpp
+++ b/tests/unit/dispatch/test_admission.cpp
@@ -158,6 +158,7 @@
     harness test;
     occupy(test);
     std::vector<ticket> batch;
+    batch.reserve(100);
     for (int i = 0; i < 100; ++i)
     {
         batch.push_back(test.submit(priority::batch));
@@ -308,6 +309,7 @@
     request_info request = test.info();
     request.deadline = test.now + 30s;
     std::vector<ticket> waiting;
+    waiting.reserve(20);
     for (int i = 0; i < 20; ++i)
     {
         waiting.push_back(test.submit(request));
