--- a/src/core/config/field_values.cpp
+++ b/src/core/config/field_values.cpp
@@ -197,8 +197,7 @@
     while (!text.empty())
     {
         const std::string_view piece = text.substr(0, text.find(';'));
-        const std::string problem =
-            read_backend(read.emplace_back(), trim(piece));
+        std::string problem = read_backend(read.emplace_back(), trim(piece));
         if (!problem.empty())
         {
             return problem;
--- a/tests/unit/config/invariant_checker_test.cpp
+++ b/tests/unit/config/invariant_checker_test.cpp
@@ -152,6 +152,16 @@
     cr_expect_eq(fold.only(), "engine e: lease taken while session 2 holds it");
 }
 
+Test(invariant_checker, sees_a_lease_taken_by_an_outdated_renewal)
+{
+    constexpr session_id taker{4};
+    forged_fold fold;
+    fold.show(lease_acquire{engine, router, {}, {}});
+    fold.show(router_join{"r2", "d", "", ""}, {}, author_id(2));
+    fold.show(lease_acquire{engine, taker, router, log_offset(2)});
+    cr_expect_eq(fold.only(), "engine e: lease taken while session 2 holds it");
+}
+
 Test(invariant_checker, sees_memory_freed_under_a_late_order)
 {
     constexpr session_id taker{5};
@@ -162,7 +172,8 @@
         {forged_fold::moved(
             3, replica_state::decided, replica_state::loading)});
     fold.show(router_join{"r2", "d", "", ""}, {}, author_id(2));
-    fold.show(lease_acquire{engine, taker, router, log_offset(2)});
+    // Taking the lease renewed the first holder's session, at offset 4.
+    fold.show(lease_acquire{engine, taker, router, log_offset(4)});
     cr_expect(fold.checker.violations().empty());
     fold.show(replica_report{
         replica_id(3), replica_state::gone, fence(6), taker, ""});
--- a/tools/common/http_call.cpp
+++ b/tools/common/http_call.cpp
@@ -26,7 +26,7 @@
 namespace http = boost::beast::http;
 
 constexpr unsigned http_1_1 = 11;
-constexpr std::uint64_t max_answer_bytes = 64 * 1024 * 1024;
+constexpr std::uint64_t max_answer_bytes = std::uint64_t(64) << 20;
 
 /// One exchange: each step runs the context until it is done or too late.
 class exchange
--- a/tools/ctl/change_commands.cpp
+++ b/tools/ctl/change_commands.cpp
@@ -5,6 +5,7 @@
 #include "tools/ctl/wanted_plan.hpp"
 
 #include <charconv>
+#include <optional>
 #include <ostream>
 
 namespace roseworks::tools
@@ -28,7 +29,8 @@
     return everywhere ? exit_code::ok : exit_code::not_in_force;
 }
 
-boost::leaf::result<fingerprint> parse_fingerprint(const std::string& text)
+/// @return Empty unless the text is hex digits of a fingerprint.
+std::optional<fingerprint> parse_fingerprint(const std::string& text)
 {
     constexpr int hexadecimal = 16;
     std::uint64_t value = 0;
@@ -37,7 +39,7 @@
         std::from_chars(text.data(), end, value, hexadecimal);
     if (failure != std::errc() || stop != end || value == 0)
     {
-        return bad_input("not a fingerprint in hex digits: " + text);
+        return std::nullopt;
     }
     return fingerprint(value);
 }
@@ -147,14 +149,18 @@
 command_result run_unblock(command_context& context)
 {
     BOOST_LEAF_AUTO(text, context.argument("fingerprint"));
-    BOOST_LEAF_AUTO(request, parse_fingerprint(text));
+    const std::optional<fingerprint> request = parse_fingerprint(text);
+    if (!request)
+    {
+        return bad_input("not a fingerprint in hex digits: " + text);
+    }
     BOOST_LEAF_AUTO(log, context.open_log());
     BOOST_LEAF_CHECK(log->history.load());
-    if (log->history.state().suspicion(request) == 0)
+    if (log->history.state().suspicion(*request) == 0)
     {
         return bad_input("not suspect: " + text);
     }
-    request_unblock unblock{request, context.text("author")};
+    request_unblock unblock{*request, context.text("author")};
     BOOST_LEAF_AUTO(
         published, publish_and_print(context, *log, std::move(unblock)));
     return code_of(published);
