Keep the words of decided state in one place

Change: include/roseworks/names.hpp; five private tables removed. Conclusion: logs, trail and /state can't differ in a word.

--- a/include/roseworks/record_text.hpp
+++ b/include/roseworks/record_text.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <roseworks/names.hpp>
 #include <roseworks/specs.hpp>
 
 #include <boost/leaf/result.hpp>
@@ -59,9 +60,6 @@
 /// Name of the only policy entity.
 inline constexpr std::string_view policy_name = "policy";
 
-/// @return `model`, `adapter`, `engine`, `service`, `caller` or `policy`.
-std::string_view to_string(entity_kind kind);
-
 /** Read a text of records (docs/RECORDS.md).
 
     A section of schema 1 is upcast; the schema it was written in is kept in
--- a/src/app/record_reporter.cpp
+++ b/src/app/record_reporter.cpp
@@ -2,6 +2,8 @@
 
 #include "app/hex_text.hpp"
 
+#include <roseworks/names.hpp>
+
 #include <array>
 #include <optional>
 #include <string>
@@ -14,45 +16,6 @@
 namespace
 {
 
-/// Words of the kinds of record, by the payload's index.
-constexpr std::array<std::string_view, std::variant_size_v<record_payload>>
-    kind_words = {
-        "unknown_record",
-        "config_change",
-        "router_join",
-        "router_leave",
-        "router_gone",
-        "session_renew",
-        "lease_acquire",
-        "lease_release",
-        "replica_decide",
-        "replica_report",
-        "claim_open",
-        "claim_close",
-        "request_suspect",
-        "request_unblock",
-        "checkpoint_chunk"};
-
-constexpr std::string_view to_word(entity_kind kind)
-{
-    switch (kind)
-    {
-    case entity_kind::model:
-        return "model";
-    case entity_kind::adapter:
-        return "adapter";
-    case entity_kind::engine:
-        return "engine";
-    case entity_kind::service:
-        return "service";
-    case entity_kind::caller:
-        return "caller";
-    case entity_kind::policy:
-        return "policy";
-    }
-    return "unknown";
-}
-
 std::string text_of(const record_id& id)
 {
     return to_hex(id.author.value) + '-' + std::to_string(id.incarnation) +
@@ -138,7 +101,7 @@
     this->events.report(
         event_id::record_rejected,
         {{"offset", at.folded.offset.value},
-         {"kind", kind_words[at.folded.value.payload.index()]},
+         {"kind", kind_name(at.folded.value.payload)},
          {"record_id", text_of(at.folded.value.id)},
          {"reason", to_string(result.reason)},
          {"winner", result.winner.value}});
@@ -149,7 +112,7 @@
     this->events.report(
         event_id::schema_unknown,
         {{"offset", at.folded.offset.value},
-         {"kind", kind_words[at.folded.value.payload.index()]},
+         {"kind", kind_name(at.folded.value.payload)},
          {"schema", at.folded.value.schema},
          {"entity", at.folded.result.detail}});
 }
@@ -162,7 +125,7 @@
         this->events.report(
             event_id::configuration_accepted,
             {{"offset", at.folded.offset.value},
-             {"kind", to_word(entity.kind)},
+             {"kind", to_string(entity.kind)},
              {"entity", entity.name},
              {"revision", at.folded.offset.value},
              {"author", change.author}});
@@ -171,7 +134,7 @@
         this->events.report(
             event_id::schema_unknown,
             {{"offset", at.folded.offset.value},
-             {"kind", to_word(entity.kind)},
+             {"kind", to_string(entity.kind)},
              {"schema", entity.schema},
              {"entity", entity.name}});
     }
--- a/src/app/state_text.cpp
+++ b/src/app/state_text.cpp
@@ -3,6 +3,7 @@
 #include "app/hex_text.hpp"
 
 #include <roseworks/fleet_state.hpp>
+#include <roseworks/names.hpp>
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
@@ -18,28 +19,6 @@
 namespace
 {
 
-constexpr std::string_view to_word(replica_state state)
-{
-    switch (state)
-    {
-    case replica_state::decided:
-        return "decided";
-    case replica_state::loading:
-        return "loading";
-    case replica_state::ready:
-        return "ready";
-    case replica_state::draining:
-        return "draining";
-    case replica_state::unloading:
-        return "unloading";
-    case replica_state::failed:
-        return "failed";
-    case replica_state::gone:
-        return "gone";
-    }
-    return "unknown";
-}
-
 std::string session_name(const fleet_state& state, session_id id)
 {
     const std::optional<session_view> session = state.session(id);
@@ -81,7 +60,7 @@
             one["replica"] = replica.id.value;
             one["servable"] = servable ? servable->name : std::string_view();
             one["engine"] = engine ? engine->name : std::string_view();
-            one["state"] = to_word(replica.state);
+            one["state"] = to_string(replica.state);
             one["memory_mib"] = replica.memory_mib;
             one["holds_slot"] = replica.holds_slot;
             replicas.push_back(std::move(one));
--- a/src/core/config/record_text.cpp
+++ b/src/core/config/record_text.cpp
@@ -40,11 +40,6 @@
     return found == this->entities.end() ? nullptr : &*found;
 }
 
-std::string_view to_string(entity_kind kind)
-{
-    return detail::rule_of(kind).word;
-}
-
 boost::leaf::result<desired_fleet> parse_records(std::string_view text)
 {
     detail::record_reader reader;
--- a/src/core/state/config_fold.cpp
+++ b/src/core/state/config_fold.cpp
@@ -2,36 +2,18 @@
 
 #include "core/state/spec_rules.hpp"
 
+#include <roseworks/names.hpp>
+
 namespace roseworks::detail
 {
 
 namespace
 {
 
-constexpr std::string_view kind_name(entity_kind kind)
-{
-    switch (kind)
-    {
-    case entity_kind::model:
-        return "model";
-    case entity_kind::adapter:
-        return "adapter";
-    case entity_kind::engine:
-        return "engine";
-    case entity_kind::service:
-        return "service";
-    case entity_kind::caller:
-        return "caller";
-    case entity_kind::policy:
-        return "policy";
-    }
-    return "entity";
-}
-
 /// @return `engine colombo-a-e1: <what>`.
 std::string about(const entity_change& change, std::string_view what)
 {
-    std::string text(kind_name(change.kind));
+    std::string text(to_string(change.kind));
     text += ' ';
     text += std::string_view(change.name).substr(0, name_table::max_length);
     text += ": ";
@@ -132,7 +114,7 @@
 {
     if (std::string problem = problem_in_name(change.name); !problem.empty())
         return invalid(change, problem);
-    if (kind_name(change.kind) == "entity" || change.schema == 0)
+    if (to_string(change.kind) == "entity" || change.schema == 0)
         return invalid(change, "kind or schema: unknown");
     if (change.kind == entity_kind::policy && change.name != policy_name)
         return invalid(change, "name: the only policy is named `policy`");
--- a/src/core/trace/session_source.cpp
+++ b/src/core/trace/session_source.cpp
@@ -253,7 +253,7 @@
     boost::random::uniform_int_distribution<std::uint32_t> pick_caller(
         0, static_cast<std::uint32_t>(this->habits.size() - 1));
     const auto count = static_cast<std::uint32_t>(
-        this->profile.bursts_per_day * length / day_s + 0.5);
+        std::lround(this->profile.bursts_per_day * length / day_s));
     for (std::uint32_t i = 0; i < count; ++i)
     {
         const double day = std::floor(i / this->profile.bursts_per_day);
--- a/standins/proxy/proxy_service.cpp
+++ b/standins/proxy/proxy_service.cpp
@@ -23,7 +23,7 @@
 {
 
 constexpr auto quietly = asio::as_tuple(asio::use_awaitable);
-constexpr std::size_t piece_bytes = 16 * 1024;
+constexpr std::size_t piece_bytes = std::size_t(16) * 1024;
 constexpr std::chrono::seconds drain_idle_limit{5};
 
 constexpr std::array<std::pair<std::string_view, proxy_mode>, 7> mode_names{{
--- a/tests/golden/record_line.cpp
+++ b/tests/golden/record_line.cpp
@@ -1,5 +1,6 @@
 #include "tests/golden/record_line.hpp"
 
+#include <roseworks/names.hpp>
 #include <roseworks/plan.hpp>
 #include <roseworks/record_text.hpp>
 
@@ -93,7 +94,7 @@
     std::string operator()(const replica_report& what) const
     {
         std::string line = "replica_report " + number(what.replica.value) +
-                           " " + std::string(to_word(what.to)) + ", fence " +
+                           " " + std::string(to_string(what.to)) + ", fence " +
                            number(what.held.value) + " by " +
                            this->session(what.session);
         return what.cause.empty() ? line : line + ": " + what.cause;
@@ -108,7 +109,7 @@
     std::string operator()(const claim_close& what) const
     {
         return "claim_close key " + number(what.key.low) + " " +
-               std::string(to_word(what.outcome)) + " by " +
+               std::string(to_string(what.outcome)) + " by " +
                this->session(what.session);
     }
 
@@ -181,66 +182,6 @@
            number(order.held.value);
 }
 
-std::string_view to_word(replica_state state)
-{
-    switch (state)
-    {
-    case replica_state::decided:
-        return "decided";
-    case replica_state::loading:
-        return "loading";
-    case replica_state::ready:
-        return "ready";
-    case replica_state::draining:
-        return "draining";
-    case replica_state::unloading:
-        return "unloading";
-    case replica_state::failed:
-        return "failed";
-    case replica_state::gone:
-        return "gone";
-    }
-    return "unknown";
-}
-
-std::string_view to_word(claim_outcome outcome)
-{
-    switch (outcome)
-    {
-    case claim_outcome::open:
-        return "open";
-    case claim_outcome::answered:
-        return "answered";
-    case claim_outcome::may_have_run:
-        return "may-have-run";
-    case claim_outcome::not_run:
-        return "not-run";
-    }
-    return "unknown";
-}
-
-std::string_view to_word(order_outcome outcome)
-{
-    switch (outcome)
-    {
-    case order_outcome::accepted:
-        return "accepted";
-    case order_outcome::stale_fence:
-        return "stale fence";
-    case order_outcome::out_of_memory:
-        return "out of memory";
-    case order_outcome::not_found:
-        return "not found";
-    case order_outcome::refused:
-        return "refused";
-    case order_outcome::not_sent:
-        return "not sent";
-    case order_outcome::unknown:
-        return "unknown";
-    }
-    return "unknown";
-}
-
 std::string servable_name(servable_id id, const fleet_state& names)
 {
     const auto view = names.servable(id);
--- a/tests/golden/record_line.hpp
+++ b/tests/golden/record_line.hpp
@@ -2,6 +2,7 @@
 
 #include <roseworks/controller.hpp>
 #include <roseworks/fleet_state.hpp>
+#include <roseworks/names.hpp>
 #include <roseworks/record.hpp>
 
 #include <string>
@@ -19,10 +20,6 @@
 /// @return `load replica 9 of m on e1, fence 7`.
 std::string to_line(const engine_order& order, const fleet_state& names);
 
-std::string_view to_word(replica_state state);
-std::string_view to_word(claim_outcome outcome);
-std::string_view to_word(order_outcome outcome);
-
 std::string servable_name(servable_id id, const fleet_state& names);
 std::string engine_name(engine_id id, const fleet_state& names);
 /// @return The router's name with the session's number, as `r0/5`.
--- a/tests/golden/session.cpp
+++ b/tests/golden/session.cpp
@@ -315,7 +315,7 @@
                 "replica " + std::to_string(item.id.value) + " of " +
                     servable_name(item.servable, this->folded) + " on " +
                     this->engine_of(item.engine) + " " +
-                    std::string(to_word(item.state)));
+                    std::string(to_string(item.state)));
         });
     for (const auto& [id, engine] : this->engines)
     {
--- a/tests/golden/session_log.cpp
+++ b/tests/golden/session_log.cpp
@@ -130,7 +130,7 @@
         this->write(
             this->engine_of(order.engine),
             to_line(order, this->folded) + " -> " +
-                std::string(to_word(outcome)));
+                std::string(to_string(outcome)));
         this->check_engines();
         this->answer_order(index, order, outcome);
     };
@@ -155,7 +155,7 @@
             if (outcome != order_outcome::accepted)
             {
                 this->write(
-                    told.name, "order " + std::string(to_word(outcome)));
+                    told.name, "order " + std::string(to_string(outcome)));
             }
             told.control->order_answered(number, outcome, this->time);
         });
--- a/tests/golden/session_traffic.cpp
+++ b/tests/golden/session_traffic.cpp
@@ -134,8 +134,7 @@
                        std::string(to_word(result.result));
     if (result.result == claim_result::status::held)
     {
-        line += " by a call that is " +
-                std::string(golden::to_word(result.outcome));
+        line += " by a call that is " + std::string(to_string(result.outcome));
     }
     this->write(target.name, line);
     if (result.result == claim_result::status::granted)
--- a/tools/common/names.cpp
+++ b/tools/common/names.cpp
@@ -1,5 +1,7 @@
 #include "tools/common/trail.hpp"
 
+#include <roseworks/names.hpp>
+
 #include <array>
 #include <cstdio>
 #include <ctime>
@@ -12,41 +14,6 @@
 
 constexpr stamp_ms ms_per_second = 1000;
 
-constexpr std::array<std::string_view, std::variant_size_v<record_payload>>
-    kind_names{
-        "unknown",
-        "config_change",
-        "router_join",
-        "router_leave",
-        "router_gone",
-        "session_renew",
-        "lease_acquire",
-        "lease_release",
-        "replica_decide",
-        "replica_report",
-        "claim_open",
-        "claim_close",
-        "request_suspect",
-        "request_unblock",
-        "checkpoint_chunk"};
-
-constexpr std::array<std::string_view, 4> status_names{
-    "accepted", "rejected", "duplicate", "unknown"};
-
-constexpr std::array<std::string_view, 7> state_names{
-    "decided", "loading", "ready", "draining", "unloading", "failed", "gone"};
-
-constexpr std::array<std::string_view, 4> outcome_names{
-    "open", "answered", "may-have-run", "not-run"};
-
-template <std::size_t Count, class Enum>
-std::string_view
-name_in(const std::array<std::string_view, Count>& names, Enum value)
-{
-    const auto index = static_cast<std::size_t>(value);
-    return index < Count ? names[index] : "unknown";
-}
-
 /// The author that a record names itself; empty when it names none.
 std::string_view named_author(const record& value)
 {
@@ -69,25 +36,10 @@
 
 std::string_view kind_name(const history_entry& entry)
 {
-    return entry.value ? kind_names[entry.value->payload.index()]
+    return entry.value ? roseworks::kind_name(entry.value->payload)
                        : "unreadable";
 }
 
-std::string_view to_string(fold_status status)
-{
-    return name_in(status_names, status);
-}
-
-std::string_view to_string(replica_state state)
-{
-    return name_in(state_names, state);
-}
-
-std::string_view to_string(claim_outcome outcome)
-{
-    return name_in(outcome_names, outcome);
-}
-
 std::string author_name(const fleet_state& state, const record& value)
 {
     const std::string_view named = named_author(value);
--- a/tools/common/trail.hpp
+++ b/tools/common/trail.hpp
@@ -2,6 +2,8 @@
 
 #include "tools/common/log_history.hpp"
 
+#include <roseworks/names.hpp>
+
 #include <boost/json/object.hpp>
 
 #include <iosfwd>
@@ -63,15 +65,6 @@
 /// @return The record kind's name; `unreadable` when there is no record.
 std::string_view kind_name(const history_entry& entry);
 
-/// @return `accepted`, `rejected`, `duplicate` or `unknown`.
-std::string_view to_string(fold_status status);
-
-/// @return `decided`, `loading`, ...
-std::string_view to_string(replica_state state);
-
-/// @return `open`, `answered`, `may-have-run` or `not-run`.
-std::string_view to_string(claim_outcome outcome);
-
 /// @return The operator's or router's name, else `author <hex>`.
 std::string author_name(const fleet_state& state, const record& value);
 
