Declare a router gone once, and drop demand of strangers

Any VM-list gap condemned every new session under that name. Separately, demand from a session that isn't in the log was taken. Change: only a session during which the list had its VM can be gone with it; demand is taken from members only.

--- a/src/core/membership/membership.cpp
+++ b/src/core/membership/membership.cpp
@@ -77,6 +77,7 @@
     void merge_own(const member_update& update);
     void suspect(session_id session, peer& about, instant now);
     void heard_from(session_id session);
+    void heard_demand(const peer_message& message);
     void answer(const probe& body, session_id from);
     void relay(const indirect_probe& body, session_id from, instant now);
     void acknowledged(const probe_ack& body);
@@ -226,7 +227,15 @@
     else if (const auto* ack = std::get_if<probe_ack>(&message.body))
         this->acknowledged(*ack);
     else
-        this->demands.push_back(std::get<servable_demand>(message.body));
+        this->heard_demand(message);
+}
+
+void membership::impl::heard_demand(const peer_message& message)
+{
+    // What a session that isn't in the log wants is no router's demand.
+    if (!this->peers.contains(message.from))
+        return;
+    this->demands.push_back(std::get<servable_demand>(message.body));
 }
 
 void membership::impl::answer(const probe& body, session_id from)
--- a/src/core/recovery/vm_watch.cpp
+++ b/src/core/recovery/vm_watch.cpp
@@ -36,8 +36,39 @@
            (place->second.leaving || place->second.missing >= missing_for_gone);
 }
 
+bool vm_watch::listed_now(std::string_view vm) const
+{
+    const auto place = this->seen.find(vm);
+    return place != this->seen.end() && place->second.missing == 0;
+}
+
+void vm_watch::forget_ended(const fleet_state& state)
+{
+    const auto ended = [&state](session_id id)
+    {
+        const std::optional<session_view> session = state.session(id);
+        return !session || session->ended;
+    };
+    std::erase_if(this->listed_during, ended);
+    std::erase_if(
+        this->reported,
+        [&ended](const auto& entry)
+        {
+            return ended(entry.first);
+        });
+}
+
 void vm_watch::step(const control_context& context, std::string_view own_name)
 {
+    this->forget_ended(context.state);
+    context.state.for_each_session(
+        [&](const session_view& session)
+        {
+            if (!session.ended && this->listed_now(session.name))
+            {
+                this->listed_during.insert(session.id);
+            }
+        });
     if (!context.log_available)
     {
         return;
@@ -45,7 +76,8 @@
     context.state.for_each_session(
         [&](const session_view& session)
         {
-            if (session.name != own_name && this->gone(session.name))
+            if (session.name != own_name && this->gone(session.name) &&
+                this->listed_during.contains(session.id))
             {
                 this->report_gone(context, session);
             }
--- a/tests/unit/control/lease_test.cpp
+++ b/tests/unit/control/lease_test.cpp
@@ -210,6 +210,31 @@
     cr_expect_lt(holder_of(fleet, only_engine), fleet.size());
 }
 
+Test(lease, a_live_router_missing_from_the_vm_list_is_declared_gone_once)
+{
+    fake_fleet fleet;
+    fleet.add_engine("e0", engine_of(20'000));
+    add_routers(fleet, 3);
+    fleet.run(3s);
+    int joins = 0;
+    int obituaries = 0;
+    fleet.on_record = [&](const record& value, const fold_result& result)
+    {
+        if (result.status != fold_status::accepted)
+        {
+            return;
+        }
+        joins += std::holds_alternative<router_join>(value.payload) ? 1 : 0;
+        obituaries +=
+            std::holds_alternative<router_gone>(value.payload) ? 1 : 0;
+    };
+    fleet.remove_vm(fleet.at(0).name);
+    fleet.run(60s);
+    cr_expect_eq(joins, 1, "%d joins", joins);
+    cr_expect_eq(obituaries, 1, "%d obituaries", obituaries);
+    cr_expect(fleet.at(0).control->joined());
+}
+
 Test(lease, a_resumed_holder_proves_its_old_orders_done_by_taking_over_again)
 {
     fake_fleet fleet;
--- a/tests/unit/membership/membership_test.cpp
+++ b/tests/unit/membership/membership_test.cpp
@@ -227,6 +227,20 @@
     cr_assert_eq(heard[0].waiting, 12U);
 }
 
+Test(membership, demand_of_an_unknown_session_is_dropped)
+{
+    membership node({});
+    const std::vector<membership::member> list{
+        {session_id(1), "1"}, {session_id(2), "2"}};
+    node.members_changed(session_id(1), list, instant{});
+    servable_demand wanted;
+    wanted.servable = servable_id(7);
+    node.received({session_id(99), wanted, {}}, instant{});
+    cr_assert(node.take_demands().empty());
+    node.received({session_id(2), wanted, {}}, instant{});
+    cr_assert_eq(node.take_demands().size(), 1U);
+}
+
 Test(peer_message, round_trip_of_every_kind)
 {
     const member_update news{session_id(9), 3, liveness::suspect};
