--- /dev/null
+++ b/bench/dispatch/affinity_experiment.cpp
@@ -0,0 +1,565 @@
+#include "affinity_experiment.hpp"
+
+#include "core/routing/sharded_table.hpp"
+
+#include <roseworks/dispatcher.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <deque>
+#include <list>
+#include <optional>
+#include <queue>
+#include <random>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace roseworks::bench
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t router_count = 4;
+constexpr std::size_t engine_count = 8;
+constexpr std::uint16_t streams = 8;
+constexpr std::size_t cache_size = 64;
+constexpr std::size_t prefix_count = 400;
+constexpr instant start{1h};
+constexpr instant warm = start + 2min;
+constexpr instant end = start + 10min;
+constexpr duration prefill_whole = 400ms;
+constexpr duration prefill_cached = 60ms;
+constexpr double mean_decode_us = 500'000;
+constexpr duration event_lag = 1s;
+constexpr std::uint64_t one_lost_in = 10;
+constexpr duration held_interval = 2s;
+constexpr duration foreign_interval = 10s;
+constexpr duration frequent_interval = 500ms;
+constexpr duration patience = 60s;
+
+// Of the runs with churn.
+constexpr std::size_t leaving_engine = 7;
+constexpr std::size_t restarted_engine = 2;
+constexpr instant leaves_at = start + 4min;
+constexpr instant returns_at = start + 6min;
+constexpr instant restarts_at = start + 8min;
+
+struct call
+{
+    instant at;
+    std::size_t router = 0;
+    std::uint64_t prefix = 0;
+    duration decode{};
+    ticket id;
+    std::size_t engine = 0;
+    instant sent;
+    duration first_byte{};
+};
+
+struct published_event
+{
+    cache_event what;
+    instant at;
+};
+
+/// Slots, a queue and a prefix cache, with its events.
+class engine
+{
+public:
+    bool has_slot() const
+    {
+        return this->running < streams;
+    }
+
+    /// @return Whether the prefix was cached.
+    bool use(std::uint64_t prefix, instant now)
+    {
+        const auto found =
+            std::find(this->cached.begin(), this->cached.end(), prefix);
+        if (found != this->cached.end())
+        {
+            this->cached.splice(this->cached.begin(), this->cached, found);
+            return true;
+        }
+        this->cached.push_front(prefix);
+        this->publish(prefix, true, now);
+        if (this->cached.size() > cache_size)
+        {
+            const std::uint64_t last = this->cached.back();
+            this->cached.pop_back();
+            this->publish(last, false, now);
+        }
+        return false;
+    }
+
+    void restart()
+    {
+        this->cached.clear();
+        this->events.clear();
+        this->next_sequence = 1;
+        ++this->incarnation;
+    }
+
+    /// Only events that are old enough are seen.
+    cache_report read(std::uint64_t from, instant visible) const
+    {
+        cache_report report;
+        report.incarnation = this->incarnation;
+        report.from = from;
+        report.next = std::max<std::uint64_t>(from, 1);
+        for (const published_event& one : this->events)
+        {
+            if (one.what.sequence < report.next || one.at > visible)
+            {
+                continue;
+            }
+            report.next = one.what.sequence + 1;
+            report.events.push_back(one.what);
+        }
+        return report;
+    }
+
+    std::mt19937_64 random;
+    std::deque<std::size_t> queue; ///< calls
+    std::uint32_t running = 0;
+    std::uint64_t incarnation = 1;
+    bool lossless = false;
+
+private:
+    void publish(std::uint64_t prefix, bool is_cached, instant now)
+    {
+        const std::uint64_t sequence = this->next_sequence++;
+        const bool lost = this->random() % one_lost_in == 0;
+        if (!lost || this->lossless)
+        {
+            this->events.push_back({{sequence, prefix, is_cached}, now});
+        }
+        // More than any reader's interval brings.
+        if (this->events.size() > 4096)
+        {
+            this->events.pop_front();
+        }
+    }
+
+    std::list<std::uint64_t> cached;
+    std::deque<published_event> events;
+    std::uint64_t next_sequence = 1;
+};
+
+/// Where a router is in an engine's events.
+struct reader
+{
+    std::uint64_t incarnation = 0;
+    std::uint64_t next = 0;   ///< by the engine's count
+    std::uint64_t hidden = 0; ///< by a count without gaps
+};
+
+struct router
+{
+    explicit router(dispatcher::options settings)
+        : core(std::move(settings))
+    {
+    }
+
+    dispatcher core;
+    std::unordered_map<ticket, std::size_t> calls;
+    std::array<reader, engine_count> readers;
+};
+
+struct step
+{
+    enum class kind
+    {
+        arrival,
+        completion,
+        read,
+        tick,
+        leave,
+        come_back,
+        restart
+    };
+
+    instant at;
+    std::uint64_t number = 0;
+    kind what = kind::arrival;
+    std::size_t index = 0;  ///< call, or router
+    std::size_t engine = 0; ///< of a read
+
+    bool operator>(const step& other) const
+    {
+        return std::tie(this->at, this->number) >
+               std::tie(other.at, other.number);
+    }
+};
+
+std::uint64_t name_of(std::uint64_t prefix)
+{
+    std::uint64_t value = prefix + 0x9E3779B97F4A7C15ULL;
+    value = (value ^ (value >> 30)) * 0xBF58476D1CE4E5B9ULL;
+    value = (value ^ (value >> 27)) * 0x94D049BB133111EBULL;
+    return (value ^ (value >> 31)) | 1;
+}
+
+routing_table_ptr make_table(std::optional<std::size_t> without)
+{
+    detail::sharded_table table;
+    servable_routes entry;
+    entry.id = servable_id(1);
+    entry.name = "model";
+    entry.max_streams = streams;
+    entry.max_replicas = engine_count;
+    for (std::size_t i = 0; i < engine_count; ++i)
+    {
+        if (without == i)
+        {
+            continue;
+        }
+        const std::string number = std::to_string(i + 1);
+        entry.ready.push_back(
+            {replica_id(i + 1),
+             engine_id(i + 1),
+             "10.0.0." + number + ":80",
+             "here",
+             "vm" + number});
+    }
+    table.put(std::move(entry));
+    return table.publish();
+}
+
+prefix_affinity mode_of(affinity_kind kind)
+{
+    switch (kind)
+    {
+    case affinity_kind::random:
+    case affinity_kind::two_choices:
+        return prefix_affinity::none;
+    case affinity_kind::rendezvous:
+        return prefix_affinity::rendezvous;
+    default:
+        return prefix_affinity::cache_events;
+    }
+}
+
+class experiment
+{
+public:
+    explicit experiment(const affinity_setting& wanted)
+        : setting(wanted)
+        , random(wanted.seed)
+    {
+        this->make_calls();
+        for (std::size_t i = 0; i < router_count; ++i)
+        {
+            dispatcher::options options;
+            options.data_centre = "here";
+            options.affinity = mode_of(this->setting.kind);
+            options.seed = this->setting.seed * 100 + i;
+            this->routers.emplace_back(options);
+            this->push({start, 0, step::kind::tick, i, 0});
+            for (std::size_t e = 0; e < engine_count; ++e)
+            {
+                const duration offset =
+                    37ms * static_cast<int>(i) + 11ms * static_cast<int>(e);
+                this->push({start + offset, 0, step::kind::read, i, e});
+            }
+        }
+        for (std::size_t e = 0; e < engine_count; ++e)
+        {
+            this->engines[e].random.seed(this->setting.seed * 1000 + e);
+            this->engines[e].lossless =
+                this->setting.kind == affinity_kind::cache_events_whole;
+        }
+        if (this->setting.churn)
+        {
+            this->push({leaves_at, 0, step::kind::leave, 0, 0});
+            this->push({returns_at, 0, step::kind::come_back, 0, 0});
+            this->push({restarts_at, 0, step::kind::restart, 0, 0});
+        }
+        this->change_table(std::nullopt);
+    }
+
+    affinity_result run()
+    {
+        while (!this->steps.empty())
+        {
+            const step next = this->steps.top();
+            this->steps.pop();
+            this->now = next.at;
+            this->take(next);
+        }
+        return this->result();
+    }
+
+private:
+    void make_calls()
+    {
+        std::vector<double> weights;
+        for (std::size_t i = 1; i <= prefix_count; ++i)
+        {
+            weights.push_back(1 / static_cast<double>(i));
+        }
+        std::discrete_distribution<std::uint64_t> prefix(
+            weights.begin(), weights.end());
+        std::exponential_distribution<double> gap(this->setting.rate / 1e6);
+        std::exponential_distribution<double> decode(1 / mean_decode_us);
+        instant at = start;
+        while (at < end)
+        {
+            at += duration(static_cast<duration::rep>(gap(this->random)) + 1);
+            call one;
+            one.at = at;
+            one.router = this->random() % router_count;
+            one.prefix = name_of(prefix(this->random));
+            one.decode =
+                duration(static_cast<duration::rep>(decode(this->random)));
+            this->push({at, 0, step::kind::arrival, this->calls.size(), 0});
+            this->calls.push_back(one);
+        }
+    }
+
+    void push(step next)
+    {
+        next.number = ++this->step_number;
+        this->steps.push(next);
+    }
+
+    void take(const step& next)
+    {
+        switch (next.what)
+        {
+        case step::kind::arrival:
+            this->arrive(next.index);
+            return;
+        case step::kind::completion:
+            this->complete(next.index);
+            return;
+        case step::kind::read:
+            this->read(next.index, next.engine);
+            return;
+        case step::kind::tick:
+            this->tick(next.index);
+            return;
+        case step::kind::leave:
+            this->change_table(leaving_engine);
+            return;
+        case step::kind::come_back:
+            this->engines[leaving_engine].restart();
+            this->change_table(std::nullopt);
+            return;
+        case step::kind::restart:
+            this->engines[restarted_engine].restart();
+            return;
+        }
+    }
+
+    void change_table(std::optional<std::size_t> without)
+    {
+        this->missing = without;
+        const routing_table_ptr table = make_table(without);
+        for (std::size_t i = 0; i < router_count; ++i)
+        {
+            this->routers[i].core.table_changed(table, this->now);
+            this->collect(i);
+        }
+    }
+
+    void arrive(std::size_t index)
+    {
+        call& one = this->calls[index];
+        if (this->setting.kind == affinity_kind::random)
+        {
+            do
+            {
+                one.engine = this->random() % engine_count;
+            } while (one.engine == this->missing);
+            this->enqueue(index);
+            return;
+        }
+        request_info info;
+        info.target = "model";
+        info.deadline = one.at + patience;
+        info.prefix = one.prefix;
+        router& by = this->routers[one.router];
+        one.id = by.core.submit(std::move(info), this->now);
+        by.calls.emplace(one.id, index);
+        this->collect(one.router);
+    }
+
+    void collect(std::size_t index)
+    {
+        router& by = this->routers[index];
+        for (const dispatch_command& command : by.core.take_commands())
+        {
+            if (const auto* start_there = std::get_if<grant>(&command))
+            {
+                const std::size_t granted = by.calls.at(start_there->request);
+                this->calls[granted].engine = start_there->engine.value - 1;
+                this->enqueue(granted);
+            }
+            else if (const auto* no = std::get_if<refusal>(&command))
+            {
+                by.calls.erase(no->request);
+                ++this->refused;
+            }
+        }
+    }
+
+    void enqueue(std::size_t index)
+    {
+        this->calls[index].sent = this->now;
+        engine& at = this->engines[this->calls[index].engine];
+        at.queue.push_back(index);
+        this->serve(at);
+    }
+
+    void serve(engine& at)
+    {
+        while (at.has_slot() && !at.queue.empty())
+        {
+            const std::size_t index = at.queue.front();
+            at.queue.pop_front();
+            ++at.running;
+            call& one = this->calls[index];
+            const bool hit = at.use(one.prefix, this->now);
+            const instant first =
+                this->now + (hit ? prefill_cached : prefill_whole);
+            one.first_byte = first - one.sent;
+            this->push(
+                {first + one.decode, 0, step::kind::completion, index, 0});
+            if (one.at >= warm)
+            {
+                this->hits += hit ? 1 : 0;
+                this->waits.push_back(first - one.at);
+            }
+        }
+    }
+
+    void complete(std::size_t index)
+    {
+        const call& one = this->calls[index];
+        engine& at = this->engines[one.engine];
+        --at.running;
+        this->serve(at);
+        if (this->setting.kind == affinity_kind::random)
+        {
+            return;
+        }
+        attempt_result result;
+        result.first_byte = one.first_byte;
+        result.total = this->now - one.sent;
+        this->routers[one.router].core.finished(one.id, result, this->now);
+        this->routers[one.router].calls.erase(one.id);
+        this->collect(one.router);
+    }
+
+    void read(std::size_t index, std::size_t at)
+    {
+        const engine& from = this->engines[at];
+        router& by = this->routers[index];
+        const engine_id id(at + 1);
+        by.core.load_reported(
+            {id, from.running, static_cast<std::uint32_t>(from.queue.size())},
+            this->now);
+        this->collect(index);
+        by.core.cache_reported(this->read_events(by, at), this->now);
+
+        duration interval =
+            at % router_count == index ? held_interval : foreign_interval;
+        if (this->setting.frequent_reads)
+        {
+            interval = frequent_interval;
+        }
+        if (this->now + interval < end)
+        {
+            this->push({this->now + interval, 0, step::kind::read, index, at});
+        }
+    }
+
+    cache_report read_events(router& by, std::size_t at)
+    {
+        const engine& from = this->engines[at];
+        reader& place = by.readers[at];
+        if (place.incarnation != from.incarnation)
+        {
+            place = {from.incarnation, 0, 0};
+        }
+        const bool whole =
+            this->setting.kind == affinity_kind::cache_events_whole;
+        const instant visible = whole ? this->now : this->now - event_lag;
+        cache_report report = from.read(place.next, visible);
+        report.engine = engine_id(at + 1);
+        place.next = report.next;
+        if (this->setting.kind == affinity_kind::cache_events_kept)
+        {
+            this->hide_gaps(report, place);
+        }
+        return report;
+    }
+
+    /// The same events under numbers without gaps.
+    static void hide_gaps(cache_report& report, reader& place)
+    {
+        report.from = place.hidden;
+        place.hidden = std::max<std::uint64_t>(place.hidden, 1);
+        for (cache_event& one : report.events)
+        {
+            one.sequence = place.hidden++;
+        }
+        report.next = place.hidden;
+    }
+
+    void tick(std::size_t index)
+    {
+        this->routers[index].core.tick(this->now);
+        this->collect(index);
+        if (this->now < end + patience)
+        {
+            this->push({this->now + 50ms, 0, step::kind::tick, index, 0});
+        }
+    }
+
+    affinity_result result()
+    {
+        std::sort(this->waits.begin(), this->waits.end());
+        const auto quantile = [this](std::size_t percent)
+        {
+            const std::size_t at = this->waits.size() * percent / 100;
+            return static_cast<double>(this->waits[at].count()) / 1000;
+        };
+        affinity_result out;
+        out.hits = this->hits / static_cast<double>(this->waits.size());
+        out.p99_ms = quantile(99);
+        out.p50_ms = quantile(50);
+        out.refused = this->refused;
+        return out;
+    }
+
+    affinity_setting setting;
+    std::mt19937_64 random;
+    std::vector<call> calls;
+    std::vector<router> routers;
+    std::array<engine, engine_count> engines;
+    std::optional<std::size_t> missing;
+    std::priority_queue<step, std::vector<step>, std::greater<>> steps;
+    std::uint64_t step_number = 0;
+    instant now = start;
+    double hits = 0;
+    double refused = 0;
+    std::vector<duration> waits;
+};
+
+} // namespace
+
+affinity_result run_affinity(const affinity_setting& setting)
+{
+    return experiment(setting).run();
+}
+
+} // namespace roseworks::bench
--- a/bench/dispatch/bench_dispatch.cpp
+++ b/bench/dispatch/bench_dispatch.cpp
@@ -1,3 +1,4 @@
+#include "affinity_experiment.hpp"
 #include "core/routing/sharded_table.hpp"
 #include "overload_experiment.hpp"
 
@@ -10,6 +11,7 @@
 #include <malloc.h>
 #include <new>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace
@@ -272,10 +274,66 @@
     }
 }
 
+/// Means of three seeds.
+void measure_affinity(bench::affinity_setting setting, const char* kind)
+{
+    constexpr std::uint64_t seeds = 3;
+    bench::affinity_result sum;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+    {
+        setting.seed = seed;
+        const auto one = bench::run_affinity(setting);
+        sum.hits += one.hits / seeds;
+        sum.p99_ms += one.p99_ms / seeds;
+        sum.p50_ms += one.p50_ms / seeds;
+        sum.refused += one.refused / seeds;
+    }
+    char prefix[96];
+    std::snprintf(
+        prefix,
+        sizeof(prefix),
+        "affinity_%g_%s_%s_%s_",
+        setting.rate,
+        setting.churn ? "churn" : "steady",
+        setting.frequent_reads ? "frequent" : "usual",
+        kind);
+    const std::string name(prefix);
+    print(name + "hits", 100 * sum.hits, "%");
+    print(name + "p99", sum.p99_ms, "ms");
+    print(name + "p50", sum.p50_ms, "ms");
+    print(name + "refused", sum.refused, "requests");
+}
+
+void measure_affinity()
+{
+    using enum bench::affinity_kind;
+    constexpr std::pair<bench::affinity_kind, const char*> kinds[] = {
+        {random, "random"},
+        {two_choices, "two_choices"},
+        {rendezvous, "rendezvous"},
+        {cache_events, "cache_events"},
+        {cache_events_kept, "cache_events_kept"},
+        {cache_events_whole, "cache_events_whole"}};
+    for (const bool frequent : {false, true})
+    {
+        for (const bool churn : {false, true})
+        {
+            for (const double rate : {30.0, 60.0, 75.0})
+            {
+                for (const auto& [kind, word] : kinds)
+                {
+                    measure_affinity({kind, rate, churn, frequent, 1}, word);
+                }
+            }
+        }
+    }
+}
+
 } // namespace
 
 int main()
 {
+    measure_affinity();
     measure_cycles();
     measure_queue();
     measure_table();
--- a/include/roseworks/controller.hpp
+++ b/include/roseworks/controller.hpp
@@ -240,6 +240,9 @@
         duration evict_grace = std::chrono::seconds(10);
         /// After an order's answer was lost, its replica isn't reported gone.
         duration order_settle = std::chrono::seconds(5);
+        /// A load taken by its engine may go on for so long, or for ten times
+        /// its servable's estimate when that is longer; then it has failed.
+        duration load_limit = std::chrono::seconds(60);
         /// `leave` gives up after this time.
         duration leave_limit = std::chrono::seconds(30);
     };
--- a/include/roseworks/dispatcher.hpp
+++ b/include/roseworks/dispatcher.hpp
@@ -101,6 +101,32 @@
     std::uint32_t waiting = 0;
 };
 
+/// A prompt prefix came into an engine's cache, or left it.
+struct cache_event
+{
+    std::uint64_t sequence = 0; ///< numbered by the engine, from 1
+    std::uint64_t prefix = 0;   ///< as `request_info::prefix`
+    bool cached = false;
+};
+
+/// Cache events of one engine, by number; some may be missing.
+struct cache_report
+{
+    engine_id engine;
+    std::uint64_t incarnation = 0;
+    std::uint64_t from = 0; ///< first number asked for; 0: read anew
+    std::uint64_t next = 0; ///< first number of the next read
+    std::vector<cache_event> events;
+};
+
+/// What draws requests with the same prompt prefix to the same replica.
+enum class prefix_affinity : std::uint8_t
+{
+    none,        ///< two choices by load only
+    rendezvous,  ///< the replica that the prefix hashes to
+    cache_events ///< replicas that reported the prefix; else by hash
+};
+
 /** Decides which request starts where and when, and which is refused.
 
     Bounded queues per target; strict priority with ageing, earliest deadline
@@ -125,6 +151,7 @@
         std::uint32_t max_attempts = 3;
         duration ageing = std::chrono::seconds(30); ///< wait worth one class
         duration demand_interval = std::chrono::milliseconds(50);
+        prefix_affinity affinity = prefix_affinity::cache_events;
         std::string data_centre; ///< own, preferred while not loaded
         std::uint64_t seed = 1;
     };
@@ -159,6 +186,9 @@
     /// A backend server reported its load.
     void load_reported(const load_report& report, instant now);
 
+    /// An engine reported what its prefix cache holds.
+    void cache_reported(const cache_report& report, instant now);
+
     /// Backend servers on this VM get no new work from now on.
     void vm_leaving(std::string_view vm, bool leaving, instant now);
 
--- a/include/roseworks/fleet_state.hpp
+++ b/include/roseworks/fleet_state.hpp
@@ -179,8 +179,10 @@
       the time each was decided;
     - the memory reserved on an engine never exceeds its capacity by a decision;
     - memory is freed only when a replica is proven gone: its lease holder said
-      so, and no ended-but-unproven session may still have an order in flight to
-      an engine that ignores fencing numbers;
+      so, and no former holder may still have an order in flight to an engine
+      that ignores fencing numbers. A former holder counts until its process is
+      proven gone, it says by a `lease_release` that none of its orders to the
+      engine is in flight, or it takes the lease again;
     - at most the policy's number of weight-store slots is held;
     - an accepted change of configuration is only replaced by one that names it;
     - a claim has one winner.
@@ -284,6 +286,9 @@
     ///         have an order in flight to this engine (one that ignores
     ///         fencing).
     bool order_may_be_in_flight(engine_id id) const;
+    /// @return Whether the session held the engine's lease, lost it to another
+    ///         and hasn't said since that none of its orders is in flight.
+    bool former_holder(engine_id id, session_id session) const;
 
     // Sessions.
     std::optional<session_view> session(session_id id) const;
--- a/include/roseworks/record.hpp
+++ b/include/roseworks/record.hpp
@@ -87,7 +87,9 @@
     log_offset previous_renewal;
 };
 
-/// Gives an engine's lease back; no order of the holder is in flight.
+/// No order of the session to the engine is in flight, nor will be under the
+/// lease that it had. Gives the lease back when the session holds it; from a
+/// former holder it is the proof that frees memory waits for.
 struct lease_release
 {
     engine_id engine;
--- a/src/adapters/edge/shared_dispatcher.cpp
+++ b/src/adapters/edge/shared_dispatcher.cpp
@@ -110,6 +110,15 @@
         });
 }
 
+void shared_dispatcher::cache_reported(const cache_report& report)
+{
+    this->locked(
+        [&](instant time)
+        {
+            this->core.cache_reported(report, time);
+        });
+}
+
 void shared_dispatcher::vm_leaving(std::string_view vm, bool leaving)
 {
     this->locked(
--- a/src/adapters/platform/http_engine_client.cpp
+++ b/src/adapters/platform/http_engine_client.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
+#include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace roseworks::platform
@@ -133,6 +135,28 @@
         rethrow);
 }
 
+void http_engine_client::read_cache_events(
+    const read_engine& what, std::uint64_t incarnation, cache_done done)
+{
+    server* from = this->find_server(what.address);
+    if (from == nullptr || from->reading_events)
+        return;
+    if (from->incarnation != incarnation)
+    {
+        from->incarnation = incarnation;
+        from->next_event = 0;
+    }
+    from->reading_events = true;
+    cache_report asked;
+    asked.engine = what.engine;
+    asked.incarnation = incarnation;
+    asked.from = from->next_event;
+    asio::co_spawn(
+        this->executor,
+        this->run_read_events(from->client, what, asked, std::move(done)),
+        rethrow);
+}
+
 void http_engine_client::cancel_all()
 {
     for (auto& [address, one] : this->servers)
@@ -169,7 +193,48 @@
         }));
 }
 
+asio::awaitable<void> http_engine_client::run_read_events(
+    http_client from, read_engine what, cache_report asked, cache_done done)
+{
+    const std::uint64_t first = std::max<std::uint64_t>(asked.from, 1);
+    http_call call;
+    call.target = "/v1/engine/events?from=" + std::to_string(first);
+    call.timeout = this->settings.order_timeout;
+    const http_answer answer = co_await from.send(std::move(call));
+
+    const auto place = this->servers.find(what.address);
+    if (place != this->servers.end())
+        place->second.reading_events = false;
+    if (!answer.is(status_ok) || place == this->servers.end())
+        co_return;
+    std::optional<cache_report> report = leaf::try_handle_all(
+        [&]() -> leaf::result<std::optional<cache_report>>
+        {
+            BOOST_LEAF_AUTO(read, read_cache_report(answer.body));
+            return read;
+        },
+        []
+        {
+            return std::optional<cache_report>();
+        });
+    if (!report)
+        co_return;
+    report->engine = asked.engine;
+    report->incarnation = asked.incarnation;
+    report->from = asked.from;
+    // Numbers that went back are those of another run: the next read is anew.
+    place->second.next_event = report->next < first ? 0 : report->next;
+    done(*report);
+}
+
 http_client* http_engine_client::find_client(const std::string& address)
+{
+    server* found = this->find_server(address);
+    return found == nullptr ? nullptr : &found->client;
+}
+
+http_engine_client::server*
+http_engine_client::find_server(const std::string& address)
 {
     const auto now = steady::now();
     this->forget_unused(now);
@@ -186,7 +251,7 @@
                     .first;
     }
     found->second.last_used = now;
-    return &found->second.client;
+    return &found->second;
 }
 
 void http_engine_client::forget_unused(steady::time_point now)
--- a/src/adapters/platform/http_engine_client.hpp
+++ b/src/adapters/platform/http_engine_client.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -42,6 +43,10 @@
         may_send allowed,
         order_done done) override;
     void read_state(const read_engine& what, read_done done) override;
+    void read_cache_events(
+        const read_engine& what,
+        std::uint64_t incarnation,
+        cache_done done) override;
     void cancel_all() override;
 
 private:
@@ -49,12 +54,18 @@
     {
         http_client client;
         std::chrono::steady_clock::time_point last_used;
+        std::uint64_t incarnation = 0; ///< whose cache events were read
+        std::uint64_t next_event = 0;  ///< 0: none was read yet
+        bool reading_events = false;
     };
 
     boost::asio::awaitable<void> run_order(
         http_client to, order_action action, http_call call, order_done done);
     boost::asio::awaitable<void>
     run_read(http_client from, engine_id engine, read_done done);
+    boost::asio::awaitable<void> run_read_events(
+        http_client from, read_engine what, cache_report asked, cache_done);
+    server* find_server(const std::string& address);
     http_client* find_client(const std::string& address);
     void forget_unused(std::chrono::steady_clock::time_point now);
 
--- a/src/adapters/platform/platform_messages.cpp
+++ b/src/adapters/platform/platform_messages.cpp
@@ -6,6 +6,7 @@
 #include <boost/json/serialize.hpp>
 #include <boost/leaf/error.hpp>
 
+#include <charconv>
 #include <limits>
 #include <optional>
 #include <utility>
@@ -110,6 +111,29 @@
     }
 }
 
+std::optional<cache_event> read_cache_event(const json::value& value)
+{
+    constexpr std::size_t prefix_digits = 16;
+    constexpr int hexadecimal = 16;
+    const json::object* object = value.if_object();
+    if (object == nullptr)
+        return {};
+
+    cache_event result;
+    result.sequence = number_field<std::uint64_t>(*object, "seq");
+    const json::value* cached = object->if_contains("cached");
+    const std::string prefix = text_field(*object, "prefix");
+    const char* end = prefix.data() + prefix.size();
+    const auto parsed =
+        std::from_chars(prefix.data(), end, result.prefix, hexadecimal);
+    if (result.sequence == 0 || cached == nullptr || !cached->is_bool() ||
+        prefix.size() != prefix_digits || parsed.ec != std::errc() ||
+        parsed.ptr != end)
+        return {};
+    result.cached = cached->get_bool();
+    return result;
+}
+
 leaf::result<vm_entry> read_vm(const json::value& value)
 {
     if (!value.is_object())
@@ -174,6 +198,23 @@
     return report;
 }
 
+leaf::result<cache_report> read_cache_report(std::string_view body)
+{
+    BOOST_LEAF_AUTO(object, parse_object(body));
+    const json::array* events = array_field(object, "events");
+    if (events == nullptr)
+        return leaf::new_error(message_error{"no list of events"});
+
+    cache_report report;
+    report.next = number_field<std::uint64_t>(object, "next");
+    for (const json::value& value : *events)
+    {
+        if (const auto one = read_cache_event(value))
+            report.events.push_back(*one);
+    }
+    return report;
+}
+
 leaf::result<std::vector<vm_entry>> read_vm_list(std::string_view body)
 {
     BOOST_LEAF_AUTO(object, parse_object(body));
--- a/src/adapters/platform/platform_messages.hpp
+++ b/src/adapters/platform/platform_messages.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <roseworks/controller.hpp>
+#include <roseworks/dispatcher.hpp>
 
 #include <boost/leaf/result.hpp>
 
@@ -30,6 +31,14 @@
 boost::leaf::result<engine_report>
 read_report(std::string_view body, engine_id engine);
 
+/** Read an engine's cache events. An event without a number, or whose prefix
+    isn't 16 hex digits, is left out, as if it were lost.
+
+    @param body JSON; may be hostile.
+    @return     `next` and `events` of the report, or a `message_error`.
+*/
+boost::leaf::result<cache_report> read_cache_report(std::string_view body);
+
 /** Read the platform's VM list. A VM of an unknown role or state is an error.
 
     @param body JSON; may be hostile.
--- a/src/app/control_loop.cpp
+++ b/src/app/control_loop.cpp
@@ -2,6 +2,8 @@
 
 #include "app/hex_text.hpp"
 
+#include <roseworks/names.hpp>
+
 #include <boost/asio/error.hpp>
 
 #include <algorithm>
@@ -38,33 +40,6 @@
     return fault == log_fault::malformed ? "malformed answer" : "unreachable";
 }
 
-std::string_view to_word(order_action action)
-{
-    return action == order_action::load ? "load" : "unload";
-}
-
-std::string_view to_word(order_outcome outcome)
-{
-    switch (outcome)
-    {
-    case order_outcome::accepted:
-        return "accepted";
-    case order_outcome::stale_fence:
-        return "stale fence";
-    case order_outcome::out_of_memory:
-        return "out of memory";
-    case order_outcome::not_found:
-        return "not found";
-    case order_outcome::refused:
-        return "refused";
-    case order_outcome::not_sent:
-        return "not sent";
-    case order_outcome::unknown:
-        return "unknown";
-    }
-    return "unknown";
-}
-
 bool moves_sessions(const record_payload& payload)
 {
     return std::holds_alternative<router_join>(payload) ||
@@ -513,7 +488,7 @@
         event_id::order_sent,
         {{"engine", this->engine_name(order.engine)},
          {"order_id", order.order_id},
-         {"action", to_word(order.action)},
+         {"action", to_string(order.action)},
          {"replica", order.replica.value},
          {"fence", order.held.value}});
     const std::uint64_t issued_in = this->run;
@@ -536,9 +511,9 @@
     const std::uint64_t issued_in = this->run;
     this->ports.engines.read_state(
         what,
-        [this, issued_in](const engine_report& report)
+        [this, what, issued_in](const engine_report& report)
         {
-            this->engine_answered(report, issued_in);
+            this->engine_answered(what, report, issued_in);
         });
 }
 
@@ -640,7 +615,7 @@
             event_id::order_answer_lost,
             {{"engine", engine},
              {"order_id", order.order_id},
-             {"action", to_word(order.action)},
+             {"action", to_string(order.action)},
              {"replica", order.replica.value}});
         return;
     case order_outcome::out_of_memory:
@@ -650,23 +625,62 @@
             event_id::order_refused,
             {{"engine", engine},
              {"order_id", order.order_id},
-             {"action", to_word(order.action)},
+             {"action", to_string(order.action)},
              {"replica", order.replica.value},
-             {"reason", to_word(outcome)}});
+             {"reason", to_string(outcome)}});
         return;
     }
 }
 
 void control_loop::engine_answered(
-    const engine_report& report, std::uint64_t issued_in)
+    const read_engine& what,
+    const engine_report& report,
+    std::uint64_t issued_in)
 {
     if (issued_in != this->run || !this->core || this->stopped)
         return;
     this->note_engine(report);
+    if (report.reachable)
+        this->read_cache_events(what, report.incarnation);
     this->core->engine_read(report, this->ports.clock.now());
     this->pump();
 }
 
+void control_loop::read_cache_events(
+    const read_engine& what, std::uint64_t incarnation)
+{
+    if (!this->notices.cache_reported)
+        return;
+    this->ports.engines.read_cache_events(
+        what,
+        incarnation,
+        [this](const cache_report& report)
+        {
+            if (this->core && !this->stopped)
+                this->cache_events_read(report);
+        });
+}
+
+void control_loop::cache_events_read(const cache_report& report)
+{
+    // One line a read is enough, also when more is missing.
+    std::uint64_t wanted = report.from;
+    for (const cache_event& event : report.events)
+    {
+        if (wanted != 0 && event.sequence > wanted)
+        {
+            this->ports.events.report(
+                event_id::cache_events_missed,
+                {{"engine", this->engine_name(report.engine)},
+                 {"wanted", wanted},
+                 {"got", event.sequence}});
+            break;
+        }
+        wanted = event.sequence + 1;
+    }
+    this->notices.cache_reported(report);
+}
+
 void control_loop::note_engine(const engine_report& report)
 {
     const instant now = this->ports.clock.now();
--- a/src/app/control_loop.hpp
+++ b/src/app/control_loop.hpp
@@ -144,7 +144,12 @@
 
     void order_answered(
         const engine_order& order, std::uint64_t run, order_outcome outcome);
-    void engine_answered(const engine_report& report, std::uint64_t run);
+    void engine_answered(
+        const read_engine& what,
+        const engine_report& report,
+        std::uint64_t run);
+    void read_cache_events(const read_engine& what, std::uint64_t incarnation);
+    void cache_events_read(const cache_report& report);
     void report_order(const engine_order& order, order_outcome outcome);
     void note_engine(const engine_report& report);
     void tell_sessions();
--- a/src/app/control_notices.hpp
+++ b/src/app/control_notices.hpp
@@ -18,6 +18,8 @@
 {
     std::function<void(routing_table_ptr)> table_published;
     std::function<void(const load_report&)> load_reported;
+    /// Null: nobody wants cache events, and none are read.
+    std::function<void(const cache_report&)> cache_reported;
     std::function<void(std::string_view vm, bool leaving)> vm_leaving;
     std::function<void(const claim_result&)> claim_decided;
     /// This run of the controller ended; claims it held open get no result.
--- a/src/app/router_app.cpp
+++ b/src/app/router_app.cpp
@@ -177,6 +177,10 @@
     {
         this->dispatch->load_reported(report);
     };
+    notices.cache_reported = [this](const cache_report& report)
+    {
+        this->dispatch->cache_reported(report);
+    };
     notices.vm_leaving = [this](std::string_view vm, bool leaving)
     {
         this->dispatch->vm_leaving(vm, leaving);
--- a/src/core/placement/controller.cpp
+++ b/src/core/placement/controller.cpp
@@ -1,6 +1,7 @@
 #include "core/placement/activity.hpp"
 #include "core/placement/engine_reports.hpp"
 #include "core/placement/idle_watch.hpp"
+#include "core/placement/load_failures.hpp"
 #include "core/placement/order_keeper.hpp"
 #include "core/placement/proposer.hpp"
 #include "core/recovery/checkpoint_writer.hpp"
@@ -86,13 +87,19 @@
         , checkpoints(
               this->settings.checkpoint_records, chunk_bytes(this->settings))
         , reports(this->settings.engine_poll)
-        , orders(this->settings, this->leases, this->vms, this->reports)
+        , orders(
+              this->settings,
+              this->leases,
+              this->vms,
+              this->reports,
+              this->streaks)
         , proposals(
               this->settings,
               *this->strategy,
               this->uses,
               this->vms,
-              this->reports)
+              this->reports,
+              this->streaks)
         , idle(*this->strategy, this->uses, this->proposals, this->reports)
     {
     }
@@ -328,6 +335,7 @@
         const control_context seen = this->fold_context(now);
 
         this->leases.folded(seen, event);
+        this->streaks.folded(seen, event);
         this->orders.folded(seen, event);
         this->proposals.folded(seen, event);
         this->claims.folded(seen, event);
@@ -462,6 +470,7 @@
     checkpoint_writer checkpoints;
     engine_reports reports;
     activity uses;
+    load_failures streaks;
     order_keeper orders;
     proposer proposals;
     idle_watch idle;
--- a/src/core/placement/order_keeper.hpp
+++ b/src/core/placement/order_keeper.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/placement/engine_reports.hpp"
+#include "core/placement/load_failures.hpp"
 #include "core/recovery/control_context.hpp"
 #include "core/recovery/lease_keeper.hpp"
 #include "core/recovery/vm_watch.hpp"
@@ -29,6 +30,17 @@
    engine and ordering again under the same id. Absence is believed after two
    reads that agree, asked late enough after the last event to be past the
    reports' lag.
+
+    A load whose answer was lost may still arrive. While the lease is held it
+    counts as in flight until it is seen, or its replica is gone and the settle
+    time is over; after the lease was lost to another router, until this one has
+    itself seen the replica on the engine, in a read asked after the loss. All
+    copies of the order have one id, so that the others then do nothing.
+
+    A load that its engine has taken but that doesn't end has failed after
+    `controller::options::load_limit` or ten times the servable's estimate,
+    whichever is longer, doubled for each failure of the servable in a row. Each
+    lease holder counts from when it first knew that the engine had taken it.
 */
 class order_keeper
 {
@@ -37,7 +49,8 @@
         const controller::options& settings,
         const lease_keeper& leases,
         const vm_watch& vms,
-        const engine_reports& reports);
+        const engine_reports& reports,
+        const load_failures& failures);
 
     /// A record was folded.
     void folded(const control_context& context, const fold_event& event);
@@ -54,7 +67,7 @@
     /// Order and report what is due.
     void step(const control_context& context);
 
-    /// @return Whether an order to the engine is in flight or uncertain.
+    /// @return Whether an order to the engine may be in flight.
     bool busy(engine_id engine) const;
 
     /// @return Whether any order is in flight or uncertain.
@@ -67,6 +80,9 @@
 private:
     using replica_on = std::pair<engine_id, replica_id>;
 
+    /// Reads that must agree before a replica counts as absent or as a stray.
+    static constexpr unsigned agreeing_reads = 2;
+
     struct order_sent
     {
         engine_id engine;
@@ -88,6 +104,7 @@
         bool load_accepted = false;
         bool unload_accepted = false;
         bool load_failed = false; ///< the engine refused it for good
+        std::optional<instant> loading_since; ///< its engine took the order
         unsigned refusals = 0;
         instant not_before{}; ///< of the next order
         duration retry{};
@@ -114,11 +131,26 @@
         fence held;
         instant taken{};
         bool read_since_taken = false;
+        bool unproven = false; ///< a former holder's order may arrive
         std::map<replica_id, replica_track> replicas;
         std::map<replica_id, stray_track> strays;
     };
 
     void step_engine(const control_context& context, const engine_view& engine);
+    static void note_proof(
+        const control_context& context,
+        const engine_view& engine,
+        engine_track& track);
+    void step_lost(const control_context& context, const engine_view& engine);
+    void note_effects(
+        const control_context& context,
+        engine_id engine,
+        const engine_sighting& sighting);
+    bool load_overdue(
+        const control_context& context,
+        const engine_view& engine,
+        const replica_track& item,
+        const replica_view& replica) const;
     void give_up_dead(
         const control_context& context,
         const engine_view& engine,
@@ -204,6 +236,7 @@
     const lease_keeper& leases;
     const vm_watch& vms;
     const engine_reports& reports;
+    const load_failures& failures;
     bool winding_down = false;
     std::uint64_t last_order = 0;
     std::map<engine_id, engine_track> engines;
--- a/src/core/placement/proposer.cpp
+++ b/src/core/placement/proposer.cpp
@@ -1,7 +1,6 @@
 #include "core/placement/proposer.hpp"
 
 #include <algorithm>
-#include <tuple>
 #include <variant>
 
 namespace roseworks::detail
@@ -23,40 +22,21 @@
 /// Reports older than this say nothing about an engine being reachable.
 constexpr duration report_life = std::chrono::seconds(30);
 
-enum cache_tier_rank
-{
-    in_memory,
-    on_disk,
-    remote
-};
-
-bool contains(const std::vector<std::string>& names, std::string_view name)
-{
-    return std::find(names.begin(), names.end(), name) != names.end();
-}
-
 } // namespace
 
-/// Replicas to evict from one engine, and what it costs.
-struct proposer::eviction_plan
-{
-    bool possible = false;
-    bool under_way = false; ///< room is already being made there
-    double least_value = 0; ///< of the replica that is worth keeping most
-    std::vector<replica_id> victims;
-};
-
 proposer::proposer(
     const controller::options& wanted,
     const placement_strategy& strategy_source,
     const activity& use_source,
     const vm_watch& vm_source,
-    const engine_reports& report_source)
+    const engine_reports& report_source,
+    const load_failures& streak_source)
     : settings(wanted)
     , strategy(strategy_source)
     , uses(use_source)
     , vms(vm_source)
     , reports(report_source)
+    , load_streaks(streak_source)
 {
 }
 
@@ -304,7 +284,8 @@
     {
         this->forward(context, servable.id, track);
     }
-    if (!servable.readable || context.now < track.not_before)
+    if (!servable.readable || context.now < track.not_before ||
+        context.now < this->load_streaks.not_before(servable.id))
     {
         return;
     }
@@ -437,293 +418,6 @@
     this->demanded(needed, context.now);
 }
 
-std::uint32_t proposer::pending_mib(engine_id engine) const
-{
-    std::uint32_t total = 0;
-    for (const auto& [id, track] : this->tracks)
-    {
-        for (const auto& [sequence, item] : track.pending)
-        {
-            total += item.engine == engine ? item.memory_mib : 0;
-        }
-    }
-    return total;
-}
-
-int proposer::cache_tier(engine_id engine, std::string_view servable) const
-{
-    const engine_sighting* sighting = this->reports.find(engine);
-    if (sighting == nullptr)
-    {
-        return remote;
-    }
-    if (contains(sighting->report.cached_in_memory, servable))
-    {
-        return in_memory;
-    }
-    return contains(sighting->report.cached_on_disk, servable) ? on_disk
-                                                               : remote;
-}
-
-bool proposer::unreachable(engine_id engine) const
-{
-    const engine_sighting* sighting = this->reports.find(engine);
-    return sighting != nullptr && !sighting->report.reachable;
-}
-
-std::optional<replica_id> proposer::ready_base(
-    const control_context& context,
-    const servable_view& servable,
-    const engine_view& engine) const
-{
-    std::optional<replica_id> found;
-    context.state.for_each_replica_on(
-        engine.id,
-        [&](const replica_view& replica)
-        {
-            if (replica.servable == servable.base &&
-                replica.state == replica_state::ready)
-            {
-                found = replica.id;
-            }
-        });
-    return found;
-}
-
-std::optional<proposer::place> proposer::choose_engine(
-    const control_context& context,
-    const servable_view& servable,
-    const servable_track& track,
-    bool needs_room) const
-{
-    std::map<std::string_view, std::size_t> in_data_centre;
-    std::map<engine_id, std::size_t> on_engine;
-    const auto note = [&](engine_id id)
-    {
-        ++on_engine[id];
-        const std::optional<engine_view> engine = context.state.engine(id);
-        if (engine && engine->spec != nullptr)
-        {
-            ++in_data_centre[engine->spec->data_centre];
-        }
-    };
-    context.state.for_each_replica_of(
-        servable.id,
-        [&](const replica_view& item)
-        {
-            note(item.engine);
-        });
-    for (const auto& [sequence, item] : track.pending)
-    {
-        note(item.engine);
-    }
-
-    using ranking = std::
-        tuple<bool, std::size_t, int, std::size_t, std::uint64_t, engine_id>;
-    std::optional<ranking> best;
-    std::optional<place> chosen;
-    context.state.for_each_engine(
-        [&](const engine_view& engine)
-        {
-            if (!this->usable(engine) ||
-                engine.spec->accelerators < servable.accelerators)
-            {
-                return;
-            }
-            const std::uint64_t reserved = std::uint64_t(engine.reserved_mib) +
-                                           this->pending_mib(engine.id);
-            const std::uint64_t needed =
-                servable.memory_mib + (needs_room ? reserved : 0);
-            if (needed > engine.spec->memory_mib)
-            {
-                return;
-            }
-            const std::optional<replica_id> base =
-                servable.is_adapter
-                    ? this->ready_base(context, servable, engine)
-                    : replica_id{};
-            if (!base)
-            {
-                return;
-            }
-            const bool avoided = track.failures.contains(engine.id) ||
-                                 this->unreachable(engine.id);
-            const ranking rank{
-                avoided,
-                on_engine[engine.id],
-                this->cache_tier(engine.id, servable.name),
-                in_data_centre[engine.spec->data_centre],
-                reserved,
-                engine.id};
-            if (!best || rank < *best)
-            {
-                best = rank;
-                chosen = place{engine.id, *base};
-            }
-        });
-    return chosen;
-}
-
-bool proposer::evictable(
-    const control_context& context, const replica_view& replica) const
-{
-    if (replica.state != replica_state::ready ||
-        this->wanted(replica.servable) ||
-        !this->uses.seen_by_engine(replica.id) ||
-        this->uses.idle(replica, context.now) < this->settings.evict_grace)
-    {
-        return false;
-    }
-    const std::optional<servable_view> servable =
-        context.state.servable(replica.servable);
-    if (!servable)
-    {
-        return true;
-    }
-    std::size_t staying = 0;
-    context.state.for_each_replica_of(
-        replica.servable,
-        [&](const replica_view& other)
-        {
-            const bool leaves = this->evictions.contains(other.id);
-            staying += other.state == replica_state::ready && !leaves ? 1 : 0;
-        });
-    bool has_adapters = false;
-    context.state.for_each_replica_on(
-        replica.engine,
-        [&](const replica_view& other)
-        {
-            has_adapters = has_adapters || other.base == replica.id;
-        });
-    return !has_adapters && staying > servable->min_replicas;
-}
-
-proposer::eviction_plan proposer::plan_eviction(
-    const control_context& context,
-    const servable_view& servable,
-    const engine_view& engine) const
-{
-    eviction_plan plan;
-    const std::uint64_t needed = std::uint64_t(engine.reserved_mib) +
-                                 this->pending_mib(engine.id) +
-                                 servable.memory_mib;
-    std::uint64_t to_free =
-        needed > engine.spec->memory_mib ? needed - engine.spec->memory_mib : 0;
-
-    struct candidate
-    {
-        double value = 0;
-        replica_id id;
-        std::uint32_t memory_mib = 0;
-    };
-
-    std::vector<candidate> candidates;
-    std::uint64_t being_freed = 0;
-    context.state.for_each_replica_on(
-        engine.id,
-        [&](const replica_view& replica)
-        {
-            const bool leaves = replica.state == replica_state::draining ||
-                                replica.state == replica_state::unloading ||
-                                replica.state == replica_state::failed ||
-                                this->evictions.contains(replica.id);
-            if (leaves)
-            {
-                being_freed += replica.memory_mib;
-                return;
-            }
-            // An adapter is never let in at the price of its own base.
-            if (replica.servable == servable.base ||
-                !this->evictable(context, replica))
-            {
-                return;
-            }
-            const std::optional<servable_view> view =
-                context.state.servable(replica.servable);
-            const double value =
-                view ? this->strategy.eviction_value(
-                           *view,
-                           this->uses.idle(replica, context.now),
-                           context.state.policy())
-                     : 0;
-            candidates.push_back({value, replica.id, replica.memory_mib});
-        });
-    if (being_freed >= to_free)
-    {
-        plan.under_way = true;
-        return plan;
-    }
-    to_free -= being_freed;
-    std::sort(
-        candidates.begin(),
-        candidates.end(),
-        [](const candidate& one, const candidate& other)
-        {
-            return one.value != other.value ? one.value > other.value
-                                            : one.id < other.id;
-        });
-    std::uint64_t freed = 0;
-    for (const candidate& item : candidates)
-    {
-        if (freed >= to_free)
-        {
-            break;
-        }
-        freed += item.memory_mib;
-        plan.victims.push_back(item.id);
-        plan.least_value = item.value;
-    }
-    plan.possible = freed >= to_free;
-    return plan;
-}
-
-bool proposer::make_room(
-    const control_context& context, const servable_view& servable)
-{
-    std::optional<eviction_plan> best;
-    bool under_way = false;
-    context.state.for_each_engine(
-        [&](const engine_view& engine)
-        {
-            const bool fits =
-                this->usable(engine) &&
-                engine.spec->memory_mib >= servable.memory_mib &&
-                engine.spec->accelerators >= servable.accelerators;
-            const bool has_base =
-                fits && (!servable.is_adapter ||
-                         this->ready_base(context, servable, engine));
-            if (!has_base)
-            {
-                return;
-            }
-            eviction_plan plan = this->plan_eviction(context, servable, engine);
-            under_way = under_way || plan.under_way;
-            const bool better =
-                plan.possible &&
-                (!best || plan.victims.size() < best->victims.size() ||
-                 (plan.victims.size() == best->victims.size() &&
-                  plan.least_value > best->least_value));
-            if (better)
-            {
-                best = std::move(plan);
-            }
-        });
-    if (under_way || !best)
-    {
-        return false;
-    }
-    for (const replica_id victim : best->victims)
-    {
-        replica_report record;
-        record.replica = victim;
-        record.to = replica_state::draining;
-        record.session = context.self;
-        record.cause = "evicted for " + std::string(servable.name);
-        this->evictions[victim] = context.submit(std::move(record));
-    }
-    return true;
-}
-
 instant proposer::next_tick() const
 {
     instant next = instant::max();
--- a/src/core/placement/proposer.hpp
+++ b/src/core/placement/proposer.hpp
@@ -2,6 +2,7 @@
 
 #include "core/placement/activity.hpp"
 #include "core/placement/engine_reports.hpp"
+#include "core/placement/load_failures.hpp"
 #include "core/recovery/control_context.hpp"
 #include "core/recovery/vm_watch.hpp"
 
@@ -36,7 +37,8 @@
         const placement_strategy& strategy,
         const activity& uses,
         const vm_watch& vms,
-        const engine_reports& reports);
+        const engine_reports& reports,
+        const load_failures& load_streaks);
 
     /// A servable is wanted, here or (as heard) at another router.
     void demanded(const servable_demand& what, instant now);
@@ -158,6 +160,7 @@
     const activity& uses;
     const vm_watch& vms;
     const engine_reports& reports;
+    const load_failures& load_streaks;
     std::map<servable_id, servable_track> tracks;
     bool catalogue_changed = true;
     std::set<servable_id> kept_ready; ///< declared with a minimum
--- /dev/null
+++ b/src/core/placement/proposer_room.cpp
@@ -0,0 +1,179 @@
+#include "core/placement/proposer.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace roseworks::detail
+{
+
+/// Replicas to evict from one engine, and what it costs.
+struct proposer::eviction_plan
+{
+    bool possible = false;
+    bool under_way = false; ///< room is already being made there
+    double least_value = 0; ///< of the replica that is worth keeping most
+    std::vector<replica_id> victims;
+};
+
+bool proposer::evictable(
+    const control_context& context, const replica_view& replica) const
+{
+    if (replica.state != replica_state::ready ||
+        this->wanted(replica.servable) ||
+        !this->uses.seen_by_engine(replica.id) ||
+        this->uses.idle(replica, context.now) < this->settings.evict_grace)
+    {
+        return false;
+    }
+    const std::optional<servable_view> servable =
+        context.state.servable(replica.servable);
+    if (!servable)
+    {
+        return true;
+    }
+    std::size_t staying = 0;
+    context.state.for_each_replica_of(
+        replica.servable,
+        [&](const replica_view& other)
+        {
+            const bool leaves = this->evictions.contains(other.id);
+            staying += other.state == replica_state::ready && !leaves ? 1 : 0;
+        });
+    bool has_adapters = false;
+    context.state.for_each_replica_on(
+        replica.engine,
+        [&](const replica_view& other)
+        {
+            has_adapters = has_adapters || other.base == replica.id;
+        });
+    return !has_adapters && staying > servable->min_replicas;
+}
+
+proposer::eviction_plan proposer::plan_eviction(
+    const control_context& context,
+    const servable_view& servable,
+    const engine_view& engine) const
+{
+    eviction_plan plan;
+    const std::uint64_t needed = std::uint64_t(engine.reserved_mib) +
+                                 this->pending_mib(engine.id) +
+                                 servable.memory_mib;
+    std::uint64_t to_free =
+        needed > engine.spec->memory_mib ? needed - engine.spec->memory_mib : 0;
+
+    struct candidate
+    {
+        double value = 0;
+        replica_id id;
+        std::uint32_t memory_mib = 0;
+    };
+
+    std::vector<candidate> candidates;
+    std::uint64_t being_freed = 0;
+    context.state.for_each_replica_on(
+        engine.id,
+        [&](const replica_view& replica)
+        {
+            const bool leaves = replica.state == replica_state::draining ||
+                                replica.state == replica_state::unloading ||
+                                replica.state == replica_state::failed ||
+                                this->evictions.contains(replica.id);
+            if (leaves)
+            {
+                being_freed += replica.memory_mib;
+                return;
+            }
+            // An adapter is never let in at the price of its own base.
+            if (replica.servable == servable.base ||
+                !this->evictable(context, replica))
+            {
+                return;
+            }
+            const std::optional<servable_view> view =
+                context.state.servable(replica.servable);
+            const double value =
+                view ? this->strategy.eviction_value(
+                           *view,
+                           this->uses.idle(replica, context.now),
+                           context.state.policy())
+                     : 0;
+            candidates.push_back({value, replica.id, replica.memory_mib});
+        });
+    if (being_freed >= to_free)
+    {
+        plan.under_way = true;
+        return plan;
+    }
+    to_free -= being_freed;
+    std::sort(
+        candidates.begin(),
+        candidates.end(),
+        [](const candidate& one, const candidate& other)
+        {
+            return one.value != other.value ? one.value > other.value
+                                            : one.id < other.id;
+        });
+    std::uint64_t freed = 0;
+    for (const candidate& item : candidates)
+    {
+        if (freed >= to_free)
+        {
+            break;
+        }
+        freed += item.memory_mib;
+        plan.victims.push_back(item.id);
+        plan.least_value = item.value;
+    }
+    plan.possible = freed >= to_free;
+    return plan;
+}
+
+bool proposer::make_room(
+    const control_context& context, const servable_view& servable)
+{
+    std::optional<eviction_plan> best;
+    bool under_way = false;
+    context.state.for_each_engine(
+        [&](const engine_view& engine)
+        {
+            const bool fits =
+                this->usable(engine) &&
+                engine.spec->memory_mib >= servable.memory_mib &&
+                engine.spec->accelerators >= servable.accelerators;
+            const bool has_base =
+                fits && (!servable.is_adapter ||
+                         this->ready_base(context, servable, engine));
+            if (!has_base)
+            {
+                return;
+            }
+            eviction_plan plan = this->plan_eviction(context, servable, engine);
+            under_way = under_way || plan.under_way;
+            const bool better =
+                plan.possible &&
+                (!best || plan.victims.size() < best->victims.size() ||
+                 (plan.victims.size() == best->victims.size() &&
+                  plan.least_value > best->least_value));
+            if (better)
+            {
+                best = std::move(plan);
+            }
+        });
+    if (under_way || !best)
+    {
+        return false;
+    }
+    for (const replica_id victim : best->victims)
+    {
+        replica_report record;
+        record.replica = victim;
+        record.to = replica_state::draining;
+        record.session = context.self;
+        record.cause = "evicted for " + std::string(servable.name);
+        this->evictions[victim] = context.submit(std::move(record));
+    }
+    return true;
+}
+
+} // namespace roseworks::detail
--- a/src/core/recovery/lease_keeper.cpp
+++ b/src/core/recovery/lease_keeper.cpp
@@ -107,6 +107,7 @@
             continue;
         }
         lease.pending.reset();
+        lease.releasing = false;
         lease.retry =
             accepted ? duration{}
                      : std::clamp(lease.retry * 2, first_retry, longest_retry);
@@ -233,6 +234,13 @@
         return;
     }
     lease.misplaced_since.reset();
+    const bool waited_for = context.state.order_may_be_in_flight(engine.id) &&
+                            context.state.former_holder(engine.id, this->self);
+    if (waited_for && !busy(engine.id))
+    {
+        this->release(context, engine.id, lease);
+        return;
+    }
     this->consider_taking(context, engine, lease);
 }
 
@@ -259,10 +267,23 @@
         context.now >= *lease.misplaced_since + this->settings.lease_term;
     if (long_enough && !engine_busy)
     {
-        lease.pending = context.submit(lease_release{engine.id, this->self});
+        this->release(context, engine.id, lease);
     }
 }
 
+void lease_keeper::release(
+    const control_context& context, engine_id engine, engine_lease& lease)
+{
+    lease.pending = context.submit(lease_release{engine, this->self});
+    lease.releasing = true;
+}
+
+bool lease_keeper::releasing(engine_id engine) const
+{
+    const auto lease = this->engines.find(engine);
+    return lease != this->engines.end() && lease->second.releasing;
+}
+
 bool lease_keeper::takeable(
     const fleet_state& state, const engine_view& engine, instant now) const
 {
--- a/src/core/recovery/lease_keeper.hpp
+++ b/src/core/recovery/lease_keeper.hpp
@@ -22,7 +22,9 @@
     just before the renewal was handed out and stops ordering a margin earlier;
     a taker counts the full term plus the margin from when it read the last
     renewal. Which router should hold an engine is a hint by rendezvous hashing;
-    who does hold it is decided by the fold.
+    who does hold it is decided by the fold. A lease lost to another is released
+    as well, as soon as none of its orders can be in flight any more: at an
+    engine that ignores fencing numbers, memory waits for that.
 */
 class lease_keeper
 {
@@ -44,7 +46,7 @@
     /** Renew, take and give back leases.
 
         @param context What is known now.
-        @param busy    Whether an order to an engine is in flight.
+        @param busy    Whether an order to an engine may be in flight.
     */
     void step(
         const control_context& context,
@@ -66,6 +68,12 @@
         fence held,
         instant now) const;
 
+    /** @return Whether a release of the engine is on its way to the log.
+
+        It says that no order is in flight, so none may be issued meanwhile.
+    */
+    bool releasing(engine_id engine) const;
+
     /// @return Whether any engine's lease is held.
     bool holds_any(const fleet_state& state) const;
 
@@ -83,7 +91,8 @@
     struct engine_lease
     {
         std::optional<std::uint64_t>
-            pending; ///< a record about it is under way
+            pending;            ///< a record about it is under way
+        bool releasing = false; ///< and that record is a release
         std::optional<instant> takeable_since;
         std::optional<instant> misplaced_since;
         instant not_before{};
@@ -102,6 +111,8 @@
         const engine_view& engine,
         engine_lease& lease,
         bool engine_busy);
+    void release(
+        const control_context& context, engine_id engine, engine_lease& lease);
     void consider_taking(
         const control_context& context,
         const engine_view& engine,
--- a/src/core/request/dispatcher.cpp
+++ b/src/core/request/dispatcher.cpp
@@ -42,6 +42,11 @@
     this->self->load_reported(report, now);
 }
 
+void dispatcher::cache_reported(const cache_report& report, instant now)
+{
+    this->self->cache_reported(report, now);
+}
+
 void dispatcher::vm_leaving(std::string_view vm, bool leaving, instant now)
 {
     this->self->vm_leaving(vm, leaving, now);
--- a/src/core/request/dispatcher_finish.cpp
+++ b/src/core/request/dispatcher_finish.cpp
@@ -80,6 +80,19 @@
     return outcome;
 }
 
+void dispatcher::impl::note_crash(pending& request, engine_id engine)
+{
+    request.suspect = true;
+    ++request.crashes;
+    // A kept connection to a server that died breaks, too: one crash, not two.
+    if (std::ranges::find(request.crashed, engine) != request.crashed.end())
+    {
+        return;
+    }
+    request.crashed.push_back(engine);
+    this->commands.emplace_back(crash_seen{request.info.content, engine});
+}
+
 dispatcher::finish dispatcher::impl::failed(
     pending& request, const attempt_result& result, instant now)
 {
@@ -93,9 +106,7 @@
             request.where->find(request.replica, request.address);
         const engine_id engine =
             used == nullptr ? engine_id{} : used->where.engine;
-        this->commands.emplace_back(crash_seen{request.info.content, engine});
-        request.suspect = true;
-        ++request.crashes;
+        this->note_crash(request, engine);
     }
     this->release_slot(request);
 
--- a/src/core/request/dispatcher_impl.hpp
+++ b/src/core/request/dispatcher_impl.hpp
@@ -2,6 +2,7 @@
 
 #include "core/admission/caller_limits.hpp"
 #include "core/request/target.hpp"
+#include "core/routing/prefix_map.hpp"
 
 #include <roseworks/dispatcher.hpp>
 
@@ -27,6 +28,7 @@
     // What changes around them.
     void table_changed(routing_table_ptr next, instant now);
     void load_reported(const load_report& report, instant now);
+    void cache_reported(const cache_report& report, instant now);
     void vm_leaving(std::string_view vm, bool leaving, instant now);
     void drain();
     void tick(instant now);
@@ -62,6 +64,8 @@
         bool may_have_run = false; ///< an attempt may have reached a server
         std::uint32_t attempts = 0; ///< granted so far
         std::uint32_t crashes = 0;
+        /// Engines that were reported as crashed by this request.
+        std::vector<engine_id> crashed;
         replica_id replica;                     ///< of the running attempt
         std::string address;                    ///< of the running attempt
         detail::server_key server{};            ///< of the running attempt
@@ -114,6 +118,7 @@
 
     // dispatcher_finish.cpp
     void release_slot(pending& request);
+    void note_crash(pending& request, engine_id engine);
     finish failed(pending& request, const attempt_result& result, instant now);
     finish end(ticket id, finish outcome);
     void enqueue(pending& request);
@@ -147,6 +152,7 @@
     std::uint64_t generation = 0;
     detail::caller_limits limits;
     detail::server_loads loads;
+    detail::prefix_map cached;
     detail::balancer chooser;
     std::mt19937_64 random;
     targets servables;
--- a/src/core/request/dispatcher_pump.cpp
+++ b/src/core/request/dispatcher_pump.cpp
@@ -111,7 +111,11 @@
     }
 
     detail::choice_query query;
-    query.prefix = request.info.prefix;
+    if (this->settings.affinity != prefix_affinity::none)
+    {
+        query.prefix = request.info.prefix;
+        query.cached = &this->cached;
+    }
     query.batch = chosen->item.level == priority::batch;
     query.max_streams = where.max_streams;
     query.tried = request.tried;
--- a/src/core/request/dispatcher_tick.cpp
+++ b/src/core/request/dispatcher_tick.cpp
@@ -59,6 +59,15 @@
     }
 }
 
+/// No request waits for a cache event, so nothing else follows.
+void dispatcher::impl::cache_reported(const cache_report& report, instant now)
+{
+    if (this->settings.affinity == prefix_affinity::cache_events)
+    {
+        this->cached.reported(report, now);
+    }
+}
+
 void dispatcher::impl::vm_leaving(std::string_view vm, bool is, instant now)
 {
     if (is)
--- a/src/core/routing/balancer.cpp
+++ b/src/core/routing/balancer.cpp
@@ -22,7 +22,10 @@
 
 std::uint64_t rendezvous(std::uint64_t prefix, const backend& one)
 {
-    return mixed(mixed(prefix) ^ mixed(one.server ^ one.where.replica.value));
+    // Mixed one by one: engines' and replicas' numbers are small and alike.
+    const std::uint64_t place =
+        mixed(mixed(one.server) ^ one.where.replica.value);
+    return mixed(mixed(prefix) ^ place);
 }
 
 bool was_tried(const backend& one, std::span<const server_key> tried)
@@ -198,23 +201,53 @@
     }
 
     double sum = 0;
-    std::size_t best = near.front();
     for (const std::size_t i : near)
     {
         sum += loads.load(all[i].server, now);
-        if (rendezvous(query.prefix, all[i]) >
-            rendezvous(query.prefix, all[best]))
+    }
+    const double mean = sum / static_cast<double>(near.size());
+    const auto fits = [&](std::size_t i)
+    {
+        return loads.load(all[i].server, now) <= affinity_bound * mean + 1 &&
+               has_slot(all[i], query.max_streams, query.batch, loads, now);
+    };
+    const auto closer = [&](std::size_t left, std::size_t right)
+    {
+        return rendezvous(query.prefix, all[left]) >
+               rendezvous(query.prefix, all[right]);
+    };
+
+    const auto better = [&](std::size_t left, std::size_t right)
+    {
+        const std::uint32_t left_load = loads.load(all[left].server, now);
+        const std::uint32_t right_load = loads.load(all[right].server, now);
+        return left_load < right_load ||
+               (left_load == right_load && closer(left, right));
+    };
+
+    // What is stale counts only where the hash gives no answer.
+    std::optional<std::size_t> fresh;
+    std::optional<std::size_t> stale;
+    std::size_t home = near.front();
+    for (const std::size_t i : near)
+    {
+        home = closer(i, home) ? i : home;
+        const auto known =
+            query.cached == nullptr
+                ? prefix_map::knowledge::none
+                : query.cached->find(all[i].server, query.prefix, now);
+        if (known == prefix_map::knowledge::none || !fits(i))
         {
-            best = i;
+            continue;
         }
+        auto& best = known == prefix_map::knowledge::fresh ? fresh : stale;
+        best = best && !better(i, *best) ? best : i;
     }
-    const double mean = sum / static_cast<double>(near.size());
-    if (loads.load(all[best].server, now) > affinity_bound * mean + 1 ||
-        !has_slot(all[best], query.max_streams, query.batch, loads, now))
+    if (fresh)
     {
-        return std::nullopt;
+        return fresh;
     }
-    return best;
+    return fits(home) ? std::optional(home) : stale;
 }
 
 std::size_t balancer::draw(std::size_t count)
--- a/src/core/routing/balancer.hpp
+++ b/src/core/routing/balancer.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/routing/ejection.hpp"
+#include "core/routing/prefix_map.hpp"
 #include "core/routing/server_loads.hpp"
 
 #include <roseworks/routing_table.hpp>
@@ -29,7 +30,8 @@
 /// What a choice depends on.
 struct choice_query
 {
-    std::uint64_t prefix = 0; ///< 0: none
+    std::uint64_t prefix = 0;           ///< 0: none
+    const prefix_map* cached = nullptr; ///< null: by hash only
     bool batch = false;
     std::uint16_t max_streams = 1;
     std::span<const server_key> tried; ///< servers of earlier attempts
@@ -46,10 +48,11 @@
 
     Of the replicas that are listed, not leaving and not ejected, with a free
     slot: those of the own data centre first, others when these are full. The
-    replica that the prompt's prefix hashes to, while its load is at most 1.25
-    times the mean and one; else the less loaded of two drawn at random. Batch
-    work leaves one slot of each replica free. A retry goes to another server
-    where there is one.
+    least loaded of the replicas known to hold the prompt's prefix, else the one
+    that the prefix hashes to, else the least loaded of those that held it by
+    stale knowledge, each while its load is at most 1.25 times the mean and one;
+    else the less loaded of two drawn at random. Batch work leaves one slot of
+    each replica free. A retry goes to another server where there is one.
 
     Hint. Deterministic for a seed.
 */
--- a/src/core/state/engine_store.cpp
+++ b/src/core/state/engine_store.cpp
@@ -1,5 +1,6 @@
 #include "core/state/engine_store.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace roseworks::detail
@@ -75,6 +76,14 @@
            !row->earlier.empty();
 }
 
+bool engine_store::former_holder(engine_id id, session_id session) const
+{
+    const engine_row* row = this->row(id);
+    return row != nullptr &&
+           std::find(row->earlier.begin(), row->earlier.end(), session) !=
+               row->earlier.end();
+}
+
 engine_row& engine_store::row_for(std::string_view name, engine_id& id)
 {
     id = engine_id(this->names.intern(name));
--- a/src/core/state/engine_store.hpp
+++ b/src/core/state/engine_store.hpp
@@ -24,8 +24,8 @@
     std::uint32_t reserved_mib = 0;
     session_id holder;
     fence held;
-    /// Former holders that aren't proven gone, oldest first: an order of
-    /// theirs may still arrive.
+    /// Former holders that are neither proven gone nor have released, oldest
+    /// first: an order of theirs may still arrive.
     std::vector<session_id> earlier;
 };
 
@@ -65,6 +65,9 @@
     ///         doesn't check fencing numbers.
     bool order_may_be_in_flight(engine_id id) const;
 
+    /// @return Whether the session is among the engine's former holders.
+    bool former_holder(engine_id id, session_id session) const;
+
     std::deque<engine_row>& all()
     {
         return this->rows;
--- a/src/core/state/fleet_state.cpp
+++ b/src/core/state/fleet_state.cpp
@@ -223,6 +223,11 @@
     return this->self->data.engines.order_may_be_in_flight(id);
 }
 
+bool fleet_state::former_holder(engine_id id, session_id session) const
+{
+    return this->self->data.engines.former_holder(id, session);
+}
+
 std::optional<session_view> fleet_state::session(session_id id) const
 {
     const detail::session_row* row = this->self->data.sessions.find(id);
--- a/src/core/state/router_fold.cpp
+++ b/src/core/state/router_fold.cpp
@@ -184,6 +184,9 @@
     engine_row* row = context.data.engines.row(value.engine);
     if (row == nullptr)
         return no_engine(value.engine);
+    // A former holder knows best whether an order of it is in flight.
+    if (std::erase(row->earlier, value.session) != 0)
+        return accept();
     if (!value.session || row->holder != value.session)
         return reject(
             reject_reason::not_holder,
--- a/src/ports/engine_port.hpp
+++ b/src/ports/engine_port.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <roseworks/controller.hpp>
+#include <roseworks/dispatcher.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -18,6 +20,8 @@
     using order_done = std::function<void(order_outcome)>;
     using read_done = std::function<void(engine_report)>;
 
+    using cache_done = std::function<void(const cache_report&)>;
+
     virtual ~engine_port() = default;
 
     /** Send an order once.
@@ -37,6 +41,24 @@
     /// Read an engine's state; the report is unreachable when it can't be.
     virtual void read_state(const read_engine& what, read_done done) = 0;
 
+    /** Read the cache events since the last read of this engine.
+
+        Only hints hang on them, so here alone `done` may stay uncalled: when
+        the engine has none to tell, which is what the default does, can't be
+        read, or is being read already.
+
+        @param what        The engine.
+        @param incarnation As its state tells; another one reads anew.
+        @param done        Receives the events.
+    */
+    virtual void read_cache_events(
+        const read_engine& what, std::uint64_t incarnation, cache_done done)
+    {
+        static_cast<void>(what);
+        static_cast<void>(incarnation);
+        static_cast<void>(done);
+    }
+
     /// Breaks all connections: running calls end as unanswered.
     virtual void cancel_all() = 0;
 };
--- a/tests/unit/dispatch/test_retries.cpp
+++ b/tests/unit/dispatch/test_retries.cpp
@@ -159,6 +159,18 @@
     cr_assert_eq(test.crashes.size(), 2);
 }
 
+Test(retries, two_connections_to_one_crashed_server_are_one_crash)
+{
+    harness test;
+    test.model("m", 1, 1, 4);
+    request_info request = test.info();
+    request.content = fingerprint(9);
+    const ticket id = test.submit(request);
+    cr_assert(not test.finish(id, end_kind::broken).final_answer);
+    cr_assert(test.finish(id, end_kind::broken).final_answer);
+    cr_assert_eq(test.crashes.size(), 1);
+}
+
 Test(retries, a_stream_that_breaks_is_a_crash_suspicion_too)
 {
     harness test;
--- a/tests/unit/log_client/platform_test.cpp
+++ b/tests/unit/log_client/platform_test.cpp
@@ -263,6 +263,56 @@
     cr_expect(!report_is_refused(R"({"residents":[]})"));
 }
 
+Test(engine_client, reads_cache_events_on_from_the_last_and_anew_after_restart)
+{
+    engine_bench bench(
+        [](const scripted_server::request& call)
+        {
+            const bool first = call.target().ends_with("from=1");
+            return scripted_answer{
+                kind::answer,
+                200,
+                first ? R"({"next":8,"events":[
+                         {"seq":6,"prefix":"00000000000000ff","cached":true},
+                         {"seq":7,"prefix":"fedcba9876543210","cached":false},
+                         {"seq":0,"prefix":"fedcba9876543210","cached":true},
+                         {"seq":8,"prefix":"xyz","cached":true},
+                         {"seq":9,"prefix":"fedcba9876543210"}, 5]})"
+                      : R"({"next":8,"events":[]})"};
+        });
+    const auto read = [&](std::uint64_t incarnation)
+    {
+        std::optional<cache_report> report;
+        bench.client.read_cache_events(
+            {engine_id(4), text_of(bench.server.endpoint())},
+            incarnation,
+            [&](const cache_report& one)
+            {
+                report = one;
+            });
+        cr_assert(run_until(
+            bench.context,
+            [&]
+            {
+                return report.has_value();
+            }));
+        return *report;
+    };
+
+    const cache_report first = read(17);
+    cr_expect(first.engine == engine_id(4) && first.incarnation == 17);
+    cr_expect(first.from == 0 && first.next == 8);
+    cr_assert(first.events.size() == 2, "what is in bad form counts as lost");
+    cr_expect(first.events[0].prefix == 255 && first.events[0].cached);
+    cr_expect(first.events[1].prefix == 0xfedcba9876543210ULL);
+    cr_expect(first.events[1].sequence == 7 && !first.events[1].cached);
+    cr_expect(read(17).from == 8);
+    cr_expect(read(18).from == 0, "another incarnation");
+    cr_expect(bench.server.requests.size() == 3);
+    cr_expect(bench.server.requests[1].target() == "/v1/engine/events?from=8");
+    cr_expect(bench.server.requests[2].target() == "/v1/engine/events?from=1");
+}
+
 Test(credentials, refuses_what_could_not_be_a_header)
 {
     std::istringstream in("e1 = two words\n");
--- a/tests/unit/state/router_test.cpp
+++ b/tests/unit/state/router_test.cpp
@@ -140,6 +140,39 @@
     }
 }
 
+Test(router, a_former_holder_says_that_no_order_of_it_is_in_flight)
+{
+    fold_log log;
+    log.put_fleet();
+    const session_id oldest = log.join(2);
+    const session_id old = log.join(3);
+    const session_id taker = log.join(4);
+    const session_id stranger = log.join(5);
+    log.lease(oldest);
+    const replica_id replica = log.decide("m", oldest);
+    log.take_over(old);
+    log.take_over(taker);
+    const engine_id engine = engine_of(log).id;
+    const fence held = engine_of(log).held;
+
+    cr_assert(rejected(
+        log.put(lease_release{engine, stranger}), reject_reason::not_holder));
+    cr_assert(accepted(log.put(lease_release{engine, oldest})));
+    cr_assert(!log.state.former_holder(engine, oldest));
+    cr_assert(log.state.former_holder(engine, old));
+    cr_assert(rejected(
+        log.put(lease_release{engine, oldest}), reject_reason::not_holder));
+    cr_assert(rejected(
+        log.report(replica, replica_state::gone, taker, held),
+        reject_reason::not_proven_gone));
+
+    cr_assert(accepted(log.put(lease_release{engine, old})));
+    cr_assert(!log.state.order_may_be_in_flight(engine));
+    cr_assert_eq(engine_of(log).holder, taker, "the lease stays where it is");
+    cr_assert_eq(engine_of(log).held, held);
+    cr_assert(accepted(log.report(replica, replica_state::gone, taker, held)));
+}
+
 Test(router, a_former_holder_outlives_the_engines_removal)
 {
     fold_log log;
