Hold a crash against a request only when its server died

Change: crash_witness confirms by a refused fresh connection, or by another incarnation of the engine; what can't be reached either way isn't counted.

--- a/include/roseworks/dispatcher.hpp
+++ b/include/roseworks/dispatcher.hpp
@@ -64,11 +64,13 @@
     instant earliest_deadline;
 };
 
-/// Tell the control thread that a backend server died under this request.
+/// A connection broke under a request that had been sent: its backend server
+/// may have died of it.
 struct crash_seen
 {
     fingerprint request;
-    engine_id engine;
+    engine_id engine;    ///< 0 for a plain service
+    std::string address; ///< ip:port that the request was sent to
 };
 
 using dispatch_command = std::variant<grant, refusal, demand, crash_seen>;
--- a/src/app/control_loop.cpp
+++ b/src/app/control_loop.cpp
@@ -61,6 +61,13 @@
     , reporter(with.events)
     , tick_timer(this->executor)
     , look_timer(this->executor)
+    , witness(
+          this->executor,
+          with.engines,
+          [this](const crash_seen& what)
+          {
+              this->crash_confirmed(what);
+          })
 {
 }
 
@@ -93,6 +100,7 @@
     this->stopped = true;
     this->tick_timer.cancel();
     this->look_timer.cancel();
+    this->witness.stop();
     this->ports.log.stop();
     this->ports.peers.stop();
     if (this->ports.vms != nullptr)
@@ -115,6 +123,13 @@
 }
 
 void control_loop::crashed(const crash_seen& what)
+{
+    if (!this->core || this->stopped)
+        return;
+    this->witness.examine(what);
+}
+
+void control_loop::crash_confirmed(const crash_seen& what)
 {
     if (!this->core || this->stopped)
         return;
@@ -684,6 +699,8 @@
 void control_loop::note_engine(const engine_report& report)
 {
     const instant now = this->ports.clock.now();
+    if (report.reachable)
+        this->witness.engine_seen(report.engine, report.incarnation);
     outage_watch& watch = this->engine_outages[report.engine];
     if (!report.reachable)
     {
--- a/src/app/control_loop.hpp
+++ b/src/app/control_loop.hpp
@@ -2,6 +2,7 @@
 
 #include "app/checkpoint_search.hpp"
 #include "app/control_notices.hpp"
+#include "app/crash_witness.hpp"
 #include "app/outage_watch.hpp"
 #include "app/record_reporter.hpp"
 #include "ports/clock.hpp"
@@ -150,6 +151,7 @@
         std::uint64_t run);
     void read_cache_events(const read_engine& what, std::uint64_t incarnation);
     void cache_events_read(const cache_report& report);
+    void crash_confirmed(const crash_seen& what);
     void report_order(const engine_order& order, order_outcome outcome);
     void note_engine(const engine_report& report);
     void tell_sessions();
@@ -162,6 +164,7 @@
     record_reporter reporter;
     boost::asio::steady_timer tick_timer;
     boost::asio::steady_timer look_timer;
+    crash_witness witness;
 
     std::unique_ptr<controller> core;
     std::uint64_t run = 0; ///< counts controllers; late answers name theirs
--- a/src/core/request/dispatcher_finish.cpp
+++ b/src/core/request/dispatcher_finish.cpp
@@ -90,7 +90,8 @@
         return;
     }
     request.crashed.push_back(engine);
-    this->commands.emplace_back(crash_seen{request.info.content, engine});
+    this->commands.emplace_back(
+        crash_seen{request.info.content, engine, request.address});
 }
 
 dispatcher::finish dispatcher::impl::failed(
