Make the crash test wait for what it judges

Change: it waits until every router knows four ready replicas, and until the log shows the block, before it asks again; the assertions stand.

--- a/tests/integration/requests_test.cpp
+++ b/tests/integration/requests_test.cpp
@@ -24,6 +24,21 @@
     return setup;
 }
 
+/// Ready replicas as all routers know them, added up.
+std::size_t ready_replicas(const fleet& nodes)
+{
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < nodes.routers(); ++i)
+    {
+        const auto state = get_json(nodes.router_address(i), "/state");
+        if (!state.is_object())
+            continue;
+        for (const auto& replica : state.at("replicas").as_array())
+            count += replica.at("state").as_string() == "ready" ? 1 : 0;
+    }
+    return count;
+}
+
 void warm_up(fleet& nodes, const std::string& records)
 {
     const auto applied = nodes.apply(records);
@@ -172,7 +187,7 @@
     const bool all_ready = eventually(
         [&]
         {
-            return resident_peak(nodes, "agri-lm") == 4;
+            return ready_replicas(nodes) == 4 * nodes.routers();
         });
     cr_assert(all_ready);
     for (std::size_t i = 0; i < nodes.engines_count(); ++i)
@@ -181,6 +196,16 @@
             nodes.engine_address(i),
             R"({"mode":"crash_on","needle":"poison"})"));
     }
+    (void)send(nodes.router_address(0), completion("agri-lm", "poison"));
+    const bool decided = eventually(
+        [&]
+        {
+            const auto shown = run_program(
+                "roseworksctl",
+                {"show", "blocks", "--log", nodes.log_address()});
+            return shown.output.find("yes") != std::string::npos;
+        });
+    cr_assert(decided);
     bool blocked = false;
     std::string seen;
     for (int i = 0; i < 12 && !blocked; ++i)
