--- a/cmake/helpers.cmake
+++ b/cmake/helpers.cmake
@@ -7,8 +7,7 @@
 target_compile_definitions(roseworks_flags INTERFACE
     BOOST_ASIO_NO_DEPRECATED
     BOOST_ASIO_DISABLE_BOOST_COROUTINE
-    ROSEWORKS_VERSION="${PROJECT_VERSION}"
-    ROSEWORKS_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
+    ROSEWORKS_VERSION="${PROJECT_VERSION}")
 target_include_directories(roseworks_flags INTERFACE
     ${PROJECT_SOURCE_DIR}/include ${PROJECT_SOURCE_DIR}/src
     ${PROJECT_SOURCE_DIR})
@@ -42,5 +41,7 @@
     add_executable(${name} ${sources})
     target_link_libraries(${name} PRIVATE
         roseworks_flags PkgConfig::CRITERION ${ARGN})
+    target_compile_definitions(${name} PRIVATE
+        ROSEWORKS_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
     add_test(NAME ${name} COMMAND ${name} --jobs 4 --timeout 120)
 endfunction()
