Judge the soak by what the kernel had taken, not by a second's grace

Cause: the soak's slice excused every call that began within a second of a SIGTERM, and held every older one against the router. On a loaded machine a caller may need longer than that second to connect, and a call that was really cut within it was not seen. Ending the crash fault raced the crash itself: the engine could die between the look and the command.

Ruled out: a longer grace (hides more), a factor from the load average (still a clock), the router's own word (the judged party).

Change: a reply keeps when the kernel had taken the whole request. A request that was sent before the signal is in flight, however late the router runs, and may not be cut; an answer that had begun may never be cut by a shutdown. The crash fault ends by asking until the engine obeys or is gone.

Conclusion: the verdict rests on ledgers, audit and the order of two readings of one clock.

--- a/tests/soak/judge.cpp
+++ b/tests/soak/judge.cpp
@@ -15,9 +15,6 @@
 namespace
 {
 
-/// A call that began this much before a graceful end was surely accepted.
-constexpr std::chrono::seconds surely_accepted{1};
-
 using run_counts = std::map<std::string, std::uint64_t, std::less<>>;
 
 run_counts counts_at(const boost::json::value& ledger, std::string_view key)
@@ -150,12 +147,17 @@
             "no final answer; router r" + std::to_string(call.router + 1));
         return;
     }
-    if (this->may_be_cut(call))
+    if (this->killed(call))
     {
         const bool began = outcome == call_outcome::cut;
         ++this->outcomes[began ? "cut_by_router_end" : "router_unreached"];
         return;
     }
+    if (outcome == call_outcome::unreached && this->came_after_shutdown(call))
+    {
+        ++this->outcomes["router_unreached"];
+        return;
+    }
     this->report(
         "answer_or_refusal",
         call.request_id,
@@ -306,19 +308,30 @@
                });
 }
 
-bool judge::may_be_cut(const call_record& call) const
+bool judge::killed(const call_record& call) const
 {
-    const auto killed = [&](const outage& span)
-    {
-        return span.which == call.router && overlaps(call, span);
-    };
-    const auto not_accepted = [&](const outage& span)
-    {
-        return killed(span) && call.begin > span.begin - surely_accepted;
-    };
-    return std::ranges::any_of(this->faults.router_kills(), killed) ||
-           std::ranges::any_of(
-               this->faults.router_replacements(), not_accepted);
+    return std::ranges::any_of(
+        this->faults.router_kills(),
+        [&](const outage& span)
+        {
+            return span.which == call.router && overlaps(call, span);
+        });
+}
+
+// No clock but this process's own is compared: a request that the kernel had
+// taken before the signal was sent waits in the router's sockets, however late
+// the router gets to run.
+bool judge::came_after_shutdown(const call_record& call) const
+{
+    return std::ranges::any_of(
+        this->faults.router_replacements(),
+        [&](const outage& span)
+        {
+            const bool in_flight =
+                call.reply.sent && *call.reply.sent < span.begin;
+            return span.which == call.router && overlaps(call, span) &&
+                   !in_flight;
+        });
 }
 
 bool judge::paused(const call_record& call) const
--- a/tests/soak/judge.hpp
+++ b/tests/soak/judge.hpp
@@ -59,7 +59,10 @@
     void check_replicas();
     std::uint64_t runs_of(const call_record& call) const;
     bool unseen(const call_record& call) const;
-    bool may_be_cut(const call_record& call) const;
+    /// Whether its router was killed meanwhile.
+    bool killed(const call_record& call) const;
+    /// Whether its router was asked to end before it had the request.
+    bool came_after_shutdown(const call_record& call) const;
     bool paused(const call_record& call) const;
     void report(
         std::string promise,
--- a/tests/soak/storm_faults.cpp
+++ b/tests/soak/storm_faults.cpp
@@ -271,11 +271,18 @@
 
 void storm::revive_engine(std::size_t engine)
 {
-    if (this->nodes.engine(engine).running())
-    {
-        this->calm_engine(engine);
+    // A poisoned call may crash it until it is told to stop that.
+    bool calm = false;
+    const bool known = eventually(
+        [&]
+        {
+            calm = control(this->nodes.engine_address(engine), up);
+            return calm || !this->nodes.engine(engine).running();
+        });
+    if (calm)
         return;
-    }
+    if (!known)
+        this->failed.push_back("an engine runs and takes no command");
     this->watch.engine_ended(engine);
     this->nodes.restart_engine(engine);
     this->watch.engine_back(engine);
--- a/tests/support/http_call.cpp
+++ b/tests/support/http_call.cpp
@@ -70,7 +70,8 @@
             [this](beast::error_code error, std::size_t)
             {
                 // A refusal may come before the whole body was taken.
-                (void)error;
+                if (!error)
+                    this->reply.sent = std::chrono::steady_clock::now();
                 this->read();
             });
     }
--- a/tests/support/http_call.hpp
+++ b/tests/support/http_call.hpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -27,6 +28,8 @@
     std::map<std::string, std::string, std::less<>> headers; ///< lower-case
     std::string body;
     std::string error;
+    /// When the kernel had taken the whole request; empty: it never did.
+    std::optional<std::chrono::steady_clock::time_point> sent;
 
     /// @return A header's value, empty when absent.
     std::string header(std::string_view lower_case_name) const;
