Refuse an idempotency key that comes back with other content

Cause: a claim knew only its key, so a reuse with another path or body was answered with the first call's result (tried by hand, SECURITY.md). Change: a claim carries a 32-bit fingerprint of method, path and body (xxHash); the edge refuses a reuse with another one as not run, 422 key_reused. The fields stand at the record's end and are left out when unknown, so older records are read as before; a record grows by 4 bytes.

The new edge test wasn't run against the old code, which doesn't have the fields it sets.

--- a/include/roseworks/controller.hpp
+++ b/include/roseworks/controller.hpp
@@ -136,6 +136,14 @@
     servable_demand what;
 };
 
+/// A call that wants its idempotency key.
+struct claim_request
+{
+    claim_key key;
+    claim_content content = 0;
+    stamp_ms issued = 0; ///< caller's clock when it made the key; 0: untold
+};
+
 /// Result of a claim that this router asked for.
 struct claim_result
 {
@@ -144,12 +152,14 @@
     {
         granted,
         held,       ///< another call holds the key
+        expired,    ///< the key may be older than what is remembered
         unavailable ///< the log can't decide now; nothing was claimed
     };
     status result = status::granted;
     claim_outcome outcome = claim_outcome::open; ///< of the holder's call
     std::uint16_t http_status = 0;
     std::string body;
+    claim_content content = 0; ///< of the call that holds the key; 0: unknown
 };
 
 /// A record was folded (for logs, metrics and tests).
@@ -276,7 +286,7 @@
     /// A replica here has finished its last request or started one (for idle
     /// times; a hint).
     void used(servable_id servable, instant now);
-    void claim(claim_key key, instant now);
+    void claim(const claim_request& asked, instant now);
     void close_claim(claim_close what, instant now);
     void crash_seen(fingerprint request, engine_id engine, instant now);
     /// Shut down: give leases back, then leave.
--- a/include/roseworks/fleet_state.hpp
+++ b/include/roseworks/fleet_state.hpp
@@ -47,7 +47,8 @@
     not_proven_gone, ///< an old holder's order may still arrive
     claim_held,
     not_holder,
-    entity_in_use
+    entity_in_use,
+    claim_expired
 };
 
 /// @return The word used in logs and the audit trail.
@@ -156,7 +157,8 @@
     bool ended = false;      ///< left, replaced or proven gone: it's dead
 };
 
-/// A claim on an idempotency key.
+/// A claim on an idempotency key. Session and opening are known while it is
+/// open, else 0.
 struct claim_view
 {
     claim_key key;
@@ -164,9 +166,30 @@
     claim_outcome outcome = claim_outcome::open;
     log_offset opened;
     std::uint16_t status = 0;
+    claim_content content = 0; ///< 0: not known
     std::string_view body;
 };
 
+/// What stands at the head of a snapshot.
+struct snapshot_header
+{
+    std::uint16_t format = 0;
+    log_offset folded;
+    std::uint64_t hash = 0; ///< of the content as its author wrote it
+};
+
+/** Read the head of a snapshot, whole or cut short.
+
+    @param bytes The snapshot's first bytes.
+    @return      Empty when they are too few or not a snapshot's.
+*/
+std::optional<snapshot_header>
+read_snapshot_header(std::span<std::byte const> bytes);
+
+/// @return Whether this program writes snapshots in the same format. The
+///         hashes of two formats can't be compared.
+bool is_newest_format(const snapshot_header& about);
+
 /** The decided state of the fleet: a deterministic fold over the log.
 
     Every router folds the same records and holds the same state. This is the
--- a/include/roseworks/record.hpp
+++ b/include/roseworks/record.hpp
@@ -142,11 +142,17 @@
     friend auto operator<=>(const claim_key&, const claim_key&) = default;
 };
 
+/// Short fingerprint of what a claimed call asks for: method, path and body.
+/// 0: not known, as in records of programs that wrote none.
+using claim_content = std::uint32_t;
+
 /// Claims a key before a non-repeatable request is sent. The first wins.
 struct claim_open
 {
     claim_key key;
     session_id session;
+    claim_content content = 0; ///< 0: not known
+    stamp_ms issued = 0; ///< caller's clock when it made the key; 0: untold
 };
 
 /// What became of a claimed request.
--- a/include/roseworks/verdict.hpp
+++ b/include/roseworks/verdict.hpp
@@ -39,7 +39,8 @@
     backend_failed,    ///< the backend server failed
     backend_timeout,   ///< the backend server made no progress
     retries_exhausted, ///< the retry budget is empty
-    stream_cut         ///< a stream ended midway and can't be resumed
+    stream_cut,        ///< a stream ended midway and can't be resumed
+    key_reused         ///< the idempotency key is of a call with other content
 };
 
 /// @return The word used in headers and problem documents: `not-run`, ...
@@ -98,6 +99,8 @@
         return "retries_exhausted";
     case refusal_reason::stream_cut:
         return "stream_cut";
+    case refusal_reason::key_reused:
+        return "key_reused";
     }
     return "unknown";
 }
--- a/src/adapters/edge/call_identity.cpp
+++ b/src/adapters/edge/call_identity.cpp
@@ -55,4 +55,12 @@
     return fingerprint(hash == 0 ? 1 : hash);
 }
 
+claim_content make_claim_content(
+    std::string_view method, std::string_view path, std::string_view body)
+{
+    const std::uint64_t hash = make_fingerprint(method, path, body).value;
+    const auto content = static_cast<claim_content>(hash ^ (hash >> 32));
+    return content == 0 ? 1 : content;
+}
+
 } // namespace roseworks::edge
--- a/src/adapters/edge/call_identity.hpp
+++ b/src/adapters/edge/call_identity.hpp
@@ -29,4 +29,11 @@
 fingerprint make_fingerprint(
     std::string_view target, std::string_view path, std::string_view body);
 
+/// @param method HTTP method.
+/// @param path   path and query.
+/// @param body   the body as it came.
+/// @return       what a claim keeps of the content, never 0.
+claim_content make_claim_content(
+    std::string_view method, std::string_view path, std::string_view body);
+
 } // namespace roseworks::edge
--- a/src/adapters/edge/call_problem.cpp
+++ b/src/adapters/edge/call_problem.cpp
@@ -57,6 +57,8 @@
         return {503, "Retries exhausted"};
     case refusal_reason::stream_cut:
         return {502, "Stream cut"};
+    case refusal_reason::key_reused:
+        return {422, "Idempotency key reused with other content"};
     }
     return {500, "No answer"};
 }
--- a/src/adapters/edge/call_runner.cpp
+++ b/src/adapters/edge/call_runner.cpp
@@ -223,6 +223,15 @@
 
 asio::awaitable<void> call_runner::answer_held(claim_result held)
 {
+    if (held.content != 0 && held.content != this->call.claim->content)
+    {
+        call_problem reused =
+            make_problem(refusal_reason::key_reused, verdict::not_run);
+        reused.detail = "the key is of a call with another method, path or "
+                        "body; this one did not run";
+        co_await this->send_refusal(std::move(reused));
+        co_return;
+    }
     const bool kept =
         held.http_status != 0 &&
         (!held.body.empty() || held.http_status == status_no_content);
@@ -367,7 +376,7 @@
     if (!std::exchange(this->claim_held, false))
         return;
     claim_close what;
-    what.key = *this->call.claim;
+    what.key = this->call.claim->key;
     what.outcome = to_claim_outcome(outcome);
     what.status = static_cast<std::uint16_t>(status);
     if (body.size() <= this->context.options.max_kept_answer_bytes)
--- a/src/adapters/edge/prepared_call.cpp
+++ b/src/adapters/edge/prepared_call.cpp
@@ -42,12 +42,20 @@
     // A service's name and a model's may be the same.
     const std::string target =
         (call.is_service() ? "service/" : "servable/") + call.info.target;
+    claim_request asked;
     if (has_key)
-        call.claim = make_claim_key(
+        asked.key = make_claim_key(
             call.headers.caller, target, call.headers.idempotency_key);
     else if (call.id_from_caller)
-        call.claim = make_derived_claim_key(
+        asked.key = make_derived_claim_key(
             call.headers.caller, target, call.headers.request_id);
+    else
+        return;
+    asked.content = make_claim_content(
+        boost::beast::http::to_string(call.method),
+        call.target.path,
+        call.body);
+    call.claim = asked;
 }
 
 } // namespace
--- a/src/adapters/edge/prepared_call.hpp
+++ b/src/adapters/edge/prepared_call.hpp
@@ -3,6 +3,7 @@
 #include "adapters/edge/call_headers.hpp"
 #include "adapters/edge/request_target.hpp"
 
+#include <roseworks/controller.hpp>
 #include <roseworks/dispatcher.hpp>
 #include <roseworks/record.hpp>
 #include <roseworks/routing_table.hpp>
@@ -33,7 +34,7 @@
     instant deadline;
 
     request_info info;
-    std::optional<claim_key> claim; ///< to be claimed before it is sent
+    std::optional<claim_request> claim; ///< to be claimed before it is sent
 
     bool is_service() const
     {
--- a/src/app/claim_desk.cpp
+++ b/src/app/claim_desk.cpp
@@ -27,13 +27,13 @@
 {
 }
 
-void claim_desk::claim(claim_key key, result_handler handler)
+void claim_desk::claim(const claim_request& asked, result_handler handler)
 {
     boost::asio::post(
         this->control,
-        [this, key, handler = std::move(handler)]() mutable
+        [this, asked, handler = std::move(handler)]() mutable
         {
-            this->take(key, std::move(handler));
+            this->take(asked, std::move(handler));
         });
 }
 
@@ -47,13 +47,13 @@
         });
 }
 
-void claim_desk::take(claim_key key, result_handler handler)
+void claim_desk::take(const claim_request& asked, result_handler handler)
 {
-    std::vector<result_handler>& same_key = this->waiting[key];
+    std::vector<result_handler>& same_key = this->waiting[asked.key];
     same_key.push_back(std::move(handler));
     const bool is_first = same_key.size() == 1;
-    if (is_first && !this->loop.claim(key))
-        this->decided(unavailable(key));
+    if (is_first && !this->loop.claim(asked))
+        this->decided(unavailable(asked.key));
 }
 
 void claim_desk::decided(const claim_result& result)
--- a/src/app/claim_desk.hpp
+++ b/src/app/claim_desk.hpp
@@ -22,7 +22,7 @@
 public:
     claim_desk(boost::asio::any_io_executor control, control_loop& loop);
 
-    void claim(claim_key key, result_handler handler) override;
+    void claim(const claim_request& asked, result_handler handler) override;
     void close(claim_close what) override;
 
     /// The control loop has a result.
@@ -32,7 +32,7 @@
     void dropped();
 
 private:
-    void take(claim_key key, result_handler handler);
+    void take(const claim_request& asked, result_handler handler);
 
     boost::asio::any_io_executor control;
     control_loop& loop;
--- a/src/app/control_loop.cpp
+++ b/src/app/control_loop.cpp
@@ -148,11 +148,11 @@
     this->pump();
 }
 
-bool control_loop::claim(claim_key key)
+bool control_loop::claim(const claim_request& asked)
 {
     if (!this->core || this->stopped)
         return false;
-    this->core->claim(key, this->ports.clock.now());
+    this->core->claim(asked, this->ports.clock.now());
     this->pump();
     return true;
 }
--- a/src/app/control_loop.hpp
+++ b/src/app/control_loop.hpp
@@ -96,7 +96,7 @@
     void crashed(const crash_seen& what);
     void used(std::string_view servable);
     /// @return Whether the claim was handed on; its result follows.
-    bool claim(claim_key key);
+    bool claim(const claim_request& asked);
     void close_claim(claim_close what);
 
     // From the ports.
--- a/src/core/placement/controller.cpp
+++ b/src/core/placement/controller.cpp
@@ -194,17 +194,17 @@
         this->strategy->used(servable, now);
     }
 
-    void claim(claim_key key, instant now)
+    void claim(const claim_request& asked, instant now)
     {
         if (this->leaving_since)
         {
             claim_result refusal;
-            refusal.key = key;
+            refusal.key = asked.key;
             refusal.result = claim_result::status::unavailable;
             this->out.emplace_back(std::move(refusal));
             return;
         }
-        this->claims.claim(this->context(now), key);
+        this->claims.claim(this->context(now), asked);
         this->flush(now);
     }
 
@@ -555,9 +555,9 @@
     this->self->used(servable, now);
 }
 
-void controller::claim(claim_key key, instant now)
+void controller::claim(const claim_request& asked, instant now)
 {
-    this->self->claim(key, now);
+    this->self->claim(asked, now);
 }
 
 void controller::close_claim(claim_close what, instant now)
--- a/src/core/recovery/checkpoint.cpp
+++ b/src/core/recovery/checkpoint.cpp
@@ -57,7 +57,11 @@
         return boost::leaf::new_error(
             checkpoint_error{"the checkpoint is of another offset"});
     }
-    if (state.hash() != whole.state_hash)
+    // An older program's hash is of the content as it wrote it.
+    const auto about = read_snapshot_header(whole.bytes);
+    const bool as_written = about && about->hash == whole.state_hash;
+    const bool same_format = about && is_newest_format(*about);
+    if (!as_written || (same_format && state.hash() != whole.state_hash))
     {
         return boost::leaf::new_error(
             checkpoint_error{"the checkpoint has another hash"});
--- a/src/core/recovery/checkpoint_writer.cpp
+++ b/src/core/recovery/checkpoint_writer.cpp
@@ -70,11 +70,20 @@
     const bool complete = indices.size() == chunk->count;
     if (this->seen.size() > remembered_checkpoints)
     {
+        this->foreign.erase(this->seen.begin()->first);
         this->seen.erase(this->seen.begin());
     }
     const auto own = this->own_hashes.find(name.at);
+    if (chunk->index == 0)
+    {
+        const auto about = read_snapshot_header(chunk->data);
+        if (about && !is_newest_format(*about))
+        {
+            this->foreign.insert(name);
+        }
+    }
     if (!is_new || !complete || own == this->own_hashes.end() ||
-        own->second == name.state_hash)
+        this->foreign.contains(name) || own->second == name.state_hash)
     {
         return;
     }
--- a/src/core/recovery/checkpoint_writer.hpp
+++ b/src/core/recovery/checkpoint_writer.hpp
@@ -51,6 +51,8 @@
     std::size_t chunk_bytes;
     std::map<log_offset, std::uint64_t> own_hashes;
     std::map<logged_checkpoint, std::set<std::uint32_t>> seen;
+    /// Checkpoints of programs whose hashes can't be compared with ours.
+    std::set<logged_checkpoint> foreign;
     std::deque<checkpoint_chunk> unsent;
     std::optional<std::uint64_t> in_flight;
 };
--- a/src/core/recovery/claim_keeper.cpp
+++ b/src/core/recovery/claim_keeper.cpp
@@ -21,50 +21,57 @@
 }
 
 void claim_keeper::answer(
-    const control_context& context, claim_key key, claim_result::status status)
+    const control_context& context,
+    const claim_request& asked,
+    claim_result::status status)
 {
     claim_result result;
-    result.key = key;
+    result.key = asked.key;
     result.result = status;
-    const std::optional<claim_view> claim = context.state.claim(key);
+    result.content = asked.content;
+    const std::optional<claim_view> claim = context.state.claim(asked.key);
     if (status == claim_result::status::held && claim)
     {
         result.outcome = claim->outcome;
         result.http_status = claim->status;
         result.body = std::string(claim->body);
+        result.content = claim->content;
     }
     context.out.emplace_back(std::move(result));
 }
 
-void claim_keeper::claim(const control_context& context, claim_key key)
+void claim_keeper::claim(
+    const control_context& context, const claim_request& asked)
 {
     if (!context.log_available || !context.self)
     {
-        answer(context, key, claim_result::status::unavailable);
+        answer(context, asked, claim_result::status::unavailable);
         return;
     }
-    const auto under_way = this->waiting.find(key);
+    const auto under_way = this->waiting.find(asked.key);
     if (under_way != this->waiting.end())
     {
         // An abandoned claim may still be folded as ours: until it is known,
         // nobody here can say who holds the key.
         answer(
             context,
-            key,
+            {asked.key, under_way->second.content},
             under_way->second.abandoned ? claim_result::status::unavailable
                                         : claim_result::status::held);
         return;
     }
-    const std::optional<claim_view> known = context.state.claim(key);
+    const std::optional<claim_view> known = context.state.claim(asked.key);
     if (known && known->outcome != claim_outcome::not_run)
     {
-        answer(context, key, claim_result::status::held);
+        answer(context, asked, claim_result::status::held);
         return;
     }
-    waiting_claim asked;
-    asked.sequence = context.submit(claim_open{key, context.self});
-    asked.give_up = context.now + this->timeout;
-    this->waiting.emplace(key, asked);
+    waiting_claim sent;
+    sent.content = asked.content;
+    sent.sequence =
+        context.submit(claim_open{asked.key, context.self, asked.content});
+    sent.give_up = context.now + this->timeout;
+    this->waiting.emplace(asked.key, sent);
 }
 
 void claim_keeper::close(const control_context& context, claim_close what)
@@ -103,6 +110,7 @@
     const control_context& context, claim_key key, const fold_event& event)
 {
     const bool abandoned = this->waiting.at(key).abandoned;
+    const claim_request asked{key, this->waiting.at(key).content};
     this->waiting.erase(key);
     const bool ours = event.result.status == fold_status::accepted;
     if (abandoned)
@@ -119,13 +127,13 @@
     }
     if (ours)
     {
-        answer(context, key, claim_result::status::granted);
+        answer(context, asked, claim_result::status::granted);
         return;
     }
     const bool lost = event.result.reason == reject_reason::claim_held;
     answer(
         context,
-        key,
+        asked,
         lost ? claim_result::status::held : claim_result::status::unavailable);
 }
 
@@ -141,13 +149,13 @@
         {
             continue;
         }
-        const claim_key key = current->first;
+        const claim_request request{current->first, asked.content};
         asked.abandoned = true;
         if (context.commit.withdraw(asked.sequence))
         {
             this->waiting.erase(current);
         }
-        answer(context, key, claim_result::status::unavailable);
+        answer(context, request, claim_result::status::unavailable);
     }
 }
 
--- a/src/core/recovery/claim_keeper.hpp
+++ b/src/core/recovery/claim_keeper.hpp
@@ -26,7 +26,7 @@
     explicit claim_keeper(duration timeout);
 
     /// A call asks for its key; the answer is a `claim_result`.
-    void claim(const control_context& context, claim_key key);
+    void claim(const control_context& context, const claim_request& asked);
 
     /// A call that was granted its key has ended.
     void close(const control_context& context, claim_close what);
@@ -43,13 +43,14 @@
     struct waiting_claim
     {
         std::uint64_t sequence = 0;
+        claim_content content = 0;
         instant give_up{};
         bool abandoned = false; ///< answered `unavailable`
     };
 
     static void answer(
         const control_context& context,
-        claim_key key,
+        const claim_request& asked,
         claim_result::status status);
     void settle(
         const control_context& context, claim_key key, const fold_event& event);
--- a/src/core/state/claim_store.cpp
+++ b/src/core/state/claim_store.cpp
@@ -9,15 +9,15 @@
     return found == this->rows.end() ? nullptr : &found->second;
 }
 
-void claim_store::open(
-    claim_key key, session_id session, log_offset at, stamp_ms now)
+void claim_store::open(const claim_open& value, log_offset at, stamp_ms now)
 {
     claim_row row;
-    row.session = session;
+    row.session = value.session;
+    row.content = value.content;
     row.opened = at;
     row.opened_at = now;
-    this->rows.emplace(key, std::move(row));
-    this->order.emplace_back(at, key);
+    this->rows.emplace(value.key, std::move(row));
+    this->order.emplace_back(at, value.key);
 }
 
 void claim_store::close(const claim_close& value, log_offset at)
--- a/src/core/state/claim_store.hpp
+++ b/src/core/state/claim_store.hpp
@@ -15,6 +15,10 @@
 namespace roseworks::detail
 {
 
+/// Format of snapshots that this program writes. Format 1 kept no content with
+/// a claim.
+inline constexpr std::uint16_t newest_snapshot_format = 2;
+
 /// A claim that isn't forgotten.
 struct claim_row
 {
@@ -24,6 +28,7 @@
     stamp_ms opened_at = 0; ///< log time
     claim_outcome outcome = claim_outcome::open;
     std::uint16_t status = 0;
+    claim_content content = 0; ///< 0: not known
     std::string body;
 };
 
@@ -44,7 +49,7 @@
     const claim_row* find(claim_key key) const;
 
     /// Open a claim on a free key.
-    void open(claim_key key, session_id session, log_offset at, stamp_ms now);
+    void open(const claim_open& value, log_offset at, stamp_ms now);
 
     /** Close an open claim; `not_run` frees the key.
 
@@ -70,12 +75,12 @@
             if (row == nullptr || row->opened != opened)
                 continue;
             fields(out, key);
-            row_fields(out, *row);
+            row_fields(out, *row, newest_snapshot_format);
         }
     }
 
     template <class Reader>
-    void load(Reader& in)
+    void load(Reader& in, std::uint16_t format)
     {
         const std::size_t count = in.length();
         for (std::size_t i = 0; i < count && !in.failed(); ++i)
@@ -83,7 +88,7 @@
             claim_key key;
             claim_row row;
             fields(in, key);
-            row_fields(in, row);
+            row_fields(in, row, format);
             if (in.failed())
                 return;
             if (!this->insert(key, std::move(row)))
@@ -101,7 +106,7 @@
     };
 
     template <class Io, class Row>
-    static void row_fields(Io& io, Row& row)
+    static void row_fields(Io& io, Row& row, std::uint16_t format)
     {
         io.number(row.session);
         io.number(row.opened);
@@ -110,6 +115,8 @@
         io.choice(row.outcome, 4);
         io.number(row.status);
         io.text(row.body);
+        if (format >= 2)
+            io.number(row.content);
     }
 
     bool insert(claim_key key, claim_row row);
--- a/src/core/state/fleet_data.hpp
+++ b/src/core/state/fleet_data.hpp
@@ -127,9 +127,10 @@
     data.duplicates.save(out);
 }
 
-/// Read what `save` wrote into empty data; faults are left in the reader.
+/// Read what `save` wrote, in this format or an older one, into empty data;
+/// faults are left in the reader.
 template <class Reader>
-void load(Reader& in, fleet_data& data)
+void load(Reader& in, fleet_data& data, std::uint16_t format)
 {
     in.time(data.log_time);
     in.time(data.next_grant);
@@ -153,7 +154,7 @@
     }
     data.replicas.load(in);
     data.sessions.load(in);
-    data.claims.load(in);
+    data.claims.load(in, format);
     data.suspects.load(in);
     data.duplicates.load(in);
 }
--- a/src/core/state/fleet_state.cpp
+++ b/src/core/state/fleet_state.cpp
@@ -260,6 +260,7 @@
     view.outcome = row->outcome;
     view.opened = row->opened;
     view.status = row->status;
+    view.content = row->content;
     view.body = row->body;
     // Nobody is left who could say what became of it.
     if (row->outcome == claim_outcome::open &&
--- a/src/core/state/fold.cpp
+++ b/src/core/state/fold.cpp
@@ -137,6 +137,8 @@
         return "lease_renewed";
     case reject_reason::not_proven_gone:
         return "not_proven_gone";
+    case reject_reason::claim_expired:
+        return "claim_expired";
     case reject_reason::claim_held:
         return "claim_held";
     case reject_reason::not_holder:
--- a/src/core/state/record_fields.hpp
+++ b/src/core/state/record_fields.hpp
@@ -13,6 +13,17 @@
 template <class Io, class T>
 using field_of = std::conditional_t<Io::reads, T, const T>;
 
+/// Fields that schema 1 got later stand at the end, and are left out when they
+/// say nothing: a record of an earlier program ends before them.
+template <class Io>
+bool optional_follows(const Io& io, bool is_told)
+{
+    if constexpr (Io::reads)
+        return io.remaining() != 0;
+    else
+        return is_told;
+}
+
 template <class Io>
 void fields(Io& io, field_of<Io, record_id>& value)
 {
@@ -99,6 +110,11 @@
 {
     fields(io, value.key);
     io.number(value.session);
+    const bool is_told = value.content != 0 || value.issued != 0;
+    if (optional_follows(io, is_told))
+        io.number(value.content);
+    if (optional_follows(io, value.issued != 0))
+        io.time(value.issued);
 }
 
 template <class Io>
--- a/src/core/state/request_fold.cpp
+++ b/src/core/state/request_fold.cpp
@@ -28,7 +28,7 @@
             "session " + std::to_string(held->session.value) +
                 " claimed the key",
             held->opened);
-    data.claims.open(value.key, value.session, context.offset, data.log_time);
+    data.claims.open(value, context.offset, data.log_time);
     state_change& change = context.note(state_change::kind::claim_opened);
     change.key = value.key;
     change.session = value.session;
--- a/src/core/state/snapshot.cpp
+++ b/src/core/state/snapshot.cpp
@@ -19,9 +19,10 @@
 using detail::archive_reader;
 using detail::archive_writer;
 using detail::fleet_data;
+using detail::newest_snapshot_format;
 
 constexpr std::uint32_t magic = 0x53465752;
-constexpr std::uint16_t format = 1;
+constexpr std::uint16_t oldest_format = 1;
 
 std::vector<std::byte> body_of(const fleet_data& data)
 {
@@ -74,14 +75,14 @@
 
 void read_body(
     std::span<std::byte const> body,
-    std::uint64_t hash,
+    const snapshot_header& about,
     archive_reader& head,
     fleet_data& data)
 {
-    if (hash_of(body) != hash)
+    if (hash_of(body) != about.hash)
         return head.fail("hash of the content doesn't match");
     archive_reader in(body);
-    detail::load(in, data);
+    detail::load(in, data, about.format);
     in.finish();
     if (!in.failed())
         link_replicas(in, data);
@@ -93,22 +94,33 @@
         head.fail(in.error().what);
 }
 
-void read_snapshot(archive_reader& in, fleet_data& data)
+snapshot_header read_header(archive_reader& in)
 {
     std::uint32_t mark = 0;
-    std::uint16_t version = 0;
-    std::uint64_t hash = 0;
-    std::vector<std::byte> body;
+    snapshot_header about;
     in.number(mark);
-    in.number(version);
-    in.number(data.folded);
-    in.number(hash);
+    in.number(about.format);
+    in.number(about.folded);
+    in.number(about.hash);
+    if (!in.failed() && mark != magic)
+        in.fail("not a snapshot");
+    return about;
+}
+
+void read_snapshot(archive_reader& in, fleet_data& data)
+{
+    const snapshot_header about = read_header(in);
+    std::vector<std::byte> body;
     in.bytes(body);
     in.finish();
-    if (!in.failed() && (mark != magic || version != format))
-        in.fail("not a snapshot of this format");
-    if (!in.failed())
-        read_body(body, hash, in, data);
+    const bool readable =
+        about.format >= oldest_format && about.format <= newest_snapshot_format;
+    if (!in.failed() && !readable)
+        in.fail("not a snapshot of a known format");
+    if (in.failed())
+        return;
+    data.folded = about.folded;
+    read_body(body, about, in, data);
 }
 
 } // namespace
@@ -127,13 +139,28 @@
     detail::byte_sink sink;
     archive_writer out(sink);
     out.number(magic);
-    out.number(format);
+    out.number(newest_snapshot_format);
     out.number(this->self->data.folded);
     out.number(hash_of(body));
     out.bytes(body);
     return sink.take();
 }
 
+std::optional<snapshot_header>
+read_snapshot_header(std::span<std::byte const> bytes)
+{
+    archive_reader in(bytes);
+    const snapshot_header about = read_header(in);
+    if (in.failed())
+        return std::nullopt;
+    return about;
+}
+
+bool is_newest_format(const snapshot_header& about)
+{
+    return about.format == newest_snapshot_format;
+}
+
 boost::leaf::result<fleet_state>
 fleet_state::restore(std::span<std::byte const> bytes, options settings)
 {
--- a/src/ports/claim_port.hpp
+++ b/src/ports/claim_port.hpp
@@ -24,9 +24,9 @@
 
     /// Claims a key before the call is sent. Always answered, at the latest
     /// when the claim timeout has run out, with `unavailable`.
-    /// @param key     the key.
+    /// @param asked   the key, and the content it is claimed for.
     /// @param handler takes the result.
-    virtual void claim(claim_key key, result_handler handler) = 0;
+    virtual void claim(const claim_request& asked, result_handler handler) = 0;
 
     /// Tells the outcome of a granted claim. The session is filled in by the
     /// implementation.
--- a/tests/golden/session_traffic.cpp
+++ b/tests/golden/session_traffic.cpp
@@ -45,6 +45,8 @@
         return "granted";
     case claim_result::status::held:
         return "held";
+    case claim_result::status::expired:
+        return "expired";
     case claim_result::status::unavailable:
         return "unavailable";
     }
@@ -100,7 +102,7 @@
     same_key.push_back(given.request);
     if (same_key.size() == 1)
     {
-        target.control->claim(item.key, this->time);
+        target.control->claim({item.key}, this->time);
     }
 }
 
--- a/tests/unit/app/desk_test.cpp
+++ b/tests/unit/app/desk_test.cpp
@@ -43,10 +43,10 @@
         return result;
     }
 
-    void claim(claim_key key)
+    void claim(const claim_request& asked)
     {
         this->desk.claim(
-            key,
+            asked,
             [this](const claim_result& result)
             {
                 this->results.push_back(result.result);
--- a/tests/unit/control/claim_test.cpp
+++ b/tests/unit/control/claim_test.cpp
@@ -15,7 +15,7 @@
 
 void claim_at(fake_fleet& fleet, std::size_t router)
 {
-    fleet.at(router).control->claim(key, fleet.now());
+    fleet.at(router).control->claim({key}, fleet.now());
     fleet.run(100ms);
 }
 
@@ -32,8 +32,8 @@
     fake_fleet fleet;
     add_routers(fleet, 2);
     fleet.run(3s);
-    fleet.at(0).control->claim(key, fleet.now());
-    fleet.at(1).control->claim(key, fleet.now());
+    fleet.at(0).control->claim({key}, fleet.now());
+    fleet.at(1).control->claim({key}, fleet.now());
     fleet.run(1s);
     const bool first = last_claim(fleet, 0).result == status::granted;
     const std::size_t winner = first ? 0 : 1;
@@ -55,13 +55,32 @@
     cr_expect(last_claim(fleet, 1 - winner).body == "sent");
 }
 
+Test(claim, a_loser_hears_for_which_content_the_key_is_held)
+{
+    fake_fleet fleet;
+    add_routers(fleet, 2);
+    fleet.run(3s);
+    fleet.at(0).control->claim({key, 5}, fleet.now());
+    fleet.at(0).control->claim({key, 6}, fleet.now());
+    fleet.run(1s);
+    fleet.at(1).control->claim({key, 6}, fleet.now());
+    fleet.run(1s);
+    const auto& here = fleet.at(0).claims;
+    cr_assert_eq(here.size(), 2);
+    cr_expect(here[0].result == status::held);
+    cr_expect_eq(here[0].content, 5);
+    cr_expect(here[1].result == status::granted);
+    cr_expect(last_claim(fleet, 1).result == status::held);
+    cr_expect_eq(last_claim(fleet, 1).content, 5);
+}
+
 Test(claim, a_second_claim_here_is_held_at_once)
 {
     fake_fleet fleet;
     add_routers(fleet, 1);
     fleet.run(3s);
-    fleet.at(0).control->claim(key, fleet.now());
-    fleet.at(0).control->claim(key, fleet.now());
+    fleet.at(0).control->claim({key}, fleet.now());
+    fleet.at(0).control->claim({key}, fleet.now());
     fleet.run(1s);
     cr_assert_eq(fleet.at(0).claims.size(), 2);
     cr_expect(fleet.at(0).claims[0].result == status::held);
@@ -102,7 +121,7 @@
                                                                          : 0;
     };
     // The append is on its way when the log goes down for long.
-    fleet.at(0).control->claim(key, fleet.now());
+    fleet.at(0).control->claim({key}, fleet.now());
     fleet.log_down = true;
     fleet.run(10s);
     cr_expect(last_claim(fleet, 0).result == status::unavailable);
--- a/tests/unit/edge/edge_fixture.cpp
+++ b/tests/unit/edge/edge_fixture.cpp
@@ -91,11 +91,12 @@
     return this->ended;
 }
 
-void fake_claims::claim(claim_key key, result_handler handler)
+void fake_claims::claim(const claim_request& asked, result_handler handler)
 {
     ++this->claimed;
+    this->asked_content = asked.content;
     claim_result result = this->given;
-    result.key = key;
+    result.key = asked.key;
     handler(result);
 }
 
--- a/tests/unit/edge/edge_fixture.hpp
+++ b/tests/unit/edge/edge_fixture.hpp
@@ -62,12 +62,13 @@
 class fake_claims : public claim_port
 {
 public:
-    void claim(claim_key key, result_handler handler) override;
+    void claim(const claim_request& asked, result_handler handler) override;
     void close(claim_close what) override;
     std::vector<claim_close> closed() const;
 
     claim_result given; ///< set before the first call
     std::atomic<int> claimed{0};
+    std::atomic<claim_content> asked_content{0}; ///< of the last claim
 
 private:
     mutable std::mutex mutex;
--- a/tests/unit/edge/test_parsers.cpp
+++ b/tests/unit/edge/test_parsers.cpp
@@ -256,6 +256,11 @@
     cr_assert(
         make_claim_key("a", "b", "k") != make_derived_claim_key("a", "b", "k"));
     cr_assert(make_claim_key("a", "b", "k") == make_claim_key("a", "b", "k"));
+    const claim_content content = make_claim_content("POST", "/v1/jobs", "{}");
+    cr_assert_eq(content, make_claim_content("POST", "/v1/jobs", "{}"));
+    cr_assert_neq(content, make_claim_content("PUT", "/v1/jobs", "{}"));
+    cr_assert_neq(content, make_claim_content("POST", "/v1/job", "s{}"));
+    cr_assert_neq(content, make_claim_content("POST", "/v1/jobs", "{ }"));
     cr_assert(
         make_fingerprint("m", "/p", "x") != make_fingerprint("m", "/p", "y"));
 }
--- a/tests/unit/edge/test_served_calls.cpp
+++ b/tests/unit/edge/test_served_calls.cpp
@@ -321,6 +321,32 @@
     cr_assert(closed[0].body == R"({"ok":1})");
 }
 
+Test(claims, a_key_reused_with_other_content_gets_no_answer_of_another_call)
+{
+    fake_backend backend(answer_all);
+    edge_fixture fixture;
+    fixture.dispatch.address = backend.address();
+    fixture.start();
+    claim_result& given = fixture.claims.given;
+    given.result = claim_result::status::held;
+    given.outcome = claim_outcome::answered;
+    given.http_status = 201;
+    given.body = R"({"id":7})";
+    const auto first = fixture.call(service_call("Idempotency-Key: k\r\n"));
+    cr_assert_eq(first.result_int(), 201, "of a claim without a fingerprint");
+    const claim_content own = fixture.claims.asked_content;
+    cr_assert_neq(own, 0);
+    given.content = own;
+    const auto same = fixture.call(service_call("Idempotency-Key: k\r\n"));
+    cr_assert_eq(same.result_int(), 201);
+    given.content = own + 1;
+    const auto other = fixture.call(service_call("Idempotency-Key: k\r\n"));
+    cr_assert_eq(other.result_int(), 422);
+    cr_assert(reason_of(other) == "key_reused");
+    cr_assert(verdict_of(other) == "not-run");
+    cr_assert_eq(backend.connections(), 0);
+}
+
 Test(claims, held_and_unavailable_never_reach_a_backend)
 {
     fake_backend backend(answer_all);
--- a/tests/unit/state/codec_test.cpp
+++ b/tests/unit/state/codec_test.cpp
@@ -71,7 +71,7 @@
             priority::urgent},
         replica_report{
             replica_id(1), replica_state::gone, fence(2), session, "why"},
-        claim_open{key, session},
+        claim_open{key, session, 7, 1'700'000'000'000},
         claim_close{key, session, claim_outcome::answered, 200, "body"},
         request_suspect{fingerprint(1), engine_id(2), session},
         request_unblock{fingerprint(1), "olga"},
@@ -282,3 +282,20 @@
     change.signature.clear();
     cr_assert(!signed_by(change, key));
 }
+
+Test(codec, claims_without_a_fingerprint_stay_readable)
+{
+    record old = every_kind().front();
+    old.payload = claim_open{claim_key{1, 2}, session_id(5)};
+    record fresh = old;
+    fresh.payload = claim_open{claim_key{1, 2}, session_id(5), 7};
+    // Written as before there were fingerprints: 16 + 8 bytes.
+    cr_assert_eq(encode(old).size(), length_at + 4 + 24);
+    cr_assert_eq(encode(fresh).size(), length_at + 4 + 28);
+    const auto read = decode(encode(old));
+    cr_assert(read);
+    cr_assert_eq(std::get<claim_open>(read->payload).content, 0);
+    const auto known = decode(encode(fresh));
+    cr_assert(known);
+    cr_assert_eq(std::get<claim_open>(known->payload).content, 7);
+}
--- a/tests/unit/state/snapshot_test.cpp
+++ b/tests/unit/state/snapshot_test.cpp
@@ -1,4 +1,7 @@
 #include "fold_log.hpp"
+#include "snapshot_format_1.hpp"
+
+#include <roseworks/checkpoint.hpp>
 
 #include <criterion/criterion.h>
 
@@ -31,15 +34,46 @@
     log.decide("a", old, base);
     log.take_over(fresh);
     log.put(claim_open{claim_key{1, 2}, old});
-    log.put(claim_open{claim_key{1, 3}, fresh});
+    log.put(claim_open{claim_key{1, 3}, fresh, 77});
     log.put(claim_close{
         claim_key{1, 3}, fresh, claim_outcome::answered, 200, "body"});
     log.put(request_suspect{fingerprint(5), {}, fresh});
     return log;
 }
 
+std::vector<std::byte> from_hex(std::string_view text)
+{
+    std::vector<std::byte> bytes;
+    for (std::size_t at = 0; at + 1 < text.size(); at += 2)
+        bytes.push_back(static_cast<std::byte>(
+            std::stoul(std::string(text.substr(at, 2)), nullptr, 16)));
+    return bytes;
+}
+
 } // namespace
 
+Test(snapshot, of_the_earlier_format_is_read)
+{
+    const auto bytes = from_hex(snapshot_format_1);
+    checkpoint whole{log_offset(7), snapshot_format_1_hash, bytes};
+    const auto state = restore_checkpoint(whole, {});
+    cr_assert(state);
+    const claim_key answered{1, 3};
+    cr_assert(state->claim({1, 2})->outcome == claim_outcome::open);
+    cr_assert(state->claim({1, 2})->session == session_id(1));
+    cr_assert(state->claim(answered)->outcome == claim_outcome::answered);
+    cr_assert_eq(state->claim(answered)->status, 201);
+    cr_assert_eq(state->claim(answered)->body, "body");
+    cr_assert_eq(state->claim(answered)->content, 0);
+    cr_assert(state->claim({9, 4})->outcome == claim_outcome::may_have_run);
+
+    const auto again = fleet_state::restore(state->snapshot(), {});
+    cr_assert(again);
+    cr_assert_eq(again->hash(), state->hash());
+    ++whole.state_hash;
+    cr_assert(!restore_checkpoint(whole, {}));
+}
+
 Test(snapshot, comes_back_as_it_was)
 {
     const fold_log log = full_log();
@@ -53,6 +87,7 @@
     cr_assert(again->order_may_be_in_flight(engine));
     cr_assert_eq(again->engine(engine)->reserved_mib, 150);
     cr_assert_eq(again->claim(claim_key{1, 3})->body, "body");
+    cr_assert_eq(again->claim(claim_key{1, 3})->content, 77);
     cr_assert_eq(again->suspicion(fingerprint(5)), 1);
     cr_assert(again->entity_revision(entity_kind::caller, "c2"));
     cr_assert(!again->entity(entity_kind::caller, "c2"));
