Keep closed claims in 24 bytes and forget them by the bucket

Change: a claim is kept whole while it is open; closed ones are 24-byte rows in vectors sorted by key, one for each 65,536 ms, dropped whole. Answers stand apart, with their overhead counted in the bound. Ruled out: open addressing (load factor and doubling cost more than 24 bytes), merging runs (twice the memory while they merge).

--- a/bench/state/bench_state.cpp
+++ b/bench/state/bench_state.cpp
@@ -64,7 +64,8 @@
     {
         record value;
         value.id = {author_id(author), 1, ++this->sequence};
-        value.stamp = first_stamp + static_cast<stamp_ms>(this->sequence);
+        value.stamp =
+            first_stamp + static_cast<stamp_ms>(this->sequence) + this->elapsed;
         value.payload = std::move(payload);
         ++this->at.value;
         return value;
@@ -74,6 +75,7 @@
     log_offset at;
     std::uint64_t sequence = 0;
     std::uint64_t rejected = 0;
+    stamp_ms elapsed = 0; ///< beside a millisecond a record
 };
 
 entity_change change_of(entity_kind kind, std::string name, entity_spec spec)
@@ -284,6 +286,54 @@
     print("bytes_per_record", double(bytes) / double(mix.size()), "bytes");
 }
 
+/// A claim that is opened and closed without an answer to keep.
+void put_claim(fold_run& run, session_id session, std::uint64_t number)
+{
+    const claim_key key{number * 0x9E3779B97F4A7C15ULL, ~number};
+    run.put(claim_open{key, session, claim_content(number)}, 100);
+    run.put(claim_close{key, session, claim_outcome::answered, 200, ""}, 100);
+}
+
+/// Bytes and fold rate of closed claims at a horizon, 16 a second.
+void measure_claims(const std::string& name, std::uint32_t horizon_s)
+{
+    constexpr std::uint64_t a_second = 16;
+    constexpr std::uint64_t more = 20'000;
+    fold_run run;
+    run.put(
+        router_join{"r", "colombo-a", "10.1.0.1:7001", "10.1.0.1:8080"}, 100);
+    const session_id session(run.at.value);
+    policy_spec policy;
+    policy.claim_horizon_ms = horizon_s * 1000;
+    config_change change;
+    change.author = "bench";
+    change.changes.push_back(change_of(entity_kind::policy, "policy", policy));
+    run.put(std::move(change), 1);
+
+    const std::uint64_t count = a_second * horizon_s;
+    const std::size_t before = heap_bytes();
+    std::uint64_t number = 0;
+    for (; number < count; ++number)
+    {
+        run.elapsed = static_cast<stamp_ms>(number * 1000 / a_second);
+        put_claim(run, session, number);
+    }
+    print(
+        (name + "_bytes_per_claim").c_str(),
+        double(heap_bytes() - before) / double(count),
+        "bytes");
+    const auto start = std::chrono::steady_clock::now();
+    for (; number < count + more; ++number)
+    {
+        run.elapsed = static_cast<stamp_ms>(number * 1000 / a_second);
+        put_claim(run, session, number);
+    }
+    print(
+        (name + "_fold_rate").c_str(),
+        2 * double(more) / seconds_since(start),
+        "records/s");
+}
+
 void measure_snapshot(const fleet_state& state)
 {
     constexpr int repeats = 7;
@@ -329,6 +379,8 @@
     print("fleet_heap", double(heap_bytes() - empty) / (1024 * 1024), "MiB");
     measure_snapshot(run.state);
     measure_fold(run, sessions);
+    measure_claims("claims_15min", 15 * 60);
+    measure_claims("claims_2h", 2 * 3600);
     print("setup_rejected", double(run.rejected), "records");
     return run.rejected == 0 ? 0 : 1;
 }
--- a/src/core/recovery/claim_keeper.cpp
+++ b/src/core/recovery/claim_keeper.cpp
@@ -82,7 +82,7 @@
     }
     what.session = context.self;
     const std::optional<claim_view> claim = context.state.claim(what.key);
-    if (claim)
+    if (claim && claim->session)
     {
         // The claim may be of an earlier session of this process.
         what.session = claim->session;
--- a/src/core/state/claim_store.cpp
+++ b/src/core/state/claim_store.cpp
@@ -1,86 +1,82 @@
 #include "core/state/claim_store.hpp"
 
+#include <algorithm>
+
 namespace roseworks::detail
 {
 
-const claim_row* claim_store::find(claim_key key) const
+std::optional<claim_row> claim_store::find(const claim_key& key) const
 {
+    claim_row row;
     const auto found = this->rows.find(key);
-    return found == this->rows.end() ? nullptr : &found->second;
+    if (found != this->rows.end())
+    {
+        row.session = found->second.session;
+        row.opened = found->second.opened;
+        row.content = found->second.content;
+        return row;
+    }
+    const closed_claim* const ended = this->closed.find(key);
+    if (ended == nullptr)
+        return std::nullopt;
+    row.outcome = ended->outcome;
+    row.status = ended->status;
+    row.content = ended->content;
+    row.body = this->answers.find(key);
+    return row;
 }
 
 void claim_store::open(const claim_open& value, log_offset at, stamp_ms now)
 {
-    claim_row row;
-    row.session = value.session;
-    row.content = value.content;
-    row.opened = at;
-    row.opened_at = now;
-    this->rows.emplace(value.key, std::move(row));
-    this->order.emplace_back(at, value.key);
+    this->insert(value.key, {value.session, at, now, value.content});
 }
 
-void claim_store::close(const claim_close& value, log_offset at)
+void claim_store::close(
+    const claim_close& value, log_offset at, stamp_ms now, stamp_ms horizon)
 {
+    const auto found = this->rows.find(value.key);
+    const open_claim was = found->second;
+    this->order.erase(was.opened);
+    this->rows.erase(found);
     if (value.outcome == claim_outcome::not_run)
-        return this->erase(value.key);
-    claim_row& row = this->rows.at(value.key);
-    row.outcome = value.outcome;
-    row.status = value.status;
-    row.closed = at;
-    if (value.body.empty() || value.body.size() > max_body)
         return;
-    row.body = value.body;
-    this->body_bytes += row.body.size();
-    this->bodies.emplace(at, value.key);
-    while (this->body_bytes > max_bodies)
-        this->drop_body(this->rows.at(this->bodies.begin()->second));
+    const closed_claim row{value.key, was.content, value.status, value.outcome};
+    this->closed.insert(row, std::max(was.opened_at, now - horizon / 2));
+    this->answers.insert(value.key, at, value.body);
 }
 
-void claim_store::forget_until(stamp_ms horizon)
+void claim_store::forget_until(
+    stamp_ms horizon, const std::function<bool(session_id)>& live)
 {
-    while (!this->order.empty())
+    for (auto at = this->order.begin(); at != this->order.end();)
     {
-        const auto [opened, key] = this->order.front();
-        const claim_row* row = this->find(key);
-        const bool stale = row == nullptr || row->opened != opened;
-        if (!stale && row->opened_at > horizon)
-            return;
-        if (!stale)
-            this->erase(key);
-        this->order.pop_front();
+        const auto found = this->rows.find(at->second);
+        if (found->second.opened_at > horizon)
+            break;
+        if (live(found->second.session))
+        {
+            ++at;
+            continue;
+        }
+        this->rows.erase(found);
+        at = this->order.erase(at);
     }
+    this->closed.forget_until(
+        horizon,
+        [this](const claim_key& key)
+        {
+            this->answers.erase(key);
+        });
 }
 
-bool claim_store::insert(claim_key key, claim_row row)
+bool claim_store::insert(const claim_key& key, const open_claim& row)
 {
-    if (!this->order.empty() && this->order.back().first >= row.opened)
-        return false;
-    if (row.body.size() > max_body || (!row.body.empty() && !row.closed))
+    const bool later =
+        this->order.empty() || this->order.rbegin()->first < row.opened;
+    if (!later || !this->rows.emplace(key, row).second)
         return false;
-    if (!row.body.empty())
-    {
-        this->body_bytes += row.body.size();
-        if (!this->bodies.emplace(row.closed, key).second)
-            return false;
-    }
-    this->order.emplace_back(row.opened, key);
-    return this->rows.emplace(key, std::move(row)).second;
-}
-
-void claim_store::drop_body(claim_row& row)
-{
-    this->body_bytes -= row.body.size();
-    this->bodies.erase(row.closed);
-    std::string().swap(row.body);
-}
-
-void claim_store::erase(claim_key key)
-{
-    const auto found = this->rows.find(key);
-    if (!found->second.body.empty())
-        this->drop_body(found->second);
-    this->rows.erase(found);
+    this->order.emplace(row.opened, key);
+    return true;
 }
 
 } // namespace roseworks::detail
--- a/src/core/state/fleet_state.cpp
+++ b/src/core/state/fleet_state.cpp
@@ -251,8 +251,8 @@
 
 std::optional<claim_view> fleet_state::claim(claim_key key) const
 {
-    const detail::claim_row* row = this->self->data.claims.find(key);
-    if (row == nullptr)
+    const auto row = this->self->data.claims.find(key);
+    if (!row)
         return std::nullopt;
     claim_view view;
     view.key = key;
--- a/src/core/state/request_fold.cpp
+++ b/src/core/state/request_fold.cpp
@@ -22,11 +22,13 @@
     fleet_data& data = context.data;
     if (!data.sessions.live(value.session))
         return session_over(value.session);
-    if (const claim_row* held = data.claims.find(value.key))
+    if (const auto held = data.claims.find(value.key))
         return reject(
             reject_reason::claim_held,
-            "session " + std::to_string(held->session.value) +
-                " claimed the key",
+            held->outcome != claim_outcome::open
+                ? std::string("the key's call has ended")
+                : "session " + std::to_string(held->session.value) +
+                      " claimed the key",
             held->opened);
     data.claims.open(value, context.offset, data.log_time);
     state_change& change = context.note(state_change::kind::claim_opened);
@@ -38,9 +40,11 @@
 fold_result fold(fold_context& context, const claim_close& value)
 {
     fleet_data& data = context.data;
-    const claim_row* row = data.claims.find(value.key);
-    if (row == nullptr)
+    const auto row = data.claims.find(value.key);
+    if (!row)
         return reject(reject_reason::unknown_entity, "the key isn't claimed");
+    if (row->outcome != claim_outcome::open)
+        return reject(reject_reason::illegal_transition, "the claim is closed");
     if (row->session != value.session)
         return reject(
             reject_reason::not_holder,
@@ -49,13 +53,14 @@
             row->opened);
     if (!data.sessions.live(value.session))
         return session_over(value.session);
-    if (row->outcome != claim_outcome::open ||
-        value.outcome == claim_outcome::open)
+    if (value.outcome == claim_outcome::open)
         return reject(
-            reject_reason::illegal_transition,
-            "the claim is closed, or would stay open",
-            row->closed);
-    data.claims.close(value, context.offset);
+            reject_reason::illegal_transition, "the claim would stay open");
+    data.claims.close(
+        value,
+        context.offset,
+        data.log_time,
+        data.policy.spec.claim_horizon_ms);
     state_change& change = context.note(state_change::kind::claim_closed);
     change.key = value.key;
     change.session = value.session;
@@ -99,7 +104,12 @@
 {
     fleet_data& data = context.data;
     const stamp_ms horizon = data.policy.spec.claim_horizon_ms;
-    data.claims.forget_until(data.log_time - horizon);
+    data.claims.forget_until(
+        data.log_time - horizon,
+        [&data](session_id session)
+        {
+            return data.sessions.live(session);
+        });
     data.suspects.sweep(
         data.log_time,
         [&context](fingerprint request)
