Keep claims for two hours, and refuse keys known to be older

Change: the default horizon is two hours, a longest deadline and an hour of retries: 2.8 MB at 16/s. A call may tell when its key was made (Idempotency-Key-Issued); the fold admits it only while every earlier claim of such a key is still known, whatever the caller's clock, else 409 claim_expired.

--- a/include/roseworks/specs.hpp
+++ b/include/roseworks/specs.hpp
@@ -101,7 +101,7 @@
         50; ///< 0: only cold starts count, 100: only idle hours
     std::uint16_t store_slots = 4;
     std::uint16_t store_loads_per_second = 8;
-    std::uint32_t claim_horizon_ms = 86'400'000;
+    std::uint32_t claim_horizon_ms = 7'200'000;
     std::uint32_t crash_block_ms = 600'000;
     std::uint16_t crash_threshold = 2; ///< crashes before a request is blocked
 
--- a/src/adapters/edge/call_headers.cpp
+++ b/src/adapters/edge/call_headers.cpp
@@ -23,6 +23,8 @@
 constexpr std::size_t max_request_id = 64;
 constexpr std::size_t max_caller = 64;
 constexpr std::size_t max_idempotency_key = 128;
+/// End of the year 9999.
+constexpr stamp_ms latest_issued = 253'402'300'799'000;
 
 /// @return The value, empty when the header is missing; an error when it is
 ///         there twice.
@@ -53,6 +55,18 @@
     return milliseconds(value);
 }
 
+leaf::result<stamp_ms> parse_issued(std::string_view text)
+{
+    stamp_ms value = 0;
+    const char* const end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data(), end, value);
+    const bool whole = error == std::errc() && stop == end;
+    if (!whole || value < 1 || value > latest_issued)
+        return leaf::new_error(
+            bad_call("Idempotency-Key-Issued takes Unix time in milliseconds"));
+    return value;
+}
+
 leaf::result<priority> parse_priority(std::string_view text)
 {
     constexpr std::array all{
@@ -83,6 +97,11 @@
     into.request_id = id.value_or("");
     into.caller = caller.value_or("anonymous");
     into.idempotency_key = key.value_or("");
+    BOOST_LEAF_AUTO(issued, single(fields, "Idempotency-Key-Issued"));
+    if (issued)
+    {
+        BOOST_LEAF_ASSIGN(into.key_issued, parse_issued(*issued));
+    }
     return {};
 }
 
--- a/src/adapters/edge/call_headers.hpp
+++ b/src/adapters/edge/call_headers.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <roseworks/instant.hpp>
 #include <roseworks/verdict.hpp>
 
 #include <boost/beast/http/fields.hpp>
@@ -20,6 +21,7 @@
     std::optional<priority> asked; ///< empty: the caller's class
     std::string caller = "anonymous";
     std::string idempotency_key; ///< empty: none
+    stamp_ms key_issued = 0;     ///< caller's clock; 0: not told
 };
 
 /// Reads the headers of docs/INTERFACES.md. Each may come once at most.
--- a/src/adapters/edge/call_runner.cpp
+++ b/src/adapters/edge/call_runner.cpp
@@ -198,6 +198,14 @@
         co_await this->answer_interrupted();
     else if (result.result == claim_result::status::held)
         co_await this->answer_held(std::move(result));
+    else if (result.result == claim_result::status::expired)
+    {
+        call_problem problem =
+            make_problem(refusal_reason::claim_expired, verdict::not_run);
+        problem.detail = "the key is older than what is remembered, or made "
+                         "by a clock that is ahead; this call did not run";
+        co_await this->send_refusal(std::move(problem));
+    }
     else if (result.result == claim_result::status::unavailable)
     {
         this->context.ports.events.report(
--- a/src/adapters/edge/prepared_call.cpp
+++ b/src/adapters/edge/prepared_call.cpp
@@ -55,6 +55,8 @@
         boost::beast::http::to_string(call.method),
         call.target.path,
         call.body);
+    if (has_key)
+        asked.issued = call.headers.key_issued;
     call.claim = asked;
 }
 
--- a/src/core/recovery/claim_keeper.cpp
+++ b/src/core/recovery/claim_keeper.cpp
@@ -13,6 +13,20 @@
 /// A longer answer isn't kept with its claim: only its status is.
 constexpr std::size_t max_kept_body = std::size_t(32) << 10;
 
+/// What a call hears whose own record lost.
+claim_result::status to_status(reject_reason reason)
+{
+    switch (reason)
+    {
+    case reject_reason::claim_held:
+        return claim_result::status::held;
+    case reject_reason::claim_expired:
+        return claim_result::status::expired;
+    default:
+        return claim_result::status::unavailable;
+    }
+}
+
 } // namespace
 
 claim_keeper::claim_keeper(duration longest_wait)
@@ -68,8 +82,8 @@
     }
     waiting_claim sent;
     sent.content = asked.content;
-    sent.sequence =
-        context.submit(claim_open{asked.key, context.self, asked.content});
+    sent.sequence = context.submit(
+        claim_open{asked.key, context.self, asked.content, asked.issued});
     sent.give_up = context.now + this->timeout;
     this->waiting.emplace(asked.key, sent);
 }
@@ -130,11 +144,7 @@
         answer(context, asked, claim_result::status::granted);
         return;
     }
-    const bool lost = event.result.reason == reject_reason::claim_held;
-    answer(
-        context,
-        asked,
-        lost ? claim_result::status::held : claim_result::status::unavailable);
+    answer(context, asked, to_status(event.result.reason));
 }
 
 void claim_keeper::step(const control_context& context)
--- a/src/core/state/request_fold.cpp
+++ b/src/core/state/request_fold.cpp
@@ -15,6 +15,20 @@
         "session " + std::to_string(session.value) + " has ended or never was");
 }
 
+/// A caller's clock may be ahead of the log's time by so much.
+constexpr stamp_ms clock_margin_ms = 30'000;
+
+/// @return Whether every earlier claim of a key made at `issued` is still
+///         known. Such a claim was opened when the log's time was at least
+///         `issued - clock_margin_ms`.
+bool all_claims_known(const fleet_data& data, stamp_ms issued)
+{
+    const stamp_ms horizon = data.policy.spec.claim_horizon_ms;
+    const bool is_ahead = issued > data.log_time + clock_margin_ms;
+    const bool is_old = data.log_time - issued >= horizon - clock_margin_ms;
+    return !is_ahead && !is_old;
+}
+
 } // namespace
 
 fold_result fold(fold_context& context, const claim_open& value)
@@ -30,6 +44,11 @@
                 : "session " + std::to_string(held->session.value) +
                       " claimed the key",
             held->opened);
+    if (value.issued != 0 && !all_claims_known(data, value.issued))
+        return reject(
+            reject_reason::claim_expired,
+            "the key was made at " + std::to_string(value.issued) +
+                " ms, outside of the horizon");
     data.claims.open(value, context.offset, data.log_time);
     state_change& change = context.note(state_change::kind::claim_opened);
     change.key = value.key;
--- a/tests/unit/control/claim_test.cpp
+++ b/tests/unit/control/claim_test.cpp
@@ -74,6 +74,18 @@
     cr_expect_eq(last_claim(fleet, 1).content, 5);
 }
 
+Test(claim, of_an_old_key_is_expired)
+{
+    fake_fleet fleet;
+    add_routers(fleet, 1);
+    fleet.run(3s);
+    fleet.at(0).control->claim({key, 5, 1}, fleet.now());
+    fleet.run(1s);
+    cr_expect(last_claim(fleet, 0).result == status::expired);
+    claim_at(fleet, 0);
+    cr_expect(last_claim(fleet, 0).result == status::granted);
+}
+
 Test(claim, a_second_claim_here_is_held_at_once)
 {
     fake_fleet fleet;
--- a/tests/unit/edge/edge_fixture.cpp
+++ b/tests/unit/edge/edge_fixture.cpp
@@ -95,6 +95,7 @@
 {
     ++this->claimed;
     this->asked_content = asked.content;
+    this->asked_issued = asked.issued;
     claim_result result = this->given;
     result.key = asked.key;
     handler(result);
--- a/tests/unit/edge/edge_fixture.hpp
+++ b/tests/unit/edge/edge_fixture.hpp
@@ -69,6 +69,7 @@
     claim_result given; ///< set before the first call
     std::atomic<int> claimed{0};
     std::atomic<claim_content> asked_content{0}; ///< of the last claim
+    std::atomic<stamp_ms> asked_issued{0};
 
 private:
     mutable std::mutex mutex;
--- a/tests/unit/edge/test_served_calls.cpp
+++ b/tests/unit/edge/test_served_calls.cpp
@@ -347,6 +347,25 @@
     cr_assert_eq(backend.connections(), 0);
 }
 
+Test(claims, a_key_older_than_what_is_remembered_is_refused)
+{
+    fake_backend backend(answer_all);
+    edge_fixture fixture;
+    fixture.dispatch.address = backend.address();
+    fixture.claims.given.result = claim_result::status::expired;
+    fixture.start();
+    const auto old = fixture.call(
+        service_call("Idempotency-Key: k\r\nIdempotency-Key-Issued: 17\r\n"));
+    cr_assert_eq(old.result_int(), 409);
+    cr_assert(reason_of(old) == "claim_expired");
+    cr_assert(verdict_of(old) == "not-run");
+    cr_assert_eq(fixture.claims.asked_issued, 17);
+    const auto wrong = fixture.call(
+        service_call("Idempotency-Key: k\r\nIdempotency-Key-Issued: soon\r\n"));
+    cr_assert_eq(wrong.result_int(), 400);
+    cr_assert_eq(backend.connections(), 0);
+}
+
 Test(claims, held_and_unavailable_never_reach_a_backend)
 {
     fake_backend backend(answer_all);
--- a/tests/unit/state/request_test.cpp
+++ b/tests/unit/state/request_test.cpp
@@ -1,5 +1,7 @@
 #include "fold_log.hpp"
 
+#include <algorithm>
+
 #include <criterion/criterion.h>
 
 namespace
@@ -77,6 +79,9 @@
 Test(claim, of_a_dead_session_may_have_run)
 {
     fold_log log;
+    policy_spec policy;
+    policy.claim_horizon_ms = 86'400'000;
+    log.put_policy(policy);
     const session_id one = log.join(2);
     log.put(claim_open{key, one});
     log.put(router_gone{one, "left the VM list"});
@@ -164,6 +169,35 @@
     cr_assert_eq(again->hash(), log.state.hash());
 }
 
+Test(claim, of_a_key_that_tells_its_time_never_runs_anew)
+{
+    constexpr stamp_ms horizon = 120'000;
+    constexpr stamp_ms retry_every = 7000;
+    for (const stamp_ms ahead : {-60'000, 0, 29'000, 31'000, 200'000})
+    {
+        fold_log log;
+        policy_spec policy;
+        policy.claim_horizon_ms = horizon;
+        log.put_policy(policy);
+        const session_id one = log.join(2);
+        const stamp_ms issued = log.now + ahead;
+        int runs = 0;
+        for (stamp_ms age = 0; age < 4 * horizon; age += retry_every)
+        {
+            const auto result = log.put(claim_open{key, one, 1, issued});
+            if (accepted(result))
+            {
+                ++runs;
+                log.put(closing(one, claim_outcome::answered));
+            }
+            else if (age > horizon + 100'000 + std::max<stamp_ms>(0, ahead))
+                cr_assert(rejected(result, reject_reason::claim_expired));
+            log.pass(retry_every);
+        }
+        cr_assert_eq(runs, 1, "clock ahead by %lld", ahead + 0LL);
+    }
+}
+
 Test(claim, claimed_anew_holds_up_no_other)
 {
     fold_log log;
