--- a/src/adapters/edge/call_runner.cpp
+++ b/src/adapters/edge/call_runner.cpp
@@ -198,6 +198,14 @@
         co_await this->answer_interrupted();
     else if (result.result == claim_result::status::held)
         co_await this->answer_held(std::move(result));
+    else if (result.result == claim_result::status::expired)
+    {
+        call_problem problem =
+            make_problem(refusal_reason::claim_expired, verdict::not_run);
+        problem.detail = "the key is older than what is remembered, or made "
+                         "by a clock that is ahead; this call did not run";
+        co_await this->send_refusal(std::move(problem));
+    }
     else if (result.result == claim_result::status::unavailable)
     {
         this->context.ports.events.report(
@@ -223,6 +231,15 @@
 
 asio::awaitable<void> call_runner::answer_held(claim_result held)
 {
+    if (held.content != 0 && held.content != this->call.claim->content)
+    {
+        call_problem reused =
+            make_problem(refusal_reason::key_reused, verdict::not_run);
+        reused.detail = "the key is of a call with another method, path or "
+                        "body; this one did not run";
+        co_await this->send_refusal(std::move(reused));
+        co_return;
+    }
     const bool kept =
         held.http_status != 0 &&
         (!held.body.empty() || held.http_status == status_no_content);
@@ -367,7 +384,7 @@
     if (!std::exchange(this->claim_held, false))
         return;
     claim_close what;
-    what.key = *this->call.claim;
+    what.key = this->call.claim->key;
     what.outcome = to_claim_outcome(outcome);
     what.status = static_cast<std::uint16_t>(status);
     if (body.size() <= this->context.options.max_kept_answer_bytes)
--- a/src/core/placement/controller.cpp
+++ b/src/core/placement/controller.cpp
@@ -70,9 +70,9 @@
     this->self->used(servable, now);
 }
 
-void controller::claim(claim_key key, instant now)
+void controller::claim(const claim_request& asked, instant now)
 {
-    this->self->claim(key, now);
+    this->self->claim(asked, now);
 }
 
 void controller::close_claim(claim_close what, instant now)
--- a/src/core/placement/controller_events.cpp
+++ b/src/core/placement/controller_events.cpp
@@ -152,17 +152,17 @@
     this->strategy->used(servable, now);
 }
 
-void controller::impl::claim(claim_key key, instant now)
+void controller::impl::claim(const claim_request& asked, instant now)
 {
     if (this->leaving_since)
     {
         claim_result refusal;
-        refusal.key = key;
+        refusal.key = asked.key;
         refusal.result = claim_result::status::unavailable;
         this->out.emplace_back(std::move(refusal));
         return;
     }
-    this->claims.claim(this->context(now), key);
+    this->claims.claim(this->context(now), asked);
     this->flush(now);
 }
 
--- a/src/core/placement/controller_impl.hpp
+++ b/src/core/placement/controller_impl.hpp
@@ -45,7 +45,7 @@
     void peers_changed(std::span<const session_id> hinted, instant now);
     void demanded(const servable_demand& what, instant now);
     void used(servable_id servable, instant now);
-    void claim(claim_key key, instant now);
+    void claim(const claim_request& asked, instant now);
     void close_claim(claim_close what, instant now);
     void crash_seen(fingerprint request, engine_id engine, instant now);
     void leave(instant now);
--- a/src/core/state/fleet_state.cpp
+++ b/src/core/state/fleet_state.cpp
@@ -251,8 +251,8 @@
 
 std::optional<claim_view> fleet_state::claim(claim_key key) const
 {
-    const detail::claim_row* row = this->self->data.claims.find(key);
-    if (row == nullptr)
+    const auto row = this->self->data.claims.find(key);
+    if (!row)
         return std::nullopt;
     claim_view view;
     view.key = key;
@@ -260,6 +260,7 @@
     view.outcome = row->outcome;
     view.opened = row->opened;
     view.status = row->status;
+    view.content = row->content;
     view.body = row->body;
     // Nobody is left who could say what became of it.
     if (row->outcome == claim_outcome::open &&
