Fold standing grants: memory, slots and models for a log outage

A grant has to be decided before, or two routers overcommit an engine.

Change: three kinds of record. grant_open reserves memory and weight-store slots on an engine for the holder of its lease, with a term; grant_model counts a model as a replica that isn't gone and fixes its replica's id; grant_settle makes it a replica out of the grant's memory or frees it. A decision for a granted model on that engine takes the granted id. What an earlier holder was granted is freed by a later one only when no order can be in flight. The audit keeps books of its own. No router writes these records yet.

Ruled out: a grant as a replica in a new state (every reader of replicas would have to know it), one record with a list of models (ids are offsets).

--- a/include/roseworks/fleet_state.hpp
+++ b/include/roseworks/fleet_state.hpp
@@ -47,7 +47,8 @@
     not_proven_gone, ///< an old holder's order may still arrive
     claim_held,
     not_holder,
-    entity_in_use
+    entity_in_use,
+    store_slots ///< too few weight-store slots are left for a grant
 };
 
 /// @return The word used in logs and the audit trail.
@@ -142,6 +143,27 @@
     log_offset last_change;
 };
 
+/// What the holder of an engine's lease may load alone while the log is away.
+struct standing_grant_view
+{
+    engine_id engine;
+    fence held;                   ///< of the lease under which it was opened
+    std::uint32_t memory_mib = 0; ///< reserved, and not settled as a replica
+    std::uint16_t loads = 0;      ///< weight-store slots that it keeps
+    std::uint32_t term_ms = 0;    ///< a taker of the lease waits so long
+};
+
+/// A model of a standing grant, counted as a replica that isn't gone.
+struct granted_model_view
+{
+    replica_id id; ///< its replica's, when it is loaded
+    servable_id servable;
+    engine_id engine;
+    fence held; ///< of the lease under which it was granted
+    std::uint32_t memory_mib = 0;
+    revision servable_revision;
+};
+
 /// A router's process.
 struct session_view
 {
@@ -176,14 +198,19 @@
 
     Guarantees, for any sequence of records:
     - a servable has never more replicas that aren't gone than its maximum at
-      the time each was decided;
-    - the memory reserved on an engine never exceeds its capacity by a decision;
+      the time each was decided, models of standing grants among them;
+    - the memory reserved on an engine, its standing grant's included, never
+      exceeds its capacity by a decision;
+    - what a standing grant reserves is freed only by a holder of the engine's
+      lease: the one that opened it, or a later one once no order of a former
+      holder can be in flight;
     - memory is freed only when a replica is proven gone: its lease holder said
       so, and no former holder may still have an order in flight to an engine
       that ignores fencing numbers. A former holder counts until its process is
       proven gone, it says by a `lease_release` that none of its orders to the
       engine is in flight, or it takes the lease again;
-    - at most the policy's number of weight-store slots is held;
+    - at most the policy's number of weight-store slots is held by loads and
+      kept by standing grants;
     - an accepted change of configuration is only replaced by one that names it;
     - a claim has one winner.
 
@@ -290,6 +317,12 @@
     ///         and hasn't said since that none of its orders is in flight.
     bool former_holder(engine_id id, session_id session) const;
 
+    // Standing grants.
+    std::optional<standing_grant_view> standing_grant(engine_id id) const;
+    std::optional<granted_model_view> granted_model(replica_id id) const;
+    void for_each_granted_model(
+        const std::function<void(const granted_model_view&)>& visit) const;
+
     // Sessions.
     std::optional<session_view> session(session_id id) const;
     /// @return The newest session of an author that hasn't ended.
--- a/include/roseworks/names.hpp
+++ b/include/roseworks/names.hpp
@@ -63,7 +63,10 @@
             "claim_close",
             "request_suspect",
             "request_unblock",
-            "checkpoint_chunk"};
+            "checkpoint_chunk",
+            "grant_open",
+            "grant_model",
+            "grant_settle"};
 
 } // namespace detail
 
--- a/include/roseworks/record.hpp
+++ b/include/roseworks/record.hpp
@@ -193,6 +193,50 @@
     std::vector<std::byte> data;
 };
 
+/** Opens, resizes or closes the standing grant of an engine: what the holder of
+    its lease may load alone while the log is away.
+
+    The memory is reserved on the engine and the loads are taken from the weight
+    store's slots, used or not. Only models named by a `grant_model` may be
+    loaded under it. It renews the session: until the grant is closed, a taker
+    of the lease waits `term_ms` where it would wait a lease's term, so the
+    holder may use the grant for that long, less the margin, after it handed
+    out its last renewal. A holder that shortens the term, the memory or the
+    loads keeps to the smaller ones from before it hands out the record.
+*/
+struct grant_open
+{
+    engine_id engine;
+    session_id session;
+    fence held;
+    std::uint32_t memory_mib = 0; ///< 0, and no loads: close it
+    std::uint16_t loads = 0;      ///< weight-store loads at once
+    std::uint32_t term_ms = 0;
+};
+
+/// Adds a model to the standing grant of an engine. Its replica is counted as
+/// if it were loaded there; the record's offset is the replica's id, whoever
+/// has it loaded.
+struct grant_model
+{
+    servable_id servable;
+    revision servable_revision;
+    engine_id engine;
+    session_id session;
+    fence held;
+};
+
+/// The lease holder says what became of a granted model: its load was ordered,
+/// and it is a replica from now on, with memory of the grant; or it isn't on
+/// the engine, no order to load it is in flight, and none will be.
+struct grant_settle
+{
+    replica_id replica;
+    session_id session;
+    fence held;
+    bool used = false;
+};
+
 /// A record of a kind newer than this program: carried and reported.
 struct unknown_record
 {
@@ -217,7 +261,10 @@
     claim_close,
     request_suspect,
     request_unblock,
-    checkpoint_chunk>;
+    checkpoint_chunk,
+    grant_open,
+    grant_model,
+    grant_settle>;
 
 /// Newest schema of the envelope and record payloads.
 inline constexpr std::uint16_t newest_record_schema = 1;
--- a/src/core/state/config_fold.cpp
+++ b/src/core/state/config_fold.cpp
@@ -147,6 +147,11 @@
             {
                 empty = false;
             });
+        if (this->data.grants.on(engine_id(id)) != nullptr)
+            return in_use(
+                change,
+                "it has a standing grant; set draining and wait until it is "
+                "closed");
         return empty ? accept()
                      : in_use(
                            change,
@@ -156,7 +161,7 @@
     if (change.kind != entity_kind::model &&
         change.kind != entity_kind::adapter)
         return accept();
-    if (this->data.replicas.count_of(servable_id(id)) != 0)
+    if (this->data.committed_replicas(servable_id(id)) != 0)
         return in_use(
             change,
             "has replicas; set max_replicas 0 and wait until they are gone");
@@ -208,7 +213,11 @@
             change, "address: engine " + std::string(other) + " has it");
     const engine_row* row =
         this->data.engines.row(this->data.engines.find(change.name));
-    if (row == nullptr || row->reserved_mib == 0)
+    if (row == nullptr)
+        return accept();
+    const bool granted =
+        this->data.grants.on(this->data.engines.find(change.name)) != nullptr;
+    if (row->reserved_mib == 0 && !granted)
         return accept();
     if (spec.memory_mib < row->reserved_mib)
         return invalid(
@@ -216,7 +225,8 @@
             "memory_mib: " + std::to_string(row->reserved_mib) +
                 " are reserved");
     if (spec.address != row->spec.address)
-        return in_use(change, "address: replicas are on the old one");
+        return in_use(
+            change, "address: replicas or a standing grant are on the old one");
     return accept();
 }
 
--- a/src/core/state/fleet_data.hpp
+++ b/src/core/state/fleet_data.hpp
@@ -3,6 +3,7 @@
 #include "core/state/claim_store.hpp"
 #include "core/state/duplicate_filter.hpp"
 #include "core/state/engine_store.hpp"
+#include "core/state/grant_store.hpp"
 #include "core/state/named_store.hpp"
 #include "core/state/replica_store.hpp"
 #include "core/state/servable_store.hpp"
@@ -53,6 +54,7 @@
     std::map<std::pair<entity_kind, std::uint32_t>, unread_spec> unread;
 
     replica_store replicas;
+    grant_store grants;
     session_store sessions;
     claim_store claims;
     suspicion_store suspects;
@@ -62,6 +64,13 @@
     ///         is 1.
     std::uint32_t find(entity_kind kind, std::string_view name) const;
 
+    /// @return Replicas of the servable that aren't gone or may be loaded
+    ///         under a grant.
+    std::size_t committed_replicas(servable_id id) const
+    {
+        return this->replicas.count_of(id) + this->grants.count_of(id);
+    }
+
     /// @return The entity's revision, 0 when it doesn't exist.
     revision current(entity_kind kind, std::string_view name) const;
 };
@@ -125,6 +134,9 @@
     data.claims.save(out);
     data.suspects.save(out);
     data.duplicates.save(out);
+    // Without grants a snapshot is as it was before there were any.
+    if (!data.grants.empty())
+        data.grants.save(out);
 }
 
 /// Read what `save` wrote into empty data; faults are left in the reader.
@@ -156,6 +168,8 @@
     data.claims.load(in);
     data.suspects.load(in);
     data.duplicates.load(in);
+    if (!in.failed() && in.remaining() != 0)
+        data.grants.load(in);
 }
 
 } // namespace roseworks::detail
--- a/src/core/state/fleet_state.cpp
+++ b/src/core/state/fleet_state.cpp
@@ -228,6 +228,31 @@
     return this->self->data.engines.former_holder(id, session);
 }
 
+std::optional<standing_grant_view>
+fleet_state::standing_grant(engine_id id) const
+{
+    const standing_grant_view* row = this->self->data.grants.on(id);
+    if (row == nullptr)
+        return std::nullopt;
+    return *row;
+}
+
+std::optional<granted_model_view>
+fleet_state::granted_model(replica_id id) const
+{
+    const granted_model_view* row = this->self->data.grants.find(id);
+    if (row == nullptr)
+        return std::nullopt;
+    return *row;
+}
+
+void fleet_state::for_each_granted_model(
+    const std::function<void(const granted_model_view&)>& visit) const
+{
+    for (const auto& [id, row] : this->self->data.grants.models())
+        visit(row);
+}
+
 std::optional<session_view> fleet_state::session(session_id id) const
 {
     const detail::session_row* row = this->self->data.sessions.find(id);
--- a/src/core/state/fold.cpp
+++ b/src/core/state/fold.cpp
@@ -1,6 +1,7 @@
 #include "core/state/archive_reader.hpp"
 #include "core/state/config_fold.hpp"
 #include "core/state/fleet_state_impl.hpp"
+#include "core/state/grant_fold.hpp"
 #include "core/state/replica_fold.hpp"
 #include "core/state/request_fold.hpp"
 #include "core/state/router_fold.hpp"
@@ -143,6 +144,8 @@
         return "not_holder";
     case reject_reason::entity_in_use:
         return "entity_in_use";
+    case reject_reason::store_slots:
+        return "store_slots";
     }
     return "unknown";
 }
--- a/src/core/state/record_fields.hpp
+++ b/src/core/state/record_fields.hpp
@@ -136,4 +136,34 @@
     io.bytes(value.data);
 }
 
+template <class Io>
+void fields(Io& io, field_of<Io, grant_open>& value)
+{
+    io.number(value.engine);
+    io.number(value.session);
+    io.number(value.held);
+    io.number(value.memory_mib);
+    io.number(value.loads);
+    io.number(value.term_ms);
+}
+
+template <class Io>
+void fields(Io& io, field_of<Io, grant_model>& value)
+{
+    io.number(value.servable);
+    io.number(value.servable_revision);
+    io.number(value.engine);
+    io.number(value.session);
+    io.number(value.held);
+}
+
+template <class Io>
+void fields(Io& io, field_of<Io, grant_settle>& value)
+{
+    io.number(value.replica);
+    io.number(value.session);
+    io.number(value.held);
+    io.number(value.used);
+}
+
 } // namespace roseworks::detail
--- a/src/core/state/replica_fold.cpp
+++ b/src/core/state/replica_fold.cpp
@@ -35,20 +35,20 @@
     return false;
 }
 
-void note_move(
-    fold_context& context,
-    const replica_view& row,
-    replica_state from,
-    replica_state to,
-    session_id session)
+/** @return The granted model that the decision makes a replica, null when it
+            decides a new one.
+
+    The replica keeps the granted id. A holder that is cut off from the log and
+    loads the model under its grant then sends the same load.
+*/
+const granted_model_view*
+converted(const fleet_data& data, const replica_decide& value)
 {
-    state_change& change = context.note(state_change::kind::replica_moved);
-    change.replica = row.id;
-    change.entity_id = row.servable.value;
-    change.engine = row.engine;
-    change.session = session;
-    change.from = from;
-    change.to = to;
+    const granted_model_view* granted =
+        data.grants.find(value.servable, value.engine);
+    const bool same = granted != nullptr &&
+                      granted->servable_revision == value.servable_revision;
+    return same ? granted : nullptr;
 }
 
 fold_result check_servable(const fleet_data& data, const replica_decide& value)
@@ -69,7 +69,9 @@
         return reject(
             reject_reason::unknown_entity,
             "servable " + name + ": schema newer than this program's");
-    if (data.replicas.count_of(value.servable) >= row->max_replicas)
+    // A model granted on the engine is counted already.
+    if (converted(data, value) == nullptr &&
+        data.committed_replicas(value.servable) >= row->max_replicas)
         return reject(
             reject_reason::replicas_at_maximum,
             "servable " + name + " has all its " +
@@ -188,6 +190,22 @@
 
 } // namespace
 
+void note_move(
+    fold_context& context,
+    const replica_view& row,
+    replica_state from,
+    replica_state to,
+    session_id session)
+{
+    state_change& change = context.note(state_change::kind::replica_moved);
+    change.replica = row.id;
+    change.entity_id = row.servable.value;
+    change.engine = row.engine;
+    change.session = session;
+    change.from = from;
+    change.to = to;
+}
+
 fold_result fold(fold_context& context, const replica_decide& value)
 {
     fleet_data& data = context.data;
@@ -205,6 +223,11 @@
 
     replica_view row;
     row.id = replica_id(context.offset.value);
+    if (const granted_model_view* granted = converted(data, value))
+    {
+        row.id = granted->id;
+        data.grants.erase(row.id);
+    }
     row.servable = value.servable;
     row.engine = value.engine;
     row.base = value.base;
@@ -251,7 +274,8 @@
 {
     fleet_data& data = context.data;
     const policy_spec& policy = data.policy.spec;
-    while (data.replicas.slots_held() < policy.store_slots)
+    while (data.replicas.slots_held() + data.grants.loads() <
+           policy.store_slots)
     {
         const replica_id next = data.replicas.next_waiting();
         if (!next)
--- a/src/core/state/router_fold.cpp
+++ b/src/core/state/router_fold.cpp
@@ -54,12 +54,6 @@
     }
 }
 
-void renew(fold_context& context, session_id session)
-{
-    context.data.sessions.find(session)->last_renewal = context.offset;
-    context.note(state_change::kind::session_renewed).session = session;
-}
-
 /// @return Whether the taker saw the holder's last renewal lapse.
 fold_result check_takeover(
     const fleet_data& data, const engine_row& row, const lease_acquire& value)
@@ -87,6 +81,12 @@
 
 } // namespace
 
+void renew(fold_context& context, session_id session)
+{
+    context.data.sessions.find(session)->last_renewal = context.offset;
+    context.note(state_change::kind::session_renewed).session = session;
+}
+
 fold_result
 fold(fold_context& context, const router_join& value, const record_id& id)
 {
@@ -193,6 +193,8 @@
             "session " + std::to_string(value.session.value) +
                 " doesn't hold the lease",
             log_offset(row->held.value));
+    // With no order in flight, nor any to come, its grant is free.
+    row->reserved_mib -= context.data.grants.give_back(value.engine, row->held);
     free_lease(context, value.engine, *row);
     return accept();
 }
--- a/src/core/state/router_fold.hpp
+++ b/src/core/state/router_fold.hpp
@@ -16,4 +16,7 @@
 fold_result fold(fold_context& context, const lease_acquire& value);
 fold_result fold(fold_context& context, const lease_release& value);
 
+/// Note that a live session's term begins anew with this record.
+void renew(fold_context& context, session_id session);
+
 } // namespace roseworks::detail
--- a/src/core/state/snapshot.cpp
+++ b/src/core/state/snapshot.cpp
@@ -54,6 +54,29 @@
     }
 }
 
+void link_grants(archive_reader& in, fleet_data& data)
+{
+    for (const auto& [id, grant] : data.grants.grants())
+    {
+        detail::engine_row* engine = data.engines.row(id);
+        if (engine == nullptr)
+            return in.fail("grant on an unknown engine");
+        const std::uint64_t reserved =
+            std::uint64_t(engine->reserved_mib) + grant.memory_mib;
+        if (reserved > engine->spec.memory_mib)
+            return in.fail("engine with a grant beyond its memory");
+        engine->reserved_mib = static_cast<std::uint32_t>(reserved);
+    }
+    for (const auto& [id, row] : data.grants.models())
+    {
+        if (data.grants.on(row.engine) == nullptr ||
+            data.servables.row(row.servable) == nullptr)
+            return in.fail("granted model without a grant or servable");
+        if (data.replicas.find(id) != nullptr)
+            return in.fail("granted model that is a replica");
+    }
+}
+
 void check_leases(archive_reader& in, const fleet_data& data)
 {
     for (const detail::engine_row& row : data.engines.all())
@@ -85,6 +108,8 @@
     in.finish();
     if (!in.failed())
         link_replicas(in, data);
+    if (!in.failed())
+        link_grants(in, data);
     if (!in.failed())
         check_leases(in, data);
     if (!in.failed())
--- a/tests/golden/record_line.cpp
+++ b/tests/golden/record_line.cpp
@@ -131,6 +131,28 @@
                number(what.index + 1) + " of " + number(what.count);
     }
 
+    std::string operator()(const grant_open& what) const
+    {
+        return "grant_open " + this->engine(what.engine) + " by " +
+               this->session(what.session) + ": " + number(what.memory_mib) +
+               " MiB, " + number(what.loads) + " loads, " +
+               number(what.term_ms) + " ms";
+    }
+
+    std::string operator()(const grant_model& what) const
+    {
+        return "grant_model " + servable_name(what.servable, this->names) +
+               " (expects #" + number(what.servable_revision.value) + ") on " +
+               this->engine(what.engine) + " by " + this->session(what.session);
+    }
+
+    std::string operator()(const grant_settle& what) const
+    {
+        return "grant_settle " + number(what.replica.value) +
+               (what.used ? " used, by " : " not used, by ") +
+               this->session(what.session);
+    }
+
 private:
     std::string engine(engine_id id) const
     {
--- a/tests/unit/config/invariant_checker_test.cpp
+++ b/tests/unit/config/invariant_checker_test.cpp
@@ -219,3 +219,58 @@
     fold.show(session_renew{router});
     cr_expect_eq(fold.only(), "session 2 renews after its end");
 }
+
+Test(invariant_checker, counts_what_is_granted)
+{
+    forged_fold fold;
+    const fence held(3);
+    fold.show(lease_acquire{engine, router, {}, {}});
+    fold.show(grant_open{engine, router, held, 60, 1, 1000});
+    fold.show(grant_model{model, revision(1), engine, router, held});
+    cr_expect(fold.checker.violations().empty());
+    fold.show(grant_open{engine, router, held, 101, 1, 1000});
+    cr_expect_eq(fold.only(), "engine e: 101 MiB reserved of 100");
+}
+
+Test(invariant_checker, sees_a_replica_beside_those_granted)
+{
+    forged_fold fold;
+    const fence held(3);
+    fold.show(lease_acquire{engine, router, {}, {}});
+    fold.show(grant_open{engine, router, held, 10, 1, 1000});
+    fold.show(grant_model{model, revision(1), engine, router, held});
+    fold.show(grant_settle{replica_id(5), router, held, false});
+    fold.decide();
+    fold.decide();
+    cr_expect(fold.checker.violations().empty());
+    fold.show(grant_model{model, revision(1), engine, router, held});
+    cr_expect_eq(fold.only(), "model m: 3 replicas, maximum 2");
+}
+
+Test(invariant_checker, sees_a_grant_used_beyond_its_memory)
+{
+    forged_fold fold;
+    const fence held(3);
+    fold.show(lease_acquire{engine, router, {}, {}});
+    fold.show(grant_open{engine, router, held, 30, 1, 1000});
+    fold.show(grant_model{model, revision(1), engine, router, held});
+    fold.show(grant_settle{replica_id(5), router, held, true});
+    cr_expect_eq(fold.only(), "replica 5: uses more than its grant has");
+}
+
+Test(invariant_checker, sees_a_grant_freed_under_a_late_order)
+{
+    constexpr session_id taker{6};
+    forged_fold fold;
+    const fence held(3);
+    fold.show(lease_acquire{engine, router, {}, {}});
+    fold.show(grant_open{engine, router, held, 40, 1, 1000});
+    fold.show(grant_model{model, revision(1), engine, router, held});
+    fold.show(router_join{"r2", "d", "", ""}, {}, author_id(2));
+    fold.show(lease_acquire{engine, taker, router, log_offset(4)});
+    cr_expect(fold.checker.violations().empty());
+    fold.show(grant_settle{replica_id(5), taker, fence(7), false});
+    cr_expect_eq(
+        fold.only(),
+        "engine e: grant freed while an old holder's order may arrive");
+}
--- a/tests/unit/state/codec_test.cpp
+++ b/tests/unit/state/codec_test.cpp
@@ -75,7 +75,11 @@
         claim_close{key, session, claim_outcome::answered, 200, "body"},
         request_suspect{fingerprint(1), engine_id(2), session},
         request_unblock{fingerprint(1), "olga"},
-        checkpoint_chunk{log_offset(1), 2, 3, 4, some_bytes(10)}};
+        checkpoint_chunk{log_offset(1), 2, 3, 4, some_bytes(10)},
+        grant_open{engine_id(1), session, fence(2), 3, 4, 5},
+        grant_model{
+            servable_id(1), revision(2), engine_id(3), session, fence(4)},
+        grant_settle{replica_id(1), session, fence(2), true}};
     std::vector<record> records;
     for (const record_payload& payload : payloads)
     {
--- a/tests/unit/state/properties_test.cpp
+++ b/tests/unit/state/properties_test.cpp
@@ -51,7 +51,7 @@
     fold_result play(const step& step)
     {
         this->log.now += step[3];
-        switch (step[0] % 12)
+        switch (step[0] % 18)
         {
         case 0:
             return this->log.put(this->change(step));
@@ -71,6 +71,15 @@
         case 9:
         case 10:
             return this->report(step);
+        case 11:
+        case 12:
+            return this->log.put(this->grant(step));
+        case 13:
+        case 14:
+            return this->log.put(this->granted(step));
+        case 15:
+        case 16:
+            return this->settle(step);
         default:
             return this->claim(step);
         }
@@ -174,6 +183,52 @@
             engine->held);
     }
 
+    /// Open, resize or close the grant of an engine, as its holder or not.
+    grant_open grant(const step& step) const
+    {
+        const auto engine = this->log.state.engine(
+            this->log.state.find_engine(name('e', step[1] % 3)));
+        const bool stale = step[3] % 8 == 0;
+        grant_open value;
+        value.engine = engine->id;
+        value.session = stale ? this->session(step[3] / 8) : engine->holder;
+        value.held = engine->held;
+        value.memory_mib = 30 * (step[2] % 5);
+        value.loads = value.memory_mib == 0 ? 0 : 1 + step[2] / 128;
+        value.term_ms = 60'000;
+        return value;
+    }
+
+    grant_model granted(const step& step) const
+    {
+        const auto engine = this->log.state.engine(
+            this->log.state.find_engine(name('e', step[1] % 3)));
+        const auto model = this->log.state.servable(
+            this->log.state.find_servable(name('m', step[2] % 3)));
+        return {
+            model->id,
+            model->current,
+            engine->id,
+            engine->holder,
+            engine->held};
+    }
+
+    fold_result settle(const step& step)
+    {
+        std::vector<granted_model_view> rows;
+        this->log.state.for_each_granted_model(
+            [&rows](const granted_model_view& row)
+            {
+                rows.push_back(row);
+            });
+        if (rows.empty())
+            return this->log.put(grant_settle{});
+        const granted_model_view& row = rows[step[1] % rows.size()];
+        const auto engine = this->log.state.engine(row.engine);
+        return this->log.put(grant_settle{
+            row.id, engine->holder, engine->held, step[2] % 2 == 0});
+    }
+
     fold_result claim(const step& step)
     {
         const claim_key key{0, std::uint64_t(step[1] % 4)};
@@ -215,6 +270,8 @@
                 {
                     sum += row.memory_mib;
                 });
+            if (const auto grant = state.standing_grant(engine.id))
+                sum += grant->memory_mib;
             RC_ASSERT(sum == engine.reserved_mib);
             RC_ASSERT(sum <= engine.spec->memory_mib);
             const auto holder = state.session(engine.holder);
@@ -232,9 +289,49 @@
             loading += row.state == replica_state::loading;
             RC_ASSERT(row.holds_slot == (row.state == replica_state::loading));
         });
+    state.for_each_engine(
+        [&](const engine_view& engine)
+        {
+            if (const auto grant = state.standing_grant(engine.id))
+                loading += grant->loads;
+        });
     RC_ASSERT(loading <= history::slots);
 }
 
+/// Replicas of each servable that aren't gone or are granted.
+std::map<servable_id, std::size_t> committed(const fleet_state& state)
+{
+    std::map<servable_id, std::size_t> count;
+    state.for_each_replica(
+        [&count](const replica_view& row)
+        {
+            ++count[row.servable];
+        });
+    state.for_each_granted_model(
+        [&count](const granted_model_view& row)
+        {
+            ++count[row.servable];
+        });
+    return count;
+}
+
+/// Only a decision or a grant adds to a servable's replicas, up to its maximum.
+void check_growth(
+    const fold_log& log, const std::map<servable_id, std::size_t>& before)
+{
+    const record_payload& payload = log.records.back().payload;
+    const bool may_grow = std::holds_alternative<replica_decide>(payload) ||
+                          std::holds_alternative<grant_model>(payload);
+    for (const auto& [servable, count] : committed(log.state))
+    {
+        const auto had = before.find(servable);
+        if (had != before.end() && count <= had->second)
+            continue;
+        RC_ASSERT(may_grow);
+        RC_ASSERT(count <= log.state.servable(servable)->max_replicas);
+    }
+}
+
 void check_decisions(const fleet_state& state)
 {
     for (const state_change& change : state.changes())
@@ -299,7 +396,9 @@
             history played;
             for (const step& step : script)
             {
+                const auto before = committed(played.log.state);
                 played.play(step);
+                check_growth(played.log, before);
                 check_engines(played.log.state);
                 check_slots(played.log.state);
                 check_decisions(played.log.state);
@@ -384,3 +483,40 @@
             }
         }));
 }
+
+Test(properties, grants_are_freed_by_their_holder_or_on_proof)
+{
+    cr_assert(holds(
+        "a granted model that is no replica left by its lease or on proof",
+        [](const steps& script)
+        {
+            history played;
+            std::size_t settled = 0;
+            for (const step& step : script)
+            {
+                std::vector<granted_model_view> before;
+                played.log.state.for_each_granted_model(
+                    [&before](const granted_model_view& row)
+                    {
+                        before.push_back(row);
+                    });
+                played.play(step);
+                const auto& state = played.log.state;
+                for (const granted_model_view& row : before)
+                {
+                    if (state.granted_model(row.id) || state.replica(row.id))
+                        continue;
+                    ++settled;
+                    const auto& payload = played.log.records.back().payload;
+                    const auto* settle = std::get_if<grant_settle>(&payload);
+                    const bool by_lease =
+                        std::holds_alternative<lease_release>(payload) ||
+                        (settle != nullptr && settle->held == row.held);
+                    const bool fair =
+                        by_lease || !state.order_may_be_in_flight(row.engine);
+                    RC_ASSERT(fair);
+                }
+            }
+            RC_CLASSIFY(settled != 0, "settled as not used");
+        }));
+}
--- a/tests/unit/state/snapshot_test.cpp
+++ b/tests/unit/state/snapshot_test.cpp
@@ -35,6 +35,11 @@
     log.put(claim_close{
         claim_key{1, 3}, fresh, claim_outcome::answered, 200, "body"});
     log.put(request_suspect{fingerprint(5), {}, fresh});
+    const auto engine = log.state.engine(log.state.find_engine("e"));
+    log.put(grant_open{engine->id, fresh, engine->held, 100, 1, 60'000});
+    const auto model = log.state.servable(log.state.find_servable("m"));
+    log.put(grant_model{
+        model->id, model->current, engine->id, fresh, engine->held});
     return log;
 }
 
@@ -51,7 +56,15 @@
     cr_assert(again->snapshot() == bytes);
     const engine_id engine = again->find_engine("e");
     cr_assert(again->order_may_be_in_flight(engine));
-    cr_assert_eq(again->engine(engine)->reserved_mib, 150);
+    cr_assert_eq(again->engine(engine)->reserved_mib, 250);
+    cr_assert_eq(again->standing_grant(engine)->memory_mib, 100);
+    std::size_t granted = 0;
+    again->for_each_granted_model(
+        [&granted](const granted_model_view&)
+        {
+            ++granted;
+        });
+    cr_assert_eq(granted, 1);
     cr_assert_eq(again->claim(claim_key{1, 3})->body, "body");
     cr_assert_eq(again->suspicion(fingerprint(5)), 1);
     cr_assert(again->entity_revision(entity_kind::caller, "c2"));
--- a/tools/audit/invariant_checker.cpp
+++ b/tools/audit/invariant_checker.cpp
@@ -38,6 +38,19 @@
         [&](const engine_view& engine)
         {
             this->leases[engine.id].holder = engine.holder;
+            this->leases[engine.id].held = engine.held;
+            this->restore_grant(state, engine);
+        });
+    state.for_each_granted_model(
+        [&](const granted_model_view& model)
+        {
+            const std::string on = engine_name(state, model.engine);
+            this->granted[model.id] = {
+                servable_name(state, model.servable),
+                on,
+                model.held,
+                model.memory_mib,
+                model.servable_revision};
         });
     state.for_each_session(
         [&](const session_view& session)
@@ -167,6 +180,7 @@
     }
     lease.lapsed.erase(value.session);
     lease.holder = value.session;
+    lease.held = fence(now.entry.offset.value);
     // As documented for `session_view::last_renewal`.
     this->sessions[value.session].last_renewal = now.entry.offset;
 }
@@ -182,7 +196,9 @@
     lease.lapsed.erase(value.session);
     if (lease.holder == value.session)
     {
+        this->drop_grant(engine_name(now.state, value.engine), lease.held);
         lease.holder = session_id();
+        lease.held = fence();
     }
 }
 
--- a/tools/audit/invariant_checker.hpp
+++ b/tools/audit/invariant_checker.hpp
@@ -65,10 +65,29 @@
     struct lease_account
     {
         session_id holder;
+        fence held;
         /// Holders that lapsed; an order of theirs may still arrive.
         std::set<session_id> lapsed;
     };
 
+    /// Memory and slots kept for loads while the log is away.
+    struct grant_account
+    {
+        fence held; ///< of the lease under which it was opened
+        std::uint32_t memory_mib = 0;
+        std::uint32_t loads = 0;
+    };
+
+    /// A model that may be loaded under a grant; it counts as a replica.
+    struct granted_account
+    {
+        std::string servable;
+        std::string engine;
+        fence held; ///< of the lease under which it was named
+        std::uint32_t memory_mib = 0;
+        revision servable_revision;
+    };
+
     struct session_account
     {
         author_id author;
@@ -103,6 +122,10 @@
     void check(const step& now, const claim_open& value);
     void check(const step& now, const claim_close& value);
 
+    void check(const step& now, const grant_open& value);
+    void check(const step& now, const grant_model& value);
+    void check(const step& now, const grant_settle& value);
+
     /// Records that change nothing which is promised.
     template <class Payload>
     void check(const step&, const Payload&)
@@ -113,6 +136,19 @@
     void follow_moves();
     void follow_move(const state_change& change);
     void check_slots();
+    void check_count(const std::string& servable, std::uint32_t maximum);
+    void check_memory(const std::string& engine, std::uint64_t more);
+    void
+    require_holder(const std::string& engine, engine_id id, session_id session);
+    void require_proof(const std::string& engine, engine_id id);
+    /// @return The granted model that a decision makes a replica, else 0.
+    replica_id converted(
+        const std::string& servable,
+        const std::string& engine,
+        revision expected) const;
+    void restore_grant(const fleet_state& state, const engine_view& engine);
+    void drop_grant(const std::string& engine, fence held);
+    const entity_account* servable_account(const std::string& servable) const;
     void end_session(session_id session);
     void require_live(session_id session, const std::string& what);
     void require(bool holds, const std::string& what);
@@ -125,6 +161,8 @@
     const history_entry* current = nullptr;
     std::map<entity_key, entity_account> entities;
     std::map<replica_id, replica_account> replicas;
+    std::map<std::string, grant_account> grants; ///< by engine
+    std::map<replica_id, granted_account> granted;
     std::map<engine_id, lease_account> leases;
     std::map<session_id, session_account> sessions;
     std::map<claim_key, claim_account> claims;
--- a/tools/audit/replica_checks.cpp
+++ b/tools/audit/replica_checks.cpp
@@ -1,4 +1,5 @@
 #include "tools/audit/invariant_checker.hpp"
+#include "tools/audit/servable_figures.hpp"
 #include "tools/audit/violation_text.hpp"
 #include "tools/common/trail.hpp"
 
@@ -28,24 +29,6 @@
     return moves.contains({from, to});
 }
 
-std::uint32_t memory_of(const entity_spec& spec)
-{
-    if (const auto* adapter = std::get_if<adapter_spec>(&spec))
-    {
-        return adapter->memory_mib;
-    }
-    return std::get<model_spec>(spec).memory_mib;
-}
-
-std::uint32_t maximum_of(const entity_spec& spec)
-{
-    if (const auto* adapter = std::get_if<adapter_spec>(&spec))
-    {
-        return adapter->max_replicas;
-    }
-    return std::get<model_spec>(spec).max_replicas;
-}
-
 } // namespace
 
 void invariant_checker::check(const step& now, const replica_decide& value)
@@ -53,36 +36,30 @@
     this->require_live(value.session, "decides a replica");
     const std::string servable = servable_name(now.state, value.servable);
     const std::string engine = engine_name(now.state, value.engine);
-    auto known = this->entities.find({entity_kind::model, servable});
-    if (known == this->entities.end())
-    {
-        known = this->entities.find({entity_kind::adapter, servable});
-    }
+    const entity_account* const known = this->servable_account(servable);
     const engine_spec* const there =
         this->spec_of<engine_spec>(entity_kind::engine, engine);
-    if (known == this->entities.end() || !known->second.spec ||
-        there == nullptr)
+    if (known == nullptr || !known->spec || there == nullptr)
     {
         this->require(false, about("model", servable) + "not declared");
         return;
     }
     this->require(
-        known->second.current == value.servable_revision,
+        known->current == value.servable_revision,
         about("model", servable) + "decided for an old revision");
-    const std::uint32_t loaded = this->replicas_of(servable);
-    const std::uint32_t maximum = maximum_of(*known->second.spec);
-    this->require(
-        loaded < maximum,
-        about("model", servable) + std::to_string(loaded + 1) +
-            " replicas, maximum " + std::to_string(maximum));
-    const std::uint32_t memory = memory_of(*known->second.spec);
-    const std::uint64_t reserved = this->reserved_on(engine) + memory;
-    this->require(
-        reserved <= there->memory_mib,
-        about("engine", engine) + std::to_string(reserved) +
-            " MiB reserved of " + std::to_string(there->memory_mib));
-    this->replicas[replica_id(now.entry.offset.value)] = {
-        servable, engine, memory, replica_state::decided};
+    const std::uint32_t memory = memory_of(*known->spec);
+    replica_id id = this->converted(servable, engine, value.servable_revision);
+    if (id)
+    {
+        this->granted.erase(id);
+    }
+    else
+    {
+        id = replica_id(now.entry.offset.value);
+    }
+    this->check_count(servable, maximum_of(*known->spec));
+    this->check_memory(engine, memory);
+    this->replicas[id] = {servable, engine, memory, replica_state::decided};
 }
 
 void invariant_checker::check(const step& now, const replica_report& value)
@@ -168,11 +145,18 @@
         {
             return replica.second.state == replica_state::loading;
         });
+    std::uint32_t kept = 0;
+    for (const auto& [engine, grant] : this->grants)
+    {
+        kept += grant.loads;
+    }
     const std::uint16_t slots = this->policy().store_slots;
+    const std::string by_grants =
+        kept == 0 ? std::string() : " and " + std::to_string(kept) + " granted";
     this->require(
-        held <= slots,
-        std::to_string(held) + " loads at once, " + std::to_string(slots) +
-            " store slots");
+        held + kept <= slots,
+        std::to_string(held) + " loads at once" + by_grants + ", " +
+            std::to_string(slots) + " store slots");
 }
 
 std::uint64_t invariant_checker::reserved_on(const std::string& engine) const
@@ -182,7 +166,8 @@
     {
         sum += replica.engine == engine ? replica.memory_mib : 0;
     }
-    return sum;
+    const auto grant = this->grants.find(engine);
+    return sum + (grant == this->grants.end() ? 0 : grant->second.memory_mib);
 }
 
 std::uint32_t invariant_checker::replicas_of(const std::string& servable) const
@@ -192,6 +177,10 @@
     {
         count += replica.servable == servable ? 1 : 0;
     }
+    for (const auto& [id, model] : this->granted)
+    {
+        count += model.servable == servable ? 1 : 0;
+    }
     return count;
 }
 
--- a/tools/common/trail.cpp
+++ b/tools/common/trail.cpp
@@ -45,6 +45,12 @@
             this->subject("model", servable_name(this->state, view->servable));
             this->engine(view->engine);
         }
+        else if (const auto granted = this->state.granted_model(id))
+        {
+            this->subject(
+                "model", servable_name(this->state, granted->servable));
+            this->engine(granted->engine);
+        }
     }
 
     void operator()(const unknown_record& value) const
@@ -151,6 +157,32 @@
                             " of " + std::to_string(value.count);
     }
 
+    void operator()(const grant_open& value) const
+    {
+        this->engine(value.engine);
+        this->router(value.session);
+        this->entry.cause = value.memory_mib == 0
+                                ? "closed"
+                                : std::to_string(value.memory_mib) + " MiB, " +
+                                      std::to_string(value.loads) +
+                                      " loads at once, term " +
+                                      std::to_string(value.term_ms) + " ms";
+    }
+
+    void operator()(const grant_model& value) const
+    {
+        this->subject("model", servable_name(this->state, value.servable));
+        this->engine(value.engine);
+        this->router(value.session);
+    }
+
+    void operator()(const grant_settle& value) const
+    {
+        this->replica(value.replica);
+        this->router(value.session);
+        this->entry.cause = value.used ? "used" : "not used";
+    }
+
     void add_differences(const entity_change& change) const
     {
         const auto before = this->state.entity(change.kind, change.name);
