Settle what an earlier lease holder was granted

Cause: a holder may die with loads under its grant that no record tells of.

Change: the next holder reads the engine, makes replicas of granted models that it shows, shows the engine its own fencing number, and frees the rest after reads that agree and proof where fences are ignored; then it closes the grant. A taker waits the grant's term where it is longer than a lease's. A granted model on an engine is no stray.

--- a/src/core/placement/controller_events.cpp
+++ b/src/core/placement/controller_events.cpp
@@ -48,6 +48,7 @@
     , reports(this->settings.engine_poll)
     , orders(
           this->settings, this->leases, this->vms, this->reports, this->streaks)
+    , grants(this->settings, this->leases, this->vms, this->reports)
     , proposals(
           this->settings,
           *this->strategy,
@@ -114,6 +115,7 @@
     std::uint64_t order, order_outcome outcome, instant now)
 {
     this->orders.answered(order, outcome, now);
+    this->grants.answered(order, outcome, now);
     this->step(now);
 }
 
@@ -121,7 +123,9 @@
 {
     this->reports.received(report, now);
     this->uses.reported(this->state, report, now);
-    this->orders.reported(this->context(now), report.engine);
+    const control_context seen = this->context(now);
+    this->orders.reported(seen, report.engine);
+    this->grants.reported(seen, report.engine);
     this->step(now);
 }
 
--- a/src/core/placement/controller_impl.hpp
+++ b/src/core/placement/controller_impl.hpp
@@ -2,6 +2,7 @@
 
 #include "core/placement/activity.hpp"
 #include "core/placement/engine_reports.hpp"
+#include "core/placement/grant_settler.hpp"
 #include "core/placement/idle_watch.hpp"
 #include "core/placement/load_failures.hpp"
 #include "core/placement/order_keeper.hpp"
@@ -18,6 +19,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <vector>
 
@@ -66,6 +68,9 @@
 
     /// Like `context`, without looking at all sessions for every record.
     detail::control_context fold_context(instant now);
+    /// @return Engines on which something moves.
+    std::set<engine_id> urgent_engines() const;
+
     void note_change(const state_change& change, instant now);
     void note_leave(const detail::fold_event& event);
     void wake(instant now);
@@ -86,6 +91,7 @@
     detail::activity uses;
     detail::load_failures streaks;
     detail::order_keeper orders;
+    detail::grant_settler grants;
     detail::proposer proposals;
     detail::idle_watch idle;
 
--- a/src/core/placement/controller_steps.cpp
+++ b/src/core/placement/controller_steps.cpp
@@ -83,6 +83,7 @@
     this->leases.folded(seen, event);
     this->streaks.folded(seen, event);
     this->orders.folded(seen, event);
+    this->grants.folded(seen, event);
     this->proposals.folded(seen, event);
     this->claims.folded(seen, event);
     this->checkpoints.folded(seen, event);
@@ -113,6 +114,13 @@
         this->available(now)};
 }
 
+std::set<engine_id> controller::impl::urgent_engines() const
+{
+    std::set<engine_id> urgent = this->orders.urgent();
+    urgent.insert(this->grants.urgent().begin(), this->grants.urgent().end());
+    return urgent;
+}
+
 void controller::impl::note_change(const state_change& change, instant now)
 {
     this->table_changed = this->table_changed || concerns_routing(change);
@@ -157,11 +165,15 @@
         seen,
         [&](engine_id engine)
         {
-            return this->orders.busy(engine);
+            return this->orders.busy(engine) || this->grants.busy(engine);
         });
     this->claims.step(seen);
     this->orders.step(seen);
-    this->reports.step(seen, this->orders.held(), this->orders.urgent());
+    if (!this->leaving_since)
+    {
+        this->grants.step(seen);
+    }
+    this->reports.step(seen, this->orders.held(), this->urgent_engines());
     if (this->leaving_since)
     {
         this->step_leaving(seen);
@@ -183,7 +195,8 @@
         this->finish(false);
         return;
     }
-    const bool quiet = !this->orders.any_busy() && this->commit.idle() &&
+    const bool quiet = !this->orders.any_busy() && !this->grants.any_busy() &&
+                       this->commit.idle() &&
                        !this->leases.holds_any(this->state);
     if (quiet && seen.self && !this->pending_leave)
     {
--- a/src/core/placement/order_keeper_reads.cpp
+++ b/src/core/placement/order_keeper_reads.cpp
@@ -121,7 +121,10 @@
     {
         const std::optional<replica_view> known =
             context.state.replica(item.replica);
-        const bool explained = known && known->engine == engine;
+        const std::optional<granted_model_view> granted =
+            context.state.granted_model(item.replica);
+        const bool explained = (known && known->engine == engine) ||
+                               (granted && granted->engine == engine);
         // A replica decided beyond what is folded here isn't a stray.
         const bool newer = item.replica.value > context.state.folded().value;
         if (explained || newer || item.state == replica_state::unloading)
--- a/src/core/recovery/lease_keeper.cpp
+++ b/src/core/recovery/lease_keeper.cpp
@@ -134,12 +134,11 @@
     this->leaving = true;
 }
 
-bool lease_keeper::lapsed(session_id id, instant now) const
+bool lease_keeper::lapsed(session_id id, duration term, instant now) const
 {
     const auto seen = this->renewals.find(id);
     return seen != this->renewals.end() &&
-           now >= seen->second.read + this->settings.lease_term +
-                      this->settings.lease_margin;
+           now >= seen->second.read + term + this->settings.lease_margin;
 }
 
 bool lease_keeper::in_force(instant now) const
@@ -160,7 +159,7 @@
                 std::binary_search(
                     this->hint.begin(), this->hint.end(), session.id);
             if (session.ended || session.id == this->self || !hinted ||
-                this->lapsed(session.id, now))
+                this->lapsed(session.id, this->settings.lease_term, now))
             {
                 return;
             }
@@ -284,6 +283,18 @@
     return lease != this->engines.end() && lease->second.releasing;
 }
 
+/// Under a standing grant a holder may order for longer than a lease's term.
+duration
+lease_keeper::term_of(const fleet_state& state, const engine_view& engine) const
+{
+    const std::optional<standing_grant_view> grant =
+        state.standing_grant(engine.id);
+    const bool of_holder = grant && grant->held == engine.held;
+    const duration granted =
+        std::chrono::milliseconds(of_holder ? grant->term_ms : 0);
+    return std::max(this->settings.lease_term, granted);
+}
+
 bool lease_keeper::takeable(
     const fleet_state& state, const engine_view& engine, instant now) const
 {
@@ -292,7 +303,8 @@
         return true;
     }
     const std::optional<session_view> holder = state.session(engine.holder);
-    return !holder || holder->ended || this->lapsed(engine.holder, now);
+    return !holder || holder->ended ||
+           this->lapsed(engine.holder, this->term_of(state, engine), now);
 }
 
 void lease_keeper::consider_taking(
--- a/src/core/recovery/lease_keeper.hpp
+++ b/src/core/recovery/lease_keeper.hpp
@@ -21,10 +21,11 @@
     One record renews all of a session's leases. The holder counts its term from
     just before the renewal was handed out and stops ordering a margin earlier;
     a taker counts the full term plus the margin from when it read the last
-    renewal. Which router should hold an engine is a hint by rendezvous hashing;
-    who does hold it is decided by the fold. A lease lost to another is released
-    as well, as soon as none of its orders can be in flight any more: at an
-    engine that ignores fencing numbers, memory waits for that.
+    renewal; on an engine with a standing grant of the holder's, the grant's
+    term when that is longer. Which router should hold an engine is a hint by
+   rendezvous hashing; who does hold it is decided by the fold. A lease lost to
+   another is released as well, as soon as none of its orders can be in flight
+   any more: at an engine that ignores fencing numbers, memory waits for that.
 */
 class lease_keeper
 {
@@ -117,9 +118,10 @@
         const control_context& context,
         const engine_view& engine,
         engine_lease& lease);
+    duration term_of(const fleet_state& state, const engine_view& engine) const;
     bool takeable(
         const fleet_state& state, const engine_view& engine, instant now) const;
-    bool lapsed(session_id id, instant now) const;
+    bool lapsed(session_id id, duration term, instant now) const;
     bool in_force(instant now) const;
 
     controller::options settings;
