Write once what the tools' mains, stores and stand-ins wrote twice

Ruled out: one HTTP client for tools/common and tests/support, as the tests' keeps partial answers and errors as text, and says so in its contract. roseworks-demo now gives 1 instead of 2 for an exception that is no option's.

--- a/src/core/state/engine_store.cpp
+++ b/src/core/state/engine_store.cpp
@@ -6,47 +6,9 @@
 namespace roseworks::detail
 {
 
-engine_id engine_store::find(std::string_view name) const
-{
-    const engine_id id(this->names.find(name));
-    return this->row(id) != nullptr ? id : engine_id();
-}
-
-const engine_row* engine_store::row(engine_id id) const
-{
-    if (!this->known(id) || !this->rows[id.value - 1].current)
-        return nullptr;
-    return &this->rows[id.value - 1];
-}
-
-engine_row* engine_store::row(engine_id id)
-{
-    return const_cast<engine_row*>(std::as_const(*this).row(id));
-}
-
-engine_id
-engine_store::put(std::string_view name, const engine_spec& spec, revision at)
-{
-    engine_id id;
-    engine_row& row = this->row_for(name, id);
-    row.spec = spec;
-    row.current = at;
-    row.readable = true;
-    return id;
-}
-
-engine_id engine_store::put_unread(std::string_view name, revision at)
-{
-    engine_id id;
-    engine_row& row = this->row_for(name, id);
-    row.current = at;
-    row.readable = false;
-    return id;
-}
-
 void engine_store::remove(engine_id id)
 {
-    engine_row& row = this->rows[id.value - 1];
+    engine_row& row = this->all()[id.value - 1];
     std::vector<session_id> earlier = std::move(row.earlier);
     row = engine_row();
     row.earlier = std::move(earlier);
@@ -84,12 +46,4 @@
                row->earlier.end();
 }
 
-engine_row& engine_store::row_for(std::string_view name, engine_id& id)
-{
-    id = engine_id(this->names.intern(name));
-    if (id.value > this->rows.size())
-        this->rows.emplace_back();
-    return this->rows[id.value - 1];
-}
-
 } // namespace roseworks::detail
--- a/src/core/state/named_store.hpp
+++ b/src/core/state/named_store.hpp
@@ -9,23 +9,32 @@
 #include <cstdint>
 #include <deque>
 #include <string_view>
+#include <utility>
 
 namespace roseworks::detail
 {
 
-/// Entities that nothing else refers to (services, callers), by interned id.
-/// Decided state.
-template <class Id, class Spec>
+/// What every named entity has. Decided state.
+template <class Spec>
+struct named_row
+{
+    Spec spec;
+    revision current; ///< 0: removed
+    bool readable = true;
+};
+
+/// Archives what a row has besides; found by the row's own type.
+template <class Io, class Spec>
+void further_fields(Io&, const named_row<Spec>&)
+{
+}
+
+/// Named entities by interned id. `Row` derives from `named_row` where an
+/// entity has more than its spec. Decided state.
+template <class Id, class Spec, class Row = named_row<Spec>>
 class named_store
 {
 public:
-    struct row_type
-    {
-        Spec spec;
-        revision current; ///< 0: removed
-        bool readable = true;
-    };
-
     /// @return The id of an existing entity, else 0.
     Id find(std::string_view name) const
     {
@@ -34,14 +43,25 @@
     }
 
     /// @return The row of an existing entity, else null.
-    const row_type* row(Id id) const
+    const Row* row(Id id) const
     {
-        if (!id || id.value > this->rows.size())
+        if (!this->known(id))
             return nullptr;
-        const row_type& row = this->rows[id.value - 1];
+        const Row& row = this->rows[id.value - 1];
         return row.current ? &row : nullptr;
     }
 
+    Row* row(Id id)
+    {
+        return const_cast<Row*>(std::as_const(*this).row(id));
+    }
+
+    /// @return Whether the id was ever given.
+    bool known(Id id) const
+    {
+        return id && id.value <= this->rows.size();
+    }
+
     std::string_view name(Id id) const
     {
         return this->names.name(id.value);
@@ -50,8 +70,10 @@
     Id put(std::string_view name, const Spec& spec, revision at)
     {
         Id id;
-        row_type& row = this->row_for(name, id);
-        row = {spec, at, true};
+        Row& row = this->row_for(name, id);
+        row.spec = spec;
+        row.current = at;
+        row.readable = true;
         return id;
     }
 
@@ -59,7 +81,7 @@
     Id put_unread(std::string_view name, revision at)
     {
         Id id;
-        row_type& row = this->row_for(name, id);
+        Row& row = this->row_for(name, id);
         row.current = at;
         row.readable = false;
         return id;
@@ -67,7 +89,17 @@
 
     void remove(Id id)
     {
-        this->rows[id.value - 1] = row_type();
+        this->rows[id.value - 1] = Row();
+    }
+
+    std::deque<Row>& all()
+    {
+        return this->rows;
+    }
+
+    const std::deque<Row>& all() const
+    {
+        return this->rows;
     }
 
     /// @return The number of ids given; removed entities count.
@@ -80,7 +112,7 @@
     void save(Writer& out) const
     {
         this->names.save(out);
-        for (const row_type& row : this->rows)
+        for (const Row& row : this->rows)
             row_fields(out, row);
     }
 
@@ -93,15 +125,16 @@
     }
 
 private:
-    template <class Io, class Row>
-    static void row_fields(Io& io, Row& row)
+    template <class Io, class AnyRow>
+    static void row_fields(Io& io, AnyRow& row)
     {
         fields(io, row.spec, newest_entity_schema);
         io.number(row.current);
         io.number(row.readable);
+        further_fields(io, row);
     }
 
-    row_type& row_for(std::string_view name, Id& id)
+    Row& row_for(std::string_view name, Id& id)
     {
         id = Id(this->names.intern(name));
         if (id.value > this->rows.size())
@@ -110,9 +143,10 @@
     }
 
     name_table names;
-    std::deque<row_type> rows; ///< by id - 1
+    std::deque<Row> rows; ///< by id - 1
 };
 
+/// Entities that nothing else refers to.
 using service_store = named_store<service_id, service_spec>;
 using caller_store = named_store<caller_id, caller_spec>;
 
--- a/standins/common/json_fields.cpp
+++ b/standins/common/json_fields.cpp
@@ -14,6 +14,28 @@
     throw bad_request(std::string(name) + " is not " + std::string(expected));
 }
 
+/// A number of any kind.
+template <class Number>
+Number parsed_number(
+    const boost::json::object& object,
+    std::string_view name,
+    Number fallback,
+    std::string_view expected)
+{
+    const boost::json::value* const value = object.if_contains(name);
+    if (value == nullptr)
+    {
+        return fallback;
+    }
+    boost::system::error_code error;
+    const auto number = value->to_number<Number>(error);
+    if (error)
+    {
+        refuse(name, expected);
+    }
+    return number;
+}
+
 } // namespace
 
 std::string string_field(
@@ -39,35 +61,13 @@
     std::string_view name,
     std::uint64_t fallback)
 {
-    const boost::json::value* const value = object.if_contains(name);
-    if (value == nullptr)
-    {
-        return fallback;
-    }
-    boost::system::error_code error;
-    const auto number = value->to_number<std::uint64_t>(error);
-    if (error)
-    {
-        refuse(name, "a whole number");
-    }
-    return number;
+    return parsed_number(object, name, fallback, "a whole number");
 }
 
 double real_field(
     const boost::json::object& object, std::string_view name, double fallback)
 {
-    const boost::json::value* const value = object.if_contains(name);
-    if (value == nullptr)
-    {
-        return fallback;
-    }
-    boost::system::error_code error;
-    const auto number = value->to_number<double>(error);
-    if (error)
-    {
-        refuse(name, "a number");
-    }
-    return number;
+    return parsed_number(object, name, fallback, "a number");
 }
 
 bool flag_field(
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -273,35 +273,33 @@
 program_result
 fleet::apply(const std::string& text, const std::string& author) const
 {
-    const auto file = this->folder / (author + ".ini");
-    std::ofstream(file) << "[deployment]\nschema = 2\n"
-                        << this->backend_records() << text;
-    return run_program(
-        "roseworksctl",
-        {"apply",
-         file.string(),
-         "--log",
-         this->log_server.address,
-         "--author",
-         author,
-         "--wait-routers",
-         this->live_router_addresses()});
+    return this->run_apply(
+        text, author, {"--wait-routers", this->live_router_addresses()});
 }
 
 program_result
 fleet::publish(const std::string& text, const std::string& author) const
+{
+    return this->run_apply(text, author, {});
+}
+
+program_result fleet::run_apply(
+    const std::string& text,
+    const std::string& author,
+    const std::vector<std::string>& further) const
 {
     const auto file = this->folder / (author + ".ini");
     std::ofstream(file) << "[deployment]\nschema = 2\n"
                         << this->backend_records() << text;
-    return run_program(
-        "roseworksctl",
-        {"apply",
-         file.string(),
-         "--log",
-         this->log_server.address,
-         "--author",
-         author});
+    std::vector<std::string> arguments{
+        "apply",
+        file.string(),
+        "--log",
+        this->log_server.address,
+        "--author",
+        author};
+    arguments.insert(arguments.end(), further.begin(), further.end());
+    return run_program("roseworksctl", arguments);
 }
 
 child_process& fleet::router(std::size_t index)
--- a/tests/support/fleet.hpp
+++ b/tests/support/fleet.hpp
@@ -131,6 +131,10 @@
     void launch(router_process& target, std::size_t index);
     std::string settings_text(const router_process& target) const;
     std::string live_router_addresses() const;
+    program_result run_apply(
+        const std::string& text,
+        const std::string& author,
+        const std::vector<std::string>& further) const;
 
     fleet_setup setup;
     std::filesystem::path folder;
--- a/tools/audit/main.cpp
+++ b/tools/audit/main.cpp
@@ -2,14 +2,11 @@
 // checks every promise again, independently of the fold.
 
 #include "tools/audit/invariant_checker.hpp"
-#include "tools/common/exit_code.hpp"
+#include "tools/common/program.hpp"
 #include "tools/common/state_tables.hpp"
 #include "tools/common/trail.hpp"
 
 #include <boost/json/serialize.hpp>
-#include <boost/leaf/handle_errors.hpp>
-#include <boost/leaf/pred.hpp>
-#include <cxxopts.hpp>
 
 #include <cstring>
 #include <fstream>
@@ -170,35 +167,15 @@
 
 exit_code run_handled(const cxxopts::ParseResult& arguments)
 {
-    return boost::leaf::try_handle_all(
+    return run_and_explain(
         [&]
         {
             return run(arguments);
         },
-        [](const input_error& error)
-        {
-            std::cerr << error.what << '\n';
-            return exit_code::bad_input;
-        },
         [](const log_error& error)
         {
             std::cerr << "log unavailable (" << error.detail << ")\n";
             return exit_code::log_unavailable;
-        },
-        [](boost::leaf::catch_<cxxopts::exceptions::exception> error)
-        {
-            std::cerr << error.matched.what() << '\n';
-            return exit_code::bad_input;
-        },
-        [](boost::leaf::catch_<std::exception> error)
-        {
-            std::cerr << error.matched.what() << '\n';
-            return exit_code::failed;
-        },
-        []
-        {
-            std::cerr << "failed\n";
-            return exit_code::failed;
         });
 }
 
@@ -226,18 +203,9 @@
 int main(int argc, char** argv)
 {
     using namespace roseworks::tools;
-    try
-    {
-        return static_cast<int>(run_program(argc, argv));
-    }
-    catch (const cxxopts::exceptions::exception& error)
-    {
-        std::cerr << error.what() << '\n';
-        return static_cast<int>(exit_code::bad_input);
-    }
-    catch (const std::exception& error)
-    {
-        std::cerr << error.what() << '\n';
-        return static_cast<int>(exit_code::failed);
-    }
+    return run_main(
+        [argc, argv]
+        {
+            return run_program(argc, argv);
+        });
 }
--- a/tools/ctl/main.cpp
+++ b/tools/ctl/main.cpp
@@ -1,13 +1,11 @@
 // Operators' program: checks, plans and publishes records, and explains what
 // the routers decided from them.
 
+#include "tools/common/program.hpp"
 #include "tools/ctl/command.hpp"
 
 #include <roseworks/record_text.hpp>
 
-#include <boost/leaf/handle_errors.hpp>
-#include <boost/leaf/pred.hpp>
-
 #include <algorithm>
 #include <iostream>
 
@@ -77,7 +75,7 @@
 
 exit_code run_handled(const command& which, int argc, char** argv)
 {
-    return boost::leaf::try_handle_all(
+    return run_and_explain(
         [&]
         {
             return run_command(which, argc, argv);
@@ -90,29 +88,9 @@
             }
             return exit_code::bad_input;
         },
-        [](const input_error& error)
-        {
-            std::cerr << error.what << '\n';
-            return exit_code::bad_input;
-        },
         [](const log_error& error)
         {
             return report_log_error(error);
-        },
-        [](boost::leaf::catch_<cxxopts::exceptions::exception> error)
-        {
-            std::cerr << error.matched.what() << '\n';
-            return exit_code::bad_input;
-        },
-        [](boost::leaf::catch_<std::exception> error)
-        {
-            std::cerr << error.matched.what() << '\n';
-            return exit_code::failed;
-        },
-        []
-        {
-            std::cerr << "failed\n";
-            return exit_code::failed;
         });
 }
 
@@ -145,18 +123,9 @@
 int main(int argc, char** argv)
 {
     using namespace roseworks::tools;
-    try
-    {
-        return static_cast<int>(run_program(argc, argv));
-    }
-    catch (const cxxopts::exceptions::exception& error)
-    {
-        std::cerr << error.what() << '\n';
-        return static_cast<int>(exit_code::bad_input);
-    }
-    catch (const std::exception& error)
-    {
-        std::cerr << error.what() << '\n';
-        return static_cast<int>(exit_code::failed);
-    }
+    return run_main(
+        [argc, argv]
+        {
+            return run_program(argc, argv);
+        });
 }
--- a/tools/demo/main.cpp
+++ b/tools/demo/main.cpp
@@ -1,13 +1,9 @@
 // Client half of `make demo`: scripts/demo starts the processes, this sends
 // real requests and checks the promises.
 
-#include "tools/common/exit_code.hpp"
+#include "tools/common/program.hpp"
 #include "tools/demo/scenes.hpp"
 
-#include <boost/leaf/handle_errors.hpp>
-#include <boost/leaf/pred.hpp>
-#include <cxxopts.hpp>
-
 #include <iostream>
 
 namespace roseworks::tools
@@ -90,32 +86,19 @@
     return promises.broken().empty() ? exit_code::ok : exit_code::failed;
 }
 
-exit_code run_handled(const cxxopts::ParseResult& given)
+exit_code run_program(int argc, char** argv)
 {
-    return boost::leaf::try_handle_all(
-        [&]
+    cxxopts::Options options = make_options();
+    const cxxopts::ParseResult given = options.parse(argc, argv);
+    if (given.count("help") != 0)
+    {
+        std::cout << options.help() << '\n';
+        return exit_code::ok;
+    }
+    return run_and_explain(
+        [&given]
         {
             return run(given);
-        },
-        [](const input_error& error)
-        {
-            std::cerr << error.what << '\n';
-            return exit_code::bad_input;
-        },
-        [](boost::leaf::catch_<cxxopts::exceptions::exception> error)
-        {
-            std::cerr << error.matched.what() << '\n';
-            return exit_code::bad_input;
-        },
-        [](boost::leaf::catch_<std::exception> error)
-        {
-            std::cerr << error.matched.what() << '\n';
-            return exit_code::failed;
-        },
-        []
-        {
-            std::cerr << "failed\n";
-            return exit_code::failed;
         });
 }
 
@@ -126,20 +109,9 @@
 int main(int argc, char** argv)
 {
     using namespace roseworks::tools;
-    try
-    {
-        cxxopts::Options options = make_options();
-        const cxxopts::ParseResult given = options.parse(argc, argv);
-        if (given.count("help") != 0)
+    return run_main(
+        [argc, argv]
         {
-            std::cout << options.help() << '\n';
-            return 0;
-        }
-        return static_cast<int>(run_handled(given));
-    }
-    catch (const std::exception& error)
-    {
-        std::cerr << error.what() << '\n';
-        return static_cast<int>(exit_code::bad_input);
-    }
+            return run_program(argc, argv);
+        });
 }
