Keep one slot of a target from batch work, not one of each replica

Batch work left the last slot of every replica free: 4 of 16 in the experiment. Urgent and normal work alone can't fill these, so about a sixth of the slots stood idle, the batch queue grew and its requests were refused by their deadline.

Ruled out: the admission estimate. It predicted the wait truly for the slots that batch work was given; it is unchanged.

Change: batch work leaves one slot of all the replicas together free (none where a replica has a single one, as before). With several replicas a slot frees the sooner: n slots of mean service time s free one each s/n, so urgent work that finds none free waits s/16 here. One replica alone is served as before. The estimate counts the same slots.

--- a/src/core/request/dispatcher_pump.cpp
+++ b/src/core/request/dispatcher_pump.cpp
@@ -116,7 +116,6 @@
         query.prefix = request.info.prefix;
         query.cached = &this->cached;
     }
-    query.batch = chosen->item.level == priority::batch;
     query.max_streams = where.max_streams;
     query.tried = request.tried;
     const auto index =
--- a/src/core/request/target.cpp
+++ b/src/core/request/target.cpp
@@ -123,15 +123,15 @@
     instant now) const
 {
     const std::uint32_t streams = this->max_streams;
-    const std::uint32_t limit = batch && streams > 1 ? streams - 1 : streams;
     std::size_t total = 0;
     for (const std::size_t i : usable)
     {
         const std::uint32_t foreign =
             loads.foreign(this->backends[i].server, now);
-        total += limit > foreign ? limit - foreign : 1;
+        total += streams > foreign ? streams - foreign : 1;
     }
-    return total;
+    const std::size_t kept = batch ? kept_for_better(this->max_streams) : 0;
+    return total > kept ? total - kept : total;
 }
 
 } // namespace roseworks::detail
--- a/src/core/routing/balancer.cpp
+++ b/src/core/routing/balancer.cpp
@@ -33,6 +33,27 @@
     return std::find(tried.begin(), tried.end(), one.server) != tried.end();
 }
 
+/// @return Requests that may start there now.
+std::uint32_t free_on(
+    const backend& one,
+    std::uint16_t max_streams,
+    const server_loads& loads,
+    instant now)
+{
+    const std::uint32_t streams = std::max<std::uint16_t>(max_streams, 1);
+    if (loads.reserved(one.server) || one.in_flight >= streams)
+    {
+        return 0;
+    }
+    const std::uint32_t used = one.in_flight + loads.foreign(one.server, now);
+    if (used < streams)
+    {
+        return streams - used;
+    }
+    // Others' work counts, but never keeps this router away altogether.
+    return one.in_flight == 0 ? 1 : 0;
+}
+
 } // namespace
 
 balancer::balancer(std::string own_data_centre, std::uint64_t seed)
@@ -77,23 +98,10 @@
 bool balancer::has_slot(
     const backend& one,
     std::uint16_t max_streams,
-    bool batch,
     const server_loads& loads,
     instant now)
 {
-    if (loads.reserved(one.server))
-    {
-        return false;
-    }
-    const std::uint32_t streams = std::max<std::uint16_t>(max_streams, 1);
-    const std::uint32_t limit = batch && streams > 1 ? streams - 1 : streams;
-    if (one.in_flight >= limit)
-    {
-        return false;
-    }
-    // Others' work counts, but never keeps this router away altogether.
-    return one.in_flight == 0 ||
-           one.in_flight + loads.foreign(one.server, now) < limit;
+    return free_on(one, max_streams, loads, now) > 0;
 }
 
 free_slots balancer::slots(
@@ -103,19 +111,17 @@
     const server_loads& loads,
     instant now)
 {
-    free_slots found;
+    const std::uint32_t kept = kept_for_better(max_streams);
+    std::uint32_t total = 0;
     for (const std::size_t i : among)
     {
-        found.any =
-            found.any || has_slot(all[i], max_streams, false, loads, now);
-        found.batch =
-            found.batch || has_slot(all[i], max_streams, true, loads, now);
-        if (found.any && found.batch)
+        total += free_on(all[i], max_streams, loads, now);
+        if (total > kept)
         {
             break;
         }
     }
-    return found;
+    return {total > 0, total > kept};
 }
 
 std::optional<std::size_t> balancer::choose(
@@ -151,8 +157,7 @@
         candidates,
         [&](std::size_t i)
         {
-            return !has_slot(
-                all[i], query.max_streams, query.batch, loads, now);
+            return !has_slot(all[i], query.max_streams, loads, now);
         });
     const std::vector<std::size_t> best = this->prefer_own(all, candidates);
     if (best.empty())
@@ -209,7 +214,7 @@
     const auto fits = [&](std::size_t i)
     {
         return loads.load(all[i].server, now) <= affinity_bound * mean + 1 &&
-               has_slot(all[i], query.max_streams, query.batch, loads, now);
+               has_slot(all[i], query.max_streams, loads, now);
     };
     const auto closer = [&](std::size_t left, std::size_t right)
     {
--- a/src/core/routing/balancer.hpp
+++ b/src/core/routing/balancer.hpp
@@ -32,11 +32,16 @@
 {
     std::uint64_t prefix = 0;           ///< 0: none
     const prefix_map* cached = nullptr; ///< null: by hash only
-    bool batch = false;
     std::uint16_t max_streams = 1;
     std::span<const server_key> tried; ///< servers of earlier attempts
 };
 
+/// @return Slots of all the replicas of a target that batch work leaves free.
+constexpr std::uint32_t kept_for_better(std::uint16_t max_streams)
+{
+    return max_streams > 1 ? 1 : 0;
+}
+
 /// Whether there are free slots for each kind of work.
 struct free_slots
 {
@@ -51,8 +56,12 @@
     least loaded of the replicas known to hold the prompt's prefix, else the one
     that the prefix hashes to, else the least loaded of those that held it by
     stale knowledge, each while its load is at most 1.25 times the mean and one;
-    else the less loaded of two drawn at random. Batch work leaves one slot of
-    each replica free. A retry goes to another server where there is one.
+    else the less loaded of two drawn at random. A retry goes to another server
+   where there is one.
+
+    Batch work leaves one slot of all the replicas together free, where a
+    replica has more than one: with several replicas a slot frees the sooner,
+    so that urgent work need not find one kept free on each of them.
 
     Hint. Deterministic for a seed.
 */
@@ -70,7 +79,6 @@
     static bool has_slot(
         const backend& one,
         std::uint16_t max_streams,
-        bool batch,
         const server_loads& loads,
         instant now);
 
--- a/tests/unit/dispatch/test_admission.cpp
+++ b/tests/unit/dispatch/test_admission.cpp
@@ -425,6 +425,27 @@
     cr_assert(test.granted(test.submit(priority::normal)));
 }
 
+Test(admission, batch_work_leaves_one_slot_of_all_replicas_free)
+{
+    harness test;
+    test.model("m", 1, 4, 4);
+    for (int i = 0; i < 20; ++i)
+    {
+        test.submit(priority::batch);
+    }
+    cr_assert_eq(test.order.size(), 15, "%zu", test.order.size());
+    cr_assert(test.granted(test.submit(priority::urgent)));
+}
+
+Test(admission, replicas_of_one_stream_serve_batch_work_with_all)
+{
+    harness test;
+    test.model("m", 1, 2);
+    test.submit(priority::batch);
+    test.submit(priority::batch);
+    cr_assert_eq(test.order.size(), 2, "%zu", test.order.size());
+}
+
 Test(admission, bad_states_are_refused_with_their_reason)
 {
     harness test;
