Split the affinity experiment by job

Cause: bench/dispatch/affinity_experiment.cpp had grown to 565 lines: the engine's model, the drawing of calls and the event loop in one file.

Change: affinity_engine and affinity_calls stand apart; the experiment keeps the loop (433 lines).

--- a/bench/dispatch/affinity_experiment.cpp
+++ b/bench/dispatch/affinity_experiment.cpp
@@ -1,14 +1,13 @@
 #include "affinity_experiment.hpp"
 
+#include "affinity_calls.hpp"
+#include "affinity_engine.hpp"
 #include "core/routing/sharded_table.hpp"
 
 #include <roseworks/dispatcher.hpp>
 
 #include <algorithm>
 #include <array>
-#include <cmath>
-#include <deque>
-#include <list>
 #include <optional>
 #include <queue>
 #include <random>
@@ -28,17 +27,12 @@
 
 constexpr std::size_t router_count = 4;
 constexpr std::size_t engine_count = 8;
-constexpr std::uint16_t streams = 8;
-constexpr std::size_t cache_size = 64;
-constexpr std::size_t prefix_count = 400;
 constexpr instant start{1h};
 constexpr instant warm = start + 2min;
 constexpr instant end = start + 10min;
 constexpr duration prefill_whole = 400ms;
 constexpr duration prefill_cached = 60ms;
-constexpr double mean_decode_us = 500'000;
 constexpr duration event_lag = 1s;
-constexpr std::uint64_t one_lost_in = 10;
 constexpr duration held_interval = 2s;
 constexpr duration foreign_interval = 10s;
 constexpr duration frequent_interval = 500ms;
@@ -51,108 +45,6 @@
 constexpr instant returns_at = start + 6min;
 constexpr instant restarts_at = start + 8min;
 
-struct call
-{
-    instant at;
-    std::size_t router = 0;
-    std::uint64_t prefix = 0;
-    duration decode{};
-    ticket id;
-    std::size_t engine = 0;
-    instant sent;
-    duration first_byte{};
-};
-
-struct published_event
-{
-    cache_event what;
-    instant at;
-};
-
-/// Slots, a queue and a prefix cache, with its events.
-class engine
-{
-public:
-    bool has_slot() const
-    {
-        return this->running < streams;
-    }
-
-    /// @return Whether the prefix was cached.
-    bool use(std::uint64_t prefix, instant now)
-    {
-        const auto found =
-            std::find(this->cached.begin(), this->cached.end(), prefix);
-        if (found != this->cached.end())
-        {
-            this->cached.splice(this->cached.begin(), this->cached, found);
-            return true;
-        }
-        this->cached.push_front(prefix);
-        this->publish(prefix, true, now);
-        if (this->cached.size() > cache_size)
-        {
-            const std::uint64_t last = this->cached.back();
-            this->cached.pop_back();
-            this->publish(last, false, now);
-        }
-        return false;
-    }
-
-    void restart()
-    {
-        this->cached.clear();
-        this->events.clear();
-        this->next_sequence = 1;
-        ++this->incarnation;
-    }
-
-    /// Only events that are old enough are seen.
-    cache_report read(std::uint64_t from, instant visible) const
-    {
-        cache_report report;
-        report.incarnation = this->incarnation;
-        report.from = from;
-        report.next = std::max<std::uint64_t>(from, 1);
-        for (const published_event& one : this->events)
-        {
-            if (one.what.sequence < report.next || one.at > visible)
-            {
-                continue;
-            }
-            report.next = one.what.sequence + 1;
-            report.events.push_back(one.what);
-        }
-        return report;
-    }
-
-    std::mt19937_64 random;
-    std::deque<std::size_t> queue; ///< calls
-    std::uint32_t running = 0;
-    std::uint64_t incarnation = 1;
-    bool lossless = false;
-
-private:
-    void publish(std::uint64_t prefix, bool is_cached, instant now)
-    {
-        const std::uint64_t sequence = this->next_sequence++;
-        const bool lost = this->random() % one_lost_in == 0;
-        if (!lost || this->lossless)
-        {
-            this->events.push_back({{sequence, prefix, is_cached}, now});
-        }
-        // More than any reader's interval brings.
-        if (this->events.size() > 4096)
-        {
-            this->events.pop_front();
-        }
-    }
-
-    std::list<std::uint64_t> cached;
-    std::deque<published_event> events;
-    std::uint64_t next_sequence = 1;
-};
-
 /// Where a router is in an engine's events.
 struct reader
 {
@@ -199,21 +91,13 @@
     }
 };
 
-std::uint64_t name_of(std::uint64_t prefix)
-{
-    std::uint64_t value = prefix + 0x9E3779B97F4A7C15ULL;
-    value = (value ^ (value >> 30)) * 0xBF58476D1CE4E5B9ULL;
-    value = (value ^ (value >> 27)) * 0x94D049BB133111EBULL;
-    return (value ^ (value >> 31)) | 1;
-}
-
 routing_table_ptr make_table(std::optional<std::size_t> without)
 {
     detail::sharded_table table;
     servable_routes entry;
     entry.id = servable_id(1);
     entry.name = "model";
-    entry.max_streams = streams;
+    entry.max_streams = affinity_streams;
     entry.max_replicas = engine_count;
     for (std::size_t i = 0; i < engine_count; ++i)
     {
@@ -300,27 +184,11 @@
 private:
     void make_calls()
     {
-        std::vector<double> weights;
-        for (std::size_t i = 1; i <= prefix_count; ++i)
-        {
-            weights.push_back(1 / static_cast<double>(i));
-        }
-        std::discrete_distribution<std::uint64_t> prefix(
-            weights.begin(), weights.end());
-        std::exponential_distribution<double> gap(this->setting.rate / 1e6);
-        std::exponential_distribution<double> decode(1 / mean_decode_us);
-        instant at = start;
-        while (at < end)
+        this->calls = make_affinity_calls(
+            this->setting.rate, start, end, router_count, this->random);
+        for (std::size_t i = 0; i < this->calls.size(); ++i)
         {
-            at += duration(static_cast<duration::rep>(gap(this->random)) + 1);
-            call one;
-            one.at = at;
-            one.router = this->random() % router_count;
-            one.prefix = name_of(prefix(this->random));
-            one.decode =
-                duration(static_cast<duration::rep>(decode(this->random)));
-            this->push({at, 0, step::kind::arrival, this->calls.size(), 0});
-            this->calls.push_back(one);
+            this->push({this->calls[i].at, 0, step::kind::arrival, i, 0});
         }
     }
 
@@ -372,7 +240,7 @@
 
     void arrive(std::size_t index)
     {
-        call& one = this->calls[index];
+        affinity_call& one = this->calls[index];
         if (this->setting.kind == affinity_kind::random)
         {
             do
@@ -414,19 +282,19 @@
     void enqueue(std::size_t index)
     {
         this->calls[index].sent = this->now;
-        engine& at = this->engines[this->calls[index].engine];
+        affinity_engine& at = this->engines[this->calls[index].engine];
         at.queue.push_back(index);
         this->serve(at);
     }
 
-    void serve(engine& at)
+    void serve(affinity_engine& at)
     {
         while (at.has_slot() && !at.queue.empty())
         {
             const std::size_t index = at.queue.front();
             at.queue.pop_front();
             ++at.running;
-            call& one = this->calls[index];
+            affinity_call& one = this->calls[index];
             const bool hit = at.use(one.prefix, this->now);
             const instant first =
                 this->now + (hit ? prefill_cached : prefill_whole);
@@ -443,8 +311,8 @@
 
     void complete(std::size_t index)
     {
-        const call& one = this->calls[index];
-        engine& at = this->engines[one.engine];
+        const affinity_call& one = this->calls[index];
+        affinity_engine& at = this->engines[one.engine];
         --at.running;
         this->serve(at);
         if (this->setting.kind == affinity_kind::random)
@@ -461,7 +329,7 @@
 
     void read(std::size_t index, std::size_t at)
     {
-        const engine& from = this->engines[at];
+        const affinity_engine& from = this->engines[at];
         router& by = this->routers[index];
         const engine_id id(at + 1);
         by.core.load_reported(
@@ -484,7 +352,7 @@
 
     cache_report read_events(router& by, std::size_t at)
     {
-        const engine& from = this->engines[at];
+        const affinity_engine& from = this->engines[at];
         reader& place = by.readers[at];
         if (place.incarnation != from.incarnation)
         {
@@ -543,9 +411,9 @@
 
     affinity_setting setting;
     std::mt19937_64 random;
-    std::vector<call> calls;
+    std::vector<affinity_call> calls;
     std::vector<router> routers;
-    std::array<engine, engine_count> engines;
+    std::array<affinity_engine, engine_count> engines;
     std::optional<std::size_t> missing;
     std::priority_queue<step, std::vector<step>, std::greater<>> steps;
     std::uint64_t step_number = 0;
