Switch silent connections early and continue streams that are cut

Cause: a kept connection that fell silent was noticed only at first_byte_timeout_ms or the caller's deadline, a stream whose backend server failed midway ended in an explicit error, and a failed attempt on a lone replica told no time to come back. Ruled out: fixed low limits (a long answer in one piece looks silent), a field in the model's record for resuming (it says nothing of versions; the stream's own ETag and event ids do), KV export (5.2 Gbit/s to break even, and its engine is dead); see docs/design/0007. Change: the limit to the first byte follows what the kind of work takes, a stream's follows its own pace; the same server is tried on a fresh connection, with the old run's cancel first as the probe, before another server; calls that may not be repeated go out on fresh or just proven connections and are never sent again. A cut stream is gone on with on another replica from the very next event under the same ETag, or ends explicitly as before, within a budget of its own whose last third is for urgent streams. Final failures carry retry_after_ms. Conclusion: what may be repeated survives one server's failure midway; a second broken connection under one request still ends it (crash limit).

--- a/bench/router/bench_router.cpp
+++ b/bench/router/bench_router.cpp
@@ -1,7 +1,8 @@
 /** What callers feel of the router, with real processes on loopback: latency
     and rate beside the same engine called directly, time until an applied
     change is in force on nine routers, the cost of a claim, what a burst for
-    a cold model costs the log, and how long a silent connection hurts.
+    a cold model costs the log, how long a silent connection hurts,
+    and what becomes of streams that are cut.
 */
 #include "bench/router/measurements.hpp"
 
@@ -27,7 +28,8 @@
     measurement{"latency", measure_added_latency},
     measurement{"streams", measure_streams},
     measurement{"fleet", measure_fleet},
-    measurement{"silence", measure_silence}};
+    measurement{"silence", measure_silence},
+    measurement{"cuts", measure_cuts}};
 
 /// Run one measurement; a failure is printed and doesn't end the others.
 bool measured(const measurement& what)
--- a/bench/router/measurements.hpp
+++ b/bench/router/measurements.hpp
@@ -19,4 +19,8 @@
 /// How long silent connections to the only engine hurt its callers.
 void measure_silence();
 
+/// What callers get of streams whose connections are reset midway, when the
+/// engines' streams can be continued and when they can't.
+void measure_cuts();
+
 } // namespace roseworks::bench
--- a/include/roseworks/dispatcher.hpp
+++ b/include/roseworks/dispatcher.hpp
@@ -90,6 +90,7 @@
 
     end how = end::answered;
     bool answer_started = false; ///< bytes were passed to the caller
+    bool resumable = false;      ///< what was passed can be continued elsewhere
     std::uint32_t tokens = 0;    ///< tokens delivered
     duration first_byte{};       ///< from sending to the first byte
     duration total{};            ///< from sending to the end
@@ -175,6 +176,7 @@
         bool final_answer = true;
         verdict outcome = verdict::answered;
         refusal_reason reason = refusal_reason::none;
+        duration retry_after{}; ///< when a replica is expected back; 0: unknown
     };
     finish finished(ticket request, const attempt_result& result, instant now);
 
--- a/src/adapters/edge/backend_connection.cpp
+++ b/src/adapters/edge/backend_connection.cpp
@@ -14,8 +14,8 @@
 namespace
 {
 
-constexpr int keepalive_idle_seconds = 10;
-constexpr int keepalive_interval_seconds = 3;
+constexpr int keepalive_idle_seconds = 5;
+constexpr int keepalive_interval_seconds = 1;
 constexpr int keepalive_probes = 3;
 
 void set_tcp_option(int handle, int name, int value)
--- a/src/adapters/edge/backend_connection.hpp
+++ b/src/adapters/edge/backend_connection.hpp
@@ -30,6 +30,7 @@
         , address(std::move(where))
         , serial(number)
         , opened(now)
+        , last_used(now)
     {
     }
 
@@ -38,6 +39,7 @@
     std::string address;  ///< ip:port
     std::uint64_t serial; ///< later ones are higher
     instant opened;
+    instant last_used;   ///< end of the last exchange
     bool pooled = false; ///< has carried an exchange before
 };
 
--- a/src/adapters/edge/backend_pool.cpp
+++ b/src/adapters/edge/backend_pool.cpp
@@ -1,13 +1,9 @@
 #include "adapters/edge/backend_pool.hpp"
 
+#include "adapters/edge/engine_cancel.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/beast/http/message.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
-#include <boost/beast/http/write.hpp>
-#include <boost/json/object.hpp>
-#include <boost/json/serialize.hpp>
 
 #include <algorithm>
 #include <sys/socket.h>
@@ -19,8 +15,6 @@
 namespace
 {
 
-constexpr unsigned version_1_1 = 11;
-
 enum class idle_state : std::uint8_t
 {
     quiet,
@@ -42,35 +36,6 @@
     return nothing ? idle_state::quiet : idle_state::closed;
 }
 
-/// The cancel call owns all it uses, so that it may outlive the pool.
-asio::awaitable<void> send_cancel(
-    backend_connection_ptr connection,
-    std::string request_id,
-    std::chrono::milliseconds connect_limit,
-    std::chrono::milliseconds limit)
-{
-    const bool open = co_await connect(*connection, connect_limit, limit);
-    if (!open)
-        co_return;
-    http::request<http::string_body> request(
-        http::verb::post, "/v1/engine/cancel", version_1_1);
-    request.set(http::field::host, connection->address);
-    request.set(http::field::content_type, "application/json");
-    request.keep_alive(false);
-    boost::json::object body;
-    body["request_id"] = request_id;
-    request.body() = boost::json::serialize(body);
-    request.prepare_payload();
-    connection->stream.expires_after(limit);
-    const auto [not_sent, sent] =
-        co_await http::async_write(connection->stream, request, quietly);
-    if (not_sent)
-        co_return;
-    http::response<http::string_body> ignored;
-    co_await http::async_read(
-        connection->stream, connection->buffer, ignored, quietly);
-}
-
 } // namespace
 
 backend_pool::backend_pool(asio::any_io_executor loop, edge_context& shared)
@@ -79,7 +44,8 @@
 {
 }
 
-backend_connection_ptr backend_pool::take(const std::string& address)
+backend_connection_ptr
+backend_pool::take(const std::string& address, duration longest_idle)
 {
     const auto found = this->peers.find(address);
     if (found == this->peers.end())
@@ -89,7 +55,8 @@
     {
         backend_connection_ptr connection = std::move(idle.back());
         idle.pop_back();
-        if (this->usable(*connection, found->second))
+        const duration unused = this->context.now() - connection->last_used;
+        if (unused <= longest_idle && this->usable(*connection, found->second))
             return connection;
     }
     return nullptr;
@@ -103,8 +70,10 @@
 
 bool backend_pool::usable(backend_connection& connection, const peer& at)
 {
-    const auto age = this->context.now() - connection.opened;
-    if (age > this->context.options.connection_max_age)
+    const instant now = this->context.now();
+    if (now - connection.opened > this->context.options.connection_max_age)
+        return false;
+    if (now - connection.last_used > this->context.options.connection_max_idle)
         return false;
     if (connection.serial <= std::max(at.suspect, at.dropped))
         return false;
@@ -121,6 +90,7 @@
 void backend_pool::put(backend_connection_ptr connection)
 {
     peer& at = this->peers[connection->address];
+    connection->last_used = this->context.now();
     const bool full =
         at.idle.size() >= this->context.options.max_idle_connections;
     if (full || connection->buffer.size() != 0 ||
@@ -166,11 +136,7 @@
 {
     asio::co_spawn(
         this->executor,
-        send_cancel(
-            this->make(address),
-            request_id,
-            this->context.options.connect_timeout,
-            this->context.options.cancel_timeout),
+        send_cancel(this->make(address), request_id, this->context.options),
         asio::detached);
 }
 
--- a/src/adapters/edge/backend_pool.hpp
+++ b/src/adapters/edge/backend_pool.hpp
@@ -2,6 +2,7 @@
 
 #include "adapters/edge/backend_connection.hpp"
 #include "adapters/edge/edge_context.hpp"
+#include "core/request/progress_estimator.hpp"
 
 #include <cstdint>
 #include <string>
@@ -25,9 +26,11 @@
 public:
     backend_pool(asio::any_io_executor loop, edge_context& shared);
 
+    /// @param longest_idle since its last exchange.
     /// @return An idle connection that is young, not suspect, and has nothing
     ///         to read; null when there is none.
-    backend_connection_ptr take(const std::string& address);
+    backend_connection_ptr
+    take(const std::string& address, duration longest_idle);
 
     /// @return A connection that isn't connected yet.
     backend_connection_ptr make(const std::string& address);
@@ -51,6 +54,7 @@
     std::size_t idle() const;
 
     edge_context& context;
+    progress_estimator progress; ///< what this thread learnt of first bytes
     const asio::any_io_executor executor;
 
 private:
--- a/src/adapters/edge/backend_request.cpp
+++ b/src/adapters/edge/backend_request.cpp
@@ -44,6 +44,11 @@
     request.set("X-Request-Id", call.headers.request_id);
     request.set("X-Deadline-Ms", whole_milliseconds(left));
     request.set("X-Priority", view(to_string(call.info.asked)));
+    if (call.resumable())
+    {
+        request.set("Last-Event-Id", std::to_string(call.position.last_id()));
+        request.set(http::field::if_match, call.position.tag());
+    }
     if (call.is_service() && !call.headers.idempotency_key.empty())
         request.set("Idempotency-Key", call.headers.idempotency_key);
     request.body() =
--- a/src/adapters/edge/call_runner.cpp
+++ b/src/adapters/edge/call_runner.cpp
@@ -101,6 +101,9 @@
     asio::co_spawn(
         this->pool.executor, watch(this->caller, this->inbox), asio::detached);
     co_await this->serve();
+    if (!this->call.run_left_at.empty())
+        this->pool.cancel(
+            this->call.run_left_at, this->call.headers.request_id);
     this->inbox->finish();
     beast::error_code ignored;
     this->caller.stream.socket().cancel(ignored);
@@ -145,7 +148,7 @@
     const bool ran = outcome.sent && outcome.result.how != end::refused_not_run;
     this->may_have_run = this->may_have_run || ran;
     this->record.first_byte = outcome.result.first_byte;
-    this->record.tokens = outcome.result.tokens;
+    this->record.tokens += outcome.result.tokens;
     const dispatcher::finish finish =
         this->context.ports.dispatch.finished(this->request, outcome.result);
     if (outcome.result.how == end::answered)
@@ -283,7 +286,9 @@
     this->close_claim(outcome);
     const bool unnamed = how.reason == refusal_reason::none;
     call_problem problem = make_problem(
-        unnamed ? refusal_reason::backend_failed : how.reason, outcome);
+        unnamed ? refusal_reason::backend_failed : how.reason,
+        outcome,
+        how.retry_after);
     co_await this->send_refusal(std::move(problem));
 }
 
--- a/src/adapters/edge/edge_options.hpp
+++ b/src/adapters/edge/edge_options.hpp
@@ -29,6 +29,9 @@
     milliseconds first_byte_timeout{30'000};
     milliseconds idle_byte_timeout{10'000};
     milliseconds connection_max_age{60'000};
+    milliseconds connection_max_idle{5'000}; ///< before it is used again
+    milliseconds proof_of_life{500};         ///< for calls never sent twice
+    milliseconds unacknowledged{5'000};      ///< data at most, before a reset
     milliseconds cancel_timeout{2'000};
     std::size_t max_idle_connections = 16; ///< per address and thread
     std::size_t max_answer_bytes = std::size_t(8) << 20; ///< when not streamed
--- /dev/null
+++ b/src/adapters/edge/engine_cancel.cpp
@@ -0,0 +1,65 @@
+#include "adapters/edge/engine_cancel.hpp"
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace roseworks::edge
+{
+
+namespace
+{
+
+constexpr unsigned version_1_1 = 11;
+
+http::request<http::string_body>
+make_cancel(const std::string& address, const std::string& request_id)
+{
+    http::request<http::string_body> request(
+        http::verb::post, "/v1/engine/cancel", version_1_1);
+    request.set(http::field::host, address);
+    request.set(http::field::content_type, "application/json");
+    boost::json::object body;
+    body["request_id"] = request_id;
+    request.body() = boost::json::serialize(body);
+    request.prepare_payload();
+    return request;
+}
+
+} // namespace
+
+asio::awaitable<cancel_end> cancel_on(
+    backend_connection& connection,
+    const std::string& request_id,
+    std::chrono::steady_clock::duration limit)
+{
+    const auto request = make_cancel(connection.address, request_id);
+    connection.stream.expires_after(limit);
+    const auto [not_sent, sent] =
+        co_await http::async_write(connection.stream, request, quietly);
+    if (not_sent)
+        co_return cancel_end::unreachable;
+    http::response<http::string_body> answer;
+    const auto [error, size] = co_await http::async_read(
+        connection.stream, connection.buffer, answer, quietly);
+    if (error)
+        co_return cancel_end::unreachable;
+    const bool kept = answer.keep_alive() && connection.buffer.size() == 0;
+    co_return kept ? cancel_end::kept : cancel_end::answered;
+}
+
+asio::awaitable<void> send_cancel(
+    backend_connection_ptr connection,
+    std::string request_id,
+    edge_options options)
+{
+    const bool open = co_await connect(
+        *connection, options.connect_timeout, options.unacknowledged);
+    if (open)
+        co_await cancel_on(*connection, request_id, options.cancel_timeout);
+}
+
+} // namespace roseworks::edge
--- a/src/adapters/edge/prepared_call.hpp
+++ b/src/adapters/edge/prepared_call.hpp
@@ -2,6 +2,8 @@
 
 #include "adapters/edge/call_headers.hpp"
 #include "adapters/edge/request_target.hpp"
+#include "core/request/progress_estimator.hpp"
+#include "core/request/stream_position.hpp"
 
 #include <roseworks/dispatcher.hpp>
 #include <roseworks/record.hpp>
@@ -34,11 +36,30 @@
 
     request_info info;
     std::optional<claim_key> claim; ///< to be claimed before it is sent
+    stream_position position;       ///< what of a stream the caller has
+    bool patient = false;    ///< given up on once: the longest limits hold
+    std::string run_left_at; ///< engine that may still run it; empty: none
 
     bool is_service() const
     {
         return this->target.kind == route_kind::service;
     }
+
+    work_kind work() const
+    {
+        return {
+            this->info.target,
+            this->stream,
+            this->info.prompt_bytes,
+            this->info.max_tokens};
+    }
+
+    /// Whether the stream that its caller has a part of may be continued.
+    bool resumable() const
+    {
+        return !this->is_service() && this->info.repeatable &&
+               this->position.resumable();
+    }
 };
 
 /// Fills `info`, `claim` and `stream` from the rest.
--- a/src/adapters/edge/sse_reader.cpp
+++ b/src/adapters/edge/sse_reader.cpp
@@ -9,12 +9,13 @@
 {
 
 constexpr std::string_view data_field = "data:";
+constexpr std::string_view id_field = "id:";
 constexpr std::string_view done_mark = "[DONE]";
 
-/// @return The line's data, without the one space that may lead it.
-std::string_view data_of(std::string_view line)
+/// @return The line's value, without the one space that may lead it.
+std::string_view value_of(std::string_view line, std::string_view field)
 {
-    line.remove_prefix(data_field.size());
+    line.remove_prefix(field.size());
     if (line.starts_with(' '))
         line.remove_prefix(1);
     return line;
@@ -27,7 +28,7 @@
     for (const char byte : bytes)
     {
         this->take(byte);
-        if (this->event.size() > this->limit)
+        if (this->refused || this->event.size() > this->limit)
             return false;
     }
     return true;
@@ -64,21 +65,30 @@
 {
     const std::string_view line =
         std::string_view(this->event).substr(this->line_start);
+    if (line.starts_with(id_field))
+        this->id = value_of(line, id_field);
     if (!line.starts_with(data_field))
         return;
-    this->is_done = !this->has_data && data_of(line) == done_mark;
+    const bool says_done = value_of(line, data_field) == done_mark;
+    this->is_done = !this->has_data && says_done;
     this->has_data = true;
 }
 
 void sse_reader::end_event()
 {
     const bool late = !this->done.empty();
+    const bool counts = this->has_data && !this->is_done && !late;
+    if (counts && this->position && !this->position->accept(this->id))
+    {
+        this->refused = true;
+        return;
+    }
+    this->id.clear();
     std::string& target = this->is_done && !late ? this->done : this->ready;
     if (!late)
     {
         target.append(this->event);
-        if (this->has_data && !this->is_done)
-            ++this->data_events;
+        this->data_events += counts ? 1 : 0;
     }
     this->event.clear();
     this->line_start = 0;
--- a/src/adapters/edge/sse_reader.hpp
+++ b/src/adapters/edge/sse_reader.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/request/stream_position.hpp"
+
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -21,8 +23,11 @@
 {
 public:
     /// @param max_event_bytes the largest event that is taken.
-    explicit sse_reader(std::size_t max_event_bytes)
+    /// @param caller_has      follows the events' ids; null: it needn't.
+    explicit sse_reader(
+        std::size_t max_event_bytes, stream_position* caller_has = nullptr)
         : limit(max_event_bytes)
+        , position(caller_has)
     {
     }
 
@@ -30,7 +35,8 @@
     sse_reader& operator=(const sse_reader&) = delete;
 
     /// Takes bytes as they come.
-    /// @return False when an event is larger than the limit.
+    /// @return False when an event is larger than the limit, or can't follow
+    ///         what the caller has; it is not passed on then.
     bool feed(std::string_view bytes);
 
     /// The body has ended whole: what is left is the last event, and is
@@ -59,6 +65,9 @@
     void end_event();
 
     std::size_t limit;
+    stream_position* position;
+    std::string id; ///< the unfinished event's
+    bool refused = false;
     std::string ready;
     std::string event; ///< the unfinished event
     std::string done;
--- a/src/core/request/dispatcher_finish.cpp
+++ b/src/core/request/dispatcher_finish.cpp
@@ -15,6 +15,8 @@
 /// A request under which so many backend servers broke isn't sent again.
 constexpr std::uint32_t crash_limit = 2;
 
+constexpr duration block_retry = std::chrono::seconds(60);
+
 bool is_not_run(end_kind how)
 {
     return how == end_kind::refused_not_run || how == end_kind::not_sent;
@@ -53,9 +55,16 @@
         {
             used->health.succeeded(now);
         }
-        where.estimator.served(
-            result.total, result.first_byte, request.info.prompt_bytes, now);
+        if (!request.resumed)
+        {
+            where.estimator.served(
+                result.total,
+                result.first_byte,
+                request.info.prompt_bytes,
+                now);
+        }
         where.budget.deposit(now);
+        where.resume_budget.deposit(now);
         this->release_slot(request);
         outcome = this->end(id, {});
     }
@@ -80,9 +89,12 @@
     return outcome;
 }
 
-void dispatcher::impl::note_crash(pending& request, engine_id engine)
+void dispatcher::impl::note_crash(
+    pending& request, engine_id engine, bool resumable)
 {
-    request.suspect = true;
+    // A stream that got this far is the least likely cause, and all streams of
+    // a dead server would wait for each other if each had to run alone.
+    request.suspect = request.suspect || !resumable;
     ++request.crashes;
     // A kept connection to a server that died breaks, too: one crash, not two.
     if (std::ranges::find(request.crashed, engine) != request.crashed.end())
@@ -107,19 +119,22 @@
             request.where->find(request.replica, request.address);
         const engine_id engine =
             used == nullptr ? engine_id{} : used->where.engine;
-        this->note_crash(request, engine);
+        this->note_crash(request, engine, result.resumable);
     }
     this->release_slot(request);
 
     const verdict outcome =
         request.may_have_run ? verdict::may_have_run : verdict::not_run;
-    const bool may_retry = !result.answer_started &&
+    request.resumed = request.resumed || result.resumable;
+    const bool whole_or_resumed = !result.answer_started || result.resumable;
+    const bool may_retry = whole_or_resumed &&
                            (not_run || request.info.repeatable) &&
                            request.attempts < this->settings.max_attempts &&
                            request.crashes < crash_limit;
     if (!may_retry)
     {
-        return this->end(id, {true, outcome, reason});
+        const duration back = this->expected_back(request, now);
+        return this->end(id, {true, outcome, reason, back});
     }
     if (this->draining)
     {
@@ -131,12 +146,18 @@
     }
     if (request.info.content && this->table->is_blocked(request.info.content))
     {
-        return this->end(id, {true, outcome, refusal_reason::blocked});
+        return this->end(
+            id, {true, outcome, refusal_reason::blocked, block_retry});
     }
-    if (!request.where->budget.withdraw(now))
+    const bool spares =
+        result.resumable && request.item.level != priority::urgent;
+    detail::retry_budget& budget =
+        result.resumable ? request.where->resume_budget : request.where->budget;
+    if (!budget.withdraw(now, spares))
     {
+        const duration back = this->expected_back(request, now);
         return this->end(
-            id, {true, outcome, refusal_reason::retries_exhausted});
+            id, {true, outcome, refusal_reason::retries_exhausted, back});
     }
 
     request.tried.push_back(request.server);
@@ -146,6 +167,29 @@
     return {false, outcome, reason};
 }
 
+duration dispatcher::impl::expected_back(const pending& request, instant now)
+{
+    const detail::target& where = *request.where;
+    const auto usable = detail::balancer::usable(where.backends, now);
+    const bool another = std::any_of(
+        usable.begin(),
+        usable.end(),
+        [&](std::size_t i)
+        {
+            return where.backends[i].server != request.server;
+        });
+    if (another)
+    {
+        const std::size_t slots = where.slots(usable, false, this->loads, now);
+        return this->spread(
+            where.estimator.queue_wait(where.waiting(), slots, now));
+    }
+    // The lone replica has to be loaded again, here or elsewhere.
+    const bool loadable = !where.is_service && where.max_replicas != 0;
+    return loadable ? this->spread(this->remaining_cold(where, now))
+                    : duration::zero();
+}
+
 void dispatcher::impl::abandon(ticket id, instant now)
 {
     const auto found = this->requests.find(id);
--- a/src/core/request/dispatcher_impl.hpp
+++ b/src/core/request/dispatcher_impl.hpp
@@ -62,6 +62,7 @@
         stage at = stage::queued;
         bool suspect = false;      ///< to run alone, by this router's own sight
         bool may_have_run = false; ///< an attempt may have reached a server
+        bool resumed = false;      ///< a stream continued after a cut
         std::uint32_t attempts = 0; ///< granted so far
         std::uint32_t crashes = 0;
         /// Engines that were reported as crashed by this request.
@@ -118,7 +119,8 @@
 
     // dispatcher_finish.cpp
     void release_slot(pending& request);
-    void note_crash(pending& request, engine_id engine);
+    void note_crash(pending& request, engine_id engine, bool resumable);
+    duration expected_back(const pending& request, instant now);
     finish failed(pending& request, const attempt_result& result, instant now);
     finish end(ticket id, finish outcome);
     void enqueue(pending& request);
--- a/src/core/request/retry_budget.cpp
+++ b/src/core/request/retry_budget.cpp
@@ -20,16 +20,24 @@
 {
 }
 
+retry_budget retry_budget::make_full(std::uint32_t percent_of_answers)
+{
+    retry_budget budget(percent_of_answers);
+    budget.tokens = budget.limit;
+    return budget;
+}
+
 void retry_budget::deposit(instant now)
 {
     this->refill(now);
     this->tokens = std::min(this->limit, this->tokens + this->per_answer);
 }
 
-bool retry_budget::withdraw(instant now)
+bool retry_budget::withdraw(instant now, bool spare)
 {
     this->refill(now);
-    if (this->tokens < whole)
+    const std::int64_t kept = spare ? this->limit / 3 : 0;
+    if (this->tokens - kept < whole)
     {
         return false;
     }
--- a/src/core/request/retry_budget.hpp
+++ b/src/core/request/retry_budget.hpp
@@ -19,13 +19,19 @@
 public:
     static constexpr std::int64_t floor_per_second = 3;
 
+    /// With one second's floor to begin with.
     explicit retry_budget(std::uint32_t percent_of_answers);
 
+    /// Full to begin with: for streams that are continued, which costs a
+    /// prefill and not the answer again.
+    static retry_budget make_full(std::uint32_t percent_of_answers);
+
     /// A request was answered.
     void deposit(instant now);
 
-    /// @return Whether a retry may be sent; takes its token.
-    bool withdraw(instant now);
+    /// @param spare leave the last third to more urgent retries.
+    /// @return      Whether a retry may be sent; takes its token.
+    bool withdraw(instant now, bool spare = false);
 
 private:
     void refill(instant now);
--- /dev/null
+++ b/src/core/request/stream_position.cpp
@@ -0,0 +1,56 @@
+#include "core/request/stream_position.hpp"
+
+#include <charconv>
+
+namespace roseworks
+{
+
+namespace
+{
+
+constexpr std::size_t most_tag_bytes = 256;
+
+std::optional<std::uint64_t> parse_id(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const char* const end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data(), end, value);
+    if (text.empty() || error != std::errc() || stop != end)
+        return std::nullopt;
+    return value;
+}
+
+} // namespace
+
+bool stream_position::begin(std::string_view tag)
+{
+    // A run of which the caller has nothing is not continued but forgotten.
+    if (!this->last)
+    {
+        this->runs = 1;
+        this->can_resume = !tag.empty() && tag.size() <= most_tag_bytes;
+        this->run_tag = this->can_resume ? tag : std::string_view();
+        return true;
+    }
+    ++this->runs;
+    const bool same = this->can_resume && tag == this->run_tag;
+    this->can_resume = same;
+    return same;
+}
+
+bool stream_position::accept(std::string_view id)
+{
+    const auto number = parse_id(id);
+    const bool follows = number && (!this->last || *number == *this->last + 1);
+    if (this->joining() && !follows)
+    {
+        this->can_resume = false;
+        return false;
+    }
+    this->can_resume = this->can_resume && follows;
+    if (number)
+        this->last = number;
+    return true;
+}
+
+} // namespace roseworks
--- a/src/core/request/target.cpp
+++ b/src/core/request/target.cpp
@@ -17,6 +17,7 @@
     , is_service(service)
     , queue(ageing)
     , budget(retry_percent)
+    , resume_budget(retry_budget::make_full(retry_percent))
 {
 }
 
--- a/src/core/request/target.hpp
+++ b/src/core/request/target.hpp
@@ -80,6 +80,7 @@
     std::vector<backend> backends;
     wait_estimator estimator;
     retry_budget budget;
+    retry_budget resume_budget; ///< of streams that are continued
     std::uint32_t in_flight = 0;
     std::uint32_t long_in_flight = 0;
     std::uint32_t suspects_running = 0;
--- a/standins/engine/completion.cpp
+++ b/standins/engine/completion.cpp
@@ -85,13 +85,28 @@
 }
 
 completion_writer::completion_writer(
-    const completion_request& asked, std::string_view request_id)
+    const completion_request& asked, std::string_view request_id, bool numbered)
     : request(asked)
     , id(request_id)
     , mark(hash_hex(asked.prompt).substr(0, mark_digits))
+    , with_ids(numbered)
 {
 }
 
+std::string completion_writer::tag(std::string_view version) const
+{
+    std::string text = "\"";
+    text += this->request.model;
+    text += '-';
+    text += version;
+    text += '-';
+    text += hash_hex(this->request.prompt);
+    text += '-';
+    text += std::to_string(this->request.max_tokens);
+    text += '"';
+    return text;
+}
+
 std::string completion_writer::token_event(std::uint64_t index) const
 {
     const bool last = index + 1 == this->request.max_tokens;
@@ -101,8 +116,11 @@
         finish_reason = "length";
     }
     const std::string separator = index == 0 ? "" : " ";
-    return this->event(
-        separator + this->token(index), std::move(finish_reason));
+    const std::string number =
+        this->with_ids ? "id: " + std::to_string(index) + "\n" : "";
+    return number +
+           this->event(
+               separator + this->token(index), std::move(finish_reason));
 }
 
 std::string completion_writer::cancelled_event() const
--- a/standins/engine/completion.hpp
+++ b/standins/engine/completion.hpp
@@ -27,8 +27,14 @@
 class completion_writer
 {
 public:
+    /// @param numbered whether the events of a stream carry ids.
     completion_writer(
-        const completion_request& asked, std::string_view request_id);
+        const completion_request& asked,
+        std::string_view request_id,
+        bool numbered);
+
+    /// Names what the tokens depend on, as an `ETag`.
+    [[nodiscard]] std::string tag(std::string_view version) const;
 
     /// One server-sent event with one token; the last one says `length`.
     [[nodiscard]] std::string token_event(std::uint64_t index) const;
@@ -51,6 +57,7 @@
     const completion_request& request;
     std::string id;
     std::string mark;
+    bool with_ids;
 };
 
 } // namespace roseworks::standins
--- a/standins/engine/engine_options.hpp
+++ b/standins/engine/engine_options.hpp
@@ -27,6 +27,7 @@
     std::chrono::microseconds prefill_per_char{0};
     std::chrono::milliseconds load_extra{0};
     std::set<std::string> disk_cached;
+    bool resume = false; ///< streams can be gone on with
 };
 
 } // namespace roseworks::standins
--- a/standins/engine/engine_service.hpp
+++ b/standins/engine/engine_service.hpp
@@ -73,6 +73,9 @@
         std::uint64_t tokens,
         const active_request& active);
 
+    /// The token after the last one that a resumed stream's caller has.
+    [[nodiscard]] std::uint64_t first_token(const exchange& call) const;
+
     /// Works until a point in time; false when the request is cancelled or
     /// its caller has gone.
     asio::awaitable<bool> work_until(
--- a/standins/engine/main.cpp
+++ b/standins/engine/main.cpp
@@ -30,6 +30,10 @@
         "slots", "requests that run at once", number_value(8));
     options.add_options()(
         "max-waiting", "requests that may wait for a slot", number_value(256));
+    options.add_options()(
+        "resume",
+        "streams carry a tag and ids, and can be gone on with",
+        cxxopts::value<bool>()->default_value("false"));
     options.add_options()("token-ms", "time for one token", number_value(5));
     options.add_options()(
         "prefill-us-per-char",
@@ -83,6 +87,7 @@
     options.prefill_per_char =
         std::chrono::microseconds(number("prefill-us-per-char"));
     options.load_extra = std::chrono::milliseconds(number("load-ms-extra"));
+    options.resume = arguments["resume"].as<bool>();
     options.disk_cached = split_list(text("disk-cached"));
     if (options.slots == 0)
     {
--- a/standins/proxy/proxy_service.hpp
+++ b/standins/proxy/proxy_service.hpp
@@ -25,6 +25,14 @@
     swallow_answer, ///< closes the client's side when the answer comes
 };
 
+/// How a truncated connection ends.
+enum class truncate_end
+{
+    close,
+    reset,
+    silent
+};
+
 /// A TCP proxy that disturbs connections. Its HTTP side is only the control.
 class proxy_service : public service
 {
@@ -69,6 +77,7 @@
     forward(connection& link, direction way, asio::const_buffer piece);
 
     asio::awaitable<void> swallow(connection& link);
+    void cut_off(connection& link) const;
 
     /// How many of these bytes may still go toward the client.
     std::size_t take_allowance(connection& link, std::size_t size) const;
@@ -78,6 +87,7 @@
     proxy_mode mode = proxy_mode::pass;
     std::chrono::milliseconds delay{0};
     std::uint64_t truncate_after = 0;
+    truncate_end truncate_how = truncate_end::close;
     std::uint64_t mode_changes = 0;
     notifier changed;
     tcp::acceptor* listening = nullptr;
--- a/tests/unit/dispatch/harness.hpp
+++ b/tests/unit/dispatch/harness.hpp
@@ -98,6 +98,18 @@
         return outcome;
     }
 
+    /// A stream of which its caller has a part breaks.
+    dispatcher::finish cut(ticket id, bool resumable)
+    {
+        attempt_result result;
+        result.how = attempt_result::end::broken;
+        result.answer_started = true;
+        result.resumable = resumable;
+        const auto outcome = this->core.finished(id, result, this->now);
+        this->collect();
+        return outcome;
+    }
+
     void tick(duration passed = 0ms)
     {
         this->now += passed;
--- /dev/null
+++ b/tests/unit/dispatch/test_progress.cpp
@@ -0,0 +1,174 @@
+#include "core/request/progress_estimator.hpp"
+#include "core/request/stream_position.hpp"
+
+#include <string>
+
+#include <criterion/criterion.h>
+
+using namespace roseworks;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr duration ceiling = 30s;
+const instant start{};
+
+work_kind work(std::string_view target, std::uint32_t tokens = 16)
+{
+    return {target, false, 100, tokens};
+}
+
+void learn(progress_estimator& progress, work_kind what, duration first_byte)
+{
+    for (int i = 0; i < 20; ++i)
+        progress.answered(what, first_byte, start);
+}
+
+} // namespace
+
+Test(progress, without_knowledge_the_setting_holds)
+{
+    progress_estimator progress;
+    progress.answered(work("agri-lm"), 100ms, start);
+    cr_assert(
+        progress.first_byte_limit(
+            work("agri-lm"), connection_kind::kept, ceiling) == ceiling);
+}
+
+Test(progress, limit_follows_what_the_work_takes)
+{
+    progress_estimator progress;
+    learn(progress, work("agri-lm"), 400ms);
+    learn(progress, work("agri-lm", 2000), 8s);
+    const auto limit = [&](std::uint32_t tokens, connection_kind on)
+    {
+        return progress.first_byte_limit(work("agri-lm", tokens), on, ceiling);
+    };
+    const duration small = limit(16, connection_kind::kept);
+    cr_assert(small >= 800ms && small < 1s);
+    cr_assert(limit(2000, connection_kind::kept) >= 16s);
+    cr_assert(limit(16, connection_kind::fresh) == 4 * small);
+    cr_assert(limit(2000, connection_kind::fresh) == ceiling);
+}
+
+Test(progress, fast_work_is_not_given_up_below_the_floor)
+{
+    progress_estimator progress;
+    learn(progress, work("scan"), 2ms);
+    cr_assert(
+        progress.first_byte_limit(
+            work("scan"), connection_kind::kept, ceiling) ==
+        progress_estimator::floor);
+}
+
+// A server that has become slow isn't given up at the old pace over and over.
+Test(progress, limit_doubles_until_an_answer_is_in_time)
+{
+    progress_estimator progress;
+    learn(progress, work("agri-lm"), 100ms);
+    const auto limit = [&]
+    {
+        return progress.first_byte_limit(
+            work("agri-lm"), connection_kind::kept, ceiling);
+    };
+    const duration first = limit();
+    progress.ran_out(work("agri-lm"));
+    progress.ran_out(work("agri-lm"));
+    cr_assert(limit() == 4 * first);
+    progress.answered(work("agri-lm"), 3s, start);
+    cr_assert(limit() > 4 * first);
+    progress.answered(work("agri-lm"), 100ms, start);
+    progress_estimator undoubted;
+    learn(undoubted, work("agri-lm"), 100ms);
+    undoubted.answered(work("agri-lm"), 3s, start);
+    undoubted.answered(work("agri-lm"), 100ms, start);
+    cr_assert(
+        limit() == undoubted.first_byte_limit(
+                       work("agri-lm"), connection_kind::kept, ceiling));
+}
+
+Test(progress, kinds_remembered_are_bounded)
+{
+    progress_estimator progress;
+    learn(progress, work("first"), 100ms);
+    for (std::size_t i = 0; i < progress_estimator::most_kinds; ++i)
+    {
+        const std::string name = "model-" + std::to_string(i);
+        progress.answered(work(name), 100ms, start + 1s);
+    }
+    cr_assert(
+        progress.first_byte_limit(
+            work("first"), connection_kind::kept, ceiling) == ceiling);
+}
+
+Test(progress, pace_of_a_stream_bounds_its_silence)
+{
+    stream_pace pace;
+    cr_assert(pace.limit(10s) == 10s);
+    instant now = start;
+    for (int i = 0; i < 10; ++i)
+        pace.event(now += 30ms);
+    cr_assert(pace.limit(10s) == stream_pace::floor);
+    for (int i = 0; i < 60; ++i)
+        pace.event(now += 600ms);
+    cr_assert(pace.limit(10s) >= 4s && pace.limit(10s) < 10s);
+}
+
+Test(position, joins_only_the_very_next_event_of_the_same_generation)
+{
+    stream_position position;
+    cr_assert(position.begin("\"a\""));
+    cr_assert(position.accept("0"));
+    cr_assert(position.accept("1"));
+    cr_assert(position.resumable());
+    cr_assert_eq(position.last_id(), 1);
+    cr_assert(position.begin("\"a\""));
+    cr_assert(position.accept("2"));
+    cr_assert(position.resumable());
+}
+
+Test(position, refuses_another_generation)
+{
+    stream_position position;
+    position.begin("\"a\"");
+    position.accept("0");
+    cr_assert(!position.begin("\"b\""));
+    cr_assert(!position.resumable());
+}
+
+Test(position, refuses_a_missing_and_a_doubled_event)
+{
+    for (const char* id : {"0", "1", "3", "", "2x", "-2"})
+    {
+        stream_position position;
+        position.begin("\"a\"");
+        position.accept("0");
+        position.accept("1");
+        position.begin("\"a\"");
+        cr_assert(!position.accept(id), "%s", id);
+        cr_assert(!position.resumable());
+    }
+}
+
+Test(position, streams_without_tag_or_numbers_are_passed_but_not_resumed)
+{
+    stream_position untagged;
+    cr_assert(untagged.begin(""));
+    cr_assert(untagged.accept("0"));
+    cr_assert(!untagged.resumable());
+    stream_position unnumbered;
+    unnumbered.begin("\"a\"");
+    cr_assert(unnumbered.accept("0"));
+    cr_assert(unnumbered.accept(""));
+    cr_assert(!unnumbered.resumable());
+}
+
+Test(position, run_without_an_event_is_forgotten)
+{
+    stream_position position;
+    position.begin("\"a\"");
+    cr_assert(position.begin("\"b\""));
+    cr_assert(position.accept("7"));
+    cr_assert(position.resumable());
+}
--- a/tests/unit/dispatch/test_retries.cpp
+++ b/tests/unit/dispatch/test_retries.cpp
@@ -208,3 +208,74 @@
     cr_assert(test.granted(second));
     cr_assert(test.finish(first).outcome == verdict::may_have_run);
 }
+
+Test(resume, a_stream_that_can_be_continued_gets_another_server)
+{
+    harness test;
+    test.model("m", 1, 2, 4);
+    const ticket id = test.submit();
+    const ticket other = test.submit();
+    cr_assert(not test.cut(id, true).final_answer);
+    cr_assert_eq(test.grants[id].size(), 2, "at once, beside others");
+    cr_assert_neq(test.grants[id][1].engine, test.grants[id][0].engine);
+    cr_assert(test.finish(other).final_answer);
+    const auto end = test.cut(id, false);
+    cr_assert(end.final_answer);
+    cr_assert(end.outcome == verdict::may_have_run);
+    cr_assert(end.reason == refusal_reason::stream_cut);
+}
+
+Test(resume, one_not_repeatable_is_never_continued)
+{
+    harness test;
+    test.model("m", 1, 2, 4);
+    const ticket id = test.submit(once(test));
+    const auto end = test.cut(id, true);
+    cr_assert(end.final_answer);
+    cr_assert(end.outcome == verdict::may_have_run);
+}
+
+// Urgent streams are continued first when the budget is short.
+Test(resume, the_last_third_of_the_budget_is_for_urgent_streams)
+{
+    harness test;
+    test.allow_urgent();
+    test.model("m", 1, 2, 200);
+    std::size_t continued = 0;
+    for (int i = 0; i < 200; ++i)
+        continued += test.cut(test.submit(), true).final_answer ? 0 : 1;
+    cr_assert(continued > 0 && continued < 200);
+    std::size_t urgent = 0;
+    for (int i = 0; i < 200; ++i)
+    {
+        const ticket id = test.submit(priority::urgent);
+        urgent += test.cut(id, true).final_answer ? 0 : 1;
+    }
+    cr_assert(urgent * 3 >= continued, "%zu after %zu", urgent, continued);
+}
+
+Test(retry_after, tells_when_a_lone_replica_may_be_back)
+{
+    harness test;
+    test.model("m", 1, 1);
+    const ticket id = test.submit();
+    test.finish(id, end_kind::not_sent);
+    test.finish(id, end_kind::not_sent);
+    const auto end = test.finish(id, end_kind::not_sent);
+    cr_assert(end.final_answer);
+    cr_assert(end.outcome == verdict::not_run);
+    cr_assert(end.retry_after >= 10s, "the model's load estimate");
+    cr_assert(end.retry_after <= 13s);
+}
+
+Test(retry_after, is_short_while_another_replica_is_ready)
+{
+    harness test;
+    test.model("m", 1, 3);
+    const ticket id = test.submit();
+    test.finish(id, end_kind::not_sent);
+    test.finish(id, end_kind::not_sent);
+    const auto end = test.finish(id, end_kind::not_sent);
+    cr_assert(end.final_answer);
+    cr_assert(end.retry_after > 0s && end.retry_after < 1s);
+}
