Fuzz the joining of streams

Cause: the event reader now follows event ids, and its fuzz target didn't link without them. Change: the target links stream_position and also reads the text as the rest of a stream: what is passed on doesn't depend on how bytes are cut, and each event is the very next. Conclusion: the join is checked event by event.

--- a/tests/fuzz/fuzz_sse.cpp
+++ b/tests/fuzz/fuzz_sse.cpp
@@ -32,9 +32,13 @@
     bool operator==(const outcome&) const = default;
 };
 
-outcome read(std::string_view text, std::size_t piece)
+/// @param position what the caller has; null: it doesn't matter.
+outcome read(
+    std::string_view text,
+    std::size_t piece,
+    roseworks::stream_position* position = nullptr)
 {
-    sse_reader reader(limit);
+    sse_reader reader(limit, position);
     outcome result;
     for (std::size_t at = 0; at < text.size() && result.fits; at += piece)
     {
@@ -46,6 +50,20 @@
     return result;
 }
 
+/// Reads the text as the rest of a stream of which events 6 and 7 came.
+outcome join(std::string_view text, std::size_t piece)
+{
+    roseworks::stream_position position;
+    position.begin("g");
+    position.accept("6");
+    position.accept("7");
+    position.begin("g");
+    outcome result = read(text, piece, &position);
+    require(position.last_id() == 7 + result.tokens);
+    require(position.resumable() || !result.fits);
+    return result;
+}
+
 } // namespace
 
 extern "C" int
@@ -60,5 +78,9 @@
     require(read(text, piece) == whole);
     require(read(text, 1) == whole);
     require(text.starts_with(whole.passed + whole.done));
+    const outcome joined = join(text, text.size() + 1);
+    require(join(text, piece) == joined);
+    require(join(text, 1) == joined);
+    require(text.starts_with(joined.passed + joined.done));
     return 0;
 }
