--- a/standins/log/main.cpp
+++ b/standins/log/main.cpp
@@ -6,7 +6,13 @@
 #include "standins/common/program.hpp"
 #include "standins/log/event_log.hpp"
 
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <algorithm>
+#include <chrono>
+#include <ratio>
 #include <utility>
 
 namespace roseworks::standins
@@ -21,8 +27,11 @@
 class log_service : public service
 {
 public:
-    explicit log_service(std::size_t retain)
+    /// @param retain Records kept, 0 for all.
+    /// @param rate   Appends taken a second, 0 for no limit.
+    log_service(std::size_t retain, std::uint64_t rate)
         : log(retain)
+        , append_gap(rate == 0 ? 0 : std::nano::den / rate)
         , faults({fault::up, fault::down, fault::slow, fault::lose_answers})
     {
     }
@@ -33,12 +42,16 @@
     asio::awaitable<void> serve(exchange& call) override;
 
     asio::awaitable<void> append(exchange& call);
+    /// Appends take their turns at the limited rate, first come first served.
+    asio::awaitable<void> wait_for_turn();
     asio::awaitable<void> read(exchange& call);
     asio::awaitable<void> status(exchange& call);
     asio::awaitable<void>
     wait_for_records(std::uint64_t from, std::uint64_t wait_ms);
 
     event_log log;
+    std::chrono::nanoseconds append_gap;
+    std::chrono::steady_clock::time_point next_append{};
     fault_switch faults;
     notifier changed;
     std::uint64_t appends = 0;
@@ -101,6 +114,7 @@
     {
         throw bad_request("an append needs an entry");
     }
+    co_await this->wait_for_turn();
     json::object body;
     body["count"] = entries.size();
     body["first_offset"] = this->log.append(std::move(entries));
@@ -116,6 +130,19 @@
     co_await call.send_json(200, std::move(body));
 }
 
+asio::awaitable<void> log_service::wait_for_turn()
+{
+    using clock = std::chrono::steady_clock;
+    if (this->append_gap.count() == 0)
+    {
+        co_return;
+    }
+    const auto turn = std::max(clock::now(), this->next_append);
+    this->next_append = turn + this->append_gap;
+    asio::steady_timer timer(co_await asio::this_coro::executor, turn);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
 asio::awaitable<void> log_service::read(exchange& call)
 {
     const std::uint64_t from = call.query_number("from", 1);
@@ -180,6 +207,9 @@
     options.add_options()(
         "retain-records",
         "how many records are kept, 0 for all",
+        number_value(0))(
+        "appends-per-second",
+        "how many appends are taken in a second, 0 for no limit",
         number_value(0));
     return run_program(
         argc,
@@ -189,6 +219,7 @@
         [](const cxxopts::ParseResult& arguments)
         {
             return std::make_unique<log_service>(
-                arguments["retain-records"].as<std::uint64_t>());
+                arguments["retain-records"].as<std::uint64_t>(),
+                arguments["appends-per-second"].as<std::uint64_t>());
         });
 }
