Test a reused and a late key with real processes

A key is used again with another body after its router died and while the log is slow: refused as key_reused by a router that is left, the same body gets the first answer, and a key that tells an issue time of 2023 is refused as claim_expired; by the service's ledger the first ran once, the last never.

--- a/tests/integration/pairs_test.cpp
+++ b/tests/integration/pairs_test.cpp
@@ -94,6 +94,44 @@
     cr_assert_eq(runs_of_key(nodes.service_address(0), "orphan"), 1U);
 }
 
+// "A caller gets the whole answer to its own request": a key is used again with
+// another body after its router died, and the log is slow.
+Test(pairs, key_reused_with_other_content_is_refused_by_the_routers_left)
+{
+    fleet nodes(fleet_setup{});
+    cr_assert_eq(nodes.apply(model).exit_code, 0);
+    const auto first =
+        send(nodes.router_address(0), dispatch("twice", R"({"order":1})"));
+    cr_assert_eq(first.status, 200U, "%s", first.body.c_str());
+    nodes.router(0).kill();
+    cr_assert(
+        control(nodes.log_address(), R"({"mode":"slow","delay_ms":100})"));
+    const auto replay = [&]
+    {
+        const auto reply =
+            send(nodes.router_address(1), dispatch("twice", R"({"order":1})"));
+        return reply.status == 200 && reply.body == first.body;
+    };
+    cr_assert(eventually(replay));
+    const auto other =
+        send(nodes.router_address(1), dispatch("twice", R"({"order":2})"));
+    cr_assert(
+        refused(other, "not-run", "key_reused"),
+        "%u %s",
+        other.status,
+        other.body.c_str());
+    http_call old = dispatch("late");
+    old.headers["Idempotency-Key-Issued"] = "1700000000000";
+    const auto late = send(nodes.router_address(2), old);
+    cr_assert(
+        refused(late, "not-run", "claim_expired"),
+        "%u %s",
+        late.status,
+        late.body.c_str());
+    cr_assert_eq(runs_of_key(nodes.service_address(0), "twice"), 1U);
+    cr_assert_eq(runs_of_key(nodes.service_address(0), "late"), 0U);
+}
+
 // "A refusal that says 'not run' is true": connections to the service are reset
 // while the log loses its answers.
 Test(pairs, not_run_is_true_with_resets_and_a_lossy_log)
