Gather the reads of the log while nobody waits

Cause: a long poll answers with the first record, so that 70 records/s came in 70 answers/s with 151 B of HTTP each. Ruled out: always reading at an interval (each own append is read back later). Tests: both new ones were seen failing, without the wait and without hurry.

--- a/src/adapters/log/http_log_client.cpp
+++ b/src/adapters/log/http_log_client.cpp
@@ -88,6 +88,7 @@
     , appends(on, server, connection_options(wanted), meter)
     , delays(wanted.retry_min, wanted.retry_max, wanted.seed)
     , pause_timer(on)
+    , gather_timer(on)
 {
 }
 
@@ -103,11 +104,19 @@
     this->next_read = from;
     this->reads.break_connections();
     this->pause_timer.cancel();
+    this->gather_timer.cancel();
+}
+
+void http_log_client::hurry()
+{
+    this->hurry_until = std::chrono::steady_clock::now() + this->settings.hurry;
+    this->gather_timer.cancel();
 }
 
 void http_log_client::append(append_batch batch)
 {
     this->waiting.push_back(std::move(batch));
+    this->gather_timer.cancel();
     if (this->appending || this->stopped)
         return;
     this->appending = true;
@@ -119,6 +128,7 @@
     this->stopped = true;
     this->waiting.clear();
     this->pause_timer.cancel();
+    this->gather_timer.cancel();
     this->reads.break_connections();
     this->appends.break_connections();
 }
@@ -136,6 +146,8 @@
 
         if (this->failed && !this->stopped)
             co_await this->pause();
+        else if (this->delivered && !this->somebody_waits())
+            co_await this->gather();
     }
 }
 
@@ -170,6 +182,7 @@
 asio::awaitable<void> http_log_client::read_entries()
 {
     const std::uint64_t started_in = this->generation;
+    this->delivered = false;
     if (this->end_stale)
         co_await this->refresh_end();
     if (!this->is_current(started_in))
@@ -218,8 +231,12 @@
         call.body = encode_append(batch.entries);
         call.timeout = this->settings.append_timeout;
         const http_answer answer = co_await this->appends.send(std::move(call));
-        if (!this->stopped)
-            this->listener->append_answered(batch.batch, outcome_of(answer));
+        if (this->stopped)
+            break;
+        const append_outcome outcome = outcome_of(answer);
+        if (outcome == append_outcome::done)
+            this->note_appended(answer.body);
+        this->listener->append_answered(batch.batch, outcome);
     }
     this->appending = false;
 }
@@ -233,6 +250,33 @@
         asio::redirect_error(asio::use_awaitable, ignored));
 }
 
+/// Lets entries come together, unless somebody begins to wait for them.
+asio::awaitable<void> http_log_client::gather()
+{
+    boost::system::error_code ignored;
+    this->gather_timer.expires_after(this->settings.gather);
+    co_await this->gather_timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+bool http_log_client::somebody_waits() const
+{
+    const bool behind = this->next_read < this->known_end || this->end_stale;
+    const bool own_unread = this->appending || this->next_read < this->own_end;
+    const bool hurried = std::chrono::steady_clock::now() < this->hurry_until;
+    return this->stopped || this->settings.gather.count() == 0 || behind ||
+           own_unread || hurried;
+}
+
+/// The append's entries are this router's own: they are to be read soon.
+void http_log_client::note_appended(const std::string& body)
+{
+    const log_offset first = offset_field(body, "first_offset");
+    const log_offset count = offset_field(body, "count");
+    this->own_end =
+        std::max(this->own_end, log_offset(first.value + count.value));
+}
+
 asio::awaitable<http_answer>
 http_log_client::get(std::string target, std::chrono::milliseconds timeout)
 {
@@ -255,6 +299,7 @@
             BOOST_LEAF_AUTO(entries, parse_log_frames(body, this->next_read));
             this->failed = false;
             this->delays.reset();
+            this->delivered = !entries.empty();
             this->next_read.value += entries.size();
             this->known_end = std::max(this->known_end, this->next_read);
             this->end_stale = body.size() >= this->settings.read_bytes / 2;
--- a/src/adapters/log/http_log_client.hpp
+++ b/src/adapters/log/http_log_client.hpp
@@ -21,7 +21,10 @@
 /** The platform's log over HTTP.
 
     Reads by long poll on a connection of their own; appends go out one at a
-    time on a second one, so that a slow poll never holds an append back. An
+    time on a second one, so that a slow poll never holds an append back. After
+    a read that brought entries the next one waits for `gather`, so that a busy
+    log costs few answers; not while the end of the log isn't reached, an append
+    of this router isn't answered or not read back, or somebody hurries. An
     append is `done` by a whole `200`, `refused` when no byte left or the log
     answered that the request is wrong, and `unknown` in every other case, a
     `503` included. Runs on the executor's single thread and has to outlive
@@ -35,6 +38,8 @@
         std::chrono::milliseconds poll_wait{1000};
         std::chrono::milliseconds append_timeout{2000};
         std::chrono::milliseconds connect_timeout{1000};
+        std::chrono::milliseconds gather{0};   ///< 0: never wait
+        std::chrono::milliseconds hurry{2000}; ///< how long one `hurry` counts
         std::chrono::milliseconds retry_min{20};
         std::chrono::milliseconds retry_max{2000};
         std::size_t read_bytes = std::size_t(1) << 20; ///< asked of one read
@@ -49,6 +54,7 @@
 
     void start(log_listener& listener) override;
     void tail_from(log_offset from) override;
+    void hurry() override;
     void append(append_batch batch) override;
     void stop() override;
 
@@ -59,6 +65,9 @@
     boost::asio::awaitable<void> refresh_end();
     boost::asio::awaitable<void> append_all();
     boost::asio::awaitable<void> pause();
+    boost::asio::awaitable<void> gather();
+    bool somebody_waits() const;
+    void note_appended(const std::string& body);
     boost::asio::awaitable<platform::http_answer>
     get(std::string target, std::chrono::milliseconds timeout);
     bool is_current(std::uint64_t started_in) const;
@@ -72,9 +81,13 @@
     platform::http_client appends;
     platform::backoff delays;
     boost::asio::steady_timer pause_timer;
+    boost::asio::steady_timer gather_timer;
+    std::chrono::steady_clock::time_point hurry_until{};
     log_listener* listener = nullptr;
     log_offset next_read;   ///< 0: wait for `tail_from`
     log_offset known_end;   ///< the log's next offset as far as known
+    log_offset own_end;     ///< behind the last own append that is known
+    bool delivered = false; ///< the last read brought entries
     bool opened = false;    ///< the first status was read
     bool end_stale = false; ///< a full read: there may be much more
     bool failed = false;    ///< the last read failed
--- a/src/adapters/settings/router_settings.hpp
+++ b/src/adapters/settings/router_settings.hpp
@@ -44,6 +44,7 @@
 {
     socket_address address;
     milliseconds poll_wait{};
+    milliseconds gather{};
     std::uint32_t max_batch_bytes = 0;
     milliseconds append_timeout{};
     milliseconds retry_max{};
--- a/src/app/control_loop_ports.cpp
+++ b/src/app/control_loop_ports.cpp
@@ -61,6 +61,7 @@
 {
     if (!this->core || this->stopped)
         return;
+    this->ports.log.hurry();
     this->core->demanded(what, this->ports.clock.now());
     this->pump();
 }
--- a/src/ports/log_port.hpp
+++ b/src/ports/log_port.hpp
@@ -55,6 +55,10 @@
     /// Reads from this offset on, and goes on from the last entry delivered.
     virtual void tail_from(log_offset from) = 0;
 
+    /// Somebody waits for what is read next: for a while nothing is gathered
+    /// before it is read. A hint.
+    virtual void hurry() = 0;
+
     /// Appends a batch; batches go out one after another, in order. Answered
     /// exactly once unless the port is stopped. Never repeated by the port.
     virtual void append(append_batch batch) = 0;
--- a/tests/unit/app/control_loop_test.cpp
+++ b/tests/unit/app/control_loop_test.cpp
@@ -202,7 +202,9 @@
     bench.log.put(encode(one_model(1)));
     bench.log.open();
     bench.run(1s);
+    const int hurried = bench.log.hurried;
     bench.want("m1");
+    cr_expect(bench.log.hurried == hurried + 1, "a caller waits for the log");
     bench.run(2s);
     cr_assert(bench.engines.orders.size() == 1);
     const fake_engines::sent& sent = bench.engines.orders[0];
--- a/tests/unit/app/fake_platform.hpp
+++ b/tests/unit/app/fake_platform.hpp
@@ -45,6 +45,11 @@
         this->next_read = from.value;
     }
 
+    void hurry() override
+    {
+        ++this->hurried;
+    }
+
     void append(append_batch batch) override
     {
         this->appends.push_back(std::move(batch));
@@ -112,6 +117,7 @@
     std::deque<append_batch> appends;
     std::uint64_t first = 1;
     std::uint64_t next_read = 1;
+    int hurried = 0;
 };
 
 /// Keeps orders and reads; the test answers them.
--- a/tests/unit/log_client/http_log_client_test.cpp
+++ b/tests/unit/log_client/http_log_client_test.cpp
@@ -83,9 +83,11 @@
 /// A client against a scripted log.
 struct log_bench
 {
-    explicit log_bench(scripted_server::script script)
+    explicit log_bench(
+        scripted_server::script script,
+        const http_log_client::options& settings = options())
         : server(context, std::move(script))
-        , client(context.get_executor(), server.endpoint(), options(), meter)
+        , client(context.get_executor(), server.endpoint(), settings, meter)
     {
     }
 
@@ -243,6 +245,101 @@
     cr_expect(bench.listener.faults.empty());
 }
 
+namespace
+{
+
+/// A log with an entry for every read, and a client that gathers for longer
+/// than any test lasts.
+struct gathering_bench : log_bench
+{
+    gathering_bench()
+        : log_bench(
+              [this](const scripted_server::request& request)
+              {
+                  return this->answer_to(request);
+              },
+              slow_options())
+    {
+        this->client.start(this->listener);
+        this->until(
+            [this]
+            {
+                return !this->listener.opened.empty();
+            });
+        this->client.tail_from(log_offset(1));
+    }
+
+    static http_log_client::options slow_options()
+    {
+        http_log_client::options result = options();
+        result.gather = 1h;
+        result.hurry = 1h;
+        return result;
+    }
+
+    scripted_answer answer_to(const scripted_server::request& request)
+    {
+        if (asks(request, "/v1/status"))
+            return status_answer(1, 3);
+        if (!asks(request, "/v1/append"))
+        {
+            ++this->reads;
+            return {
+                kind::answer, 200, frame(static_cast<unsigned>(reads), "x")};
+        }
+        return {kind::answer, 200, "{\"first_offset\":5,\"count\":1}"};
+    }
+
+    bool until_read(std::size_t entries)
+    {
+        return this->until(
+            [this, entries]
+            {
+                return this->listener.offsets.size() >= entries;
+            });
+    }
+
+    /// Lets all happen that needs no time.
+    void settle()
+    {
+        constexpr int enough = 2000;
+        this->context.restart();
+        for (int i = 0; i < enough; ++i)
+            this->context.poll_one();
+    }
+
+    int reads = 0;
+};
+
+} // namespace
+
+// Up to the known end reads follow one another; after it only those that an
+// append of its own waits for, and the append's answer tells how far.
+Test(log_client, entries_are_gathered_until_an_append_of_its_own)
+{
+    gathering_bench bench;
+    cr_assert(bench.until_read(2));
+    bench.settle();
+    cr_expect(bench.reads == 2, "%d reads", bench.reads);
+
+    bench.client.append({1, {{std::byte{1}}}});
+    cr_assert(bench.until_read(5));
+    bench.settle();
+    const int reads = bench.reads;
+    bench.settle();
+    cr_expect(bench.reads == reads, "%d reads", bench.reads);
+    cr_expect(bench.listener.appended.size() == 1);
+    cr_expect(bench.listener.faults.empty());
+}
+
+Test(log_client, nothing_is_gathered_while_somebody_hurries)
+{
+    gathering_bench bench;
+    cr_assert(bench.until_read(2));
+    bench.client.hurry();
+    cr_expect(bench.until_read(10));
+}
+
 Test(log_client, reading_resumes_after_faults_without_a_gap_or_repeat)
 {
     // Each fault once, then the right answer.
