Read the VM list only when it changed

Cause: the list was read whole every second, 50 B/s a VM: 50 KB/s at 1,000. Ruled out: reading it less often (a leaving VM gets no new work after 2 s). Change: the router shows the list's ETag in If-None-Match; a 304 counts as a look at the last list, since two looks without a VM make it gone. After a failure, or without an ETag, the list is read whole. The stand-in names versions. Tests: the new one was seen failing without If-None-Match. Conclusion: bytes grow with the list's changes only, if the platform names versions.

--- a/src/adapters/platform/http_client.cpp
+++ b/src/adapters/platform/http_client.cpp
@@ -91,6 +91,8 @@
         request.set(http::field::content_type, call.content_type);
     if (!call.authorization.empty())
         request.set(http::field::authorization, call.authorization);
+    if (!call.if_none_match.empty())
+        request.set(http::field::if_none_match, call.if_none_match);
     request.body() = std::move(call.body);
     request.prepare_payload();
     return request;
@@ -183,6 +185,7 @@
         reusable = parser.get().keep_alive() && buffer.size() == 0;
         answer.end = exchange_end::answered;
         answer.status = parser.get().result_int();
+        answer.etag = std::string(parser.get()[http::field::etag]);
         answer.body = std::move(parser.get().body());
         co_return answer;
     }
--- a/src/adapters/platform/http_client.hpp
+++ b/src/adapters/platform/http_client.hpp
@@ -33,6 +33,7 @@
     exchange_end end = exchange_end::not_sent;
     unsigned status = 0; ///< when answered
     std::string body;    ///< when answered
+    std::string etag;    ///< when answered; empty: the server names none
 
     /// @return Whether a whole answer of this status came.
     bool is(unsigned expected) const
@@ -48,6 +49,7 @@
     std::string body;
     std::string content_type;
     std::string authorization; ///< empty: none
+    std::string if_none_match; ///< empty: the whole answer is wanted
     std::chrono::milliseconds timeout{};
     /// Asked immediately before the first byte is written; empty: always.
     std::function<bool()> may_send;
--- a/src/adapters/platform/http_vm_list_client.cpp
+++ b/src/adapters/platform/http_vm_list_client.cpp
@@ -20,6 +20,7 @@
 {
 
 constexpr unsigned status_ok = 200;
+constexpr unsigned status_not_modified = 304;
 
 } // namespace
 
@@ -55,6 +56,7 @@
         http_call call;
         call.target = "/v1/vms";
         call.timeout = this->settings.timeout;
+        call.if_none_match = this->version;
         const http_answer answer = co_await this->client.send(std::move(call));
         if (this->stopped)
             co_return;
@@ -69,6 +71,14 @@
 
 void http_vm_list_client::take(const http_answer& answer)
 {
+    if (answer.is(status_not_modified) && !this->version.empty())
+    {
+        this->listener->vms_listed(this->last);
+        return;
+    }
+    // Only a whole list that could be read is worth a question for changes.
+    this->version.clear();
+    this->last.clear();
     if (!answer.is(status_ok))
     {
         this->listener->vm_list_failed();
@@ -79,6 +89,10 @@
         {
             BOOST_LEAF_AUTO(vms, read_vm_list(answer.body));
             this->listener->vms_listed(vms);
+            if (answer.etag.empty())
+                return {};
+            this->version = answer.etag;
+            this->last = std::move(vms);
             return {};
         },
         [&]
--- a/src/adapters/platform/http_vm_list_client.hpp
+++ b/src/adapters/platform/http_vm_list_client.hpp
@@ -9,12 +9,19 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <chrono>
+#include <string>
+#include <vector>
 
 namespace roseworks::platform
 {
 
-/// Polls the platform's VM list over HTTP. Runs on the executor's single
-/// thread and has to outlive the last run of its context.
+/** Polls the platform's VM list over HTTP.
+
+    A list that hasn't changed isn't sent again by a server that names versions
+    (`ETag`, `If-None-Match`): the listener then gets the last one once more, as
+    each look at the list counts. Runs on the executor's single thread and has
+    to outlive the last run of its context.
+*/
 class http_vm_list_client final : public vm_list_port
 {
 public:
@@ -42,6 +49,8 @@
     http_client client;
     boost::asio::steady_timer timer;
     vm_list_listener* listener = nullptr;
+    std::string version;        ///< of `last`; empty: none is named
+    std::vector<vm_entry> last; ///< only while a version is known
     bool stopped = false;
 };
 
--- a/standins/vm_list/main.cpp
+++ b/standins/vm_list/main.cpp
@@ -6,8 +6,10 @@
 #include "standins/common/program.hpp"
 
 #include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
 
 #include <fstream>
+#include <functional>
 #include <iterator>
 #include <map>
 #include <utility>
@@ -92,6 +94,7 @@
     lagged<vm_map> vms;
     fault_switch faults;
     std::uint64_t reads = 0;
+    std::uint64_t unchanged = 0; ///< reads answered without the list
 };
 
 void vm_list_service::control(const json::object& command)
@@ -116,6 +119,7 @@
 {
     json::object result;
     result["reads"] = this->reads;
+    result["unchanged"] = this->unchanged;
     result["vms"] = this->vms.newest().size();
     return result;
 }
@@ -140,6 +144,16 @@
     }
     json::object body;
     body["vms"] = std::move(listed);
+    const std::string text = json::serialize(body);
+    const std::string version =
+        '"' + std::to_string(std::hash<std::string>()(text)) + '"';
+    call.set_header("ETag", version);
+    if (call.header("If-None-Match") == version)
+    {
+        ++this->unchanged;
+        co_await call.send_bytes(304, "application/json", "");
+        co_return;
+    }
     co_await call.send_json(200, std::move(body));
 }
 
--- a/tests/unit/log_client/platform_test.cpp
+++ b/tests/unit/log_client/platform_test.cpp
@@ -6,7 +6,9 @@
 
 #include <boost/leaf/handle_errors.hpp>
 
+#include <algorithm>
 #include <optional>
+#include <span>
 #include <sstream>
 #include <string>
 #include <vector>
@@ -334,25 +336,77 @@
     cr_expect(refused);
 }
 
-Test(vm_list_client, lists_vms_and_tells_of_failures)
+namespace
 {
-    class recorder : public vm_list_listener
+
+class vm_recorder : public vm_list_listener
+{
+public:
+    void vms_listed(std::span<const vm_entry> vms) override
     {
-    public:
-        void vms_listed(std::span<const vm_entry> vms) override
-        {
-            this->last.assign(vms.begin(), vms.end());
-        }
+        ++this->lists;
+        this->last.assign(vms.begin(), vms.end());
+    }
 
-        void vm_list_failed() override
-        {
-            ++this->failures;
-        }
+    void vm_list_failed() override
+    {
+        ++this->failures;
+    }
 
-        std::vector<vm_entry> last;
-        int failures = 0;
-    };
+    std::vector<vm_entry> last;
+    int lists = 0;
+    int failures = 0;
+};
+
+} // namespace
 
+// A list of one version is sent once and still counts at each look; after a
+// failure and for another version it is asked for whole.
+Test(vm_list_client, an_unchanged_list_is_not_sent_again)
+{
+    const std::string one_vm =
+        R"({"vms":[{"vm":"b1","address":"127.0.0.1:1","role":"backend",
+            "state":"live","data_centre":"negombo"}]})";
+    std::vector<std::string> shown;
+    asio::io_context context;
+    scripted_server server(
+        context,
+        [&](const scripted_server::request& request) -> scripted_answer
+        {
+            shown.emplace_back(
+                request[boost::beast::http::field::if_none_match]);
+            const std::size_t polls = shown.size();
+            if (polls == 4)
+                return {kind::answer, 503, "{}"};
+            if (polls == 2 || polls == 3)
+                return {kind::answer, 304, ""};
+            return {kind::answer, 200, one_vm, "ETag: \"7\"\r\n"};
+        });
+    byte_meter meter;
+    http_vm_list_client::options options;
+    options.poll = 1ms;
+    http_vm_list_client client(
+        context.get_executor(), server.endpoint(), options, meter);
+    vm_recorder seen;
+    client.start(seen);
+    cr_assert(run_until(
+        context,
+        [&]
+        {
+            return seen.lists == 4;
+        }));
+    const std::vector<std::string> wanted{"", "\"7\"", "\"7\"", "\"7\"", ""};
+    cr_expect(std::ranges::equal(std::span(shown).first(5), wanted));
+    cr_expect(seen.failures == 1);
+    cr_expect(seen.last.size() == 1);
+    client.stop();
+    server.stop();
+    context.restart();
+    context.run_for(1s);
+}
+
+Test(vm_list_client, lists_vms_and_tells_of_failures)
+{
     int polls = 0;
     asio::io_context context;
     scripted_server server(
@@ -373,7 +427,7 @@
     options.poll = 1ms;
     http_vm_list_client client(
         context.get_executor(), server.endpoint(), options, meter);
-    recorder seen;
+    vm_recorder seen;
     client.start(seen);
     cr_assert(run_until(
         context,
--- a/tests/unit/log_client/scripted_server.cpp
+++ b/tests/unit/log_client/scripted_server.cpp
@@ -98,8 +98,9 @@
         on->socket.close(ignored);
         return;
     }
-    on->text = "HTTP/1.1 " + std::to_string(wanted.status) +
-               " X\r\nContent-Length: " + std::to_string(wanted.body.size()) +
+    on->text = "HTTP/1.1 " + std::to_string(wanted.status) + " X\r\n" +
+               wanted.headers +
+               "Content-Length: " + std::to_string(wanted.body.size()) +
                "\r\n\r\n" + wanted.body;
     if (wanted.how == kind::cut)
         on->text.pop_back();
--- a/tests/unit/log_client/scripted_server.hpp
+++ b/tests/unit/log_client/scripted_server.hpp
@@ -28,6 +28,7 @@
     kind how = kind::answer;
     unsigned status = 200;
     std::string body;
+    std::string headers = {}; ///< whole lines, each with its line end
 };
 
 /// An HTTP server on loopback whose answers a test decides one by one.
