Publish a large change as records that every router reads

Cause: `apply` of 87,000 adapters wrote one record over the 4 MiB that a reader takes: it was skipped by everyone, and the outcome stayed unknown. Most of the time before went into the plan, which searched all entities once per change.

Ruled out: a larger limit (old routers would still skip it); one record a change (87,000 appends at several hundred a second).

Change: a change over 1 MiB is split into parts in the plan's order, each valid after those before it; one that fits stays one record, all or none. The first part that is rejected ends the publishing; what stands is said, and planning and applying the file again does the rest. The plan finds touched entities by a set.

A rival's change to an entity of part 2 rejects part 2 and leaves part 1.

--- a/src/core/config/plan.cpp
+++ b/src/core/config/plan.cpp
@@ -3,6 +3,9 @@
 #include <roseworks/plan.hpp>
 
 #include <algorithm>
+#include <set>
+#include <string_view>
+#include <utility>
 
 namespace roseworks
 {
@@ -10,6 +13,9 @@
 namespace
 {
 
+/// Names an entity; the text is borrowed.
+using entity_key = std::pair<entity_kind, std::string_view>;
+
 /// Order of changes within a record: bases before what is built on them.
 unsigned rank(const planned_change& step)
 {
@@ -74,11 +80,16 @@
 void add_removals(
     plan& made, const fleet_state& state, const desired_fleet& wanted)
 {
+    std::set<entity_key> named;
+    for (const desired_entity& entity : wanted.entities)
+    {
+        named.emplace(entity.kind(), entity.name);
+    }
     for (const desired_entity& entity : declared_fleet(state).entities)
     {
         // The policy always stands; without a record its defaults hold.
         const bool stays = entity.kind() == entity_kind::policy ||
-                           wanted.find(entity.kind(), entity.name) != nullptr;
+                           named.contains({entity.kind(), entity.name});
         if (!stays)
         {
             made.changes.push_back(remove_step(state, entity));
@@ -90,15 +101,19 @@
 desired_fleet after_plan(const fleet_state& state, const plan& made)
 {
     desired_fleet fleet = declared_fleet(state);
+    std::set<entity_key> touched;
+    for (const planned_change& step : made.changes)
+    {
+        touched.emplace(step.change.kind, step.change.name);
+    }
+    std::erase_if(
+        fleet.entities,
+        [&touched](const desired_entity& entity)
+        {
+            return touched.contains({entity.kind(), entity.name});
+        });
     for (const planned_change& step : made.changes)
     {
-        std::erase_if(
-            fleet.entities,
-            [&step](const desired_entity& entity)
-            {
-                return entity.kind() == step.change.kind &&
-                       entity.name == step.change.name;
-            });
         if (step.change.spec)
         {
             fleet.entities.push_back(
--- a/tools/ctl/publish.cpp
+++ b/tools/ctl/publish.cpp
@@ -2,13 +2,34 @@
 
 #include "tools/common/trail.hpp"
 
-#include <roseworks/codec.hpp>
+#include <roseworks/change_parts.hpp>
+#include <roseworks/names.hpp>
+
+#include <boost/leaf/handle_errors.hpp>
 
 #include <ostream>
+#include <string>
+#include <utility>
 
 namespace roseworks::tools
 {
 
+namespace
+{
+
+/// What stands when a part of a larger change was not accepted.
+void print_rest(std::ostream& out, std::size_t in_force, std::size_t total)
+{
+    if (in_force == 0)
+    {
+        return;
+    }
+    out << "accepted before: " << in_force << " of " << total
+        << " changes, which stay; plan and apply the file again for the rest\n";
+}
+
+} // namespace
+
 void print_winner(
     std::ostream& out, const log_history& history, log_offset winner)
 {
@@ -54,21 +75,59 @@
                : exit_code::rejected;
 }
 
+boost::leaf::result<std::vector<config_change>>
+split_within_limit(config_change whole)
+{
+    return boost::leaf::try_handle_some(
+        [&]
+        {
+            return split_change(std::move(whole));
+        },
+        [](const oversized_entity& entity)
+            -> boost::leaf::result<std::vector<config_change>>
+        {
+            return boost::leaf::new_error(input_error{
+                std::string(to_string(entity.kind)) + ' ' + entity.name +
+                ": its record of " + std::to_string(entity.bytes) +
+                " bytes is over the limit of " +
+                std::to_string(max_part_bytes)});
+        });
+}
+
 boost::leaf::result<publication> publish_changes(
     command_context& context,
     log_session& log,
     std::vector<entity_change> changes)
 {
-    config_change change;
-    change.author = context.text("author");
-    change.note = context.text("note");
-    change.changes = std::move(changes);
+    const std::size_t total = changes.size();
+    config_change whole;
+    whole.author = context.text("author");
+    whole.note = context.text("note");
+    whole.changes = std::move(changes);
+    BOOST_LEAF_AUTO(parts, split_within_limit(std::move(whole)));
     BOOST_LEAF_AUTO(key, context.key());
-    if (!key.empty())
+    std::size_t in_force = 0;
+    publication published;
+    for (std::size_t i = 0; i < parts.size(); ++i)
     {
-        change.signature = sign(change, key);
+        const std::size_t size = parts[i].changes.size();
+        if (!key.empty())
+            parts[i].signature = sign(parts[i], key);
+        if (parts.size() > 1)
+        {
+            context.out << "part " << i + 1 << " of " << parts.size() << " ("
+                        << size << " changes): " << std::flush;
+        }
+        auto result = publish_and_print(context, log, std::move(parts[i]));
+        if (!result || code_of(*result) != exit_code::ok)
+        {
+            print_rest(context.out, in_force, total);
+            return result;
+        }
+        published = *result;
+        in_force += size;
     }
-    return publish_and_print(context, log, std::move(change));
+    return published;
 }
 
 } // namespace roseworks::tools
--- a/tools/ctl/publish.hpp
+++ b/tools/ctl/publish.hpp
@@ -23,12 +23,24 @@
 /// @return The exit code for a published record.
 exit_code code_of(const publication& published);
 
+/** Split a change into records that every router reads.
+
+    @param whole The change, unsigned.
+    @return      Its parts; or an `input_error` that names an entity too large.
+*/
+boost::leaf::result<std::vector<config_change>>
+split_within_limit(config_change whole);
+
 /** Publish operators' changes, signed when there is a key.
 
+    A change over the limit of a record goes as several, in order; the first
+    that is rejected ends it, and those before it stay in force.
+
     @param context The command's; gives author, note and key.
     @param log     The log, its history loaded.
     @param changes The changes, with their expected revisions.
-    @return        What became of them, or a `log_error` or `input_error`.
+    @return        What became of the last one that was published, or a
+                   `log_error` or `input_error`.
 */
 boost::leaf::result<publication> publish_changes(
     command_context& context,
