Tell what a shutdown could not hand over; emit what the catalogue says

Cause: a shutdown while the log was down cut no request and still ended with 1, as one that cut some. Seven catalogued events were emitted nowhere, many fields never, and two events twice (by the edge and by the metrics).

Ruled out: exit 0 (an operator would not learn that others wait for the lease's term); ending at once when the log is away (it may come back within the limit); checking fields at run time (finds only what a test happens to reach).

Change: exit 3 and RW1010 handover_unfinished, with the engines still leased and whether the log answers, when every request was answered but the log took no leave within the limit; 1 stays for cut requests. A test reads every place that reports an event and compares it with the catalogue both ways. Now emitted: record_malformed (a new command of the controller), request_retried, claim_lost. Removed with their numbers: append_retried, order_reconciled, peer_suspected, retry_budget_empty. Fields nobody knew went; datagram_rejected and the session of peer_joined and peer_gone follow the catalogue.

Conclusion: 0, 1 and 3 tell an operator apart what to do; the catalogue holds.

--- a/include/roseworks/controller.hpp
+++ b/include/roseworks/controller.hpp
@@ -183,6 +183,14 @@
     author_id author; ///< who wrote the checkpoint
 };
 
+/// An entry of the log is no record that this program reads; it was skipped,
+/// as every router skips it.
+struct entry_skipped
+{
+    log_offset offset;
+    std::size_t bytes = 0;
+};
+
 using control_command = std::variant<
     append_batch,
     engine_order,
@@ -192,7 +200,8 @@
     folded_record,
     publish_table,
     left,
-    divergence_alarm>;
+    divergence_alarm,
+    entry_skipped>;
 
 /** Drives one router's part in the fleet: a deterministic state machine.
 
--- a/src/adapters/edge/call_runner.cpp
+++ b/src/adapters/edge/call_runner.cpp
@@ -140,6 +140,14 @@
     if (!owned)
         co_return true;
     ++this->record.attempts;
+    if (this->record.attempts > 1)
+    {
+        this->context.ports.events.report(
+            event_id::request_retried,
+            {{"request_id", this->call.headers.request_id},
+             {"servable", this->call.info.target},
+             {"attempt", this->record.attempts}});
+    }
     backend_leg leg(this->pool, this->call, *this->inbox, this->stream);
     leg_outcome outcome = co_await leg.run(std::move(where));
     const bool ran = outcome.sent && outcome.result.how != end::refused_not_run;
@@ -238,6 +246,11 @@
         co_await this->send(std::move(answer));
         co_return;
     }
+    this->context.ports.events.report(
+        event_id::claim_lost,
+        {{"request_id", this->call.headers.request_id},
+         {"caller", this->call.headers.caller},
+         {"holder", to_text(held.outcome)}});
     call_problem problem =
         make_problem(refusal_reason::claim_held, verdict::not_run);
     problem.holder = to_text(held.outcome);
--- a/src/adapters/peers/udp_peers.cpp
+++ b/src/adapters/peers/udp_peers.cpp
@@ -191,7 +191,7 @@
     ++this->wire.rejected;
     const std::string from = to_text(this->sender);
     this->events.report(
-        event_id::datagram_rejected, {{"from", from}, {"cause", cause}});
+        event_id::datagram_rejected, {{"address", from}, {"reason", cause}});
 }
 
 void udp_peers::send(const membership::outgoing& item)
@@ -240,9 +240,15 @@
 
 void udp_peers::report_change(session_id session, liveness state)
 {
-    const auto id =
-        state == liveness::dead ? event_id::peer_gone : event_id::peer_joined;
-    this->events.report(id, {{"session", session.value}});
+    const bool gone = state == liveness::dead;
+    if (gone)
+        this->events.report(
+            event_id::peer_gone,
+            {{"session", session.value},
+             {"reason", std::string_view("silent")}});
+    else
+        this->events.report(
+            event_id::peer_joined, {{"session", session.value}});
 }
 
 void udp_peers::arm_tick()
@@ -289,7 +295,7 @@
         [&](const mac_key_error& error)
         {
             this->events.report(
-                event_id::settings_refused, {{"problem", error.what}});
+                event_id::settings_refused, {{"reason", error.what}});
         },
         [] {});
 }
--- a/src/app/control_loop.cpp
+++ b/src/app/control_loop.cpp
@@ -582,9 +582,32 @@
 
 void control_loop::carry_out(const left& what)
 {
+    if (!what.clean)
+        this->report_unfinished_handover();
     this->notices.left(what.clean);
 }
 
+void control_loop::report_unfinished_handover()
+{
+    const session_id session = this->core->session();
+    std::string engines;
+    this->core->state().for_each_engine(
+        [&](const engine_view& engine)
+        {
+            if (!session || engine.holder != session)
+                return;
+            engines += engines.empty() ? "" : ",";
+            engines += engine.name;
+        });
+    const std::string_view log = this->log_available() ? "answers" : "away";
+    this->ports.events.report(
+        event_id::handover_unfinished,
+        {{"session", session.value},
+         {"engines", engines},
+         {"log", log},
+         {"limit_ms", whole_ms(this->settings.leave_limit)}});
+}
+
 void control_loop::carry_out(const divergence_alarm& alarm)
 {
     this->ports.events.report(
@@ -595,6 +618,13 @@
          {"author", to_hex(alarm.author.value)}});
 }
 
+void control_loop::carry_out(const entry_skipped& entry)
+{
+    this->ports.events.report(
+        event_id::record_malformed,
+        {{"offset", entry.offset.value}, {"bytes", entry.bytes}});
+}
+
 // From the engines.
 
 void control_loop::order_answered(
--- a/src/app/control_loop.hpp
+++ b/src/app/control_loop.hpp
@@ -141,7 +141,9 @@
     void carry_out(const folded_record& folded);
     void carry_out(const publish_table& what);
     void carry_out(const left& what);
+    void report_unfinished_handover();
     void carry_out(const divergence_alarm& alarm);
+    void carry_out(const entry_skipped& entry);
 
     void order_answered(
         const engine_order& order, std::uint64_t run, order_outcome outcome);
--- a/src/app/record_reporter.cpp
+++ b/src/app/record_reporter.cpp
@@ -40,7 +40,8 @@
     return session ? std::string(session->name) : std::to_string(id.value);
 }
 
-/// @return The event of a move to this state; empty for a silent one.
+/// @return The event of a move to this state that has a reason; empty for a
+///         silent one and for the end, which has a proof.
 std::optional<event_id> event_of(replica_state to)
 {
     switch (to)
@@ -56,7 +57,6 @@
     case replica_state::failed:
         return event_id::replica_failed;
     case replica_state::gone:
-        return event_id::replica_gone;
     case replica_state::draining:
         break;
     }
@@ -158,7 +158,8 @@
         return;
     this->events.report(
         event_id::peer_gone,
-        {{"peer", session_name(at.state, ended)},
+        {{"session", ended.value},
+         {"peer", session_name(at.state, ended)},
          {"reason", std::string_view(why)}});
 }
 
@@ -211,24 +212,32 @@
 void record_reporter::report_accepted(
     const scene& at, const replica_report& moved)
 {
-    const std::optional<event_id> id = event_of(moved.to);
-    if (!id)
-        return;
     // A replica that is gone is no longer in the state.
     const std::optional<replica_view> replica = at.state.replica(moved.replica);
     const std::string servable =
         replica ? servable_name(at.state, replica->servable) : std::string();
     const std::string engine =
         replica ? engine_name(at.state, replica->engine) : std::string();
-    const std::string_view cause_field =
-        moved.to == replica_state::gone ? "proof" : "reason";
+    if (moved.to == replica_state::gone)
+    {
+        this->events.report(
+            event_id::replica_gone,
+            {{"replica", moved.replica.value},
+             {"servable", servable},
+             {"engine", engine},
+             {"offset", at.folded.offset.value},
+             {"proof", moved.cause}});
+    }
+    const std::optional<event_id> id = event_of(moved.to);
+    if (!id)
+        return;
     this->events.report(
         *id,
         {{"replica", moved.replica.value},
          {"servable", servable},
          {"engine", engine},
          {"offset", at.folded.offset.value},
-         {cause_field, moved.cause}});
+         {"reason", moved.cause}});
 }
 
 void record_reporter::report_accepted(
--- a/src/app/router_app.cpp
+++ b/src/app/router_app.cpp
@@ -25,6 +25,9 @@
 namespace
 {
 
+/// Every request was answered, but the session was not left.
+constexpr int not_handed_over = 3;
+
 /// Uses of servables reach the control thread at most this often.
 constexpr std::chrono::milliseconds usage_interval{100};
 
@@ -101,7 +104,7 @@
     , events(std::move(sink))
     , signals(this->main_loop, SIGINT, SIGTERM)
     , usage_timer(this->main_loop)
-    , observer(this->registry, *this->events)
+    , observer(this->registry)
     , control(
           std::move(control_settings),
           this->clock,
@@ -446,7 +449,8 @@
 
 void router_app::left_session(bool clean)
 {
-    this->finish(clean ? this->exit_status : EXIT_FAILURE);
+    const bool whole = this->exit_status == EXIT_SUCCESS;
+    this->finish(clean || !whole ? this->exit_status : not_handed_over);
 }
 
 /// A thread ended by a fault: nothing it did can be relied on.
--- a/src/app/router_app.hpp
+++ b/src/app/router_app.hpp
@@ -63,7 +63,9 @@
         the session is left. A second signal ends at once.
 
         @param out Told the bound address.
-        @return    The exit status: 0 after a whole drain.
+        @return    The exit status: 0 after a whole drain, 1 when requests
+                   were cut or a thread failed, 3 when none was cut but the
+                   log has not taken the leave within the limit.
     */
     int run(std::ostream& out);
 
--- a/src/app/traffic_metrics.cpp
+++ b/src/app/traffic_metrics.cpp
@@ -31,10 +31,8 @@
 
 } // namespace
 
-traffic_metrics::traffic_metrics(
-    metrics::metrics_registry& registry, event_sink& sink)
-    : events(sink)
-    , requests(registry.add_counter<priority, request_end>(
+traffic_metrics::traffic_metrics(metrics::metrics_registry& registry)
+    : requests(registry.add_counter<priority, request_end>(
           "roseworks_requests_total", "Requests by priority and end."))
     , refusals(registry.add_counter<refusal_reason>(
           "roseworks_refusals_total", "Requests without an answer by reason."))
@@ -93,13 +91,11 @@
 void traffic_metrics::late_answer_dropped()
 {
     this->late_answers.increment();
-    this->events.report(event_id::late_answer_dropped);
 }
 
-void traffic_metrics::connection_silent(std::string_view address)
+void traffic_metrics::connection_silent(std::string_view)
 {
     this->silent_connections.increment();
-    this->events.report(event_id::connection_silent, {{"address", address}});
 }
 
 void traffic_metrics::caller_connected()
--- a/src/app/traffic_metrics.hpp
+++ b/src/app/traffic_metrics.hpp
@@ -2,7 +2,6 @@
 
 #include "adapters/edge/traffic_observer.hpp"
 #include "adapters/metrics/metrics_registry.hpp"
-#include "ports/event_sink.hpp"
 
 #include <roseworks/verdict.hpp>
 
@@ -77,7 +76,7 @@
 class traffic_metrics final : public edge::traffic_observer
 {
 public:
-    traffic_metrics(metrics::metrics_registry& registry, event_sink& events);
+    explicit traffic_metrics(metrics::metrics_registry& registry);
 
     void request_finished(const edge::finished_request& request) override;
     void stream_opened() override;
@@ -88,7 +87,6 @@
     void caller_disconnected() override;
 
 private:
-    event_sink& events;
     metrics::counter<priority, request_end>& requests;
     metrics::counter<refusal_reason>& refusals;
     metrics::counter<>& retries;
--- a/src/core/placement/controller.cpp
+++ b/src/core/placement/controller.cpp
@@ -321,6 +321,8 @@
         if (!decoded)
         {
             this->state.skip(entry.offset);
+            this->out.emplace_back(
+                entry_skipped{entry.offset, entry.bytes.size()});
             return;
         }
         const record& value = *decoded;
--- a/src/ports/event_sink.hpp
+++ b/src/ports/event_sink.hpp
@@ -23,7 +23,8 @@
 };
 
 /// The numbered events. The number is the enumerator's value, is printed as
-/// `RW<number>`, and is never given to another event. The catalogue row of
+/// `RW<number>`, and is never given to another event; 1105, 1309, 1402 and
+/// 1603 were given to events that nothing emitted. The catalogue row of
 /// each (level, text, fields, remedy) is in adapters/events/event_catalogue
 /// and in docs/EVENTS.md.
 enum class event_id : std::uint16_t
@@ -38,13 +39,13 @@
     drain_limit_reached = 1007,
     listen_failed = 1008,
     internal_error = 1009,
+    handover_unfinished = 1010,
 
     // 11xx: the log and the folded state.
     log_unreachable = 1101,
     log_back = 1102,
     log_gap = 1103,
     append_answer_lost = 1104,
-    append_retried = 1105,
     record_rejected = 1106,
     schema_unknown = 1107,
     checkpoint_written = 1108,
@@ -68,13 +69,11 @@
     replica_failed = 1306,
     order_refused_stale_fence = 1307,
     order_answer_lost = 1308,
-    order_reconciled = 1309,
     order_refused = 1310,
     order_sent = 1311,
 
     // 14xx: peers and the VM list.
     peer_joined = 1401,
-    peer_suspected = 1402,
     peer_gone = 1403,
     datagram_rejected = 1404,
     vm_leaving = 1405,
@@ -91,7 +90,6 @@
     // 16xx: requests.
     request_refused = 1601,
     request_retried = 1602,
-    retry_budget_empty = 1603,
     stream_cut = 1604,
     crash_suspected = 1605,
     fingerprint_blocked = 1606,
--- a/tests/golden/session_log.cpp
+++ b/tests/golden/session_log.cpp
@@ -241,6 +241,13 @@
         "DIVERGED from the checkpoint at #" + std::to_string(alarm.at.value));
 }
 
+void session::handle(std::size_t index, const entry_skipped& entry)
+{
+    this->write(
+        this->routers[index]->name,
+        "skipped the entry at #" + std::to_string(entry.offset.value));
+}
+
 void session::check_engines()
 {
     for (const auto& [id, engine] : this->engines)
--- a/tests/integration/requests_test.cpp
+++ b/tests/integration/requests_test.cpp
@@ -288,6 +288,40 @@
     cr_assert_eq(reply.body.find("event: error"), std::string::npos);
 }
 
+// The log is away: the stream ends whole, only the handover can't be recorded.
+Test(requests, shutdown_while_the_log_is_down_cuts_nothing_and_says_so)
+{
+    fleet_setup setup;
+    setup.engines = {{"e1", 40000, true, {"--token-ms", "20"}}};
+    setup.drain_limit_ms = 5000;
+    fleet nodes(setup);
+    warm_up(nodes, model);
+    http_call call = completion("agri-lm", "long");
+    call.body = R"({"model":"agri-lm","stream":true,"max_tokens":40,)"
+                R"("messages":[{"role":"user","content":"long"}]})";
+    call.headers["X-Request-Id"] = "long-1";
+    http_reply reply;
+    std::jthread caller(
+        [&]
+        {
+            reply = send(nodes.router_address(0), call);
+        });
+    cr_assert(eventually(
+        [&]
+        {
+            return runs_of(nodes.engine_address(0), "long-1") == 1;
+        }));
+    cr_assert(control(nodes.log_address(), R"({"mode":"down"})"));
+    const auto code = nodes.router(0).terminate();
+    caller.join();
+    cr_expect_eq(code.value_or(-1), 3);
+    cr_expect_eq(reply.status, 200U, "%s", reply.error.c_str());
+    cr_expect_neq(reply.body.find("[DONE]"), std::string::npos);
+    cr_expect_neq(
+        nodes.router_log(0).find("RW1010 handover_unfinished"),
+        std::string::npos);
+}
+
 // "A waiting request is served or refused in time and never silently dropped."
 Test(requests, request_that_cannot_start_in_time_is_refused_before_its_deadline)
 {
--- a/tests/support/fleet.hpp
+++ b/tests/support/fleet.hpp
@@ -38,6 +38,8 @@
     std::string router_settings;
     std::vector<std::string> log_arguments;
     std::uint64_t checkpoint_records = 50000;
+    /// For requests in flight at a shutdown, and then for the handover.
+    std::uint32_t drain_limit_ms = 20000;
 };
 
 /** Real processes on loopback: stand-ins and routers, on ephemeral ports.
--- a/tests/unit/app/control_loop_test.cpp
+++ b/tests/unit/app/control_loop_test.cpp
@@ -357,3 +357,22 @@
     const session_id session = bench.loop.driven()->session();
     cr_expect(bench.loop.driven()->state().session(session)->ended);
 }
+
+Test(control_loop, a_handover_that_the_log_never_took_is_told)
+{
+    loop_bench bench;
+    bench.log.put(encode(one_model(1)));
+    bench.log.open();
+    bench.run(1s);
+    bench.loop.log_failed(log_fault::unreachable);
+    bench.loop.leave();
+    const instant limit = bench.clock.time + loop_bench::options().leave_limit;
+    while (bench.clock.time < limit)
+    {
+        cr_assert(!bench.left, "it tries until its limit");
+        bench.clock.time += 500ms;
+        bench.loop.log_failed(log_fault::unreachable);
+    }
+    cr_expect(bench.left == false);
+    cr_expect(bench.events.seen[event_id::handover_unfinished] == 1);
+}
--- /dev/null
+++ b/tests/unit/events/emission_test.cpp
@@ -0,0 +1,109 @@
+// The catalogue against the places in the sources that emit its events.
+
+#include "adapters/events/event_catalogue.hpp"
+
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <map>
+#include <regex>
+#include <set>
+#include <string>
+
+#include <criterion/criterion.h>
+
+namespace
+{
+
+using namespace roseworks;
+using namespace roseworks::events;
+
+namespace fs = std::filesystem;
+
+/// Fields by event, all places that emit it together.
+using emissions = std::map<std::string, std::set<std::string>, std::less<>>;
+
+std::string text_of(const fs::path& path)
+{
+    std::ifstream in(path);
+    return {std::istreambuf_iterator<char>(in), {}};
+}
+
+std::set<std::string> all_matches(const std::string& text, const char* pattern)
+{
+    const std::regex wanted(pattern);
+    std::set<std::string> found;
+    for (std::sregex_iterator at(text.begin(), text.end(), wanted), end;
+         at != end;
+         ++at)
+        found.insert((*at)[1]);
+    return found;
+}
+
+/// A call `report(event_id::name, {...});`, or `report(*id, {...});` for any
+/// of the events that a function of the same file returns.
+void read_emissions(const std::string& text, emissions& found)
+{
+    static const std::regex call(
+        R"(\breport\(\s*(?:event_id::(\w+)|\*id)([^;]*);)");
+    for (std::sregex_iterator at(text.begin(), text.end(), call), end;
+         at != end;
+         ++at)
+    {
+        const auto fields = all_matches((*at)[2], R"re(\{\s*"(\w+)")re");
+        std::set<std::string> names{(*at)[1]};
+        if (!(*at)[1].matched)
+            names = all_matches(text, R"(return event_id::(\w+);)");
+        for (const std::string& name : names)
+            found[name].insert(fields.begin(), fields.end());
+    }
+}
+
+emissions read_sources()
+{
+    emissions found;
+    for (const auto& entry :
+         fs::recursive_directory_iterator(ROSEWORKS_SOURCE_DIR "/src"))
+    {
+        if (entry.path().extension() == ".cpp")
+            read_emissions(text_of(entry.path()), found);
+    }
+    return found;
+}
+
+std::set<std::string> catalogued_fields(const event_entry& entry)
+{
+    return all_matches(std::string(entry.fields), R"((\w+))");
+}
+
+} // namespace
+
+Test(emission, every_catalogued_event_is_emitted_with_its_fields)
+{
+    const emissions found = read_sources();
+    for (const event_entry& entry : catalogue())
+    {
+        const std::string name(entry.name);
+        const auto emitted = found.find(name);
+        cr_expect(emitted != found.end(), "%s is never emitted", name.c_str());
+        if (emitted == found.end())
+            continue;
+        const auto wanted = catalogued_fields(entry);
+        for (const std::string& field : emitted->second)
+        {
+            cr_expect(
+                wanted.contains(field),
+                "%s is emitted with %s, which isn't catalogued",
+                name.c_str(),
+                field.c_str());
+        }
+        for (const std::string& field : wanted)
+        {
+            cr_expect(
+                emitted->second.contains(field),
+                "%s is never emitted with %s",
+                name.c_str(),
+                field.c_str());
+        }
+    }
+}
