Count idle accelerator time and what engines show as loaded

Cause: the metrics said nothing of idle accelerators, nor of what is loaded against what was decided.

Change: roseworks_idle_accelerator_seconds and roseworks_engine_residents, from the engines' own reports, by the router that leases the engine, so that the routers' sum is the fleet's.

Ruled out: counting in every router (the sum would count an engine many times); time between an idle and a busy report (it may have been at work).

--- a/src/app/control_loop.cpp
+++ b/src/app/control_loop.cpp
@@ -731,6 +731,12 @@
     const instant now = this->ports.clock.now();
     if (report.reachable)
         this->witness.engine_seen(report.engine, report.incarnation);
+    if (const auto engine = this->core->state().engine(report.engine))
+    {
+        const session_id self = this->core->session();
+        const bool held = self && engine->holder == self;
+        this->idle.reported(report, engine->spec->accelerators, held, now);
+    }
     outage_watch& watch = this->engine_outages[report.engine];
     if (!report.reachable)
     {
@@ -809,4 +815,9 @@
     return this->counted;
 }
 
+const idle_meter& control_loop::idle_accelerators() const
+{
+    return this->idle;
+}
+
 } // namespace roseworks::app
--- a/src/app/control_loop.hpp
+++ b/src/app/control_loop.hpp
@@ -3,6 +3,7 @@
 #include "app/checkpoint_search.hpp"
 #include "app/control_notices.hpp"
 #include "app/crash_witness.hpp"
+#include "app/idle_meter.hpp"
 #include "app/outage_watch.hpp"
 #include "app/record_reporter.hpp"
 #include "ports/clock.hpp"
@@ -117,6 +118,7 @@
     std::uint64_t lag() const;
     bool log_available() const;
     const control_counts& counts() const;
+    const idle_meter& idle_accelerators() const;
 
 private:
     void begin(fleet_state state, log_offset folded);
@@ -190,6 +192,7 @@
     std::unordered_map<std::uint64_t, std::size_t> batch_records;
     std::set<engine_id> leases_in_force; ///< held, and not lapsed
     control_counts counted;
+    idle_meter idle;
 };
 
 } // namespace roseworks::app
--- a/src/app/router_gauges.cpp
+++ b/src/app/router_gauges.cpp
@@ -40,6 +40,13 @@
           "roseworks_servables", "Models and adapters declared."))
     , replicas(registry.add_gauge<replica_state>(
           "roseworks_replicas", "Replicas of the fleet by state."))
+    , residents(registry.add_gauge(
+          "roseworks_engine_residents",
+          "Replicas that the engines this router leases reported."))
+    , idle_seconds(registry.add_gauge(
+          "roseworks_idle_accelerator_seconds",
+          "Accelerator time that loaded replicas held without a request, on "
+          "the engines this router leases."))
     , accepted(registry.add_gauge(
           "roseworks_records_accepted", "Records accepted since the start."))
     , rejected(registry.add_gauge(
@@ -90,6 +97,9 @@
     this->orders.set(as_gauge(counts.orders));
     this->orders_lost.set(as_gauge(counts.orders_lost));
     this->tables.set(as_gauge(counts.tables));
+    const idle_meter& idle = loop.idle_accelerators();
+    this->residents.set(as_gauge(idle.residents()));
+    this->idle_seconds.set(idle.idle() / std::chrono::seconds(1));
     if (loop.driven() == nullptr)
         return;
 
--- a/src/app/router_gauges.hpp
+++ b/src/app/router_gauges.hpp
@@ -59,6 +59,8 @@
     metrics::gauge<>& available;
     metrics::gauge<>& servables;
     metrics::gauge<replica_state>& replicas;
+    metrics::gauge<>& residents;
+    metrics::gauge<>& idle_seconds;
     metrics::gauge<>& accepted;
     metrics::gauge<>& rejected;
     metrics::gauge<>& duplicate;
