--- a/tests/soak/call_book.hpp
+++ b/tests/soak/call_book.hpp
@@ -33,9 +33,10 @@
     /// All calls that have ended.
     std::vector<call_record> records() const;
 
-private:
+    /// Where a router listens now.
     std::string address(std::size_t router) const;
 
+private:
     mutable std::mutex mutex;
     std::vector<std::string> addresses;
     std::vector<call_record> ended;
