--- a/src/adapters/peers/udp_peers.cpp
+++ b/src/adapters/peers/udp_peers.cpp
@@ -199,7 +199,7 @@
     const std::string from = to_text(this->sender);
     this->events.report(
         event_id::datagram_rejected,
-        {{"from", from}, {"cause", cause}, {"count", this->untold}});
+        {{"address", from}, {"reason", cause}, {"count", this->untold}});
     this->untold = 0;
     this->next_report = now + report_interval;
 }
@@ -250,9 +250,15 @@
 
 void udp_peers::report_change(session_id session, liveness state)
 {
-    const auto id =
-        state == liveness::dead ? event_id::peer_gone : event_id::peer_joined;
-    this->events.report(id, {{"session", session.value}});
+    const bool gone = state == liveness::dead;
+    if (gone)
+        this->events.report(
+            event_id::peer_gone,
+            {{"session", session.value},
+             {"reason", std::string_view("silent")}});
+    else
+        this->events.report(
+            event_id::peer_joined, {{"session", session.value}});
 }
 
 void udp_peers::arm_tick()
@@ -299,7 +305,7 @@
         [&](const mac_key_error& error)
         {
             this->events.report(
-                event_id::settings_refused, {{"problem", error.what}});
+                event_id::settings_refused, {{"reason", error.what}});
         },
         [] {});
 }
--- a/src/app/control_loop.cpp
+++ b/src/app/control_loop.cpp
@@ -252,4 +252,9 @@
     return this->counted;
 }
 
+const idle_meter& control_loop::idle_accelerators() const
+{
+    return this->idle;
+}
+
 } // namespace roseworks::app
--- a/src/app/control_loop.hpp
+++ b/src/app/control_loop.hpp
@@ -3,6 +3,7 @@
 #include "app/checkpoint_search.hpp"
 #include "app/control_notices.hpp"
 #include "app/crash_witness.hpp"
+#include "app/idle_meter.hpp"
 #include "app/outage_watch.hpp"
 #include "app/record_reporter.hpp"
 #include "ports/clock.hpp"
@@ -119,6 +120,7 @@
     std::uint64_t lag() const;
     bool log_available() const;
     const control_counts& counts() const;
+    const idle_meter& idle_accelerators() const;
 
 private:
     void begin(fleet_state state, log_offset folded);
@@ -143,7 +145,9 @@
     void carry_out(const folded_record& folded);
     void carry_out(const publish_table& what);
     void carry_out(const left& what);
+    void report_unfinished_handover();
     void carry_out(const divergence_alarm& alarm);
+    void carry_out(const entry_skipped& entry);
 
     void order_answered(
         const engine_order& order, std::uint64_t run, order_outcome outcome);
@@ -190,6 +194,7 @@
     std::unordered_map<std::uint64_t, std::size_t> batch_records;
     std::set<engine_id> leases_in_force; ///< held, and not lapsed
     control_counts counted;
+    idle_meter idle;
 };
 
 } // namespace roseworks::app
