Run the adopted placement strategies in the routers

Change: the published policy names the strategy and its hold (entity schema 3: `strategy`, `hold_ms`); without them each router goes by its settings, as before. Old records are read as `unset`. `placement_policy` holds the strategy in force, `preloader` what this router expects from the callers it saw (a hint), and the proposer loads it ahead in the proposers' order: never by eviction, never the last store slot, never while a caller or a replica waits for one, once for an expected use.

Ruled out: forwarding expectations to the proposer as demand, since demand evicts; keeping a table of expectations in the log.

Found on the way: an engine's holder dropped what another router used. `controller::demanded` no longer passes for a use of this router.

The adopted sources moved from strategies/ to src/core/placement; what stays there was tried only. The tap before the dispatcher names the caller, too.

--- a/bench/policy/replay_options.hpp
+++ b/bench/policy/replay_options.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/placement/strategies/preload_source.hpp"
+#include "core/placement/preload_source.hpp"
 
 #include <roseworks/instant.hpp>
 #include <roseworks/placement_strategy.hpp>
--- a/include/roseworks/controller.hpp
+++ b/include/roseworks/controller.hpp
@@ -229,6 +229,7 @@
         std::uint64_t checkpoint_records = 50'000; ///< records between two
         std::uint64_t seed = 1;
         fleet_state::options fold;
+        /// Unless the published policy names one; so does `idle_ttl`.
         placement_kind placement = placement_kind::break_even;
         /// Engine reports may be this old when they arrive.
         duration report_lag = std::chrono::seconds(1);
@@ -273,9 +274,14 @@
     /// Sessions that membership thinks alive (this one included). A hint.
     void peers_changed(std::span<const session_id> alive, instant now);
     void demanded(const servable_demand& what, instant now);
-    /// A replica here has finished its last request or started one (for idle
-    /// times; a hint).
-    void used(servable_id servable, instant now);
+    /** This router sent a request to a servable (a hint).
+
+        @param servable What was used.
+        @param now      When.
+        @param caller   Any number that stands for the caller, by which callers
+                        who come back at regular times are known; 0: unknown.
+    */
+    void used(servable_id servable, instant now, std::uint32_t caller = 0);
     void claim(claim_key key, instant now);
     void close_claim(claim_close what, instant now);
     void crash_seen(fingerprint request, engine_id engine, instant now);
--- a/include/roseworks/placement_strategy.hpp
+++ b/include/roseworks/placement_strategy.hpp
@@ -5,7 +5,6 @@
 #include <roseworks/instant.hpp>
 #include <roseworks/specs.hpp>
 
-#include <cstdint>
 #include <memory>
 
 namespace roseworks
@@ -50,18 +49,11 @@
         const policy_spec& policy) const = 0;
 };
 
-/// The strategies to choose from.
-enum class placement_kind : std::uint8_t
-{
-    fixed_ttl, ///< one time to live for all, least recently used goes first
-    break_even ///< idle cost against reload cost, by past gaps between uses
-};
-
 /** Make a strategy.
 
-    @param kind     Which.
-    @param idle_ttl Time to live; for `break_even`, that of a servable with the
-                    reference load time at equal weights.
+    @param kind     Which; `unset` is taken as `break_even`.
+    @param idle_ttl Time to live of `fixed_ttl`; for the others the hold of a
+                    servable with the reference load time at equal weights.
     @return         The strategy.
 */
 std::unique_ptr<placement_strategy>
--- a/include/roseworks/specs.hpp
+++ b/include/roseworks/specs.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -94,6 +95,36 @@
     bool operator==(const caller_spec&) const = default;
 };
 
+/// How replicas are held, evicted and loaded ahead; see
+/// `make_placement_strategy`.
+enum class placement_kind : std::uint8_t
+{
+    unset,      ///< each router's own setting
+    fixed_ttl,  ///< one time to live for all, least recently used goes first
+    break_even, ///< idle cost against reload cost, by the mean gap of uses
+    gap_cost,   ///< what would have cost least over the past gaps
+    gap_cost_preload ///< the same, and periodic callers' models loaded ahead
+};
+
+/// @return The word used in records and figures.
+constexpr std::string_view to_string(placement_kind kind)
+{
+    switch (kind)
+    {
+    case placement_kind::unset:
+        return "unset";
+    case placement_kind::fixed_ttl:
+        return "fixed_ttl";
+    case placement_kind::break_even:
+        return "break_even";
+    case placement_kind::gap_cost:
+        return "gap_cost";
+    case placement_kind::gap_cost_preload:
+        return "gap_cost_preload";
+    }
+    return "unset";
+}
+
 /// One deployment's policy; a single entity named `policy`.
 struct policy_spec
 {
@@ -104,6 +135,11 @@
     std::uint32_t claim_horizon_ms = 86'400'000;
     std::uint32_t crash_block_ms = 600'000;
     std::uint16_t crash_threshold = 2; ///< crashes before a request is blocked
+    /// The same strategy on every router; since schema 3.
+    placement_kind strategy = placement_kind::unset;
+    /// Hold of a model that loads in 10 s at equal weights, or the fixed time
+    /// to live; 0: each router's own setting. Since schema 3.
+    std::uint32_t hold_ms = 0;
 
     bool operator==(const policy_spec&) const = default;
 };
@@ -136,7 +172,8 @@
 
 /// Newest schema of entity specs that this program reads and writes. In
 /// schema 1 a model or adapter has one number `replicas`; it is read as
-/// `max_replicas` with `min_replicas` 0.
-inline constexpr std::uint16_t newest_entity_schema = 2;
+/// `max_replicas` with `min_replicas` 0. Before schema 3 a policy names no
+/// placement strategy; it is read as `unset`.
+inline constexpr std::uint16_t newest_entity_schema = 3;
 
 } // namespace roseworks
--- a/src/app/control_loop.cpp
+++ b/src/app/control_loop.cpp
@@ -3,6 +3,7 @@
 #include "app/hex_text.hpp"
 
 #include <roseworks/names.hpp>
+#include <roseworks/rendezvous.hpp>
 
 #include <boost/asio/error.hpp>
 
@@ -26,6 +27,12 @@
 
 constexpr std::chrono::seconds look_interval{1};
 
+/// A number that stands for the caller among this router's hints.
+std::uint32_t number_of(std::string_view caller)
+{
+    return static_cast<std::uint32_t>(author_of(caller).value);
+}
+
 /// Longer runs of records are followed by a rebuild of the routing table.
 constexpr std::size_t most_single_updates = 64;
 
@@ -137,14 +144,14 @@
     this->pump();
 }
 
-void control_loop::used(std::string_view servable)
+void control_loop::used(std::string_view servable, std::string_view caller)
 {
     if (!this->core || this->stopped)
         return;
     const servable_id id = this->core->state().find_servable(servable);
     if (!id)
         return;
-    this->core->used(id, this->ports.clock.now());
+    this->core->used(id, this->ports.clock.now(), number_of(caller));
     this->pump();
 }
 
--- a/src/app/control_loop.hpp
+++ b/src/app/control_loop.hpp
@@ -94,7 +94,7 @@
     // From the traffic threads, on the executor.
     void demanded(const demand& what);
     void crashed(const crash_seen& what);
-    void used(std::string_view servable);
+    void used(std::string_view servable, std::string_view caller);
     /// @return Whether the claim was handed on; its result follows.
     bool claim(claim_key key);
     void close_claim(claim_close what);
--- a/src/app/router_app.cpp
+++ b/src/app/router_app.cpp
@@ -377,10 +377,10 @@
 void router_app::flush_usage()
 {
     this->control.post(
-        [names = this->tap.take()](control_loop& loop)
+        [uses = this->tap.take()](control_loop& loop)
         {
-            for (const std::string& name : names)
-                loop.used(name);
+            for (const noted_use& use : uses)
+                loop.used(use.servable, use.caller);
         });
 }
 
--- a/src/app/usage_tap.cpp
+++ b/src/app/usage_tap.cpp
@@ -18,14 +18,14 @@
     if (info.is_service)
         return this->next->submit(std::move(info), std::move(handler));
 
-    std::string servable = info.target;
+    noted_use use{info.target, info.caller};
     return this->next->submit(
         std::move(info),
-        [this, servable = std::move(servable), handler = std::move(handler)](
+        [this, use = std::move(use), handler = std::move(handler)](
             const reply& answer)
         {
             if (std::holds_alternative<grant>(answer))
-                this->note(servable);
+                this->note(use);
             handler(answer);
         });
 }
@@ -46,19 +46,19 @@
     this->next->drain();
 }
 
-std::unordered_set<std::string> usage_tap::take()
+std::set<noted_use> usage_tap::take()
 {
     const std::lock_guard lock(this->mutex);
     return std::exchange(this->noted, {});
 }
 
-void usage_tap::note(const std::string& servable)
+void usage_tap::note(const noted_use& what)
 {
     bool is_first = false;
     {
         const std::lock_guard lock(this->mutex);
         is_first = this->noted.empty();
-        this->noted.insert(servable);
+        this->noted.insert(what);
     }
     if (is_first)
         this->first_noted();
--- a/src/app/usage_tap.hpp
+++ b/src/app/usage_tap.hpp
@@ -2,18 +2,28 @@
 
 #include "ports/dispatch_port.hpp"
 
+#include <compare>
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
-#include <unordered_set>
 
 namespace roseworks::app
 {
 
-/** Notes which servables this router starts requests of.
+/// A caller and a servable that it had requests started of.
+struct noted_use
+{
+    std::string servable;
+    std::string caller;
+
+    friend auto operator<=>(const noted_use&, const noted_use&) = default;
+};
+
+/** Notes which servables this router starts requests of, and for whom.
 
-    Sits before the dispatcher. The names gather until they are taken, so that
+    Sits before the dispatcher. The pairs gather until they are taken, so that
     the control thread hears of each once however many requests there are.
     Thread-safe.
 */
@@ -21,7 +31,7 @@
 {
 public:
     /// @param next        Receives every call.
-    /// @param first_noted Told when a name was noted after none was; must not
+    /// @param first_noted Told when a use was noted after none was; must not
     ///                    block.
     usage_tap(
         std::shared_ptr<dispatch_port> next, std::function<void()> first_noted);
@@ -32,16 +42,16 @@
     void abandon(ticket request) override;
     void drain() override;
 
-    /// @return The names noted since the last call.
-    std::unordered_set<std::string> take();
+    /// @return The uses noted since the last call.
+    std::set<noted_use> take();
 
 private:
-    void note(const std::string& servable);
+    void note(const noted_use& what);
 
     std::shared_ptr<dispatch_port> next;
     std::function<void()> first_noted;
     std::mutex mutex;
-    std::unordered_set<std::string> noted;
+    std::set<noted_use> noted;
 };
 
 } // namespace roseworks::app
--- a/src/core/config/field_reference.cpp
+++ b/src/core/config/field_reference.cpp
@@ -18,9 +18,12 @@
 - One `[section]` an entity, `field = value` below it, `#` or `;` first in a
   line for comments. Order doesn't matter, but `[deployment]` comes first.
 - `[deployment]` has one field, `schema`: the schema of all sections that don't
-  state one of their own. Schemas 1 and 2 can stand side by side. Schema 1 has
-  `replicas` where schema 2 has `min_replicas` and `max_replicas`; it is read
-  as `max_replicas` with `min_replicas` 0.
+  state one of their own. Schemas 1 to 3 can stand side by side. Schema 1 has
+  `replicas` where later ones have `min_replicas` and `max_replicas`; it is read
+  as `max_replicas` with `min_replicas` 0. Schema 3 added the policy's
+  `strategy` and `hold_ms`; without them each router goes by its own settings.
+  Routers older than a section's schema keep the entity as they last knew it, so
+  upgrade all of them before publishing a newer one.
 - What a file doesn't name stays as it is; `--prune` removes it.
 - Names are 1 to 64 letters, digits, `.`, `_` or `-`. A model and an adapter
   can't share one.
@@ -45,9 +48,13 @@
 
 std::string schemas_of(const detail::field_rule& rule)
 {
-    const std::string first = std::to_string(rule.first_schema);
-    const std::string last = std::to_string(rule.last_schema);
-    return first == last ? first : first + ", " + last;
+    std::string list;
+    for (unsigned schema = rule.first_schema; schema <= rule.last_schema;
+         ++schema)
+    {
+        list += (list.empty() ? "" : ", ") + std::to_string(schema);
+    }
+    return list;
 }
 
 std::string
--- a/src/core/config/field_table.cpp
+++ b/src/core/config/field_table.cpp
@@ -214,6 +214,21 @@
         86'400'000),
     number_field<&policy_spec::crash_threshold>(
         "crash_threshold", "crashes after which it is blocked", 1, 100),
+    since_schema(
+        word_field<&policy_spec::strategy>(
+            "strategy",
+            "how replicas are held and loaded ahead, on every router; `unset`: "
+            "each router's own setting",
+            placement_form),
+        3),
+    since_schema(
+        number_field<&policy_spec::hold_ms>(
+            "hold_ms",
+            "how long a model that loads in 10 s is held at `idle_weight` 50, "
+            "or the time to live of `fixed_ttl`; 0: each router's own setting",
+            0,
+            week_ms),
+        3),
 };
 
 template <class Spec>
--- a/src/core/config/field_values.cpp
+++ b/src/core/config/field_values.cpp
@@ -188,6 +188,25 @@
     return "unknown word: " + std::string(text);
 }
 
+std::string
+read_value(placement_kind& value, std::string_view text, const field_rule&)
+{
+    for (const placement_kind known :
+         {placement_kind::unset,
+          placement_kind::fixed_ttl,
+          placement_kind::break_even,
+          placement_kind::gap_cost,
+          placement_kind::gap_cost_preload})
+    {
+        if (to_string(known) == text)
+        {
+            value = known;
+            return {};
+        }
+    }
+    return "unknown word: " + std::string(text);
+}
+
 std::string read_value(
     std::vector<service_backend>& value,
     std::string_view text,
@@ -242,6 +261,11 @@
     return std::string(to_string(value));
 }
 
+std::string write_value(placement_kind value)
+{
+    return std::string(to_string(value));
+}
+
 std::string write_value(const std::vector<service_backend>& value)
 {
     std::string text;
--- a/src/core/config/field_values.hpp
+++ b/src/core/config/field_values.hpp
@@ -25,6 +25,8 @@
 read_value(fencing_kind& value, std::string_view text, const field_rule& rule);
 std::string
 read_value(priority& value, std::string_view text, const field_rule& rule);
+std::string read_value(
+    placement_kind& value, std::string_view text, const field_rule& rule);
 std::string read_value(
     std::vector<service_backend>& value,
     std::string_view text,
@@ -36,6 +38,7 @@
 std::string write_value(const std::string& value);
 std::string write_value(fencing_kind value);
 std::string write_value(priority value);
+std::string write_value(placement_kind value);
 std::string write_value(const std::vector<service_backend>& value);
 
 /// The value's form, told apart in `field_rule::allowed`.
@@ -46,6 +49,8 @@
 inline constexpr std::string_view fencing_form = "`checks` or `ignores`";
 inline constexpr std::string_view priority_form =
     "`urgent`, `normal` or `batch`";
+inline constexpr std::string_view placement_form =
+    "`unset`, `fixed_ttl`, `break_even`, `gap_cost` or `gap_cost_preload`";
 inline constexpr std::string_view backends_form =
     "one or more of `ip:port vm data_centre`, separated by `;`";
 
--- a/src/core/placement/controller.cpp
+++ b/src/core/placement/controller.cpp
@@ -3,6 +3,8 @@
 #include "core/placement/idle_watch.hpp"
 #include "core/placement/load_failures.hpp"
 #include "core/placement/order_keeper.hpp"
+#include "core/placement/placement_policy.hpp"
+#include "core/placement/preloader.hpp"
 #include "core/placement/proposer.hpp"
 #include "core/recovery/checkpoint_writer.hpp"
 #include "core/recovery/claim_keeper.hpp"
@@ -79,8 +81,7 @@
 public:
     explicit impl(options wanted)
         : settings(std::move(wanted))
-        , strategy(make_placement_strategy(
-              this->settings.placement, this->settings.idle_ttl))
+        , policy(this->settings.placement, this->settings.idle_ttl)
         , commit(commit_options(this->settings))
         , leases(this->settings)
         , claims(this->settings.claim_timeout)
@@ -95,12 +96,18 @@
               this->streaks)
         , proposals(
               this->settings,
-              *this->strategy,
+              this->policy,
+              this->preloads,
               this->uses,
               this->vms,
               this->reports,
               this->streaks)
-        , idle(*this->strategy, this->uses, this->proposals, this->reports)
+        , idle(
+              this->policy,
+              this->preloads,
+              this->uses,
+              this->proposals,
+              this->reports)
     {
     }
 
@@ -164,7 +171,11 @@
     void engine_read(const engine_report& report, instant now)
     {
         this->reports.received(report, now);
-        this->uses.reported(this->state, report, now);
+        for (const servable_id used :
+             this->uses.reported(this->state, report, now))
+        {
+            this->policy.used(this->state, used, now);
+        }
         this->orders.reported(this->context(now), report.engine);
         this->step(now);
     }
@@ -184,14 +195,18 @@
     void demanded(const servable_demand& what, instant now)
     {
         this->proposals.demanded(what, now);
-        this->uses.used(this->state, what.servable, now);
+        this->uses.wanted(this->state, what.servable, now);
         this->wake(now);
     }
 
-    void used(servable_id servable, instant now)
+    void used(servable_id servable, instant now, std::uint32_t caller)
     {
         this->uses.used(this->state, servable, now);
-        this->strategy->used(servable, now);
+        this->policy.used(this->state, servable, now);
+        if (caller != 0)
+        {
+            this->preloads.used({servable, caller, now});
+        }
     }
 
     void claim(claim_key key, instant now)
@@ -408,6 +423,8 @@
         }
         const control_context seen = this->context(now);
         this->next_step = now + step_interval;
+        this->policy.follow(this->state.policy());
+        this->preloads.follow(this->policy.kind());
         this->leases.step(
             seen,
             [&](engine_id engine)
@@ -461,7 +478,8 @@
     }
 
     options settings;
-    std::unique_ptr<placement_strategy> strategy;
+    placement_policy policy;
+    preloader preloads;
     fleet_state state;
     group_commit commit;
     lease_keeper leases;
@@ -550,9 +568,9 @@
     this->self->demanded(what, now);
 }
 
-void controller::used(servable_id servable, instant now)
+void controller::used(servable_id servable, instant now, std::uint32_t caller)
 {
-    this->self->used(servable, now);
+    this->self->used(servable, now, caller);
 }
 
 void controller::claim(claim_key key, instant now)
--- a/src/core/placement/strategies/gap_cost.cpp
+++ b/src/core/placement/gap_cost.cpp
@@ -1,4 +1,4 @@
-#include "core/placement/strategies/gap_cost.hpp"
+#include "core/placement/gap_cost.hpp"
 
 #include <algorithm>
 #include <cstddef>
--- a/src/core/placement/strategies/gap_cost.hpp
+++ b/src/core/placement/gap_cost.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/placement/strategies/gap_histogram.hpp"
+#include "core/placement/gap_histogram.hpp"
 
 #include <roseworks/placement_strategy.hpp>
 
--- a/src/core/placement/strategies/gap_histogram.cpp
+++ b/src/core/placement/gap_histogram.cpp
@@ -1,4 +1,4 @@
-#include "core/placement/strategies/gap_histogram.hpp"
+#include "core/placement/gap_histogram.hpp"
 
 namespace roseworks::detail
 {
--- a/src/core/placement/idle_watch.cpp
+++ b/src/core/placement/idle_watch.cpp
@@ -7,11 +7,13 @@
 {
 
 idle_watch::idle_watch(
-    const placement_strategy& strategy_source,
+    const placement_policy& policy_source,
+    const preloader& preload_source,
     const activity& use_source,
     const proposer& demand_source,
     const engine_reports& report_source)
-    : strategy(strategy_source)
+    : policy(policy_source)
+    , preloads(preload_source)
     , uses(use_source)
     , demand(demand_source)
     , reports(report_source)
@@ -128,17 +130,37 @@
     {
         return "above the declared maximum";
     }
-    const bool idle = !this->demand.wanted(servable.id) &&
-                      this->uses.seen_by_engine(replica.id) &&
-                      this->uses.idle(replica, context.now) >=
-                          this->strategy.hold(servable, context.state.policy());
-    if (place >= servable.min_replicas && ready > servable.min_replicas && idle)
+    if (place >= servable.min_replicas && ready > servable.min_replicas &&
+        this->idle(context, servable, replica))
     {
         return "idle";
     }
     return {};
 }
 
+bool idle_watch::idle(
+    const control_context& context,
+    const servable_view& servable,
+    const replica_view& replica) const
+{
+    if (this->demand.wanted(servable.id) ||
+        this->preloads.expected(context.state, servable.id, context.now))
+    {
+        return false;
+    }
+    duration hold = this->policy.hold(context.state, servable);
+    // Perhaps another router foresaw its use and loaded it ahead.
+    const bool ahead =
+        this->policy.kind() == placement_kind::gap_cost_preload &&
+        replica.urgency == priority::batch && this->uses.unused(replica.id);
+    if (ahead)
+    {
+        hold = std::max(hold, preload_life);
+    }
+    // Only a report can tell that no other router used it meanwhile.
+    return this->uses.reported_idle(replica) >= hold;
+}
+
 bool idle_watch::outdated(
     const servable_view& servable, const replica_view& replica) const
 {
--- a/src/core/placement/idle_watch.hpp
+++ b/src/core/placement/idle_watch.hpp
@@ -2,11 +2,12 @@
 
 #include "core/placement/activity.hpp"
 #include "core/placement/engine_reports.hpp"
+#include "core/placement/placement_policy.hpp"
+#include "core/placement/preloader.hpp"
 #include "core/placement/proposer.hpp"
 #include "core/recovery/control_context.hpp"
 
 #include <roseworks/ids.hpp>
-#include <roseworks/placement_strategy.hpp>
 
 #include <cstdint>
 #include <map>
@@ -29,7 +30,8 @@
 {
 public:
     idle_watch(
-        const placement_strategy& strategy,
+        const placement_policy& policy,
+        const preloader& preloads,
         const activity& uses,
         const proposer& demand,
         const engine_reports& reports);
@@ -48,6 +50,10 @@
         const replica_view& replica,
         std::size_t place,
         std::size_t ready) const;
+    bool idle(
+        const control_context& context,
+        const servable_view& servable,
+        const replica_view& replica) const;
     bool
     outdated(const servable_view& servable, const replica_view& replica) const;
     void drain(
@@ -57,7 +63,8 @@
     static bool
     has_adapters(const control_context& context, const replica_view& replica);
 
-    const placement_strategy& strategy;
+    const placement_policy& policy;
+    const preloader& preloads;
     const activity& uses;
     const proposer& demand;
     const engine_reports& reports;
--- a/src/core/placement/strategies/periodic_callers.cpp
+++ b/src/core/placement/periodic_callers.cpp
@@ -1,4 +1,4 @@
-#include "core/placement/strategies/periodic_callers.hpp"
+#include "core/placement/periodic_callers.hpp"
 
 #include <algorithm>
 
--- a/src/core/placement/strategies/preload_source.hpp
+++ b/src/core/placement/preload_source.hpp
@@ -2,8 +2,10 @@
 
 #include <roseworks/ids.hpp>
 #include <roseworks/instant.hpp>
+#include <roseworks/specs.hpp>
 
 #include <cstdint>
+#include <memory>
 #include <vector>
 
 namespace roseworks
@@ -44,4 +46,7 @@
     used(const servable_use& use, std::vector<expected_use>& expected) = 0;
 };
 
+/// @return What foresees uses under the strategy; null when nothing does.
+std::unique_ptr<preload_source> make_preload_source(placement_kind kind);
+
 } // namespace roseworks
--- a/src/core/placement/proposer.cpp
+++ b/src/core/placement/proposer.cpp
@@ -26,13 +26,15 @@
 
 proposer::proposer(
     const controller::options& wanted,
-    const placement_strategy& strategy_source,
+    const placement_policy& policy_source,
+    preloader& preload_source,
     const activity& use_source,
     const vm_watch& vm_source,
     const engine_reports& report_source,
     const load_failures& streak_source)
     : settings(wanted)
-    , strategy(strategy_source)
+    , policy(policy_source)
+    , preloads(preload_source)
     , uses(use_source)
     , vms(vm_source)
     , reports(report_source)
@@ -214,6 +216,7 @@
     {
         this->step_servable(context, servable);
     }
+    this->step_preloads(context);
 }
 
 proposer::wish proposer::sum(const servable_track& track)
--- a/src/core/placement/proposer.hpp
+++ b/src/core/placement/proposer.hpp
@@ -3,13 +3,14 @@
 #include "core/placement/activity.hpp"
 #include "core/placement/engine_reports.hpp"
 #include "core/placement/load_failures.hpp"
+#include "core/placement/placement_policy.hpp"
+#include "core/placement/preloader.hpp"
 #include "core/recovery/control_context.hpp"
 #include "core/recovery/vm_watch.hpp"
 
 #include <roseworks/controller.hpp>
 #include <roseworks/ids.hpp>
 #include <roseworks/instant.hpp>
-#include <roseworks/placement_strategy.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -34,7 +35,8 @@
 public:
     proposer(
         const controller::options& settings,
-        const placement_strategy& strategy,
+        const placement_policy& policy,
+        preloader& preloads,
         const activity& uses,
         const vm_watch& vms,
         const engine_reports& reports,
@@ -46,7 +48,8 @@
     /// A record was folded.
     void folded(const control_context& context, const fold_event& event);
 
-    /// Forward demand, propose replicas, and make room for them.
+    /// Forward demand, propose replicas and make room for them; then load
+    /// ahead what is expected, where nobody waits for it.
     void step(const control_context& context);
 
     /// @return Whether the servable is wanted now, as far as is known here.
@@ -141,6 +144,14 @@
         const control_context& context,
         const servable_view& servable,
         const engine_view& engine) const;
+    bool store_at_leisure(const control_context& context) const;
+    static bool has_ready(const control_context& context, servable_id id);
+    void step_preloads(const control_context& context);
+    void preload(
+        const control_context& context,
+        const servable_view& servable,
+        const expected_use& use);
+
     std::uint32_t pending_mib(engine_id engine) const;
     int cache_tier(engine_id engine, std::string_view servable) const;
     bool unreachable(engine_id engine) const;
@@ -156,13 +167,15 @@
         const control_context& context, const replica_view& replica) const;
 
     controller::options settings;
-    const placement_strategy& strategy;
+    const placement_policy& policy;
+    preloader& preloads;
     const activity& uses;
     const vm_watch& vms;
     const engine_reports& reports;
     const load_failures& load_streaks;
     std::map<servable_id, servable_track> tracks;
     bool catalogue_changed = true;
+    instant next_preloads{};
     std::set<servable_id> kept_ready; ///< declared with a minimum
     /// Evictions under way, by the replica that shall go.
     std::map<replica_id, std::uint64_t> evictions;
--- a/src/core/placement/proposer_room.cpp
+++ b/src/core/placement/proposer_room.cpp
@@ -93,10 +93,10 @@
             const std::optional<servable_view> view =
                 context.state.servable(replica.servable);
             const double value =
-                view ? this->strategy.eviction_value(
+                view ? this->policy.eviction_value(
+                           context.state,
                            *view,
-                           this->uses.idle(replica, context.now),
-                           context.state.policy())
+                           this->uses.idle(replica, context.now))
                      : 0;
             candidates.push_back({value, replica.id, replica.memory_mib});
         });
--- a/src/core/placement/strategies/idle_histogram.hpp
+++ b/src/core/placement/strategies/idle_histogram.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "core/placement/strategies/gap_histogram.hpp"
-#include "core/placement/strategies/preload_source.hpp"
+#include "core/placement/gap_histogram.hpp"
+#include "core/placement/preload_source.hpp"
 
 #include <map>
 
--- a/src/core/state/fleet_data.hpp
+++ b/src/core/state/fleet_data.hpp
@@ -99,6 +99,16 @@
     return {fold_status::rejected, reason, winner, std::move(detail)};
 }
 
+/// The policy lies among the other data in this schema. What later ones added
+/// follows at the end and only when it is used: routers of the version before
+/// read the snapshot and get the same hash until an operator publishes it.
+inline constexpr std::uint16_t policy_schema_inside = 2;
+
+inline bool names_placement(const policy_spec& policy)
+{
+    return policy.strategy != placement_kind::unset || policy.hold_ms != 0;
+}
+
 /// Write everything but `folded`, in an order that only depends on the data.
 template <class Writer>
 void save(Writer& out, const fleet_data& data)
@@ -109,7 +119,7 @@
     data.engines.save(out);
     data.services.save(out);
     data.callers.save(out);
-    fields(out, data.policy.spec, newest_entity_schema);
+    fields(out, data.policy.spec, policy_schema_inside);
     out.number(data.policy.current);
     out.number(data.policy.readable);
     out.number(static_cast<std::uint32_t>(data.unread.size()));
@@ -125,6 +135,8 @@
     data.claims.save(out);
     data.suspects.save(out);
     data.duplicates.save(out);
+    if (names_placement(data.policy.spec))
+        placement_fields(out, data.policy.spec);
 }
 
 /// Read what `save` wrote into empty data; faults are left in the reader.
@@ -137,7 +149,7 @@
     data.engines.load(in);
     data.services.load(in);
     data.callers.load(in);
-    fields(in, data.policy.spec, newest_entity_schema);
+    fields(in, data.policy.spec, policy_schema_inside);
     in.number(data.policy.current);
     in.number(data.policy.readable);
     const std::size_t unread = in.length();
@@ -156,6 +168,11 @@
     data.claims.load(in);
     data.suspects.load(in);
     data.duplicates.load(in);
+    if (in.failed() || in.remaining() == 0)
+        return;
+    placement_fields(in, data.policy.spec);
+    if (!in.failed() && !names_placement(data.policy.spec))
+        in.fail("placement written without being named");
 }
 
 } // namespace roseworks::detail
--- a/src/core/state/spec_fields.hpp
+++ b/src/core/state/spec_fields.hpp
@@ -4,6 +4,7 @@
 
 #include <roseworks/specs.hpp>
 
+#include <cstddef>
 #include <cstdint>
 
 /// Field lists of the entity specs by schema. `newest_entity_schema` is
@@ -11,6 +12,9 @@
 namespace roseworks::detail
 {
 
+/// Enumerators of `placement_kind`.
+inline constexpr std::size_t placement_kinds = 5;
+
 /// Replica bounds: schema 1 has one number, the maximum.
 template <class Io, class Spec>
 void replica_fields(Io& io, Spec& value, std::uint16_t schema)
@@ -78,8 +82,16 @@
     io.number(value.weight);
 }
 
+/// What schema 3 added to the policy.
+template <class Io>
+void placement_fields(Io& io, field_of<Io, policy_spec>& value)
+{
+    io.choice(value.strategy, placement_kinds);
+    io.number(value.hold_ms);
+}
+
 template <class Io>
-void fields(Io& io, field_of<Io, policy_spec>& value, std::uint16_t)
+void fields(Io& io, field_of<Io, policy_spec>& value, std::uint16_t schema)
 {
     io.number(value.idle_weight);
     io.number(value.store_slots);
@@ -87,6 +99,8 @@
     io.number(value.claim_horizon_ms);
     io.number(value.crash_block_ms);
     io.number(value.crash_threshold);
+    if (schema >= 3)
+        placement_fields(io, value);
 }
 
 } // namespace roseworks::detail
--- a/tests/unit/app/desk_test.cpp
+++ b/tests/unit/app/desk_test.cpp
@@ -152,11 +152,15 @@
     tap.submit(asking_for("m1"), ignore);
     tap.submit(asking_for("m1"), ignore);
     tap.submit(asking_for("m2"), ignore);
+    request_info other = asking_for("m2");
+    other.caller = "mechanic";
+    tap.submit(other, ignore);
     tap.submit(asking_for("desk", true), ignore);
     next->refuses = true;
     tap.submit(asking_for("m3"), ignore);
     cr_expect(told == 1);
-    const std::unordered_set<std::string> wanted{"m1", "m2"};
+    const std::set<noted_use> wanted{
+        {"m1", "anonymous"}, {"m2", "anonymous"}, {"m2", "mechanic"}};
     cr_expect(tap.take() == wanted);
     cr_expect(tap.take().empty());
 }
--- a/tests/unit/config/record_text_test.cpp
+++ b/tests/unit/config/record_text_test.cpp
@@ -178,7 +178,7 @@
                               "schema 1; allowed: "));
     const std::string now = problems_of("[model m]\nmemory_mib=1\nreplicas=1");
     cr_expect(now.starts_with("3: [model m] replicas: not a field of schema "
-                              "2; allowed: "));
+                              "3; allowed: "));
 }
 
 Test(record_text, refuses_missing_and_double_fields)
@@ -229,3 +229,20 @@
         file("docs/RECORDS.md") == field_reference(),
         "run `roseworksctl fields > docs/RECORDS.md`");
 }
+
+Test(record_text, a_policy_names_its_strategy_from_schema_3_on)
+{
+    const desired_fleet fleet =
+        parsed("[policy]\nschema = 3\nstrategy = gap_cost_preload\n"
+               "hold_ms = 240000\n");
+    const desired_entity& entity =
+        *fleet.find(entity_kind::policy, policy_name);
+    const auto& policy = std::get<policy_spec>(entity.spec);
+    cr_expect_eq(entity.schema, 3);
+    cr_expect(policy.strategy == placement_kind::gap_cost_preload);
+    cr_expect_eq(policy.hold_ms, 240'000);
+    const desired_fleet old = parsed(whole);
+    const auto& before =
+        std::get<policy_spec>(old.find(entity_kind::policy, policy_name)->spec);
+    cr_expect(before.strategy == placement_kind::unset);
+}
--- a/tests/unit/state/codec_test.cpp
+++ b/tests/unit/state/codec_test.cpp
@@ -255,6 +255,34 @@
     cr_assert(encode(*read) == bytes, "a signature must still match");
 }
 
+Test(codec, a_policy_before_schema_3_names_no_strategy)
+{
+    policy_spec spec;
+    spec.idle_weight = 15;
+    spec.strategy = placement_kind::gap_cost_preload;
+    spec.hold_ms = 240'000;
+    record value;
+    for (const std::uint16_t schema : {1, 2, 3})
+    {
+        entity_change change = put_change("policy", spec);
+        change.schema = schema;
+        value.payload = config_change{"olga", "", {change}, {}};
+        const auto bytes = encode(value);
+        const auto read = decode(bytes);
+        cr_assert(read);
+        const auto& changes = std::get<config_change>(read->payload).changes;
+        const auto& policy = std::get<policy_spec>(*changes[0].spec);
+        policy_spec wanted = spec;
+        if (schema < 3)
+        {
+            wanted.strategy = placement_kind::unset;
+            wanted.hold_ms = 0;
+        }
+        cr_assert(policy == wanted);
+        cr_assert(encode(*read) == bytes, "a signature must still match");
+    }
+}
+
 Test(codec, a_newer_entity_schema_stays_unread)
 {
     entity_change change = put_change("m", fold_log::model());
--- a/tests/unit/trace/test_strategies.cpp
+++ b/tests/unit/trace/test_strategies.cpp
@@ -1,7 +1,7 @@
+#include "core/placement/gap_cost.hpp"
+#include "core/placement/periodic_callers.hpp"
 #include "core/placement/strategies/companions.hpp"
-#include "core/placement/strategies/gap_cost.hpp"
 #include "core/placement/strategies/idle_histogram.hpp"
-#include "core/placement/strategies/periodic_callers.hpp"
 #include "core/placement/strategies/reload_cost_eviction.hpp"
 
 #include <roseworks/placement_strategy.hpp>
