Choose engines and victims by one module in proposer and replay

Cause: the policy replay had a second copy of the proposer's rules of engine and victim choice; what was measured could drift from what runs.

Change: core/placement/place_choice holds the engine's score and the choice of victims; the proposer and the replay's pool both use it. The replay gains `adopted`: what the routers run under gap_cost_preload (local loads take store slots, loads ahead leave one slot free).

The whole ctest wasn't run.

--- a/bench/policy/replay_loads.cpp
+++ b/bench/policy/replay_loads.cpp
@@ -298,8 +298,10 @@
             }
             continue;
         }
-        const bool slots_free = this->slot_queue.empty() &&
-                                this->slots_used < this->source.store_slots;
+        const std::uint32_t kept = this->options.keep_slot_free ? 1 : 0;
+        const bool slots_free =
+            this->slot_queue.empty() &&
+            this->slots_used + kept < this->source.store_slots;
         const std::optional<replica_pool::place> where =
             slots_free && this->wishes.empty() ? this->pool.choose(item)
                                                : std::nullopt;
--- a/bench/policy/replay_options.hpp
+++ b/bench/policy/replay_options.hpp
@@ -24,6 +24,8 @@
     bool staging = false;
     /// An adapter is held and evicted as if it took its base's load time.
     bool adapters_like_base = false;
+    /// Loads ahead leave one store slot free, as the proposer does.
+    bool keep_slot_free = false;
     policy_spec policy; ///< weights given to the strategy
     /// Figures are taken from here to the trace's end.
     duration warm_up = std::chrono::hours(24);
--- a/bench/policy/replica_pool.cpp
+++ b/bench/policy/replica_pool.cpp
@@ -1,8 +1,10 @@
 #include "replica_pool.hpp"
 
+#include "core/placement/place_choice.hpp"
+
 #include <algorithm>
 #include <cstddef>
-#include <tuple>
+#include <utility>
 
 namespace roseworks::bench
 {
@@ -45,9 +47,7 @@
 std::optional<replica_pool::place>
 replica_pool::choose(std::uint32_t servable) const
 {
-    using ranking =
-        std::tuple<std::size_t, cache_tier, std::uint64_t, std::uint32_t>;
-    std::optional<ranking> best;
+    std::optional<detail::engine_score> best;
     std::optional<place> chosen;
     for (std::uint32_t i = 0; i < this->engines.size(); ++i)
     {
@@ -70,7 +70,13 @@
                                                   : cache_tier::remote;
         const std::uint64_t reserved =
             this->source.engines[i].memory_mib - engine.free_mib;
-        const ranking rank{static_cast<std::size_t>(same), tier, reserved, i};
+        const detail::engine_score rank{
+            false,
+            static_cast<std::size_t>(same),
+            static_cast<int>(tier),
+            0,
+            reserved,
+            i};
         if (!best || rank < *best)
         {
             best = rank;
@@ -117,55 +123,38 @@
 std::vector<std::uint64_t> replica_pool::plan_eviction(
     std::uint32_t servable, std::span<const candidate> candidates) const
 {
-    std::vector<candidate> ordered(candidates.begin(), candidates.end());
-    std::sort(
-        ordered.begin(),
-        ordered.end(),
-        [](const candidate& one, const candidate& other)
-        {
-            return one.value != other.value ? one.value > other.value
-                                            : one.id < other.id;
-        });
     const traced_servable& wanted = this->source.servables[servable];
-    std::vector<std::uint64_t> best;
-    double best_value = 0;
+    detail::victim_plan best;
     for (std::uint32_t i = 0; i < this->engines.size(); ++i)
     {
+        const std::uint64_t room = this->engines[i].free_mib;
         const std::optional<std::uint64_t> base =
             this->base_there(servable, this->engines[i]);
-        if (!base || this->source.engines[i].memory_mib < wanted.memory_mib)
+        if (!base || this->source.engines[i].memory_mib < wanted.memory_mib ||
+            room >= wanted.memory_mib)
         {
             continue;
         }
-        std::uint64_t room = this->engines[i].free_mib;
-        std::vector<std::uint64_t> victims;
-        double least_value = 0;
-        for (const candidate& item : ordered)
+        std::vector<detail::victim> here;
+        for (const candidate& item : candidates)
         {
             const replayed_replica& replica = this->replicas.at(item.id);
-            if (room >= wanted.memory_mib)
-            {
-                break;
-            }
-            if (replica.engine != i || item.id == *base)
+            if (replica.engine == i && item.id != *base)
             {
-                continue;
+                here.push_back(
+                    {item.value,
+                     item.id,
+                     this->source.servables[replica.servable].memory_mib});
             }
-            room += this->source.servables[replica.servable].memory_mib;
-            victims.push_back(item.id);
-            least_value = item.value;
         }
-        const bool better =
-            room >= wanted.memory_mib && !victims.empty() &&
-            (best.empty() || victims.size() < best.size() ||
-             (victims.size() == best.size() && least_value > best_value));
-        if (better)
+        detail::victim_plan plan =
+            detail::choose_victims(here, wanted.memory_mib - room);
+        if (plan.possible && (best.replicas.empty() || plan.cheaper_than(best)))
         {
-            best = victims;
-            best_value = least_value;
+            best = std::move(plan);
         }
     }
-    return best;
+    return best.replicas;
 }
 
 replayed_replica* replica_pool::find(std::uint64_t id)
--- a/bench/policy/replica_pool.hpp
+++ b/bench/policy/replica_pool.hpp
@@ -44,9 +44,10 @@
 
 /** The replicas on the engines of a trace: memory, caches and choice.
 
-    Chooses engines and evictions by the proposer's rules: fewest replicas of
-    the same servable, then (if wanted) the nearest checkpoint, then the least
-    memory reserved; fewest victims, then those that are worth least.
+    Chooses engines and evictions by the proposer's own rules (place_choice):
+   fewest replicas of the same servable, then (if wanted) the nearest
+   checkpoint, then the least memory reserved; fewest victims, then those that
+   are worth least.
 */
 class replica_pool
 {
--- a/bench/policy/strategy_list.cpp
+++ b/bench/policy/strategy_list.cpp
@@ -49,6 +49,14 @@
         .holds = hold_kind::break_even,
         .tier_choice = true,
         .urgent_slots = true},
+    named_strategy{
+        .name = "adopted",
+        .holds = hold_kind::gap_cost,
+        .tier_choice = true,
+        .urgent_slots = true,
+        .periodic = true,
+        .adapters_like_base = true,
+        .keep_slot_free = true},
     named_strategy{
         .name = "combined",
         .holds = hold_kind::gap_cost,
@@ -156,6 +164,7 @@
     options.urgent_slots = which.urgent_slots;
     options.local_without_slot = which.local_without_slot;
     options.staging = which.staging;
+    options.keep_slot_free = which.keep_slot_free;
     options.adapters_like_base = which.adapters_like_base;
     return options;
 }
--- a/bench/policy/strategy_list.hpp
+++ b/bench/policy/strategy_list.hpp
@@ -33,6 +33,7 @@
     bool companions = false;
     bool idle_histogram = false;
     bool adapters_like_base = false;
+    bool keep_slot_free = false;
     bool merged_adapters = false; ///< each adapter loads a base of its own
 };
 
--- a/src/core/placement/proposer_place.cpp
+++ b/src/core/placement/proposer_place.cpp
@@ -1,10 +1,10 @@
+#include "core/placement/place_choice.hpp"
 #include "core/placement/proposer.hpp"
 
 #include <algorithm>
 #include <map>
 #include <string>
 #include <string_view>
-#include <tuple>
 
 namespace roseworks::detail
 {
@@ -107,9 +107,7 @@
         note(item.engine);
     }
 
-    using ranking = std::
-        tuple<bool, std::size_t, int, std::size_t, std::uint64_t, engine_id>;
-    std::optional<ranking> best;
+    std::optional<engine_score> best;
     std::optional<place> chosen;
     context.state.for_each_engine(
         [&](const engine_view& engine)
@@ -137,13 +135,13 @@
             }
             const bool avoided = track.failures.contains(engine.id) ||
                                  this->unreachable(engine.id);
-            const ranking rank{
+            const engine_score rank{
                 avoided,
                 on_engine[engine.id],
                 this->cache_tier(engine.id, servable.name),
                 in_data_centre[engine.spec->data_centre],
                 reserved,
-                engine.id};
+                engine.id.value};
             if (!best || rank < *best)
             {
                 best = rank;
--- a/src/core/placement/proposer_room.cpp
+++ b/src/core/placement/proposer_room.cpp
@@ -1,19 +1,18 @@
+#include "core/placement/place_choice.hpp"
 #include "core/placement/proposer.hpp"
 
-#include <algorithm>
+#include <cstdint>
 #include <utility>
 #include <vector>
 
 namespace roseworks::detail
 {
 
-/// Replicas to evict from one engine, and what it costs.
+/// What making room on one engine takes.
 struct proposer::eviction_plan
 {
-    bool possible = false;
     bool under_way = false; ///< room is already being made there
-    double least_value = 0; ///< of the replica that is worth keeping most
-    std::vector<replica_id> victims;
+    victim_plan victims;
 };
 
 bool proposer::evictable(
@@ -62,14 +61,7 @@
     std::uint64_t to_free =
         needed > engine.spec->memory_mib ? needed - engine.spec->memory_mib : 0;
 
-    struct candidate
-    {
-        double value = 0;
-        replica_id id;
-        std::uint32_t memory_mib = 0;
-    };
-
-    std::vector<candidate> candidates;
+    std::vector<victim> candidates;
     std::uint64_t being_freed = 0;
     context.state.for_each_replica_on(
         engine.id,
@@ -98,41 +90,21 @@
                            *view,
                            this->uses.idle(replica, context.now))
                      : 0;
-            candidates.push_back({value, replica.id, replica.memory_mib});
+            candidates.push_back({value, replica.id.value, replica.memory_mib});
         });
     if (being_freed >= to_free)
     {
         plan.under_way = true;
         return plan;
     }
-    to_free -= being_freed;
-    std::sort(
-        candidates.begin(),
-        candidates.end(),
-        [](const candidate& one, const candidate& other)
-        {
-            return one.value != other.value ? one.value > other.value
-                                            : one.id < other.id;
-        });
-    std::uint64_t freed = 0;
-    for (const candidate& item : candidates)
-    {
-        if (freed >= to_free)
-        {
-            break;
-        }
-        freed += item.memory_mib;
-        plan.victims.push_back(item.id);
-        plan.least_value = item.value;
-    }
-    plan.possible = freed >= to_free;
+    plan.victims = choose_victims(candidates, to_free - being_freed);
     return plan;
 }
 
 bool proposer::make_room(
     const control_context& context, const servable_view& servable)
 {
-    std::optional<eviction_plan> best;
+    std::optional<victim_plan> best;
     bool under_way = false;
     context.state.for_each_engine(
         [&](const engine_view& engine)
@@ -150,28 +122,26 @@
             }
             eviction_plan plan = this->plan_eviction(context, servable, engine);
             under_way = under_way || plan.under_way;
-            const bool better =
-                plan.possible &&
-                (!best || plan.victims.size() < best->victims.size() ||
-                 (plan.victims.size() == best->victims.size() &&
-                  plan.least_value > best->least_value));
+            const bool better = plan.victims.possible &&
+                                (!best || plan.victims.cheaper_than(*best));
             if (better)
             {
-                best = std::move(plan);
+                best = std::move(plan.victims);
             }
         });
     if (under_way || !best)
     {
         return false;
     }
-    for (const replica_id victim : best->victims)
+    for (const std::uint64_t chosen : best->replicas)
     {
+        const replica_id leaving(chosen);
         replica_report record;
-        record.replica = victim;
+        record.replica = leaving;
         record.to = replica_state::draining;
         record.session = context.self;
         record.cause = "evicted for " + std::string(servable.name);
-        this->evictions[victim] = context.submit(std::move(record));
+        this->evictions[leaving] = context.submit(std::move(record));
     }
     return true;
 }
