--- a/src/core/placement/periodic_callers.cpp
+++ b/src/core/placement/periodic_callers.cpp
@@ -16,6 +16,10 @@
 constexpr duration day = std::chrono::hours(24);
 constexpr duration day_tolerance = std::chrono::minutes(5);
 
+/// A pair not seen for so long is forgotten when room is short.
+constexpr duration longest_memory = day + std::chrono::hours(2);
+constexpr duration sweep_interval = std::chrono::minutes(10);
+
 duration distance(duration one, duration other)
 {
     return one > other ? one - other : other - one;
@@ -32,6 +36,12 @@
 void periodic_callers::used(
     const servable_use& use, std::vector<expected_use>& expected)
 {
+    if (this->known_visits.size() >= most_known &&
+        !this->known_visits.contains({use.caller, use.servable}) &&
+        !this->make_room(use.at))
+    {
+        return;
+    }
     const auto [place, is_new] =
         this->known_visits.try_emplace({use.caller, use.servable});
     visits& known = place->second;
@@ -57,4 +67,20 @@
     known.last_visit = use.at;
 }
 
+bool periodic_callers::make_room(instant now)
+{
+    if (now < this->next_sweep)
+    {
+        return false;
+    }
+    this->next_sweep = now + sweep_interval;
+    std::erase_if(
+        this->known_visits,
+        [now](const auto& item)
+        {
+            return now - item.second.last_use > longest_memory;
+        });
+    return this->known_visits.size() < most_known;
+}
+
 } // namespace roseworks::detail
--- a/tests/unit/trace/test_strategies.cpp
+++ b/tests/unit/trace/test_strategies.cpp
@@ -68,6 +68,22 @@
     cr_assert_eq(use(callers, first, 7, start + 24h + 1min).size(), 1);
 }
 
+Test(periodic_callers, remembers_a_bounded_number_of_callers)
+{
+    detail::periodic_callers callers;
+    constexpr std::uint32_t many = detail::periodic_callers::most_known;
+    for (std::uint32_t caller = 1; caller <= many; ++caller)
+    {
+        use(callers, first, caller, start);
+    }
+    const std::uint32_t late = many + 1;
+    use(callers, first, late, start);
+    cr_assert(use(callers, first, late, start + 24h).empty(), "no room");
+    // The others stay away, and make room.
+    use(callers, first, late, start + 48h);
+    cr_assert_eq(use(callers, first, late, start + 72h).size(), 1);
+}
+
 Test(companions, expects_what_followed_twice)
 {
     detail::companions habits(0.5);
