--- a/src/core/placement/controller.cpp
+++ b/src/core/placement/controller.cpp
@@ -65,9 +65,9 @@
     this->self->demanded(what, now);
 }
 
-void controller::used(servable_id servable, instant now)
+void controller::used(servable_id servable, instant now, std::uint32_t caller)
 {
-    this->self->used(servable, now);
+    this->self->used(servable, now, caller);
 }
 
 void controller::claim(const claim_request& asked, instant now)
--- a/src/core/placement/controller_events.cpp
+++ b/src/core/placement/controller_events.cpp
@@ -38,8 +38,7 @@
 
 controller::impl::impl(options wanted)
     : settings(std::move(wanted))
-    , strategy(make_placement_strategy(
-          this->settings.placement, this->settings.idle_ttl))
+    , policy(this->settings.placement, this->settings.idle_ttl)
     , commit(commit_options(this->settings))
     , leases(this->settings)
     , claims(this->settings.claim_timeout)
@@ -51,12 +50,18 @@
     , grants(this->settings, this->leases, this->vms, this->reports)
     , proposals(
           this->settings,
-          *this->strategy,
+          this->policy,
+          this->preloads,
           this->uses,
           this->vms,
           this->reports,
           this->streaks)
-    , idle(*this->strategy, this->uses, this->proposals, this->reports)
+    , idle(
+          this->policy,
+          this->preloads,
+          this->uses,
+          this->proposals,
+          this->reports)
 {
 }
 
@@ -122,7 +127,11 @@
 void controller::impl::engine_read(const engine_report& report, instant now)
 {
     this->reports.received(report, now);
-    this->uses.reported(this->state, report, now);
+    for (const servable_id used :
+         this->uses.reported(this->state, report, now))
+    {
+        this->policy.used(this->state, used, now);
+    }
     const control_context seen = this->context(now);
     this->orders.reported(seen, report.engine);
     this->grants.reported(seen, report.engine);
@@ -146,14 +155,19 @@
 void controller::impl::demanded(const servable_demand& what, instant now)
 {
     this->proposals.demanded(what, now);
-    this->uses.used(this->state, what.servable, now);
+    this->uses.wanted(this->state, what.servable, now);
     this->wake(now);
 }
 
-void controller::impl::used(servable_id servable, instant now)
+void controller::impl::used(
+    servable_id servable, instant now, std::uint32_t caller)
 {
     this->uses.used(this->state, servable, now);
-    this->strategy->used(servable, now);
+    this->policy.used(this->state, servable, now);
+    if (caller != 0)
+    {
+        this->preloads.used({servable, caller, now});
+    }
 }
 
 void controller::impl::claim(const claim_request& asked, instant now)
--- a/src/core/placement/controller_impl.hpp
+++ b/src/core/placement/controller_impl.hpp
@@ -6,6 +6,8 @@
 #include "core/placement/idle_watch.hpp"
 #include "core/placement/load_failures.hpp"
 #include "core/placement/order_keeper.hpp"
+#include "core/placement/placement_policy.hpp"
+#include "core/placement/preloader.hpp"
 #include "core/placement/proposer.hpp"
 #include "core/recovery/checkpoint_writer.hpp"
 #include "core/recovery/claim_keeper.hpp"
@@ -46,7 +48,7 @@
     void vms_listed(std::span<const vm_entry> entries, instant now);
     void peers_changed(std::span<const session_id> hinted, instant now);
     void demanded(const servable_demand& what, instant now);
-    void used(servable_id servable, instant now);
+    void used(servable_id servable, instant now, std::uint32_t caller);
     void claim(const claim_request& asked, instant now);
     void close_claim(claim_close what, instant now);
     void crash_seen(fingerprint request, engine_id engine, instant now);
@@ -80,7 +82,8 @@
     void flush(instant now);
 
     options settings;
-    std::unique_ptr<placement_strategy> strategy;
+    placement_policy policy;
+    preloader preloads;
     fleet_state state;
     detail::group_commit commit;
     detail::lease_keeper leases;
--- a/src/core/placement/controller_steps.cpp
+++ b/src/core/placement/controller_steps.cpp
@@ -163,6 +163,8 @@
     }
     const control_context seen = this->context(now);
     this->next_step = now + step_interval;
+    this->policy.follow(this->state.policy());
+    this->preloads.follow(this->policy.kind());
     this->leases.step(
         seen,
         [&](engine_id engine)
--- a/src/core/state/fleet_data.hpp
+++ b/src/core/state/fleet_data.hpp
@@ -108,6 +108,10 @@
     return {fold_status::rejected, reason, winner, std::move(detail)};
 }
 
+/// The policy lies among the other data in this schema; what later ones added
+/// follows at the end, where snapshots of the first format have nothing.
+inline constexpr std::uint16_t policy_schema_inside = 2;
+
 /// Write everything but `folded`, in an order that only depends on the data.
 template <class Writer>
 void save(Writer& out, const fleet_data& data)
@@ -118,7 +122,7 @@
     data.engines.save(out);
     data.services.save(out);
     data.callers.save(out);
-    fields(out, data.policy.spec, newest_entity_schema);
+    fields(out, data.policy.spec, policy_schema_inside);
     out.number(data.policy.current);
     out.number(data.policy.readable);
     out.number(static_cast<std::uint32_t>(data.unread.size()));
@@ -134,9 +138,8 @@
     data.claims.save(out);
     data.suspects.save(out);
     data.duplicates.save(out);
-    // Without grants a snapshot is as it was before there were any.
-    if (!data.grants.empty())
-        data.grants.save(out);
+    data.grants.save(out);
+    placement_fields(out, data.policy.spec);
 }
 
 /// Read what `save` wrote, in this format or an older one, into empty data;
@@ -150,7 +153,7 @@
     data.engines.load(in);
     data.services.load(in);
     data.callers.load(in);
-    fields(in, data.policy.spec, newest_entity_schema);
+    fields(in, data.policy.spec, policy_schema_inside);
     in.number(data.policy.current);
     in.number(data.policy.readable);
     const std::size_t unread = in.length();
@@ -169,8 +172,10 @@
     data.claims.load(in, format);
     data.suspects.load(in);
     data.duplicates.load(in);
-    if (!in.failed() && in.remaining() != 0)
-        data.grants.load(in);
+    if (format < 2)
+        return;
+    data.grants.load(in);
+    placement_fields(in, data.policy.spec);
 }
 
 } // namespace roseworks::detail
--- a/src/core/state/grant_store.hpp
+++ b/src/core/state/grant_store.hpp
@@ -105,8 +105,6 @@
             else
                 this->add(row);
         }
-        if (!in.failed() && this->empty())
-            in.fail("empty list of grants");
     }
 
 private:
