Compare two targets slice by slice on one trace in roseworks-load

Cause: compare mode sent the same ten seconds of the trace again and again, wrote neither JSON lines nor a report, and showed no progress of its own; no plot showed replicas against those declared; several bad options shared one message or were found only after the run; that arrivals are open loop was claimed, not tested.

The title states the factor that `scaled` divides by. Each wrong option is named before anything is sent. Deadlines stand with each planned call.

No comparison of two running fleets is in this commit.

--- a/tools/load/completion_call.cpp
+++ b/tools/load/completion_call.cpp
@@ -33,11 +33,8 @@
 constexpr std::chrono::seconds patience(5);
 constexpr std::uint64_t longest_answer = std::uint64_t(16) << 20;
 
-http::request<http::string_body> make_request(
-    const endpoint& server,
-    const planned_call& call,
-    std::chrono::milliseconds deadline,
-    bool stream)
+http::request<http::string_body>
+make_request(const endpoint& server, const planned_call& call, bool stream)
 {
     http::request<http::string_body> request(
         http::verb::post, "/v1/completions", 11);
@@ -47,7 +44,7 @@
     request.set("X-Request-Id", call.request_id);
     request.set("X-Caller", call.caller);
     request.set("X-Priority", call.urgency);
-    request.set("X-Deadline-Ms", std::to_string(deadline.count()));
+    request.set("X-Deadline-Ms", std::to_string(call.deadline.count()));
     if (call.once)
     {
         request.set("Idempotency-Key", call.request_id);
@@ -157,14 +154,13 @@
     endpoint server,
     const planned_call& call,
     clock::time_point planned,
-    std::chrono::milliseconds deadline,
     bool stream)
 {
     constexpr auto token = asio::as_tuple(asio::use_awaitable);
     call_result result;
     result.sent = clock::now() - planned;
     beast::tcp_stream connection(co_await asio::this_coro::executor);
-    connection.expires_after(deadline + patience);
+    connection.expires_after(call.deadline + patience);
     const auto [refused] = co_await connection.async_connect(server, token);
     if (refused)
     {
@@ -172,7 +168,7 @@
         result.total = clock::now() - planned;
         co_return result;
     }
-    const auto request = make_request(server, call, deadline, stream);
+    const auto request = make_request(server, call, stream);
     const auto [unsent, written] =
         co_await http::async_write(connection, request, token);
     beast::flat_buffer buffer;
--- a/tools/load/completion_call.hpp
+++ b/tools/load/completion_call.hpp
@@ -12,18 +12,16 @@
 
 /** Send one call on a connection of its own and check its answer.
 
-    @param server   The router.
-    @param call     What to send; outlives the coroutine.
-    @param planned  When it should have been sent.
-    @param deadline Told to the router; a little later the caller gives up.
-    @param stream   Whether to ask for server-sent events.
-    @return         What became of it.
+    @param server  The router.
+    @param call    What to send; outlives the coroutine.
+    @param planned When it should have been sent.
+    @param stream  Whether to ask for server-sent events.
+    @return        What became of it.
 */
 boost::asio::awaitable<call_result> send_completion(
     endpoint server,
     const planned_call& call,
     std::chrono::steady_clock::time_point planned,
-    std::chrono::milliseconds deadline,
     bool stream);
 
 /** Check that an answer is the whole one to this call's prompt, as the stand-in
--- a/tools/load/html_report.cpp
+++ b/tools/load/html_report.cpp
@@ -85,18 +85,24 @@
     plot_line ready{"ready", "#27ae60", {}, false};
     plot_line moving{"loading", "#f39c12", {}, false};
     plot_line idle{"idle at least", "#8e44ad", {}, false};
+    plot_line declared{"declared at most", "#7f8c8d", {}, false};
     for (const fleet_sample& sample : outcome.samples)
     {
         const double at = std::max(0.0, seconds(sample.at));
         ready.points.emplace_back(at, sample.ready);
         moving.points.emplace_back(at, sample.moving);
         idle.points.emplace_back(at, sample.idle_models);
+        if (outcome.declared != 0)
+        {
+            declared.points.emplace_back(
+                at, static_cast<double>(outcome.declared));
+        }
     }
     return {
         "Replicas on the engines",
         "s after the start",
         "replicas",
-        {ready, moving, idle}};
+        {ready, moving, idle, declared}};
 }
 
 std::string figure_table(std::span<const load_figure> figures)
@@ -113,28 +119,50 @@
     return html + "</table>\n";
 }
 
+void write_section(std::ostream& out, const report_section& section)
+{
+    if (!section.name.empty())
+    {
+        out << "<h2>" << escape_html(section.name) << "</h2>\n";
+    }
+    const load_outcome& outcome = section.outcome;
+    out << draw_svg(latency_plot(outcome)) << draw_svg(cold_plot(outcome));
+    if (!outcome.samples.empty())
+    {
+        out << draw_svg(fleet_plot(outcome));
+    }
+    out << figure_table(section.figures);
+}
+
 } // namespace
 
 bool write_html_report(
     const std::string& file,
-    const std::string& title,
-    const load_outcome& outcome,
-    std::span<const load_figure> figures)
+    const report_summary& summary,
+    std::span<const report_section> sections)
 {
     std::ofstream out(file);
+    const std::string title = escape_html(summary.title);
     out << "<!DOCTYPE html>\n<html lang=\"en\"><head><meta charset=\"utf-8\">"
            "<title>"
-        << escape_html(title)
+        << title
         << "</title>\n<style>body{font-family:sans-serif;max-width:900px;"
            "margin:2em auto}td,th{text-align:left;padding:0 1em 0 0}"
            "td:nth-child(2){text-align:right}</style></head><body>\n<h1>"
-        << escape_html(title) << "</h1>\n";
-    out << draw_svg(latency_plot(outcome)) << draw_svg(cold_plot(outcome));
-    if (!outcome.samples.empty())
+        << title << "</h1>\n";
+    for (const plot& one : summary.plots)
     {
-        out << draw_svg(fleet_plot(outcome));
+        out << draw_svg(one);
+    }
+    if (!summary.figures.empty())
+    {
+        out << figure_table(summary.figures);
+    }
+    for (const report_section& section : sections)
+    {
+        write_section(out, section);
     }
-    out << figure_table(figures) << "</body></html>\n";
+    out << "</body></html>\n";
     out.flush();
     return out.good();
 }
--- a/tools/load/load_figures.cpp
+++ b/tools/load/load_figures.cpp
@@ -158,6 +158,55 @@
         });
 }
 
+json::object begin_line(const std::string& run)
+{
+    json::object line;
+    if (!run.empty())
+    {
+        line["run"] = run;
+    }
+    return line;
+}
+
+void write_calls(std::ostream& out, const report_section& section)
+{
+    const load_outcome& outcome = section.outcome;
+    for (std::size_t i = 0; i < outcome.calls.size(); ++i)
+    {
+        const planned_call& call = outcome.calls[i];
+        const call_result& result = outcome.results[i];
+        json::object line = begin_line(section.name);
+        line["at_s"] = seconds(call.at);
+        line["request_id"] = call.request_id;
+        line["model"] = call.model;
+        line["caller"] = call.caller;
+        line["priority"] = call.urgency;
+        line["once"] = call.once;
+        line["outcome"] = to_string(result.outcome);
+        line["status"] = result.status;
+        line["reason"] = result.reason;
+        line["first_token_s"] = seconds(result.first_token);
+        line["total_s"] = seconds(result.total);
+        line["cold"] = result.was_cold;
+        out << json::serialize(line) << '\n';
+    }
+}
+
+void write_figures(
+    std::ostream& out,
+    const std::string& run,
+    std::span<const load_figure> figures)
+{
+    for (const load_figure& figure : figures)
+    {
+        json::object line = begin_line(run);
+        line["figure"] = figure.name;
+        line["value"] = figure.value;
+        line["unit"] = figure.unit;
+        out << json::serialize(line) << '\n';
+    }
+}
+
 } // namespace
 
 std::vector<load_figure> make_figures(const load_outcome& outcome)
@@ -167,6 +216,11 @@
         {"load_planned", double(outcome.calls.size()), "requests"});
     add_outcomes(figures, outcome.results);
     add_times(figures, outcome.results);
+    if (outcome.declared != 0)
+    {
+        figures.push_back(
+            {"load_replicas_declared", double(outcome.declared), "replicas"});
+    }
     if (outcome.has_ledgers)
     {
         add_fleet(figures, outcome.samples);
@@ -208,37 +262,16 @@
 
 bool write_json_lines(
     const std::string& file,
-    const load_outcome& outcome,
+    std::span<const report_section> sections,
     std::span<const load_figure> figures)
 {
     std::ofstream out(file);
-    for (std::size_t i = 0; i < outcome.calls.size(); ++i)
+    for (const report_section& section : sections)
     {
-        const planned_call& call = outcome.calls[i];
-        const call_result& result = outcome.results[i];
-        json::object line;
-        line["at_s"] = seconds(call.at);
-        line["request_id"] = call.request_id;
-        line["model"] = call.model;
-        line["caller"] = call.caller;
-        line["priority"] = call.urgency;
-        line["once"] = call.once;
-        line["outcome"] = to_string(result.outcome);
-        line["status"] = result.status;
-        line["reason"] = result.reason;
-        line["first_token_s"] = seconds(result.first_token);
-        line["total_s"] = seconds(result.total);
-        line["cold"] = result.was_cold;
-        out << json::serialize(line) << '\n';
-    }
-    for (const load_figure& figure : figures)
-    {
-        json::object line;
-        line["figure"] = figure.name;
-        line["value"] = figure.value;
-        line["unit"] = figure.unit;
-        out << json::serialize(line) << '\n';
+        write_calls(out, section);
+        write_figures(out, section.name, section.figures);
     }
+    write_figures(out, {}, figures);
     out.flush();
     return out.good();
 }
--- a/tools/load/load_options.cpp
+++ b/tools/load/load_options.cpp
@@ -5,7 +5,8 @@
 #include <boost/leaf/error.hpp>
 
 #include <algorithm>
-#include <utility>
+#include <fstream>
+#include <sstream>
 
 namespace roseworks::tools
 {
@@ -21,6 +22,17 @@
 constexpr std::uint64_t most_chars = 1'000'000;
 constexpr std::uint64_t longest_deadline_ms = 3'600'000;
 
+constexpr double least_scale = 1;
+constexpr double most_scale = 10'000;
+constexpr double least_speed = 0.01;
+constexpr double most_speed = 100'000;
+
+double trace_hours(const load_options& options)
+{
+    using hours = std::chrono::duration<double, std::ratio<3600>>;
+    return hours(options.profile.length).count();
+}
+
 /// A whole number with its bounds.
 boost::leaf::result<std::uint64_t> read_number(
     const cxxopts::ParseResult& given,
@@ -57,35 +69,131 @@
     return servers;
 }
 
+/// A number with its bounds.
+boost::leaf::result<double> read_real(
+    const cxxopts::ParseResult& given,
+    const std::string& name,
+    double least,
+    double most)
+{
+    const auto value = given[name].as<double>();
+    if (!(value >= least && value <= most))
+    {
+        std::ostringstream text;
+        text << "--" << name << " must be from " << least << " to " << most;
+        return boost::leaf::new_error(input_error{text.str()});
+    }
+    return value;
+}
+
 boost::leaf::result<void>
 read_trace(const cxxopts::ParseResult& given, load_options& options)
 {
-    const auto profile = find_trace_profile(
-        given["profile"].as<std::string>(), given["scale"].as<double>());
+    BOOST_LEAF_ASSIGN(
+        options.scale, read_real(given, "scale", least_scale, most_scale));
+    const auto name = given["profile"].as<std::string>();
+    const auto profile = find_trace_profile(name, options.scale);
     if (!profile)
     {
-        return boost::leaf::new_error(
-            input_error{"--profile or --scale is unknown"});
+        return boost::leaf::new_error(input_error{
+            "--profile must be consortium, cooperative or scaled, not " +
+            name});
     }
     options.profile = *profile;
     options.seed = given["seed"].as<std::uint64_t>();
-    options.speed = given["speed"].as<double>();
-    options.from_hour = given["from-hour"].as<double>();
-    options.once_share = given["once-share"].as<double>();
-    const double hours =
-        std::chrono::duration<double, std::ratio<3600>>(options.profile.length)
-            .count();
-    const bool in_range = options.speed > 0 && options.from_hour >= 0 &&
-                          options.from_hour < hours &&
-                          options.once_share >= 0 && options.once_share <= 1;
-    if (!in_range)
+    BOOST_LEAF_ASSIGN(
+        options.speed, read_real(given, "speed", least_speed, most_speed));
+    BOOST_LEAF_ASSIGN(
+        options.from_hour,
+        read_real(given, "from-hour", 0, trace_hours(options)));
+    BOOST_LEAF_ASSIGN(options.once_share, read_real(given, "once-share", 0, 1));
+    return {};
+}
+
+/// The whole run must lie in the trace.
+boost::leaf::result<void> check_length(const load_options& options)
+{
+    const double end = slice_options(options, options.rounds).from_hour;
+    if (end <= trace_hours(options))
+    {
+        return {};
+    }
+    std::ostringstream text;
+    text << "the trace ends at hour " << trace_hours(options)
+         << ", but --from-hour, --speed, --seconds and --rounds reach hour "
+         << end;
+    return boost::leaf::new_error(input_error{text.str()});
+}
+
+boost::leaf::result<std::optional<endpoint>>
+read_log(const cxxopts::ParseResult& given, const std::string& name)
+{
+    BOOST_LEAF_AUTO(servers, read_endpoints(given, name));
+    if (servers.size() > 1)
+    {
+        return boost::leaf::new_error(
+            input_error{"--" + name + " must be one ip:port"});
+    }
+    return servers.empty() ? std::optional<endpoint>()
+                           : std::optional(servers.front());
+}
+
+/// A target's addresses under the names of their options.
+boost::leaf::result<load_target> read_target(
+    const cxxopts::ParseResult& given,
+    const std::string& routers,
+    const std::string& engines,
+    const std::string& log)
+{
+    load_target target;
+    BOOST_LEAF_ASSIGN(target.routers, read_endpoints(given, routers));
+    BOOST_LEAF_ASSIGN(target.engines, read_endpoints(given, engines));
+    BOOST_LEAF_ASSIGN(target.log, read_log(given, log));
+    const bool only_routers = target.engines.empty() && !target.log;
+    if (target.routers.empty() && !only_routers)
     {
         return boost::leaf::new_error(input_error{
-            "--speed, --from-hour or --once-share is out of range"});
+            "--" + engines + " or --" + log + " without --" + routers});
+    }
+    return target;
+}
+
+boost::leaf::result<void> check_targets(const load_options& options)
+{
+    if (options.target.routers.empty())
+    {
+        return boost::leaf::new_error(
+            input_error{"--routers ip:port,... is missing"});
+    }
+    if (options.against.routers.empty())
+    {
+        return options.rounds == 1
+                   ? boost::leaf::result<void>()
+                   : boost::leaf::new_error(input_error{
+                         "--rounds is for compare mode: --against is missing"});
+    }
+    if (options.target.engines.empty() != options.against.engines.empty())
+    {
+        return boost::leaf::new_error(input_error{
+            "compare mode needs both --engine and --against-engine, or "
+            "neither: figures of one side can't be compared"});
     }
     return {};
 }
 
+/// Rather now than after the run.
+boost::leaf::result<std::string>
+read_file_name(const cxxopts::ParseResult& given, const std::string& name)
+{
+    auto file = given[name].as<std::string>();
+    if (!file.empty() && !std::ofstream(file, std::ios::app))
+    {
+        return boost::leaf::new_error(
+            input_error{"--" + name + ": can't write " + file});
+    }
+    return file;
+}
+
 boost::leaf::result<void>
 read_limits(const cxxopts::ParseResult& given, load_options& options)
 {
@@ -129,9 +237,13 @@
     add("h,help", "print this help");
     add("routers", "their ip:port,...; loopback", value(text(), ""));
     add("engine", "stand-in engines' ip:port,...", value(text(), ""));
+    add("log", "the log, for declared replicas", value(text(), ""));
     add("against", "compare mode: other routers", value(text(), ""));
     add("against-engine", "compare mode: their engines", value(text(), ""));
-    add("rounds", "compare mode: times on each", value(number(), "1"));
+    add("against-log", "compare mode: their log", value(text(), ""));
+    add("rounds",
+        "compare mode: slices of --seconds, each on both",
+        value(number(), "1"));
     add("profile",
         "consortium, cooperative or scaled",
         value(text(), "consortium"));
@@ -152,25 +264,48 @@
     return options;
 }
 
+std::string describe_trace(const load_options& options)
+{
+    std::ostringstream text;
+    text << options.profile.name;
+    if (options.profile.name == "scaled")
+    {
+        text << ", two-year size divided by " << options.scale;
+    }
+    text << ", seed " << options.seed;
+    return text.str();
+}
+
+load_options slice_options(const load_options& options, std::uint64_t slice)
+{
+    using hours = std::chrono::duration<double, std::ratio<3600>>;
+    load_options moved = options;
+    moved.from_hour += hours(options.length).count() * options.speed *
+                       static_cast<double>(slice);
+    return moved;
+}
+
 boost::leaf::result<load_options>
 read_load_options(const cxxopts::ParseResult& given)
 {
+    if (!given.unmatched().empty())
+    {
+        return boost::leaf::new_error(
+            input_error{"not an option: " + given.unmatched().front()});
+    }
     load_options options;
-    BOOST_LEAF_ASSIGN(options.target.routers, read_endpoints(given, "routers"));
-    BOOST_LEAF_ASSIGN(options.target.engines, read_endpoints(given, "engine"));
     BOOST_LEAF_ASSIGN(
-        options.against.routers, read_endpoints(given, "against"));
+        options.target, read_target(given, "routers", "engine", "log"));
     BOOST_LEAF_ASSIGN(
-        options.against.engines, read_endpoints(given, "against-engine"));
-    if (options.target.routers.empty())
-    {
-        return boost::leaf::new_error(input_error{"--routers is empty"});
-    }
+        options.against,
+        read_target(given, "against", "against-engine", "against-log"));
     BOOST_LEAF_CHECK(read_trace(given, options));
     BOOST_LEAF_CHECK(read_limits(given, options));
+    BOOST_LEAF_CHECK(check_targets(options));
+    BOOST_LEAF_CHECK(check_length(options));
     options.stream = given.count("whole") == 0;
-    options.json_file = given["json"].as<std::string>();
-    options.html_file = given["html"].as<std::string>();
+    BOOST_LEAF_ASSIGN(options.json_file, read_file_name(given, "json"));
+    BOOST_LEAF_ASSIGN(options.html_file, read_file_name(given, "html"));
     return options;
 }
 
--- a/tools/load/load_options.hpp
+++ b/tools/load/load_options.hpp
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,7 @@
 {
     std::vector<endpoint> routers;
     std::vector<endpoint> engines;
+    std::optional<endpoint> log; ///< tells how many replicas are declared
 };
 
 /// What to send, where and for how long.
@@ -27,8 +29,9 @@
 {
     load_target target;
     load_target against;      ///< compare mode: the second; empty routers: none
-    std::uint64_t rounds = 1; ///< compare mode: each on both, in turn
+    std::uint64_t rounds = 1; ///< compare mode: slices, each on both in turn
     trace_profile profile;
+    double scale = 1; ///< of `scaled`: the two-year size is divided by this
     std::uint64_t seed = 1;
     double from_hour = 0; ///< of the trace
     double speed = 1;     ///< trace time against real time
@@ -55,4 +58,15 @@
 boost::leaf::result<load_options>
 read_load_options(const cxxopts::ParseResult& given);
 
+/// @return Profile, scale and seed, for a title.
+std::string describe_trace(const load_options& options);
+
+/** The options of one slice in compare mode.
+
+    @param options What the user gave; checked for all the slices.
+    @param slice   From 0.
+    @return        The same, but begun where the slice before it ends.
+*/
+load_options slice_options(const load_options& options, std::uint64_t slice);
+
 } // namespace roseworks::tools
--- a/tools/load/load_run.cpp
+++ b/tools/load/load_run.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <cstdio>
+#include <utility>
 
 namespace roseworks::tools
 {
@@ -26,10 +27,12 @@
 load_run::load_run(
     const load_options& wanted,
     const load_target& where,
-    std::span<const planned_call> plan)
+    std::span<const planned_call> plan,
+    std::string progress_label)
     : options(wanted)
     , target(where)
     , calls(plan)
+    , label(std::move(progress_label))
     , received(plan.size())
 {
 }
@@ -73,11 +76,7 @@
     const endpoint server =
         this->target.routers[call.router % this->target.routers.size()];
     call_result result = co_await send_completion(
-        server,
-        call,
-        this->start + call.at,
-        this->options.deadline,
-        this->options.stream);
+        server, call, this->start + call.at, this->options.stream);
     result.was_cold = cold;
     this->received[index] = std::move(result);
     --this->in_flight;
@@ -98,7 +97,9 @@
             std::chrono::duration_cast<std::chrono::seconds>(due - this->start);
         std::fprintf(
             stderr,
-            "%llds planned=%zu sent=%zu in_flight=%zu answered=%zu other=%zu\n",
+            "%s%llds planned=%zu sent=%zu in_flight=%zu answered=%zu "
+            "other=%zu\n",
+            this->label.c_str(),
             static_cast<long long>(seconds.count()),
             this->calls.size(),
             this->sent,
--- a/tools/load/load_run.hpp
+++ b/tools/load/load_run.hpp
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <cstddef>
 #include <span>
+#include <string>
 #include <vector>
 
 namespace roseworks::tools
@@ -22,10 +23,15 @@
 class load_run
 {
 public:
+    /** @param options Limits; outlive this.
+        @param target  Where to send; outlives this.
+        @param calls   The plan in order of time; outlives this.
+        @param label   Begins each line of progress. */
     load_run(
         const load_options& options,
         const load_target& target,
-        std::span<const planned_call> calls);
+        std::span<const planned_call> calls,
+        std::string label = {});
 
     /// Send all, wait for all answers; once.
     void run();
@@ -43,6 +49,7 @@
     const load_options& options;
     const load_target& target;
     std::span<const planned_call> calls;
+    std::string label;
     boost::asio::io_context context;
     clock::time_point start;
     engine_watch* watch = nullptr;
--- a/tools/load/planned_call.cpp
+++ b/tools/load/planned_call.cpp
@@ -78,6 +78,7 @@
         call.max_tokens = std::min(request.output_tokens, options.max_tokens);
         call.once = once(random);
         call.router = router(random);
+        call.deadline = options.deadline;
         calls.push_back(std::move(call));
     }
     return calls;
--- a/tools/load/planned_call.hpp
+++ b/tools/load/planned_call.hpp
@@ -24,6 +24,8 @@
     std::uint32_t max_tokens = 1;
     bool once = false; ///< with an idempotency key
     std::size_t router = 0;
+    /// Told to the router; a little later the caller gives up.
+    std::chrono::milliseconds deadline{30'000};
 };
 
 /** Make the plan of one run from the trace.
