Wait for a slow server's cancel, and measure what a slowdown costs

Cause: a server that only became slow answered the cancel of the first run too late for the probe's limit at every attempt, and a call could have been refused.

--- a/bench/router/measurements.hpp
+++ b/bench/router/measurements.hpp
@@ -16,7 +16,8 @@
 /// cold model costs the log, and the cost of a claim.
 void measure_fleet();
 
-/// How long silent connections to the only engine hurt its callers.
+/// How long silent connections to the only engine hurt its callers, and what
+/// a mere slowdown costs.
 void measure_silence();
 
 /// What callers get of streams whose connections are reset midway, when the
--- a/src/adapters/edge/backend_leg.cpp
+++ b/src/adapters/edge/backend_leg.cpp
@@ -99,10 +99,14 @@
 {
     if (this->call.is_service())
         co_return true;
+    // As a probe it has to be quick; else a slow server is waited for.
+    const edge_options& options = this->pool.context.options;
     const cancel_end answer = co_await cancel_on(
         *this->connection,
         this->call.headers.request_id,
-        this->connect_limit());
+        this->time_left(
+            this->switched ? options.connect_timeout
+                           : options.first_byte_timeout));
     if (answer == cancel_end::unreachable)
     {
         this->end_as(
@@ -175,7 +179,7 @@
     this->connection = this->pool.make(this->target.address);
     const bool opened = co_await connect(
         *this->connection,
-        this->connect_limit(),
+        this->time_left(this->pool.context.options.connect_timeout),
         this->pool.context.options.unacknowledged);
     if (!opened || this->inbox.interrupted())
     {
@@ -341,9 +345,8 @@
 
 void backend_leg::limit(duration longest)
 {
-    const duration left = this->call.deadline - this->pool.context.now();
     this->connection->stream.expires_after(
-        std::max(std::min(left, longest), duration::zero()));
+        this->time_left(std::max(longest, duration::zero())));
 }
 
 void backend_leg::limit_first_byte()
@@ -366,10 +369,9 @@
     return this->sent_at + this->first_byte_limit - this->pool.context.now();
 }
 
-duration backend_leg::connect_limit() const
+duration backend_leg::time_left(duration longest) const
 {
     const duration left = this->call.deadline - this->pool.context.now();
-    const duration longest = this->pool.context.options.connect_timeout;
     return std::clamp(left, duration::zero(), longest);
 }
 
--- a/src/adapters/edge/backend_leg.hpp
+++ b/src/adapters/edge/backend_leg.hpp
@@ -96,7 +96,7 @@
     void limit_first_byte();
     duration first_byte_left() const;
     duration next_event_limit(const stream_pace& pace) const;
-    duration connect_limit() const;
+    duration time_left(duration longest) const;
     void note_first_byte();
     void learn_first_byte();
 
