--- a/bench/router/measure_latency.cpp
+++ b/bench/router/measure_latency.cpp
@@ -122,6 +122,7 @@
     const auto start = clock::now();
     const double before = usage_of(pid).cpu_seconds;
     std::vector<std::jthread> threads;
+    threads.reserve(streams_open);
     std::atomic<int> answered{0};
     for (int i = 0; i < streams_open; ++i)
     {
--- a/bench/router/measure_silence.cpp
+++ b/bench/router/measure_silence.cpp
@@ -98,6 +98,7 @@
     require(test::control(nodes.engine_proxy(0), command), "proxy control");
     const auto start = clock::now();
     std::vector<std::jthread> threads;
+    threads.reserve(silent_callers);
     for (int i = 0; i < silent_callers; ++i)
     {
         threads.emplace_back(
