Drop datagrams of unknown sessions, and tell of rubbish in one line

Cause: what a session that has ended or never was says was merged into the view of who is alive, answered and relayed; only its demand was dropped. So an old datagram, sent again, could move members, as no window is kept for it. And each rejected datagram wrote a line of the event log. Ruled out: keeping windows of ended sessions (memory that a sender chooses); an event for strangers (usual for a moment at each join and leave). Change: the core drops all of a stranger's datagram, the adapter counts it as rejected; RW1404 is written at most once in 10 s, with the count since then. Conclusion: what is sent again from an ended session has no effect.

--- a/src/adapters/peers/udp_peers.cpp
+++ b/src/adapters/peers/udp_peers.cpp
@@ -169,6 +169,12 @@
         this->reject("malformed");
         return;
     }
+    if (!this->members.state_of(message->from))
+    {
+        // Usual for a moment when a router joins or leaves: no line.
+        ++this->wire.rejected;
+        return;
+    }
     if (this->is_repeated(message->from, opened->counter))
     {
         this->reject("repeated");
@@ -180,18 +186,22 @@
 
 bool udp_peers::is_repeated(session_id from, std::uint64_t counter)
 {
-    // Strangers are dropped by the core; no window is kept for them.
-    if (!this->members.state_of(from))
-        return false;
     return !this->windows[from].accept(counter);
 }
 
 void udp_peers::reject(std::string_view cause)
 {
     ++this->wire.rejected;
+    ++this->untold;
+    const instant now = this->clock.now();
+    if (now < this->next_report)
+        return;
     const std::string from = to_text(this->sender);
     this->events.report(
-        event_id::datagram_rejected, {{"from", from}, {"cause", cause}});
+        event_id::datagram_rejected,
+        {{"from", from}, {"cause", cause}, {"count", this->untold}});
+    this->untold = 0;
+    this->next_report = now + report_interval;
 }
 
 void udp_peers::send(const membership::outgoing& item)
--- a/src/adapters/peers/udp_peers.hpp
+++ b/src/adapters/peers/udp_peers.hpp
@@ -27,8 +27,9 @@
 /** Datagrams between routers: sealed UDP around the `membership` core.
 
     Hints only. Runs on the control thread's io_context. A datagram that can't
-    be authenticated, is repeated, or isn't a message is counted, logged and
-    dropped.
+    be authenticated, is repeated, or isn't a message is counted, told of in an
+    event every ten seconds, and dropped. So is, without an event, one of a
+    session that isn't running as far as the log is read.
 */
 class udp_peers : public peer_port
 {
@@ -84,6 +85,9 @@
 
 private:
     static constexpr std::size_t max_datagram_bytes = 2048;
+    /// At most one event of rejected datagrams in this time: rubbish costs its
+    /// sender nothing.
+    static constexpr duration report_interval = std::chrono::seconds(10);
 
     void receive();
     void received(std::size_t bytes);
@@ -111,6 +115,8 @@
     std::vector<session_id> told;
     peer_listener* listener = nullptr;
     counters wire;
+    std::uint64_t untold = 0; ///< rejected since the last event
+    instant next_report{};
 };
 
 } // namespace roseworks
--- a/src/core/membership/membership.cpp
+++ b/src/core/membership/membership.cpp
@@ -218,6 +218,9 @@
 {
     if (!this->own || message.from == this->own)
         return;
+    // What a session says that isn't in the log may be an old datagram again.
+    if (!this->peers.contains(message.from))
+        return;
     for (const member_update& update : message.updates)
         this->merge(update, now);
     if (const auto* body = std::get_if<probe>(&message.body))
@@ -232,9 +235,6 @@
 
 void membership::impl::heard_demand(const peer_message& message)
 {
-    // What a session that isn't in the log wants is no router's demand.
-    if (!this->peers.contains(message.from))
-        return;
     this->demands.push_back(std::get<servable_demand>(message.body));
 }
 
--- a/tests/unit/membership/membership_test.cpp
+++ b/tests/unit/membership/membership_test.cpp
@@ -202,6 +202,28 @@
     cr_assert_eq(node.alive().size(), 2U);
 }
 
+// A datagram of a session that has ended may be sent again by anybody who saw
+// it: it must neither move members, nor be relayed, nor ask for a model.
+Test(membership, ended_sessions_change_nothing)
+{
+    membership node({});
+    const std::vector<membership::member> list{
+        {session_id(1), "1"}, {session_id(2), "2"}};
+    node.members_changed(session_id(1), list, instant{});
+    (void)node.take_changed();
+    (void)node.take_outgoing();
+    const session_id ended(3);
+    const member_update news{session_id(2), 5, liveness::dead};
+    node.received({ended, probe{1, session_id(1)}, {news}}, instant{});
+    node.received({ended, indirect_probe{1, session_id(2)}, {}}, instant{});
+    node.received({ended, probe_ack{1, session_id(2)}, {news}}, instant{});
+    node.received({ended, servable_demand{servable_id(3)}, {news}}, instant{});
+    cr_assert(node.take_outgoing().empty());
+    cr_assert(node.take_demands().empty());
+    cr_assert_not(node.take_changed());
+    cr_assert_eq(node.alive().size(), 2U);
+}
+
 Test(membership, cost_per_member_does_not_grow_with_the_fleet)
 {
     fake_network small(10);
--- a/tests/unit/peers/peers_test.cpp
+++ b/tests/unit/peers/peers_test.cpp
@@ -9,6 +9,8 @@
 #include <fstream>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -27,6 +29,8 @@
 public:
     instant now() const override
     {
+        if (this->frozen)
+            return *this->frozen;
         return instant(std::chrono::duration_cast<duration>(
             std::chrono::steady_clock::now().time_since_epoch()));
     }
@@ -35,6 +39,8 @@
     {
         return 0;
     }
+
+    std::optional<instant> frozen;
 };
 
 class counting_sink : public event_sink
@@ -42,11 +48,16 @@
 public:
     void emit(const event_record& event) noexcept override
     {
-        if (event.id == event_id::datagram_rejected)
-            ++this->rejected;
+        if (event.id != event_id::datagram_rejected)
+            return;
+        ++this->rejected;
+        for (const event_field& field : event.fields)
+            if (field.name == "count")
+                this->counted += std::get<std::int64_t>(field.value);
     }
 
     int rejected = 0;
+    std::int64_t counted = 0; ///< datagrams that the events told of
 };
 
 class recorder : public peer_listener
@@ -113,6 +124,41 @@
     return holds();
 }
 
+/// Sends datagrams to a node, each read before the next.
+class sender
+{
+public:
+    sender(asio::io_context& on, node& to)
+        : context(on)
+        , receiver(to)
+        , socket(on, {asio::ip::address_v4::loopback(), 0})
+    {
+    }
+
+    void send(std::span<const std::byte> datagram)
+    {
+        const std::string address = this->receiver.peers.address();
+        const auto port = std::stoi(address.substr(address.rfind(':') + 1));
+        const auto before = this->receiver.peers.traffic().datagrams_received;
+        this->socket.send_to(
+            asio::buffer(datagram.data(), datagram.size()),
+            {asio::ip::address_v4::loopback(),
+             static_cast<std::uint16_t>(port)});
+        cr_assert(run_until(
+            this->context,
+            [&]
+            {
+                return this->receiver.peers.traffic().datagrams_received >
+                       before;
+            }));
+    }
+
+private:
+    asio::io_context& context;
+    node& receiver;
+    asio::ip::udp::socket socket;
+};
+
 std::string written(const std::string& name, const std::string& text)
 {
     const auto path = std::filesystem::temp_directory_path() /
@@ -265,3 +311,38 @@
         }));
     cr_assert_eq(b.heard.demands.size(), 1U);
 }
+
+Test(udp_peers, datagrams_of_unknown_sessions_are_dropped_and_counted)
+{
+    asio::io_context context;
+    node b(context, keys_of(1, {1}));
+    const std::vector<peer_session> list{
+        {session_id(1), "a", "dc", "127.0.0.1:9"},
+        {session_id(2), "b", "dc", b.peers.address()}};
+    b.peers.sessions_changed(session_id(2), list);
+    datagram_seal sealer(keys_of(1, {1}), 50);
+    const auto datagram = sealer.seal(
+        encode({session_id(7), servable_demand{servable_id(3)}, {}}));
+    sender outside(context, b);
+    for (int i = 0; i < 5; ++i)
+        outside.send(datagram);
+    cr_assert(b.heard.demands.empty());
+    cr_assert_eq(b.peers.traffic().rejected, 5U);
+}
+
+Test(udp_peers, rubbish_writes_few_lines_and_is_counted_in_full)
+{
+    asio::io_context context;
+    node b(context, keys_of(1, {1}));
+    b.clock.frozen = instant(1h);
+    sender outside(context, b);
+    const std::vector<std::byte> rubbish(64, std::byte(9));
+    for (int i = 0; i < 500; ++i)
+        outside.send(rubbish);
+    cr_assert_eq(b.events.rejected, 1);
+    cr_assert_eq(b.peers.traffic().rejected, 500U);
+    *b.clock.frozen += 1min;
+    outside.send(rubbish);
+    cr_assert_eq(b.events.rejected, 2);
+    cr_assert_eq(b.events.counted, 501);
+}
