Decide in the log which operators' keys count

Cause: roseworksctl signed with a key that no router had, so tools and routers folded differently; unsigned changes counted; gone and unblock had no signature. Ruled out: a key file used by the fold (routers that read it at different times diverge for good), HMAC keys in the log (its readers could sign); weighed in docs/design/0010. Two tests of the HMAC are replaced by the stricter ones of operator_key. States without a key have the bytes and the hash they had. Conclusion: every router and tool counts the same records, whenever it read its settings.

--- a/bench/state/bench_state.cpp
+++ b/bench/state/bench_state.cpp
@@ -301,7 +301,7 @@
         bytes = state.snapshot();
         snapshot_ms.push_back(seconds_since(start) * 1000);
         start = std::chrono::steady_clock::now();
-        const auto again = fleet_state::restore(bytes, {});
+        const auto again = fleet_state::restore(bytes);
         restore_ms.push_back(seconds_since(start) * 1000);
         equal = equal && again && again->hash() == hash;
     }
--- a/include/roseworks/checkpoint.hpp
+++ b/include/roseworks/checkpoint.hpp
@@ -48,13 +48,11 @@
 
 /** Rebuild the state of a checkpoint.
 
-    @param whole    A complete checkpoint; may be damaged.
-    @param settings Options of the fold.
-    @return         The state, or a `codec_error` or `checkpoint_error` when the
-                    bytes don't give the stated offset and hash.
+    @param whole A complete checkpoint; may be damaged.
+    @return      The state, or a `codec_error` or `checkpoint_error` when the
+                 bytes don't give the stated offset and hash.
 */
-boost::leaf::result<fleet_state>
-restore_checkpoint(const checkpoint& whole, fleet_state::options settings);
+boost::leaf::result<fleet_state> restore_checkpoint(const checkpoint& whole);
 
 /** Puts chunks read from the log together.
 
--- a/include/roseworks/codec.hpp
+++ b/include/roseworks/codec.hpp
@@ -43,21 +43,4 @@
 */
 boost::leaf::result<record> decode(std::span<std::byte const> bytes);
 
-/** Sign an operator's change (HMAC-SHA256 over author, note and changes).
-
-    @param value The change; its `signature` is not read.
-    @param key   The operators' key.
-    @return      The signature to put into the change.
-*/
-std::vector<std::byte>
-sign(const config_change& value, std::span<std::byte const> key);
-
-/** Check an operator's signature in constant time.
-
-    @param value The change with its signature.
-    @param key   The operators' key.
-    @return      Whether the signature is of this key and content.
-*/
-bool signed_by(const config_change& value, std::span<std::byte const> key);
-
 } // namespace roseworks
--- a/include/roseworks/controller.hpp
+++ b/include/roseworks/controller.hpp
@@ -228,7 +228,6 @@
         std::size_t max_batch_bytes = std::size_t(256) << 10;
         std::uint64_t checkpoint_records = 50'000; ///< records between two
         std::uint64_t seed = 1;
-        fleet_state::options fold;
         placement_kind placement = placement_kind::break_even;
         /// Engine reports may be this old when they arrive.
         duration report_lag = std::chrono::seconds(1);
--- a/include/roseworks/fleet_state.hpp
+++ b/include/roseworks/fleet_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <roseworks/ids.hpp>
+#include <roseworks/operator_key.hpp>
 #include <roseworks/record.hpp>
 
 #include <boost/leaf/result.hpp>
@@ -34,7 +35,7 @@
     revision_moved, ///< an earlier change won; see `winner`
     unknown_entity,
     invalid_spec,
-    unsigned_change,
+    unsigned_change, ///< an operators' key is accepted; this has no signature
     replicas_at_maximum,
     engine_memory,
     engine_unusable, ///< draining, leaving or of an unread schema
@@ -47,7 +48,9 @@
     not_proven_gone, ///< an old holder's order may still arrive
     claim_held,
     not_holder,
-    entity_in_use
+    entity_in_use,
+    wrong_signature, ///< by no accepted key, or of another content
+    replayed_change  ///< a signed record again, or too old to tell
 };
 
 /// @return The word used in logs and the audit trail.
@@ -156,6 +159,14 @@
     bool ended = false;      ///< left, replaced or proven gone: it's dead
 };
 
+/// A key that signs operators' records. Its number is never used again.
+struct operator_key_view
+{
+    operator_key key;
+    bool retired = false;
+    log_offset since; ///< added, or retired, by this record
+};
+
 /// A claim on an idempotency key.
 struct claim_view
 {
@@ -185,6 +196,9 @@
       engine is in flight, or it takes the lease again;
     - at most the policy's number of weight-store slots is held;
     - an accepted change of configuration is only replaced by one that names it;
+    - from the first accepted operators' key on, an operator's record counts
+   only once and when an accepted key signed it. Which keys are accepted is
+   decided by such records, never by settings;
     - a claim has one winner.
 
     Decided state. Not thread-safe: owned by the control thread.
@@ -192,15 +206,7 @@
 class fleet_state
 {
 public:
-    /// Options of the fold; the same on every router of a deployment.
-    struct options
-    {
-        /// Key that signs operators' changes; empty: none is asked for.
-        std::vector<std::byte> operator_key;
-    };
-
     fleet_state();
-    explicit fleet_state(options settings);
     ~fleet_state();
     fleet_state(fleet_state&&) noexcept;
     fleet_state& operator=(fleet_state&&) noexcept;
@@ -239,12 +245,11 @@
 
     /** Rebuild a state from a snapshot.
 
-        @param bytes    What `snapshot` gave; may be damaged.
-        @param settings Options of the fold.
-        @return         The state, or a `codec_error`.
+        @param bytes What `snapshot` gave; may be damaged.
+        @return      The state, or a `codec_error`.
     */
     static boost::leaf::result<fleet_state>
-    restore(std::span<std::byte const> bytes, options settings);
+    restore(std::span<std::byte const> bytes);
 
     // Entities.
     servable_id find_servable(std::string_view name) const;
@@ -297,6 +302,10 @@
     void for_each_session(
         const std::function<void(const session_view&)>& visit) const;
 
+    /// Every key that was ever accepted, by number.
+    void for_each_operator_key(
+        const std::function<void(const operator_key_view&)>& visit) const;
+
     // Claims and blocked requests.
     std::optional<claim_view> claim(claim_key key) const;
     /// @return Whether the request is blocked at the log's own time.
--- a/include/roseworks/names.hpp
+++ b/include/roseworks/names.hpp
@@ -63,7 +63,8 @@
             "claim_close",
             "request_suspect",
             "request_unblock",
-            "checkpoint_chunk"};
+            "checkpoint_chunk",
+            "operator_key_change"};
 
 } // namespace detail
 
--- a/include/roseworks/record.hpp
+++ b/include/roseworks/record.hpp
@@ -43,7 +43,7 @@
     std::string author; ///< operator's name, for the trail
     std::string note;
     std::vector<entity_change> changes;
-    /// HMAC over the changes by the operators' key; empty when not signed.
+    /// By an operators' key (see operator_key.hpp); empty when not signed.
     std::vector<std::byte> signature;
 };
 
@@ -69,6 +69,7 @@
 {
     session_id session;
     std::string evidence;
+    std::vector<std::byte> signature; ///< an operator's; routers don't sign
 };
 
 /// Renews every lease of a session with one record.
@@ -181,6 +182,7 @@
 {
     fingerprint request;
     std::string author;
+    std::vector<std::byte> signature; ///< as in `config_change`
 };
 
 /// Part of a checkpoint of the folded state at `at`.
@@ -193,6 +195,17 @@
     std::vector<std::byte> data;
 };
 
+/// Accepts or retires a key that signs operators' records. The first key signs
+/// itself; any later change is signed by an accepted key, and a key is retired
+/// by another one, so that there is always one left that works.
+struct operator_key_change
+{
+    std::string author; ///< operator's name, for the trail
+    std::uint8_t number = 0;
+    std::vector<std::byte> key; ///< the public key; empty: retire the number
+    std::vector<std::byte> signature; ///< as in `config_change`
+};
+
 /// A record of a kind newer than this program: carried and reported.
 struct unknown_record
 {
@@ -217,7 +230,8 @@
     claim_close,
     request_suspect,
     request_unblock,
-    checkpoint_chunk>;
+    checkpoint_chunk,
+    operator_key_change>;
 
 /// Newest schema of the envelope and record payloads.
 inline constexpr std::uint16_t newest_record_schema = 1;
--- a/src/adapters/settings/router_settings.hpp
+++ b/src/adapters/settings/router_settings.hpp
@@ -110,6 +110,13 @@
     milliseconds demand_interval{};
 };
 
+/// `[operators]`: whose changes are expected.
+struct operators_section
+{
+    /// Empty: the decided keys are compared with nothing.
+    std::string key_file;
+};
+
 /// `[logging]`: where events are written.
 struct logging_section
 {
@@ -132,6 +139,7 @@
     traffic_section traffic;
     engines_section engines;
     placement_section placement;
+    operators_section operators;
     logging_section logging;
 };
 
--- a/src/adapters/settings/settings_table.cpp
+++ b/src/adapters/settings/settings_table.cpp
@@ -141,6 +141,7 @@
     {"traffic", "Limits and timeouts of requests and connections."},
     {"engines", "Reading the state of engines and giving them orders."},
     {"placement", "When idle replicas are unloaded and wanted ones loaded."},
+    {"operators", "Who may change what is published; docs/operations/keys.md."},
     {"logging", "Where events are written; docs/EVENTS.md lists them."},
 };
 
@@ -152,6 +153,7 @@
 constexpr auto in_traffic = &router_settings::traffic;
 constexpr auto in_engines = &router_settings::engines;
 constexpr auto in_placement = &router_settings::placement;
+constexpr auto in_operators = &router_settings::operators;
 constexpr auto in_logging = &router_settings::logging;
 
 constexpr setting_row rows[] = {
@@ -305,6 +307,13 @@
         "placement", "demand_interval_ms", "50", 1, minute_ms, "ms",
         "Time between two reports of demand to the proposing router."),
 
+    text_row<in_operators, &operators_section::key_file>(
+        "operators", "key_file", value_kind::path, unset,
+        "File of the public keys that are expected to sign operators' records: "
+        "`[keys]` with lines `number = 64 hex digits`. The log decides which "
+        "keys count; this router raises RW1114 where the file disagrees. Read "
+        "again every 5 s. Unset: nothing is compared."),
+
     word_row<in_logging, &logging_section::level>(
         "logging", "level", "info", level_words,
         "The lowest level that is written."),
--- a/src/app/checkpoint_search.cpp
+++ b/src/app/checkpoint_search.cpp
@@ -13,10 +13,8 @@
 
 namespace leaf = boost::leaf;
 
-checkpoint_search::checkpoint_search(
-    log_offset oldest, fleet_state::options wanted)
+checkpoint_search::checkpoint_search(log_offset oldest)
     : first(oldest)
-    , settings(std::move(wanted))
 {
 }
 
@@ -50,7 +48,7 @@
     return leaf::try_handle_all(
         [&]() -> leaf::result<std::optional<found>>
         {
-            BOOST_LEAF_AUTO(state, restore_checkpoint(whole, this->settings));
+            BOOST_LEAF_AUTO(state, restore_checkpoint(whole));
             return found{std::move(whole), std::move(state)};
         },
         []
--- a/src/app/checkpoint_search.hpp
+++ b/src/app/checkpoint_search.hpp
@@ -20,9 +20,8 @@
 class checkpoint_search
 {
 public:
-    /// @param first    Oldest offset kept.
-    /// @param settings Options of the fold.
-    checkpoint_search(log_offset first, fleet_state::options settings);
+    /// @param first Oldest offset kept.
+    explicit checkpoint_search(log_offset first);
 
     /// Looks through entries, in the log's order.
     void look(std::span<const log_entry> entries);
@@ -42,7 +41,6 @@
     void keep(checkpoint whole);
 
     log_offset first;
-    fleet_state::options settings;
     checkpoint_assembler assembler;
     std::optional<checkpoint> newest;
 };
--- a/src/app/control_loop.cpp
+++ b/src/app/control_loop.cpp
@@ -175,7 +175,7 @@
     if (!trimmed)
     {
         constexpr log_offset nothing_folded{0};
-        this->begin(fleet_state(this->settings.fold), nothing_folded);
+        this->begin(fleet_state(), nothing_folded);
         return;
     }
     if (this->core)
@@ -213,7 +213,7 @@
 
 void control_loop::begin_search(log_offset first)
 {
-    this->searching.emplace(first, this->settings.fold);
+    this->searching.emplace(first);
     this->search_end = this->known_end;
     this->ports.log.tail_from(first);
 }
--- a/src/app/control_thread.hpp
+++ b/src/app/control_thread.hpp
@@ -15,6 +15,7 @@
 
 #include <roseworks/controller.hpp>
 #include <roseworks/instant.hpp>
+#include <roseworks/operator_key.hpp>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -26,6 +27,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace roseworks::app
 {
@@ -42,6 +44,8 @@
     platform::http_vm_list_client::options vm_list;
     udp_peers::options peers;
     mac_keys keys;
+    /// Public keys that are expected to sign; empty: none is compared.
+    std::vector<operator_key> operator_keys;
 };
 
 /** The one thread of the control state, with its event loop and clients.
--- a/src/app/graph_options.cpp
+++ b/src/app/graph_options.cpp
@@ -1,5 +1,6 @@
 #include "app/graph_options.hpp"
 
+#include "adapters/settings/operator_key_file.hpp"
 #include "adapters/settings/settings_problems.hpp"
 
 #include <boost/asio/ip/address.hpp>
@@ -132,6 +133,12 @@
     result.peers.probing.fanout = from.peers.probe_fanout;
     result.peers.probing.seed = seeds.seed;
     BOOST_LEAF_ASSIGN(result.keys, load_keys(from.peers.mac_key_file));
+    if (!from.operators.key_file.empty())
+    {
+        BOOST_LEAF_ASSIGN(
+            result.operator_keys,
+            settings::load_operator_keys(from.operators.key_file));
+    }
     return result;
 }
 
--- a/src/app/record_reporter.cpp
+++ b/src/app/record_reporter.cpp
@@ -40,6 +40,13 @@
     return session ? std::string(session->name) : std::to_string(id.value);
 }
 
+bool is_refused_signature(reject_reason reason)
+{
+    return reason == reject_reason::unsigned_change ||
+           reason == reject_reason::wrong_signature ||
+           reason == reject_reason::replayed_change;
+}
+
 /// @return The event of a move to this state; empty for a silent one.
 std::optional<event_id> event_of(replica_state to)
 {
@@ -98,6 +105,17 @@
 void record_reporter::report_rejected(const scene& at)
 {
     const fold_result& result = at.folded.result;
+    if (is_refused_signature(result.reason))
+    {
+        this->events.report(
+            event_id::operator_record_refused,
+            {{"offset", at.folded.offset.value},
+             {"kind", kind_name(at.folded.value.payload)},
+             {"record_id", text_of(at.folded.value.id)},
+             {"reason", to_string(result.reason)},
+             {"detail", result.detail}});
+        return;
+    }
     this->events.report(
         event_id::record_rejected,
         {{"offset", at.folded.offset.value},
@@ -255,6 +273,18 @@
         {{"fingerprint", to_hex(unblocked.request.value)}});
 }
 
+void record_reporter::report_accepted(
+    const scene& at, const operator_key_change& change)
+{
+    const std::string_view what = change.key.empty() ? "retired" : "added";
+    this->events.report(
+        event_id::operator_key_changed,
+        {{"offset", at.folded.offset.value},
+         {"number", change.number},
+         {"change", what},
+         {"author", change.author}});
+}
+
 void record_reporter::report_accepted(
     const scene&, const checkpoint_chunk& chunk)
 {
--- a/src/app/record_reporter.hpp
+++ b/src/app/record_reporter.hpp
@@ -42,6 +42,7 @@
     void report_accepted(const scene& at, const replica_report& moved);
     void report_accepted(const scene& at, const request_suspect& suspect);
     void report_accepted(const scene& at, const request_unblock& unblocked);
+    void report_accepted(const scene& at, const operator_key_change& change);
     void report_accepted(const scene& at, const checkpoint_chunk& chunk);
     template <class Payload>
     void report_accepted(const scene& at, const Payload& payload);
--- a/src/app/router_app.cpp
+++ b/src/app/router_app.cpp
@@ -102,6 +102,11 @@
     , signals(this->main_loop, SIGINT, SIGTERM)
     , usage_timer(this->main_loop)
     , observer(this->registry, *this->events)
+    , key_watch(
+          wanted.operators.key_file,
+          std::move(control_settings.operator_keys),
+          this->clock,
+          *this->events)
     , control(
           std::move(control_settings),
           this->clock,
@@ -188,6 +193,8 @@
     notices.look = [this](const control_loop& loop)
     {
         this->status.look(loop);
+        if (loop.is_caught_up() && loop.driven() != nullptr)
+            this->key_watch.look(loop.driven()->state());
     };
     notices.caught_up = [this]
     {
--- a/src/app/router_app.hpp
+++ b/src/app/router_app.hpp
@@ -8,6 +8,7 @@
 #include "adapters/settings/router_settings.hpp"
 #include "app/control_thread.hpp"
 #include "app/graph_options.hpp"
+#include "app/operator_key_watch.hpp"
 #include "app/router_status.hpp"
 #include "app/table_holder.hpp"
 #include "app/traffic_metrics.hpp"
@@ -103,6 +104,7 @@
     metrics::metrics_registry registry;
     traffic_metrics observer;
     table_holder table;
+    operator_key_watch key_watch; ///< on the control thread
     control_thread control;
     std::shared_ptr<edge::shared_dispatcher> dispatch;
     usage_tap tap;
--- a/src/core/recovery/checkpoint.cpp
+++ b/src/core/recovery/checkpoint.cpp
@@ -47,11 +47,9 @@
     return chunks;
 }
 
-boost::leaf::result<fleet_state>
-restore_checkpoint(const checkpoint& whole, fleet_state::options settings)
+boost::leaf::result<fleet_state> restore_checkpoint(const checkpoint& whole)
 {
-    BOOST_LEAF_AUTO(
-        state, fleet_state::restore(whole.bytes, std::move(settings)));
+    BOOST_LEAF_AUTO(state, fleet_state::restore(whole.bytes));
     if (state.folded() != whole.at)
     {
         return boost::leaf::new_error(
--- a/src/core/state/codec.cpp
+++ b/src/core/state/codec.cpp
@@ -6,11 +6,6 @@
 
 #include <roseworks/codec.hpp>
 
-#include <openssl/crypto.h>
-#include <openssl/evp.h>
-#include <openssl/hmac.h>
-
-#include <array>
 #include <exception>
 #include <utility>
 
@@ -269,33 +264,4 @@
     }
 }
 
-std::vector<std::byte>
-sign(const config_change& value, std::span<std::byte const> key)
-{
-    byte_sink sink;
-    archive_writer out(sink);
-    write_config(sink, out, value);
-    const std::vector<std::byte> content = sink.take();
-    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-    unsigned int length = 0;
-    HMAC(
-        EVP_sha256(),
-        key.data(),
-        static_cast<int>(key.size()),
-        reinterpret_cast<const unsigned char*>(content.data()),
-        content.size(),
-        digest.data(),
-        &length);
-    const auto* first = reinterpret_cast<const std::byte*>(digest.data());
-    return {first, first + length};
-}
-
-bool signed_by(const config_change& value, std::span<std::byte const> key)
-{
-    const std::vector<std::byte> expected = sign(value, key);
-    return expected.size() == value.signature.size() &&
-           CRYPTO_memcmp(
-               expected.data(), value.signature.data(), expected.size()) == 0;
-}
-
 } // namespace roseworks
--- a/src/core/state/fleet_data.hpp
+++ b/src/core/state/fleet_data.hpp
@@ -4,6 +4,8 @@
 #include "core/state/duplicate_filter.hpp"
 #include "core/state/engine_store.hpp"
 #include "core/state/named_store.hpp"
+#include "core/state/operator_key_store.hpp"
+#include "core/state/record_fields.hpp"
 #include "core/state/replica_store.hpp"
 #include "core/state/servable_store.hpp"
 #include "core/state/session_store.hpp"
@@ -57,6 +59,7 @@
     claim_store claims;
     suspicion_store suspects;
     duplicate_filter duplicates;
+    operator_key_store operator_keys;
 
     /// @return The interned id of an existing entity, else 0. The policy's
     ///         is 1.
@@ -125,6 +128,7 @@
     data.claims.save(out);
     data.suspects.save(out);
     data.duplicates.save(out);
+    data.operator_keys.save(out);
 }
 
 /// Read what `save` wrote into empty data; faults are left in the reader.
@@ -156,6 +160,7 @@
     data.claims.load(in);
     data.suspects.load(in);
     data.duplicates.load(in);
+    data.operator_keys.load(in);
 }
 
 } // namespace roseworks::detail
--- a/src/core/state/fleet_state.cpp
+++ b/src/core/state/fleet_state.cpp
@@ -28,12 +28,7 @@
 } // namespace
 
 fleet_state::fleet_state()
-    : fleet_state(options())
-{
-}
-
-fleet_state::fleet_state(options settings)
-    : self(std::make_unique<impl>(std::move(settings)))
+    : self(std::make_unique<impl>())
 {
 }
 
@@ -287,4 +282,11 @@
     return row != nullptr ? row->crashes : 0;
 }
 
+void fleet_state::for_each_operator_key(
+    const std::function<void(const operator_key_view&)>& visit) const
+{
+    for (const auto& [number, row] : this->self->data.operator_keys.all())
+        visit({row.key, row.retired, row.since});
+}
+
 } // namespace roseworks
--- a/src/core/state/fleet_state_impl.hpp
+++ b/src/core/state/fleet_state_impl.hpp
@@ -4,7 +4,6 @@
 
 #include <roseworks/fleet_state.hpp>
 
-#include <utility>
 #include <vector>
 
 namespace roseworks
@@ -14,14 +13,8 @@
 class fleet_state::impl
 {
 public:
-    explicit impl(options given)
-        : settings(std::move(given))
-    {
-    }
-
     fold_result apply(log_offset offset, const record& value);
 
-    options settings;
     detail::fleet_data data;
     std::vector<state_change> changes;
 
@@ -29,8 +22,6 @@
     void advance_time(detail::fold_context& context, stamp_ms stamp);
     void sweep();
     fold_result dispatch(detail::fold_context& context, const record& value);
-    fold_result
-    fold_config(detail::fold_context& context, const config_change& value);
 };
 
 } // namespace roseworks
--- a/src/core/state/fold.cpp
+++ b/src/core/state/fold.cpp
@@ -1,12 +1,11 @@
 #include "core/state/archive_reader.hpp"
 #include "core/state/config_fold.hpp"
 #include "core/state/fleet_state_impl.hpp"
+#include "core/state/operator_fold.hpp"
 #include "core/state/replica_fold.hpp"
 #include "core/state/request_fold.hpp"
 #include "core/state/router_fold.hpp"
 
-#include <roseworks/codec.hpp>
-
 #include <algorithm>
 #include <cassert>
 
@@ -74,15 +73,20 @@
 fold_result
 fleet_state::impl::dispatch(detail::fold_context& context, const record& value)
 {
+    if (fold_result result = detail::check_signature(context, value);
+        result.status != fold_status::accepted)
+        return result;
     return std::visit(
         [&]<class T>(const T& payload) -> fold_result
         {
             if constexpr (std::is_same_v<T, unknown_record>)
                 return {fold_status::unknown, {}, {}, {}};
             else if constexpr (std::is_same_v<T, config_change>)
-                return this->fold_config(context, payload);
+                return detail::config_fold(context, payload).run();
             else if constexpr (std::is_same_v<T, router_join>)
                 return detail::fold(context, payload, value.id);
+            else if constexpr (std::is_same_v<T, operator_key_change>)
+                return detail::fold(context, payload, value);
             else if constexpr (std::is_same_v<T, checkpoint_chunk>)
                 return detail::accept();
             else
@@ -91,18 +95,6 @@
         value.payload);
 }
 
-fold_result fleet_state::impl::fold_config(
-    detail::fold_context& context, const config_change& value)
-{
-    const auto& key = this->settings.operator_key;
-    if (!key.empty() && !signed_by(value, key))
-        return detail::reject(
-            reject_reason::unsigned_change,
-            "change by " + value.author +
-                " isn't signed by the operators' key");
-    return detail::config_fold(context, value).run();
-}
-
 std::string_view to_string(reject_reason reason)
 {
     switch (reason)
@@ -143,6 +135,10 @@
         return "not_holder";
     case reject_reason::entity_in_use:
         return "entity_in_use";
+    case reject_reason::wrong_signature:
+        return "wrong_signature";
+    case reject_reason::replayed_change:
+        return "replayed_change";
     }
     return "unknown";
 }
--- a/src/core/state/record_fields.hpp
+++ b/src/core/state/record_fields.hpp
@@ -28,6 +28,23 @@
     io.number(value.low);
 }
 
+/// A field added to a payload of schema 1: nothing is written when it is empty,
+/// so that older programs read what they know.
+template <class Io>
+void added_bytes(Io& io, field_of<Io, std::vector<std::byte>>& value)
+{
+    if constexpr (Io::reads)
+    {
+        if (io.remaining() == 0)
+            return;
+        io.bytes(value);
+        if (value.empty())
+            io.fail("an empty field that is left out");
+    }
+    else if (!value.empty())
+        io.bytes(value);
+}
+
 template <class Io>
 void fields(Io& io, field_of<Io, router_join>& value)
 {
@@ -48,6 +65,7 @@
 {
     io.number(value.session);
     io.text(value.evidence);
+    added_bytes(io, value.signature);
 }
 
 template <class Io>
@@ -124,6 +142,7 @@
 {
     io.number(value.request);
     io.text(value.author);
+    added_bytes(io, value.signature);
 }
 
 template <class Io>
@@ -136,4 +155,13 @@
     io.bytes(value.data);
 }
 
+template <class Io>
+void fields(Io& io, field_of<Io, operator_key_change>& value)
+{
+    io.text(value.author);
+    io.number(value.number);
+    io.bytes(value.key);
+    io.bytes(value.signature);
+}
+
 } // namespace roseworks::detail
--- a/src/core/state/snapshot.cpp
+++ b/src/core/state/snapshot.cpp
@@ -135,11 +135,11 @@
 }
 
 boost::leaf::result<fleet_state>
-fleet_state::restore(std::span<std::byte const> bytes, options settings)
+fleet_state::restore(std::span<std::byte const> bytes)
 {
     try
     {
-        fleet_state state(std::move(settings));
+        fleet_state state;
         archive_reader in(bytes);
         read_snapshot(in, state.self->data);
         if (in.failed())
--- a/src/ports/event_sink.hpp
+++ b/src/ports/event_sink.hpp
@@ -52,6 +52,10 @@
     checkpoint_diverged = 1110,
     configuration_accepted = 1111,
     record_malformed = 1112,
+    operator_record_refused = 1113,
+    operator_keys_differ = 1114,
+    operator_keys_agree = 1115,
+    operator_key_changed = 1116,
 
     // 12xx: leases.
     lease_acquired = 1201,
--- a/tests/fuzz/fuzz_record.cpp
+++ b/tests/fuzz/fuzz_record.cpp
@@ -19,7 +19,7 @@
         reinterpret_cast<const std::byte*>(data + 1), size - 1);
     if (data[0] % 2 == 1)
     {
-        (void)roseworks::fleet_state::restore(bytes, {});
+        (void)roseworks::fleet_state::restore(bytes);
         return 0;
     }
     const auto read = roseworks::decode(bytes);
--- a/tests/golden/record_line.cpp
+++ b/tests/golden/record_line.cpp
@@ -125,6 +125,12 @@
                what.author;
     }
 
+    std::string operator()(const operator_key_change& what) const
+    {
+        return "operator_key_change " + number(what.number) + " by " +
+               what.author;
+    }
+
     std::string operator()(const checkpoint_chunk& what) const
     {
         return "checkpoint_chunk of #" + number(what.at.value) + ", " +
--- a/tests/unit/config/invariant_checker_test.cpp
+++ b/tests/unit/config/invariant_checker_test.cpp
@@ -1,6 +1,7 @@
 #include "tools/audit/invariant_checker.hpp"
 
 #include <roseworks/fleet_state.hpp>
+#include <roseworks/operator_key.hpp>
 
 #include <string>
 
@@ -219,3 +220,18 @@
     fold.show(session_renew{router});
     cr_expect_eq(fold.only(), "session 2 renews after its end");
 }
+
+Test(invariant_checker, sees_a_change_that_no_accepted_key_signed)
+{
+    forged_fold fold;
+    fold.show(operator_key_change{
+        "olga", 1, std::vector<std::byte>(operator_key_bytes), {}});
+    cr_expect(fold.checker.violations().empty());
+    config_change unsigned_change;
+    unsigned_change.changes = {
+        forged_fold::put("x", model_spec{"1", 40, 0, 2})};
+    fold.show(unsigned_change);
+    cr_expect_eq(
+        fold.only(),
+        "config_change accepted without the signature of an accepted key");
+}
--- a/tests/unit/control/checkpoint_test.cpp
+++ b/tests/unit/control/checkpoint_test.cpp
@@ -71,7 +71,7 @@
     for (const checkpoint& item : found)
     {
         cr_expect_eq(item.at.value % 20, 0);
-        const auto state = restore_checkpoint(item, {});
+        const auto state = restore_checkpoint(item);
         cr_assert(static_cast<bool>(state));
         cr_expect_eq(state->hash(), item.state_hash);
     }
@@ -136,17 +136,17 @@
     join.payload = router_join{"r", "dc", "127.0.0.1:1", "127.0.0.1:2"};
     state.apply(log_offset(1), join);
     const checkpoint whole = take_checkpoint(state);
-    cr_expect(static_cast<bool>(restore_checkpoint(whole, {})));
+    cr_expect(static_cast<bool>(restore_checkpoint(whole)));
 
     checkpoint other_offset = whole;
     other_offset.at = log_offset(2);
-    cr_expect_not(static_cast<bool>(restore_checkpoint(other_offset, {})));
+    cr_expect_not(static_cast<bool>(restore_checkpoint(other_offset)));
     checkpoint other_hash = whole;
     ++other_hash.state_hash;
-    cr_expect_not(static_cast<bool>(restore_checkpoint(other_hash, {})));
+    cr_expect_not(static_cast<bool>(restore_checkpoint(other_hash)));
     checkpoint cut = whole;
     cut.bytes.resize(cut.bytes.size() / 2);
-    cr_expect_not(static_cast<bool>(restore_checkpoint(cut, {})));
+    cr_expect_not(static_cast<bool>(restore_checkpoint(cut)));
 }
 
 Test(checkpoint, the_assembler_holds_no_more_than_its_limit)
--- a/tests/unit/settings/test_load_router_settings.cpp
+++ b/tests/unit/settings/test_load_router_settings.cpp
@@ -153,7 +153,7 @@
         "r.ini:12: [log] poll_wait_ms: not a whole number: \"1s\"; allowed: 10 "
         "to 60000 ms\n"
         "r.ini:13: [lease]: unknown section; allowed: router, peers, log, "
-        "vm_list, leases, traffic, engines, placement, logging\n"
+        "vm_list, leases, traffic, engines, placement, operators, logging\n"
         "r.ini:15: [log]: duplicate, first on line 9\n"
         "r.ini: [router] data_centre: required key is missing; allowed: 1 to "
         "64 letters, digits, '.', '_' and '-'\n"
--- a/tests/unit/state/codec_test.cpp
+++ b/tests/unit/state/codec_test.cpp
@@ -75,7 +75,8 @@
         claim_close{key, session, claim_outcome::answered, 200, "body"},
         request_suspect{fingerprint(1), engine_id(2), session},
         request_unblock{fingerprint(1), "olga"},
-        checkpoint_chunk{log_offset(1), 2, 3, 4, some_bytes(10)}};
+        checkpoint_chunk{log_offset(1), 2, 3, 4, some_bytes(10)},
+        operator_key_change{"olga", 1, some_bytes(32), some_bytes(65)}};
     std::vector<record> records;
     for (const record_payload& payload : payloads)
     {
@@ -269,16 +270,3 @@
     cr_assert(!back.spec);
     cr_assert(back.unread == change.unread);
 }
-
-Test(codec, a_signature_covers_the_content_and_the_key)
-{
-    const auto key = some_bytes(16);
-    config_change change = every_entity();
-    change.signature = sign(change, key);
-    cr_assert(signed_by(change, key));
-    cr_assert(!signed_by(change, some_bytes(17)));
-    change.changes[0].expected = revision(4);
-    cr_assert(!signed_by(change, key));
-    change.signature.clear();
-    cr_assert(!signed_by(change, key));
-}
--- a/tests/unit/state/config_test.cpp
+++ b/tests/unit/state/config_test.cpp
@@ -248,17 +248,3 @@
         accepted(log.put_entity(entity_kind::model, "m", fold_log::model())));
     cr_assert(log.state.servable(log.state.find_servable("m"))->readable);
 }
-
-Test(config, only_signed_changes_count_when_a_key_is_set)
-{
-    const std::vector<std::byte> key(16, std::byte{3});
-    fold_log log(fleet_state::options{key});
-    config_change change{
-        "olga",
-        "",
-        {log.change(entity_kind::model, "m", fold_log::model())},
-        {}};
-    cr_assert(rejected(log.put(change), reject_reason::unsigned_change));
-    change.signature = sign(change, key);
-    cr_assert(accepted(log.put(change)));
-}
--- a/tests/unit/state/fold_log.hpp
+++ b/tests/unit/state/fold_log.hpp
@@ -15,11 +15,6 @@
 class fold_log
 {
 public:
-    explicit fold_log(fleet_state::options settings = {})
-        : state(std::move(settings))
-    {
-    }
-
     /// Append a record of the default author.
     fold_result put(record_payload payload)
     {
--- a/tests/unit/state/properties_test.cpp
+++ b/tests/unit/state/properties_test.cpp
@@ -280,7 +280,7 @@
                 }
                 if (i == records.size() / 2)
                 {
-                    auto again = fleet_state::restore(second.snapshot(), {});
+                    auto again = fleet_state::restore(second.snapshot());
                     RC_ASSERT(bool(again));
                     third.emplace(std::move(*again));
                 }
--- a/tests/unit/state/snapshot_test.cpp
+++ b/tests/unit/state/snapshot_test.cpp
@@ -44,7 +44,7 @@
 {
     const fold_log log = full_log();
     const auto bytes = log.state.snapshot();
-    const auto again = fleet_state::restore(bytes, {});
+    const auto again = fleet_state::restore(bytes);
     cr_assert(again);
     cr_assert(again->folded() == log.at);
     cr_assert_eq(again->hash(), log.state.hash());
@@ -63,7 +63,7 @@
     fold_log log = full_log();
     log.now += 12345;
     log.put(log.decision("m", log.join(4)));
-    const auto again = fleet_state::restore(log.state.snapshot(), {});
+    const auto again = fleet_state::restore(log.state.snapshot());
     cr_assert(again);
     cr_assert_eq(again->log_time(), log.now);
     log.state.for_each_replica(
@@ -98,7 +98,7 @@
 Test(snapshot, remembers_which_records_were_folded)
 {
     fold_log log = full_log();
-    auto again = fleet_state::restore(log.state.snapshot(), {});
+    auto again = fleet_state::restore(log.state.snapshot());
     log_offset at = log.at;
     for (const record& value : log.records)
     {
@@ -118,10 +118,10 @@
             continue;
         auto damaged = bytes;
         damaged[at] ^= std::byte{1};
-        cr_assert(!fleet_state::restore(damaged, {}));
+        cr_assert(!fleet_state::restore(damaged));
     }
     for (std::size_t size = 0; size < bytes.size(); ++size)
-        cr_assert(!fleet_state::restore(std::span(bytes).first(size), {}));
+        cr_assert(!fleet_state::restore(std::span(bytes).first(size)));
 }
 
 Test(snapshot, checkpoints_and_skipped_entries_leave_the_hash)
--- a/tools/audit/invariant_checker.cpp
+++ b/tools/audit/invariant_checker.cpp
@@ -3,6 +3,8 @@
 #include "tools/audit/violation_text.hpp"
 #include "tools/common/trail.hpp"
 
+#include <roseworks/names.hpp>
+#include <roseworks/operator_key.hpp>
 #include <roseworks/plan.hpp>
 
 #include <algorithm>
@@ -45,6 +47,13 @@
             this->sessions[session.id] = {
                 session.author, session.last_renewal, session.ended};
         });
+    state.for_each_operator_key(
+        [&](const operator_key_view& view)
+        {
+            this->signatures_asked = true;
+            if (!view.retired)
+                this->keys[view.key.number] = view.key;
+        });
 }
 
 void invariant_checker::after_fold(
@@ -59,6 +68,7 @@
     if (entry.result->status == fold_status::accepted)
     {
         ++this->records;
+        this->check_signature(*entry.value);
         std::visit(
             [&](const auto& payload)
             {
@@ -89,6 +99,30 @@
     }
 }
 
+/// Routers declare others gone without a signature.
+void invariant_checker::check_signature(const record& value)
+{
+    const bool asked = this->signatures_asked && signature_of(value) != nullptr;
+    if (!asked || std::holds_alternative<router_gone>(value.payload))
+        return;
+    const auto key = this->keys.find(signing_number(value));
+    this->require(
+        key != this->keys.end() && signed_by(value, key->second),
+        std::string(roseworks::kind_name(value.payload)) +
+            " accepted without the signature of an accepted key");
+}
+
+void invariant_checker::check(const step&, const operator_key_change& value)
+{
+    this->signatures_asked = true;
+    this->keys.erase(value.number);
+    if (value.key.size() != operator_key_bytes)
+        return;
+    operator_key& added = this->keys[value.number];
+    added.number = value.number;
+    std::ranges::copy(value.key, added.bytes.begin());
+}
+
 void invariant_checker::check_change(const entity_change& change)
 {
     const entity_key key{change.kind, change.name};
--- a/tools/audit/invariant_checker.hpp
+++ b/tools/audit/invariant_checker.hpp
@@ -102,6 +102,7 @@
     void check(const step& now, const replica_report& value);
     void check(const step& now, const claim_open& value);
     void check(const step& now, const claim_close& value);
+    void check(const step& now, const operator_key_change& value);
 
     /// Records that change nothing which is promised.
     template <class Payload>
@@ -109,6 +110,7 @@
     {
     }
 
+    void check_signature(const record& value);
     void check_change(const entity_change& change);
     void follow_moves();
     void follow_move(const state_change& change);
@@ -128,6 +130,8 @@
     std::map<engine_id, lease_account> leases;
     std::map<session_id, session_account> sessions;
     std::map<claim_key, claim_account> claims;
+    std::map<std::uint8_t, operator_key> keys; ///< accepted ones
+    bool signatures_asked = false;             ///< a key was ever accepted
     stamp_ms log_time = 0;
     std::uint64_t records = 0;
     std::vector<violation> found;
--- a/tools/audit/main.cpp
+++ b/tools/audit/main.cpp
@@ -11,10 +11,7 @@
 #include <boost/leaf/pred.hpp>
 #include <cxxopts.hpp>
 
-#include <cstring>
-#include <fstream>
 #include <iostream>
-#include <iterator>
 
 namespace roseworks::tools
 {
@@ -28,7 +25,6 @@
     endpoint log;
     std::chrono::milliseconds timeout{};
     log_offset last = log_history::no_limit;
-    std::vector<std::byte> key;
     bool verify = false;
     bool trail = true;
     bool as_json = false;
@@ -46,32 +42,12 @@
         cxxopts::value<std::uint64_t>())(
         "verify", "check every invariant again; exit 1 when one is broken")(
         "no-trail", "print the state only")("json", "print JSON")(
-        "key-file",
-        "file with the key that signs operators' changes, if there is one",
-        cxxopts::value<std::string>())(
         "timeout-ms",
         "limit of each call to the log",
         cxxopts::value<std::uint32_t>()->default_value("10000"));
     return options;
 }
 
-boost::leaf::result<std::vector<std::byte>> read_key(const std::string& path)
-{
-    std::ifstream file(path, std::ios::binary);
-    if (!file)
-    {
-        return boost::leaf::new_error(input_error{"can't read " + path});
-    }
-    std::string content(std::istreambuf_iterator<char>(file), {});
-    while (!content.empty() && content.back() == '\n')
-    {
-        content.pop_back();
-    }
-    std::vector<std::byte> key(content.size());
-    std::memcpy(key.data(), content.data(), content.size());
-    return key;
-}
-
 boost::leaf::result<audit_options>
 read_options(const cxxopts::ParseResult& arguments)
 {
@@ -88,11 +64,6 @@
     {
         options.last = log_offset(arguments["at"].as<std::uint64_t>());
     }
-    if (arguments.count("key-file") != 0)
-    {
-        BOOST_LEAF_ASSIGN(
-            options.key, read_key(arguments["key-file"].as<std::string>()));
-    }
     options.verify = arguments.count("verify") != 0;
     options.trail = arguments.count("no-trail") == 0;
     options.as_json = arguments.count("json") != 0;
@@ -157,7 +128,7 @@
 {
     BOOST_LEAF_AUTO(options, read_options(arguments));
     log_client client(options.log, options.timeout);
-    log_history history(client, {options.key}, options.last);
+    log_history history(client, options.last);
     trail_writer trail;
     invariant_checker checker;
     history.observe(trail);
--- a/tools/common/log_history.cpp
+++ b/tools/common/log_history.cpp
@@ -29,13 +29,12 @@
         });
 }
 
-std::optional<fleet_state>
-restore_or_none(const checkpoint& whole, const fleet_state::options& settings)
+std::optional<fleet_state> restore_or_none(const checkpoint& whole)
 {
     return boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<std::optional<fleet_state>>
         {
-            BOOST_LEAF_AUTO(state, restore_checkpoint(whole, settings));
+            BOOST_LEAF_AUTO(state, restore_checkpoint(whole));
             return std::optional<fleet_state>(std::move(state));
         },
         []
@@ -46,11 +45,8 @@
 
 } // namespace
 
-log_history::log_history(
-    log_client& client, fleet_state::options given, log_offset last)
+log_history::log_history(log_client& client, log_offset last)
     : source(client)
-    , settings(std::move(given))
-    , folded(this->settings)
     , limit(last)
 {
 }
@@ -156,7 +152,7 @@
         {
             continue;
         }
-        auto state = restore_or_none(*whole, this->settings);
+        auto state = restore_or_none(*whole);
         if (state)
         {
             this->folded = std::move(*state);
--- a/tools/common/log_history.hpp
+++ b/tools/common/log_history.hpp
@@ -50,13 +50,9 @@
     static constexpr log_offset no_limit{
         std::numeric_limits<std::uint64_t>::max()};
 
-    /** @param client   The log; outlives this.
-        @param settings The fold's options.
-        @param last     Entries above it are left out. */
-    log_history(
-        log_client& client,
-        fleet_state::options settings,
-        log_offset last = no_limit);
+    /** @param client The log; outlives this.
+        @param last   Entries above it are left out. */
+    explicit log_history(log_client& client, log_offset last = no_limit);
 
     /// Adds an observer of what is folded from now on; it outlives this.
     void observe(history_observer& observer);
@@ -93,7 +89,6 @@
     void fold_entry(history_entry& entry);
 
     log_client& source;
-    fleet_state::options settings;
     fleet_state folded;
     log_offset limit;
     log_offset next{1};
--- a/tools/common/names.cpp
+++ b/tools/common/names.cpp
@@ -25,6 +25,10 @@
     {
         return unblock->author;
     }
+    if (const auto* key = std::get_if<operator_key_change>(&value.payload))
+    {
+        return key->author;
+    }
     if (const auto* join = std::get_if<router_join>(&value.payload))
     {
         return join->name;
--- a/tools/common/state_tables.cpp
+++ b/tools/common/state_tables.cpp
@@ -276,6 +276,22 @@
     return table;
 }
 
+text_table keys_table(const log_history& history)
+{
+    text_table table;
+    table.columns = {"number", "key", "state", "since"};
+    history.state().for_each_operator_key(
+        [&](const operator_key_view& view)
+        {
+            table.rows.push_back(
+                {std::uint64_t(view.key.number),
+                 text(key_hex(view.key.bytes)),
+                 text(view.retired ? "retired" : "accepted"),
+                 view.since.value});
+        });
+    return table;
+}
+
 constexpr std::array views{
     state_view{"fleet", &fleet_table},
     state_view{"models", &models_table},
@@ -284,7 +300,8 @@
     state_view{"engines", &engines_table},
     state_view{"leases", &leases_table},
     state_view{"claims", &claims_table},
-    state_view{"blocks", &blocks_table}};
+    state_view{"blocks", &blocks_table},
+    state_view{"keys", &keys_table}};
 
 std::string cell_text(const json::value& cell)
 {
--- a/tools/common/trail.cpp
+++ b/tools/common/trail.cpp
@@ -144,6 +144,13 @@
         this->subject("request", to_hex(value.request.value));
     }
 
+    void operator()(const operator_key_change& value) const
+    {
+        this->subject("operators' key", std::to_string(value.number));
+        this->entry.cause =
+            value.key.empty() ? "retired" : "added " + key_hex(value.key);
+    }
+
     void operator()(const checkpoint_chunk& value) const
     {
         this->entry.cause = "of offset " + std::to_string(value.at.value) +
--- a/tools/ctl/command.hpp
+++ b/tools/ctl/command.hpp
@@ -3,11 +3,14 @@
 #include "tools/common/exit_code.hpp"
 #include "tools/common/log_history.hpp"
 
+#include <roseworks/operator_key.hpp>
+
 #include <boost/leaf/result.hpp>
 #include <cxxopts.hpp>
 
 #include <iosfwd>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -18,10 +21,7 @@
 /// The log and what was read of it, for one run of a command.
 struct log_session
 {
-    log_session(
-        const endpoint& server,
-        std::chrono::milliseconds timeout,
-        fleet_state::options settings);
+    log_session(const endpoint& server, std::chrono::milliseconds timeout);
 
     log_client client;
     log_history history;
@@ -48,8 +48,8 @@
 
     std::chrono::milliseconds timeout() const;
 
-    /// @return The operators' key, empty without `--key-file`.
-    boost::leaf::result<std::vector<std::byte>> key() const;
+    /// @return The operators' secret key, empty without `--key-file`.
+    boost::leaf::result<std::optional<operator_signing_key>> key() const;
 
     /// @return The log that `--log` names, nothing read of it yet.
     boost::leaf::result<std::unique_ptr<log_session>> open_log() const;
@@ -93,6 +93,9 @@
 command_result run_drain(command_context& context);
 command_result run_unblock(command_context& context);
 command_result run_gone(command_context& context);
+command_result run_key_make(command_context& context);
+command_result run_key_add(command_context& context);
+command_result run_key_retire(command_context& context);
 command_result run_audit(command_context& context);
 command_result run_completion(command_context& context);
 
--- a/tools/ctl/command_context.cpp
+++ b/tools/ctl/command_context.cpp
@@ -1,7 +1,7 @@
+#include "tools/common/operator_key_file.hpp"
 #include "tools/ctl/command.hpp"
 
 #include <charconv>
-#include <cstring>
 #include <fstream>
 #include <iterator>
 
@@ -9,11 +9,9 @@
 {
 
 log_session::log_session(
-    const endpoint& server,
-    std::chrono::milliseconds timeout,
-    fleet_state::options settings)
+    const endpoint& server, std::chrono::milliseconds timeout)
     : client(server, timeout)
-    , history(this->client, std::move(settings))
+    , history(this->client)
 {
 }
 
@@ -68,22 +66,16 @@
         this->arguments["timeout-ms"].as<std::uint32_t>());
 }
 
-boost::leaf::result<std::vector<std::byte>> command_context::key() const
+boost::leaf::result<std::optional<operator_signing_key>>
+command_context::key() const
 {
-    std::vector<std::byte> bytes;
     const std::string path = this->text("key-file");
     if (path.empty())
     {
-        return bytes;
+        return std::optional<operator_signing_key>();
     }
-    BOOST_LEAF_AUTO(content, read_file(path));
-    while (!content.empty() && content.back() == '\n')
-    {
-        content.pop_back();
-    }
-    bytes.resize(content.size());
-    std::memcpy(bytes.data(), content.data(), content.size());
-    return bytes;
+    BOOST_LEAF_AUTO(key, load_signing_key(path));
+    return std::optional<operator_signing_key>(std::move(key));
 }
 
 boost::leaf::result<std::unique_ptr<log_session>>
@@ -95,10 +87,7 @@
         return boost::leaf::new_error(input_error{"--log ip:port is missing"});
     }
     BOOST_LEAF_AUTO(server, parse_endpoint(address));
-    fleet_state::options settings;
-    BOOST_LEAF_ASSIGN(settings.operator_key, this->key());
-    return std::make_unique<log_session>(
-        server, this->timeout(), std::move(settings));
+    return std::make_unique<log_session>(server, this->timeout());
 }
 
 boost::leaf::result<std::string> read_file(const std::string& path)
--- a/tools/ctl/commands.cpp
+++ b/tools/ctl/commands.cpp
@@ -29,6 +29,18 @@
         "who makes the change, for the trail",
         cxxopts::value<std::string>()->default_value(default_author()));
     options("note", "why, for the trail", cxxopts::value<std::string>());
+    options(
+        "key-file",
+        "file of the secret key that signs the change (see `key-make`)",
+        cxxopts::value<std::string>());
+}
+
+void number_option(cxxopts::OptionAdder& options)
+{
+    options(
+        "number",
+        "the key's number, 1 to 255, never used before",
+        cxxopts::value<std::string>()->default_value("1"));
 }
 
 void prune_option(cxxopts::OptionAdder& options)
@@ -105,7 +117,7 @@
     command{
         "show",
         "what",
-        "[fleet|models|adapters|replicas|engines|leases|claims|blocks]",
+        "[fleet|models|adapters|replicas|engines|leases|claims|blocks|keys]",
         "print the decided state",
         true,
         &json_option,
@@ -142,6 +154,30 @@
         true,
         &gone_options,
         &run_gone},
+    command{
+        "key-make",
+        "file",
+        "FILE",
+        "make a secret operators' key and print its public half",
+        false,
+        &number_option,
+        &run_key_make},
+    command{
+        "key-add",
+        "key",
+        "NUMBER=PUBLIC",
+        "accept one more operators' key; the first one signs itself",
+        true,
+        &author_option,
+        &run_key_add},
+    command{
+        "key-retire",
+        "number",
+        "NUMBER",
+        "accept an operators' key no longer; signed by another one",
+        true,
+        &author_option,
+        &run_key_retire},
     command{
         "audit",
         "",
@@ -188,10 +224,6 @@
             "timeout-ms",
             "limit of each call and of each wait",
             cxxopts::value<std::uint32_t>()->default_value("10000"));
-        adder(
-            "key-file",
-            "file with the key that signs operators' changes, if there is one",
-            cxxopts::value<std::string>());
     }
     which.add_options(adder);
     if (!which.argument.empty())
--- a/tools/ctl/publish.cpp
+++ b/tools/ctl/publish.cpp
@@ -2,8 +2,6 @@
 
 #include "tools/common/trail.hpp"
 
-#include <roseworks/codec.hpp>
-
 #include <ostream>
 
 namespace roseworks::tools
@@ -23,8 +21,12 @@
     command_context& context, log_session& log, record_payload payload)
 {
     publisher sender(log.client, log.history, context.timeout());
-    const record value =
-        make_record(context.text("author"), std::move(payload));
+    record value = make_record(context.text("author"), std::move(payload));
+    BOOST_LEAF_AUTO(key, context.key());
+    if (key && !key->sign(value))
+    {
+        return boost::leaf::new_error(input_error{"the key can't sign this"});
+    }
     BOOST_LEAF_AUTO(published, sender.publish(value));
     const fold_result& result = published.result;
     const std::uint64_t offset = published.offset.value;
@@ -63,11 +65,6 @@
     change.author = context.text("author");
     change.note = context.text("note");
     change.changes = std::move(changes);
-    BOOST_LEAF_AUTO(key, context.key());
-    if (!key.empty())
-    {
-        change.signature = sign(change, key);
-    }
     return publish_and_print(context, log, std::move(change));
 }
 
--- a/tools/ctl/publish.hpp
+++ b/tools/ctl/publish.hpp
@@ -23,7 +23,7 @@
 /// @return The exit code for a published record.
 exit_code code_of(const publication& published);
 
-/** Publish operators' changes, signed when there is a key.
+/** Publish operators' changes.
 
     @param context The command's; gives author, note and key.
     @param log     The log, its history loaded.
