Read the engines' credentials again while the router runs

Cause: the credentials file was read at the start only; a new credential needed a restart of every router. Ruled out: reading it at each order (a file read on the control thread for each). Conclusion: credentials are replaced like the keys of datagrams.

--- a/src/adapters/platform/credentials.hpp
+++ b/src/adapters/platform/credentials.hpp
@@ -39,6 +39,8 @@
     /// @return The engine's credential, empty when there is none.
     std::string_view find(std::string_view engine) const;
 
+    friend bool operator==(const credentials&, const credentials&) = default;
+
 private:
     std::map<std::string, std::string, std::less<>> by_engine;
 };
--- a/src/adapters/platform/http_engine_client.cpp
+++ b/src/adapters/platform/http_engine_client.cpp
@@ -81,6 +81,11 @@
 {
 }
 
+void http_engine_client::show(credentials replacement)
+{
+    this->shown = std::move(replacement);
+}
+
 void http_engine_client::send_order(
     const engine_order& order,
     std::string_view engine_name,
--- a/src/adapters/platform/http_engine_client.hpp
+++ b/src/adapters/platform/http_engine_client.hpp
@@ -37,6 +37,9 @@
         credentials shown,
         byte_meter& meter);
 
+    /// Orders that leave from now on show these.
+    void show(credentials replacement);
+
     void send_order(
         const engine_order& order,
         std::string_view engine_name,
--- a/src/adapters/settings/settings_table.cpp
+++ b/src/adapters/settings/settings_table.cpp
@@ -295,7 +295,7 @@
     text_row<in_engines, &engines_section::credentials_file>(
         "engines", "credentials_file", value_kind::path, unset,
         "File with the credential shown to engines that check who gives "
-        "them an order. Unset: none is shown."),
+        "them an order. Read again every 5 s. Unset: none is shown."),
 
     word_row<in_placement, &placement_section::strategy>(
         "placement", "strategy", "break_even", strategy_words,
--- a/src/app/control_thread.cpp
+++ b/src/app/control_thread.cpp
@@ -53,8 +53,17 @@
     , engines(
           this->context.get_executor(),
           settings.engines,
-          std::move(settings.shown),
+          settings.shown,
           this->meter)
+    , watched_credentials(
+          this->context.get_executor(),
+          settings.credentials_file,
+          std::move(settings.shown),
+          [this](const platform::credentials& read)
+          {
+              this->engines.show(read);
+          },
+          sink)
     , vm_list(make_vm_list(this->context, settings, this->meter))
     , peers(
           this->context,
@@ -115,8 +124,9 @@
 void control_thread::start(std::string http_address)
 {
     this->post(
-        [address = std::move(http_address)](control_loop& driven)
+        [this, address = std::move(http_address)](control_loop& driven)
         {
+            this->watched_credentials.start();
             driven.start(address);
         });
     std::packaged_task<void()> task(
@@ -133,8 +143,9 @@
     if (!this->thread.joinable())
         return;
     this->post(
-        [](control_loop& driven)
+        [this](control_loop& driven)
         {
+            this->watched_credentials.stop();
             driven.stop();
         });
     this->work.reset();
--- a/src/app/control_thread.hpp
+++ b/src/app/control_thread.hpp
@@ -10,6 +10,7 @@
 #include "app/claim_desk.hpp"
 #include "app/control_loop.hpp"
 #include "app/control_notices.hpp"
+#include "app/credentials_watch.hpp"
 #include "ports/clock.hpp"
 #include "ports/event_sink.hpp"
 
@@ -40,6 +41,7 @@
     log_client::http_log_client::options log;
     platform::http_engine_client::options engines;
     platform::credentials shown;
+    std::string credentials_file; ///< `shown` was read from it; may be empty
     std::optional<boost::asio::ip::tcp::endpoint> vm_list_server;
     platform::http_vm_list_client::options vm_list;
     udp_peers::options peers;
@@ -110,6 +112,7 @@
     platform::byte_meter meter;
     log_client::http_log_client log;
     platform::http_engine_client engines;
+    credentials_watch watched_credentials;
     std::unique_ptr<platform::http_vm_list_client> vm_list;
     udp_peers peers;
     control_loop loop;
--- a/src/app/graph_options.cpp
+++ b/src/app/graph_options.cpp
@@ -122,6 +122,7 @@
         result.shown, load_credentials(from.engines.credentials_file));
 
     if (from.vm_list.address)
+    result.credentials_file = from.engines.credentials_file;
         result.vm_list_server = tcp_endpoint(*from.vm_list.address);
     result.vm_list.poll = from.vm_list.poll;
 
--- a/tests/unit/log_client/platform_test.cpp
+++ b/tests/unit/log_client/platform_test.cpp
@@ -30,9 +30,9 @@
     return (std::ostringstream() << endpoint).str();
 }
 
-credentials one_credential()
+credentials one_credential(const std::string& secret = "secret")
 {
-    std::istringstream in("e1 = secret\n");
+    std::istringstream in("e1 = " + secret + "\n");
     return leaf::try_handle_all(
         [&]
         {
@@ -221,6 +221,11 @@
     cr_assert(bench.server.requests.size() == 1);
     const auto shown = bench.server.requests[0]["Authorization"];
     cr_expect(shown == "Bearer secret");
+    bench.client.show(one_credential("renewed"));
+    bench.order(order_action::load);
+    cr_assert(bench.server.requests.size() == 2);
+    const auto renewed = bench.server.requests[1]["Authorization"];
+    cr_expect(renewed == "Bearer renewed");
 }
 
 Test(platform_messages, a_report_is_read_with_missing_fields)
