Serve callers over TLS, with certificates that are reloaded

Cause: callers were served plain HTTP only; who could read the network read prompts and answers. Ruled out: a proxy before the router, the edge as templates, a virtual stream (docs/design/0011). Change: tls::secure_stream, plain until a handshake, takes the socket's place in caller_connection; server_certificate reads chain and key, refuses what can't be used with file and setting named, and reads both again every 5 s: new connections see a new certificate, open ones stay (RW1010, RW1011). [tls] certificate_file, key_file; unset: plain HTTP. Conclusion: callers can be served over TLS; backend servers, log and VM list are still reached over plain HTTP.

--- a/src/adapters/edge/caller_connection.cpp
+++ b/src/adapters/edge/caller_connection.cpp
@@ -65,6 +65,13 @@
 {
 }
 
+asio::awaitable<bool> caller_connection::secure(tls::context_ptr certificate)
+{
+    this->stream.expires_after(this->options.head_timeout);
+    const bool done = co_await this->stream.accept_tls(std::move(certificate));
+    co_return done;
+}
+
 asio::awaitable<caller_read> caller_connection::read_head(
     caller_parser& parser, std::chrono::milliseconds idle)
 {
@@ -182,16 +189,17 @@
 
 asio::awaitable<void> caller_connection::linger_close()
 {
+    this->stream.expires_after(linger_time);
+    co_await this->stream.finish_tls();
     beast::error_code error;
     this->stream.socket().shutdown(tcp::socket::shutdown_send, error);
     if (error)
         co_return;
-    this->stream.expires_after(linger_time);
     std::array<char, read_bytes> discarded;
     std::size_t total = 0;
     while (total < linger_bytes)
     {
-        const auto [failed, size] = co_await this->stream.async_read_some(
+        const auto [failed, size] = co_await this->stream.async_read_raw(
             asio::buffer(discarded), quietly);
         if (failed)
             co_return;
@@ -201,6 +209,8 @@
 
 bool caller_connection::peer_closed()
 {
+    if (this->stream.secured())
+        return this->stream.peer_closing();
     char byte = 0;
     const auto count = ::recv(
         this->stream.socket().native_handle(),
--- a/src/adapters/edge/caller_connection.hpp
+++ b/src/adapters/edge/caller_connection.hpp
@@ -3,9 +3,9 @@
 #include "adapters/edge/call_problem.hpp"
 #include "adapters/edge/edge_options.hpp"
 #include "adapters/edge/net.hpp"
+#include "adapters/tls/secure_stream.hpp"
 
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -43,6 +43,10 @@
 public:
     caller_connection(tcp::socket accepted, const edge_options& limits);
 
+    /// Secures the connection, before anything is read.
+    /// @return Whether it may be used.
+    asio::awaitable<bool> secure(tls::context_ptr certificate);
+
     /// Reads and checks a request's head.
     /// @param parser takes the head; without eager reading.
     /// @param idle   how long to wait for the request's first byte.
@@ -84,7 +88,7 @@
     /// Ends the wait for a request unless one has begun to come in.
     void stop_waiting();
 
-    beast::tcp_stream stream;
+    tls::secure_stream stream;
 
 private:
     asio::awaitable<caller_read>
--- a/src/adapters/edge/caller_session.cpp
+++ b/src/adapters/edge/caller_session.cpp
@@ -94,14 +94,26 @@
 
 asio::awaitable<void> caller_session::run()
 {
-    bool more = true;
+    bool more = co_await this->secure();
     while (more)
         more = co_await this->serve_one();
     co_await this->connection.linger_close();
 }
 
+asio::awaitable<bool> caller_session::secure()
+{
+    const auto& certificate = this->context.ports.certificate;
+    if (!certificate)
+        co_return true;
+    const bool done = co_await this->connection.secure(certificate());
+    co_return done;
+}
+
 asio::awaitable<void> caller_session::turn_away()
 {
+    const bool secured = co_await this->secure();
+    if (!secured)
+        co_return;
     call_problem problem =
         make_problem(refusal_reason::queue_full, verdict::not_run);
     problem.detail = "too many connections";
--- a/src/adapters/edge/caller_session.hpp
+++ b/src/adapters/edge/caller_session.hpp
@@ -34,6 +34,7 @@
 private:
     using checked_head = std::variant<prepared_call, call_problem>;
 
+    asio::awaitable<bool> secure();
     asio::awaitable<bool> serve_one();
     asio::awaitable<bool> serve(prepared_call call);
     asio::awaitable<bool> serve_call(prepared_call call);
--- a/src/adapters/edge/edge_context.hpp
+++ b/src/adapters/edge/edge_context.hpp
@@ -3,6 +3,7 @@
 #include "adapters/edge/edge_options.hpp"
 #include "adapters/edge/introspection_port.hpp"
 #include "adapters/edge/traffic_observer.hpp"
+#include "adapters/tls/secure_stream.hpp"
 #include "ports/claim_port.hpp"
 #include "ports/clock.hpp"
 #include "ports/dispatch_port.hpp"
@@ -31,6 +32,8 @@
     event_sink& events;
     clock_port& clock;
     std::function<routing_table_ptr()> table; ///< newest; null: none yet
+    /// Certificate for a new caller, called on any thread; empty: plain HTTP.
+    std::function<tls::context_ptr()> certificate;
 };
 
 /// Shared by the traffic threads of one server.
--- a/src/adapters/events/event_catalogue.cpp
+++ b/src/adapters/events/event_catalogue.cpp
@@ -50,6 +50,13 @@
      "A fault of the program was contained.",
      "where, reason",
      "Report it with the lines around it."},
+    {certificate_reloaded, info, "certificate_reloaded",
+     "New callers see the certificate that its files now hold.",
+     "", nothing},
+    {certificate_refused, error, "certificate_refused",
+     "The certificate's files can't be used; callers still see the old one.",
+     "setting, file, reason",
+     "Put a certificate and its key there; they are read again every 5 s."},
 
     {log_unreachable, warn, "log_unreachable",
      "The log does not answer. Serving goes on from the folded state; nothing "
--- a/src/adapters/settings/router_settings.hpp
+++ b/src/adapters/settings/router_settings.hpp
@@ -110,6 +110,13 @@
     milliseconds demand_interval{};
 };
 
+/// `[tls]`: the certificate shown to callers; both empty: plain HTTP.
+struct tls_section
+{
+    std::string certificate_file;
+    std::string key_file;
+};
+
 /// `[operators]`: whose changes are expected.
 struct operators_section
 {
@@ -139,6 +146,7 @@
     traffic_section traffic;
     engines_section engines;
     placement_section placement;
+    tls_section tls;
     operators_section operators;
     logging_section logging;
 };
--- a/src/adapters/settings/settings_table.cpp
+++ b/src/adapters/settings/settings_table.cpp
@@ -141,6 +141,7 @@
     {"traffic", "Limits and timeouts of requests and connections."},
     {"engines", "Reading the state of engines and giving them orders."},
     {"placement", "When idle replicas are unloaded and wanted ones loaded."},
+    {"tls", "The certificate that callers see."},
     {"operators", "Who may change what is published; docs/operations/keys.md."},
     {"logging", "Where events are written; docs/EVENTS.md lists them."},
 };
@@ -153,6 +154,7 @@
 constexpr auto in_traffic = &router_settings::traffic;
 constexpr auto in_engines = &router_settings::engines;
 constexpr auto in_placement = &router_settings::placement;
+constexpr auto in_tls = &router_settings::tls;
 constexpr auto in_operators = &router_settings::operators;
 constexpr auto in_logging = &router_settings::logging;
 
@@ -307,6 +309,15 @@
         "placement", "demand_interval_ms", "50", 1, minute_ms, "ms",
         "Time between two reports of demand to the proposing router."),
 
+    text_row<in_tls, &tls_section::certificate_file>(
+        "tls", "certificate_file", value_kind::path, unset,
+        "PEM file of the certificate that callers see, and of its chain. Read "
+        "again every 5 s, open connections stay. Unset: callers are served "
+        "plain HTTP."),
+    text_row<in_tls, &tls_section::key_file>(
+        "tls", "key_file", value_kind::path, unset,
+        "PEM file of the certificate's private key, not encrypted."),
+
     text_row<in_operators, &operators_section::key_file>(
         "operators", "key_file", value_kind::path, unset,
         "File of the public keys that are expected to sign operators' records: "
@@ -350,6 +361,12 @@
     return peers.probe_interval < peers.suspect_after;
 }
 
+bool tls_files_go_together(const router_settings& settings)
+{
+    const tls_section& tls = settings.tls;
+    return tls.certificate_file.empty() == tls.key_file.empty();
+}
+
 constexpr setting_rule rules[] = {
     {"peers",
      {"suspect_after_ms", "probe_interval_ms"},
@@ -367,6 +384,10 @@
      {"max_queued_per_model", "max_queued"},
      "max_queued_per_model is at most max_queued",
      &model_queue_fits},
+    {"tls",
+     {"certificate_file", "key_file"},
+     "certificate_file and key_file are both set, or neither",
+     &tls_files_go_together},
 };
 
 } // namespace
--- a/src/app/graph_options.cpp
+++ b/src/app/graph_options.cpp
@@ -2,10 +2,12 @@
 
 #include "adapters/settings/operator_key_file.hpp"
 #include "adapters/settings/settings_problems.hpp"
+#include "app/certificate_watch.hpp"
 
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/leaf/error.hpp>
+#include <boost/leaf/handle_errors.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -120,9 +122,9 @@
     result.engines.connect_timeout = from.traffic.connect_timeout;
     BOOST_LEAF_ASSIGN(
         result.shown, load_credentials(from.engines.credentials_file));
+    result.credentials_file = from.engines.credentials_file;
 
     if (from.vm_list.address)
-    result.credentials_file = from.engines.credentials_file;
         result.vm_list_server = tcp_endpoint(*from.vm_list.address);
     result.vm_list.poll = from.vm_list.poll;
 
@@ -143,6 +145,30 @@
     return result;
 }
 
+leaf::result<std::unique_ptr<tls::server_certificate>>
+make_certificate(const router_settings& from)
+{
+    using certificate_ptr = std::unique_ptr<tls::server_certificate>;
+    using loaded = leaf::result<certificate_ptr>;
+    if (from.tls.certificate_file.empty())
+        return certificate_ptr();
+    return leaf::try_handle_some(
+        [&]() -> loaded
+        {
+            return tls::server_certificate::load(
+                {from.tls.certificate_file, from.tls.key_file});
+        },
+        [](const tls::certificate_error& error) -> loaded
+        {
+            settings::settings_problem problem;
+            problem.file = error.file;
+            problem.section = "tls";
+            problem.key = setting_of(error.of);
+            problem.reason = error.what;
+            return leaf::new_error(settings::settings_problems{{problem}});
+        });
+}
+
 dispatcher::options
 make_dispatcher_options(const router_settings& from, const run_seeds& seeds)
 {
--- a/src/app/graph_options.hpp
+++ b/src/app/graph_options.hpp
@@ -3,6 +3,7 @@
 #include "adapters/edge/edge_options.hpp"
 #include "adapters/events/log4cplus_event_sink.hpp"
 #include "adapters/settings/router_settings.hpp"
+#include "adapters/tls/server_certificate.hpp"
 #include "app/control_thread.hpp"
 
 #include <roseworks/dispatcher.hpp>
@@ -10,6 +11,7 @@
 #include <boost/leaf/result.hpp>
 
 #include <cstdint>
+#include <memory>
 
 namespace roseworks::app
 {
@@ -33,6 +35,15 @@
 boost::leaf::result<control_options> make_control_options(
     const settings::router_settings& settings, const run_seeds& seeds);
 
+/** Read the certificate that callers see.
+
+    @param settings Checked settings.
+    @return         The certificate, null for plain HTTP; or `settings_problems`
+                    with setting and file.
+*/
+boost::leaf::result<std::unique_ptr<tls::server_certificate>>
+make_certificate(const settings::router_settings& settings);
+
 /// @return Options of admission and routing.
 dispatcher::options make_dispatcher_options(
     const settings::router_settings& settings, const run_seeds& seeds);
--- a/src/app/router_app.cpp
+++ b/src/app/router_app.cpp
@@ -69,6 +69,7 @@
 {
     const run_seeds seeds{random_seed(), wall_micros()};
     BOOST_LEAF_AUTO(control, make_control_options(settings, seeds));
+    BOOST_LEAF_AUTO(certificate, make_certificate(settings));
     auto sink =
         events::log4cplus_event_sink::make(make_event_options(settings));
     if (!sink)
@@ -79,7 +80,11 @@
     try
     {
         app.reset(new router_app(
-            settings, seeds, std::move(control), std::move(sink)));
+            settings,
+            seeds,
+            std::move(control),
+            std::move(certificate),
+            std::move(sink)));
     }
     catch (const boost::system::system_error& error)
     {
@@ -95,6 +100,7 @@
     const settings::router_settings& wanted,
     const run_seeds& seeds,
     control_options control_settings,
+    std::unique_ptr<tls::server_certificate> shown,
     std::unique_ptr<events::log4cplus_event_sink> sink)
     : settings(wanted)
     , started(this->clock.now())
@@ -146,6 +152,8 @@
                       this->arm_usage();
                   });
           })
+    , certificate(
+          this->main_loop.get_executor(), std::move(shown), *this->events)
     , status(
           wanted.router.name,
           wanted.router.data_centre,
@@ -262,7 +270,8 @@
         [this]
         {
             return this->table.get();
-        }};
+        },
+        this->certificate.source()};
 }
 
 std::vector<asio::any_io_executor> router_app::traffic_executors()
@@ -318,6 +327,7 @@
 int router_app::run(std::ostream& out)
 {
     this->wait_for_signal();
+    this->certificate.start();
     this->start_threads();
     out << "listening http " << this->http_address << std::endl;
 
--- a/src/app/router_app.hpp
+++ b/src/app/router_app.hpp
@@ -6,6 +6,7 @@
 #include "adapters/metrics/metrics_registry.hpp"
 #include "adapters/platform/system_clock.hpp"
 #include "adapters/settings/router_settings.hpp"
+#include "app/certificate_watch.hpp"
 #include "app/control_thread.hpp"
 #include "app/graph_options.hpp"
 #include "app/operator_key_watch.hpp"
@@ -73,6 +74,7 @@
         const settings::router_settings& settings,
         const run_seeds& seeds,
         control_options control,
+        std::unique_ptr<tls::server_certificate> certificate,
         std::unique_ptr<events::log4cplus_event_sink> sink);
 
     boost::leaf::result<void> listen();
@@ -108,6 +110,7 @@
     control_thread control;
     std::shared_ptr<edge::shared_dispatcher> dispatch;
     usage_tap tap;
+    certificate_watch certificate; ///< on the main loop
     router_status status;
     std::vector<std::unique_ptr<boost::asio::io_context>> traffic_loops;
     edge::server server;
--- a/src/ports/event_sink.hpp
+++ b/src/ports/event_sink.hpp
@@ -38,6 +38,8 @@
     drain_limit_reached = 1007,
     listen_failed = 1008,
     internal_error = 1009,
+    certificate_reloaded = 1010,
+    certificate_refused = 1011,
 
     // 11xx: the log and the folded state.
     log_unreachable = 1101,
--- a/tests/unit/edge/edge_fixture.cpp
+++ b/tests/unit/edge/edge_fixture.cpp
@@ -153,7 +153,8 @@
     this->socket.close();
 }
 
-edge_fixture::edge_fixture(edge_options options)
+edge_fixture::edge_fixture(
+    edge_options options, std::function<tls::context_ptr()> certificate)
 {
     constexpr int traffic_threads = 2;
     std::vector<asio::any_io_executor> executors;
@@ -173,7 +174,8 @@
         []
         {
             return routing_table_ptr();
-        }};
+        },
+        std::move(certificate)};
     this->edge = std::make_unique<server>(
         options, std::move(needs), std::move(executors));
 }
--- a/tests/unit/edge/edge_fixture.hpp
+++ b/tests/unit/edge/edge_fixture.hpp
@@ -162,7 +162,10 @@
 class edge_fixture
 {
 public:
-    explicit edge_fixture(edge_options options = {});
+    /// @param certificate Gives the callers' certificate; empty: plain HTTP.
+    explicit edge_fixture(
+        edge_options options = {},
+        std::function<tls::context_ptr()> certificate = {});
     ~edge_fixture();
 
     std::uint16_t start();
--- a/tests/unit/settings/test_load_router_settings.cpp
+++ b/tests/unit/settings/test_load_router_settings.cpp
@@ -153,7 +153,8 @@
         "r.ini:12: [log] poll_wait_ms: not a whole number: \"1s\"; allowed: 10 "
         "to 60000 ms\n"
         "r.ini:13: [lease]: unknown section; allowed: router, peers, log, "
-        "vm_list, leases, traffic, engines, placement, operators, logging\n"
+        "vm_list, leases, traffic, engines, placement, tls, operators, "
+        "logging\n"
         "r.ini:15: [log]: duplicate, first on line 9\n"
         "r.ini: [router] data_centre: required key is missing; allowed: 1 to "
         "64 letters, digits, '.', '_' and '-'\n"
@@ -267,6 +268,14 @@
     }
 }
 
+Test(settings, certificate_and_key_are_named_together)
+{
+    expect_problem(
+        "[tls]\nkey_file = k.pem\n",
+        "r.ini:10: [tls] key_file: does not go with the other keys; allowed: "
+        "certificate_file and key_file are both set, or neither\n");
+}
+
 Test(settings, committed_reference_is_current)
 {
     std::ostringstream written;
