--- a/include/roseworks/fleet_state.hpp
+++ b/include/roseworks/fleet_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <roseworks/ids.hpp>
+#include <roseworks/operator_key.hpp>
 #include <roseworks/record.hpp>
 
 #include <boost/leaf/result.hpp>
@@ -34,7 +35,7 @@
     revision_moved, ///< an earlier change won; see `winner`
     unknown_entity,
     invalid_spec,
-    unsigned_change,
+    unsigned_change, ///< an operators' key is accepted; this has no signature
     replicas_at_maximum,
     engine_memory,
     engine_unusable, ///< draining, leaving or of an unread schema
@@ -49,7 +50,9 @@
     not_holder,
     entity_in_use,
     claim_expired,
-    store_slots ///< too few weight-store slots are left for a grant
+    store_slots,     ///< too few weight-store slots are left for a grant
+    wrong_signature, ///< by no accepted key, or of another content
+    replayed_change  ///< a signed record again, or too old to tell
 };
 
 /// @return The word used in logs and the audit trail.
@@ -179,6 +182,14 @@
     bool ended = false;      ///< left, replaced or proven gone: it's dead
 };
 
+/// A key that signs operators' records. Its number is never used again.
+struct operator_key_view
+{
+    operator_key key;
+    bool retired = false;
+    log_offset since; ///< added, or retired, by this record
+};
+
 /// A claim on an idempotency key. Session and opening are known while it is
 /// open, else 0.
 struct claim_view
@@ -235,6 +246,9 @@
     - at most the policy's number of weight-store slots is held by loads and
       kept by standing grants;
     - an accepted change of configuration is only replaced by one that names it;
+    - from the first accepted operators' key on, an operator's record counts
+   only once and when an accepted key signed it. Which keys are accepted is
+   decided by such records, never by settings;
     - a claim has one winner.
 
     Decided state. Not thread-safe: owned by the control thread.
@@ -242,15 +256,7 @@
 class fleet_state
 {
 public:
-    /// Options of the fold; the same on every router of a deployment.
-    struct options
-    {
-        /// Key that signs operators' changes; empty: none is asked for.
-        std::vector<std::byte> operator_key;
-    };
-
     fleet_state();
-    explicit fleet_state(options settings);
     ~fleet_state();
     fleet_state(fleet_state&&) noexcept;
     fleet_state& operator=(fleet_state&&) noexcept;
@@ -289,12 +295,11 @@
 
     /** Rebuild a state from a snapshot.
 
-        @param bytes    What `snapshot` gave; may be damaged.
-        @param settings Options of the fold.
-        @return         The state, or a `codec_error`.
+        @param bytes What `snapshot` gave; may be damaged.
+        @return      The state, or a `codec_error`.
     */
     static boost::leaf::result<fleet_state>
-    restore(std::span<std::byte const> bytes, options settings);
+    restore(std::span<std::byte const> bytes);
 
     // Entities.
     servable_id find_servable(std::string_view name) const;
@@ -353,6 +358,10 @@
     void for_each_session(
         const std::function<void(const session_view&)>& visit) const;
 
+    /// Every key that was ever accepted, by number.
+    void for_each_operator_key(
+        const std::function<void(const operator_key_view&)>& visit) const;
+
     // Claims and blocked requests.
     std::optional<claim_view> claim(claim_key key) const;
     /// @return Whether the request is blocked at the log's own time.
--- a/include/roseworks/names.hpp
+++ b/include/roseworks/names.hpp
@@ -66,7 +66,8 @@
             "checkpoint_chunk",
             "grant_open",
             "grant_model",
-            "grant_settle"};
+            "grant_settle",
+            "operator_key_change"};
 
 } // namespace detail
 
--- a/include/roseworks/record.hpp
+++ b/include/roseworks/record.hpp
@@ -43,7 +43,7 @@
     std::string author; ///< operator's name, for the trail
     std::string note;
     std::vector<entity_change> changes;
-    /// HMAC over the changes by the operators' key; empty when not signed.
+    /// By an operators' key (see operator_key.hpp); empty when not signed.
     std::vector<std::byte> signature;
 };
 
@@ -69,6 +69,7 @@
 {
     session_id session;
     std::string evidence;
+    std::vector<std::byte> signature; ///< an operator's; routers don't sign
 };
 
 /// Renews every lease of a session with one record.
@@ -187,6 +188,7 @@
 {
     fingerprint request;
     std::string author;
+    std::vector<std::byte> signature; ///< as in `config_change`
 };
 
 /// Part of a checkpoint of the folded state at `at`.
@@ -243,6 +245,17 @@
     bool used = false;
 };
 
+/// Accepts or retires a key that signs operators' records. The first key signs
+/// itself; any later change is signed by an accepted key, and a key is retired
+/// by another one, so that there is always one left that works.
+struct operator_key_change
+{
+    std::string author; ///< operator's name, for the trail
+    std::uint8_t number = 0;
+    std::vector<std::byte> key; ///< the public key; empty: retire the number
+    std::vector<std::byte> signature; ///< as in `config_change`
+};
+
 /// A record of a kind newer than this program: carried and reported.
 struct unknown_record
 {
@@ -270,7 +283,8 @@
     checkpoint_chunk,
     grant_open,
     grant_model,
-    grant_settle>;
+    grant_settle,
+    operator_key_change>;
 
 /// Newest schema of the envelope and record payloads.
 inline constexpr std::uint16_t newest_record_schema = 1;
--- a/src/adapters/events/event_catalogue.cpp
+++ b/src/adapters/events/event_catalogue.cpp
@@ -56,6 +56,13 @@
      "list shows the VM gone.",
      "session, engines, log, limit_ms",
      "See to the log service, or to the engine that does not answer an order."},
+    {certificate_reloaded, info, "certificate_reloaded",
+     "New callers see the certificate that its files now hold.",
+     "", nothing},
+    {certificate_refused, error, "certificate_refused",
+     "The certificate's files can't be used; callers still see the old one.",
+     "setting, file, reason",
+     "Put a certificate and its key there; they are read again every 5 s."},
 
     {log_unreachable, warn, "log_unreachable",
      "The log does not answer. Serving goes on from the folded state; nothing "
@@ -100,6 +107,22 @@
      "An entry of the log cannot be decoded; every router skips it alike.",
      "offset, bytes",
      "Find what else writes to the log."},
+    {operator_record_refused, warn, "operator_record_refused",
+     "An operator's record isn't signed by an accepted key, or came again; no "
+     "router counts it.",
+     "offset, kind, record_id, reason, detail",
+     "Ask who sent it. An operator signs with roseworksctl --key-file."},
+    {operator_keys_differ, error, "operator_keys_differ",
+     "The operators' keys that the log decided aren't those of "
+     "operators.key_file. The decided ones count.",
+     "problem",
+     "Compare `roseworksctl show keys` with the file; docs/operations/keys.md."},
+    {operator_keys_agree, info, "operator_keys_agree",
+     "The operators' keys agree with operators.key_file again.",
+     "", nothing},
+    {operator_key_changed, info, "operator_key_changed",
+     "An operators' key was accepted or retired.",
+     "offset, number, change, author", nothing},
 
     {lease_acquired, info, "lease_acquired",
      "This router may order the engine.",
@@ -158,7 +181,8 @@
      "Another router left or was replaced.",
      "session, peer, reason", nothing},
     {datagram_rejected, warn, "datagram_rejected",
-     "A datagram was malformed or not authentic and was dropped.",
+     "Datagrams were malformed, repeated or not authentic and were dropped; "
+     "count is since the last such line, at most one in 10 s.",
      "address, reason, count",
      "Compare peers.mac_key_file of the routers; else find the sender."},
     {vm_leaving, info, "vm_leaving",
--- a/src/adapters/settings/router_settings.hpp
+++ b/src/adapters/settings/router_settings.hpp
@@ -111,6 +111,20 @@
     milliseconds demand_interval{};
 };
 
+/// `[tls]`: the certificate shown to callers; both empty: plain HTTP.
+struct tls_section
+{
+    std::string certificate_file;
+    std::string key_file;
+};
+
+/// `[operators]`: whose changes are expected.
+struct operators_section
+{
+    /// Empty: the decided keys are compared with nothing.
+    std::string key_file;
+};
+
 /// `[logging]`: where events are written.
 struct logging_section
 {
@@ -133,6 +147,8 @@
     traffic_section traffic;
     engines_section engines;
     placement_section placement;
+    tls_section tls;
+    operators_section operators;
     logging_section logging;
 };
 
--- a/src/app/control_thread.hpp
+++ b/src/app/control_thread.hpp
@@ -10,11 +10,13 @@
 #include "app/claim_desk.hpp"
 #include "app/control_loop.hpp"
 #include "app/control_notices.hpp"
+#include "app/credentials_watch.hpp"
 #include "ports/clock.hpp"
 #include "ports/event_sink.hpp"
 
 #include <roseworks/controller.hpp>
 #include <roseworks/instant.hpp>
+#include <roseworks/operator_key.hpp>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -26,6 +28,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace roseworks::app
 {
@@ -38,10 +41,13 @@
     log_client::http_log_client::options log;
     platform::http_engine_client::options engines;
     platform::credentials shown;
+    std::string credentials_file; ///< `shown` was read from it; may be empty
     std::optional<boost::asio::ip::tcp::endpoint> vm_list_server;
     platform::http_vm_list_client::options vm_list;
     udp_peers::options peers;
     mac_keys keys;
+    /// Public keys that are expected to sign; empty: none is compared.
+    std::vector<operator_key> operator_keys;
 };
 
 /** The one thread of the control state, with its event loop and clients.
@@ -106,6 +112,7 @@
     platform::byte_meter meter;
     log_client::http_log_client log;
     platform::http_engine_client engines;
+    credentials_watch watched_credentials;
     std::unique_ptr<platform::http_vm_list_client> vm_list;
     udp_peers peers;
     control_loop loop;
--- a/src/app/router_app.cpp
+++ b/src/app/router_app.cpp
@@ -72,6 +72,7 @@
 {
     const run_seeds seeds{random_seed(), wall_micros()};
     BOOST_LEAF_AUTO(control, make_control_options(settings, seeds));
+    BOOST_LEAF_AUTO(certificate, make_certificate(settings));
     auto sink =
         events::log4cplus_event_sink::make(make_event_options(settings));
     if (!sink)
@@ -82,7 +83,11 @@
     try
     {
         app.reset(new router_app(
-            settings, seeds, std::move(control), std::move(sink)));
+            settings,
+            seeds,
+            std::move(control),
+            std::move(certificate),
+            std::move(sink)));
     }
     catch (const boost::system::system_error& error)
     {
@@ -98,13 +103,19 @@
     const settings::router_settings& wanted,
     const run_seeds& seeds,
     control_options control_settings,
+    std::unique_ptr<tls::server_certificate> shown,
     std::unique_ptr<events::log4cplus_event_sink> sink)
     : settings(wanted)
     , started(this->clock.now())
     , events(std::move(sink))
     , signals(this->main_loop, SIGINT, SIGTERM)
     , usage_timer(this->main_loop)
-    , observer(this->registry)
+    , observer(this->registry, *this->events)
+    , key_watch(
+          wanted.operators.key_file,
+          std::move(control_settings.operator_keys),
+          this->clock,
+          *this->events)
     , control(
           std::move(control_settings),
           this->clock,
@@ -144,6 +155,8 @@
                       this->arm_usage();
                   });
           })
+    , certificate(
+          this->main_loop.get_executor(), std::move(shown), *this->events)
     , status(
           wanted.router.name,
           wanted.router.data_centre,
@@ -191,6 +204,8 @@
     notices.look = [this](const control_loop& loop)
     {
         this->status.look(loop);
+        if (loop.is_caught_up() && loop.driven() != nullptr)
+            this->key_watch.look(loop.driven()->state());
     };
     notices.caught_up = [this]
     {
@@ -258,7 +273,8 @@
         [this]
         {
             return this->table.get();
-        }};
+        },
+        this->certificate.source()};
 }
 
 std::vector<asio::any_io_executor> router_app::traffic_executors()
@@ -314,6 +330,7 @@
 int router_app::run(std::ostream& out)
 {
     this->wait_for_signal();
+    this->certificate.start();
     this->start_threads();
     out << "listening http " << this->http_address << std::endl;
 
--- a/src/core/state/fleet_data.hpp
+++ b/src/core/state/fleet_data.hpp
@@ -5,6 +5,8 @@
 #include "core/state/engine_store.hpp"
 #include "core/state/grant_store.hpp"
 #include "core/state/named_store.hpp"
+#include "core/state/operator_key_store.hpp"
+#include "core/state/record_fields.hpp"
 #include "core/state/replica_store.hpp"
 #include "core/state/servable_store.hpp"
 #include "core/state/session_store.hpp"
@@ -59,6 +61,7 @@
     claim_store claims;
     suspicion_store suspects;
     duplicate_filter duplicates;
+    operator_key_store operator_keys;
 
     /// @return The interned id of an existing entity, else 0. The policy's
     ///         is 1.
@@ -138,6 +141,7 @@
     data.claims.save(out);
     data.suspects.save(out);
     data.duplicates.save(out);
+    data.operator_keys.save(out);
     data.grants.save(out);
     placement_fields(out, data.policy.spec);
 }
@@ -174,6 +178,7 @@
     data.duplicates.load(in);
     if (format < 2)
         return;
+    data.operator_keys.load(in);
     data.grants.load(in);
     placement_fields(in, data.policy.spec);
 }
--- a/src/core/state/record_fields.hpp
+++ b/src/core/state/record_fields.hpp
@@ -39,6 +39,23 @@
     io.number(value.low);
 }
 
+/// A field added to a payload of schema 1: nothing is written when it is empty,
+/// so that older programs read what they know.
+template <class Io>
+void added_bytes(Io& io, field_of<Io, std::vector<std::byte>>& value)
+{
+    if constexpr (Io::reads)
+    {
+        if (io.remaining() == 0)
+            return;
+        io.bytes(value);
+        if (value.empty())
+            io.fail("an empty field that is left out");
+    }
+    else if (!value.empty())
+        io.bytes(value);
+}
+
 template <class Io>
 void fields(Io& io, field_of<Io, router_join>& value)
 {
@@ -59,6 +76,7 @@
 {
     io.number(value.session);
     io.text(value.evidence);
+    added_bytes(io, value.signature);
 }
 
 template <class Io>
@@ -140,6 +158,7 @@
 {
     io.number(value.request);
     io.text(value.author);
+    added_bytes(io, value.signature);
 }
 
 template <class Io>
@@ -182,4 +201,13 @@
     io.number(value.used);
 }
 
+template <class Io>
+void fields(Io& io, field_of<Io, operator_key_change>& value)
+{
+    io.text(value.author);
+    io.number(value.number);
+    io.bytes(value.key);
+    io.bytes(value.signature);
+}
+
 } // namespace roseworks::detail
--- a/src/ports/event_sink.hpp
+++ b/src/ports/event_sink.hpp
@@ -40,6 +40,8 @@
     listen_failed = 1008,
     internal_error = 1009,
     handover_unfinished = 1010,
+    certificate_reloaded = 1011,
+    certificate_refused = 1012,
 
     // 11xx: the log and the folded state.
     log_unreachable = 1101,
@@ -53,6 +55,10 @@
     checkpoint_diverged = 1110,
     configuration_accepted = 1111,
     record_malformed = 1112,
+    operator_record_refused = 1113,
+    operator_keys_differ = 1114,
+    operator_keys_agree = 1115,
+    operator_key_changed = 1116,
 
     // 12xx: leases.
     lease_acquired = 1201,
--- a/tools/audit/invariant_checker.hpp
+++ b/tools/audit/invariant_checker.hpp
@@ -121,6 +121,7 @@
     void check(const step& now, const replica_report& value);
     void check(const step& now, const claim_open& value);
     void check(const step& now, const claim_close& value);
+    void check(const step& now, const operator_key_change& value);
 
     void check(const step& now, const grant_open& value);
     void check(const step& now, const grant_model& value);
@@ -132,6 +133,7 @@
     {
     }
 
+    void check_signature(const record& value);
     void check_change(const entity_change& change);
     void follow_moves();
     void follow_move(const state_change& change);
@@ -166,6 +168,8 @@
     std::map<engine_id, lease_account> leases;
     std::map<session_id, session_account> sessions;
     std::map<claim_key, claim_account> claims;
+    std::map<std::uint8_t, operator_key> keys; ///< accepted ones
+    bool signatures_asked = false;             ///< a key was ever accepted
     stamp_ms log_time = 0;
     std::uint64_t records = 0;
     std::vector<violation> found;
--- a/tools/ctl/publish.cpp
+++ b/tools/ctl/publish.cpp
@@ -44,8 +44,12 @@
     command_context& context, log_session& log, record_payload payload)
 {
     publisher sender(log.client, log.history, context.timeout());
-    const record value =
-        make_record(context.text("author"), std::move(payload));
+    record value = make_record(context.text("author"), std::move(payload));
+    BOOST_LEAF_AUTO(key, context.key());
+    if (key && !key->sign(value))
+    {
+        return boost::leaf::new_error(input_error{"the key can't sign this"});
+    }
     BOOST_LEAF_AUTO(published, sender.publish(value));
     const fold_result& result = published.result;
     const std::uint64_t offset = published.offset.value;
@@ -105,14 +109,11 @@
     whole.note = context.text("note");
     whole.changes = std::move(changes);
     BOOST_LEAF_AUTO(parts, split_within_limit(std::move(whole)));
-    BOOST_LEAF_AUTO(key, context.key());
     std::size_t in_force = 0;
     publication published;
     for (std::size_t i = 0; i < parts.size(); ++i)
     {
         const std::size_t size = parts[i].changes.size();
-        if (!key.empty())
-            parts[i].signature = sign(parts[i], key);
         if (parts.size() > 1)
         {
             context.out << "part " << i + 1 << " of " << parts.size() << " ("
