Keep time of a deadline for the answer's way to the caller

Cause: the router counted a deadline from a call's arrival and refused at its very end, so callers heard late. Change: 25 ms of a deadline, or a twentieth if that is less, is kept for the way of the answer.

--- a/src/adapters/edge/caller_session.cpp
+++ b/src/adapters/edge/caller_session.cpp
@@ -9,6 +9,8 @@
 #include <boost/json/serialize.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
+#include <algorithm>
+#include <chrono>
 #include <utility>
 
 namespace roseworks::edge
@@ -23,6 +25,16 @@
 constexpr std::size_t max_request_id = 64;
 /// For the request of a connection that was open before the drain.
 constexpr std::chrono::milliseconds drain_idle{500};
+/// Kept of a deadline for the answer's way to the caller, so that a refusal at
+/// the last moment still arrives in time; of short ones only a share.
+constexpr std::chrono::milliseconds answer_margin{25};
+constexpr int answer_share = 20;
+
+duration time_to_answer(std::chrono::milliseconds deadline)
+{
+    const duration whole = deadline;
+    return whole - std::min<duration>(answer_margin, whole / answer_share);
+}
 
 std::string_view view(beast::string_view text)
 {
@@ -181,7 +193,7 @@
     if (!call.id_from_caller)
         call.headers.request_id = this->context.next_request_id();
     call.arrived = this->context.now();
-    call.deadline = call.arrived + call.headers.deadline;
+    call.deadline = call.arrived + time_to_answer(call.headers.deadline);
     return call;
 }
 
--- a/tests/unit/edge/test_served_calls.cpp
+++ b/tests/unit/edge/test_served_calls.cpp
@@ -306,6 +306,26 @@
     cr_assert(all_results_are(fixture.dispatch, end::no_progress));
 }
 
+Test(served_calls, time_is_kept_of_the_deadline_for_the_answers_way)
+{
+    std::string seen;
+    fake_backend backend(
+        [&seen](backend_peer& peer)
+        {
+            seen = peer.read_request();
+            peer.answer(seen, R"({"ok":1})");
+        });
+    edge_fixture fixture;
+    fixture.dispatch.address = backend.address();
+    fixture.start();
+    const auto answer = fixture.call(completion("X-Deadline-Ms: 1000\r\n"));
+    cr_assert_eq(answer.result_int(), 200);
+    constexpr std::string_view name = "X-Deadline-Ms: ";
+    const auto at = seen.find(name);
+    cr_assert_neq(at, std::string::npos);
+    cr_assert_leq(std::stoi(seen.substr(at + name.size())), 975);
+}
+
 Test(claims, answer_is_kept_with_the_claim)
 {
     fake_backend backend(answer_all);
