--- a/docs/embedding/example.cpp
+++ b/docs/embedding/example.cpp
@@ -254,6 +254,8 @@
 
     void carry_out(const divergence_alarm&, instant) {}
 
+    void carry_out(const entry_skipped&, instant) {}
+
     memory_log& log;
     memory_engine& engine;
     controller control;
--- a/src/app/router_app.cpp
+++ b/src/app/router_app.cpp
@@ -110,7 +110,7 @@
     , events(std::move(sink))
     , signals(this->main_loop, SIGINT, SIGTERM)
     , usage_timer(this->main_loop)
-    , observer(this->registry, *this->events)
+    , observer(this->registry)
     , key_watch(
           wanted.operators.key_file,
           std::move(control_settings.operator_keys),
--- a/src/core/placement/controller_impl.hpp
+++ b/src/core/placement/controller_impl.hpp
@@ -82,8 +82,8 @@
     void flush(instant now);
 
     options settings;
-    placement_policy policy;
-    preloader preloads;
+    detail::placement_policy policy;
+    detail::preloader preloads;
     fleet_state state;
     detail::group_commit commit;
     detail::lease_keeper leases;
