--- a/tests/unit/state/request_test.cpp
+++ b/tests/unit/state/request_test.cpp
@@ -164,7 +164,7 @@
                 cr_assert_eq(seen->body, k % 2 == 0 ? "sent" : "");
         }
     }
-    const auto again = fleet_state::restore(log.state.snapshot(), {});
+    const auto again = fleet_state::restore(log.state.snapshot());
     cr_assert(again);
     cr_assert_eq(again->hash(), log.state.hash());
 }
--- a/tests/unit/state/snapshot_test.cpp
+++ b/tests/unit/state/snapshot_test.cpp
@@ -61,7 +61,7 @@
 {
     const auto bytes = from_hex(snapshot_format_1);
     checkpoint whole{log_offset(7), snapshot_format_1_hash, bytes};
-    const auto state = restore_checkpoint(whole, {});
+    const auto state = restore_checkpoint(whole);
     cr_assert(state);
     const claim_key answered{1, 3};
     cr_assert(state->claim({1, 2})->outcome == claim_outcome::open);
@@ -72,11 +72,11 @@
     cr_assert_eq(state->claim(answered)->content, 0);
     cr_assert(state->claim({9, 4})->outcome == claim_outcome::may_have_run);
 
-    const auto again = fleet_state::restore(state->snapshot(), {});
+    const auto again = fleet_state::restore(state->snapshot());
     cr_assert(again);
     cr_assert_eq(again->hash(), state->hash());
     ++whole.state_hash;
-    cr_assert(!restore_checkpoint(whole, {}));
+    cr_assert(!restore_checkpoint(whole));
 }
 
 Test(snapshot, comes_back_as_it_was)
@@ -199,7 +199,7 @@
     log.put_policy(policy);
     const auto bytes = log.state.snapshot();
     cr_assert_gt(bytes.size(), before);
-    const auto again = fleet_state::restore(bytes, {});
+    const auto again = fleet_state::restore(bytes);
     cr_assert(again);
     cr_assert(again->policy() == policy);
     cr_assert_eq(again->hash(), log.state.hash());
