--- a/tests/unit/state/grant_test.cpp
+++ b/tests/unit/state/grant_test.cpp
@@ -19,7 +19,7 @@
         auto spec = model();
         spec.max_replicas = 1;
         this->put_entity(entity_kind::model, "rare", spec);
-        this->engine_id_ = this->state.find_engine("e");
+        this->granting = this->state.find_engine("e");
         this->router = this->join(2);
         this->other = this->join(3);
         this->held = this->lease(this->router);
@@ -29,7 +29,7 @@
     open(std::uint32_t memory_mib, std::uint16_t loads, session_id by, fence at)
     {
         return this->put(
-            grant_open{this->engine_id_, by, at, memory_mib, loads, term_ms});
+            grant_open{this->granting, by, at, memory_mib, loads, term_ms});
     }
 
     fold_result open(std::uint32_t memory_mib, std::uint16_t loads = 1)
@@ -41,11 +41,7 @@
     {
         const auto view = this->state.servable(this->state.find_servable(name));
         return this->put(grant_model{
-            view->id,
-            view->current,
-            this->engine_id_,
-            this->router,
-            this->held});
+            view->id, view->current, this->granting, this->router, this->held});
     }
 
     /// @return The granted model's replica.
@@ -62,7 +58,7 @@
 
     std::uint32_t reserved() const
     {
-        return this->state.engine(this->engine_id_)->reserved_mib;
+        return this->state.engine(this->granting)->reserved_mib;
     }
 
     /// The other router takes the lapsed lease. @return Its fencing number.
@@ -72,7 +68,7 @@
         return fence(this->at.value);
     }
 
-    engine_id engine_id_;
+    engine_id granting;
     session_id router;
     session_id other;
     fence held;
@@ -149,7 +145,7 @@
     const auto seen = log.state.session(log.router)->last_renewal;
     cr_assert(accepted(log.open(100)));
     cr_assert(rejected(
-        log.put(lease_acquire{log.engine_id_, log.other, log.router, seen}),
+        log.put(lease_acquire{log.granting, log.other, log.router, seen}),
         reject_reason::lease_renewed));
 }
 
@@ -211,7 +207,7 @@
     cr_assert(accepted(log.settle(used, true)));
     cr_assert_eq(log.state.replica(used)->memory_mib, 100);
     cr_assert_eq(log.reserved(), 150);
-    cr_assert_eq(log.state.standing_grant(log.engine_id_)->memory_mib, 50);
+    cr_assert_eq(log.state.standing_grant(log.granting)->memory_mib, 50);
     cr_assert(
         rejected(log.settle(unused, true), reject_reason::engine_memory),
         "more was used than the grant has");
@@ -257,10 +253,10 @@
     granted_fleet log;
     cr_assert(accepted(log.open(200)));
     const replica_id id = log.granted("rare");
-    cr_assert(accepted(log.put(lease_release{log.engine_id_, log.router})));
+    cr_assert(accepted(log.put(lease_release{log.granting, log.router})));
     cr_assert_eq(log.reserved(), 0);
     cr_assert_not(log.state.granted_model(id));
-    cr_assert_not(log.state.standing_grant(log.engine_id_));
+    cr_assert_not(log.state.standing_grant(log.granting));
 }
 
 Test(grant, records_are_without_effect_on_a_state_that_has_none)
