Name a slice's runs in a function of its own

Cause: clang-tidy calls the strings joined in compare mode's loop inefficient; it had not been run on tools/load/main.cpp before the commit.

Change: name_slice.

Conclusion: no change of behaviour.

--- a/tools/load/main.cpp
+++ b/tools/load/main.cpp
@@ -82,6 +82,25 @@
     return promises_hold(outcome) ? exit_code::ok : exit_code::failed;
 }
 
+/// What a target's run in one slice is called in request ids and progress.
+struct slice_names
+{
+    std::string run;
+    std::string label;
+};
+
+slice_names name_slice(
+    const std::string& name,
+    const std::string& side,
+    std::uint64_t round,
+    std::uint64_t rounds)
+{
+    const std::string number = std::to_string(round + 1);
+    return {
+        name + "-" + number + side,
+        "slice " + number + "/" + std::to_string(rounds) + " " + side + " "};
+}
+
 /// One slice on both targets; who begins changes each round.
 boost::leaf::result<void> compare_slice(
     const load_options& options,
@@ -96,15 +115,9 @@
         const char* const side = turn == 0 ? "base" : "against";
         const load_target& target =
             turn == 0 ? options.target : options.against;
-        const std::string number = std::to_string(round + 1);
+        const slice_names names = name_slice(name, side, round, options.rounds);
         BOOST_LEAF_ASSIGN(
-            runs[turn],
-            measure_run(
-                slice,
-                target,
-                name + "-" + number + side,
-                "slice " + number + "/" + std::to_string(options.rounds) + " " +
-                    side + " "));
+            runs[turn], measure_run(slice, target, names.run, names.label));
     }
     both.add(runs[0], runs[1]);
     return {};
