Mend a tidy finding in the operators' key file

Cause: clang-tidy: std::move of a trivially copyable key has no effect. Change: the keys are copied.

--- a/tools/common/operator_key_file.cpp
+++ b/tools/common/operator_key_file.cpp
@@ -59,7 +59,7 @@
         operator_signing_key::make(static_cast<std::uint8_t>(*number), *secret);
     if (!key)
         return bad_file(path, "[key] secret: not a key");
-    return std::move(*key);
+    return *key;
 }
 
 boost::leaf::result<operator_signing_key>
@@ -76,7 +76,7 @@
                              "\nsecret = " + key_hex(secret) + "\n";
     if (!write_new(path, text))
         return bad_file(path, "can't be made, or is there already");
-    return std::move(*key);
+    return *key;
 }
 
 } // namespace roseworks::tools
--- a/tools/ctl/command_context.cpp
+++ b/tools/ctl/command_context.cpp
@@ -75,7 +75,7 @@
         return std::optional<operator_signing_key>();
     }
     BOOST_LEAF_AUTO(key, load_signing_key(path));
-    return std::optional<operator_signing_key>(std::move(key));
+    return std::optional<operator_signing_key>(key);
 }
 
 boost::leaf::result<std::unique_ptr<log_session>>
