--- a/src/app/certificate_watch.cpp
+++ b/src/app/certificate_watch.cpp
@@ -14,12 +14,12 @@
 }
 
 certificate_watch::certificate_watch(
-    boost::asio::any_io_executor executor,
+    const boost::asio::any_io_executor& executor,
     std::unique_ptr<tls::server_certificate> certificate,
     event_sink& sink)
     : shown(std::move(certificate))
     , events(sink)
-    , timer(std::move(executor))
+    , timer(executor)
 {
 }
 
--- a/src/app/certificate_watch.hpp
+++ b/src/app/certificate_watch.hpp
@@ -26,7 +26,7 @@
         @param certificate What is reloaded; null: nothing.
         @param events      Receives what became of it. */
     certificate_watch(
-        boost::asio::any_io_executor executor,
+        const boost::asio::any_io_executor& executor,
         std::unique_ptr<tls::server_certificate> certificate,
         event_sink& events);
 
--- a/src/app/credentials_watch.cpp
+++ b/src/app/credentials_watch.cpp
@@ -8,7 +8,7 @@
 {
 
 credentials_watch::credentials_watch(
-    boost::asio::any_io_executor executor,
+    const boost::asio::any_io_executor& executor,
     std::string path,
     platform::credentials first,
     std::function<void(const platform::credentials&)> on_replaced,
@@ -17,7 +17,7 @@
     , current(std::move(first))
     , replaced(std::move(on_replaced))
     , events(sink)
-    , timer(std::move(executor))
+    , timer(executor)
 {
 }
 
--- a/src/app/credentials_watch.hpp
+++ b/src/app/credentials_watch.hpp
@@ -26,7 +26,7 @@
         @param replaced Told of new credentials.
         @param events   Told of a file that can't be used. */
     credentials_watch(
-        boost::asio::any_io_executor executor,
+        const boost::asio::any_io_executor& executor,
         std::string file,
         platform::credentials current,
         std::function<void(const platform::credentials&)> replaced,
