--- a/src/adapters/events/event_catalogue.cpp
+++ b/src/adapters/events/event_catalogue.cpp
@@ -36,7 +36,7 @@
     {settings_refused, error, "settings_refused",
      "Keys that were read anew cannot be used; the old ones stay in use.",
      "reason",
-     "Correct the file that peers.mac_key_file names."},
+     "Correct the file of keys or credentials that the line names."},
     {drain_limit_reached, warn, "drain_limit_reached",
      "Requests were still in flight at the drain limit and were ended with an "
      "explicit error.",
--- a/src/app/credentials_watch.cpp
+++ b/src/app/credentials_watch.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/leaf/handle_errors.hpp>
 
+#include <string>
 #include <utility>
 
 namespace roseworks::app
@@ -55,10 +56,10 @@
         },
         [&](const platform::credentials_problem& problem)
         {
+            const std::string text = problem.file + ": " + problem.what;
             if (!this->refused)
                 this->events.report(
-                    event_id::settings_refused,
-                    {{"file", problem.file}, {"reason", problem.what}});
+                    event_id::settings_refused, {{"reason", text}});
             this->refused = true;
         },
         [] {});
--- a/src/app/operator_key_watch.cpp
+++ b/src/app/operator_key_watch.cpp
@@ -103,7 +103,7 @@
         {
             const std::string text = (std::ostringstream() << problems).str();
             this->events.report(
-                event_id::settings_refused, {{"problem", text}});
+                event_id::settings_refused, {{"reason", text}});
             return std::vector<operator_key>();
         },
         []
