--- a/src/adapters/edge/prepared_call.hpp
+++ b/src/adapters/edge/prepared_call.hpp
@@ -37,7 +37,7 @@
 
     request_info info;
     std::optional<claim_request> claim; ///< to be claimed before it is sent
-    stream_position position;       ///< what of a stream the caller has
+    stream_position position;           ///< what of a stream the caller has
     bool patient = false;    ///< given up on once: the longest limits hold
     std::string run_left_at; ///< engine that may still run it; empty: none
 
--- a/src/adapters/platform/system_clock.cpp
+++ b/src/adapters/platform/system_clock.cpp
@@ -1,13 +1,17 @@
 #include "adapters/platform/system_clock.hpp"
 
 #include <chrono>
+#include <ctime>
 
 namespace roseworks::platform
 {
 
 instant system_clock::now() const
 {
-    const auto elapsed = std::chrono::steady_clock::now().time_since_epoch();
+    timespec read{};
+    clock_gettime(CLOCK_BOOTTIME, &read);
+    const auto elapsed = std::chrono::seconds(read.tv_sec) +
+                         std::chrono::nanoseconds(read.tv_nsec);
     return instant(std::chrono::duration_cast<duration>(elapsed));
 }
 
--- a/src/app/control_loop.cpp
+++ b/src/app/control_loop.cpp
@@ -197,9 +197,7 @@
     const instant now = this->ports.clock.now();
     const instant due = std::clamp(
         this->core->next_tick(), now + shortest_tick, now + longest_tick);
-    using steady = std::chrono::steady_clock;
-    this->tick_timer.expires_at(steady::time_point(
-        std::chrono::duration_cast<steady::duration>(due.time_since_epoch())));
+    this->tick_timer.expires_after(due - now);
     this->tick_timer.async_wait(
         [this](boost::system::error_code error)
         {
--- a/src/app/operator_key_watch.cpp
+++ b/src/app/operator_key_watch.cpp
@@ -102,8 +102,7 @@
         [&](const settings::settings_problems& problems)
         {
             const std::string text = (std::ostringstream() << problems).str();
-            this->events.report(
-                event_id::settings_refused, {{"reason", text}});
+            this->events.report(event_id::settings_refused, {{"reason", text}});
             return std::vector<operator_key>();
         },
         []
--- a/src/core/placement/controller_events.cpp
+++ b/src/core/placement/controller_events.cpp
@@ -127,8 +127,7 @@
 void controller::impl::engine_read(const engine_report& report, instant now)
 {
     this->reports.received(report, now);
-    for (const servable_id used :
-         this->uses.reported(this->state, report, now))
+    for (const servable_id used : this->uses.reported(this->state, report, now))
     {
         this->policy.used(this->state, used, now);
     }
--- a/src/core/placement/controller_steps.cpp
+++ b/src/core/placement/controller_steps.cpp
@@ -71,8 +71,7 @@
     if (!decoded)
     {
         this->state.skip(entry.offset);
-        this->out.emplace_back(
-            entry_skipped{entry.offset, entry.bytes.size()});
+        this->out.emplace_back(entry_skipped{entry.offset, entry.bytes.size()});
         return;
     }
     const record& value = *decoded;
--- a/tests/unit/log_client/platform_test.cpp
+++ b/tests/unit/log_client/platform_test.cpp
@@ -2,11 +2,13 @@
 #include "adapters/platform/http_engine_client.hpp"
 #include "adapters/platform/http_vm_list_client.hpp"
 #include "adapters/platform/platform_messages.hpp"
+#include "adapters/platform/system_clock.hpp"
 #include "scripted_server.hpp"
 
 #include <boost/leaf/handle_errors.hpp>
 
 #include <algorithm>
+#include <ctime>
 #include <optional>
 #include <span>
 #include <sstream>
@@ -449,3 +451,28 @@
     context.restart();
     context.run_for(1s);
 }
+
+namespace
+{
+
+instant boot_time()
+{
+    timespec read{};
+    clock_gettime(CLOCK_BOOTTIME, &read);
+    return instant(
+        std::chrono::seconds(read.tv_sec) +
+        std::chrono::duration_cast<duration>(
+            std::chrono::nanoseconds(read.tv_nsec)));
+}
+
+} // namespace
+
+// Tells the two clocks apart only on a machine that was once suspended.
+Test(system_clock, counts_the_time_of_a_suspended_machine)
+{
+    const platform::system_clock clock;
+    const instant before = boot_time();
+    const instant now = clock.now();
+    cr_assert(before <= now);
+    cr_assert(now <= boot_time());
+}
