Say in bench_overload where calls waited and what was neither

Cause: the bench said how many calls were neither answered nor refused as not run, but not what became of them, and nothing of where the others waited.

Change: it prints these calls by class, outcome and reason, the engines' own queues, and the mean time of each class in the routers' queue and at the engine before the first byte. `--dispatcher-only` leaves the baseline out.

--- a/bench/overload/bench_overload.cpp
+++ b/bench/overload/bench_overload.cpp
@@ -49,6 +49,9 @@
 constexpr auto warm_up = 3s;
 constexpr auto length = 15s;
 
+constexpr const char* queue_metric = "roseworks_queue_wait_seconds";
+constexpr const char* first_byte_metric = "roseworks_first_byte_seconds";
+
 /// A class of calls: its share, and how long its callers wait for a token.
 struct call_class
 {
@@ -125,6 +128,7 @@
     double late_refusals = 0;
     std::vector<double> urgent_ms;
     std::map<std::string, double> urgent_refused;
+    std::map<std::string, double> unclear;
     for (std::size_t i = 0; i < results.size(); ++i)
     {
         const tools::call_result& result = results[i];
@@ -155,7 +159,15 @@
         }
         late_refusals +=
             is_refused && result.total > sent.calls[i].deadline ? 1 : 0;
-        false_start += !answered && !is_refused ? 1 : 0;
+        if (!answered && !is_refused)
+        {
+            ++false_start;
+            const bool begun = result.status == 200;
+            const std::string why = begun ? "cut_midway" : result.reason;
+            ++unclear
+                [std::string(classes[which].name) + "_" +
+                 to_string(result.outcome) + "_" + why];
+        }
     }
     const double all = asked[0] + asked[1] + asked[2];
     print_figure(name + "goodput", good / window, "1/s");
@@ -176,6 +188,75 @@
     print_figure(name + "refused", 100 * refused / all, "%");
     print_figure(name + "refused_late", late_refusals, "calls");
     print_figure(name + "neither", false_start, "calls");
+    for (const auto& [what, count] : unclear)
+    {
+        print_figure(name + "neither_" + what, count, "calls");
+    }
+}
+
+/// Print how full the engines' own queues were once warm.
+void print_engines(
+    const std::string& name, const std::vector<tools::fleet_sample>& samples)
+{
+    std::vector<double> running;
+    std::vector<double> waiting;
+    for (const tools::fleet_sample& sample : samples)
+    {
+        if (sample.at >= warm_up && sample.at < length)
+        {
+            running.push_back(sample.running);
+            waiting.push_back(sample.waiting);
+        }
+    }
+    print_figure(name + "engines_running_p50", quantile(running, 0.5), "calls");
+    print_figure(name + "engines_waiting_p50", quantile(waiting, 0.5), "calls");
+    print_figure(name + "engines_waiting_max", quantile(waiting, 1), "calls");
+}
+
+/// Sums and counts of a latency of all routers, by class.
+struct latency_totals
+{
+    std::array<double, 3> sum{};
+    std::array<double, 3> count{};
+};
+
+latency_totals read_totals(const test::fleet& nodes, const std::string& metric)
+{
+    std::vector<std::string> names;
+    for (const call_class& one : classes)
+    {
+        const std::string label =
+            "{priority=\"" + std::string(one.name) + "\"}";
+        names.push_back(metric + "_sum" + label);
+        names.push_back(metric + "_count" + label);
+    }
+    latency_totals totals;
+    for (std::size_t i = 0; i < router_count; ++i)
+    {
+        const auto values = read_metrics(nodes.router_address(i), names);
+        for (std::size_t k = 0; k < classes.size(); ++k)
+        {
+            totals.sum[k] += values[2 * k];
+            totals.count[k] += values[2 * k + 1];
+        }
+    }
+    return totals;
+}
+
+void print_means(
+    const std::string& name,
+    const latency_totals& before,
+    const latency_totals& after)
+{
+    for (std::size_t k = 0; k < classes.size(); ++k)
+    {
+        const double count = after.count[k] - before.count[k];
+        const double sum = after.sum[k] - before.sum[k];
+        print_figure(
+            name + classes[k].name + "_mean",
+            count == 0 ? 0 : 1000 * sum / count,
+            "ms");
+    }
 }
 
 tools::endpoint endpoint_of(const std::string& address)
@@ -247,7 +328,7 @@
     }
 }
 
-void measure(const std::vector<double>& loads)
+void measure(const std::vector<double>& loads, bool with_baseline)
 {
     test::fleet nodes(make_setup());
     publish_records(nodes);
@@ -258,12 +339,20 @@
         target.routers.push_back(endpoint_of(nodes.router_address(i)));
     }
     tools::load_options options;
+    for (std::size_t i = 0; i < engine_count; ++i)
+    {
+        target.engines.push_back(endpoint_of(nodes.engine_address(i)));
+    }
     options.max_in_flight = 10'000;
     print_figure("overload_real_saturation", saturation, "1/s");
     for (const double load : loads)
     {
         for (const auto kind : {discipline::dispatcher, discipline::fcfs})
         {
+            if (kind == discipline::fcfs && !with_baseline)
+            {
+                continue;
+            }
             char name[64];
             std::snprintf(
                 name,
@@ -273,25 +362,40 @@
                 kind == discipline::fcfs ? "fcfs" : "dispatcher");
             const arrivals sent = make_arrivals(load, kind, name);
             tools::load_run run(options, target, sent.calls, name);
+            const auto queued = read_totals(nodes, queue_metric);
+            const auto first = read_totals(nodes, first_byte_metric);
             run.run();
             print_run(name, sent, run.results());
+            print_engines(name, run.samples());
+            const std::string prefix = name;
+            print_means(
+                prefix + "queued_", queued, read_totals(nodes, queue_metric));
+            print_means(
+                prefix + "first_byte_",
+                first,
+                read_totals(nodes, first_byte_metric));
         }
     }
 }
 
 } // namespace
 
-/// @param argv Loads as multiples of saturation; without one, the four.
+/// @param argv Loads as multiples of saturation; without one, the four. With
+///             `--dispatcher-only` first, the baseline isn't run.
 int main(int argc, char** argv)
 {
     try
     {
         std::vector<double> loads;
-        for (int i = 1; i < argc; ++i)
+        const bool with_baseline =
+            argc < 2 || std::string_view(argv[1]) != "--dispatcher-only";
+        for (int i = with_baseline ? 1 : 2; i < argc; ++i)
         {
             loads.push_back(std::stod(argv[i]));
         }
-        measure(loads.empty() ? std::vector{0.5, 1.0, 2.0, 4.0} : loads);
+        measure(
+            loads.empty() ? std::vector{0.5, 1.0, 2.0, 4.0} : loads,
+            with_baseline);
         return 0;
     }
     catch (const std::exception& error)
--- a/tools/load/engine_watch.cpp
+++ b/tools/load/engine_watch.cpp
@@ -66,6 +66,7 @@
 {
     const auto running = static_cast<std::uint32_t>(number(state, "running"));
     sample.running += running;
+    sample.waiting += static_cast<std::uint32_t>(number(state, "waiting"));
     sample.memory_mib += number(state, "memory_used");
     sample.overcommitted =
         sample.overcommitted ||
--- a/tools/load/engine_watch.hpp
+++ b/tools/load/engine_watch.hpp
@@ -22,6 +22,7 @@
     std::uint32_t ready = 0;       ///< replicas
     std::uint32_t moving = 0;      ///< loading or unloading
     std::uint32_t running = 0;     ///< requests
+    std::uint32_t waiting = 0;     ///< requests in the engines' own queues
     /// Ready base models beyond the requests running on their engine: at least
     /// so many were idle.
     std::uint32_t idle_models = 0;
