Don't eject a server because a caller's deadline cut its answer

Cause: past saturation the first call in a line is the one nearest its deadline, so that answers are begun shortly before it and cut by it. Each cut counted as a failure of the backend server; three in a row ejected it for 5 s, then 10, though it was well. With two engines a router went on with one.

Change: an answer that was coming when its own deadline passed isn't counted as a failure. A server from which no byte came still is.

Seen failing first: the new test.

--- a/src/core/request/dispatcher_finish.cpp
+++ b/src/core/request/dispatcher_finish.cpp
@@ -22,6 +22,15 @@
     return how == end_kind::refused_not_run || how == end_kind::not_sent;
 }
 
+/// @return Whether an answer that was coming reached the request's own
+///         deadline: that says nothing against its backend server.
+bool ran_out_of_time(
+    const detail::queue_item& item, const attempt_result& result, instant now)
+{
+    return result.how == end_kind::no_progress && result.answer_started &&
+           now >= item.deadline;
+}
+
 refusal_reason reason_of(const attempt_result& result)
 {
     if (result.answer_started)
@@ -76,7 +85,7 @@
     }
     else
     {
-        if (used != nullptr)
+        if (used != nullptr && !ran_out_of_time(request.item, result, now))
         {
             used->health.failed(now);
         }
--- a/tests/unit/dispatch/test_routing.cpp
+++ b/tests/unit/dispatch/test_routing.cpp
@@ -275,3 +275,23 @@
     cr_assert(test.refused(second) == refusal_reason::no_capacity);
     cr_assert(test.demands.empty());
 }
+
+Test(routing, an_answer_cut_by_its_deadline_says_nothing_of_the_server)
+{
+    harness test;
+    test.model("m", 1, 2, 4);
+    for (int i = 0; i < 20; ++i)
+    {
+        request_info info = test.info();
+        info.deadline = test.now + 100ms;
+        const ticket id = test.submit(info);
+        test.now += 100ms;
+        test.finish(id, attempt_result::end::no_progress, 100ms, true);
+    }
+    std::set<std::uint32_t> engines;
+    for (int i = 0; i < 8; ++i)
+    {
+        engines.insert(test.engine(test.submit()));
+    }
+    cr_assert(engines == std::set<std::uint32_t>({1, 2}), "neither is ejected");
+}
