Don't begin an answer that can't end before its deadline

Cause: a call was begun when its first byte was foreseen in time, but the deadline (time until the caller gives up) cuts the whole answer. Past saturation, where calls are begun close to their deadlines, these answers were cut midway: neither answered nor refused as not run, and the work was wasted.

Change: the rest of the answer is foreseen too, from the learnt time a token and length of answers, no longer than the tokens asked for. A call that can't end in time is refused as not run instead. Answers without a count of tokens, and resumed streams, are judged by the first byte as before.

Seen failing first: the new test.

--- a/src/core/admission/wait_estimator.cpp
+++ b/src/core/admission/wait_estimator.cpp
@@ -44,9 +44,19 @@
 }
 
 void wait_estimator::served(
-    duration total, duration first_byte, std::uint32_t bytes, instant now)
+    duration total,
+    duration first_byte,
+    std::uint32_t bytes,
+    std::uint32_t tokens,
+    instant now)
 {
     this->service.add(static_cast<double>(total.count()), now);
+    if (tokens != 0)
+    {
+        const auto rest = static_cast<double>((total - first_byte).count());
+        this->per_token.add(rest / tokens, now);
+        this->length.add(tokens, now);
+    }
     const auto first = static_cast<double>(first_byte.count());
     if (bytes < slope_bytes)
     {
@@ -82,6 +92,13 @@
     return rounded(constant + slope * bytes);
 }
 
+duration wait_estimator::rest(std::uint32_t max_tokens, instant now) const
+{
+    const double expected =
+        std::min<double>(max_tokens, this->length.value(wanted_samples, now));
+    return rounded(this->per_token.value(wanted_samples, now) * expected);
+}
+
 duration wait_estimator::cold(duration declared) const
 {
     return this->cold_wait ? rounded(*this->cold_wait) : declared;
--- a/src/core/admission/wait_estimator.hpp
+++ b/src/core/admission/wait_estimator.hpp
@@ -40,8 +40,14 @@
 {
 public:
     /// A request was answered.
-    void
-    served(duration total, duration first_byte, std::uint32_t bytes, instant);
+    /// @param bytes  Of its prompt.
+    /// @param tokens Of its answer; 0: not counted.
+    void served(
+        duration total,
+        duration first_byte,
+        std::uint32_t bytes,
+        std::uint32_t tokens,
+        instant now);
 
     /// The target became ready this long after it was asked for.
     void cold_start(duration waited);
@@ -56,14 +62,20 @@
     /// Time from sending a prompt of this size to its first byte.
     duration prefill(std::uint32_t bytes, instant now) const;
 
+    /// Time from the first byte of an answer to its last.
+    /// @param max_tokens The most that the request asks for.
+    duration rest(std::uint32_t max_tokens, instant now) const;
+
     /// Time from asking for the target to its being ready.
     /// @param declared The spec's estimate; used until one was observed.
     duration cold(duration declared) const;
 
 private:
-    fading_average service;  ///< microseconds a request holds a slot
-    fading_average base;     ///< microseconds to the first byte, short ones
-    fading_average per_byte; ///< further microseconds per byte of prompt
+    fading_average service;   ///< microseconds a request holds a slot
+    fading_average base;      ///< microseconds to the first byte, short ones
+    fading_average per_byte;  ///< further microseconds per byte of prompt
+    fading_average per_token; ///< microseconds after the first byte
+    fading_average length;    ///< tokens of an answer
     std::optional<double> cold_wait;
 };
 
--- a/src/core/request/dispatcher_finish.cpp
+++ b/src/core/request/dispatcher_finish.cpp
@@ -70,6 +70,7 @@
                 result.total,
                 result.first_byte,
                 request.info.prompt_bytes,
+                result.tokens,
                 now);
         }
         where.budget.deposit(now);
--- a/src/core/request/dispatcher_tick.cpp
+++ b/src/core/request/dispatcher_tick.cpp
@@ -177,9 +177,14 @@
     duration wait,
     instant now) const
 {
-    const std::uint32_t bytes = this->requests.at(item.id).info.prompt_bytes;
-    const duration prefill = where.estimator.prefill(bytes, now);
-    return now < item.deadline && now + wait + prefill <= item.deadline;
+    const pending& request = this->requests.at(item.id);
+    const duration prefill =
+        where.estimator.prefill(request.info.prompt_bytes, now);
+    // How much of a resumed stream is left isn't known.
+    const duration rest =
+        request.resumed ? duration::zero()
+                        : where.estimator.rest(request.info.max_tokens, now);
+    return now < item.deadline && now + wait + prefill + rest <= item.deadline;
 }
 
 duration dispatcher::impl::spread(duration value)
--- a/tests/unit/dispatch/test_admission.cpp
+++ b/tests/unit/dispatch/test_admission.cpp
@@ -527,3 +527,22 @@
     cr_assert(test.finish(running).final_answer);
     cr_assert_eq(test.core.in_flight(), 0);
 }
+
+Test(admission, an_answer_that_cannot_end_in_time_is_not_begun)
+{
+    harness test;
+    test.model("m", 1, 1, 4);
+    for (int i = 0; i < 4; ++i)
+    {
+        attempt_result result;
+        result.first_byte = 10ms;
+        result.total = 170ms;
+        result.tokens = 16;
+        test.core.finished(test.submit(), result, test.now);
+    }
+    request_info info = test.info();
+    info.deadline = test.now + 100ms;
+    cr_assert_eq(test.refused(test.submit(info)), refusal_reason::deadline);
+    info.max_tokens = 8;
+    cr_assert(test.granted(test.submit(info)), "a shorter one can");
+}
