Give each router its equal share of a shared engine's slots

Cause: a router ran on an engine whatever the last report left free. One that found the engine idle took all its slots and kept them, for it saw nobody else's work there; the others got one slot an engine. Then a report was believed for 5 s, but a router that doesn't hold the engine reads it each 10 s: half of the time it took the engine for idle.

Change: the dispatcher is told how many routers membership thinks alive. Each may run at least its equal share of a server's slots, and more when others leave more. Reports are believed for 12 s. A lone router, and work that isn't a router's, are treated as before.

`bench_dispatch` has the rows `shared_*`: dispatchers that share engines on the virtual clock and see each other late.

--- a/bench/dispatch/bench_dispatch.cpp
+++ b/bench/dispatch/bench_dispatch.cpp
@@ -1,6 +1,7 @@
 #include "affinity_experiment.hpp"
 #include "core/routing/sharded_table.hpp"
 #include "overload_experiment.hpp"
+#include "shared_engines.hpp"
 
 #include <roseworks/dispatcher.hpp>
 
@@ -274,6 +275,47 @@
     }
 }
 
+/// Means of five seeds, counts added up.
+void measure_shared_engines(std::size_t routers, double load)
+{
+    constexpr std::uint64_t seeds = 5;
+    bench::shared_engines_setup setup;
+    setup.routers = routers;
+    setup.load = load;
+    bench::shared_engines_result sum;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+    {
+        setup.seed = seed;
+        const auto one = bench::run_shared_engines(setup);
+        sum.goodput += one.goodput / seeds;
+        sum.urgent_p99_ms += one.urgent_p99_ms / seeds;
+        sum.urgent_timely += one.urgent_timely / seeds;
+        sum.urgent_refused += one.urgent_refused;
+        sum.cut += one.cut;
+        sum.engine_waiting += one.engine_waiting / seeds;
+    }
+    char prefix[64];
+    std::snprintf(prefix, sizeof(prefix), "shared_%zu_%gx_", routers, load);
+    const std::string name(prefix);
+    print(name + "goodput", sum.goodput, "1/s");
+    print(name + "urgent_p99", sum.urgent_p99_ms, "ms");
+    print(name + "urgent_timely", 100 * sum.urgent_timely, "%");
+    print(name + "urgent_refused", double(sum.urgent_refused), "calls");
+    print(name + "cut", double(sum.cut), "calls");
+    print(name + "engine_waiting", sum.engine_waiting, "calls");
+}
+
+void measure_shared_engines()
+{
+    for (const std::size_t routers : {1, 2, 3, 9})
+    {
+        for (const double load : {0.5, 1.0, 2.0, 4.0})
+        {
+            measure_shared_engines(routers, load);
+        }
+    }
+}
+
 /// Means of three seeds.
 void measure_affinity(bench::affinity_setting setting, const char* kind)
 {
@@ -338,5 +380,6 @@
     measure_queue();
     measure_table();
     measure_overload();
+    measure_shared_engines();
     return 0;
 }
--- a/include/roseworks/dispatcher.hpp
+++ b/include/roseworks/dispatcher.hpp
@@ -193,6 +193,10 @@
     /// An engine reported what its prefix cache holds.
     void cache_reported(const cache_report& report, instant now);
 
+    /// So many routers are alive, this one included. A hint: each may take its
+    /// equal share of a server's slots whatever others run there.
+    void routers_alive(std::size_t count, instant now);
+
     /// Backend servers on this VM get no new work from now on.
     void vm_leaving(std::string_view vm, bool leaving, instant now);
 
--- a/src/adapters/edge/shared_dispatcher.cpp
+++ b/src/adapters/edge/shared_dispatcher.cpp
@@ -110,6 +110,15 @@
         });
 }
 
+void shared_dispatcher::routers_alive(std::size_t count)
+{
+    this->locked(
+        [&](instant time)
+        {
+            this->core.routers_alive(count, time);
+        });
+}
+
 void shared_dispatcher::cache_reported(const cache_report& report)
 {
     this->locked(
--- a/src/adapters/edge/shared_dispatcher.hpp
+++ b/src/adapters/edge/shared_dispatcher.hpp
@@ -56,6 +56,7 @@
     /// See the functions of the same name of `dispatcher`.
     void table_changed(routing_table_ptr table);
     void load_reported(const load_report& report);
+    void routers_alive(std::size_t count);
     void cache_reported(const cache_report& report);
     void vm_leaving(std::string_view vm, bool leaving);
 
--- a/src/app/control_loop_ports.cpp
+++ b/src/app/control_loop_ports.cpp
@@ -68,6 +68,8 @@
 
 void control_loop::peers_alive(std::span<const session_id> alive)
 {
+    if (this->notices.routers_alive && !this->stopped)
+        this->notices.routers_alive(alive.size());
     if (!this->core || this->stopped)
         return;
     this->core->peers_changed(alive, this->ports.clock.now());
--- a/src/app/control_notices.hpp
+++ b/src/app/control_notices.hpp
@@ -4,6 +4,7 @@
 #include <roseworks/dispatcher.hpp>
 #include <roseworks/routing_table.hpp>
 
+#include <cstddef>
 #include <functional>
 #include <string_view>
 
@@ -20,6 +21,8 @@
     std::function<void(const load_report&)> load_reported;
     /// Null: nobody wants cache events, and none are read.
     std::function<void(const cache_report&)> cache_reported;
+    /// So many routers are alive, this one included. Null: nobody asks.
+    std::function<void(std::size_t)> routers_alive;
     std::function<void(std::string_view vm, bool leaving)> vm_leaving;
     std::function<void(const claim_result&)> claim_decided;
     /// This run of the controller ended; claims it held open get no result.
--- a/src/app/router_app.cpp
+++ b/src/app/router_app.cpp
@@ -197,6 +197,10 @@
     {
         this->dispatch->cache_reported(report);
     };
+    notices.routers_alive = [this](std::size_t count)
+    {
+        this->dispatch->routers_alive(count);
+    };
     notices.vm_leaving = [this](std::string_view vm, bool leaving)
     {
         this->dispatch->vm_leaving(vm, leaving);
--- a/src/core/request/dispatcher.cpp
+++ b/src/core/request/dispatcher.cpp
@@ -47,6 +47,11 @@
     this->self->cache_reported(report, now);
 }
 
+void dispatcher::routers_alive(std::size_t count, instant now)
+{
+    this->self->routers_alive(count, now);
+}
+
 void dispatcher::vm_leaving(std::string_view vm, bool leaving, instant now)
 {
     this->self->vm_leaving(vm, leaving, now);
--- a/src/core/request/dispatcher_impl.hpp
+++ b/src/core/request/dispatcher_impl.hpp
@@ -29,6 +29,7 @@
     void table_changed(routing_table_ptr next, instant now);
     void load_reported(const load_report& report, instant now);
     void cache_reported(const cache_report& report, instant now);
+    void routers_alive(std::size_t count, instant now);
     void vm_leaving(std::string_view vm, bool leaving, instant now);
     void drain();
     void tick(instant now);
--- a/src/core/request/dispatcher_tick.cpp
+++ b/src/core/request/dispatcher_tick.cpp
@@ -68,6 +68,17 @@
     }
 }
 
+void dispatcher::impl::routers_alive(std::size_t count, instant now)
+{
+    this->loads.routers_alive(count);
+    const std::vector<detail::target*> all(
+        this->waiting.begin(), this->waiting.end());
+    for (detail::target* where : all)
+    {
+        this->pump(*where, now);
+    }
+}
+
 void dispatcher::impl::vm_leaving(std::string_view vm, bool is, instant now)
 {
     if (is)
--- a/src/core/request/target.cpp
+++ b/src/core/request/target.cpp
@@ -127,9 +127,7 @@
     std::size_t total = 0;
     for (const std::size_t i : usable)
     {
-        const std::uint32_t foreign =
-            loads.foreign(this->backends[i].server, now);
-        total += streams > foreign ? streams - foreign : 1;
+        total += loads.limit(this->backends[i].server, streams, now);
     }
     const std::size_t kept = batch ? kept_for_better(this->max_streams) : 0;
     return total > kept ? total - kept : total;
--- a/src/core/routing/balancer.cpp
+++ b/src/core/routing/balancer.cpp
@@ -41,17 +41,12 @@
     instant now)
 {
     const std::uint32_t streams = std::max<std::uint16_t>(max_streams, 1);
-    if (loads.reserved(one.server) || one.in_flight >= streams)
+    if (loads.reserved(one.server))
     {
         return 0;
     }
-    const std::uint32_t used = one.in_flight + loads.foreign(one.server, now);
-    if (used < streams)
-    {
-        return streams - used;
-    }
-    // Others' work counts, but never keeps this router away altogether.
-    return one.in_flight == 0 ? 1 : 0;
+    const std::uint32_t limit = loads.limit(one.server, streams, now);
+    return limit > one.in_flight ? limit - one.in_flight : 0;
 }
 
 } // namespace
--- a/src/core/routing/server_loads.cpp
+++ b/src/core/routing/server_loads.cpp
@@ -1,5 +1,7 @@
 #include "core/routing/server_loads.hpp"
 
+#include <algorithm>
+
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
@@ -33,6 +35,18 @@
     return found->second.foreign;
 }
 
+std::uint32_t
+server_loads::limit(server_key server, std::uint32_t streams, instant now) const
+{
+    // Alone, or not knowing of others: what is foreign isn't a router's.
+    const std::uint32_t share =
+        this->routers > 1 ? streams / static_cast<std::uint32_t>(this->routers)
+                          : 0;
+    const std::uint32_t others = this->foreign(server, now);
+    const std::uint32_t left = streams > others ? streams - others : 0;
+    return std::max({left, share, std::uint32_t(1)});
+}
+
 std::uint32_t server_loads::load(server_key server, instant now) const
 {
     const auto found = this->states.find(server);
--- a/src/core/routing/server_loads.hpp
+++ b/src/core/routing/server_loads.hpp
@@ -2,6 +2,7 @@
 
 #include <roseworks/dispatcher.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 #include <unordered_map>
@@ -37,7 +38,7 @@
 {
 public:
     /// A report older than this says nothing.
-    static constexpr duration report_lifetime = std::chrono::seconds(5);
+    static constexpr duration report_lifetime = std::chrono::seconds(12);
 
     server_state& at(server_key server)
     {
@@ -49,6 +50,22 @@
     /// @return Requests of other routers there, by the last fresh report.
     std::uint32_t foreign(server_key server, instant now) const;
 
+    /// So many routers are alive, this one included; 0: not known.
+    void routers_alive(std::size_t count)
+    {
+        this->routers = count;
+    }
+
+    /** Requests that this router may run on a server at once.
+
+        What others leave free, but never less than its equal share: a router
+        that found the server idle would else keep all of it.
+
+        @param streams That the server runs at once.
+    */
+    std::uint32_t
+    limit(server_key server, std::uint32_t streams, instant now) const;
+
     /// @return Own requests and those of others.
     std::uint32_t load(server_key server, instant now) const;
 
@@ -57,6 +74,7 @@
 
 private:
     std::unordered_map<server_key, server_state> states;
+    std::size_t routers = 0;
 };
 
 } // namespace roseworks::detail
--- a/tests/unit/app/control_loop_test.cpp
+++ b/tests/unit/app/control_loop_test.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <array>
 #include <optional>
 
 #include <criterion/criterion.h>
@@ -81,6 +82,10 @@
             this->table = std::move(newest);
         };
         result.load_reported = [](const load_report&) {};
+        result.routers_alive = [this](std::size_t count)
+        {
+            this->routers = count;
+        };
         result.vm_leaving = [this](std::string_view vm, bool leaving)
         {
             this->vms[std::string(vm)] = leaving;
@@ -137,6 +142,7 @@
     std::vector<claim_result> claims;
     int claims_dropped = 0;
     int caught_up = 0;
+    std::size_t routers = 0;
     std::optional<bool> left;
     control_loop loop;
 };
@@ -168,6 +174,17 @@
     cr_expect(bench.loop.driven()->joined());
 }
 
+Test(control_loop, the_routers_alive_are_told)
+{
+    loop_bench bench;
+    bench.log.open();
+    bench.run(200ms);
+    cr_expect(bench.routers == 1, "itself, once it has joined");
+    const std::array both{session_id(1), session_id(2)};
+    bench.loop.peers_alive(both);
+    cr_expect(bench.routers == 2);
+}
+
 Test(control_loop, the_table_follows_the_log)
 {
     loop_bench bench;
