--- a/bench/overload/bench_overload.cpp
+++ b/bench/overload/bench_overload.cpp
@@ -183,14 +183,14 @@
     }
     for (const auto& [reason, count] : urgent_refused)
     {
-        print_figure(name + "urgent_refused_" + reason, count, "calls");
+        print_figure((name + "urgent_refused_").append(reason), count, "calls");
     }
     print_figure(name + "refused", 100 * refused / all, "%");
     print_figure(name + "refused_late", late_refusals, "calls");
     print_figure(name + "neither", false_start, "calls");
     for (const auto& [what, count] : unclear)
     {
-        print_figure(name + "neither_" + what, count, "calls");
+        print_figure((name + "neither_").append(what), count, "calls");
     }
 }
 
@@ -227,8 +227,8 @@
     {
         const std::string label =
             "{priority=\"" + std::string(one.name) + "\"}";
-        names.push_back(metric + "_sum" + label);
-        names.push_back(metric + "_count" + label);
+        names.push_back((metric + "_sum").append(label));
+        names.push_back((metric + "_count").append(label));
     }
     latency_totals totals;
     for (std::size_t i = 0; i < router_count; ++i)
