--- a/src/core/admission/wait_estimator.cpp
+++ b/src/core/admission/wait_estimator.cpp
@@ -13,6 +13,9 @@
 constexpr double cold_smoothing = 0.3;
 constexpr std::uint32_t wanted_samples = 4;
 
+/// Mean deviations by which an answer may be slower than the mean.
+constexpr double deviations = 2;
+
 /// Prompts below this teach the constant part, those above the slope.
 constexpr std::uint32_t slope_bytes = 1024;
 
@@ -44,9 +47,22 @@
 }
 
 void wait_estimator::served(
-    duration total, duration first_byte, std::uint32_t bytes, instant now)
+    duration total,
+    duration first_byte,
+    std::uint32_t bytes,
+    std::uint32_t tokens,
+    instant now)
 {
     this->service.add(static_cast<double>(total.count()), now);
+    if (tokens != 0)
+    {
+        const auto rest = static_cast<double>((total - first_byte).count());
+        const double each = rest / tokens;
+        this->per_token.add(each, now);
+        this->deviation.add(
+            std::abs(each - this->per_token.value(1, now)), now);
+        this->length.add(tokens, now);
+    }
     const auto first = static_cast<double>(first_byte.count());
     if (bytes < slope_bytes)
     {
@@ -82,6 +98,15 @@
     return rounded(constant + slope * bytes);
 }
 
+duration wait_estimator::rest(std::uint32_t max_tokens, instant now) const
+{
+    const double expected =
+        std::min<double>(max_tokens, this->length.value(wanted_samples, now));
+    const double each = this->per_token.value(wanted_samples, now) +
+                        deviations * this->deviation.value(wanted_samples, now);
+    return rounded(each * expected);
+}
+
 duration wait_estimator::cold(duration declared) const
 {
     return this->cold_wait ? rounded(*this->cold_wait) : declared;
--- a/src/core/request/dispatcher_tick.cpp
+++ b/src/core/request/dispatcher_tick.cpp
@@ -68,6 +68,17 @@
     }
 }
 
+void dispatcher::impl::routers_alive(std::size_t count, instant now)
+{
+    this->loads.routers_alive(count);
+    const std::vector<detail::target*> all(
+        this->waiting.begin(), this->waiting.end());
+    for (detail::target* where : all)
+    {
+        this->pump(*where, now);
+    }
+}
+
 void dispatcher::impl::vm_leaving(std::string_view vm, bool is, instant now)
 {
     if (is)
@@ -177,9 +188,14 @@
     duration wait,
     instant now) const
 {
-    const std::uint32_t bytes = this->requests.at(item.id).info.prompt_bytes;
-    const duration prefill = where.estimator.prefill(bytes, now);
-    return now < item.deadline && now + wait + prefill <= item.deadline;
+    const pending& request = this->requests.at(item.id);
+    const duration prefill =
+        where.estimator.prefill(request.info.prompt_bytes, now);
+    // How much of a resumed stream is left isn't known.
+    const duration rest =
+        request.resumed ? duration::zero()
+                        : where.estimator.rest(request.info.max_tokens, now);
+    return now < item.deadline && now + wait + prefill + rest <= item.deadline;
 }
 
 duration dispatcher::impl::spread(duration value)
