Let checkpoints follow what the log keeps

Cause: a checkpoint was written every 50,000 records whatever the log keeps: 7.9 KB/s of the 10 KB/s at the two-year size, while a quiet log (under 14 records/s at an hour's retention) forgot its only checkpoint before the next one, and an author that died left a gap of a whole interval.

Change: checkpoints may be taken at marks, which follow from the log alone (multiples of the interval, and the first record of each two minutes of log time), so that every router still has its own hash to compare. At a mark the named router writes one if one is due: what the newest needs was forgotten, a quarter of the kept records came after it, it is ten intervals or two hours old. The log client asks for the log's oldest offset once a minute (about 4 B/s) and hands it up (`log_listener::log_kept`).

Tests: six new ones.

Not covered: a log that keeps under two hours and falls at once to less than a fiftieth of its rate may forget the newest checkpoint for up to two minutes, until the next mark.

--- a/include/roseworks/controller.hpp
+++ b/include/roseworks/controller.hpp
@@ -245,7 +245,8 @@
         duration claim_timeout = std::chrono::seconds(2);
         duration log_silence = std::chrono::seconds(5); ///< then: unavailable
         std::size_t max_batch_bytes = std::size_t(256) << 10;
-        std::uint64_t checkpoint_records = 50'000; ///< records between two
+        /// Records between two marks at which a checkpoint may be taken.
+        std::uint64_t checkpoint_records = 50'000;
         std::uint64_t seed = 1;
         /// Unless the published policy names one; so does `idle_ttl`.
         placement_kind placement = placement_kind::break_even;
@@ -280,6 +281,8 @@
         log_offset next,
         stamp_ms wall,
         instant now);
+    /// The log keeps the entries from this offset on, as far as known.
+    void log_kept(log_offset first);
     /// The log couldn't be read.
     void log_unreachable(instant now);
     /// An append was answered or wasn't.
--- a/src/adapters/log/http_log_client.cpp
+++ b/src/adapters/log/http_log_client.cpp
@@ -174,6 +174,7 @@
     this->failed = false;
     this->delays.reset();
     this->opened = true;
+    this->next_look = std::chrono::steady_clock::now() + this->settings.look;
     this->known_end = next;
     constexpr log_offset oldest{1};
     this->listener->log_opened(first, next, first > oldest);
@@ -183,8 +184,8 @@
 {
     const std::uint64_t started_in = this->generation;
     this->delivered = false;
-    if (this->end_stale)
-        co_await this->refresh_end();
+    if (this->end_stale || std::chrono::steady_clock::now() >= this->next_look)
+        co_await this->refresh_ends();
     if (!this->is_current(started_in))
         co_return;
 
@@ -207,15 +208,22 @@
         this->fail(log_fault::unreachable);
 }
 
-/// A read came back full: asks where the end is, for the lag.
-asio::awaitable<void> http_log_client::refresh_end()
+/// Asks where the log begins and ends: for the lag after a full read, and now
+/// and then for what it keeps.
+asio::awaitable<void> http_log_client::refresh_ends()
 {
+    const std::uint64_t started_in = this->generation;
+    this->next_look = std::chrono::steady_clock::now() + this->settings.look;
     const http_answer answer =
         co_await this->get("/v1/status", this->settings.append_timeout);
     this->end_stale = false;
-    if (answer.is(status_ok))
-        this->known_end =
-            std::max(this->known_end, offset_field(answer.body, "next_offset"));
+    if (!answer.is(status_ok) || !this->is_current(started_in))
+        co_return;
+    this->known_end =
+        std::max(this->known_end, offset_field(answer.body, "next_offset"));
+    const log_offset first = offset_field(answer.body, "first_offset");
+    if (first && first <= this->next_read)
+        this->listener->log_kept(first);
 }
 
 asio::awaitable<void> http_log_client::append_all()
--- a/src/adapters/log/http_log_client.hpp
+++ b/src/adapters/log/http_log_client.hpp
@@ -43,6 +43,7 @@
         std::chrono::milliseconds gather{0};   ///< 0: never wait
         int free_reads = 16;                   ///< saved up, one each `gather`
         std::chrono::milliseconds hurry{2000}; ///< how long one `hurry` counts
+        std::chrono::milliseconds look{60000}; ///< between two of what is kept
         std::chrono::milliseconds retry_min{20};
         std::chrono::milliseconds retry_max{2000};
         std::size_t read_bytes = std::size_t(1) << 20; ///< asked of one read
@@ -65,7 +66,7 @@
     boost::asio::awaitable<void> tail();
     boost::asio::awaitable<void> read_status();
     boost::asio::awaitable<void> read_entries();
-    boost::asio::awaitable<void> refresh_end();
+    boost::asio::awaitable<void> refresh_ends();
     boost::asio::awaitable<void> append_all();
     boost::asio::awaitable<void> pause();
     boost::asio::awaitable<void> gather();
@@ -87,6 +88,7 @@
     boost::asio::steady_timer gather_timer;
     std::chrono::steady_clock::time_point hurry_until{};
     std::chrono::steady_clock::time_point paid_until{}; ///< by reads so far
+    std::chrono::steady_clock::time_point next_look{};  ///< of what is kept
     log_listener* listener = nullptr;
     log_offset next_read;   ///< 0: wait for `tail_from`
     log_offset known_end;   ///< the log's next offset as far as known
--- a/src/adapters/settings/settings_table.cpp
+++ b/src/adapters/settings/settings_table.cpp
@@ -223,8 +223,9 @@
         "The longest pause between two attempts while the log is away."),
     integer_row<in_log, &log_section::checkpoint_records>(
         "log", "checkpoint_records", "50000", 8, 10'000'000, "records",
-        "Records between two checkpoints; well below what the log keeps. The "
-        "same at every router."),
+        "Records between two offsets at which a checkpoint may be taken; one "
+        "is taken when a quarter of what the log keeps came after the last, "
+        "after ten times as many or two hours. The same at every router."),
 
     address_row<in_vm_list, &vm_list_section::address>(
         "vm_list", "address", value_kind::address, unset, 1,
--- a/src/app/control_loop.hpp
+++ b/src/app/control_loop.hpp
@@ -105,6 +105,7 @@
     // From the ports.
     void log_opened(log_offset first, log_offset next, bool trimmed) override;
     void entries_read(std::vector<log_entry> entries, log_offset next) override;
+    void log_kept(log_offset first) override;
     void log_failed(log_fault fault) override;
     void append_answered(std::uint64_t batch, append_outcome outcome) override;
     void vms_listed(std::span<const vm_entry> vms) override;
@@ -179,6 +180,7 @@
     log_offset search_end;
     log_offset catch_up_end;
     log_offset known_end;
+    log_offset first_kept;
     bool caught_up = false;
     bool table_stale = true; ///< the builder has missed records
     bool pumping = false;
--- a/src/app/control_loop_log.cpp
+++ b/src/app/control_loop_log.cpp
@@ -31,6 +31,7 @@
 {
     this->note_log_answered();
     this->known_end = std::max(this->known_end, next);
+    this->first_kept = first;
     if (!trimmed)
     {
         constexpr log_offset nothing_folded{0};
@@ -66,6 +67,7 @@
     this->table_stale = true;
     this->core->start(
         std::move(state), this->ports.clock.wall(), this->ports.clock.now());
+    this->core->log_kept(this->first_kept);
     this->sessions_moved = true;
     this->ports.log.tail_from(log_offset(folded.value + 1));
     this->pump();
@@ -135,6 +137,13 @@
     this->begin(std::move(found->state), found->whole.at);
 }
 
+void control_loop::log_kept(log_offset first)
+{
+    this->first_kept = first;
+    if (this->core)
+        this->core->log_kept(first);
+}
+
 void control_loop::note_log_answered()
 {
     const auto lasted = this->log_outage.succeeded(this->ports.clock.now());
--- a/src/core/placement/controller.cpp
+++ b/src/core/placement/controller.cpp
@@ -28,6 +28,11 @@
     this->self->read(entries, next, wall, now);
 }
 
+void controller::log_kept(log_offset first)
+{
+    this->self->log_kept(first);
+}
+
 void controller::log_unreachable(instant now)
 {
     this->self->unreachable(now);
--- a/src/core/placement/controller_events.cpp
+++ b/src/core/placement/controller_events.cpp
@@ -68,6 +68,7 @@
 void controller::impl::start(fleet_state initial, stamp_ms wall, instant now)
 {
     this->state = std::move(initial);
+    this->checkpoints.start(this->state);
     this->last_read = now;
     this->set_wall(wall, now);
     this->leases.start(this->context(now));
@@ -103,6 +104,11 @@
     this->step(now);
 }
 
+void controller::impl::log_kept(log_offset first)
+{
+    this->checkpoints.kept(first);
+}
+
 void controller::impl::unreachable(instant now)
 {
     this->reachable = false;
--- a/src/core/placement/controller_impl.hpp
+++ b/src/core/placement/controller_impl.hpp
@@ -39,6 +39,7 @@
         log_offset next,
         stamp_ms wall,
         instant now);
+    void log_kept(log_offset first);
     void unreachable(instant now);
     void
     append_answered(std::uint64_t batch, append_outcome outcome, instant now);
--- a/src/ports/log_port.hpp
+++ b/src/ports/log_port.hpp
@@ -35,6 +35,10 @@
     virtual void
     entries_read(std::vector<log_entry> entries, log_offset next) = 0;
 
+    /// The log was asked again what it keeps.
+    /// @param first Oldest offset kept.
+    virtual void log_kept(log_offset first) = 0;
+
     /// A read failed; it is repeated with a growing delay.
     virtual void log_failed(log_fault fault) = 0;
 
--- a/tests/unit/control/checkpoint_test.cpp
+++ b/tests/unit/control/checkpoint_test.cpp
@@ -2,6 +2,7 @@
 
 #include <roseworks/checkpoint.hpp>
 #include <roseworks/codec.hpp>
+#include <roseworks/rendezvous.hpp>
 
 #include <algorithm>
 #include <vector>
@@ -47,6 +48,76 @@
     std::vector<checkpoint_chunk> chunks;
 };
 
+/// A fleet whose log keeps a limited number of records.
+struct forgetful_fleet
+{
+    explicit forgetful_fleet(std::uint64_t interval)
+        : fleet(with(interval))
+    {
+        this->fleet.on_record = [this](const record& value, const fold_result&)
+        {
+            ++this->end;
+            if (const auto* chunk =
+                    std::get_if<checkpoint_chunk>(&value.payload))
+                this->chunk_read(*chunk, value.id.author);
+            if (this->keeps != 0 && this->end > this->keeps)
+                this->forget_before(this->end - this->keeps);
+            this->worst_missing = std::max(
+                this->worst_missing,
+                this->first - std::min(this->first, this->newest + 1));
+        };
+        this->fleet.add_engine("e0", engine_of(20'000));
+        this->fleet.add_model("kept", kept_model(2'000, 3));
+        add_routers(this->fleet, 3);
+    }
+
+    static controller::options with(std::uint64_t interval)
+    {
+        controller::options settings;
+        settings.checkpoint_records = interval;
+        settings.max_batch_bytes = 5'200;
+        return settings;
+    }
+
+    void forget_before(std::uint64_t offset)
+    {
+        this->first = offset;
+        for (std::size_t i = 0; i < this->fleet.size(); ++i)
+            if (this->fleet.at(i).alive)
+                this->fleet.at(i).control->log_kept(log_offset(offset));
+    }
+
+    void chunk_read(const checkpoint_chunk& chunk, author_id author)
+    {
+        this->authors.push_back(author);
+        if (this->kill_author)
+            this->kill(author);
+        if (!this->assembler.add(chunk))
+            return;
+        this->newest = chunk.at.value;
+        this->taken.push_back(chunk.at.value);
+    }
+
+    void kill(author_id author)
+    {
+        this->kill_author = false;
+        for (std::size_t i = 0; i < this->fleet.size(); ++i)
+            if (author_of(this->fleet.at(i).name) == author)
+                this->fleet.kill(i);
+    }
+
+    std::uint64_t end = 0;
+    std::uint64_t keeps = 0; ///< records; 0: all
+    std::uint64_t first = 1;
+    std::uint64_t newest = 0;        ///< of the complete checkpoints
+    std::uint64_t worst_missing = 0; ///< records needed that were forgotten
+    bool kill_author = false;        ///< at its next chunk
+    std::vector<std::uint64_t> taken;
+    std::vector<author_id> authors; ///< of chunks
+    checkpoint_assembler assembler;
+    fake_fleet fleet;
+};
+
 std::vector<checkpoint> complete(const std::vector<checkpoint_chunk>& chunks)
 {
     checkpoint_assembler assembler;
@@ -165,3 +236,82 @@
     part.at = log_offset(1);
     cr_expect_not(assembler.add(part).has_value(), "the oldest isn't");
 }
+
+Test(checkpoint, a_log_that_keeps_much_has_few)
+{
+    forgetful_fleet setting(20);
+    setting.fleet.run(3h);
+    cr_assert_geq(setting.end, 3'000);
+    std::uint64_t widest = 0;
+    for (std::size_t i = 1; i < setting.taken.size(); ++i)
+        widest = std::max(widest, setting.taken[i] - setting.taken[i - 1]);
+    cr_expect_geq(widest, 200);
+    cr_expect_leq(widest, 220, "ten intervals at most");
+    cr_expect_leq(setting.end - setting.newest, 220);
+}
+
+Test(checkpoint, a_short_horizon_never_passes_the_newest)
+{
+    forgetful_fleet setting(20);
+    setting.keeps = 120;
+    setting.fleet.run(2h);
+    cr_assert_geq(setting.end, 2'000);
+    cr_expect_eq(setting.worst_missing, 0);
+}
+
+Test(checkpoint, a_quiet_log_is_checkpointed_between_its_marks_by_number)
+{
+    forgetful_fleet setting(1'000'000);
+    setting.keeps = 400;
+    setting.fleet.run(2h);
+    cr_assert_geq(setting.end, 2'000);
+    cr_expect_eq(setting.worst_missing, 0);
+}
+
+Test(checkpoint, a_horizon_that_jumps_past_it_brings_another_at_once)
+{
+    forgetful_fleet setting(1'000'000);
+    setting.fleet.run(3h);
+    cr_assert_neq(setting.newest, 0);
+    setting.forget_before(setting.newest + 2);
+    const std::uint64_t needed = setting.first;
+    cr_expect(setting.fleet.run_until(
+        [&]
+        {
+            return setting.newest + 1 >= needed;
+        },
+        3min));
+}
+
+Test(checkpoint, an_author_that_dies_is_followed_by_another)
+{
+    forgetful_fleet setting(1'000'000);
+    setting.fleet.run(3h);
+    const std::uint64_t before = setting.newest;
+    setting.kill_author = true;
+    setting.forget_before(before + 2);
+    cr_expect(setting.fleet.run_until(
+        [&]
+        {
+            return setting.newest > before;
+        },
+        10min));
+    cr_expect_not(setting.kill_author, "an author died in the middle");
+}
+
+Test(checkpoint, two_authors_of_one_are_no_alarm)
+{
+    checkpointing_fleet setting;
+    const std::vector<checkpoint_chunk> twice = setting.chunks;
+    std::uint64_t sequence = 0;
+    for (const checkpoint_chunk& chunk : twice)
+    {
+        record value;
+        value.id = {author_id(77), 1, ++sequence};
+        value.payload = chunk;
+        setting.fleet.append(encode(value));
+    }
+    setting.fleet.run(1s);
+    for (std::size_t index = 0; index < setting.fleet.size(); ++index)
+        cr_expect(setting.fleet.at(index).alarms.empty());
+}
--- a/tests/unit/log_client/http_log_client_test.cpp
+++ b/tests/unit/log_client/http_log_client_test.cpp
@@ -62,6 +62,11 @@
         this->end = next;
     }
 
+    void log_kept(log_offset first) override
+    {
+        this->kept = first;
+    }
+
     void log_failed(log_fault fault) override
     {
         this->faults.push_back(fault);
@@ -76,6 +81,7 @@
     bool was_trimmed = false;
     std::vector<std::uint64_t> offsets;
     log_offset end;
+    log_offset kept;
     std::vector<log_fault> faults;
     std::vector<std::pair<std::uint64_t, append_outcome>> appended;
 };
@@ -245,6 +251,31 @@
     cr_expect(bench.listener.faults.empty());
 }
 
+Test(log_client, what_the_log_keeps_is_looked_at_now_and_then)
+{
+    int looks = 0;
+    http_log_client::options settings = log_bench::options();
+    settings.look = 0ms;
+    log_bench bench(
+        [&](const scripted_server::request& request) -> scripted_answer
+        {
+            if (asks(request, "/v1/status"))
+                return status_answer(looks++ == 0 ? 1 : 2, 4);
+            if (asks(request, "/v1/read?from=3&"))
+                return {kind::answer, 200, frame(3, "c")};
+            return {kind::hold, 200, ""};
+        },
+        settings);
+    bench.client.start(bench.listener);
+    bench.client.tail_from(log_offset(3));
+    cr_expect(bench.until(
+        [&]
+        {
+            return bench.listener.kept == log_offset(2);
+        }));
+    cr_expect(bench.listener.faults.empty());
+}
+
 namespace
 {
 
