Let the routing table borrow servables' names from the fold

Cause: with 87,180 servables a router held 32.6 MiB (33.4 MB by smaps_rollup), above its 32 MB. By heap the largest part was the routing table: 141 B a servable, of which 80 the entry and 32 a second copy of its name; the fold takes 74 B, the program and its libraries 11.4 MB.

Change: `servable_routes` has its fields in an order without holes and a `servable_name` of 16 bytes, which borrows the fold's characters; a published table keeps the arena alive (`fleet_state::names_owner`). An entry made by hand still owns its name.

--- a/bench/router/bench_control.cpp
+++ b/bench/router/bench_control.cpp
@@ -12,6 +12,7 @@
 #include <chrono>
 #include <cstdio>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -424,10 +425,16 @@
 
 } // namespace
 
-int main()
+/// `--catalogue` measures the two-year size's models and adapters only.
+int main(int count, char** arguments)
 {
     print_record_sizes();
-    measure_fleet(3);
-    measure_fleet(9);
+    const bool catalogue_only =
+        count > 1 && std::string_view(arguments[1]) == "--catalogue";
+    if (!catalogue_only)
+    {
+        measure_fleet(3);
+        measure_fleet(9);
+    }
     measure_catalogue();
 }
--- a/include/roseworks/fleet_state.hpp
+++ b/include/roseworks/fleet_state.hpp
@@ -307,6 +307,8 @@
     service_id find_service(std::string_view name) const;
     caller_id find_caller(std::string_view name) const;
     std::optional<servable_view> servable(servable_id id) const;
+    /// @return Keeps the names of servables valid, also without the state.
+    std::shared_ptr<const void> names_owner() const;
     std::optional<engine_view> engine(engine_id id) const;
     const service_spec* service(service_id id) const;
     const caller_spec* caller(caller_id id) const;
--- a/include/roseworks/routing_table.hpp
+++ b/include/roseworks/routing_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <roseworks/ids.hpp>
+#include <roseworks/servable_name.hpp>
 #include <roseworks/specs.hpp>
 
 #include <cstdint>
@@ -22,15 +23,15 @@
     std::string vm;
 };
 
-/// How to serve one model or adapter.
+/// How to serve one model or adapter; 56 bytes, as there are tens of thousands.
 struct servable_routes
 {
     servable_id id;
-    std::string name;
-    bool is_adapter = false;
-    std::uint16_t max_streams = 8; ///< per replica
     std::uint32_t load_estimate_ms = 0;
+    std::uint16_t max_streams = 8; ///< per replica
     std::uint16_t max_replicas = 0;
+    bool is_adapter = false;
+    servable_name name; ///< in a table: valid while the table lives
     std::vector<route> ready;
 };
 
--- a/src/core/routing/routing_table_builder.cpp
+++ b/src/core/routing/routing_table_builder.cpp
@@ -57,6 +57,7 @@
 void routing_table_builder::impl::rebuild(const fleet_state& state)
 {
     this->edited.clear();
+    this->edited.keep_names(state.names_owner());
     this->replicas.clear();
     this->callers.clear();
 
@@ -194,7 +195,9 @@
     }
     servable_routes entry;
     entry.id = id;
-    entry.name = view->name;
+    entry.name = this->edited.keeps(state.names_owner())
+                     ? servable_name::borrow(view->name)
+                     : servable_name(view->name);
     entry.is_adapter = view->is_adapter;
     entry.max_streams = view->max_streams;
     entry.load_estimate_ms = view->load_estimate_ms;
--- a/src/core/routing/sharded_table.cpp
+++ b/src/core/routing/sharded_table.cpp
@@ -88,7 +88,7 @@
     this->servables.for_each(
         [&sorted](const servable_routes& entry)
         {
-            sorted.push_back(entry.name);
+            sorted.emplace_back(entry.name.view());
         });
     std::sort(sorted.begin(), sorted.end());
     return sorted;
@@ -113,6 +113,16 @@
     this->published.reset();
 }
 
+void sharded_table::keep_names(std::shared_ptr<const void> owner)
+{
+    this->working.names_owner = std::move(owner);
+}
+
+bool sharded_table::keeps(const std::shared_ptr<const void>& owner) const
+{
+    return owner != nullptr && this->working.names_owner == owner;
+}
+
 void sharded_table::put(servable_routes entry)
 {
     const servable_id id = entry.id;
@@ -126,7 +136,6 @@
         this->working.names.erase(before->name, id, this->current);
         this->working.names.insert(entry.name, id, this->current);
     }
-    entry.name.shrink_to_fit();
     entry.ready.shrink_to_fit();
     this->working.servables.edit(id, this->current) = std::move(entry);
     this->published.reset();
--- a/src/core/routing/sharded_table.hpp
+++ b/src/core/routing/sharded_table.hpp
@@ -34,6 +34,7 @@
 private:
     friend class sharded_table;
 
+    std::shared_ptr<const void> names_owner; ///< of borrowed names
     servable_tree servables;
     name_index names;
     std::shared_ptr<const service_map> services;
@@ -53,6 +54,12 @@
 public:
     sharded_table();
 
+    /// Keeps the owner of names that entries borrow, until `clear`.
+    void keep_names(std::shared_ptr<const void> owner);
+
+    /// @return Whether names of this owner may be borrowed.
+    bool keeps(const std::shared_ptr<const void>& owner) const;
+
     /// Puts a model or adapter, in place of the one with its id.
     void put(servable_routes entry);
     void erase(servable_id id);
--- a/src/core/state/fleet_state.cpp
+++ b/src/core/state/fleet_state.cpp
@@ -83,6 +83,11 @@
     return this->self->data.callers.find(name);
 }
 
+std::shared_ptr<const void> fleet_state::names_owner() const
+{
+    return this->self->data.servables.names_owner();
+}
+
 std::optional<servable_view> fleet_state::servable(servable_id id) const
 {
     return this->self->data.servables.view(id);
--- a/src/core/state/name_table.cpp
+++ b/src/core/state/name_table.cpp
@@ -34,7 +34,7 @@
         return {};
     const std::uint32_t position = this->positions[id - 1];
     const char* entry =
-        this->chunks[position / chunk_bytes].get() + position % chunk_bytes;
+        (*this->arena)[position / chunk_bytes].get() + position % chunk_bytes;
     return {entry + 1, static_cast<unsigned char>(*entry)};
 }
 
@@ -51,14 +51,14 @@
 {
     if (this->used + 1 + name.size() > chunk_bytes)
     {
-        this->chunks.push_back(std::make_unique<char[]>(chunk_bytes));
+        this->arena->push_back(std::make_unique<char[]>(chunk_bytes));
         this->used = 0;
     }
-    char* entry = this->chunks.back().get() + this->used;
+    char* entry = this->arena->back().get() + this->used;
     *entry = static_cast<char>(name.size());
     std::memcpy(entry + 1, name.data(), name.size());
     const std::size_t position =
-        (this->chunks.size() - 1) * chunk_bytes + this->used;
+        (this->arena->size() - 1) * chunk_bytes + this->used;
     this->used += 1 + name.size();
     return static_cast<std::uint32_t>(position);
 }
--- a/src/core/state/name_table.hpp
+++ b/src/core/state/name_table.hpp
@@ -19,6 +19,12 @@
 class name_table
 {
 public:
+    name_table() = default;
+    name_table(const name_table&) = delete;
+    name_table& operator=(const name_table&) = delete;
+    name_table(name_table&&) noexcept = default;
+    name_table& operator=(name_table&&) noexcept = default;
+
     /// Longest name.
     static constexpr std::size_t max_length = 255;
 
@@ -35,6 +41,12 @@
     /// @return The name of a number; empty for 0 or an unknown one.
     std::string_view name(std::uint32_t id) const;
 
+    /// @return Keeps the views handed out valid, also without the table.
+    std::shared_ptr<const void> owner() const
+    {
+        return this->arena;
+    }
+
     /// @return The number of names; also the highest number given.
     std::size_t size() const
     {
@@ -73,7 +85,10 @@
     std::uint32_t store(std::string_view name);
     void grow();
 
-    std::vector<std::unique_ptr<char[]>> chunks;
+    using chunk_list = std::vector<std::unique_ptr<char[]>>;
+
+    /// Shared with those who hold views; changed by the table alone.
+    std::shared_ptr<chunk_list> arena = std::make_shared<chunk_list>();
     std::size_t used = chunk_bytes;      ///< of the last chunk
     std::deque<std::uint32_t> positions; ///< by number - 1
     std::vector<std::uint32_t> slots;    ///< open addressing, 0: free
--- a/src/core/state/servable_store.hpp
+++ b/src/core/state/servable_store.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <memory>
 #include <optional>
 #include <string_view>
 
@@ -45,6 +46,12 @@
         return this->names.name(id.value);
     }
 
+    /// @return Keeps the names handed out valid, also without the store.
+    std::shared_ptr<const void> names_owner() const
+    {
+        return this->names.owner();
+    }
+
     /// Put a model. @return Its id.
     servable_id put(std::string_view name, const model_spec&, revision at);
 
--- a/tests/unit/dispatch/test_routing_table.cpp
+++ b/tests/unit/dispatch/test_routing_table.cpp
@@ -67,6 +67,34 @@
 
 } // namespace
 
+Test(routing_table, names_outlive_the_state_that_they_were_borrowed_from)
+{
+    routing_table_ptr table;
+    {
+        routed_fleet fleet;
+        fleet.builder.rebuild(fleet.state);
+        table = fleet.builder.table();
+        const servable_routes* entry = table->find_servable("m");
+        cr_assert_not_null(entry);
+        cr_expect(entry->name.is_borrowed());
+        cr_expect(fleet.state.names_owner().use_count() > 2);
+    }
+    cr_assert_not_null(table->find_servable("m"));
+    cr_expect(table->find_servable("m")->name == "m");
+    const servable_routes copy = *table->find_servable("m");
+    cr_expect(copy.name.is_borrowed());
+}
+
+Test(routing_table, an_entry_made_by_hand_owns_its_name)
+{
+    servable_routes entry =
+        make_entry(1, std::string("a-name-") + "of-its-own");
+    const servable_routes copy = entry;
+    entry = make_entry(2, "b");
+    cr_expect(copy.name == std::string("a-name-of-its-own"));
+    cr_expect_not(copy.name.is_borrowed());
+}
+
 Test(routing_table, routes_follow_the_replicas_life)
 {
     routed_fleet fleet;
