Bound what a router remembers of past uses

Cause: three maps grew with every servable ever used and never shrank.

Change: `recent_servables` keeps at most 16,384 servables in groups of eight by id; the least recently used of a group goes, groups are made on first use. Gap counts are of 16 bits and halved when full. A servable that was forgotten is held by the fleet's average gaps, as a new one.

--- a/bench/state/bench_state.cpp
+++ b/bench/state/bench_state.cpp
@@ -1,3 +1,7 @@
+#include "core/placement/activity.hpp"
+#include "core/placement/break_even.hpp"
+#include "core/placement/gap_cost.hpp"
+
 #include <roseworks/codec.hpp>
 #include <roseworks/fleet_state.hpp>
 #include <roseworks/record.hpp>
@@ -367,6 +371,44 @@
     print("restored_equal", equal ? 1 : 0, "bool");
 }
 
+/// @return Heap bytes that `Memory` holds after `use` saw all servables thrice.
+template <class Memory, class Use>
+double used_bytes(Memory& memory, Use&& use)
+{
+    const std::size_t before = heap_bytes();
+    instant now{std::chrono::seconds(1000)};
+    for (int round = 0; round < 3; ++round)
+        for (std::uint32_t id = 1; id <= models + adapters; ++id)
+        {
+            now += std::chrono::milliseconds(10);
+            use(memory, servable_id(id), now);
+        }
+    return double(heap_bytes() - before);
+}
+
+/// What a router remembers of past uses when all servables were used.
+void measure_use_memory(const fleet_state& state)
+{
+    const auto strategy = [](auto& memory, servable_id id, instant now)
+    {
+        memory.used(id, now);
+    };
+    detail::gap_cost gaps(std::chrono::minutes(5));
+    print("gap_history", used_bytes(gaps, strategy), "bytes");
+    detail::break_even means(std::chrono::minutes(5));
+    print("break_even_history", used_bytes(means, strategy), "bytes");
+    detail::activity uses;
+    print(
+        "activity_history",
+        used_bytes(
+            uses,
+            [&state](detail::activity& memory, servable_id id, instant now)
+            {
+                memory.used(state, id, now);
+            }),
+        "bytes");
+}
+
 } // namespace
 
 int main()
@@ -378,6 +420,7 @@
     load_all(run, sessions);
     print("fleet_heap", double(heap_bytes() - empty) / (1024 * 1024), "MiB");
     measure_snapshot(run.state);
+    measure_use_memory(run.state);
     measure_fold(run, sessions);
     measure_claims("claims_15min", 15 * 60);
     measure_claims("claims_2h", 2 * 3600);
--- a/src/core/placement/activity.cpp
+++ b/src/core/placement/activity.cpp
@@ -17,18 +17,18 @@
 
 void activity::used(const fleet_state& state, servable_id servable, instant now)
 {
-    this->sent_here[servable] = now;
     this->wanted(state, servable, now);
+    this->servables.use(servable).value = now;
 }
 
 void activity::wanted(
     const fleet_state& state, servable_id servable, instant now)
 {
-    this->last_wanted[servable] = now;
+    this->servables.use(servable).last_use = now;
     const std::optional<servable_view> view = state.servable(servable);
     if (view && view->is_adapter)
     {
-        this->last_wanted[view->base] = now;
+        this->servables.use(view->base).last_use = now;
     }
 }
 
@@ -85,8 +85,9 @@
 
 bool activity::used_here(servable_id servable, instant since) const
 {
-    const auto local = this->sent_here.find(servable);
-    return local != this->sent_here.end() && local->second >= since;
+    const auto* local = this->servables.find(servable);
+    return local != nullptr && local->value != instant{} &&
+           local->value >= since;
 }
 
 void activity::appeared(replica_id replica, instant now)
@@ -107,10 +108,10 @@
         return {};
     }
     instant last = known->second.last;
-    const auto local = this->last_wanted.find(replica.servable);
-    if (local != this->last_wanted.end())
+    const auto* local = this->servables.find(replica.servable);
+    if (local != nullptr)
     {
-        last = std::max(last, local->second);
+        last = std::max(last, local->last_use);
     }
     return now - last;
 }
--- a/src/core/placement/activity.hpp
+++ b/src/core/placement/activity.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/placement/recent_servables.hpp"
+
 #include <roseworks/controller.hpp>
 #include <roseworks/fleet_state.hpp>
 #include <roseworks/ids.hpp>
@@ -72,8 +74,8 @@
         bool running = false;
     };
 
-    std::map<servable_id, instant> last_wanted; ///< wanted or used
-    std::map<servable_id, instant> sent_here;   ///< used by this router
+    /// When each was wanted or used; the value: when used by this router.
+    recent_servables<instant> servables;
     std::map<replica_id, replica_use> replicas;
 };
 
--- a/src/core/placement/break_even.cpp
+++ b/src/core/placement/break_even.cpp
@@ -34,7 +34,7 @@
 
 void break_even::used(servable_id id, instant now)
 {
-    history& known = this->past[id];
+    auto& known = this->past.use(id);
     const duration gap = now - known.last_use;
     const bool first = known.last_use == instant{};
     known.last_use = now;
@@ -43,10 +43,9 @@
         return;
     }
     const auto length = static_cast<double>(gap.count());
-    known.mean_gap_us =
-        known.mean_gap_us
-            ? *known.mean_gap_us + newest_share * (length - *known.mean_gap_us)
-            : length;
+    known.value = known.value
+                      ? *known.value + newest_share * (length - *known.value)
+                      : length;
 }
 
 double break_even::break_even_us(
@@ -68,11 +67,11 @@
 break_even::hold(const servable_view& what, const policy_spec& policy) const
 {
     const double even = this->break_even_us(what, policy);
-    const auto known = this->past.find(what.id);
+    const auto* known = this->past.find(what.id);
     double length = even;
-    if (known != this->past.end() && known->second.mean_gap_us)
+    if (known != nullptr && known->value)
     {
-        const double gap = *known->second.mean_gap_us;
+        const double gap = *known->value;
         length = gap <= worth_waiting * even ? std::max(even, gap_margin * gap)
                                              : hopeless_share * even;
     }
--- a/src/core/placement/break_even.hpp
+++ b/src/core/placement/break_even.hpp
@@ -1,8 +1,9 @@
 #pragma once
 
+#include "core/placement/recent_servables.hpp"
+
 #include <roseworks/placement_strategy.hpp>
 
-#include <map>
 #include <optional>
 
 namespace roseworks::detail
@@ -29,17 +30,12 @@
         const policy_spec& policy) const override;
 
 private:
-    struct history
-    {
-        instant last_use{};
-        std::optional<double> mean_gap_us;
-    };
-
     double
     break_even_us(const servable_view& what, const policy_spec& policy) const;
 
     duration reference_ttl;
-    std::map<servable_id, history> past;
+    /// Mean gap in us.
+    recent_servables<std::optional<double>> past;
 };
 
 } // namespace roseworks::detail
--- a/src/core/placement/gap_cost.cpp
+++ b/src/core/placement/gap_cost.cpp
@@ -41,11 +41,11 @@
 
 void gap_cost::used(servable_id id, instant now)
 {
-    history& known = this->past[id];
+    auto& known = this->past.use(id);
     if (known.last_use != instant{})
     {
         const duration gap = now - known.last_use;
-        known.gaps.add(gap);
+        known.value.add(gap);
         this->all.add(gap);
     }
     known.last_use = now;
@@ -62,10 +62,9 @@
     {
         return duration(static_cast<duration::rep>(even * 1e6));
     }
-    static const gap_histogram no_gaps;
-    const auto known = this->past.find(what.id);
-    const gap_histogram& own =
-        known == this->past.end() ? no_gaps : known->second.gaps;
+    static const small_gap_histogram no_gaps;
+    const auto* known = this->past.find(what.id);
+    const small_gap_histogram& own = known == nullptr ? no_gaps : known->value;
     const double share = prior_gaps / this->all.total();
 
     // The candidates are the bins' edges and not to hold at all; `within` and
--- a/src/core/placement/gap_cost.hpp
+++ b/src/core/placement/gap_cost.hpp
@@ -1,11 +1,10 @@
 #pragma once
 
 #include "core/placement/gap_histogram.hpp"
+#include "core/placement/recent_servables.hpp"
 
 #include <roseworks/placement_strategy.hpp>
 
-#include <map>
-
 namespace roseworks::detail
 {
 
@@ -13,7 +12,8 @@
 
     The cost of a gap is the time held idle, and one break-even time where the
     replica was gone when its use came. Few past gaps are filled up with those
-    of all servables. The break-even time grows with the load time and falls
+    of all servables; so are those of a servable that wasn't used for longer
+    than 16,384 others. The break-even time grows with the load time and falls
     with the policy's `idle_weight`.
 */
 class gap_cost final : public placement_strategy
@@ -32,14 +32,8 @@
         const policy_spec& policy) const override;
 
 private:
-    struct history
-    {
-        instant last_use{};
-        gap_histogram gaps;
-    };
-
     duration reference;
-    std::map<servable_id, history> past;
+    recent_servables<small_gap_histogram> past;
     gap_histogram all;
 };
 
--- a/src/core/placement/gap_histogram.cpp
+++ b/src/core/placement/gap_histogram.cpp
@@ -21,23 +21,20 @@
 
 } // namespace
 
-void gap_histogram::add(duration gap)
+template <class Count>
+void basic_gap_histogram<Count>::add(duration gap)
 {
-    ++this->counts[bin_of(gap)];
+    const std::size_t bin = bin_of(gap);
+    if (this->counts[bin] == std::numeric_limits<Count>::max())
+    {
+        this->halve();
+    }
+    ++this->counts[bin];
     ++this->sum;
 }
 
-std::uint32_t gap_histogram::count(std::size_t bin) const
-{
-    return this->counts[bin];
-}
-
-std::uint32_t gap_histogram::total() const
-{
-    return this->sum;
-}
-
-duration gap_histogram::upper_edge(std::size_t bin)
+template <class Count>
+duration basic_gap_histogram<Count>::upper_edge(std::size_t bin)
 {
     // 4 s, 6 s, 9 s, ... about 12.5 h.
     duration edge = first_edge;
@@ -48,4 +45,18 @@
     return edge;
 }
 
+template <class Count>
+void basic_gap_histogram<Count>::halve()
+{
+    this->sum = 0;
+    for (Count& count : this->counts)
+    {
+        count /= 2;
+        this->sum += count;
+    }
+}
+
+template class basic_gap_histogram<std::uint32_t>;
+template class basic_gap_histogram<std::uint16_t>;
+
 } // namespace roseworks::detail
