Show control's use of its budget as a metric

Cause: a reader had to work out rates from three counters and know the limits; datagrams between routers weren't counted at all.

Change: `roseworks_control_budget_permille{resource}` for processor, bytes and memory, over the last minute, from a reading each ten seconds on the control thread.

--- a/src/adapters/peers/udp_peers.hpp
+++ b/src/adapters/peers/udp_peers.hpp
@@ -13,6 +13,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <array>
+#include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -45,13 +46,13 @@
         membership::options probing;
     };
 
-    /// What went over the wire, for metrics and the capacity page.
+    /// What went over the wire; the bytes may be read from any thread.
     struct counters
     {
         std::uint64_t datagrams_sent = 0;
-        std::uint64_t bytes_sent = 0;
+        std::atomic<std::uint64_t> bytes_sent{0};
         std::uint64_t datagrams_received = 0;
-        std::uint64_t bytes_received = 0;
+        std::atomic<std::uint64_t> bytes_received{0};
         std::uint64_t rejected = 0;
     };
 
--- a/src/app/router_app.cpp
+++ b/src/app/router_app.cpp
@@ -254,8 +254,11 @@
         figures.in_flight = this->dispatch->in_flight();
         figures.control_cpu_us =
             static_cast<std::uint64_t>(this->control.processor_time().count());
-        figures.control_bytes_sent = this->control.bytes().sent;
-        figures.control_bytes_received = this->control.bytes().received;
+        figures.control_bytes_sent =
+            this->control.bytes().sent + this->control.datagrams().bytes_sent;
+        figures.control_bytes_received =
+            this->control.bytes().received +
+            this->control.datagrams().bytes_received;
         return figures;
     };
     return lookups;
--- a/src/app/router_gauges.cpp
+++ b/src/app/router_gauges.cpp
@@ -74,12 +74,17 @@
           "Processor time of the control thread."))
     , control_sent(registry.add_gauge(
           "roseworks_control_bytes_sent",
-          "Bytes sent to the log, engines and VM list."))
+          "Bytes sent to the log, engines, VM list and other routers."))
     , control_received(registry.add_gauge(
           "roseworks_control_bytes_received",
-          "Bytes received from the log, engines and VM list."))
+          "Bytes received from the log, engines, VM list and other "
+          "routers."))
     , resident_bytes(registry.add_gauge(
           "roseworks_resident_memory_bytes", "Memory the process holds."))
+    , budget_used(registry.add_gauge<control_resource>(
+          "roseworks_control_budget_permille",
+          "Thousandths of control's budget used over the last minute; memory "
+          "is the whole process's."))
 {
 }
 
@@ -137,4 +142,19 @@
     this->resident_bytes.set(resident_memory());
 }
 
+void router_gauges::meter(const process_figures& figures, instant now)
+{
+    if (!this->budget.due(now))
+        return;
+    budget_meter::reading reading;
+    reading.cpu_us = figures.control_cpu_us;
+    reading.bytes = figures.control_bytes_sent + figures.control_bytes_received;
+    reading.memory = static_cast<std::uint64_t>(resident_memory());
+    this->budget.note(reading, now);
+    const budget_meter::shares used = this->budget.used();
+    this->budget_used.set(as_gauge(used.cpu), control_resource::processor);
+    this->budget_used.set(as_gauge(used.bytes), control_resource::bytes);
+    this->budget_used.set(as_gauge(used.memory), control_resource::memory);
+}
+
 } // namespace roseworks::app
--- a/src/app/router_gauges.hpp
+++ b/src/app/router_gauges.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/metrics/metrics_registry.hpp"
+#include "app/budget_meter.hpp"
 #include "app/control_loop.hpp"
 
 #include <roseworks/record.hpp>
@@ -31,6 +32,32 @@
 namespace roseworks::app
 {
 
+/// What control has a budget of.
+enum class control_resource : std::uint8_t
+{
+    processor,
+    bytes,
+    memory
+};
+
+} // namespace roseworks::app
+
+namespace roseworks::metrics
+{
+
+template <>
+struct label_traits<app::control_resource>
+{
+    static constexpr std::string_view name = "resource";
+    static constexpr std::array<std::string_view, 3> values = {
+        "processor", "bytes", "memory"};
+};
+
+} // namespace roseworks::metrics
+
+namespace roseworks::app
+{
+
 /// Figures of the process and its control thread that aren't counted as they
 /// happen but looked up when the metrics are read.
 class router_gauges
@@ -53,6 +80,10 @@
 
     void update(const process_figures& figures);
 
+    /// Takes a reading of what control uses, when one is due. On the control
+    /// thread.
+    void meter(const process_figures& figures, instant now);
+
 private:
     metrics::gauge<>& folded;
     metrics::gauge<>& lag;
@@ -76,6 +107,8 @@
     metrics::gauge<>& control_sent;
     metrics::gauge<>& control_received;
     metrics::gauge<>& resident_bytes;
+    metrics::gauge<control_resource>& budget_used;
+    budget_meter budget;
     std::uint64_t counted_changes = 0; ///< when servables were counted last
 };
 
--- a/src/app/router_status.cpp
+++ b/src/app/router_status.cpp
@@ -74,6 +74,7 @@
     const bool wanted = this->asked.exchange(false);
     this->gauges.update(loop);
     const instant begun = this->clock.now();
+    this->gauges.meter(this->from.figures(), begun);
     const instant due = wanted ? this->next_text : this->next_unasked_text;
     if (begun < due)
         return;
