--- a/bench/membership/bench_membership.cpp
+++ b/bench/membership/bench_membership.cpp
@@ -111,9 +111,17 @@
         return taken.count();
     }
 
-    udp_peers::counters total() const
+    /// What all nodes moved since their start.
+    struct traffic_sum
     {
-        udp_peers::counters sum;
+        std::uint64_t datagrams_sent = 0;
+        std::uint64_t bytes_sent = 0;
+        std::uint64_t bytes_received = 0;
+    };
+
+    traffic_sum total() const
+    {
+        traffic_sum sum;
         for (const auto& node : this->nodes)
         {
             sum.datagrams_sent += node->traffic().datagrams_sent;
