Name the same strategies in the settings and in the core

Cause: the settings table had its own list of strategy words, with `histogram`, which the program then refused; `gap_cost` and `gap_cost_preload`, which the core makes, could not be set.

Change: the words come from the core's `placement_kind`, so there is one table and no second check that can disagree.

--- a/src/adapters/settings/router_settings.hpp
+++ b/src/adapters/settings/router_settings.hpp
@@ -4,6 +4,8 @@
 #include "adapters/settings/socket_address.hpp"
 #include "ports/event_sink.hpp"
 
+#include <roseworks/specs.hpp>
+
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -95,18 +97,10 @@
     std::string credentials_file;
 };
 
-/// How long an idle replica stays.
-enum class placement_strategy : std::uint8_t
-{
-    fixed_ttl,
-    break_even,
-    histogram
-};
-
 /// `[placement]`: when replicas come and go.
 struct placement_section
 {
-    placement_strategy strategy = placement_strategy::break_even;
+    placement_kind strategy = placement_kind::break_even;
     milliseconds idle_ttl{};
     milliseconds demand_interval{};
 };
--- a/src/adapters/settings/settings_table.cpp
+++ b/src/adapters/settings/settings_table.cpp
@@ -11,6 +11,13 @@
 namespace
 {
 
+/// The strategies that a router can be set to; all that the core makes.
+constexpr std::array strategies{
+    placement_kind::fixed_ttl,
+    placement_kind::break_even,
+    placement_kind::gap_cost,
+    placement_kind::gap_cost_preload};
+
 template <auto Section, auto Member>
 void store(router_settings& settings, const setting_value& value)
 {
@@ -22,6 +29,8 @@
         std::is_same_v<cell_type, socket_address> ||
         std::is_same_v<cell_type, std::optional<socket_address>>)
         cell = std::get<socket_address>(value);
+    else if constexpr (std::is_same_v<cell_type, placement_kind>)
+        cell = strategies.at(std::get<std::int64_t>(value));
     else if constexpr (std::is_same_v<cell_type, std::vector<socket_address>>)
         cell = std::get<std::vector<socket_address>>(value);
     else
@@ -38,9 +47,15 @@
 constexpr std::int64_t day_ms = 24 * hour_ms;
 constexpr std::int64_t mebibyte = 1 << 20;
 
+constexpr auto strategy_words = []
+{
+    std::array<text_view, strategies.size()> words{};
+    for (std::size_t i = 0; i < words.size(); ++i)
+        words[i] = to_string(strategies[i]);
+    return words;
+}();
+
 // In the order of the enumerators.
-constexpr std::array<text_view, 3> strategy_words = {
-    "fixed_ttl", "break_even", "histogram"};
 constexpr std::array<text_view, 4> level_words = {
     "debug", "info", "warn", "error"};
 constexpr std::array<text_view, 2> format_words = {"text", "json"};
@@ -307,10 +322,12 @@
 
     word_row<in_placement, &placement_section::strategy>(
         "placement", "strategy", "break_even", strategy_words,
-        "How long an idle replica is kept."),
+        "How long an idle replica is kept, unless the published policy names "
+        "a strategy."),
     integer_row<in_placement, &placement_section::idle_ttl>(
         "placement", "idle_ttl_ms", "300000", 0, 7 * day_ms, "ms",
-        "Idle time after which `fixed_ttl` unloads a replica."),
+        "Idle time after which `fixed_ttl` unloads a replica; the others take "
+        "it as the break-even time of a model that loads in 10 s."),
     integer_row<in_placement, &placement_section::demand_interval>(
         "placement", "demand_interval_ms", "50", 1, minute_ms, "ms",
         "Time between two reports of demand to the proposing router."),
--- a/src/app/graph_options.cpp
+++ b/src/app/graph_options.cpp
@@ -20,7 +20,6 @@
 namespace asio = boost::asio;
 namespace leaf = boost::leaf;
 
-using settings::placement_strategy;
 using settings::router_settings;
 using settings::socket_address;
 
@@ -44,25 +43,6 @@
     return {asio::ip::make_address(address.ip), address.port};
 }
 
-leaf::result<placement_kind> placement_of(placement_strategy strategy)
-{
-    switch (strategy)
-    {
-    case placement_strategy::fixed_ttl:
-        return placement_kind::fixed_ttl;
-    case placement_strategy::break_even:
-        return placement_kind::break_even;
-    case placement_strategy::histogram:
-        break;
-    }
-    settings::settings_problem problem;
-    problem.section = "placement";
-    problem.key = "strategy";
-    problem.reason = "this program has no such strategy";
-    problem.allowed = "fixed_ttl, break_even";
-    return leaf::new_error(settings::settings_problems{{problem}});
-}
-
 controller::options
 controller_options(const router_settings& from, const run_seeds& seeds)
 {
@@ -107,8 +87,7 @@
 {
     control_options result;
     result.control = controller_options(from, seeds);
-    BOOST_LEAF_ASSIGN(
-        result.control.placement, placement_of(from.placement.strategy));
+    result.control.placement = from.placement.strategy;
 
     result.log_server = tcp_endpoint(from.log.address);
     result.log.poll_wait = from.log.poll_wait;
