--- a/bench/policy/comparison.cpp
+++ b/bench/policy/comparison.cpp
@@ -63,9 +63,23 @@
         .run();
 }
 
-operating_point point_of(const replay_figures& figures)
+const trace& trace_of(
+    const named_strategy& which,
+    const trace& source,
+    const trace& merged,
+    const trace& diverse)
+{
+    if (which.merged_adapters)
+    {
+        return merged;
+    }
+    return which.cheap_engines == cheap_use::none ? source : diverse;
+}
+
+operating_point point_of(const replay_figures& figures, bool by_price)
 {
-    return {figures.idle_hours, figures.cold_p99_s};
+    return {
+        by_price ? figures.idle_cost : figures.idle_hours, figures.cold_p99_s};
 }
 
 /// Replaces the engines' caches; those staged at the start are kept as far as
@@ -81,13 +95,14 @@
     }
 }
 
-void set_cuts(comparison_row& row, const std::vector<frontier>& frontiers)
+void set_cuts(
+    comparison_row& row, const std::vector<frontier>& frontiers, bool by_price)
 {
     std::vector<double> cold;
     std::vector<double> idle;
     for (std::size_t i = 0; i < row.by_seed.size(); ++i)
     {
-        const operating_point point = point_of(row.by_seed[i]);
+        const operating_point point = point_of(row.by_seed[i], by_price);
         cold.push_back(cut_percent(
             point.cold_p99_s, frontiers[i].cold_at(point.idle_hours)));
         idle.push_back(cut_percent(
@@ -133,27 +148,28 @@
         trace source = generate_trace(options.profile, options.first_seed + i);
         set_caches(source, options);
         const trace merged = merge_adapters(source);
+        const trace diverse = make_diverse_pool(source);
         const future_uses future(source);
         std::vector<operating_point> sweep;
         for (comparison_row& row : rows)
         {
             const named_strategy& which = *find_strategy(row.strategy);
             row.by_seed.push_back(run_one(
-                which.merged_adapters ? merged : source,
+                trace_of(which, source, merged, diverse),
                 future,
                 which,
                 static_cast<int>(row.setting_s),
                 options.warm_up));
             if (row.strategy == options.baseline)
             {
-                sweep.push_back(point_of(row.by_seed.back()));
+                sweep.push_back(point_of(row.by_seed.back(), options.by_price));
             }
         }
         frontiers.emplace_back(sweep);
     }
     for (comparison_row& row : rows)
     {
-        set_cuts(row, frontiers);
+        set_cuts(row, frontiers, options.by_price);
     }
     return rows;
 }
--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -35,6 +35,8 @@
     {"waited_share", &replay_figures::waited_share, "ratio"},
     {"waited_p99", &replay_figures::waited_p99_s, "s"},
     {"idle", &replay_figures::idle_hours, "accelerator_h"},
+    {"idle_cost", &replay_figures::idle_cost, "accelerator_h"},
+    {"slowed_share", &replay_figures::slowed_share, "ratio"},
     {"loading", &replay_figures::loading_hours, "accelerator_h"}};
 
 void print_spread(
@@ -89,7 +91,8 @@
     const spread idle = spread_of(row, &replay_figures::idle_hours);
     std::printf(
         "| %s | %.0f | %.2f | %.2f | %.2f | %.2f | %.1f | %.1f | %.1f | "
-        "%.0f (%.0f to %.0f) | %.0f (%.0f to %.0f) | %llu | %llu |\n",
+        "%.0f (%.0f to %.0f) | %.0f (%.0f to %.0f) | %llu | %llu | %.1f | %.1f "
+        "|\n",
         row.strategy.c_str(),
         row.setting_s,
         spread_of(row, &replay_figures::cold_p95_s).median,
@@ -107,7 +110,9 @@
         row.idle_cut.highest,
         static_cast<unsigned long long>(
             sum(row, &replay_figures::remote_loads) / row.by_seed.size()),
-        static_cast<unsigned long long>(sum(row, &replay_figures::unanswered)));
+        static_cast<unsigned long long>(sum(row, &replay_figures::unanswered)),
+        spread_of(row, &replay_figures::idle_cost).median,
+        100 * spread_of(row, &replay_figures::slowed_share).median);
 }
 
 void print_table(const std::vector<comparison_row>& rows)
@@ -115,8 +120,8 @@
     std::printf(
         "| strategy | setting s | p95 s | p99 s | p99.9 s | waited %% | p99 "
         "waited s | idle h | loading h | p99 cut %% | idle cut %% | remote "
-        "loads | unanswered |\n|%s\n",
-        "---|---|---|---|---|---|---|---|---|---|---|---|---|");
+        "loads | unanswered | idle cost h | slowed %% |\n|%s\n",
+        "---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
     for (const comparison_row& row : rows)
     {
         print_table_row(row);
@@ -165,6 +170,7 @@
     options.first_seed = arguments["first-seed"].as<std::uint64_t>();
     options.only = arguments["strategy"].as<std::string>();
     options.baseline = arguments["baseline"].as<std::string>();
+    options.by_price = arguments.count("priced") != 0;
     if (arguments.count("host-cache-mib") != 0)
     {
         options.host_cache_mib =
@@ -230,8 +236,9 @@
         cxxopts::value<std::uint32_t>())(
         "disk-cache-mib",
         "checkpoints that an engine keeps on disk",
-        cxxopts::value<std::uint32_t>())("table", "print a Markdown table")(
-        "help", "print this");
+        cxxopts::value<std::uint32_t>())(
+        "priced", "weight idle hours by engines' prices when comparing")(
+        "table", "print a Markdown table")("help", "print this");
     try
     {
         const cxxopts::ParseResult arguments = known.parse(count, values);
--- a/bench/policy/replay.cpp
+++ b/bench/policy/replay.cpp
@@ -21,6 +21,20 @@
     return servable_id(servable + 1);
 }
 
+std::uint32_t median_model_mib(const trace& source)
+{
+    std::vector<std::uint32_t> sizes;
+    for (const traced_servable& servable : source.servables)
+    {
+        if (!servable.base)
+        {
+            sizes.push_back(servable.memory_mib);
+        }
+    }
+    std::sort(sizes.begin(), sizes.end());
+    return sizes.empty() ? 0 : sizes[sizes.size() / 2];
+}
+
 } // namespace
 
 replay::replay(
@@ -42,6 +56,7 @@
             this->adapters_of[*this->source.servables[i].base].push_back(i);
         }
     }
+    this->half_size_mib = median_model_mib(this->source);
     // Instant 0 means "never" to the strategies.
     this->now = instant(duration(1));
 }
@@ -94,6 +109,10 @@
         measured.push_back(this->cold[i].value_or(end - at));
     }
     set_percentiles(measured, this->figures);
+    this->figures.slowed_share = measured.empty()
+                                     ? 0
+                                     : static_cast<double>(this->slowed) /
+                                           static_cast<double>(measured.size());
     return this->figures;
 }
 
@@ -247,8 +266,16 @@
     {
         this->begin_use(*this->pool.find(replica.base));
     }
-    const duration time =
+    const traced_engine& engine = this->source.engines[replica.engine];
+    const duration usual =
         per_char * request.prompt_chars + per_token * request.output_tokens;
+    const duration time = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, duration::period>(usual) *
+        engine.slowdown);
+    const bool slowed = engine.slowdown > 1 &&
+                        request.urgency != priority::batch &&
+                        request.at >= instant(this->options.warm_up);
+    this->slowed += slowed ? 1 : 0;
     this->schedule(this->now + time, event_kind::request_done, replica.id);
 }
 
@@ -328,8 +355,11 @@
 {
     if (this->pool.is_ready(replica.id) && replica.running == 0)
     {
-        this->figures.idle_hours += this->accelerator_hours(
+        const double hours = this->accelerator_hours(
             replica.servable, replica.idle_since, until);
+        this->figures.idle_hours += hours;
+        this->figures.idle_cost +=
+            hours * this->source.engines[replica.engine].price;
     }
 }
 
--- a/bench/policy/replay.hpp
+++ b/bench/policy/replay.hpp
@@ -106,6 +106,7 @@
     servable_view view(std::uint32_t servable) const;
     duration load_time(std::uint32_t servable) const;
     void count_idle(const replayed_replica& replica, instant until);
+    bool for_cheaper(std::uint32_t servable, priority urgency) const;
     double accelerator_hours(
         std::uint32_t servable, instant from, instant until) const;
 
@@ -119,11 +120,13 @@
     std::vector<std::deque<std::uint32_t>> waiting; ///< requests by servable
     std::vector<std::optional<duration>> cold;      ///< by request
     std::vector<std::uint64_t> uses;                ///< by servable
+    std::uint32_t half_size_mib = 0;                ///< median of the models
     std::set<wish> wishes;
     std::vector<bool> wished;
     std::vector<std::vector<std::uint32_t>> adapters_of; ///< by base
     std::set<slot_wait> slot_queue;
     std::uint32_t slots_used = 0;
+    std::uint64_t slowed = 0; ///< requests measured, see `slowed_share`
     instant next_grant{};
     bool will_look_again = false;
     bool grant_scheduled = false;
--- a/bench/policy/replay_figures.hpp
+++ b/bench/policy/replay_figures.hpp
@@ -23,6 +23,9 @@
     double waited_share = 0;  ///< requests with a cold-start time
     double waited_p99_s = 0;  ///< among those
     double idle_hours = 0;    ///< accelerator hours, ready and idle
+    double idle_cost = 0;     ///< `idle_hours`, weighted by engines' prices
+    double slowed_share = 0;  ///< requests not of class batch that ran on a
+                              ///< slower engine
     double loading_hours = 0; ///< accelerator hours, reserved but not ready
     std::uint64_t requests = 0;
     std::uint64_t unanswered = 0; ///< never had a ready replica
--- a/bench/policy/replay_loads.cpp
+++ b/bench/policy/replay_loads.cpp
@@ -100,10 +100,12 @@
         }
         return false;
     }
-    std::optional<replica_pool::place> where = this->pool.choose(servable);
+    const bool for_cheaper = this->for_cheaper(servable, urgency);
+    std::optional<replica_pool::place> where =
+        this->pool.choose(servable, for_cheaper);
     if (!where && this->make_room(servable))
     {
-        where = this->pool.choose(servable);
+        where = this->pool.choose(servable, for_cheaper);
     }
     if (!where)
     {
@@ -116,6 +118,32 @@
     return true;
 }
 
+/// Whether a replica belongs on a cheaper engine of a diverse pool.
+bool replay::for_cheaper(std::uint32_t servable, priority urgency) const
+{
+    switch (this->options.cheap_engines)
+    {
+    case cheap_use::none:
+    case cheap_use::overflow:
+        return false;
+    case cheap_use::slack:
+        return urgency == priority::batch;
+    case cheap_use::small:
+        return this->source.servables[servable].memory_mib <
+               this->half_size_mib;
+    case cheap_use::rare:
+        const auto rarer = std::count_if(
+            this->uses.begin(),
+            this->uses.end(),
+            [&](std::uint64_t other)
+            {
+                return other < this->uses[servable];
+            });
+        return rarer * 2 < static_cast<std::ptrdiff_t>(this->uses.size());
+    }
+    return false;
+}
+
 bool replay::make_room(std::uint32_t servable)
 {
     std::vector<replica_pool::candidate> candidates;
@@ -191,8 +219,9 @@
                           : tier == cache_tier::disk
                               ? this->options.disk_factor
                               : this->options.memory_factor;
-    const double remote_us =
-        1000.0 * this->source.servables[replica.servable].load_ms;
+    const double remote_us = 1000.0 *
+                             this->source.servables[replica.servable].load_ms *
+                             this->source.engines[replica.engine].slowdown;
     const duration time(static_cast<duration::rep>(remote_us * factor));
     replica.state = replayed_replica::phase::loading;
     const bool measured = this->now >= instant(this->options.warm_up);
@@ -303,8 +332,10 @@
             this->slot_queue.empty() &&
             this->slots_used + kept < this->source.store_slots;
         const std::optional<replica_pool::place> where =
-            slots_free && this->wishes.empty() ? this->pool.choose(item)
-                                               : std::nullopt;
+            slots_free && this->wishes.empty()
+                ? this->pool.choose(
+                      item, this->for_cheaper(item, priority::normal))
+                : std::nullopt;
         if (where)
         {
             replayed_replica& added = this->pool.add(item, *where, this->now);
--- a/bench/policy/replay_options.hpp
+++ b/bench/policy/replay_options.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/placement/preload_source.hpp"
+#include "diverse_pool.hpp"
 
 #include <roseworks/instant.hpp>
 #include <roseworks/placement_strategy.hpp>
@@ -26,6 +27,7 @@
     bool adapters_like_base = false;
     /// Loads ahead leave one store slot free, as the proposer does.
     bool keep_slot_free = false;
+    cheap_use cheap_engines = cheap_use::none;
     policy_spec policy; ///< weights given to the strategy
     /// Figures are taken from here to the trace's end.
     duration warm_up = std::chrono::hours(24);
--- a/bench/policy/replica_pool.cpp
+++ b/bench/policy/replica_pool.cpp
@@ -45,7 +45,7 @@
 }
 
 std::optional<replica_pool::place>
-replica_pool::choose(std::uint32_t servable) const
+replica_pool::choose(std::uint32_t servable, bool for_cheaper) const
 {
     std::optional<detail::engine_score> best;
     std::optional<place> chosen;
@@ -70,8 +70,9 @@
                                                   : cache_tier::remote;
         const std::uint64_t reserved =
             this->source.engines[i].memory_mib - engine.free_mib;
+        const bool is_cheaper = this->source.engines[i].price < 1;
         const detail::engine_score rank{
-            false,
+            is_cheaper != for_cheaper,
             static_cast<std::size_t>(same),
             static_cast<int>(tier),
             0,
--- a/bench/policy/replica_pool.hpp
+++ b/bench/policy/replica_pool.hpp
@@ -63,11 +63,13 @@
 
     /** Choose an engine with room.
 
-        @param servable What is placed.
-        @return         Where; empty when none has room, or an adapter's base
-                        isn't ready there.
+        @param servable   What is placed.
+        @param for_cheaper Whether a cheaper engine comes first; else last.
+        @return           Where; empty when none has room, or an adapter's base
+                          isn't ready there.
     */
-    std::optional<place> choose(std::uint32_t servable) const;
+    std::optional<place>
+    choose(std::uint32_t servable, bool for_cheaper = false) const;
 
     /// @return The next replica's decided row.
     replayed_replica& add(std::uint32_t servable, place where, instant now);
--- a/bench/policy/strategy_list.cpp
+++ b/bench/policy/strategy_list.cpp
@@ -20,6 +20,25 @@
 /// A companion followed at least this share of a caller's visits.
 constexpr double companion_least_share = 0.4;
 
+/// What the routers do under `gap_cost_preload`.
+constexpr named_strategy adopted{
+    .name = "adopted",
+    .holds = hold_kind::gap_cost,
+    .tier_choice = true,
+    .urgent_slots = true,
+    .periodic = true,
+    .adapters_like_base = true,
+    .keep_slot_free = true};
+
+constexpr named_strategy
+adopted_with_pool(std::string_view name, cheap_use cheap_engines)
+{
+    named_strategy changed = adopted;
+    changed.name = name;
+    changed.cheap_engines = cheap_engines;
+    return changed;
+}
+
 constexpr std::array strategies{
     named_strategy{.name = "fixed_ttl"},
     named_strategy{.name = "break_even", .holds = hold_kind::break_even},
@@ -49,14 +68,7 @@
         .holds = hold_kind::break_even,
         .tier_choice = true,
         .urgent_slots = true},
-    named_strategy{
-        .name = "adopted",
-        .holds = hold_kind::gap_cost,
-        .tier_choice = true,
-        .urgent_slots = true,
-        .periodic = true,
-        .adapters_like_base = true,
-        .keep_slot_free = true},
+    adopted,
     named_strategy{
         .name = "combined",
         .holds = hold_kind::gap_cost,
@@ -83,6 +95,14 @@
         .staging = true,
         .periodic = true,
         .adapters_like_base = true},
+    named_strategy{
+        .name = "pool_overflow", .cheap_engines = cheap_use::overflow},
+    named_strategy{.name = "pool_slack", .cheap_engines = cheap_use::slack},
+    named_strategy{.name = "pool_small", .cheap_engines = cheap_use::small},
+    named_strategy{.name = "pool_rare", .cheap_engines = cheap_use::rare},
+    adopted_with_pool("adopted_pool_overflow", cheap_use::overflow),
+    adopted_with_pool("adopted_pool_slack", cheap_use::slack),
+    adopted_with_pool("adopted_pool_small", cheap_use::small),
     named_strategy{
         .name = "clairvoyant",
         .holds = hold_kind::clairvoyant,
@@ -164,6 +184,7 @@
     options.urgent_slots = which.urgent_slots;
     options.local_without_slot = which.local_without_slot;
     options.staging = which.staging;
+    options.cheap_engines = which.cheap_engines;
     options.keep_slot_free = which.keep_slot_free;
     options.adapters_like_base = which.adapters_like_base;
     return options;
--- a/bench/policy/strategy_list.hpp
+++ b/bench/policy/strategy_list.hpp
@@ -34,6 +34,7 @@
     bool idle_histogram = false;
     bool adapters_like_base = false;
     bool keep_slot_free = false;
+    cheap_use cheap_engines = cheap_use::none; ///< of a diverse pool
     bool merged_adapters = false; ///< each adapter loads a base of its own
 };
 
--- a/src/core/trace/trace.hpp
+++ b/src/core/trace/trace.hpp
@@ -33,6 +33,8 @@
     std::uint32_t host_cache_mib = 0;  ///< checkpoints kept in main memory
     std::uint32_t disk_cache_mib = 0;  ///< checkpoints kept on disk
     std::vector<std::uint32_t> staged; ///< on its disk at the start
+    double price = 1;    ///< of an accelerator hour, against the usual type
+    double slowdown = 1; ///< time of requests and loads, against the same
 };
 
 /// Where a request comes from.
