Tell a servable's proposer of callers' visits, so that periods are seen whole

Cause: a periodic caller whose visits come through several routers is known to each from the visits that it saw.

Change: a router that goes by gap_cost_preload tells the proposer of the servable, by rendezvous hashing, when a caller uses it, at most once in 5 min for a pair of caller and servable (visit_filter, 10,000 pairs at most). It is one more kind of datagram between routers and may be lost; each router still learns from what it sees itself. Weighed: the demand messages themselves, which a warm or preloaded model never causes, so that the recogniser would go blind by its own success; decided loads, which name no caller.

The controller test with a caller who comes through another of four routers each time failed before the change. test_control 84 of 84, test_membership, test_peers, test_app, test_trace, golden pass.

--- a/bench/policy/comparison.cpp
+++ b/bench/policy/comparison.cpp
@@ -51,15 +51,18 @@
     const future_uses& future,
     const named_strategy& which,
     int setting_s,
-    duration warm_up)
+    const comparison_options& wanted)
 {
     replay_options options = make_replay_options(which);
-    options.warm_up = warm_up;
+    options.warm_up = wanted.warm_up;
     return replay(
                source,
                options,
                make_replay_strategy(
-                   which, std::chrono::seconds(setting_s), future))
+                   which,
+                   std::chrono::seconds(setting_s),
+                   future,
+                   wanted.spread))
         .run();
 }
 
@@ -159,7 +162,7 @@
                 future,
                 which,
                 static_cast<int>(row.setting_s),
-                options.warm_up));
+                options));
             if (row.strategy == options.baseline)
             {
                 sweep.push_back(point_of(row.by_seed.back(), options.by_price));
--- a/bench/policy/comparison.hpp
+++ b/bench/policy/comparison.hpp
@@ -40,6 +40,7 @@
     /// Caches of every engine in MiB; empty: as the profile has them.
     std::optional<std::uint32_t> host_cache_mib;
     std::optional<std::uint32_t> disk_cache_mib;
+    caller_spread spread;  ///< how callers come through the routers
     bool by_price = false; ///< idle hours are weighted by engines' prices
     duration warm_up = std::chrono::hours(24);
 };
--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -35,6 +35,7 @@
     {"waited_share", &replay_figures::waited_share, "ratio"},
     {"waited_p99", &replay_figures::waited_p99_s, "s"},
     {"idle", &replay_figures::idle_hours, "accelerator_h"},
+    {"periodic_waited_share", &replay_figures::periodic_waited_share, "ratio"},
     {"idle_cost", &replay_figures::idle_cost, "accelerator_h"},
     {"slowed_share", &replay_figures::slowed_share, "ratio"},
     {"loading", &replay_figures::loading_hours, "accelerator_h"}};
@@ -92,6 +93,8 @@
     std::printf(
         "| %s | %.0f | %.2f | %.2f | %.2f | %.2f | %.1f | %.1f | %.1f | "
         "%.0f (%.0f to %.0f) | %.0f (%.0f to %.0f) | %llu | %llu | %.1f | %.1f "
+        "| "
+        "%.1f "
         "|\n",
         row.strategy.c_str(),
         row.setting_s,
@@ -112,7 +115,8 @@
             sum(row, &replay_figures::remote_loads) / row.by_seed.size()),
         static_cast<unsigned long long>(sum(row, &replay_figures::unanswered)),
         spread_of(row, &replay_figures::idle_cost).median,
-        100 * spread_of(row, &replay_figures::slowed_share).median);
+        100 * spread_of(row, &replay_figures::slowed_share).median,
+        100 * spread_of(row, &replay_figures::periodic_waited_share).median);
 }
 
 void print_table(const std::vector<comparison_row>& rows)
@@ -120,8 +124,9 @@
     std::printf(
         "| strategy | setting s | p95 s | p99 s | p99.9 s | waited %% | p99 "
         "waited s | idle h | loading h | p99 cut %% | idle cut %% | remote "
-        "loads | unanswered | idle cost h | slowed %% |\n|%s\n",
-        "---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
+        "loads | unanswered | idle cost h | slowed %% | periodic waited %% "
+        "|\n|%s\n",
+        "---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
     for (const comparison_row& row : rows)
     {
         print_table_row(row);
@@ -156,6 +161,7 @@
     const auto seeds = arguments["seeds"].as<std::uint64_t>();
     constexpr unsigned most_hours = 24 * 14;
     constexpr std::uint64_t most_seeds = 100;
+    constexpr std::uint32_t most_routers = 1000;
     if (!profile || warm_up >= hours || hours > most_hours || seeds == 0 ||
         seeds > most_seeds)
     {
@@ -170,6 +176,14 @@
     options.first_seed = arguments["first-seed"].as<std::uint64_t>();
     options.only = arguments["strategy"].as<std::string>();
     options.baseline = arguments["baseline"].as<std::string>();
+    options.spread.routers = arguments["routers"].as<std::uint32_t>();
+    options.spread.each_request = arguments.count("each-request") != 0;
+    options.spread.told = arguments.count("told") != 0;
+    if (options.spread.routers == 0 || options.spread.routers > most_routers)
+    {
+        std::cerr << "--routers must be from 1 to " << most_routers << '\n';
+        return 2;
+    }
     options.by_price = arguments.count("priced") != 0;
     if (arguments.count("host-cache-mib") != 0)
     {
@@ -237,6 +251,11 @@
         "disk-cache-mib",
         "checkpoints that an engine keeps on disk",
         cxxopts::value<std::uint32_t>())(
+        "routers",
+        "over which callers' visits are spread",
+        cxxopts::value<std::uint32_t>()->default_value("1"))(
+        "each-request", "spread requests, not visits")(
+        "told", "routers tell the proposer of visits")(
         "priced", "weight idle hours by engines' prices when comparing")(
         "table", "print a Markdown table")("help", "print this");
     try
--- a/bench/policy/replay.cpp
+++ b/bench/policy/replay.cpp
@@ -21,6 +21,12 @@
     return servable_id(servable + 1);
 }
 
+double share_of(std::uint64_t part, std::uint64_t whole)
+{
+    return whole == 0 ? 0
+                      : static_cast<double>(part) / static_cast<double>(whole);
+}
+
 std::uint32_t median_model_mib(const trace& source)
 {
     std::vector<std::uint32_t> sizes;
@@ -98,6 +104,8 @@
         this->count_idle(replica, end);
     }
     std::vector<duration> measured;
+    std::uint64_t periodic = 0;
+    std::uint64_t periodic_waited = 0;
     for (std::size_t i = 0; i < this->source.requests.size(); ++i)
     {
         const instant at = this->source.requests[i].at;
@@ -107,12 +115,15 @@
         }
         this->figures.unanswered += this->cold[i] ? 0 : 1;
         measured.push_back(this->cold[i].value_or(end - at));
+        if (this->source.requests[i].kind == traffic_kind::periodic)
+        {
+            ++periodic;
+            periodic_waited += measured.back() > duration::zero() ? 1 : 0;
+        }
     }
+    this->figures.periodic_waited_share = share_of(periodic_waited, periodic);
     set_percentiles(measured, this->figures);
-    this->figures.slowed_share = measured.empty()
-                                     ? 0
-                                     : static_cast<double>(this->slowed) /
-                                           static_cast<double>(measured.size());
+    this->figures.slowed_share = share_of(this->slowed, measured.size());
     return this->figures;
 }
 
--- a/bench/policy/replay_figures.hpp
+++ b/bench/policy/replay_figures.hpp
@@ -20,9 +20,10 @@
     double cold_p95_s = 0;
     double cold_p99_s = 0;
     double cold_p999_s = 0;
-    double waited_share = 0;  ///< requests with a cold-start time
-    double waited_p99_s = 0;  ///< among those
-    double idle_hours = 0;    ///< accelerator hours, ready and idle
+    double waited_share = 0;          ///< requests with a cold-start time
+    double periodic_waited_share = 0; ///< of periodic callers' requests
+    double waited_p99_s = 0;          ///< among those
+    double idle_hours = 0;            ///< accelerator hours, ready and idle
     double idle_cost = 0;     ///< `idle_hours`, weighted by engines' prices
     double slowed_share = 0;  ///< requests not of class batch that ran on a
                               ///< slower engine
--- a/bench/policy/strategy_list.cpp
+++ b/bench/policy/strategy_list.cpp
@@ -1,7 +1,6 @@
 #include "strategy_list.hpp"
 
 #include "core/placement/gap_cost.hpp"
-#include "core/placement/periodic_callers.hpp"
 #include "core/placement/strategies/companions.hpp"
 #include "core/placement/strategies/idle_histogram.hpp"
 #include "core/placement/strategies/reload_cost_eviction.hpp"
@@ -148,7 +147,10 @@
 }
 
 replay_strategy make_replay_strategy(
-    const named_strategy& which, duration setting, const future_uses& future)
+    const named_strategy& which,
+    duration setting,
+    const future_uses& future,
+    const caller_spread& spread)
 {
     replay_strategy made;
     made.holds = make_holds(which.holds, setting, future);
@@ -159,7 +161,7 @@
     }
     if (which.periodic)
     {
-        made.preloads.push_back(std::make_unique<detail::periodic_callers>());
+        made.preloads.push_back(std::make_unique<spread_callers>(spread));
     }
     if (which.companions)
     {
--- a/bench/policy/strategy_list.hpp
+++ b/bench/policy/strategy_list.hpp
@@ -3,6 +3,7 @@
 #include "clairvoyant.hpp"
 #include "core/trace/trace.hpp"
 #include "replay_options.hpp"
+#include "spread_callers.hpp"
 
 #include <span>
 #include <string_view>
@@ -49,10 +50,14 @@
     @param which   Which.
     @param setting The value of the sweep.
     @param future  What a rule that knows the future may look at.
+    @param spread  How callers come through the routers.
     @return        The parts, for one replay.
 */
 replay_strategy make_replay_strategy(
-    const named_strategy& which, duration setting, const future_uses& future);
+    const named_strategy& which,
+    duration setting,
+    const future_uses& future,
+    const caller_spread& spread);
 
 /// @return The options of a strategy's replay.
 replay_options make_replay_options(const named_strategy& which);
--- a/include/roseworks/controller.hpp
+++ b/include/roseworks/controller.hpp
@@ -144,6 +144,21 @@
     stamp_ms issued = 0; ///< caller's clock when it made the key; 0: untold
 };
 
+/// A caller's use of a servable at another router.
+struct caller_visit
+{
+    servable_id servable;
+    std::uint32_t caller = 0; ///< the number given to `controller::used`
+};
+
+/// Tell the proposer of the servable of a caller's visit.
+struct forward_visit
+{
+    session_id to;
+    std::string peer_address;
+    caller_visit what;
+};
+
 /// Result of a claim that this router asked for.
 struct claim_result
 {
@@ -206,6 +221,7 @@
     engine_order,
     read_engine,
     forward_demand,
+    forward_visit,
     claim_result,
     folded_record,
     publish_table,
@@ -300,6 +316,8 @@
                         who come back at regular times are known; 0: unknown.
     */
     void used(servable_id servable, instant now, std::uint32_t caller = 0);
+    /// Another router told of a caller's use (a hint).
+    void visited(const caller_visit& what, instant now);
     void claim(const claim_request& asked, instant now);
     void close_claim(claim_close what, instant now);
     void crash_seen(fingerprint request, engine_id engine, instant now);
--- a/include/roseworks/membership.hpp
+++ b/include/roseworks/membership.hpp
@@ -60,7 +60,9 @@
 struct peer_message
 {
     session_id from;
-    std::variant<probe, indirect_probe, probe_ack, servable_demand> body;
+    std::
+        variant<probe, indirect_probe, probe_ack, servable_demand, caller_visit>
+            body;
     std::vector<member_update> updates;
 };
 
@@ -134,7 +136,8 @@
     void members_changed(
         session_id self, std::span<const member> members, instant now);
 
-    /// A datagram came. A demand in it is left in `take_demands`.
+    /// A datagram came. A demand in it is left in `take_demands`, a visit in
+    /// `take_visits`.
     void received(const peer_message& message, instant now);
 
     /// Time passes: probes, suspects, gives up.
@@ -144,12 +147,18 @@
     /// datagram.
     void send_demand(session_id to, const servable_demand& what);
 
+    /// Tell another router of a caller's visit, likewise.
+    void send_visit(session_id to, const caller_visit& what);
+
     /// Datagrams to send since the last call.
     std::vector<outgoing> take_outgoing();
 
     /// Demands heard since the last call.
     std::vector<servable_demand> take_demands();
 
+    /// Visits heard of since the last call.
+    std::vector<caller_visit> take_visits();
+
     /// @return Whether the set of `alive` changed since this was last asked.
     bool take_changed();
 
--- a/src/adapters/peers/udp_peers.cpp
+++ b/src/adapters/peers/udp_peers.cpp
@@ -125,6 +125,13 @@
     this->flush();
 }
 
+void udp_peers::send_visit(
+    session_id to, std::string_view /*peer_address*/, const caller_visit& what)
+{
+    this->members.send_visit(to, what);
+    this->flush();
+}
+
 void udp_peers::receive()
 {
     this->socket.async_receive_from(
@@ -227,6 +234,8 @@
         return;
     for (const servable_demand& what : this->members.take_demands())
         this->listener->demand_heard(what);
+    for (const caller_visit& what : this->members.take_visits())
+        this->listener->visit_heard(what);
     if (this->members.take_changed())
         this->tell_listener();
 }
--- a/src/adapters/peers/udp_peers.hpp
+++ b/src/adapters/peers/udp_peers.hpp
@@ -79,6 +79,10 @@
         session_id to,
         std::string_view peer_address,
         const servable_demand& what) override;
+    void send_visit(
+        session_id to,
+        std::string_view peer_address,
+        const caller_visit& what) override;
     void stop() override;
 
     const counters& traffic() const;
--- a/src/app/control_loop.hpp
+++ b/src/app/control_loop.hpp
@@ -110,6 +110,7 @@
     void vms_listed(std::span<const vm_entry> vms) override;
     void vm_list_failed() override;
     void demand_heard(const servable_demand& what) override;
+    void visit_heard(const caller_visit& what) override;
     void peers_alive(std::span<const session_id> alive) override;
 
     // What it knows, for `/state` and `/metrics`.
@@ -141,6 +142,7 @@
     void carry_out(const engine_order& order);
     void carry_out(const read_engine& what);
     void carry_out(const forward_demand& what);
+    void carry_out(const forward_visit& what);
     void carry_out(const claim_result& result);
     void carry_out(const folded_record& folded);
     void carry_out(const publish_table& what);
--- a/src/app/control_loop_commands.cpp
+++ b/src/app/control_loop_commands.cpp
@@ -74,6 +74,11 @@
     this->ports.peers.send_demand(what.to, what.peer_address, what.what);
 }
 
+void control_loop::carry_out(const forward_visit& what)
+{
+    this->ports.peers.send_visit(what.to, what.peer_address, what.what);
+}
+
 void control_loop::carry_out(const claim_result& result)
 {
     this->notices.claim_decided(result);
--- a/src/app/control_loop_ports.cpp
+++ b/src/app/control_loop_ports.cpp
@@ -66,6 +66,13 @@
     this->pump();
 }
 
+void control_loop::visit_heard(const caller_visit& what)
+{
+    if (!this->core || this->stopped)
+        return;
+    this->core->visited(what, this->ports.clock.now());
+}
+
 void control_loop::peers_alive(std::span<const session_id> alive)
 {
     if (!this->core || this->stopped)
--- a/src/core/membership/membership.cpp
+++ b/src/core/membership/membership.cpp
@@ -35,6 +35,11 @@
     this->self->send_demand(to, what);
 }
 
+void membership::send_visit(session_id to, const caller_visit& what)
+{
+    this->self->send_visit(to, what);
+}
+
 std::vector<membership::outgoing> membership::take_outgoing()
 {
     return std::exchange(this->self->sends, {});
@@ -45,6 +50,11 @@
     return std::exchange(this->self->demands, {});
 }
 
+std::vector<caller_visit> membership::take_visits()
+{
+    return std::exchange(this->self->visits, {});
+}
+
 bool membership::take_changed()
 {
     return std::exchange(this->self->changed, false);
--- a/src/core/membership/membership_gossip.cpp
+++ b/src/core/membership/membership_gossip.cpp
@@ -131,16 +131,18 @@
         this->relay(*asked, message.from, now);
     else if (const auto* ack = std::get_if<probe_ack>(&message.body))
         this->acknowledged(*ack);
+    else if (const auto* wanted = std::get_if<servable_demand>(&message.body))
+        this->demands.push_back(*wanted);
     else
-        this->heard_demand(message);
+        this->visits.push_back(std::get<caller_visit>(message.body));
 }
 
-void membership::impl::heard_demand(const peer_message& message)
+void membership::impl::send_demand(session_id to, const servable_demand& what)
 {
-    this->demands.push_back(std::get<servable_demand>(message.body));
+    this->send(to, what);
 }
 
-void membership::impl::send_demand(session_id to, const servable_demand& what)
+void membership::impl::send_visit(session_id to, const caller_visit& what)
 {
     this->send(to, what);
 }
--- a/src/core/membership/membership_impl.hpp
+++ b/src/core/membership/membership_impl.hpp
@@ -34,12 +34,14 @@
     void received(const peer_message& message, instant now);
     void tick(instant now);
     void send_demand(session_id to, const servable_demand& what);
+    void send_visit(session_id to, const caller_visit& what);
     std::vector<session_id> alive() const;
     std::optional<liveness> state_of(session_id session) const;
     instant next_tick() const;
 
     std::vector<outgoing> sends;
     std::vector<servable_demand> demands;
+    std::vector<caller_visit> visits;
     bool changed = false;
 
 private:
@@ -78,7 +80,6 @@
     void merge_own(const member_update& update);
     void suspect(session_id session, peer& about, instant now);
     void heard_from(session_id session);
-    void heard_demand(const peer_message& message);
     void answer(const probe& body, session_id from);
     void relay(const indirect_probe& body, session_id from, instant now);
     void acknowledged(const probe_ack& body);
--- a/src/core/membership/peer_message.cpp
+++ b/src/core/membership/peer_message.cpp
@@ -22,7 +22,8 @@
     probe = 0,
     indirect_probe = 1,
     probe_ack = 2,
-    demand = 3
+    demand = 3,
+    visit = 4
 };
 
 template <class Archive>
@@ -43,6 +44,11 @@
         archive(body->sequence, body->target.value);
         return;
     }
+    if (const auto* body = std::get_if<caller_visit>(&message.body))
+    {
+        archive(body->servable.value, body->caller);
+        return;
+    }
     const auto& body = std::get<servable_demand>(message.body);
     archive(
         body.servable.value,
@@ -71,6 +77,14 @@
     return body;
 }
 
+template <class Archive>
+caller_visit read_visit(Archive& archive)
+{
+    caller_visit body;
+    archive(body.servable.value, body.caller);
+    return body;
+}
+
 template <class Archive>
 void read_body(Archive& archive, std::uint8_t kind, peer_message& message)
 {
@@ -88,6 +102,9 @@
     case body_kind::demand:
         message.body = read_demand(archive, message.from);
         return;
+    case body_kind::visit:
+        message.body = read_visit(archive);
+        return;
     }
     throw cereal::Exception("unknown kind of message");
 }
--- a/src/core/placement/controller.cpp
+++ b/src/core/placement/controller.cpp
@@ -60,6 +60,11 @@
     this->self->peers_changed(alive, now);
 }
 
+void controller::visited(const caller_visit& what, instant now)
+{
+    this->self->visited(what, now);
+}
+
 void controller::demanded(const servable_demand& what, instant now)
 {
     this->self->demanded(what, now);
--- a/src/core/placement/controller_events.cpp
+++ b/src/core/placement/controller_events.cpp
@@ -165,10 +165,39 @@
     this->policy.used(this->state, servable, now);
     if (caller != 0)
     {
-        this->preloads.used({servable, caller, now});
+        const servable_use use{servable, caller, now};
+        this->preloads.used(use);
+        this->tell_proposer(use, now);
     }
 }
 
+/// Lets one router know all visits of a caller, whichever routers they come
+/// through.
+void controller::impl::tell_proposer(const servable_use& use, instant now)
+{
+    const bool told = this->policy.kind() == placement_kind::gap_cost_preload &&
+                      this->visits.should_tell(use);
+    if (!told)
+    {
+        return;
+    }
+    const session_id to = rendezvous_choice(
+        {rendezvous_domain::proposer, use.servable.value},
+        this->fold_context(now).alive);
+    const std::optional<session_view> session = this->state.session(to);
+    if (!session || to == this->leases.session())
+    {
+        return;
+    }
+    this->out.emplace_back(forward_visit{
+        to, std::string(session->peer_address), {use.servable, use.caller}});
+}
+
+void controller::impl::visited(const caller_visit& what, instant now)
+{
+    this->preloads.used({what.servable, what.caller, now});
+}
+
 void controller::impl::claim(const claim_request& asked, instant now)
 {
     if (this->leaving_since)
--- a/src/core/placement/controller_impl.hpp
+++ b/src/core/placement/controller_impl.hpp
@@ -9,6 +9,7 @@
 #include "core/placement/placement_policy.hpp"
 #include "core/placement/preloader.hpp"
 #include "core/placement/proposer.hpp"
+#include "core/placement/visit_filter.hpp"
 #include "core/recovery/checkpoint_writer.hpp"
 #include "core/recovery/claim_keeper.hpp"
 #include "core/recovery/control_context.hpp"
@@ -49,6 +50,7 @@
     void peers_changed(std::span<const session_id> hinted, instant now);
     void demanded(const servable_demand& what, instant now);
     void used(servable_id servable, instant now, std::uint32_t caller);
+    void visited(const caller_visit& what, instant now);
     void claim(const claim_request& asked, instant now);
     void close_claim(claim_close what, instant now);
     void crash_seen(fingerprint request, engine_id engine, instant now);
@@ -75,6 +77,7 @@
 
     void note_change(const state_change& change, instant now);
     void note_leave(const detail::fold_event& event);
+    void tell_proposer(const servable_use& use, instant now);
     void wake(instant now);
     void step(instant now);
     void step_leaving(const detail::control_context& seen);
@@ -84,6 +87,7 @@
     options settings;
     detail::placement_policy policy;
     detail::preloader preloads;
+    detail::visit_filter visits;
     fleet_state state;
     detail::group_commit commit;
     detail::lease_keeper leases;
--- a/src/core/placement/periodic_callers.cpp
+++ b/src/core/placement/periodic_callers.cpp
@@ -8,8 +8,6 @@
 namespace
 {
 
-/// A use after a longer pause begins a visit.
-constexpr duration visit_pause = std::chrono::minutes(10);
 /// Intervals that differ by less agree, and the caller may come so much early
 /// or late.
 constexpr duration tolerance = std::chrono::seconds(75);
--- a/src/core/placement/periodic_callers.hpp
+++ b/src/core/placement/periodic_callers.hpp
@@ -24,6 +24,9 @@
     /// Pairs of a caller and a servable that are remembered.
     static constexpr std::size_t most_known = 20'000;
 
+    /// A use after a longer pause begins a visit.
+    static constexpr duration visit_pause = std::chrono::minutes(10);
+
     void
     used(const servable_use& use, std::vector<expected_use>& expected) override;
 
--- a/src/ports/peer_port.hpp
+++ b/src/ports/peer_port.hpp
@@ -29,6 +29,9 @@
     /// Another router wants a servable.
     virtual void demand_heard(const servable_demand& what) = 0;
 
+    /// A caller used a servable at another router.
+    virtual void visit_heard(const caller_visit& what) = 0;
+
     /// The sessions thought alive, this router's included.
     virtual void peers_alive(std::span<const session_id> alive) = 0;
 };
@@ -58,6 +61,12 @@
         std::string_view peer_address,
         const servable_demand& what) = 0;
 
+    /// Tells of a caller's visit here; it may be lost.
+    virtual void send_visit(
+        session_id to,
+        std::string_view peer_address,
+        const caller_visit& what) = 0;
+
     /// Ends probing; nothing is called any more.
     virtual void stop() = 0;
 };
--- a/tests/golden/session.hpp
+++ b/tests/golden/session.hpp
@@ -125,6 +125,7 @@
     void handle(std::size_t index, const engine_order& order);
     void handle(std::size_t index, const read_engine& what);
     void handle(std::size_t index, const forward_demand& what);
+    void handle(std::size_t index, const forward_visit& what);
     void handle(std::size_t index, const claim_result& result);
     void handle(std::size_t index, const folded_record& folded);
     void handle(std::size_t index, const publish_table& what);
--- a/tests/golden/session_log.cpp
+++ b/tests/golden/session_log.cpp
@@ -208,6 +208,24 @@
     }
 }
 
+void session::handle(std::size_t, const forward_visit& what)
+{
+    for (std::size_t other = 0; other < this->routers.size(); ++other)
+    {
+        if (this->routers[other]->control->session() != what.to)
+        {
+            continue;
+        }
+        this->to_router(
+            other,
+            hop,
+            [this, other, heard = what.what]
+            {
+                this->routers[other]->control->visited(heard, this->time);
+            });
+    }
+}
+
 void session::handle(std::size_t index, const folded_record& folded)
 {
     const std::string result = to_line(folded.result);
--- a/tests/unit/app/fake_platform.hpp
+++ b/tests/unit/app/fake_platform.hpp
@@ -196,6 +196,10 @@
     {
     }
 
+    void send_visit(session_id, std::string_view, const caller_visit&) override
+    {
+    }
+
     void stop() override {}
 
     peer_listener* listener = nullptr;
--- a/tests/unit/control/fake_fleet.cpp
+++ b/tests/unit/control/fake_fleet.cpp
@@ -325,6 +325,23 @@
                 });
         }
     }
+    else if (auto* visit = std::get_if<forward_visit>(&command))
+    {
+        for (std::size_t other = 0; other < this->routers.size(); ++other)
+        {
+            if (this->routers[other]->control->session() != visit->to)
+            {
+                continue;
+            }
+            this->to_router(
+                other,
+                hop,
+                [this, other, what = visit->what]
+                {
+                    this->routers[other]->control->visited(what, this->time);
+                });
+        }
+    }
     else if (auto* claim = std::get_if<claim_result>(&command))
     {
         target.claims.push_back(*claim);
--- a/tests/unit/control/preload_test.cpp
+++ b/tests/unit/control/preload_test.cpp
@@ -108,6 +108,31 @@
     check_sound(fleet);
 }
 
+Test(preload, a_caller_who_comes_through_another_router_each_time_is_expected)
+{
+    fake_fleet fleet;
+    fleet.put(
+        entity_kind::policy,
+        "policy",
+        policy_of(placement_kind::gap_cost_preload, 10s));
+    fleet.add_engine("e0", engine_of(20'000));
+    fleet.add_model("agri", model(8'000, 1));
+    add_routers(fleet, 4);
+    fleet.run(3s);
+    instant next = fleet.now();
+    for (std::size_t router = 0; router < 4; ++router)
+    {
+        fleet.run(next - fleet.now());
+        visit(fleet, router, "agri");
+        next += period;
+    }
+    fleet.run(next - 5min - fleet.now());
+    cr_assert_eq(fleet.replicas("agri"), 0, "it must have been dropped");
+    fleet.run(4min);
+    cr_expect_eq(fleet.replicas("agri", replica_state::ready), 1);
+    check_sound(fleet);
+}
+
 Test(preload, loads_nothing_ahead_under_another_strategy)
 {
     fake_fleet fleet;
--- a/tests/unit/membership/membership_test.cpp
+++ b/tests/unit/membership/membership_test.cpp
@@ -249,6 +249,17 @@
     cr_assert_eq(heard[0].waiting, 12U);
 }
 
+Test(membership, a_callers_visit_is_delivered)
+{
+    fake_network network(3);
+    network.nodes.at(1).send_visit(session_id(2), {servable_id(7), 12});
+    network.deliver();
+    const auto heard = network.nodes.at(2).take_visits();
+    cr_assert_eq(heard.size(), 1U);
+    cr_assert(heard[0].servable == servable_id(7));
+    cr_assert_eq(heard[0].caller, 12U);
+}
+
 Test(membership, demand_of_an_unknown_session_is_dropped)
 {
     membership node({});
--- a/tests/unit/peers/peers_test.cpp
+++ b/tests/unit/peers/peers_test.cpp
@@ -63,6 +63,11 @@
 class recorder : public peer_listener
 {
 public:
+    void visit_heard(const caller_visit& what) override
+    {
+        this->visits.push_back(what);
+    }
+
     void demand_heard(const servable_demand& what) override
     {
         this->demands.push_back(what);
@@ -74,6 +79,7 @@
     }
 
     std::vector<servable_demand> demands;
+    std::vector<caller_visit> visits;
     std::size_t alive = 0;
 };
 
--- a/tests/unit/trace/test_strategies.cpp
+++ b/tests/unit/trace/test_strategies.cpp
@@ -3,6 +3,7 @@
 #include "core/placement/strategies/companions.hpp"
 #include "core/placement/strategies/idle_histogram.hpp"
 #include "core/placement/strategies/reload_cost_eviction.hpp"
+#include "core/placement/visit_filter.hpp"
 
 #include <roseworks/placement_strategy.hpp>
 
@@ -68,6 +69,38 @@
     cr_assert_eq(use(callers, first, 7, start + 24h + 1min).size(), 1);
 }
 
+Test(visit_filter, tells_often_enough_that_a_visit_is_not_taken_for_two)
+{
+    detail::visit_filter filter;
+    instant last_told = start;
+    cr_assert(filter.should_tell({first, 7, start}));
+    for (instant at = start; at < start + 1h; at += 4min)
+    {
+        if (filter.should_tell({first, 7, at}))
+        {
+            cr_assert_gt((at - last_told).count(), 0);
+            cr_assert_leq(
+                (at - last_told).count(),
+                detail::periodic_callers::visit_pause.count());
+            last_told = at;
+        }
+    }
+    cr_assert(last_told > start + 50min);
+    cr_assert(filter.should_tell({first, 8, start}), "another caller");
+}
+
+Test(visit_filter, remembers_a_bounded_number_and_forgets_the_old)
+{
+    detail::visit_filter filter;
+    constexpr std::uint32_t many = detail::visit_filter::most_known;
+    for (std::uint32_t caller = 1; caller <= many; ++caller)
+    {
+        cr_assert(filter.should_tell({first, caller, start}));
+    }
+    cr_assert_not(filter.should_tell({first, many + 1, start}));
+    cr_assert(filter.should_tell({first, many + 1, start + 10min}));
+}
+
 Test(periodic_callers, remembers_a_bounded_number_of_callers)
 {
     detail::periodic_callers callers;
