Try four levers towards the aims in the policy replay; none is adopted

Change: strategies tail_1_5, tail_squared, tail_cubed (the strategy sees load times raised to a power, so that models that load long are held longer), adopted_companions, stage_companions and adapters_with_base (upper bounds: at once and at no cost), tail_companions and all_levers.

--- a/bench/policy/replay.cpp
+++ b/bench/policy/replay.cpp
@@ -1,6 +1,7 @@
 #include "replay.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace roseworks::bench
@@ -27,6 +28,13 @@
                       : static_cast<double>(part) / static_cast<double>(whole);
 }
 
+std::uint32_t weigh_load(std::uint32_t load_ms, double power)
+{
+    constexpr double reference_ms = 10'000;
+    return static_cast<std::uint32_t>(
+        reference_ms * std::pow(load_ms / reference_ms, power));
+}
+
 std::uint32_t median_model_mib(const trace& source)
 {
     std::vector<std::uint32_t> sizes;
@@ -202,6 +210,15 @@
     {
         preload->used({id, request.caller, this->now}, expected);
     }
+    std::vector<expected_use> to_stage;
+    for (const auto& source_of_stagings : this->strategy.stagings)
+    {
+        source_of_stagings->used({id, request.caller, this->now}, to_stage);
+    }
+    for (const expected_use& use : to_stage)
+    {
+        this->pool.stage(use.servable.value - 1);
+    }
     for (const expected_use& use : expected)
     {
         const std::uint32_t servable = use.servable.value - 1;
@@ -350,6 +367,8 @@
     {
         result.load_estimate_ms = this->source.servables[*item.base].load_ms;
     }
+    result.load_estimate_ms =
+        weigh_load(result.load_estimate_ms, this->options.tail_power);
     return result;
 }
 
--- a/bench/policy/replay_loads.cpp
+++ b/bench/policy/replay_loads.cpp
@@ -222,7 +222,11 @@
     const double remote_us = 1000.0 *
                              this->source.servables[replica.servable].load_ms *
                              this->source.engines[replica.engine].slowdown;
-    const duration time(static_cast<duration::rep>(remote_us * factor));
+    const bool with_base =
+        this->options.adapters_with_base && replica.base != 0 &&
+        this->now - this->pool.find(replica.base)->ready_since <= one_second;
+    const duration time(
+        with_base ? 0 : static_cast<duration::rep>(remote_us * factor));
     replica.state = replayed_replica::phase::loading;
     const bool measured = this->now >= instant(this->options.warm_up);
     this->figures.loads += measured ? 1 : 0;
@@ -235,6 +239,7 @@
 {
     this->slots_used -= replica.takes_slot ? 1 : 0;
     replica.state = replayed_replica::phase::ready;
+    replica.ready_since = this->now;
     replica.last_use = this->now;
     replica.idle_since = this->now;
     this->figures.loading_hours +=
--- a/bench/policy/replay_options.hpp
+++ b/bench/policy/replay_options.hpp
@@ -27,6 +27,12 @@
     bool adapters_like_base = false;
     /// Loads ahead leave one store slot free, as the proposer does.
     bool keep_slot_free = false;
+    /// The strategy sees load times t as 10 s * (t / 10 s)^tail_power: above 1
+    /// those that load long are held longer at the others' expense.
+    double tail_power = 1;
+    /// An adapter is loaded together with its base, in no time of its own: the
+    /// most that loading both at once could give.
+    bool adapters_with_base = false;
     cheap_use cheap_engines = cheap_use::none;
     policy_spec policy; ///< weights given to the strategy
     /// Figures are taken from here to the trace's end.
@@ -41,6 +47,9 @@
 {
     std::unique_ptr<placement_strategy> holds;
     std::vector<std::unique_ptr<preload_source>> preloads;
+    /// What these expect is put into the main memory of the engine where it
+    /// would go, at once and at no cost: the most that staging could give.
+    std::vector<std::unique_ptr<preload_source>> stagings;
 };
 
 } // namespace roseworks::bench
--- a/bench/policy/replica_pool.cpp
+++ b/bench/policy/replica_pool.cpp
@@ -208,6 +208,19 @@
         });
 }
 
+void replica_pool::stage(std::uint32_t servable)
+{
+    const std::optional<std::uint32_t> base =
+        this->source.servables[servable].base;
+    const std::uint32_t first =
+        base && !this->has_ready(*base) ? *base : servable;
+    const std::optional<place> where = this->choose(first);
+    if (where && this->by_servable[first].empty())
+    {
+        this->engines[where->engine].cache.touch(first);
+    }
+}
+
 void replica_pool::touch_cache(const replayed_replica& replica)
 {
     this->engines[replica.engine].cache.touch(replica.servable);
--- a/bench/policy/replica_pool.hpp
+++ b/bench/policy/replica_pool.hpp
@@ -36,6 +36,7 @@
     std::uint32_t running = 0;
     std::uint32_t adapters = 0; ///< beside it, from their decision on
     instant decided{};
+    instant ready_since{};
     instant last_use{};
     instant idle_since{};
     instant expected_until{}; ///< a use is expected until then
@@ -101,6 +102,10 @@
     bool cached_anywhere(std::uint32_t servable) const;
     void touch_cache(const replayed_replica& replica);
 
+    /// Put a checkpoint into the main memory of the engine that would be
+    /// chosen; an adapter's base where that isn't ready.
+    void stage(std::uint32_t servable);
+
 private:
     struct engine_row
     {
--- a/bench/policy/strategy_list.cpp
+++ b/bench/policy/strategy_list.cpp
@@ -38,6 +38,40 @@
     return changed;
 }
 
+constexpr named_strategy adopted_tail(std::string_view name, double power)
+{
+    named_strategy changed = adopted;
+    changed.name = name;
+    changed.tail_power = power;
+    return changed;
+}
+
+constexpr named_strategy
+adopted_lever(std::string_view name, bool named_strategy::*lever)
+{
+    named_strategy changed = adopted;
+    changed.name = name;
+    changed.*lever = true;
+    return changed;
+}
+
+constexpr named_strategy tail_squared = adopted_tail("tail_squared", 2);
+
+constexpr named_strategy tail_with_companions(std::string_view name)
+{
+    named_strategy changed = tail_squared;
+    changed.name = name;
+    changed.companions = true;
+    return changed;
+}
+
+constexpr named_strategy with_all_levers(std::string_view name)
+{
+    named_strategy changed = tail_with_companions(name);
+    changed.adapters_with_base = true;
+    return changed;
+}
+
 constexpr std::array strategies{
     named_strategy{.name = "fixed_ttl"},
     named_strategy{.name = "break_even", .holds = hold_kind::break_even},
@@ -99,6 +133,14 @@
     named_strategy{.name = "pool_slack", .cheap_engines = cheap_use::slack},
     named_strategy{.name = "pool_small", .cheap_engines = cheap_use::small},
     named_strategy{.name = "pool_rare", .cheap_engines = cheap_use::rare},
+    adopted_tail("tail_1_5", 1.5),
+    tail_squared,
+    adopted_tail("tail_cubed", 3),
+    adopted_lever("adopted_companions", &named_strategy::companions),
+    adopted_lever("stage_companions", &named_strategy::stage_companions),
+    adopted_lever("adapters_with_base", &named_strategy::adapters_with_base),
+    tail_with_companions("tail_companions"),
+    with_all_levers("all_levers"),
     adopted_with_pool("adopted_pool_overflow", cheap_use::overflow),
     adopted_with_pool("adopted_pool_slack", cheap_use::slack),
     adopted_with_pool("adopted_pool_small", cheap_use::small),
@@ -168,6 +210,11 @@
         made.preloads.push_back(
             std::make_unique<detail::companions>(companion_least_share));
     }
+    if (which.stage_companions)
+    {
+        made.stagings.push_back(
+            std::make_unique<detail::companions>(companion_least_share));
+    }
     if (which.idle_histogram)
     {
         made.preloads.push_back(std::make_unique<detail::idle_histogram>());
@@ -186,6 +233,8 @@
     options.urgent_slots = which.urgent_slots;
     options.local_without_slot = which.local_without_slot;
     options.staging = which.staging;
+    options.tail_power = which.tail_power;
+    options.adapters_with_base = which.adapters_with_base;
     options.cheap_engines = which.cheap_engines;
     options.keep_slot_free = which.keep_slot_free;
     options.adapters_like_base = which.adapters_like_base;
--- a/bench/policy/strategy_list.hpp
+++ b/bench/policy/strategy_list.hpp
@@ -35,6 +35,9 @@
     bool idle_histogram = false;
     bool adapters_like_base = false;
     bool keep_slot_free = false;
+    double tail_power = 1;
+    bool adapters_with_base = false;
+    bool stage_companions = false;
     cheap_use cheap_engines = cheap_use::none; ///< of a diverse pool
     bool merged_adapters = false; ///< each adapter loads a base of its own
 };
