--- a/docs/embedding/example.cpp
+++ b/docs/embedding/example.cpp
@@ -234,6 +234,9 @@
         this->forwarded.push_back(what);
     }
 
+    /// A hint for `gap_cost_preload`, which this fleet doesn't go by.
+    void carry_out(const forward_visit&, instant) {}
+
     void carry_out(const folded_record& folded, instant)
     {
         if (!std::holds_alternative<replica_decide>(folded.value.payload))
