--- a/tools/load/load_options.cpp
+++ b/tools/load/load_options.cpp
@@ -228,7 +228,10 @@
         "roseworks-load",
         "Sends a seeded trace to routers at the trace's own times, whatever "
         "they answer,\nand judges the answers by the stand-in engines' "
-        "ledgers.");
+        "ledgers.\nCompare mode starts neither side: start two fleets, by the "
+        "two settings files or\nbuilds, and give the first by --routers, "
+        "--engine and --log, the second by\n--against, --against-engine and "
+        "--against-log. scripts/compare-load does both.");
     const auto value = []<class T>(T, const char* initial)
     {
         return cxxopts::value<T>()->default_value(initial);
