--- a/tests/unit/peers/peers_test.cpp
+++ b/tests/unit/peers/peers_test.cpp
@@ -272,6 +272,14 @@
     cr_assert_eq(b.heard.demands[0].waiting, 4U);
     cr_assert(b.heard.demands[0].from == session_id(1));
     cr_assert_eq(a.heard.alive, 2U);
+    a.peers.send_visit(session_id(2), "", {servable_id(3), 9});
+    cr_assert(run_until(
+        context,
+        [&]
+        {
+            return !b.heard.visits.empty();
+        }));
+    cr_assert_eq(b.heard.visits[0].caller, 9U);
 }
 
 Test(udp_peers, wrong_key_is_rejected_and_counted)
