--- a/tests/unit/membership/membership_test.cpp
+++ b/tests/unit/membership/membership_test.cpp
@@ -281,7 +281,8 @@
         {session_id(1), probe{1, session_id(2)}, {}},
         {session_id(1), indirect_probe{2, session_id(2)}, {news}},
         {session_id(1), probe_ack{3, session_id(2)}, {news, news}},
-        {session_id(1), servable_demand{servable_id(4)}, {}}};
+        {session_id(1), servable_demand{servable_id(4)}, {}},
+        {session_id(1), caller_visit{servable_id(5), 6}, {news}}};
     for (const peer_message& message : messages)
     {
         const auto bytes = encode(message);
