--- a/bench/policy/replay.cpp
+++ b/bench/policy/replay.cpp
@@ -1,6 +1,7 @@
 #include "replay.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace roseworks::bench
@@ -21,6 +22,33 @@
     return servable_id(servable + 1);
 }
 
+double share_of(std::uint64_t part, std::uint64_t whole)
+{
+    return whole == 0 ? 0
+                      : static_cast<double>(part) / static_cast<double>(whole);
+}
+
+std::uint32_t weigh_load(std::uint32_t load_ms, double power)
+{
+    constexpr double reference_ms = 10'000;
+    return static_cast<std::uint32_t>(
+        reference_ms * std::pow(load_ms / reference_ms, power));
+}
+
+std::uint32_t median_model_mib(const trace& source)
+{
+    std::vector<std::uint32_t> sizes;
+    for (const traced_servable& servable : source.servables)
+    {
+        if (!servable.base)
+        {
+            sizes.push_back(servable.memory_mib);
+        }
+    }
+    std::sort(sizes.begin(), sizes.end());
+    return sizes.empty() ? 0 : sizes[sizes.size() / 2];
+}
+
 } // namespace
 
 replay::replay(
@@ -42,6 +70,7 @@
             this->adapters_of[*this->source.servables[i].base].push_back(i);
         }
     }
+    this->half_size_mib = median_model_mib(this->source);
     // Instant 0 means "never" to the strategies.
     this->now = instant(duration(1));
 }
@@ -83,6 +112,8 @@
         this->count_idle(replica, end);
     }
     std::vector<duration> measured;
+    std::uint64_t periodic = 0;
+    std::uint64_t periodic_waited = 0;
     for (std::size_t i = 0; i < this->source.requests.size(); ++i)
     {
         const instant at = this->source.requests[i].at;
@@ -92,8 +123,15 @@
         }
         this->figures.unanswered += this->cold[i] ? 0 : 1;
         measured.push_back(this->cold[i].value_or(end - at));
+        if (this->source.requests[i].kind == traffic_kind::periodic)
+        {
+            ++periodic;
+            periodic_waited += measured.back() > duration::zero() ? 1 : 0;
+        }
     }
+    this->figures.periodic_waited_share = share_of(periodic_waited, periodic);
     set_percentiles(measured, this->figures);
+    this->figures.slowed_share = share_of(this->slowed, measured.size());
     return this->figures;
 }
 
@@ -172,6 +210,15 @@
     {
         preload->used({id, request.caller, this->now}, expected);
     }
+    std::vector<expected_use> to_stage;
+    for (const auto& source_of_stagings : this->strategy.stagings)
+    {
+        source_of_stagings->used({id, request.caller, this->now}, to_stage);
+    }
+    for (const expected_use& use : to_stage)
+    {
+        this->pool.stage(use.servable.value - 1);
+    }
     for (const expected_use& use : expected)
     {
         const std::uint32_t servable = use.servable.value - 1;
@@ -247,8 +294,16 @@
     {
         this->begin_use(*this->pool.find(replica.base));
     }
-    const duration time =
+    const traced_engine& engine = this->source.engines[replica.engine];
+    const duration usual =
         per_char * request.prompt_chars + per_token * request.output_tokens;
+    const duration time = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, duration::period>(usual) *
+        engine.slowdown);
+    const bool slowed = engine.slowdown > 1 &&
+                        request.urgency != priority::batch &&
+                        request.at >= instant(this->options.warm_up);
+    this->slowed += slowed ? 1 : 0;
     this->schedule(this->now + time, event_kind::request_done, replica.id);
 }
 
@@ -312,6 +367,8 @@
     {
         result.load_estimate_ms = this->source.servables[*item.base].load_ms;
     }
+    result.load_estimate_ms =
+        weigh_load(result.load_estimate_ms, this->options.tail_power);
     return result;
 }
 
@@ -328,8 +385,11 @@
 {
     if (this->pool.is_ready(replica.id) && replica.running == 0)
     {
-        this->figures.idle_hours += this->accelerator_hours(
+        const double hours = this->accelerator_hours(
             replica.servable, replica.idle_since, until);
+        this->figures.idle_hours += hours;
+        this->figures.idle_cost +=
+            hours * this->source.engines[replica.engine].price;
     }
 }
 
--- a/bench/policy/replica_pool.cpp
+++ b/bench/policy/replica_pool.cpp
@@ -45,7 +45,7 @@
 }
 
 std::optional<replica_pool::place>
-replica_pool::choose(std::uint32_t servable) const
+replica_pool::choose(std::uint32_t servable, bool for_cheaper) const
 {
     std::optional<detail::engine_score> best;
     std::optional<place> chosen;
@@ -70,8 +70,9 @@
                                                   : cache_tier::remote;
         const std::uint64_t reserved =
             this->source.engines[i].memory_mib - engine.free_mib;
+        const bool is_cheaper = this->source.engines[i].price < 1;
         const detail::engine_score rank{
-            false,
+            is_cheaper != for_cheaper,
             static_cast<std::size_t>(same),
             static_cast<int>(tier),
             0,
@@ -207,6 +208,19 @@
         });
 }
 
+void replica_pool::stage(std::uint32_t servable)
+{
+    const std::optional<std::uint32_t> base =
+        this->source.servables[servable].base;
+    const std::uint32_t first =
+        base && !this->has_ready(*base) ? *base : servable;
+    const std::optional<place> where = this->choose(first);
+    if (where && this->by_servable[first].empty())
+    {
+        this->engines[where->engine].cache.touch(first);
+    }
+}
+
 void replica_pool::touch_cache(const replayed_replica& replica)
 {
     this->engines[replica.engine].cache.touch(replica.servable);
--- a/tests/unit/membership/membership_test.cpp
+++ b/tests/unit/membership/membership_test.cpp
@@ -249,6 +249,17 @@
     cr_assert_eq(heard[0].waiting, 12U);
 }
 
+Test(membership, a_callers_visit_is_delivered)
+{
+    fake_network network(3);
+    network.nodes.at(1).send_visit(session_id(2), {servable_id(7), 12});
+    network.deliver();
+    const auto heard = network.nodes.at(2).take_visits();
+    cr_assert_eq(heard.size(), 1U);
+    cr_assert(heard[0].servable == servable_id(7));
+    cr_assert_eq(heard[0].caller, 12U);
+}
+
 Test(membership, demand_of_an_unknown_session_is_dropped)
 {
     membership node({});
@@ -270,7 +281,8 @@
         {session_id(1), probe{1, session_id(2)}, {}},
         {session_id(1), indirect_probe{2, session_id(2)}, {news}},
         {session_id(1), probe_ack{3, session_id(2)}, {news, news}},
-        {session_id(1), servable_demand{servable_id(4)}, {}}};
+        {session_id(1), servable_demand{servable_id(4)}, {}},
+        {session_id(1), caller_visit{servable_id(5), 6}, {news}}};
     for (const peer_message& message : messages)
     {
         const auto bytes = encode(message);
--- a/tests/unit/peers/peers_test.cpp
+++ b/tests/unit/peers/peers_test.cpp
@@ -63,6 +63,11 @@
 class recorder : public peer_listener
 {
 public:
+    void visit_heard(const caller_visit& what) override
+    {
+        this->visits.push_back(what);
+    }
+
     void demand_heard(const servable_demand& what) override
     {
         this->demands.push_back(what);
@@ -74,6 +79,7 @@
     }
 
     std::vector<servable_demand> demands;
+    std::vector<caller_visit> visits;
     std::size_t alive = 0;
 };
 
@@ -266,6 +272,14 @@
     cr_assert_eq(b.heard.demands[0].waiting, 4U);
     cr_assert(b.heard.demands[0].from == session_id(1));
     cr_assert_eq(a.heard.alive, 2U);
+    a.peers.send_visit(session_id(2), "", {servable_id(3), 9});
+    cr_assert(run_until(
+        context,
+        [&]
+        {
+            return !b.heard.visits.empty();
+        }));
+    cr_assert_eq(b.heard.visits[0].caller, 9U);
 }
 
 Test(udp_peers, wrong_key_is_rejected_and_counted)
