Tell the dispatchers of the affinity bench how many routers there are

Cause: the real router is told since it takes shares; the bench wasn't, so that its four routers locked each other out by reports now believed for 12 s.

--- a/bench/dispatch/affinity_experiment.cpp
+++ b/bench/dispatch/affinity_experiment.cpp
@@ -233,6 +233,7 @@
         const routing_table_ptr table = make_table(without);
         for (std::size_t i = 0; i < router_count; ++i)
         {
+            this->routers[i].core.routers_alive(router_count, this->now);
             this->routers[i].core.table_changed(table, this->now);
             this->collect(i);
         }
