Name the error statuses that the storm was told were answers

Change: each is printed with request id, status, time, router, its runs by the ledgers and its body. Conclusion: the next one can be traced.

--- a/tests/soak/judge.cpp
+++ b/tests/soak/judge.cpp
@@ -89,6 +89,11 @@
     return this->found;
 }
 
+const std::vector<std::string>& judge::error_answers() const
+{
+    return this->errors;
+}
+
 const std::map<std::string, std::string>& judge::figures() const
 {
     return this->numbers;
@@ -122,6 +127,8 @@
         ++this->outcomes["refused_" + checked.verdict + "_" + checked.reason];
         if (checked.verdict == "not-run")
             this->check_not_run(call);
+        if (checked.verdict == "answered")
+            this->note_error_answer(call);
         if (checked.reason == "blocked" && !is_poisoned(call))
             ++this->outcomes["blocked_without_crashing_request"];
         break;
@@ -204,6 +211,16 @@
     }
 }
 
+void judge::note_error_answer(const call_record& call)
+{
+    this->errors.push_back(
+        call.request_id + " " + std::to_string(call.reply.status) + " at " +
+        std::to_string(milliseconds(call.end - this->start)) + " ms, " +
+        std::to_string(this->runs_of(call)) + " runs; router r" +
+        std::to_string(call.router + 1) + " replayed=" +
+        call.reply.header("x-roseworks-replayed") + " " + call.reply.body);
+}
+
 void judge::note_lateness(const call_record& call)
 {
     if (call.reply.status == 0)
--- a/tests/soak/judge.hpp
+++ b/tests/soak/judge.hpp
@@ -44,6 +44,8 @@
     void run();
 
     const std::vector<broken_promise>& broken() const;
+    /// Error statuses that were passed on as a backend server's own answer.
+    const std::vector<std::string>& error_answers() const;
     /// Figures by name, with their unit.
     const std::map<std::string, std::string>& figures() const;
 
@@ -53,6 +55,7 @@
     void check_ended(const call_record& call, call_outcome outcome);
     void check_not_run(const call_record& call);
     void check_answered(const call_record& call);
+    void note_error_answer(const call_record& call);
     void note_lateness(const call_record& call);
     void check_keys();
     void check_engines();
@@ -85,6 +88,7 @@
     std::int64_t latest_ms = 0;
     std::int64_t latest_paused_ms = 0;
     std::vector<broken_promise> found;
+    std::vector<std::string> errors;
     std::map<std::string, std::string> numbers;
 };
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -217,6 +217,8 @@
     print_in_force(changes.finish());
     for (const auto& [name, value] : verdict.figures())
         print(name, value);
+    for (const std::string& answer : verdict.error_answers())
+        std::cout << "error_answer: " << answer << std::endl;
     print_usage(before, after);
     print("promises_broken", std::to_string(broken.size()) + " promises");
     for (const broken_promise& promise : broken)
