Tell a reset connection from a crash before a request is given up

Cause: a request under which two connections broke was never sent again (crash_limit), whatever had broken them. A network device that reset two connections ended it with 502 may-have-run, though both engines ran on. The witness on the control thread knew the difference and told only the log. Change: the witness gives one finding for each server: crashed (refused, or another incarnation), survived (the same incarnation), unknown. The dispatcher takes back what broke at a server that survived. The first broken connection is retried at once as before; with two that count the request waits for the findings, until its deadline at most, and goes to no third server unproved. Crashes alone go to the log and block a request everywhere, as before. Replaced in test_retries: a_broken_connection_is_a_crash_suspicion asked for an end at the second break; it now asks that no third server is met before and after the second was found crashed, and for the reason and verdict of the end. two_connections_to_one_crashed_server tells the finding first, and asks the same.

--- a/include/roseworks/dispatcher.hpp
+++ b/include/roseworks/dispatcher.hpp
@@ -71,6 +71,15 @@
     fingerprint request;
     engine_id engine;    ///< 0 for a plain service
     std::string address; ///< ip:port that the request was sent to
+    ticket under{};      ///< the dispatcher's own mark of the request
+};
+
+/// What a look at a backend server showed after a connection to it broke.
+enum class crash_finding : std::uint8_t
+{
+    crashed,  ///< it is down, or another process runs in its place
+    survived, ///< the process that had the connection still runs
+    unknown   ///< it can't be told
 };
 
 using dispatch_command = std::variant<grant, refusal, demand, crash_seen>;
@@ -184,6 +193,15 @@
     /// forgets the request. A granted slot becomes free.
     void abandon(ticket request, instant now);
 
+    /** The backend server named by a `crash_seen` was looked at.
+
+        Connections that broke to a server that survived aren't crashes of the
+        request. One with too many broken connections isn't granted before this
+        was told of each: then it goes on, or is refused. Others' are ignored.
+    */
+    void
+    crash_examined(const crash_seen& what, crash_finding finding, instant now);
+
     /// A new table is in force.
     void table_changed(routing_table_ptr table, instant now);
 
--- a/src/adapters/edge/shared_dispatcher.cpp
+++ b/src/adapters/edge/shared_dispatcher.cpp
@@ -128,6 +128,16 @@
         });
 }
 
+void shared_dispatcher::crash_examined(
+    const crash_seen& what, crash_finding finding)
+{
+    this->locked(
+        [&](instant time)
+        {
+            this->core.crash_examined(what, finding, time);
+        });
+}
+
 std::size_t shared_dispatcher::queued() const
 {
     const std::lock_guard lock(this->mutex);
--- a/src/adapters/edge/shared_dispatcher.hpp
+++ b/src/adapters/edge/shared_dispatcher.hpp
@@ -58,6 +58,7 @@
     void load_reported(const load_report& report);
     void cache_reported(const cache_report& report);
     void vm_leaving(std::string_view vm, bool leaving);
+    void crash_examined(const crash_seen& what, crash_finding finding);
 
     std::size_t queued() const;
     std::size_t in_flight() const;
--- a/src/app/control_loop.cpp
+++ b/src/app/control_loop.cpp
@@ -45,9 +45,9 @@
     , witness(
           this->executor,
           with.engines,
-          [this](const crash_seen& what)
+          [this](const crash_seen& what, crash_finding finding)
           {
-              this->crash_confirmed(what);
+              this->crash_examined(what, finding);
           })
 {
 }
@@ -107,14 +107,16 @@
 
 void control_loop::crashed(const crash_seen& what)
 {
-    if (!this->core || this->stopped)
-        return;
-    this->witness.examine(what);
+    if (!this->stopped)
+        this->witness.examine(what);
 }
 
-void control_loop::crash_confirmed(const crash_seen& what)
+void control_loop::crash_examined(const crash_seen& what, crash_finding finding)
 {
-    if (!this->core || this->stopped)
+    if (this->stopped)
+        return;
+    this->notices.crash_examined(what, finding);
+    if (!this->core || finding != crash_finding::crashed)
         return;
     this->core->crash_seen(what.request, what.engine, this->ports.clock.now());
     this->pump();
--- a/src/app/control_loop.hpp
+++ b/src/app/control_loop.hpp
@@ -157,7 +157,7 @@
         std::uint64_t run);
     void read_cache_events(const read_engine& what, std::uint64_t incarnation);
     void cache_events_read(const cache_report& report);
-    void crash_confirmed(const crash_seen& what);
+    void crash_examined(const crash_seen& what, crash_finding finding);
     void report_order(const engine_order& order, order_outcome outcome);
     void note_engine(const engine_report& report);
     void tell_sessions();
--- a/src/app/control_notices.hpp
+++ b/src/app/control_notices.hpp
@@ -21,6 +21,8 @@
     /// Null: nobody wants cache events, and none are read.
     std::function<void(const cache_report&)> cache_reported;
     std::function<void(std::string_view vm, bool leaving)> vm_leaving;
+    /// A backend server was looked at after a connection to it broke.
+    std::function<void(const crash_seen&, crash_finding)> crash_examined;
     std::function<void(const claim_result&)> claim_decided;
     /// This run of the controller ended; claims it held open get no result.
     std::function<void()> claims_dropped;
--- a/src/app/crash_witness.cpp
+++ b/src/app/crash_witness.cpp
@@ -60,7 +60,7 @@
 };
 
 crash_witness::crash_witness(
-    asio::any_io_executor executor, engine_port& engines, confirmed tell)
+    asio::any_io_executor executor, engine_port& engines, report tell)
     : executor(std::move(executor))
     , engines(engines)
     , tell(std::move(tell))
@@ -92,7 +92,10 @@
 {
     const auto endpoint = parse_endpoint(about->what.address);
     if (!endpoint)
+    {
+        this->tell(about->what, crash_finding::unknown);
         return;
+    }
     ++about->tries;
     about->socket = tcp::socket(this->executor);
     about->timer.expires_after(connect_limit);
@@ -120,7 +123,7 @@
     about->socket.close(ignored);
     if (error == asio::error::connection_refused)
     {
-        this->tell(about->what);
+        this->tell(about->what, crash_finding::crashed);
         return;
     }
     if (error)
@@ -128,9 +131,13 @@
         this->try_again(about);
         return;
     }
-    // A plain service that takes connections has not crashed.
     if (about->what.engine)
+    {
         this->read(about);
+        return;
+    }
+    // A plain service that takes connections has not crashed.
+    this->tell(about->what, crash_finding::survived);
 }
 
 void crash_witness::read(const inquiry_ptr& about)
@@ -152,14 +159,21 @@
         this->try_again(about);
         return;
     }
-    if (about->incarnation != 0 && report.incarnation != about->incarnation)
-        this->tell(about->what);
+    if (about->incarnation == 0)
+        this->tell(about->what, crash_finding::unknown);
+    else if (report.incarnation == about->incarnation)
+        this->tell(about->what, crash_finding::survived);
+    else
+        this->tell(about->what, crash_finding::crashed);
 }
 
 void crash_witness::try_again(const inquiry_ptr& about)
 {
     if (about->tries >= most_tries)
+    {
+        this->tell(about->what, crash_finding::unknown);
         return;
+    }
     about->timer.expires_after(pause);
     about->timer.async_wait(
         [this, about](const boost::system::error_code& cancelled)
--- a/src/app/crash_witness.hpp
+++ b/src/app/crash_witness.hpp
@@ -29,17 +29,17 @@
 class crash_witness
 {
 public:
-    using confirmed = std::function<void(const crash_seen&)>;
+    using report = std::function<void(const crash_seen&, crash_finding)>;
 
     /**
         @param executor The control thread's.
         @param engines  Reads engines' states; has to outlive this.
-        @param tell     Receives each crash that was confirmed, once.
+        @param tell     Receives one finding for each server examined.
     */
     crash_witness(
         boost::asio::any_io_executor executor,
         engine_port& engines,
-        confirmed tell);
+        report tell);
 
     /// An engine reported its state.
     void engine_seen(engine_id engine, std::uint64_t incarnation);
@@ -63,7 +63,7 @@
 
     boost::asio::any_io_executor executor;
     engine_port& engines;
-    confirmed tell;
+    report tell;
     std::unordered_map<engine_id, std::uint64_t> incarnations;
     bool stopped = false;
 };
--- a/src/app/router_app.cpp
+++ b/src/app/router_app.cpp
@@ -201,6 +201,11 @@
     {
         this->dispatch->vm_leaving(vm, leaving);
     };
+    notices.crash_examined =
+        [this](const crash_seen& what, crash_finding finding)
+    {
+        this->dispatch->crash_examined(what, finding);
+    };
     notices.look = [this](const control_loop& loop)
     {
         this->status.look(loop);
--- a/src/core/request/dispatcher.cpp
+++ b/src/core/request/dispatcher.cpp
@@ -32,6 +32,12 @@
     this->self->abandon(request, now);
 }
 
+void dispatcher::crash_examined(
+    const crash_seen& what, crash_finding finding, instant now)
+{
+    this->self->crash_examined(what, finding, now);
+}
+
 void dispatcher::table_changed(routing_table_ptr table, instant now)
 {
     this->self->table_changed(std::move(table), now);
--- a/src/core/request/dispatcher_finish.cpp
+++ b/src/core/request/dispatcher_finish.cpp
@@ -95,24 +95,17 @@
     // A stream that got this far is the least likely cause, and all streams of
     // a dead server would wait for each other if each had to run alone.
     request.suspect = request.suspect || !resumable;
-    ++request.crashes;
     // A kept connection to a server that died breaks, too: one crash, not two.
-    if (std::ranges::find(request.crashed, engine) != request.crashed.end())
+    if (request.crashes.broke(engine, request.address))
     {
-        return;
+        this->commands.emplace_back(crash_seen{
+            request.info.content, engine, request.address, request.item.id});
     }
-    request.crashed.push_back(engine);
-    this->commands.emplace_back(
-        crash_seen{request.info.content, engine, request.address});
 }
 
-dispatcher::finish dispatcher::impl::failed(
-    pending& request, const attempt_result& result, instant now)
+void dispatcher::impl::note_failure(
+    pending& request, const attempt_result& result)
 {
-    const ticket id = request.item.id;
-    const refusal_reason reason = reason_of(result);
-    const bool not_run = is_not_run(result.how) && !result.answer_started;
-    request.may_have_run = request.may_have_run || !not_run;
     if (result.how == end_kind::broken && request.info.content)
     {
         const detail::backend* used =
@@ -121,20 +114,36 @@
             used == nullptr ? engine_id{} : used->where.engine;
         this->note_crash(request, engine, result.resumable);
     }
+    request.failure = reason_of(result);
+    request.resumed = request.resumed || result.resumable;
+}
+
+bool dispatcher::impl::may_retry(
+    const pending& request, const attempt_result& result) const
+{
+    const bool not_run = is_not_run(result.how) && !result.answer_started;
+    const bool whole_or_resumed = !result.answer_started || result.resumable;
+    const bool too_many_crashes =
+        request.crashes.total() >= crash_limit && request.crashes.settled();
+    return whole_or_resumed && (not_run || request.info.repeatable) &&
+           request.attempts < this->settings.max_attempts && !too_many_crashes;
+}
+
+dispatcher::finish dispatcher::impl::failed(
+    pending& request, const attempt_result& result, instant now)
+{
+    const ticket id = request.item.id;
+    const bool not_run = is_not_run(result.how) && !result.answer_started;
+    request.may_have_run = request.may_have_run || !not_run;
+    this->note_failure(request, result);
     this->release_slot(request);
 
     const verdict outcome =
         request.may_have_run ? verdict::may_have_run : verdict::not_run;
-    request.resumed = request.resumed || result.resumable;
-    const bool whole_or_resumed = !result.answer_started || result.resumable;
-    const bool may_retry = whole_or_resumed &&
-                           (not_run || request.info.repeatable) &&
-                           request.attempts < this->settings.max_attempts &&
-                           request.crashes < crash_limit;
-    if (!may_retry)
+    if (!this->may_retry(request, result))
     {
         const duration back = this->expected_back(request, now);
-        return this->end(id, {true, outcome, reason, back});
+        return this->end(id, {true, outcome, request.failure, back});
     }
     if (this->draining)
     {
@@ -161,10 +170,11 @@
     }
 
     request.tried.push_back(request.server);
+    request.awaits_findings = request.crashes.total() >= crash_limit;
     this->enqueue(request);
     this->due_by(
         std::min(request.item.deadline, now + this->settings.demand_interval));
-    return {false, outcome, reason};
+    return {false, outcome, request.failure};
 }
 
 duration dispatcher::impl::expected_back(const pending& request, instant now)
@@ -190,6 +200,41 @@
                     : duration::zero();
 }
 
+void dispatcher::impl::crash_examined(
+    const crash_seen& what, crash_finding finding, instant now)
+{
+    const auto found = this->requests.find(what.under);
+    if (found == this->requests.end())
+    {
+        return;
+    }
+    pending& request = found->second;
+    if (!request.crashes.examined(what.engine, what.address, finding))
+    {
+        return;
+    }
+    const std::uint32_t crashes = request.crashes.total();
+    request.suspect = request.suspect && crashes != 0;
+    if (!request.awaits_findings)
+    {
+        return;
+    }
+    detail::target& where = *request.where;
+    if (crashes < crash_limit)
+    {
+        this->dequeue(request);
+        request.awaits_findings = false;
+        this->enqueue(request);
+    }
+    else if (request.crashes.settled())
+    {
+        this->refuse(
+            what.under, request.failure, this->expected_back(request, now));
+    }
+    this->pump(where, now);
+    this->ask_for_replicas(where, now);
+}
+
 void dispatcher::impl::abandon(ticket id, instant now)
 {
     const auto found = this->requests.find(id);
@@ -245,7 +290,7 @@
 void dispatcher::impl::enqueue(pending& request)
 {
     detail::target& where = *request.where;
-    if (request.suspect)
+    if (request.suspect || request.awaits_findings)
     {
         request.at = stage::suspect;
         where.suspects.push_back(request.item.id);
--- a/src/core/request/dispatcher_impl.hpp
+++ b/src/core/request/dispatcher_impl.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/admission/caller_limits.hpp"
+#include "core/request/crash_count.hpp"
 #include "core/request/target.hpp"
 #include "core/routing/prefix_map.hpp"
 
@@ -24,6 +25,8 @@
     ticket submit(request_info info, instant now);
     finish finished(ticket id, const attempt_result& result, instant now);
     void abandon(ticket id, instant now);
+    void
+    crash_examined(const crash_seen& what, crash_finding finding, instant now);
 
     // What changes around them.
     void table_changed(routing_table_ptr next, instant now);
@@ -63,10 +66,10 @@
         bool suspect = false;      ///< to run alone, by this router's own sight
         bool may_have_run = false; ///< an attempt may have reached a server
         bool resumed = false;      ///< a stream continued after a cut
-        std::uint32_t attempts = 0; ///< granted so far
-        std::uint32_t crashes = 0;
-        /// Engines that were reported as crashed by this request.
-        std::vector<engine_id> crashed;
+        bool awaits_findings = false; ///< not granted before they came
+        std::uint32_t attempts = 0;   ///< granted so far
+        detail::crash_count crashes;
+        refusal_reason failure = refusal_reason::none; ///< of the last attempt
         replica_id replica;                     ///< of the running attempt
         std::string address;                    ///< of the running attempt
         detail::server_key server{};            ///< of the running attempt
@@ -120,6 +123,8 @@
     // dispatcher_finish.cpp
     void release_slot(pending& request);
     void note_crash(pending& request, engine_id engine, bool resumable);
+    void note_failure(pending& request, const attempt_result& result);
+    bool may_retry(const pending& request, const attempt_result& result) const;
     duration expected_back(const pending& request, instant now);
     finish failed(pending& request, const attempt_result& result, instant now);
     finish end(ticket id, finish outcome);
--- a/src/core/request/dispatcher_pump.cpp
+++ b/src/core/request/dispatcher_pump.cpp
@@ -178,9 +178,19 @@
 
 void dispatcher::impl::place_suspect(detail::target& where, instant now)
 {
-    while (!where.suspects.empty() && where.suspects_running == 0)
+    while (where.suspects_running == 0)
     {
-        const ticket id = where.suspects.front();
+        const auto first = std::ranges::find_if(
+            where.suspects,
+            [this](ticket one)
+            {
+                return !this->requests.at(one).awaits_findings;
+            });
+        if (first == where.suspects.end())
+        {
+            return;
+        }
+        const ticket id = *first;
         pending& request = this->requests.at(id);
         if (request.info.content &&
             this->table->is_blocked(request.info.content))
@@ -218,7 +228,7 @@
             return;
         }
         this->release_hold(id);
-        where.suspects.erase(where.suspects.begin());
+        std::erase(where.suspects, id);
         this->grant_to(request, *chosen, true);
     }
 }
--- a/tests/golden/session_traffic.cpp
+++ b/tests/golden/session_traffic.cpp
@@ -260,6 +260,8 @@
         "crash of " + this->engine_of(what.engine) + " seen");
     this->routers[index]->control->crash_seen(
         what.request, what.engine, this->time);
+    this->routers[index]->traffic->crash_examined(
+        what, crash_finding::crashed, this->time);
 }
 
 } // namespace roseworks::golden
--- a/tests/unit/app/control_loop_test.cpp
+++ b/tests/unit/app/control_loop_test.cpp
@@ -85,6 +85,7 @@
         {
             this->vms[std::string(vm)] = leaving;
         };
+        result.crash_examined = [](const crash_seen&, crash_finding) {};
         result.claim_decided = [this](const claim_result& decided)
         {
             this->claims.push_back(decided);
--- a/tests/unit/app/fake_platform.hpp
+++ b/tests/unit/app/fake_platform.hpp
@@ -153,7 +153,7 @@
     }
 
     /// Answers all reads that wait: reachable and empty.
-    void answer_reads()
+    void answer_reads(std::uint64_t incarnation = 1)
     {
         auto waiting = std::exchange(this->reads, {});
         for (auto& [what, done] : waiting)
@@ -161,7 +161,7 @@
             engine_report report;
             report.engine = what.engine;
             report.reachable = true;
-            report.incarnation = 1;
+            report.incarnation = incarnation;
             done(report);
         }
     }
--- a/tests/unit/dispatch/harness.hpp
+++ b/tests/unit/dispatch/harness.hpp
@@ -99,17 +99,26 @@
     }
 
     /// A stream of which its caller has a part breaks.
-    dispatcher::finish cut(ticket id, bool resumable)
+    dispatcher::finish cut(ticket id, bool resumable, std::uint32_t tokens = 1)
     {
         attempt_result result;
         result.how = attempt_result::end::broken;
         result.answer_started = true;
         result.resumable = resumable;
+        result.tokens = tokens;
         const auto outcome = this->core.finished(id, result, this->now);
         this->collect();
         return outcome;
     }
 
+    /// What the last server seen to break its connection is found to be.
+    void examined(crash_finding finding)
+    {
+        const crash_seen last = this->crashes.back();
+        this->core.crash_examined(last, finding, this->now);
+        this->collect();
+    }
+
     void tick(duration passed = 0ms)
     {
         this->now += passed;
--- a/tests/unit/dispatch/test_retries.cpp
+++ b/tests/unit/dispatch/test_retries.cpp
@@ -154,9 +154,63 @@
     {
         cr_assert_neq(test.engine(test.submit()), second, "it runs alone");
     }
-    const auto outcome = test.finish(id, end_kind::broken);
-    cr_assert(outcome.final_answer, "it doesn't take a third server down");
+    test.examined(crash_finding::crashed);
+    test.finish(id, end_kind::broken);
     cr_assert_eq(test.crashes.size(), 2);
+    test.tick(1s);
+    cr_assert_eq(test.grants[id].size(), 2, "nothing is known of the second");
+    test.examined(crash_finding::crashed);
+    cr_assert_eq(
+        test.grants[id].size(), 2, "it doesn't take a third server down");
+    cr_assert(test.refused(id) == refusal_reason::backend_failed);
+    cr_assert(test.refusals[id][0].outcome == verdict::may_have_run);
+}
+
+// A network device that resets connections doesn't crash servers.
+Test(retries, a_server_that_survived_does_not_count_as_crashed)
+{
+    harness test;
+    test.model("m", 1, 3, 4);
+    request_info request = test.info();
+    request.content = fingerprint(9);
+    const ticket id = test.submit(request);
+    test.finish(id, end_kind::broken);
+    test.finish(id, end_kind::broken);
+    cr_assert_eq(test.grants[id].size(), 2, "it waits for what is found");
+    test.examined(crash_finding::survived);
+    cr_assert_eq(test.grants[id].size(), 3);
+    cr_assert(test.finish(id).outcome == verdict::answered);
+}
+
+Test(retries, what_can_not_be_told_counts_as_a_crash)
+{
+    harness test;
+    test.model("m", 1, 3, 4);
+    request_info request = test.info();
+    request.content = fingerprint(9);
+    const ticket id = test.submit(request);
+    test.finish(id, end_kind::broken);
+    test.examined(crash_finding::unknown);
+    test.finish(id, end_kind::broken);
+    test.examined(crash_finding::unknown);
+    cr_assert(test.refused(id) == refusal_reason::backend_failed);
+}
+
+Test(retries, one_that_waits_for_findings_meets_its_deadline)
+{
+    harness test;
+    test.model("m", 1, 3, 4);
+    request_info request = test.info();
+    request.content = fingerprint(9);
+    request.deadline = test.now + 2s;
+    const ticket id = test.submit(request);
+    test.finish(id, end_kind::broken);
+    test.finish(id, end_kind::broken);
+    test.tick(2s);
+    cr_assert(test.refused(id) == refusal_reason::deadline);
+    cr_assert(test.refusals[id][0].outcome == verdict::may_have_run);
+    test.examined(crash_finding::survived);
+    cr_assert_eq(test.grants[id].size(), 2);
 }
 
 Test(retries, two_connections_to_one_crashed_server_are_one_crash)
@@ -167,6 +221,7 @@
     request.content = fingerprint(9);
     const ticket id = test.submit(request);
     cr_assert(not test.finish(id, end_kind::broken).final_answer);
+    test.examined(crash_finding::crashed);
     cr_assert(test.finish(id, end_kind::broken).final_answer);
     cr_assert_eq(test.crashes.size(), 1);
 }
