Go on with a stream after each cut that brought its caller further

Cause: attempts were counted from the request's begin and two broken connections ended it, so that a stream survived one cut. Change: attempts are counted from the last one that brought a token; three in a row that bring none end the stream. The deadline, the budget for going on and the crash limit (servers that didn't prove to have survived) bound it, too. The bench now runs 8 streams cut often. Conclusion: a stream survives as many cuts as deadline and budget allow.

--- a/bench/router/measure_cuts.cpp
+++ b/bench/router/measure_cuts.cpp
@@ -18,10 +18,15 @@
 using clock = std::chrono::steady_clock;
 
 constexpr std::size_t streams = 40;
+/// Cut four times each; more would use up the budget for going on.
+constexpr std::size_t streams_cut_often = 8;
 constexpr int tokens = 40;
 /// A connection passes two thirds of a stream: the rest fits in another.
 constexpr const char* cut =
     R"({"mode":"truncate","after_bytes":5000,"end":"reset"})";
+/// A connection passes a quarter of a stream, and so does the next.
+constexpr const char* cut_often =
+    R"({"mode":"truncate","after_bytes":2000,"end":"reset"})";
 constexpr const char* pass = R"({"mode":"pass"})";
 
 /// One way of running: whether the engines' streams can be continued.
@@ -49,12 +54,15 @@
 /// Streams one after the other, each under a command to the engines' proxies;
 /// prints how many came whole, and how long they took.
 void measure_streams_of(
-    const std::string& name, const test::fleet& nodes, const char* command)
+    const std::string& name,
+    const test::fleet& nodes,
+    const char* command,
+    std::size_t count = streams)
 {
     std::vector<double> took;
     std::size_t whole = 0;
     std::size_t cut_short = 0;
-    for (std::size_t i = 0; i < streams; ++i)
+    for (std::size_t i = 0; i < count; ++i)
     {
         // Counts the bytes of kept connections anew.
         control_engines(nodes, command);
@@ -85,6 +93,8 @@
     warm(nodes.router_address(0), stream_call());
     measure_streams_of(run.name + "_undisturbed", nodes, pass);
     measure_streams_of(run.name + "_reset_midway", nodes, cut);
+    measure_streams_of(
+        run.name + "_reset_often", nodes, cut_often, streams_cut_often);
 }
 
 } // namespace
--- a/include/roseworks/dispatcher.hpp
+++ b/include/roseworks/dispatcher.hpp
@@ -160,6 +160,8 @@
         std::uint32_t max_queued = 4000;
         std::size_t max_held_bytes = std::size_t(512) << 20;
         std::uint32_t retry_budget_percent = 20;
+        /// Without anything new for the caller: a stream that went on is
+        /// given as many again.
         std::uint32_t max_attempts = 3;
         duration ageing = std::chrono::seconds(30); ///< wait worth one class
         duration demand_interval = std::chrono::milliseconds(50);
--- a/src/core/request/dispatcher_finish.cpp
+++ b/src/core/request/dispatcher_finish.cpp
@@ -116,6 +116,12 @@
     }
     request.failure = reason_of(result);
     request.resumed = request.resumed || result.resumable;
+    if (result.resumable && result.tokens > 0)
+    {
+        // The caller got further: what was tried before says little now.
+        request.fruitless = 1;
+        request.tried.clear();
+    }
 }
 
 bool dispatcher::impl::may_retry(
@@ -126,7 +132,7 @@
     const bool too_many_crashes =
         request.crashes.total() >= crash_limit && request.crashes.settled();
     return whole_or_resumed && (not_run || request.info.repeatable) &&
-           request.attempts < this->settings.max_attempts && !too_many_crashes;
+           request.fruitless < this->settings.max_attempts && !too_many_crashes;
 }
 
 dispatcher::finish dispatcher::impl::failed(
--- a/src/core/request/dispatcher_impl.hpp
+++ b/src/core/request/dispatcher_impl.hpp
@@ -68,6 +68,7 @@
         bool resumed = false;      ///< a stream continued after a cut
         bool awaits_findings = false; ///< not granted before they came
         std::uint32_t attempts = 0;   ///< granted so far
+        std::uint32_t fruitless = 0;  ///< of them, since the caller got tokens
         detail::crash_count crashes;
         refusal_reason failure = refusal_reason::none; ///< of the last attempt
         replica_id replica;                     ///< of the running attempt
--- a/src/core/request/dispatcher_pump.cpp
+++ b/src/core/request/dispatcher_pump.cpp
@@ -160,6 +160,7 @@
     command.replica = chosen.where.replica;
     command.address = chosen.where.address;
     command.attempt = request.attempts++;
+    ++request.fruitless;
     this->commands.emplace_back(std::move(command));
 }
 
--- a/tests/integration/cut_streams_test.cpp
+++ b/tests/integration/cut_streams_test.cpp
@@ -1,6 +1,7 @@
 #include "tests/support/calls.hpp"
 #include "tests/support/fleet.hpp"
 
+#include <algorithm>
 #include <string>
 #include <thread>
 #include <vector>
@@ -108,6 +109,30 @@
     }
 }
 
+// A stream goes on after each cut while its deadline lasts, and engines that
+// still run aren't held to have crashed of it.
+Test(cut_streams, whole_answer_although_every_connection_ends_midway)
+{
+    fleet nodes(resuming());
+    cr_assert_eq(nodes.apply(model).exit_code, 0);
+    cr_assert(both_ready(nodes));
+    const std::string whole = undisturbed(nodes, "cuts");
+    for (std::size_t i = 0; i < nodes.engines_count(); ++i)
+        cr_assert(control(nodes.engine_proxy(i), cut_after(2000, "reset")));
+    const auto reply = send(nodes.router_address(0), stream("cuts"));
+    cr_assert(reply.body == whole, "%s", reply.body.c_str());
+    cr_assert_geq(
+        runs_of(nodes.engine_address(0), "cuts") +
+            runs_of(nodes.engine_address(1), "cuts"),
+        4U,
+        "it was cut several times");
+    const auto blocks = run_program(
+        "roseworksctl", {"show", "blocks", "--log", nodes.log_address()});
+    const auto lines =
+        std::count(blocks.output.begin(), blocks.output.end(), '\n');
+    cr_assert_leq(lines, 1, "%s", blocks.output.c_str());
+}
+
 // Two faults together: one engine is reset, the other falls silent.
 Test(cut_streams, explicit_end_when_both_engines_fail_midway)
 {
--- a/tests/unit/dispatch/test_retries.cpp
+++ b/tests/unit/dispatch/test_retries.cpp
@@ -280,6 +280,39 @@
     cr_assert(end.reason == refusal_reason::stream_cut);
 }
 
+Test(resume, a_stream_goes_on_after_each_cut_that_was_no_crash)
+{
+    harness test;
+    test.model("m", 1, 8, 4);
+    request_info request = test.info();
+    request.content = fingerprint(9);
+    const ticket id = test.submit(request);
+    constexpr std::size_t cuts = 12;
+    for (std::size_t i = 0; i < cuts; ++i)
+    {
+        cr_assert(not test.cut(id, true).final_answer);
+        test.examined(crash_finding::survived);
+        cr_assert_eq(test.grants[id].size(), i + 2);
+    }
+    test.cut(id, true);
+    test.examined(crash_finding::crashed);
+    cr_assert(not test.cut(id, true).final_answer);
+    test.examined(crash_finding::crashed);
+    cr_assert(test.refused(id) == refusal_reason::stream_cut);
+}
+
+Test(resume, a_stream_that_gets_no_further_is_cut)
+{
+    harness test;
+    test.model("m", 1, 2, 4);
+    const ticket id = test.submit();
+    cr_assert(not test.cut(id, true, 5).final_answer);
+    cr_assert(not test.cut(id, true, 0).final_answer);
+    const auto end = test.cut(id, true, 0);
+    cr_assert(end.final_answer);
+    cr_assert(end.reason == refusal_reason::stream_cut);
+}
+
 Test(resume, one_not_repeatable_is_never_continued)
 {
     harness test;
