Never pass a cancelled run on as its caller's answer

The one error status of the stand-ins that the router passed on as an answer and that no call asks for is 500 {"error":"cancelled"}: a cancel names the request, not the run, so that one for an earlier run (sent beside the retry at another engine) stops a later run of the same call when that comes back to the same engine. The caller then got 500, answered, for a call that may be repeated. Tests: a_cancelled_run_is_not_an_answer, seen failing (500 in place of 200); a_run_that_was_stopped_may_have_run_and_crashed_nothing. Conclusion: 'answered' means an answer that the engine gave to its caller.

--- a/include/roseworks/dispatcher.hpp
+++ b/include/roseworks/dispatcher.hpp
@@ -94,6 +94,7 @@
         not_sent,        ///< no byte left: connect failed or timed out
         broken,          ///< connection broke after bytes were sent
         no_progress,     ///< a progress timer ran out after bytes were sent
+        stopped,         ///< a cancel, perhaps a late one, stopped the run
         caller_left      ///< the caller closed its connection
     };
 
--- a/src/adapters/edge/backend_leg.cpp
+++ b/src/adapters/edge/backend_leg.cpp
@@ -310,9 +310,14 @@
 void backend_leg::classify()
 {
     const whole_answer& answer = *this->outcome.answer;
-    const bool refused = !this->call.is_service() &&
-                         says_not_run(answer.result_int(), answer.body());
-    this->end_as(refused ? end::refused_not_run : end::answered);
+    const unsigned status = answer.result_int();
+    this->end_as(end::answered);
+    if (this->call.is_service())
+        return;
+    if (says_not_run(status, answer.body()))
+        this->end_as(end::refused_not_run);
+    else if (says_stopped(status, answer.body()))
+        this->end_as(end::stopped);
 }
 
 void backend_leg::fail(beast::error_code error)
--- a/src/adapters/edge/backend_request.cpp
+++ b/src/adapters/edge/backend_request.cpp
@@ -19,6 +19,7 @@
 constexpr unsigned version_1_1 = 11;
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_unavailable = 503;
+constexpr unsigned status_internal_error = 500;
 constexpr std::size_t max_refusal_bytes = 4096;
 
 std::string whole_milliseconds(duration left)
@@ -32,6 +33,19 @@
     return {text.data(), text.size()};
 }
 
+/// @return Whether a body is `{"error": "<name>"}`.
+bool names_error(std::string_view body, std::string_view name)
+{
+    if (body.size() > max_refusal_bytes)
+        return false;
+    json::error_code error;
+    const json::value parsed = json::parse({body.data(), body.size()}, error);
+    const json::object* const object = error ? nullptr : parsed.if_object();
+    const json::value* const said =
+        object ? object->if_contains("error") : nullptr;
+    return said && said->is_string() && said->get_string() == name;
+}
+
 } // namespace
 
 backend_request make_backend_request(
@@ -69,20 +83,14 @@
 
 bool says_not_run(unsigned status, std::string_view body)
 {
-    if (status != status_not_found && status != status_unavailable)
-        return false;
-    if (body.size() > max_refusal_bytes)
-        return false;
-    json::error_code error;
-    const json::value parsed = json::parse({body.data(), body.size()}, error);
-    const json::object* const object = error ? nullptr : parsed.if_object();
-    const json::value* const said =
-        object ? object->if_contains("error") : nullptr;
-    if (!said || !said->is_string())
-        return false;
-    const bool not_loaded = said->get_string() == "not_loaded";
-    const bool not_run = said->get_string() == "not_run";
-    return status == status_not_found ? not_loaded : not_run;
+    if (status == status_not_found)
+        return names_error(body, "not_loaded");
+    return status == status_unavailable && names_error(body, "not_run");
+}
+
+bool says_stopped(unsigned status, std::string_view body)
+{
+    return status == status_internal_error && names_error(body, "cancelled");
 }
 
 } // namespace roseworks::edge
--- a/src/adapters/edge/backend_request.hpp
+++ b/src/adapters/edge/backend_request.hpp
@@ -30,4 +30,7 @@
 /// @return Whether an engine's answer says that nothing ran.
 bool says_not_run(unsigned status, std::string_view body);
 
+/// @return Whether an engine's answer says that a cancel stopped the run.
+bool says_stopped(unsigned status, std::string_view body);
+
 } // namespace roseworks::edge
--- a/src/core/request/dispatcher_finish.cpp
+++ b/src/core/request/dispatcher_finish.cpp
@@ -76,7 +76,8 @@
     }
     else
     {
-        if (used != nullptr)
+        // A run that was told to stop says nothing against its server.
+        if (used != nullptr && result.how != end_kind::stopped)
         {
             used->health.failed(now);
         }
--- a/tests/golden/session_traffic.cpp
+++ b/tests/golden/session_traffic.cpp
@@ -31,6 +31,8 @@
         return "broken";
     case attempt_result::end::no_progress:
         return "no progress";
+    case attempt_result::end::stopped:
+        return "stopped";
     case attempt_result::end::caller_left:
         return "caller left";
     }
--- a/tests/unit/dispatch/test_retries.cpp
+++ b/tests/unit/dispatch/test_retries.cpp
@@ -213,6 +213,21 @@
     cr_assert_eq(test.grants[id].size(), 2);
 }
 
+Test(retries, a_run_that_was_stopped_may_have_run_and_crashed_nothing)
+{
+    harness test;
+    test.model("m", 1, 2, 4);
+    request_info request = test.info();
+    request.content = fingerprint(9);
+    const ticket id = test.submit(request);
+    cr_assert(not test.finish(id, end_kind::stopped).final_answer);
+    cr_assert_eq(test.grants[id].size(), 2);
+    cr_assert(test.crashes.empty());
+    const auto end = test.finish(test.submit(once(test)), end_kind::stopped);
+    cr_assert(end.final_answer);
+    cr_assert(end.outcome == verdict::may_have_run);
+}
+
 Test(retries, two_connections_to_one_crashed_server_are_one_crash)
 {
     harness test;
--- a/tests/unit/edge/edge_fixture.cpp
+++ b/tests/unit/edge/edge_fixture.cpp
@@ -22,8 +22,9 @@
     using end = attempt_result::end;
     const bool untouched =
         result.how == end::not_sent || result.how == end::refused_not_run;
-    const bool broken =
-        result.how == end::broken || result.how == end::no_progress;
+    const bool broken = result.how == end::broken ||
+                        result.how == end::no_progress ||
+                        result.how == end::stopped;
     const bool whole_or_resumed = !result.answer_started || result.resumable;
     return whole_or_resumed && (untouched || (broken && info.repeatable));
 }
--- a/tests/unit/edge/test_served_calls.cpp
+++ b/tests/unit/edge/test_served_calls.cpp
@@ -271,6 +271,26 @@
     cr_assert(results.at(2).how == end::answered);
 }
 
+// A cancel of an earlier run that comes late stops the run at hand, too: what
+// the engine says of it isn't the caller's answer.
+Test(served_calls, a_cancelled_run_is_not_an_answer)
+{
+    fake_backend backend(
+        [](backend_peer& peer)
+        {
+            auto request = peer.read_request();
+            peer.answer(request, R"({"error":"cancelled"})", 500);
+            request = peer.read_request();
+            peer.answer(request, R"({"whole":true})");
+        });
+    edge_fixture fixture;
+    fixture.dispatch.address = backend.address();
+    fixture.start();
+    const auto answer = fixture.call(completion());
+    cr_assert_eq(answer.result_int(), 200);
+    cr_assert(answer.body() == R"({"whole":true})");
+}
+
 Test(served_calls, refused_connection_means_not_run)
 {
     std::string address;
