--- a/bench/state/bench_state.cpp
+++ b/bench/state/bench_state.cpp
@@ -1,3 +1,5 @@
+#include "core/state/closed_claims.hpp"
+
 #include <roseworks/codec.hpp>
 #include <roseworks/fleet_state.hpp>
 #include <roseworks/record.hpp>
@@ -334,6 +336,32 @@
         "records/s");
 }
 
+/// Time to find out that a key is free among the claims of a horizon, 16 a
+/// second.
+void measure_claim_lookup(const std::string& name, std::uint32_t horizon_s)
+{
+    constexpr std::uint64_t a_second = 16;
+    constexpr std::uint64_t lookups = 20'000;
+    const auto key = [](std::uint64_t number)
+    {
+        return claim_key{number * 0x9E3779B97F4A7C15ULL, ~number};
+    };
+    detail::closed_claims claims;
+    const std::uint64_t count = a_second * horizon_s;
+    for (std::uint64_t number = 0; number < count; ++number)
+    {
+        const auto at = static_cast<stamp_ms>(number * 1000 / a_second);
+        claims.insert({key(number)}, at);
+    }
+    std::uint64_t found = 0;
+    const auto start = std::chrono::steady_clock::now();
+    for (std::uint64_t number = count; number < count + lookups; ++number)
+        found += claims.find(key(number)) == nullptr ? 0 : 1;
+    const double took = seconds_since(start);
+    print((name + "_lookup").c_str(), took / double(lookups) * 1e9, "ns");
+    print((name + "_lookup_found").c_str(), double(found), "claims");
+}
+
 void measure_snapshot(const fleet_state& state)
 {
     constexpr int repeats = 7;
@@ -381,6 +409,9 @@
     measure_fold(run, sessions);
     measure_claims("claims_15min", 15 * 60);
     measure_claims("claims_2h", 2 * 3600);
+    measure_claim_lookup("claims_15min", 15 * 60);
+    measure_claim_lookup("claims_2h", 2 * 3600);
+    measure_claim_lookup("claims_24h", 24 * 3600);
     print("setup_rejected", double(run.rejected), "records");
     return run.rejected == 0 ? 0 : 1;
 }
--- a/src/core/state/closed_claims.cpp
+++ b/src/core/state/closed_claims.cpp
@@ -31,6 +31,14 @@
 {
     for (auto at = this->buckets.rbegin(); at != this->buckets.rend(); ++at)
     {
+        const stamp_ms group = at->first / group_buckets;
+        const auto filter = this->filters.find(group);
+        if (filter != this->filters.end() && !filter->second.may_hold(key))
+        {
+            const auto first = this->buckets.lower_bound(group * group_buckets);
+            at = std::prev(std::make_reverse_iterator(first));
+            continue;
+        }
         const bucket& rows = at->second;
         const auto found =
             std::lower_bound(rows.begin(), rows.end(), key, before);
@@ -52,6 +60,49 @@
     rows.insert(
         std::lower_bound(rows.begin(), rows.end(), row.key, before), row);
     ++this->count;
+    const auto filter = this->filters.find(place->first / group_buckets);
+    if (filter != this->filters.end())
+        filter->second.add(row.key);
+    else if (is_new)
+        this->add_filters();
+}
+
+void closed_claims::add_filters()
+{
+    const stamp_ms newest = this->buckets.rbegin()->first / group_buckets;
+    auto at = this->buckets.begin();
+    while (at->first / group_buckets != newest)
+    {
+        const stamp_ms group = at->first / group_buckets;
+        if (!this->filters.contains(group))
+            this->filters.emplace(group, this->make_filter(group));
+        at = this->buckets.lower_bound((group + 1) * group_buckets);
+    }
+}
+
+key_filter closed_claims::make_filter(stamp_ms group) const
+{
+    const auto first = this->buckets.lower_bound(group * group_buckets);
+    const auto end = this->buckets.lower_bound((group + 1) * group_buckets);
+    std::size_t keys = 0;
+    for (auto at = first; at != end; ++at)
+        keys += at->second.size();
+    key_filter filter(keys);
+    for (auto at = first; at != end; ++at)
+    {
+        for (const closed_claim& row : at->second)
+            filter.add(row.key);
+    }
+    return filter;
+}
+
+void closed_claims::drop_filters()
+{
+    const stamp_ms oldest = this->buckets.empty()
+                                ? latest_stamp_ms
+                                : this->buckets.begin()->first / group_buckets;
+    this->filters.erase(
+        this->filters.begin(), this->filters.lower_bound(oldest));
 }
 
 bool closed_claims::take(stamp_ms number, bucket rows)
@@ -68,6 +119,7 @@
     rows.shrink_to_fit();
     this->count += rows.size();
     this->buckets.emplace(number, std::move(rows));
+    this->add_filters();
     return true;
 }
 
--- a/src/core/state/closed_claims.hpp
+++ b/src/core/state/closed_claims.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/state/key_filter.hpp"
 #include "core/state/record_fields.hpp"
 
 #include <roseworks/record.hpp>
@@ -27,7 +28,9 @@
 
     Rows of the same `bucket_ms` of log time stand in one vector, sorted by key;
     forgetting drops whole vectors. A claim is kept for up to `bucket_ms` longer
-    than asked, never shorter. Finding costs one binary search a bucket.
+    than asked, never shorter. Every 32 buckets but the newest have a filter;
+    finding costs a probe of each, and a binary search in each bucket behind
+    one that may hold the key.
 */
 class closed_claims
 {
@@ -63,6 +66,7 @@
                 visit(row.key);
             this->count -= first->second.size();
             this->buckets.erase(first);
+            this->drop_filters();
         }
     }
 
@@ -116,10 +120,20 @@
         io.choice(row.outcome, 4);
     }
 
+    /// Buckets of one filter.
+    static constexpr stamp_ms group_buckets = 32;
+
     /// @return Whether a whole bucket fits behind the others.
     bool take(stamp_ms number, bucket rows);
 
-    std::map<stamp_ms, bucket> buckets; ///< by log time / `bucket_ms`
+    /// Give each group before the newest its filter.
+    void add_filters();
+    key_filter make_filter(stamp_ms group) const;
+    /// Drop the filters of groups without buckets.
+    void drop_filters();
+
+    std::map<stamp_ms, bucket> buckets;     ///< by log time / `bucket_ms`
+    std::map<stamp_ms, key_filter> filters; ///< by bucket / `group_buckets`
     std::size_t count = 0;
 };
 
