--- a/src/app/control_notices.hpp
+++ b/src/app/control_notices.hpp
@@ -24,6 +24,8 @@
     /// So many routers are alive, this one included. Null: nobody asks.
     std::function<void(std::size_t)> routers_alive;
     std::function<void(std::string_view vm, bool leaving)> vm_leaving;
+    /// A backend server was looked at after a connection to it broke.
+    std::function<void(const crash_seen&, crash_finding)> crash_examined;
     std::function<void(const claim_result&)> claim_decided;
     /// This run of the controller ended; claims it held open get no result.
     std::function<void()> claims_dropped;
--- a/tests/golden/session_traffic.cpp
+++ b/tests/golden/session_traffic.cpp
@@ -31,6 +31,8 @@
         return "broken";
     case attempt_result::end::no_progress:
         return "no progress";
+    case attempt_result::end::stopped:
+        return "stopped";
     case attempt_result::end::caller_left:
         return "caller left";
     }
@@ -260,6 +262,8 @@
         "crash of " + this->engine_of(what.engine) + " seen");
     this->routers[index]->control->crash_seen(
         what.request, what.engine, this->time);
+    this->routers[index]->traffic->crash_examined(
+        what, crash_finding::crashed, this->time);
 }
 
 } // namespace roseworks::golden
--- a/tests/unit/dispatch/test_retries.cpp
+++ b/tests/unit/dispatch/test_retries.cpp
@@ -154,9 +154,78 @@
     {
         cr_assert_neq(test.engine(test.submit()), second, "it runs alone");
     }
-    const auto outcome = test.finish(id, end_kind::broken);
-    cr_assert(outcome.final_answer, "it doesn't take a third server down");
+    test.examined(crash_finding::crashed);
+    test.finish(id, end_kind::broken);
     cr_assert_eq(test.crashes.size(), 2);
+    test.tick(1s);
+    cr_assert_eq(test.grants[id].size(), 2, "nothing is known of the second");
+    test.examined(crash_finding::crashed);
+    cr_assert_eq(
+        test.grants[id].size(), 2, "it doesn't take a third server down");
+    cr_assert(test.refused(id) == refusal_reason::backend_failed);
+    cr_assert(test.refusals[id][0].outcome == verdict::may_have_run);
+}
+
+// A network device that resets connections doesn't crash servers.
+Test(retries, a_server_that_survived_does_not_count_as_crashed)
+{
+    harness test;
+    test.model("m", 1, 3, 4);
+    request_info request = test.info();
+    request.content = fingerprint(9);
+    const ticket id = test.submit(request);
+    test.finish(id, end_kind::broken);
+    test.finish(id, end_kind::broken);
+    cr_assert_eq(test.grants[id].size(), 2, "it waits for what is found");
+    test.examined(crash_finding::survived);
+    cr_assert_eq(test.grants[id].size(), 3);
+    cr_assert(test.finish(id).outcome == verdict::answered);
+}
+
+Test(retries, what_can_not_be_told_counts_as_a_crash)
+{
+    harness test;
+    test.model("m", 1, 3, 4);
+    request_info request = test.info();
+    request.content = fingerprint(9);
+    const ticket id = test.submit(request);
+    test.finish(id, end_kind::broken);
+    test.examined(crash_finding::unknown);
+    test.finish(id, end_kind::broken);
+    test.examined(crash_finding::unknown);
+    cr_assert(test.refused(id) == refusal_reason::backend_failed);
+}
+
+Test(retries, one_that_waits_for_findings_meets_its_deadline)
+{
+    harness test;
+    test.model("m", 1, 3, 4);
+    request_info request = test.info();
+    request.content = fingerprint(9);
+    request.deadline = test.now + 2s;
+    const ticket id = test.submit(request);
+    test.finish(id, end_kind::broken);
+    test.finish(id, end_kind::broken);
+    test.tick(2s);
+    cr_assert(test.refused(id) == refusal_reason::deadline);
+    cr_assert(test.refusals[id][0].outcome == verdict::may_have_run);
+    test.examined(crash_finding::survived);
+    cr_assert_eq(test.grants[id].size(), 2);
+}
+
+Test(retries, a_run_that_was_stopped_may_have_run_and_crashed_nothing)
+{
+    harness test;
+    test.model("m", 1, 2, 4);
+    request_info request = test.info();
+    request.content = fingerprint(9);
+    const ticket id = test.submit(request);
+    cr_assert(not test.finish(id, end_kind::stopped).final_answer);
+    cr_assert_eq(test.grants[id].size(), 2);
+    cr_assert(test.crashes.empty());
+    const auto end = test.finish(test.submit(once(test)), end_kind::stopped);
+    cr_assert(end.final_answer);
+    cr_assert(end.outcome == verdict::may_have_run);
 }
 
 Test(retries, two_connections_to_one_crashed_server_are_one_crash)
@@ -167,6 +236,7 @@
     request.content = fingerprint(9);
     const ticket id = test.submit(request);
     cr_assert(not test.finish(id, end_kind::broken).final_answer);
+    test.examined(crash_finding::crashed);
     cr_assert(test.finish(id, end_kind::broken).final_answer);
     cr_assert_eq(test.crashes.size(), 1);
 }
@@ -225,6 +295,39 @@
     cr_assert(end.reason == refusal_reason::stream_cut);
 }
 
+Test(resume, a_stream_goes_on_after_each_cut_that_was_no_crash)
+{
+    harness test;
+    test.model("m", 1, 8, 4);
+    request_info request = test.info();
+    request.content = fingerprint(9);
+    const ticket id = test.submit(request);
+    constexpr std::size_t cuts = 12;
+    for (std::size_t i = 0; i < cuts; ++i)
+    {
+        cr_assert(not test.cut(id, true).final_answer);
+        test.examined(crash_finding::survived);
+        cr_assert_eq(test.grants[id].size(), i + 2);
+    }
+    test.cut(id, true);
+    test.examined(crash_finding::crashed);
+    cr_assert(not test.cut(id, true).final_answer);
+    test.examined(crash_finding::crashed);
+    cr_assert(test.refused(id) == refusal_reason::stream_cut);
+}
+
+Test(resume, a_stream_that_gets_no_further_is_cut)
+{
+    harness test;
+    test.model("m", 1, 2, 4);
+    const ticket id = test.submit();
+    cr_assert(not test.cut(id, true, 5).final_answer);
+    cr_assert(not test.cut(id, true, 0).final_answer);
+    const auto end = test.cut(id, true, 0);
+    cr_assert(end.final_answer);
+    cr_assert(end.reason == refusal_reason::stream_cut);
+}
+
 Test(resume, one_not_repeatable_is_never_continued)
 {
     harness test;
