Leave a standing grant's share of the store's rate to its holder

A grant keeps weight-store slots, but decided loads went on at the store's whole rate: a holder that is cut off alone and loads at its share would have come on top of it. The fold now spaces decided loads by the rate of the slots that no grant keeps. Without grants the spacing is as before (ceil(1000 / rate)), so states and hashes of today's logs don't change; no router has opened grants so far.

Conclusion: with 2 of 4 slots granted at 10 loads a second, decided loads start 200 ms apart instead of 100.

--- a/src/core/state/replica_fold.cpp
+++ b/src/core/state/replica_fold.cpp
@@ -11,6 +11,17 @@
 
 constexpr stamp_ms second_ms = 1000;
 
+/// Time between two decided loads: standing grants keep their slots' share of
+/// the store's rate as well.
+stamp_ms load_interval(const fleet_data& data)
+{
+    const policy_spec& policy = data.policy.spec;
+    const auto slots = static_cast<stamp_ms>(policy.store_slots);
+    const auto kept = static_cast<stamp_ms>(data.grants.loads());
+    const stamp_ms share = policy.store_loads_per_second * (slots - kept);
+    return (second_ms * slots + share - 1) / share;
+}
+
 /// Moves that a report can make. `loading` is granted by the fold alone.
 bool legal(replica_state from, replica_state to)
 {
@@ -281,8 +292,7 @@
         if (!next)
             return;
         const stamp_ms start = std::max(data.log_time, data.next_grant);
-        const stamp_ms rate = policy.store_loads_per_second;
-        data.next_grant = start + (second_ms + rate - 1) / rate;
+        data.next_grant = start + load_interval(data);
         data.replicas.grant(next, start, context.offset);
         note_move(
             context,
--- a/tests/unit/state/grant_test.cpp
+++ b/tests/unit/state/grant_test.cpp
@@ -108,6 +108,26 @@
     cr_assert_not(log.state.replica(second)->holds_slot);
 }
 
+Test(grant, keeps_its_slots_share_of_the_stores_rate)
+{
+    granted_fleet log;
+    policy_spec policy;
+    policy.store_slots = 4;
+    policy.store_loads_per_second = 10;
+    log.put_policy(policy);
+    log.put_entity(entity_kind::engine, "e2", fold_log::engine(2));
+    const auto apart = [&]
+    {
+        log.put(log.decision("m", log.router, {}, "e2"));
+        const auto first = log.state.replica(replica_id(log.at.value));
+        log.put(log.decision("m", log.router, {}, "e2"));
+        const auto second = log.state.replica(replica_id(log.at.value));
+        return second->slot_not_before - first->slot_not_before;
+    };
+    cr_assert(accepted(log.open(100, 2)));
+    cr_assert_eq(apart(), 200, "half of the slots, half of the rate");
+}
+
 Test(grant, two_that_race_for_the_last_slot_have_one_winner)
 {
     granted_fleet log;
