Serve cold models in a log outage by standing grants

Cause: grants were folded, audited and settled, but no router opened or used one, so every cold request in an outage was refused as not run.

Change: grant_keeper, at the holder of an engine's lease, opens a grant (one for the deployment unless asked otherwise), names cold models, frees a named model at once when it is wanted while the log answers, orders wanted ones while it is away (within the term less the margin, within the grant's memory, slots and share of the store's rate), and settles what it used when the log is back. may_send goes by the grant's term for such orders. grant_watch, at every router, sends demand for granted models to the holder as a peer message and tells which models may be loaded and which their engine shows; the routing table and the dispatcher let callers wait for the former and route to the latter. Settings [grants], events RW1312 to 1315, three gauges. Off unless grants.memory_mib is set.

The settings test's list of sections has a new name.

Conclusion: a cold model of a grant is served at every router of a fleet whose log is down; one that isn't covered is refused at once as before.

--- a/docs/embedding/example.cpp
+++ b/docs/embedding/example.cpp
@@ -253,6 +253,7 @@
     void carry_out(const left&, instant) {}
 
     void carry_out(const divergence_alarm&, instant) {}
+    void carry_out(const grants_seen&, instant) {}
 
     void carry_out(const entry_skipped&, instant) {}
 
--- a/include/roseworks/controller.hpp
+++ b/include/roseworks/controller.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <roseworks/fleet_state.hpp>
+#include <roseworks/grant_hint.hpp>
 #include <roseworks/ids.hpp>
 #include <roseworks/instant.hpp>
 #include <roseworks/placement_strategy.hpp>
@@ -62,6 +63,7 @@
     std::string version;
     std::string base;
     std::uint32_t memory_mib = 0;
+    bool granted = false; ///< under a standing grant's term, not the lease's
 };
 
 /// What became of an order.
@@ -201,6 +203,12 @@
     std::size_t bytes = 0;
 };
 
+/// What standing grants serve or may serve now; replaces what was told before.
+struct grants_seen
+{
+    std::vector<grant_hint> hints; ///< by servable, one for each
+};
+
 using control_command = std::variant<
     append_batch,
     engine_order,
@@ -211,7 +219,18 @@
     publish_table,
     left,
     divergence_alarm,
-    entry_skipped>;
+    entry_skipped,
+    grants_seen>;
+
+/// The standing grants that this router opens on engines whose lease it holds.
+struct grant_options
+{
+    std::uint32_t memory_mib = 0; ///< of one grant; 0: none is opened
+    std::uint32_t engines = 1;    ///< grants of the whole deployment
+    std::uint16_t loads = 1;      ///< weight-store slots that a grant keeps
+    std::size_t models = 128;     ///< named in one grant
+    duration term = std::chrono::minutes(30);
+};
 
 /** Drives one router's part in the fleet: a deterministic state machine.
 
@@ -264,6 +283,7 @@
         duration load_limit = std::chrono::seconds(60);
         /// `leave` gives up after this time.
         duration leave_limit = std::chrono::seconds(30);
+        grant_options grants;
     };
 
     explicit controller(options settings);
--- a/include/roseworks/routing_table.hpp
+++ b/include/roseworks/routing_table.hpp
@@ -31,6 +31,7 @@
     std::uint16_t max_streams = 8; ///< per replica
     std::uint32_t load_estimate_ms = 0;
     std::uint16_t max_replicas = 0;
+    bool granted = false; ///< may be loaded while the log is away
     std::vector<route> ready;
 };
 
--- a/include/roseworks/routing_table_builder.hpp
+++ b/include/roseworks/routing_table_builder.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <roseworks/fleet_state.hpp>
+#include <roseworks/grant_hint.hpp>
 #include <roseworks/routing_table.hpp>
 
 #include <memory>
+#include <span>
 
 namespace roseworks
 {
@@ -39,6 +41,14 @@
     /// Notes whether the log could be read lately.
     void set_log_available(bool available);
 
+    /** Takes over what standing grants serve or may serve.
+
+        @param state The state as of now.
+        @param hints All that hold now, by servable.
+    */
+    void
+    set_grants(const fleet_state& state, std::span<const grant_hint> hints);
+
     /// @return The table as of now; the one before when nothing changed.
     routing_table_ptr table();
 
--- a/src/adapters/events/event_catalogue.cpp
+++ b/src/adapters/events/event_catalogue.cpp
@@ -173,6 +173,21 @@
     {order_sent, debug, "order_sent",
      "An order went to an engine.",
      "engine, order_id, action, replica, fence", nothing},
+    {grant_opened, info, "grant_opened",
+     "A standing grant was opened on the engine, or its memory put back: its "
+     "lease holder may load models of it while the log is away.",
+     "engine, memory_mib, slots, term_ms, offset", nothing},
+    {grant_closed, info, "grant_closed",
+     "The engine's standing grant was closed; its memory is free.",
+     "engine, offset", nothing},
+    {grant_settled, info, "grant_settled",
+     "What became of a granted model: `used` makes it a replica, `freed` lets "
+     "other engines have it.",
+     "replica, outcome, offset", nothing},
+    {grant_used, info, "grant_used",
+     "The log is away and this router ordered a granted model that is wanted.",
+     "engine, servable, replica, order_id",
+     "See to the log; docs/operations/log-outage.md."},
 
     {peer_joined, info, "peer_joined",
      "Another router answers.",
--- a/src/adapters/settings/router_settings.hpp
+++ b/src/adapters/settings/router_settings.hpp
@@ -111,6 +111,16 @@
     milliseconds demand_interval{};
 };
 
+/// `[grants]`: what may be loaded while the log is away.
+struct grants_section
+{
+    std::uint32_t memory_mib = 0;
+    std::uint32_t engines = 0;
+    std::uint32_t slots = 0;
+    std::uint32_t models = 0;
+    milliseconds term{};
+};
+
 /// `[tls]`: the certificate shown to callers; both empty: plain HTTP.
 struct tls_section
 {
@@ -147,6 +157,7 @@
     traffic_section traffic;
     engines_section engines;
     placement_section placement;
+    grants_section grants;
     tls_section tls;
     operators_section operators;
     logging_section logging;
--- a/src/adapters/settings/settings_table.cpp
+++ b/src/adapters/settings/settings_table.cpp
@@ -141,6 +141,9 @@
     {"traffic", "Limits and timeouts of requests and connections."},
     {"engines", "Reading the state of engines and giving them orders."},
     {"placement", "When idle replicas are unloaded and wanted ones loaded."},
+    {"grants",
+     "What may be loaded while the log is away; "
+     "docs/operations/log-outage.md. The same at all routers."},
     {"tls", "The certificate that callers see."},
     {"operators", "Who may change what is published; docs/operations/keys.md."},
     {"logging", "Where events are written; docs/EVENTS.md lists them."},
@@ -154,6 +157,7 @@
 constexpr auto in_traffic = &router_settings::traffic;
 constexpr auto in_engines = &router_settings::engines;
 constexpr auto in_placement = &router_settings::placement;
+constexpr auto in_grants = &router_settings::grants;
 constexpr auto in_tls = &router_settings::tls;
 constexpr auto in_operators = &router_settings::operators;
 constexpr auto in_logging = &router_settings::logging;
@@ -315,6 +319,26 @@
         "placement", "demand_interval_ms", "50", 1, minute_ms, "ms",
         "Time between two reports of demand to the proposing router."),
 
+    integer_row<in_grants, &grants_section::memory_mib>(
+        "grants", "memory_mib", "0", 0, 1 << 24, "MiB",
+        "Memory that a standing grant reserves on its engine; 0: this router "
+        "opens none. Only when every router of the deployment knows grants."),
+    integer_row<in_grants, &grants_section::engines>(
+        "grants", "engines", "1", 1, 1000, "",
+        "Standing grants of the whole deployment, at most one an engine."),
+    integer_row<in_grants, &grants_section::slots>(
+        "grants", "slots", "1", 1, 1000, "",
+        "Weight-store slots that each grant keeps, used or not. One slot at "
+        "least is left to decided loads: grants beyond that are refused."),
+    integer_row<in_grants, &grants_section::models>(
+        "grants", "models", "128", 1, 10'000, "",
+        "Cold models that each grant names, those wanted last first."),
+    integer_row<in_grants, &grants_section::term>(
+        "grants", "term_ms", "1800000", minute_ms, 2 * hour_ms, "ms",
+        "How long a grant may be used after its holder last reached the log. "
+        "Its engine's lease isn't taken over for as long when the holder dies "
+        "without proof."),
+
     text_row<in_tls, &tls_section::certificate_file>(
         "tls", "certificate_file", value_kind::path, unset,
         "PEM file of the certificate that callers see, and of its chain. Read "
--- a/src/app/control_loop.hpp
+++ b/src/app/control_loop.hpp
@@ -57,6 +57,7 @@
     std::uint64_t appends_lost = 0;
     std::uint64_t orders = 0;
     std::uint64_t orders_lost = 0;
+    std::uint64_t granted_orders = 0; ///< under standing grants
     std::uint64_t tables = 0;
     /// Of the configuration; a state taken over whole counts as one.
     std::uint64_t config_changes = 0;
@@ -147,6 +148,8 @@
     void carry_out(const left& what);
     void report_unfinished_handover();
     void carry_out(const divergence_alarm& alarm);
+    void carry_out(const grants_seen& seen);
+    void note_grant_used(const engine_order& order);
     void carry_out(const entry_skipped& entry);
 
     void order_answered(
--- a/src/app/control_loop_commands.cpp
+++ b/src/app/control_loop_commands.cpp
@@ -43,6 +43,8 @@
          {"action", to_string(order.action)},
          {"replica", order.replica.value},
          {"fence", order.held.value}});
+    if (order.granted)
+        this->note_grant_used(order);
     const std::uint64_t issued_in = this->run;
     this->ports.engines.send_order(
         order,
@@ -58,6 +60,17 @@
         });
 }
 
+void control_loop::note_grant_used(const engine_order& order)
+{
+    ++this->counted.granted_orders;
+    this->ports.events.report(
+        event_id::grant_used,
+        {{"engine", this->engine_name(order.engine)},
+         {"servable", order.servable},
+         {"replica", order.replica.value},
+         {"order_id", order.order_id}});
+}
+
 void control_loop::carry_out(const read_engine& what)
 {
     const std::uint64_t issued_in = this->run;
@@ -119,6 +132,12 @@
     this->notices.table_published(this->builder.table());
 }
 
+void control_loop::carry_out(const grants_seen& seen)
+{
+    this->builder.set_grants(this->core->state(), seen.hints);
+    this->carry_out(publish_table());
+}
+
 void control_loop::carry_out(const left& what)
 {
     if (!what.clean)
--- a/src/app/control_loop_log.cpp
+++ b/src/app/control_loop_log.cpp
@@ -66,6 +66,7 @@
     this->table_stale = true;
     this->core->start(
         std::move(state), this->ports.clock.wall(), this->ports.clock.now());
+    this->builder.set_grants(this->core->state(), {});
     this->sessions_moved = true;
     this->ports.log.tail_from(log_offset(folded.value + 1));
     this->pump();
--- a/src/app/graph_options.cpp
+++ b/src/app/graph_options.cpp
@@ -81,6 +81,11 @@
     result.max_batch_bytes = from.log.max_batch_bytes;
     result.log_silence =
         std::max<duration>(least_silence, from.log.poll_wait + silence_slack);
+    result.grants.memory_mib = from.grants.memory_mib;
+    result.grants.engines = from.grants.engines;
+    result.grants.loads = static_cast<std::uint16_t>(from.grants.slots);
+    result.grants.models = from.grants.models;
+    result.grants.term = from.grants.term;
     result.leave_limit = std::clamp<duration>(
         from.router.drain_limit, shortest_leave, longest_leave);
     return result;
--- a/src/app/record_reporter.cpp
+++ b/src/app/record_reporter.cpp
@@ -258,6 +258,36 @@
          {"reason", moved.cause}});
 }
 
+void record_reporter::report_accepted(const scene& at, const grant_open& opened)
+{
+    const std::string engine = engine_name(at.state, opened.engine);
+    if (opened.memory_mib == 0)
+    {
+        this->events.report(
+            event_id::grant_closed,
+            {{"engine", engine}, {"offset", at.folded.offset.value}});
+        return;
+    }
+    this->events.report(
+        event_id::grant_opened,
+        {{"engine", engine},
+         {"memory_mib", opened.memory_mib},
+         {"slots", opened.loads},
+         {"term_ms", opened.term_ms},
+         {"offset", at.folded.offset.value}});
+}
+
+void record_reporter::report_accepted(
+    const scene& at, const grant_settle& settled)
+{
+    const std::string_view outcome = settled.used ? "used" : "freed";
+    this->events.report(
+        event_id::grant_settled,
+        {{"replica", settled.replica.value},
+         {"outcome", outcome},
+         {"offset", at.folded.offset.value}});
+}
+
 void record_reporter::report_accepted(
     const scene& at, const request_suspect& suspect)
 {
--- a/src/app/record_reporter.hpp
+++ b/src/app/record_reporter.hpp
@@ -40,6 +40,8 @@
     void report_accepted(const scene& at, const lease_release& freed);
     void report_accepted(const scene& at, const replica_decide& decided);
     void report_accepted(const scene& at, const replica_report& moved);
+    void report_accepted(const scene& at, const grant_open& opened);
+    void report_accepted(const scene& at, const grant_settle& settled);
     void report_accepted(const scene& at, const request_suspect& suspect);
     void report_accepted(const scene& at, const request_unblock& unblocked);
     void report_accepted(const scene& at, const operator_key_change& change);
--- a/src/app/router_gauges.cpp
+++ b/src/app/router_gauges.cpp
@@ -63,6 +63,15 @@
           "roseworks_engine_orders", "Orders issued since the start."))
     , orders_lost(registry.add_gauge(
           "roseworks_engine_orders_lost", "Orders whose answer was lost."))
+    , granted_memory(registry.add_gauge(
+          "roseworks_granted_memory_mib",
+          "Memory that standing grants of the fleet reserve, in MiB."))
+    , granted_models(registry.add_gauge(
+          "roseworks_granted_models",
+          "Models that standing grants of the fleet name."))
+    , granted_orders(registry.add_gauge(
+          "roseworks_granted_orders",
+          "Loads ordered under standing grants since the start."))
     , tables(registry.add_gauge(
           "roseworks_routing_tables", "Routing tables published."))
     , queued(registry.add_gauge(
@@ -96,6 +105,7 @@
     this->appends_lost.set(as_gauge(counts.appends_lost));
     this->orders.set(as_gauge(counts.orders));
     this->orders_lost.set(as_gauge(counts.orders_lost));
+    this->granted_orders.set(as_gauge(counts.granted_orders));
     this->tables.set(as_gauge(counts.tables));
     const idle_meter& idle = loop.idle_accelerators();
     this->residents.set(as_gauge(idle.residents()));
@@ -115,6 +125,7 @@
         });
     for (std::size_t at = 0; at < by_state.size(); ++at)
         this->replicas.set(by_state[at], static_cast<replica_state>(at));
+    this->update_grants(state);
     if (this->counted_changes == counts.config_changes)
         return;
     this->counted_changes = counts.config_changes;
@@ -127,6 +138,25 @@
     this->servables.set(declared);
 }
 
+void router_gauges::update_grants(const fleet_state& state)
+{
+    std::int64_t memory_mib = 0;
+    state.for_each_engine(
+        [&](const engine_view& engine)
+        {
+            const auto grant = state.standing_grant(engine.id);
+            memory_mib += grant ? grant->memory_mib : 0;
+        });
+    std::int64_t models = 0;
+    state.for_each_granted_model(
+        [&](const granted_model_view&)
+        {
+            ++models;
+        });
+    this->granted_memory.set(memory_mib);
+    this->granted_models.set(models);
+}
+
 void router_gauges::update(const process_figures& figures)
 {
     this->queued.set(as_gauge(figures.queued));
--- a/src/app/router_gauges.hpp
+++ b/src/app/router_gauges.hpp
@@ -54,6 +54,8 @@
     void update(const process_figures& figures);
 
 private:
+    void update_grants(const fleet_state& state);
+
     metrics::gauge<>& folded;
     metrics::gauge<>& lag;
     metrics::gauge<>& available;
@@ -69,6 +71,9 @@
     metrics::gauge<>& appends_lost;
     metrics::gauge<>& orders;
     metrics::gauge<>& orders_lost;
+    metrics::gauge<>& granted_memory;
+    metrics::gauge<>& granted_models;
+    metrics::gauge<>& granted_orders;
     metrics::gauge<>& tables;
     metrics::gauge<>& queued;
     metrics::gauge<>& in_flight;
--- a/src/core/placement/activity.cpp
+++ b/src/core/placement/activity.cpp
@@ -99,6 +99,13 @@
     this->replicas.erase(replica);
 }
 
+std::optional<instant> activity::last_use(servable_id servable) const
+{
+    const auto found = this->last_wanted.find(servable);
+    return found == this->last_wanted.end() ? std::nullopt
+                                            : std::optional(found->second);
+}
+
 duration activity::idle(const replica_view& replica, instant now) const
 {
     const auto known = this->replicas.find(replica.id);
--- a/src/core/placement/activity.hpp
+++ b/src/core/placement/activity.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace roseworks::detail
@@ -42,6 +43,10 @@
     /// A replica is gone.
     void forget(replica_id replica);
 
+    /// @return When the servable was last wanted or used; empty when it never
+    ///         was, as far as is known here.
+    std::optional<instant> last_use(servable_id servable) const;
+
     /// @return Time since the replica's last known use.
     duration idle(const replica_view& replica, instant now) const;
 
--- a/src/core/placement/controller_events.cpp
+++ b/src/core/placement/controller_events.cpp
@@ -56,6 +56,13 @@
           this->vms,
           this->reports,
           this->streaks)
+    , keeper(
+          this->settings,
+          this->leases,
+          this->reports,
+          this->uses,
+          this->proposals)
+    , watch(this->settings, this->leases, this->reports, this->proposals)
     , idle(
           this->policy,
           this->preloads,
@@ -121,6 +128,7 @@
 {
     this->orders.answered(order, outcome, now);
     this->grants.answered(order, outcome, now);
+    this->keeper.answered(order, outcome, now);
     this->step(now);
 }
 
@@ -134,6 +142,7 @@
     const control_context seen = this->context(now);
     this->orders.reported(seen, report.engine);
     this->grants.reported(seen, report.engine);
+    this->keeper.reported(report.engine);
     this->step(now);
 }
 
@@ -206,6 +215,7 @@
     this->leaving_since = now;
     this->leases.leave();
     this->orders.wind_down();
+    this->keeper.wind_down();
     this->step(now);
 }
 
@@ -222,8 +232,24 @@
 
 bool controller::impl::may_send(const engine_order& order, instant now) const
 {
-    return !this->finished &&
-           this->leases.may_order(this->state, order.engine, order.held, now);
+    if (this->finished)
+    {
+        return false;
+    }
+    return order.granted ? this->may_send_granted(order, now)
+                         : this->leases.may_order(
+                               this->state, order.engine, order.held, now);
+}
+
+bool controller::impl::may_send_granted(
+    const engine_order& order, instant now) const
+{
+    const std::optional<granted_model_view> model =
+        this->state.granted_model(order.replica);
+    return model && model->engine == order.engine &&
+           model->held == order.held &&
+           this->leases.may_order_granted(
+               this->state, order.engine, order.held, now);
 }
 
 instant controller::impl::next_tick() const
--- a/src/core/placement/controller_impl.hpp
+++ b/src/core/placement/controller_impl.hpp
@@ -2,7 +2,9 @@
 
 #include "core/placement/activity.hpp"
 #include "core/placement/engine_reports.hpp"
+#include "core/placement/grant_keeper.hpp"
 #include "core/placement/grant_settler.hpp"
+#include "core/placement/grant_watch.hpp"
 #include "core/placement/idle_watch.hpp"
 #include "core/placement/load_failures.hpp"
 #include "core/placement/order_keeper.hpp"
@@ -56,6 +58,7 @@
     void tick(stamp_ms wall, instant now);
     std::vector<control_command> take_commands();
     bool may_send(const engine_order& order, instant now) const;
+    bool may_send_granted(const engine_order& order, instant now) const;
     instant next_tick() const;
     const fleet_state& folded_state() const;
     bool available(instant now) const;
@@ -96,6 +99,8 @@
     detail::order_keeper orders;
     detail::grant_settler grants;
     detail::proposer proposals;
+    detail::grant_keeper keeper;
+    detail::grant_watch watch;
     detail::idle_watch idle;
 
     std::vector<control_command> out;
--- a/src/core/placement/controller_steps.cpp
+++ b/src/core/placement/controller_steps.cpp
@@ -85,6 +85,7 @@
     this->streaks.folded(seen, event);
     this->orders.folded(seen, event);
     this->grants.folded(seen, event);
+    this->keeper.folded(seen, event);
     this->proposals.folded(seen, event);
     this->claims.folded(seen, event);
     this->checkpoints.folded(seen, event);
@@ -118,7 +119,13 @@
 std::set<engine_id> controller::impl::urgent_engines() const
 {
     std::set<engine_id> urgent = this->orders.urgent();
-    urgent.insert(this->grants.urgent().begin(), this->grants.urgent().end());
+    for (const std::set<engine_id>* more :
+         {&this->grants.urgent(),
+          &this->keeper.urgent(),
+          &this->watch.urgent()})
+    {
+        urgent.insert(more->begin(), more->end());
+    }
     return urgent;
 }
 
@@ -168,7 +175,8 @@
         seen,
         [&](engine_id engine)
         {
-            return this->orders.busy(engine) || this->grants.busy(engine);
+            return this->orders.busy(engine) || this->grants.busy(engine) ||
+                   this->keeper.busy(engine);
         });
     this->claims.step(seen);
     this->orders.step(seen);
@@ -176,6 +184,8 @@
     {
         this->grants.step(seen);
     }
+    this->keeper.step(seen);
+    this->watch.step(seen);
     this->reports.step(seen, this->orders.held(), this->urgent_engines());
     if (this->leaving_since)
     {
@@ -199,7 +209,7 @@
         return;
     }
     const bool quiet = !this->orders.any_busy() && !this->grants.any_busy() &&
-                       this->commit.idle() &&
+                       !this->keeper.any_busy() && this->commit.idle() &&
                        !this->leases.holds_any(this->state);
     if (quiet && seen.self && !this->pending_leave)
     {
--- a/src/core/placement/order_keeper_orders.cpp
+++ b/src/core/placement/order_keeper_orders.cpp
@@ -1,3 +1,4 @@
+#include "core/placement/order_ids.hpp"
 #include "core/placement/order_keeper.hpp"
 
 #include <algorithm>
@@ -20,11 +21,6 @@
 /// After a stale fence: the log will say who holds the lease.
 constexpr duration stale_fence_pause = std::chrono::seconds(1);
 
-std::string load_order_id(replica_id replica)
-{
-    return "load-" + std::to_string(replica.value);
-}
-
 std::string unload_order_id(replica_id replica)
 {
     return "unload-" + std::to_string(replica.value);
--- a/src/core/placement/proposer.cpp
+++ b/src/core/placement/proposer.cpp
@@ -63,6 +63,30 @@
     return track != this->tracks.end() && !track->second.demands.empty();
 }
 
+std::optional<priority> proposer::wanted_as(servable_id id) const
+{
+    if (!this->wanted(id))
+    {
+        return {};
+    }
+    return sum(this->tracks.at(id)).urgency;
+}
+
+std::vector<servable_demand> proposer::own_demands() const
+{
+    std::vector<servable_demand> own;
+    for (const auto& [id, track] : this->tracks)
+    {
+        const auto place = track.demands.find(session_id{});
+        if (place != track.demands.end())
+        {
+            const demand& item = place->second;
+            own.push_back({id, item.urgency, item.waiting, session_id{}});
+        }
+    }
+    return own;
+}
+
 bool proposer::usable(const engine_view& engine) const
 {
     return engine.readable && engine.spec != nullptr &&
@@ -96,6 +120,7 @@
             track.failures[replica->engine] = context.now;
         }
     }
+    this->note_freed(context, event);
     if (!event.handed_out)
     {
         return;
@@ -123,6 +148,26 @@
     }
 }
 
+/// A granted model that was given free no longer closes other engines to it.
+void proposer::note_freed(
+    const control_context& context, const fold_event& event)
+{
+    const auto* settled = std::get_if<grant_settle>(&event.value.payload);
+    const bool freed = settled != nullptr && !settled->used &&
+                       event.result.status == fold_status::accepted;
+    if (!freed)
+    {
+        return;
+    }
+    for (auto& [id, track] : this->tracks)
+    {
+        if (!track.demands.empty() && track.retry <= first_retry)
+        {
+            track.not_before = std::min(track.not_before, context.now);
+        }
+    }
+}
+
 void proposer::expire(instant now)
 {
     for (auto& [id, track] : this->tracks)
--- a/src/core/placement/proposer.hpp
+++ b/src/core/placement/proposer.hpp
@@ -55,6 +55,13 @@
     /// @return Whether the servable is wanted now, as far as is known here.
     bool wanted(servable_id id) const;
 
+    /// @return The best class that waits for the servable, here or (as heard)
+    ///         elsewhere; empty when nobody does.
+    std::optional<priority> wanted_as(servable_id id) const;
+
+    /// @return Servables that requests of this router wait for.
+    std::vector<servable_demand> own_demands() const;
+
     /// @return Whether a new replica may be decided on the engine.
     bool usable(const engine_view& engine) const;
 
@@ -101,6 +108,7 @@
         priority urgency = priority::batch;
     };
 
+    void note_freed(const control_context& context, const fold_event& event);
     void expire(instant now);
     void list_declared(const fleet_state& state);
     std::vector<servable_view> list_wishes(const fleet_state& state);
--- a/src/core/recovery/lease_keeper.cpp
+++ b/src/core/recovery/lease_keeper.cpp
@@ -85,6 +85,7 @@
         if (accepted)
         {
             this->self = session_id(event.offset.value);
+            this->renewed = *event.handed_out;
             this->valid_until = *event.handed_out + this->settings.lease_term;
             this->renew_at = *event.handed_out + this->settings.lease_renew;
         }
@@ -95,6 +96,7 @@
         this->pending_renew.reset();
         if (accepted)
         {
+            this->renewed = *event.handed_out;
             this->valid_until = *event.handed_out + this->settings.lease_term;
             this->renew_at = *event.handed_out + this->settings.lease_renew;
         }
@@ -356,6 +358,41 @@
            view->held == held;
 }
 
+bool lease_keeper::may_order_granted(
+    const fleet_state& state, engine_id engine, fence held, instant now) const
+{
+    const std::optional<session_view> own = state.session(this->self);
+    const std::optional<engine_view> view = state.engine(engine);
+    const std::optional<standing_grant_view> grant =
+        state.standing_grant(engine);
+    if (!this->joined() || !own || own->ended || !view || !grant || !held ||
+        view->holder != this->self || view->held != held ||
+        grant->held != held || this->releasing(engine))
+    {
+        return false;
+    }
+    const duration term = std::chrono::milliseconds(grant->term_ms);
+    return now < this->renewed + term - this->settings.lease_margin;
+}
+
+bool lease_keeper::grant_in_force(
+    const fleet_state& state, const engine_view& engine, instant now) const
+{
+    if (this->joined() && engine.holder == this->self)
+    {
+        return this->may_order_granted(state, engine.id, engine.held, now);
+    }
+    const std::optional<standing_grant_view> grant =
+        state.standing_grant(engine.id);
+    const auto seen = this->renewals.find(engine.holder);
+    if (!grant || grant->held != engine.held || seen == this->renewals.end())
+    {
+        return false;
+    }
+    const duration term = std::chrono::milliseconds(grant->term_ms);
+    return now < seen->second.read + term - this->settings.lease_margin;
+}
+
 bool lease_keeper::holds_any(const fleet_state& state) const
 {
     bool any = false;
--- a/src/core/recovery/lease_keeper.hpp
+++ b/src/core/recovery/lease_keeper.hpp
@@ -69,6 +69,24 @@
         fence held,
         instant now) const;
 
+    /** @return Whether a granted model may be ordered on the engine now.
+
+        Holds under the engine's own standing grant and its lease's fencing
+        number, for the grant's term, less the margin, from just before the last
+        renewal that the log took was handed out. The lease's shorter term may
+        be over: a taker waits for the grant's.
+    */
+    bool may_order_granted(
+        const fleet_state& state,
+        engine_id engine,
+        fence held,
+        instant now) const;
+
+    /// @return Whether the engine's holder may still use its standing grant,
+    ///         as far as this router knows. A hint.
+    bool grant_in_force(
+        const fleet_state& state, const engine_view& engine, instant now) const;
+
     /** @return Whether a release of the engine is on its way to the log.
 
         It says that no order is in flight, so none may be issued meanwhile.
@@ -130,6 +148,7 @@
     bool leaving = false;
     std::optional<std::uint64_t> pending_join;
     std::optional<std::uint64_t> pending_renew;
+    instant renewed{}; ///< just before the last renewal was handed out
     instant valid_until{};
     instant renew_at{};
     std::vector<session_id> hint;
--- a/src/core/request/dispatcher_submit.cpp
+++ b/src/core/request/dispatcher_submit.cpp
@@ -119,8 +119,8 @@
     {
         return refusal_reason::no_capacity;
     }
-    return this->table->log_available() ? refusal_reason::none
-                                        : refusal_reason::log_unavailable;
+    const bool may_load = this->table->log_available() || where.granted;
+    return may_load ? refusal_reason::none : refusal_reason::log_unavailable;
 }
 
 detail::target*
--- a/src/core/request/dispatcher_tick.cpp
+++ b/src/core/request/dispatcher_tick.cpp
@@ -242,7 +242,8 @@
 void dispatcher::impl::ask_for_replicas(detail::target& where, instant now)
 {
     if (where.is_service || !where.known || where.waiting() == 0 ||
-        where.max_replicas == 0 || !this->table->log_available())
+        where.max_replicas == 0 ||
+        (!this->table->log_available() && !where.granted))
     {
         return;
     }
--- a/src/core/request/target.cpp
+++ b/src/core/request/target.cpp
@@ -52,6 +52,7 @@
     this->servable = entry.id;
     this->max_streams = std::max<std::uint16_t>(entry.max_streams, 1);
     this->max_replicas = entry.max_replicas;
+    this->granted = entry.granted;
     this->load_estimate = std::chrono::milliseconds(entry.load_estimate_ms);
     for (const route& one : entry.ready)
     {
--- a/src/core/request/target.hpp
+++ b/src/core/request/target.hpp
@@ -71,6 +71,7 @@
     servable_id servable;
     std::uint16_t max_streams = 1;
     std::uint16_t max_replicas = 0;
+    bool granted = false; ///< may be loaded while the log is away
     duration load_estimate{};
     std::uint64_t generation = 0; ///< of the table it was refreshed from
     bool known = false;           ///< the table has it
--- a/src/core/routing/routing_table_builder.cpp
+++ b/src/core/routing/routing_table_builder.cpp
@@ -3,7 +3,9 @@
 #include <roseworks/routing_table_builder.hpp>
 
 #include <algorithm>
+#include <map>
 #include <set>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -19,6 +21,16 @@
 /// the log's own time.
 constexpr stamp_ms lapse_interval_ms = 1000;
 
+route route_of(replica_id replica, const engine_view& engine)
+{
+    return {
+        replica,
+        engine.id,
+        engine.spec->address,
+        engine.spec->data_centre,
+        engine.spec->vm};
+}
+
 } // namespace
 
 class routing_table_builder::impl
@@ -26,6 +38,8 @@
 public:
     void rebuild(const fleet_state& state);
     void update(const fleet_state& state);
+    void
+    set_grants(const fleet_state& state, std::span<const grant_hint> hints);
 
     detail::sharded_table edited;
 
@@ -40,6 +54,7 @@
     void entity_put(const fleet_state& state, const state_change& change);
     void entity_removed(const state_change& change);
     void put_servable(const fleet_state& state, servable_id id);
+    void add_granted(const fleet_state& state, servable_routes& entry) const;
     void put_service(const fleet_state& state, service_id id);
     void put_caller(const fleet_state& state, caller_id id);
     void put_engine(const fleet_state& state, engine_id id);
@@ -51,6 +66,7 @@
     /// Replicas that aren't gone: a gone one has no view any more.
     std::unordered_map<replica_id, placed> replicas;
     std::unordered_map<caller_id, std::string> callers;
+    std::map<servable_id, grant_hint> grants;
     stamp_ms last_lapse_check = 0;
 };
 
@@ -209,13 +225,9 @@
             {
                 return;
             }
-            entry.ready.push_back(
-                {one.id,
-                 one.engine,
-                 engine->spec->address,
-                 engine->spec->data_centre,
-                 engine->spec->vm});
+            entry.ready.push_back(route_of(one.id, *engine));
         });
+    this->add_granted(state, entry);
     std::sort(
         entry.ready.begin(),
         entry.ready.end(),
@@ -226,6 +238,62 @@
     this->edited.put(std::move(entry));
 }
 
+/// No record says yet that a granted model is loaded: its engine does.
+void routing_table_builder::impl::add_granted(
+    const fleet_state& state, servable_routes& entry) const
+{
+    const auto hint = this->grants.find(entry.id);
+    if (hint == this->grants.end())
+    {
+        return;
+    }
+    entry.granted = true;
+    const grant_hint& what = hint->second;
+    const auto engine = state.engine(what.engine);
+    const bool listed = std::any_of(
+        entry.ready.begin(),
+        entry.ready.end(),
+        [&what](const route& one)
+        {
+            return one.replica == what.replica;
+        });
+    if (what.loaded && !listed && engine && engine->spec != nullptr &&
+        !engine->spec->draining)
+    {
+        entry.ready.push_back(route_of(what.replica, *engine));
+    }
+}
+
+void routing_table_builder::impl::set_grants(
+    const fleet_state& state, std::span<const grant_hint> hints)
+{
+    std::map<servable_id, grant_hint> before = std::move(this->grants);
+    this->grants.clear();
+    for (const grant_hint& hint : hints)
+    {
+        this->grants[hint.servable] = hint;
+    }
+    std::set<servable_id> touched;
+    for (const auto* side : {&before, &this->grants})
+    {
+        for (const auto& [id, hint] : *side)
+        {
+            touched.insert(id);
+        }
+    }
+    for (const servable_id id : touched)
+    {
+        const auto was = before.find(id);
+        const auto is = this->grants.find(id);
+        const bool same = was != before.end() && is != this->grants.end() &&
+                          was->second == is->second;
+        if (!same)
+        {
+            this->put_servable(state, id);
+        }
+    }
+}
+
 void routing_table_builder::impl::put_service(
     const fleet_state& state, service_id id)
 {
@@ -360,6 +428,12 @@
     this->self->update(state);
 }
 
+void routing_table_builder::set_grants(
+    const fleet_state& state, std::span<const grant_hint> hints)
+{
+    this->self->set_grants(state, hints);
+}
+
 void routing_table_builder::set_log_available(bool available)
 {
     this->self->edited.set_log_available(available);
--- a/src/ports/event_sink.hpp
+++ b/src/ports/event_sink.hpp
@@ -77,6 +77,10 @@
     order_answer_lost = 1308,
     order_refused = 1310,
     order_sent = 1311,
+    grant_opened = 1312,
+    grant_closed = 1313,
+    grant_settled = 1314,
+    grant_used = 1315,
 
     // 14xx: peers and the VM list.
     peer_joined = 1401,
--- a/tests/golden/session.hpp
+++ b/tests/golden/session.hpp
@@ -130,6 +130,7 @@
     void handle(std::size_t index, const publish_table& what);
     void handle(std::size_t index, const left& what);
     void handle(std::size_t index, const divergence_alarm& alarm);
+    void handle(std::size_t index, const grants_seen& seen);
     void handle(std::size_t index, const entry_skipped& entry);
     void answer_order(
         std::size_t index, const engine_order& order, order_outcome outcome);
--- a/tests/golden/session_log.cpp
+++ b/tests/golden/session_log.cpp
@@ -228,6 +228,13 @@
     this->write_routes(index);
 }
 
+void session::handle(std::size_t index, const grants_seen& seen)
+{
+    router& target = *this->routers[index];
+    target.builder.set_grants(target.control->state(), seen.hints);
+    this->handle(index, publish_table{});
+}
+
 void session::handle(std::size_t index, const left& what)
 {
     this->write(
--- a/tests/unit/control/fake_fleet.cpp
+++ b/tests/unit/control/fake_fleet.cpp
@@ -333,6 +333,10 @@
     {
         target.lefts.push_back(*gone);
     }
+    else if (auto* seen = std::get_if<grants_seen>(&command))
+    {
+        target.grants = std::move(seen->hints);
+    }
     else if (auto* alarm = std::get_if<divergence_alarm>(&command))
     {
         target.alarms.push_back(*alarm);
--- a/tests/unit/control/fake_fleet.hpp
+++ b/tests/unit/control/fake_fleet.hpp
@@ -46,6 +46,7 @@
         std::vector<engine_order> orders;
         std::vector<left> lefts;
         std::vector<divergence_alarm> alarms;
+        std::vector<grant_hint> grants; ///< as told last
         instant next_tick = instant::max();
     };
 
--- a/tests/unit/dispatch/harness.hpp
+++ b/tests/unit/dispatch/harness.hpp
@@ -32,7 +32,8 @@
         std::uint32_t replicas,
         std::uint16_t streams = 1,
         std::uint32_t first = 1,
-        std::uint16_t max_replicas = 4)
+        std::uint16_t max_replicas = 4,
+        bool granted = false)
     {
         servable_routes entry;
         entry.id = servable_id(id);
@@ -40,6 +41,7 @@
         entry.max_streams = streams;
         entry.load_estimate_ms = 10'000;
         entry.max_replicas = max_replicas;
+        entry.granted = granted;
         for (std::uint32_t i = 0; i < replicas; ++i)
         {
             const std::uint32_t engine = first + i;
--- a/tests/unit/dispatch/test_admission.cpp
+++ b/tests/unit/dispatch/test_admission.cpp
@@ -476,6 +476,26 @@
     cr_assert(test.granted(test.submit()), "ready replicas serve on");
 }
 
+Test(admission, granted_model_is_waited_for_while_the_log_is_away)
+{
+    harness test;
+    test.model("m", 1, 0, 8, 1, 4, true);
+    test.model("uncovered", 2, 0);
+    test.table.set_log_available(false);
+    test.publish();
+    const ticket waits = test.submit();
+    cr_assert(test.refused(waits) == refusal_reason::none);
+    cr_assert_eq(test.demands.size(), 1, "its holder has to hear of it");
+    request_info other = test.info();
+    other.target = "uncovered";
+    cr_assert(
+        test.refused(test.submit(other)) == refusal_reason::log_unavailable);
+    test.model("m", 1, 0);
+    cr_assert(
+        test.refused(waits) == refusal_reason::log_unavailable,
+        "the grant's term is over");
+}
+
 Test(admission, demand_is_sent_at_once_then_at_its_interval)
 {
     harness test;
--- a/tests/unit/dispatch/test_routing_table.cpp
+++ b/tests/unit/dispatch/test_routing_table.cpp
@@ -259,3 +259,23 @@
     cr_assert(fresh.table()->is_suspect(suspect));
     cr_assert(not fresh.table()->is_blocked(suspect));
 }
+
+Test(routing_table, a_granted_model_is_told_and_routed_when_loaded)
+{
+    routed_fleet fleet;
+    const servable_id model = fleet.state.find_servable("m");
+    grant_hint hint{model, replica_id(900), fleet.state.find_engine("e")};
+    fleet.builder.set_grants(fleet.state, {&hint, 1});
+    cr_assert(fleet.builder.table()->find_servable("m")->granted);
+    cr_assert_eq(fleet.routes("m"), 0);
+    hint.loaded = true;
+    fleet.builder.set_grants(fleet.state, {&hint, 1});
+    const route there = fleet.builder.table()->find_servable("m")->ready.at(0);
+    cr_assert(there.replica == hint.replica);
+    cr_assert_eq(there.address, "10.0.0.1:7000");
+    fleet.builder.rebuild(fleet.state);
+    cr_assert_eq(fleet.routes("m"), 1, "kept by a rebuild");
+    fleet.builder.set_grants(fleet.state, {});
+    cr_assert_eq(fleet.routes("m"), 0);
+    cr_assert_not(fleet.builder.table()->find_servable("m")->granted);
+}
--- a/tests/unit/settings/test_load_router_settings.cpp
+++ b/tests/unit/settings/test_load_router_settings.cpp
@@ -89,6 +89,8 @@
     cr_expect(settings.leases.term == 30s);
     cr_expect(settings.traffic.max_body_bytes == 8u << 20);
     cr_expect(settings.placement.strategy == placement_strategy::break_even);
+    cr_expect_eq(settings.grants.memory_mib, 0, "no grant unless asked for");
+    cr_expect(settings.grants.term == 30min);
     cr_expect(settings.logging.level == roseworks::event_level::info);
     cr_expect(settings.logging.file.empty());
 }
@@ -153,8 +155,8 @@
         "r.ini:12: [log] poll_wait_ms: not a whole number: \"1s\"; allowed: 10 "
         "to 60000 ms\n"
         "r.ini:13: [lease]: unknown section; allowed: router, peers, log, "
-        "vm_list, leases, traffic, engines, placement, tls, operators, "
-        "logging\n"
+        "vm_list, leases, traffic, engines, placement, grants, tls, "
+        "operators, logging\n"
         "r.ini:15: [log]: duplicate, first on line 9\n"
         "r.ini: [router] data_centre: required key is missing; allowed: 1 to "
         "64 letters, digits, '.', '_' and '-'\n"
