Let a standing grant give way to a model that fits nowhere beside it

Cause: a grant reserves memory on an engine for good. A declared model that is larger than what every engine has left beside the grants could then never be decided, with the log up: the outage policy would have broken "the declared capacity exists".

Change: the holder opens no grant where that would be so, and frees and closes its own within 10 s when a model or an engine's size is published that makes it so.

--- a/src/core/placement/grant_keeper.cpp
+++ b/src/core/placement/grant_keeper.cpp
@@ -155,6 +155,7 @@
     {
         return;
     }
+    this->look_for_room(context, engine, track);
     this->settle(context, engine, track);
     if (!this->winding_down && track.records.empty())
     {
--- a/src/core/placement/grant_keeper.hpp
+++ b/src/core/placement/grant_keeper.hpp
@@ -24,7 +24,9 @@
     While the log answers it opens a grant on the engine with the most free
     memory until the deployment has as many as the options ask, names cold
     models in it, those wanted last first, and frees a named model at once when
-    somebody wants it, so that it may be decided on any engine.
+    somebody wants it, so that it may be decided on any engine. A grant is never
+    opened where a declared model would then fit on no engine, and closed when
+    such a model is published.
 
     While the log is away it orders loads of named models that are wanted:
    within the grant's term less the margin, at most as many at once as the grant
@@ -90,7 +92,10 @@
         std::set<replica_id> leaving_grant; ///< being settled by one of them
         instant records_not_before{};
         instant names_not_before{};
-        instant next_load{}; ///< by the share of the store's rate
+        instant open_not_before{};
+        instant look_again{};   ///< for what the grant keeps out
+        bool keeps_out = false; ///< a declared model fits nowhere beside it
+        instant next_load{};    ///< by the share of the store's rate
     };
 
     /// A named model that is wanted and may be loaded now.
@@ -125,6 +130,12 @@
         const standing_grant_view& grant,
         engine_track& track,
         grant_open wanted) const;
+    void look_for_room(
+        const control_context& context,
+        const engine_view& engine,
+        engine_track& track) const;
+    bool would_keep_out(
+        const control_context& context, const engine_view& engine) const;
     bool is_next_to_open(
         const control_context& context, const engine_view& engine) const;
     bool has_room(const engine_view& engine) const;
--- a/src/core/placement/grant_keeper_records.cpp
+++ b/src/core/placement/grant_keeper_records.cpp
@@ -16,6 +16,8 @@
 
 /// After a record that the fold rejected.
 constexpr duration rejected_pause = std::chrono::seconds(2);
+/// Whether a grant may be opened is looked at so often.
+constexpr duration open_interval = std::chrono::seconds(1);
 /// Models are named, and spent memory is put back, so often.
 constexpr duration naming_interval = std::chrono::seconds(10);
 
@@ -57,6 +59,67 @@
     track.records.insert(context.submit(std::move(payload)));
 }
 
+void grant_keeper::look_for_room(
+    const control_context& context,
+    const engine_view& engine,
+    engine_track& track) const
+{
+    if (context.now >= track.look_again)
+    {
+        track.look_again = context.now + naming_interval;
+        track.keeps_out = this->would_keep_out(context, engine);
+    }
+}
+
+/// Whether a declared model fits on some engine, and on none beside the grants,
+/// one on this engine included.
+bool grant_keeper::would_keep_out(
+    const control_context& context, const engine_view& engine) const
+{
+    struct place
+    {
+        std::uint32_t whole_mib = 0;
+        std::uint32_t beside_mib = 0;
+        std::uint16_t accelerators = 0;
+    };
+    std::vector<place> places;
+    context.state.for_each_engine(
+        [&](const engine_view& other)
+        {
+            if (!this->proposals.usable(other))
+            {
+                return;
+            }
+            const bool granted =
+                other.id == engine.id || context.state.standing_grant(other.id);
+            const std::uint32_t whole = other.spec->memory_mib;
+            const std::uint32_t kept =
+                granted ? std::min(whole, this->settings.grants.memory_mib) : 0;
+            places.push_back({whole, whole - kept, other.spec->accelerators});
+        });
+    bool keeps_out = false;
+    context.state.for_each_servable(
+        [&](const servable_view& model)
+        {
+            if (keeps_out || model.is_adapter || !model.readable ||
+                model.max_replicas == 0)
+            {
+                return;
+            }
+            bool fits = false;
+            bool fits_beside = false;
+            for (const place& item : places)
+            {
+                const bool runs = item.accelerators >= model.accelerators;
+                fits = fits || (runs && item.whole_mib >= model.memory_mib);
+                fits_beside = fits_beside ||
+                              (runs && item.beside_mib >= model.memory_mib);
+            }
+            keeps_out = fits && !fits_beside;
+        });
+    return keeps_out;
+}
+
 void grant_keeper::settle(
     const control_context& context,
     const engine_view& engine,
@@ -77,7 +140,8 @@
                 return;
             }
             const bool used = load != track.loads.end() && load->second.used;
-            if (used || this->to_be_freed(context, engine, model))
+            if (used || track.keeps_out ||
+                this->to_be_freed(context, engine, model))
             {
                 records.push_back({model.id, context.self, engine.held, used});
             }
@@ -159,6 +223,12 @@
             .count());
     if (!grant)
     {
+        const bool due = context.now >= track.open_not_before;
+        if (!due || track.keeps_out)
+        {
+            return;
+        }
+        track.open_not_before = context.now + open_interval;
         if (this->is_next_to_open(context, engine))
         {
             this->record(context, track, record);
@@ -180,7 +250,7 @@
     engine_track& track,
     grant_open wanted) const
 {
-    if (!this->proposals.usable(engine))
+    if (!this->proposals.usable(engine) || track.keeps_out)
     {
         bool named = false;
         context.state.for_each_granted_model(
