--- a/tests/unit/control/grant_keeper_test.cpp
+++ b/tests/unit/control/grant_keeper_test.cpp
@@ -287,6 +287,35 @@
     check_sound(fleet);
 }
 
+Test(grant_keeper, withdrawn_model_and_draining_engine_are_let_go)
+{
+    granting_fleet fleet(fencing_kind::checks, 14'000);
+    fleet.put(entity_kind::model, "one", model(4'000, 0));
+    // It would fit on no engine beside a grant on the one that stays.
+    fleet.put(entity_kind::model, "big", model(9'000, 0));
+    fleet.run(1s);
+    cr_expect_not(fleet.granted("one"));
+    cr_expect(fleet.granted("two"));
+    engine_spec leaving = *fleet.oracle().engine(fleet.engine_granted)->spec;
+    leaving.draining = true;
+    const auto engine = *fleet.oracle().engine(fleet.engine_granted);
+    fleet.put(entity_kind::engine, std::string(engine.name), leaving);
+    cr_expect(fleet.run_until(
+        [&]
+        {
+            return !fleet.oracle().standing_grant(engine.id);
+        },
+        20s));
+    cr_expect(
+        fleet.run_until(
+            [&]
+            {
+                return fleet.granted("two").has_value();
+            },
+            20s),
+        "the other engine has a grant now");
+}
+
 Test(grant_keeper, leaving_holder_settles_and_gives_its_grant_back)
 {
     granting_fleet fleet;
