Let the storms of grants really use them

Cause: the seeded storms asked for all models all the time, so these were loaded before an outage and hardly any was loaded under a grant: the test could not fail. It now asks in turns, idle models are unloaded and named again, and it counts the loads ordered under grants.

--- a/tests/unit/control/grant_keeper_test.cpp
+++ b/tests/unit/control/grant_keeper_test.cpp
@@ -1,6 +1,8 @@
 #include "fleet_fixture.hpp"
 
 #include <algorithm>
+#include <array>
+#include <cstddef>
 #include <random>
 #include <utility>
 
@@ -19,6 +21,8 @@
     settings.grants.memory_mib = 8'000;
     settings.grants.engines = engines;
     settings.grants.term = 10min;
+    settings.placement = placement_kind::fixed_ttl;
+    settings.idle_ttl = 15s;
     return settings;
 }
 
@@ -340,6 +344,7 @@
 /// Outages, cuts, pauses, kills and lost answers at seeded times.
 Test(grant_keeper, promises_hold_in_seeded_storms)
 {
+    std::ptrdiff_t granted_orders = 0;
     for (const fencing_kind fencing :
          {fencing_kind::checks, fencing_kind::ignores})
     {
@@ -352,10 +357,8 @@
                 return random() % 4 == 0;
             };
             fleet.lose_answer = fleet.lose_order_answer;
-            for (const char* name : {"one", "two", "three", "big"})
-            {
-                fleet.keep_demanding(random() % 3, fleet.servable(name), 1);
-            }
+            const std::array<const char*, 4> names{
+                "one", "two", "three", "big"};
             for (int round = 0; round < 20; ++round)
             {
                 fleet.log_down = random() % 2 == 0;
@@ -370,13 +373,33 @@
                 {
                     fleet.restart(victim);
                 }
-                fleet.run(std::chrono::seconds(random() % 90));
+                fleet.run(std::chrono::seconds(random() % 30));
+                for (int demand = 0; demand < 3; ++demand)
+                {
+                    fleet.keep_demanding(
+                        random() % 3, fleet.servable(names[random() % 4]), 1);
+                }
+                fleet.run(std::chrono::seconds(random() % 30));
+                // Idle models are unloaded and named again.
+                fleet.stop_demanding();
                 if (pauses)
                 {
                     fleet.resume(victim);
                 }
             }
             check_sound(fleet);
+            for (std::size_t index = 0; index < fleet.size(); ++index)
+            {
+                const auto& orders = fleet.at(index).orders;
+                granted_orders += std::count_if(
+                    orders.begin(),
+                    orders.end(),
+                    [](const engine_order& order)
+                    {
+                        return order.granted;
+                    });
+            }
         }
     }
+    cr_expect_geq(granted_orders, 24, "grants are used: %td", granted_orders);
 }
