--- a/include/roseworks/routing_table.hpp
+++ b/include/roseworks/routing_table.hpp
@@ -31,7 +31,8 @@
     std::uint16_t max_streams = 8; ///< per replica
     std::uint16_t max_replicas = 0;
     bool is_adapter = false;
-    servable_name name; ///< in a table: valid while the table lives
+    bool granted = false; ///< may be loaded while the log is away
+    servable_name name;   ///< in a table: valid while the table lives
     std::vector<route> ready;
 };
 
--- a/src/core/placement/controller_steps.cpp
+++ b/src/core/placement/controller_steps.cpp
@@ -85,6 +85,7 @@
     this->streaks.folded(seen, event);
     this->orders.folded(seen, event);
     this->grants.folded(seen, event);
+    this->keeper.folded(seen, event);
     this->proposals.folded(seen, event);
     this->claims.folded(seen, event);
     this->checkpoints.folded(seen, event);
@@ -119,7 +120,13 @@
 {
     std::set<engine_id> urgent = this->orders.urgent();
     urgent.merge(this->proposals.wanted_reads(now));
-    urgent.insert(this->grants.urgent().begin(), this->grants.urgent().end());
+    for (const std::set<engine_id>* more :
+         {&this->grants.urgent(),
+          &this->keeper.urgent(),
+          &this->watch.urgent()})
+    {
+        urgent.insert(more->begin(), more->end());
+    }
     return urgent;
 }
 
@@ -169,7 +176,8 @@
         seen,
         [&](engine_id engine)
         {
-            return this->orders.busy(engine) || this->grants.busy(engine);
+            return this->orders.busy(engine) || this->grants.busy(engine) ||
+                   this->keeper.busy(engine);
         });
     this->claims.step(seen);
     this->orders.step(seen);
@@ -177,6 +185,8 @@
     {
         this->grants.step(seen);
     }
+    this->keeper.step(seen);
+    this->watch.step(seen);
     this->reports.step(seen, this->orders.held(), this->urgent_engines(now));
     if (this->leaving_since)
     {
@@ -200,7 +210,7 @@
         return;
     }
     const bool quiet = !this->orders.any_busy() && !this->grants.any_busy() &&
-                       this->commit.idle() &&
+                       !this->keeper.any_busy() && this->commit.idle() &&
                        !this->leases.holds_any(this->state);
     if (quiet && seen.self && !this->pending_leave)
     {
