Reach backend servers, log and VM list over TLS

Cause: TLS existed towards callers only; prompts, answers and engines' credentials crossed the platform's network in the clear.

Change: secure_stream does the client's side of a handshake, too, and the pool of backend connections and http_client use it; plain legs run the same code. A server is verified by the IP number in its certificate. Asio's TLS stream reports 0 bytes for a write that failed although records have left: the bytes are counted below TLS, so that such a call isn't called not run. certificate_watch and credentials_watch become one file_watch; SIGHUP reads all files again at once.

--- a/src/adapters/edge/backend_connection.cpp
+++ b/src/adapters/edge/backend_connection.cpp
@@ -75,7 +75,11 @@
     if (error)
         co_return false;
     watch_peer(connection.stream.socket(), unacknowledged);
-    co_return true;
+    if (connection.secured_by == nullptr)
+        co_return true;
+    const bool secured =
+        co_await connection.secured_by->secure(connection.stream);
+    co_return secured;
 }
 
 } // namespace roseworks::edge
--- a/src/adapters/edge/backend_connection.hpp
+++ b/src/adapters/edge/backend_connection.hpp
@@ -1,11 +1,12 @@
 #pragma once
 
 #include "adapters/edge/net.hpp"
+#include "adapters/tls/connector.hpp"
+#include "adapters/tls/secure_stream.hpp"
 
 #include <roseworks/instant.hpp>
 
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 
 #include <cstdint>
 #include <memory>
@@ -21,26 +22,29 @@
 struct backend_connection
 {
     backend_connection(
-        asio::any_io_executor executor,
+        const asio::any_io_executor& executor,
         std::string where,
         std::uint64_t number,
-        instant now)
-        : stream(std::move(executor))
+        instant now,
+        const tls::connector* tls)
+        : stream(executor)
         , buffer(max_buffered)
         , address(std::move(where))
         , serial(number)
         , opened(now)
         , last_used(now)
+        , secured_by(tls)
     {
     }
 
-    beast::tcp_stream stream;
+    tls::secure_stream stream;
     beast::flat_buffer buffer;
     std::string address;  ///< ip:port
     std::uint64_t serial; ///< later ones are higher
     instant opened;
     instant last_used;   ///< end of the last exchange
     bool pooled = false; ///< has carried an exchange before
+    const tls::connector* secured_by; ///< null: plain
 };
 
 using backend_connection_ptr = std::unique_ptr<backend_connection>;
@@ -50,8 +54,9 @@
 /// @return        whether it can.
 bool parse_address(const std::string& address, tcp::endpoint& into);
 
-/// Connects, and sets what finds dead peers: keepalive probes and a limit on
-/// unacknowledged data.
+/// Connects, sets what finds dead peers (keepalive probes and a limit on
+/// unacknowledged data), and secures the connection where it has to be.
+/// @param limit For connecting and the handshake together.
 /// @return Whether it is connected.
 asio::awaitable<bool> connect(
     backend_connection& connection,
--- a/src/adapters/edge/backend_leg.cpp
+++ b/src/adapters/edge/backend_leg.cpp
@@ -197,12 +197,15 @@
         make_backend_request(this->call, this->target.address, left);
     this->sent_at = this->pool.context.now();
     this->limit_first_byte();
+    const std::uint64_t before = this->connection->stream.secured_bytes();
     const auto [error, size] =
         co_await http::async_write(this->connection->stream, request, quietly);
-    this->outcome.sent = this->outcome.sent || size != 0;
+    const bool begun =
+        size != 0 || this->connection->stream.secured_bytes() != before;
+    this->outcome.sent = this->outcome.sent || begun;
     if (!error)
         co_return true;
-    if (size != 0)
+    if (begun)
         this->fail(error);
     else
         this->end_as(
--- a/src/adapters/edge/backend_pool.cpp
+++ b/src/adapters/edge/backend_pool.cpp
@@ -6,38 +6,11 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
-#include <sys/socket.h>
 #include <utility>
 
 namespace roseworks::edge
 {
 
-namespace
-{
-
-enum class idle_state : std::uint8_t
-{
-    quiet,
-    closed,
-    has_bytes
-};
-
-idle_state look_at(backend_connection& connection)
-{
-    char byte = 0;
-    const auto count = ::recv(
-        connection.stream.socket().native_handle(),
-        &byte,
-        1,
-        MSG_PEEK | MSG_DONTWAIT);
-    if (count > 0)
-        return idle_state::has_bytes;
-    const bool nothing = count < 0 && (errno == EAGAIN || errno == EINTR);
-    return nothing ? idle_state::quiet : idle_state::closed;
-}
-
-} // namespace
-
 backend_pool::backend_pool(asio::any_io_executor loop, edge_context& shared)
     : context(shared)
     , executor(std::move(loop))
@@ -65,7 +38,11 @@
 backend_connection_ptr backend_pool::make(const std::string& address)
 {
     return std::make_unique<backend_connection>(
-        this->executor, address, ++this->last_serial, this->context.now());
+        this->executor,
+        address,
+        ++this->last_serial,
+        this->context.now(),
+        this->context.ports.backend_tls);
 }
 
 bool backend_pool::usable(backend_connection& connection, const peer& at)
@@ -77,14 +54,14 @@
         return false;
     if (connection.serial <= std::max(at.suspect, at.dropped))
         return false;
-    const idle_state state = look_at(connection);
-    if (state == idle_state::has_bytes)
+    const tls::idle_state state = connection.stream.look();
+    if (state == tls::idle_state::has_bytes)
     {
         this->context.ports.observer.late_answer_dropped();
         this->context.ports.events.report(
             event_id::late_answer_dropped, {{"engine", connection.address}});
     }
-    return state == idle_state::quiet;
+    return state == tls::idle_state::quiet;
 }
 
 void backend_pool::put(backend_connection_ptr connection)
--- a/src/adapters/edge/edge_context.hpp
+++ b/src/adapters/edge/edge_context.hpp
@@ -3,6 +3,7 @@
 #include "adapters/edge/edge_options.hpp"
 #include "adapters/edge/introspection_port.hpp"
 #include "adapters/edge/traffic_observer.hpp"
+#include "adapters/tls/connector.hpp"
 #include "adapters/tls/secure_stream.hpp"
 #include "ports/claim_port.hpp"
 #include "ports/clock.hpp"
@@ -34,6 +35,8 @@
     std::function<routing_table_ptr()> table; ///< newest; null: none yet
     /// Certificate for a new caller, called on any thread; empty: plain HTTP.
     std::function<tls::context_ptr()> certificate;
+    /// Secures connections to backend servers; null: plain HTTP.
+    const tls::connector* backend_tls = nullptr;
 };
 
 /// Shared by the traffic threads of one server.
--- a/src/adapters/events/event_catalogue.cpp
+++ b/src/adapters/events/event_catalogue.cpp
@@ -57,12 +57,20 @@
      "session, engines, log, limit_ms",
      "See to the log service, or to the engine that does not answer an order."},
     {certificate_reloaded, info, "certificate_reloaded",
-     "New callers see the certificate that its files now hold.",
-     "", nothing},
+     "New connections use what the certificate files of a section now hold.",
+     "section", nothing},
     {certificate_refused, error, "certificate_refused",
-     "The certificate's files can't be used; callers still see the old one.",
+     "A certificate file can't be used; new connections still use what was read "
+     "before.",
      "setting, file, reason",
-     "Put a certificate and its key there; they are read again every 5 s."},
+     "Put a certificate and its key there; they are read again every 5 s and on "
+     "SIGHUP."},
+    {handshake_failed, error, "handshake_failed",
+     "No TLS connection to a server came about; nothing was sent to it. Told "
+     "once for each address and reason until one succeeds.",
+     "address, setting, file, reason",
+     "Compare the server's certificate, its IP numbers and its times with the "
+     "file of the setting; with no file named, see whether it speaks TLS."},
 
     {log_unreachable, warn, "log_unreachable",
      "The log does not answer. Serving goes on from the folded state; nothing "
--- a/src/adapters/log/http_log_client.cpp
+++ b/src/adapters/log/http_log_client.cpp
@@ -45,6 +45,7 @@
     http_client::options result;
     result.connect_timeout = settings.connect_timeout;
     result.max_idle = 1;
+    result.secured_by = settings.secured_by;
     return result;
 }
 
--- a/src/adapters/log/http_log_client.hpp
+++ b/src/adapters/log/http_log_client.hpp
@@ -47,6 +47,7 @@
         std::chrono::milliseconds retry_max{2000};
         std::size_t read_bytes = std::size_t(1) << 20; ///< asked of one read
         std::uint64_t seed = 1;
+        const tls::connector* secured_by = nullptr; ///< null: plain HTTP
     };
 
     http_log_client(
--- a/src/adapters/peers/udp_peers.cpp
+++ b/src/adapters/peers/udp_peers.cpp
@@ -294,6 +294,8 @@
 
 void udp_peers::reload_keys()
 {
+    if (this->settings.mac_key_file.empty())
+        return;
     // A file that can't be read leaves the keys in force as they are.
     boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<void>
--- a/src/adapters/peers/udp_peers.hpp
+++ b/src/adapters/peers/udp_peers.hpp
@@ -83,6 +83,9 @@
 
     const counters& traffic() const;
 
+    /// Reads the file of keys now; without one, does nothing.
+    void reload_keys();
+
 private:
     static constexpr std::size_t max_datagram_bytes = 2048;
     /// At most one event of rejected datagrams in this time: rubbish costs its
@@ -99,7 +102,6 @@
     void report_change(session_id session, liveness state);
     void arm_tick();
     void arm_reload();
-    void reload_keys();
 
     options settings;
     const clock_port& clock;
--- a/src/adapters/platform/http_client.cpp
+++ b/src/adapters/platform/http_client.cpp
@@ -3,7 +3,6 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -61,20 +60,7 @@
     {
     }
 
-    /// @return Whether the server has neither closed nor sent anything.
-    bool is_quiet()
-    {
-        error_code error;
-        this->stream.socket().non_blocking(true, error);
-        if (error)
-            return false;
-        char byte = 0;
-        this->stream.socket().receive(
-            asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-        return error == asio::error::would_block;
-    }
-
-    beast::tcp_stream stream;
+    tls::secure_stream stream;
     steady::time_point idle_since{};
 };
 
@@ -135,7 +121,8 @@
         {
             connection_ptr last = std::move(this->idle.back());
             this->idle.pop_back();
-            if (last->idle_since >= oldest && last->is_quiet())
+            if (last->idle_since >= oldest && 
+                last->stream.look() == tls::idle_state::quiet)
                 return last;
         }
         return {};
@@ -161,7 +148,11 @@
         if (error)
             co_return false;
         fresh.stream.socket().set_option(tcp::no_delay(true), error);
-        co_return true;
+        if (this->settings.secured_by == nullptr)
+            co_return true;
+        const bool secured =
+            co_await this->settings.secured_by->secure(fresh.stream);
+        co_return secured;
     }
 
     /// Reads one answer; `no_answer` when it doesn't come whole.
@@ -205,6 +196,7 @@
         }
 
         error_code error;
+        const std::uint64_t before = with->stream.secured_bytes();
         const std::size_t sent = co_await http::async_write(
             with->stream,
             request,
@@ -212,8 +204,10 @@
         this->meter.sent += sent;
         if (error)
         {
+            const bool untouched =
+                sent == 0 && with->stream.secured_bytes() == before;
             answer.end =
-                sent == 0 ? exchange_end::not_sent : exchange_end::no_answer;
+                untouched ? exchange_end::not_sent : exchange_end::no_answer;
             co_return answer;
         }
 
--- a/src/adapters/platform/http_client.hpp
+++ b/src/adapters/platform/http_client.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/platform/byte_meter.hpp"
+#include "adapters/tls/connector.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -76,6 +77,7 @@
         std::chrono::milliseconds idle_limit{10'000};
         std::size_t max_idle = 2;
         std::size_t max_answer_bytes = std::size_t(32) << 20;
+        const tls::connector* secured_by = nullptr; ///< null: plain HTTP
     };
 
     http_client(
--- a/src/adapters/platform/http_engine_client.cpp
+++ b/src/adapters/platform/http_engine_client.cpp
@@ -251,6 +251,7 @@
             return nullptr;
         http_client::options wanted;
         wanted.connect_timeout = this->settings.connect_timeout;
+        wanted.secured_by = this->settings.secured_by;
         http_client client(this->executor, *endpoint, wanted, this->meter);
         found = this->servers.emplace(address, server{std::move(client), now})
                     .first;
--- a/src/adapters/platform/http_vm_list_client.cpp
+++ b/src/adapters/platform/http_vm_list_client.cpp
@@ -22,6 +22,14 @@
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_not_modified = 304;
 
+http_client::options
+connection_options(const http_vm_list_client::options& settings)
+{
+    http_client::options result;
+    result.secured_by = settings.secured_by;
+    return result;
+}
+
 } // namespace
 
 http_vm_list_client::http_vm_list_client(
@@ -31,7 +39,7 @@
     byte_meter& meter)
     : executor(on)
     , settings(wanted)
-    , client(on, server, http_client::options(), meter)
+    , client(on, server, connection_options(wanted), meter)
     , timer(on)
 {
 }
--- a/src/adapters/platform/http_vm_list_client.hpp
+++ b/src/adapters/platform/http_vm_list_client.hpp
@@ -29,6 +29,7 @@
     {
         std::chrono::milliseconds poll{1000};
         std::chrono::milliseconds timeout{2000};
+        const tls::connector* secured_by = nullptr; ///< null: plain HTTP
     };
 
     http_vm_list_client(
--- a/src/adapters/settings/router_settings.hpp
+++ b/src/adapters/settings/router_settings.hpp
@@ -118,6 +118,16 @@
     std::string key_file;
 };
 
+/// `[backend_tls]` and `[platform_tls]`: how servers are reached.
+struct outgoing_tls_section
+{
+    /// Empty: over plain HTTP.
+    std::string ca_file;
+    /// Both empty: no certificate is shown.
+    std::string certificate_file;
+    std::string key_file;
+};
+
 /// `[operators]`: whose changes are expected.
 struct operators_section
 {
@@ -148,6 +158,8 @@
     engines_section engines;
     placement_section placement;
     tls_section tls;
+    outgoing_tls_section backend_tls;
+    outgoing_tls_section platform_tls;
     operators_section operators;
     logging_section logging;
 };
--- a/src/adapters/settings/settings_table.cpp
+++ b/src/adapters/settings/settings_table.cpp
@@ -142,6 +142,8 @@
     {"engines", "Reading the state of engines and giving them orders."},
     {"placement", "When idle replicas are unloaded and wanted ones loaded."},
     {"tls", "The certificate that callers see."},
+    {"backend_tls", "TLS towards engines and services."},
+    {"platform_tls", "TLS towards the log and the VM list."},
     {"operators", "Who may change what is published; docs/operations/keys.md."},
     {"logging", "Where events are written; docs/EVENTS.md lists them."},
 };
@@ -155,6 +157,8 @@
 constexpr auto in_engines = &router_settings::engines;
 constexpr auto in_placement = &router_settings::placement;
 constexpr auto in_tls = &router_settings::tls;
+constexpr auto in_backend_tls = &router_settings::backend_tls;
+constexpr auto in_platform_tls = &router_settings::platform_tls;
 constexpr auto in_operators = &router_settings::operators;
 constexpr auto in_logging = &router_settings::logging;
 
@@ -318,12 +322,38 @@
     text_row<in_tls, &tls_section::certificate_file>(
         "tls", "certificate_file", value_kind::path, unset,
         "PEM file of the certificate that callers see, and of its chain. Read "
-        "again every 5 s, open connections stay. Unset: callers are served "
-        "plain HTTP."),
+        "again every 5 s and on SIGHUP, open connections stay. Unset: callers "
+        "are served plain HTTP."),
     text_row<in_tls, &tls_section::key_file>(
         "tls", "key_file", value_kind::path, unset,
         "PEM file of the certificate's private key, not encrypted."),
 
+    text_row<in_backend_tls, &outgoing_tls_section::ca_file>(
+        "backend_tls", "ca_file", value_kind::path, unset,
+        "PEM file of the certificates that may sign those of engines and services, "
+        "which have to name the IP number as subject alternative name. Read "
+        "again every 5 s and on SIGHUP. Unset: plain HTTP."),
+    text_row<in_backend_tls, &outgoing_tls_section::certificate_file>(
+        "backend_tls", "certificate_file", value_kind::path, unset,
+        "PEM file of the certificate that this router shows them, and of its "
+        "chain. Unset: none is shown."),
+    text_row<in_backend_tls, &outgoing_tls_section::key_file>(
+        "backend_tls", "key_file", value_kind::path, unset,
+        "PEM file of the certificate's private key, not encrypted."),
+
+    text_row<in_platform_tls, &outgoing_tls_section::ca_file>(
+        "platform_tls", "ca_file", value_kind::path, unset,
+        "PEM file of the certificates that may sign those of the log and the VM list, "
+        "which have to name the IP number as subject alternative name. Read "
+        "again every 5 s and on SIGHUP. Unset: plain HTTP."),
+    text_row<in_platform_tls, &outgoing_tls_section::certificate_file>(
+        "platform_tls", "certificate_file", value_kind::path, unset,
+        "PEM file of the certificate that this router shows them, and of its "
+        "chain. Unset: none is shown."),
+    text_row<in_platform_tls, &outgoing_tls_section::key_file>(
+        "platform_tls", "key_file", value_kind::path, unset,
+        "PEM file of the certificate's private key, not encrypted."),
+
     text_row<in_operators, &operators_section::key_file>(
         "operators", "key_file", value_kind::path, unset,
         "File of the public keys that are expected to sign operators' records: "
@@ -373,6 +403,20 @@
     return tls.certificate_file.empty() == tls.key_file.empty();
 }
 
+template <auto Section>
+bool outgoing_files_go_together(const router_settings& settings)
+{
+    const outgoing_tls_section& tls = settings.*Section;
+    return tls.certificate_file.empty() == tls.key_file.empty();
+}
+
+template <auto Section>
+bool outgoing_identity_has_trust(const router_settings& settings)
+{
+    const outgoing_tls_section& tls = settings.*Section;
+    return tls.certificate_file.empty() || !tls.ca_file.empty();
+}
+
 constexpr setting_rule rules[] = {
     {"peers",
      {"suspect_after_ms", "probe_interval_ms"},
@@ -394,6 +438,22 @@
      {"certificate_file", "key_file"},
      "certificate_file and key_file are both set, or neither",
      &tls_files_go_together},
+    {"backend_tls",
+     {"certificate_file", "key_file"},
+     "certificate_file and key_file are both set, or neither",
+     &outgoing_files_go_together<in_backend_tls>},
+    {"backend_tls",
+     {"certificate_file", "ca_file"},
+     "a certificate_file needs a ca_file",
+     &outgoing_identity_has_trust<in_backend_tls>},
+    {"platform_tls",
+     {"certificate_file", "key_file"},
+     "certificate_file and key_file are both set, or neither",
+     &outgoing_files_go_together<in_platform_tls>},
+    {"platform_tls",
+     {"certificate_file", "ca_file"},
+     "a certificate_file needs a ca_file",
+     &outgoing_identity_has_trust<in_platform_tls>},
 };
 
 } // namespace
--- a/src/adapters/tls/secure_stream.cpp
+++ b/src/adapters/tls/secure_stream.cpp
@@ -1,5 +1,13 @@
 #include "adapters/tls/secure_stream.hpp"
 
+#include <boost/asio/ssl/error.hpp>
+#include <boost/system/error_code.hpp>
+#include <openssl/bio.h>
+#include <openssl/err.h>
+#include <openssl/ssl.h>
+#include <openssl/sslerr.h>
+#include <openssl/x509_vfy.h>
+
 #include <array>
 #include <cerrno>
 #include <sys/socket.h>
@@ -21,6 +29,52 @@
 /// An alert of TLS 1.3: two bytes, the inner type, and the tag.
 constexpr unsigned sealed_alert_bytes = 2 + 1 + 16;
 
+/// @return Whether the other end's alert is about this end's certificate.
+bool refuses_certificate(const boost::system::error_code& error)
+{
+    if (error.category() != asio::error::get_ssl_category())
+        return false;
+    switch (ERR_GET_REASON(static_cast<unsigned long>(error.value())))
+    {
+    case SSL_R_TLSV13_ALERT_CERTIFICATE_REQUIRED:
+    case SSL_R_SSLV3_ALERT_NO_CERTIFICATE:
+    case SSL_R_SSLV3_ALERT_BAD_CERTIFICATE:
+    case SSL_R_SSLV3_ALERT_UNSUPPORTED_CERTIFICATE:
+    case SSL_R_SSLV3_ALERT_CERTIFICATE_REVOKED:
+    case SSL_R_SSLV3_ALERT_CERTIFICATE_EXPIRED:
+    case SSL_R_SSLV3_ALERT_CERTIFICATE_UNKNOWN:
+    case SSL_R_TLSV1_ALERT_UNKNOWN_CA:
+        return true;
+    default:
+        return false;
+    }
+}
+
+/// Names the IP number that the server's certificate has to hold.
+bool expect_server(SSL* handle, const asio::ip::address& server)
+{
+    X509_VERIFY_PARAM* const wanted = SSL_get0_param(handle);
+    if (server.is_v4())
+    {
+        const auto bytes = server.to_v4().to_bytes();
+        return X509_VERIFY_PARAM_set1_ip(
+                   wanted, bytes.data(), bytes.size()) == 1;
+    }
+    const auto bytes = server.to_v6().to_bytes();
+    return X509_VERIFY_PARAM_set1_ip(wanted, bytes.data(), bytes.size()) == 1;
+}
+
+handshake_end describe(SSL* handle, const boost::system::error_code& error)
+{
+    handshake_end end;
+    const long verified = SSL_get_verify_result(handle);
+    end.untrusted = verified != X509_V_OK;
+    end.refused = !end.untrusted && refuses_certificate(error);
+    end.reason = end.untrusted ? X509_verify_cert_error_string(verified)
+                               : error.message();
+    return end;
+}
+
 } // namespace
 
 asio::awaitable<bool> secure_stream::accept_tls(context_ptr context)
@@ -31,6 +85,26 @@
     co_return !error;
 }
 
+asio::awaitable<handshake_end>
+secure_stream::connect_tls(context_ptr context, asio::ip::address server)
+{
+    this->layer.emplace(this->tcp, *context);
+    SSL* const handle = this->layer->native_handle();
+    if (!expect_server(handle, server))
+    {
+        handshake_end end;
+        end.reason = "no IP number to verify";
+        co_return end;
+    }
+    const auto [error] = co_await this->layer->async_handshake(
+        asio::ssl::stream_base::client, quietly);
+    if (error)
+        co_return describe(handle, error);
+    handshake_end end;
+    end.secured = true;
+    co_return end;
+}
+
 asio::awaitable<void> secure_stream::finish_tls()
 {
     if (this->layer)
@@ -57,4 +131,23 @@
            (header[0] == record_data && length == sealed_alert_bytes);
 }
 
+idle_state secure_stream::look()
+{
+    if (this->layer)
+    {
+        SSL* const handle = this->layer->native_handle();
+        if (SSL_has_pending(handle) == 1 ||
+            BIO_ctrl_pending(SSL_get_rbio(handle)) != 0)
+            return idle_state::has_bytes;
+    }
+    char byte = 0;
+    const auto count = ::recv(
+        this->tcp.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (count > 0)
+        return this->secured() && this->peer_closing() ? idle_state::closed
+                                                       : idle_state::has_bytes;
+    const bool nothing = count < 0 && (errno == EAGAIN || errno == EINTR);
+    return nothing ? idle_state::quiet : idle_state::closed;
+}
+
 } // namespace roseworks::tls
--- a/src/adapters/tls/secure_stream.hpp
+++ b/src/adapters/tls/secure_stream.hpp
@@ -1,7 +1,11 @@
 #pragma once
 
+#include "adapters/tls/counted_stream.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/address.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ssl/context.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -9,8 +13,11 @@
 #include <boost/beast/ssl/ssl_stream.hpp>
 
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
+#include <string>
 #include <utility>
 
 namespace roseworks::tls
@@ -18,6 +25,23 @@
 
 using context_ptr = std::shared_ptr<boost::asio::ssl::context>;
 
+/// How a handshake with a server ended.
+struct handshake_end
+{
+    bool secured = false;
+    bool untrusted = false; ///< the server's certificate was refused
+    bool refused = false;   ///< the server refused the client's certificate
+    std::string reason;     ///< unless secured
+};
+
+/// What a connection that should be idle has received.
+enum class idle_state : std::uint8_t
+{
+    quiet,
+    closed,
+    has_bytes
+};
+
 /** A TCP stream with time limits that may be secured by TLS.
 
     Plain until a handshake has succeeded. An `AsyncReadStream` and
@@ -36,6 +60,11 @@
     {
     }
 
+    explicit secure_stream(const boost::asio::any_io_executor& executor)
+        : tcp(executor)
+    {
+    }
+
     secure_stream(const secure_stream&) = delete;
     secure_stream& operator=(const secure_stream&) = delete;
 
@@ -45,6 +74,13 @@
     /// @return        Whether the stream is secured now.
     boost::asio::awaitable<bool> accept_tls(context_ptr context);
 
+    /// Does the client's side of a handshake, within `expires_after`.
+    /// @param context Trusted certificates, and its own where there is one.
+    /// @param server  The IP number that the server's certificate has to name.
+    /// @return        How it ended; unless secured, the stream is of no use.
+    boost::asio::awaitable<handshake_end>
+    connect_tls(context_ptr context, boost::asio::ip::address server);
+
     /// Tells the peer that nothing more is sent, within `expires_after`.
     boost::asio::awaitable<void> finish_tls();
 
@@ -63,6 +99,20 @@
     */
     bool peer_closing();
 
+    /// Looks at what an idle connection has received, without reading it.
+    idle_state look();
+
+    /** Count the bytes that a secured stream has handed to its socket.
+
+        A secured write that fails reports 0 bytes whatever has left: where it
+        matters, compare this before and after.
+
+        @return The count; 0 while the stream is plain. */
+    std::uint64_t secured_bytes() const
+    {
+        return this->layer ? this->tcp.written() : 0;
+    }
+
     executor_type get_executor() noexcept
     {
         return this->tcp.get_executor();
@@ -78,6 +128,11 @@
         this->tcp.expires_after(limit);
     }
 
+    void expires_never()
+    {
+        this->tcp.expires_never();
+    }
+
     void cancel()
     {
         this->tcp.cancel();
@@ -88,6 +143,13 @@
         this->tcp.close();
     }
 
+    template <class Token>
+    auto async_connect(
+        const boost::asio::ip::tcp::endpoint& server, Token&& token)
+    {
+        return this->tcp.async_connect(server, std::forward<Token>(token));
+    }
+
     template <class Buffers, class Token>
     auto async_read_some(const Buffers& buffers, Token&& token)
     {
@@ -103,7 +165,8 @@
         if (this->layer)
             return this->layer->async_write_some(
                 buffers, std::forward<Token>(token));
-        return this->tcp.async_write_some(buffers, std::forward<Token>(token));
+        return this->tcp.uncounted::async_write_some(
+            buffers, std::forward<Token>(token));
     }
 
     /// Reads below TLS: for what the peer still sends after the end.
@@ -114,8 +177,8 @@
     }
 
 private:
-    tcp_stream tcp;
-    std::optional<boost::beast::ssl_stream<tcp_stream&>> layer;
+    counted_stream tcp;
+    std::optional<boost::beast::ssl_stream<counted_stream&>> layer;
 };
 
 } // namespace roseworks::tls
--- a/src/app/control_thread.cpp
+++ b/src/app/control_thread.cpp
@@ -1,5 +1,7 @@
 #include "app/control_thread.hpp"
 
+#include "app/credentials_reload.hpp"
+
 #include <boost/asio/post.hpp>
 
 #include <chrono>
@@ -57,13 +59,14 @@
           this->meter)
     , watched_credentials(
           this->context.get_executor(),
-          settings.credentials_file,
-          std::move(settings.shown),
-          [this](const platform::credentials& read)
-          {
-              this->engines.show(read);
-          },
-          sink)
+          watch_credentials(
+              settings.credentials_file,
+              std::move(settings.shown),
+              [this](const platform::credentials& read)
+              {
+                  this->engines.show(read);
+              },
+              sink))
     , vm_list(make_vm_list(this->context, settings, this->meter))
     , peers(
           this->context,
@@ -164,6 +167,17 @@
         });
 }
 
+void control_thread::reload_files()
+{
+    asio::post(
+        this->context,
+        [this]
+        {
+            this->watched_credentials.reload();
+            this->peers.reload_keys();
+        });
+}
+
 claim_port& control_thread::claims()
 {
     return this->desk;
--- a/src/app/control_thread.hpp
+++ b/src/app/control_thread.hpp
@@ -10,7 +10,7 @@
 #include "app/claim_desk.hpp"
 #include "app/control_loop.hpp"
 #include "app/control_notices.hpp"
-#include "app/credentials_watch.hpp"
+#include "app/file_watch.hpp"
 #include "ports/clock.hpp"
 #include "ports/event_sink.hpp"
 
@@ -90,6 +90,9 @@
     /// Runs a step on the control thread.
     void post(std::function<void(control_loop&)> step);
 
+    /// Reads the files of credentials and of the datagrams' keys now.
+    void reload_files();
+
     claim_port& claims();
 
     /// @return Processor time of the thread.
@@ -112,7 +115,7 @@
     platform::byte_meter meter;
     log_client::http_log_client log;
     platform::http_engine_client engines;
-    credentials_watch watched_credentials;
+    file_watch watched_credentials;
     std::unique_ptr<platform::http_vm_list_client> vm_list;
     udp_peers peers;
     control_loop loop;
--- a/src/app/graph_options.cpp
+++ b/src/app/graph_options.cpp
@@ -2,7 +2,6 @@
 
 #include "adapters/settings/operator_key_file.hpp"
 #include "adapters/settings/settings_problems.hpp"
-#include "app/certificate_watch.hpp"
 
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -11,7 +10,9 @@
 
 #include <algorithm>
 #include <chrono>
+#include <memory>
 #include <optional>
+#include <string_view>
 #include <utility>
 
 namespace roseworks::app
@@ -100,6 +101,38 @@
     return mac_keys::load(path);
 }
 
+using context_ptr = std::unique_ptr<tls::context_source>;
+
+leaf::result<context_ptr> load_context(
+    std::string_view section, tls::side end, tls::certificate_files files)
+{
+    return leaf::try_handle_some(
+        [&]() -> leaf::result<context_ptr>
+        {
+            return tls::context_source::load(end, std::move(files));
+        },
+        [&](const tls::certificate_error& error) -> leaf::result<context_ptr>
+        {
+            settings::settings_problem problem;
+            problem.file = error.file;
+            problem.section = section;
+            problem.key = setting_of(error.of);
+            problem.reason = error.what;
+            return leaf::new_error(settings::settings_problems{{problem}});
+        });
+}
+
+leaf::result<context_ptr> load_outgoing(
+    std::string_view section, const settings::outgoing_tls_section& from)
+{
+    if (from.ca_file.empty())
+        return context_ptr();
+    return load_context(
+        section,
+        tls::side::client,
+        {from.certificate_file, from.key_file, from.ca_file});
+}
+
 } // namespace
 
 leaf::result<control_options>
@@ -146,28 +179,23 @@
     return result;
 }
 
-leaf::result<std::unique_ptr<tls::server_certificate>>
-make_certificate(const router_settings& from)
+leaf::result<tls_contexts> make_tls_contexts(const router_settings& from)
 {
-    using certificate_ptr = std::unique_ptr<tls::server_certificate>;
-    using loaded = leaf::result<certificate_ptr>;
-    if (from.tls.certificate_file.empty())
-        return certificate_ptr();
-    return leaf::try_handle_some(
-        [&]() -> loaded
-        {
-            return tls::server_certificate::load(
-                {from.tls.certificate_file, from.tls.key_file});
-        },
-        [](const tls::certificate_error& error) -> loaded
-        {
-            settings::settings_problem problem;
-            problem.file = error.file;
-            problem.section = "tls";
-            problem.key = setting_of(error.of);
-            problem.reason = error.what;
-            return leaf::new_error(settings::settings_problems{{problem}});
-        });
+    tls_contexts made;
+    if (!from.tls.certificate_file.empty())
+    {
+        BOOST_LEAF_ASSIGN(
+            made.callers,
+            load_context(
+                "tls",
+                tls::side::server,
+                {from.tls.certificate_file, from.tls.key_file, ""}));
+    }
+    BOOST_LEAF_ASSIGN(
+        made.backends, load_outgoing("backend_tls", from.backend_tls));
+    BOOST_LEAF_ASSIGN(
+        made.platform, load_outgoing("platform_tls", from.platform_tls));
+    return made;
 }
 
 dispatcher::options
--- a/src/app/graph_options.hpp
+++ b/src/app/graph_options.hpp
@@ -3,15 +3,14 @@
 #include "adapters/edge/edge_options.hpp"
 #include "adapters/events/log4cplus_event_sink.hpp"
 #include "adapters/settings/router_settings.hpp"
-#include "adapters/tls/server_certificate.hpp"
 #include "app/control_thread.hpp"
+#include "app/tls_endpoint.hpp"
 
 #include <roseworks/dispatcher.hpp>
 
 #include <boost/leaf/result.hpp>
 
 #include <cstdint>
-#include <memory>
 
 namespace roseworks::app
 {
@@ -35,14 +34,13 @@
 boost::leaf::result<control_options> make_control_options(
     const settings::router_settings& settings, const run_seeds& seeds);
 
-/** Read the certificate that callers see.
+/** Read the certificate files of all sections.
 
     @param settings Checked settings.
-    @return         The certificate, null for plain HTTP; or `settings_problems`
-                    with setting and file.
+    @return         The contexts; or `settings_problems` with setting and file.
 */
-boost::leaf::result<std::unique_ptr<tls::server_certificate>>
-make_certificate(const settings::router_settings& settings);
+boost::leaf::result<tls_contexts>
+make_tls_contexts(const settings::router_settings& settings);
 
 /// @return Options of admission and routing.
 dispatcher::options make_dispatcher_options(
--- a/src/app/operator_key_watch.cpp
+++ b/src/app/operator_key_watch.cpp
@@ -81,6 +81,11 @@
             event_id::operator_keys_differ, {{"problem", this->alarmed}});
 }
 
+void operator_key_watch::read_at_next_look()
+{
+    this->next_reload = this->clock.now();
+}
+
 void operator_key_watch::reload()
 {
     if (this->clock.now() < this->next_reload)
--- a/src/app/operator_key_watch.hpp
+++ b/src/app/operator_key_watch.hpp
@@ -38,6 +38,9 @@
     /// Compares; called about once a second with a state that is caught up.
     void look(const fleet_state& state);
 
+    /// The next look reads the file, however long ago it was read.
+    void read_at_next_look();
+
 private:
     void reload();
     std::vector<operator_key> read();
--- a/src/app/router/main.cpp
+++ b/src/app/router/main.cpp
@@ -37,7 +37,7 @@
 leaf::result<int> check(const settings::router_settings& settings)
 {
     BOOST_LEAF_CHECK(app::make_control_options(settings, {}));
-    BOOST_LEAF_CHECK(app::make_certificate(settings));
+    BOOST_LEAF_CHECK(app::make_tls_contexts(settings));
     std::cout << "settings are right\n";
     return EXIT_SUCCESS;
 }
--- a/src/app/router_app.cpp
+++ b/src/app/router_app.cpp
@@ -72,7 +72,7 @@
 {
     const run_seeds seeds{random_seed(), wall_micros()};
     BOOST_LEAF_AUTO(control, make_control_options(settings, seeds));
-    BOOST_LEAF_AUTO(certificate, make_certificate(settings));
+    BOOST_LEAF_AUTO(contexts, make_tls_contexts(settings));
     auto sink =
         events::log4cplus_event_sink::make(make_event_options(settings));
     if (!sink)
@@ -86,7 +86,7 @@
             settings,
             seeds,
             std::move(control),
-            std::move(certificate),
+            std::move(contexts),
             std::move(sink)));
     }
     catch (const boost::system::system_error& error)
@@ -103,12 +103,28 @@
     const settings::router_settings& wanted,
     const run_seeds& seeds,
     control_options control_settings,
-    std::unique_ptr<tls::server_certificate> shown,
+    tls_contexts contexts,
     std::unique_ptr<events::log4cplus_event_sink> sink)
     : settings(wanted)
     , started(this->clock.now())
     , events(std::move(sink))
     , signals(this->main_loop, SIGINT, SIGTERM)
+    , hangups(this->main_loop, SIGHUP)
+    , callers_tls(
+          this->main_loop.get_executor(),
+          "tls",
+          std::move(contexts.callers),
+          *this->events)
+    , backend_tls(
+          this->main_loop.get_executor(),
+          "backend_tls",
+          std::move(contexts.backends),
+          *this->events)
+    , platform_tls(
+          this->main_loop.get_executor(),
+          "platform_tls",
+          std::move(contexts.platform),
+          *this->events)
     , usage_timer(this->main_loop)
     , observer(this->registry)
     , key_watch(
@@ -117,7 +133,7 @@
           this->clock,
           *this->events)
     , control(
-          std::move(control_settings),
+          this->with_tls(std::move(control_settings)),
           this->clock,
           *this->events,
           this->make_notices(),
@@ -155,8 +171,6 @@
                       this->arm_usage();
                   });
           })
-    , certificate(
-          this->main_loop.get_executor(), std::move(shown), *this->events)
     , status(
           wanted.router.name,
           wanted.router.data_centre,
@@ -274,7 +288,8 @@
         {
             return this->table.get();
         },
-        this->certificate.source()};
+        this->callers_tls.accepting(),
+        this->backend_tls.connecting()};
 }
 
 std::vector<asio::any_io_executor> router_app::traffic_executors()
@@ -330,7 +345,10 @@
 int router_app::run(std::ostream& out)
 {
     this->wait_for_signal();
-    this->certificate.start();
+    this->wait_for_hangup();
+    this->callers_tls.watch().start();
+    this->backend_tls.watch().start();
+    this->platform_tls.watch().start();
     this->start_threads();
     out << "listening http " << this->http_address << std::endl;
 
@@ -404,6 +422,39 @@
         });
 }
 
+control_options router_app::with_tls(control_options wanted) const
+{
+    wanted.log.secured_by = this->platform_tls.connecting();
+    wanted.vm_list.secured_by = this->platform_tls.connecting();
+    wanted.engines.secured_by = this->backend_tls.connecting();
+    return wanted;
+}
+
+void router_app::reload_files()
+{
+    this->callers_tls.watch().reload();
+    this->backend_tls.watch().reload();
+    this->platform_tls.watch().reload();
+    this->control.reload_files();
+    this->control.post(
+        [this](control_loop&)
+        {
+            this->key_watch.read_at_next_look();
+        });
+}
+
+void router_app::wait_for_hangup()
+{
+    this->hangups.async_wait(
+        [this](boost::system::error_code error, int)
+        {
+            if (error)
+                return;
+            this->reload_files();
+            this->wait_for_hangup();
+        });
+}
+
 void router_app::wait_for_signal()
 {
     this->signals.async_wait(
--- a/src/app/router_app.hpp
+++ b/src/app/router_app.hpp
@@ -6,7 +6,7 @@
 #include "adapters/metrics/metrics_registry.hpp"
 #include "adapters/platform/system_clock.hpp"
 #include "adapters/settings/router_settings.hpp"
-#include "app/certificate_watch.hpp"
+#include "app/tls_endpoint.hpp"
 #include "app/control_thread.hpp"
 #include "app/graph_options.hpp"
 #include "app/operator_key_watch.hpp"
@@ -62,7 +62,8 @@
     /** Serve until a signal asks to stop.
 
         SIGTERM or SIGINT drains: running requests end, leases are given back,
-        the session is left. A second signal ends at once.
+        the session is left. A second signal ends at once. SIGHUP reads the
+        files of certificates, keys and credentials again.
 
         @param out Told the bound address.
         @return    The exit status: 0 after a whole drain, 1 when requests
@@ -76,7 +77,7 @@
         const settings::router_settings& settings,
         const run_seeds& seeds,
         control_options control,
-        std::unique_ptr<tls::server_certificate> certificate,
+        tls_contexts contexts,
         std::unique_ptr<events::log4cplus_event_sink> sink);
 
     boost::leaf::result<void> listen();
@@ -91,6 +92,9 @@
     void arm_usage();
     void flush_usage();
 
+    control_options with_tls(control_options wanted) const;
+    void reload_files();
+    void wait_for_hangup();
     void wait_for_signal();
     void signalled(int signal);
     void drained(std::size_t unfinished);
@@ -104,6 +108,11 @@
     std::unique_ptr<events::log4cplus_event_sink> events;
     boost::asio::io_context main_loop; ///< signals and the dispatcher's timer
     boost::asio::signal_set signals;
+    boost::asio::signal_set hangups;
+    // On the main loop, used by all threads.
+    tls_endpoint callers_tls;
+    tls_endpoint backend_tls;
+    tls_endpoint platform_tls;
     boost::asio::steady_timer usage_timer;
     metrics::metrics_registry registry;
     traffic_metrics observer;
@@ -112,7 +121,6 @@
     control_thread control;
     std::shared_ptr<edge::shared_dispatcher> dispatch;
     usage_tap tap;
-    certificate_watch certificate; ///< on the main loop
     router_status status;
     std::vector<std::unique_ptr<boost::asio::io_context>> traffic_loops;
     edge::server server;
--- a/src/ports/event_sink.hpp
+++ b/src/ports/event_sink.hpp
@@ -42,6 +42,7 @@
     handover_unfinished = 1010,
     certificate_reloaded = 1011,
     certificate_refused = 1012,
+    handshake_failed = 1013,
 
     // 11xx: the log and the folded state.
     log_unreachable = 1101,
--- a/tests/unit/app/credentials_watch_test.cpp
+++ b/tests/unit/app/file_watch_test.cpp
@@ -1,4 +1,5 @@
-#include "app/credentials_watch.hpp"
+#include "app/credentials_reload.hpp"
+#include "app/file_watch.hpp"
 
 #include <boost/asio/io_context.hpp>
 
@@ -30,8 +31,7 @@
 
 } // namespace
 
-Test(
-    credentials_watch, a_new_credential_is_shown_and_a_bad_file_changes_nothing)
+Test(file_watch, a_new_credential_is_shown_and_a_bad_file_changes_nothing)
 {
     const std::string file =
         (std::filesystem::temp_directory_path() /
@@ -40,15 +40,16 @@
     boost::asio::io_context context;
     counting_events events;
     std::vector<std::string> shown;
-    credentials_watch watch(
+    file_watch watch(
         context.get_executor(),
-        file,
-        {},
-        [&](const platform::credentials& read)
-        {
-            shown.emplace_back(read.find("e1"));
-        },
-        events);
+        watch_credentials(
+            file,
+            {},
+            [&](const platform::credentials& read)
+            {
+                shown.emplace_back(read.find("e1"));
+            },
+            events));
     std::ofstream(file) << "e1 = first\n";
     watch.reload();
     watch.reload();
--- a/tests/unit/edge/test_tls.cpp
+++ b/tests/unit/edge/test_tls.cpp
@@ -1,4 +1,4 @@
-#include "adapters/tls/server_certificate.hpp"
+#include "adapters/tls/context_source.hpp"
 #include "edge_fixture.hpp"
 #include "tests/support/test_certificate.hpp"
 
@@ -19,7 +19,7 @@
 using namespace roseworks::edge;
 using namespace roseworks::edge::tests;
 using roseworks::test::test_certificate;
-using tls::server_certificate;
+using tls::context_source;
 
 namespace
 {
@@ -50,20 +50,20 @@
         });
 }
 
-std::unique_ptr<server_certificate> loaded(const test_certificate& files)
+std::unique_ptr<context_source> loaded(const test_certificate& files)
 {
     return boost::leaf::try_handle_all(
-        [&]() -> boost::leaf::result<std::unique_ptr<server_certificate>>
+        [&]() -> boost::leaf::result<std::unique_ptr<context_source>>
         {
-            return server_certificate::load({files.certificate(), files.key()});
+            return context_source::load(tls::side::server, {files.certificate(), files.key(), ""});
         },
         []
         {
-            return std::unique_ptr<server_certificate>();
+            return std::unique_ptr<context_source>();
         });
 }
 
-std::function<tls::context_ptr()> shown(const server_certificate& certificate)
+std::function<tls::context_ptr()> shown(const context_source& certificate)
 {
     return [&certificate]
     {
@@ -229,7 +229,7 @@
         return problem_of(
             [&]
             {
-                return server_certificate::load({certificate, key});
+                return context_source::load(tls::side::server, {certificate, key, ""});
             });
     };
     cr_assert_str_empty(problem(one.certificate(), one.key()).c_str());
