Test TLS on all legs, give it to stand-ins and tools

Cause: the client's side of TLS had no tests with real processes; operators' tools spoke plain HTTP to log and routers.

--- a/bench/router/bench_tls.cpp
+++ b/bench/router/bench_tls.cpp
@@ -1,5 +1,6 @@
-/** What TLS towards callers costs, with real processes on loopback: latency
-    and rate of the same calls over TLS and plain, and the price of a handshake.
+/** What TLS costs on each leg, with real processes on loopback: latency and
+    rate of the same calls over TLS and plain, the price of a handshake, and the
+    bytes between router and engine.
 */
 #include "bench/router/figures.hpp"
 #include "tests/support/calls.hpp"
@@ -16,6 +17,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
+#include <memory>
 #include <mutex>
 #include <stdexcept>
 #include <string>
@@ -43,6 +45,25 @@
 constexpr double rate_seconds = 0.75;
 constexpr double to_ms = 1000;
 constexpr double to_us = 1e6;
+constexpr int counted_calls = 200;
+
+/// Which legs of a call are secured, and whether each call takes a connection
+/// of its own to the engine.
+struct leg_setup
+{
+    std::string name;
+    bool callers = false;
+    bool backends = false;
+    bool fresh = false;
+};
+
+const std::vector<leg_setup> measured_legs{
+    {"plain", false, false, false},
+    {"tls_callers", true, false, false},
+    {"tls_backends", false, true, false},
+    {"tls_both", true, true, false},
+    {"plain_fresh", false, false, true},
+    {"tls_backends_fresh", false, true, true}};
 
 /// One keep-alive connection, over TLS or plain.
 class caller
@@ -101,9 +122,13 @@
 /// One router with an engine that answers at once.
 struct target
 {
-    target(bool secure, const std::string& tls_settings)
-        : uses_tls(secure)
-        , nodes(setup_of(tls_settings))
+    target(
+        const leg_setup& legs,
+        const test::test_certificate& files,
+        bool proxied = false)
+        : name(legs.name)
+        , uses_tls(legs.callers)
+        , nodes(setup_of(legs, files, proxied))
     {
         const auto put = this->nodes.publish(
             "[model agri-lm]\nmemory_mib = 100\nmax_streams = 64\n"
@@ -121,14 +146,36 @@
             throw std::runtime_error("never warm");
     }
 
-    static test::fleet_setup setup_of(const std::string& tls_settings)
+    static test::fleet_setup setup_of(
+        const leg_setup& legs,
+        const test::test_certificate& files,
+        bool proxied)
     {
+        const std::string own = "certificate_file = " + files.certificate() +
+                                "\nkey_file = " + files.key() + "\n";
+        const std::string trusted = "ca_file = " + files.certificate() + "\n";
         test::fleet_setup setup;
         setup.routers = 1;
         setup.services = 0;
+        setup.proxies = proxied;
         setup.engines = {
             {"e1", 40000, true, {"--token-ms", "0", "--slots", "64"}}};
-        setup.router_settings = tls_settings;
+        if (legs.callers)
+            setup.router_settings += "[tls]\n" + own;
+        if (legs.fresh)
+            setup.router_settings +=
+                "[traffic]\nbackend_connections_max_idle = 0\n";
+        if (!legs.backends)
+            return setup;
+        setup.router_settings += "[backend_tls]\n" + own + trusted +
+                                 "[platform_tls]\n" + own + trusted;
+        setup.standin_tls = {
+            "--tls-certificate",
+            files.certificate(),
+            "--tls-key",
+            files.key(),
+            "--tls-ca",
+            files.certificate()};
         return setup;
     }
 
@@ -157,6 +204,7 @@
     }
 
     test::http_call request = test::completion("agri-lm", "warm");
+    std::string name;
     bool uses_tls;
     test::fleet nodes;
     std::vector<double> latency_ms;
@@ -183,58 +231,96 @@
         of.connect_ms.push_back(seconds_since(start) * to_ms);
 }
 
-void print(const std::string& name, const target& of)
+void print(const target& of)
 {
-    print_quantiles(name + "_latency", of.latency_ms, "ms");
-    print_quantiles(name + "_first_answer", of.connect_ms, "ms");
+    print_quantiles(of.name + "_latency", of.latency_ms, "ms");
+    print_quantiles(of.name + "_first_answer", of.connect_ms, "ms");
     const double time = rate_rounds * rate_seconds;
-    print_figure(name + "_rate", of.answered / time, "requests/s");
+    print_figure(of.name + "_rate", of.answered / time, "requests/s");
     print_figure(
-        name + "_router_cpu_per_request", of.cpu / of.answered * to_us, "us");
+        of.name + "_router_cpu_per_request",
+        of.cpu / of.answered * to_us,
+        "us");
 }
 
-void run()
+void print_ratios(const target& of, const target& plain)
+{
+    const double before = quantile(plain.latency_ms, 0.5);
+    const double after = quantile(of.latency_ms, 0.5);
+    const std::string name = of.name + "_to_" + plain.name;
+    print_figure(name + "_latency_p50", after / before, "x");
+    print_figure(name + "_rate", of.answered / plain.answered, "x");
+    print_figure(
+        name + "_cpu",
+        of.cpu / of.answered / (plain.cpu / plain.answered),
+        "x");
+}
+
+/// Bytes of an exchange and its answer between router and engine, both ways.
+double bytes_through(const test::fleet& nodes)
+{
+    const auto ledger = test::get_json(nodes.engine_proxy(0), "/ledger");
+    return ledger.at("bytes_to_target").to_number<double>() +
+           ledger.at("bytes_to_client").to_number<double>();
+}
+
+/// The engine's state is read meanwhile, too; its bytes are counted along.
+void measure_bytes(const leg_setup& legs, const test::test_certificate& files)
+{
+    const target of(legs, files, true);
+    caller open(of.address(), legs.callers);
+    const double before = bytes_through(of.nodes);
+    for (int i = 0; i < counted_calls; ++i)
+        open.call(of.request);
+    print_figure(
+        legs.name + "_engine_bytes_per_request",
+        (bytes_through(of.nodes) - before) / counted_calls,
+        "bytes");
+}
+
+using target_ptr = std::unique_ptr<target>;
+
+void measure_rates(const std::vector<target_ptr>& targets)
 {
-    const test::test_certificate files("bench");
-    target plain(false, "");
-    target secured(
-        true,
-        "[tls]\ncertificate_file = " + files.certificate() +
-            "\nkey_file = " + files.key() + "\n");
-    caller plain_open(plain.address(), false);
-    caller secured_open(secured.address(), true);
-    for (int round = 0; round < latency_rounds; ++round)
-    {
-        measure_latency(plain, plain_open);
-        measure_latency(secured, secured_open);
-    }
-    for (int i = 0; i < handshakes; ++i)
-    {
-        measure_connect(plain);
-        measure_connect(secured);
-    }
     // Started in this order.
     auto pids = children_running("roseworks-router");
     std::ranges::sort(pids);
     for (int round = 0; round < rate_rounds; ++round)
-        for (target* of : {&plain, &secured})
+        for (std::size_t i = 0; i < targets.size(); ++i)
         {
-            const int pid = pids.at(of == &plain ? 0 : 1);
-            const double before = usage_of(pid).cpu_seconds;
-            of->load();
-            of->cpu += usage_of(pid).cpu_seconds - before;
+            const double before = usage_of(pids.at(i)).cpu_seconds;
+            targets[i]->load();
+            targets[i]->cpu += usage_of(pids.at(i)).cpu_seconds - before;
         }
-    print("plain", plain);
-    print("tls", secured);
-    const double plain_p50 = quantile(plain.latency_ms, 0.5);
-    const double tls_p50 = quantile(secured.latency_ms, 0.5);
-    print_figure("tls_added_latency_p50", tls_p50 - plain_p50, "ms");
-    print_figure("tls_latency_ratio_p50", tls_p50 / plain_p50, "x");
-    print_figure("tls_rate_ratio", secured.answered / plain.answered, "x");
-    print_figure(
-        "tls_cpu_ratio",
-        secured.cpu / secured.answered / (plain.cpu / plain.answered),
-        "x");
+}
+
+void run()
+{
+    const test::test_certificate files("bench");
+    std::vector<target_ptr> targets;
+    std::vector<std::unique_ptr<caller>> open;
+    for (const leg_setup& legs : measured_legs)
+    {
+        targets.push_back(std::make_unique<target>(legs, files));
+        open.push_back(
+            std::make_unique<caller>(targets.back()->address(), legs.callers));
+    }
+    for (int round = 0; round < latency_rounds; ++round)
+        for (std::size_t i = 0; i < targets.size(); ++i)
+            measure_latency(*targets[i], *open[i]);
+    for (int i = 0; i < handshakes; ++i)
+        for (const target_ptr& of : targets)
+            measure_connect(*of);
+    measure_rates(targets);
+    for (const target_ptr& of : targets)
+        print(*of);
+    const target& plain = *targets.at(0);
+    const target& plain_fresh = *targets.at(4);
+    for (std::size_t i = 1; i < targets.size(); ++i)
+        print_ratios(*targets[i], measured_legs[i].fresh ? plain_fresh : plain);
+    for (const leg_setup& legs : measured_legs)
+        if (!legs.callers)
+            measure_bytes(legs, files);
 }
 
 } // namespace
--- a/src/adapters/edge/backend_connection.hpp
+++ b/src/adapters/edge/backend_connection.hpp
@@ -42,8 +42,8 @@
     std::string address;  ///< ip:port
     std::uint64_t serial; ///< later ones are higher
     instant opened;
-    instant last_used;   ///< end of the last exchange
-    bool pooled = false; ///< has carried an exchange before
+    instant last_used;                ///< end of the last exchange
+    bool pooled = false;              ///< has carried an exchange before
     const tls::connector* secured_by; ///< null: plain
 };
 
--- a/src/adapters/platform/http_client.cpp
+++ b/src/adapters/platform/http_client.cpp
@@ -121,7 +121,7 @@
         {
             connection_ptr last = std::move(this->idle.back());
             this->idle.pop_back();
-            if (last->idle_since >= oldest && 
+            if (last->idle_since >= oldest &&
                 last->stream.look() == tls::idle_state::quiet)
                 return last;
         }
--- a/src/adapters/platform/http_engine_client.hpp
+++ b/src/adapters/platform/http_engine_client.hpp
@@ -29,7 +29,7 @@
         std::chrono::milliseconds order_timeout{2000};
         std::chrono::milliseconds connect_timeout{1000};
         std::chrono::milliseconds forget_after{120'000}; ///< unused engines
-        const tls::connector* secured_by = nullptr; ///< null: plain HTTP
+        const tls::connector* secured_by = nullptr;      ///< null: plain HTTP
     };
 
     http_engine_client(
--- a/src/adapters/tls/context_source.cpp
+++ b/src/adapters/tls/context_source.cpp
@@ -166,8 +166,8 @@
     return {};
 }
 
-leaf::result<context_ptr> make_context(
-    side end, const certificate_files& files, const file_texts& texts)
+leaf::result<context_ptr>
+make_context(side end, const certificate_files& files, const file_texts& texts)
 {
     auto made = std::make_shared<asio::ssl::context>(
         end == side::server ? asio::ssl::context::tls_server
--- a/src/adapters/tls/secure_stream.cpp
+++ b/src/adapters/tls/secure_stream.cpp
@@ -57,8 +57,8 @@
     if (server.is_v4())
     {
         const auto bytes = server.to_v4().to_bytes();
-        return X509_VERIFY_PARAM_set1_ip(
-                   wanted, bytes.data(), bytes.size()) == 1;
+        return X509_VERIFY_PARAM_set1_ip(wanted, bytes.data(), bytes.size()) ==
+               1;
     }
     const auto bytes = server.to_v6().to_bytes();
     return X509_VERIFY_PARAM_set1_ip(wanted, bytes.data(), bytes.size()) == 1;
--- a/src/adapters/tls/secure_stream.hpp
+++ b/src/adapters/tls/secure_stream.hpp
@@ -144,8 +144,8 @@
     }
 
     template <class Token>
-    auto async_connect(
-        const boost::asio::ip::tcp::endpoint& server, Token&& token)
+    auto
+    async_connect(const boost::asio::ip::tcp::endpoint& server, Token&& token)
     {
         return this->tcp.async_connect(server, std::forward<Token>(token));
     }
--- a/src/app/file_watch.hpp
+++ b/src/app/file_watch.hpp
@@ -39,8 +39,7 @@
         std::function<void(const file_problem&)> refused;
     };
 
-    file_watch(
-        const boost::asio::any_io_executor& executor, handlers wanted);
+    file_watch(const boost::asio::any_io_executor& executor, handlers wanted);
 
     /// Reloads from now on, until `stop` or the event loop's end.
     void start();
--- a/src/app/router_app.hpp
+++ b/src/app/router_app.hpp
@@ -6,12 +6,12 @@
 #include "adapters/metrics/metrics_registry.hpp"
 #include "adapters/platform/system_clock.hpp"
 #include "adapters/settings/router_settings.hpp"
-#include "app/tls_endpoint.hpp"
 #include "app/control_thread.hpp"
 #include "app/graph_options.hpp"
 #include "app/operator_key_watch.hpp"
 #include "app/router_status.hpp"
 #include "app/table_holder.hpp"
+#include "app/tls_endpoint.hpp"
 #include "app/traffic_metrics.hpp"
 #include "app/usage_tap.hpp"
 
--- a/standins/common/exchange.cpp
+++ b/standins/common/exchange.cpp
@@ -16,9 +16,7 @@
 #include <boost/json/serialize.hpp>
 #include <boost/url/parse.hpp>
 
-#include <cerrno>
 #include <charconv>
-#include <sys/socket.h>
 #include <utility>
 
 namespace roseworks::standins
@@ -31,8 +29,8 @@
 
 } // namespace
 
-exchange::exchange(asio::ip::tcp::socket& client, const http_request& incoming)
-    : socket(client)
+exchange::exchange(tls::secure_stream& client, const http_request& incoming)
+    : stream(client)
     , received(incoming)
 {
     const auto parsed = boost::urls::parse_origin_form(
@@ -145,7 +143,7 @@
     answer.body() = std::move(body);
     answer.prepare_payload();
     const auto [error, size] =
-        co_await http::async_write(this->socket, answer, quietly);
+        co_await http::async_write(this->stream, answer, quietly);
     this->failed = this->failed || error;
 }
 
@@ -163,7 +161,7 @@
     answer.chunked(true);
     http::response_serializer<http::empty_body> serializer(answer);
     const auto [error, size] =
-        co_await http::async_write_header(this->socket, serializer, quietly);
+        co_await http::async_write_header(this->stream, serializer, quietly);
     this->failed = this->failed || error;
 }
 
@@ -175,7 +173,7 @@
     }
     const auto piece = http::make_chunk(asio::buffer(chunk));
     const auto [error, size] =
-        co_await asio::async_write(this->socket, piece, quietly);
+        co_await asio::async_write(this->stream, piece, quietly);
     this->failed = this->failed || error;
 }
 
@@ -188,7 +186,7 @@
     }
     const auto last = http::make_chunk_last();
     const auto [error, size] =
-        co_await asio::async_write(this->socket, last, quietly);
+        co_await asio::async_write(this->stream, last, quietly);
     this->failed = this->failed || error;
 }
 
@@ -207,14 +205,7 @@
     {
         return true;
     }
-    char byte = 0;
-    const auto count =
-        ::recv(this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (count > 0)
-    {
-        return false;
-    }
-    return count == 0 || (errno != EAGAIN && errno != EINTR);
+    return this->stream.look() == tls::idle_state::closed;
 }
 
 bool exchange::answered() const
--- a/standins/common/exchange.hpp
+++ b/standins/common/exchange.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "adapters/tls/secure_stream.hpp"
+
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/message.hpp>
@@ -29,7 +31,7 @@
 class exchange
 {
 public:
-    exchange(asio::ip::tcp::socket& socket, const http_request& request);
+    exchange(tls::secure_stream& stream, const http_request& request);
 
     exchange(const exchange&) = delete;
     exchange& operator=(const exchange&) = delete;
@@ -87,7 +89,7 @@
     template <class Message>
     void fill_header(Message& message) const;
 
-    asio::ip::tcp::socket& socket;
+    tls::secure_stream& stream;
     const http_request& received;
     boost::urls::url_view target;
     std::string decoded_path;
--- a/standins/common/program.cpp
+++ b/standins/common/program.cpp
@@ -5,12 +5,14 @@
 
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/leaf/handle_errors.hpp>
 
 #include <algorithm>
 #include <charconv>
 #include <csignal>
 #include <exception>
 #include <iostream>
+#include <optional>
 
 namespace roseworks::standins
 {
@@ -25,10 +27,44 @@
     return label == "listen" ? "listening" : std::string(label);
 }
 
+/// Where tests reach a stand-in that speaks TLS to the system.
+const asio::ip::tcp::endpoint
+    control_endpoint(asio::ip::address_v4::loopback(), 0);
+
+/// @return What the options name, null without a certificate; throws
+///         `bad_request`.
+std::unique_ptr<tls::context_source>
+load_contexts(const cxxopts::ParseResult& arguments)
+{
+    using loaded = std::unique_ptr<tls::context_source>;
+    const tls::certificate_files files{
+        arguments["tls-certificate"].as<std::string>(),
+        arguments["tls-key"].as<std::string>(),
+        arguments["tls-ca"].as<std::string>()};
+    if (files.certificate.empty())
+    {
+        return loaded();
+    }
+    return boost::leaf::try_handle_all(
+        [&]
+        {
+            return tls::context_source::load(tls::side::server, files);
+        },
+        [](const tls::certificate_error& error) -> loaded
+        {
+            throw bad_request(error.file + ": " + error.what);
+        },
+        []() -> loaded
+        {
+            throw bad_request("TLS files can't be used");
+        });
+}
+
 void serve_until_signal(
     service& handler,
     const asio::ip::tcp::endpoint& endpoint,
-    std::string_view label)
+    std::string_view label,
+    tls::context_source* contexts)
 {
     asio::io_context context(1);
     asio::signal_set signals(context, SIGTERM, SIGINT);
@@ -38,8 +74,14 @@
             context.stop();
         });
     handler.start(context);
-    const server http_server(context, endpoint, handler);
+    const server http_server(context, endpoint, handler, contexts);
     announce(printed_label(label), http_server.port());
+    std::optional<server> control;
+    if (contexts != nullptr)
+    {
+        control.emplace(context, control_endpoint, handler);
+        announce("control", control->port());
+    }
     context.run();
 }
 
@@ -116,7 +158,15 @@
     options.add_options()(
         std::string(label),
         "address:port of the HTTP server, port 0 for a free one",
-        text_value("127.0.0.1:0"));
+        text_value("127.0.0.1:0"))(
+        "tls-certificate",
+        "PEM file; the HTTP server then speaks TLS, and a further port that is "
+        "printed as control serves plain HTTP",
+        text_value(""))(
+        "tls-key", "PEM file of the certificate's key", text_value(""))(
+        "tls-ca",
+        "PEM file of who signs clients, which then have to show a certificate",
+        text_value(""));
     try
     {
         const cxxopts::ParseResult arguments = options.parse(argc, argv);
@@ -132,8 +182,9 @@
         }
         const auto endpoint =
             parse_endpoint(arguments[std::string(label)].as<std::string>());
+        const auto contexts = load_contexts(arguments);
         const std::unique_ptr<service> handler = factory(arguments);
-        serve_until_signal(*handler, endpoint, label);
+        serve_until_signal(*handler, endpoint, label, contexts.get());
         return 0;
     }
     catch (const std::exception& error)
--- a/standins/common/server.hpp
+++ b/standins/common/server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/tls/context_source.hpp"
 #include "standins/common/service.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -10,7 +11,8 @@
 namespace roseworks::standins
 {
 
-/// An HTTP/1.1 server with keep-alive on one event loop and one thread.
+/// An HTTP/1.1 server with keep-alive on one event loop and one thread. Over
+/// TLS, each new connection has the certificates that its files hold by then.
 class server
 {
 public:
@@ -19,10 +21,12 @@
     /// @param context  the event loop.
     /// @param endpoint where to listen; port 0 picks a free one.
     /// @param target   answers the requests.
+    /// @param secure   makes TLS contexts; null: plain HTTP.
     server(
         asio::io_context& context,
         const asio::ip::tcp::endpoint& endpoint,
-        service& target);
+        service& target,
+        tls::context_source* secure = nullptr);
 
     [[nodiscard]] std::uint16_t port() const;
 
@@ -31,6 +35,7 @@
 
     asio::ip::tcp::acceptor acceptor;
     service& handler;
+    tls::context_source* contexts;
 };
 
 } // namespace roseworks::standins
--- a/standins/proxy/proxy_service.cpp
+++ b/standins/proxy/proxy_service.cpp
@@ -150,6 +150,7 @@
     const std::uint64_t after_bytes = number_field(command, "after_bytes");
     const truncate_end how = parse_end(string_field(command, "end", "close"));
 
+    this->watched = string_field(command, "watch", this->watched);
     this->mode = wanted;
     this->delay = std::chrono::milliseconds(delay_ms);
     this->truncate_after = after_bytes;
@@ -179,6 +180,7 @@
     result["bytes_to_target"] = this->bytes_to_target;
     result["bytes_to_client"] = this->bytes_to_client;
     result["bytes_discarded"] = this->bytes_discarded;
+    result["watched_seen"] = this->watched_seen;
     return result;
 }
 
@@ -302,6 +304,7 @@
             break;
         }
         const asio::const_buffer piece(bytes.data(), size);
+        this->watch(piece);
         const bool open = co_await this->forward(*link, way, piece);
         if (!open)
         {
@@ -316,6 +319,15 @@
     sink.shutdown(asio::socket_base::shutdown_send, ignored);
 }
 
+void proxy_service::watch(asio::const_buffer piece)
+{
+    const std::string_view text(
+        static_cast<const char*>(piece.data()), piece.size());
+    const bool seen = !this->watched.empty() &&
+                      text.find(this->watched) != std::string_view::npos;
+    this->watched_seen += seen ? 1 : 0;
+}
+
 asio::awaitable<bool> proxy_service::forward(
     connection& link, direction way, asio::const_buffer piece)
 {
--- a/standins/proxy/proxy_service.hpp
+++ b/standins/proxy/proxy_service.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <memory>
 #include <set>
+#include <string>
 
 namespace roseworks::standins
 {
@@ -70,6 +71,9 @@
     asio::awaitable<void> discard(std::shared_ptr<connection> link);
     asio::awaitable<void> pump(std::shared_ptr<connection> link, direction way);
 
+    /// Looks for the watched text in a piece, in the clear.
+    void watch(asio::const_buffer piece);
+
     /// Hands one piece on, as far as the mode lets it.
     ///
     /// @return False when this direction has ended.
@@ -96,6 +100,8 @@
     std::uint64_t bytes_to_target = 0;
     std::uint64_t bytes_to_client = 0;
     std::uint64_t bytes_discarded = 0;
+    std::string watched; ///< looked for in what passes; empty: nothing
+    std::uint64_t watched_seen = 0; ///< pieces that held it
 };
 
 } // namespace roseworks::standins
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -65,7 +65,9 @@
 
 const std::string& fleet::server::reached_at() const
 {
-    return this->proxy ? this->proxy_address : this->address;
+    if (this->proxy)
+        return this->proxy_address;
+    return this->secured.empty() ? this->address : this->secured;
 }
 
 fleet::fleet(fleet_setup setup)
@@ -88,9 +90,13 @@
     std::string_view program, std::vector<std::string> args, bool proxied)
 {
     args.insert(args.end(), {"--listen", "127.0.0.1:0"});
+    args.insert(
+        args.end(),
+        this->setup.standin_tls.begin(),
+        this->setup.standin_tls.end());
     server result;
     result.process = std::make_unique<child_process>(program, std::move(args));
-    result.address = result.process->wait_for("listening");
+    this->read_addresses(result);
     if (!proxied)
         return result;
     result.proxy = std::make_unique<child_process>(
@@ -101,12 +107,21 @@
             "--control",
             "127.0.0.1:0",
             "--target",
-            result.address});
+            result.reached_at()});
     result.proxy_address = result.proxy->wait_for("listening");
     result.proxy_control = result.proxy->wait_for("control");
     return result;
 }
 
+void fleet::read_addresses(server& of) const
+{
+    of.address = of.process->wait_for("listening");
+    if (this->setup.standin_tls.empty())
+        return;
+    of.secured = of.address;
+    of.address = of.process->wait_for("control");
+}
+
 void fleet::start_standins()
 {
     this->log_server = this->start_server(
@@ -183,7 +198,7 @@
         << "[log]\naddress = " << this->log_server.reached_at()
         << "\npoll_wait_ms = 200\n"
         << "checkpoint_records = " << this->setup.checkpoint_records << "\n"
-        << "[vm_list]\naddress = " << this->vm_list.address
+        << "[vm_list]\naddress = " << this->vm_list.reached_at()
         << "\npoll_ms = 200\n"
         << "[engines]\npoll_ms = 100\n"
         << this->setup.router_settings;
@@ -228,11 +243,17 @@
 {
     server& target = this->engines.at(index);
     auto args = this->engine_arguments(this->setup.engines.at(index));
-    args.insert(args.end(), {"--listen", target.address});
+    const bool secure = !target.secured.empty();
+    args.insert(
+        args.end(), {"--listen", secure ? target.secured : target.address});
+    args.insert(
+        args.end(),
+        this->setup.standin_tls.begin(),
+        this->setup.standin_tls.end());
     target.process.reset();
     target.process =
         std::make_unique<child_process>("standin-engine", std::move(args));
-    target.process->wait_for("listening");
+    this->read_addresses(target);
 }
 
 std::string fleet::backend_records() const
--- a/tests/support/fleet.hpp
+++ b/tests/support/fleet.hpp
@@ -34,6 +34,8 @@
     std::uint32_t store_mib_per_second = 100'000;
     /// Put a fault-injecting proxy before the log, engines and services.
     bool proxies = false;
+    /// Options that make the log, VM list, engines and services speak TLS.
+    std::vector<std::string> standin_tls;
     /// Lines appended to each router's settings, section headers included.
     std::string router_settings;
     std::vector<std::string> log_arguments;
@@ -110,6 +112,7 @@
     {
         std::unique_ptr<child_process> process;
         std::string address;
+        std::string secured; ///< TLS port; `address` is the control one then
         std::unique_ptr<child_process> proxy;
         std::string proxy_address;
         std::string proxy_control;
@@ -127,6 +130,7 @@
 
     server start_server(
         std::string_view program, std::vector<std::string> args, bool proxied);
+    void read_addresses(server& of) const;
     void start_standins();
     std::vector<std::string> engine_arguments(const engine_setup& engine) const;
     void list_vms();
--- a/tests/support/http_call.cpp
+++ b/tests/support/http_call.cpp
@@ -1,14 +1,19 @@
 #include "tests/support/http_call.hpp"
 
+#include "adapters/tls/context_source.hpp"
+#include "adapters/tls/secure_stream.hpp"
+
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/json/parse.hpp>
 
 #include <algorithm>
 #include <cctype>
+#include <exception>
+#include <memory>
 
 namespace roseworks::test
 {
@@ -27,8 +32,9 @@
 {
 public:
     exchange(std::string_view address, const http_call& call)
-        : stream(this->context)
+        : stream(this->context.get_executor())
         , limit(call.limit)
+        , ca_file(call.ca_file)
     {
         const auto colon = address.rfind(':');
         this->host = std::string(address.substr(0, colon));
@@ -64,6 +70,26 @@
     {
         if (failed)
             return this->failed(failed);
+        if (this->ca_file.empty())
+            return this->write();
+        this->trusted = tls::context_source::load(
+                            tls::side::client, {"", "", this->ca_file})
+                            .value();
+        asio::co_spawn(
+            this->context,
+            this->stream.connect_tls(
+                this->trusted->current(), asio::ip::make_address(this->host)),
+            [this](std::exception_ptr, const tls::handshake_end& end)
+            {
+                if (end.secured)
+                    this->write();
+                else
+                    this->reply.error = end.reason;
+            });
+    }
+
+    void write()
+    {
         http::async_write(
             this->stream,
             this->request,
@@ -116,8 +142,10 @@
     }
 
     asio::io_context context;
-    beast::tcp_stream stream;
+    tls::secure_stream stream;
     std::chrono::seconds limit;
+    std::string ca_file;
+    std::unique_ptr<tls::context_source> trusted;
     std::string host;
     std::uint16_t port = 0;
     beast::flat_buffer buffer;
--- a/tests/support/http_call.hpp
+++ b/tests/support/http_call.hpp
@@ -19,6 +19,7 @@
     std::map<std::string, std::string> headers;
     std::string body;
     std::chrono::seconds limit{60};
+    std::string ca_file; ///< PEM, who signs the server; empty: plain HTTP
 };
 
 /// What came back. `status` is 0 when no whole answer came.
--- a/tests/support/test_certificate.hpp
+++ b/tests/support/test_certificate.hpp
@@ -6,20 +6,34 @@
 namespace roseworks::test
 {
 
+/// What a certificate says beside its name.
+struct certificate_terms
+{
+    std::string ip = "127.0.0.1"; ///< subject alternative name
+    bool expired = false;
+};
+
 /** A self-signed certificate and its key as PEM files, made by OpenSSL; for
-    tests. The files are removed with the object.
+    tests. The certificate's file is a file of trusted ones, too. The files are
+    removed with the object.
 */
 class test_certificate
 {
 public:
     /// @param name Common name; part of the files' names.
-    explicit test_certificate(const std::string& name);
+    /// @param terms What it says.
+    explicit test_certificate(
+        const std::string& name, const certificate_terms& terms = {});
     ~test_certificate();
     test_certificate(const test_certificate&) = delete;
     test_certificate& operator=(const test_certificate&) = delete;
 
     /// Writes another certificate, with its key, to the same files.
-    void replace(const std::string& name) const;
+    void
+    replace(const std::string& name, const certificate_terms& terms = {}) const;
+
+    /// @return The certificate's text.
+    std::string text() const;
 
     const std::string& certificate() const
     {
--- a/tests/unit/edge/test_tls.cpp
+++ b/tests/unit/edge/test_tls.cpp
@@ -55,7 +55,8 @@
     return boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<std::unique_ptr<context_source>>
         {
-            return context_source::load(tls::side::server, {files.certificate(), files.key(), ""});
+            return context_source::load(
+                tls::side::server, {files.certificate(), files.key(), ""});
         },
         []
         {
@@ -229,7 +230,8 @@
         return problem_of(
             [&]
             {
-                return context_source::load(tls::side::server, {certificate, key, ""});
+                return context_source::load(
+                    tls::side::server, {certificate, key, ""});
             });
     };
     cr_assert_str_empty(problem(one.certificate(), one.key()).c_str());
--- /dev/null
+++ b/tests/unit/tls/test_connector.cpp
@@ -0,0 +1,361 @@
+#include "adapters/platform/http_client.hpp"
+#include "adapters/tls/connector.hpp"
+#include "adapters/tls/context_source.hpp"
+#include "tests/support/test_certificate.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include <array>
+#include <fstream>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+using namespace roseworks;
+using roseworks::platform::exchange_end;
+using roseworks::platform::http_answer;
+using roseworks::platform::http_client;
+using roseworks::test::test_certificate;
+using tls::context_source;
+using role = tls::certificate_error::role;
+
+namespace
+{
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using source_ptr = std::unique_ptr<context_source>;
+
+const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+/// A source, or the problem's text.
+struct loaded
+{
+    loaded(tls::side end, const tls::certificate_files& files)
+    {
+        boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<void>
+            {
+                BOOST_LEAF_ASSIGN(
+                    this->source, context_source::load(end, files));
+                return {};
+            },
+            [&](const tls::certificate_error& error)
+            {
+                this->problem = error.file + ": " + error.what;
+            },
+            [] {});
+    }
+
+    source_ptr source;
+    std::string problem;
+};
+
+source_ptr server_of(const test_certificate& own, const std::string& ca = {})
+{
+    return loaded(tls::side::server, {own.certificate(), own.key(), ca}).source;
+}
+
+source_ptr client_of(const std::string& ca)
+{
+    return loaded(tls::side::client, {"", "", ca}).source;
+}
+
+source_ptr client_of(const std::string& ca, const test_certificate& own)
+{
+    return loaded(tls::side::client, {own.certificate(), own.key(), ca}).source;
+}
+
+/// A server that answers each piece it reads, and a client of it.
+class exchange_fixture
+{
+public:
+    exchange_fixture(const context_source& server, const context_source& client)
+        : contexts(server)
+        , acceptor(this->context, {asio::ip::address_v4::loopback(), 0})
+        , securing(
+              client,
+              [this](const tls::handshake_failure& what)
+              {
+                  this->failures.push_back(what);
+              })
+        , http(
+              this->context.get_executor(),
+              this->acceptor.local_endpoint(),
+              options(&this->securing),
+              this->meter)
+    {
+        asio::co_spawn(this->context, this->accept(), asio::detached);
+    }
+
+    http_answer call()
+    {
+        http_answer got;
+        asio::co_spawn(this->context, this->run_call(got), asio::detached);
+        this->context.restart();
+        this->context.run();
+        return got;
+    }
+
+    std::vector<tls::handshake_failure> failures;
+    int accepted = 0;
+    int pieces = 0; ///< that the server has read
+
+private:
+    static http_client::options options(const tls::connector* by)
+    {
+        http_client::options wanted;
+        wanted.secured_by = by;
+        return wanted;
+    }
+
+    asio::awaitable<void> run_call(http_answer& got)
+    {
+        platform::http_call what;
+        what.target = "/secret";
+        what.timeout = std::chrono::seconds(20);
+        got = co_await this->http.send(std::move(what));
+        this->context.stop();
+    }
+
+    asio::awaitable<void> accept()
+    {
+        while (true)
+        {
+            tcp::socket socket =
+                co_await this->acceptor.async_accept(asio::use_awaitable);
+            ++this->accepted;
+            asio::co_spawn(
+                this->context, this->serve(std::move(socket)), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> serve(tcp::socket socket)
+    {
+        tls::secure_stream stream(std::move(socket));
+        const bool secured =
+            co_await stream.accept_tls(this->contexts.current());
+        std::array<char, 4096> bytes;
+        while (secured)
+        {
+            const auto [error, size] = co_await stream.async_read_some(
+                asio::buffer(bytes), asio::as_tuple(asio::use_awaitable));
+            if (error)
+                co_return;
+            ++this->pieces;
+            co_await asio::async_write(
+                stream,
+                asio::buffer(answer),
+                asio::as_tuple(asio::use_awaitable));
+        }
+    }
+
+    const context_source& contexts;
+    asio::io_context context;
+    tcp::acceptor acceptor;
+    tls::connector securing;
+    platform::byte_meter meter;
+    http_client http;
+};
+
+/// One write of several records to a server that reads none of them.
+class stalled_write
+{
+public:
+    stalled_write(const context_source& server, const context_source& client)
+        : shown(server)
+        , trusting(client)
+        , acceptor(this->context, {asio::ip::address_v4::loopback(), 0})
+        , accepted(this->context.get_executor())
+        , stream(this->context.get_executor())
+    {
+        this->acceptor.set_option(
+            asio::socket_base::receive_buffer_size(small_buffer));
+    }
+
+    void run()
+    {
+        asio::co_spawn(this->context, this->serve(), asio::detached);
+        asio::co_spawn(this->context, this->write(), asio::detached);
+        this->context.run();
+    }
+
+    bool failed = false;
+    std::size_t reported = 1; ///< bytes, by the write itself
+    std::uint64_t left = 0;   ///< bytes, by the stream's count
+
+private:
+    static constexpr int small_buffer = 4096;
+
+    asio::awaitable<void> serve()
+    {
+        this->accepted.socket() =
+            co_await this->acceptor.async_accept(asio::use_awaitable);
+        co_await this->accepted.accept_tls(this->shown.current());
+    }
+
+    asio::awaitable<void> write()
+    {
+        const auto place = this->acceptor.local_endpoint();
+        co_await this->stream.async_connect(place, asio::use_awaitable);
+        this->stream.socket().set_option(
+            asio::socket_base::send_buffer_size(small_buffer));
+        co_await this->stream.connect_tls(
+            this->trusting.current(), place.address());
+        const std::uint64_t before = this->stream.secured_bytes();
+        this->stream.expires_after(std::chrono::milliseconds(300));
+        const std::string body(60'000, 'x');
+        const auto [error, size] = co_await this->stream.async_write_some(
+            asio::buffer(body), asio::as_tuple(asio::use_awaitable));
+        this->failed = bool(error);
+        this->reported = size;
+        this->left = this->stream.secured_bytes() - before;
+    }
+
+    const context_source& shown;
+    const context_source& trusting;
+    asio::io_context context;
+    tcp::acceptor acceptor;
+    tls::secure_stream accepted;
+    tls::secure_stream stream;
+};
+
+void expect_refused(
+    const test_certificate& server, const std::string& ca, std::string_view why)
+{
+    const auto shown = server_of(server);
+    const auto trusting = client_of(ca);
+    exchange_fixture fixture(*shown, *trusting);
+    cr_assert_eq(fixture.call().end, exchange_end::not_sent);
+    cr_assert_eq(fixture.call().end, exchange_end::not_sent);
+    cr_assert_eq(fixture.accepted, 2);
+    cr_assert_eq(fixture.pieces, 0);
+    cr_assert_eq(fixture.failures.size(), 1U, "told once");
+    const auto& told = fixture.failures.front();
+    cr_assert(told.of == role::trusted);
+    cr_assert(told.address.starts_with("127.0.0.1:"));
+    cr_assert_neq(
+        told.reason.find(why), std::string::npos, "%s", told.reason.c_str());
+}
+
+} // namespace
+
+Test(connector, reaches_a_server_by_its_ip_number_and_keeps_the_connection)
+{
+    const test_certificate server("connector-server");
+    const auto shown = server_of(server);
+    const auto trusting = client_of(server.certificate());
+    exchange_fixture fixture(*shown, *trusting);
+    for (int i = 0; i < 3; ++i)
+        cr_assert(fixture.call().is(200));
+    cr_assert_eq(fixture.accepted, 1);
+    cr_assert(fixture.failures.empty());
+}
+
+Test(connector, sends_nothing_to_a_server_that_another_authority_signed)
+{
+    const test_certificate server("connector-theirs");
+    const test_certificate other("connector-other");
+    expect_refused(server, other.certificate(), "self-signed");
+}
+
+Test(connector, sends_nothing_to_a_server_with_another_ip_number)
+{
+    const test_certificate server("connector-ip", {"127.0.0.9", false});
+    expect_refused(server, server.certificate(), "IP address mismatch");
+}
+
+Test(connector, sends_nothing_to_a_server_whose_certificate_has_expired)
+{
+    const test_certificate server("connector-old", {"127.0.0.1", true});
+    const test_certificate valid("connector-valid");
+    std::ofstream(valid.certificate(), std::ios::app) << server.text();
+    expect_refused(server, valid.certificate(), "expired");
+}
+
+Test(connector, a_server_that_asks_for_a_certificate_turns_strangers_away)
+{
+    const test_certificate server("connector-asks");
+    const test_certificate router("connector-router");
+    const test_certificate stranger("connector-stranger");
+    const auto shown = server_of(server, router.certificate());
+    const auto without = client_of(server.certificate());
+    const auto wrong = client_of(server.certificate(), stranger);
+    const auto right = client_of(server.certificate(), router);
+    for (const context_source* refused : {without.get(), wrong.get()})
+    {
+        exchange_fixture fixture(*shown, *refused);
+        cr_assert_neq(fixture.call().end, exchange_end::answered);
+        cr_assert_eq(fixture.pieces, 0);
+    }
+    exchange_fixture fixture(*shown, *right);
+    cr_assert(fixture.call().is(200));
+}
+
+Test(connector, new_connections_use_the_certificate_that_the_files_hold_now)
+{
+    const test_certificate server("connector-before");
+    const test_certificate next("connector-after");
+    const test_certificate trusted("connector-trusted");
+    std::ofstream(trusted.certificate()) << server.text();
+    const auto trusting = client_of(trusted.certificate());
+    const auto shown = server_of(server);
+    const auto shown_next = server_of(next);
+    exchange_fixture before(*shown, *trusting);
+    cr_assert(before.call().is(200));
+    std::ofstream(trusted.certificate()) << next.text();
+    cr_assert(trusting->reload().value());
+    cr_assert(before.call().is(200), "the open connection stays");
+    cr_assert_eq(before.accepted, 1);
+    exchange_fixture after(*shown_next, *trusting);
+    cr_assert(after.call().is(200));
+    exchange_fixture old(*shown, *trusting);
+    cr_assert_eq(old.call().end, exchange_end::not_sent);
+}
+
+Test(connector, names_the_file_that_cannot_be_used)
+{
+    const test_certificate own("connector-own");
+    const test_certificate other("connector-own-2");
+    const test_certificate old("connector-expired", {"127.0.0.1", true});
+    const auto problem = [](const tls::certificate_files& files)
+    {
+        return loaded(tls::side::client, files).problem;
+    };
+    const std::string& ca = other.certificate();
+    cr_assert_eq(problem({own.certificate(), own.key(), ca}), "");
+    cr_assert_eq(
+        problem({own.certificate(), other.key(), ca}),
+        other.key() + ": is the key of another certificate");
+    cr_assert_eq(
+        problem({own.certificate(), "/nowhere", ca}),
+        "/nowhere: cannot be opened");
+    cr_assert_eq(problem({"", "", "/nowhere"}), "/nowhere: cannot be opened");
+    cr_assert_eq(
+        problem({"", "", old.certificate()}),
+        old.certificate() + ": holds expired certificates only");
+    cr_assert_eq(
+        problem({old.certificate(), old.key(), ca}),
+        old.certificate() + ": has expired");
+    cr_assert(problem({"", "", own.key()}).starts_with(own.key() + ": "));
+}
+
+Test(connector, a_failed_write_tells_that_records_have_left)
+{
+    const test_certificate server("connector-stalls");
+    const auto shown = server_of(server);
+    const auto trusting = client_of(server.certificate());
+    stalled_write write(*shown, *trusting);
+    write.run();
+    cr_assert(write.failed);
+    cr_assert_eq(write.reported, 0U);
+    cr_assert_gt(write.left, 0U);
+}
--- a/tools/audit/main.cpp
+++ b/tools/audit/main.cpp
@@ -4,6 +4,7 @@
 #include "tools/audit/invariant_checker.hpp"
 #include "tools/common/program.hpp"
 #include "tools/common/state_tables.hpp"
+#include "tools/common/tls_options.hpp"
 #include "tools/common/trail.hpp"
 
 #include <boost/json/serialize.hpp>
@@ -21,6 +22,7 @@
 {
     endpoint log;
     std::chrono::milliseconds timeout{};
+    tls_contexts_ptr secured; ///< null: plain HTTP
     log_offset last = log_history::no_limit;
     bool verify = false;
     bool trail = true;
@@ -42,6 +44,9 @@
         "timeout-ms",
         "limit of each call to the log",
         cxxopts::value<std::uint32_t>()->default_value("10000"));
+    cxxopts::OptionAdder adder = options.add_options();
+    add_ca_option(adder, "log");
+    add_certificate_options(adder);
     return options;
 }
 
@@ -57,6 +62,7 @@
         options.log, parse_endpoint(arguments["log"].as<std::string>()));
     options.timeout =
         std::chrono::milliseconds(arguments["timeout-ms"].as<std::uint32_t>());
+    BOOST_LEAF_ASSIGN(options.secured, load_tls(arguments, "log"));
     if (arguments.count("at") != 0)
     {
         options.last = log_offset(arguments["at"].as<std::uint64_t>());
@@ -124,7 +130,7 @@
 boost::leaf::result<exit_code> run(const cxxopts::ParseResult& arguments)
 {
     BOOST_LEAF_AUTO(options, read_options(arguments));
-    log_client client(options.log, options.timeout);
+    log_client client(options.log, options.timeout, options.secured.get());
     log_history history(client, options.last);
     trail_writer trail;
     invariant_checker checker;
--- a/tools/common/http_call.cpp
+++ b/tools/common/http_call.cpp
@@ -2,9 +2,9 @@
 
 #include "tools/common/exit_code.hpp"
 
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -13,6 +13,7 @@
 
 #include <charconv>
 #include <cstdint>
+#include <exception>
 #include <sstream>
 
 namespace roseworks::tools
@@ -43,7 +44,7 @@
 public:
     exchange(const endpoint& to, std::chrono::milliseconds timeout)
         : server(to)
-        , stream(this->context)
+        , stream(this->context.get_executor())
     {
         this->stream.expires_after(timeout);
     }
@@ -54,6 +55,21 @@
         return this->run();
     }
 
+    /// @return Why it isn't secured; empty when it is.
+    std::string secure(const tls::context_source& by)
+    {
+        tls::handshake_end end;
+        asio::co_spawn(
+            this->context,
+            this->stream.connect_tls(by.current(), this->server.address()),
+            [&end](std::exception_ptr, tls::handshake_end came)
+            {
+                end = std::move(came);
+            });
+        this->run();
+        return end.secured ? std::string() : "TLS: " + end.reason;
+    }
+
     beast::error_code send(const http::request<http::string_body>& request)
     {
         http::async_write(this->stream, request, this->step());
@@ -76,7 +92,7 @@
 
     asio::io_context context{1};
     endpoint server;
-    beast::tcp_stream stream;
+    tls::secure_stream stream;
     beast::flat_buffer buffer;
     beast::error_code outcome;
 };
@@ -112,13 +128,20 @@
 boost::leaf::result<http_reply> http_call(
     const endpoint& server,
     const http_request& request,
-    std::chrono::milliseconds timeout)
+    std::chrono::milliseconds timeout,
+    const tls::context_source* secured)
 {
     exchange running(server, timeout);
     if (const auto error = running.connect())
     {
         return boost::leaf::new_error(http_error{false, error.message()});
     }
+    const std::string refused =
+        secured == nullptr ? std::string() : running.secure(*secured);
+    if (!refused.empty())
+    {
+        return boost::leaf::new_error(http_error{false, refused});
+    }
     if (const auto error = running.send(to_beast(server, request)))
     {
         return boost::leaf::new_error(http_error{true, error.message()});
--- a/tools/common/http_call.hpp
+++ b/tools/common/http_call.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "adapters/tls/context_source.hpp"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/verb.hpp>
@@ -48,12 +50,14 @@
     @param server  The server.
     @param request The request.
     @param timeout For the whole exchange.
+    @param secured Makes TLS contexts; null: plain HTTP.
     @return        The answer, or an `http_error`.
 */
 boost::leaf::result<http_reply> http_call(
     const endpoint& server,
     const http_request& request,
-    std::chrono::milliseconds timeout);
+    std::chrono::milliseconds timeout,
+    const tls::context_source* secured = nullptr);
 
 /** Read `ip:port`.
 
--- a/tools/common/log_client.cpp
+++ b/tools/common/log_client.cpp
@@ -97,9 +97,13 @@
 
 } // namespace
 
-log_client::log_client(const endpoint& to, std::chrono::milliseconds limit)
+log_client::log_client(
+    const endpoint& to,
+    std::chrono::milliseconds limit,
+    const tls::context_source* by)
     : server(to)
     , timeout(limit)
+    , secured(by)
 {
 }
 
@@ -167,7 +171,7 @@
     return boost::leaf::try_handle_some(
         [&]
         {
-            return http_call(this->server, request, limit);
+            return http_call(this->server, request, limit, this->secured);
         },
         [](const http_error& error) -> boost::leaf::result<http_reply>
         {
--- a/tools/common/log_client.hpp
+++ b/tools/common/log_client.hpp
@@ -54,8 +54,12 @@
 {
 public:
     /** @param to    The log's address.
-        @param limit For each exchange, beyond the wait of a long poll. */
-    log_client(const endpoint& to, std::chrono::milliseconds limit);
+        @param limit For each exchange, beyond the wait of a long poll.
+        @param by    Makes TLS contexts; null: plain HTTP. */
+    log_client(
+        const endpoint& to,
+        std::chrono::milliseconds limit,
+        const tls::context_source* by = nullptr);
 
     /** Append one entry.
 
@@ -82,6 +86,7 @@
 
     endpoint server;
     std::chrono::milliseconds timeout;
+    const tls::context_source* secured;
 };
 
 } // namespace roseworks::tools
--- a/tools/ctl/change_commands.cpp
+++ b/tools/ctl/change_commands.cpp
@@ -21,11 +21,12 @@
 
 exit_code wait_until_in_force(
     command_context& context,
+    const tls::context_source* secured,
     std::span<const endpoint> routers,
     log_offset offset)
 {
-    const bool everywhere =
-        wait_for_routers(routers, offset, context.timeout(), context.out);
+    const bool everywhere = wait_for_routers(
+        routers, offset, context.timeout(), secured, context.out);
     return everywhere ? exit_code::ok : exit_code::not_in_force;
 }
 
@@ -89,6 +90,7 @@
 command_result run_apply(command_context& context)
 {
     BOOST_LEAF_AUTO(routers, parse_endpoints(context.text("wait-routers")));
+    BOOST_LEAF_AUTO(secured, context.router_tls());
     BOOST_LEAF_AUTO(wanted, read_wanted(context));
     BOOST_LEAF_AUTO(log, context.open_log());
     BOOST_LEAF_CHECK(log->history.load());
@@ -98,7 +100,7 @@
     if (made.changes.empty())
     {
         context.out << "nothing to change\n";
-        return wait_until_in_force(context, routers, made.at);
+        return wait_until_in_force(context, secured.get(), routers, made.at);
     }
     print_effects(context.out, made);
     if (!context.text("planned-at").empty())
@@ -115,7 +117,8 @@
     {
         return code_of(published);
     }
-    return wait_until_in_force(context, routers, published.offset);
+    return wait_until_in_force(
+        context, secured.get(), routers, published.offset);
 }
 
 command_result run_drain(command_context& context)
--- a/tools/ctl/command.hpp
+++ b/tools/ctl/command.hpp
@@ -2,6 +2,7 @@
 
 #include "tools/common/exit_code.hpp"
 #include "tools/common/log_history.hpp"
+#include "tools/common/tls_options.hpp"
 
 #include <roseworks/operator_key.hpp>
 
@@ -21,8 +22,12 @@
 /// The log and what was read of it, for one run of a command.
 struct log_session
 {
-    log_session(const endpoint& server, std::chrono::milliseconds timeout);
+    log_session(
+        const endpoint& server,
+        std::chrono::milliseconds timeout,
+        tls_contexts_ptr contexts);
 
+    tls_contexts_ptr secured; ///< null: plain HTTP
     log_client client;
     log_history history;
 };
@@ -51,6 +56,10 @@
     /// @return The operators' secret key, empty without `--key-file`.
     boost::leaf::result<std::optional<operator_signing_key>> key() const;
 
+    /// @return Contexts for connections to routers, null for plain HTTP; or an
+    ///         `input_error`.
+    boost::leaf::result<tls_contexts_ptr> router_tls() const;
+
     /// @return The log that `--log` names, nothing read of it yet.
     boost::leaf::result<std::unique_ptr<log_session>> open_log() const;
 
--- a/tools/ctl/command_context.cpp
+++ b/tools/ctl/command_context.cpp
@@ -4,13 +4,17 @@
 #include <charconv>
 #include <fstream>
 #include <iterator>
+#include <utility>
 
 namespace roseworks::tools
 {
 
 log_session::log_session(
-    const endpoint& server, std::chrono::milliseconds timeout)
-    : client(server, timeout)
+    const endpoint& server,
+    std::chrono::milliseconds timeout,
+    tls_contexts_ptr contexts)
+    : secured(std::move(contexts))
+    , client(server, timeout, this->secured.get())
     , history(this->client)
 {
 }
@@ -78,6 +82,11 @@
     return std::optional<operator_signing_key>(key);
 }
 
+boost::leaf::result<tls_contexts_ptr> command_context::router_tls() const
+{
+    return load_tls(this->arguments, "router");
+}
+
 boost::leaf::result<std::unique_ptr<log_session>>
 command_context::open_log() const
 {
@@ -87,7 +96,9 @@
         return boost::leaf::new_error(input_error{"--log ip:port is missing"});
     }
     BOOST_LEAF_AUTO(server, parse_endpoint(address));
-    return std::make_unique<log_session>(server, this->timeout());
+    BOOST_LEAF_AUTO(contexts, load_tls(this->arguments, "log"));
+    return std::make_unique<log_session>(
+        server, this->timeout(), std::move(contexts));
 }
 
 boost::leaf::result<std::string> read_file(const std::string& path)
--- a/tools/ctl/commands.cpp
+++ b/tools/ctl/commands.cpp
@@ -61,6 +61,7 @@
         "wait-routers",
         "routers' HTTP addresses ip:port,... to wait for",
         cxxopts::value<std::string>());
+    add_ca_option(options, "router");
 }
 
 void drain_options(cxxopts::OptionAdder& options)
@@ -224,6 +225,8 @@
             "timeout-ms",
             "limit of each call and of each wait",
             cxxopts::value<std::uint32_t>()->default_value("10000"));
+        add_ca_option(adder, "log");
+        add_certificate_options(adder);
     }
     which.add_options(adder);
     if (!which.argument.empty())
--- a/tools/ctl/router_wait.cpp
+++ b/tools/ctl/router_wait.cpp
@@ -37,14 +37,17 @@
     return error ? log_offset() : log_offset(offset);
 }
 
-log_offset folded_by(const endpoint& router, milliseconds limit)
+log_offset folded_by(
+    const endpoint& router,
+    milliseconds limit,
+    const tls::context_source* secured)
 {
     http_request request;
     request.target = "/state";
     return boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<log_offset>
         {
-            BOOST_LEAF_AUTO(reply, http_call(router, request, limit));
+            BOOST_LEAF_AUTO(reply, http_call(router, request, limit, secured));
             return offset_in(reply.body);
         },
         []
@@ -59,6 +62,7 @@
     std::span<const endpoint> routers,
     log_offset offset,
     milliseconds limit,
+    const tls::context_source* secured,
     std::ostream& out)
 {
     const auto start = steady_clock::now();
@@ -74,7 +78,8 @@
             waiting,
             [&](const endpoint& router)
             {
-                const bool there = folded_by(router, call_limit) >= offset;
+                const bool there =
+                    folded_by(router, call_limit, secured) >= offset;
                 if (there)
                 {
                     out << "in force at " << router << " after "
