--- a/bench/router/bench_tls.cpp
+++ b/bench/router/bench_tls.cpp
@@ -316,8 +316,10 @@
         print(*of);
     const target& plain = *targets.at(0);
     const target& plain_fresh = *targets.at(4);
-    for (std::size_t i = 1; i < targets.size(); ++i)
-        print_ratios(*targets[i], measured_legs[i].fresh ? plain_fresh : plain);
+    for (std::size_t i = 0; i < targets.size(); ++i)
+        if (measured_legs[i].callers || measured_legs[i].backends)
+            print_ratios(
+                *targets[i], measured_legs[i].fresh ? plain_fresh : plain);
     for (const leg_setup& legs : measured_legs)
         if (!legs.callers)
             measure_bytes(legs, files);
