--- a/tests/unit/settings/test_load_router_settings.cpp
+++ b/tests/unit/settings/test_load_router_settings.cpp
@@ -153,8 +153,8 @@
         "r.ini:12: [log] poll_wait_ms: not a whole number: \"1s\"; allowed: 10 "
         "to 60000 ms\n"
         "r.ini:13: [lease]: unknown section; allowed: router, peers, log, "
-        "vm_list, leases, traffic, engines, placement, tls, operators, "
-        "logging\n"
+        "vm_list, leases, traffic, engines, placement, tls, backend_tls, "
+        "platform_tls, operators, logging\n"
         "r.ini:15: [log]: duplicate, first on line 9\n"
         "r.ini: [router] data_centre: required key is missing; allowed: 1 to "
         "64 letters, digits, '.', '_' and '-'\n"
@@ -276,6 +276,23 @@
         "certificate_file and key_file are both set, or neither\n");
 }
 
+Test(settings, a_certificate_for_servers_needs_its_key_and_whom_to_trust)
+{
+    for (const std::string section : {"backend_tls", "platform_tls"})
+    {
+        expect_problem(
+            "[" + section + "]\nca_file = ca.pem\ncertificate_file = c.pem\n",
+            "r.ini:11: [" + section +
+                "] certificate_file: does not go with the other keys; allowed: "
+                "certificate_file and key_file are both set, or neither\n");
+        expect_problem(
+            "[" + section + "]\ncertificate_file = c.pem\nkey_file = k.pem\n",
+            "r.ini:10: [" + section +
+                "] certificate_file: does not go with the other keys; allowed: "
+                "a certificate_file needs a ca_file\n");
+    }
+}
+
 Test(settings, committed_reference_is_current)
 {
     std::ostringstream written;
