--- a/src/core/placement/activity.cpp
+++ b/src/core/placement/activity.cpp
@@ -102,9 +102,8 @@
 
 std::optional<instant> activity::last_use(servable_id servable) const
 {
-    const auto found = this->last_wanted.find(servable);
-    return found == this->last_wanted.end() ? std::nullopt
-                                            : std::optional(found->second);
+    const auto* known = this->servables.find(servable);
+    return known == nullptr ? std::nullopt : std::optional(known->last_use);
 }
 
 duration activity::idle(const replica_view& replica, instant now) const
--- a/tests/unit/settings/test_load_router_settings.cpp
+++ b/tests/unit/settings/test_load_router_settings.cpp
@@ -157,8 +157,7 @@
         "to 60000 ms\n"
         "r.ini:13: [lease]: unknown section; allowed: router, peers, log, "
         "vm_list, leases, traffic, engines, placement, grants, tls, "
-        "backend_tls, platform_tls, operators, logging
-"
+        "backend_tls, platform_tls, operators, logging\n"
         "r.ini:15: [log]: duplicate, first on line 9\n"
         "r.ini: [router] data_centre: required key is missing; allowed: 1 to "
         "64 letters, digits, '.', '_' and '-'\n"
