--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -28,6 +28,16 @@
            200;
 }
 
+/// Kill the engine of two on which something is loaded.
+/// @return Its VM's name.
+std::string kill_engine_with_replica(fleet& nodes)
+{
+    const auto on_first = get_json(nodes.engine_address(0), "/v1/engine/state");
+    const bool first = !on_first.at("residents").as_array().empty();
+    nodes.engine(first ? 0 : 1).kill();
+    return first ? "vm-e1" : "vm-e2";
+}
+
 std::size_t occurrences(std::string_view text, std::string_view wanted)
 {
     std::size_t count = 0;
@@ -55,11 +65,7 @@
     fleet nodes(setup);
     cr_assert_eq(nodes.apply(model).exit_code, 0);
     cr_assert(served(nodes, 0, "agri-lm"));
-    const auto on_first = get_json(nodes.engine_address(0), "/v1/engine/state");
-    const bool first = !on_first.at("residents").as_array().empty();
-    const std::size_t lost = first ? 0 : 1;
-    nodes.engine(lost).kill();
-    const std::string name = lost == 0 ? "vm-e1" : "vm-e2";
+    const std::string name = kill_engine_with_replica(nodes);
     cr_assert(
         control(nodes.vm_list_address(), R"({"remove":[")" + name + "\"]}"));
     cr_assert(eventually(
@@ -77,11 +83,7 @@
     fleet nodes(fleet_setup{});
     cr_assert_eq(nodes.apply(model).exit_code, 0);
     cr_assert(served(nodes, 0, "agri-lm"));
-    const auto on_first = get_json(nodes.engine_address(0), "/v1/engine/state");
-    const bool first = !on_first.at("residents").as_array().empty();
-    const std::size_t lost = first ? 0 : 1;
-    nodes.engine(lost).kill();
-    const std::string name = lost == 0 ? "vm-e1" : "vm-e2";
+    const std::string name = kill_engine_with_replica(nodes);
     std::vector<addressed_call> calls;
     for (std::size_t i = 0; i < 30; ++i)
     {
