--- a/tests/unit/control/fake_fleet.hpp
+++ b/tests/unit/control/fake_fleet.hpp
@@ -107,6 +107,11 @@
 private:
     using action = std::function<void()>;
 
+    /// Any message takes this long.
+    static constexpr duration hop = std::chrono::milliseconds(1);
+    static constexpr duration housekeeping_interval =
+        std::chrono::milliseconds(500);
+
     void at_time(duration delay, action what);
     void to_router(std::size_t index, duration delay, action what);
     void pump(std::size_t index);
--- a/tests/unit/dispatch/harness.hpp
+++ b/tests/unit/dispatch/harness.hpp
@@ -10,6 +10,8 @@
 #include <utility>
 #include <vector>
 
+#include <criterion/criterion.h>
+
 namespace roseworks::testing
 {
 
@@ -181,6 +183,16 @@
         this->publish();
     }
 
+    /// Occupies the only slot of a model of one stream.
+    ticket occupy()
+    {
+        this->model("m", 1, 1);
+        this->allow_urgent();
+        const ticket running = this->submit();
+        cr_assert(this->granted(running));
+        return running;
+    }
+
     dispatcher core;
     detail::sharded_table table;
     instant now{1h};
--- a/tests/unit/dispatch/test_admission.cpp
+++ b/tests/unit/dispatch/test_admission.cpp
@@ -5,34 +5,10 @@
 using namespace roseworks;
 using namespace roseworks::testing;
 
-namespace
-{
-
-/// Occupies the only slot of a model of one stream.
-ticket occupy(harness& test)
-{
-    test.model("m", 1, 1);
-    test.allow_urgent();
-    const ticket running = test.submit();
-    cr_assert(test.granted(running));
-    return running;
-}
-
-/// Teaches a service time by a few requests, one after the other.
-void teach(harness& test, duration total)
-{
-    for (int i = 0; i < 5; ++i)
-    {
-        test.finish(test.submit(), attempt_result::end::answered, total);
-    }
-}
-
-} // namespace
-
 Test(admission, urgent_goes_before_normal_and_batch)
 {
     harness test;
-    const ticket running = occupy(test);
+    const ticket running = test.occupy();
     const ticket batch = test.submit(priority::batch);
     const ticket normal = test.submit(priority::normal);
     const ticket urgent = test.submit(priority::urgent);
@@ -45,7 +21,7 @@
 Test(admission, class_is_capped_by_the_callers)
 {
     harness test;
-    const ticket running = occupy(test);
+    const ticket running = test.occupy();
     request_info stranger = test.info(priority::urgent);
     stranger.caller = "stranger"; // no record: normal at most
     stranger.deadline -= 10min;
@@ -59,7 +35,7 @@
 Test(admission, earliest_deadline_goes_first_inside_a_class)
 {
     harness test;
-    const ticket running = occupy(test);
+    const ticket running = test.occupy();
     const ticket late = test.submit();
     request_info sooner = test.info();
     sooner.deadline -= 30min;
@@ -72,7 +48,7 @@
 Test(admission, one_callers_backlog_does_not_hold_up_another)
 {
     harness test;
-    const ticket running = occupy(test);
+    const ticket running = test.occupy();
     for (int i = 0; i < 50; ++i)
     {
         request_info flood = test.info();
@@ -120,7 +96,7 @@
 Test(admission, coming_back_for_more_does_not_starve_a_backlog)
 {
     harness test;
-    const ticket running = occupy(test);
+    const ticket running = test.occupy();
     const ticket patient = test.submit();
     request_info eager = test.info();
     eager.caller = "eager";
@@ -137,7 +113,7 @@
 Test(admission, batch_work_does_not_starve)
 {
     harness test;
-    occupy(test);
+    test.occupy();
     const ticket batch = test.submit(priority::batch);
     test.submit(priority::urgent);
     int urgent_done = 0;
@@ -156,7 +132,7 @@
 Test(admission, aged_batch_work_takes_only_its_share_from_urgent)
 {
     harness test;
-    occupy(test);
+    test.occupy();
     std::vector<ticket> batch;
     batch.reserve(100);
     for (int i = 0; i < 100; ++i)
@@ -182,204 +158,6 @@
     cr_assert(served >= 8 && served <= 10, "%ld", served);
 }
 
-Test(admission, full_queue_refuses_and_urgent_displaces_batch)
-{
-    dispatcher::options settings;
-    settings.max_queued_per_target = 2;
-    harness test(settings);
-    occupy(test);
-    const ticket normal = test.submit();
-    const ticket batch = test.submit(priority::batch);
-    const ticket more_batch = test.submit(priority::batch);
-    cr_assert(test.refused(more_batch) == refusal_reason::queue_full);
-    const ticket urgent = test.submit(priority::urgent);
-    cr_assert(test.refused(urgent) == refusal_reason::none);
-    cr_assert(test.refused(batch) == refusal_reason::displaced);
-    cr_assert(test.refusals[batch][0].outcome == verdict::not_run);
-    cr_assert(test.refusals[batch][0].retry_after > 0s);
-    cr_assert(test.refused(normal) == refusal_reason::none);
-    cr_assert_eq(test.core.queued(), 2);
-}
-
-Test(admission, the_routers_own_limit_displaces_across_targets)
-{
-    dispatcher::options settings;
-    settings.max_queued = 1;
-    harness test(settings);
-    occupy(test);
-    test.model("other", 2, 1, 1, 5);
-    const ticket batch = test.submit(priority::batch);
-    request_info other = test.info();
-    other.target = "other";
-    test.submit(other);
-    const ticket urgent = test.submit(other);
-    cr_assert(test.refused(batch) == refusal_reason::displaced);
-    cr_assert(test.refused(urgent) == refusal_reason::none);
-}
-
-Test(admission, held_bytes_are_bounded)
-{
-    dispatcher::options settings;
-    settings.max_held_bytes = 100;
-    harness test(settings);
-    const ticket running = occupy(test);
-    request_info batch = test.info(priority::batch);
-    batch.held_bytes = 80;
-    const ticket waits = test.submit(batch);
-    cr_assert(test.refused(test.submit(batch)) == refusal_reason::queue_full);
-    request_info urgent = test.info(priority::urgent);
-    urgent.held_bytes = 90;
-    const ticket admitted = test.submit(urgent);
-    cr_assert(test.refused(waits) == refusal_reason::displaced);
-    cr_assert(test.refused(admitted) == refusal_reason::none);
-    test.finish(running);
-    test.finish(admitted);
-    cr_assert(test.granted(test.submit(urgent)), "bytes are given back");
-}
-
-Test(admission, requests_per_second_are_limited)
-{
-    harness test;
-    test.model("m", 1, 1, 8);
-    caller_spec spec;
-    spec.requests_per_second = 2;
-    test.table.put_caller("anonymous", spec);
-    test.publish();
-    test.submit();
-    test.submit();
-    const ticket third = test.submit();
-    cr_assert(test.refused(third) == refusal_reason::caller_limit);
-    cr_assert_eq(test.refusals[third][0].retry_after.count(), 500'000);
-    test.now += test.refusals[third][0].retry_after;
-    cr_assert(test.granted(test.submit()));
-}
-
-Test(admission, requests_in_flight_are_limited)
-{
-    harness test;
-    test.model("m", 1, 1, 8);
-    caller_spec spec;
-    spec.max_in_flight = 1;
-    test.table.put_caller("anonymous", spec);
-    test.publish();
-    const ticket first = test.submit();
-    cr_assert(test.refused(test.submit()) == refusal_reason::caller_limit);
-    test.finish(first);
-    const ticket second = test.submit();
-    cr_assert(test.granted(second));
-    test.core.abandon(second, test.now);
-    cr_assert(test.granted(test.submit()));
-}
-
-Test(admission, nothing_known_nothing_refused)
-{
-    harness test;
-    occupy(test);
-    request_info hasty = test.info();
-    hasty.deadline = test.now + 10ms;
-    for (int i = 0; i < 20; ++i)
-    {
-        cr_assert(test.refused(test.submit(hasty)) == refusal_reason::none);
-    }
-}
-
-Test(admission, refused_at_once_when_the_queue_is_too_long)
-{
-    harness test;
-    test.model("m", 1, 1);
-    teach(test, 1s);
-    test.submit();
-    request_info request = test.info();
-    request.deadline = test.now + 10s;
-    for (int i = 0; i < 10; ++i)
-    {
-        cr_assert(test.refused(test.submit(request)) == refusal_reason::none);
-    }
-    const ticket late = test.submit(request); // ten seconds of work before it
-    cr_assert(test.refused(late) == refusal_reason::deadline);
-    cr_assert(test.refusals[late][0].retry_after >= 10s);
-    request.caller = "another"; // its fair share puts it further forward
-    cr_assert(test.refused(test.submit(request)) == refusal_reason::none);
-}
-
-Test(admission, waiting_ones_are_refused_as_soon_as_it_is_hopeless)
-{
-    harness test;
-    const ticket running = occupy(test);
-    request_info request = test.info();
-    request.deadline = test.now + 30s;
-    std::vector<ticket> waiting;
-    waiting.reserve(20);
-    for (int i = 0; i < 20; ++i)
-    {
-        waiting.push_back(test.submit(request));
-    }
-    cr_assert(test.refusals.empty());
-    test.finish(running, attempt_result::end::answered, 4s);
-    for (int i = 0; i < 4; ++i)
-    {
-        test.finish(test.order.back(), attempt_result::end::answered, 4s);
-    }
-    test.tick();
-    cr_assert_eq(test.refusals.size(), 7, "%zu", test.refusals.size());
-    for (const auto& [id, all] : test.refusals)
-    {
-        cr_assert(all[0].reason == refusal_reason::deadline);
-        cr_assert(all[0].outcome == verdict::not_run);
-        cr_assert(all[0].retry_after >= 28s);
-    }
-}
-
-Test(admission, an_expired_one_is_refused_on_the_tick_it_is_due)
-{
-    harness test;
-    occupy(test);
-    request_info request = test.info();
-    request.deadline = test.now + 30ms;
-    const ticket waits = test.submit(request);
-    cr_assert(test.core.next_tick() == request.deadline);
-    test.tick(30ms);
-    cr_assert(test.refused(waits) == refusal_reason::deadline);
-    cr_assert(test.core.next_tick() == std::nullopt);
-}
-
-Test(admission, cold_load_counts_against_the_deadline)
-{
-    harness test;
-    test.model("m", 1, 0);
-    request_info hasty = test.info();
-    hasty.deadline = test.now + 5s; // the load takes ten
-    const ticket early = test.submit(hasty);
-    cr_assert(test.refused(early) == refusal_reason::deadline);
-    cr_assert(test.refusals[early][0].retry_after >= 10s);
-    cr_assert_eq(test.demands.size(), 1, "it is loaded all the same");
-    test.now += 6s;
-    hasty.deadline = test.now + 5s;
-    cr_assert(
-        test.refused(test.submit(hasty)) == refusal_reason::none,
-        "four seconds of the load remain");
-}
-
-Test(admission, observed_cold_waits_replace_the_declared)
-{
-    harness test;
-    test.model("m", 1, 0);
-    const ticket first = test.submit();
-    for (int i = 0; i < 20; ++i)
-    {
-        test.tick(1s);
-    }
-    test.model("m", 1, 1);
-    cr_assert(test.granted(first));
-    test.finish(first);
-    test.model("m", 1, 0);
-    request_info request = test.info();
-    request.deadline = test.now + 15s; // enough as declared, not as seen
-    cr_assert(test.refused(test.submit(request)) == refusal_reason::deadline);
-    request.deadline = test.now + 25s;
-    cr_assert(test.refused(test.submit(request)) == refusal_reason::none);
-}
-
 Test(admission, long_prompts_take_half_the_slots_while_short_ones_wait)
 {
     harness test;
@@ -445,124 +223,3 @@
     test.submit(priority::batch);
     cr_assert_eq(test.order.size(), 2, "%zu", test.order.size());
 }
-
-Test(admission, bad_states_are_refused_with_their_reason)
-{
-    harness test;
-    const ticket too_early = test.submit();
-    cr_assert(test.refused(too_early) == refusal_reason::log_unavailable);
-    test.model("m", 1, 0);
-    test.model("none", 2, 0, 1, 1, 0);
-    request_info request = test.info();
-    request.target = "nothing";
-    cr_assert(
-        test.refused(test.submit(request)) == refusal_reason::unknown_servable);
-    request.is_service = true;
-    cr_assert(
-        test.refused(test.submit(request)) == refusal_reason::unknown_service);
-    request.is_service = false;
-    request.target = "none";
-    cr_assert(
-        test.refused(test.submit(request)) == refusal_reason::no_capacity);
-
-    const ticket waits = test.submit();
-    test.table.set_log_available(false);
-    test.publish();
-    cr_assert(test.refused(waits) == refusal_reason::log_unavailable);
-    const ticket late = test.submit();
-    cr_assert(test.refused(late) == refusal_reason::log_unavailable);
-    cr_assert(test.refusals[late][0].retry_after >= 1s);
-    test.model("m", 1, 1);
-    cr_assert(test.granted(test.submit()), "ready replicas serve on");
-}
-
-Test(admission, granted_model_is_waited_for_while_the_log_is_away)
-{
-    harness test;
-    test.model("m", 1, 0, 8, 1, 4, true);
-    test.model("uncovered", 2, 0);
-    test.table.set_log_available(false);
-    test.publish();
-    const ticket waits = test.submit();
-    cr_assert(test.refused(waits) == refusal_reason::none);
-    cr_assert_eq(test.demands.size(), 1, "its holder has to hear of it");
-    request_info other = test.info();
-    other.target = "uncovered";
-    cr_assert(
-        test.refused(test.submit(other)) == refusal_reason::log_unavailable);
-    test.model("m", 1, 0);
-    cr_assert(
-        test.refused(waits) == refusal_reason::log_unavailable,
-        "the grant's term is over");
-}
-
-Test(admission, demand_is_sent_at_once_then_at_its_interval)
-{
-    harness test;
-    test.model("m", 1, 0);
-    test.submit(priority::batch);
-    cr_assert_eq(test.demands.size(), 1);
-    cr_assert(test.demands[0].urgency == priority::batch);
-    test.submit();
-    test.tick(10ms);
-    cr_assert_eq(test.demands.size(), 1);
-    test.tick(40ms);
-    cr_assert_eq(test.demands.size(), 2);
-    cr_assert(test.demands[1].urgency == priority::normal);
-    cr_assert_eq(test.demands[1].waiting, 2);
-    test.model("m", 1, 1, 8);
-    test.tick(1s);
-    cr_assert_eq(test.demands.size(), 2, "covered now");
-}
-
-Test(admission, demand_for_another_replica_when_the_queue_is_long)
-{
-    harness test;
-    test.model("m", 1, 1, 1, 1, 2);
-    test.submit();
-    test.submit();
-    cr_assert(test.demands.empty());
-    test.submit();
-    cr_assert_eq(test.demands.size(), 1);
-    test.model("m", 1, 2, 1, 1, 2);
-    test.now += 1s;
-    for (int i = 0; i < 5; ++i)
-    {
-        test.submit();
-    }
-    cr_assert_eq(test.demands.size(), 1, "at its maximum");
-}
-
-Test(admission, drain_refuses_what_waits_and_lets_the_rest_end)
-{
-    harness test;
-    const ticket running = occupy(test);
-    const ticket waits = test.submit();
-    test.core.drain(test.now);
-    test.collect();
-    cr_assert(test.refused(waits) == refusal_reason::draining);
-    cr_assert(test.refusals[waits][0].outcome == verdict::not_run);
-    cr_assert(test.refused(test.submit()) == refusal_reason::draining);
-    cr_assert_eq(test.core.in_flight(), 1);
-    cr_assert(test.finish(running).final_answer);
-    cr_assert_eq(test.core.in_flight(), 0);
-}
-
-Test(admission, an_answer_that_cannot_end_in_time_is_not_begun)
-{
-    harness test;
-    test.model("m", 1, 1, 4);
-    for (int i = 0; i < 4; ++i)
-    {
-        attempt_result result;
-        result.first_byte = 10ms;
-        result.total = 170ms;
-        result.tokens = 16;
-        test.core.finished(test.submit(), result, test.now);
-    }
-    request_info info = test.info();
-    info.deadline = test.now + 100ms;
-    cr_assert_eq(test.refused(test.submit(info)), refusal_reason::deadline);
-    info.max_tokens = 8;
-    cr_assert(test.granted(test.submit(info)), "a shorter one can");
-}
