--- a/tests/unit/edge/test_resumed_streams.cpp
+++ b/tests/unit/edge/test_resumed_streams.cpp
@@ -1,7 +1,5 @@
 #include "edge_fixture.hpp"
 
-#include <utility>
-
 #include <criterion/criterion.h>
 
 using namespace roseworks;
@@ -61,9 +59,9 @@
 std::string body_of(
     fake_backend& backend,
     std::string_view headers = {},
-    edge_options options = {})
+    const edge_options& options = {})
 {
-    edge_fixture fixture(std::move(options));
+    edge_fixture fixture(options);
     fixture.dispatch.address = backend.address();
     fixture.claims.given.result = claim_result::status::granted;
     fixture.start();
