Wait for readings instead of seconds in two tests of the VM list

Cause: two new tests slept 1, 2 and 4 s, so that their verdict hung on the clock. Change: one waits until every router has found the engine unreachable (RW1501), the other until every router has read the list once before and ten times after the change, which a VM about to leave shows in its log. Assertions are as before.

--- a/tests/integration/platform_test.cpp
+++ b/tests/integration/platform_test.cpp
@@ -49,6 +49,33 @@
     return count;
 }
 
+bool all_logs_have(const fleet& nodes, std::string_view wanted)
+{
+    for (std::size_t i = 0; i < nodes.routers(); ++i)
+    {
+        if (nodes.router_log(i).find(wanted) == std::string::npos)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+/// Wait until every router has read the VM list once more, by a VM of this
+/// name that is about to leave.
+void read_list(const fleet& nodes, const std::string& name)
+{
+    const std::string vm = R"({"put":[{"vm":")" + name +
+                           R"(","address":"127.0.0.1:1","role":"backend",)"
+                           R"("state":"leaving","data_centre":"dc-a"}]})";
+    cr_assert(control(nodes.vm_list_address(), vm));
+    cr_assert(eventually(
+        [&]
+        {
+            return all_logs_have(nodes, "vm=" + name);
+        }));
+}
+
 void check_verified(const fleet& nodes)
 {
     const auto audit = nodes.verify();
@@ -93,8 +120,12 @@
     }
     std::future<std::vector<http_reply>> replies =
         std::async(std::launch::async, send_all, calls);
-    // The list lags behind the loss.
-    std::this_thread::sleep_for(std::chrono::seconds(1));
+    // The list lags behind the loss: the routers see it first.
+    cr_assert(eventually(
+        [&nodes]
+        {
+            return all_logs_have(nodes, "RW1501");
+        }));
     cr_assert(
         control(nodes.vm_list_address(), R"({"remove":[")" + name + "\"]}"));
     for (const http_reply& reply : replies.get())
@@ -110,10 +141,13 @@
 {
     fleet nodes(fleet_setup{});
     cr_assert_eq(nodes.apply(model).exit_code, 0);
-    std::this_thread::sleep_for(std::chrono::seconds(2));
+    read_list(nodes, "before");
     cr_assert(
         control(nodes.vm_list_address(), R"({"remove":["r1", "r2", "r3"]})"));
-    std::this_thread::sleep_for(std::chrono::seconds(4));
+    for (int reading = 0; reading < 10; ++reading)
+    {
+        read_list(nodes, "after-" + std::to_string(reading));
+    }
     const std::string trail = nodes.verify().output;
     const std::size_t gone = occurrences(trail, "router_gone accepted");
     cr_assert_leq(gone, nodes.routers(), "%s", trail.c_str());
