--- a/include/roseworks/dispatcher.hpp
+++ b/include/roseworks/dispatcher.hpp
@@ -28,6 +28,7 @@
     std::string caller = "anonymous";
     priority asked = priority::normal; ///< capped by the caller's class
     instant deadline;
+    instant objective = instant::max(); ///< an answer is worth most before it
     fingerprint content;
     std::uint64_t prefix = 0; ///< hash of the prompt's head; 0: none
     std::uint32_t prompt_bytes = 0;
@@ -62,6 +63,8 @@
     priority urgency = priority::normal;
     std::uint32_t waiting = 0;
     instant earliest_deadline;
+    instant earliest_objective = instant::max(); ///< that can still be met
+    std::string target; ///< its name
 };
 
 /// A connection broke under a request that had been sent: its backend server
--- /dev/null
+++ b/src/adapters/edge/backend_context.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "adapters/edge/edge_options.hpp"
+#include "adapters/edge/traffic_observer.hpp"
+#include "adapters/tls/connector.hpp"
+#include "ports/clock.hpp"
+#include "ports/event_sink.hpp"
+
+#include <roseworks/instant.hpp>
+
+namespace roseworks::edge
+{
+
+/// What calls to backend servers need of their surroundings. All of it has to
+/// outlive the event loops.
+struct backend_context
+{
+    backend_context(
+        edge_options settings,
+        clock_port& time,
+        event_sink& sink,
+        traffic_observer& counts,
+        const tls::connector* secured_by)
+        : options(settings)
+        , clock(time)
+        , events(sink)
+        , observer(counts)
+        , backend_tls(secured_by)
+    {
+    }
+
+    instant now() const
+    {
+        return this->clock.now();
+    }
+
+    const edge_options options;
+    clock_port& clock;
+    event_sink& events;
+    traffic_observer& observer;
+    const tls::connector* backend_tls; ///< null: plain HTTP
+};
+
+} // namespace roseworks::edge
--- a/src/adapters/edge/backend_leg.cpp
+++ b/src/adapters/edge/backend_leg.cpp
@@ -301,8 +301,8 @@
     // Plain services need not echo it.
     if (same || (this->call.is_service() && echoed.empty()))
         return true;
-    this->pool.context.ports.observer.late_answer_dropped();
-    this->pool.context.ports.events.report(
+    this->pool.context.observer.late_answer_dropped();
+    this->pool.context.events.report(
         event_id::late_answer_dropped,
         {{"engine", this->target.address},
          {"request_id", wanted},
--- a/src/adapters/edge/backend_pool.cpp
+++ b/src/adapters/edge/backend_pool.cpp
@@ -11,7 +11,7 @@
 namespace roseworks::edge
 {
 
-backend_pool::backend_pool(asio::any_io_executor loop, edge_context& shared)
+backend_pool::backend_pool(asio::any_io_executor loop, backend_context& shared)
     : context(shared)
     , executor(std::move(loop))
 {
@@ -42,7 +42,7 @@
         address,
         ++this->last_serial,
         this->context.now(),
-        this->context.ports.backend_tls);
+        this->context.backend_tls);
 }
 
 bool backend_pool::usable(backend_connection& connection, const peer& at)
@@ -57,8 +57,8 @@
     const tls::idle_state state = connection.stream.look();
     if (state == tls::idle_state::has_bytes)
     {
-        this->context.ports.observer.late_answer_dropped();
-        this->context.ports.events.report(
+        this->context.observer.late_answer_dropped();
+        this->context.events.report(
             event_id::late_answer_dropped, {{"engine", connection.address}});
     }
     return state == tls::idle_state::quiet;
@@ -94,8 +94,8 @@
         {
             return kept->serial <= at.dropped;
         });
-    this->context.ports.observer.connection_silent(connection.address);
-    this->context.ports.events.report(
+    this->context.observer.connection_silent(connection.address);
+    this->context.events.report(
         event_id::connection_silent, {{"address", connection.address}});
 }
 
--- a/src/adapters/edge/backend_pool.hpp
+++ b/src/adapters/edge/backend_pool.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "adapters/edge/backend_connection.hpp"
-#include "adapters/edge/edge_context.hpp"
+#include "adapters/edge/backend_context.hpp"
 #include "core/request/progress_estimator.hpp"
 
 #include <cstdint>
@@ -24,7 +24,7 @@
 class backend_pool
 {
 public:
-    backend_pool(asio::any_io_executor loop, edge_context& shared);
+    backend_pool(asio::any_io_executor loop, backend_context& shared);
 
     /// @param longest_idle since its last exchange.
     /// @return An idle connection that is young, not suspect, and has nothing
@@ -53,7 +53,7 @@
 
     std::size_t idle() const;
 
-    edge_context& context;
+    backend_context& context;
     progress_estimator progress; ///< what this thread learnt of first bytes
     const asio::any_io_executor executor;
 
--- a/src/adapters/edge/call_runner.hpp
+++ b/src/adapters/edge/call_runner.hpp
@@ -4,6 +4,7 @@
 #include "adapters/edge/backend_pool.hpp"
 #include "adapters/edge/call_inbox.hpp"
 #include "adapters/edge/caller_connection.hpp"
+#include "adapters/edge/edge_context.hpp"
 #include "adapters/edge/prepared_call.hpp"
 #include "adapters/edge/stream_answer.hpp"
 #include "adapters/edge/traffic_observer.hpp"
--- a/src/adapters/edge/edge_context.hpp
+++ b/src/adapters/edge/edge_context.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/edge/backend_context.hpp"
 #include "adapters/edge/edge_options.hpp"
 #include "adapters/edge/introspection_port.hpp"
 #include "adapters/edge/traffic_observer.hpp"
@@ -40,24 +41,23 @@
 };
 
 /// Shared by the traffic threads of one server.
-struct edge_context
+struct edge_context : backend_context
 {
     edge_context(edge_options settings, edge_dependencies dependencies)
-        : options(settings)
+        : backend_context(
+              settings,
+              dependencies.clock,
+              dependencies.events,
+              dependencies.observer,
+              dependencies.backend_tls)
         , ports(std::move(dependencies))
     {
     }
 
-    const edge_options options;
     const edge_dependencies ports;
     std::atomic<bool> draining{false};
     std::atomic<std::size_t> connections{0};
 
-    instant now() const
-    {
-        return this->ports.clock.now();
-    }
-
     /// @return A request id not given before in this run.
     std::string next_request_id();
 
--- /dev/null
+++ b/src/adapters/forward/forward_call.cpp
@@ -0,0 +1,644 @@
+#include "adapters/forward/forward_call.hpp"
+
+#include "core/serving/servable_key.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdio>
+#include <utility>
+#include <variant>
+
+namespace roseworks::forward
+{
+
+namespace
+{
+
+using end_kind = attempt_result::end;
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_too_many = 429;
+constexpr unsigned status_misdirected = 421;
+constexpr unsigned status_unavailable = 503;
+constexpr unsigned status_request_timeout = 408;
+constexpr std::string_view last_chunk = "0\r\n\r\n";
+
+/// A route's rank that goes before all else while requests wait.
+constexpr std::uint8_t urgent_rank = 0;
+
+/// Sent and not answered for longer, a request counts as having waited.
+constexpr duration at_once{std::chrono::milliseconds(20)};
+
+std::string_view view(beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+/// Notices that the caller closes its connection while its call runs. Touches
+/// the connection only while the call isn't finished.
+asio::awaitable<void> watch(
+    edge::caller_connection& caller, std::shared_ptr<edge::call_inbox> inbox)
+{
+    const auto [error] = co_await caller.stream.socket().async_wait(
+        edge::tcp::socket::wait_read, edge::quietly);
+    if (error || inbox->finished())
+        co_return;
+    if (caller.peer_closed())
+        inbox->caller_left();
+}
+
+/// Whether the server says that it didn't run the request.
+bool says_not_run(
+    const server_exchange::head_fields& head, const header_dialect& names)
+{
+    const unsigned status = head.result_int();
+    const bool refusal = status == status_unavailable ||
+                         status == status_too_many ||
+                         status == status_request_timeout;
+    return status == status_misdirected ||
+           (refusal && head.find(names.not_run) != head.end());
+}
+
+bool is_event_stream(const server_exchange::head_fields& head)
+{
+    return beast::iequals(
+        head[http::field::content_type].substr(0, 17), "text/event-stream");
+}
+
+/// What belongs to the connection, or is told anew by the framing.
+bool is_relayed(http::field name)
+{
+    switch (name)
+    {
+    case http::field::connection:
+    case http::field::keep_alive:
+    case http::field::proxy_connection:
+    case http::field::te:
+    case http::field::trailer:
+    case http::field::transfer_encoding:
+    case http::field::upgrade:
+    case http::field::content_length:
+        return false;
+    default:
+        return true;
+    }
+}
+
+std::string
+head_lines(const server_exchange::head_fields& head, const header_dialect& names)
+{
+    std::string lines = "HTTP/1.1 " + std::to_string(head.result_int()) + ' ';
+    lines += view(head.reason());
+    lines += "\r\n";
+    for (const auto& field : head)
+    {
+        const bool own = beast::iequals(field.name_string(), names.load) ||
+                         beast::iequals(field.name_string(), names.instance);
+        if (own || !is_relayed(field.name()))
+            continue;
+        lines += view(field.name_string());
+        lines += ": ";
+        lines += view(field.value());
+        lines += "\r\n";
+    }
+    return lines;
+}
+
+std::optional<std::array<std::uint32_t, 2>> parse_load(std::string_view text)
+{
+    std::array<std::uint32_t, 2> numbers{};
+    for (std::uint32_t& number : numbers)
+    {
+        const char* const end = text.data() + text.size();
+        const auto [stop, error] = std::from_chars(text.data(), end, number);
+        if (error != std::errc() || stop == end || *stop != ',')
+            return std::nullopt;
+        text.remove_prefix(static_cast<std::size_t>(stop - text.data()) + 1);
+    }
+    return numbers;
+}
+
+std::int64_t whole_ms(duration length)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(length)
+        .count();
+}
+
+} // namespace
+
+forward_call::forward_call(
+    forward_context& shared,
+    edge::backend_pool& connections,
+    edge::caller_connection& connection,
+    forward_request asked,
+    const path_route& matched,
+    std::string chosen_service,
+    bool on_engines)
+    : context(shared)
+    , pool(connections)
+    , caller(connection)
+    , request(std::move(asked))
+    , route(matched)
+    , service(std::move(chosen_service))
+    , engines(on_engines)
+    , inbox(std::make_shared<edge::call_inbox>(connections.executor))
+    , events(shared.settings.max_event_bytes)
+{
+    duration limit = this->route.timeout;
+    if (this->request.deadline)
+        limit = std::min<duration>(limit, *this->request.deadline);
+    const duration margin = std::min<duration>(
+        this->context.settings.answer_margin, limit / 10);
+    this->deadline = this->request.arrived + limit - margin;
+}
+
+forward_call::~forward_call()
+{
+    this->inbox->finish();
+}
+
+request_info forward_call::admission_info() const
+{
+    request_info info;
+    info.is_service = !this->engines || this->request.model.empty();
+    info.target = info.is_service
+                      ? this->service
+                      : servable_key(this->service, this->request.model);
+    info.caller = "callers";
+    info.asked = this->route.rank == urgent_rank ? priority::urgent
+                                                 : priority::normal;
+    info.deadline = this->deadline;
+    info.objective = this->request.arrived + this->route.objective;
+    info.repeatable = this->route.repeatable();
+    info.held_bytes = this->request.body.size();
+    return info;
+}
+
+asio::awaitable<bool> forward_call::run()
+{
+    this->context.retries_of(this->service).requested(this->request.arrived);
+    std::weak_ptr<edge::call_inbox> messages = this->inbox;
+    this->place = this->context.ports.dispatch.submit(
+        this->admission_info(),
+        [messages](const dispatch_port::reply& answer)
+        {
+            if (const auto open = messages.lock())
+                open->post_reply(answer);
+        });
+    asio::co_spawn(
+        this->pool.executor, watch(this->caller, this->inbox), asio::detached);
+    co_await this->serve();
+    this->inbox->finish();
+    beast::error_code ignored;
+    this->caller.stream.socket().cancel(ignored);
+    this->report();
+    co_return this->connection_usable && !this->inbox->left() &&
+        this->request.keep_alive && !this->context.draining;
+}
+
+asio::awaitable<void> forward_call::serve()
+{
+    while (true)
+    {
+        const auto reply = co_await this->inbox->next_reply();
+        if (!reply)
+        {
+            this->context.ports.dispatch.abandon(this->place);
+            this->connection_usable = false;
+            this->end = request_end::caller_left;
+            if (!this->inbox->left())
+                co_await this->answer_own(make_own_answer(
+                    refusal_reason::draining,
+                    this->may_have_run ? verdict::may_have_run
+                                       : verdict::not_run));
+            co_return;
+        }
+        if (const auto* no = std::get_if<refusal>(&*reply))
+        {
+            co_await this->end_without_answer(
+                {true, no->outcome, no->reason, no->retry_after});
+            co_return;
+        }
+        const bool final_answer =
+            co_await this->attempt(std::get<grant>(*reply));
+        if (final_answer)
+            co_return;
+    }
+}
+
+bool forward_call::may_attempt(const grant& where)
+{
+    static_cast<void>(where);
+    if (this->sends == 0)
+        return true;
+    const bool allowed =
+        this->context.retries_of(this->service)
+            .withdraw(this->context.ports.routers(), this->context.now());
+    if (allowed)
+        this->context.metrics.retries.increment();
+    else
+        this->context.metrics.retries_denied.increment();
+    return allowed;
+}
+
+asio::awaitable<bool> forward_call::attempt(grant where)
+{
+    const serving_table_ptr table = this->context.ports.table();
+    const server_identity* server = table->find_server(where.address);
+    attempt_result result;
+    result.how = end_kind::not_sent;
+    const bool there =
+        server != nullptr && server->service == this->service;
+    if (there && !this->may_attempt(where))
+    {
+        this->context.ports.dispatch.abandon(this->place);
+        co_await this->end_without_answer(
+            {true,
+             this->may_have_run ? verdict::may_have_run : verdict::not_run,
+             refusal_reason::retries_exhausted,
+             std::chrono::milliseconds(200)});
+        co_return true;
+    }
+    if (there)
+        result = co_await this->exchange_with(where, *server);
+    const bool ran = result.how != end_kind::not_sent &&
+                     result.how != end_kind::refused_not_run;
+    this->may_have_run = this->may_have_run || ran;
+    this->attempts += ran ? 1 : 0;
+    const dispatcher::finish finish =
+        this->context.ports.dispatch.finished(this->place, result);
+    if (result.how == end_kind::answered)
+    {
+        this->end = request_end::passed_on;
+        co_return true;
+    }
+    if (result.how == end_kind::caller_left)
+    {
+        this->end = request_end::caller_left;
+        this->connection_usable = false;
+        co_return true;
+    }
+    const bool allowed =
+        (!this->may_have_run || this->route.repeatable()) &&
+        this->attempts < this->route.max_attempts;
+    if (!finish.final_answer && allowed)
+        co_return false;
+    if (!finish.final_answer)
+        this->context.ports.dispatch.abandon(this->place);
+    co_await this->end_without_answer(finish);
+    co_return true;
+}
+
+std::string
+forward_call::bytes_for(const server_identity& server, instant now) const
+{
+    attempt_headers set;
+    const duration left = this->deadline - now;
+    set.deadline = std::max(
+        std::chrono::duration_cast<std::chrono::milliseconds>(left),
+        std::chrono::milliseconds(1));
+    set.instance = server.instance;
+    if (this->engines)
+        set.priority = this->route.rank;
+    if (this->head_written)
+        set.last_event = this->events.last_id();
+    return make_backend_bytes(this->request, this->context.names, set);
+}
+
+asio::awaitable<attempt_result> forward_call::exchange_with(
+    const grant& where, const server_identity& server)
+{
+    const instant now = this->context.now();
+    this->sent_at = now;
+    if (this->sends == 0)
+    {
+        this->first_sent = now;
+        this->waited = now - this->request.arrived > at_once;
+        this->context.metrics.queue_wait.record(now - this->request.arrived);
+    }
+    const std::string bytes = this->bytes_for(server, now);
+    this->last_server = server.instance;
+    server_exchange exchange(this->context, this->pool, *this->inbox);
+    const duration longest_idle =
+        this->route.repeatable()
+            ? duration(this->context.options.connection_max_idle)
+            : duration(this->context.options.proof_of_life);
+    exchange_state state = co_await exchange.send(
+        where.address, bytes, longest_idle, this->deadline);
+    this->sends += exchange.sent() ? 1 : 0;
+    if (state == exchange_state::good)
+        state = co_await exchange.read_head(
+            this->context.names, this->request.id, this->request.head_only);
+    if (state != exchange_state::good)
+    {
+        attempt_result failed = this->result_of(state);
+        if (!exchange.sent() && failed.how != end_kind::caller_left)
+            failed.how = end_kind::not_sent;
+        if (failed.how == end_kind::broken)
+            this->context.ports.broken(where.address, this->request.content());
+        co_return failed;
+    }
+    this->tell_load(where, exchange);
+    if (says_not_run(exchange.head(), this->context.names))
+    {
+        attempt_result refused;
+        refused.how = end_kind::refused_not_run;
+        co_return refused;
+    }
+    const attempt_result result = co_await this->pass_on(exchange);
+    if (result.how == end_kind::broken)
+        this->context.ports.broken(where.address, this->request.content());
+    co_return result;
+}
+
+void forward_call::tell_load(
+    const grant& where, const server_exchange& exchange)
+{
+    const auto text = exchange.head()[this->context.names.load];
+    if (text.empty() || !where.engine)
+        return;
+    if (const auto numbers = parse_load(view(text)))
+        this->context.ports.load_told(
+            {where.engine, (*numbers)[0], (*numbers)[1]});
+}
+
+bool forward_call::joins(const server_exchange& exchange) const
+{
+    return exchange.head().result_int() == status_ok &&
+           is_event_stream(exchange.head());
+}
+
+asio::awaitable<attempt_result> forward_call::pass_on(server_exchange& exchange)
+{
+    const auto encoding = exchange.head()[http::field::content_encoding];
+    const bool foreign = !encoding.empty() && encoding != "identity";
+    if (foreign || (this->head_written && !this->joins(exchange)))
+    {
+        // Not the bytes of the service, or not the rest of the stream.
+        attempt_result broken;
+        broken.how = end_kind::broken;
+        broken.answer_started = this->head_written;
+        co_return broken;
+    }
+    if (this->first_byte_at == instant())
+        this->first_byte_at = this->context.now();
+    const relayed how = co_await this->relay(exchange);
+    if (how == relayed::whole)
+        exchange.release();
+    co_return this->result_of(how);
+}
+
+asio::awaitable<forward_call::relayed>
+forward_call::relay(server_exchange& exchange)
+{
+    const bool stream = is_event_stream(exchange.head());
+    const relayed how = stream ? co_await this->relay_stream(exchange)
+                               : co_await this->relay_collected(exchange);
+    co_return how;
+}
+
+asio::awaitable<forward_call::relayed>
+forward_call::relay_collected(server_exchange& exchange)
+{
+    const auto end_of = [](exchange_state state)
+    {
+        if (state == exchange_state::interrupted)
+            return relayed::interrupted;
+        return state == exchange_state::timed_out ? relayed::late
+                                                  : relayed::cut;
+    };
+    std::string body;
+    std::string_view piece;
+    do
+    {
+        const exchange_state state = co_await exchange.read_some(piece);
+        if (state != exchange_state::good)
+            co_return end_of(state);
+        body += piece;
+    } while (!piece.empty() && body.size() < this->context.settings.collect_bytes);
+
+    this->status = exchange.head().result_int();
+    std::string bytes = head_lines(exchange.head(), this->context.names);
+    const bool whole = piece.empty();
+    const bool close = !this->request.keep_alive || this->context.draining;
+    const auto length = exchange.head()[http::field::content_length];
+    if (this->request.head_only && !length.empty())
+        bytes += "Content-Length: " + std::string(view(length)) + "\r\n";
+    else if (whole && !this->request.head_only)
+        bytes += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    else if (!whole)
+        bytes += "Transfer-Encoding: chunked\r\n";
+    if (close)
+        bytes += "Connection: close\r\n";
+    bytes += "\r\n";
+    this->head_written = true;
+    if (whole)
+    {
+        bytes += body;
+        const bool written = co_await this->caller.write_raw(bytes);
+        co_return written ? relayed::whole : relayed::caller_gone;
+    }
+    this->chunked = true;
+    bool written = co_await this->caller.write_raw(bytes);
+    written = written && co_await this->write_chunk(body);
+    while (written)
+    {
+        const exchange_state state = co_await exchange.read_some(piece);
+        if (state != exchange_state::good)
+            co_return end_of(state);
+        if (piece.empty())
+        {
+            written = co_await this->caller.write_raw(last_chunk);
+            co_return written ? relayed::whole : relayed::caller_gone;
+        }
+        written = co_await this->write_chunk(piece);
+    }
+    co_return relayed::caller_gone;
+}
+
+asio::awaitable<bool> forward_call::write_head(const server_exchange& exchange)
+{
+    this->status = exchange.head().result_int();
+    this->head_written = true;
+    this->chunked = true;
+    std::string bytes = head_lines(exchange.head(), this->context.names);
+    bytes += "Transfer-Encoding: chunked\r\n";
+    if (!this->request.keep_alive || this->context.draining)
+        bytes += "Connection: close\r\n";
+    bytes += "\r\n";
+    const bool written = co_await this->caller.write_raw(bytes);
+    co_return written;
+}
+
+asio::awaitable<bool> forward_call::write_chunk(std::string_view bytes)
+{
+    if (bytes.empty())
+        co_return true;
+    std::array<char, 24> size{};
+    const int digits =
+        std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+    std::string chunk(size.data(), static_cast<std::size_t>(digits));
+    chunk += bytes;
+    chunk += "\r\n";
+    const bool written = co_await this->caller.write_raw(chunk);
+    co_return written;
+}
+
+asio::awaitable<forward_call::relayed>
+forward_call::relay_stream(server_exchange& exchange)
+{
+    const bool joining = this->head_written;
+    const bool whole_events = this->route.resumable;
+    this->events.restart();
+    bool written = joining || co_await this->write_head(exchange);
+    std::string_view piece;
+    while (written)
+    {
+        const exchange_state state = co_await exchange.read_some(piece);
+        if (state == exchange_state::interrupted)
+            co_return relayed::interrupted;
+        if (state == exchange_state::timed_out)
+            co_return relayed::late;
+        if (state != exchange_state::good)
+            co_return relayed::cut;
+        if (piece.empty())
+        {
+            // What is left isn't a whole event, but the answer is whole.
+            std::string rest = whole_events ? this->events.take_rest()
+                                            : std::string();
+            written = co_await this->write_chunk(rest);
+            written = written && co_await this->caller.write_raw(last_chunk);
+            co_return written ? relayed::whole : relayed::caller_gone;
+        }
+        const std::string events_now = this->events.feed(piece);
+        if (this->events.overrun())
+            co_return relayed::cut;
+        written = co_await this->write_chunk(
+            whole_events ? std::string_view(events_now) : piece);
+    }
+    co_return this->inbox->interrupted() ? relayed::interrupted
+                                         : relayed::caller_gone;
+}
+
+attempt_result forward_call::result_of(relayed how) const
+{
+    attempt_result result;
+    result.answer_started = this->head_written;
+    result.tokens = this->events.events();
+    result.resumable = this->head_written && this->route.resumable &&
+                       this->chunked && !this->events.last_id().empty();
+    result.total = this->context.now() - this->sent_at;
+    if (this->first_byte_at != instant())
+        result.first_byte = this->first_byte_at - this->sent_at;
+    switch (how)
+    {
+    case relayed::whole:
+        result.how = end_kind::answered;
+        break;
+    case relayed::cut:
+        result.how = end_kind::broken;
+        break;
+    case relayed::late:
+        result.how = end_kind::no_progress;
+        break;
+    case relayed::caller_gone:
+    case relayed::interrupted:
+        result.how = end_kind::caller_left;
+        break;
+    }
+    return result;
+}
+
+attempt_result forward_call::result_of(exchange_state state) const
+{
+    attempt_result result;
+    result.answer_started = this->head_written;
+    result.resumable = this->head_written && this->route.resumable &&
+                       !this->events.last_id().empty();
+    switch (state)
+    {
+    case exchange_state::not_sent:
+        result.how = end_kind::not_sent;
+        break;
+    case exchange_state::timed_out:
+        result.how = end_kind::no_progress;
+        break;
+    case exchange_state::interrupted:
+        result.how = end_kind::caller_left;
+        break;
+    default:
+        result.how = end_kind::broken;
+        break;
+    }
+    return result;
+}
+
+asio::awaitable<void> forward_call::end_without_answer(dispatcher::finish how)
+{
+    const verdict outcome =
+        this->may_have_run ? verdict::may_have_run : verdict::not_run;
+    const refusal_reason why =
+        how.reason == refusal_reason::none ? refusal_reason::backend_failed
+                                           : how.reason;
+    co_await this->answer_own(
+        make_own_answer(why, outcome, how.retry_after));
+}
+
+asio::awaitable<void> forward_call::answer_own(own_answer answer)
+{
+    this->reason = answer.reason;
+    if (this->head_written)
+    {
+        // The caller sees that the rest is missing: the last chunk is.
+        this->end = request_end::broken_off;
+        this->connection_usable = false;
+        co_return;
+    }
+    this->end = answer.outcome == verdict::not_run ? request_end::refused
+                                                   : request_end::failed;
+    this->status = answer.status;
+    const bool keep = this->request.keep_alive && !this->context.draining;
+    const std::string bytes = to_bytes(
+        answer,
+        this->context.names,
+        this->request.id,
+        keep,
+        this->request.head_only);
+    const bool written = co_await this->caller.write_raw(bytes);
+    this->connection_usable = this->connection_usable && written;
+}
+
+void forward_call::report()
+{
+    this->context.metrics.requests.increment(this->end);
+    const instant now = this->context.now();
+    if (this->first_byte_at != instant())
+        this->context.metrics.first_byte.record(
+            this->first_byte_at - this->request.arrived,
+            this->waited ? admission::waited : admission::at_once);
+    const bool good =
+        this->end == request_end::passed_on && this->sends == 1;
+    const duration wait = this->first_sent == instant()
+                              ? now - this->request.arrived
+                              : this->first_sent - this->request.arrived;
+    this->context.events.report(
+        good ? event_id::request_served : event_id::request_ended,
+        {{"request_id", this->request.id},
+         {"route", this->route.name},
+         {"servable", this->request.model},
+         {"end", to_string(this->end)},
+         {"status", this->status},
+         {"reason", to_string(this->reason)},
+         {"server", this->last_server},
+         {"sends", this->sends},
+         {"wait_ms", whole_ms(wait)},
+         {"total_ms", whole_ms(now - this->request.arrived)},
+         {"events", this->events.events()}});
+}
+
+} // namespace roseworks::forward
--- /dev/null
+++ b/src/adapters/forward/forward_context.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "adapters/edge/backend_context.hpp"
+#include "adapters/forward/forward_metrics.hpp"
+#include "adapters/forward/header_dialect.hpp"
+#include "core/request/shared_retry_budget.hpp"
+#include "core/serving/serving_table.hpp"
+#include "ports/dispatch_port.hpp"
+
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <random>
+#include <string>
+#include <unordered_map>
+
+namespace roseworks::forward
+{
+
+/// Limits of forwarding beside those of its connections.
+struct forward_options
+{
+    /// Answers up to this size are read whole before a byte is passed on, so
+    /// that a broken one can be told from a whole one in time.
+    std::size_t collect_bytes = std::size_t(256) << 10;
+    /// Largest event of a stream that is cut into whole events.
+    std::size_t max_event_bytes = std::size_t(256) << 10;
+    /// Taken off a deadline for the answer's way to the caller.
+    std::chrono::milliseconds answer_margin{20};
+    /// A request without a deadline and without a route's limit.
+    std::chrono::milliseconds default_deadline{60'000};
+    /// Retry-After while no configuration is known.
+    std::chrono::milliseconds start_retry{500};
+    shared_retry_budget::options retries;
+    std::uint64_t seed = 1; ///< of the choice among split services
+};
+
+/// What forwarding works with; all of it has to outlive the event loop.
+struct forward_dependencies
+{
+    dispatch_port& dispatch;
+    std::function<serving_table_ptr()> table; ///< newest; null: none yet
+    std::function<std::size_t()> routers;     ///< alive, this one included
+    /// An engine told its load with an answer.
+    std::function<void(const load_report&)> load_told;
+    /// A connection broke under a request that a server had begun.
+    std::function<void(const std::string& address, fingerprint)> broken;
+};
+
+/// Shared by all connections of one traffic thread; belongs to it.
+struct forward_context : edge::backend_context
+{
+    forward_context(
+        const edge::backend_context& surroundings,
+        forward_options chosen,
+        header_dialect dialect,
+        forward_dependencies dependencies,
+        forward_metrics& counts)
+        : edge::backend_context(surroundings)
+        , settings(chosen)
+        , names(std::move(dialect))
+        , ports(std::move(dependencies))
+        , metrics(counts)
+        , random(chosen.seed)
+    {
+    }
+
+    shared_retry_budget& retries_of(const std::string& service)
+    {
+        return this->budgets
+            .try_emplace(service, shared_retry_budget(this->settings.retries))
+            .first->second;
+    }
+
+    const forward_options settings;
+    const header_dialect names;
+    const forward_dependencies ports;
+    forward_metrics& metrics;
+    std::mt19937_64 random;
+    bool draining = false;
+
+private:
+    std::unordered_map<std::string, shared_retry_budget> budgets;
+};
+
+} // namespace roseworks::forward
--- /dev/null
+++ b/src/adapters/forward/forward_metrics.cpp
@@ -0,0 +1,41 @@
+#include "adapters/forward/forward_metrics.hpp"
+
+#include <cstddef>
+
+namespace roseworks::forward
+{
+
+forward_metrics::forward_metrics(metrics::metrics_registry& registry)
+    : requests(registry.add_counter<request_end>(
+          "roseworks_forwarded_requests_total",
+          "Callers' requests by how they ended."))
+    , retries(registry.add_counter<>(
+          "roseworks_forward_retries_total",
+          "Requests sent to a backend server once more."))
+    , retries_denied(registry.add_counter<>(
+          "roseworks_forward_retries_denied_total",
+          "Retries that the shared budget didn't allow."))
+    , late_answers(registry.add_counter<>(
+          "roseworks_late_answers_total",
+          "Answers of backend servers that belonged to no request."))
+    , silent_connections(registry.add_counter<>(
+          "roseworks_silent_connections_total",
+          "Kept connections that went silent while a new one answered."))
+    , connections(registry.add_gauge<>(
+          "roseworks_caller_connections", "Callers' open connections."))
+    , first_byte(registry.add_latency<admission>(
+          "roseworks_forward_first_byte_seconds",
+          "From a request's arrival to the first byte of its answer."))
+    , queue_wait(registry.add_latency<>(
+          "roseworks_forward_queue_wait_seconds",
+          "From a request's arrival to its first sending."))
+{
+}
+
+std::string_view to_string(request_end end)
+{
+    return metrics::label_traits<request_end>::values[static_cast<std::size_t>(
+        end)];
+}
+
+} // namespace roseworks::forward
--- /dev/null
+++ b/src/adapters/forward/forward_metrics.hpp
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "adapters/edge/traffic_observer.hpp"
+#include "adapters/metrics/metrics_registry.hpp"
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+
+namespace roseworks::forward
+{
+
+/// How a request ended for its caller.
+enum class request_end : std::uint8_t
+{
+    passed_on,   ///< a backend server's whole answer
+    refused,     ///< not run, and said so
+    failed,      ///< it may have run, and no whole answer came
+    broken_off,  ///< an answer had begun and couldn't be ended
+    caller_left, ///< the caller closed its connection
+    turned_away  ///< the request itself was wrong
+};
+
+/// Whether a request waited before it was sent.
+enum class admission : std::uint8_t
+{
+    at_once,
+    waited
+};
+
+} // namespace roseworks::forward
+
+namespace roseworks::metrics
+{
+
+template <>
+struct label_traits<forward::request_end>
+{
+    static constexpr std::string_view name = "end";
+    static constexpr std::array<std::string_view, 6> values = {
+        "passed_on",
+        "refused",
+        "failed",
+        "broken_off",
+        "caller_left",
+        "turned_away"};
+};
+
+template <>
+struct label_traits<forward::admission>
+{
+    static constexpr std::string_view name = "admission";
+    static constexpr std::array<std::string_view, 2> values = {
+        "at_once", "waited"};
+};
+
+} // namespace roseworks::metrics
+
+namespace roseworks::forward
+{
+
+/// Counters and latencies of forwarding. Thread-safe.
+struct forward_metrics final : edge::traffic_observer
+{
+    explicit forward_metrics(metrics::metrics_registry& registry);
+
+    void request_finished(const edge::finished_request&) override
+    {
+    }
+
+    void stream_opened() override
+    {
+    }
+
+    void stream_closed() override
+    {
+    }
+
+    void late_answer_dropped() override
+    {
+        this->late_answers.increment();
+    }
+
+    void connection_silent(std::string_view) override
+    {
+        this->silent_connections.increment();
+    }
+
+    void caller_connected() override
+    {
+        this->connections.add(1);
+    }
+
+    void caller_disconnected() override
+    {
+        this->connections.add(-1);
+    }
+
+    metrics::counter<request_end>& requests;
+    metrics::counter<>& retries;
+    metrics::counter<>& retries_denied;
+    metrics::counter<>& late_answers;
+    metrics::counter<>& silent_connections;
+    metrics::gauge<>& connections;
+    metrics::latency<admission>& first_byte;
+    metrics::latency<>& queue_wait;
+};
+
+/// @return The word of the metric's label, for logs.
+std::string_view to_string(request_end end);
+
+} // namespace roseworks::forward
--- /dev/null
+++ b/src/adapters/forward/forward_server.cpp
@@ -0,0 +1,155 @@
+#include "adapters/forward/forward_server.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <chrono>
+#include <exception>
+#include <utility>
+#include <vector>
+
+namespace roseworks::forward
+{
+
+namespace
+{
+
+/// Between two looks for kept connections that are old or were closed.
+constexpr std::chrono::milliseconds sweep_interval{1000};
+
+/// Out of descriptors, mostly: for some to be given back.
+constexpr std::chrono::milliseconds accept_pause{50};
+
+std::chrono::milliseconds to_ms(duration length)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(length);
+}
+
+} // namespace
+
+forward_server::forward_server(
+    asio::any_io_executor loop,
+    forward_context& shared,
+    edge::edge_options callers)
+    : executor(std::move(loop))
+    , context(shared)
+    , limits(callers)
+    , pool(this->executor, shared)
+    , acceptor(this->executor)
+    , sweep_timer(this->executor)
+{
+}
+
+beast::error_code forward_server::listen(const edge::tcp::endpoint& endpoint)
+{
+    beast::error_code error;
+    this->acceptor.open(endpoint.protocol(), error);
+    if (!error)
+        this->acceptor.set_option(
+            edge::tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        this->acceptor.bind(endpoint, error);
+    if (!error)
+        this->acceptor.listen(
+            edge::tcp::acceptor::max_listen_connections, error);
+    if (!error)
+        this->bound = this->acceptor.local_endpoint(error);
+    if (error)
+        return error;
+    asio::co_spawn(this->executor, this->accept(), asio::detached);
+    asio::co_spawn(this->executor, this->sweep(), asio::detached);
+    return error;
+}
+
+void forward_server::bound_callers(const caller_bounds& bounds)
+{
+    this->limits.max_header_bytes = bounds.max_header_bytes;
+    this->limits.max_body_bytes = bounds.max_body_bytes;
+    this->limits.head_timeout = to_ms(bounds.header_timeout);
+    this->limits.caller_idle = to_ms(bounds.idle_timeout);
+}
+
+asio::awaitable<void> forward_server::accept()
+{
+    asio::steady_timer pause(this->executor);
+    while (this->acceptor.is_open())
+    {
+        auto [error, socket] =
+            co_await this->acceptor.async_accept(edge::quietly);
+        if (error == asio::error::operation_aborted)
+            co_return;
+        if (error)
+        {
+            pause.expires_after(accept_pause);
+            co_await pause.async_wait(edge::quietly);
+            continue;
+        }
+        asio::co_spawn(
+            this->executor,
+            this->run_session(std::move(socket)),
+            asio::detached);
+    }
+}
+
+asio::awaitable<void> forward_server::run_session(edge::tcp::socket socket)
+{
+    forward_session session(
+        this->context, this->pool, std::move(socket), this->limits);
+    this->sessions.insert(&session);
+    this->context.observer.caller_connected();
+    try
+    {
+        co_await session.run();
+    }
+    catch (const std::exception& error)
+    {
+        this->context.events.report(
+            event_id::internal_error,
+            {{"where", "forward_session"}, {"reason", error.what()}});
+    }
+    this->context.observer.caller_disconnected();
+    this->sessions.erase(&session);
+}
+
+asio::awaitable<void> forward_server::sweep()
+{
+    while (!this->stopped)
+    {
+        this->sweep_timer.expires_after(sweep_interval);
+        co_await this->sweep_timer.async_wait(edge::quietly);
+        this->pool.sweep();
+    }
+}
+
+void forward_server::start_drain()
+{
+    this->context.draining = true;
+}
+
+void forward_server::close_idle()
+{
+    beast::error_code ignored;
+    this->acceptor.close(ignored);
+    const std::vector<forward_session*> all(
+        this->sessions.begin(), this->sessions.end());
+    for (forward_session* session : all)
+        session->close_idle();
+}
+
+void forward_server::force_end()
+{
+    const std::vector<forward_session*> all(
+        this->sessions.begin(), this->sessions.end());
+    for (forward_session* session : all)
+        session->force_end();
+}
+
+void forward_server::stop()
+{
+    this->stopped = true;
+    this->sweep_timer.cancel();
+    beast::error_code ignored;
+    this->acceptor.close(ignored);
+}
+
+} // namespace roseworks::forward
--- /dev/null
+++ b/src/adapters/forward/forward_server.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "adapters/edge/backend_pool.hpp"
+#include "adapters/forward/forward_context.hpp"
+#include "adapters/forward/forward_session.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstddef>
+#include <memory>
+#include <unordered_set>
+
+namespace roseworks::forward
+{
+
+/** Accepts callers on one event loop and serves them there.
+
+    All functions run on that loop. Has to outlive the loop's last run.
+*/
+class forward_server
+{
+public:
+    forward_server(
+        asio::any_io_executor loop,
+        forward_context& shared,
+        edge::edge_options limits);
+
+    /// Binds and accepts from now on.
+    /// @return What failed; empty when it listens.
+    beast::error_code listen(const edge::tcp::endpoint& endpoint);
+
+    /// What new connections' callers may send.
+    void bound_callers(const caller_bounds& bounds);
+
+    /// Every answer from now on ends its connection.
+    void start_drain();
+
+    /// Stops accepting and closes connections without a request.
+    void close_idle();
+
+    /// Ends all calls.
+    void force_end();
+
+    void stop();
+
+    std::size_t connections() const
+    {
+        return this->sessions.size();
+    }
+
+    edge::tcp::endpoint local_endpoint() const
+    {
+        return this->bound;
+    }
+
+private:
+    asio::awaitable<void> accept();
+    asio::awaitable<void> run_session(edge::tcp::socket socket);
+    asio::awaitable<void> sweep();
+
+    asio::any_io_executor executor;
+    forward_context& context;
+    edge::edge_options limits;
+    edge::backend_pool pool;
+    edge::tcp::acceptor acceptor;
+    edge::tcp::endpoint bound;
+    asio::steady_timer sweep_timer;
+    std::unordered_set<forward_session*> sessions;
+    bool stopped = false;
+};
+
+} // namespace roseworks::forward
--- /dev/null
+++ b/src/adapters/forward/forward_session.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "adapters/edge/backend_pool.hpp"
+#include "adapters/edge/caller_connection.hpp"
+#include "adapters/forward/forward_call.hpp"
+#include "adapters/forward/forward_context.hpp"
+
+namespace roseworks::forward
+{
+
+/// One caller's connection, request after request.
+class forward_session
+{
+public:
+    /// @param limits what the caller may send; kept for the connection's life.
+    forward_session(
+        forward_context& shared,
+        edge::backend_pool& connections,
+        edge::tcp::socket socket,
+        const edge::edge_options& limits);
+
+    /// Serves until the connection ends.
+    asio::awaitable<void> run();
+
+    /// Closes the connection if no request has begun.
+    void close_idle();
+
+    /// Ends the running call, and the connection.
+    void force_end();
+
+private:
+    asio::awaitable<bool> serve_one();
+    asio::awaitable<bool> serve(forward_request request);
+    asio::awaitable<bool> answer(own_answer what, const forward_request& to);
+    asio::awaitable<void>
+    turn_away(unsigned status, const edge::caller_parser& parser);
+
+    forward_context& context;
+    edge::backend_pool& pool;
+    const edge::edge_options options;
+    edge::caller_connection connection;
+    forward_call* running = nullptr;
+};
+
+} // namespace roseworks::forward
--- /dev/null
+++ b/src/adapters/forward/probe_server.cpp
@@ -0,0 +1,101 @@
+#include "adapters/forward/probe_server.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include <utility>
+
+namespace roseworks::forward
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace
+{
+
+/// Probes are small; more is refused.
+constexpr std::size_t most_header_bytes = 4096;
+
+std::string to_bytes(const probe_answer& answer)
+{
+    const auto phrase =
+        http::obsolete_reason(static_cast<http::status>(answer.status));
+    std::string bytes = "HTTP/1.1 " + std::to_string(answer.status) + ' ';
+    bytes.append(phrase.data(), phrase.size());
+    bytes += "\r\nContent-Type: text/plain\r\nContent-Length: " +
+             std::to_string(answer.body.size()) + "\r\n\r\n";
+    bytes += answer.body;
+    return bytes;
+}
+
+} // namespace
+
+probe_server::probe_server(asio::any_io_executor loop, handler answers)
+    : executor(std::move(loop))
+    , answer(std::move(answers))
+    , acceptor(this->executor)
+{
+    this->options.max_header_bytes = most_header_bytes;
+}
+
+beast::error_code probe_server::listen(const edge::tcp::endpoint& endpoint)
+{
+    beast::error_code error;
+    this->acceptor.open(endpoint.protocol(), error);
+    if (!error)
+        this->acceptor.set_option(
+            edge::tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        this->acceptor.bind(endpoint, error);
+    if (!error)
+        this->acceptor.listen(
+            edge::tcp::acceptor::max_listen_connections, error);
+    if (!error)
+        asio::co_spawn(this->executor, this->accept(), asio::detached);
+    return error;
+}
+
+asio::awaitable<void> probe_server::accept()
+{
+    while (this->acceptor.is_open())
+    {
+        auto [error, socket] =
+            co_await this->acceptor.async_accept(edge::quietly);
+        if (error == asio::error::operation_aborted)
+            co_return;
+        if (!error)
+            asio::co_spawn(
+                this->executor, this->serve(std::move(socket)), asio::detached);
+    }
+}
+
+asio::awaitable<void> probe_server::serve(edge::tcp::socket socket)
+{
+    edge::caller_connection connection(std::move(socket), this->options);
+    bool more = true;
+    while (more)
+    {
+        edge::caller_parser parser;
+        const edge::caller_read read = co_await connection.read_head(
+            parser, this->options.caller_idle);
+        if (read.result != edge::caller_read::status::done)
+            co_return;
+        const auto target = parser.get().target();
+        const probe_answer told =
+            this->answer(std::string_view(target.data(), target.size()));
+        more = co_await connection.write_raw(to_bytes(told));
+        more = more && parser.get().keep_alive();
+    }
+    co_await connection.linger_close();
+}
+
+void probe_server::stop()
+{
+    beast::error_code ignored;
+    this->acceptor.close(ignored);
+}
+
+} // namespace roseworks::forward
--- a/src/adapters/platform/http_client.cpp
+++ b/src/adapters/platform/http_client.cpp
@@ -79,6 +79,8 @@
         request.set(http::field::authorization, call.authorization);
     if (!call.if_none_match.empty())
         request.set(http::field::if_none_match, call.if_none_match);
+    if (!call.header.name.empty())
+        request.set(call.header.name, call.header.value);
     request.body() = std::move(call.body);
     request.prepare_payload();
     return request;
--- a/src/adapters/platform/http_client.hpp
+++ b/src/adapters/platform/http_client.hpp
@@ -43,6 +43,13 @@
     }
 };
 
+/// A header field of a call beside those that have a member of their own.
+struct http_header
+{
+    std::string name; ///< empty: none
+    std::string value;
+};
+
 struct http_call
 {
     boost::beast::http::verb method = boost::beast::http::verb::get;
@@ -51,6 +58,7 @@
     std::string content_type;
     std::string authorization; ///< empty: none
     std::string if_none_match; ///< empty: the whole answer is wanted
+    http_header header;
     std::chrono::milliseconds timeout{};
     /// Asked immediately before the first byte is written; empty: always.
     std::function<bool()> may_send;
--- /dev/null
+++ b/src/adapters/settings/gateway_settings.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "adapters/settings/socket_address.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace roseworks::settings
+{
+
+/// What the gateway's settings file says.
+struct gateway_settings
+{
+    using milliseconds = std::chrono::milliseconds;
+    using seconds = std::chrono::seconds;
+
+    struct
+    {
+        std::string name;
+        std::string data_centre;
+    } vm;
+
+    struct
+    {
+        socket_address requests;
+        socket_address readiness;
+        socket_address peers;   ///< UDP
+        socket_address metrics;
+    } listen;
+
+    struct
+    {
+        socket_address address;
+        milliseconds shortest_term{1000}; ///< that a group member may have
+    } store;
+
+    struct
+    {
+        milliseconds grace{8000};    ///< from SIGTERM to SIGKILL
+        milliseconds lease{3000};    ///< between orders of two holders in turn
+        bool fences_checked = true;  ///< engines refuse old fencing numbers
+        double retry_ratio = 0.2;    ///< retries for each request of a service
+        milliseconds retry_window{10'000};
+        double retry_extra = 50; ///< retries beside them, of all routers
+        milliseconds load_window{5000};
+        double load_factor = 1.1; ///< over the store's rate within a window
+    } bounds;
+
+    struct
+    {
+        std::uint32_t lines_per_second = 400;
+        std::uint32_t served_per_second = 40;
+    } log;
+};
+
+} // namespace roseworks::settings
--- /dev/null
+++ b/src/app/gateway/gateway_app.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "adapters/edge/shared_dispatcher.hpp"
+#include "adapters/events/pipe_event_sink.hpp"
+#include "adapters/forward/forward_server.hpp"
+#include "adapters/forward/probe_server.hpp"
+#include "adapters/metrics/metrics_registry.hpp"
+#include "adapters/platform/byte_meter.hpp"
+#include "adapters/platform/system_clock.hpp"
+#include "adapters/settings/gateway_settings.hpp"
+#include "app/gateway/gateway_control.hpp"
+#include "app/table_holder.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/leaf/result.hpp>
+
+#include <memory>
+#include <string>
+
+namespace roseworks::app
+{
+
+/// Why the gateway can't start.
+struct gateway_start_error
+{
+    std::string what;
+    std::string reason;
+};
+
+/** The gateway: one process on every VM, which forwards callers' requests to
+    the backend servers of the platform.
+
+    Two threads: traffic on the calling one, control state on its own. SIGTERM
+    makes it not ready at once; it goes on taking and finishing requests until
+    the load balancer has seen that, and exits with 0. SIGHUP reads the settings
+    again.
+*/
+class gateway_app
+{
+public:
+    static boost::leaf::result<std::unique_ptr<gateway_app>>
+    make(const settings::gateway_settings& settings, std::string config_path);
+
+    ~gateway_app();
+
+    gateway_app(const gateway_app&) = delete;
+    gateway_app& operator=(const gateway_app&) = delete;
+
+    /// Serves until a signal ends it.
+    /// @return The process's exit status.
+    int run();
+
+private:
+    gateway_app(
+        const settings::gateway_settings& settings, std::string config_path);
+
+    boost::leaf::result<void> listen();
+    forward::forward_context make_context();
+    gateway_control::notices make_notices();
+    void wait_for_signals();
+    void reload();
+    void start_drain();
+    void look_whether_drained();
+    void finish();
+    forward::probe_answer readiness() const;
+    forward::probe_answer metrics_page(std::string_view path) const;
+
+    settings::gateway_settings settings;
+    std::string config_path;
+    platform::system_clock clock;
+    events::pipe_event_sink events;
+    metrics::metrics_registry registry;
+    forward::forward_metrics counts;
+    boost::asio::io_context traffic;
+    newest_table<serving_table_ptr> tables;
+    std::shared_ptr<edge::shared_dispatcher> dispatch;
+    std::unique_ptr<gateway_control> control;
+    forward::forward_context context;
+    forward::forward_server server;
+    forward::probe_server readiness_probe;
+    forward::probe_server metrics_probe;
+    boost::asio::signal_set signals;
+    boost::asio::steady_timer drain_timer;
+    instant drain_began;
+    bool draining = false;
+    bool idle_closed = false;
+};
+
+} // namespace roseworks::app
--- a/src/app/table_holder.hpp
+++ b/src/app/table_holder.hpp
@@ -8,11 +8,12 @@
 namespace roseworks::app
 {
 
-/// The newest routing table, handed from the control thread to the others.
-class table_holder
+/// The newest table, handed from the control thread to the others.
+template <class TablePtr>
+class newest_table
 {
 public:
-    void put(routing_table_ptr newest)
+    void put(TablePtr newest)
     {
         const std::lock_guard lock(this->mutex);
         // The old table is released after the lock, by the argument.
@@ -20,7 +21,7 @@
     }
 
     /// @return The newest table; null before the first.
-    routing_table_ptr get() const
+    TablePtr get() const
     {
         const std::lock_guard lock(this->mutex);
         return this->table;
@@ -28,7 +29,9 @@
 
 private:
     mutable std::mutex mutex;
-    routing_table_ptr table;
+    TablePtr table;
 };
 
+using table_holder = newest_table<routing_table_ptr>;
+
 } // namespace roseworks::app
--- a/src/core/request/dispatcher_impl.hpp
+++ b/src/core/request/dispatcher_impl.hpp
@@ -155,6 +155,7 @@
     void serve_waiting(detail::target& where, instant now);
     void refuse_all(detail::target& where, refusal_reason, duration);
     void ask_for_replicas(detail::target& where, instant now);
+    instant earliest_objective(const detail::target& where, instant now) const;
     void send_demand(detail::target& where, instant now);
     /// The same for a request that was just queued: an earlier time that
     /// nothing waits for any more is replaced.
--- a/src/core/request/dispatcher_tick.cpp
+++ b/src/core/request/dispatcher_tick.cpp
@@ -298,10 +298,27 @@
     this->send_demand(where, now);
 }
 
+instant dispatcher::impl::earliest_objective(
+    const detail::target& where, instant now) const
+{
+    instant earliest = instant::max();
+    where.queue.examine_all(
+        [&](const detail::queue_item& item, std::size_t)
+        {
+            const instant objective = this->requests.at(item.id).info.objective;
+            if (objective >= now)
+                earliest = std::min(earliest, objective);
+            return true;
+        });
+    return earliest;
+}
+
 void dispatcher::impl::send_demand(detail::target& where, instant now)
 {
     demand command;
     command.servable = where.servable;
+    command.target = where.name;
+    command.earliest_objective = this->earliest_objective(where, now);
     command.waiting = static_cast<std::uint32_t>(where.waiting());
     command.urgency = where.queue.best_class().value_or(priority::batch);
     command.earliest_deadline =
--- /dev/null
+++ b/src/core/request/shared_retry_budget.cpp
@@ -0,0 +1,63 @@
+#include "core/request/shared_retry_budget.hpp"
+
+#include <algorithm>
+
+namespace roseworks
+{
+
+shared_retry_budget::shared_retry_budget(options chosen)
+    : settings(chosen)
+{
+}
+
+void shared_retry_budget::requested(instant now)
+{
+    this->advance(now);
+    ++this->parts[static_cast<std::size_t>(this->newest) % part_count].requests;
+}
+
+bool shared_retry_budget::withdraw(std::size_t routers, instant now)
+{
+    if (this->left(routers, now) == 0)
+        return false;
+    ++this->parts[static_cast<std::size_t>(this->newest) % part_count].retries;
+    return true;
+}
+
+std::size_t shared_retry_budget::left(std::size_t routers, instant now)
+{
+    this->advance(now);
+    std::uint64_t requests = 0;
+    std::uint64_t retries = 0;
+    for (const part& one : this->parts)
+    {
+        requests += one.requests;
+        retries += one.retries;
+    }
+    const double shared =
+        this->settings.extra / static_cast<double>(std::max<std::size_t>(routers, 1));
+    const double allowed =
+        this->settings.caution *
+        (this->settings.ratio * static_cast<double>(requests) + shared);
+    const auto whole = static_cast<std::uint64_t>(allowed);
+    return whole > retries ? static_cast<std::size_t>(whole - retries) : 0;
+}
+
+void shared_retry_budget::advance(instant now)
+{
+    const duration length = this->settings.window / part_count;
+    const std::int64_t number = now.time_since_epoch() / length;
+    if (!this->started)
+    {
+        this->started = true;
+        this->newest = number;
+        return;
+    }
+    const std::int64_t steps = std::min<std::int64_t>(
+        number - this->newest, static_cast<std::int64_t>(part_count));
+    for (std::int64_t i = 0; i < steps; ++i)
+        this->parts[static_cast<std::size_t>(number - i) % part_count] = {};
+    this->newest = std::max(this->newest, number);
+}
+
+} // namespace roseworks
--- /dev/null
+++ b/src/core/serving/server_entry.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <roseworks/instant.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace roseworks
+{
+
+/// A model in an engine's accelerator memory.
+struct resident_model
+{
+    std::string name;
+    std::vector<std::string> adapters;
+
+    bool operator==(const resident_model&) const = default;
+};
+
+/// What an engine says that it holds. Lags.
+struct engine_holdings
+{
+    std::vector<resident_model> resident;
+    std::vector<std::string> in_memory; ///< copies of weights
+    std::vector<std::string> on_disk;   ///< copies of weights
+
+    bool operator==(const engine_holdings&) const = default;
+};
+
+/** A backend server as it registered itself.
+
+    A claim by a stranger: checked field by field when it is decoded, and a
+    hint from then on. A server that starts anew under its old id says so by
+    another `born_ms`.
+*/
+struct server_entry
+{
+    std::string id;
+    std::int64_t born_ms = 0; ///< its start, milliseconds since 1970
+    std::string service;
+    std::string address; ///< ip:port
+    std::string data_centre;
+    std::uint32_t slots = 1;
+    bool leaving = false;
+    engine_holdings holdings;
+
+    bool operator==(const server_entry&) const = default;
+};
+
+} // namespace roseworks
--- /dev/null
+++ b/src/core/serving/serving_table.cpp
@@ -0,0 +1,87 @@
+#include "core/serving/serving_table.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace roseworks
+{
+
+serving_table::serving_table(parts whole)
+    : content(std::move(whole))
+{
+    this->everyone.highest = priority::urgent;
+}
+
+const servable_routes* serving_table::find_servable(std::string_view name) const
+{
+    const std::string key(name);
+    const auto ready = this->content.resident.find(key);
+    if (ready != this->content.resident.end())
+        return &ready->second;
+    const auto cold = this->content.catalogue->servables.find(key);
+    if (cold == this->content.catalogue->servables.end())
+        return nullptr;
+    return &cold->second;
+}
+
+const servable_routes* serving_table::find_servable(servable_id id) const
+{
+    const auto& all = this->content.catalogue->servables;
+    const auto found = std::ranges::find_if(
+        all,
+        [id](const auto& entry)
+        {
+            return entry.second.id == id;
+        });
+    return found == all.end() ? nullptr : this->find_servable(found->first);
+}
+
+const service_routes* serving_table::find_service(std::string_view name) const
+{
+    const auto found = this->content.services.find(std::string(name));
+    return found == this->content.services.end() ? nullptr : &found->second;
+}
+
+const caller_spec* serving_table::find_caller(std::string_view) const
+{
+    return &this->everyone;
+}
+
+bool serving_table::is_blocked(fingerprint request) const
+{
+    return this->content.blocked.contains(request);
+}
+
+bool serving_table::is_suspect(fingerprint request) const
+{
+    return this->content.suspect.contains(request);
+}
+
+bool serving_table::log_available() const
+{
+    return this->content.orders_possible;
+}
+
+std::vector<std::string> serving_table::servable_names() const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, entry] : this->content.catalogue->servables)
+        names.push_back(name);
+    std::ranges::sort(names);
+    return names;
+}
+
+const server_identity*
+serving_table::find_server(const std::string& address) const
+{
+    const auto found = this->content.servers.find(address);
+    return found == this->content.servers.end() ? nullptr : &found->second;
+}
+
+bool serving_table::has_engines(std::string_view service) const
+{
+    return this->content.catalogue->engine_services.contains(
+        std::string(service));
+}
+
+} // namespace roseworks
--- /dev/null
+++ b/src/core/serving/serving_view.cpp
@@ -0,0 +1,275 @@
+#include "core/serving/serving_view.hpp"
+
+#include "core/serving/servable_key.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace roseworks
+{
+
+namespace
+{
+
+/// Time until a model that is nowhere can run, before any was observed: a load
+/// from an engine's disk, and the wait for an engine to be free for it.
+constexpr std::uint32_t first_cold_estimate_ms = 1000;
+
+/// Requests of this router that a plain backend server takes at once beyond
+/// its slots: it queues a few itself, and slots free while a request travels.
+constexpr std::uint16_t plain_queue_allowance = 2;
+
+std::uint16_t clamped(std::size_t value)
+{
+    constexpr std::size_t most = std::numeric_limits<std::uint16_t>::max();
+    return static_cast<std::uint16_t>(std::min(value, most));
+}
+
+} // namespace
+
+serving_view::serving_view(options chosen)
+    : settings(chosen)
+{
+}
+
+bool serving_view::deployment_read(std::shared_ptr<const deployment> next)
+{
+    if (this->current && next->version <= this->current->version)
+        return false;
+    this->current = std::move(next);
+    this->make_catalogue();
+    return true;
+}
+
+void serving_view::make_catalogue()
+{
+    auto made = std::make_shared<servable_catalogue>();
+    made->routes = std::make_shared<route_index>(this->current);
+    const auto add = [&](std::string key, bool is_adapter, std::size_t slots)
+    {
+        servable_id& id = this->servable_numbers[key];
+        if (!id)
+            id = servable_id(
+                static_cast<std::uint32_t>(this->servable_numbers.size()));
+        servable_routes cold;
+        cold.id = id;
+        cold.load_estimate_ms = first_cold_estimate_ms;
+        cold.max_streams = clamped(slots);
+        cold.max_replicas = 1;
+        cold.is_adapter = is_adapter;
+        cold.name = key;
+        made->servables.emplace(std::move(key), std::move(cold));
+    };
+    for (const service_profile& service : this->current->services)
+    {
+        if (!service.engine)
+            continue;
+        made->engine_services.insert(service.name);
+        for (const model_profile& model : service.engine->models)
+        {
+            add(servable_key(service.name, model.name),
+                false,
+                service.engine->slots);
+            for (std::uint32_t i = 1; i <= model.adapters; ++i)
+            {
+                const std::string name = model.name + "/a" + std::to_string(i);
+                add(servable_key(service.name, name),
+                    true,
+                    service.engine->slots);
+            }
+        }
+    }
+    this->catalogue = std::move(made);
+}
+
+bool serving_view::entry_read(server_entry entry, instant now)
+{
+    const auto found = this->known.find(entry.id);
+    if (found == this->known.end())
+    {
+        server added;
+        engine_id& number = this->numbers[entry.id];
+        if (!number)
+            number = engine_id(static_cast<std::uint32_t>(this->numbers.size()));
+        added.engine = number;
+        added.run = replica_id(++this->last_run);
+        added.entry = std::move(entry);
+        this->known.emplace(added.entry.id, std::move(added));
+        return true;
+    }
+    server& one = found->second;
+    const bool revived = one.lapses.has_value();
+    one.lapses.reset();
+    if (one.entry == entry)
+        return revived;
+    const bool restarted = one.entry.born_ms != entry.born_ms;
+    if (restarted && entry.born_ms < one.entry.born_ms)
+        return revived; // an older run's entry came late
+    if (restarted)
+    {
+        one.run = replica_id(++this->last_run);
+        one.owned.reset();
+    }
+    one.entry = std::move(entry);
+    static_cast<void>(now);
+    return true;
+}
+
+bool serving_view::entry_removed(std::string_view id, instant now)
+{
+    const auto found = this->known.find(id);
+    if (found == this->known.end())
+        return false;
+    if (now < this->revival_until)
+    {
+        found->second.lapses = this->revival_until;
+        return false;
+    }
+    this->known.erase(found);
+    return true;
+}
+
+bool serving_view::entries_listed(std::vector<server_entry> all, instant now)
+{
+    std::vector<std::string> missing;
+    for (const auto& [id, one] : this->known)
+    {
+        if (std::ranges::find(all, id, &server_entry::id) == all.end())
+            missing.push_back(id);
+    }
+    bool changed = false;
+    for (const std::string& id : missing)
+        changed = this->entry_removed(id, now) || changed;
+    for (server_entry& entry : all)
+        changed = this->entry_read(std::move(entry), now) || changed;
+    return changed;
+}
+
+void serving_view::registry_back(instant now)
+{
+    this->revival_until = now + this->settings.revival;
+}
+
+bool serving_view::residency_heard(engine_residency told, instant now)
+{
+    const auto found = this->known.find(told.engine);
+    if (found == this->known.end() ||
+        found->second.entry.born_ms != told.born_ms)
+        return false;
+    server& one = found->second;
+    if (one.owned && one.owned->tenure == told.tenure &&
+        one.owned->revision == told.revision)
+    {
+        one.owned_at = now;
+        return false;
+    }
+    if (one.owned && !told.newer_than(*one.owned))
+        return false;
+    const bool changed = this->resident(one, now) != told.resident;
+    one.owned = std::move(told);
+    one.owned_at = now;
+    return changed;
+}
+
+bool serving_view::tick(instant now)
+{
+    bool changed = std::erase_if(
+                       this->known,
+                       [now](const auto& entry)
+                       {
+                           return entry.second.lapses &&
+                                  *entry.second.lapses <= now;
+                       }) != 0;
+    for (auto& [id, one] : this->known)
+    {
+        if (!one.owned || now - one.owned_at < this->settings.residency_lifetime)
+            continue;
+        one.owned.reset();
+        changed = true;
+    }
+    return changed;
+}
+
+const std::vector<resident_model>&
+serving_view::resident(const server& one, instant now) const
+{
+    const bool fresh =
+        one.owned && now - one.owned_at < this->settings.residency_lifetime;
+    return fresh ? one.owned->resident : one.entry.holdings.resident;
+}
+
+serving_table_ptr serving_view::make_table(
+    bool orders_possible,
+    const std::unordered_set<fingerprint>& blocked,
+    instant now) const
+{
+    if (!this->current)
+        return nullptr;
+    serving_table::parts made;
+    made.catalogue = this->catalogue;
+    made.orders_possible = orders_possible;
+    made.blocked = blocked;
+    for (const service_profile& service : this->current->services)
+    {
+        service_routes& entry = made.services[service.name];
+        entry.name = service.name;
+    }
+    for (const auto& [id, one] : this->known)
+    {
+        made.servers[one.entry.address] = {
+            id, one.entry.service, one.entry.data_centre};
+        if (one.entry.leaving)
+            continue;
+        if (this->catalogue->engine_services.contains(one.entry.service))
+            this->add_engine(made, one, now);
+        else
+            this->add_plain(made, one);
+    }
+    return std::make_shared<const serving_table>(std::move(made));
+}
+
+void serving_view::add_engine(
+    serving_table::parts& into, const server& one, instant now) const
+{
+    for (const resident_model& model : this->resident(one, now))
+    {
+        this->add_servable(into, one, model.name);
+        for (const std::string& adapter : model.adapters)
+            this->add_servable(into, one, model.name + "/" + adapter);
+    }
+}
+
+void serving_view::add_servable(
+    serving_table::parts& into,
+    const server& one,
+    std::string_view servable) const
+{
+    std::string key = servable_key(one.entry.service, servable);
+    const auto cold = this->catalogue->servables.find(key);
+    if (cold == this->catalogue->servables.end())
+        return;
+    servable_routes& entry =
+        into.resident.try_emplace(std::move(key), cold->second).first->second;
+    entry.max_replicas = std::numeric_limits<std::uint16_t>::max();
+    entry.ready.push_back(
+        {one.run,
+         one.engine,
+         one.entry.address,
+         one.entry.data_centre,
+         one.entry.id});
+}
+
+void serving_view::add_plain(
+    serving_table::parts& into, const server& one) const
+{
+    const auto found = into.services.find(one.entry.service);
+    if (found == into.services.end())
+        return;
+    service_routes& entry = found->second;
+    entry.max_streams = clamped(one.entry.slots + plain_queue_allowance);
+    entry.backends.push_back(
+        {one.entry.address, one.entry.id, one.entry.data_centre});
+}
+
+} // namespace roseworks
--- /dev/null
+++ b/src/core/serving/serving_view.hpp
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "core/serving/deployment.hpp"
+#include "core/serving/engine_residency.hpp"
+#include "core/serving/server_entry.hpp"
+#include "core/serving/serving_table.hpp"
+
+#include <roseworks/ids.hpp>
+#include <roseworks/instant.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace roseworks
+{
+
+/** What a router believes of the deployment: the newest configuration, the
+    backend servers as they registered, and what the placement owner says that
+    each engine holds.
+
+    Versions of the configuration only rise. A server that leaves or is gone
+    gets nothing new at once, with one exception: entries that lapse just after
+    the registry was away are kept until the servers had time to register
+    anew. All of it is a hint but the configuration, which the store decides.
+*/
+class serving_view
+{
+public:
+    struct options
+    {
+        /// For servers to register again after the registry was away.
+        duration revival = std::chrono::milliseconds(2200);
+        /// The owner's word on an engine counts for so long; after it the
+        /// engine's own entry does, which then is newer.
+        duration residency_lifetime = std::chrono::seconds(4);
+    };
+
+    /// One run of a backend server.
+    struct server
+    {
+        server_entry entry;
+        engine_id engine;    ///< the same for all runs under one id
+        replica_id run;      ///< another one for each run
+        std::optional<instant> lapses; ///< gone unless it registers before
+        std::optional<engine_residency> owned;
+        instant owned_at; ///< when the owner last said so
+    };
+
+    explicit serving_view(options settings);
+
+    /// @return Whether the version is newer and is in force now.
+    bool deployment_read(std::shared_ptr<const deployment> next);
+
+    /// @return Whether anything that matters to routing changed.
+    bool entry_read(server_entry entry, instant now);
+    bool entry_removed(std::string_view id, instant now);
+
+    /// The whole registry was read: servers that aren't in it are gone.
+    bool entries_listed(std::vector<server_entry> all, instant now);
+
+    /// The registry answers again after it was away.
+    void registry_back(instant now);
+
+    /// The placement owner told what an engine holds.
+    /// @return Whether that is news.
+    bool residency_heard(engine_residency told, instant now);
+
+    /// @return Whether servers lapsed, or word of the owner grew old.
+    bool tick(instant now);
+
+    /// @return The newest configuration, null before the first.
+    const std::shared_ptr<const deployment>& config() const
+    {
+        return this->current;
+    }
+
+    /// @return What the engine holds, by the best word there is.
+    const std::vector<resident_model>&
+    resident(const server& one, instant now) const;
+
+    const std::map<std::string, server, std::less<>>& servers() const
+    {
+        return this->known;
+    }
+
+    /// @return Null before the first configuration.
+    serving_table_ptr make_table(
+        bool orders_possible,
+        const std::unordered_set<fingerprint>& blocked,
+        instant now) const;
+
+private:
+    void make_catalogue();
+    void add_engine(
+        serving_table::parts& into, const server& one, instant now) const;
+    void add_servable(
+        serving_table::parts& into,
+        const server& one,
+        std::string_view servable) const;
+    void
+    add_plain(serving_table::parts& into, const server& one) const;
+
+    options settings;
+    std::shared_ptr<const deployment> current;
+    std::shared_ptr<const servable_catalogue> catalogue;
+    std::map<std::string, server, std::less<>> known; ///< by id
+    std::unordered_map<std::string, engine_id> numbers;
+    std::unordered_map<std::string, servable_id> servable_numbers;
+    std::uint64_t last_run = 0;
+    instant revival_until = instant::min();
+};
+
+} // namespace roseworks
--- /dev/null
+++ b/src/ports/directory_port.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "core/serving/deployment.hpp"
+#include "core/serving/server_entry.hpp"
+
+#include <roseworks/instant.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace roseworks
+{
+
+/// The right to order the deployment's engines.
+struct placement_tenure
+{
+    std::uint64_t fence = 0; ///< higher than that of any owner before
+    instant until;           ///< no order is sent later, unless renewed
+};
+
+/// Another router, as it announced itself.
+struct router_address
+{
+    std::string name;
+    std::string address; ///< UDP ip:port
+
+    bool operator==(const router_address&) const = default;
+};
+
+/// Receives what the platform's store keeps, on the thread that runs the port.
+class directory_listener
+{
+public:
+    virtual ~directory_listener() = default;
+
+    virtual void
+    deployment_read(std::shared_ptr<const deployment> configuration) = 0;
+
+    /// The registry was read whole.
+    virtual void servers_listed(std::vector<server_entry> all) = 0;
+    virtual void server_read(server_entry entry) = 0;
+    virtual void server_removed(std::string_view id) = 0;
+
+    /// The routers that ever announced themselves, but for those replaced.
+    virtual void routers_listed(std::vector<router_address> all) = 0;
+
+    /// Empty: this router doesn't own placement, or can't renew.
+    virtual void tenure_changed(std::optional<placement_tenure> held) = 0;
+
+    /// No call is answered any more, or one is again.
+    virtual void directory_lost() = 0;
+    virtual void directory_back() = 0;
+};
+
+/// Port: the store that the platform offers to all routers.
+class directory_port
+{
+public:
+    virtual ~directory_port() = default;
+
+    /// Starts to read, to announce this router and to apply for ownership.
+    virtual void start(directory_listener& listener) = 0;
+
+    /// Gives ownership up, so that the next router needn't wait for its term.
+    virtual void resign() = 0;
+
+    /// Ends all calls; nothing is called any more.
+    virtual void stop() = 0;
+};
+
+} // namespace roseworks
--- a/src/ports/event_sink.hpp
+++ b/src/ports/event_sink.hpp
@@ -108,7 +108,26 @@
     claim_lost = 1608,
     claim_unavailable = 1609,
     caller_left = 1610,
-    bad_request = 1611
+    bad_request = 1611,
+
+    // 17xx: forwarding on the operators' routes.
+    request_served = 1701,
+    request_ended = 1702,
+    lines_left_out = 1703,
+    deployment_in_force = 1710,
+    server_seen = 1711,
+    server_gone = 1712,
+    store_lost = 1713,
+    store_back = 1714,
+    settings_reloaded = 1715,
+
+    // 18xx: placement by orders of one owner.
+    placement_owned = 1801,
+    placement_given_up = 1802,
+    engine_ordered = 1803,
+    engine_order_ended = 1804,
+    engine_examined = 1805,
+    model_given_up = 1806
 };
 
 /// A named value of an event: text or a signed 64-bit integer. The text is
