--- a/src/core/swapping/engine_book.hpp
+++ b/src/core/swapping/engine_book.hpp
@@ -137,7 +137,7 @@
         /// own step until it takes requests.
         duration load_margin = std::chrono::milliseconds(20);
         /// An idle model's unloading.
-        duration unload_time = std::chrono::milliseconds(15);
+        duration unload_time = std::chrono::milliseconds(50);
         /// An adapter's loading from the store; the stated times are less.
         duration adapter_time = std::chrono::milliseconds(25);
         /// Until an order that came too early for the one before is tried anew.
