Keep store loads within their bounds; tell those who wait; believe refusals

Words go to those who wait or used the model; the rest within a budget of bytes. - a request refused by an engine for want of its model could be sent there again: the refusal is believed for 150 ms.

--- a/src/adapters/forward/forward_call.cpp
+++ b/src/adapters/forward/forward_call.cpp
@@ -273,6 +273,8 @@
         result = co_await this->exchange_with(where, *server);
         if (where.engine)
             this->context.ports.run_ended(servable, instance);
+        if (where.engine && result.how == end_kind::refused_not_run)
+            co_await this->wait_for_table(servable, instance);
     }
     const bool ran = result.how != end_kind::not_sent &&
                      result.how != end_kind::refused_not_run;
@@ -302,6 +304,15 @@
     co_return true;
 }
 
+asio::awaitable<void> forward_call::wait_for_table(
+    const std::string& servable, const std::string& instance)
+{
+    this->context.ports.run_refused(servable, instance);
+    asio::steady_timer pause(this->pool.executor);
+    pause.expires_after(this->context.settings.refused_pause);
+    co_await pause.async_wait(edge::quietly);
+}
+
 std::string
 forward_call::bytes_for(const server_identity& server, instant now) const
 {
--- a/src/adapters/forward/forward_call.hpp
+++ b/src/adapters/forward/forward_call.hpp
@@ -65,6 +65,9 @@
     asio::awaitable<void> serve();
     asio::awaitable<bool> attempt(grant where);
     bool may_attempt(const grant& where);
+    /// An engine refused the request for want of its model.
+    asio::awaitable<void> wait_for_table(
+        const std::string& servable, const std::string& instance);
     std::string bytes_for(const server_identity& server, instant now) const;
     asio::awaitable<attempt_result> exchange_with(
         const grant& where, const server_identity& server);
--- a/src/adapters/forward/forward_context.hpp
+++ b/src/adapters/forward/forward_context.hpp
@@ -30,6 +30,8 @@
     std::chrono::milliseconds answer_margin{20};
     /// A request without a deadline and without a route's limit.
     std::chrono::milliseconds default_deadline{60'000};
+    /// After an engine refused a request: for the table without it.
+    std::chrono::milliseconds refused_pause{5};
     /// Retry-After while no configuration is known.
     std::chrono::milliseconds start_retry{500};
     shared_retry_budget::options retries;
@@ -49,6 +51,9 @@
         run_started;
     std::function<void(const std::string& servable, const std::string& engine)>
         run_ended;
+    /// An engine didn't run a request for a servable that it was to hold.
+    std::function<void(const std::string& servable, const std::string& engine)>
+        run_refused;
     /// A connection broke under a request that a server had begun.
     std::function<void(const std::string& address, fingerprint)> broken;
 };
--- a/src/adapters/settings/gateway_settings.hpp
+++ b/src/adapters/settings/gateway_settings.hpp
@@ -19,6 +19,7 @@
     {
         std::string name;
         std::string data_centre;
+        bool first_start = false; ///< the whole deployment starts just now
     } vm;
 
     struct
@@ -38,6 +39,7 @@
     struct
     {
         milliseconds grace{8000};    ///< from SIGTERM to SIGKILL
+        milliseconds leaving{2000};  ///< until a leaving server gets no more
         milliseconds lease{3000};    ///< between orders of two holders in turn
         bool fences_checked = true;  ///< engines refuse old fencing numbers
         double retry_ratio = 0.2;    ///< retries for each request of a service
--- a/src/adapters/settings/load_gateway_settings.cpp
+++ b/src/adapters/settings/load_gateway_settings.cpp
@@ -133,6 +133,18 @@
              "",
              "Its data centre; servers there are preferred."),
          &put<vm, &vm_section::data_centre>},
+        {row(
+             "vm",
+             "first_start",
+             word,
+             "false",
+             0,
+             0,
+             "",
+             "Whether the whole deployment starts just now: nobody has ordered "
+             "an engine.",
+             yes_no),
+         &put<vm, &vm_section::first_start>},
         {row(
              "listen",
              "requests",
@@ -203,6 +215,16 @@
              "s",
              "From SIGTERM until the process is killed."),
          &put_seconds<bounds, &bounds_section::grace>},
+        {row(
+             "bounds",
+             "leaving_ms",
+             integer,
+             "2000",
+             1,
+             most_ms,
+             "ms",
+             "A server that leaves gets nothing new so long after it said so."),
+         &put<bounds, &bounds_section::leaving>},
         {row(
              "bounds",
              "lease_ms",
--- a/src/app/gateway/gateway_app.cpp
+++ b/src/app/gateway/gateway_app.cpp
@@ -208,6 +208,10 @@
         {
             this->control->usages().ended(servable, engine);
         },
+        [this](const std::string& servable, const std::string& engine)
+        {
+            this->control->engine_refused(servable, engine);
+        },
         [this](const std::string& address, fingerprint request)
         {
             this->control->connection_broke(address, request);
--- a/src/app/gateway/gateway_control.cpp
+++ b/src/app/gateway/gateway_control.cpp
@@ -26,6 +26,9 @@
 /// Demand that comes together is told together.
 constexpr std::chrono::milliseconds needs_pause{2};
 
+/// What still waits is told again: a datagram may have been lost.
+constexpr duration needs_repetition = std::chrono::milliseconds(250);
+
 /// The dispatcher repeats what waits every 50 ms.
 constexpr duration need_lifetime = std::chrono::milliseconds(120);
 
@@ -78,6 +81,11 @@
     made.server = tcp_endpoint(settings.store.address);
     made.self = {settings.vm.name, settings.listen.peers.to_string()};
     made.term = std::max(made.term, settings.store.shortest_term);
+    // One read may be lost, and one takes its time.
+    made.registry_pace = std::max(
+        settings.bounds.leaving * 9 / 20, std::chrono::milliseconds(100));
+    if (!settings.vm.first_start)
+        made.first_join = settings.bounds.lease;
     return made;
 }
 
@@ -127,9 +135,13 @@
           sink,
           *this->commands,
           this->desk->view(),
-          [this](const owner_word& word)
+          [this]
+          {
+              return this->router_names();
+          },
+          [this](const owner_word& word, std::span<const std::string> routers)
           {
-              this->tell_routers(word);
+              this->tell_routers(word, routers);
           }))
     , needs_timer(this->loop)
     , uses_timer(this->loop)
@@ -196,8 +208,16 @@
 
 void gateway_control::take_demand(const demand& what)
 {
-    this->waiting[what.target] = {what, this->clock.now()};
-    this->arm_needs();
+    const instant now = this->clock.now();
+    const auto [place, added] = this->waiting.try_emplace(what.target);
+    waiting_need& need = place->second;
+    const bool more = added || need.last.waiting != what.waiting ||
+                      what.earliest_objective < need.last.earliest_objective;
+    need.last = what;
+    need.heard = now;
+    need.news = need.news || more;
+    if (need.news)
+        this->arm_needs();
 }
 
 void gateway_control::arm_needs()
@@ -210,7 +230,7 @@
         {
             this->needs_armed = false;
             if (!error)
-                this->send_word(false);
+                this->send_needs(false);
         });
 }
 
@@ -225,38 +245,70 @@
         {
             if (error)
                 return;
-            this->send_word(true);
+            const instant now = this->clock.now();
+            const bool repeat = now - this->needs_repeated >= needs_repetition;
+            this->send_needs(repeat);
+            router_word word = this->make_word();
+            word.uses = this->usage.take();
+            this->send_to_owner(std::move(word));
             this->look_for_owner();
             this->arm_uses();
         });
 }
 
-void gateway_control::send_word(bool with_uses)
+router_word gateway_control::make_word()
+{
+    // Room for the parts that a long word is sent in.
+    constexpr std::uint64_t parts = 100;
+    const auto micros = static_cast<std::uint64_t>(
+        this->clock.now().time_since_epoch().count());
+    this->last_sequence = std::max(this->last_sequence + parts, micros);
+    router_word word;
+    word.router = this->settings.vm.name;
+    word.run = this->run_number;
+    word.sequence = this->last_sequence;
+    return word;
+}
+
+servable_need
+gateway_control::need_of(const demand& what, instant now) const
+{
+    const bool lost = what.earliest_objective == instant::max();
+    return {
+        what.target,
+        what.waiting,
+        lost ? servable_need::no_objective
+             : micros_until(what.earliest_objective, now),
+        micros_until(what.earliest_deadline, now)};
+}
+
+void gateway_control::send_needs(bool all)
 {
     const instant now = this->clock.now();
+    router_word word = this->make_word();
+    for (auto& [servable, need] : this->waiting)
+    {
+        const bool over = now - need.heard > need_lifetime;
+        if (over)
+            word.needs.push_back({servable, 0, 0, 0});
+        else if (all || need.news)
+            word.needs.push_back(this->need_of(need.last, now));
+        need.news = false;
+    }
     std::erase_if(
         this->waiting,
         [now](const auto& entry)
         {
             return now - entry.second.heard > need_lifetime;
         });
-    router_word word;
-    word.router = this->settings.vm.name;
-    word.run = this->run_number;
-    word.sequence =
-        static_cast<std::uint64_t>(now.time_since_epoch().count());
-    for (const auto& [servable, need] : this->waiting)
-    {
-        const bool lost = need.last.earliest_objective == instant::max();
-        word.needs.push_back(
-            {servable,
-             need.last.waiting,
-             lost ? servable_need::no_objective
-                  : micros_until(need.last.earliest_objective, now),
-             micros_until(need.last.earliest_deadline, now)});
-    }
-    if (with_uses)
-        word.uses = this->usage.take();
+    if (all)
+        this->needs_repeated = now;
+    if (!word.needs.empty())
+        this->send_to_owner(std::move(word));
+}
+
+void gateway_control::send_to_owner(router_word word)
+{
     if (!this->owner)
         return;
     if (this->owner->address.empty())
@@ -281,21 +333,30 @@
     this->desk->orders_possible(!vacant);
 }
 
-std::vector<std::string> gateway_control::other_routers() const
+std::vector<std::string> gateway_control::router_names() const
 {
-    std::vector<std::string> addresses;
-    for (const router_address& router : this->routers_known)
+    std::vector<std::string> names{this->settings.vm.name};
+    for (const auto& [name, address] : this->router_addresses)
     {
-        if (router.name != this->settings.vm.name)
-            addresses.push_back(router.address);
+        if (name != this->settings.vm.name)
+            names.push_back(name);
     }
-    return addresses;
+    return names;
 }
 
-void gateway_control::tell_routers(const owner_word& word)
+void gateway_control::tell_routers(
+    const owner_word& word, std::span<const std::string> routers)
 {
-    this->peers->send(this->other_routers(), word);
-    this->take_owner_word(word, {});
+    std::vector<std::string> addresses;
+    for (const std::string& name : routers)
+    {
+        const auto found = this->router_addresses.find(name);
+        if (name == this->settings.vm.name)
+            this->take_owner_word(word, {});
+        else if (found != this->router_addresses.end())
+            addresses.push_back(found->second);
+    }
+    this->peers->send(addresses, word);
 }
 
 void gateway_control::router_word_heard(const router_word& word)
@@ -322,7 +383,7 @@
     for (const engine_residency& engine : word.engines)
         this->desk->residency_heard(engine);
     if (another)
-        this->send_word(true);
+        this->send_needs(true);
 }
 
 void gateway_control::break_word_heard(const break_word& word)
@@ -330,6 +391,17 @@
     static_cast<void>(word);
 }
 
+void gateway_control::engine_refused(
+    const std::string& servable, const std::string& engine)
+{
+    asio::post(
+        this->loop,
+        [this, servable, engine]
+        {
+            this->desk->contradicted(engine, servable);
+        });
+}
+
 void gateway_control::connection_broke(
     const std::string& address, fingerprint request)
 {
@@ -380,7 +452,9 @@
 
 void gateway_control::routers_listed(std::vector<router_address> all)
 {
-    this->routers_known = std::move(all);
+    this->router_addresses.clear();
+    for (router_address& router : all)
+        this->router_addresses[router.name] = std::move(router.address);
 }
 
 void gateway_control::tenure_changed(std::optional<placement_tenure> held)
--- a/src/app/gateway/gateway_control.hpp
+++ b/src/app/gateway/gateway_control.hpp
@@ -23,6 +23,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <thread>
 #include <vector>
@@ -67,6 +68,9 @@
     /// A model has requests waiting here.
     void demand_arose(const demand& what);
 
+    /// An engine didn't run a request for a servable that it was to hold.
+    void engine_refused(const std::string& servable, const std::string& engine);
+
     /// A connection broke under a request that a server may have begun.
     void connection_broke(const std::string& address, fingerprint request);
 
@@ -111,18 +115,23 @@
     void run();
     void take_demand(const demand& what);
     void take_owner_word(const owner_word& word, std::string_view from);
-    void tell_routers(const owner_word& word);
+    void tell_routers(
+        const owner_word& word, std::span<const std::string> routers);
     void arm_needs();
     void arm_uses();
-    void send_word(bool with_uses);
     void look_for_owner();
-    std::vector<std::string> other_routers() const;
+    std::vector<std::string> router_names() const;
+    servable_need need_of(const demand& what, instant now) const;
+    void send_needs(bool all);
+    void send_to_owner(router_word word);
+    router_word make_word();
 
     /// What waits here for a servable.
     struct waiting_need
     {
         demand last;
         instant heard;
+        bool news = true; ///< not told to the owner yet
     };
 
     /// Who owns placement, as last heard.
@@ -148,12 +157,14 @@
     std::unique_ptr<engine_command_port> commands;
     std::unique_ptr<placement_desk> placement;
     usage_meter usage;
-    std::vector<router_address> routers_known;
+    std::map<std::string, std::string> router_addresses; ///< by name
     std::map<std::string, waiting_need> waiting; ///< by servable
     std::optional<known_owner> owner;
     instant owner_missing_since;
     boost::asio::steady_timer needs_timer;
     boost::asio::steady_timer uses_timer;
+    instant needs_repeated;
+    std::uint64_t last_sequence = 0;
     bool needs_armed = false;
     std::uint64_t run_number = 0;
     std::atomic<std::size_t> alive{1};
--- a/src/app/gateway/placement_desk.cpp
+++ b/src/app/gateway/placement_desk.cpp
@@ -1,5 +1,7 @@
 #include "app/gateway/placement_desk.hpp"
 
+#include "core/serving/servable_key.hpp"
+
 #include <algorithm>
 #include <utility>
 #include <vector>
@@ -47,6 +49,14 @@
     return "unknown";
 }
 
+std::string servable_of(const engine_state& engine, const swap_order& order)
+{
+    std::string name = order.model;
+    if (!order.adapter.empty())
+        name += "/" + order.adapter;
+    return servable_key(engine.entry.service, name);
+}
+
 std::int64_t whole_ms(duration length)
 {
     return std::chrono::duration_cast<milliseconds>(length).count();
@@ -62,6 +72,7 @@
     event_sink& sink,
     engine_command_port& orders,
     const serving_view& known,
+    router_lister all,
     teller told)
     : loop(context)
     , settings(chosen)
@@ -70,6 +81,7 @@
     , events(sink)
     , commands(orders)
     , view(known)
+    , routers(std::move(all))
     , tell(std::move(told))
     , book(chosen.engines)
     , needs(chosen.needs)
@@ -137,9 +149,12 @@
 {
     const bool owned = this->tenure.has_value();
     const bool anew = held && (!owned || held->fence != this->tenure->fence);
+    // Past its term another router may have owned it for a while.
+    const bool lapsed = owned && this->clock.now() > this->tenure->until;
+    if (owned && (!held || (anew && lapsed)))
+        this->give_up(
+            held ? "the term had lapsed" : "the store gave it to another");
     this->tenure = held;
-    if (!held && owned)
-        this->give_up("the store gave it to another");
     if (anew)
         this->take_up();
 }
@@ -151,7 +166,7 @@
     const bool continued = std::exchange(this->at_work, true);
     if (continued)
         return; // the same owner under a new number: all is known
-    this->book.take_over(this->clock.now(), this->settings.lease);
+    this->book.take_over(this->settings.lease);
     this->servers_changed();
     for (const auto& [id, engine] : this->book.all())
         this->examine(id, milliseconds(0));
@@ -186,8 +201,8 @@
         for (const auto& [id, engine] : this->book.all())
         {
             if (need.waiting != 0 && engine.examined &&
-                engine.holds(need.servable))
-                this->changed(id);
+                !engine.entry.leaving && engine.holds(need.servable))
+                this->tell_later(id, {word.router});
         }
     }
     if (!word.needs.empty())
@@ -199,8 +214,8 @@
     if (this->stopped || !this->at_work)
         return;
     const instant now = this->clock.now();
-    for (const std::string& id : this->book.advance(now))
-        this->changed(id);
+    for (const finished_order& done : this->book.advance(now))
+        this->tell_of(done.engine, done.servable);
     this->needs.tick(now);
     if (this->owns(now) && this->view.config())
     {
@@ -256,7 +271,7 @@
     pending.source = order.source;
     this->book.sent(order.engine, std::move(pending), now);
     if (order.action == engine_action::unload)
-        this->changed(order.engine);
+        this->tell_of(order.engine, servable_of(*engine, order));
     this->commands.send_command(
         command,
         [this, fence]
@@ -295,7 +310,8 @@
         this->tenure.reset();
         return;
     }
-    this->changed(engine);
+    if (const engine_state* state = this->book.find(engine))
+        this->tell_of(engine, servable_of(*state, order));
     if (unsure)
         this->examine(engine, this->settings.report_lag);
     this->step();
@@ -350,14 +366,45 @@
         return;
     }
     this->book.reported(engine, *report, this->clock.now());
-    this->changed(engine);
+    this->tell_of(engine, {});
     this->step();
 }
 
-void placement_desk::changed(const std::string& engine)
+void placement_desk::tell_of(
+    const std::string& engine, std::string_view servable)
+{
+    const std::vector<std::string> all = this->routers();
+    if (this->spare(all.size() * this->settings.engine_bytes))
+    {
+        this->tell_later(engine, all);
+        return;
+    }
+    this->tell_later(
+        engine, this->needs.routers_waiting(servable, this->clock.now()));
+    this->tell_later(engine, this->needs.routers_using(engine, servable));
+}
+
+bool placement_desk::spare(std::size_t bytes)
+{
+    const instant now = this->clock.now();
+    const double passed =
+        std::chrono::duration<double>(now - this->spare_counted).count();
+    this->spare_counted = now;
+    this->spare_bytes = std::min(
+        this->spare_bytes + passed * this->settings.spare_bytes_per_second,
+        this->settings.spare_bytes_per_second);
+    if (this->spare_bytes < static_cast<double>(bytes))
+        return false;
+    this->spare_bytes -= static_cast<double>(bytes);
+    return true;
+}
+
+void placement_desk::tell_later(
+    const std::string& engine, const std::vector<std::string>& audience)
 {
-    this->to_tell.insert(engine);
-    if (std::exchange(this->telling, true))
+    for (const std::string& router : audience)
+        this->to_tell[router].insert(engine);
+    if (audience.empty() || std::exchange(this->telling, true))
         return;
     this->tell_timer.expires_after(this->settings.tell_pause);
     this->tell_timer.async_wait(
@@ -369,23 +416,36 @@
         });
 }
 
-void placement_desk::tell_changes()
+owner_word placement_desk::make_word() const
 {
-    if (!this->at_work || !this->tenure)
-        return;
-    owner_word word{
+    return {
         this->name,
         this->tenure->fence,
         static_cast<std::uint32_t>(this->needs.routers(this->clock.now())),
         {}};
-    for (const std::string& id : std::exchange(this->to_tell, {}))
+}
+
+void placement_desk::tell_changes()
+{
+    const auto all = std::exchange(this->to_tell, {});
+    if (!this->at_work || !this->tenure)
+        return;
+    // Routers that are told the same are told together.
+    std::map<std::set<std::string>, std::vector<std::string>> audiences;
+    for (const auto& [router, engines] : all)
+        audiences[engines].push_back(router);
+    for (const auto& [engines, audience] : audiences)
     {
-        const engine_state* engine = this->book.find(id);
-        if (engine != nullptr && engine->examined)
-            word.engines.push_back(engine->residency(this->tenure->fence));
+        owner_word word = this->make_word();
+        for (const std::string& id : engines)
+        {
+            const engine_state* engine = this->book.find(id);
+            if (engine != nullptr && engine->examined)
+                word.engines.push_back(engine->residency(this->tenure->fence));
+        }
+        if (!word.engines.empty())
+            this->tell(word, audience);
     }
-    if (!word.engines.empty())
-        this->tell(word);
 }
 
 void placement_desk::arm_beacon()
@@ -405,26 +465,24 @@
 {
     if (!this->at_work || !this->tenure)
         return;
-    owner_word word{
-        this->name,
-        this->tenure->fence,
-        static_cast<std::uint32_t>(this->needs.routers(this->clock.now())),
-        {}};
-    const auto& all = this->book.all();
-    auto next = all.upper_bound(this->last_told);
+    const std::vector<std::string> all = this->routers();
+    owner_word word = this->make_word();
+    const auto& engines = this->book.all();
+    auto next = engines.upper_bound(this->last_told);
     const std::size_t most =
-        std::min(this->settings.beacon_engines, all.size());
+        std::min(this->settings.beacon_engines, engines.size());
     for (std::size_t i = 0; i < most; ++i)
     {
-        if (next == all.end())
-            next = all.begin();
+        if (!this->spare(all.size() * this->settings.engine_bytes))
+            break;
+        if (next == engines.end())
+            next = engines.begin();
         this->last_told = next->first;
         if (next->second.examined)
-            word.engines.push_back(
-                next->second.residency(this->tenure->fence));
+            word.engines.push_back(next->second.residency(this->tenure->fence));
         ++next;
     }
-    this->tell(word);
+    this->tell(word, all);
 }
 
 } // namespace roseworks::app
--- a/src/app/gateway/placement_desk.hpp
+++ b/src/app/gateway/placement_desk.hpp
@@ -18,8 +18,10 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace roseworks::app
 {
@@ -50,15 +52,25 @@
         /// Reports lag by some 200 ms: one read earlier shows what was before.
         std::chrono::milliseconds report_lag{250};
         std::chrono::milliseconds examine_retry{300};
-        /// What is known of all engines is told in turn within about a second.
-        std::chrono::milliseconds beacon{200};
-        std::size_t beacon_engines = 6;
+        /// Between two words to all routers, which show that there is an
+        /// owner and what some of the engines hold, in turn.
+        std::chrono::milliseconds beacon{250};
+        std::size_t beacon_engines = 12;
         /// Changes that come together are told together.
         std::chrono::milliseconds tell_pause{1};
+        /// For words to those who don't wait for them. What is over it is told
+        /// to those alone who wait for a model, or used it lately: the others
+        /// ask when they need it, and learn of an end from the engine.
+        double spare_bytes_per_second = 60'000;
+        /// Encoded, with names of usual length.
+        std::size_t engine_bytes = 150;
     };
 
-    /// Tells the routers, this one included, what engines hold.
-    using teller = std::function<void(const owner_word&)>;
+    /// Tells routers, perhaps this one among them, what engines hold.
+    using teller = std::function<void(
+        const owner_word&, std::span<const std::string> routers)>;
+    /// @return The names of all routers, this one included.
+    using router_lister = std::function<std::vector<std::string>()>;
 
     placement_desk(
         boost::asio::io_context& loop,
@@ -68,6 +80,7 @@
         event_sink& events,
         engine_command_port& commands,
         const serving_view& view,
+        router_lister routers,
         teller tell);
 
     void start();
@@ -110,7 +123,11 @@
     void read_report(const std::string& engine);
     void report_read(
         const std::string& engine, const std::optional<holdings_report>& report);
-    void changed(const std::string& engine);
+    void tell_later(
+        const std::string& engine, const std::vector<std::string>& audience);
+    void tell_of(const std::string& engine, std::string_view servable);
+    bool spare(std::size_t bytes);
+    owner_word make_word() const;
     void arm_step();
     void arm_tell();
     void arm_beacon();
@@ -126,13 +143,16 @@
     event_sink& events;
     engine_command_port& commands;
     const serving_view& view;
+    router_lister routers;
     teller tell;
     engine_book book;
     need_book needs;
     swap_planner planner;
     std::optional<placement_tenure> tenure;
     bool at_work = false; ///< orders are given, or were until just now
-    std::set<std::string> to_tell;
+    std::map<std::string, std::set<std::string>> to_tell; ///< by router
+    double spare_bytes = 0;
+    instant spare_counted;
     std::set<std::string> examining;
     std::string last_told; ///< engine that the last beacon ended with
     boost::asio::steady_timer step_timer;
--- a/src/app/gateway/serving_desk.cpp
+++ b/src/app/gateway/serving_desk.cpp
@@ -113,6 +113,13 @@
         this->changed();
 }
 
+void serving_desk::contradicted(
+    std::string_view engine, std::string_view servable)
+{
+    if (this->known.contradicted(engine, servable, this->clock.now()))
+        this->publish();
+}
+
 void serving_desk::orders_possible(bool possible)
 {
     if (std::exchange(this->can_order, possible) != possible)
--- a/src/app/gateway/serving_desk.hpp
+++ b/src/app/gateway/serving_desk.hpp
@@ -65,6 +65,9 @@
     /// The placement owner told what an engine holds.
     void residency_heard(engine_residency told);
 
+    /// An engine refused a request for want of its model or adapter.
+    void contradicted(std::string_view engine, std::string_view servable);
+
     /// Whether cold models can be loaded now.
     void orders_possible(bool possible);
 
--- a/src/core/serving/serving_view.cpp
+++ b/src/core/serving/serving_view.cpp
@@ -166,12 +166,25 @@
     }
     if (one.owned && !told.newer_than(*one.owned))
         return false;
-    const bool changed = this->resident(one, now) != told.resident;
+    const bool changed = !one.refused.empty() ||
+                         this->resident(one, now) != told.resident;
+    one.refused.clear();
     one.owned = std::move(told);
     one.owned_at = now;
     return changed;
 }
 
+bool serving_view::contradicted(
+    std::string_view engine, std::string_view servable, instant now)
+{
+    const auto found = this->known.find(engine);
+    if (found == this->known.end())
+        return false;
+    found->second.refused[std::string(servable)] =
+        now + this->settings.refusal_lifetime;
+    return true;
+}
+
 bool serving_view::tick(instant now)
 {
     bool changed = std::erase_if(
@@ -183,6 +196,13 @@
                        }) != 0;
     for (auto& [id, one] : this->known)
     {
+        changed = std::erase_if(
+                      one.refused,
+                      [now](const auto& entry)
+                      {
+                          return entry.second <= now;
+                      }) != 0 ||
+                  changed;
         if (!one.owned || now - one.owned_at < this->settings.residency_lifetime)
             continue;
         one.owned.reset();
@@ -247,7 +267,7 @@
 {
     std::string key = servable_key(one.entry.service, servable);
     const auto cold = this->catalogue->servables.find(key);
-    if (cold == this->catalogue->servables.end())
+    if (cold == this->catalogue->servables.end() || one.refused.contains(key))
         return;
     servable_routes& entry =
         into.resident.try_emplace(std::move(key), cold->second).first->second;
--- a/src/core/serving/serving_view.hpp
+++ b/src/core/serving/serving_view.hpp
@@ -39,6 +39,8 @@
         /// The owner's word on an engine counts for so long; after it the
         /// engine's own entry does, which then is newer.
         duration residency_lifetime = std::chrono::seconds(4);
+        /// A refusal counts for so long: a load that is about to end.
+        duration refusal_lifetime = std::chrono::milliseconds(150);
     };
 
     /// One run of a backend server.
@@ -50,6 +52,8 @@
         std::optional<instant> lapses; ///< gone unless it registers before
         std::optional<engine_residency> owned;
         instant owned_at; ///< when the owner last said so
+        /// Keys of what it refused, until when they count.
+        std::map<std::string, instant, std::less<>> refused;
     };
 
     explicit serving_view(options settings);
@@ -71,6 +75,17 @@
     /// @return Whether that is news.
     bool residency_heard(engine_residency told, instant now);
 
+    /** An engine refused a request for want of its model or adapter.
+
+        It isn't sent there for it until there is newer word of the engine, or
+        some time has passed: else a retry would go to the same engine.
+
+        @param servable Its key.
+        @return         Whether it was thought to be there.
+    */
+    bool contradicted(
+        std::string_view engine, std::string_view servable, instant now);
+
     /// @return Whether servers lapsed, or word of the owner grew old.
     bool tick(instant now);
 
--- a/src/core/swapping/engine_book.cpp
+++ b/src/core/swapping/engine_book.cpp
@@ -16,6 +16,13 @@
     return std::ranges::find(list, name) != std::ranges::end(list);
 }
 
+/// What an engine that wasn't examined yet is known to have on disk.
+void take_copies(engine_state& engine, const engine_holdings& told)
+{
+    engine.in_memory.assign(told.in_memory.begin(), told.in_memory.end());
+    engine.on_disk = told.on_disk;
+}
+
 } // namespace
 
 const held_model* engine_state::find(std::string_view model) const
@@ -114,6 +121,7 @@
     {
         engine_state added;
         added.entry = entry;
+        take_copies(added, entry.holdings);
         this->known.emplace(entry.id, std::move(added));
         return true;
     }
@@ -129,6 +137,8 @@
         engine.not_before = not_before;
     }
     engine.entry = entry;
+    if (!engine.examined)
+        take_copies(engine, entry.holdings);
     static_cast<void>(now);
     return restarted;
 }
@@ -140,17 +150,14 @@
         this->known.erase(found);
 }
 
-void engine_book::take_over(instant now, duration lease)
+void engine_book::take_over(duration between_holders)
 {
+    this->lease = between_holders;
     for (auto& [id, engine] : this->known)
     {
         engine.examined = false;
+        engine.retaken = true;
         engine.order.reset();
-        // Another owner may have ordered it since this router did: holders may
-        // not take turns faster than this.
-        if (engine.last_order != instant::min() &&
-            now < engine.last_order + lease)
-            engine.not_before = engine.last_order + lease;
     }
 }
 
@@ -178,10 +185,15 @@
             model.adapters.push_back({adapter, now});
     }
     engine->held = std::move(held);
+    const bool ordered_by_another =
+        std::exchange(engine->retaken, false) &&
+        engine->last_order != instant::min() &&
+        engine->orders_taken != report.orders_taken;
+    if (ordered_by_another)
+        engine->not_before =
+            std::max(engine->not_before, engine->last_order + this->lease);
     engine->orders_taken = report.orders_taken;
-    engine->in_memory.assign(
-        report.holdings.in_memory.begin(), report.holdings.in_memory.end());
-    engine->on_disk = report.holdings.on_disk;
+    take_copies(*engine, report.holdings);
     engine->order.reset();
     engine->examined = true;
     ++engine->revision;
@@ -260,9 +272,9 @@
     ++engine.revision;
 }
 
-std::vector<std::string> engine_book::advance(instant now)
+std::vector<finished_order> engine_book::advance(instant now)
 {
-    std::vector<std::string> done;
+    std::vector<finished_order> done;
     for (auto& [id, engine] : this->known)
     {
         const bool ended =
@@ -274,7 +286,10 @@
         if (order.action == engine_action::load)
             this->carry_out(engine, order, now);
         ++engine.revision;
-        done.push_back(id);
+        std::string name = order.model;
+        if (!order.adapter.empty())
+            name += "/" + order.adapter;
+        done.push_back({id, servable_key(engine.entry.service, name)});
     }
     return done;
 }
--- a/src/core/swapping/engine_book.hpp
+++ b/src/core/swapping/engine_book.hpp
@@ -92,6 +92,7 @@
     instant not_before = instant::min(); ///< no order is sent earlier
     instant last_order = instant::min(); ///< this router's, sent
     std::uint32_t strikes = 0;           ///< orders out of step in a row
+    bool retaken = false; ///< another owner may have ordered it meanwhile
     std::uint64_t revision = 1;          ///< of what is told to the routers
 
     /// @return Whether an order may be sent.
@@ -118,6 +119,13 @@
     engine_residency residency(std::uint64_t tenure) const;
 };
 
+/// An order that counts as done.
+struct finished_order
+{
+    std::string engine;   ///< id of its entry
+    std::string servable; ///< key of the model or adapter
+};
+
 /** The engines that the placement owner orders.
 
     Pure bookkeeping: orders are entered when they are sent and when they are
@@ -158,8 +166,13 @@
     /// An engine is gone from the registry.
     void removed(std::string_view id);
 
-    /// This router owns placement anew: nothing known may be trusted.
-    void take_over(instant now, duration lease);
+    /** This router owns placement anew: nothing known may be trusted.
+
+        Two owners may not order an engine in turn within the lease. Whether
+        another one ordered it in between shows when it is examined: by the
+        count of orders that it has taken.
+    */
+    void take_over(duration lease);
 
     /// A report was read.
     void reported(std::string_view id, const holdings_report& report, instant);
@@ -170,8 +183,8 @@
     /// @return Whether the engine has to be examined.
     bool answered(std::string_view id, command_end how, instant now);
 
-    /// @return Engines of which an order counts as done since the last call.
-    std::vector<std::string> advance(instant now);
+    /// @return Orders that count as done since the last call.
+    std::vector<finished_order> advance(instant now);
 
     /// @return When `advance` has something next.
     std::optional<instant> next_event() const;
@@ -207,6 +220,7 @@
     options settings;
     std::shared_ptr<const deployment> config;
     engines known;
+    duration lease{};
 };
 
 } // namespace roseworks
--- a/src/core/swapping/need_book.cpp
+++ b/src/core/swapping/need_book.cpp
@@ -18,11 +18,6 @@
     return now + duration(std::clamp(micros, -farthest, farthest));
 }
 
-std::string_view servable_of(std::string_view key)
-{
-    return key.substr(key.find(key_separator) + 1);
-}
-
 /// Those that can still meet their objective go first.
 bool goes_before(const wanted_servable& left, const wanted_servable& right)
 {
@@ -81,23 +76,16 @@
     {
         const std::string key = use_key(told.engine, told.servable);
         use_row& before = row.uses[key];
-        this->change_use(key, told.servable, before.running, told.running);
-        before = {told.running, now};
-        if (told.running != 0 || told.started != 0)
-            this->uses[key].last_used = now;
-        if (told.running == 0)
-            row.uses.erase(key);
+        this->change_use(key, before.running, told.running);
+        before = {told.running, now, now};
+        this->uses[key].last_used = now;
     }
 }
 
 void need_book::change_use(
-    const std::string& key,
-    std::string_view servable,
-    std::uint32_t before,
-    std::uint32_t after)
+    const std::string& key, std::uint32_t before, std::uint32_t after)
 {
     this->uses[key].running += after - before;
-    this->totals[std::string(servable)] += after - before;
 }
 
 std::vector<wanted_servable> need_book::wanted(instant now) const
@@ -138,10 +126,32 @@
     return found == this->uses.end() ? nullptr : &found->second;
 }
 
-std::uint32_t need_book::running(std::string_view servable) const
+std::vector<std::string> need_book::routers_waiting(
+    std::string_view servable, instant now) const
+{
+    std::vector<std::string> found;
+    const std::string key(servable);
+    for (const auto& [router, row] : this->rows)
+    {
+        const auto need = row.needs.find(key);
+        if (need != row.needs.end() &&
+            now - need->second.heard <= this->settings.need_lifetime)
+            found.push_back(router);
+    }
+    return found;
+}
+
+std::vector<std::string> need_book::routers_using(
+    std::string_view engine, std::string_view servable) const
 {
-    const auto found = this->totals.find(std::string(servable));
-    return found == this->totals.end() ? 0 : found->second;
+    std::vector<std::string> found;
+    const std::string key = use_key(engine, servable);
+    for (const auto& [router, row] : this->rows)
+    {
+        if (row.uses.contains(key))
+            found.push_back(router);
+    }
+    return found;
 }
 
 std::size_t need_book::routers(instant now) const
@@ -164,15 +174,17 @@
             {
                 return now - entry.second.heard > this->settings.need_lifetime;
             });
+        for (auto& [key, told] : row.uses)
+        {
+            if (now - told.heard > this->settings.use_lifetime)
+                this->change_use(key, std::exchange(told.running, 0), 0);
+        }
         std::erase_if(
             row.uses,
             [&](const auto& entry)
             {
-                const auto& [key, told] = entry;
-                if (now - told.heard <= this->settings.use_lifetime)
-                    return false;
-                this->change_use(key, servable_of(key), told.running, 0);
-                return true;
+                return entry.second.running == 0 &&
+                       now - entry.second.last_used > this->settings.recent_use;
             });
     }
     std::erase_if(
@@ -183,12 +195,6 @@
             return entry.second.running == 0 &&
                    now - entry.second.last_used > remembered;
         });
-    std::erase_if(
-        this->totals,
-        [](const auto& entry)
-        {
-            return entry.second == 0;
-        });
 }
 
 } // namespace roseworks
--- a/src/core/swapping/need_book.hpp
+++ b/src/core/swapping/need_book.hpp
@@ -35,11 +35,13 @@
 public:
     struct options
     {
-        /// Routers repeat a need every 50 ms; three may be lost.
-        duration need_lifetime = std::chrono::milliseconds(200);
+        /// Routers repeat a need every 250 ms; two may be lost.
+        duration need_lifetime = std::chrono::milliseconds(800);
         /// Uses are told every 100 to 500 ms.
         duration use_lifetime = std::chrono::milliseconds(1500);
         duration router_lifetime = std::chrono::seconds(3);
+        /// Who used a servable on an engine so lately is told of its end.
+        duration recent_use = std::chrono::seconds(10);
     };
 
     explicit need_book(options settings);
@@ -61,8 +63,13 @@
     /// @return Null when nothing was heard of it.
     const use* find_use(std::string_view engine, std::string_view servable) const;
 
-    /// @return Requests of a servable that run on all engines.
-    std::uint32_t running(std::string_view servable) const;
+    /// @return Routers where requests wait for a servable.
+    std::vector<std::string>
+    routers_waiting(std::string_view servable, instant now) const;
+
+    /// @return Routers that used a servable on an engine lately.
+    std::vector<std::string>
+    routers_using(std::string_view engine, std::string_view servable) const;
 
     /// @return Routers that sent word lately.
     std::size_t routers(instant now) const;
@@ -83,6 +90,7 @@
     {
         std::uint32_t running = 0;
         instant heard;
+        instant last_used;
     };
 
     struct router_row
@@ -97,16 +105,12 @@
     static std::string
     use_key(std::string_view engine, std::string_view servable);
     void take_uses(router_row& row, const router_word& word, instant now);
-    void change_use(
-        const std::string& key,
-        std::string_view servable,
-        std::uint32_t before,
-        std::uint32_t after);
+    void
+    change_use(const std::string& key, std::uint32_t before, std::uint32_t after);
 
     options settings;
     std::map<std::string, router_row, std::less<>> rows;
-    std::unordered_map<std::string, use> uses;              ///< by use_key
-    std::unordered_map<std::string, std::uint32_t> totals; ///< by servable
+    std::unordered_map<std::string, use> uses; ///< by use_key
 };
 
 } // namespace roseworks
--- a/src/core/swapping/swap_planner.cpp
+++ b/src/core/swapping/swap_planner.cpp
@@ -146,7 +146,7 @@
     if (there && !what.extra_copy)
         return;
     const bool from_store = !this->copied_anywhere(current, what);
-    if (from_store && what.extra_copy)
+    if (from_store && (what.extra_copy || !this->store_allows(current, what)))
         return;
     const auto best = this->best_engine(current, what, from_store);
     if (!best)
@@ -332,6 +332,30 @@
     return oldest != instant::max();
 }
 
+bool swap_planner::store_allows(const round& current, const want& what)
+{
+    std::size_t engines = 0;
+    std::size_t running = 0;
+    for (const auto& [id, engine] : current.engines.all())
+    {
+        if (engine.entry.service != what.service || engine.entry.leaving)
+            continue;
+        ++engines;
+        const bool loading =
+            engine.order && engine.order->action == engine_action::load &&
+            engine.order->source == weight_source::store;
+        // What an engine that wasn't examined yet does may be such a load, by
+        // the owner before.
+        running += loading || !engine.examined ? 1 : 0;
+    }
+    const std::size_t share =
+        std::max<std::size_t>(engines / this->settings.engines_per_store_load, 1);
+    const engine_profile* profile = current.engines.find_profile(what.service);
+    return running < share &&
+           this->ceiling.allows(
+               profile->store_loads_per_second, running, current.now);
+}
+
 bool swap_planner::on_its_way(const round& current, const want& what) const
 {
     return std::ranges::any_of(
@@ -354,7 +378,7 @@
         {
             const engine_state& engine = entry.second;
             return engine.entry.service == what.service &&
-                   !engine.entry.leaving && engine.examined &&
+                   !engine.entry.leaving &&
                    engine.source_of(what.model) != weight_source::store;
         });
 }
--- a/src/core/swapping/swap_planner.hpp
+++ b/src/core/swapping/swap_planner.hpp
@@ -58,6 +58,9 @@
         std::uint32_t running_per_copy = 8;
         /// Another copy is wanted as urgently as a request with so much time.
         duration copy_urgency = std::chrono::milliseconds(600);
+        /// A load from the store keeps its engine from any other for six
+        /// seconds and more: at most one engine in so many does one.
+        std::size_t engines_per_store_load = 6;
         load_ceiling::options store;
     };
 
@@ -129,6 +132,7 @@
         const round& current,
         const engine_state& engine,
         swap_order& order) const;
+    bool store_allows(const round& current, const want& what);
     bool on_its_way(const round& current, const want& what) const;
     bool copied_anywhere(const round& current, const want& what) const;
     std::uint32_t
