--- a/include/roseworks/dispatcher.hpp
+++ b/include/roseworks/dispatcher.hpp
@@ -64,7 +64,7 @@
     std::uint32_t waiting = 0;
     instant earliest_deadline;
     instant earliest_objective = instant::max(); ///< that can still be met
-    std::string target; ///< its name
+    std::string target;                          ///< its name
 };
 
 /// A connection broke under a request that had been sent: its backend server
--- a/src/adapters/events/pipe_event_sink.cpp
+++ b/src/adapters/events/pipe_event_sink.cpp
@@ -75,9 +75,8 @@
             this->write({event_id::lines_left_out, fields});
         }
     }
-    const bool one_of_many =
-        id == event_id::request_served &&
-        ++this->served > this->settings.served_per_second;
+    const bool one_of_many = id == event_id::request_served &&
+                             ++this->served > this->settings.served_per_second;
     if (one_of_many || this->lines >= this->settings.lines_per_second)
     {
         ++this->over_limit;
--- a/src/adapters/forward/forward_call.cpp
+++ b/src/adapters/forward/forward_call.cpp
@@ -41,8 +41,8 @@
 
 /// Notices that the caller closes its connection while its call runs. Touches
 /// the connection only while the call isn't finished.
-asio::awaitable<void> watch(
-    edge::caller_connection& caller, std::shared_ptr<edge::call_inbox> inbox)
+asio::awaitable<void>
+watch(edge::caller_connection& caller, std::shared_ptr<edge::call_inbox> inbox)
 {
     const auto [error] = co_await caller.stream.socket().async_wait(
         edge::tcp::socket::wait_read, edge::quietly);
@@ -89,8 +89,8 @@
     }
 }
 
-std::string
-head_lines(const server_exchange::head_fields& head, const header_dialect& names)
+std::string head_lines(
+    const server_exchange::head_fields& head, const header_dialect& names)
 {
     std::string lines = "HTTP/1.1 " + std::to_string(head.result_int()) + ' ';
     lines += view(head.reason());
@@ -152,8 +152,8 @@
     duration limit = this->route.timeout;
     if (this->request.deadline)
         limit = std::min<duration>(limit, *this->request.deadline);
-    const duration margin = std::min<duration>(
-        this->context.settings.answer_margin, limit / 10);
+    const duration margin =
+        std::min<duration>(this->context.settings.answer_margin, limit / 10);
     this->deadline = this->request.arrived + limit - margin;
 }
 
@@ -170,8 +170,8 @@
                       ? this->service
                       : servable_key(this->service, this->request.model);
     info.caller = "callers";
-    info.asked = this->route.rank == urgent_rank ? priority::urgent
-                                                 : priority::normal;
+    info.asked =
+        this->route.rank == urgent_rank ? priority::urgent : priority::normal;
     info.deadline = this->deadline;
     info.objective = this->request.arrived + this->route.objective;
     info.repeatable = this->route.repeatable();
@@ -252,8 +252,7 @@
     const server_identity* server = table->find_server(where.address);
     attempt_result result;
     result.how = end_kind::not_sent;
-    const bool there =
-        server != nullptr && server->service == this->service;
+    const bool there = server != nullptr && server->service == this->service;
     if (there && !this->may_attempt(where))
     {
         this->context.ports.dispatch.abandon(this->place);
@@ -293,9 +292,8 @@
         this->connection_usable = false;
         co_return true;
     }
-    const bool allowed =
-        (!this->may_have_run || this->route.repeatable()) &&
-        this->attempts < this->route.max_attempts;
+    const bool allowed = (!this->may_have_run || this->route.repeatable()) &&
+                         this->attempts < this->route.max_attempts;
     if (!finish.final_answer && allowed)
         co_return false;
     if (!finish.final_answer)
@@ -329,8 +327,8 @@
     return make_backend_bytes(this->request, this->context.names, set);
 }
 
-asio::awaitable<attempt_result> forward_call::exchange_with(
-    const grant& where, const server_identity& server)
+asio::awaitable<attempt_result>
+forward_call::exchange_with(const grant& where, const server_identity& server)
 {
     const instant now = this->context.now();
     this->sent_at = now;
@@ -359,7 +357,8 @@
         if (!exchange.sent() && failed.how != end_kind::caller_left)
             failed.how = end_kind::not_sent;
         if (failed.how == end_kind::broken)
-            this->context.ports.broken(where.address, this->request.content());
+            this->context.ports.broken(
+                server.instance, this->request.content());
         co_return failed;
     }
     this->tell_load(where, exchange);
@@ -371,7 +370,7 @@
     }
     const attempt_result result = co_await this->pass_on(exchange);
     if (result.how == end_kind::broken)
-        this->context.ports.broken(where.address, this->request.content());
+        this->context.ports.broken(server.instance, this->request.content());
     co_return result;
 }
 
@@ -439,7 +438,8 @@
         if (state != exchange_state::good)
             co_return end_of(state);
         body += piece;
-    } while (!piece.empty() && body.size() < this->context.settings.collect_bytes);
+    } while (!piece.empty() &&
+             body.size() < this->context.settings.collect_bytes);
 
     this->status = exchange.head().result_int();
     std::string bytes = head_lines(exchange.head(), this->context.names);
@@ -528,8 +528,8 @@
         if (piece.empty())
         {
             // What is left isn't a whole event, but the answer is whole.
-            std::string rest = whole_events ? this->events.take_rest()
-                                            : std::string();
+            std::string rest =
+                whole_events ? this->events.take_rest() : std::string();
             written = co_await this->write_chunk(rest);
             written = written && co_await this->caller.write_raw(last_chunk);
             co_return written ? relayed::whole : relayed::caller_gone;
@@ -601,11 +601,10 @@
 {
     const verdict outcome =
         this->may_have_run ? verdict::may_have_run : verdict::not_run;
-    const refusal_reason why =
-        how.reason == refusal_reason::none ? refusal_reason::backend_failed
-                                           : how.reason;
-    co_await this->answer_own(
-        make_own_answer(why, outcome, how.retry_after));
+    const refusal_reason why = how.reason == refusal_reason::none
+                                   ? refusal_reason::backend_failed
+                                   : how.reason;
+    co_await this->answer_own(make_own_answer(why, outcome, how.retry_after));
 }
 
 asio::awaitable<void> forward_call::answer_own(own_answer answer)
@@ -640,8 +639,7 @@
         this->context.metrics.first_byte.record(
             this->first_byte_at - this->request.arrived,
             this->waited ? admission::waited : admission::at_once);
-    const bool good =
-        this->end == request_end::passed_on && this->sends == 1;
+    const bool good = this->end == request_end::passed_on && this->sends == 1;
     const duration wait = this->first_sent == instant()
                               ? now - this->request.arrived
                               : this->first_sent - this->request.arrived;
--- a/src/adapters/forward/forward_call.hpp
+++ b/src/adapters/forward/forward_call.hpp
@@ -66,11 +66,11 @@
     asio::awaitable<bool> attempt(grant where);
     bool may_attempt(const grant& where);
     /// An engine refused the request for want of its model.
-    asio::awaitable<void> wait_for_table(
-        const std::string& servable, const std::string& instance);
+    asio::awaitable<void>
+    wait_for_table(const std::string& servable, const std::string& instance);
     std::string bytes_for(const server_identity& server, instant now) const;
-    asio::awaitable<attempt_result> exchange_with(
-        const grant& where, const server_identity& server);
+    asio::awaitable<attempt_result>
+    exchange_with(const grant& where, const server_identity& server);
     asio::awaitable<attempt_result> pass_on(server_exchange& exchange);
     asio::awaitable<relayed> relay(server_exchange& exchange);
     asio::awaitable<relayed> relay_collected(server_exchange& exchange);
--- a/src/adapters/forward/forward_context.hpp
+++ b/src/adapters/forward/forward_context.hpp
@@ -34,6 +34,8 @@
     std::chrono::milliseconds refused_pause{5};
     /// Retry-After while no configuration is known.
     std::chrono::milliseconds start_retry{500};
+    /// Retry-After of a request that crashes servers: as long as the block.
+    std::chrono::milliseconds blocked_retry{60'000};
     shared_retry_budget::options retries;
     std::uint64_t seed = 1; ///< of the choice among split services
 };
@@ -55,7 +57,7 @@
     std::function<void(const std::string& servable, const std::string& engine)>
         run_refused;
     /// A connection broke under a request that a server had begun.
-    std::function<void(const std::string& address, fingerprint)> broken;
+    std::function<void(const std::string& server, fingerprint)> broken;
 };
 
 /// Shared by all connections of one traffic thread; belongs to it.
--- a/src/adapters/forward/forward_metrics.hpp
+++ b/src/adapters/forward/forward_metrics.hpp
@@ -64,17 +64,11 @@
 {
     explicit forward_metrics(metrics::metrics_registry& registry);
 
-    void request_finished(const edge::finished_request&) override
-    {
-    }
+    void request_finished(const edge::finished_request&) override {}
 
-    void stream_opened() override
-    {
-    }
+    void stream_opened() override {}
 
-    void stream_closed() override
-    {
-    }
+    void stream_closed() override {}
 
     void late_answer_dropped() override
     {
--- a/src/adapters/forward/forward_request.cpp
+++ b/src/adapters/forward/forward_request.cpp
@@ -61,7 +61,8 @@
         });
 }
 
-std::string forwarded_lines(const http::fields& fields, const header_dialect& names)
+std::string
+forwarded_lines(const http::fields& fields, const header_dialect& names)
 {
     std::string lines;
     for (const auto& field : fields)
@@ -78,7 +79,8 @@
     return lines;
 }
 
-std::optional<std::chrono::milliseconds> parse_milliseconds(std::string_view text)
+std::optional<std::chrono::milliseconds>
+parse_milliseconds(std::string_view text)
 {
     std::int64_t value = 0;
     const auto [end, error] =
@@ -156,9 +158,8 @@
         attempt.last_event.empty() ? request.caller_has : attempt.last_event;
     if (!last_event.empty())
         add_line(bytes, names.last_event, last_event);
-    const bool has_body =
-        !request.body.empty() ||
-        (request.method != "GET" && request.method != "HEAD");
+    const bool has_body = !request.body.empty() ||
+                          (request.method != "GET" && request.method != "HEAD");
     if (has_body)
         add_line(bytes, "Content-Length", std::to_string(request.body.size()));
     bytes += "\r\n";
--- a/src/adapters/forward/forward_request.hpp
+++ b/src/adapters/forward/forward_request.hpp
@@ -20,8 +20,8 @@
     std::string method;
     std::string target; ///< path and query, as sent
     std::string host;
-    std::string id;     ///< empty: the caller gave none
-    std::string model;  ///< model or model/adapter; empty: none
+    std::string id;         ///< empty: the caller gave none
+    std::string model;      ///< model or model/adapter; empty: none
     std::string caller_has; ///< last event of a stream that the caller has
     std::string header; ///< lines that are forwarded, each with its line end
     std::string body;
--- a/src/adapters/forward/forward_session.cpp
+++ b/src/adapters/forward/forward_session.cpp
@@ -88,8 +88,8 @@
     parser.header_limit(
         static_cast<std::uint32_t>(this->options.max_header_bytes));
     parser.body_limit(this->options.max_body_bytes);
-    edge::caller_read read = co_await this->connection.read_head(
-        parser, this->options.caller_idle);
+    edge::caller_read read =
+        co_await this->connection.read_head(parser, this->options.caller_idle);
     if (read.result == edge::caller_read::status::closed)
         co_return false;
     unsigned fault = read.problem.status;
@@ -108,8 +108,8 @@
         co_await this->turn_away(fault, parser);
         co_return false;
     }
-    const bool more = co_await this->serve(make_forward_request(
-        parser, this->context.names, this->context.now()));
+    const bool more = co_await this->serve(
+        make_forward_request(parser, this->context.names, this->context.now()));
     co_return more;
 }
 
@@ -150,6 +150,16 @@
             co_await this->answer(turned_away_with(not_found), request);
         co_return more;
     }
+    if (table->is_blocked(request.content()))
+    {
+        const bool more = co_await this->answer(
+            make_own_answer(
+                refusal_reason::blocked,
+                verdict::not_run,
+                this->context.settings.blocked_retry),
+            request);
+        co_return more;
+    }
     std::string service(choose_service(*route, this->context.random()));
     const bool engines = table->has_engines(service);
     forward_call call(
@@ -185,7 +195,7 @@
     const std::string bytes =
         to_bytes(what, this->context.names, to.id, keep, to.head_only);
     const bool written = co_await this->connection.write_raw(bytes);
-    co_return written && keep;
+    co_return written&& keep;
 }
 
 } // namespace roseworks::forward
--- a/src/adapters/forward/own_answer.cpp
+++ b/src/adapters/forward/own_answer.cpp
@@ -44,8 +44,8 @@
 
 } // namespace
 
-own_answer make_own_answer(
-    refusal_reason reason, verdict outcome, duration retry_after)
+own_answer
+make_own_answer(refusal_reason reason, verdict outcome, duration retry_after)
 {
     return {status_of(reason, outcome), outcome, reason, retry_after};
 }
--- a/src/adapters/forward/probe_server.cpp
+++ b/src/adapters/forward/probe_server.cpp
@@ -79,8 +79,8 @@
     while (more)
     {
         edge::caller_parser parser;
-        const edge::caller_read read = co_await connection.read_head(
-            parser, this->options.caller_idle);
+        const edge::caller_read read =
+            co_await connection.read_head(parser, this->options.caller_idle);
         if (read.result != edge::caller_read::status::done)
             co_return;
         const auto target = parser.get().target();
--- a/src/adapters/forward/server_exchange.cpp
+++ b/src/adapters/forward/server_exchange.cpp
@@ -133,8 +133,7 @@
 asio::awaitable<exchange_state> server_exchange::read_one_head(bool head_only)
 {
     this->parser.emplace();
-    this->parser->header_limit(
-        static_cast<std::uint32_t>(edge::max_buffered));
+    this->parser->header_limit(static_cast<std::uint32_t>(edge::max_buffered));
     this->parser->body_limit(boost::none);
     this->parser->skip(head_only);
     this->limit();
--- a/src/adapters/forward/server_exchange.hpp
+++ b/src/adapters/forward/server_exchange.hpp
@@ -23,11 +23,11 @@
 /// How far an exchange with a backend server came.
 enum class exchange_state : std::uint8_t
 {
-    good,        ///< so far
-    not_sent,    ///< no byte left
-    broken,      ///< the connection broke, or bytes came that are no answer
-    timed_out,   ///< the time limit passed
-    interrupted  ///< the caller left, or the call has to end
+    good,       ///< so far
+    not_sent,   ///< no byte left
+    broken,     ///< the connection broke, or bytes came that are no answer
+    timed_out,  ///< the time limit passed
+    interrupted ///< the caller left, or the call has to end
 };
 
 /** One request to one backend server and its answer, piece by piece.
--- a/src/adapters/peers/gateway_peers.cpp
+++ b/src/adapters/peers/gateway_peers.cpp
@@ -59,9 +59,8 @@
     for (std::size_t i = 0; i < list.size(); i += fit)
     {
         const auto first = list.begin() + static_cast<std::ptrdiff_t>(i);
-        const auto last = list.begin() +
-                          static_cast<std::ptrdiff_t>(
-                              std::min(i + fit, list.size()));
+        const auto last = list.begin() + static_cast<std::ptrdiff_t>(
+                                             std::min(i + fit, list.size()));
         parts.emplace_back(first, last);
     }
     return parts;
--- a/src/adapters/peers/gateway_peers.hpp
+++ b/src/adapters/peers/gateway_peers.hpp
@@ -38,15 +38,12 @@
         platform::byte_meter& meter);
 
     void start(gateway_peer_listener& listener) override;
-    void send(
-        std::span<const std::string> addresses,
-        const router_word& word) override;
-    void send(
-        std::span<const std::string> addresses,
-        const owner_word& word) override;
-    void send(
-        std::span<const std::string> addresses,
-        const break_word& word) override;
+    void send(std::span<const std::string> addresses, const router_word& word)
+        override;
+    void send(std::span<const std::string> addresses, const owner_word& word)
+        override;
+    void send(std::span<const std::string> addresses, const break_word& word)
+        override;
     void stop() override;
 
     std::uint64_t rejected() const
--- a/src/adapters/settings/gateway_settings.hpp
+++ b/src/adapters/settings/gateway_settings.hpp
@@ -19,6 +19,8 @@
     {
         std::string name;
         std::string data_centre;
+        double cores = 0.25;      ///< of a core, that the VM may use
+        double link_mbps = 100;   ///< of its network link
         bool first_start = false; ///< the whole deployment starts just now
     } vm;
 
@@ -26,7 +28,7 @@
     {
         socket_address requests;
         socket_address readiness;
-        socket_address peers;   ///< UDP
+        socket_address peers; ///< UDP
         socket_address metrics;
     } listen;
 
@@ -38,11 +40,11 @@
 
     struct
     {
-        milliseconds grace{8000};    ///< from SIGTERM to SIGKILL
-        milliseconds leaving{2000};  ///< until a leaving server gets no more
-        milliseconds lease{3000};    ///< between orders of two holders in turn
-        bool fences_checked = true;  ///< engines refuse old fencing numbers
-        double retry_ratio = 0.2;    ///< retries for each request of a service
+        milliseconds grace{8000};   ///< from SIGTERM to SIGKILL
+        milliseconds leaving{2000}; ///< until a leaving server gets no more
+        milliseconds lease{3000};   ///< between orders of two holders in turn
+        bool fences_checked = true; ///< engines refuse old fencing numbers
+        double retry_ratio = 0.2;   ///< retries for each request of a service
         milliseconds retry_window{10'000};
         double retry_extra = 50; ///< retries beside them, of all routers
         milliseconds load_window{5000};
--- a/src/adapters/settings/load_gateway_settings.cpp
+++ b/src/adapters/settings/load_gateway_settings.cpp
@@ -102,8 +102,8 @@
 using bounds_section = decltype(section_of(bounds));
 using log_section = decltype(section_of(log));
 
-setting_row row(
-    std::string_view section,
+setting_row
+row(std::string_view section,
     std::string_view key,
     value_kind kind,
     std::optional<std::string_view> fallback,
@@ -113,8 +113,7 @@
     std::string_view text,
     std::span<const std::string_view> words = {})
 {
-    return {
-        section, key, kind, fallback, min, max, unit, words, text, nullptr};
+    return {section, key, kind, fallback, min, max, unit, words, text, nullptr};
 }
 
 std::vector<gateway_row> make_rows()
@@ -123,8 +122,7 @@
     return {
         {row("vm", "name", name, std::nullopt, 0, 0, "", "Name of this VM."),
          &put<vm, &vm_section::name>},
-        {row(
-             "vm",
+        {row("vm",
              "data_centre",
              name,
              std::nullopt,
@@ -133,8 +131,25 @@
              "",
              "Its data centre; servers there are preferred."),
          &put<vm, &vm_section::data_centre>},
-        {row(
-             "vm",
+        {row("vm",
+             "cores",
+             name,
+             "0.25",
+             0,
+             0,
+             "cores",
+             "What the VM may use; stronger ones apply to own placement."),
+         &put_fraction<vm, &vm_section::cores>},
+        {row("vm",
+             "link_mbps",
+             name,
+             "100",
+             0,
+             0,
+             "Mbit/s",
+             "The VM's network link."),
+         &put_fraction<vm, &vm_section::link_mbps>},
+        {row("vm",
              "first_start",
              word,
              "false",
@@ -145,8 +160,7 @@
              "an engine.",
              yes_no),
          &put<vm, &vm_section::first_start>},
-        {row(
-             "listen",
+        {row("listen",
              "requests",
              address,
              std::nullopt,
@@ -155,8 +169,7 @@
              "",
              "Where callers connect."),
          &put<listen, &listen_section::requests>},
-        {row(
-             "listen",
+        {row("listen",
              "readiness",
              address,
              std::nullopt,
@@ -165,8 +178,7 @@
              "",
              "Where the load balancer asks whether to send callers."),
          &put<listen, &listen_section::readiness>},
-        {row(
-             "listen",
+        {row("listen",
              "peers",
              address,
              std::nullopt,
@@ -175,8 +187,7 @@
              "",
              "UDP, for the other routers."),
          &put<listen, &listen_section::peers>},
-        {row(
-             "listen",
+        {row("listen",
              "metrics",
              address,
              std::nullopt,
@@ -185,8 +196,7 @@
              "",
              "Metrics as Prometheus text at /metrics."),
          &put<listen, &listen_section::metrics>},
-        {row(
-             "store",
+        {row("store",
              "address",
              address,
              std::nullopt,
@@ -195,8 +205,7 @@
              "",
              "The platform's store."),
          &put<store, &store_section::address>},
-        {row(
-             "store",
+        {row("store",
              "shortest_term_ms",
              integer,
              "1000",
@@ -205,8 +214,7 @@
              "ms",
              "The shortest term of a group's member."),
          &put<store, &store_section::shortest_term>},
-        {row(
-             "bounds",
+        {row("bounds",
              "grace_s",
              name,
              "8",
@@ -215,8 +223,7 @@
              "s",
              "From SIGTERM until the process is killed."),
          &put_seconds<bounds, &bounds_section::grace>},
-        {row(
-             "bounds",
+        {row("bounds",
              "leaving_ms",
              integer,
              "2000",
@@ -225,8 +232,7 @@
              "ms",
              "A server that leaves gets nothing new so long after it said so."),
          &put<bounds, &bounds_section::leaving>},
-        {row(
-             "bounds",
+        {row("bounds",
              "lease_ms",
              integer,
              "3000",
@@ -236,8 +242,7 @@
              "An owner that regains an engine waits so long from its own last "
              "order to it."),
          &put<bounds, &bounds_section::lease>},
-        {row(
-             "bounds",
+        {row("bounds",
              "fences_checked",
              word,
              "true",
@@ -247,8 +252,7 @@
              "Whether engines refuse orders with an old fencing number.",
              yes_no),
          &put<bounds, &bounds_section::fences_checked>},
-        {row(
-             "bounds",
+        {row("bounds",
              "retry_ratio",
              name,
              "0.2",
@@ -257,8 +261,7 @@
              "retries/request",
              "Of all routers together, for one service, in a window."),
          &put_fraction<bounds, &bounds_section::retry_ratio>},
-        {row(
-             "bounds",
+        {row("bounds",
              "retry_window_s",
              name,
              "10",
@@ -267,8 +270,7 @@
              "s",
              "The window of retry_ratio."),
          &put_seconds<bounds, &bounds_section::retry_window>},
-        {row(
-             "bounds",
+        {row("bounds",
              "retry_extra",
              name,
              "50",
@@ -277,8 +279,7 @@
              "retries",
              "Allowed in a window beside retry_ratio."),
          &put_fraction<bounds, &bounds_section::retry_extra>},
-        {row(
-             "bounds",
+        {row("bounds",
              "load_window_s",
              name,
              "5",
@@ -287,8 +288,7 @@
              "s",
              "The window of the weight store's rate."),
          &put_seconds<bounds, &bounds_section::load_window>},
-        {row(
-             "bounds",
+        {row("bounds",
              "load_factor",
              name,
              "1.1",
@@ -297,8 +297,7 @@
              "",
              "Times the weight store's rate that may begin in a window."),
          &put_fraction<bounds, &bounds_section::load_factor>},
-        {row(
-             "log",
+        {row("log",
              "lines_per_second",
              integer,
              "400",
@@ -307,8 +306,7 @@
              "lines/s",
              "More are left out and counted."),
          &put<log, &log_section::lines_per_second>},
-        {row(
-             "log",
+        {row("log",
              "served_per_second",
              integer,
              "40",
@@ -415,11 +413,20 @@
 
 std::string gateway_reference()
 {
-    std::string text;
+    std::string text = "# Settings of the gateway\n\n"
+                       "<!-- Generated: `settings-reference gateway > "
+                       "docs/SETTINGS-gateway.md`. -->\n\n"
+                       "`roseworks-gateway --config FILE` reads one INI file; "
+                       "`--check` only checks it. Unknown,\n"
+                       "duplicate and out-of-range keys are problems, listed "
+                       "with file, line, section and key.\n"
+                       "A key with a default may be left empty.\n\n"
+                       "| section | key | allowed | default | meaning |\n"
+                       "|---|---|---|---|---|\n";
     for (const gateway_row& one : rows())
     {
-        text += "| " + std::string(one.row.section) + " | " +
-                std::string(one.row.key) + " | " + describe_allowed(one.row) +
+        text += "| `" + std::string(one.row.section) + "` | `" +
+                std::string(one.row.key) + "` | " + describe_allowed(one.row) +
                 " | " + std::string(one.row.fallback.value_or("required")) +
                 " | " + std::string(one.row.text) + " |\n";
     }
--- a/src/adapters/settings/load_gateway_settings.hpp
+++ b/src/adapters/settings/load_gateway_settings.hpp
@@ -24,7 +24,7 @@
 boost::leaf::result<gateway_settings>
 load_gateway_settings(std::istream& in, std::string_view name);
 
-/// @return The reference of all keys, as a table of docs/SETTINGS.md.
+/// @return The text of docs/SETTINGS-gateway.md: all keys.
 std::string gateway_reference();
 
 } // namespace roseworks::settings
--- a/src/adapters/settings/reference/main.cpp
+++ b/src/adapters/settings/reference/main.cpp
@@ -1,11 +1,17 @@
-// Prints the reference of the settings, docs/SETTINGS.md.
+// Prints the reference of the settings: docs/SETTINGS.md, or with the argument
+// `gateway` docs/SETTINGS-gateway.md.
 
+#include "adapters/settings/load_gateway_settings.hpp"
 #include "adapters/settings/write_reference.hpp"
 
 #include <iostream>
+#include <string_view>
 
-int main()
+int main(int argc, char** argv)
 {
-    roseworks::settings::write_reference(std::cout);
+    if (argc > 1 && std::string_view(argv[1]) == "gateway")
+        std::cout << roseworks::settings::gateway_reference();
+    else
+        roseworks::settings::write_reference(std::cout);
     return std::cout.flush() ? 0 : 1;
 }
--- a/src/app/gateway/gateway_app.cpp
+++ b/src/app/gateway/gateway_app.cpp
@@ -126,9 +126,7 @@
            {
                this->control->demand_arose(what);
            },
-           [](const crash_seen&)
-           {
-           }}))
+           [](const crash_seen&) {}}))
     , control(std::make_unique<gateway_control>(
           wanted,
           this->clock,
@@ -212,9 +210,9 @@
         {
             this->control->engine_refused(servable, engine);
         },
-        [this](const std::string& address, fingerprint request)
+        [this](const std::string& server, fingerprint request)
         {
-            this->control->connection_broke(address, request);
+            this->control->connection_broke(server, request);
         }};
     return {
         surroundings,
--- a/src/app/gateway/gateway_control.cpp
+++ b/src/app/gateway/gateway_control.cpp
@@ -17,12 +17,16 @@
 namespace
 {
 
-asio::ip::tcp::endpoint
-tcp_endpoint(const settings::socket_address& address)
+asio::ip::tcp::endpoint tcp_endpoint(const settings::socket_address& address)
 {
     return {asio::ip::make_address(address.ip), address.port};
 }
 
+/// A VM of capacity 1; the owner's words and the store's answers to it take
+/// some Mbit/s, its planning some hundredths of a core.
+constexpr double usual_cores = 0.25;
+constexpr double usual_link = 100;
+
 /// Demand that comes together is told together.
 constexpr std::chrono::milliseconds needs_pause{2};
 
@@ -32,12 +36,6 @@
 /// The dispatcher repeats what waits every 50 ms.
 constexpr duration need_lifetime = std::chrono::milliseconds(120);
 
-/// Between two words of what runs; longer with many routers, so that the
-/// owner hears some 200 a second at most.
-constexpr std::chrono::milliseconds shortest_uses_pause{100};
-constexpr std::chrono::milliseconds uses_pause_per_router{5};
-constexpr std::chrono::milliseconds longest_uses_pause{500};
-
 /// An owner that wasn't heard so long is gone; another may be there by then.
 constexpr duration owner_lifetime = std::chrono::milliseconds(1200);
 
@@ -79,13 +77,18 @@
 {
     users_platform::store_directory::options made;
     made.server = tcp_endpoint(settings.store.address);
-    made.self = {settings.vm.name, settings.listen.peers.to_string()};
+    made.self = {
+        settings.vm.name,
+        settings.listen.peers.to_string(),
+        std::min(
+            settings.vm.cores / usual_cores,
+            settings.vm.link_mbps / usual_link)};
     made.term = std::max(made.term, settings.store.shortest_term);
     // One read may be lost, and one takes its time.
     made.registry_pace = std::max(
         settings.bounds.leaving * 9 / 20, std::chrono::milliseconds(100));
     if (!settings.vm.first_start)
-        made.first_join = settings.bounds.lease;
+        made.first_join = std::max(made.first_join, settings.bounds.lease);
     return made;
 }
 
@@ -236,10 +239,7 @@
 
 void gateway_control::arm_uses()
 {
-    const auto wanted =
-        uses_pause_per_router * static_cast<int>(this->alive.load());
-    this->uses_timer.expires_after(
-        std::clamp(wanted, shortest_uses_pause, longest_uses_pause));
+    this->uses_timer.expires_after(use_word_pause(this->alive));
     this->uses_timer.async_wait(
         [this](const boost::system::error_code& error)
         {
@@ -252,6 +252,8 @@
             word.uses = this->usage.take();
             this->send_to_owner(std::move(word));
             this->look_for_owner();
+            if (this->crashes.tick(now))
+                this->desk->blocked_changed(this->crashes.blocked());
             this->arm_uses();
         });
 }
@@ -270,8 +272,7 @@
     return word;
 }
 
-servable_need
-gateway_control::need_of(const demand& what, instant now) const
+servable_need gateway_control::need_of(const demand& what, instant now) const
 {
     const bool lost = what.earliest_objective == instant::max();
     return {
@@ -331,6 +332,7 @@
     const bool vacant =
         !this->owner && now - this->owner_missing_since > longest_vacancy;
     this->desk->orders_possible(!vacant);
+    this->directory->owner_heard(!vacant);
 }
 
 std::vector<std::string> gateway_control::router_names() const
@@ -388,7 +390,7 @@
 
 void gateway_control::break_word_heard(const break_word& word)
 {
-    static_cast<void>(word);
+    this->take_break(word);
 }
 
 void gateway_control::engine_refused(
@@ -403,10 +405,35 @@
 }
 
 void gateway_control::connection_broke(
-    const std::string& address, fingerprint request)
+    const std::string& server, fingerprint request)
+{
+    asio::post(
+        this->loop,
+        [this, server, request]
+        {
+            const break_word word{
+                this->settings.vm.name, request.value, server};
+            std::vector<std::string> addresses;
+            for (const auto& [name, address] : this->router_addresses)
+            {
+                if (name != this->settings.vm.name)
+                    addresses.push_back(address);
+            }
+            this->peers->send(addresses, word);
+            this->take_break(word);
+        });
+}
+
+void gateway_control::take_break(const break_word& word)
+{
+    this->crashes.broke(
+        fingerprint(word.request), word.server, this->clock.now());
+}
+
+void gateway_control::server_lost(std::string_view server)
 {
-    static_cast<void>(address);
-    static_cast<void>(request);
+    if (this->crashes.server_lost(server, this->clock.now()))
+        this->desk->blocked_changed(this->crashes.blocked());
 }
 
 void gateway_control::stop()
@@ -442,11 +469,16 @@
 
 void gateway_control::server_read(server_entry entry)
 {
+    const auto known = this->desk->view().servers().find(entry.id);
+    if (known != this->desk->view().servers().end() &&
+        known->second.entry.born_ms != entry.born_ms)
+        this->server_lost(entry.id);
     this->desk->server_read(std::move(entry));
 }
 
 void gateway_control::server_removed(std::string_view id)
 {
+    this->server_lost(id);
     this->desk->server_removed(id);
 }
 
--- a/src/app/gateway/gateway_control.hpp
+++ b/src/app/gateway/gateway_control.hpp
@@ -8,6 +8,7 @@
 #include "app/gateway/serving_desk.hpp"
 #include "app/gateway/usage_meter.hpp"
 #include "app/table_holder.hpp"
+#include "core/request/crash_ledger.hpp"
 #include "ports/clock.hpp"
 #include "ports/directory_port.hpp"
 #include "ports/engine_command_port.hpp"
@@ -72,7 +73,8 @@
     void engine_refused(const std::string& servable, const std::string& engine);
 
     /// A connection broke under a request that a server may have begun.
-    void connection_broke(const std::string& address, fingerprint request);
+    /// @param server id of its entry.
+    void connection_broke(const std::string& server, fingerprint request);
 
     /// Ends the thread.
     void stop();
@@ -115,11 +117,13 @@
     void run();
     void take_demand(const demand& what);
     void take_owner_word(const owner_word& word, std::string_view from);
-    void tell_routers(
-        const owner_word& word, std::span<const std::string> routers);
+    void
+    tell_routers(const owner_word& word, std::span<const std::string> routers);
     void arm_needs();
     void arm_uses();
     void look_for_owner();
+    void take_break(const break_word& word);
+    void server_lost(std::string_view server);
     std::vector<std::string> router_names() const;
     servable_need need_of(const demand& what, instant now) const;
     void send_needs(bool all);
@@ -157,8 +161,9 @@
     std::unique_ptr<engine_command_port> commands;
     std::unique_ptr<placement_desk> placement;
     usage_meter usage;
+    crash_ledger crashes{crash_ledger::options()};
     std::map<std::string, std::string> router_addresses; ///< by name
-    std::map<std::string, waiting_need> waiting; ///< by servable
+    std::map<std::string, waiting_need> waiting;         ///< by servable
     std::optional<known_owner> owner;
     instant owner_missing_since;
     boost::asio::steady_timer needs_timer;
--- a/src/app/gateway/placement_desk.cpp
+++ b/src/app/gateway/placement_desk.cpp
@@ -206,8 +206,8 @@
     {
         for (const auto& [id, engine] : this->book.all())
         {
-            if (need.waiting != 0 && engine.examined &&
-                !engine.entry.leaving && engine.holds(need.servable))
+            if (need.waiting != 0 && engine.examined && !engine.entry.leaving &&
+                engine.holds(need.servable))
                 this->tell_later(id, {word.router});
         }
     }
--- a/src/app/gateway/placement_desk.hpp
+++ b/src/app/gateway/placement_desk.hpp
@@ -122,7 +122,8 @@
     void examine(const std::string& engine, std::chrono::milliseconds after);
     void read_report(const std::string& engine);
     void report_read(
-        const std::string& engine, const std::optional<holdings_report>& report);
+        const std::string& engine,
+        const std::optional<holdings_report>& report);
     void tell_later(
         const std::string& engine, const std::vector<std::string>& audience);
     void tell_of(const std::string& engine, std::string_view servable);
--- a/src/app/gateway/serving_desk.cpp
+++ b/src/app/gateway/serving_desk.cpp
@@ -80,8 +80,7 @@
         const server_entry& before = found->second.entry;
         if (before.born_ms == entry.born_ms &&
             before.leaving == entry.leaving &&
-            before.address == entry.address &&
-            before.service == entry.service)
+            before.address == entry.address && before.service == entry.service)
             return;
     }
     this->events.report(
--- a/src/core/request/shared_retry_budget.cpp
+++ b/src/core/request/shared_retry_budget.cpp
@@ -35,7 +35,8 @@
         retries += one.retries;
     }
     const double shared =
-        this->settings.extra / static_cast<double>(std::max<std::size_t>(routers, 1));
+        this->settings.extra /
+        static_cast<double>(std::max<std::size_t>(routers, 1));
     const double allowed =
         this->settings.caution *
         (this->settings.ratio * static_cast<double>(requests) + shared);
--- a/src/core/request/shared_retry_budget.hpp
+++ b/src/core/request/shared_retry_budget.hpp
@@ -23,8 +23,8 @@
 public:
     struct options
     {
-        double ratio = 0.2;          ///< retries for each request
-        double extra = 50;           ///< retries beside them, all routers
+        double ratio = 0.2; ///< retries for each request
+        double extra = 50;  ///< retries beside them, all routers
         duration window = std::chrono::seconds(10);
         /// Used of both: requests counted here may be in another window there.
         double caution = 0.7;
--- a/src/core/serving/deployment.hpp
+++ b/src/core/serving/deployment.hpp
@@ -36,8 +36,8 @@
     std::string host;
     std::string path_prefix; ///< begins and ends with a slash
     repetition kind = repetition::non_idempotent;
-    duration timeout{};   ///< the longest that a request is kept waiting
-    duration objective{}; ///< an answer, or a stream's first event, by then
+    duration timeout{};     ///< the longest that a request is kept waiting
+    duration objective{};   ///< an answer, or a stream's first event, by then
     duration longest_gap{}; ///< between a stream's events
     std::uint8_t rank = 0;  ///< 0 is the most urgent
     std::uint32_t max_attempts = 1; ///< backend servers for one request
@@ -71,8 +71,8 @@
 /// What is the same for all engines of a service.
 struct engine_profile
 {
-    std::uint32_t slots = 1; ///< requests that run at once
-    double memory_mb = 0;    ///< for weights and adapters together
+    std::uint32_t slots = 1;   ///< requests that run at once
+    double memory_mb = 0;      ///< for weights and adapters together
     double host_memory_mb = 0; ///< for copies of weights
     std::uint32_t adapter_places = 0;
     double store_loads_per_second = 0; ///< over all engines
@@ -85,7 +85,7 @@
 struct service_profile
 {
     std::string name;
-    std::uint32_t max_connections = 0; ///< of all callers to one server
+    std::uint32_t max_connections = 0;    ///< of all callers to one server
     std::optional<engine_profile> engine; ///< empty: a plain service
 
     bool operator==(const service_profile&) const = default;
--- a/src/core/serving/engine_residency.hpp
+++ b/src/core/serving/engine_residency.hpp
@@ -16,9 +16,9 @@
 */
 struct engine_residency
 {
-    std::string engine;        ///< id of its entry
-    std::int64_t born_ms = 0;  ///< of its entry: which run of the engine
-    std::uint64_t tenure = 0;  ///< fencing number of the owner
+    std::string engine;         ///< id of its entry
+    std::int64_t born_ms = 0;   ///< of its entry: which run of the engine
+    std::uint64_t tenure = 0;   ///< fencing number of the owner
     std::uint64_t revision = 0; ///< rises within a tenure
     std::vector<resident_model> resident;
 
--- a/src/core/serving/serving_view.cpp
+++ b/src/core/serving/serving_view.cpp
@@ -91,7 +91,8 @@
         server added;
         engine_id& number = this->numbers[entry.id];
         if (!number)
-            number = engine_id(static_cast<std::uint32_t>(this->numbers.size()));
+            number =
+                engine_id(static_cast<std::uint32_t>(this->numbers.size()));
         added.engine = number;
         added.run = replica_id(++this->last_run);
         added.entry = std::move(entry);
@@ -166,8 +167,8 @@
     }
     if (one.owned && !told.newer_than(*one.owned))
         return false;
-    const bool changed = !one.refused.empty() ||
-                         this->resident(one, now) != told.resident;
+    const bool changed =
+        !one.refused.empty() || this->resident(one, now) != told.resident;
     one.refused.clear();
     one.owned = std::move(told);
     one.owned_at = now;
@@ -187,13 +188,13 @@
 
 bool serving_view::tick(instant now)
 {
-    bool changed = std::erase_if(
-                       this->known,
-                       [now](const auto& entry)
-                       {
-                           return entry.second.lapses &&
-                                  *entry.second.lapses <= now;
-                       }) != 0;
+    bool changed =
+        std::erase_if(
+            this->known,
+            [now](const auto& entry)
+            {
+                return entry.second.lapses && *entry.second.lapses <= now;
+            }) != 0;
     for (auto& [id, one] : this->known)
     {
         changed = std::erase_if(
@@ -203,7 +204,8 @@
                           return entry.second <= now;
                       }) != 0 ||
                   changed;
-        if (!one.owned || now - one.owned_at < this->settings.residency_lifetime)
+        if (!one.owned ||
+            now - one.owned_at < this->settings.residency_lifetime)
             continue;
         one.owned.reset();
         changed = true;
--- a/src/core/serving/serving_view.hpp
+++ b/src/core/serving/serving_view.hpp
@@ -47,8 +47,8 @@
     struct server
     {
         server_entry entry;
-        engine_id engine;    ///< the same for all runs under one id
-        replica_id run;      ///< another one for each run
+        engine_id engine;              ///< the same for all runs under one id
+        replica_id run;                ///< another one for each run
         std::optional<instant> lapses; ///< gone unless it registers before
         std::optional<engine_residency> owned;
         instant owned_at; ///< when the owner last said so
@@ -118,8 +118,7 @@
         serving_table::parts& into,
         const server& one,
         std::string_view servable) const;
-    void
-    add_plain(serving_table::parts& into, const server& one) const;
+    void add_plain(serving_table::parts& into, const server& one) const;
 
     options settings;
     std::shared_ptr<const deployment> current;
--- a/src/core/swapping/engine_book.cpp
+++ b/src/core/swapping/engine_book.cpp
@@ -185,10 +185,9 @@
             model.adapters.push_back({adapter, now});
     }
     engine->held = std::move(held);
-    const bool ordered_by_another =
-        std::exchange(engine->retaken, false) &&
-        engine->last_order != instant::min() &&
-        engine->orders_taken != report.orders_taken;
+    const bool ordered_by_another = std::exchange(engine->retaken, false) &&
+                                    engine->last_order != instant::min() &&
+                                    engine->orders_taken != report.orders_taken;
     if (ordered_by_another)
         engine->not_before =
             std::max(engine->not_before, engine->last_order + this->lease);
@@ -229,7 +228,12 @@
     case command_end::accepted:
         ++engine->orders_taken;
         order.done_at = now + this->order_time(*engine, order);
-        return false;
+        if (order.adapter.empty() || order.action == engine_action::load)
+            return false;
+        // Requests still use the adapter: its place isn't free yet.
+        this->undo(*engine);
+        engine->examined = false;
+        return true;
     case command_end::already_so:
         // An adapter's order counts, also when it is done at once; that of a
         // model which is there already doesn't.
@@ -277,8 +281,8 @@
     std::vector<finished_order> done;
     for (auto& [id, engine] : this->known)
     {
-        const bool ended =
-            engine.order && engine.order->done_at && *engine.order->done_at <= now;
+        const bool ended = engine.order && engine.order->done_at &&
+                           *engine.order->done_at <= now;
         if (!ended)
             continue;
         const pending_order order = std::move(*engine.order);
@@ -335,8 +339,8 @@
     return found == nullptr || !found->engine ? nullptr : &*found->engine;
 }
 
-const model_profile* engine_book::find_model(
-    std::string_view service, std::string_view model) const
+const model_profile*
+engine_book::find_model(std::string_view service, std::string_view model) const
 {
     const engine_profile* profile = this->find_profile(service);
     if (profile == nullptr)
@@ -365,9 +369,8 @@
     const engine_state& engine, const pending_order& order) const
 {
     if (!order.adapter.empty())
-        return order.action == engine_action::load
-                   ? this->settings.adapter_time
-                   : duration::zero();
+        return order.action == engine_action::load ? this->settings.adapter_time
+                                                   : duration::zero();
     if (order.action == engine_action::unload)
         return order.running ? this->settings.busy_unload_time
                              : this->settings.unload_time;
--- a/src/core/swapping/engine_book.hpp
+++ b/src/core/swapping/engine_book.hpp
@@ -74,9 +74,9 @@
     std::string adapter; ///< empty: the base model
     weight_source source = weight_source::disk;
     instant sent;
-    std::optional<instant> done_at; ///< expected; empty: not answered yet
+    std::optional<instant> done_at;  ///< expected; empty: not answered yet
     std::optional<held_model> taken; ///< what an unload takes away
-    bool running = false; ///< requests ran on what is unloaded
+    bool running = false;            ///< requests ran on what is unloaded
 };
 
 /** One run of an engine as the owner of its orders knows it: by its last
@@ -93,8 +93,8 @@
     instant not_before = instant::min(); ///< no order is sent earlier
     instant last_order = instant::min(); ///< this router's, sent
     std::uint32_t strikes = 0;           ///< orders out of step in a row
-    bool retaken = false; ///< another owner may have ordered it meanwhile
-    std::uint64_t revision = 1;          ///< of what is told to the routers
+    bool retaken = false;       ///< another owner may have ordered it meanwhile
+    std::uint64_t revision = 1; ///< of what is told to the routers
 
     /// @return Whether an order may be sent.
     bool free(instant now) const
--- a/src/core/swapping/load_ceiling.cpp
+++ b/src/core/swapping/load_ceiling.cpp
@@ -17,8 +17,8 @@
         this->starts.pop_front();
     const double seconds =
         std::chrono::duration<double>(this->settings.window).count();
-    const double most = per_second * seconds * this->settings.factor *
-                        this->settings.caution;
+    const double most =
+        per_second * seconds * this->settings.factor * this->settings.caution;
     return running < this->settings.parallel &&
            static_cast<double>(this->starts.size()) + 1 <= most;
 }
--- a/src/core/swapping/need_book.cpp
+++ b/src/core/swapping/need_book.cpp
@@ -69,8 +69,7 @@
     return true;
 }
 
-void need_book::take_uses(
-    router_row& row, const router_word& word, instant now)
+void need_book::take_uses(router_row& row, const router_word& word, instant now)
 {
     for (const servable_use& told : word.uses)
     {
@@ -119,15 +118,15 @@
     return all;
 }
 
-const need_book::use* need_book::find_use(
-    std::string_view engine, std::string_view servable) const
+const need_book::use*
+need_book::find_use(std::string_view engine, std::string_view servable) const
 {
     const auto found = this->uses.find(use_key(engine, servable));
     return found == this->uses.end() ? nullptr : &found->second;
 }
 
-std::vector<std::string> need_book::routers_waiting(
-    std::string_view servable, instant now) const
+std::vector<std::string>
+need_book::routers_waiting(std::string_view servable, instant now) const
 {
     std::vector<std::string> found;
     const std::string key(servable);
--- a/src/core/swapping/need_book.hpp
+++ b/src/core/swapping/need_book.hpp
@@ -61,7 +61,8 @@
     };
 
     /// @return Null when nothing was heard of it.
-    const use* find_use(std::string_view engine, std::string_view servable) const;
+    const use*
+    find_use(std::string_view engine, std::string_view servable) const;
 
     /// @return Routers where requests wait for a servable.
     std::vector<std::string>
@@ -105,8 +106,8 @@
     static std::string
     use_key(std::string_view engine, std::string_view servable);
     void take_uses(router_row& row, const router_word& word, instant now);
-    void
-    change_use(const std::string& key, std::uint32_t before, std::uint32_t after);
+    void change_use(
+        const std::string& key, std::uint32_t before, std::uint32_t after);
 
     options settings;
     std::map<std::string, router_row, std::less<>> rows;
--- a/src/core/swapping/peer_words.hpp
+++ b/src/core/swapping/peer_words.hpp
@@ -2,6 +2,10 @@
 
 #include "core/serving/engine_residency.hpp"
 
+#include <roseworks/instant.hpp>
+
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <limits>
 #include <string>
@@ -34,6 +38,17 @@
     }
 };
 
+/// @return Time between two words of what a router runs: longer with many
+///         routers, so that the owner hears some 200 a second at most.
+constexpr duration use_word_pause(std::size_t routers)
+{
+    constexpr duration shortest = std::chrono::milliseconds(100);
+    constexpr duration longest = std::chrono::milliseconds(500);
+    constexpr duration each = std::chrono::milliseconds(5);
+    return std::clamp(
+        each * static_cast<duration::rep>(routers), shortest, longest);
+}
+
 /// What one router runs of a servable on one engine.
 struct servable_use
 {
--- a/src/core/swapping/swap_planner.cpp
+++ b/src/core/swapping/swap_planner.cpp
@@ -26,7 +26,9 @@
 std::vector<swap_order> swap_planner::plan(
     const engine_book& engines, const need_book& needs, instant now)
 {
-    round current{engines, needs, now, {}, {}, {}, {}, {}};
+    const duration idle = std::max(
+        this->settings.idle, use_word_pause(needs.routers(now)) * 3 / 2);
+    round current{engines, needs, now, idle, {}, {}, {}, {}, {}};
     this->survey(current);
     std::vector<want> wants = this->collect(current);
     for (const want& what : wants)
@@ -133,9 +135,7 @@
 }
 
 std::size_t swap_planner::copies_needed(
-    const round& current,
-    std::string_view service,
-    const model_sum& sum) const
+    const round& current, std::string_view service, const model_sum& sum) const
 {
     const engine_profile* profile = current.engines.find_profile(service);
     const double slots = profile == nullptr ? 1.0 : profile->slots;
@@ -248,9 +248,8 @@
     std::optional<candidate> best;
     for (const auto& [id, engine] : current.engines.all())
     {
-        if (engine.entry.service != what.service ||
-            !engine.free(current.now) || current.taken.contains(id) ||
-            engine.find(what.model) != nullptr)
+        if (engine.entry.service != what.service || !engine.free(current.now) ||
+            current.taken.contains(id) || engine.find(what.model) != nullptr)
             continue;
         auto one = this->examine(current, engine, *model, from_store, urgent);
         if (!one)
@@ -327,9 +326,9 @@
     const std::string key = servable_key(engine.entry.service, held.name);
     const std::uint32_t most =
         urgent ? this->settings.most_running_unloaded : 0;
-    const bool used = info.running != 0 ||
-                      current.now - info.last_used < this->settings.idle;
-    const bool just_loaded = current.now - held.loaded < this->settings.idle;
+    const bool used =
+        info.running != 0 || current.now - info.last_used < current.idle;
+    const bool just_loaded = current.now - held.loaded < current.idle;
     if (current.wanted.contains(key) || info.running > most || just_loaded ||
         (used && !urgent))
         return false;
@@ -377,8 +376,7 @@
     order.model = what.model;
     order.adapter = what.adapter;
     order.waiting = what.waiting;
-    if (std::get<0>(best_cost) &&
-        !this->unload_adapter(current, *best, order))
+    if (std::get<0>(best_cost) && !this->unload_adapter(current, *best, order))
         return;
     current.taken.insert(best->entry.id);
     current.orders.push_back(std::move(order));
@@ -396,11 +394,11 @@
                 engine.entry.id,
                 servable_key(
                     engine.entry.service, model.name + "/" + adapter.name));
-            const instant last =
-                use == nullptr ? adapter.loaded
-                               : std::max(adapter.loaded, use->last_used);
+            const instant last = use == nullptr
+                                     ? adapter.loaded
+                                     : std::max(adapter.loaded, use->last_used);
             const bool idle = (use == nullptr || use->running == 0) &&
-                              current.now - last >= this->settings.idle;
+                              current.now - last >= current.idle;
             if (!idle || last >= oldest)
                 continue;
             oldest = last;
@@ -421,9 +419,9 @@
         if (engine.entry.service != what.service || engine.entry.leaving)
             continue;
         ++engines;
-        const bool loading =
-            engine.order && engine.order->action == engine_action::load &&
-            engine.order->source == weight_source::store;
+        const bool loading = engine.order &&
+                             engine.order->action == engine_action::load &&
+                             engine.order->source == weight_source::store;
         // What an engine that wasn't examined yet does may be such a load, by
         // the owner before.
         running += loading || !engine.examined ? 1 : 0;
@@ -436,8 +434,8 @@
                    order.adapter.empty() &&
                    order.source == weight_source::store;
         }));
-    const std::size_t share =
-        std::max<std::size_t>(engines / this->settings.engines_per_store_load, 1);
+    const std::size_t share = std::max<std::size_t>(
+        engines / this->settings.engines_per_store_load, 1);
     const engine_profile* profile = current.engines.find_profile(what.service);
     return running < share &&
            this->ceiling.allows(
--- a/src/core/swapping/swap_planner.hpp
+++ b/src/core/swapping/swap_planner.hpp
@@ -51,7 +51,8 @@
     struct options
     {
         /// A model that nobody uses for so long may be unloaded. Shorter than
-        /// it, requests that were told of it may be on their way.
+        /// it, requests that were told of it may be on their way. Routers tell
+        /// of their uses at intervals, which this is longer than by half.
         duration idle = std::chrono::milliseconds(300);
         /// Requests that run on one copy before another is loaded. An engine
         /// reads 38 prompt tokens in a millisecond; at some 650 tokens and
@@ -133,16 +134,16 @@
         const engine_book& engines;
         const need_book& needs;
         instant now;
+        duration idle{}; ///< unused for so long, a model may go
         std::unordered_map<const engine_state*, engine_info> infos;
         std::unordered_map<std::string, model_sum> sums; ///< by model's key
-        std::set<std::string, std::less<>> taken; ///< engines with an order
+        std::set<std::string, std::less<>> taken;  ///< engines with an order
         std::set<std::string, std::less<>> wanted; ///< keys of models
         std::vector<swap_order> orders;
     };
 
     void survey(round& current) const;
-    engine_info
-    survey(const round& current, const engine_state& engine) const;
+    engine_info survey(const round& current, const engine_state& engine) const;
     std::vector<want> collect(const round& current) const;
     void add_busy(const round& current, std::vector<want>& wants) const;
     std::size_t copies_needed(
@@ -151,8 +152,8 @@
         const model_sum& sum) const;
     void place_model(round& current, const want& what);
     void place_adapter(round& current, const want& what) const;
-    std::optional<candidate> best_engine(
-        const round& current, const want& what, bool from_store) const;
+    std::optional<candidate>
+    best_engine(const round& current, const want& what, bool from_store) const;
     std::optional<candidate> examine(
         const round& current,
         const engine_state& engine,
@@ -181,8 +182,7 @@
         swap_order& order) const;
     bool store_allows(const round& current, const want& what);
     bool copied_anywhere(const round& current, const want& what) const;
-    const model_sum&
-    sum_of(const round& current, std::string_view key) const;
+    const model_sum& sum_of(const round& current, std::string_view key) const;
 
     options settings;
     load_ceiling ceiling;
--- a/src/ports/directory_port.hpp
+++ b/src/ports/directory_port.hpp
@@ -27,6 +27,8 @@
 {
     std::string name;
     std::string address; ///< UDP ip:port
+    /// What its VM can carry, 1 for a quarter of a core with 100 Mbit/s.
+    double capacity = 1;
 
     bool operator==(const router_address&) const = default;
 };
@@ -65,6 +67,10 @@
     /// Starts to read, to announce this router and to apply for ownership.
     virtual void start(directory_listener& listener) = 0;
 
+    /// Whether an owner was heard of lately: without one, routers apply for
+    /// ownership whatever their VMs can carry.
+    virtual void owner_heard(bool heard) = 0;
+
     /// Gives ownership up, so that the next router needn't wait for its term.
     virtual void resign() = 0;
 
--- a/src/ports/engine_command_port.hpp
+++ b/src/ports/engine_command_port.hpp
@@ -24,8 +24,8 @@
     std::string address; ///< ip:port
     engine_action action = engine_action::load;
     std::string model;
-    std::string adapter;      ///< empty: the base model
-    std::uint64_t fence = 0;  ///< of the owner's tenure
+    std::string adapter;            ///< empty: the base model
+    std::uint64_t fence = 0;        ///< of the owner's tenure
     std::uint64_t orders_taken = 0; ///< that the engine has to have taken
 };
 
--- a/tests/unit/forward/test_forward_request.cpp
+++ b/tests/unit/forward/test_forward_request.cpp
@@ -61,7 +61,9 @@
 Test(forward_request, a_stream_that_goes_on_names_its_own_last_event)
 {
     const std::string bytes = make_backend_bytes(
-        parse(usual), users_platform::make_dialect(), {1500ms, "i-7", {}, "19"});
+        parse(usual),
+        users_platform::make_dialect(),
+        {1500ms, "i-7", {}, "19"});
     cr_assert_neq(bytes.find("Last-Event-Id: 19\r\n"), std::string::npos);
     cr_assert_eq(bytes.find("Last-Event-Id: 12"), std::string::npos);
 }
--- a/tests/unit/serving/test_serving_view.cpp
+++ b/tests/unit/serving/test_serving_view.cpp
@@ -14,7 +14,8 @@
     return view.make_table(true, {}, now);
 }
 
-std::size_t places(const serving_view& view, std::string_view model, instant now)
+std::size_t
+places(const serving_view& view, std::string_view model, instant now)
 {
     const auto* entry =
         table_of(view, now)->find_servable(servable_key("llm", model));
--- /dev/null
+++ b/tests/unit/settings/test_load_gateway_settings.cpp
@@ -0,0 +1,130 @@
+#include "adapters/settings/load_gateway_settings.hpp"
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <fstream>
+#include <iterator>
+#include <sstream>
+#include <string>
+
+#include <criterion/criterion.h>
+
+using namespace roseworks::settings;
+namespace leaf = boost::leaf;
+
+namespace
+{
+
+const std::string complete = R"([vm]
+name = edge-a-1
+data_centre = a
+cores = 0.12
+link_mbps = 10.0
+first_start = true
+
+[listen]
+requests = 10.1.0.38:8149
+readiness = 10.1.0.38:8141
+peers = 10.1.0.38:7380
+metrics = 10.1.0.38:7381
+
+[store]
+address = 10.200.1.7:8142
+shortest_term_ms = 1000
+
+[bounds]
+grace_s = 8
+leaving_ms = 2000
+lease_ms = 3000
+fences_checked = true
+retry_ratio = 0.2
+retry_window_s = 10
+retry_extra = 58
+load_window_s = 5
+load_factor = 1.1
+)";
+
+std::string with(std::string_view from, std::string_view to)
+{
+    std::string text = complete;
+    const auto place = text.find(from);
+    cr_assert_neq(place, std::string::npos);
+    return text.replace(place, from.size(), to);
+}
+
+std::string problems_of(const std::string& text)
+{
+    std::istringstream in(text);
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::string>
+        {
+            BOOST_LEAF_CHECK(load_gateway_settings(in, "test.ini"));
+            return std::string();
+        },
+        [](const settings_problems& problems)
+        {
+            std::ostringstream told;
+            told << problems;
+            return told.str();
+        },
+        []
+        {
+            return std::string("unknown");
+        });
+}
+
+gateway_settings load(const std::string& text)
+{
+    std::istringstream in(text);
+    auto read = load_gateway_settings(in, "test.ini");
+    cr_assert(static_cast<bool>(read));
+    return read.value();
+}
+
+} // namespace
+
+Test(gateway_settings, reads_what_the_platform_fills_in)
+{
+    const gateway_settings read = load(complete);
+    cr_assert_eq(read.vm.name, "edge-a-1");
+    cr_assert_float_eq(read.vm.cores, 0.12, 1e-9);
+    cr_assert(read.vm.first_start);
+    cr_assert_eq(read.listen.peers.port, 7380);
+    cr_assert_eq(read.bounds.grace.count(), 8000);
+    cr_assert_float_eq(read.bounds.retry_extra, 58, 1e-9);
+    cr_assert(read.bounds.fences_checked);
+    cr_assert_eq(read.log.lines_per_second, 400);
+}
+
+/// A deployment may not know a bound: its value is left empty then.
+Test(gateway_settings, an_empty_value_is_the_default)
+{
+    const gateway_settings read = load(with("lease_ms = 3000", "lease_ms ="));
+    cr_assert_eq(read.bounds.lease.count(), 3000);
+    cr_assert_eq(problems_of(with("grace_s = 8", "grace_s = 8.5")), "");
+}
+
+Test(gateway_settings, names_what_is_wrong)
+{
+    cr_assert_neq(problems_of(with("name = edge-a-1", "nome = x")), "");
+    cr_assert_neq(problems_of(with("lease_ms = 3000", "lease_ms = -1")), "");
+    cr_assert_neq(problems_of(with("= 0.2", "= much")), "");
+    cr_assert_neq(problems_of(with("= 0.2", "= -0.2")), "");
+    cr_assert_neq(problems_of(with("10.200.1.7:8142", "store:8142")), "");
+    cr_assert_neq(problems_of(with("= true\nretry", "= maybe\nretry")), "");
+    cr_assert_neq(problems_of(complete + "lease_ms = 5\n"), "");
+    const std::string told = problems_of(with("data_centre = a\n", ""));
+    cr_assert_neq(
+        told.find("data_centre"), std::string::npos, "%s", told.c_str());
+}
+
+Test(gateway_settings, committed_reference_is_current)
+{
+    std::ifstream file(ROSEWORKS_SOURCE_DIR "/docs/SETTINGS-gateway.md");
+    const std::string committed(
+        std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>{});
+    cr_assert_eq(
+        committed,
+        gateway_reference(),
+        "run: settings-reference gateway > docs/SETTINGS-gateway.md");
+}
--- a/tests/unit/swapping/swap_fixture.hpp
+++ b/tests/unit/swapping/swap_fixture.hpp
@@ -97,8 +97,8 @@
         this->needs.heard(word, now);
     }
 
-    void use(
-        const std::string& servable,
+    void
+    use(const std::string& servable,
         const std::string& engine,
         std::uint32_t running,
         instant now)
--- a/tests/unit/swapping/test_engine_book.cpp
+++ b/tests/unit/swapping/test_engine_book.cpp
@@ -165,3 +165,41 @@
     cr_assert(engine->source_of("m1") == weight_source::memory);
     cr_assert(engine->source_of("m2") == weight_source::memory);
 }
+
+/// An engine was ordered to load a ninth adapter beside eight, one of which
+/// was still used while it was being unloaded.
+Test(engine_book, an_adapter_that_is_still_used_keeps_its_place)
+{
+    swap_fixture test(3);
+    test.engine("e1", {"m1"}, {}, at(0s));
+    pending_order load = load_of("m1");
+    load.adapter = "a1";
+    test.engines.sent("e1", load, at(1s));
+    test.engines.answered("e1", command_end::accepted, at(1s));
+    test.engines.advance(at(2s));
+    cr_assert_eq(test.engines.find("e1")->adapter_count(), 1);
+    pending_order unload = unload_of("m1");
+    unload.adapter = "a1";
+    test.engines.sent("e1", unload, at(3s));
+    cr_assert(test.engines.answered("e1", command_end::accepted, at(3s)));
+    cr_assert_eq(test.engines.find("e1")->adapter_count(), 1);
+    cr_assert_not(test.engines.find("e1")->free(at(9s)), "to be examined");
+}
+
+Test(engine_book, an_idle_adapter_is_gone_at_once)
+{
+    swap_fixture test(3);
+    test.engine("e1", {"m1"}, {}, at(0s));
+    pending_order load = load_of("m1");
+    load.adapter = "a1";
+    test.engines.sent("e1", load, at(1s));
+    test.engines.answered("e1", command_end::accepted, at(1s));
+    test.engines.advance(at(2s));
+    pending_order unload = unload_of("m1");
+    unload.adapter = "a1";
+    test.engines.sent("e1", unload, at(3s));
+    cr_assert_not(test.engines.answered("e1", command_end::already_so, at(3s)));
+    test.engines.advance(at(3s));
+    cr_assert_eq(test.engines.find("e1")->adapter_count(), 0);
+    cr_assert_eq(test.engines.find("e1")->orders_taken, 2);
+}
--- a/tests/unit/swapping/test_need_book.cpp
+++ b/tests/unit/swapping/test_need_book.cpp
@@ -13,8 +13,9 @@
     const auto wanted = test.needs.wanted(at(0s));
     cr_assert_eq(wanted.size(), 1);
     cr_assert_eq(wanted[0].waiting, 3);
-    cr_assert_eq(wanted[0].objective.time_since_epoch().count(),
-                 at(1s).time_since_epoch().count());
+    cr_assert_eq(
+        wanted[0].objective.time_since_epoch().count(),
+        at(1s).time_since_epoch().count());
     cr_assert_eq(wanted[0].routers.size(), 2);
 }
 
--- a/tests/unit/swapping/test_swap_planner.cpp
+++ b/tests/unit/swapping/test_swap_planner.cpp
@@ -70,7 +70,9 @@
     cr_assert_eq(orders[0].model, "m2");
 }
 
-Test(swap_planner, one_that_missed_its_objective_waits_for_those_that_can_meet_it)
+Test(
+    swap_planner,
+    one_that_missed_its_objective_waits_for_those_that_can_meet_it)
 {
     swap_fixture test(4);
     test.engine("e1", {}, {"m1", "m2"}, at(0s));
@@ -132,7 +134,8 @@
     test.use("m2", "e2", 20, at(5s));
     test.need("m3", 2500ms, at(5s));
     for (const swap_order& order : test.plan(at(5s)))
-        cr_assert(order.action == engine_action::load, "%s", order.model.c_str());
+        cr_assert(
+            order.action == engine_action::load, "%s", order.model.c_str());
 }
 
 Test(swap_planner, a_model_with_too_much_running_gets_another_copy)
--- a/tests/unit/users_platform/test_decoders.cpp
+++ b/tests/unit/users_platform/test_decoders.cpp
@@ -154,3 +154,15 @@
     cr_assert_eq(read.value->holdings.resident[0].name, "m1");
     cr_assert_not(decode_report("{\"busy\":1}").value.has_value());
 }
+
+Test(report_decoder, adapters_on_their_way_take_their_places)
+{
+    const auto read = decode_report(
+        R"({"models":[{"name":"m1","version":1,"adapters":["a1"]}],
+        "incoming":["m1/a2@1","m9/a3@1","odd",7],
+        "busy":false,"seq":2,"queued":0,"running":0})");
+    cr_assert(read.value.has_value(), "%s", read.fault.c_str());
+    const auto& adapters = read.value->holdings.resident[0].adapters;
+    cr_assert_eq(adapters.size(), 2);
+    cr_assert_eq(adapters[1], "a2");
+}
--- a/tests/unit/users_platform/test_gateway_peers.cpp
+++ b/tests/unit/users_platform/test_gateway_peers.cpp
@@ -118,7 +118,13 @@
     owner_word owner{"r2", 9, 4, {}};
     for (int i = 0; i < 90; ++i)
         owner.engines.push_back(
-            {"i-0123456789", 0, 9, 3, {{"model-name-1", {}}, {"model-name-2", {}}, {"model-name-3", {}}}});
+            {"i-0123456789",
+             0,
+             9,
+             3,
+             {{"model-name-1", {}},
+              {"model-name-2", {}},
+              {"model-name-3", {}}}});
     const std::string to[] = {text_of(place)};
     test.sender.send(to, owner);
     std::array<char, 65536> buffer;
--- a/tests/unit/users_platform/test_store_frames.cpp
+++ b/tests/unit/users_platform/test_store_frames.cpp
@@ -44,7 +44,10 @@
 {
     const std::string head = number(12) + number(3);
     const std::string broken[] = {
-        "", head.substr(0, 15), head + "abc", head + std::string("\0\0\0\x09x", 5)};
+        "",
+        head.substr(0, 15),
+        head + "abc",
+        head + std::string("\0\0\0\x09x", 5)};
     for (const std::string& text : broken)
         cr_assert(parse_keyed_frames(text, 1).end == store_end::malformed);
 }
@@ -83,7 +86,9 @@
     cr_assert_eq(held.partitions.size(), 2);
     cr_assert_eq(held.partitions[1], 0);
     const std::string broken[] = {
-        "", "{}", R"({"generation":-1,"parts":[]})",
+        "",
+        "{}",
+        R"({"generation":-1,"parts":[]})",
         R"({"generation":1,"parts":[["placement"]]})",
         R"({"generation":1,"parts":[["placement","0"]]})"};
     for (const std::string& text : broken)
