--- /dev/null
+++ b/tests/unit/forward/forward_fixture.cpp
@@ -0,0 +1,178 @@
+#include "forward_fixture.hpp"
+
+#include "platform/dialect.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+namespace roseworks::forward::tests
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace
+{
+
+path_route make_route(std::string prefix, repetition kind, bool resumable)
+{
+    path_route route;
+    route.name = prefix;
+    route.host = "h.example";
+    route.path_prefix = std::move(prefix);
+    route.kind = kind;
+    route.timeout = std::chrono::seconds(30);
+    route.max_attempts = kind == repetition::non_idempotent ? 1 : 2;
+    route.resumable = resumable;
+    route.services = {{"app", 1}};
+    return route;
+}
+
+serving_table_ptr make_table(const std::vector<fake_backend*>& backends)
+{
+    auto config = std::make_shared<deployment>();
+    config->version = 1;
+    config->routes = {
+        make_route("/once/", repetition::non_idempotent, false),
+        make_route("/again/", repetition::idempotent, false),
+        make_route("/stream/", repetition::streaming, false),
+        make_route("/resume/", repetition::streaming, true)};
+    auto catalogue = std::make_shared<servable_catalogue>();
+    catalogue->routes = std::make_shared<route_index>(config);
+    serving_table::parts made;
+    made.catalogue = catalogue;
+    service_routes& app = made.services["app"];
+    app.name = "app";
+    int number = 0;
+    for (const fake_backend* backend : backends)
+    {
+        const std::string id = "i-" + std::to_string(++number);
+        app.backends.push_back({backend->address(), id, "a"});
+        made.servers[backend->address()] = {id, "app", "a"};
+    }
+    return std::make_shared<const serving_table>(std::move(made));
+}
+
+edge::edge_options make_limits()
+{
+    edge::edge_options made;
+    made.caller_idle = std::chrono::seconds(60);
+    return made;
+}
+
+} // namespace
+
+forward_fixture::forward_fixture(std::vector<fake_backend*> backends)
+    : counts(this->registry)
+    , loop(1)
+    , work(this->loop.get_executor())
+    , table(make_table(backends))
+    , dispatch(edge::shared_dispatcher::make(
+          dispatcher(dispatcher::options{.affinity = prefix_affinity::none}),
+          this->loop.get_executor(),
+          this->clock,
+          {[](const demand&) {}, [](const crash_seen&) {}}))
+    , context(this->make_context())
+    , server(this->loop.get_executor(), this->context, make_limits())
+{
+    this->dispatch->table_changed(this->table);
+    const auto failed =
+        this->server.listen({asio::ip::make_address("127.0.0.1"), 0});
+    if (failed)
+        throw boost::system::system_error(failed);
+    this->thread = std::thread(
+        [this]
+        {
+            this->loop.run();
+        });
+}
+
+forward_fixture::~forward_fixture()
+{
+    asio::post(
+        this->loop,
+        [this]
+        {
+            this->server.force_end();
+            this->server.stop();
+            this->loop.stop();
+        });
+    this->thread.join();
+    this->dispatch->stop();
+}
+
+forward_context forward_fixture::make_context()
+{
+    const edge::backend_context surroundings(
+        make_limits(), this->clock, this->sink, this->counts, nullptr);
+    const auto nothing = [](const std::string&, const std::string&) {};
+    forward_dependencies ports{
+        *this->dispatch,
+        [this]
+        {
+            const std::lock_guard lock(this->mutex);
+            return this->table;
+        },
+        []
+        {
+            return std::size_t(1);
+        },
+        [](const load_report&) {},
+        nothing,
+        nothing,
+        nothing,
+        [](const std::string&, fingerprint) {}};
+    return {
+        surroundings,
+        forward_options(),
+        users_platform::make_dialect(),
+        std::move(ports),
+        this->counts};
+}
+
+void forward_fixture::without_table()
+{
+    const std::lock_guard lock(this->mutex);
+    this->table = nullptr;
+}
+
+tcp::socket forward_fixture::connect()
+{
+    static asio::io_context callers;
+    tcp::socket socket(callers);
+    socket.connect(this->server.local_endpoint());
+    return socket;
+}
+
+std::string forward_fixture::exchange(std::string_view bytes)
+{
+    tcp::socket socket = this->connect();
+    asio::write(socket, asio::buffer(bytes.data(), bytes.size()));
+    std::string answer;
+    boost::system::error_code ended;
+    asio::read(socket, asio::dynamic_buffer(answer), ended);
+    return answer;
+}
+
+std::string
+forward_fixture::request(std::string_view method, std::string_view target)
+{
+    std::string text(method);
+    text += ' ';
+    text += target;
+    text += " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: 9c41\r\n"
+            "Deadline-Ms: 30000\r\nConnection: close\r\n\r\n";
+    return text;
+}
+
+void forward_fixture::leave(std::string_view bytes)
+{
+    tcp::socket socket = this->connect();
+    asio::write(socket, asio::buffer(bytes.data(), bytes.size()));
+    std::array<char, 1> byte{};
+    asio::read(socket, asio::buffer(byte));
+}
+
+} // namespace roseworks::forward::tests
