--- a/src/app/gateway/gateway_app.cpp
+++ b/src/app/gateway/gateway_app.cpp
@@ -201,11 +201,11 @@
         },
         [this](const std::string& servable, const std::string& engine)
         {
-            this->control->usages().started(servable, engine);
+            this->control->run_started(servable, engine);
         },
         [this](const std::string& servable, const std::string& engine)
         {
-            this->control->usages().ended(servable, engine);
+            this->control->run_ended(servable, engine);
         },
         [this](const std::string& servable, const std::string& engine)
         {
--- a/src/app/gateway/gateway_control.cpp
+++ b/src/app/gateway/gateway_control.cpp
@@ -30,6 +30,10 @@
 /// Demand that comes together is told together.
 constexpr std::chrono::milliseconds needs_pause{2};
 
+/// Models that nobody uses here any more are told of together. The owner needs
+/// their places: each 0.1 s later is that much less of an engine's time.
+constexpr std::chrono::milliseconds ended_pause{20};
+
 /// What still waits is told again: a datagram may have been lost.
 constexpr duration needs_repetition = std::chrono::milliseconds(250);
 
@@ -148,6 +152,7 @@
           }))
     , needs_timer(this->loop)
     , uses_timer(this->loop)
+    , ended_timer(this->loop)
     , run_number(static_cast<std::uint64_t>(time.wall()))
 {
 }
@@ -249,7 +254,7 @@
             const bool repeat = now - this->needs_repeated >= needs_repetition;
             this->send_needs(repeat);
             router_word word = this->make_word();
-            word.uses = this->usage.take();
+            word.uses = this->usage.take_all();
             this->send_to_owner(std::move(word));
             this->look_for_owner();
             if (this->crashes.tick(now))
@@ -393,6 +398,37 @@
     this->take_break(word);
 }
 
+void gateway_control::run_ended(
+    const std::string& servable, const std::string& engine)
+{
+    if (!this->usage.ended(servable, engine))
+        return;
+    asio::post(
+        this->loop,
+        [this]
+        {
+            this->arm_ended();
+        });
+}
+
+void gateway_control::arm_ended()
+{
+    if (std::exchange(this->ended_armed, true))
+        return;
+    this->ended_timer.expires_after(ended_pause);
+    this->ended_timer.async_wait(
+        [this](const boost::system::error_code& error)
+        {
+            this->ended_armed = false;
+            if (error)
+                return;
+            router_word word = this->make_word();
+            word.uses = this->usage.take_ended();
+            if (!word.uses.empty())
+                this->send_to_owner(std::move(word));
+        });
+}
+
 void gateway_control::engine_refused(
     const std::string& servable, const std::string& engine)
 {
@@ -450,6 +486,7 @@
             this->desk->stop();
             this->needs_timer.cancel();
             this->uses_timer.cancel();
+            this->ended_timer.cancel();
             this->work.reset();
             this->loop.stop();
         });
--- a/src/app/gateway/gateway_control.hpp
+++ b/src/app/gateway/gateway_control.hpp
@@ -56,7 +56,7 @@
         newest_table<serving_table_ptr>& tables,
         std::shared_ptr<edge::shared_dispatcher> dispatch,
         notices told);
-    ~gateway_control();
+    ~gateway_control() override;
 
     gateway_control(const gateway_control&) = delete;
     gateway_control& operator=(const gateway_control&) = delete;
@@ -79,12 +79,15 @@
     /// Ends the thread.
     void stop();
 
-    /// What runs where; counted by the traffic thread.
-    usage_meter& usages()
+    /// A request for a servable was sent to an engine.
+    void run_started(const std::string& servable, const std::string& engine)
     {
-        return this->usage;
+        this->usage.started(servable, engine);
     }
 
+    /// It has ended there.
+    void run_ended(const std::string& servable, const std::string& engine);
+
     bool ready() const
     {
         return this->desk->ready();
@@ -121,6 +124,7 @@
     tell_routers(const owner_word& word, std::span<const std::string> routers);
     void arm_needs();
     void arm_uses();
+    void arm_ended();
     void look_for_owner();
     void take_break(const break_word& word);
     void server_lost(std::string_view server);
@@ -170,7 +174,9 @@
     boost::asio::steady_timer uses_timer;
     instant needs_repeated;
     std::uint64_t last_sequence = 0;
+    boost::asio::steady_timer ended_timer;
     bool needs_armed = false;
+    bool ended_armed = false;
     std::uint64_t run_number = 0;
     std::atomic<std::size_t> alive{1};
     instant lost_at;
--- a/src/app/gateway/usage_meter.hpp
+++ b/src/app/gateway/usage_meter.hpp
@@ -26,22 +26,52 @@
         one.changed = true;
     }
 
-    void ended(const std::string& servable, const std::string& engine)
+    /// @return Whether nothing runs of the servable there any more.
+    bool ended(const std::string& servable, const std::string& engine)
     {
         const std::lock_guard lock(this->mutex);
         row& one = this->rows[{servable, engine}];
         --one.running;
         one.changed = true;
+        return one.running == 0;
+    }
+
+    /// @return What has stopped since the last call.
+    std::vector<servable_use> take_ended()
+    {
+        return this->take(
+            [](const row& one)
+            {
+                return one.changed && one.running == 0;
+            });
     }
 
     /// @return What runs, and what has stopped since the last call.
-    std::vector<servable_use> take()
+    std::vector<servable_use> take_all()
+    {
+        return this->take(
+            [](const row& one)
+            {
+                return one.changed || one.running != 0;
+            });
+    }
+
+private:
+    struct row
+    {
+        std::uint32_t running = 0;
+        std::uint32_t started = 0;
+        bool changed = false;
+    };
+
+    template <class Wanted>
+    std::vector<servable_use> take(Wanted wanted)
     {
         const std::lock_guard lock(this->mutex);
         std::vector<servable_use> uses;
         for (auto& [key, one] : this->rows)
         {
-            if (!one.changed && one.running == 0)
+            if (!wanted(one))
                 continue;
             uses.push_back({key.first, key.second, one.running, one.started});
             one.started = 0;
@@ -51,19 +81,11 @@
             this->rows,
             [](const auto& entry)
             {
-                return entry.second.running == 0;
+                return entry.second.running == 0 && !entry.second.changed;
             });
         return uses;
     }
 
-private:
-    struct row
-    {
-        std::uint32_t running = 0;
-        std::uint32_t started = 0;
-        bool changed = false;
-    };
-
     std::mutex mutex;
     std::map<std::pair<std::string, std::string>, row> rows;
 };
--- a/src/core/swapping/swap_planner.cpp
+++ b/src/core/swapping/swap_planner.cpp
@@ -26,9 +26,7 @@
 std::vector<swap_order> swap_planner::plan(
     const engine_book& engines, const need_book& needs, instant now)
 {
-    const duration idle = std::max(
-        this->settings.idle, use_word_pause(needs.routers(now)) * 3 / 2);
-    round current{engines, needs, now, idle, {}, {}, {}, {}, {}};
+    round current{engines, needs, now, {}, {}, {}, {}, {}};
     this->survey(current);
     std::vector<want> wants = this->collect(current);
     for (const want& what : wants)
@@ -327,8 +325,8 @@
     const std::uint32_t most =
         urgent ? this->settings.most_running_unloaded : 0;
     const bool used =
-        info.running != 0 || current.now - info.last_used < current.idle;
-    const bool just_loaded = current.now - held.loaded < current.idle;
+        info.running != 0 || current.now - info.last_used < this->settings.idle;
+    const bool just_loaded = current.now - held.loaded < this->settings.idle;
     if (current.wanted.contains(key) || info.running > most || just_loaded ||
         (used && !urgent))
         return false;
@@ -398,7 +396,7 @@
                                      ? adapter.loaded
                                      : std::max(adapter.loaded, use->last_used);
             const bool idle = (use == nullptr || use->running == 0) &&
-                              current.now - last >= current.idle;
+                              current.now - last >= this->settings.idle;
             if (!idle || last >= oldest)
                 continue;
             oldest = last;
--- a/src/core/swapping/swap_planner.hpp
+++ b/src/core/swapping/swap_planner.hpp
@@ -52,8 +52,8 @@
     {
         /// A model that nobody uses for so long may be unloaded. Shorter than
         /// it, requests that were told of it may be on their way. Routers tell
-        /// of their uses at intervals, which this is longer than by half.
-        duration idle = std::chrono::milliseconds(300);
+        /// within 20 ms that they don't use it any more.
+        duration idle = std::chrono::milliseconds(150);
         /// Requests that run on one copy before another is loaded. An engine
         /// reads 38 prompt tokens in a millisecond; at some 650 tokens and
         /// 0.45 s a request, so many use a third of that.
@@ -134,7 +134,6 @@
         const engine_book& engines;
         const need_book& needs;
         instant now;
-        duration idle{}; ///< unused for so long, a model may go
         std::unordered_map<const engine_state*, engine_info> infos;
         std::unordered_map<std::string, model_sum> sums; ///< by model's key
         std::set<std::string, std::less<>> taken;  ///< engines with an order
