--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,13 @@
 configure: deps
 	cmake --preset $(PRESET) >/dev/null
 
-demo: all
+# Only what the demo runs: building tests and benches too takes most of the time.
+DEMO := roseworks-router roseworksctl roseworks-audit roseworks-demo \
+	standin-log standin-weight-store standin-vm-list standin-engine \
+	standin-service
+
+demo: configure
+	cmake --build $(BUILD) -j $(JOBS) --target $(DEMO)
 	./scripts/demo $(BUILD)/bin
 
 test: all
--- a/src/adapters/peers/gateway_peers.cpp
+++ b/src/adapters/peers/gateway_peers.cpp
@@ -1,6 +1,6 @@
 #include "adapters/peers/gateway_peers.hpp"
 
-#include "adapters/platform/http_client.hpp"
+#include "adapters/platform/endpoint.hpp"
 
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/string.hpp>
--- /dev/null
+++ b/src/adapters/platform/endpoint.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <optional>
+#include <string_view>
+
+namespace roseworks::platform
+{
+
+/// @return The endpoint of `ip:port`; empty when it is anything else.
+std::optional<boost::asio::ip::tcp::endpoint>
+parse_endpoint(std::string_view address);
+
+} // namespace roseworks::platform
--- a/src/adapters/platform/http_client.cpp
+++ b/src/adapters/platform/http_client.cpp
@@ -9,7 +9,6 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include <charconv>
 #include <deque>
 #include <sstream>
 #include <unordered_set>
@@ -26,30 +25,6 @@
 using beast::error_code;
 using steady = std::chrono::steady_clock;
 
-std::optional<tcp::endpoint> parse_endpoint(std::string_view address)
-{
-    const auto colon = address.rfind(':');
-    if (colon == std::string_view::npos)
-        return {};
-
-    std::string_view ip = address.substr(0, colon);
-    if (ip.size() > 2 && ip.front() == '[' && ip.back() == ']')
-        ip = ip.substr(1, ip.size() - 2);
-
-    error_code error;
-    const auto parsed = asio::ip::make_address(std::string(ip), error);
-    if (error)
-        return {};
-
-    const std::string_view port = address.substr(colon + 1);
-    std::uint16_t number = 0;
-    const auto [end, failure] =
-        std::from_chars(port.data(), port.data() + port.size(), number);
-    if (failure != std::errc{} || end != port.data() + port.size())
-        return {};
-    return tcp::endpoint(parsed, number);
-}
-
 namespace
 {
 
--- a/src/adapters/platform/http_client.hpp
+++ b/src/adapters/platform/http_client.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/platform/byte_meter.hpp"
+#include "adapters/platform/endpoint.hpp"
 #include "adapters/tls/connector.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -64,10 +65,6 @@
     std::function<bool()> may_send;
 };
 
-/// @return The endpoint of `ip:port`; empty when it is anything else.
-std::optional<boost::asio::ip::tcp::endpoint>
-parse_endpoint(std::string_view address);
-
 /** Calls one HTTP/1.1 server and reuses its connections.
 
     A connection that was idle for long, or on which the server has sent or
