--- a/src/adapters/forward/forward_call.cpp
+++ b/src/adapters/forward/forward_call.cpp
@@ -1,15 +1,14 @@
 #include "adapters/forward/forward_call.hpp"
 
+#include "adapters/forward/relay_head.hpp"
 #include "core/serving/servable_key.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/beast/http/rfc7230.hpp>
 
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <cstdio>
 #include <utility>
 #include <variant>
 
@@ -21,13 +20,6 @@
 
 using end_kind = attempt_result::end;
 
-constexpr unsigned status_ok = 200;
-constexpr unsigned status_too_many = 429;
-constexpr unsigned status_misdirected = 421;
-constexpr unsigned status_unavailable = 503;
-constexpr unsigned status_request_timeout = 408;
-constexpr std::string_view last_chunk = "0\r\n\r\n";
-
 /// A route's rank that goes before all else while requests wait.
 constexpr std::uint8_t urgent_rank = 0;
 
@@ -52,63 +44,6 @@
         inbox->caller_left();
 }
 
-/// Whether the server says that it didn't run the request.
-bool says_not_run(
-    const server_exchange::head_fields& head, const header_dialect& names)
-{
-    const unsigned status = head.result_int();
-    const bool refusal = status == status_unavailable ||
-                         status == status_too_many ||
-                         status == status_request_timeout;
-    return status == status_misdirected ||
-           (refusal && head.find(names.not_run) != head.end());
-}
-
-bool is_event_stream(const server_exchange::head_fields& head)
-{
-    return beast::iequals(
-        head[http::field::content_type].substr(0, 17), "text/event-stream");
-}
-
-/// What belongs to the connection, or is told anew by the framing.
-bool is_relayed(http::field name)
-{
-    switch (name)
-    {
-    case http::field::connection:
-    case http::field::keep_alive:
-    case http::field::proxy_connection:
-    case http::field::te:
-    case http::field::trailer:
-    case http::field::transfer_encoding:
-    case http::field::upgrade:
-    case http::field::content_length:
-        return false;
-    default:
-        return true;
-    }
-}
-
-std::string head_lines(
-    const server_exchange::head_fields& head, const header_dialect& names)
-{
-    std::string lines = "HTTP/1.1 " + std::to_string(head.result_int()) + ' ';
-    lines += view(head.reason());
-    lines += "\r\n";
-    for (const auto& field : head)
-    {
-        const bool own = beast::iequals(field.name_string(), names.load) ||
-                         beast::iequals(field.name_string(), names.instance);
-        if (own || !is_relayed(field.name()))
-            continue;
-        lines += view(field.name_string());
-        lines += ": ";
-        lines += view(field.value());
-        lines += "\r\n";
-    }
-    return lines;
-}
-
 std::optional<std::array<std::uint32_t, 2>> parse_load(std::string_view text)
 {
     std::array<std::uint32_t, 2> numbers{};
@@ -392,218 +327,6 @@
             {where.engine, (*numbers)[0], (*numbers)[1]});
 }
 
-bool forward_call::joins(const server_exchange& exchange) const
-{
-    return exchange.head().result_int() == status_ok &&
-           is_event_stream(exchange.head());
-}
-
-asio::awaitable<attempt_result> forward_call::pass_on(server_exchange& exchange)
-{
-    const auto encoding = exchange.head()[http::field::content_encoding];
-    const bool foreign = !encoding.empty() && encoding != "identity";
-    if (foreign || (this->head_written && !this->joins(exchange)))
-    {
-        // Not the bytes of the service, or not the rest of the stream.
-        attempt_result broken;
-        broken.how = end_kind::broken;
-        broken.answer_started = this->head_written;
-        co_return broken;
-    }
-    if (this->first_byte_at == instant())
-        this->first_byte_at = this->context.now();
-    const relayed how = co_await this->relay(exchange);
-    if (how == relayed::whole)
-        exchange.release();
-    co_return this->result_of(how);
-}
-
-asio::awaitable<forward_call::relayed>
-forward_call::relay(server_exchange& exchange)
-{
-    const bool stream = is_event_stream(exchange.head());
-    const relayed how = stream ? co_await this->relay_stream(exchange)
-                               : co_await this->relay_collected(exchange);
-    co_return how;
-}
-
-asio::awaitable<forward_call::relayed>
-forward_call::relay_collected(server_exchange& exchange)
-{
-    const auto end_of = [](exchange_state state)
-    {
-        if (state == exchange_state::interrupted)
-            return relayed::interrupted;
-        return state == exchange_state::timed_out ? relayed::late
-                                                  : relayed::cut;
-    };
-    std::string body;
-    std::string_view piece;
-    do
-    {
-        const exchange_state state = co_await exchange.read_some(piece);
-        if (state != exchange_state::good)
-            co_return end_of(state);
-        body += piece;
-    } while (!piece.empty() &&
-             body.size() < this->context.settings.collect_bytes);
-
-    this->status = exchange.head().result_int();
-    std::string bytes = head_lines(exchange.head(), this->context.names);
-    const bool whole = piece.empty();
-    const bool close = !this->request.keep_alive || this->context.draining;
-    const auto length = exchange.head()[http::field::content_length];
-    if (this->request.head_only && !length.empty())
-        bytes += "Content-Length: " + std::string(view(length)) + "\r\n";
-    else if (whole && !this->request.head_only)
-        bytes += "Content-Length: " + std::to_string(body.size()) + "\r\n";
-    else if (!whole)
-        bytes += "Transfer-Encoding: chunked\r\n";
-    if (close)
-        bytes += "Connection: close\r\n";
-    bytes += "\r\n";
-    this->head_written = true;
-    if (whole)
-    {
-        bytes += body;
-        const bool written = co_await this->caller.write_raw(bytes);
-        co_return written ? relayed::whole : relayed::caller_gone;
-    }
-    this->chunked = true;
-    bool written = co_await this->caller.write_raw(bytes);
-    written = written && co_await this->write_chunk(body);
-    while (written)
-    {
-        const exchange_state state = co_await exchange.read_some(piece);
-        if (state != exchange_state::good)
-            co_return end_of(state);
-        if (piece.empty())
-        {
-            written = co_await this->caller.write_raw(last_chunk);
-            co_return written ? relayed::whole : relayed::caller_gone;
-        }
-        written = co_await this->write_chunk(piece);
-    }
-    co_return relayed::caller_gone;
-}
-
-asio::awaitable<bool> forward_call::write_head(const server_exchange& exchange)
-{
-    this->status = exchange.head().result_int();
-    this->head_written = true;
-    this->chunked = true;
-    std::string bytes = head_lines(exchange.head(), this->context.names);
-    bytes += "Transfer-Encoding: chunked\r\n";
-    if (!this->request.keep_alive || this->context.draining)
-        bytes += "Connection: close\r\n";
-    bytes += "\r\n";
-    const bool written = co_await this->caller.write_raw(bytes);
-    co_return written;
-}
-
-asio::awaitable<bool> forward_call::write_chunk(std::string_view bytes)
-{
-    if (bytes.empty())
-        co_return true;
-    std::array<char, 24> size{};
-    const int digits =
-        std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
-    std::string chunk(size.data(), static_cast<std::size_t>(digits));
-    chunk += bytes;
-    chunk += "\r\n";
-    const bool written = co_await this->caller.write_raw(chunk);
-    co_return written;
-}
-
-asio::awaitable<forward_call::relayed>
-forward_call::relay_stream(server_exchange& exchange)
-{
-    const bool joining = this->head_written;
-    const bool whole_events = this->route.resumable;
-    this->events.restart();
-    bool written = joining || co_await this->write_head(exchange);
-    std::string_view piece;
-    while (written)
-    {
-        const exchange_state state = co_await exchange.read_some(piece);
-        if (state == exchange_state::interrupted)
-            co_return relayed::interrupted;
-        if (state == exchange_state::timed_out)
-            co_return relayed::late;
-        if (state != exchange_state::good)
-            co_return relayed::cut;
-        if (piece.empty())
-        {
-            // What is left isn't a whole event, but the answer is whole.
-            std::string rest =
-                whole_events ? this->events.take_rest() : std::string();
-            written = co_await this->write_chunk(rest);
-            written = written && co_await this->caller.write_raw(last_chunk);
-            co_return written ? relayed::whole : relayed::caller_gone;
-        }
-        const std::string events_now = this->events.feed(piece);
-        if (this->events.overrun())
-            co_return relayed::cut;
-        written = co_await this->write_chunk(
-            whole_events ? std::string_view(events_now) : piece);
-    }
-    co_return this->inbox->interrupted() ? relayed::interrupted
-                                         : relayed::caller_gone;
-}
-
-attempt_result forward_call::result_of(relayed how) const
-{
-    attempt_result result;
-    result.answer_started = this->head_written;
-    result.tokens = this->events.events();
-    result.resumable = this->head_written && this->route.resumable &&
-                       this->chunked && !this->events.last_id().empty();
-    result.total = this->context.now() - this->sent_at;
-    if (this->first_byte_at != instant())
-        result.first_byte = this->first_byte_at - this->sent_at;
-    switch (how)
-    {
-    case relayed::whole:
-        result.how = end_kind::answered;
-        break;
-    case relayed::cut:
-        result.how = end_kind::broken;
-        break;
-    case relayed::late:
-        result.how = end_kind::no_progress;
-        break;
-    case relayed::caller_gone:
-    case relayed::interrupted:
-        result.how = end_kind::caller_left;
-        break;
-    }
-    return result;
-}
-
-attempt_result forward_call::result_of(exchange_state state) const
-{
-    attempt_result result;
-    result.answer_started = this->head_written;
-    result.resumable = this->head_written && this->route.resumable &&
-                       !this->events.last_id().empty();
-    switch (state)
-    {
-    case exchange_state::not_sent:
-        result.how = end_kind::not_sent;
-        break;
-    case exchange_state::timed_out:
-        result.how = end_kind::no_progress;
-        break;
-    case exchange_state::interrupted:
-        result.how = end_kind::caller_left;
-        break;
-    default:
-        result.how = end_kind::broken;
-        break;
-    }
-    return result;
-}
-
 asio::awaitable<void> forward_call::end_without_answer(dispatcher::finish how)
 {
     const verdict outcome =
--- /dev/null
+++ b/src/adapters/forward/relay_head.cpp
@@ -0,0 +1,83 @@
+#include "adapters/forward/relay_head.hpp"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/field.hpp>
+
+#include <string_view>
+
+namespace roseworks::forward
+{
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace
+{
+
+constexpr unsigned status_too_many = 429;
+constexpr unsigned status_misdirected = 421;
+constexpr unsigned status_unavailable = 503;
+constexpr unsigned status_request_timeout = 408;
+
+std::string_view view(beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+/// What belongs to the connection, or is told anew by the framing.
+bool is_relayed(http::field name)
+{
+    switch (name)
+    {
+    case http::field::connection:
+    case http::field::keep_alive:
+    case http::field::proxy_connection:
+    case http::field::te:
+    case http::field::trailer:
+    case http::field::transfer_encoding:
+    case http::field::upgrade:
+    case http::field::content_length:
+        return false;
+    default:
+        return true;
+    }
+}
+
+} // namespace
+
+bool says_not_run(const answer_head& head, const header_dialect& names)
+{
+    const unsigned status = head.result_int();
+    const bool refusal = status == status_unavailable ||
+                         status == status_too_many ||
+                         status == status_request_timeout;
+    return status == status_misdirected ||
+           (refusal && head.find(names.not_run) != head.end());
+}
+
+bool is_event_stream(const answer_head& head)
+{
+    return beast::iequals(
+        head[http::field::content_type].substr(0, 17), "text/event-stream");
+}
+
+std::string head_lines(const answer_head& head, const header_dialect& names)
+{
+    std::string lines = "HTTP/1.1 " + std::to_string(head.result_int()) + ' ';
+    lines += view(head.reason());
+    lines += "\r\n";
+    for (const auto& field : head)
+    {
+        const bool own = beast::iequals(field.name_string(), names.load) ||
+                         beast::iequals(field.name_string(), names.instance);
+        if (own || !is_relayed(field.name()))
+            continue;
+        lines += view(field.name_string());
+        lines += ": ";
+        lines += view(field.value());
+        lines += "\r\n";
+    }
+    return lines;
+}
+
+} // namespace roseworks::forward
--- a/src/adapters/forward/server_exchange.hpp
+++ b/src/adapters/forward/server_exchange.hpp
@@ -4,6 +4,7 @@
 #include "adapters/edge/call_inbox.hpp"
 #include "adapters/edge/net.hpp"
 #include "adapters/forward/forward_context.hpp"
+#include "adapters/forward/relay_head.hpp"
 
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -39,8 +40,6 @@
 class server_exchange
 {
 public:
-    using head_fields = http::response_header<>;
-
     server_exchange(
         forward_context& shared,
         edge::backend_pool& connections,
@@ -69,7 +68,7 @@
     /// Reads some of the body. Empty text with `good`: the body has ended.
     asio::awaitable<exchange_state> read_some(std::string_view& piece);
 
-    const head_fields& head() const
+    const answer_head& head() const
     {
         return this->parser->get().base();
     }
