Take engines' fences for unchecked unless the platform says so

Cause: the setting's default was true; where the platform leaves the value empty, an owner cut from the store would have ordered on past its term, beside its successor. The new test failed on the old default (three assertions).

--- a/src/adapters/settings/gateway_settings.hpp
+++ b/src/adapters/settings/gateway_settings.hpp
@@ -40,11 +40,11 @@
 
     struct
     {
-        milliseconds grace{8000};   ///< from SIGTERM to SIGKILL
-        milliseconds leaving{2000}; ///< until a leaving server gets no more
-        milliseconds lease{3000};   ///< between orders of two holders in turn
-        bool fences_checked = true; ///< engines refuse old fencing numbers
-        double retry_ratio = 0.2;   ///< retries for each request of a service
+        milliseconds grace{8000};    ///< from SIGTERM to SIGKILL
+        milliseconds leaving{2000};  ///< until a leaving server gets no more
+        milliseconds lease{3000};    ///< between orders of two holders in turn
+        bool fences_checked = false; ///< engines refuse old fencing numbers
+        double retry_ratio = 0.2;    ///< retries for each request of a service
         milliseconds retry_window{10'000};
         double retry_extra = 50; ///< retries beside them, of all routers
         milliseconds load_window{5000};
--- a/src/adapters/settings/load_gateway_settings.cpp
+++ b/src/adapters/settings/load_gateway_settings.cpp
@@ -245,7 +245,7 @@
         {row("bounds",
              "fences_checked",
              word,
-             "true",
+             "false",
              0,
              0,
              "",
--- a/tests/unit/settings/test_load_gateway_settings.cpp
+++ b/tests/unit/settings/test_load_gateway_settings.cpp
@@ -104,6 +104,16 @@
     cr_assert_eq(problems_of(with("grace_s = 8", "grace_s = 8.5")), "");
 }
 
+/// An owner that took unchecked numbers for checked ones would order on past
+/// its term, beside its successor.
+Test(gateway_settings, fences_count_as_unchecked_unless_the_platform_says_so)
+{
+    const std::string line = "fences_checked = true";
+    cr_assert_not(load(with(line, "fences_checked =")).bounds.fences_checked);
+    cr_assert_not(load(with(line + "\n", "")).bounds.fences_checked);
+    cr_assert_not(gateway_settings().bounds.fences_checked);
+}
+
 Test(gateway_settings, names_what_is_wrong)
 {
     cr_assert_neq(problems_of(with("name = edge-a-1", "nome = x")), "");
