Leave dead runs alone, keep engines for overloaded models, tell all routers more

Requests went out under the wrong id as well. The log's request lines carry objective_ms and first_ms: without them a late answer could not be told from a timely one.

The reservation and the urgent unload have tests that fail without them (checked by breaking each).

--- a/src/adapters/forward/forward_call.cpp
+++ b/src/adapters/forward/forward_call.cpp
@@ -375,6 +375,9 @@
     const duration wait = this->first_sent == instant()
                               ? now - this->request.arrived
                               : this->first_sent - this->request.arrived;
+    const duration first = this->first_byte_at == instant()
+                               ? duration::zero()
+                               : this->first_byte_at - this->request.arrived;
     const std::optional<event_id> id(event_of(good));
     this->context.events.report(
         *id,
@@ -386,7 +389,9 @@
          {"reason", to_string(this->reason)},
          {"server", this->last_server},
          {"sends", this->sends},
+         {"objective_ms", whole_ms(this->route.objective)},
          {"wait_ms", whole_ms(wait)},
+         {"first_ms", whole_ms(first)},
          {"total_ms", whole_ms(now - this->request.arrived)},
          {"events", this->events.events()}});
 }
--- a/src/app/gateway/gateway_control.cpp
+++ b/src/app/gateway/gateway_control.cpp
@@ -27,6 +27,11 @@
 constexpr double usual_cores = 0.25;
 constexpr double usual_link = 100;
 
+/// Of an owner's link, for words to routers that don't wait for them: callers'
+/// requests have the rest.
+constexpr double words_share_of_link = 0.025;
+constexpr double bytes_per_mbit = 125'000;
+
 /// Demand that comes together is told together.
 constexpr std::chrono::milliseconds needs_pause{2};
 
@@ -67,6 +72,8 @@
     placement_desk::options made;
     made.lease = settings.bounds.lease;
     made.fences_checked = settings.bounds.fences_checked;
+    made.spare_bytes_per_second =
+        settings.vm.link_mbps * bytes_per_mbit * words_share_of_link;
     made.planner.store.window = settings.bounds.load_window;
     made.planner.store.factor = settings.bounds.load_factor;
     return made;
--- a/src/app/gateway/placement_desk.cpp
+++ b/src/app/gateway/placement_desk.cpp
@@ -66,6 +66,14 @@
     return servable_key(engine.entry.service, name);
 }
 
+/// Whether a report is that of another run at the engine's address: a start
+/// clears the count of orders. Reports lag, by an order or two at most.
+bool is_of_later_run(const engine_state& engine, const holdings_report& report)
+{
+    constexpr std::uint64_t lag = 2;
+    return report.orders_taken + lag < engine.orders_taken;
+}
+
 std::int64_t whole_ms(duration length)
 {
     return std::chrono::duration_cast<milliseconds>(length).count();
@@ -128,7 +136,8 @@
     std::vector<std::string> gone;
     for (const auto& [id, engine] : this->book.all())
     {
-        if (!this->view.servers().contains(id))
+        const auto found = this->view.servers().find(id);
+        if (found == this->view.servers().end() || found->second.superseded)
             gone.push_back(id);
     }
     for (const std::string& id : gone)
@@ -137,7 +146,7 @@
     {
         const service_profile* service =
             this->view.config()->find_service(server.entry.service);
-        if (service == nullptr || !service->engine)
+        if (service == nullptr || !service->engine || server.superseded)
             continue;
         const bool anew = this->book.listed(server.entry, now);
         if (anew && this->at_work)
@@ -362,6 +371,11 @@
     if (taken)
         how = command_end::unknown;
     const bool unsure = this->book.answered(engine, how, now);
+    if (how == command_end::wrong_server)
+    {
+        this->run_is_over(engine);
+        return;
+    }
     if (how == command_end::fenced_off && this->fence() <= fence)
     {
         this->give_up("an engine has taken a later owner's order");
@@ -428,6 +442,12 @@
         this->lost(engine);
         return;
     }
+    const engine_state* state = this->book.find(engine);
+    if (state != nullptr && is_of_later_run(*state, *report))
+    {
+        this->run_is_over(engine);
+        return;
+    }
     this->book.reported(engine, *report, this->clock.now());
     this->tell_of(engine, {});
     this->step();
@@ -440,6 +460,13 @@
     this->step();
 }
 
+void placement_desk::run_is_over(const std::string& engine)
+{
+    this->book.run_over(engine);
+    this->examine(engine, this->settings.wrong_server_wait);
+    this->step();
+}
+
 void placement_desk::look_at(const std::string& engine)
 {
     const engine_state* state = this->book.find(engine);
@@ -468,7 +495,7 @@
     const std::string& engine, std::string_view servable)
 {
     const std::vector<std::string> all = this->routers();
-    if (this->spare(all.size() * this->settings.engine_bytes))
+    if (this->spare(all.size()))
     {
         this->tell_later(engine, all);
         return;
@@ -478,18 +505,21 @@
     this->tell_later(engine, this->needs.routers_using(engine, servable));
 }
 
-bool placement_desk::spare(std::size_t bytes)
+bool placement_desk::spare(std::size_t routers)
 {
     const instant now = this->clock.now();
     const double passed =
         std::chrono::duration<double>(now - this->spare_counted).count();
     this->spare_counted = now;
-    this->spare_bytes = std::min(
-        this->spare_bytes + passed * this->settings.spare_bytes_per_second,
-        this->settings.spare_bytes_per_second);
-    if (this->spare_bytes < static_cast<double>(bytes))
+    const double rate = std::min(
+        this->settings.spare_bytes_per_second,
+        this->settings.spare_bytes_per_router * static_cast<double>(routers));
+    this->spare_bytes = std::min(this->spare_bytes + passed * rate, rate);
+    const auto bytes =
+        static_cast<double>(routers * this->settings.engine_bytes);
+    if (this->spare_bytes < bytes)
         return false;
-    this->spare_bytes -= static_cast<double>(bytes);
+    this->spare_bytes -= bytes;
     return true;
 }
 
@@ -568,7 +598,7 @@
         std::min(this->settings.beacon_engines, engines.size());
     for (std::size_t i = 0; i < most; ++i)
     {
-        if (!this->spare(all.size() * this->settings.engine_bytes))
+        if (!this->spare(all.size()))
             break;
         if (next == engines.end())
             next = engines.begin();
--- a/src/app/gateway/placement_desk.hpp
+++ b/src/app/gateway/placement_desk.hpp
@@ -61,16 +61,23 @@
         /// The same while the engine carries an order out: it serves nothing
         /// new until its end is seen.
         std::chrono::milliseconds busy_retry{100};
+        /// Until an engine at whose address another run answered is looked at:
+        /// by then the registry has dropped it, mostly.
+        std::chrono::milliseconds wrong_server_wait{4000};
         /// Between two words to all routers, which show that there is an
         /// owner and what some of the engines hold, in turn.
         std::chrono::milliseconds beacon{250};
         std::size_t beacon_engines = 12;
         /// Changes that come together are told together.
         std::chrono::milliseconds tell_pause{1};
-        /// For words to those who don't wait for them. What is over it is told
-        /// to those alone who wait for a model, or used it lately: the others
-        /// ask when they need it, and learn of an end from the engine.
-        double spare_bytes_per_second = 60'000;
+        /// For words to those who don't wait for them: of the owner's link, and
+        /// for each router that hears them. What is over it is told to those
+        /// alone who wait for a model, or used it lately: the others ask when
+        /// they need it, and learn of an end from the engine, which costs a
+        /// refused request each (a fifth of all arrivals at 71 routers and 90
+        /// engines with 0.8 KB/s for a router).
+        double spare_bytes_per_second = 1'000'000;
+        double spare_bytes_per_router = 8'500;
         /// Encoded, with names of usual length.
         std::size_t engine_bytes = 150;
     };
@@ -140,12 +147,16 @@
         const std::optional<holdings_report>& report);
     /// An engine can't be reached: what it holds is loaded elsewhere.
     void lost(const std::string& engine);
+    /// Another run answers at an engine's address.
+    void run_is_over(const std::string& engine);
     /// A router couldn't reach an engine that counts as reachable.
     void look_at(const std::string& engine);
     void tell_later(
         const std::string& engine, const std::vector<std::string>& audience);
     void tell_of(const std::string& engine, std::string_view servable);
-    bool spare(std::size_t bytes);
+    /// Takes the bytes of one engine's word to so many routers.
+    /// @return Whether there were as many to spare.
+    bool spare(std::size_t routers);
     owner_word make_word() const;
     void arm_step();
     void arm_step_in(duration wait);
--- a/src/core/serving/server_entry.hpp
+++ b/src/core/serving/server_entry.hpp
@@ -45,8 +45,20 @@
     std::uint32_t slots = 1;
     bool leaving = false;
     engine_holdings holdings;
+    /// The registry's number of this word: of two servers at one address, the
+    /// one with the later word runs there.
+    std::uint64_t heard = 0;
 
-    bool operator==(const server_entry&) const = default;
+    /// @return Whether the other word says the same.
+    bool operator==(const server_entry& other) const
+    {
+        return this->id == other.id && this->born_ms == other.born_ms &&
+               this->service == other.service &&
+               this->address == other.address &&
+               this->data_centre == other.data_centre &&
+               this->slots == other.slots && this->leaving == other.leaving &&
+               this->holdings == other.holdings;
+    }
 };
 
 } // namespace roseworks
--- a/src/core/serving/serving_view.cpp
+++ b/src/core/serving/serving_view.cpp
@@ -97,13 +97,18 @@
         added.run = replica_id(++this->last_run);
         added.entry = std::move(entry);
         this->known.emplace(added.entry.id, std::move(added));
+        this->find_superseded();
         return true;
     }
     server& one = found->second;
     const bool revived = one.lapses.has_value();
     one.lapses.reset();
+    one.entry.heard = std::max(one.entry.heard, entry.heard);
+    const bool was_superseded = one.superseded;
+    if (was_superseded)
+        this->find_superseded();
     if (one.entry == entry)
-        return revived;
+        return revived || one.superseded != was_superseded;
     const bool restarted = one.entry.born_ms != entry.born_ms;
     if (restarted && entry.born_ms < one.entry.born_ms)
         return revived; // an older run's entry came late
@@ -112,7 +117,10 @@
         one.run = replica_id(++this->last_run);
         one.owned.reset();
     }
+    const bool moved = one.entry.address != entry.address;
     one.entry = std::move(entry);
+    if (moved)
+        this->find_superseded();
     static_cast<void>(now);
     return true;
 }
@@ -128,6 +136,7 @@
         return false;
     }
     this->known.erase(found);
+    this->find_superseded();
     return true;
 }
 
@@ -216,6 +225,8 @@
             {
                 return entry.second.lapses && *entry.second.lapses <= now;
             }) != 0;
+    if (changed)
+        this->find_superseded();
     for (auto& [id, one] : this->known)
     {
         if (one.unreached_until && *one.unreached_until <= now)
@@ -247,6 +258,18 @@
     return fresh ? one.owned->resident : one.entry.holdings.resident;
 }
 
+void serving_view::find_superseded()
+{
+    std::unordered_map<std::string_view, std::uint64_t> latest;
+    for (const auto& [id, one] : this->known)
+    {
+        std::uint64_t& heard = latest[one.entry.address];
+        heard = std::max(heard, one.entry.heard);
+    }
+    for (auto& [id, one] : this->known)
+        one.superseded = one.entry.heard < latest[one.entry.address];
+}
+
 serving_table_ptr serving_view::make_table(
     bool orders_possible,
     const std::unordered_set<fingerprint>& blocked,
@@ -265,6 +288,8 @@
     }
     for (const auto& [id, one] : this->known)
     {
+        if (one.superseded)
+            continue;
         made.servers[one.entry.address] = {
             id, one.entry.service, one.entry.data_centre};
         if (one.entry.leaving)
--- a/src/core/serving/serving_view.hpp
+++ b/src/core/serving/serving_view.hpp
@@ -58,6 +58,9 @@
         engine_id engine;              ///< the same for all runs under one id
         replica_id run;                ///< another one for each run
         std::optional<instant> lapses; ///< gone unless it registers before
+        /// Another server runs at its address now: one that crashed stays in
+        /// the registry for seconds, and its next run may be there by then.
+        bool superseded = false;
         std::optional<engine_residency> owned;
         instant owned_at; ///< when the owner last said so
         /// Keys of what it refused, until when they count.
@@ -130,6 +133,7 @@
 
 private:
     void make_catalogue();
+    void find_superseded();
     void add_engine(
         serving_table::parts& into, const server& one, instant now) const;
     void add_servable(
--- a/src/core/swapping/engine_book.cpp
+++ b/src/core/swapping/engine_book.cpp
@@ -328,6 +328,13 @@
     engine->reachable = false;
 }
 
+void engine_book::run_over(std::string_view id)
+{
+    this->unreached(id);
+    if (engine_state* engine = this->find_mutable(id))
+        engine->orders_taken = 0;
+}
+
 void engine_book::distrust(std::string_view id)
 {
     if (engine_state* engine = this->find_mutable(id))
--- a/src/core/swapping/engine_book.hpp
+++ b/src/core/swapping/engine_book.hpp
@@ -201,6 +201,10 @@
     */
     void unreached(std::string_view id);
 
+    /// Another run answers at its address: the same, and its orders' count
+    /// begins anew should it be the engine's own after all.
+    void run_over(std::string_view id);
+
     /// Something contradicts what is known of the engine.
     void distrust(std::string_view id);
 
--- a/src/core/swapping/swap_planner.cpp
+++ b/src/core/swapping/swap_planner.cpp
@@ -132,15 +132,20 @@
     return wants;
 }
 
-std::size_t swap_planner::copies_needed(
-    const round& current, std::string_view service, const model_sum& sum) const
+std::uint32_t swap_planner::running_per_copy(
+    const round& current, std::string_view service) const
 {
     const engine_profile* profile = current.engines.find_profile(service);
     const double slots = profile == nullptr ? 1.0 : profile->slots;
     const auto by_slots =
         static_cast<std::uint32_t>(slots * this->settings.slots_per_copy);
-    const std::uint32_t each =
-        std::clamp(by_slots, 1U, this->settings.running_per_copy);
+    return std::clamp(by_slots, 1U, this->settings.running_per_copy);
+}
+
+std::size_t swap_planner::copies_needed(
+    const round& current, std::string_view service, const model_sum& sum) const
+{
+    const std::uint32_t each = this->running_per_copy(current, service);
     return (sum.running + each - 1) / each;
 }
 
@@ -166,6 +171,8 @@
             what.objective = current.now + this->settings.copy_urgency;
             what.deadline = instant::max();
             what.extra_copy = true;
+            what.overloaded =
+                needed >= this->settings.overload * (sum.copies + sum.loading);
             wants.push_back(std::move(what));
         }
     }
@@ -208,7 +215,9 @@
 
 bool swap_planner::is_urgent(const round& current, const want& what) const
 {
-    if (what.extra_copy || what.objective == instant::max())
+    if (what.extra_copy)
+        return what.overloaded;
+    if (what.objective == instant::max())
         return false;
     const model_profile* model =
         current.engines.find_model(what.service, what.model);
--- a/src/core/swapping/swap_planner.hpp
+++ b/src/core/swapping/swap_planner.hpp
@@ -63,6 +63,10 @@
         double slots_per_copy = 0.35;
         /// Another copy is wanted as urgently as a request with so much time.
         duration copy_urgency = std::chrono::milliseconds(600);
+        /// With so many times the usual requests on each copy, an engine that
+        /// has the weights is kept for another one: where many engines were
+        /// lost, rarer models took each place on the few that had them.
+        std::uint32_t overload = 2;
         /// A model that can still be loaded in time, but not much later, keeps
         /// an engine that has its copy from what is less urgent: else smaller
         /// or more popular models take each place as it comes free.
@@ -94,6 +98,7 @@
         instant objective;
         instant deadline;
         bool extra_copy = false; ///< it is there, but too few copies are
+        bool overloaded = false; ///< far too few
     };
 
     /// An engine that could have the model, and how soon.
@@ -145,6 +150,8 @@
     engine_info survey(const round& current, const engine_state& engine) const;
     std::vector<want> collect(const round& current) const;
     void add_busy(const round& current, std::vector<want>& wants) const;
+    std::uint32_t
+    running_per_copy(const round& current, std::string_view service) const;
     std::size_t copies_needed(
         const round& current,
         std::string_view service,
--- a/tests/unit/gateway/test_placement_desk.cpp
+++ b/tests/unit/gateway/test_placement_desk.cpp
@@ -137,6 +137,46 @@
     cr_assert(test.desk.engines().find("e1")->examined);
 }
 
+/// The run after it at its address answers its report, and holds nothing: the
+/// emptiest engine of all, to which each load was sent in vain.
+Test(placement_desk, an_engine_whose_run_is_over_is_not_ordered_on)
+{
+    desk_fixture test(2);
+    test.own(7);
+    test.need("m1");
+    const auto first = test.next_command();
+    first.done(command_end::wrong_server);
+    const auto second = test.next_command();
+    cr_assert_neq(second.what.engine, first.what.engine);
+    cr_assert_not(test.desk.engines().find(first.what.engine)->reachable);
+    cr_assert(test.commands.reports.empty());
+}
+
+/// Nothing in a report names the run, but a start clears the count of orders.
+Test(placement_desk, a_report_of_the_run_after_it_brings_no_engine_back)
+{
+    desk_fixture test(1);
+    test.desk.tenure_changed(placement_tenure{7, test.clock.time + 1s});
+    test.answer_report({"m0"}, 12);
+    test.unreached("e1");
+    test.no_report();
+    test.answer_report({}, 0);
+    cr_assert_not(test.desk.engines().find("e1")->reachable);
+    test.need("m1");
+    cr_assert_eq(test.orders_sent(), 0);
+}
+
+Test(placement_desk, a_report_that_lags_by_an_order_is_the_engines_own)
+{
+    desk_fixture test(1);
+    test.desk.tenure_changed(placement_tenure{7, test.clock.time + 1s});
+    test.answer_report({"m0"}, 12);
+    test.unreached("e1");
+    test.no_report();
+    test.answer_report({"m0"}, 11);
+    cr_assert(test.desk.engines().find("e1")->reachable);
+}
+
 Test(placement_desk, an_engine_that_is_back_is_used_again)
 {
     desk_fixture test(1);
--- a/tests/unit/serving/test_serving_view.cpp
+++ b/tests/unit/serving/test_serving_view.cpp
@@ -215,6 +215,43 @@
     cr_assert_eq(places(view, "m1/a2", at(1s + 10ms)), 1);
 }
 
+/// Its orders and requests would be refused for the other run's id.
+Test(serving_view, a_run_that_another_followed_at_its_address_is_not_used)
+{
+    serving_view view = make_view();
+    server_entry old = make_engine("e1", "m1");
+    old.heard = 100;
+    server_entry next = make_engine("e2", "m2");
+    next.address = old.address;
+    next.heard = 103;
+    view.entry_read(next, at(0s));
+    cr_assert(view.entry_read(old, at(0s)));
+    cr_assert(view.servers().at("e1").superseded);
+    cr_assert_eq(places(view, "m1", at(1s)), 0);
+    cr_assert_eq(places(view, "m2", at(1s)), 1);
+    const auto* there = table_of(view, at(1s))->find_server(old.address);
+    cr_assert_eq(there->instance, "e2");
+    view.entry_removed("e2", at(2s));
+    cr_assert_not(view.servers().at("e1").superseded);
+}
+
+Test(serving_view, the_run_that_was_heard_last_is_the_one_that_runs)
+{
+    serving_view view = make_view();
+    server_entry first = make_engine("e1", "m1");
+    first.heard = 100;
+    server_entry second = make_engine("e2", "m2");
+    second.address = first.address;
+    second.heard = 90;
+    view.entry_read(first, at(0s));
+    view.entry_read(second, at(0s));
+    cr_assert(view.servers().at("e2").superseded);
+    second.heard = 110; // says the same as before
+    cr_assert(view.entry_read(second, at(1s)));
+    cr_assert_not(view.servers().at("e2").superseded);
+    cr_assert(view.servers().at("e1").superseded);
+}
+
 /// Else each request that is granted there waits for a connection in vain.
 Test(serving_view, an_engine_that_can_not_be_reached_gets_nothing_for_a_while)
 {
--- a/tests/unit/swapping/swap_fixture.hpp
+++ b/tests/unit/swapping/swap_fixture.hpp
@@ -45,6 +45,16 @@
             model.adapter_mb = 12;
             engine.models.push_back(model);
         }
+        this->configuration = config;
+        this->engines.configured(config);
+    }
+
+    /// Gives one model another size.
+    void resize(std::size_t model, double memory_mb)
+    {
+        auto config = std::make_shared<deployment>(*this->configuration);
+        config->services.front().engine->models[model].memory_mb = memory_mb;
+        this->configuration = config;
         this->engines.configured(config);
     }
 
@@ -127,6 +137,7 @@
         this->engines.answered(order.engine, command_end::accepted, now);
     }
 
+    std::shared_ptr<const deployment> configuration;
     engine_book engines{engine_book::options()};
     need_book needs{need_book::options()};
     swap_planner planner{swap_planner::options()};
--- a/tests/unit/swapping/test_rare_model_burst.cpp
+++ b/tests/unit/swapping/test_rare_model_burst.cpp
@@ -19,9 +19,11 @@
 class burst_replay
 {
 public:
-    explicit burst_replay(std::uint64_t seed)
+    /// @param rate of requests a second in the burst.
+    explicit burst_replay(std::uint64_t seed, double rate)
         : test(model_count)
         , random(seed)
+        , burst_rate(rate)
     {
         std::vector<std::vector<std::string>> disks(engine_count);
         for (std::size_t model = 0; model < model_count; ++model)
@@ -73,7 +75,7 @@
     void arrive(instant now)
     {
         const bool burst = now >= at(8s) && now < at(14s);
-        const double per_step = (burst ? 46.0 : 20.7) * 0.005;
+        const double per_step = (burst ? this->burst_rate : 20.7) * 0.005;
         std::poisson_distribution<int> arrivals(per_step);
         for (int i = arrivals(this->random); i > 0; --i)
         {
@@ -159,6 +161,7 @@
 
     swap_fixture test;
     std::mt19937_64 random;
+    double burst_rate;
     std::map<std::string, std::vector<instant>> waiting;
     std::vector<run> runs;
     std::map<std::pair<std::string, std::string>, std::uint32_t> told;
@@ -166,14 +169,29 @@
     std::size_t in_time = 0;
 };
 
-} // namespace
-
-Test(rare_model_burst, nine_in_ten_begin_within_their_objective)
+/// @return The share in time, over some seeds.
+double mean_share(double burst_rate)
 {
     double sum = 0;
     constexpr int seeds = 4;
     for (int seed = 1; seed <= seeds; ++seed)
-        sum += burst_replay(static_cast<std::uint64_t>(seed)).play();
-    const double mean = sum / seeds;
-    cr_assert_geq(mean, 0.9, "%.3f", mean);
+        sum +=
+            burst_replay(static_cast<std::uint64_t>(seed), burst_rate).play();
+    return sum / seeds;
+}
+
+} // namespace
+
+Test(rare_model_burst, nearly_all_begin_within_their_objective)
+{
+    const double mean = mean_share(46);
+    cr_assert_geq(mean, 0.97, "%.3f", mean);
+}
+
+/// At a rate that engines just manage the order of loads decides: 0.979 begin
+/// in time, and 0.893 with the farthest objectives first.
+Test(rare_model_burst, at_the_highest_rate_the_nearest_objectives_go_first)
+{
+    const double mean = mean_share(120);
+    cr_assert_geq(mean, 0.95, "%.3f", mean);
 }
--- a/tests/unit/swapping/test_swap_planner.cpp
+++ b/tests/unit/swapping/test_swap_planner.cpp
@@ -155,6 +155,63 @@
     cr_assert(test.plan(at(5s)).empty());
 }
 
+/// A large model that can still be in time, but not much later, needs places
+/// that smaller ones would take one by one as they come free.
+Test(swap_planner, an_engine_is_kept_for_a_model_that_will_soon_be_late)
+{
+    for (const bool urgent : {true, false})
+    {
+        swap_fixture test(5);
+        test.resize(0, 130'000);
+        test.resize(4, 40'000);
+        test.engine("e1", {"m1", "m2"}, {"m0", "m4"}, at(0s));
+        test.use("m1", "e1", 5, at(5s));
+        test.use("m2", "e1", 5, at(5s));
+        test.need("m0", urgent ? 1500ms : 2400ms, at(5s), "r1");
+        test.need("m4", 2500ms, at(5s), "r2");
+        const auto orders = test.plan(at(5s));
+        cr_assert_eq(orders.size(), urgent ? 0 : 1);
+        if (!urgent)
+            cr_assert_eq(orders[0].model, "m4");
+    }
+}
+
+Test(swap_planner, for_it_a_model_with_little_running_is_unloaded)
+{
+    for (const bool urgent : {true, false})
+    {
+        swap_fixture test(5);
+        test.engine("e1", {"m1", "m2", "m3"}, {"m0"}, at(0s));
+        test.use("m1", "e1", 5, at(5s));
+        test.use("m2", "e1", 2, at(5s));
+        test.use("m3", "e1", 5, at(5s));
+        test.need("m0", urgent ? 1500ms : 2400ms, at(5s));
+        const auto orders = test.plan(at(5s));
+        cr_assert_eq(orders.size(), urgent ? 1 : 0);
+        if (urgent)
+            cr_assert_eq(orders[0].model, "m2");
+    }
+}
+
+/// Many engines were lost: on the few that have its weights, rarer models took
+/// each place that came free.
+Test(swap_planner, an_engine_is_kept_for_a_model_that_is_far_overloaded)
+{
+    for (const std::uint32_t running : {40U, 10U})
+    {
+        swap_fixture test(5);
+        test.resize(0, 130'000);
+        test.resize(4, 40'000);
+        test.engine("e1", {"m0"}, {"m0"}, at(0s));
+        test.engine("e2", {"m1", "m2"}, {"m0", "m4"}, at(0s));
+        test.use("m0", "e1", running, at(5s));
+        test.use("m1", "e2", 5, at(5s));
+        test.use("m2", "e2", 5, at(5s));
+        test.need("m4", 2500ms, at(5s), "r2");
+        cr_assert_eq(test.plan(at(5s)).size(), running == 40 ? 0 : 1);
+    }
+}
+
 Test(swap_planner, copies_that_the_load_needs_stay)
 {
     swap_fixture test(5);
--- a/tests/unit/users_platform/test_own_record.cpp
+++ b/tests/unit/users_platform/test_own_record.cpp
@@ -66,7 +66,7 @@
         *platform::parse_endpoint(store.address()),
         store_client::options(),
         meter);
-    own_record own(loop.get_executor(), client, {self, 1ms});
+    own_record own(loop.get_executor(), client, {self, 1ms, 1ms});
     asio::co_spawn(loop, task(own), asio::detached);
     loop.run();
 }
