Load from the store on bare disks beside the share; answer before a stream's caller leaves

And callers of streams leave after four times the objective, 10 s here, before the 13 s of their route: 154 of 465 rare requests were held until their callers had left, none of them answered. Not mended: such a request is still held until just before the caller leaves; refusing it at once asks for the owner's word on when its model can be there.

--- a/src/adapters/forward/forward_call.cpp
+++ b/src/adapters/forward/forward_call.cpp
@@ -115,6 +115,12 @@
     info.asked =
         this->route.rank == urgent_rank ? priority::urgent : priority::normal;
     info.deadline = this->deadline;
+    // One that goes on elsewhere is waited for anew.
+    if (!this->route.resumable)
+        info.deadline = std::min<instant>(
+            info.deadline,
+            this->request.arrived + this->route.patience() -
+                this->context.settings.patience_margin);
     info.objective = this->request.arrived + this->route.objective;
     info.repeatable = this->route.repeatable();
     info.held_bytes = this->request.body.size();
--- a/src/core/serving/deployment.cpp
+++ b/src/core/serving/deployment.cpp
@@ -5,6 +5,20 @@
 namespace roseworks
 {
 
+duration path_route::patience() const
+{
+    /// As the platform states them: the longest of two seconds, four times the
+    /// objective and eight times the longest pause between events.
+    constexpr duration least = std::chrono::seconds(2);
+    constexpr int objectives = 4;
+    constexpr int gaps = 8;
+    if (this->kind != repetition::streaming)
+        return this->timeout;
+    const duration longest = std::max(
+        {least, this->objective * objectives, this->longest_gap * gaps});
+    return std::min(this->timeout, longest);
+}
+
 const service_profile* deployment::find_service(std::string_view name) const
 {
     const auto found =
--- a/src/core/serving/deployment.hpp
+++ b/src/core/serving/deployment.hpp
@@ -44,6 +44,14 @@
     bool resumable = false;         ///< a stream may go on elsewhere
     std::vector<service_share> services;
 
+    /** @return How long a caller waits for a stream's first event at most.
+
+        Callers abandon a stream then, whatever its time limit: a request that
+        waits for longer is worth nothing, and was kept from an answer that
+        tells when to come back.
+    */
+    duration patience() const;
+
     /// @return Whether a request may run again after one that may have run.
     bool repeatable() const
     {
--- a/src/core/swapping/swap_planner.cpp
+++ b/src/core/swapping/swap_planner.cpp
@@ -26,7 +26,7 @@
 std::vector<swap_order> swap_planner::plan(
     const engine_book& engines, const need_book& needs, instant now)
 {
-    round current{engines, needs, now, {}, {}, {}, {}, {}};
+    round current{engines, needs, now, {}, {}, {}, {}, {}, {}};
     this->survey(current);
     std::vector<want> wants = this->collect(current);
     for (const want& what : wants)
@@ -51,6 +51,16 @@
 
 void swap_planner::survey(round& current) const
 {
+    std::unordered_map<std::string, double> counts;
+    for (const auto& [id, engine] : current.engines.all())
+    {
+        const std::string& service = engine.entry.service;
+        current.usual_copies[service] +=
+            static_cast<double>(engine.on_disk.size());
+        ++counts[service];
+    }
+    for (auto& [service, copies] : current.usual_copies)
+        copies /= counts[service];
     for (const auto& [id, engine] : current.engines.all())
     {
         const engine_info& info =
@@ -187,10 +197,13 @@
     const bool there = sum.copies + sum.loading != 0;
     if (there && !what.extra_copy)
         return;
-    const bool from_store = !this->copied_anywhere(current, what);
-    if (from_store && (what.extra_copy || !this->store_allows(current, what)))
+    std::optional<sources> from = sources::own_copies;
+    if (!this->copied_anywhere(current, what))
+        from =
+            what.extra_copy ? std::nullopt : this->store_allows(current, what);
+    if (!from)
         return;
-    const auto best = this->best_engine(current, what, from_store);
+    const auto best = this->best_engine(current, what, *from);
     if (!best)
     {
         if (this->is_urgent(current, what))
@@ -247,7 +260,7 @@
 }
 
 std::optional<swap_planner::candidate> swap_planner::best_engine(
-    const round& current, const want& what, bool from_store) const
+    const round& current, const want& what, sources from) const
 {
     const model_profile* model =
         current.engines.find_model(what.service, what.model);
@@ -258,7 +271,7 @@
         if (engine.entry.service != what.service || !engine.free(current.now) ||
             current.taken.contains(id) || engine.find(what.model) != nullptr)
             continue;
-        auto one = this->examine(current, engine, *model, from_store, urgent);
+        auto one = this->examine(current, engine, *model, from, urgent);
         if (!one)
             continue;
         const bool sooner =
@@ -274,13 +287,15 @@
     const round& current,
     const engine_state& engine,
     const model_profile& model,
-    bool from_store,
+    sources from,
     bool urgent) const
 {
     candidate one;
     one.engine = &engine;
     one.source = engine.source_of(model.name);
-    if ((one.source == weight_source::store) != from_store)
+    const bool from_store = from != sources::own_copies;
+    if ((one.source == weight_source::store) != from_store ||
+        (from == sources::bare_disks && !this->is_bare(current, engine)))
         return std::nullopt;
     const bool room =
         this->make_room(current, engine, model.memory_mb, urgent, one.victims);
@@ -417,7 +432,17 @@
     return oldest != instant::max();
 }
 
-bool swap_planner::store_allows(const round& current, const want& what)
+bool swap_planner::is_bare(
+    const round& current, const engine_state& engine) const
+{
+    const auto usual = current.usual_copies.find(engine.entry.service);
+    return usual != current.usual_copies.end() &&
+           static_cast<double>(engine.on_disk.size()) <
+               usual->second * this->settings.bare_disk;
+}
+
+std::optional<swap_planner::sources>
+swap_planner::store_allows(const round& current, const want& what)
 {
     std::size_t engines = 0;
     std::size_t running = 0;
@@ -444,9 +469,11 @@
     const std::size_t share = std::max<std::size_t>(
         engines / this->settings.engines_per_store_load, 1);
     const engine_profile* profile = current.engines.find_profile(what.service);
-    return running < share &&
-           this->ceiling.allows(
-               profile->store_loads_per_second, running, current.now);
+    const bool allowed = this->ceiling.allows(
+        profile->store_loads_per_second, running, current.now);
+    if (!allowed)
+        return std::nullopt;
+    return running < share ? sources::store : sources::bare_disks;
 }
 
 bool swap_planner::copied_anywhere(const round& current, const want& what) const
--- a/src/core/swapping/swap_planner.hpp
+++ b/src/core/swapping/swap_planner.hpp
@@ -77,6 +77,11 @@
         /// A load from the store keeps its engine from any other for six
         /// seconds and more: at most one engine in so many does one.
         std::size_t engines_per_store_load = 6;
+        /// An engine with less than this share of the usual copies on its disk
+        /// can do little else, and does them beside: after a release of four
+        /// engines the models that only they had were loaded one by one, 6 s
+        /// each.
+        double bare_disk = 0.25;
         load_ceiling::options store;
     };
 
@@ -141,6 +146,7 @@
         instant now;
         std::unordered_map<const engine_state*, engine_info> infos;
         std::unordered_map<std::string, model_sum> sums; ///< by model's key
+        std::unordered_map<std::string, double> usual_copies; ///< by service
         std::set<std::string, std::less<>> taken;  ///< engines with an order
         std::set<std::string, std::less<>> wanted; ///< keys of models
         std::vector<swap_order> orders;
@@ -158,14 +164,23 @@
         const model_sum& sum) const;
     void place_model(round& current, const want& what);
     void place_adapter(round& current, const want& what) const;
+    /// Which engines may load a model.
+    enum class sources : std::uint8_t
+    {
+        own_copies, ///< those that have a copy
+        store,      ///< those that have none
+        bare_disks  ///< of these, those with next to nothing on their disks
+    };
+
     std::optional<candidate>
-    best_engine(const round& current, const want& what, bool from_store) const;
+    best_engine(const round& current, const want& what, sources from) const;
     std::optional<candidate> examine(
         const round& current,
         const engine_state& engine,
         const model_profile& model,
-        bool from_store,
+        sources from,
         bool urgent) const;
+    bool is_bare(const round& current, const engine_state& engine) const;
     bool make_room(
         const round& current,
         const engine_state& engine,
@@ -186,7 +201,8 @@
         const round& current,
         const engine_state& engine,
         swap_order& order) const;
-    bool store_allows(const round& current, const want& what);
+    /// @return Which engines may load from the store now; empty: none.
+    std::optional<sources> store_allows(const round& current, const want& what);
     bool copied_anywhere(const round& current, const want& what) const;
     const model_sum& sum_of(const round& current, std::string_view key) const;
 
--- a/tests/unit/serving/test_route_index.cpp
+++ b/tests/unit/serving/test_route_index.cpp
@@ -78,3 +78,22 @@
     route.services = {{"x", 0}};
     cr_assert(choose_service(route, 7).empty());
 }
+
+/// A request that waits for longer is worth nothing to its caller.
+Test(path_route, a_streams_caller_leaves_before_its_time_limit)
+{
+    path_route route;
+    route.kind = repetition::streaming;
+    route.timeout = std::chrono::seconds(13);
+    route.objective = std::chrono::milliseconds(2500);
+    route.longest_gap = std::chrono::milliseconds(400);
+    cr_assert_eq(route.patience(), std::chrono::seconds(10));
+    route.objective = std::chrono::milliseconds(300);
+    cr_assert_eq(route.patience(), std::chrono::milliseconds(3200));
+    route.longest_gap = std::chrono::milliseconds(100);
+    cr_assert_eq(route.patience(), std::chrono::seconds(2));
+    route.timeout = std::chrono::seconds(1);
+    cr_assert_eq(route.patience(), std::chrono::seconds(1));
+    route.kind = repetition::idempotent;
+    cr_assert_eq(route.patience(), std::chrono::seconds(1));
+}
--- a/tests/unit/swapping/test_swap_planner.cpp
+++ b/tests/unit/swapping/test_swap_planner.cpp
@@ -272,6 +272,25 @@
     cr_assert_eq(store_loads, 3, "got %zu", store_loads);
 }
 
+/// After a release: what only the replaced engines had was loaded one by one.
+Test(swap_planner, an_engine_with_a_bare_disk_loads_beside_the_share)
+{
+    swap_fixture test(9);
+    const std::vector<std::string> usual{"m4", "m5", "m6", "m7"};
+    test.engine("e1", {}, usual, at(0s));
+    test.engine("e2", {}, usual, at(0s));
+    test.need("m0", 2000ms, at(1s), "r1");
+    test.need("m1", 2000ms, at(1s), "r2");
+    auto orders = test.plan(at(1s));
+    cr_assert_eq(orders.size(), 1);
+    test.accept(orders[0], at(1s));
+    test.engine("e3", {}, {}, at(1s));
+    orders = test.plan(at(1s + 10ms));
+    cr_assert_eq(orders.size(), 1);
+    cr_assert_eq(orders[0].engine, "e3");
+    cr_assert(orders[0].source == weight_source::store);
+}
+
 Test(swap_planner, copies_of_engines_that_are_not_examined_yet_count)
 {
     swap_fixture test(4);
--- a/tests/unit/users_platform/test_keyed_tail.cpp
+++ b/tests/unit/users_platform/test_keyed_tail.cpp
@@ -1,5 +1,6 @@
 #include "fake_backend.hpp"
 #include "platform/keyed_tail.hpp"
+#include "platform/retry_pause.hpp"
 #include "platform/store_frames.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -7,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <criterion/criterion.h>
@@ -113,3 +115,16 @@
     const std::vector<std::string> wanted{"list", "read", "read"};
     cr_assert(asked == wanted);
 }
+
+/// Seventy routers that each tried every 200 ms kept a store that came back
+/// from serving anybody.
+Test(retry_pause, doubles_up_to_the_longest)
+{
+    using std::chrono::milliseconds;
+    constexpr milliseconds first{200};
+    constexpr milliseconds longest{700};
+    const std::pair<std::uint32_t, int> cases[] = {
+        {1, 200}, {2, 400}, {3, 700}, {4, 700}, {1'000'000, 700}};
+    for (const auto& [failures, expected] : cases)
+        cr_assert_eq(retry_pause(first, longest, failures).count(), expected);
+}
