Match answers to their orders, and reports to their tenure

Cause, found on reading: an answer counted for whatever order its engine had then. A report asked for before another owner's tenure counted as read in this one, so that the wait for the lease could be left out. Change: each order has a number, answers to others are logged only; a report asked for before a takeover is read again.

--- a/src/app/gateway/placement_desk.cpp
+++ b/src/app/gateway/placement_desk.cpp
@@ -184,6 +184,7 @@
     const bool continued = std::exchange(this->at_work, true);
     if (continued)
         return; // the same owner under a new number: all is known
+    ++this->takeovers;
     this->book.take_over(this->settings.lease);
     // The others hear of the owner before they apply themselves.
     this->tell(this->make_word(), this->routers());
@@ -303,6 +304,7 @@
          {"waiting", order.waiting}});
     const instant now = this->clock.now();
     pending_order pending;
+    pending.number = ++this->last_order;
     pending.action = order.action;
     pending.model = order.model;
     pending.adapter = order.adapter;
@@ -313,7 +315,7 @@
     this->book.sent(order.engine, std::move(pending), now);
     if (order.action == engine_action::unload)
         this->tell_of(order.engine, servable_of(*engine, order));
-    this->send_command({order, std::move(command), 0});
+    this->send_command({this->last_order, order, std::move(command), 0});
 }
 
 void placement_desk::send_command(sent_order what)
@@ -335,12 +337,16 @@
         });
 }
 
-bool placement_desk::repeat(const sent_order& what, command_end how)
+bool placement_desk::is_pending(const sent_order& what) const
 {
     const engine_state* engine = this->book.find(what.order.engine);
-    const bool same = engine != nullptr && engine->order &&
-                      engine->orders_taken == what.command.orders_taken;
-    if (how != command_end::unknown || !same || !this->at_work ||
+    return engine != nullptr && engine->order &&
+           engine->order->number == what.number;
+}
+
+bool placement_desk::repeat(const sent_order& what, command_end how)
+{
+    if (how != command_end::unknown || !this->at_work ||
         what.repeats >= this->settings.most_repeats)
         return false;
     sent_order again = what;
@@ -364,7 +370,14 @@
          {"adapter", order.adapter},
          {"outcome", to_string(how)},
          {"after_ms", whole_ms(now - sent)}});
-    if (this->repeat(what, how))
+    if (how == command_end::fenced_off && this->fence() <= fence)
+    {
+        this->give_up("an engine has taken a later owner's order");
+        this->tenure.reset();
+        return;
+    }
+    // Ownership may have been lost and regained since it was sent.
+    if (!this->is_pending(what) || this->repeat(what, how))
         return;
     // Out of step after a repeat: the one before was taken.
     const bool taken = what.repeats != 0 && how == command_end::out_of_step;
@@ -376,12 +389,6 @@
         this->run_is_over(engine);
         return;
     }
-    if (how == command_end::fenced_off && this->fence() <= fence)
-    {
-        this->give_up("an engine has taken a later owner's order");
-        this->tenure.reset();
-        return;
-    }
     if (const engine_state* state = this->book.find(engine))
         this->tell_of(engine, servable_of(*state, order));
     if (unsure)
@@ -415,9 +422,16 @@
     this->commands.read_report(
         engine,
         state->entry.address,
-        [this, engine](const std::optional<holdings_report>& report)
+        [this, engine, asked_in = this->takeovers](
+            const std::optional<holdings_report>& report)
         {
-            if (!this->stopped)
+            if (this->stopped)
+                return;
+            this->examining.erase(engine);
+            // Another owner may have ordered the engine since it was read.
+            if (asked_in != this->takeovers)
+                this->examine(engine, milliseconds(0));
+            else
                 this->report_read(engine, report);
         });
 }
@@ -425,7 +439,6 @@
 void placement_desk::report_read(
     const std::string& engine, const std::optional<holdings_report>& report)
 {
-    this->examining.erase(engine);
     this->events.report(
         event_id::engine_examined,
         {{"engine", engine},
--- a/src/app/gateway/placement_desk.hpp
+++ b/src/app/gateway/placement_desk.hpp
@@ -131,6 +131,7 @@
     /// An order on its way to an engine.
     struct sent_order
     {
+        std::uint64_t number = 0; ///< as in the book
         swap_order order;
         engine_command command;
         std::uint32_t repeats = 0;
@@ -138,6 +139,8 @@
 
     void send(const swap_order& order);
     void send_command(sent_order what);
+    /// @return Whether the engine's order is still this one.
+    bool is_pending(const sent_order& what) const;
     bool repeat(const sent_order& what, command_end how);
     void answered(const sent_order& what, instant sent, command_end how);
     void examine(const std::string& engine, std::chrono::milliseconds after);
@@ -180,7 +183,9 @@
     need_book needs;
     swap_planner planner;
     std::optional<placement_tenure> tenure;
-    bool at_work = false; ///< orders are given, or were until just now
+    bool at_work = false;         ///< orders are given, or were until just now
+    std::uint64_t takeovers = 0;  ///< times that nothing known was trusted
+    std::uint64_t last_order = 0; ///< number of the newest order
     std::map<std::string, std::set<std::string>> to_tell; ///< by router
     double spare_bytes = 0;
     instant spare_counted;
--- a/src/core/swapping/engine_book.hpp
+++ b/src/core/swapping/engine_book.hpp
@@ -69,6 +69,7 @@
 /// An order that was sent, or is being carried out.
 struct pending_order
 {
+    std::uint64_t number = 0; ///< tells it from all others of its owner's run
     engine_action action = engine_action::load;
     std::string model;
     std::string adapter; ///< empty: the base model
--- a/tests/unit/gateway/test_placement_desk.cpp
+++ b/tests/unit/gateway/test_placement_desk.cpp
@@ -98,6 +98,64 @@
     cr_assert_eq(test.desk.engines().find("e1")->orders_taken, 1);
 }
 
+/// An answer is lost, and ownership lost and regained meanwhile: the repeat
+/// would bear a lower number than the order that was sent since.
+Test(
+    placement_desk, an_order_of_an_earlier_tenure_is_not_repeated_into_this_one)
+{
+    desk_fixture test(1);
+    test.own(7);
+    test.need("m1");
+    const auto first = test.next_command();
+    test.desk.tenure_changed(std::nullopt);
+    test.own(9);
+    test.need("m1");
+    const auto second = test.next_command();
+    cr_assert_eq(second.what.fence, 9);
+    first.done(command_end::unknown);
+    cr_assert_eq(test.orders_sent(), 0);
+}
+
+/// Its outcome says nothing of the order that is on its way now.
+Test(placement_desk, an_answer_counts_for_its_own_order_only)
+{
+    desk_fixture test(1);
+    test.own(7);
+    test.need("m1");
+    const auto first = test.next_command();
+    test.desk.tenure_changed(std::nullopt);
+    test.own(9);
+    test.need("m1");
+    const auto second = test.next_command();
+    for (const command_end late :
+         {command_end::accepted,
+          command_end::not_sent,
+          command_end::wrong_server})
+        first.done(late);
+    const engine_state* engine = test.desk.engines().find("e1");
+    cr_assert(engine->order.has_value());
+    cr_assert(!engine->order->done_at);
+    cr_assert_eq(engine->orders_taken, 0);
+    cr_assert(engine->examined);
+    second.done(command_end::accepted);
+    cr_assert_eq(engine->orders_taken, 1);
+}
+
+/// Another owner may have ordered the engine since it was read.
+Test(placement_desk, a_report_read_in_an_earlier_tenure_is_read_again)
+{
+    desk_fixture test(1);
+    test.desk.tenure_changed(placement_tenure{7, test.clock.time + 1s});
+    const auto old = test.next_report();
+    test.desk.tenure_changed(std::nullopt);
+    test.desk.tenure_changed(placement_tenure{9, test.clock.time + 1s});
+    old.done(holdings_report());
+    cr_assert_not(test.desk.engines().find("e1")->examined);
+    test.answer_report({"m0"}, 3);
+    cr_assert(test.desk.engines().find("e1")->examined);
+    cr_assert_eq(test.desk.engines().find("e1")->orders_taken, 3);
+}
+
 Test(placement_desk, an_order_is_repeated_so_often_only)
 {
     placement_desk::options settings;
