--- a/bench/swapping/bench_swapping.cpp
+++ b/bench/swapping/bench_swapping.cpp
@@ -63,7 +63,7 @@
         entry.id = "engine-" + std::to_string(i);
         entry.service = "llm";
         entry.address = "10.0.0.1:80";
-        engines.listed(entry, instant());
+        engines.listed(entry);
         holdings_report report;
         for (std::size_t held = 0; held < 3; ++held)
         {
--- a/src/adapters/edge/net.hpp
+++ b/src/adapters/edge/net.hpp
@@ -22,4 +22,19 @@
 /// Awaits an operation and returns its error as a value.
 inline constexpr auto quietly = asio::as_tuple(asio::use_awaitable);
 
+/// Opens an acceptor at an address, for connections that are to be accepted.
+inline boost::system::error_code
+listen_at(tcp::acceptor& acceptor, const tcp::endpoint& endpoint)
+{
+    boost::system::error_code error;
+    acceptor.open(endpoint.protocol(), error);
+    if (!error)
+        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(endpoint, error);
+    if (!error)
+        acceptor.listen(tcp::acceptor::max_listen_connections, error);
+    return error;
+}
+
 } // namespace roseworks::edge
--- a/src/adapters/edge/server.cpp
+++ b/src/adapters/edge/server.cpp
@@ -62,14 +62,7 @@
 
 beast::error_code server::impl::open(const tcp::endpoint& endpoint)
 {
-    beast::error_code error;
-    this->acceptor.open(endpoint.protocol(), error);
-    if (!error)
-        this->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        this->acceptor.bind(endpoint, error);
-    if (!error)
-        this->acceptor.listen(tcp::acceptor::max_listen_connections, error);
+    beast::error_code error = listen_at(this->acceptor, endpoint);
     if (!error)
         this->bound = this->acceptor.local_endpoint(error);
     if (!error)
--- a/src/adapters/forward/forward_call.cpp
+++ b/src/adapters/forward/forward_call.cpp
@@ -115,12 +115,8 @@
     info.asked =
         this->route.rank == urgent_rank ? priority::urgent : priority::normal;
     info.deadline = this->deadline;
-    // One that goes on elsewhere is waited for anew.
-    if (!this->route.resumable)
-        info.deadline = std::min<instant>(
-            info.deadline,
-            this->request.arrived + this->route.patience() -
-                this->context.settings.patience_margin);
+    info.deadline = std::min<instant>(
+        info.deadline, this->request.arrived + this->route.longest_wait());
     info.objective = this->request.arrived + this->route.objective;
     info.repeatable = this->route.repeatable();
     info.held_bytes = this->request.body.size();
@@ -179,9 +175,8 @@
     }
 }
 
-bool forward_call::may_attempt(const grant& where)
+bool forward_call::may_attempt()
 {
-    static_cast<void>(where);
     if (this->sends == 0)
         return true;
     const bool allowed =
@@ -201,7 +196,7 @@
     attempt_result result;
     result.how = end_kind::not_sent;
     const bool there = server != nullptr && server->service == this->service;
-    if (there && !this->may_attempt(where))
+    if (there && !this->may_attempt())
     {
         this->context.ports.dispatch.abandon(this->place);
         co_await this->end_without_answer(
--- a/src/adapters/forward/forward_call.hpp
+++ b/src/adapters/forward/forward_call.hpp
@@ -64,7 +64,7 @@
     request_info admission_info() const;
     asio::awaitable<void> serve();
     asio::awaitable<bool> attempt(grant where);
-    bool may_attempt(const grant& where);
+    bool may_attempt();
     /// An engine refused the request for want of its model.
     asio::awaitable<void>
     wait_for_table(const std::string& servable, const std::string& instance);
--- a/src/adapters/forward/forward_context.hpp
+++ b/src/adapters/forward/forward_context.hpp
@@ -28,8 +28,6 @@
     std::size_t max_event_bytes = std::size_t(256) << 10;
     /// Taken off a deadline for the answer's way to the caller.
     std::chrono::milliseconds answer_margin{20};
-    /// Taken off a caller's patience: its own clock began earlier.
-    std::chrono::milliseconds patience_margin{100};
     /// A request without a deadline and without a route's limit.
     std::chrono::milliseconds default_deadline{60'000};
     /// After an engine refused a request: for the table without it.
--- a/src/adapters/forward/forward_server.cpp
+++ b/src/adapters/forward/forward_server.cpp
@@ -42,16 +42,7 @@
 
 beast::error_code forward_server::listen(const edge::tcp::endpoint& endpoint)
 {
-    beast::error_code error;
-    this->acceptor.open(endpoint.protocol(), error);
-    if (!error)
-        this->acceptor.set_option(
-            edge::tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        this->acceptor.bind(endpoint, error);
-    if (!error)
-        this->acceptor.listen(
-            edge::tcp::acceptor::max_listen_connections, error);
+    beast::error_code error = edge::listen_at(this->acceptor, endpoint);
     if (!error)
         this->bound = this->acceptor.local_endpoint(error);
     if (error)
--- a/src/adapters/forward/probe_server.cpp
+++ b/src/adapters/forward/probe_server.cpp
@@ -43,16 +43,7 @@
 
 beast::error_code probe_server::listen(const edge::tcp::endpoint& endpoint)
 {
-    beast::error_code error;
-    this->acceptor.open(endpoint.protocol(), error);
-    if (!error)
-        this->acceptor.set_option(
-            edge::tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        this->acceptor.bind(endpoint, error);
-    if (!error)
-        this->acceptor.listen(
-            edge::tcp::acceptor::max_listen_connections, error);
+    const beast::error_code error = edge::listen_at(this->acceptor, endpoint);
     if (!error)
         asio::co_spawn(this->executor, this->accept(), asio::detached);
     return error;
--- a/src/app/gateway/gateway_control.cpp
+++ b/src/app/gateway/gateway_control.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <exception>
+#include <random>
 #include <utility>
 
 namespace roseworks::app
@@ -32,19 +33,6 @@
 constexpr double words_share_of_link = 0.025;
 constexpr double bytes_per_mbit = 125'000;
 
-/// Demand that comes together is told together.
-constexpr std::chrono::milliseconds needs_pause{2};
-
-/// Models that nobody uses here any more are told of together. The owner needs
-/// their places: each 0.1 s later is that much less of an engine's time.
-constexpr std::chrono::milliseconds ended_pause{20};
-
-/// What still waits is told again: a datagram may have been lost.
-constexpr duration needs_repetition = std::chrono::milliseconds(250);
-
-/// The dispatcher repeats what waits every 50 ms.
-constexpr duration need_lifetime = std::chrono::milliseconds(120);
-
 /// An owner that wasn't heard so long is gone; another may be there by then.
 constexpr duration owner_lifetime = std::chrono::milliseconds(1200);
 
@@ -56,11 +44,6 @@
 /// one takes over within its predecessor's term and a second.
 constexpr duration longest_vacancy = std::chrono::milliseconds(4000);
 
-std::int64_t micros_until(instant when, instant now)
-{
-    return duration(when - now).count();
-}
-
 asio::ip::udp::endpoint udp_endpoint(const settings::socket_address& address)
 {
     return {asio::ip::make_address(address.ip), address.port};
@@ -72,7 +55,7 @@
     placement_desk::options made;
     made.lease = settings.bounds.lease;
     made.fences_checked = settings.bounds.fences_checked;
-    made.spare_bytes_per_second =
+    made.words.spare_bytes_per_second =
         settings.vm.link_mbps * bytes_per_mbit * words_share_of_link;
     made.planner.store.window = settings.bounds.load_window;
     made.planner.store.factor = settings.bounds.load_factor;
@@ -104,6 +87,7 @@
         settings.bounds.leaving * 9 / 20, std::chrono::milliseconds(100));
     made.lease = settings.bounds.lease;
     made.first_start = settings.vm.first_start;
+    made.seed = std::random_device()();
     return made;
 }
 
@@ -161,10 +145,16 @@
           {
               this->tell_routers(word, routers);
           }))
-    , needs_timer(this->loop)
+    , teller(
+          this->loop,
+          wanted.vm.name,
+          time,
+          this->usage,
+          [this](router_word word)
+          {
+              this->send_to_owner(std::move(word));
+          })
     , uses_timer(this->loop)
-    , ended_timer(this->loop)
-    , run_number(static_cast<std::uint64_t>(time.wall()))
 {
 }
 
@@ -221,35 +211,7 @@
         this->loop,
         [this, what]
         {
-            this->take_demand(what);
-        });
-}
-
-void gateway_control::take_demand(const demand& what)
-{
-    const instant now = this->clock.now();
-    const auto [place, added] = this->waiting.try_emplace(what.target);
-    waiting_need& need = place->second;
-    const bool more = added || need.last.waiting != what.waiting ||
-                      what.earliest_objective < need.last.earliest_objective;
-    need.last = what;
-    need.heard = now;
-    need.news = need.news || more;
-    if (need.news)
-        this->arm_needs();
-}
-
-void gateway_control::arm_needs()
-{
-    if (std::exchange(this->needs_armed, true))
-        return;
-    this->needs_timer.expires_after(needs_pause);
-    this->needs_timer.async_wait(
-        [this](const boost::system::error_code& error)
-        {
-            this->needs_armed = false;
-            if (!error)
-                this->send_needs(false);
+            this->teller.arose(what);
         });
 }
 
@@ -261,69 +223,14 @@
         {
             if (error)
                 return;
-            const instant now = this->clock.now();
-            const bool repeat = now - this->needs_repeated >= needs_repetition;
-            this->send_needs(repeat);
-            router_word word = this->make_word();
-            word.uses = this->usage.take_all();
-            this->send_to_owner(std::move(word));
+            this->teller.tick();
             this->look_for_owner();
-            if (this->crashes.tick(now))
+            if (this->crashes.tick(this->clock.now()))
                 this->desk->blocked_changed(this->crashes.blocked());
             this->arm_uses();
         });
 }
 
-router_word gateway_control::make_word()
-{
-    // Room for the parts that a long word is sent in.
-    constexpr std::uint64_t parts = 100;
-    const auto micros = static_cast<std::uint64_t>(
-        this->clock.now().time_since_epoch().count());
-    this->last_sequence = std::max(this->last_sequence + parts, micros);
-    router_word word;
-    word.router = this->settings.vm.name;
-    word.run = this->run_number;
-    word.sequence = this->last_sequence;
-    return word;
-}
-
-servable_need gateway_control::need_of(const demand& what, instant now) const
-{
-    const bool lost = what.earliest_objective == instant::max();
-    return {
-        what.target,
-        what.waiting,
-        lost ? servable_need::no_objective
-             : micros_until(what.earliest_objective, now),
-        micros_until(what.earliest_deadline, now)};
-}
-
-void gateway_control::send_needs(bool all)
-{
-    const instant now = this->clock.now();
-    router_word word = this->make_word();
-    for (auto& [servable, need] : this->waiting)
-    {
-        const bool over = now - need.heard > need_lifetime;
-        if (over)
-            word.needs.push_back({servable, 0, 0, 0});
-        else if (all || need.news)
-            word.needs.push_back(this->need_of(need.last, now));
-        need.news = false;
-    }
-    std::erase_if(
-        this->waiting,
-        [now](const auto& entry)
-        {
-            return now - entry.second.heard > need_lifetime;
-        });
-    if (all)
-        this->needs_repeated = now;
-    if (!word.needs.empty())
-        this->send_to_owner(std::move(word));
-}
-
 void gateway_control::send_to_owner(router_word word)
 {
     if (!this->owner)
@@ -413,7 +320,7 @@
     for (const engine_residency& engine : word.engines)
         this->desk->residency_heard(engine);
     if (another)
-        this->send_needs(true);
+        this->teller.tell_all();
 }
 
 void gateway_control::break_word_heard(const break_word& word)
@@ -430,25 +337,7 @@
         this->loop,
         [this]
         {
-            this->arm_ended();
-        });
-}
-
-void gateway_control::arm_ended()
-{
-    if (std::exchange(this->ended_armed, true))
-        return;
-    this->ended_timer.expires_after(ended_pause);
-    this->ended_timer.async_wait(
-        [this](const boost::system::error_code& error)
-        {
-            this->ended_armed = false;
-            if (error)
-                return;
-            router_word word = this->make_word();
-            word.uses = this->usage.take_ended();
-            if (!word.uses.empty())
-                this->send_to_owner(std::move(word));
+            this->teller.use_ended();
         });
 }
 
@@ -471,7 +360,7 @@
         {
             if (!this->desk->unreached(server))
                 return;
-            router_word word = this->make_word();
+            router_word word = this->teller.make_word();
             word.unreached.push_back(server);
             this->send_to_owner(std::move(word));
         });
@@ -521,9 +410,8 @@
             this->peers->stop();
             this->placement->stop();
             this->desk->stop();
-            this->needs_timer.cancel();
+            this->teller.stop();
             this->uses_timer.cancel();
-            this->ended_timer.cancel();
             this->work.reset();
             this->loop.stop();
         });
--- a/src/app/gateway/gateway_control.hpp
+++ b/src/app/gateway/gateway_control.hpp
@@ -4,6 +4,7 @@
 #include "adapters/peers/gateway_peers.hpp"
 #include "adapters/platform/byte_meter.hpp"
 #include "adapters/settings/gateway_settings.hpp"
+#include "app/gateway/need_teller.hpp"
 #include "app/gateway/placement_desk.hpp"
 #include "app/gateway/serving_desk.hpp"
 #include "app/gateway/usage_meter.hpp"
@@ -123,30 +124,16 @@
     void break_word_heard(const break_word& word) override;
 
     void run();
-    void take_demand(const demand& what);
     void take_owner_word(const owner_word& word, std::string_view from);
     void
     tell_routers(const owner_word& word, std::span<const std::string> routers);
-    void arm_needs();
     void arm_uses();
-    void arm_ended();
     void look_for_owner();
     void owner_lost(instant now);
     void take_break(const break_word& word);
     void server_lost(std::string_view server);
     std::vector<std::string> router_names() const;
-    servable_need need_of(const demand& what, instant now) const;
-    void send_needs(bool all);
     void send_to_owner(router_word word);
-    router_word make_word();
-
-    /// What waits here for a servable.
-    struct waiting_need
-    {
-        demand last;
-        instant heard;
-        bool news = true; ///< not told to the owner yet
-    };
 
     /// Who owns placement, as last heard.
     struct known_owner
@@ -173,17 +160,10 @@
     usage_meter usage;
     crash_ledger crashes{crash_ledger::options()};
     std::map<std::string, std::string> router_addresses; ///< by name
-    std::map<std::string, waiting_need> waiting;         ///< by servable
     std::optional<known_owner> owner;
     instant owner_missing_since;
-    boost::asio::steady_timer needs_timer;
+    need_teller teller;
     boost::asio::steady_timer uses_timer;
-    instant needs_repeated;
-    std::uint64_t last_sequence = 0;
-    boost::asio::steady_timer ended_timer;
-    bool needs_armed = false;
-    bool ended_armed = false;
-    std::uint64_t run_number = 0;
     std::atomic<std::size_t> alive{1};
     instant lost_at;
     std::thread thread;
--- a/src/app/gateway/placement_desk.cpp
+++ b/src/app/gateway/placement_desk.cpp
@@ -89,37 +89,40 @@
     event_sink& sink,
     engine_command_port& orders,
     const serving_view& known,
-    router_lister all,
-    teller told)
+    residency_teller::router_lister all,
+    residency_teller::sender told)
     : loop(context)
     , settings(chosen)
-    , name(std::move(own_name))
     , clock(time)
     , events(sink)
     , commands(orders)
     , view(known)
-    , routers(std::move(all))
-    , tell(std::move(told))
     , book(chosen.engines)
     , needs(chosen.needs)
     , planner(chosen.planner)
+    , words(
+          context,
+          chosen.words,
+          std::move(own_name),
+          time,
+          this->book,
+          this->needs,
+          std::move(all),
+          std::move(told))
     , step_timer(context)
-    , tell_timer(context)
-    , beacon_timer(context)
 {
 }
 
 void placement_desk::start()
 {
-    this->arm_beacon();
+    this->words.start();
 }
 
 void placement_desk::stop()
 {
     this->stopped = true;
     this->step_timer.cancel();
-    this->tell_timer.cancel();
-    this->beacon_timer.cancel();
+    this->words.stop();
 }
 
 void placement_desk::configured(std::shared_ptr<const deployment> configuration)
@@ -132,7 +135,6 @@
 {
     if (!this->view.config())
         return;
-    const instant now = this->clock.now();
     std::vector<std::string> gone;
     for (const auto& [id, engine] : this->book.all())
     {
@@ -148,7 +150,7 @@
             this->view.config()->find_service(server.entry.service);
         if (service == nullptr || !service->engine || server.superseded)
             continue;
-        const bool anew = this->book.listed(server.entry, now);
+        const bool anew = this->book.listed(server.entry);
         if (anew && this->at_work)
             this->examine(id, milliseconds(0));
     }
@@ -181,13 +183,12 @@
 {
     this->events.report(
         event_id::placement_owned, {{"fence", this->tenure->fence}});
+    this->words.owned_under(this->tenure->fence);
     const bool continued = std::exchange(this->at_work, true);
     if (continued)
         return; // the same owner under a new number: all is known
     ++this->takeovers;
     this->book.take_over(this->settings.lease);
-    // The others hear of the owner before they apply themselves.
-    this->tell(this->make_word(), this->routers());
     this->servers_changed();
     for (const auto& [id, engine] : this->book.all())
         this->examine(id, milliseconds(0));
@@ -201,7 +202,7 @@
     this->events.report(
         event_id::placement_given_up,
         {{"fence", this->fence()}, {"reason", reason}});
-    this->to_tell.clear();
+    this->words.owned_under(std::nullopt);
 }
 
 void placement_desk::other_owner_heard(std::uint64_t fence)
@@ -223,7 +224,7 @@
         {
             if (need.waiting != 0 && engine.examined && !engine.entry.leaving &&
                 engine.holds(need.servable))
-                this->tell_later(id, {word.router});
+                this->words.needed_by(word.router, id);
         }
     }
     for (const std::string& engine : word.unreached)
@@ -238,7 +239,7 @@
         return;
     const instant now = this->clock.now();
     for (const finished_order& done : this->book.advance(now))
-        this->tell_of(done.engine, done.servable);
+        this->words.changed(done.engine, done.servable);
     this->needs.tick(now);
     const duration pause = std::clamp<duration>(
         plan_pause_per_engine * static_cast<int>(this->book.all().size()),
@@ -314,7 +315,7 @@
     pending.running = use != nullptr && use->running != 0;
     this->book.sent(order.engine, std::move(pending), now);
     if (order.action == engine_action::unload)
-        this->tell_of(order.engine, servable_of(*engine, order));
+        this->words.changed(order.engine, servable_of(*engine, order));
     this->send_command({this->last_order, order, std::move(command), 0});
 }
 
@@ -390,7 +391,7 @@
         return;
     }
     if (const engine_state* state = this->book.find(engine))
-        this->tell_of(engine, servable_of(*state, order));
+        this->words.changed(engine, servable_of(*state, order));
     if (unsure)
         this->examine(engine, this->settings.report_lag);
     this->step();
@@ -462,7 +463,7 @@
         return;
     }
     this->book.reported(engine, *report, this->clock.now());
-    this->tell_of(engine, {});
+    this->words.changed(engine, {});
     this->step();
 }
 
@@ -504,123 +505,4 @@
         });
 }
 
-void placement_desk::tell_of(
-    const std::string& engine, std::string_view servable)
-{
-    const std::vector<std::string> all = this->routers();
-    if (this->spare(all.size()))
-    {
-        this->tell_later(engine, all);
-        return;
-    }
-    this->tell_later(
-        engine, this->needs.routers_waiting(servable, this->clock.now()));
-    this->tell_later(engine, this->needs.routers_using(engine, servable));
-}
-
-bool placement_desk::spare(std::size_t routers)
-{
-    const instant now = this->clock.now();
-    const double passed =
-        std::chrono::duration<double>(now - this->spare_counted).count();
-    this->spare_counted = now;
-    const double rate = std::min(
-        this->settings.spare_bytes_per_second,
-        this->settings.spare_bytes_per_router * static_cast<double>(routers));
-    this->spare_bytes = std::min(this->spare_bytes + passed * rate, rate);
-    const auto bytes =
-        static_cast<double>(routers * this->settings.engine_bytes);
-    if (this->spare_bytes < bytes)
-        return false;
-    this->spare_bytes -= bytes;
-    return true;
-}
-
-void placement_desk::tell_later(
-    const std::string& engine, const std::vector<std::string>& audience)
-{
-    for (const std::string& router : audience)
-        this->to_tell[router].insert(engine);
-    if (audience.empty() || std::exchange(this->telling, true))
-        return;
-    this->tell_timer.expires_after(this->settings.tell_pause);
-    this->tell_timer.async_wait(
-        [this](const boost::system::error_code& error)
-        {
-            this->telling = false;
-            if (!error && !this->stopped)
-                this->tell_changes();
-        });
-}
-
-owner_word placement_desk::make_word() const
-{
-    return {
-        this->name,
-        this->tenure->fence,
-        static_cast<std::uint32_t>(this->needs.routers(this->clock.now())),
-        false,
-        {}};
-}
-
-void placement_desk::tell_changes()
-{
-    const auto all = std::exchange(this->to_tell, {});
-    if (!this->at_work || !this->tenure)
-        return;
-    // Routers that are told the same are told together.
-    std::map<std::set<std::string>, std::vector<std::string>> audiences;
-    for (const auto& [router, engines] : all)
-        audiences[engines].push_back(router);
-    for (const auto& [engines, audience] : audiences)
-    {
-        owner_word word = this->make_word();
-        for (const std::string& id : engines)
-        {
-            const engine_state* engine = this->book.find(id);
-            if (engine != nullptr && engine->examined)
-                word.engines.push_back(engine->residency(this->tenure->fence));
-        }
-        if (!word.engines.empty())
-            this->tell(word, audience);
-    }
-}
-
-void placement_desk::arm_beacon()
-{
-    this->beacon_timer.expires_after(this->settings.beacon);
-    this->beacon_timer.async_wait(
-        [this](const boost::system::error_code& error)
-        {
-            if (error || this->stopped)
-                return;
-            this->tell_some();
-            this->arm_beacon();
-        });
-}
-
-void placement_desk::tell_some()
-{
-    if (!this->at_work || !this->tenure)
-        return;
-    const std::vector<std::string> all = this->routers();
-    owner_word word = this->make_word();
-    const auto& engines = this->book.all();
-    auto next = engines.upper_bound(this->last_told);
-    const std::size_t most =
-        std::min(this->settings.beacon_engines, engines.size());
-    for (std::size_t i = 0; i < most; ++i)
-    {
-        if (!this->spare(all.size()))
-            break;
-        if (next == engines.end())
-            next = engines.begin();
-        this->last_told = next->first;
-        if (next->second.examined)
-            word.engines.push_back(next->second.residency(this->tenure->fence));
-        ++next;
-    }
-    this->tell(word, all);
-}
-
 } // namespace roseworks::app
--- a/src/app/gateway/placement_desk.hpp
+++ b/src/app/gateway/placement_desk.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "app/gateway/residency_teller.hpp"
 #include "core/serving/serving_view.hpp"
 #include "core/swapping/engine_book.hpp"
 #include "core/swapping/need_book.hpp"
@@ -64,30 +65,9 @@
         /// Until an engine at whose address another run answered is looked at:
         /// by then the registry has dropped it, mostly.
         std::chrono::milliseconds wrong_server_wait{4000};
-        /// Between two words to all routers, which show that there is an
-        /// owner and what some of the engines hold, in turn.
-        std::chrono::milliseconds beacon{250};
-        std::size_t beacon_engines = 12;
-        /// Changes that come together are told together.
-        std::chrono::milliseconds tell_pause{1};
-        /// For words to those who don't wait for them: of the owner's link, and
-        /// for each router that hears them. What is over it is told to those
-        /// alone who wait for a model, or used it lately: the others ask when
-        /// they need it, and learn of an end from the engine, which costs a
-        /// refused request each (a fifth of all arrivals at 71 routers and 90
-        /// engines with 0.8 KB/s for a router).
-        double spare_bytes_per_second = 1'000'000;
-        double spare_bytes_per_router = 8'500;
-        /// Encoded, with names of usual length.
-        std::size_t engine_bytes = 150;
+        residency_teller::options words;
     };
 
-    /// Tells routers, perhaps this one among them, what engines hold.
-    using teller = std::function<void(
-        const owner_word&, std::span<const std::string> routers)>;
-    /// @return The names of all routers, this one included.
-    using router_lister = std::function<std::vector<std::string>()>;
-
     placement_desk(
         boost::asio::io_context& loop,
         options settings,
@@ -96,8 +76,8 @@
         event_sink& events,
         engine_command_port& commands,
         const serving_view& view,
-        router_lister routers,
-        teller tell);
+        residency_teller::router_lister routers,
+        residency_teller::sender tell);
 
     void start();
     void stop();
@@ -154,49 +134,29 @@
     void run_is_over(const std::string& engine);
     /// A router couldn't reach an engine that counts as reachable.
     void look_at(const std::string& engine);
-    void tell_later(
-        const std::string& engine, const std::vector<std::string>& audience);
-    void tell_of(const std::string& engine, std::string_view servable);
-    /// Takes the bytes of one engine's word to so many routers.
-    /// @return Whether there were as many to spare.
-    bool spare(std::size_t routers);
-    owner_word make_word() const;
     void arm_step();
     void arm_step_in(duration wait);
-    void arm_tell();
-    void arm_beacon();
-    void tell_changes();
-    void tell_some();
     void take_up();
     void give_up(std::string_view reason);
 
     boost::asio::io_context& loop;
     options settings;
-    std::string name;
     const clock_port& clock;
     event_sink& events;
     engine_command_port& commands;
     const serving_view& view;
-    router_lister routers;
-    teller tell;
     engine_book book;
     need_book needs;
     swap_planner planner;
+    residency_teller words;
     std::optional<placement_tenure> tenure;
     bool at_work = false;         ///< orders are given, or were until just now
     std::uint64_t takeovers = 0;  ///< times that nothing known was trusted
     std::uint64_t last_order = 0; ///< number of the newest order
-    std::map<std::string, std::set<std::string>> to_tell; ///< by router
-    double spare_bytes = 0;
-    instant spare_counted;
     instant last_plan;
     std::set<std::string> examining;
     std::set<std::string> looking; ///< engines that are asked whether they live
-    std::string last_told;         ///< engine that the last beacon ended with
     boost::asio::steady_timer step_timer;
-    boost::asio::steady_timer tell_timer;
-    boost::asio::steady_timer beacon_timer;
-    bool telling = false;
     bool stopped = false;
 };
 
--- a/src/app/gateway/serving_desk.cpp
+++ b/src/app/gateway/serving_desk.cpp
@@ -68,7 +68,7 @@
 {
     this->listed = true;
     this->tell_server(entry);
-    if (this->known.entry_read(std::move(entry), this->clock.now()))
+    if (this->known.entry_read(std::move(entry)))
         this->changed();
 }
 
--- a/src/app/router/main.cpp
+++ b/src/app/router/main.cpp
@@ -4,13 +4,12 @@
 #include "adapters/platform/credentials.hpp"
 #include "adapters/settings/load_router_settings.hpp"
 #include "adapters/settings/settings_problems.hpp"
+#include "app/daemon_main.hpp"
 #include "app/router_app.hpp"
 
 #include <boost/leaf/handle_errors.hpp>
-#include <cxxopts.hpp>
 
 #include <cstdlib>
-#include <exception>
 #include <iostream>
 #include <string>
 
@@ -20,19 +19,6 @@
 namespace leaf = boost::leaf;
 using namespace roseworks;
 
-constexpr int status_usage = 2;
-
-cxxopts::Options make_options()
-{
-    cxxopts::Options options(
-        "roseworks-router", "Routes requests to rarely used models.");
-    options.add_options()(
-        "config", "The INI file of settings.", cxxopts::value<std::string>())(
-        "check", "Check the settings and exit: 0 when right, else 2.")(
-        "help", "Show this text.")("version", "Show the version.");
-    return options;
-}
-
 /// Checks the files that the settings name, too.
 leaf::result<int> check(const settings::router_settings& settings)
 {
@@ -63,17 +49,17 @@
         [](const settings::settings_problems& problems)
         {
             std::cerr << problems;
-            return status_usage;
+            return app::status_usage;
         },
         [](const platform::credentials_problem& problem)
         {
             std::cerr << problem.file << ": " << problem.what << '\n';
-            return status_usage;
+            return app::status_usage;
         },
         [](const mac_key_error& problem)
         {
             std::cerr << problem.what << '\n';
-            return status_usage;
+            return app::status_usage;
         },
         [](const app::startup_error& problem)
         {
@@ -91,35 +77,10 @@
 
 int main(int argc, char** argv)
 {
-    cxxopts::Options options = make_options();
-    try
-    {
-        const cxxopts::ParseResult arguments = options.parse(argc, argv);
-        if (arguments.count("help") != 0)
-        {
-            std::cout << options.help();
-            return EXIT_SUCCESS;
-        }
-        if (arguments.count("version") != 0)
-        {
-            std::cout << "roseworks-router " ROSEWORKS_VERSION "\n";
-            return EXIT_SUCCESS;
-        }
-        if (arguments.count("config") == 0 || !arguments.unmatched().empty())
-        {
-            std::cerr << options.help();
-            return status_usage;
-        }
-        return run(arguments);
-    }
-    catch (const cxxopts::exceptions::exception& error)
-    {
-        std::cerr << error.what() << '\n';
-        return status_usage;
-    }
-    catch (const std::exception& error)
-    {
-        std::cerr << "roseworks-router: " << error.what() << '\n';
-        return EXIT_FAILURE;
-    }
+    return app::daemon_main(
+        argc,
+        argv,
+        "roseworks-router",
+        "Routes requests to rarely used models.",
+        run);
 }
--- a/src/core/serving/deployment.cpp
+++ b/src/core/serving/deployment.cpp
@@ -19,6 +19,15 @@
     return std::min(this->timeout, longest);
 }
 
+duration path_route::longest_wait() const
+{
+    /// The request's way here and the refusal's way back.
+    constexpr duration ways = std::chrono::milliseconds(100);
+    const bool bounded = this->kind == repetition::streaming &&
+                         !this->resumable && this->patience() > ways;
+    return bounded ? this->patience() - ways : this->timeout;
+}
+
 const service_profile* deployment::find_service(std::string_view name) const
 {
     const auto found =
--- a/src/core/serving/deployment.hpp
+++ b/src/core/serving/deployment.hpp
@@ -52,6 +52,11 @@
     */
     duration patience() const;
 
+    /// @return How long a request may wait before it is sent: less than the
+    ///         caller's patience, whose clock began earlier. A stream that may
+    ///         go on elsewhere waits anew after each event.
+    duration longest_wait() const;
+
     /// @return Whether a request may run again after one that may have run.
     bool repeatable() const
     {
--- a/src/core/serving/serving_view.cpp
+++ b/src/core/serving/serving_view.cpp
@@ -83,7 +83,7 @@
     this->catalogue = std::move(made);
 }
 
-bool serving_view::entry_read(server_entry entry, instant now)
+bool serving_view::entry_read(server_entry entry)
 {
     const auto found = this->known.find(entry.id);
     if (found == this->known.end())
@@ -101,9 +101,11 @@
         return true;
     }
     server& one = found->second;
+    if (entry.heard < one.entry.heard)
+        return false; // an older word of a listing that took its time
     const bool revived = one.lapses.has_value();
     one.lapses.reset();
-    one.entry.heard = std::max(one.entry.heard, entry.heard);
+    one.entry.heard = entry.heard;
     const bool was_superseded = one.superseded;
     if (was_superseded)
         this->find_superseded();
@@ -121,7 +123,6 @@
     one.entry = std::move(entry);
     if (moved)
         this->find_superseded();
-    static_cast<void>(now);
     return true;
 }
 
@@ -152,7 +153,7 @@
     for (const std::string& id : missing)
         changed = this->entry_removed(id, now) || changed;
     for (server_entry& entry : all)
-        changed = this->entry_read(std::move(entry), now) || changed;
+        changed = this->entry_read(std::move(entry)) || changed;
     return changed;
 }
 
--- a/src/core/serving/serving_view.hpp
+++ b/src/core/serving/serving_view.hpp
@@ -76,7 +76,7 @@
     bool deployment_read(std::shared_ptr<const deployment> next);
 
     /// @return Whether anything that matters to routing changed.
-    bool entry_read(server_entry entry, instant now);
+    bool entry_read(server_entry entry);
     bool entry_removed(std::string_view id, instant now);
 
     /// The whole registry was read: servers that aren't in it are gone.
--- a/src/core/swapping/engine_book.cpp
+++ b/src/core/swapping/engine_book.cpp
@@ -114,7 +114,7 @@
     }
 }
 
-bool engine_book::listed(const server_entry& entry, instant now)
+bool engine_book::listed(const server_entry& entry)
 {
     const auto found = this->known.find(entry.id);
     if (found == this->known.end())
@@ -139,7 +139,6 @@
     engine.entry = entry;
     if (!engine.examined)
         take_copies(engine, entry.holdings);
-    static_cast<void>(now);
     return restarted;
 }
 
--- a/src/core/swapping/engine_book.hpp
+++ b/src/core/swapping/engine_book.hpp
@@ -166,7 +166,7 @@
 
     /// An engine is in the registry. A new run of it has to be examined.
     /// @return Whether it has to be examined.
-    bool listed(const server_entry& entry, instant now);
+    bool listed(const server_entry& entry);
 
     /// An engine is gone from the registry.
     void removed(std::string_view id);
--- a/src/core/swapping/need_book.cpp
+++ b/src/core/swapping/need_book.cpp
@@ -44,7 +44,10 @@
 bool need_book::heard(const router_word& word, instant now)
 {
     router_row& row = this->rows[word.router];
-    const bool older = word.run < row.run ||
+    // Numbers of runs are times of day, which may be set back: after a silence
+    // another run is the one that lives.
+    const bool silent = now - row.heard >= this->settings.router_lifetime;
+    const bool older = (word.run < row.run && !silent) ||
                        (word.run == row.run && word.sequence <= row.sequence);
     if (older)
         return false;
--- a/src/core/swapping/swap_planner.cpp
+++ b/src/core/swapping/swap_planner.cpp
@@ -3,6 +3,7 @@
 #include "core/serving/servable_key.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 #include <utility>
 
@@ -26,7 +27,7 @@
 std::vector<swap_order> swap_planner::plan(
     const engine_book& engines, const need_book& needs, instant now)
 {
-    round current{engines, needs, now, {}, {}, {}, {}, {}, {}};
+    round current{engines, needs, now, {}, {}, {}, {}, {}};
     this->survey(current);
     std::vector<want> wants = this->collect(current);
     for (const want& what : wants)
@@ -51,16 +52,6 @@
 
 void swap_planner::survey(round& current) const
 {
-    std::unordered_map<std::string, double> counts;
-    for (const auto& [id, engine] : current.engines.all())
-    {
-        const std::string& service = engine.entry.service;
-        current.usual_copies[service] +=
-            static_cast<double>(engine.on_disk.size());
-        ++counts[service];
-    }
-    for (auto& [service, copies] : current.usual_copies)
-        copies /= counts[service];
     for (const auto& [id, engine] : current.engines.all())
     {
         const engine_info& info =
@@ -265,9 +256,14 @@
     const model_profile* model =
         current.engines.find_model(what.service, what.model);
     const bool urgent = this->is_urgent(current, what);
+    const double most_copies = from == sources::bare_disks
+                                   ? this->bare_limit(current, what.service)
+                                   : std::numeric_limits<double>::infinity();
     std::optional<candidate> best;
     for (const auto& [id, engine] : current.engines.all())
     {
+        if (static_cast<double>(engine.on_disk.size()) >= most_copies)
+            continue;
         if (engine.entry.service != what.service || !engine.free(current.now) ||
             current.taken.contains(id) || engine.find(what.model) != nullptr)
             continue;
@@ -294,8 +290,7 @@
     one.engine = &engine;
     one.source = engine.source_of(model.name);
     const bool from_store = from != sources::own_copies;
-    if ((one.source == weight_source::store) != from_store ||
-        (from == sources::bare_disks && !this->is_bare(current, engine)))
+    if ((one.source == weight_source::store) != from_store)
         return std::nullopt;
     const bool room =
         this->make_room(current, engine, model.memory_mb, urgent, one.victims);
@@ -432,13 +427,21 @@
     return oldest != instant::max();
 }
 
-bool swap_planner::is_bare(
-    const round& current, const engine_state& engine) const
+double
+swap_planner::bare_limit(const round& current, std::string_view service) const
 {
-    const auto usual = current.usual_copies.find(engine.entry.service);
-    return usual != current.usual_copies.end() &&
-           static_cast<double>(engine.on_disk.size()) <
-               usual->second * this->settings.bare_disk;
+    std::size_t engines = 0;
+    std::size_t copies = 0;
+    for (const auto& [id, engine] : current.engines.all())
+    {
+        if (engine.entry.service != service)
+            continue;
+        ++engines;
+        copies += engine.on_disk.size();
+    }
+    const double mean = static_cast<double>(copies) /
+                        static_cast<double>(std::max<std::size_t>(engines, 1));
+    return mean * this->settings.bare_disk;
 }
 
 std::optional<swap_planner::sources>
--- a/src/core/swapping/swap_planner.hpp
+++ b/src/core/swapping/swap_planner.hpp
@@ -146,7 +146,6 @@
         instant now;
         std::unordered_map<const engine_state*, engine_info> infos;
         std::unordered_map<std::string, model_sum> sums; ///< by model's key
-        std::unordered_map<std::string, double> usual_copies; ///< by service
         std::set<std::string, std::less<>> taken;  ///< engines with an order
         std::set<std::string, std::less<>> wanted; ///< keys of models
         std::vector<swap_order> orders;
@@ -180,7 +179,9 @@
         const model_profile& model,
         sources from,
         bool urgent) const;
-    bool is_bare(const round& current, const engine_state& engine) const;
+    /// @return Copies on a disk of the service's engines below which it counts
+    ///         as bare.
+    double bare_limit(const round& current, std::string_view service) const;
     bool make_room(
         const round& current,
         const engine_state& engine,
--- a/tests/unit/gateway/desk_fixture.hpp
+++ b/tests/unit/gateway/desk_fixture.hpp
@@ -102,8 +102,7 @@
     {
         this->view.deployment_read(make_deployment());
         for (std::size_t i = 1; i <= engines; ++i)
-            this->view.entry_read(
-                make_entry("e" + std::to_string(i)), clock.time);
+            this->view.entry_read(make_entry("e" + std::to_string(i)));
         this->desk.configured(this->view.config());
     }
 
--- a/tests/unit/serving/test_route_index.cpp
+++ b/tests/unit/serving/test_route_index.cpp
@@ -97,3 +97,21 @@
     route.kind = repetition::idempotent;
     cr_assert_eq(route.patience(), std::chrono::seconds(1));
 }
+
+/// A plain request's time limit is its own: nothing is taken off it.
+Test(path_route, only_a_stream_that_can_not_go_on_is_bounded_by_patience)
+{
+    path_route route;
+    route.timeout = std::chrono::seconds(13);
+    route.objective = std::chrono::milliseconds(2500);
+    for (const repetition kind :
+         {repetition::idempotent, repetition::non_idempotent})
+    {
+        route.kind = kind;
+        cr_assert_eq(route.longest_wait(), route.timeout);
+    }
+    route.kind = repetition::streaming;
+    cr_assert_eq(route.longest_wait(), std::chrono::milliseconds(9900));
+    route.resumable = true;
+    cr_assert_eq(route.longest_wait(), route.timeout);
+}
--- a/tests/unit/serving/test_serving_view.cpp
+++ b/tests/unit/serving/test_serving_view.cpp
@@ -60,8 +60,8 @@
 Test(serving_view, a_model_runs_where_it_is_resident)
 {
     serving_view view = make_view();
-    view.entry_read(make_engine("e1", "m1"), at(0s));
-    view.entry_read(make_engine("e22", "m2"), at(0s));
+    view.entry_read(make_engine("e1", "m1"));
+    view.entry_read(make_engine("e22", "m2"));
     cr_assert_eq(places(view, "m1", at(0s)), 1);
     cr_assert_eq(places(view, "m2", at(0s)), 1);
     cr_assert_eq(places(view, "m1/a1", at(0s)), 0);
@@ -73,7 +73,7 @@
     serving_view view = make_view();
     server_entry entry = make_plain("p1");
     entry.service = "unheard";
-    view.entry_read(entry, at(0s));
+    view.entry_read(entry);
     cr_assert(table_of(view, at(0s))->find_service("app")->backends.empty());
     cr_assert_null(table_of(view, at(0s))->find_service("unheard"));
 }
@@ -82,18 +82,18 @@
 {
     serving_view view = make_view();
     server_entry entry = make_plain("p1");
-    view.entry_read(entry, at(0s));
+    view.entry_read(entry);
     cr_assert_eq(
         table_of(view, at(0s))->find_service("app")->backends.size(), 1);
     entry.leaving = true;
-    cr_assert(view.entry_read(entry, at(1s)));
+    cr_assert(view.entry_read(entry));
     cr_assert(table_of(view, at(1s))->find_service("app")->backends.empty());
 }
 
 Test(serving_view, an_entry_that_lapsed_while_the_registry_was_away_is_kept)
 {
     serving_view view = make_view();
-    view.entry_read(make_plain("p1"), at(0s));
+    view.entry_read(make_plain("p1"));
     view.registry_back(at(10s));
     cr_assert_not(view.entry_removed("p1", at(10s)));
     cr_assert_eq(
@@ -106,10 +106,10 @@
 Test(serving_view, an_entry_that_is_back_in_time_stays)
 {
     serving_view view = make_view();
-    view.entry_read(make_plain("p1"), at(0s));
+    view.entry_read(make_plain("p1"));
     view.registry_back(at(10s));
     view.entry_removed("p1", at(10s));
-    view.entry_read(make_plain("p1"), at(11s));
+    view.entry_read(make_plain("p1"));
     cr_assert_not(view.tick(at(13s)));
     cr_assert_eq(
         table_of(view, at(13s))->find_service("app")->backends.size(), 1);
@@ -118,7 +118,7 @@
 Test(serving_view, at_other_times_a_removed_entry_is_gone_at_once)
 {
     serving_view view = make_view();
-    view.entry_read(make_plain("p1"), at(0s));
+    view.entry_read(make_plain("p1"));
     cr_assert(view.entry_removed("p1", at(5s)));
     cr_assert(view.servers().empty());
 }
@@ -126,7 +126,7 @@
 Test(serving_view, a_listing_without_a_server_removes_it)
 {
     serving_view view = make_view();
-    view.entry_read(make_plain("p1"), at(0s));
+    view.entry_read(make_plain("p1"));
     cr_assert(view.entries_listed({make_engine("e1", "m1")}, at(1s)));
     cr_assert_not(view.servers().contains("p1"));
     cr_assert(view.servers().contains("e1"));
@@ -137,21 +137,21 @@
     serving_view view = make_view();
     server_entry entry = make_engine("e1", "m1");
     entry.born_ms = 100;
-    view.entry_read(entry, at(0s));
+    view.entry_read(entry);
     const replica_id first = view.servers().at("e1").run;
     entry.born_ms = 200;
-    view.entry_read(entry, at(1s));
+    view.entry_read(entry);
     cr_assert_neq(view.servers().at("e1").run, first);
     cr_assert_eq(view.servers().at("e1").engine, engine_id(1));
     entry.born_ms = 100;
-    cr_assert_not(view.entry_read(entry, at(2s)), "an older run's, late");
+    cr_assert_not(view.entry_read(entry), "an older run's, late");
     cr_assert_eq(view.servers().at("e1").entry.born_ms, 200);
 }
 
 Test(serving_view, the_owners_word_goes_before_the_entry)
 {
     serving_view view = make_view();
-    view.entry_read(make_engine("e1", "m1"), at(0s));
+    view.entry_read(make_engine("e1", "m1"));
     engine_residency word = told("e1", 7, 1);
     word.resident = {{"m2", {}}};
     cr_assert(view.residency_heard(word, at(1s)));
@@ -162,7 +162,7 @@
 Test(serving_view, an_older_word_and_an_older_owner_change_nothing)
 {
     serving_view view = make_view();
-    view.entry_read(make_engine("e1", "m1"), at(0s));
+    view.entry_read(make_engine("e1", "m1"));
     engine_residency word = told("e1", 7, 5);
     word.resident = {{"m2", {}}};
     view.residency_heard(word, at(1s));
@@ -176,7 +176,7 @@
 Test(serving_view, word_of_another_run_of_the_engine_is_dropped)
 {
     serving_view view = make_view();
-    view.entry_read(make_engine("e1", "m1"), at(0s));
+    view.entry_read(make_engine("e1", "m1"));
     engine_residency word = told("e1", 7, 1);
     word.born_ms = 55;
     cr_assert_not(view.residency_heard(word, at(1s)));
@@ -186,7 +186,7 @@
 Test(serving_view, an_owner_that_fell_silent_leaves_the_entries_to_count)
 {
     serving_view view = make_view();
-    view.entry_read(make_engine("e1", "m1"), at(0s));
+    view.entry_read(make_engine("e1", "m1"));
     view.residency_heard(told("e1", 7, 1), at(1s));
     cr_assert_eq(places(view, "m1", at(2s)), 0);
     cr_assert(view.tick(at(5s + 1ms)));
@@ -196,7 +196,7 @@
 Test(serving_view, a_refused_model_is_not_asked_for_there_for_a_while)
 {
     serving_view view = make_view();
-    view.entry_read(make_engine("e1", "m1"), at(0s));
+    view.entry_read(make_engine("e1", "m1"));
     cr_assert(view.contradicted("e1", servable_key("llm", "m1"), at(1s)));
     cr_assert_eq(places(view, "m1", at(1s)), 0);
     cr_assert(view.tick(at(1s + 150ms)));
@@ -206,7 +206,7 @@
 Test(serving_view, newer_word_ends_a_refusal)
 {
     serving_view view = make_view();
-    view.entry_read(make_engine("e1", "m1"), at(0s));
+    view.entry_read(make_engine("e1", "m1"));
     view.contradicted("e1", servable_key("llm", "m1"), at(1s));
     engine_residency word = told("e1", 7, 1);
     word.resident = {{"m1", {"a2"}}};
@@ -224,8 +224,8 @@
     server_entry next = make_engine("e2", "m2");
     next.address = old.address;
     next.heard = 103;
-    view.entry_read(next, at(0s));
-    cr_assert(view.entry_read(old, at(0s)));
+    view.entry_read(next);
+    cr_assert(view.entry_read(old));
     cr_assert(view.servers().at("e1").superseded);
     cr_assert_eq(places(view, "m1", at(1s)), 0);
     cr_assert_eq(places(view, "m2", at(1s)), 1);
@@ -235,6 +235,20 @@
     cr_assert_not(view.servers().at("e1").superseded);
 }
 
+/// A listing in pages that took its time tells what was before.
+Test(serving_view, an_older_word_of_a_server_changes_nothing)
+{
+    serving_view view = make_view();
+    server_entry entry = make_engine("e1", "m1");
+    entry.heard = 20;
+    entry.leaving = true;
+    view.entry_read(entry);
+    entry.heard = 10;
+    entry.leaving = false;
+    cr_assert_not(view.entry_read(entry));
+    cr_assert(view.servers().at("e1").entry.leaving);
+}
+
 Test(serving_view, the_run_that_was_heard_last_is_the_one_that_runs)
 {
     serving_view view = make_view();
@@ -243,11 +257,11 @@
     server_entry second = make_engine("e2", "m2");
     second.address = first.address;
     second.heard = 90;
-    view.entry_read(first, at(0s));
-    view.entry_read(second, at(0s));
+    view.entry_read(first);
+    view.entry_read(second);
     cr_assert(view.servers().at("e2").superseded);
     second.heard = 110; // says the same as before
-    cr_assert(view.entry_read(second, at(1s)));
+    cr_assert(view.entry_read(second));
     cr_assert_not(view.servers().at("e2").superseded);
     cr_assert(view.servers().at("e1").superseded);
 }
@@ -256,7 +270,7 @@
 Test(serving_view, an_engine_that_can_not_be_reached_gets_nothing_for_a_while)
 {
     serving_view view = make_view();
-    view.entry_read(make_engine("e1", "m1"), at(0s));
+    view.entry_read(make_engine("e1", "m1"));
     cr_assert_eq(*view.unreached("e1", at(1s)), at(1s + 500ms));
     cr_assert(!view.unreached("e1", at(1s + 10ms)));
     view.tick(at(1s + 499ms));
@@ -268,7 +282,7 @@
 Test(serving_view, one_that_stays_unreachable_gets_nothing_for_longer)
 {
     serving_view view = make_view();
-    view.entry_read(make_engine("e1", "m1"), at(0s));
+    view.entry_read(make_engine("e1", "m1"));
     instant now = at(1s);
     for (const duration expected : {500ms, 1000ms, 2000ms, 4000ms, 4000ms})
     {
@@ -284,7 +298,7 @@
 Test(serving_view, a_plain_server_that_can_not_be_reached_stays_listed)
 {
     serving_view view = make_view();
-    view.entry_read(make_plain("s1"), at(0s));
+    view.entry_read(make_plain("s1"));
     cr_assert(!view.unreached("s1", at(1s)));
     cr_assert_eq(
         table_of(view, at(1s))->find_service("app")->backends.size(), 1);
@@ -293,7 +307,7 @@
 Test(serving_table, tells_who_answers_at_an_address)
 {
     serving_view view = make_view();
-    view.entry_read(make_plain("p1"), at(0s));
+    view.entry_read(make_plain("p1"));
     const serving_table_ptr table = table_of(view, at(0s));
     cr_assert_eq(table->find_server("10.0.1.1:80")->instance, "p1");
     cr_assert_null(table->find_server("10.0.1.2:80"));
--- a/tests/unit/swapping/swap_fixture.hpp
+++ b/tests/unit/swapping/swap_fixture.hpp
@@ -69,7 +69,7 @@
         entry.id = id;
         entry.service = "llm";
         entry.address = "10.0.0.1:80";
-        this->engines.listed(entry, now);
+        this->engines.listed(entry);
         this->examine(id, held, std::move(on_disk), 0, now);
     }
 
--- a/tests/unit/swapping/test_engine_book.cpp
+++ b/tests/unit/swapping/test_engine_book.cpp
@@ -169,9 +169,9 @@
     swap_fixture test(3);
     test.engine("e1", {"m1"}, {}, at(0s));
     server_entry entry = test.engines.find("e1")->entry;
-    cr_assert_not(test.engines.listed(entry, at(1s)));
+    cr_assert_not(test.engines.listed(entry));
     entry.born_ms = 77;
-    cr_assert(test.engines.listed(entry, at(1s)));
+    cr_assert(test.engines.listed(entry));
     cr_assert(test.engines.find("e1")->held.empty());
     cr_assert_not(test.engines.find("e1")->free(at(2s)));
 }
--- a/tests/unit/swapping/test_need_book.cpp
+++ b/tests/unit/swapping/test_need_book.cpp
@@ -53,6 +53,26 @@
     cr_assert_eq(test.needs.wanted(at(0s))[0].waiting, 4);
 }
 
+/// The VM's time of day was set back before it started anew: its number is
+/// lower, and all it said was dropped for as long as the owner lived.
+Test(
+    need_book, a_run_with_a_lower_number_is_heard_once_the_one_before_is_silent)
+{
+    swap_fixture test(3);
+    router_word word;
+    word.router = "r1";
+    word.run = 9;
+    word.sequence = 1;
+    cr_assert(test.needs.heard(word, at(0s)));
+    word.run = 4;
+    word.needs = {{"llm/m1", 1, 2'000'000, 9'000'000}};
+    cr_assert_not(test.needs.heard(word, at(100ms))); // late, of a run before
+    cr_assert(test.needs.heard(word, at(3s)));
+    cr_assert_eq(test.needs.wanted(at(3s)).size(), 1);
+    ++word.sequence;
+    cr_assert(test.needs.heard(word, at(3s + 100ms)));
+}
+
 Test(need_book, waiting_for_nothing_more_ends_a_need)
 {
     swap_fixture test(3);
--- a/tests/unit/swapping/test_swap_planner.cpp
+++ b/tests/unit/swapping/test_swap_planner.cpp
@@ -120,7 +120,7 @@
     entry.id = "e2";
     entry.service = "llm";
     entry.address = "10.0.0.2:80";
-    test.engines.listed(entry, at(0s));
+    test.engines.listed(entry);
     holdings_report report;
     report.holdings.in_memory = {"m1"};
     report.holdings.on_disk = {"m1"};
@@ -301,7 +301,7 @@
     entry.service = "llm";
     entry.address = "10.0.0.2:80";
     entry.holdings.on_disk = {"m1"};
-    test.engines.listed(entry, at(0s));
+    test.engines.listed(entry);
     test.need("m1", 2500ms, at(1s));
     cr_assert(test.plan(at(1s)).empty(), "its copy is waited for");
 }
@@ -312,7 +312,7 @@
     test.engine("e1", {}, {"m1"}, at(0s));
     server_entry entry = test.engines.find("e1")->entry;
     entry.leaving = true;
-    test.engines.listed(entry, at(0s));
+    test.engines.listed(entry);
     test.need("m1", 2500ms, at(1s));
     for (const swap_order& order : test.plan(at(1s)))
         cr_assert_neq(order.engine, "e1");
--- a/tests/unit/users_platform/fake_store.cpp
+++ b/tests/unit/users_platform/fake_store.cpp
@@ -106,7 +106,10 @@
 std::string fake_store::answer(const std::string& request)
 {
     if (request.starts_with("GET /log-read"))
+    {
+        ++this->reads_refused;
         return http(503, "");
+    }
     const std::scoped_lock lock(this->mutex);
     if (request.starts_with("GET /log-newest"))
         return this->listing();
--- a/tests/unit/users_platform/fake_store.hpp
+++ b/tests/unit/users_platform/fake_store.hpp
@@ -2,6 +2,7 @@
 
 #include "fake_backend.hpp"
 
+#include <atomic>
 #include <cstdint>
 #include <map>
 #include <mutex>
@@ -33,6 +34,12 @@
     /// Another run of a writer with this number has appended.
     void seen_run(const std::string& writer, std::uint64_t run);
 
+    /// @return Reads of a topic so far, all of them refused.
+    int reads() const
+    {
+        return this->reads_refused;
+    }
+
     std::string value_of(const std::string& key);
 
     /// @return What was done, in order: `append VALUE`, `repeat` (of an append
@@ -57,6 +64,7 @@
     std::map<std::string, writer_state> writers;
     std::vector<std::string> events;
     int answers_lost = 0;
+    std::atomic<int> reads_refused{0};
     edge::tests::fake_backend server; ///< last: its threads use the others
 };
 
--- a/tests/unit/users_platform/test_keyed_tail.cpp
+++ b/tests/unit/users_platform/test_keyed_tail.cpp
@@ -1,14 +1,14 @@
+#include "adapters/platform/backoff.hpp"
 #include "fake_backend.hpp"
 #include "platform/keyed_tail.hpp"
-#include "platform/retry_pause.hpp"
 #include "platform/store_frames.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <chrono>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include <criterion/criterion.h>
@@ -116,15 +116,18 @@
     cr_assert(asked == wanted);
 }
 
-/// Seventy routers that each tried every 200 ms kept a store that came back
-/// from serving anybody.
-Test(retry_pause, doubles_up_to_the_longest)
+/// Seventy routers that each tried every 200 ms made 380 calls a second of a
+/// store that was down.
+Test(backoff, doubles_up_to_the_longest)
 {
-    using std::chrono::milliseconds;
-    constexpr milliseconds first{200};
-    constexpr milliseconds longest{700};
-    const std::pair<std::uint32_t, int> cases[] = {
-        {1, 200}, {2, 400}, {3, 700}, {4, 700}, {1'000'000, 700}};
-    for (const auto& [failures, expected] : cases)
-        cr_assert_eq(retry_pause(first, longest, failures).count(), expected);
+    platform::backoff pauses(
+        std::chrono::milliseconds(200), std::chrono::milliseconds(700), 5);
+    for (const int most : {200, 400, 700, 700, 700})
+    {
+        const auto pause = pauses.next().count();
+        cr_assert_leq(pause, most);
+        cr_assert_geq(pause, most / 2);
+    }
+    pauses.reset();
+    cr_assert_leq(pauses.next().count(), 200);
 }
--- a/tests/unit/users_platform/test_own_record.cpp
+++ b/tests/unit/users_platform/test_own_record.cpp
@@ -99,6 +99,15 @@
     std::optional<placement_tenure> heard;
 };
 
+store_directory::options options_for(const fake_store& store, duration lease)
+{
+    store_directory::options settings;
+    settings.server = *platform::parse_endpoint(store.address());
+    settings.self = self;
+    settings.lease = lease;
+    return settings;
+}
+
 /// Runs a directory until it was told of a tenure.
 std::vector<std::string> until_owner(fake_store& store, duration lease)
 {
@@ -106,11 +115,8 @@
     platform::byte_meter meter;
     const platform::system_clock clock;
     events::null_event_sink sink;
-    store_directory::options settings;
-    settings.server = *platform::parse_endpoint(store.address());
-    settings.self = self;
-    settings.lease = lease;
-    store_directory directory(loop, settings, clock, sink, meter);
+    store_directory directory(
+        loop, options_for(store, lease), clock, sink, meter);
     tenure_listener listener(loop);
     directory.start(listener);
     directory.owner_heard(false);
@@ -208,3 +214,49 @@
         appended(true, 4), appended(false, 4), "join", appended(true, 4)};
     cr_assert(until_owner(store, 50ms) == expected);
 }
+
+/// Missing an owner ends the pauses between applications, but not this wait.
+Test(store_directory, a_router_that_owned_does_not_apply_within_the_lease)
+{
+    fake_store store;
+    store.put("edge-1", record(true, 3));
+    asio::io_context loop;
+    platform::byte_meter meter;
+    const platform::system_clock clock;
+    events::null_event_sink sink;
+    store_directory directory(
+        loop, options_for(store, std::chrono::hours(1)), clock, sink, meter);
+    tenure_listener listener(loop);
+    directory.start(listener);
+    while (store.reads() < 6)
+    {
+        directory.owner_heard(true);
+        directory.owner_heard(false);
+        loop.run_one();
+    }
+    directory.stop();
+    const std::vector<std::string> expected{appended(true, 4)};
+    cr_assert(store.history() == expected);
+    cr_assert(!listener.heard.has_value());
+}
+
+/// The store may move the ownership when it learns of a member.
+Test(store_directory, nobody_applies_while_an_owner_is_heard)
+{
+    fake_store store;
+    store.put("edge-1", record(false, 3));
+    asio::io_context loop;
+    platform::byte_meter meter;
+    const platform::system_clock clock;
+    events::null_event_sink sink;
+    store_directory directory(
+        loop, options_for(store, std::chrono::hours(1)), clock, sink, meter);
+    tenure_listener listener(loop);
+    directory.start(listener);
+    directory.owner_heard(true);
+    while (store.reads() < 6)
+        loop.run_one();
+    directory.stop();
+    const std::vector<std::string> expected{appended(false, 4)};
+    cr_assert(store.history() == expected);
+}
