--- a/src/app/gateway/gateway_control.cpp
+++ b/src/app/gateway/gateway_control.cpp
@@ -299,6 +299,7 @@
     const owner_word& word, std::string_view from)
 {
     this->placement->other_owner_heard(word.tenure);
+    this->directory->another_owns(word.tenure);
     this->take_owner_word(word, from);
 }
 
@@ -315,7 +316,7 @@
         return;
     }
     this->owner = {word.owner, std::string(from), word.tenure, now};
-    this->directory->owner_heard(true);
+    this->directory->owner_heard(!word.lapsed);
     this->alive = std::max<std::size_t>(word.routers, 1);
     for (const engine_residency& engine : word.engines)
         this->desk->residency_heard(engine);
@@ -469,6 +470,13 @@
     this->tell_routers(word, all);
 }
 
+void gateway_control::term_ended()
+{
+    // Engines that check fencing numbers let it order until a later owner does.
+    if (!this->settings.bounds.fences_checked)
+        this->placement->term_ended();
+}
+
 void gateway_control::directory_lost()
 {
     this->lost_at = this->clock.now();
--- a/src/app/gateway/gateway_control.hpp
+++ b/src/app/gateway/gateway_control.hpp
@@ -114,6 +114,7 @@
     void routers_listed(std::vector<router_address> all) override;
     void tenure_changed(std::optional<placement_tenure> held) override;
     void ownership_left() override;
+    void term_ended() override;
     void directory_lost() override;
     void directory_back() override;
 
--- a/src/app/gateway/placement_desk.cpp
+++ b/src/app/gateway/placement_desk.cpp
@@ -177,6 +177,13 @@
     this->tenure = held;
     if (anew)
         this->take_up();
+    else if (held && this->at_work)
+        this->words.owned_under(held->fence);
+}
+
+void placement_desk::term_ended()
+{
+    this->words.term_ended();
 }
 
 void placement_desk::take_up()
--- a/src/app/gateway/placement_desk.hpp
+++ b/src/app/gateway/placement_desk.hpp
@@ -89,6 +89,10 @@
 
     void tenure_changed(std::optional<placement_tenure> held);
 
+    /// The term has ended without a renewal, and another router may own
+    /// placement by now.
+    void term_ended();
+
     void word_heard(const router_word& word);
 
     /// Another owner with a higher fencing number was heard.
--- a/src/app/gateway/residency_teller.cpp
+++ b/src/app/gateway/residency_teller.cpp
@@ -43,14 +43,23 @@
 
 void residency_teller::owned_under(std::optional<std::uint64_t> number)
 {
-    const bool anew = number && !this->fence;
+    const bool anew = number && (!this->fence || this->lapsed);
     this->fence = number;
+    this->lapsed = false;
     if (!number)
         this->to_tell.clear();
     if (anew)
         this->send(this->make_word(), this->routers());
 }
 
+void residency_teller::term_ended()
+{
+    if (!this->fence)
+        return;
+    this->lapsed = true;
+    this->send(this->make_word(), this->routers());
+}
+
 void residency_teller::changed(
     const std::string& engine, std::string_view servable)
 {
@@ -110,6 +119,7 @@
     owner_word word;
     word.owner = this->name;
     word.tenure = *this->fence;
+    word.lapsed = this->lapsed;
     word.routers =
         static_cast<std::uint32_t>(this->needs.routers(this->clock.now()));
     return word;
--- a/src/app/gateway/residency_teller.hpp
+++ b/src/app/gateway/residency_teller.hpp
@@ -76,6 +76,10 @@
     /// The others hear of a new owner at once, before they apply themselves.
     void owned_under(std::optional<std::uint64_t> fence);
 
+    /// The term has ended without a renewal. The others hear of it at once, so
+    /// that one of them applies, and go on to hear of what was ordered before.
+    void term_ended();
+
     /// What an engine holds has changed.
     /// @param servable Key of the model or adapter that it is about; empty:
     /// all.
@@ -109,6 +113,7 @@
     boost::asio::steady_timer pause_timer;
     boost::asio::steady_timer beacon_timer;
     bool waiting = false; ///< for changes that come together
+    bool lapsed = false;  ///< the term has ended without a renewal
     bool stopped = false;
 };
 
--- a/src/core/swapping/peer_words.hpp
+++ b/src/core/swapping/peer_words.hpp
@@ -96,6 +96,9 @@
     std::uint64_t tenure = 0;
     std::uint32_t routers = 0; ///< that sent word lately, the owner included
     bool leaves = false;       ///< it owns placement no longer
+    /// Its term has ended without a renewal: it orders nothing, and another
+    /// router may own placement. What it says of engines still holds.
+    bool lapsed = false;
     std::vector<engine_residency> engines;
 
     template <class Archive>
@@ -106,6 +109,7 @@
             this->tenure,
             this->routers,
             this->leaves,
+            this->lapsed,
             this->engines);
     }
 };
--- a/src/ports/directory_port.hpp
+++ b/src/ports/directory_port.hpp
@@ -56,6 +56,10 @@
     /// Ownership that this router gave up is free for another.
     virtual void ownership_left() = 0;
 
+    /// The term has ended without a renewal: another router may own placement
+    /// by now. Should none, the next tenure has the same fencing number.
+    virtual void term_ended() = 0;
+
     /// No call is answered any more, or one is again.
     virtual void directory_lost() = 0;
     virtual void directory_back() = 0;
@@ -74,6 +78,11 @@
     /// there is none.
     virtual void owner_heard(bool heard) = 0;
 
+    /// Another router owns placement under a fencing number. If it is a later
+    /// one than its own, this router doesn't renew: after a cut from the store
+    /// that would move the ownership back.
+    virtual void another_owns(std::uint64_t fence) = 0;
+
     /// Gives ownership up, so that the next router needn't wait for its term.
     virtual void resign() = 0;
 
--- a/tests/unit/gateway/test_placement_desk.cpp
+++ b/tests/unit/gateway/test_placement_desk.cpp
@@ -1,5 +1,7 @@
 #include "desk_fixture.hpp"
 
+#include <algorithm>
+
 #include <criterion/criterion.h>
 
 using namespace roseworks;
@@ -269,3 +271,26 @@
     test.need("m1");
     cr_assert_eq(test.next_command().what.fence, 8);
 }
+
+/// Cut off from the store, it went on as the owner to all who heard it, and
+/// nobody ordered engines for as long as the cut lasted.
+Test(placement_desk, past_its_term_it_says_so_and_tells_what_it_had_ordered)
+{
+    desk_fixture test(1);
+    test.own(7);
+    test.need("m1");
+    test.next_command().done(command_end::accepted);
+    test.clock.time += 1s;
+    test.desk.term_ended();
+    cr_assert(test.told.back().lapsed);
+    const auto tells_of_load = [](const owner_word& word)
+    {
+        return word.lapsed && !word.engines.empty() &&
+               !word.engines.front().resident.empty();
+    };
+    test.clock.time += 10s;
+    while (std::ranges::none_of(test.told, tells_of_load))
+        test.run_events(1);
+    test.desk.tenure_changed(placement_tenure{7, test.clock.time + 1s});
+    cr_assert_not(test.told.back().lapsed);
+}
--- a/tests/unit/users_platform/fake_store.cpp
+++ b/tests/unit/users_platform/fake_store.cpp
@@ -74,6 +74,12 @@
     this->writers[writer].run = run;
 }
 
+void fake_store::answer_joins(int count)
+{
+    const std::scoped_lock lock(this->mutex);
+    this->joins_answered = count;
+}
+
 std::string fake_store::value_of(const std::string& key)
 {
     const std::scoped_lock lock(this->mutex);
@@ -170,6 +176,9 @@
 
 std::string fake_store::membership()
 {
+    if (this->joins_answered == 0)
+        return http(503, "");
+    --this->joins_answered;
     this->events.emplace_back("join");
     return http(200, R"({"generation":5,"parts":[["placement",0,0]]})");
 }
--- a/tests/unit/users_platform/fake_store.hpp
+++ b/tests/unit/users_platform/fake_store.hpp
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <mutex>
 #include <string>
@@ -40,6 +41,9 @@
         return this->reads_refused;
     }
 
+    /// So many more joins of the group are answered, all later ones refused.
+    void answer_joins(int count);
+
     std::string value_of(const std::string& key);
 
     /// @return What was done, in order: `append VALUE`, `repeat` (of an append
@@ -64,6 +68,7 @@
     std::map<std::string, writer_state> writers;
     std::vector<std::string> events;
     int answers_lost = 0;
+    int joins_answered = std::numeric_limits<int>::max();
     std::atomic<int> reads_refused{0};
     edge::tests::fake_backend server; ///< last: its threads use the others
 };
--- a/tests/unit/users_platform/test_own_record.cpp
+++ b/tests/unit/users_platform/test_own_record.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <optional>
@@ -71,7 +72,7 @@
     loop.run();
 }
 
-/// Hears of a tenure, and ends the loop then.
+/// Hears of a tenure and of its end, and ends the loop then.
 class tenure_listener final : public directory_listener
 {
 public:
@@ -95,8 +96,15 @@
         this->loop.stop();
     }
 
+    void term_ended() override
+    {
+        this->ended = true;
+        this->loop.stop();
+    }
+
     asio::io_context& loop;
     std::optional<placement_tenure> heard;
+    bool ended = false;
 };
 
 store_directory::options options_for(const fake_store& store, duration lease)
@@ -260,3 +268,58 @@
     const std::vector<std::string> expected{appended(false, 4)};
     cr_assert(store.history() == expected);
 }
+
+/// A store that turns its owner away, and serves the others: they are to know
+/// when they may apply.
+Test(store_directory, the_end_of_a_term_that_is_not_renewed_is_told)
+{
+    fake_store store;
+    store.put("edge-1", record(false, 3));
+    store.answer_joins(1);
+    asio::io_context loop;
+    platform::byte_meter meter;
+    const platform::system_clock clock;
+    events::null_event_sink sink;
+    store_directory::options settings = options_for(store, 1ms);
+    settings.term = 60ms;
+    settings.term_margin = 10ms;
+    settings.renewal = 10ms;
+    store_directory directory(loop, settings, clock, sink, meter);
+    tenure_listener listener(loop);
+    directory.start(listener);
+    directory.owner_heard(false);
+    while (!listener.ended)
+    {
+        loop.run();
+        loop.restart();
+    }
+    directory.stop();
+}
+
+/// Cut off from the store for a while, the owner before renewed when it was
+/// back, and the store moved the ownership once more.
+Test(store_directory, an_owner_that_another_followed_does_not_renew)
+{
+    fake_store store;
+    store.put("edge-1", record(false, 3));
+    asio::io_context loop;
+    platform::byte_meter meter;
+    const platform::system_clock clock;
+    events::null_event_sink sink;
+    store_directory::options settings = options_for(store, 1ms);
+    settings.renewal = 1ms;
+    store_directory directory(loop, settings, clock, sink, meter);
+    tenure_listener listener(loop);
+    directory.start(listener);
+    directory.owner_heard(false);
+    loop.run();
+    loop.restart();
+    directory.another_owns(listener.heard->fence + 1);
+    directory.owner_heard(true);
+    const int seen = store.reads();
+    while (store.reads() < seen + 6)
+        loop.run_one();
+    directory.stop();
+    const std::vector<std::string> done = store.history();
+    cr_assert_eq(std::ranges::count(done, "join"), 1);
+}
