Refuse at once what can't be there in time, by the owner's plan

The owner knows when a load from the store can end.

Change: the owner foresees for each model that is asked for and on no engine when it can be there (loads under way, then the others in their order), and tells the routers; the dispatcher goes by it in place of the estimate. Who can't wait so long is refused at once with that time as Retry-After, who can is kept. A model whose callers were all refused goes on to count as asked for.

--- a/include/roseworks/routing_table.hpp
+++ b/include/roseworks/routing_table.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <roseworks/ids.hpp>
+#include <roseworks/instant.hpp>
 #include <roseworks/servable_name.hpp>
 #include <roseworks/specs.hpp>
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -79,6 +81,14 @@
     /// @return Whether the log could be read lately.
     virtual bool log_available() const = 0;
 
+    /// @return When a servable that is nowhere can be ready, as planned by
+    ///         whoever places it; empty: not known.
+    virtual std::optional<instant>
+    expected_ready(std::string_view /*servable*/) const
+    {
+        return std::nullopt;
+    }
+
     /// @return Names of all models and adapters, sorted.
     virtual std::vector<std::string> servable_names() const = 0;
 };
--- a/src/app/gateway/gateway_control.cpp
+++ b/src/app/gateway/gateway_control.cpp
@@ -320,6 +320,8 @@
     this->alive = std::max<std::size_t>(word.routers, 1);
     for (const engine_residency& engine : word.engines)
         this->desk->residency_heard(engine);
+    for (const servable_outlook& one : word.outlooks)
+        this->desk->outlook_heard(one.model, now + duration(one.ready_in_us));
     if (another)
         this->teller.tell_all();
 }
--- a/src/app/gateway/placement_desk.cpp
+++ b/src/app/gateway/placement_desk.cpp
@@ -266,6 +266,7 @@
         for (const swap_order& order :
              this->planner.plan(this->book, this->needs, now))
             this->send(order);
+        this->words.foreseen(this->planner.outlooks());
     }
     this->arm_step();
 }
--- a/src/app/gateway/residency_teller.cpp
+++ b/src/app/gateway/residency_teller.cpp
@@ -60,6 +60,20 @@
     this->send(this->make_word(), this->routers());
 }
 
+void residency_teller::foreseen(std::span<const load_outlook> now_expected)
+{
+    const auto is_new = [this](const load_outlook& one)
+    {
+        return std::ranges::find(
+                   this->outlooks, one.model, &load_outlook::model) ==
+               this->outlooks.end();
+    };
+    const bool news = std::ranges::any_of(now_expected, is_new);
+    this->outlooks.assign(now_expected.begin(), now_expected.end());
+    if (news && this->fence)
+        this->send(this->make_word(), this->routers());
+}
+
 void residency_teller::changed(
     const std::string& engine, std::string_view servable)
 {
@@ -120,8 +134,14 @@
     word.owner = this->name;
     word.tenure = *this->fence;
     word.lapsed = this->lapsed;
-    word.routers =
-        static_cast<std::uint32_t>(this->needs.routers(this->clock.now()));
+    const instant now = this->clock.now();
+    word.routers = static_cast<std::uint32_t>(this->needs.routers(now));
+    for (const load_outlook& one : this->outlooks)
+    {
+        if (word.outlooks.size() == this->settings.most_outlooks)
+            break;
+        word.outlooks.push_back({one.model, duration(one.ready - now).count()});
+    }
     return word;
 }
 
--- a/src/app/gateway/residency_teller.hpp
+++ b/src/app/gateway/residency_teller.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/swapping/engine_book.hpp"
+#include "core/swapping/load_outlook.hpp"
 #include "core/swapping/need_book.hpp"
 #include "core/swapping/peer_words.hpp"
 #include "ports/clock.hpp"
@@ -51,6 +52,8 @@
         double spare_bytes_per_router = 8'500;
         /// Encoded, with names of usual length.
         std::size_t engine_bytes = 150;
+        /// Told in one word: the ones that come first.
+        std::size_t most_outlooks = 24;
     };
 
     /// Tells routers, perhaps this one among them, what engines hold.
@@ -80,6 +83,10 @@
     /// that one of them applies, and go on to hear of what was ordered before.
     void term_ended();
 
+    /// When models that no engine has can be there. A model that wasn't among
+    /// them before is told at once.
+    void foreseen(std::span<const load_outlook> outlooks);
+
     /// What an engine holds has changed.
     /// @param servable Key of the model or adapter that it is about; empty:
     /// all.
@@ -109,6 +116,7 @@
     std::map<std::string, std::set<std::string>> to_tell; ///< by router
     double spare_bytes = 0;
     instant spare_counted;
+    std::vector<load_outlook> outlooks;
     std::string last_told; ///< engine that the last beacon ended with
     boost::asio::steady_timer pause_timer;
     boost::asio::steady_timer beacon_timer;
--- a/src/app/gateway/serving_desk.cpp
+++ b/src/app/gateway/serving_desk.cpp
@@ -112,6 +112,12 @@
         this->changed();
 }
 
+void serving_desk::outlook_heard(const std::string& model, instant ready)
+{
+    if (this->known.outlook_heard(model, ready, this->clock.now()))
+        this->changed();
+}
+
 void serving_desk::contradicted(
     std::string_view engine, std::string_view servable)
 {
--- a/src/app/gateway/serving_desk.hpp
+++ b/src/app/gateway/serving_desk.hpp
@@ -65,6 +65,9 @@
     /// The placement owner told what an engine holds.
     void residency_heard(engine_residency told);
 
+    /// The placement owner told when a model that no engine has can be there.
+    void outlook_heard(const std::string& model, instant ready);
+
     /// An engine refused a request for want of its model or adapter.
     void contradicted(std::string_view engine, std::string_view servable);
 
--- a/src/core/request/dispatcher_tick.cpp
+++ b/src/core/request/dispatcher_tick.cpp
@@ -181,6 +181,9 @@
 duration
 dispatcher::impl::remaining_cold(const detail::target& where, instant now) const
 {
+    // What placement plans goes before what was seen of other loads.
+    if (where.expected_ready)
+        return std::max(*where.expected_ready - now, duration::zero());
     const duration whole = where.estimator.cold(where.load_estimate);
     const duration passed =
         where.cold_since ? now - *where.cold_since : duration::zero();
--- a/src/core/request/target.cpp
+++ b/src/core/request/target.cpp
@@ -39,6 +39,7 @@
     else if (const servable_routes* entry = table.find_servable(this->name))
     {
         this->take(*entry);
+        this->expected_ready = table.expected_ready(this->name);
     }
 
     this->drop_unlisted();
--- a/src/core/request/target.hpp
+++ b/src/core/request/target.hpp
@@ -74,6 +74,8 @@
     std::uint16_t max_replicas = 0;
     bool granted = false; ///< may be loaded while the log is away
     duration load_estimate{};
+    /// Nowhere yet, it can be ready then; empty: not known.
+    std::optional<instant> expected_ready;
     std::uint64_t generation = 0; ///< of the table it was refreshed from
     bool known = false;           ///< the table has it
 
--- a/src/core/serving/serving_table.cpp
+++ b/src/core/serving/serving_table.cpp
@@ -1,5 +1,7 @@
 #include "core/serving/serving_table.hpp"
 
+#include "core/serving/servable_key.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -62,6 +64,19 @@
     return this->content.orders_possible;
 }
 
+std::optional<instant>
+serving_table::expected_ready(std::string_view servable) const
+{
+    if (this->content.expected.empty())
+        return std::nullopt;
+    const servable_parts parts = split_servable_key(servable);
+    const auto found =
+        this->content.expected.find(servable_key(parts.service, parts.model));
+    if (found == this->content.expected.end())
+        return std::nullopt;
+    return found->second;
+}
+
 std::vector<std::string> serving_table::servable_names() const
 {
     std::vector<std::string> names;
--- a/src/core/serving/serving_table.hpp
+++ b/src/core/serving/serving_table.hpp
@@ -53,6 +53,8 @@
         std::unordered_map<std::string, std::uint16_t> engines;
         std::unordered_set<fingerprint> blocked;
         std::unordered_set<fingerprint> suspect;
+        /// When models that no engine has can be there, by their keys.
+        std::unordered_map<std::string, instant> expected;
         bool orders_possible = false; ///< a placement owner is at work
     };
 
@@ -65,6 +67,8 @@
     bool is_blocked(fingerprint request) const override;
     bool is_suspect(fingerprint request) const override;
     bool log_available() const override;
+    std::optional<instant>
+    expected_ready(std::string_view servable) const override;
     std::vector<std::string> servable_names() const override;
 
     /// @return Who answers at an address, null when nobody is known to.
--- a/src/core/serving/serving_view.cpp
+++ b/src/core/serving/serving_view.cpp
@@ -185,6 +185,21 @@
     return changed;
 }
 
+bool serving_view::outlook_heard(
+    const std::string& model, instant ready, instant now)
+{
+    const auto [place, added] =
+        this->outlooks.try_emplace(model, outlook{ready, now});
+    outlook& one = place->second;
+    one.heard = now;
+    const duration shift =
+        ready > one.ready ? ready - one.ready : one.ready - ready;
+    if (!added && shift < this->settings.outlook_step)
+        return false;
+    one.ready = ready;
+    return true;
+}
+
 bool serving_view::contradicted(
     std::string_view engine, std::string_view servable, instant now)
 {
@@ -228,6 +243,14 @@
             }) != 0;
     if (changed)
         this->find_superseded();
+    changed = std::erase_if(
+                  this->outlooks,
+                  [&](const auto& entry)
+                  {
+                      return now - entry.second.heard >=
+                             this->settings.outlook_lifetime;
+                  }) != 0 ||
+              changed;
     for (auto& [id, one] : this->known)
     {
         if (one.unreached_until && *one.unreached_until <= now)
@@ -282,6 +305,8 @@
     made.catalogue = this->catalogue;
     made.orders_possible = orders_possible;
     made.blocked = blocked;
+    for (const auto& [model, expected] : this->outlooks)
+        made.expected.emplace(model, expected.ready);
     for (const service_profile& service : this->current->services)
     {
         service_routes& entry = made.services[service.name];
--- a/src/core/serving/serving_view.hpp
+++ b/src/core/serving/serving_view.hpp
@@ -39,6 +39,11 @@
         /// The owner's word on an engine counts for so long; after it the
         /// engine's own entry does, which then is newer.
         duration residency_lifetime = std::chrono::seconds(4);
+        /// What the owner expects counts for so long: it tells it four times a
+        /// second.
+        duration outlook_lifetime = std::chrono::seconds(1);
+        /// A shift of it by less changes nothing.
+        duration outlook_step = std::chrono::milliseconds(200);
         /// A refusal counts for so long: a load that is about to end.
         duration refusal_lifetime = std::chrono::milliseconds(150);
         /// An engine to which no connection could be opened gets nothing for
@@ -89,6 +94,10 @@
     /// @return Whether that is news.
     bool residency_heard(engine_residency told, instant now);
 
+    /// The placement owner told when a model that no engine has can be there.
+    /// @return Whether that is news.
+    bool outlook_heard(const std::string& model, instant ready, instant now);
+
     /** An engine refused a request for want of its model or adapter.
 
         It isn't sent there for it until there is newer word of the engine, or
@@ -150,6 +159,14 @@
     std::unordered_map<std::string, servable_id> servable_numbers;
     std::uint64_t last_run = 0;
     instant revival_until = instant::min();
+
+    struct outlook
+    {
+        instant ready;
+        instant heard;
+    };
+
+    std::unordered_map<std::string, outlook> outlooks; ///< by model's key
 };
 
 } // namespace roseworks
--- a/src/core/swapping/load_ceiling.cpp
+++ b/src/core/swapping/load_ceiling.cpp
@@ -22,7 +22,7 @@
         std::chrono::duration<double>(this->settings.window).count();
     const double most =
         per_second * seconds * this->settings.factor * this->settings.caution;
-    return running < this->parallel &&
+    return running < this->most_at_once() &&
            static_cast<double>(this->starts.size()) + 1 <= most;
 }
 
--- a/src/core/swapping/load_ceiling.hpp
+++ b/src/core/swapping/load_ceiling.hpp
@@ -41,6 +41,12 @@
     /// @param running    loads from the store now.
     bool allows(double per_second, std::size_t running, instant now);
 
+    /// @return Loads that the store does at once at full speed, as seen.
+    std::size_t most_at_once() const
+    {
+        return this->parallel;
+    }
+
     void began(instant now);
 
     /// A load has ended.
--- a/src/core/swapping/need_book.cpp
+++ b/src/core/swapping/need_book.cpp
@@ -66,7 +66,11 @@
             need.objective_in_us == servable_need::no_objective
                 ? instant::max()
                 : in_future(now, need.objective_in_us);
-        row.needs[need.servable] = {
+        need_row& before = row.needs[need.servable];
+        // Those that are refused are never sent to an engine.
+        if (need.waiting > before.waiting)
+            this->asked.add(need.servable, need.waiting - before.waiting, now);
+        before = {
             need.waiting, objective, in_future(now, need.deadline_in_us), now};
     }
     this->take_uses(row, word, now);
--- a/src/core/swapping/need_book.hpp
+++ b/src/core/swapping/need_book.hpp
@@ -67,8 +67,8 @@
     find_use(std::string_view engine, std::string_view servable) const;
 
     /// @param model Its key.
-    /// @return Requests for it that were sent to engines, by all routers,
-    ///         those long ago counted less.
+    /// @return Requests for it, by all routers, those long ago counted less.
+    ///         One that waited before it was sent counts twice.
     double demand(const std::string& model, instant now) const
     {
         return this->asked.of(model, now);
--- a/src/core/swapping/peer_words.hpp
+++ b/src/core/swapping/peer_words.hpp
@@ -89,6 +89,19 @@
     }
 };
 
+/// When a model that no engine has can be there.
+struct servable_outlook
+{
+    std::string model;            ///< its key
+    std::int64_t ready_in_us = 0; ///< left when the word is sent
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->model, this->ready_in_us);
+    }
+};
+
 /// The placement owner's word to the routers.
 struct owner_word
 {
@@ -100,6 +113,7 @@
     /// router may own placement. What it says of engines still holds.
     bool lapsed = false;
     std::vector<engine_residency> engines;
+    std::vector<servable_outlook> outlooks;
 
     template <class Archive>
     void serialize(Archive& archive)
@@ -110,7 +124,8 @@
             this->routers,
             this->leaves,
             this->lapsed,
-            this->engines);
+            this->engines,
+            this->outlooks);
     }
 };
 
--- a/src/core/swapping/swap_planner.cpp
+++ b/src/core/swapping/swap_planner.cpp
@@ -292,6 +292,7 @@
         if (has >= this->settings.spare_copies ||
             one.waiting + expected < this->settings.requests_per_spare)
             continue;
+        one.uncopied = has == 0;
         one.servable = key;
         one.service = service;
         one.model = model.name;
@@ -325,9 +326,12 @@
     std::set<std::string> services;
     for (const auto& [id, engine] : current.engines.all())
         services.insert(engine.entry.service);
+    this->expected.clear();
     for (const std::string& service : services)
     {
-        for (const want& what : this->store_wants(current, service))
+        const std::vector<want> wants = this->store_wants(current, service);
+        this->foresee(current, service, wants);
+        for (const want& what : wants)
         {
             const auto from = this->store_allows(current, what);
             if (!from)
@@ -337,6 +341,71 @@
     }
 }
 
+std::vector<instant> swap_planner::store_slots(
+    const round& current, const std::string& service) const
+{
+    std::vector<instant> ends;
+    std::size_t engines = 0;
+    for (const auto& [id, engine] : current.engines.all())
+    {
+        if (engine.entry.service != service || engine.entry.leaving)
+            continue;
+        ++engines;
+        if (!engine.order || !engine.order->is_store_load())
+            continue;
+        const model_profile* model =
+            current.engines.find_model(service, engine.order->model);
+        const duration whole =
+            model == nullptr ? duration::zero() : model->load_from_store;
+        ends.push_back(std::max(engine.order->sent + whole, current.now));
+    }
+    const std::size_t most = this->most_store_loads(engines);
+    if (ends.size() < most)
+        ends.resize(most, current.now);
+    std::ranges::sort(ends);
+    return ends;
+}
+
+void swap_planner::foresee(
+    const round& current,
+    const std::string& service,
+    std::span<const want> wants)
+{
+    const auto copies = this->count_copies(current, service);
+    for (const auto& [id, engine] : current.engines.all())
+    {
+        const bool loads = engine.entry.service == service &&
+                           !engine.entry.leaving && engine.reachable &&
+                           engine.order && engine.order->is_store_load();
+        if (!loads || copies.at(engine.order->model) != 1)
+            continue;
+        const model_profile* model =
+            current.engines.find_model(service, engine.order->model);
+        if (model != nullptr)
+            this->expected.push_back(
+                {servable_key(service, model->name),
+                 engine.order->sent + model->load_from_store});
+    }
+    std::vector<instant> slots = this->store_slots(current, service);
+    for (const want& what : wants)
+    {
+        const model_profile* model =
+            current.engines.find_model(service, what.model);
+        const instant ready = slots.front() + model->load_from_store;
+        if (what.uncopied)
+            this->expected.push_back({what.servable, ready});
+        slots.front() = ready;
+        std::ranges::sort(slots);
+    }
+}
+
+std::size_t swap_planner::most_store_loads(std::size_t engines) const
+{
+    // The other half is for what their disks have.
+    return std::min(
+        this->ceiling.most_at_once(), std::max<std::size_t>(engines / 2, 1));
+}
+
 bool swap_planner::is_urgent(const round& current, const want& what) const
 {
     if (what.extra_copy)
@@ -591,9 +660,7 @@
     const engine_profile* profile = current.engines.find_profile(what.service);
     const bool allowed = this->ceiling.allows(
         profile->store_loads_per_second, running, current.now);
-    // The other half is for what their disks have.
-    const std::size_t most = std::max<std::size_t>(engines / 2, 1);
-    if (!allowed || running >= most)
+    if (!allowed || running >= this->most_store_loads(engines))
         return std::nullopt;
     return running < share ? sources::store : sources::bare_disks;
 }
--- a/src/core/swapping/swap_planner.hpp
+++ b/src/core/swapping/swap_planner.hpp
@@ -3,6 +3,7 @@
 #include "core/swapping/departure_meter.hpp"
 #include "core/swapping/engine_book.hpp"
 #include "core/swapping/load_ceiling.hpp"
+#include "core/swapping/load_outlook.hpp"
 #include "core/swapping/need_book.hpp"
 
 #include <roseworks/instant.hpp>
@@ -11,6 +12,7 @@
 #include <cstdint>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -102,6 +104,14 @@
     std::vector<swap_order>
     plan(const engine_book& engines, const need_book& needs, instant now);
 
+    /// @return What is asked for and on no engine, as of the last round: when
+    /// it
+    ///         can be there if loads from the store go on as planned.
+    std::span<const load_outlook> outlooks() const
+    {
+        return this->expected;
+    }
+
 private:
     /// A base model or adapter that somebody waits for.
     struct want
@@ -118,6 +128,7 @@
         /// Requests that a load from the store spares a wait if it begins now
         /// rather than when the next one has ended.
         double spared = 0;
+        bool uncopied = false; ///< no engine has it, or is loading it
     };
 
     /// An engine that could have the model, and how soon.
@@ -226,6 +237,16 @@
     std::unordered_map<std::string_view, std::size_t>
     count_copies(const round& current, std::string_view service) const;
     void watch_departures(const round& current);
+    void foresee(
+        const round& current,
+        const std::string& service,
+        std::span<const want> wants);
+    /// @return When each of the loads that the store does at once ends, the
+    ///         earliest first.
+    std::vector<instant>
+    store_slots(const round& current, const std::string& service) const;
+    /// @return Loads from the store that may run at once.
+    std::size_t most_store_loads(std::size_t engines) const;
     void reserve(round& current, const want& what) const;
     /// Makes the order one that frees an adapter's place.
     /// @return Whether there is one to be freed.
@@ -241,6 +262,7 @@
     options settings;
     load_ceiling ceiling;
     departure_meter departures;
+    std::vector<load_outlook> expected;
     instant copies_counted;
 };
 
--- a/tests/unit/serving/test_serving_view.cpp
+++ b/tests/unit/serving/test_serving_view.cpp
@@ -314,3 +314,20 @@
     cr_assert(table->has_engines("llm"));
     cr_assert_not(table->has_engines("app"));
 }
+
+/// Of a model that no engine has, and of its adapters.
+Test(serving_view, what_the_owner_expects_is_in_the_table_until_it_falls_silent)
+{
+    serving_view view = make_view();
+    const std::string model = servable_key("llm", "m1");
+    cr_assert(view.outlook_heard(model, at(7s), at(1s)));
+    cr_assert_not(view.outlook_heard(model, at(7s + 20ms), at(1s)));
+    cr_assert(*table_of(view, at(1s))->expected_ready(model) == at(7s));
+    cr_assert(*table_of(view, at(1s))->expected_ready(model + "/a1") == at(7s));
+    cr_assert_not(table_of(view, at(1s))
+                      ->expected_ready(servable_key("llm", "m2"))
+                      .has_value());
+    cr_assert_not(view.tick(at(1s + 900ms)));
+    cr_assert(view.tick(at(2s)));
+    cr_assert_not(table_of(view, at(2s))->expected_ready(model).has_value());
+}
--- a/tests/unit/swapping/test_release.cpp
+++ b/tests/unit/swapping/test_release.cpp
@@ -1,6 +1,7 @@
 #include "swap_fixture.hpp"
 
 #include <algorithm>
+#include <map>
 
 #include <criterion/criterion.h>
 
@@ -133,3 +134,38 @@
     for (instant now = at(1s); now < at(20s); now += 50ms)
         cr_assert(test.plan(now).empty());
 }
+
+/// The store does two at once here, half of the engines: the third that is
+/// asked for comes after one of them.
+Test(release, what_waits_for_the_store_is_foreseen)
+{
+    swap_fixture test(4);
+    for (int i = 0; i < 4; ++i)
+        test.engine("e" + std::to_string(i), {}, {}, at(0s));
+    test.need("m0", 500ms, at(1s), "r1", 3);
+    test.need("m1", 500ms, at(1s), "r2", 2);
+    test.need("m2", 500ms, at(1s), "r3", 1);
+    for (const swap_order& order : test.plan(at(1s)))
+        test.accept(order, at(1s));
+    test.plan(at(1s + 200ms));
+    std::map<std::string, instant> ready;
+    for (const load_outlook& one : test.planner.outlooks())
+        ready[one.model] = one.ready;
+    cr_assert_eq(ready.size(), 3);
+    cr_assert(ready.at("llm/m0") == at(7s));
+    cr_assert(ready.at("llm/m1") == at(7s));
+    cr_assert(ready.at("llm/m2") == at(13s));
+}
+
+/// Refused at once, nobody waits for it; it is loaded all the same.
+Test(release, a_model_that_was_asked_for_is_loaded_though_nobody_waits)
+{
+    swap_fixture test(4);
+    for (int i = 0; i < 4; ++i)
+        test.engine("e" + std::to_string(i), {}, {}, at(0s));
+    test.need("m0", 500ms, at(1s));
+    test.need("m0", 500ms, at(1s + 10ms), "r1", 0);
+    const auto orders = test.plan(at(1s + 20ms));
+    cr_assert_eq(orders.size(), 1);
+    cr_assert_eq(orders[0].model, "m0");
+}
