--- a/src/app/gateway/placement_desk.cpp
+++ b/src/app/gateway/placement_desk.cpp
@@ -195,7 +195,8 @@
     if (continued)
         return; // the same owner under a new number: all is known
     ++this->takeovers;
-    this->book.take_over(this->settings.lease);
+    this->book.take_over(
+        this->settings.lease, std::exchange(this->another_owned, false));
     this->servers_changed();
     for (const auto& [id, engine] : this->book.all())
         this->examine(id, milliseconds(0));
@@ -214,6 +215,7 @@
 
 void placement_desk::other_owner_heard(std::uint64_t fence)
 {
+    this->another_owned = this->another_owned || fence > this->fence();
     if (!this->tenure || fence <= this->tenure->fence)
         return;
     this->give_up("a later owner was heard");
--- a/src/app/gateway/placement_desk.hpp
+++ b/src/app/gateway/placement_desk.hpp
@@ -154,6 +154,7 @@
     swap_planner planner;
     residency_teller words;
     std::optional<placement_tenure> tenure;
+    bool another_owned = false;   ///< heard of since the last take-over
     bool at_work = false;         ///< orders are given, or were until just now
     std::uint64_t takeovers = 0;  ///< times that nothing known was trusted
     std::uint64_t last_order = 0; ///< number of the newest order
--- a/src/core/swapping/engine_book.cpp
+++ b/src/core/swapping/engine_book.cpp
@@ -149,11 +149,14 @@
         this->known.erase(found);
 }
 
-void engine_book::take_over(duration between_holders)
+void engine_book::take_over(duration between_holders, bool another_owned)
 {
     this->lease = between_holders;
     for (auto& [id, engine] : this->known)
     {
+        if (another_owned && engine.last_order != instant::min())
+            engine.not_before =
+                std::max(engine.not_before, engine.last_order + this->lease);
         engine.examined = false;
         engine.retaken = true;
         engine.order.reset();
--- a/src/core/swapping/engine_book.hpp
+++ b/src/core/swapping/engine_book.hpp
@@ -183,9 +183,13 @@
 
         Two owners may not order an engine in turn within the lease. Whether
         another one ordered it in between shows when it is examined: by the
-        count of orders that it has taken.
+        count of orders that it has taken. Not if it was the very order that the
+        engine was carrying out: that is answered alike and not counted.
+
+        @param another_owned Another owner was heard of since the last tenure:
+                             each engine ordered before has to be waited for.
     */
-    void take_over(duration lease);
+    void take_over(duration lease, bool another_owned);
 
     /// A report was read.
     void reported(std::string_view id, const holdings_report& report, instant);
--- a/tests/unit/gateway/test_placement_desk.cpp
+++ b/tests/unit/gateway/test_placement_desk.cpp
@@ -294,3 +294,25 @@
     test.desk.tenure_changed(placement_tenure{7, test.clock.time + 1s});
     cr_assert_not(test.told.back().lapsed);
 }
+
+/// A later owner's order that was the very one under way isn't counted by the
+/// engine: the owner before, back after 0.7 s, ordered it in turn.
+Test(placement_desk, after_another_owner_was_heard_the_lease_is_waited_for)
+{
+    desk_fixture test(1);
+    test.own(7);
+    test.need("m1");
+    test.next_command().done(command_end::accepted);
+    test.desk.tenure_changed(std::nullopt);
+    test.desk.other_owner_heard(8);
+    const instant regained = test.clock.time;
+    test.desk.tenure_changed(placement_tenure{9, regained + 1h});
+    test.answer_report({"m1"}, 1); // as many orders as it had sent
+    while (test.orders_sent() == 0)
+    {
+        test.need("m2");
+        test.clock.time += 20ms;
+        test.run_events(1);
+    }
+    cr_assert_geq(test.clock.time - regained, duration(2s));
+}
--- a/tests/unit/swapping/test_engine_book.cpp
+++ b/tests/unit/swapping/test_engine_book.cpp
@@ -145,7 +145,7 @@
     test.engines.sent("e1", load_of("m1"), at(1s));
     test.engines.answered("e1", command_end::accepted, at(1s));
     test.engines.advance(at(2s));
-    test.engines.take_over(3s);
+    test.engines.take_over(3s, false);
     test.examine("e1", {"m2"}, {"m1"}, 3, at(2s + 500ms));
     cr_assert_not(test.engines.find("e1")->free(at(3s + 999ms)));
     cr_assert(test.engines.find("e1")->free(at(4s)));
@@ -158,7 +158,7 @@
     test.engines.sent("e1", load_of("m1"), at(1s));
     test.engines.answered("e1", command_end::accepted, at(1s));
     test.engines.advance(at(2s));
-    test.engines.take_over(3s);
+    test.engines.take_over(3s, false);
     cr_assert_not(test.engines.find("e1")->free(at(2s)), "not examined yet");
     test.examine("e1", {"m1"}, {"m1"}, 1, at(2s + 500ms));
     cr_assert(test.engines.find("e1")->free(at(2s + 500ms)));
--- a/tests/unit/users_platform/test_own_record.cpp
+++ b/tests/unit/users_platform/test_own_record.cpp
@@ -323,3 +323,46 @@
     const std::vector<std::string> done = store.history();
     cr_assert_eq(std::ranges::count(done, "join"), 1);
 }
+
+/// Woken from a freeze, an owner renewed before it heard of the one after it,
+/// and the store moved the ownership back and forth.
+Test(store_directory, an_owner_whose_term_has_ended_listens_before_it_renews)
+{
+    fake_store store;
+    store.put("edge-1", record(false, 3));
+    asio::io_context loop;
+    platform::byte_meter meter;
+    const platform::system_clock clock;
+    events::null_event_sink sink;
+    store_directory::options settings = options_for(store, 1ms);
+    settings.term = 0ms; // over as soon as it was given
+    settings.term_margin = 0ms;
+    settings.renewal = 1ms;
+    settings.listening = std::chrono::hours(1);
+    store_directory directory(loop, settings, clock, sink, meter);
+    tenure_listener listener(loop);
+    directory.start(listener);
+    directory.owner_heard(false);
+    const auto run_on = [&](auto reached)
+    {
+        while (!reached())
+        {
+            loop.restart();
+            loop.run_one();
+        }
+    };
+    run_on(
+        [&]
+        {
+            return listener.ended;
+        });
+    const int seen = store.reads();
+    run_on(
+        [&]
+        {
+            return store.reads() >= seen + 6;
+        });
+    directory.stop();
+    const std::vector<std::string> done = store.history();
+    cr_assert_eq(std::ranges::count(done, "join"), 1);
+}
