--- a/src/app/gateway/gateway_control.cpp
+++ b/src/app/gateway/gateway_control.cpp
@@ -82,10 +82,9 @@
             settings.vm.cores / usual_cores,
             settings.vm.link_mbps / usual_link)};
     made.term = std::max(made.term, settings.store.shortest_term);
-    // Left for a read that takes its time, or is sent again: a third. A read is
-    // the call that routers make most.
+    // One read may be lost, and one takes its time.
     made.registry_pace = std::max(
-        settings.bounds.leaving * 13 / 20, std::chrono::milliseconds(100));
+        settings.bounds.leaving * 9 / 20, std::chrono::milliseconds(100));
     made.lease = settings.bounds.lease;
     made.first_start = settings.vm.first_start;
     made.seed = std::random_device()();
