--- a/src/adapters/peers/gateway_peers.cpp
+++ b/src/adapters/peers/gateway_peers.cpp
@@ -70,7 +70,6 @@
 constexpr std::size_t need_bytes = 72;
 constexpr std::size_t use_bytes = 72;
 constexpr std::size_t engine_bytes = 220;
-constexpr std::size_t change_bytes = 300;
 constexpr std::size_t word_room = gateway_peers::most_bytes - 100;
 
 } // namespace
@@ -248,7 +247,7 @@
 void gateway_peers::send(
     std::span<const std::string> addresses, const directory_word& word)
 {
-    for (const directory_word& part : split(word, word_room / change_bytes))
+    for (const directory_word& part : split(word, word_room))
         this->send_one(addresses, word_kind::directory, part);
 }
 
--- a/src/app/gateway/gateway_control.cpp
+++ b/src/app/gateway/gateway_control.cpp
@@ -33,6 +33,9 @@
 constexpr double words_share_of_link = 0.025;
 constexpr double bytes_per_mbit = 125'000;
 
+/// Of a second of a router's link, for one word to all others of what it read.
+constexpr double told_share_of_link = 0.1;
+
 /// An owner that wasn't heard so long is gone; another may be there by then.
 constexpr duration owner_lifetime = std::chrono::milliseconds(1200);
 
@@ -87,6 +90,8 @@
     made.registry_age =
         std::max(settings.bounds.leaving * 9 / 20, shortest_age);
     made.config_age = std::max(settings.bounds.configuration / 2, shortest_age);
+    made.most_told_bytes = static_cast<std::size_t>(
+        settings.vm.link_mbps * bytes_per_mbit * told_share_of_link);
     made.lease = settings.bounds.lease;
     made.first_start = settings.vm.first_start;
     made.seed = std::random_device()();
@@ -346,9 +351,7 @@
 
 void gateway_control::directory_word_heard(const directory_word& word)
 {
-    // An owner before this one may have been cut off since.
-    if (!this->owner || word.tenure >= this->owner->fence)
-        this->directory->word_heard(word);
+    this->directory->word_heard(word);
 }
 
 void gateway_control::run_ended(
--- a/src/core/dissemination/directory_word.cpp
+++ b/src/core/dissemination/directory_word.cpp
@@ -1,32 +1,40 @@
 #include "core/dissemination/directory_word.hpp"
 
-#include <algorithm>
-#include <cassert>
-#include <cstddef>
+#include <utility>
 
 namespace roseworks
 {
 
-std::vector<directory_word> split(const directory_word& word, std::size_t most)
+std::size_t changes_bytes(const directory_word& word)
 {
-    assert(most > 0);
+    std::size_t sum = 0;
+    for (const registry_change& change : word.changes)
+        sum += change.bytes();
+    return sum;
+}
+
+std::vector<directory_word> split(const directory_word& word, std::size_t room)
+{
+    directory_word part = word;
+    part.changes.clear();
     std::vector<directory_word> parts;
-    std::uint64_t from = word.registry_from;
-    for (std::size_t i = 0; i == 0 || i < word.changes.size(); i += most)
+    std::size_t used = 0;
+    for (const registry_change& change : word.changes)
     {
-        const std::size_t end = std::min(i + most, word.changes.size());
-        const auto first = word.changes.begin();
-        directory_word part = word;
-        part.changes.assign(
-            first + static_cast<std::ptrdiff_t>(i),
-            first + static_cast<std::ptrdiff_t>(end));
-        part.registry_from = from;
-        const bool is_last = end == word.changes.size();
-        if (!is_last)
+        const std::size_t bytes = change.bytes();
+        if (!part.changes.empty() && used + bytes > room)
+        {
             part.registry.next = part.changes.back().offset + 1;
-        from = part.registry.next;
-        parts.push_back(std::move(part));
+            parts.push_back(part);
+            part.registry_from = part.registry.next;
+            part.changes.clear();
+            used = 0;
+        }
+        part.changes.push_back(change);
+        used += bytes;
     }
+    part.registry.next = word.registry.next;
+    parts.push_back(std::move(part));
     return parts;
 }
 
--- a/src/core/dissemination/directory_word.hpp
+++ b/src/core/dissemination/directory_word.hpp
@@ -2,8 +2,8 @@
 
 #include "core/dissemination/registry_change.hpp"
 
+#include <cstddef>
 #include <cstdint>
-#include <string>
 #include <vector>
 
 namespace roseworks
@@ -23,26 +23,25 @@
     }
 };
 
-/// What the placement owner has read of the store, told to all other routers.
+/// What one router has read of the store, told to all others: the placement
+/// owner after each of its reads, and whoever had to read while nobody told.
 /// May be lost or late: who misses one reads the store itself.
 struct directory_word
 {
-    std::uint64_t tenure = 0; ///< fencing number of the owner
-    topic_state deployment;   ///< of the configuration
+    topic_state deployment; ///< of the configuration
     topic_state registry;
     topic_state routers;
     /// The changes account for all of the registry from here to its state.
     std::uint64_t registry_from = 0;
     std::vector<registry_change> changes; ///< in order of their offsets
-    /// Since when the store answers again after it was away; below zero: it
-    /// wasn't in this tenure.
+    /// How long the store has answered again after it was away; below zero: it
+    /// wasn't away lately.
     std::int64_t back_for_us = -1;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
         archive(
-            this->tenure,
             this->deployment,
             this->registry,
             this->routers,
@@ -52,12 +51,16 @@
     }
 };
 
+/// @return The size of all changes of a word, about.
+std::size_t changes_bytes(const directory_word& word);
+
 /** Cuts a word that is too long for a packet into several. Each accounts for a
     part of the registry, so that one that is lost leaves a gap which its
     hearer sees.
 
-    @param most Changes in one word at most, at least one.
+    @param room Bytes of changes in one word at most, where one has that much
+                room.
 */
-std::vector<directory_word> split(const directory_word& word, std::size_t most);
+std::vector<directory_word> split(const directory_word& word, std::size_t room);
 
 } // namespace roseworks
--- a/src/core/dissemination/registry_changes.cpp
+++ b/src/core/dissemination/registry_changes.cpp
@@ -17,6 +17,14 @@
     return made;
 }
 
+/// @return Whether two entries differ in nothing but their models.
+bool same_but_models(const server_entry& before, const server_entry& now)
+{
+    server_entry moved = now;
+    moved.holdings = before.holdings;
+    return moved == before;
+}
+
 } // namespace
 
 void registry_changes::listed(std::span<const server_entry> all)
@@ -29,12 +37,16 @@
 
 void registry_changes::read(const server_entry& entry)
 {
+    using enum registry_change::kind;
     server_entry told = without_copies(entry);
     const auto found = this->known.find(entry.id);
-    if (found != this->known.end() && found->second == told)
+    const bool is_known = found != this->known.end();
+    if (is_known && found->second == told)
         return;
+    const bool models_only = is_known && same_but_models(found->second, told);
     this->known.insert_or_assign(entry.id, told);
-    this->collected.push_back({told.heard, false, std::move(told)});
+    this->collected.push_back(
+        {told.heard, models_only ? models : whole, std::move(told)});
 }
 
 void registry_changes::removed(std::string_view id, std::uint64_t offset)
@@ -42,11 +54,29 @@
     const auto found = this->known.find(id);
     if (found != this->known.end())
         this->known.erase(found);
-    registry_change change{offset, true, {}};
+    registry_change change{offset, registry_change::kind::gone, {}};
     change.entry.id = id;
     this->collected.push_back(std::move(change));
 }
 
+std::optional<server_entry>
+registry_changes::told(const registry_change& change)
+{
+    using enum registry_change::kind;
+    const auto found = this->known.find(change.entry.id);
+    const bool is_known = found != this->known.end();
+    if (change.what == gone && is_known)
+        this->known.erase(found);
+    if (change.what == gone || (change.what == models && !is_known))
+        return std::nullopt;
+    server_entry now = change.what == whole ? change.entry : found->second;
+    now.holdings = change.entry.holdings;
+    now.holdings.copies_known = false;
+    now.heard = change.offset;
+    this->known.insert_or_assign(now.id, now);
+    return now;
+}
+
 std::vector<registry_change> registry_changes::take()
 {
     return std::exchange(this->collected, {});
--- a/src/core/dissemination/registry_changes.hpp
+++ b/src/core/dissemination/registry_changes.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -12,10 +13,13 @@
 namespace roseworks
 {
 
-/** Collects the changes of the registry that the other routers have to know.
+/** The registry as routing has to know it, and the changes of it that were read
+    here and that the other routers have to be told.
 
     Servers write to the registry at each heartbeat, and whenever a copy of
     weights comes or goes: nearly all of that changes nothing for a router.
+    Whoever knows all up to one offset knows the same, so that a change since
+    then means the same to all.
 */
 class registry_changes
 {
@@ -26,11 +30,18 @@
     void read(const server_entry& entry);
     void removed(std::string_view id, std::uint64_t offset);
 
-    /// @return What was collected since the last call, in order.
+    /** Another router read a change.
+
+        @return The entry as it is now; empty when it is gone, or when it
+                isn't known of what it is a change.
+    */
+    std::optional<server_entry> told(const registry_change& change);
+
+    /// @return What was read here since the last call, in order.
     std::vector<registry_change> take();
 
 private:
-    std::map<std::string, server_entry, std::less<>> known; ///< as told
+    std::map<std::string, server_entry, std::less<>> known; ///< by id
     std::vector<registry_change> collected;
 };
 
--- a/src/ports/directory_port.hpp
+++ b/src/ports/directory_port.hpp
@@ -68,8 +68,8 @@
     /// Another router found the store back after it was away.
     virtual void registry_back() = 0;
 
-    /// This router owns placement and has read the store: the others are to be
-    /// told, so that they needn't.
+    /// This router has read the store: the others are to be told, so that they
+    /// needn't.
     virtual void store_read(const directory_word& word) = 0;
 };
 
@@ -86,7 +86,7 @@
     /// there is none.
     virtual void owner_heard(bool heard) = 0;
 
-    /// The placement owner told what it has read of the store.
+    /// Another router told what it has read of the store.
     virtual void word_heard(const directory_word& word) = 0;
 
     /// Another router owns placement under a fencing number. If it is a later
--- a/tests/unit/dissemination/test_registry_changes.cpp
+++ b/tests/unit/dissemination/test_registry_changes.cpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include <criterion/criterion.h>
 
@@ -58,7 +59,9 @@
     cr_assert(told[0].entry.holdings.on_disk.empty());
     cr_assert(!told[0].entry.holdings.copies_known);
     cr_assert(told[1].entry.leaving);
-    cr_assert(told[2].gone);
+    cr_assert(told[0].what == registry_change::kind::models);
+    cr_assert(told[1].what == registry_change::kind::whole);
+    cr_assert(told[2].what == registry_change::kind::gone);
     cr_assert_eq(told[2].entry.id, "e1");
     cr_assert(changes.take().empty());
 }
@@ -74,19 +77,57 @@
     cr_assert_eq(changes.take().size(), 2);
 }
 
+/// Another router knows the same up to the offset at which a change begins.
+Test(registry_changes, what_was_told_makes_the_same_as_what_was_read)
+{
+    const server_entry first[] = {engine(1)};
+    registry_changes reader;
+    registry_changes hearer;
+    reader.listed(first);
+    hearer.listed(first);
+    server_entry loaded = engine(8);
+    loaded.holdings.resident = {{"m2", {"a1", "a4"}}, {"m3", {}}};
+    reader.read(loaded);
+    const auto changes = reader.take();
+    const auto heard = hearer.told(changes.at(0));
+    cr_assert(heard.has_value());
+    cr_assert_eq(heard->address, loaded.address);
+    cr_assert_eq(heard->heard, 8);
+    cr_assert(heard->holdings.resident == loaded.holdings.resident);
+    hearer.read(loaded);
+    cr_assert(hearer.take().empty());
+}
+
+Test(registry_changes, models_of_an_unknown_engine_make_no_entry)
+{
+    registry_changes changes;
+    cr_assert(!changes.told({4, registry_change::kind::models, engine(4)}));
+}
+
+Test(registry_change, models_are_packed_and_unpacked)
+{
+    const std::vector<resident_model> models{
+        {"m1", {}}, {"m2", {"a1", "a2"}}, {"m3", {"a9"}}};
+    cr_assert(unpack(pack(models)) == models);
+    cr_assert(unpack("").empty());
+}
+
 Test(directory_word, a_long_word_is_cut_without_a_gap)
 {
     directory_word word;
     word.registry_from = 100;
     word.registry = {200, 5};
     for (std::uint64_t i = 0; i < 7; ++i)
-        word.changes.push_back({110 + 10 * i, false, engine(0)});
-    const auto parts = split(word, 3);
+        word.changes.push_back(
+            {110 + 10 * i, registry_change::kind::whole, engine(0)});
+    const std::size_t room = 3 * word.changes[0].bytes();
+    const auto parts = split(word, room);
     cr_assert_eq(parts.size(), 3);
     std::uint64_t from = 100;
     std::size_t changes = 0;
     for (const directory_word& part : parts)
     {
+        cr_assert_leq(changes_bytes(part), room);
         cr_assert_eq(part.registry_from, from);
         for (const registry_change& change : part.changes)
         {
--- a/tests/unit/users_platform/test_directory_words.cpp
+++ b/tests/unit/users_platform/test_directory_words.cpp
@@ -109,15 +109,15 @@
 directory_word word_of(std::uint64_t from, std::uint64_t next)
 {
     directory_word made;
-    made.tenure = 5;
     made.registry_from = from;
     made.registry = {next, 100};
     return made;
 }
 
-registry_change change_of(std::uint64_t offset, std::string id, bool gone)
+registry_change change_of(std::uint64_t offset, std::string id, bool is_gone)
 {
-    registry_change made{offset, gone, {}};
+    using enum registry_change::kind;
+    registry_change made{offset, is_gone ? gone : whole, {}};
     made.entry.id = std::move(id);
     return made;
 }
--- a/tests/unit/users_platform/test_gateway_peers.cpp
+++ b/tests/unit/users_platform/test_gateway_peers.cpp
@@ -127,16 +127,17 @@
     gateway_peers receiver(test.loop, place, test.events, test.meter);
     kept_words kept;
     receiver.start(kept);
+    using enum registry_change::kind;
     directory_word word;
-    word.tenure = 4;
     word.registry_from = 10;
     word.registry = {50, 700};
     word.back_for_us = 30;
     for (std::uint64_t i = 0; i < 9; ++i)
     {
-        registry_change change{20 + i, i == 8, {}};
+        registry_change change{20 + i, i == 8 ? gone : models, {}};
         change.entry.id = "e" + std::to_string(i);
-        change.entry.holdings.resident = {{"m1", {"a2"}}};
+        change.entry.holdings.resident = {
+            {std::string(200, 'm'), {"a2"}}, {"m2", {}}};
         word.changes.push_back(change);
     }
     const std::string to[] = {text_of(place)};
@@ -161,7 +162,8 @@
     cr_assert_eq(changes.size(), 9);
     cr_assert_eq(changes[3].entry.id, "e3");
     cr_assert_eq(changes[3].entry.holdings.resident[0].adapters[0], "a2");
-    cr_assert(changes[8].gone);
+    cr_assert(changes[3].what == models);
+    cr_assert(changes[8].what == gone);
     receiver.stop();
 }
 
