--- a/src/adapters/peers/gateway_peers.cpp
+++ b/src/adapters/peers/gateway_peers.cpp
@@ -82,6 +82,7 @@
     : socket(loop, listen)
     , events(sink)
     , meter(counted)
+    , part_timer(loop)
 {
     this->socket.non_blocking(true);
 }
@@ -94,6 +95,8 @@
 
 void gateway_peers::stop()
 {
+    this->parts.clear();
+    this->part_timer.cancel();
     boost::system::error_code ignored;
     this->socket.close(ignored);
 }
@@ -180,7 +183,13 @@
 void gateway_peers::send_one(
     std::span<const std::string> addresses, word_kind kind, const Word& word)
 {
-    const std::string datagram = encode(static_cast<std::uint8_t>(kind), word);
+    this->send_datagram(
+        addresses, encode(static_cast<std::uint8_t>(kind), word));
+}
+
+void gateway_peers::send_datagram(
+    std::span<const std::string> addresses, const std::string& datagram)
+{
     for (const std::string& address : addresses)
     {
         const auto parsed = platform::parse_endpoint(address);
@@ -247,8 +256,32 @@
 void gateway_peers::send(
     std::span<const std::string> addresses, const directory_word& word)
 {
+    const auto kind = static_cast<std::uint8_t>(word_kind::directory);
+    const std::vector<std::string> to(addresses.begin(), addresses.end());
     for (const directory_word& part : split(word, word_room))
-        this->send_one(addresses, word_kind::directory, part);
+        this->parts.push_back({to, encode(kind, part)});
+    while (this->parts.size() > most_parts)
+        this->parts.pop_front();
+    if (!this->is_pausing)
+        this->send_part();
+}
+
+void gateway_peers::send_part()
+{
+    if (this->parts.empty())
+        return;
+    const waiting_part part = std::move(this->parts.front());
+    this->parts.pop_front();
+    this->send_datagram(part.addresses, part.datagram);
+    this->is_pausing = true;
+    this->part_timer.expires_after(part_pause);
+    this->part_timer.async_wait(
+        [this](const boost::system::error_code& error)
+        {
+            this->is_pausing = false;
+            if (!error)
+                this->send_part();
+        });
 }
 
 } // namespace roseworks
--- a/src/adapters/peers/gateway_peers.hpp
+++ b/src/adapters/peers/gateway_peers.hpp
@@ -6,12 +6,16 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace roseworks
 {
@@ -28,6 +32,11 @@
     /// Bytes of a datagram at most: under a usual network's packet, so that
     /// one lost packet loses no other.
     static constexpr std::size_t most_bytes = 1400;
+    /// Between two datagrams to all routers of one long word: sent at once they
+    /// would fill the link, and the last ones be lost.
+    static constexpr std::chrono::milliseconds part_pause{20};
+    /// Parts that wait at most; the oldest are dropped then.
+    static constexpr std::size_t most_parts = 32;
 
     /// Binds the socket.
     /// @throws boost::system::system_error when the address can't be bound.
@@ -67,6 +76,9 @@
     void take(std::string_view datagram);
     template <class Word>
     bool decode(std::string_view content, Word& word);
+    void send_datagram(
+        std::span<const std::string> addresses, const std::string& datagram);
+    void send_part();
     template <class Word>
     void send_one(
         std::span<const std::string> addresses, word_kind kind, const Word&);
@@ -78,6 +90,17 @@
     boost::asio::ip::udp::endpoint sender;
     std::array<char, 65536> buffer;
     std::uint64_t rejected_count = 0;
+
+    /// A part of a long word on its way to many.
+    struct waiting_part
+    {
+        std::vector<std::string> addresses;
+        std::string datagram;
+    };
+
+    std::deque<waiting_part> parts;
+    boost::asio::steady_timer part_timer;
+    bool is_pausing = false; ///< after a part
 };
 
 } // namespace roseworks
--- a/src/app/gateway/gateway_control.cpp
+++ b/src/app/gateway/gateway_control.cpp
@@ -34,7 +34,7 @@
 constexpr double bytes_per_mbit = 125'000;
 
 /// Of a second of a router's link, for one word to all others of what it read.
-constexpr double told_share_of_link = 0.1;
+constexpr double told_share_of_link = 0.2;
 
 /// An owner that wasn't heard so long is gone; another may be there by then.
 constexpr duration owner_lifetime = std::chrono::milliseconds(1200);
--- a/src/core/dissemination/registry_changes.cpp
+++ b/src/core/dissemination/registry_changes.cpp
@@ -1,5 +1,6 @@
 #include "core/dissemination/registry_changes.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace roseworks
@@ -45,8 +46,7 @@
         return;
     const bool models_only = is_known && same_but_models(found->second, told);
     this->known.insert_or_assign(entry.id, told);
-    this->collected.push_back(
-        {told.heard, models_only ? models : whole, std::move(told)});
+    this->collect({told.heard, models_only ? models : whole, std::move(told)});
 }
 
 void registry_changes::removed(std::string_view id, std::uint64_t offset)
@@ -56,7 +56,30 @@
         this->known.erase(found);
     registry_change change{offset, registry_change::kind::gone, {}};
     change.entry.id = id;
-    this->collected.push_back(std::move(change));
+    this->collect(std::move(change));
+}
+
+void registry_changes::collect(registry_change change)
+{
+    using enum registry_change::kind;
+    const auto before = this->collected.find(change.entry.id);
+    const bool more_changed = before != this->collected.end() &&
+                              before->second.what != models &&
+                              change.what == models;
+    if (more_changed)
+        change.what = whole;
+    this->collected.insert_or_assign(change.entry.id, std::move(change));
+}
+
+bool registry_changes::only_models() const
+{
+    return !this->collected.empty() &&
+           std::ranges::all_of(
+               this->collected,
+               [](const auto& one)
+               {
+                   return one.second.what == registry_change::kind::models;
+               });
 }
 
 std::optional<server_entry>
@@ -79,7 +102,12 @@
 
 std::vector<registry_change> registry_changes::take()
 {
-    return std::exchange(this->collected, {});
+    std::vector<registry_change> changes;
+    for (auto& [id, change] : this->collected)
+        changes.push_back(std::move(change));
+    this->collected.clear();
+    std::ranges::sort(changes, {}, &registry_change::offset);
+    return changes;
 }
 
 } // namespace roseworks
--- a/src/core/dissemination/registry_changes.hpp
+++ b/src/core/dissemination/registry_changes.hpp
@@ -37,12 +37,19 @@
     */
     std::optional<server_entry> told(const registry_change& change);
 
-    /// @return What was read here since the last call, in order.
+    /// @return Whether there are changes, and all are of what engines hold:
+    ///         none of a server that came, went or leaves.
+    bool only_models() const;
+
+    /// @return The last change of each server that was read here since the last
+    ///         call, in order.
     std::vector<registry_change> take();
 
 private:
+    void collect(registry_change change);
+
     std::map<std::string, server_entry, std::less<>> known; ///< by id
-    std::vector<registry_change> collected;
+    std::map<std::string, registry_change, std::less<>> collected;
 };
 
 } // namespace roseworks
