A refusal by outdated knowledge waits for newer word; roseworksctl losses and story

A refusal counted 150 ms whatever the knowledge that it contradicted was; then the same engine was tried again, up to the route's attempts.

Change: 150 ms where the owner told of the model within the last second (a load that is about to end), else a second or until newer word of the engine; the request waits for the owner meanwhile. An entry with other models ends it, too.

--- a/src/core/serving/serving_view.cpp
+++ b/src/core/serving/serving_view.cpp
@@ -130,6 +130,8 @@
         one.owned.reset();
     }
     const bool moved = one.entry.address != entry.address;
+    if (one.entry.holdings.resident != entry.holdings.resident)
+        one.refused.clear();
     one.entry = std::move(entry);
     if (moved)
         this->find_superseded();
@@ -192,6 +194,7 @@
     one.refused.clear();
     one.owned = std::move(told);
     one.owned_at = now;
+    one.owned_since = now;
     return changed;
 }
 
@@ -216,8 +219,12 @@
     const auto found = this->known.find(engine);
     if (found == this->known.end())
         return false;
-    found->second.refused[std::string(servable)] =
-        now + this->settings.refusal_lifetime;
+    server& one = found->second;
+    const bool is_new =
+        one.owned && now - one.owned_since < this->settings.new_word;
+    one.refused[std::string(servable)] =
+        now + (is_new ? this->settings.refusal_lifetime
+                      : this->settings.outdated_refusal_lifetime);
     return true;
 }
 
--- a/src/core/serving/serving_view.hpp
+++ b/src/core/serving/serving_view.hpp
@@ -44,8 +44,16 @@
         duration outlook_lifetime = std::chrono::seconds(1);
         /// A shift of it by less changes nothing.
         duration outlook_step = std::chrono::milliseconds(200);
-        /// A refusal counts for so long: a load that is about to end.
+        /// A refusal counts for so long where the owner told of the model just
+        /// now: a load that is about to end.
         duration refusal_lifetime = std::chrono::milliseconds(150);
+        /// The owner's word is that new for so long.
+        duration new_word = std::chrono::milliseconds(1000);
+        /// A refusal counts for so long, or until there is newer word, where
+        /// older knowledge was wrong: the model was unloaded. The request waits
+        /// for the owner meanwhile, in place of using its sendings up at the
+        /// same engine.
+        duration outdated_refusal_lifetime = std::chrono::milliseconds(1000);
         /// An engine to which no connection could be opened gets nothing for
         /// so long, and each time again for twice as long up to the longest:
         /// the registry lists one that is gone for some seconds more, and each
@@ -67,7 +75,8 @@
         /// the registry for seconds, and its next run may be there by then.
         bool superseded = false;
         std::optional<engine_residency> owned;
-        instant owned_at; ///< when the owner last said so
+        instant owned_at;    ///< when the owner last said so
+        instant owned_since; ///< when the owner said so first
         /// Keys of what it refused, until when they count.
         std::map<std::string, instant, std::less<>> refused;
         duration unreached_for{};               ///< the last such time; 0: none
--- a/tools/ctl/command.hpp
+++ b/tools/ctl/command.hpp
@@ -15,6 +15,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace roseworks::tools
 {
@@ -45,6 +46,9 @@
 
     bool flag(const std::string& name) const;
 
+    /// @return The values of an option that may be given several times.
+    std::vector<std::string> texts(const std::string& name) const;
+
     /// @return The option's value, or an `input_error`.
     boost::leaf::result<std::uint64_t> number(const std::string& name) const;
 
@@ -81,6 +85,7 @@
     bool uses_log = true;
     void (*add_options)(cxxopts::OptionAdder& options) = nullptr;
     command_result (*run)(command_context& context) = nullptr;
+    bool many_arguments = false; ///< the positional one may come several times
 };
 
 /// All subcommands, in the order of `--help`.
@@ -106,6 +111,8 @@
 command_result run_key_add(command_context& context);
 command_result run_key_retire(command_context& context);
 command_result run_audit(command_context& context);
+command_result run_losses(command_context& context);
+command_result run_story(command_context& context);
 command_result run_completion(command_context& context);
 
 } // namespace roseworks::tools
--- a/tools/ctl/command_context.cpp
+++ b/tools/ctl/command_context.cpp
@@ -33,6 +33,13 @@
     return known ? value.as<std::string>() : std::string();
 }
 
+std::vector<std::string> command_context::texts(const std::string& name) const
+{
+    const auto& value = this->arguments[name];
+    return value.count() == 0 ? std::vector<std::string>()
+                              : value.as<std::vector<std::string>>();
+}
+
 bool command_context::flag(const std::string& name) const
 {
     return this->arguments.count(name) != 0;
--- a/tools/ctl/commands.cpp
+++ b/tools/ctl/commands.cpp
@@ -90,6 +90,19 @@
     options("all", "print renewals and checkpoints, too");
 }
 
+void losses_options(cxxopts::OptionAdder& options)
+{
+    json_option(options);
+    options(
+        "window-s",
+        "length of a window of time",
+        cxxopts::value<std::string>()->default_value("10"));
+    options(
+        "worth",
+        "ROUTE=NUMBER, what an answer in time is worth; may be repeated",
+        cxxopts::value<std::vector<std::string>>());
+}
+
 constexpr std::array table{
     command{
         "check",
@@ -187,6 +200,24 @@
         true,
         &audit_options,
         &run_audit},
+    command{
+        "losses",
+        "files",
+        "FILE...",
+        "count late, refused and failed requests of gateways' logs by cause",
+        false,
+        &losses_options,
+        &run_losses,
+        true},
+    command{
+        "story",
+        "request-and-files",
+        "REQUEST-ID FILE...",
+        "tell what happened to one request, from the logs of all VMs",
+        false,
+        &no_options,
+        &run_story,
+        true},
     command{
         "fields",
         "",
@@ -232,8 +263,11 @@
     if (!which.argument.empty())
     {
         const std::string name(which.argument);
-        options.add_options("argument")(
-            name, "", cxxopts::value<std::string>());
+        auto argument = options.add_options("argument");
+        if (which.many_arguments)
+            argument(name, "", cxxopts::value<std::vector<std::string>>());
+        else
+            argument(name, "", cxxopts::value<std::string>());
         options.parse_positional({name});
         options.positional_help(std::string(which.argument_help));
     }
