--- a/tools/lines/fleet_context.cpp
+++ b/tools/lines/fleet_context.cpp
@@ -40,6 +40,17 @@
 
 void fleet_context::take(const log_line& line)
 {
+    // Orders of adapters leave their model where it is, and so do those that an
+    // engine refused.
+    const bool is_done =
+        line.name == "engine_order_ended" && line.text("outcome") == "accepted";
+    if (is_done && line.text("adapter").empty())
+        keep(
+            this->orders[std::string(line.text("model"))],
+            model_order{
+                line.at_ms,
+                std::string(line.text("engine")),
+                line.text("action") == "unload"});
     if (line.name == "engine_ordered" && line.text("action") == "load")
         keep(
             this->loads[std::string(line.text("model"))],
@@ -69,6 +80,24 @@
     return last;
 }
 
+bool fleet_context::was_unloaded(
+    std::string_view model,
+    std::string_view engine,
+    std::int64_t before_ms) const
+{
+    const auto found = this->orders.find(model);
+    if (found == this->orders.end())
+        return false;
+    const model_order* last = nullptr;
+    for (const model_order& order : found->second)
+    {
+        const bool counts = order.engine == engine && order.at_ms <= before_ms;
+        if (counts && (last == nullptr || order.at_ms >= last->at_ms))
+            last = &order;
+    }
+    return last != nullptr && last->unloads;
+}
+
 bool fleet_context::gone_between(
     std::string_view server, std::int64_t from_ms, std::int64_t to_ms) const
 {
--- a/tools/lines/fleet_context.hpp
+++ b/tools/lines/fleet_context.hpp
@@ -34,6 +34,13 @@
     std::optional<load_order> load_between(
         std::string_view model, std::int64_t from_ms, std::int64_t to_ms) const;
 
+    /// @return Whether the last order for a model that an engine took before a
+    ///         time was to unload it.
+    bool was_unloaded(
+        std::string_view model,
+        std::string_view engine,
+        std::int64_t before_ms) const;
+
     /// @return Whether a server left the registry within a time.
     bool gone_between(
         std::string_view server,
@@ -47,9 +54,18 @@
         std::int64_t to_ms) const;
 
 private:
+    /// An order to load or unload a model that its engine took.
+    struct model_order
+    {
+        std::int64_t at_ms = 0;
+        std::string engine;
+        bool unloads = false;
+    };
+
     using times = std::deque<std::int64_t>;
 
     std::map<std::string, std::deque<load_order>, std::less<>> loads;
+    std::map<std::string, std::deque<model_order>, std::less<>> orders;
     std::map<std::string, times, std::less<>> gone;
     std::map<std::string, times, std::less<>> unreached;
 };
--- a/tools/lines/request_loss.cpp
+++ b/tools/lines/request_loss.cpp
@@ -15,6 +15,7 @@
     "load_from_memory",
     "load_from_disk",
     "load_from_store",
+    "model_unloaded",
     "no_engine_free",
     "server_slow",
     "server_gone",
@@ -88,6 +89,13 @@
                                     : loss_cause::load_from_disk;
 }
 
+bool was_sent_in_vain(const log_line& line, const fleet_context& fleet)
+{
+    return line.number("sends") > 0 &&
+           fleet.was_unloaded(
+               model_of(line), line.text("server"), request_span(line).came_ms);
+}
+
 loss_cause cause_at_server(const log_line& line, const fleet_context& fleet)
 {
     const std::string_view server = line.text("server");
@@ -114,6 +122,8 @@
 loss_cause cause_of_end(const log_line& line, const fleet_context& fleet)
 {
     const std::string_view reason = line.text("reason");
+    if (line.text("end") == "refused" && was_sent_in_vain(line, fleet))
+        return loss_cause::model_unloaded;
     for (const auto& [name, cause] : plain_reasons)
     {
         if (reason == name)
--- a/tools/lines/request_loss.hpp
+++ b/tools/lines/request_loss.hpp
@@ -20,6 +20,7 @@
     load_from_memory,
     load_from_disk,
     load_from_store,
+    model_unloaded, ///< it was sent where its model wasn't any more
     no_engine_free, ///< it waited, and no load of its model was under way
     server_slow,
     server_gone,
@@ -33,7 +34,7 @@
     other
 };
 
-inline constexpr std::size_t loss_causes = 16;
+inline constexpr std::size_t loss_causes = 17;
 
 /// @return The word in tables and JSON.
 std::string_view to_string(loss_cause cause);
