--- a/tests/unit/users_platform/fake_store.cpp
+++ b/tests/unit/users_platform/fake_store.cpp
@@ -45,6 +45,14 @@
     return result;
 }
 
+/// The end, where listings end, too, and the first offset: 8 bytes each.
+std::string nothing_after_one()
+{
+    std::string page(16, '\0');
+    page[7] = 1;
+    return page;
+}
+
 } // namespace
 
 fake_store::fake_store()
@@ -68,6 +76,11 @@
     this->records[key] = value;
 }
 
+void fake_store::answer_reads()
+{
+    this->reads_answered = true;
+}
+
 void fake_store::seen_run(const std::string& writer, std::uint64_t run)
 {
     const std::scoped_lock lock(this->mutex);
@@ -113,8 +126,9 @@
 {
     if (request.starts_with("GET /log-read"))
     {
-        ++this->reads_refused;
-        return http(503, "");
+        ++this->reads_seen;
+        return this->reads_answered ? http(200, nothing_after_one())
+                                    : http(503, "");
     }
     const std::scoped_lock lock(this->mutex);
     if (request.starts_with("GET /log-newest"))
--- a/tests/unit/users_platform/fake_store.hpp
+++ b/tests/unit/users_platform/fake_store.hpp
@@ -35,12 +35,15 @@
     /// Another run of a writer with this number has appended.
     void seen_run(const std::string& writer, std::uint64_t run);
 
-    /// @return Reads of a topic so far, all of them refused.
+    /// @return Reads of a topic so far.
     int reads() const
     {
-        return this->reads_refused;
+        return this->reads_seen;
     }
 
+    /// From now on reads are answered, with no record; before, all are refused.
+    void answer_reads();
+
     /// So many more joins of the group are answered, all later ones refused.
     void answer_joins(int count);
 
@@ -69,7 +72,8 @@
     std::vector<std::string> events;
     int answers_lost = 0;
     int joins_answered = std::numeric_limits<int>::max();
-    std::atomic<int> reads_refused{0};
+    std::atomic<int> reads_seen{0};
+    std::atomic<bool> reads_answered{false};
     edge::tests::fake_backend server; ///< last: its threads use the others
 };
 
--- a/tests/unit/users_platform/test_directory_words.cpp
+++ b/tests/unit/users_platform/test_directory_words.cpp
@@ -43,7 +43,11 @@
         this->removed.emplace_back(id);
     }
 
-    void routers_listed(std::vector<router_address>) override {}
+    void routers_listed(std::vector<router_address>) override
+    {
+        this->routers = true;
+    }
+
     void tenure_changed(std::optional<placement_tenure>) override {}
     void ownership_left() override {}
     void term_ended() override {}
@@ -61,6 +65,7 @@
     }
 
     bool listed = false;
+    bool routers = false;
     int returns = 0;
     std::vector<server_entry> read;
     std::vector<std::string> removed;
@@ -70,10 +75,16 @@
 /// A directory that has listed the store and would not read it again by itself.
 struct listed_directory
 {
-    listed_directory()
+    explicit listed_directory(
+        std::chrono::milliseconds age = std::chrono::hours(1),
+        double others_capacity = 1)
         : directory(
-              this->loop, settings(), this->clock, this->sink, this->meter)
+              this->loop, settings(age), this->clock, this->sink, this->meter)
     {
+        this->store.put(
+            "edge-2",
+            encode_router(
+                {{"edge-2", "10.0.0.2:1", others_capacity}, false, 1}));
         this->directory.start(this->listener);
         this->directory.owner_heard(true);
         while (!this->listener.listed)
@@ -86,16 +97,23 @@
         this->loop.poll();
     }
 
-    store_directory::options settings() const
+    store_directory::options settings(std::chrono::milliseconds age) const
     {
         store_directory::options made;
         made.server = *platform::parse_endpoint(this->store.address());
         made.self = {"edge-1", "10.0.0.1:7380", 1};
-        made.registry_age = std::chrono::hours(1);
-        made.config_age = std::chrono::hours(1);
+        made.registry_age = age;
+        made.config_age = age;
         return made;
     }
 
+    template <class Reached>
+    void run_until(Reached reached)
+    {
+        while (!reached())
+            this->loop.run_one();
+    }
+
     fake_store store;
     asio::io_context loop;
     platform::byte_meter meter;
@@ -177,3 +195,42 @@
     test.directory.word_heard(word);
     cr_assert_eq(test.listener.returns, 1);
 }
+
+/// The owner can't read: the store turns it away. One of the strongest reads
+/// for all, so that the others needn't.
+Test(
+    directory_words, a_strong_router_whose_knowledge_is_old_tells_what_it_reads)
+{
+    listed_directory test(std::chrono::milliseconds(1));
+    test.store.answer_reads();
+    test.run_until(
+        [&]
+        {
+            return !test.listener.told.empty();
+        });
+    const directory_word& word = test.listener.told.front();
+    cr_assert_eq(word.registry.next, 1);
+    cr_assert_geq(word.registry.age_us, 0);
+    cr_assert_eq(word.registry_from, 1);
+    cr_assert(word.changes.empty());
+}
+
+/// Words to hundreds of others would fill its link.
+Test(directory_words, a_weak_router_reads_for_itself_alone)
+{
+    listed_directory test(std::chrono::milliseconds(1), 4);
+    test.run_until(
+        [&]
+        {
+            return test.listener.routers;
+        });
+    test.listener.told.clear();
+    test.store.answer_reads();
+    const int before = test.store.reads();
+    test.run_until(
+        [&]
+        {
+            return test.store.reads() > before + 8;
+        });
+    cr_assert(test.listener.told.empty());
+}
