--- a/include/roseworks/verdict.hpp
+++ b/include/roseworks/verdict.hpp
@@ -40,7 +40,9 @@
     backend_timeout,   ///< the backend server made no progress
     retries_exhausted, ///< the retry budget is empty
     stream_cut,        ///< a stream ended midway and can't be resumed
-    key_reused         ///< the idempotency key is of a call with other content
+    key_reused,        ///< the idempotency key is of a call with other content
+    unknown_key,       ///< no organisation holds the caller's API key
+    organisation_limit ///< the organisation has used what it may
 };
 
 /// @return The word used in headers and problem documents: `not-run`, ...
@@ -101,6 +103,10 @@
         return "stream_cut";
     case refusal_reason::key_reused:
         return "key_reused";
+    case refusal_reason::unknown_key:
+        return "unknown_key";
+    case refusal_reason::organisation_limit:
+        return "organisation_limit";
     }
     return "unknown";
 }
--- a/src/adapters/edge/call_problem.cpp
+++ b/src/adapters/edge/call_problem.cpp
@@ -59,6 +59,10 @@
         return {502, "Stream cut"};
     case refusal_reason::key_reused:
         return {422, "Idempotency key reused with other content"};
+    case refusal_reason::unknown_key:
+        return {401, "Unknown API key"};
+    case refusal_reason::organisation_limit:
+        return {429, "Organisation's limit reached"};
     }
     return {500, "No answer"};
 }
--- a/src/adapters/events/event_catalogue.cpp
+++ b/src/adapters/events/event_catalogue.cpp
@@ -276,13 +276,13 @@
     {request_served, info, "request_served",
      "A backend server's whole answer was passed on, at its first sending. "
      "Sampled under load.",
-     "request_id, route, servable, end, status, reason, server, sends, "
-     "objective_ms, wait_ms, first_ms, total_ms, events",
+     "request_id, route, servable, organisation, end, status, reason, server, "
+     "sends, objective_ms, wait_ms, first_ms, total_ms, events",
      nothing},
     {request_ended, info, "request_ended",
      "A request ended in another way, or was sent more than once.",
-     "request_id, route, servable, end, status, reason, server, sends, "
-     "objective_ms, wait_ms, first_ms, total_ms, events, target",
+     "request_id, route, servable, organisation, end, status, reason, server, "
+     "sends, objective_ms, wait_ms, first_ms, total_ms, events, target",
      "Follow the request's id; docs/OPERATIONS.md shows how."},
     {lines_left_out, warn, "lines_left_out",
      "So many lines were not written: over the limit of lines a second, or the "
@@ -314,6 +314,21 @@
      "topic, key, reason",
      "Find who writes it. A configuration that cannot be read leaves the one "
      "before in force."},
+    {organisations_changed, info, "organisations_changed",
+     "A configuration changed keys or limits of organisations. Dropped keys are "
+     "named by the first digits of their digest.",
+     "version, keys_added, keys_dropped, limits_changed, dropped", nothing},
+    {limit_reached, warn, "limit_reached",
+     "This router counts for the others, and refused tokens of an organisation "
+     "within the last second: used and refused are sums of that second over "
+     "all routers that ask it, left what the limit has room for, share_percent "
+     "the part of the routers that it hears.",
+     "organisation, per_second, burst, used, refused, left, share_percent",
+     "Compare used with per_second: docs/OPERATIONS.md shows how."},
+    {accountant_changed, info, "accountant_changed",
+     "This router asks another one whether requests are within their "
+     "organisations' limits; nobody: it uses its own part of each.",
+     "accountant", nothing},
     {placement_owned, info, "placement_owned",
      "This router orders the engines from now on.",
      "fence", nothing},
--- a/src/adapters/forward/forward_call.cpp
+++ b/src/adapters/forward/forward_call.cpp
@@ -1,5 +1,6 @@
 #include "adapters/forward/forward_call.hpp"
 
+#include "adapters/forward/quota_gate.hpp"
 #include "adapters/forward/relay_head.hpp"
 #include "core/serving/servable_key.hpp"
 
@@ -79,6 +80,7 @@
     edge::caller_connection& connection,
     forward_request asked,
     const path_route& matched,
+    caller_organisation holder,
     std::string chosen_service,
     bool on_engines)
     : context(shared)
@@ -86,6 +88,7 @@
     , caller(connection)
     , request(std::move(asked))
     , route(matched)
+    , organisation(std::move(holder))
     , service(std::move(chosen_service))
     , engines(on_engines)
     , inbox(std::make_shared<edge::call_inbox>(connections.executor))
@@ -111,9 +114,11 @@
     info.target = info.is_service
                       ? this->service
                       : servable_key(this->service, this->request.model);
-    info.caller = "callers";
-    info.asked =
-        this->route.rank == urgent_rank ? priority::urgent : priority::normal;
+    const bool is_owned = !this->organisation.name.empty();
+    info.caller = is_owned ? this->organisation.name : "callers";
+    const std::uint8_t rank =
+        is_owned ? this->organisation.rank : this->route.rank;
+    info.asked = rank == urgent_rank ? priority::urgent : priority::normal;
     info.deadline = this->deadline;
     info.deadline = std::min<instant>(
         info.deadline, this->request.arrived + this->route.longest_wait());
@@ -126,18 +131,25 @@
 asio::awaitable<bool> forward_call::run()
 {
     this->context.retries_of(this->service).requested(this->request.arrived);
-    std::weak_ptr<edge::call_inbox> messages = this->inbox;
-    this->place = this->context.ports.dispatch.submit(
-        this->admission_info(),
-        [messages](const dispatch_port::reply& answer)
-        {
-            if (const auto open = messages.lock())
-                open->post_reply(answer);
-        });
     asio::co_spawn(
         this->pool.executor, watch(this->caller, this->inbox), asio::detached);
-    co_await this->serve();
+    const bool entered = co_await this->enter();
+    if (entered)
+    {
+        std::weak_ptr<edge::call_inbox> messages = this->inbox;
+        this->place = this->context.ports.dispatch.submit(
+            this->admission_info(),
+            [messages](const dispatch_port::reply& answer)
+            {
+                if (const auto open = messages.lock())
+                    open->post_reply(answer);
+            });
+        co_await this->serve();
+    }
     this->inbox->finish();
+    if (this->tokens_set_aside && !this->may_have_run)
+        this->context.ports.limits.give_back(
+            this->organisation.name, this->organisation.cost);
     beast::error_code ignored;
     this->caller.stream.socket().cancel(ignored);
     this->report();
@@ -145,6 +157,42 @@
         this->request.keep_alive && !this->context.draining;
 }
 
+asio::awaitable<bool> forward_call::enter()
+{
+    if (!this->organisation.is_limited)
+        co_return true;
+    quota_request asked;
+    asked.organisation = this->organisation.name;
+    asked.amount = this->organisation.cost;
+    asked.longest_wait =
+        this->route.objective / this->context.settings.wait_for_limit;
+    quota_gate gate(this->context.ports.limits, this->pool.executor);
+    const auto decision = co_await gate.pass(std::move(asked), *this->inbox);
+    if (!decision)
+    {
+        co_await this->end_interrupted();
+        co_return false;
+    }
+    this->tokens_set_aside = decision->is_allowed;
+    if (!decision->is_allowed)
+        co_await this->end_without_answer(
+            {true,
+             verdict::not_run,
+             refusal_reason::organisation_limit,
+             decision->retry_after});
+    co_return decision->is_allowed;
+}
+
+asio::awaitable<void> forward_call::end_interrupted()
+{
+    this->connection_usable = false;
+    this->end = request_end::caller_left;
+    if (!this->inbox->left())
+        co_await this->answer_own(make_own_answer(
+            refusal_reason::draining,
+            this->may_have_run ? verdict::may_have_run : verdict::not_run));
+}
+
 asio::awaitable<void> forward_call::serve()
 {
     while (true)
@@ -153,13 +201,7 @@
         if (!reply)
         {
             this->context.ports.dispatch.abandon(this->place);
-            this->connection_usable = false;
-            this->end = request_end::caller_left;
-            if (!this->inbox->left())
-                co_await this->answer_own(make_own_answer(
-                    refusal_reason::draining,
-                    this->may_have_run ? verdict::may_have_run
-                                       : verdict::not_run));
+            co_await this->end_interrupted();
             co_return;
         }
         if (const auto* no = std::get_if<refusal>(&*reply))
@@ -189,9 +231,24 @@
     return allowed;
 }
 
+bool forward_call::key_is_gone(const serving_table& table) const
+{
+    if (this->organisation.name.empty() || this->sends != 0)
+        return false;
+    const organisation_index& known = table.organisations();
+    return known.is_required() && known.find(this->organisation.key) == nullptr;
+}
+
 asio::awaitable<bool> forward_call::attempt(grant where)
 {
     const serving_table_ptr table = this->context.ports.table();
+    if (this->key_is_gone(*table))
+    {
+        this->context.ports.dispatch.abandon(this->place);
+        co_await this->end_without_answer(
+            {true, verdict::not_run, refusal_reason::unknown_key, {}});
+        co_return true;
+    }
     const server_identity* server = table->find_server(where.address);
     attempt_result result;
     result.how = end_kind::not_sent;
@@ -254,6 +311,18 @@
     co_await pause.async_wait(edge::quietly);
 }
 
+unsigned forward_call::engine_rank() const
+{
+    /// Engines know ten ranks: an organisation's goes before a route's.
+    constexpr unsigned route_ranks = 3;
+    constexpr unsigned last = 9;
+    if (this->organisation.name.empty())
+        return this->route.rank;
+    const unsigned within =
+        std::min<unsigned>(this->route.rank, route_ranks - 1);
+    return std::min(this->organisation.rank * route_ranks + within, last);
+}
+
 std::string
 forward_call::bytes_for(const server_identity& server, instant now) const
 {
@@ -264,7 +333,9 @@
         std::chrono::milliseconds(1));
     set.instance = server.instance;
     if (this->engines)
-        set.priority = this->route.rank;
+        set.priority = this->engine_rank();
+    set.organisation = this->organisation.name;
+    set.with_credentials = !this->organisation.keys_required;
     if (this->head_written)
         set.last_event = this->events.last_id();
     return make_backend_bytes(this->request, this->context.names, set);
@@ -385,6 +456,7 @@
         {{"request_id", this->request.id},
          {"route", this->route.name},
          {"servable", this->request.model},
+         {"organisation", this->organisation.name},
          {"end", to_string(this->end)},
          {"status", this->status},
          {"reason", to_string(this->reason)},
--- a/src/adapters/forward/forward_call.hpp
+++ b/src/adapters/forward/forward_call.hpp
@@ -2,6 +2,7 @@
 
 #include "adapters/edge/call_inbox.hpp"
 #include "adapters/edge/caller_connection.hpp"
+#include "adapters/forward/caller_organisation.hpp"
 #include "adapters/forward/event_cutter.hpp"
 #include "adapters/forward/forward_context.hpp"
 #include "adapters/forward/forward_request.hpp"
@@ -34,6 +35,7 @@
         edge::caller_connection& connection,
         forward_request asked,
         const path_route& matched,
+        caller_organisation holder,
         std::string chosen_service,
         bool on_engines);
     ~forward_call();
@@ -62,12 +64,17 @@
     };
 
     request_info admission_info() const;
+    /// @return Whether the request may be sent; if not, it has its answer.
+    asio::awaitable<bool> enter();
     asio::awaitable<void> serve();
     asio::awaitable<bool> attempt(grant where);
     bool may_attempt();
+    /// @return Whether its caller's key was taken away while it waited.
+    bool key_is_gone(const serving_table& table) const;
     /// An engine refused the request for want of its model.
     asio::awaitable<void>
     wait_for_table(const std::string& servable, const std::string& instance);
+    unsigned engine_rank() const;
     std::string bytes_for(const server_identity& server, instant now) const;
     asio::awaitable<attempt_result>
     exchange_with(const grant& where, const server_identity& server);
@@ -82,6 +89,8 @@
     attempt_result result_of(relayed how) const;
     attempt_result result_of(exchange_state state) const;
     asio::awaitable<void> answer_own(own_answer answer);
+    /// The caller left, or the process ends.
+    asio::awaitable<void> end_interrupted();
     asio::awaitable<void> end_without_answer(dispatcher::finish how);
     void report();
 
@@ -90,15 +99,17 @@
     edge::caller_connection& caller;
     forward_request request;
     path_route route;
+    caller_organisation organisation;
     std::string service;
     bool engines;
     instant deadline; ///< of the whole call
     std::shared_ptr<edge::call_inbox> inbox;
     ticket place;
     event_cutter events;
-    std::uint32_t attempts = 0; ///< that may have run
-    std::uint32_t sends = 0;    ///< that reached a server, refused ones too
-    std::string last_server;    ///< id of the last attempt's
+    std::uint32_t attempts = 0;    ///< that may have run
+    std::uint32_t sends = 0;       ///< that reached a server, refused ones too
+    std::string last_server;       ///< id of the last attempt's
+    bool tokens_set_aside = false; ///< of its organisation's limit
     bool may_have_run = false;
     bool head_written = false;
     bool chunked = false; ///< the answer's framing towards the caller
--- a/src/adapters/forward/forward_context.hpp
+++ b/src/adapters/forward/forward_context.hpp
@@ -6,6 +6,7 @@
 #include "core/request/shared_retry_budget.hpp"
 #include "core/serving/serving_table.hpp"
 #include "ports/dispatch_port.hpp"
+#include "ports/quota_port.hpp"
 
 #include <atomic>
 #include <cstddef>
@@ -32,6 +33,9 @@
     std::chrono::milliseconds default_deadline{60'000};
     /// After an engine refused a request: for the table without it.
     std::chrono::milliseconds refused_pause{5};
+    /// Part of a request's objective that it may wait to be within its
+    /// organisation's limit.
+    int wait_for_limit = 4;
     /// Retry-After while no configuration is known.
     std::chrono::milliseconds start_retry{500};
     /// Retry-After of a request that crashes servers: as long as the block.
@@ -44,6 +48,7 @@
 struct forward_dependencies
 {
     dispatch_port& dispatch;
+    quota_port& limits;
     std::function<serving_table_ptr()> table; ///< newest; null: none yet
     std::function<std::size_t()> routers;     ///< alive, this one included
     /// An engine told its load with an answer.
--- a/src/adapters/forward/forward_request.cpp
+++ b/src/adapters/forward/forward_request.cpp
@@ -61,22 +61,61 @@
         });
 }
 
-std::string
-forwarded_lines(const http::fields& fields, const header_dialect& names)
+void add_line(std::string& to, std::string_view name, std::string_view value)
+{
+    to += name;
+    to += ": ";
+    to += value;
+    to += "\r\n";
+}
+
+/// Sorts a request's lines into those that are forwarded and those with
+/// credentials.
+void add_lines(
+    forward_request& made,
+    const http::fields& fields,
+    const header_dialect& names)
 {
-    std::string lines;
     for (const auto& field : fields)
     {
         const beast::string_view name = field.name_string();
-        if (is_hop_by_hop(field.name()) || is_set_here(names, name) ||
-            is_listed(fields, name))
-            continue;
-        lines += view(name);
-        lines += ": ";
-        lines += view(field.value());
-        lines += "\r\n";
+        if (field.name() == http::field::authorization)
+            add_line(made.credentials, view(name), view(field.value()));
+        else if (
+            !is_hop_by_hop(field.name()) && !is_set_here(names, name) &&
+            !is_listed(fields, name))
+            add_line(made.header, view(name), view(field.value()));
     }
-    return lines;
+}
+
+/// @return The key of `Bearer KEY`; empty when there is none, or no telling
+///         which.
+std::string key_of(const http::fields& fields)
+{
+    constexpr beast::string_view scheme = "Bearer ";
+    if (fields.count(http::field::authorization) != 1)
+        return {};
+    const beast::string_view text = fields[http::field::authorization];
+    if (!beast::iequals(text.substr(0, scheme.size()), scheme))
+        return {};
+    std::string_view key = view(text.substr(scheme.size()));
+    key.remove_prefix(std::min(key.find_first_not_of(' '), key.size()));
+    return std::string(key);
+}
+
+/// @return The sum of two numbers with a comma between.
+std::optional<std::uint64_t> parse_tokens(std::string_view text)
+{
+    std::uint32_t in = 0;
+    std::uint32_t out = 0;
+    const char* const end = text.data() + text.size();
+    const auto first = std::from_chars(text.data(), end, in);
+    if (first.ec != std::errc() || first.ptr == end || *first.ptr != ',')
+        return std::nullopt;
+    const auto second = std::from_chars(first.ptr + 1, end, out);
+    if (second.ec != std::errc() || second.ptr != end)
+        return std::nullopt;
+    return std::uint64_t(in) + out;
 }
 
 std::optional<std::chrono::milliseconds>
@@ -91,14 +130,6 @@
     return std::chrono::milliseconds(value);
 }
 
-void add_line(std::string& to, std::string_view name, std::string_view value)
-{
-    to += name;
-    to += ": ";
-    to += value;
-    to += "\r\n";
-}
-
 } // namespace
 
 fingerprint forward_request::content() const
@@ -125,7 +156,9 @@
     made.id = view(message[names.request_id]);
     made.model = view(message[names.model]);
     made.deadline = parse_milliseconds(view(message[names.deadline]));
-    made.header = forwarded_lines(message, names);
+    add_lines(made, message, names);
+    made.key = key_of(message);
+    made.tokens = parse_tokens(view(message[names.tokens]));
     const auto last_event = message[names.last_event];
     if (!last_event.empty())
         made.caller_has = view(last_event);
@@ -149,6 +182,10 @@
     bytes += request.target;
     bytes += " HTTP/1.1\r\n";
     bytes += request.header;
+    if (attempt.with_credentials)
+        bytes += request.credentials;
+    if (!attempt.organisation.empty())
+        add_line(bytes, names.organisation, attempt.organisation);
     add_line(bytes, names.deadline, std::to_string(attempt.deadline.count()));
     if (!attempt.instance.empty())
         add_line(bytes, names.expect_instance, attempt.instance);
--- a/src/adapters/forward/forward_request.hpp
+++ b/src/adapters/forward/forward_request.hpp
@@ -7,6 +7,7 @@
 #include <roseworks/instant.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -24,6 +25,11 @@
     std::string model;      ///< model or model/adapter; empty: none
     std::string caller_has; ///< last event of a stream that the caller has
     std::string header; ///< lines that are forwarded, each with its line end
+    /// Lines with the caller's credentials: forwarded only where callers need
+    /// no key.
+    std::string credentials;
+    std::string key; ///< API key; empty: none, or more than one
+    std::optional<std::uint64_t> tokens; ///< of the prompt and the answer
     std::string body;
     std::optional<std::chrono::milliseconds> deadline; ///< the caller's
     unsigned version = 11;
@@ -48,6 +54,8 @@
     std::string_view instance;            ///< run that may take it
     std::optional<unsigned> priority;     ///< engines only
     std::string_view last_event; ///< of a stream that goes on; empty: none
+    std::string_view organisation = {}; ///< that holds the key; empty: none
+    bool with_credentials = false;      ///< the caller's are passed on
 };
 
 /// @return The bytes of the request for a backend server, body included.
--- a/src/adapters/forward/forward_session.cpp
+++ b/src/adapters/forward/forward_session.cpp
@@ -150,6 +150,18 @@
             co_await this->answer(turned_away_with(not_found), request);
         co_return more;
     }
+    caller_organisation holder = find_caller(table->organisations(), request);
+    const bool is_known = !holder.name.empty() || !holder.keys_required;
+    if (!is_known && !route->keyless)
+    {
+        const bool more = co_await this->answer(
+            make_own_answer(
+                refusal_reason::unknown_key,
+                verdict::not_run,
+                duration::zero()),
+            request);
+        co_return more;
+    }
     if (table->is_blocked(request.content()))
     {
         const bool more = co_await this->answer(
@@ -168,6 +180,7 @@
         this->connection,
         std::move(request),
         *route,
+        std::move(holder),
         std::move(service),
         engines);
     this->running = &call;
--- a/src/adapters/forward/own_answer.cpp
+++ b/src/adapters/forward/own_answer.cpp
@@ -17,12 +17,18 @@
 constexpr unsigned unavailable = 503;
 constexpr unsigned gateway_timeout = 504;
 constexpr unsigned not_found = 404;
+constexpr unsigned unauthorized = 401;
+constexpr unsigned too_many = 429;
 
 unsigned status_of(refusal_reason reason, verdict outcome)
 {
     if (reason == refusal_reason::unknown_servable ||
         reason == refusal_reason::unknown_service)
         return not_found;
+    if (reason == refusal_reason::unknown_key)
+        return unauthorized;
+    if (reason == refusal_reason::organisation_limit)
+        return too_many;
     if (outcome == verdict::not_run)
         return unavailable;
     const bool late = reason == refusal_reason::backend_timeout ||
@@ -77,6 +83,8 @@
     }
     if (answer.retry_after > duration::zero())
         bytes += "Retry-After: " + seconds_text(answer.retry_after) + "\r\n";
+    if (answer.status == unauthorized)
+        bytes += "WWW-Authenticate: Bearer\r\n";
     if (!keep_alive)
         bytes += "Connection: close\r\n";
     bytes += "\r\n";
--- a/src/adapters/peers/gateway_peers.cpp
+++ b/src/adapters/peers/gateway_peers.cpp
@@ -143,11 +143,7 @@
         return;
     case word_kind::owner:
         if (owner_word word; this->decode(body, word))
-        {
-            std::ostringstream from;
-            from << this->sender;
-            this->listener->owner_word_heard(word, from.str());
-        }
+            this->listener->owner_word_heard(word, this->sender_text());
         return;
     case word_kind::broken:
         if (break_word word; this->decode(body, word))
@@ -157,10 +153,25 @@
         if (directory_word word; this->decode(body, word))
             this->listener->directory_word_heard(word);
         return;
+    case word_kind::quota_ask:
+        if (quota_ask word; this->decode(body, word))
+            this->listener->quota_ask_heard(word, this->sender_text());
+        return;
+    case word_kind::quota_answer:
+        if (quota_answer word; this->decode(body, word))
+            this->listener->quota_answer_heard(word);
+        return;
     }
     ++this->rejected_count;
 }
 
+std::string gateway_peers::sender_text() const
+{
+    std::ostringstream text;
+    text << this->sender;
+    return text.str();
+}
+
 template <class Word>
 bool gateway_peers::decode(std::string_view content, Word& word)
 {
@@ -266,6 +277,19 @@
         this->send_part();
 }
 
+void gateway_peers::send(std::string_view address, const quota_ask& ask)
+{
+    // A few draws and returns at most: they are sent as they come.
+    const std::string to[] = {std::string(address)};
+    this->send_one(to, word_kind::quota_ask, ask);
+}
+
+void gateway_peers::send(std::string_view address, const quota_answer& answer)
+{
+    const std::string to[] = {std::string(address)};
+    this->send_one(to, word_kind::quota_answer, answer);
+}
+
 void gateway_peers::send_part()
 {
     if (this->parts.empty())
--- a/src/adapters/peers/gateway_peers.hpp
+++ b/src/adapters/peers/gateway_peers.hpp
@@ -56,6 +56,8 @@
     void send(
         std::span<const std::string> addresses,
         const directory_word& word) override;
+    void send(std::string_view address, const quota_ask& ask) override;
+    void send(std::string_view address, const quota_answer& answer) override;
     void stop() override;
 
     std::uint64_t rejected() const
@@ -69,11 +71,14 @@
         router = 1,
         owner = 2,
         broken = 3,
-        directory = 4
+        directory = 4,
+        quota_ask = 5,
+        quota_answer = 6
     };
 
     void receive();
     void take(std::string_view datagram);
+    std::string sender_text() const;
     template <class Word>
     bool decode(std::string_view content, Word& word);
     void send_datagram(
--- a/src/adapters/settings/gateway_settings.hpp
+++ b/src/adapters/settings/gateway_settings.hpp
@@ -51,6 +51,10 @@
         double retry_extra = 50; ///< retries beside them, of all routers
         milliseconds load_window{5000};
         double load_factor = 1.1; ///< over the store's rate within a window
+        /// In which an organisation's use is summed up over all routers.
+        milliseconds limit_window{8000};
+        double limit_excess = 0.1; ///< of a limit, beyond it
+        double limit_slack = 0;    ///< beside that, in the limit's unit
     } bounds;
 
     struct
--- a/src/app/gateway/gateway_app.cpp
+++ b/src/app/gateway/gateway_app.cpp
@@ -189,6 +189,7 @@
         make_edge_options(), this->clock, this->events, this->counts, nullptr);
     forward::forward_dependencies ports{
         *this->dispatch,
+        this->control->limits(),
         [this]
         {
             return this->tables.get();
--- a/src/app/gateway/gateway_control.cpp
+++ b/src/app/gateway/gateway_control.cpp
@@ -73,6 +73,18 @@
     return made;
 }
 
+quota_desk::options quota_options(const settings::gateway_settings& settings)
+{
+    quota_desk::options made;
+    made.router = settings.vm.name;
+    made.bounds.window = settings.bounds.limit_window;
+    made.bounds.excess = settings.bounds.limit_excess;
+    made.bounds.slack = settings.bounds.limit_slack;
+    std::random_device device;
+    made.seed = std::uint64_t(device()) << 32;
+    return made;
+}
+
 users_platform::store_directory::options
 directory_options(const settings::gateway_settings& settings)
 {
@@ -124,6 +136,7 @@
               [this](std::shared_ptr<const deployment> configuration)
               {
                   this->placement->configured(configuration);
+                  this->quotas->configured(*configuration);
                   this->tell.on_deployment(std::move(configuration));
               },
               [this]
@@ -134,6 +147,8 @@
           this->loop, directory_options(wanted), time, sink, this->meter))
     , peers(std::make_unique<gateway_peers>(
           this->loop, udp_endpoint(wanted.listen.peers), sink, this->meter))
+    , quotas(std::make_unique<quota_desk>(
+          this->loop, quota_options(wanted), time, sink, *this->peers))
     , commands(std::make_unique<users_platform::engine_commands>(
           this->loop, command_options(wanted), this->meter))
     , placement(std::make_unique<placement_desk>(
@@ -180,6 +195,7 @@
             this->desk->start();
             this->peers->start(*this);
             this->placement->start();
+            this->quotas->start();
             this->directory->start(*this);
             this->arm_uses();
         });
@@ -354,6 +370,17 @@
     this->directory->word_heard(word);
 }
 
+void gateway_control::quota_ask_heard(
+    const quota_ask& ask, std::string_view from)
+{
+    this->quotas->ask_heard(ask, from);
+}
+
+void gateway_control::quota_answer_heard(const quota_answer& answer)
+{
+    this->quotas->answer_heard(answer);
+}
+
 void gateway_control::run_ended(
     const std::string& servable, const std::string& engine)
 {
@@ -429,6 +456,7 @@
             this->directory->stop();
             this->peers->stop();
             this->placement->stop();
+            this->quotas->stop();
             this->desk->stop();
             this->teller.stop();
             this->uses_timer.cancel();
@@ -466,6 +494,7 @@
 
 void gateway_control::routers_listed(std::vector<router_address> all)
 {
+    this->quotas->routers_listed(all);
     this->router_addresses.clear();
     for (router_address& router : all)
         this->router_addresses[router.name] = std::move(router.address);
--- a/src/app/gateway/gateway_control.hpp
+++ b/src/app/gateway/gateway_control.hpp
@@ -6,6 +6,7 @@
 #include "adapters/settings/gateway_settings.hpp"
 #include "app/gateway/need_teller.hpp"
 #include "app/gateway/placement_desk.hpp"
+#include "app/gateway/quota_desk.hpp"
 #include "app/gateway/serving_desk.hpp"
 #include "app/gateway/usage_meter.hpp"
 #include "app/table_holder.hpp"
@@ -93,6 +94,12 @@
     /// It has ended there.
     void run_ended(const std::string& servable, const std::string& engine);
 
+    /// Limits of organisations.
+    quota_port& limits()
+    {
+        return *this->quotas;
+    }
+
     bool ready() const
     {
         return this->desk->ready();
@@ -126,6 +133,8 @@
     owner_word_heard(const owner_word& word, std::string_view from) override;
     void break_word_heard(const break_word& word) override;
     void directory_word_heard(const directory_word& word) override;
+    void quota_ask_heard(const quota_ask& ask, std::string_view from) override;
+    void quota_answer_heard(const quota_answer& answer) override;
 
     void run();
     void take_owner_word(const owner_word& word, std::string_view from);
@@ -161,6 +170,7 @@
     std::unique_ptr<serving_desk> desk;
     std::unique_ptr<directory_port> directory;
     std::unique_ptr<gateway_peer_port> peers;
+    std::unique_ptr<quota_desk> quotas;
     std::unique_ptr<engine_command_port> commands;
     std::unique_ptr<placement_desk> placement;
     usage_meter usage;
--- /dev/null
+++ b/src/app/gateway/quota_desk.cpp
@@ -0,0 +1,256 @@
+#include "app/gateway/quota_desk.hpp"
+
+#include <boost/asio/post.hpp>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace roseworks::app
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// Routers that may count, in order; all others are never asked.
+constexpr std::size_t most_accountants = 8;
+
+/// An accountant hears all others and answers at once: as one whose VM carries
+/// half as much as the strongest, or more.
+constexpr double strong_enough = 0.5;
+
+/// Between two lines of what organisations were refused.
+constexpr duration log_pause = std::chrono::seconds(1);
+
+/// The same order on each router, and another one than that of the names, so
+/// that one VM isn't the first for all that is done by one.
+std::uint64_t weight_of(std::string_view name)
+{
+    constexpr std::uint64_t seed = 0x71756F7461;
+    return XXH64(name.data(), name.size(), seed);
+}
+
+std::vector<std::string> accountants_among(std::span<const router_address> all)
+{
+    double strongest = 0;
+    for (const router_address& one : all)
+        strongest = std::max(strongest, one.capacity);
+    std::vector<std::string> names;
+    for (const router_address& one : all)
+    {
+        if (one.capacity >= strongest * strong_enough)
+            names.push_back(one.name);
+    }
+    std::ranges::sort(names, std::ranges::greater(), weight_of);
+    names.resize(std::min(names.size(), most_accountants));
+    return names;
+}
+
+quota_client::options client_options(const quota_desk::options& settings)
+{
+    quota_client::options made;
+    made.router = settings.router;
+    made.bounds = settings.bounds;
+    made.way = settings.way;
+    made.seed = settings.seed;
+    return made;
+}
+
+} // namespace
+
+quota_desk::quota_desk(
+    asio::io_context& context,
+    options chosen,
+    const clock_port& time,
+    event_sink& sink,
+    gateway_peer_port& others)
+    : loop(context)
+    , settings(std::move(chosen))
+    , clock(time)
+    , events(sink)
+    , peers(others)
+    , accountant(this->settings.router, this->settings.bounds)
+    , client(client_options(this->settings))
+    , timer(context)
+{
+}
+
+void quota_desk::start()
+{
+    this->logged = this->clock.now();
+    this->arm();
+}
+
+void quota_desk::stop()
+{
+    this->stopped = true;
+    this->timer.cancel();
+}
+
+void quota_desk::configured(const deployment& configuration)
+{
+    this->is_limited =
+        configuration.organisations && std::ranges::any_of(
+                                           *configuration.organisations,
+                                           [](const organisation& one)
+                                           {
+                                               return one.limit.has_value();
+                                           });
+    this->accountant.limits_changed(configuration, this->clock.now());
+    this->client.limits_changed(configuration);
+    this->tick();
+}
+
+void quota_desk::routers_listed(std::span<const router_address> all)
+{
+    this->addresses.clear();
+    for (const router_address& one : all)
+        this->addresses[one.name] = one.address;
+    this->accountant.routers_known(all.size());
+    this->client.accountants_known(accountants_among(all), all.size());
+    this->tick();
+}
+
+void quota_desk::ask_heard(const quota_ask& ask, std::string_view from)
+{
+    this->peers.send(from, this->accountant.heard(ask, this->clock.now()));
+}
+
+void quota_desk::answer_heard(const quota_answer& answer)
+{
+    this->client.heard(answer, this->clock.now());
+    this->flush();
+}
+
+void quota_desk::draw(quota_request request, handler told)
+{
+    asio::post(
+        this->loop,
+        [this, request = std::move(request), told = std::move(told)]
+        {
+            this->draw_now(request, told);
+        });
+}
+
+void quota_desk::draw_now(const quota_request& request, handler to_tell)
+{
+    const std::uint64_t id = this->client.draw(
+        request.organisation,
+        request.amount,
+        request.longest_wait,
+        this->clock.now());
+    this->waiting.emplace(id, std::move(to_tell));
+    this->flush();
+}
+
+void quota_desk::give_back(std::string organisation, double amount)
+{
+    asio::post(
+        this->loop,
+        [this, organisation = std::move(organisation), amount]
+        {
+            this->client.give_back(organisation, amount, this->clock.now());
+        });
+}
+
+void quota_desk::flush()
+{
+    for (auto messages = this->client.take_messages(); !messages.empty();
+         messages = this->client.take_messages())
+    {
+        for (const quota_message& message : messages)
+            this->send(message);
+    }
+    for (const quota_decision& made : this->client.take_decisions())
+        this->tell(made);
+    this->arm();
+}
+
+void quota_desk::send(const quota_message& message)
+{
+    if (message.to == this->settings.router)
+    {
+        const instant now = this->clock.now();
+        this->client.heard(this->accountant.heard(message.ask, now), now);
+        return;
+    }
+    const auto address = this->addresses.find(message.to);
+    if (address != this->addresses.end())
+        this->peers.send(address->second, message.ask);
+}
+
+void quota_desk::tell(const quota_decision& made)
+{
+    const auto found = this->waiting.find(made.id);
+    if (found == this->waiting.end())
+        return;
+    const handler one = std::move(found->second);
+    this->waiting.erase(found);
+    one(made);
+}
+
+void quota_desk::arm()
+{
+    if (this->stopped || !this->is_limited)
+        return;
+    const duration wait = this->client.next_tick() - this->clock.now();
+    this->timer.expires_after(std::max(wait, duration::zero()));
+    this->timer.async_wait(
+        [this](const boost::system::error_code& error)
+        {
+            if (!error && !this->stopped)
+                this->tick();
+        });
+}
+
+void quota_desk::tick()
+{
+    const instant now = this->clock.now();
+    if (!this->is_limited)
+        return;
+    this->accountant.tick(now);
+    this->client.tick(now);
+    if (now - this->logged >= log_pause)
+        this->log_use();
+    this->flush();
+}
+
+void quota_desk::log_use()
+{
+    this->logged = this->clock.now();
+    if (this->asked != this->client.accountant())
+    {
+        this->asked = this->client.accountant();
+        this->events.report(
+            event_id::accountant_changed, {{"accountant", this->asked}});
+    }
+    this->log_limits();
+}
+
+void quota_desk::log_limits()
+{
+    const auto whole = [](double amount)
+    {
+        return static_cast<std::int64_t>(amount);
+    };
+    constexpr double percent = 100;
+    for (const auto& [name, one] : this->accountant.accounts())
+    {
+        tally& before = this->told[name];
+        if (one.refused > before.refused)
+            this->events.report(
+                event_id::limit_reached,
+                {{"organisation", name},
+                 {"per_second", whole(one.limit.per_second)},
+                 {"burst", whole(one.limit.burst)},
+                 {"used", whole(one.used - before.used)},
+                 {"refused", whole(one.refused - before.refused)},
+                 {"left", whole(one.bucket.level())},
+                 {"share_percent", whole(this->accountant.share() * percent)}});
+        before = {one.used, one.refused};
+    }
+}
+
+} // namespace roseworks::app
--- a/src/app/gateway/serving_desk.cpp
+++ b/src/app/gateway/serving_desk.cpp
@@ -1,5 +1,7 @@
 #include "app/gateway/serving_desk.hpp"
 
+#include "core/serving/organisation_changes.hpp"
+
 #include <utility>
 
 namespace roseworks::app
@@ -43,6 +45,7 @@
 void serving_desk::deployment_read(
     std::shared_ptr<const deployment> configuration)
 {
+    const std::shared_ptr<const deployment> before = this->known.config();
     if (!this->known.deployment_read(configuration))
         return;
     this->events.report(
@@ -52,9 +55,24 @@
          {"services", configuration->services.size()}});
     // At once: its bound counts from the store's acknowledgement.
     this->publish();
+    this->tell_organisations(before.get(), *configuration);
     this->tell.on_deployment(std::move(configuration));
 }
 
+void serving_desk::tell_organisations(
+    const deployment* before, const deployment& now)
+{
+    const organisation_changes changes = compare_organisations(before, now);
+    if (changes.any())
+        this->events.report(
+            event_id::organisations_changed,
+            {{"version", now.version},
+             {"keys_added", changes.keys_added},
+             {"keys_dropped", changes.keys_dropped},
+             {"limits_changed", changes.limits_changed},
+             {"dropped", changes.dropped}});
+}
+
 void serving_desk::servers_listed(std::vector<server_entry> all)
 {
     this->listed = this->listed || !all.empty();
--- a/src/app/gateway/serving_desk.hpp
+++ b/src/app/gateway/serving_desk.hpp
@@ -97,6 +97,7 @@
     void publish();
     void arm_tick();
     void tell_server(const server_entry& entry);
+    void tell_organisations(const deployment* before, const deployment& now);
 
     boost::asio::io_context& loop;
     options settings;
--- a/src/app/traffic_metrics.hpp
+++ b/src/app/traffic_metrics.hpp
@@ -46,7 +46,7 @@
 struct label_traits<refusal_reason>
 {
     static constexpr std::string_view name = "reason";
-    static constexpr std::array<std::string_view, 19> values = {
+    static constexpr std::array<std::string_view, 21> values = {
         to_string(refusal_reason::none),
         to_string(refusal_reason::bad_request),
         to_string(refusal_reason::unknown_servable),
@@ -65,7 +65,9 @@
         to_string(refusal_reason::backend_timeout),
         to_string(refusal_reason::retries_exhausted),
         to_string(refusal_reason::stream_cut),
-        to_string(refusal_reason::key_reused)};
+        to_string(refusal_reason::key_reused),
+        to_string(refusal_reason::unknown_key),
+        to_string(refusal_reason::organisation_limit)};
 };
 
 } // namespace roseworks::metrics
--- /dev/null
+++ b/src/core/quota/quota_accountant.cpp
@@ -0,0 +1,149 @@
+#include "core/quota/quota_accountant.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace roseworks
+{
+
+namespace
+{
+
+/// Draws of a router that are answered alike when they are repeated.
+constexpr std::size_t most_answered = 32;
+
+/// A router that wasn't heard for so long needs no memory here.
+constexpr duration forgotten_after = std::chrono::seconds(60);
+
+/// Between two counts of the routers that are heard.
+constexpr duration count_pause = std::chrono::milliseconds(20);
+
+} // namespace
+
+quota_accountant::quota_accountant(std::string own_name, quota_bounds given)
+    : name(std::move(own_name))
+    , bounds(given)
+{
+}
+
+void quota_accountant::limits_changed(
+    const deployment& configuration, instant now)
+{
+    this->advance(now);
+    std::map<std::string, account, std::less<>> next;
+    if (configuration.organisations)
+    {
+        for (const organisation& one : *configuration.organisations)
+        {
+            if (!one.limit)
+                continue;
+            account& added = next[one.name];
+            const auto before = this->limited.find(one.name);
+            if (before != this->limited.end())
+                added = before->second;
+            added.limit = *one.limit;
+        }
+    }
+    this->limited = std::move(next);
+}
+
+void quota_accountant::routers_known(std::size_t count)
+{
+    this->known_routers = std::max<std::size_t>(count, 1);
+}
+
+quota_answer quota_accountant::heard(const quota_ask& ask, instant now)
+{
+    router& from = this->routers[ask.router];
+    // Until the router holds that it hears nothing any more.
+    if (ask.heard_ago_us >= 0)
+        from.heard_until = std::max(
+            from.heard_until,
+            now - duration(ask.heard_ago_us) + contact_life(this->bounds));
+    from.counts_from = ask.counts_in_us < 0 ? instant::max()
+                                            : now + duration(ask.counts_in_us);
+    this->advance(now);
+    for (const quota_return& what : ask.returns)
+        this->give_back(what);
+    quota_answer answer;
+    answer.accountant = this->name;
+    for (const quota_draw& draw : ask.draws)
+        answer.results.push_back(this->settle(draw, from));
+    return answer;
+}
+
+quota_result quota_accountant::settle(const quota_draw& draw, router& from)
+{
+    const auto before =
+        std::ranges::find(from.answered, draw.id, &quota_result::id);
+    if (before != from.answered.end())
+        return *before;
+    quota_result result{draw.id, true, 0};
+    const auto found = this->limited.find(draw.organisation);
+    if (found != this->limited.end())
+    {
+        account& one = found->second;
+        const usage_limit terms = share_of(one.limit, this->part);
+        const auto wait =
+            one.bucket.take(draw.amount, duration(draw.longest_wait_us), terms);
+        result.is_allowed = wait.has_value();
+        (wait ? one.used : one.refused) += draw.amount;
+        result.wait_us =
+            wait.value_or(one.bucket.until(draw.amount, terms)).count();
+    }
+    if (!result.is_allowed)
+        return result; // nothing was set aside: it may be asked again
+    from.answered.push_front(result);
+    if (from.answered.size() > most_answered)
+        from.answered.pop_back();
+    return result;
+}
+
+void quota_accountant::give_back(const quota_return& what)
+{
+    const auto found = this->limited.find(what.organisation);
+    if (found == this->limited.end() || what.amount <= 0)
+        return;
+    account& one = found->second;
+    one.bucket.put_back(what.amount, share_of(one.limit, this->part));
+    one.used -= what.amount;
+}
+
+void quota_accountant::tick(instant now)
+{
+    this->advance(now);
+}
+
+void quota_accountant::advance(instant now)
+{
+    if (now - this->advanced < count_pause)
+        return;
+    // After a freeze: nobody who was heard before still counts on it.
+    const duration elapsed =
+        std::min<duration>(now - this->advanced, contact_life(this->bounds));
+    this->advanced = now;
+    if (this->routers.size() > 2 * this->known_routers)
+        std::erase_if(
+            this->routers,
+            [now](const auto& one)
+            {
+                return one.second.heard_until + forgotten_after < now;
+            });
+    const auto heard = std::ranges::count_if(
+        this->routers,
+        [now](const auto& one)
+        {
+            return one.second.heard_until > now &&
+                   one.second.counts_from <= now;
+        });
+    const double part =
+        static_cast<double>(heard) / static_cast<double>(this->known_routers);
+    // What an accountant that just began to hear a router gives for it counts
+    // from now on.
+    const double filled = std::min(this->part, part);
+    for (auto& [organisation, one] : this->limited)
+        one.bucket.fill(elapsed, share_of(one.limit, std::min(filled, 1.0)));
+    this->part = std::min(part, 1.0);
+}
+
+} // namespace roseworks
--- a/src/core/serving/deployment.hpp
+++ b/src/core/serving/deployment.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/serving/organisation.hpp"
+
 #include <roseworks/instant.hpp>
 
 #include <cstddef>
@@ -42,6 +44,7 @@
     std::uint8_t rank = 0;  ///< 0 is the most urgent
     std::uint32_t max_attempts = 1; ///< backend servers for one request
     bool resumable = false;         ///< a stream may go on elsewhere
+    bool keyless = false;           ///< callers without a key may use it
     std::vector<service_share> services;
 
     /** @return How long a caller waits for a stream's first event at most.
@@ -122,6 +125,8 @@
     std::vector<path_route> routes;
     std::vector<service_profile> services;
     caller_bounds callers;
+    /// Empty: callers need no key.
+    std::optional<std::vector<organisation>> organisations;
 
     /// @return The service of this name, null when there is none.
     const service_profile* find_service(std::string_view name) const;
--- /dev/null
+++ b/src/core/serving/organisation_changes.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "core/serving/deployment.hpp"
+
+#include <cstddef>
+#include <string>
+
+namespace roseworks
+{
+
+/// What a version of the configuration changed of organisations, for logs.
+struct organisation_changes
+{
+    std::size_t keys_added = 0;
+    std::size_t keys_dropped = 0;
+    std::size_t limits_changed = 0;
+    std::string dropped; ///< fingerprints of some dropped keys
+
+    bool any() const
+    {
+        return this->keys_added + this->keys_dropped + this->limits_changed !=
+               0;
+    }
+};
+
+/// @param before Null: the first configuration.
+organisation_changes
+compare_organisations(const deployment* before, const deployment& now);
+
+} // namespace roseworks
--- a/src/core/serving/serving_table.hpp
+++ b/src/core/serving/serving_table.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/serving/organisation_index.hpp"
 #include "core/serving/route_index.hpp"
 
 #include <roseworks/routing_table.hpp>
@@ -19,6 +20,7 @@
 struct servable_catalogue
 {
     std::shared_ptr<const route_index> routes;
+    std::shared_ptr<const organisation_index> organisations;
     /// Every model and adapter by its key, without a place to run.
     std::unordered_map<std::string, servable_routes> servables;
     /// Names of the services that have engines.
@@ -82,6 +84,11 @@
         return *this->content.catalogue->routes;
     }
 
+    const organisation_index& organisations() const
+    {
+        return *this->content.catalogue->organisations;
+    }
+
 private:
     parts content;
     caller_spec everyone;
--- a/src/core/serving/serving_view.cpp
+++ b/src/core/serving/serving_view.cpp
@@ -54,6 +54,7 @@
 {
     auto made = std::make_shared<servable_catalogue>();
     made->routes = std::make_shared<route_index>(this->current);
+    made->organisations = std::make_shared<organisation_index>(this->current);
     const auto add = [&](std::string key, bool is_adapter, std::size_t slots)
     {
         servable_id& id = this->servable_numbers[key];
--- a/src/ports/event_sink.hpp
+++ b/src/ports/event_sink.hpp
@@ -121,6 +121,9 @@
     store_back = 1714,
     settings_reloaded = 1715,
     entry_malformed = 1716,
+    organisations_changed = 1717,
+    limit_reached = 1718,
+    accountant_changed = 1719,
 
     // 18xx: placement by orders of one owner.
     placement_owned = 1801,
--- a/src/ports/gateway_peer_port.hpp
+++ b/src/ports/gateway_peer_port.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/dissemination/directory_word.hpp"
+#include "core/quota/quota_words.hpp"
 #include "core/swapping/peer_words.hpp"
 
 #include <span>
@@ -25,6 +26,11 @@
 
     virtual void break_word_heard(const break_word& word) = 0;
     virtual void directory_word_heard(const directory_word& word) = 0;
+
+    /// @param from UDP ip:port of the router.
+    virtual void
+    quota_ask_heard(const quota_ask& ask, std::string_view from) = 0;
+    virtual void quota_answer_heard(const quota_answer& answer) = 0;
 };
 
 /// Port: datagrams between the gateways. Each may be lost.
@@ -44,6 +50,9 @@
     virtual void send(
         std::span<const std::string> addresses, const directory_word& word) = 0;
 
+    virtual void send(std::string_view address, const quota_ask& ask) = 0;
+    virtual void send(std::string_view address, const quota_answer& answer) = 0;
+
     /// Nothing is called any more.
     virtual void stop() = 0;
 };
--- a/tests/unit/forward/forward_fixture.cpp
+++ b/tests/unit/forward/forward_fixture.cpp
@@ -30,7 +30,29 @@
     return route;
 }
 
-serving_table_ptr make_table(const std::vector<fake_backend*>& backends)
+organisation make_organisation(std::string name, std::string_view key)
+{
+    organisation made;
+    made.name = std::move(name);
+    made.counts_tokens = true;
+    made.plain_tokens = 200;
+    if (!key.empty())
+        made.keys = {digest_of(key)};
+    return made;
+}
+
+std::vector<organisation> make_organisations(std::string_view first_key)
+{
+    organisation one = make_organisation("o1", first_key);
+    one.limit = usage_limit{1000, 1000};
+    organisation two = make_organisation("o2", "key-two");
+    two.rank = 1;
+    return {one, two};
+}
+
+serving_table_ptr make_table(
+    const std::vector<fake_backend*>& backends,
+    std::optional<std::vector<organisation>> organisations = {})
 {
     auto config = std::make_shared<deployment>();
     config->version = 1;
@@ -38,9 +60,13 @@
         make_route("/once/", repetition::non_idempotent, false),
         make_route("/again/", repetition::idempotent, false),
         make_route("/stream/", repetition::streaming, false),
-        make_route("/resume/", repetition::streaming, true)};
+        make_route("/resume/", repetition::streaming, true),
+        make_route("/open/", repetition::idempotent, false)};
+    config->routes.back().keyless = true;
+    config->organisations = std::move(organisations);
     auto catalogue = std::make_shared<servable_catalogue>();
     catalogue->routes = std::make_shared<route_index>(config);
+    catalogue->organisations = std::make_shared<organisation_index>(config);
     serving_table::parts made;
     made.catalogue = catalogue;
     service_routes& app = made.services["app"];
@@ -68,7 +94,8 @@
     : counts(this->registry)
     , loop(1)
     , work(this->loop.get_executor())
-    , table(make_table(backends))
+    , servers(std::move(backends))
+    , table(make_table(this->servers))
     , dispatch(edge::shared_dispatcher::make(
           dispatcher(dispatcher::options{.affinity = prefix_affinity::none}),
           this->loop.get_executor(),
@@ -110,6 +137,7 @@
     const auto nothing = [](const std::string&, const std::string&) {};
     forward_dependencies ports{
         *this->dispatch,
+        this->limits,
         [this]
         {
             const std::lock_guard lock(this->mutex);
@@ -143,6 +171,35 @@
     return this->unreached_servers;
 }
 
+void fake_limits::draw(quota_request request, handler told)
+{
+    quota_decision made;
+    {
+        const std::lock_guard lock(this->mutex);
+        this->asked.push_back(std::move(request));
+        made = this->next;
+    }
+    told(made);
+}
+
+void fake_limits::give_back(std::string, double amount)
+{
+    const std::lock_guard lock(this->mutex);
+    this->returned += amount;
+}
+
+void forward_fixture::with_organisations()
+{
+    const std::lock_guard lock(this->mutex);
+    this->table = make_table(this->servers, make_organisations("key-one"));
+}
+
+void forward_fixture::drop_first_key()
+{
+    const std::lock_guard lock(this->mutex);
+    this->table = make_table(this->servers, make_organisations({}));
+}
+
 void forward_fixture::without_table()
 {
     const std::lock_guard lock(this->mutex);
@@ -167,14 +224,16 @@
     return answer;
 }
 
-std::string
-forward_fixture::request(std::string_view method, std::string_view target)
+std::string forward_fixture::request(
+    std::string_view method, std::string_view target, std::string_view headers)
 {
     std::string text(method);
     text += ' ';
     text += target;
     text += " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: 9c41\r\n"
-            "Deadline-Ms: 30000\r\nConnection: close\r\n\r\n";
+            "Deadline-Ms: 30000\r\nConnection: close\r\n";
+    text += headers;
+    text += "\r\n";
     return text;
 }
 
@@ -186,4 +245,17 @@
     asio::read(socket, asio::buffer(byte));
 }
 
+void forward_fixture::depart(std::string_view bytes)
+{
+    tcp::socket socket = this->connect();
+    asio::write(socket, asio::buffer(bytes.data(), bytes.size()));
+    const auto has_asked = [this]
+    {
+        const std::lock_guard lock(this->limits.mutex);
+        return !this->limits.asked.empty();
+    };
+    while (!has_asked())
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+}
+
 } // namespace roseworks::forward::tests
--- a/tests/unit/forward/forward_fixture.hpp
+++ b/tests/unit/forward/forward_fixture.hpp
@@ -11,6 +11,7 @@
 
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -26,6 +27,19 @@
     servers of one plain service. Routes: `/once/` (not repeatable), `/again/`
     (idempotent, two attempts), `/stream/` and `/resume/` (streams, the latter
     resumable). */
+/// Allows all, or refuses all; keeps what it was asked.
+class fake_limits final : public quota_port
+{
+public:
+    void draw(quota_request request, handler told) override;
+    void give_back(std::string organisation, double amount) override;
+
+    std::mutex mutex;
+    quota_decision next{0, true, {}, {}};
+    std::vector<quota_request> asked;
+    double returned = 0;
+};
+
 class forward_fixture
 {
 public:
@@ -38,6 +52,17 @@
     /// Forgets the configuration: as before the first one.
     void without_table();
 
+    /// From now on callers need keys. Organisation `o1` holds `key-one` and
+    /// has a limit; `o2` holds `key-two`, has none and is less urgent. The
+    /// route `/open/` needs no key.
+    void with_organisations();
+
+    /// The configuration without the key of `o1`.
+    void drop_first_key();
+
+    /// Limits of organisations.
+    fake_limits limits;
+
     /// @return Servers to which no connection could be opened, in order.
     std::vector<std::string> unreached();
 
@@ -46,12 +71,19 @@
     std::string exchange(std::string_view bytes);
 
     /// A request that ends its connection.
-    static std::string
-    request(std::string_view method, std::string_view target);
+    /// @param headers lines beside the usual ones, each with its line end
+    static std::string request(
+        std::string_view method,
+        std::string_view target,
+        std::string_view headers = {});
 
     /// Sends a request, and closes the connection without an answer.
     void leave(std::string_view bytes);
 
+    /// Sends a request, and closes the connection once its limit was asked
+    /// for.
+    void depart(std::string_view bytes);
+
 private:
     boost::asio::ip::tcp::socket connect();
     forward_context make_context();
@@ -64,6 +96,7 @@
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
         work;
     std::mutex mutex;
+    std::vector<fake_backend*> servers;
     serving_table_ptr table;
     std::vector<std::string> unreached_servers;
     std::shared_ptr<edge::shared_dispatcher> dispatch;
--- a/tests/unit/forward/test_forward_request.cpp
+++ b/tests/unit/forward/test_forward_request.cpp
@@ -144,3 +144,18 @@
     cr_assert_neq(bytes.find("Connection: close\r\n"), std::string::npos);
     cr_assert(bytes.starts_with("HTTP/1.1 503 Service Unavailable\r\n"));
 }
+
+Test(forward_request, counts_the_tokens_that_its_caller_states)
+{
+    const auto tokens_of = [](std::string_view value)
+    {
+        std::string text = "GET / HTTP/1.1\r\nHost: h\r\nToken-Usage: ";
+        text += value;
+        text += "\r\n\r\n";
+        return parse(text).tokens;
+    };
+    cr_assert(tokens_of("1460,80") == 1540);
+    cr_assert(tokens_of("4294967295,4294967295") == 8589934590ULL);
+    for (const std::string_view wrong : {"", "1460", "1460,", "1,2,3", "-1,2"})
+        cr_assert(!tokens_of(wrong));
+}
--- a/tests/unit/lines/test_losses.cpp
+++ b/tests/unit/lines/test_losses.cpp
@@ -81,6 +81,7 @@
         {"log_unavailable", no_owner},
         {"retries_exhausted", retry_budget},
         {"caller_limit", limits},
+        {"organisation_limit", limits},
         {"blocked", blocked},
         {"draining", router_stopped},
         {"backend_failed", server_failed},
--- a/tests/unit/users_platform/test_decoders.cpp
+++ b/tests/unit/users_platform/test_decoders.cpp
@@ -68,6 +68,69 @@
     cr_assert(made.callers.idle_timeout == 15s);
 }
 
+Test(deployment_decoder, reads_organisations)
+{
+    const auto without = decode_deployment(configuration);
+    cr_assert(!without.value->organisations);
+    const std::string tenants =
+        R"("tenants":[{"name":"o1","api_keys":["k1","k2"],"priority":1,)"
+        R"("unit":"tokens","uncached_tokens":200,"rate_per_s":219320,)"
+        R"("burst":1000.5},{"name":"o2","api_keys":[],"rate_per_s":0},)"
+        R"({"name":"o3","rate_per_s":5}],"limits")";
+    const auto read =
+        decode_deployment(with(configuration, "\"limits\"", tenants));
+    cr_assert(read.value.has_value(), "%s", read.fault.c_str());
+    const auto& all = *read.value->organisations;
+    cr_assert_eq(all.size(), 3);
+    cr_assert_eq(all[0].name, "o1");
+    cr_assert_eq(all[0].rank, 1);
+    cr_assert_eq(all[0].keys.size(), 2);
+    cr_assert(all[0].keys[1] == digest_of("k2"));
+    cr_assert_eq(all[0].limit->per_second, 219320);
+    cr_assert_eq(all[0].limit->burst, 1000.5);
+    cr_assert_eq(all[0].cost({}), 200);
+    cr_assert_eq(all[0].cost(1540), 1540);
+    cr_assert(!all[1].limit);
+    cr_assert_eq(all[2].limit->burst, 0);
+    cr_assert_eq(all[2].cost(1540), 1);
+}
+
+Test(deployment_decoder, an_empty_list_of_organisations_lets_nobody_in)
+{
+    const auto read = decode_deployment(
+        with(configuration, "\"limits\"", R"("tenants":[],"limits")"));
+    cr_assert(read.value->organisations && read.value->organisations->empty());
+}
+
+Test(deployment_decoder, a_route_may_be_open_to_callers_without_a_key)
+{
+    const auto read = decode_deployment(with(
+        configuration,
+        "\"session_affinity\":true",
+        "\"allow_anonymous\":true"));
+    cr_assert(read.value->routes[0].keyless);
+    cr_assert_not(read.value->routes[1].keyless);
+}
+
+Test(deployment_decoder, refuses_organisations_that_it_cannot_read)
+{
+    for (const char* wrong :
+         {"7",
+          "[7]",
+          R"([{"api_keys":["k"]}])",
+          R"([{"name":""}])",
+          R"([{"name":"o","api_keys":7}])",
+          R"([{"name":"o","api_keys":[7]}])",
+          R"([{"name":"o","api_keys":[""]}])"})
+    {
+        const auto read = decode_deployment(with(
+            configuration,
+            "\"limits\"",
+            std::string("\"tenants\":") + wrong + ",\"limits\""));
+        cr_assert(!read.value.has_value(), "%s", wrong);
+    }
+}
+
 Test(deployment_decoder, an_unknown_kind_is_never_repeated)
 {
     const auto read =
--- a/tests/unit/users_platform/test_gateway_peers.cpp
+++ b/tests/unit/users_platform/test_gateway_peers.cpp
@@ -39,6 +39,18 @@
         this->directories.push_back(word);
     }
 
+    void quota_ask_heard(const quota_ask& ask, std::string_view) override
+    {
+        this->asks.push_back(ask);
+    }
+
+    void quota_answer_heard(const quota_answer& answer) override
+    {
+        this->answers.push_back(answer);
+    }
+
+    std::vector<quota_ask> asks;
+    std::vector<quota_answer> answers;
     std::vector<router_word> routers;
     std::vector<directory_word> directories;
     std::vector<owner_word> owners;
--- a/tools/lines/request_loss.cpp
+++ b/tools/lines/request_loss.cpp
@@ -38,6 +38,7 @@
     {"queue_full", loss_cause::limits},
     {"displaced", loss_cause::limits},
     {"caller_limit", loss_cause::limits},
+    {"organisation_limit", loss_cause::limits},
     {"blocked", loss_cause::blocked},
     {"draining", loss_cause::router_stopped}};
 
