A registry of thousands is taken in at once: addresses by an index, tables made in proportion

Cause: each new server had all others' addresses compared, and each listing compared every known id with every listed one; a table is made 2 ms after a change whatever it costs.

--- a/src/app/gateway/serving_desk.cpp
+++ b/src/app/gateway/serving_desk.cpp
@@ -176,7 +176,7 @@
     this->tell.on_change();
     if (std::exchange(this->publishing, true))
         return;
-    this->publish_timer.expires_after(this->settings.publish_pause);
+    this->publish_timer.expires_after(this->publish_pause());
     this->publish_timer.async_wait(
         [this](const boost::system::error_code& error)
         {
@@ -185,6 +185,14 @@
         });
 }
 
+duration serving_desk::publish_pause() const
+{
+    const auto servers =
+        static_cast<duration::rep>(this->known.servers().size());
+    return this->settings.publish_pause +
+           this->settings.publish_pause_per_server * servers;
+}
+
 void serving_desk::publish()
 {
     this->publishing = false;
--- a/src/app/gateway/serving_desk.hpp
+++ b/src/app/gateway/serving_desk.hpp
@@ -29,9 +29,11 @@
     struct options
     {
         serving_view::options view;
-        /// Changes that come together make one table: engines are told of at
-        /// some dozen a second, and a table costs some ten microseconds.
+        /// Changes that come together make one table.
         std::chrono::milliseconds publish_pause{2};
+        /// More of it for each known server: a table is made anew for each
+        /// change, and its cost grows with them.
+        std::chrono::microseconds publish_pause_per_server{20};
         std::chrono::milliseconds tick{100};
     };
 
@@ -95,6 +97,7 @@
 private:
     void changed();
     void publish();
+    duration publish_pause() const;
     void arm_tick();
     void tell_server(const server_entry& entry);
     void tell_organisations(const deployment* before, const deployment& now);
--- a/src/core/serving/serving_view.cpp
+++ b/src/core/serving/serving_view.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <unordered_set>
 #include <utility>
 
 namespace roseworks
@@ -105,8 +106,8 @@
         added.engine = number;
         added.run = replica_id(++this->last_run);
         added.entry = std::move(entry);
-        this->known.emplace(added.entry.id, std::move(added));
-        this->find_superseded();
+        const std::string id = added.entry.id;
+        this->settle(this->known.emplace(id, std::move(added)).first->second);
         return true;
     }
     server& one = found->second;
@@ -119,7 +120,7 @@
         keep_copies(entry.holdings, one.entry.holdings);
     const bool was_superseded = one.superseded;
     if (was_superseded)
-        this->find_superseded();
+        this->find_superseded(one.entry.address);
     if (one.entry == entry)
         return revived || one.superseded != was_superseded;
     const bool restarted = one.entry.born_ms != entry.born_ms;
@@ -130,12 +131,15 @@
         one.run = replica_id(++this->last_run);
         one.owned.reset();
     }
-    const bool moved = one.entry.address != entry.address;
+    const std::string before = one.entry.address;
     if (one.entry.holdings.resident != entry.holdings.resident)
         one.refused.clear();
     one.entry = std::move(entry);
-    if (moved)
-        this->find_superseded();
+    if (before != one.entry.address)
+    {
+        this->settle_without(one.entry.id, before);
+        this->settle(one);
+    }
     return true;
 }
 
@@ -149,17 +153,21 @@
         found->second.lapses = this->revival_until;
         return false;
     }
+    const std::string address = found->second.entry.address;
     this->known.erase(found);
-    this->find_superseded();
+    this->settle_without(id, address);
     return true;
 }
 
 bool serving_view::entries_listed(std::vector<server_entry> all, instant now)
 {
+    std::unordered_set<std::string_view> listed;
+    for (const server_entry& entry : all)
+        listed.insert(entry.id);
     std::vector<std::string> missing;
     for (const auto& [id, one] : this->known)
     {
-        if (std::ranges::find(all, id, &server_entry::id) == all.end())
+        if (!listed.contains(id))
             missing.push_back(id);
     }
     bool changed = false;
@@ -252,15 +260,20 @@
 
 bool serving_view::tick(instant now)
 {
-    bool changed =
-        std::erase_if(
-            this->known,
-            [now](const auto& entry)
-            {
-                return entry.second.lapses && *entry.second.lapses <= now;
-            }) != 0;
-    if (changed)
-        this->find_superseded();
+    std::vector<std::string> lapsed;
+    for (const auto& [id, one] : this->known)
+    {
+        if (one.lapses && *one.lapses <= now)
+            lapsed.push_back(id);
+    }
+    for (const std::string& id : lapsed)
+    {
+        const auto found = this->known.find(id);
+        const std::string address = found->second.entry.address;
+        this->known.erase(found);
+        this->settle_without(id, address);
+    }
+    bool changed = !lapsed.empty();
     changed = std::erase_if(
                   this->outlooks,
                   [&](const auto& entry)
@@ -300,16 +313,41 @@
     return fresh ? one.owned->resident : one.entry.holdings.resident;
 }
 
-void serving_view::find_superseded()
+void serving_view::settle(const server& arrived)
 {
-    std::unordered_map<std::string_view, std::uint64_t> latest;
-    for (const auto& [id, one] : this->known)
+    const std::string address = arrived.entry.address;
+    this->at[address].insert(arrived.entry.id);
+    this->find_superseded(address);
+}
+
+void serving_view::settle_without(
+    std::string_view id, const std::string& address)
+{
+    const auto found = this->at.find(address);
+    if (found == this->at.end())
+        return;
+    const auto gone = found->second.find(id);
+    if (gone != found->second.end())
+        found->second.erase(gone);
+    if (found->second.empty())
+        this->at.erase(found);
+    else
+        this->find_superseded(address);
+}
+
+void serving_view::find_superseded(const std::string& address)
+{
+    const auto found = this->at.find(address);
+    if (found == this->at.end())
+        return;
+    std::uint64_t latest = 0;
+    for (const std::string& id : found->second)
+        latest = std::max(latest, this->known.find(id)->second.entry.heard);
+    for (const std::string& id : found->second)
     {
-        std::uint64_t& heard = latest[one.entry.address];
-        heard = std::max(heard, one.entry.heard);
+        server& one = this->known.find(id)->second;
+        one.superseded = one.entry.heard < latest;
     }
-    for (auto& [id, one] : this->known)
-        one.superseded = one.entry.heard < latest[one.entry.address];
 }
 
 serving_table_ptr serving_view::make_table(
--- a/src/core/serving/serving_view.hpp
+++ b/src/core/serving/serving_view.hpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -151,7 +152,10 @@
 
 private:
     void make_catalogue();
-    void find_superseded();
+    /// A server came to an address, or left it.
+    void settle(const server& arrived);
+    void settle_without(std::string_view id, const std::string& address);
+    void find_superseded(const std::string& address);
     void add_engine(
         serving_table::parts& into, const server& one, instant now) const;
     void add_servable(
@@ -164,6 +168,9 @@
     std::shared_ptr<const deployment> current;
     std::shared_ptr<const servable_catalogue> catalogue;
     std::map<std::string, server, std::less<>> known; ///< by id
+    /// Ids of the known servers by their addresses: of thousands, one or two
+    /// share one.
+    std::unordered_map<std::string, std::set<std::string, std::less<>>> at;
     std::unordered_map<std::string, engine_id> numbers;
     std::unordered_map<std::string, servable_id> servable_numbers;
     std::uint64_t last_run = 0;
