--- a/src/app/gateway/gateway_control.cpp
+++ b/src/app/gateway/gateway_control.cpp
@@ -77,7 +77,9 @@
 {
     quota_desk::options made;
     made.router = settings.vm.name;
-    made.bounds.window = settings.bounds.limit_window;
+    constexpr std::chrono::milliseconds shortest_window{100};
+    made.bounds.window =
+        std::max(settings.bounds.limit_window, shortest_window);
     made.bounds.excess = settings.bounds.limit_excess;
     made.bounds.slack = settings.bounds.limit_slack;
     std::random_device device;
--- a/src/core/quota/quota_client.cpp
+++ b/src/core/quota/quota_client.cpp
@@ -217,7 +217,7 @@
     const bool may_overlap =
         !this->overlapped ||
         now - *this->overlapped >= this->settings.bounds.window;
-    const bool is_current = &one == &this->candidates[this->current];
+    const bool is_current = this->accountant() == one.name;
     one.since = now;
     if (!other || may_overlap)
         one.counts_from = now;
@@ -281,10 +281,10 @@
     from->answered = now;
     from->asked.reset();
     from->is_silent = false;
-    this->choose(now);
     const bool begins = is_new || from->counts_from == instant::max();
     if (begins)
         this->let_count(*from, now);
+    this->choose(now);
     // It counts this router only once it knows that its answers arrive.
     if (begins && from->counts_from != instant::max())
         this->say(*from, {}, now);
--- /dev/null
+++ b/tests/unit/quota/test_quota_accountant.cpp
@@ -0,0 +1,148 @@
+#include "core/quota/quota_accountant.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace roseworks;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+instant at(duration since_start)
+{
+    return instant(100s + since_start);
+}
+
+deployment make_deployment(std::optional<usage_limit> limit)
+{
+    deployment made;
+    organisation one;
+    one.name = "o1";
+    one.limit = limit;
+    made.organisations = {one};
+    return made;
+}
+
+quota_ask make_ask(const std::string& router, std::uint64_t id = 0)
+{
+    quota_ask made;
+    made.router = router;
+    made.heard_ago_us = 0;
+    made.counts_in_us = 0;
+    if (id != 0)
+        made.draws = {{id, "o1", 300, 0}};
+    return made;
+}
+
+/// Heard by two of four routers; its buckets are as full as they get.
+struct half_heard
+{
+    half_heard()
+    {
+        this->counts.limits_changed(
+            make_deployment(usage_limit{1000, 1000}), at(0s));
+        this->counts.routers_known(4);
+        for (duration passed = 0s; passed < 5s; passed += 100ms)
+            this->hear(passed);
+    }
+
+    void hear(duration passed)
+    {
+        this->counts.heard(make_ask("r1"), at(passed));
+        this->counts.heard(make_ask("r2"), at(passed));
+        this->counts.tick(at(passed));
+    }
+
+    quota_accountant counts{"a", quota_bounds()};
+};
+
+} // namespace
+
+Test(quota_accountant, hands_out_the_part_of_the_routers_that_it_hears)
+{
+    half_heard test;
+    cr_assert_float_eq(test.counts.share(), 0.5, 1e-9);
+    const auto& one = test.counts.accounts().at("o1");
+    cr_assert_float_eq(one.bucket.level(), 500, 1e-6);
+}
+
+Test(quota_accountant, routers_that_it_hears_no_more_take_their_part_along)
+{
+    half_heard test;
+    test.counts.tick(at(7s));
+    cr_assert_eq(test.counts.share(), 0);
+    cr_assert_eq(test.counts.accounts().at("o1").bucket.level(), 0);
+}
+
+Test(quota_accountant, a_router_that_hears_no_answers_does_not_count)
+{
+    half_heard test;
+    quota_ask deaf = make_ask("r3");
+    deaf.heard_ago_us = quota_ask::never;
+    test.counts.heard(deaf, at(5s));
+    test.hear(5100ms);
+    cr_assert_float_eq(test.counts.share(), 0.5, 1e-9);
+}
+
+Test(quota_accountant, a_router_that_another_one_counts_does_not_count_yet)
+{
+    half_heard test;
+    quota_ask moving = make_ask("r3");
+    moving.counts_in_us = 300'000;
+    test.counts.heard(moving, at(5s));
+    test.hear(5100ms);
+    cr_assert_float_eq(test.counts.share(), 0.5, 1e-9);
+    test.hear(5400ms);
+    cr_assert_float_eq(test.counts.share(), 0.75, 1e-9);
+}
+
+Test(quota_accountant, a_repeated_draw_is_answered_alike_and_counted_once)
+{
+    half_heard test;
+    const auto first = test.counts.heard(make_ask("r1", 7), at(4950ms));
+    const auto again = test.counts.heard(make_ask("r1", 7), at(4960ms));
+    cr_assert(first.results.at(0).is_allowed);
+    cr_assert(again.results.at(0).is_allowed);
+    cr_assert_float_eq(test.counts.accounts().at("o1").used, 300, 1e-9);
+}
+
+Test(quota_accountant, a_refusal_says_when_there_is_room)
+{
+    half_heard test;
+    test.counts.heard(make_ask("r1", 7), at(4950ms));
+    const auto refused = test.counts.heard(make_ask("r1", 8), at(4950ms));
+    cr_assert_not(refused.results.at(0).is_allowed);
+    // 200 are left of 500, and 500 come in a second.
+    cr_assert_eq(refused.results.at(0).wait_us, 200'000);
+}
+
+Test(quota_accountant, what_did_not_run_is_given_back)
+{
+    half_heard test;
+    test.counts.heard(make_ask("r1", 7), at(4950ms));
+    quota_ask back = make_ask("r1");
+    back.returns = {{"o1", 300}};
+    test.counts.heard(back, at(4950ms));
+    const auto& one = test.counts.accounts().at("o1");
+    cr_assert_float_eq(one.bucket.level(), 500, 1e-6);
+    cr_assert_float_eq(one.used, 0, 1e-9);
+}
+
+Test(quota_accountant, one_without_a_limit_is_allowed_and_not_counted)
+{
+    half_heard test;
+    test.counts.limits_changed(make_deployment({}), at(5s));
+    const auto answer = test.counts.heard(make_ask("r1", 7), at(5s));
+    cr_assert(answer.results.at(0).is_allowed);
+    cr_assert(test.counts.accounts().empty());
+}
+
+Test(quota_accountant, a_changed_limit_keeps_what_is_there)
+{
+    half_heard test;
+    test.counts.limits_changed(make_deployment(usage_limit{100, 100}), at(5s));
+    test.hear(5s);
+    test.hear(5100ms);
+    const auto& one = test.counts.accounts().at("o1");
+    cr_assert_float_eq(one.bucket.level(), 50, 1e-6);
+}
--- a/tests/unit/settings/test_load_gateway_settings.cpp
+++ b/tests/unit/settings/test_load_gateway_settings.cpp
@@ -42,6 +42,9 @@
 retry_extra = 58
 load_window_s = 5
 load_factor = 1.1
+limit_window_s = 8
+limit_excess = 0.1
+limit_slack = 110000
 )";
 
 std::string with(std::string_view from, std::string_view to)
@@ -93,6 +96,9 @@
     cr_assert_eq(read.bounds.grace.count(), 8000);
     cr_assert_float_eq(read.bounds.retry_extra, 58, 1e-9);
     cr_assert(read.bounds.fences_checked);
+    cr_assert_eq(read.bounds.limit_window.count(), 8000);
+    cr_assert_float_eq(read.bounds.limit_excess, 0.1, 1e-9);
+    cr_assert_float_eq(read.bounds.limit_slack, 110'000, 1e-9);
     cr_assert_eq(read.log.lines_per_second, 400);
 }
 
@@ -102,6 +108,9 @@
     const gateway_settings read = load(with("lease_ms = 3000", "lease_ms ="));
     cr_assert_eq(read.bounds.lease.count(), 3000);
     cr_assert_eq(problems_of(with("grace_s = 8", "grace_s = 8.5")), "");
+    const auto bounds =
+        load(with("limit_slack = 110000", "limit_slack =")).bounds;
+    cr_assert_eq(bounds.limit_slack, 0);
 }
 
 /// An owner that took unchecked numbers for checked ones would order on past
--- a/tests/unit/users_platform/test_gateway_peers.cpp
+++ b/tests/unit/users_platform/test_gateway_peers.cpp
@@ -243,3 +243,36 @@
     cr_assert(kept.routers.empty());
     receiver.stop();
 }
+
+Test(gateway_peers, words_of_limits_arrive_with_their_senders_address)
+{
+    peers_pair test;
+    const udp::endpoint place = free_endpoint();
+    gateway_peers receiver(test.loop, place, test.events, test.meter);
+    kept_words kept;
+    receiver.start(kept);
+    quota_ask ask;
+    ask.router = "r1";
+    ask.heard_ago_us = 5;
+    ask.counts_in_us = 7;
+    ask.draws = {{1ULL << 40, "o1", 1540, 100'000}};
+    ask.returns = {{"o2", 200}};
+    test.sender.send(text_of(place), ask);
+    test.sender.send(text_of(place), quota_answer{"r2", {{9, true, 20}}});
+    run_until(
+        test.loop,
+        [&]
+        {
+            return !kept.asks.empty() && !kept.answers.empty();
+        });
+    cr_assert_eq(kept.asks[0].router, "r1");
+    cr_assert_eq(kept.asks[0].heard_ago_us, 5);
+    cr_assert_eq(kept.asks[0].counts_in_us, 7);
+    cr_assert_eq(kept.asks[0].draws[0].id, 1ULL << 40);
+    cr_assert_eq(kept.asks[0].draws[0].amount, 1540);
+    cr_assert_eq(kept.asks[0].returns[0].organisation, "o2");
+    cr_assert_eq(kept.answers[0].accountant, "r2");
+    cr_assert(kept.answers[0].results[0].is_allowed);
+    cr_assert_eq(kept.answers[0].results[0].wait_us, 20);
+    receiver.stop();
+}
