Only the placement owner keeps a book of engines; it hears of changes once a table

Cause: each change of one server had each router compare and copy all known engines. Who takes placement up lists the engines first.

--- a/src/app/gateway/placement_desk.cpp
+++ b/src/app/gateway/placement_desk.cpp
@@ -132,6 +132,14 @@
 }
 
 void placement_desk::servers_changed()
+{
+    // Who takes placement up lists them then: thousands of servers change all
+    // the time, and all routers but one have no use for it.
+    if (this->at_work)
+        this->list_servers();
+}
+
+void placement_desk::list_servers()
 {
     if (!this->view.config())
         return;
@@ -191,13 +199,14 @@
     this->events.report(
         event_id::placement_owned, {{"fence", this->tenure->fence}});
     this->words.owned_under(this->tenure->fence);
+    if (!this->at_work)
+        this->list_servers();
     const bool continued = std::exchange(this->at_work, true);
     if (continued)
         return; // the same owner under a new number: all is known
     ++this->takeovers;
     this->book.take_over(
         this->settings.lease, std::exchange(this->another_owned, false));
-    this->servers_changed();
     for (const auto& [id, engine] : this->book.all())
         this->examine(id, milliseconds(0));
     this->arm_step();
--- a/src/app/gateway/placement_desk.hpp
+++ b/src/app/gateway/placement_desk.hpp
@@ -141,6 +141,7 @@
     void arm_step();
     void arm_step_in(duration wait);
     void take_up();
+    void list_servers();
     void give_up(std::string_view reason);
 
     boost::asio::io_context& loop;
--- a/src/app/gateway/serving_desk.cpp
+++ b/src/app/gateway/serving_desk.cpp
@@ -173,15 +173,16 @@
 
 void serving_desk::changed()
 {
-    this->tell.on_change();
     if (std::exchange(this->publishing, true))
         return;
     this->publish_timer.expires_after(this->publish_pause());
     this->publish_timer.async_wait(
         [this](const boost::system::error_code& error)
         {
-            if (!error && !this->stopped)
-                this->publish();
+            if (error || this->stopped)
+                return;
+            this->publish();
+            this->tell.on_change();
         });
 }
 
