--- a/src/adapters/forward/forward_call.cpp
+++ b/src/adapters/forward/forward_call.cpp
@@ -125,7 +125,6 @@
     info.objective = this->request.arrived + this->route.objective;
     info.repeatable = this->route.repeatable();
     info.held_bytes = this->request.body.size();
-    info.prefix = this->request.shared_prompt;
     return info;
 }
 
--- a/src/adapters/forward/forward_request.cpp
+++ b/src/adapters/forward/forward_request.cpp
@@ -130,40 +130,6 @@
     return std::chrono::milliseconds(value);
 }
 
-/// Parts that others send, too, are worth a choice of engine from so many
-/// tokens on: an engine reads them in some tens of milliseconds.
-constexpr std::uint64_t least_shared_tokens = 1000;
-
-/// @param text ID:TOKENS with commas between; the last is the request's own.
-/// @return     Hash of the others; 0 when they have too few tokens.
-std::uint64_t hash_shared_parts(std::string_view text)
-{
-    const auto own = text.rfind(',');
-    if (own == std::string_view::npos)
-        return 0;
-    const std::string_view shared = text.substr(0, own);
-    std::uint64_t total = 0;
-    std::string_view rest = shared;
-    while (!rest.empty())
-    {
-        const std::string_view part = rest.substr(0, rest.find(','));
-        rest.remove_prefix(std::min(part.size() + 1, rest.size()));
-        const auto colon = part.find(':');
-        if (colon == std::string_view::npos)
-            return 0;
-        std::uint32_t tokens = 0;
-        const char* const end = part.data() + part.size();
-        const auto read = std::from_chars(part.data() + colon + 1, end, tokens);
-        if (read.ec != std::errc() || read.ptr != end)
-            return 0;
-        total += tokens;
-    }
-    if (total < least_shared_tokens)
-        return 0;
-    const std::uint64_t hash = XXH64(shared.data(), shared.size(), 0);
-    return hash == 0 ? 1 : hash;
-}
-
 } // namespace
 
 fingerprint forward_request::content() const
@@ -193,7 +159,6 @@
     add_lines(made, message, names);
     made.key = key_of(message);
     made.tokens = parse_tokens(view(message[names.tokens]));
-    made.shared_prompt = hash_shared_parts(view(message[names.prompt_parts]));
     const auto last_event = message[names.last_event];
     if (!last_event.empty())
         made.caller_has = view(last_event);
--- a/src/adapters/forward/forward_request.hpp
+++ b/src/adapters/forward/forward_request.hpp
@@ -30,9 +30,6 @@
     std::string credentials;
     std::string key; ///< API key; empty: none, or more than one
     std::optional<std::uint64_t> tokens; ///< of the prompt and the answer
-    /// Hash of the parts of the prompt that others send, too; 0: none that are
-    /// worth a way to an engine that has read them.
-    std::uint64_t shared_prompt = 0;
     std::string body;
     std::optional<std::chrono::milliseconds> deadline; ///< the caller's
     unsigned version = 11;
--- a/src/adapters/forward/header_dialect.hpp
+++ b/src/adapters/forward/header_dialect.hpp
@@ -21,7 +21,6 @@
     std::string last_event;      ///< last event that the caller has
     std::string organisation;    ///< name of the one that holds the key
     std::string tokens;          ///< of the prompt, and most of the answer
-    std::string prompt_parts; ///< ID:TOKENS with commas, the request's own last
     std::vector<std::string> reserved; ///< left out of callers' requests
 };
 
--- a/src/app/gateway/gateway_app.cpp
+++ b/src/app/gateway/gateway_app.cpp
@@ -88,7 +88,7 @@
 {
     dispatcher::options made;
     made.data_centre = settings.vm.data_centre;
-    made.affinity = prefix_affinity::rendezvous;
+    made.affinity = prefix_affinity::none;
     made.seed = random_seed();
     return made;
 }
