Words between gateways are read within their bounds; nonsense in them spoils no bucket

Found by the new fuzz target in its first seconds: a forged word names a length of 32 GB and cereal's archive takes it (ASan: out of memory); a bool of 255. Amounts that are no number, negative or too large are refused, times are bounded.

--- a/src/adapters/peers/gateway_peers.cpp
+++ b/src/adapters/peers/gateway_peers.cpp
@@ -1,5 +1,6 @@
 #include "adapters/peers/gateway_peers.hpp"
 
+#include "adapters/peers/word_archive.hpp"
 #include "adapters/platform/endpoint.hpp"
 
 #include <cereal/archives/portable_binary.hpp>
@@ -177,8 +178,7 @@
 {
     try
     {
-        std::istringstream in{std::string(content)};
-        cereal::PortableBinaryInputArchive archive(in);
+        word_archive archive(content);
         archive(word);
         return true;
     }
--- a/src/core/quota/quota_accountant.cpp
+++ b/src/core/quota/quota_accountant.cpp
@@ -15,6 +15,23 @@
 /// A router that wasn't heard for so long needs no memory here.
 constexpr duration forgotten_after = std::chrono::seconds(60);
 
+/// Longer than any time in a word that makes sense.
+constexpr std::int64_t longest_us = 3'600'000'000;
+
+/// More than any request counts; a word with more, less than nothing or no
+/// number at all would spoil a bucket for all who draw from it.
+constexpr double largest_amount = 1e12;
+
+bool makes_sense(double amount)
+{
+    return amount >= 0 && amount <= largest_amount;
+}
+
+duration bounded(std::int64_t us)
+{
+    return duration(std::clamp<std::int64_t>(us, 0, longest_us));
+}
+
 /// Between two counts of the routers that are heard.
 constexpr duration count_pause = std::chrono::milliseconds(20);
 
@@ -59,9 +76,9 @@
     if (ask.heard_ago_us >= 0)
         from.heard_until = std::max(
             from.heard_until,
-            now - duration(ask.heard_ago_us) + contact_life(this->bounds));
-    from.counts_from = ask.counts_in_us < 0 ? instant::max()
-                                            : now + duration(ask.counts_in_us);
+            now - bounded(ask.heard_ago_us) + contact_life(this->bounds));
+    from.counts_from =
+        ask.counts_in_us < 0 ? instant::max() : now + bounded(ask.counts_in_us);
     this->advance(now);
     for (const quota_return& what : ask.returns)
         this->give_back(what);
@@ -78,6 +95,8 @@
         std::ranges::find(from.answered, draw.id, &quota_result::id);
     if (before != from.answered.end())
         return *before;
+    if (!makes_sense(draw.amount))
+        return {draw.id, false, 0};
     quota_result result{draw.id, true, 0};
     const auto found = this->limited.find(draw.organisation);
     if (found != this->limited.end())
@@ -85,7 +104,7 @@
         account& one = found->second;
         const usage_limit terms = share_of(one.limit, this->part);
         const auto wait =
-            one.bucket.take(draw.amount, duration(draw.longest_wait_us), terms);
+            one.bucket.take(draw.amount, bounded(draw.longest_wait_us), terms);
         result.is_allowed = wait.has_value();
         (wait ? one.used : one.refused) += draw.amount;
         result.wait_us =
@@ -102,7 +121,7 @@
 void quota_accountant::give_back(const quota_return& what)
 {
     const auto found = this->limited.find(what.organisation);
-    if (found == this->limited.end() || what.amount <= 0)
+    if (found == this->limited.end() || !makes_sense(what.amount))
         return;
     account& one = found->second;
     one.bucket.put_back(what.amount, share_of(one.limit, this->part));
--- a/src/core/quota/quota_client.cpp
+++ b/src/core/quota/quota_client.cpp
@@ -302,14 +302,17 @@
 
 void quota_client::settle(const quota_result& result)
 {
-    if (this->waiting.erase(result.id) == 0)
+    const auto found = this->waiting.find(result.id);
+    if (found == this->waiting.end())
         return;
+    const duration longest = result.is_allowed
+                                 ? duration(found->second.draw.longest_wait_us)
+                                 : longest_retry;
+    const duration wait =
+        std::clamp(duration(result.wait_us), duration::zero(), longest);
+    this->waiting.erase(found);
     quota_decision made{result.id, result.is_allowed, {}, {}};
-    const duration wait(result.wait_us);
-    if (result.is_allowed)
-        made.wait = wait;
-    else
-        made.retry_after = std::min(wait, longest_retry);
+    (result.is_allowed ? made.wait : made.retry_after) = wait;
     this->decisions.push_back(made);
 }
 
--- /dev/null
+++ b/tests/fuzz/fuzz_quota_words.cpp
@@ -0,0 +1,95 @@
+// Words of limits between the gateways, taken by an accountant and by a
+// router's side: whatever comes, a bucket holds a number that its limit allows.
+
+#include "adapters/peers/word_archive.hpp"
+#include "core/quota/quota_accountant.hpp"
+#include "core/quota/quota_client.hpp"
+
+#include <cmath>
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <exception>
+#include <optional>
+#include <string_view>
+
+using namespace roseworks;
+
+namespace
+{
+
+constexpr double burst = 1000;
+
+/// Of a datagram.
+constexpr std::size_t most_bytes = 65'536;
+
+void check(bool holds)
+{
+    if (!holds)
+        std::abort();
+}
+
+template <class Word>
+std::optional<Word> decode(std::string_view bytes)
+{
+    try
+    {
+        word_archive archive(bytes);
+        Word word;
+        archive(word);
+        return word;
+    }
+    catch (const std::exception&)
+    {
+        return std::nullopt;
+    }
+}
+
+deployment make_deployment()
+{
+    deployment made;
+    organisation one;
+    one.name = "o1";
+    one.limit = usage_limit{burst, burst};
+    made.organisations = {one};
+    return made;
+}
+
+void take_ask(const quota_ask& ask, instant now)
+{
+    quota_accountant accountant("a", quota_bounds());
+    accountant.limits_changed(make_deployment(), now);
+    accountant.heard(ask, now);
+    const quota_answer answer =
+        accountant.heard(ask, now + std::chrono::milliseconds(100));
+    check(answer.results.size() == ask.draws.size());
+    const double level = accountant.accounts().at("o1").bucket.level();
+    check(std::isfinite(level) && level <= burst);
+}
+
+void take_answer(const quota_answer& answer, instant now)
+{
+    quota_client client(quota_client::options{});
+    client.limits_changed(make_deployment());
+    client.accountants_known({"a", answer.accountant}, 2);
+    client.tick(now);
+    client.draw("o1", 1, duration::zero(), now);
+    client.heard(answer, now);
+    check(client.take_decisions().size() <= 1);
+}
+
+} // namespace
+
+extern "C" int
+LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    if (size > most_bytes)
+        return 0;
+    const std::string_view bytes(reinterpret_cast<const char*>(data), size);
+    const instant now(std::chrono::seconds(100));
+    if (const auto ask = decode<quota_ask>(bytes))
+        take_ask(*ask, now);
+    if (const auto answer = decode<quota_answer>(bytes))
+        take_answer(*answer, now);
+    return 0;
+}
--- a/tests/unit/quota/test_quota_accountant.cpp
+++ b/tests/unit/quota/test_quota_accountant.cpp
@@ -1,5 +1,7 @@
 #include "core/quota/quota_accountant.hpp"
 
+#include <limits>
+
 #include <criterion/criterion.h>
 
 using namespace roseworks;
@@ -146,3 +148,30 @@
     const auto& one = test.counts.accounts().at("o1");
     cr_assert_float_eq(one.bucket.level(), 50, 1e-6);
 }
+
+Test(quota_accountant, a_damaged_word_spoils_nothing)
+{
+    half_heard test;
+    const double nonsense[] = {
+        std::numeric_limits<double>::quiet_NaN(),
+        std::numeric_limits<double>::infinity(),
+        -1e9};
+    std::uint64_t id = 100;
+    for (const double amount : nonsense)
+    {
+        quota_ask ask = make_ask("r1");
+        ask.draws = {{++id, "o1", amount, -5}};
+        ask.returns = {{"o1", amount}};
+        const auto answer = test.counts.heard(ask, at(4950ms));
+        cr_assert_not(answer.results.at(0).is_allowed);
+    }
+    quota_ask far = make_ask("r3");
+    far.heard_ago_us = std::numeric_limits<std::int64_t>::max();
+    far.counts_in_us = std::numeric_limits<std::int64_t>::max();
+    test.counts.heard(far, at(4950ms));
+    cr_assert_float_eq(
+        test.counts.accounts().at("o1").bucket.level(), 500, 1e-6);
+    cr_assert(test.counts.heard(make_ask("r1", 7), at(4950ms))
+                  .results.at(0)
+                  .is_allowed);
+}
--- a/tests/unit/users_platform/test_gateway_peers.cpp
+++ b/tests/unit/users_platform/test_gateway_peers.cpp
@@ -1,8 +1,10 @@
 #include "adapters/events/null_event_sink.hpp"
 #include "adapters/peers/gateway_peers.hpp"
+#include "adapters/peers/word_archive.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <cereal/archives/portable_binary.hpp>
 
 #include <sstream>
 #include <vector>
@@ -276,3 +278,22 @@
     cr_assert_eq(kept.answers[0].results[0].wait_us, 20);
     receiver.stop();
 }
+
+Test(word_archive, a_length_beyond_the_word_takes_no_memory)
+{
+    std::ostringstream out;
+    {
+        cereal::PortableBinaryOutputArchive archive(out);
+        archive(std::string("r1"));
+    }
+    std::string word = out.str();
+    std::string read;
+    word_archive whole(word);
+    whole(read);
+    cr_assert_eq(read, "r1");
+    // The length follows the mark of the byte order.
+    word[7] = '\x7f';
+    word_archive forged(word);
+    cr_assert_throw(forged(read), cereal::Exception);
+    cr_assert_throw(word_archive(std::string_view()), cereal::Exception);
+}
