A list of routers told anew is no reason to leave an accountant; a draw outlives its limit

Found on reading the diff: each change of the routers' list had a router go to the preferred accountant even where that had just begun and heard nobody; and a draw on its way when the last limit goes was never told. Both have tests; the first seen red (a_list_told_anew_is_no_reason_to_change).

--- a/src/app/gateway/quota_desk.cpp
+++ b/src/app/gateway/quota_desk.cpp
@@ -136,6 +136,12 @@
 
 void quota_desk::draw_now(const quota_request& request, handler to_tell)
 {
+    if (!this->is_limited)
+    {
+        // The limit is gone since the request came.
+        to_tell({0, true, {}, {}});
+        return;
+    }
     const std::uint64_t id = this->client.draw(
         request.organisation,
         request.amount,
@@ -191,9 +197,14 @@
     one(made);
 }
 
+bool quota_desk::has_work() const
+{
+    return this->is_limited || !this->waiting.empty();
+}
+
 void quota_desk::arm()
 {
-    if (this->stopped || !this->is_limited)
+    if (this->stopped || !this->has_work())
         return;
     const duration wait = this->client.next_tick() - this->clock.now();
     this->timer.expires_after(std::max(wait, duration::zero()));
@@ -208,7 +219,7 @@
 void quota_desk::tick()
 {
     const instant now = this->clock.now();
-    if (!this->is_limited)
+    if (!this->has_work())
         return;
     this->accountant.tick(now);
     this->client.tick(now);
--- a/src/app/gateway/quota_desk.hpp
+++ b/src/app/gateway/quota_desk.hpp
@@ -65,6 +65,9 @@
     void flush();
     void send(const quota_message& message);
     void tell(const quota_decision& made);
+    /// @return Whether some organisation has a limit, or had one when a
+    ///         request came that still waits.
+    bool has_work() const;
     void arm();
     void tick();
     void log_use();
--- a/src/core/quota/quota_client.cpp
+++ b/src/core/quota/quota_client.cpp
@@ -63,6 +63,7 @@
     std::vector<std::string> names, std::size_t known)
 {
     this->known_routers = std::max<std::size_t>(known, 1);
+    const std::string chosen(this->accountant());
     std::vector<candidate> next;
     for (std::string& name : names)
     {
@@ -74,7 +75,10 @@
             next.emplace_back().name = std::move(name);
     }
     this->candidates = std::move(next);
-    this->current = this->candidates.size();
+    // A list told anew is no reason to leave an accountant that answers.
+    const auto still =
+        std::ranges::find(this->candidates, chosen, &candidate::name);
+    this->current = static_cast<std::size_t>(still - this->candidates.begin());
     this->choose(this->ticked);
 }
 
--- a/tests/unit/gateway/test_quota_desk.cpp
+++ b/tests/unit/gateway/test_quota_desk.cpp
@@ -148,3 +148,27 @@
         test.loop.run_one_for(5ms);
     cr_assert_eq(test.peers.asks, 0);
 }
+
+Test(quota_desk, a_request_that_waits_is_told_though_its_limit_goes)
+{
+    two_desks test;
+    test.configure(1e6);
+    cr_assert(test.draws_until(true));
+    // Nobody answers any more, and the limit goes while a draw is open.
+    test.peers.strong = nullptr;
+    std::optional<quota_decision> made;
+    test.weak.draw(
+        {"o1", 100, 0ms},
+        [&made](const quota_decision& decided)
+        {
+            made = decided;
+        });
+    test.loop.run_one_for(10ms);
+    test.configure(0);
+    const auto limit = std::chrono::steady_clock::now() + 20s;
+    while (!made && std::chrono::steady_clock::now() < limit)
+        test.loop.run_one_for(10ms);
+    cr_assert(made.has_value());
+    cr_assert(made->is_allowed);
+    cr_assert(test.draws_until(true));
+}
--- a/tests/unit/quota/test_quota_client.cpp
+++ b/tests/unit/quota/test_quota_client.cpp
@@ -196,6 +196,23 @@
     cr_assert_leq(wait, 800'000);
 }
 
+Test(quota_client, a_list_told_anew_is_no_reason_to_change)
+{
+    asking_router test;
+    test.settle("a");
+    test.client.draw("o1", 700, 100ms, at(1s));
+    test.client.tick(at(1040ms));
+    test.client.tick(at(1080ms));
+    test.answer("b", 1082ms);
+    // The first is back, and has heard nobody yet.
+    test.answer("a", 1900ms);
+    cr_assert_eq(test.client.accountant(), "b");
+    test.client.accountants_known({"a", "b"}, 11);
+    cr_assert_eq(test.client.accountant(), "b");
+    test.client.accountants_known({"a"}, 11);
+    cr_assert_eq(test.client.accountant(), "a");
+}
+
 Test(quota_client, own_share_asks_nobody)
 {
     asking_router test(quota_way::own_share);
