--- a/src/adapters/events/event_catalogue.cpp
+++ b/src/adapters/events/event_catalogue.cpp
@@ -277,12 +277,12 @@
      "A backend server's whole answer was passed on, at its first sending. "
      "Sampled under load.",
      "request_id, route, servable, organisation, end, status, reason, server, "
-     "sends, objective_ms, wait_ms, first_ms, total_ms, events",
+     "server_limit, sends, objective_ms, wait_ms, first_ms, total_ms, events",
      nothing},
     {request_ended, info, "request_ended",
      "A request ended in another way, or was sent more than once.",
      "request_id, route, servable, organisation, end, status, reason, server, "
-     "sends, objective_ms, wait_ms, first_ms, total_ms, events, target",
+     "server_limit, sends, objective_ms, wait_ms, first_ms, total_ms, events, target",
      "Follow the request's id; docs/OPERATIONS.md shows how."},
     {lines_left_out, warn, "lines_left_out",
      "So many lines were not written: over the limit of lines a second, or the "
--- a/src/adapters/forward/forward_call.cpp
+++ b/src/adapters/forward/forward_call.cpp
@@ -378,6 +378,7 @@
         co_return failed;
     }
     this->tell_load(where, exchange);
+    this->note_limit(exchange);
     if (says_not_run(exchange.head(), this->context.names))
     {
         attempt_result refused;
@@ -401,6 +402,13 @@
             {where.engine, (*numbers)[0], (*numbers)[1]});
 }
 
+void forward_call::note_limit(const server_exchange& exchange)
+{
+    constexpr std::size_t most_logged = 32;
+    const auto text = exchange.head()[this->context.names.rate_limit];
+    this->named_limit = view(text.substr(0, most_logged));
+}
+
 asio::awaitable<void> forward_call::end_without_answer(dispatcher::finish how)
 {
     const verdict outcome =
@@ -461,6 +469,7 @@
          {"status", this->status},
          {"reason", to_string(this->reason)},
          {"server", this->last_server},
+         {"server_limit", this->named_limit},
          {"sends", this->sends},
          {"objective_ms", whole_ms(this->route.objective)},
          {"wait_ms", whole_ms(wait)},
--- a/src/adapters/forward/forward_call.hpp
+++ b/src/adapters/forward/forward_call.hpp
@@ -86,6 +86,8 @@
     asio::awaitable<bool> write_chunk(std::string_view bytes);
     bool joins(const server_exchange& exchange) const;
     void tell_load(const grant& where, const server_exchange& exchange);
+    /// Keeps what the answer says of the server's rate limit.
+    void note_limit(const server_exchange& exchange);
     attempt_result result_of(relayed how) const;
     attempt_result result_of(exchange_state state) const;
     asio::awaitable<void> answer_own(own_answer answer);
@@ -109,6 +111,7 @@
     std::uint32_t attempts = 0;    ///< that may have run
     std::uint32_t sends = 0;       ///< that reached a server, refused ones too
     std::string last_server;       ///< id of the last attempt's
+    std::string named_limit;       ///< by the last answer; empty: none
     bool tokens_set_aside = false; ///< of its organisation's limit
     bool may_have_run = false;
     bool head_written = false;
--- a/src/adapters/forward/header_dialect.hpp
+++ b/src/adapters/forward/header_dialect.hpp
@@ -17,6 +17,7 @@
     std::string instance;        ///< id of the run that answers
     std::string not_run;         ///< the server didn't run the request
     std::string load;            ///< running, waiting, slots
+    std::string rate_limit;      ///< requests a second that the server takes
     std::string priority;        ///< 0 to 9
     std::string last_event;      ///< last event that the caller has
     std::string organisation;    ///< name of the one that holds the key
