--- a/include/roseworks/dispatcher.hpp
+++ b/include/roseworks/dispatcher.hpp
@@ -85,7 +85,23 @@
     unknown   ///< it can't be told
 };
 
-using dispatch_command = std::variant<grant, refusal, demand, crash_seen>;
+/// A backend server as grants name it.
+struct server_place
+{
+    engine_id engine;    ///< 0 for a plain service
+    std::string address; ///< ip:port
+};
+
+/// A permit to send one request to a server that named a rate limit is needed;
+/// `permit_given` or `permit_refused` follows.
+struct permit_wanted
+{
+    server_place server;
+    bool waits = false; ///< a request has no other server to go to
+};
+
+using dispatch_command =
+    std::variant<grant, refusal, demand, crash_seen, permit_wanted>;
 
 /// How an attempt ended, as the backend leg saw it.
 struct attempt_result
@@ -214,6 +230,26 @@
     /// A backend server reported its load.
     void load_reported(const load_report& report, instant now);
 
+    /** A backend server named a rate limit, over all routers, or names none.
+
+        From now on each request sent there takes a permit.
+
+        @param per_second Requests; 0: no limit.
+    */
+    void
+    server_limited(const server_place& server, double per_second, instant now);
+
+    /// One request may be sent to a limited server from an instant on.
+    void permit_given(const server_place& server, instant from, instant now);
+
+    /// None may for now; it isn't asked for again before.
+    void permit_refused(
+        const server_place& server, duration retry_after, instant now);
+
+    /// Takes a permit back that nothing was sent under.
+    /// @return Whether there was one.
+    bool permit_withdrawn(const server_place& server);
+
     /// An engine reported what its prefix cache holds.
     void cache_reported(const cache_report& report, instant now);
 
--- a/src/adapters/edge/shared_dispatcher.cpp
+++ b/src/adapters/edge/shared_dispatcher.cpp
@@ -147,6 +147,41 @@
         });
 }
 
+void shared_dispatcher::server_limited(
+    const server_place& server, double per_second)
+{
+    this->locked(
+        [&](instant time)
+        {
+            this->core.server_limited(server, per_second, time);
+        });
+}
+
+void shared_dispatcher::permit_given(const server_place& server, duration wait)
+{
+    this->locked(
+        [&](instant time)
+        {
+            this->core.permit_given(server, time + wait, time);
+        });
+}
+
+void shared_dispatcher::permit_refused(
+    const server_place& server, duration retry_after)
+{
+    this->locked(
+        [&](instant time)
+        {
+            this->core.permit_refused(server, retry_after, time);
+        });
+}
+
+bool shared_dispatcher::permit_withdrawn(const server_place& server)
+{
+    const std::lock_guard lock(this->mutex);
+    return this->core.permit_withdrawn(server);
+}
+
 std::size_t shared_dispatcher::queued() const
 {
     const std::lock_guard lock(this->mutex);
@@ -196,6 +231,8 @@
         into.demands.push_back(*wanted);
     else if (const auto* crash = std::get_if<crash_seen>(&command))
         into.crashes.push_back(*crash);
+    else if (const auto* permit = std::get_if<permit_wanted>(&command))
+        into.permits.push_back(*permit);
 }
 
 void shared_dispatcher::collect_reply(
@@ -217,6 +254,8 @@
         this->tell.on_demand(wanted);
     for (const crash_seen& crash : what.crashes)
         this->tell.on_crash(crash);
+    for (const permit_wanted& permit : what.permits)
+        this->tell.on_permit_wanted(permit);
     if (what.rearm)
         this->arm();
 }
--- a/src/adapters/edge/shared_dispatcher.hpp
+++ b/src/adapters/edge/shared_dispatcher.hpp
@@ -35,6 +35,7 @@
     {
         std::function<void(const demand&)> on_demand;
         std::function<void(const crash_seen&)> on_crash;
+        std::function<void(const permit_wanted&)> on_permit_wanted;
     };
 
     /// @param core     the dispatcher.
@@ -60,6 +61,11 @@
     void cache_reported(const cache_report& report);
     void vm_leaving(std::string_view vm, bool leaving);
     void crash_examined(const crash_seen& what, crash_finding finding);
+    void server_limited(const server_place& server, double per_second);
+    /// @param wait How long until the permit counts.
+    void permit_given(const server_place& server, duration wait);
+    void permit_refused(const server_place& server, duration retry_after);
+    bool permit_withdrawn(const server_place& server);
 
     std::size_t queued() const;
     std::size_t in_flight() const;
@@ -74,6 +80,7 @@
         std::vector<std::pair<reply_handler, reply>> replies;
         std::vector<demand> demands;
         std::vector<crash_seen> crashes;
+        std::vector<permit_wanted> permits;
         bool rearm = false;
     };
 
--- a/src/adapters/events/event_catalogue.cpp
+++ b/src/adapters/events/event_catalogue.cpp
@@ -329,6 +329,26 @@
      "This router asks another one whether requests are within their "
      "organisations' limits; nobody: it uses its own part of each.",
      "accountant", nothing},
+    {server_limited, info, "server_limited",
+     "A backend server names a rate limit, or another one than before: so many "
+     "requests a minute, over all routers.",
+     "server, per_minute", nothing},
+    {server_limit_ended, info, "server_limit_ended",
+     "A backend server names no rate limit any more, is gone, or was started "
+     "anew.",
+     "server", nothing},
+    {server_limit_reached, info, "server_limit_reached",
+     "This router counts for the others, and refused permits to send to a "
+     "limited backend server within the last second: used and refused are sums "
+     "of that second over all routers that ask it, share_percent the part of "
+     "the routers that it hears.",
+     "server, per_minute, used, refused, share_percent",
+     "Compare used with per_minute: docs/OPERATIONS.md shows how."},
+    {server_limit_malformed, warn, "server_limit_malformed",
+     "A backend server named a rate limit that is no number of requests; it "
+     "counts as not named.",
+     "server, value",
+     "Find out what the server means."},
     {placement_owned, info, "placement_owned",
      "This router orders the engines from now on.",
      "fence", nothing},
--- a/src/adapters/forward/forward_call.cpp
+++ b/src/adapters/forward/forward_call.cpp
@@ -1,6 +1,7 @@
 #include "adapters/forward/forward_call.hpp"
 
 #include "adapters/forward/quota_gate.hpp"
+#include "adapters/forward/rate_limit_header.hpp"
 #include "adapters/forward/relay_head.hpp"
 #include "core/serving/servable_key.hpp"
 
@@ -378,7 +379,7 @@
         co_return failed;
     }
     this->tell_load(where, exchange);
-    this->note_limit(exchange);
+    this->tell_limit(exchange);
     if (says_not_run(exchange.head(), this->context.names))
     {
         attempt_result refused;
@@ -402,11 +403,18 @@
             {where.engine, (*numbers)[0], (*numbers)[1]});
 }
 
-void forward_call::note_limit(const server_exchange& exchange)
+void forward_call::tell_limit(const server_exchange& exchange)
 {
     constexpr std::size_t most_logged = 32;
-    const auto text = exchange.head()[this->context.names.rate_limit];
-    this->named_limit = view(text.substr(0, most_logged));
+    const named_rate_limit named =
+        read_rate_limit(exchange.head(), this->context.names);
+    this->named_limit = named.text.substr(0, most_logged);
+    if (named.is_malformed)
+        this->context.events.report(
+            event_id::server_limit_malformed,
+            {{"server", this->last_server}, {"value", this->named_limit}});
+    this->context.ports.answered(
+        this->last_server, named.per_second, this->sent_at);
 }
 
 asio::awaitable<void> forward_call::end_without_answer(dispatcher::finish how)
--- a/src/adapters/forward/forward_call.hpp
+++ b/src/adapters/forward/forward_call.hpp
@@ -86,8 +86,8 @@
     asio::awaitable<bool> write_chunk(std::string_view bytes);
     bool joins(const server_exchange& exchange) const;
     void tell_load(const grant& where, const server_exchange& exchange);
-    /// Keeps what the answer says of the server's rate limit.
-    void note_limit(const server_exchange& exchange);
+    /// Tells what the answer says of the server's rate limit.
+    void tell_limit(const server_exchange& exchange);
     attempt_result result_of(relayed how) const;
     attempt_result result_of(exchange_state state) const;
     asio::awaitable<void> answer_own(own_answer answer);
--- a/src/adapters/forward/forward_context.hpp
+++ b/src/adapters/forward/forward_context.hpp
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <random>
 #include <string>
 #include <unordered_map>
@@ -65,6 +66,12 @@
     std::function<void(const std::string& server)> unreached;
     /// A connection broke under a request that a server had begun.
     std::function<void(const std::string& server, fingerprint)> broken;
+    /// An answer of a server came: the requests a second that it takes from
+    /// all routers together, empty when it named no limit, and when its
+    /// request was sent.
+    std::function<void(
+        const std::string& server, std::optional<double> named, instant sent)>
+        answered;
 };
 
 /// Shared by all connections of one traffic thread; belongs to it.
--- a/src/adapters/peers/gateway_peers.cpp
+++ b/src/adapters/peers/gateway_peers.cpp
@@ -71,6 +71,7 @@
 constexpr std::size_t need_bytes = 72;
 constexpr std::size_t use_bytes = 72;
 constexpr std::size_t engine_bytes = 220;
+constexpr std::size_t limit_bytes = 64;
 constexpr std::size_t word_room = gateway_peers::most_bytes - 100;
 
 } // namespace
@@ -162,6 +163,10 @@
         if (quota_answer word; this->decode(body, word))
             this->listener->quota_answer_heard(word);
         return;
+    case word_kind::server_limits:
+        if (server_limit_word word; this->decode(body, word))
+            this->listener->server_limit_word_heard(word);
+        return;
     }
     ++this->rejected_count;
 }
@@ -277,6 +282,17 @@
         this->send_part();
 }
 
+void gateway_peers::send(
+    std::span<const std::string> addresses, const server_limit_word& word)
+{
+    server_limit_word part = word;
+    for (auto& some : cut(word.limits, limit_bytes, word_room))
+    {
+        part.limits = std::move(some);
+        this->send_one(addresses, word_kind::server_limits, part);
+    }
+}
+
 void gateway_peers::send(std::string_view address, const quota_ask& ask)
 {
     // A few draws and returns at most: they are sent as they come.
--- a/src/adapters/peers/gateway_peers.hpp
+++ b/src/adapters/peers/gateway_peers.hpp
@@ -56,6 +56,9 @@
     void send(
         std::span<const std::string> addresses,
         const directory_word& word) override;
+    void send(
+        std::span<const std::string> addresses,
+        const server_limit_word& word) override;
     void send(std::string_view address, const quota_ask& ask) override;
     void send(std::string_view address, const quota_answer& answer) override;
     void stop() override;
@@ -73,7 +76,8 @@
         broken = 3,
         directory = 4,
         quota_ask = 5,
-        quota_answer = 6
+        quota_answer = 6,
+        server_limits = 7
     };
 
     void receive();
--- a/src/app/gateway/gateway_app.cpp
+++ b/src/app/gateway/gateway_app.cpp
@@ -128,7 +128,11 @@
            {
                this->control->demand_arose(what);
            },
-           [](const crash_seen&) {}}))
+           [](const crash_seen&) {},
+           [this](const permit_wanted& what)
+           {
+               this->control->permit_wanted(what);
+           }}))
     , control(std::make_unique<gateway_control>(
           wanted,
           this->clock,
@@ -221,6 +225,13 @@
         [this](const std::string& server, fingerprint request)
         {
             this->control->connection_broke(server, request);
+        },
+        [this](
+            const std::string& server,
+            std::optional<double> named,
+            instant sent)
+        {
+            this->control->server_answered(server, named, sent);
         }};
     return {
         surroundings,
--- a/src/app/gateway/gateway_control.cpp
+++ b/src/app/gateway/gateway_control.cpp
@@ -144,6 +144,7 @@
               [this]
               {
                   this->placement->servers_changed();
+                  this->pace->servers_changed();
               }}))
     , directory(std::make_unique<users_platform::store_directory>(
           this->loop, directory_options(wanted), time, sink, this->meter))
@@ -151,6 +152,23 @@
           this->loop, udp_endpoint(wanted.listen.peers), sink, this->meter))
     , quotas(std::make_unique<quota_desk>(
           this->loop, quota_options(wanted), time, sink, *this->peers))
+    , pace(std::make_unique<pace_desk>(
+          this->loop,
+          pace_desk::options{wanted.vm.name},
+          time,
+          sink,
+          this->desk->view(),
+          *dispatch,
+          *this->quotas,
+          pace_desk::notices{
+              [this](const server_limit_word& word)
+              {
+                  this->peers->send(this->other_addresses(), word);
+              },
+              [this](std::map<std::string, double, std::less<>> rates)
+              {
+                  this->placement->limits_named(std::move(rates));
+              }}))
     , commands(std::make_unique<users_platform::engine_commands>(
           this->loop, command_options(wanted), this->meter))
     , placement(std::make_unique<placement_desk>(
@@ -383,6 +401,11 @@
     this->quotas->answer_heard(answer);
 }
 
+void gateway_control::server_limit_word_heard(const server_limit_word& word)
+{
+    this->pace->word_heard(word);
+}
+
 void gateway_control::run_ended(
     const std::string& servable, const std::string& engine)
 {
@@ -458,6 +481,7 @@
             this->directory->stop();
             this->peers->stop();
             this->placement->stop();
+            this->pace->stop();
             this->quotas->stop();
             this->desk->stop();
             this->teller.stop();
--- a/src/app/gateway/gateway_control.hpp
+++ b/src/app/gateway/gateway_control.hpp
@@ -5,6 +5,7 @@
 #include "adapters/platform/byte_meter.hpp"
 #include "adapters/settings/gateway_settings.hpp"
 #include "app/gateway/need_teller.hpp"
+#include "app/gateway/pace_desk.hpp"
 #include "app/gateway/placement_desk.hpp"
 #include "app/gateway/quota_desk.hpp"
 #include "app/gateway/serving_desk.hpp"
@@ -94,6 +95,22 @@
     /// It has ended there.
     void run_ended(const std::string& servable, const std::string& engine);
 
+    /// An answer of a server came.
+    /// @param server id of its entry.
+    /// @param named  Requests a second that it takes; empty: it named none.
+    /// @param sent   When its request was sent.
+    void server_answered(
+        const std::string& server, std::optional<double> named, instant sent)
+    {
+        this->pace->answered(server, named, sent);
+    }
+
+    /// The dispatcher needs a permit to send to a limited server.
+    void permit_wanted(const roseworks::permit_wanted& what)
+    {
+        this->pace->permit_wanted(what);
+    }
+
     /// Limits of organisations.
     quota_port& limits()
     {
@@ -135,6 +152,7 @@
     void directory_word_heard(const directory_word& word) override;
     void quota_ask_heard(const quota_ask& ask, std::string_view from) override;
     void quota_answer_heard(const quota_answer& answer) override;
+    void server_limit_word_heard(const server_limit_word& word) override;
 
     void run();
     void take_owner_word(const owner_word& word, std::string_view from);
@@ -171,6 +189,7 @@
     std::unique_ptr<directory_port> directory;
     std::unique_ptr<gateway_peer_port> peers;
     std::unique_ptr<quota_desk> quotas;
+    std::unique_ptr<pace_desk> pace;
     std::unique_ptr<engine_command_port> commands;
     std::unique_ptr<placement_desk> placement;
     usage_meter usage;
--- a/src/app/gateway/placement_desk.cpp
+++ b/src/app/gateway/placement_desk.cpp
@@ -161,6 +161,14 @@
         if (anew && this->at_work)
             this->examine(id, milliseconds(0));
     }
+    this->book.limits_named(this->named_limits);
+}
+
+void placement_desk::limits_named(
+    std::map<std::string, double, std::less<>> requests_a_second)
+{
+    this->named_limits = std::move(requests_a_second);
+    this->book.limits_named(this->named_limits);
 }
 
 bool placement_desk::owns(instant now) const
--- a/src/app/gateway/placement_desk.hpp
+++ b/src/app/gateway/placement_desk.hpp
@@ -87,6 +87,10 @@
     /// The registry, or what its engines hold, has changed.
     void servers_changed();
 
+    /// Rate limits that engines name now, in requests a second, by their ids.
+    void
+    limits_named(std::map<std::string, double, std::less<>> requests_a_second);
+
     void tenure_changed(std::optional<placement_tenure> held);
 
     /// The term has ended without a renewal, and another router may own
@@ -151,6 +155,7 @@
     engine_command_port& commands;
     const serving_view& view;
     engine_book book;
+    std::map<std::string, double, std::less<>> named_limits; ///< by engine
     need_book needs;
     swap_planner planner;
     residency_teller words;
--- a/src/app/gateway/quota_desk.cpp
+++ b/src/app/gateway/quota_desk.cpp
@@ -48,6 +48,11 @@
     return names;
 }
 
+std::int64_t whole(double amount)
+{
+    return static_cast<std::int64_t>(amount);
+}
+
 quota_client::options client_options(const quota_desk::options& settings)
 {
     quota_client::options made;
@@ -91,15 +96,32 @@
 
 void quota_desk::configured(const deployment& configuration)
 {
-    this->is_limited =
-        configuration.organisations && std::ranges::any_of(
-                                           *configuration.organisations,
-                                           [](const organisation& one)
-                                           {
-                                               return one.limit.has_value();
-                                           });
-    this->accountant.limits_changed(configuration, this->clock.now());
-    this->client.limits_changed(configuration);
+    this->of_organisations = limits_of(configuration, this->settings.bounds);
+    this->limits_changed();
+}
+
+void quota_desk::servers_limited(std::span<const server_limit> all)
+{
+    this->of_servers.clear();
+    for (const server_limit& one : all)
+        this->of_servers[server_account(one.server)] =
+            limit_of_server(one.per_second);
+    this->limits_changed();
+}
+
+void quota_desk::limits_changed()
+{
+    counted_limits all = this->of_organisations;
+    all.insert(this->of_servers.begin(), this->of_servers.end());
+    this->is_limited = !all.empty();
+    std::erase_if(
+        this->told,
+        [&all](const auto& one)
+        {
+            return !all.contains(one.first);
+        });
+    this->accountant.limits_changed(all, this->clock.now());
+    this->client.limits_changed(std::move(all));
     this->tick();
 }
 
@@ -242,26 +264,48 @@
 
 void quota_desk::log_limits()
 {
-    const auto whole = [](double amount)
-    {
-        return static_cast<std::int64_t>(amount);
-    };
-    constexpr double percent = 100;
     for (const auto& [name, one] : this->accountant.accounts())
     {
         tally& before = this->told[name];
         if (one.refused > before.refused)
-            this->events.report(
-                event_id::limit_reached,
-                {{"organisation", name},
-                 {"per_second", whole(one.limit.per_second)},
-                 {"burst", whole(one.limit.burst)},
-                 {"used", whole(one.used - before.used)},
-                 {"refused", whole(one.refused - before.refused)},
-                 {"left", whole(one.bucket.level())},
-                 {"share_percent", whole(this->accountant.share() * percent)}});
+            this->log_refusals(
+                name,
+                one,
+                one.used - before.used,
+                one.refused - before.refused);
         before = {one.used, one.refused};
     }
 }
 
+void quota_desk::log_refusals(
+    std::string_view name,
+    const quota_accountant::account& one,
+    double used,
+    double refused)
+{
+    constexpr double percent = 100;
+    constexpr double seconds_per_minute = 60;
+    const std::int64_t share = whole(this->accountant.share() * percent);
+    if (is_server_account(name))
+    {
+        this->events.report(
+            event_id::server_limit_reached,
+            {{"server", server_of_account(name)},
+             {"per_minute", whole(one.limit.per_second * seconds_per_minute)},
+             {"used", whole(used)},
+             {"refused", whole(refused)},
+             {"share_percent", share}});
+        return;
+    }
+    this->events.report(
+        event_id::limit_reached,
+        {{"organisation", name},
+         {"per_second", whole(one.limit.per_second)},
+         {"burst", whole(one.limit.burst)},
+         {"used", whole(used)},
+         {"refused", whole(refused)},
+         {"left", whole(one.bucket.level())},
+         {"share_percent", share}});
+}
+
 } // namespace roseworks::app
--- a/src/app/gateway/quota_desk.hpp
+++ b/src/app/gateway/quota_desk.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/pacing/server_limit.hpp"
+#include "core/quota/counted_limits.hpp"
 #include "core/quota/quota_accountant.hpp"
 #include "core/quota/quota_client.hpp"
 #include "ports/clock.hpp"
@@ -22,7 +24,8 @@
 namespace roseworks::app
 {
 
-/** Keeps the limits of organisations together with the other routers: asks
+/** Keeps the limits of organisations, and those that backend servers name,
+    together with the other routers: asks
     the accountant for this router's requests, and is one itself for those who
     ask it.
 
@@ -51,6 +54,10 @@
     void stop();
 
     void configured(const deployment& configuration);
+
+    /// Rate limits that backend servers name now.
+    void servers_limited(std::span<const server_limit> all);
+
     void routers_listed(std::span<const router_address> all);
     void ask_heard(const quota_ask& ask, std::string_view from);
     void answer_heard(const quota_answer& answer);
@@ -65,15 +72,21 @@
     void flush();
     void send(const quota_message& message);
     void tell(const quota_decision& made);
-    /// @return Whether some organisation has a limit, or had one when a
-    ///         request came that still waits.
+    void limits_changed();
+    /// @return Whether some account has a limit, or had one when a request
+    ///         came that still waits.
     bool has_work() const;
     void arm();
     void tick();
     void log_use();
     void log_limits();
+    void log_refusals(
+        std::string_view name,
+        const quota_accountant::account& one,
+        double used,
+        double refused);
 
-    /// What an organisation had used and was refused when it was last told.
+    /// What had been used and refused of an account when it was last told.
     struct tally
     {
         double used = 0;
@@ -89,11 +102,13 @@
     quota_client client;
     std::map<std::string, std::string, std::less<>> addresses; ///< by name
     std::unordered_map<std::uint64_t, handler> waiting;        ///< by draw
-    std::map<std::string, tally> told; ///< by organisation
+    std::map<std::string, tally, std::less<>> told;            ///< by account
+    counted_limits of_organisations;
+    counted_limits of_servers;
     boost::asio::steady_timer timer;
     std::string asked; ///< accountant that is asked
     instant logged;
-    bool is_limited = false; ///< some organisation has a limit
+    bool is_limited = false; ///< some account has a limit
     bool stopped = false;
 };
 
--- /dev/null
+++ b/src/core/quota/counted_limits.cpp
@@ -0,0 +1,49 @@
+#include "core/quota/counted_limits.hpp"
+
+namespace roseworks
+{
+
+namespace
+{
+
+/// No organisation's name begins with a control character.
+constexpr std::string_view server_prefix = "\x01server ";
+
+} // namespace
+
+counted_limits
+limits_of(const deployment& configuration, const quota_bounds& bounds)
+{
+    counted_limits made;
+    if (!configuration.organisations)
+        return made;
+    for (const organisation& one : *configuration.organisations)
+    {
+        if (one.limit)
+            made[one.name] = {*one.limit, bounds.slack, 0};
+    }
+    return made;
+}
+
+counted_limit limit_of_server(double per_second)
+{
+    constexpr double one_request = 1;
+    return {{per_second, one_request}, 0, one_request};
+}
+
+std::string server_account(std::string_view server)
+{
+    return std::string(server_prefix) + std::string(server);
+}
+
+std::string_view server_of_account(std::string_view account)
+{
+    return account.substr(server_prefix.size());
+}
+
+bool is_server_account(std::string_view account)
+{
+    return account.starts_with(server_prefix);
+}
+
+} // namespace roseworks
--- a/src/core/quota/quota_accountant.cpp
+++ b/src/core/quota/quota_accountant.cpp
@@ -22,6 +22,9 @@
 /// number at all would spoil a bucket for all who draw from it.
 constexpr double largest_amount = 1e12;
 
+/// Of organisations and servers; more are not counted.
+constexpr std::size_t most_accounts = 10'000;
+
 bool makes_sense(double amount)
 {
     return amount >= 0 && amount <= largest_amount;
@@ -43,23 +46,17 @@
 {
 }
 
-void quota_accountant::limits_changed(
-    const deployment& configuration, instant now)
+void quota_accountant::limits_changed(const counted_limits& all, instant now)
 {
     this->advance(now);
     std::map<std::string, account, std::less<>> next;
-    if (configuration.organisations)
+    for (const auto& [one, limit] : all)
     {
-        for (const organisation& one : *configuration.organisations)
-        {
-            if (!one.limit)
-                continue;
-            account& added = next[one.name];
-            const auto before = this->limited.find(one.name);
-            if (before != this->limited.end())
-                added = before->second;
-            added.limit = *one.limit;
-        }
+        account& added = next[one];
+        const auto before = this->limited.find(one);
+        if (before != this->limited.end())
+            added = before->second;
+        added.limit = limit.whole;
     }
     this->limited = std::move(next);
 }
@@ -98,10 +95,9 @@
     if (!makes_sense(draw.amount))
         return {draw.id, false, 0};
     quota_result result{draw.id, true, 0};
-    const auto found = this->limited.find(draw.organisation);
-    if (found != this->limited.end())
+    if (account* const found = this->find_account(draw))
     {
-        account& one = found->second;
+        account& one = *found;
         const usage_limit terms = share_of(one.limit, this->part);
         const auto wait =
             one.bucket.take(draw.amount, bounded(draw.longest_wait_us), terms);
@@ -118,6 +114,23 @@
     return result;
 }
 
+quota_accountant::account*
+quota_accountant::find_account(const quota_draw& draw)
+{
+    const auto found = this->limited.find(draw.organisation);
+    if (found != this->limited.end())
+        return &found->second;
+    const bool is_named = is_server_account(draw.organisation) &&
+                          draw.named_per_second > 0 &&
+                          makes_sense(draw.named_per_second);
+    if (!is_named || this->limited.size() >= most_accounts)
+        return nullptr;
+    // The word of this limit is still on its way, or was lost.
+    account& added = this->limited[draw.organisation];
+    added.limit = limit_of_server(draw.named_per_second).whole;
+    return &added;
+}
+
 void quota_accountant::give_back(const quota_return& what)
 {
     const auto found = this->limited.find(what.organisation);
--- a/src/core/quota/quota_accountant.hpp
+++ b/src/core/quota/quota_accountant.hpp
@@ -1,9 +1,8 @@
 #pragma once
 
-#include "core/quota/limit_share.hpp"
+#include "core/quota/counted_limits.hpp"
 #include "core/quota/quota_words.hpp"
 #include "core/quota/token_bucket.hpp"
-#include "core/serving/deployment.hpp"
 
 #include <roseworks/instant.hpp>
 
@@ -32,8 +31,8 @@
 public:
     quota_accountant(std::string own_name, quota_bounds bounds);
 
-    /// Limits of another version of the configuration are in force.
-    void limits_changed(const deployment& configuration, instant now);
+    /// Other limits are in force.
+    void limits_changed(const counted_limits& all, instant now);
 
     /// @param count Routers that ever announced themselves.
     void routers_known(std::size_t count);
@@ -73,6 +72,8 @@
     };
 
     quota_result settle(const quota_draw& draw, router& from);
+    /// @return Null for one without a limit.
+    account* find_account(const quota_draw& draw);
     void give_back(const quota_return& what);
     void advance(instant now);
 
--- a/src/core/quota/quota_client.cpp
+++ b/src/core/quota/quota_client.cpp
@@ -41,16 +41,9 @@
     this->way = ways[static_cast<std::size_t>(this->settings.way)];
 }
 
-void quota_client::limits_changed(const deployment& configuration)
+void quota_client::limits_changed(counted_limits all)
 {
-    this->limits.clear();
-    if (!configuration.organisations)
-        return;
-    for (const organisation& one : *configuration.organisations)
-    {
-        if (one.limit)
-            this->limits[one.name] = *one.limit;
-    }
+    this->limits = std::move(all);
     std::erase_if(
         this->own,
         [this](const auto& one)
@@ -94,7 +87,8 @@
         id,
         std::string(organisation),
         amount,
-        std::max(longest_wait, duration::zero()).count()};
+        std::max(longest_wait, duration::zero()).count(),
+        this->named_limit(organisation)};
     added.asked = now;
     added.sent = now;
     this->waiting.emplace(id, std::move(added));
@@ -102,6 +96,14 @@
     return id;
 }
 
+double quota_client::named_limit(std::string_view account) const
+{
+    const auto limit = this->limits.find(account);
+    const bool is_named =
+        limit != this->limits.end() && is_server_account(account);
+    return is_named ? limit->second.whole.per_second : 0;
+}
+
 void quota_client::ask_accountant(std::uint64_t id, instant now)
 {
     if (this->current >= this->candidates.size())
@@ -149,7 +151,8 @@
     return 1.0 / static_cast<double>(this->known_routers);
 }
 
-usage_limit quota_client::own_terms(const usage_limit& whole, instant now) const
+usage_limit
+quota_client::own_terms(const counted_limit& limit, instant now) const
 {
     /// A bucket that fills once in a window gives at most twice its size in
     /// any; one that never fills by it gives it once.
@@ -157,10 +160,10 @@
     constexpr double without = 0.95;
     const bool by_itself = this->settings.way == quota_way::own_share;
     const double part = this->own_part();
-    const double slack = this->settings.bounds.slack * part *
-                         (by_itself ? without : with_accountant);
-    usage_limit terms = share_of(whole, part);
-    terms.burst += slack;
+    const double slack =
+        limit.slack * part * (by_itself ? without : with_accountant);
+    usage_limit terms = share_of(limit.whole, part);
+    terms.burst = std::max(terms.burst, limit.least_burst) + slack;
     if (!by_itself && !this->is_alone(now))
         terms = {slack / seconds(this->settings.bounds.window), slack};
     return terms;
--- a/src/core/quota/quota_client.hpp
+++ b/src/core/quota/quota_client.hpp
@@ -1,9 +1,8 @@
 #pragma once
 
-#include "core/quota/limit_share.hpp"
+#include "core/quota/counted_limits.hpp"
 #include "core/quota/quota_words.hpp"
 #include "core/quota/token_bucket.hpp"
-#include "core/serving/deployment.hpp"
 
 #include <roseworks/instant.hpp>
 
@@ -70,7 +69,7 @@
 
     explicit quota_client(options settings);
 
-    void limits_changed(const deployment& configuration);
+    void limits_changed(counted_limits all);
 
     /// @param names Routers that may count, the preferred one first; the same
     ///              on each router.
@@ -126,13 +125,15 @@
 
     using decide = void (quota_client::*)(std::uint64_t id, instant now);
 
+    /// @return What a backend server named; 0 for other accounts.
+    double named_limit(std::string_view account) const;
     void ask_accountant(std::uint64_t id, instant now);
     void use_own_part(std::uint64_t id, instant now);
     /// @return This router's part of each limit; nothing before it was told
     ///         how many share them.
     double own_part() const;
     /// @return What this router may use by itself now.
-    usage_limit own_terms(const usage_limit& whole, instant now) const;
+    usage_limit own_terms(const counted_limit& limit, instant now) const;
     void fill_own(instant now);
     /// @return Whether no accountant counts for this router.
     bool is_alone(instant now) const;
@@ -151,7 +152,7 @@
 
     options settings;
     decide way;
-    std::map<std::string, usage_limit, std::less<>> limits;
+    counted_limits limits;
     std::unordered_map<std::string, token_bucket> own; ///< by organisation
     std::vector<candidate> candidates;
     std::size_t current = 0;       ///< candidate; beyond the last: none answers
--- a/src/core/quota/quota_words.hpp
+++ b/src/core/quota/quota_words.hpp
@@ -14,12 +14,19 @@
     std::string organisation;
     double amount = 0;
     std::int64_t longest_wait_us = 0;
+    /// The limit as a backend server named it, for an accountant that hasn't
+    /// heard of it; 0: the configuration's counts.
+    double named_per_second = 0;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
         archive(
-            this->id, this->organisation, this->amount, this->longest_wait_us);
+            this->id,
+            this->organisation,
+            this->amount,
+            this->longest_wait_us,
+            this->named_per_second);
     }
 };
 
--- a/src/core/request/dispatcher.cpp
+++ b/src/core/request/dispatcher.cpp
@@ -48,6 +48,29 @@
     this->self->load_reported(report, now);
 }
 
+void dispatcher::server_limited(
+    const server_place& server, double per_second, instant now)
+{
+    this->self->server_limited(server, per_second, now);
+}
+
+void dispatcher::permit_given(
+    const server_place& server, instant from, instant now)
+{
+    this->self->permit_given(server, from, now);
+}
+
+void dispatcher::permit_refused(
+    const server_place& server, duration retry_after, instant now)
+{
+    this->self->permit_refused(server, retry_after, now);
+}
+
+bool dispatcher::permit_withdrawn(const server_place& server)
+{
+    return this->self->permit_withdrawn(server);
+}
+
 void dispatcher::cache_reported(const cache_report& report, instant now)
 {
     this->self->cache_reported(report, now);
--- a/src/core/request/dispatcher_impl.hpp
+++ b/src/core/request/dispatcher_impl.hpp
@@ -32,6 +32,10 @@
     void table_changed(routing_table_ptr next, instant now);
     void load_reported(const load_report& report, instant now);
     void cache_reported(const cache_report& report, instant now);
+    void server_limited(const server_place&, double per_second, instant now);
+    void permit_given(const server_place& server, instant from, instant now);
+    void permit_refused(const server_place&, duration retry_after, instant now);
+    bool permit_withdrawn(const server_place& server);
     void routers_alive(std::size_t count, instant now);
     void vm_leaving(std::string_view vm, bool leaving, instant now);
     void drain();
@@ -77,6 +81,9 @@
         detail::server_key server{};            ///< of the running attempt
         std::optional<detail::server_key> hold; ///< kept idle for this suspect
         std::vector<detail::server_key> tried;
+        /// A limited server's permit was asked for on its behalf: it waits for
+        /// the answer until then.
+        std::optional<instant> permit_awaited;
     };
 
     using targets =
@@ -122,6 +129,27 @@
     void release_hold(ticket id);
     void note_waiting(detail::target& where);
 
+    // dispatcher_permits.cpp
+    /// Asks for permits to send to limited servers of a target for which
+    /// requests wait.
+    void ask_for_permits(detail::target& where, instant now);
+    /// @return Whether a request that could go elsewhere waits for the answer
+    ///         to an ask: else limited servers would get nothing while there
+    ///         are others, and nobody would see their limits end.
+    bool awaits_permit(
+        detail::target& where,
+        pending& request,
+        std::span<std::size_t const> usable,
+        instant now);
+    void ask_for_permit(const detail::backend& one, bool waits, instant now);
+    /// @return How long a request waits where all servers are limited; zero
+    ///         where one isn't.
+    duration limited_wait(
+        const detail::target& where,
+        std::size_t ahead,
+        std::span<std::size_t const> usable,
+        instant now) const;
+
     // dispatcher_finish.cpp
     void release_slot(pending& request);
     void note_crash(pending& request, engine_id engine, bool resumable);
@@ -179,6 +207,7 @@
     std::optional<instant> due;
     std::uint64_t last_ticket = 0;
     std::uint32_t last_target = 0;
+    std::size_t limited_servers = 0; ///< that named a rate limit
     std::size_t queued_count = 0;
     std::size_t held_bytes = 0;
     std::array<std::size_t, detail::class_count> queued_bytes{};
--- /dev/null
+++ b/src/core/request/dispatcher_permits.cpp
@@ -0,0 +1,148 @@
+#include "core/request/dispatcher_impl.hpp"
+
+#include <algorithm>
+
+namespace roseworks
+{
+
+namespace
+{
+
+/// A request that could go elsewhere waits for the answer to an ask so long:
+/// some trips between two data centres.
+constexpr duration longest_permit_answer = std::chrono::milliseconds(30);
+
+} // namespace
+
+void dispatcher::impl::server_limited(
+    const server_place& server, double per_second, instant now)
+{
+    detail::server_pace& pace = this->loads.at(detail::key_of(server)).pace;
+    this->limited_servers -= pace.is_limited() ? 1 : 0;
+    pace.limit(per_second);
+    this->limited_servers += pace.is_limited() ? 1 : 0;
+    this->shared_server_free = true;
+    this->pump_if_freed(now);
+}
+
+void dispatcher::impl::permit_given(
+    const server_place& server, instant from, instant now)
+{
+    this->loads.at(detail::key_of(server)).pace.allowed(from);
+    this->due_no_later(from);
+    this->shared_server_free = true;
+    this->pump_if_freed(now);
+}
+
+void dispatcher::impl::permit_refused(
+    const server_place& server, duration retry_after, instant now)
+{
+    this->loads.at(detail::key_of(server)).pace.refused(now + retry_after);
+    this->due_no_later(now + retry_after);
+    this->shared_server_free = true;
+    this->pump_if_freed(now);
+}
+
+bool dispatcher::impl::permit_withdrawn(const server_place& server)
+{
+    return this->loads.at(detail::key_of(server)).pace.withdraw();
+}
+
+void dispatcher::impl::ask_for_permit(
+    const detail::backend& one, bool waits, instant now)
+{
+    this->loads.at(one.server).pace.asked(waits, now);
+    this->commands.emplace_back(
+        permit_wanted{{one.where.engine, one.where.address}, waits});
+}
+
+void dispatcher::impl::ask_for_permits(detail::target& where, instant now)
+{
+    if (this->limited_servers == 0 || where.waiting() == 0)
+    {
+        return;
+    }
+    for (const detail::backend& one : where.backends)
+    {
+        const detail::server_pace* pace = this->loads.pace_of(one.server);
+        if (pace == nullptr || !one.listed || one.leaving)
+        {
+            continue;
+        }
+        if (pace->must_ask(now))
+        {
+            this->ask_for_permit(one, true, now);
+        }
+        const auto next = pace->changes_at();
+        if (next && *next > now)
+        {
+            this->due_no_later(*next);
+        }
+    }
+}
+
+bool dispatcher::impl::awaits_permit(
+    detail::target& where,
+    pending& request,
+    std::span<std::size_t const> usable,
+    instant now)
+{
+    if (this->limited_servers == 0)
+    {
+        return false;
+    }
+    const bool is_asked = request.permit_awaited.has_value();
+    for (const std::size_t i : usable)
+    {
+        const detail::backend& one = where.backends[i];
+        const detail::server_pace* pace = this->loads.pace_of(one.server);
+        if (pace == nullptr)
+        {
+            continue;
+        }
+        if (is_asked && pace->awaits_answer() && now < *request.permit_awaited)
+        {
+            return true;
+        }
+        if (!is_asked && pace->must_ask(now))
+        {
+            this->ask_for_permit(one, false, now);
+            request.permit_awaited = now + longest_permit_answer;
+            this->due_no_later(*request.permit_awaited);
+            return true;
+        }
+    }
+    return false;
+}
+
+duration dispatcher::impl::limited_wait(
+    const detail::target& where,
+    std::size_t ahead,
+    std::span<std::size_t const> usable,
+    instant now) const
+{
+    double permits_a_second = 0;
+    std::optional<duration> next;
+    for (const std::size_t i : usable)
+    {
+        const detail::server_pace* pace =
+            this->loads.pace_of(where.backends[i].server);
+        if (pace == nullptr || !pace->is_limited())
+        {
+            return duration::zero();
+        }
+        const std::chrono::duration<double> turn = pace->turn(now);
+        permits_a_second += 1 / turn.count();
+        const duration one = pace->next_in(now);
+        next = std::min(next.value_or(one), one);
+    }
+    if (!next)
+    {
+        return duration::zero();
+    }
+    const std::chrono::duration<double> queue(
+        static_cast<double>(ahead) / permits_a_second);
+    return *next + std::chrono::duration_cast<duration>(queue);
+}
+
+} // namespace roseworks
--- a/src/core/request/dispatcher_pump.cpp
+++ b/src/core/request/dispatcher_pump.cpp
@@ -59,6 +59,7 @@
         where.queue.push(item);
     }
     this->place_suspect(where, now);
+    this->ask_for_permits(where, now);
     this->note_waiting(where);
 }
 
@@ -115,6 +116,13 @@
         return true;
     }
 
+    if (this->awaits_permit(where, request, usable, now))
+    {
+        where.queue.erase(chosen->item.id);
+        aside.push_back(chosen->item);
+        return true;
+    }
+
     detail::choice_query query;
     if (this->settings.affinity != prefix_affinity::none)
     {
@@ -154,6 +162,7 @@
     where.long_in_flight += request.item.long_prompt ? 1 : 0;
     detail::server_state& server = this->loads.at(chosen.server);
     ++server.own;
+    server.pace.sent();
     if (alone)
     {
         server.exclusive = request.item.id;
@@ -274,8 +283,9 @@
     {
         detail::backend& one = where.backends[i];
         const detail::server_state& server = this->loads.at(one.server);
-        const bool others =
-            server.exclusive || (server.held && server.held != request.item.id);
+        const bool others = server.exclusive ||
+                            (server.held && server.held != request.item.id) ||
+                            !server.pace.may_send(now);
         if (others || (another && !untried(i)))
         {
             continue;
--- a/src/core/request/dispatcher_tick.cpp
+++ b/src/core/request/dispatcher_tick.cpp
@@ -175,7 +175,9 @@
     }
     const bool batch = item.level == priority::batch;
     const std::size_t slots = where.slots(usable, batch, this->loads, now);
-    return where.estimator.queue_wait(ahead, slots, now);
+    return std::max(
+        where.estimator.queue_wait(ahead, slots, now),
+        this->limited_wait(where, ahead, usable, now));
 }
 
 duration
--- a/src/core/request/target.cpp
+++ b/src/core/request/target.cpp
@@ -130,7 +130,11 @@
     std::size_t total = 0;
     for (const std::size_t i : usable)
     {
-        total += loads.limit(this->backends[i].server, streams, now);
+        const server_key server = this->backends[i].server;
+        if (!loads.is_limited(server))
+        {
+            total += loads.limit(server, streams, now);
+        }
     }
     const std::size_t kept = batch ? kept_for_better(this->max_streams) : 0;
     return total > kept ? total - kept : total;
--- a/src/core/request/target.hpp
+++ b/src/core/request/target.hpp
@@ -48,7 +48,8 @@
     /// Forgets backends that left the table and run nothing.
     void drop_unlisted();
 
-    /// @return Requests of a class that run at once on these backends.
+    /// @return Requests of a class that run at once on these backends, those
+    ///         left out that named a rate limit.
     std::size_t slots(
         std::span<std::size_t const> usable,
         bool batch,
--- a/src/core/routing/balancer.cpp
+++ b/src/core/routing/balancer.cpp
@@ -72,12 +72,15 @@
     instant now)
 {
     const std::uint32_t streams = std::max<std::uint16_t>(max_streams, 1);
-    if (loads.reserved(one.server))
+    if (loads.reserved(one.server) || !loads.may_send(one.server, now))
     {
         return 0;
     }
     const std::uint32_t limit = loads.limit(one.server, streams, now);
-    return limit > one.in_flight ? limit - one.in_flight : 0;
+    const std::uint32_t free =
+        limit > one.in_flight ? limit - one.in_flight : 0;
+    // A limited server takes one request a permit.
+    return loads.is_limited(one.server) ? std::min(free, 1U) : free;
 }
 
 } // namespace
@@ -185,6 +188,17 @@
         {
             return !has_slot(all[i], query.max_streams, loads, now);
         });
+    // A permit at hand was asked for one of these requests, and counts.
+    const auto permitted = std::ranges::find_if(
+        candidates,
+        [&](std::size_t i)
+        {
+            return loads.is_limited(all[i].server);
+        });
+    if (permitted != candidates.end())
+    {
+        return *permitted;
+    }
     const std::vector<std::size_t> own = this->prefer_own(all, candidates);
     const std::vector<std::size_t>& best =
         above_mean(all, own, candidates, loads, now) ? candidates : own;
--- a/src/core/routing/server_loads.cpp
+++ b/src/core/routing/server_loads.cpp
@@ -14,6 +14,12 @@
     return XXH3_64bits(address.data(), address.size()) | service_bit;
 }
 
+server_key key_of(const server_place& server)
+{
+    return server.engine ? key_of(server.engine)
+                         : key_of_address(server.address);
+}
+
 void server_loads::reported(const load_report& report, instant now)
 {
     server_state& state = this->at(key_of(report.engine));
@@ -55,6 +61,24 @@
     return own + this->foreign(server, now);
 }
 
+const server_pace* server_loads::pace_of(server_key server) const
+{
+    const auto found = this->states.find(server);
+    return found == this->states.end() ? nullptr : &found->second.pace;
+}
+
+bool server_loads::may_send(server_key server, instant now) const
+{
+    const server_pace* pace = this->pace_of(server);
+    return pace == nullptr || pace->may_send(now);
+}
+
+bool server_loads::is_limited(server_key server) const
+{
+    const server_pace* pace = this->pace_of(server);
+    return pace != nullptr && pace->is_limited();
+}
+
 bool server_loads::reserved(server_key server) const
 {
     const auto found = this->states.find(server);
--- a/src/core/routing/server_loads.hpp
+++ b/src/core/routing/server_loads.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/routing/server_pace.hpp"
+
 #include <roseworks/dispatcher.hpp>
 
 #include <cstddef>
@@ -22,6 +24,9 @@
 /// @return The key of a plain service's address.
 server_key key_of_address(std::string_view address);
 
+/// @return The key of a server that a grant names.
+server_key key_of(const server_place& server);
+
 /// Load of one backend server, as seen from this router.
 struct server_state
 {
@@ -30,6 +35,7 @@
     instant reported = instant::min();
     ticket exclusive; ///< a suspect request runs alone here
     ticket held;      ///< a suspect request waits for it to be idle
+    server_pace pace; ///< of what is sent there
 };
 
 /** Load of the backend servers: their lagged reports, corrected by this
@@ -69,6 +75,15 @@
     /// @return Own requests and those of others.
     std::uint32_t load(server_key server, instant now) const;
 
+    /// @return Whether it named no rate limit, or there is a permit for it.
+    bool may_send(server_key server, instant now) const;
+
+    /// @return Null when nothing is known of the server.
+    const server_pace* pace_of(server_key server) const;
+
+    /// @return Whether it named a rate limit.
+    bool is_limited(server_key server) const;
+
     /// @return Whether a suspect request keeps others away.
     bool reserved(server_key server) const;
 
--- a/src/core/serving/serving_view.cpp
+++ b/src/core/serving/serving_view.cpp
@@ -376,7 +376,7 @@
             id, one.entry.service, one.entry.data_centre};
         if (one.entry.leaving)
             continue;
-        if (this->catalogue->engine_services.contains(one.entry.service))
+        if (this->is_engine(one))
         {
             if (!one.unreached_until)
                 this->add_engine(made, one, now);
@@ -387,6 +387,12 @@
     return std::make_shared<const serving_table>(std::move(made));
 }
 
+bool serving_view::is_engine(const server& one) const
+{
+    return this->catalogue &&
+           this->catalogue->engine_services.contains(one.entry.service);
+}
+
 void serving_view::add_engine(
     serving_table::parts& into, const server& one, instant now) const
 {
--- a/src/core/serving/serving_view.hpp
+++ b/src/core/serving/serving_view.hpp
@@ -139,6 +139,9 @@
     const std::vector<resident_model>&
     resident(const server& one, instant now) const;
 
+    /// @return Whether its service's requests need a model.
+    bool is_engine(const server& one) const;
+
     const std::map<std::string, server, std::less<>>& servers() const
     {
         return this->known;
--- a/src/core/swapping/engine_book.cpp
+++ b/src/core/swapping/engine_book.cpp
@@ -359,6 +359,16 @@
     engine->reachable = false;
 }
 
+void engine_book::limits_named(
+    const std::map<std::string, double, std::less<>>& all)
+{
+    for (auto& [id, engine] : this->known)
+    {
+        const auto named = all.find(id);
+        engine.rate_limit = named == all.end() ? 0 : named->second;
+    }
+}
+
 void engine_book::run_over(std::string_view id)
 {
     this->unreached(id);
--- a/src/core/swapping/engine_book.hpp
+++ b/src/core/swapping/engine_book.hpp
@@ -93,8 +93,9 @@
 struct engine_state
 {
     server_entry entry;
-    bool examined = false;          ///< a report was read since it was taken up
-    bool reachable = true;          ///< by the last attempt
+    bool examined = false; ///< a report was read since it was taken up
+    bool reachable = true; ///< by the last attempt
+    double rate_limit = 0; ///< requests a second that it takes; 0: none named
     std::uint64_t orders_taken = 0; ///< by the engine, since its start
     std::vector<held_model> held;
     std::deque<std::string> in_memory; ///< copies, last used last
@@ -221,6 +222,9 @@
     */
     void unreached(std::string_view id);
 
+    /// Rate limits that engines name now, in requests a second, by their ids.
+    void limits_named(const std::map<std::string, double, std::less<>>& all);
+
     /// Another run answers at its address: the same, and its orders' count
     /// begins anew should it be the engine's own after all.
     void run_over(std::string_view id);
--- a/src/core/swapping/swap_planner.cpp
+++ b/src/core/swapping/swap_planner.cpp
@@ -23,6 +23,21 @@
     return std::chrono::duration<double>(length).count();
 }
 
+/// @return Whether another copy of a model helps there.
+bool relieves(const engine_state& engine, bool is_elsewhere)
+{
+    return !is_elsewhere || engine.rate_limit == 0;
+}
+
+/// @return Until an engine takes a request that comes at its limit.
+duration limited_pause(const engine_state& engine)
+{
+    if (engine.rate_limit == 0)
+        return duration::zero();
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(1 / engine.rate_limit));
+}
+
 } // namespace
 
 swap_planner::swap_planner(options chosen)
@@ -86,7 +101,7 @@
         {
             model_sum& sum =
                 current.sums[servable_key(service, engine.held[i].name)];
-            ++sum.copies;
+            ++(engine.rate_limit > 0 ? sum.limited : sum.copies);
             sum.running += info.held[i].running;
         }
         const bool loading = engine.order &&
@@ -148,7 +163,9 @@
         what.objective = told.objective;
         what.deadline = told.deadline;
         const std::string key = servable_key(parts.service, parts.model);
-        if (!what.adapter.empty() && this->sum_of(current, key).copies == 0)
+        const model_sum& sum = this->sum_of(current, key);
+        what.only_limited = sum.copies == 0 && sum.limited != 0;
+        if (!what.adapter.empty() && sum.copies == 0)
             what.adapter.clear();
         wants.push_back(std::move(what));
     }
@@ -427,7 +444,8 @@
     {
         if (engine.entry.service != what.service || engine.entry.leaving ||
             !engine.examined || current.taken.contains(id) ||
-            engine.source_of(what.model) == weight_source::store)
+            engine.source_of(what.model) == weight_source::store ||
+            !relieves(engine, what.only_limited))
             continue;
         const std::uint32_t running = current.infos.at(&engine).running;
         if (best != nullptr && running >= least)
@@ -456,6 +474,8 @@
         if (engine.entry.service != what.service || !engine.free(current.now) ||
             current.taken.contains(id) || engine.find(what.model) != nullptr)
             continue;
+        if (!relieves(engine, what.only_limited || what.extra_copy))
+            continue;
         auto one = this->examine(current, engine, *model, from, urgent);
         if (!one)
             continue;
@@ -486,7 +506,8 @@
     if (!room)
         return std::nullopt;
     one.ready_in = current.engines.load_time(model, one.source) +
-                   unload_step * static_cast<int>(one.victims.size());
+                   unload_step * static_cast<int>(one.victims.size()) +
+                   limited_pause(engine);
     one.running = current.infos.at(&engine).running;
     return one;
 }
@@ -548,11 +569,14 @@
 {
     const engine_state* best = nullptr;
     std::tuple<bool, std::uint32_t> best_cost;
+    const std::string key = servable_key(what.service, what.model);
+    const bool is_elsewhere = this->sum_of(current, key).copies != 0;
     for (const auto& [id, engine] : current.engines.all())
     {
         const held_model* model = engine.find(what.model);
         if (engine.entry.service != what.service || model == nullptr ||
-            engine.entry.leaving || !engine.reachable)
+            engine.entry.leaving || !engine.reachable ||
+            !relieves(engine, is_elsewhere))
             continue;
         if (std::ranges::find(
                 model->adapters, what.adapter, &held_adapter::name) !=
--- a/src/core/swapping/swap_planner.hpp
+++ b/src/core/swapping/swap_planner.hpp
@@ -40,6 +40,9 @@
     model whose earliest objective is nearest takes the engine that can have it
     soonest, and one load serves all who wait for it.
 
+    An engine that named a rate limit gives its models that pace only: they are
+    loaded elsewhere, too, when somebody waits for them.
+
     Room is made when it is needed: an idle model is unloaded within some
     milliseconds, while each that stays may be asked for again.
 
@@ -123,6 +126,8 @@
         instant deadline;
         bool extra_copy = false; ///< it is there, but too few copies are
         bool overloaded = false; ///< far too few
+        /// It is on engines only that take less than they are asked for.
+        bool only_limited = false;
         /// Requests that a load from the store spares a wait if it begins now
         /// rather than when the next one has ended.
         double spared = 0;
@@ -156,7 +161,8 @@
     /// A model over all engines of its service.
     struct model_sum
     {
-        std::size_t copies = 0;  ///< resident
+        std::size_t copies = 0;  ///< resident, where no rate limit is named
+        std::size_t limited = 0; ///< resident, where one is
         std::size_t loading = 0; ///< on their way
         std::uint32_t running = 0;
     };
--- a/src/ports/event_sink.hpp
+++ b/src/ports/event_sink.hpp
@@ -124,6 +124,10 @@
     organisations_changed = 1717,
     limit_reached = 1718,
     accountant_changed = 1719,
+    server_limited = 1720,
+    server_limit_ended = 1721,
+    server_limit_reached = 1722,
+    server_limit_malformed = 1723,
 
     // 18xx: placement by orders of one owner.
     placement_owned = 1801,
--- a/src/ports/gateway_peer_port.hpp
+++ b/src/ports/gateway_peer_port.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/dissemination/directory_word.hpp"
+#include "core/pacing/server_limit_word.hpp"
 #include "core/quota/quota_words.hpp"
 #include "core/swapping/peer_words.hpp"
 
@@ -31,6 +32,7 @@
     virtual void
     quota_ask_heard(const quota_ask& ask, std::string_view from) = 0;
     virtual void quota_answer_heard(const quota_answer& answer) = 0;
+    virtual void server_limit_word_heard(const server_limit_word& word) = 0;
 };
 
 /// Port: datagrams between the gateways. Each may be lost.
@@ -50,6 +52,9 @@
     virtual void send(
         std::span<const std::string> addresses, const directory_word& word) = 0;
 
+    virtual void send(
+        std::span<const std::string> addresses,
+        const server_limit_word& word) = 0;
     virtual void send(std::string_view address, const quota_ask& ask) = 0;
     virtual void send(std::string_view address, const quota_answer& answer) = 0;
 
--- a/tests/fuzz/fuzz_quota_words.cpp
+++ b/tests/fuzz/fuzz_quota_words.cpp
@@ -45,20 +45,20 @@
     }
 }
 
-deployment make_deployment()
+counted_limits make_limits()
 {
     deployment made;
     organisation one;
     one.name = "o1";
     one.limit = usage_limit{burst, burst};
     made.organisations = {one};
-    return made;
+    return limits_of(made, quota_bounds());
 }
 
 void take_ask(const quota_ask& ask, instant now)
 {
     quota_accountant accountant("a", quota_bounds());
-    accountant.limits_changed(make_deployment(), now);
+    accountant.limits_changed(make_limits(), now);
     accountant.heard(ask, now);
     const quota_answer answer =
         accountant.heard(ask, now + std::chrono::milliseconds(100));
@@ -70,7 +70,7 @@
 void take_answer(const quota_answer& answer, instant now)
 {
     quota_client client(quota_client::options{});
-    client.limits_changed(make_deployment());
+    client.limits_changed(make_limits());
     client.accountants_known({"a", answer.accountant}, 2);
     client.tick(now);
     client.draw("o1", 1, duration::zero(), now);
--- a/tests/unit/forward/forward_fixture.cpp
+++ b/tests/unit/forward/forward_fixture.cpp
@@ -100,7 +100,18 @@
           dispatcher(dispatcher::options{.affinity = prefix_affinity::none}),
           this->loop.get_executor(),
           this->clock,
-          {[](const demand&) {}, [](const crash_seen&) {}}))
+          {[](const demand&) {},
+           [](const crash_seen&) {},
+           [this](const permit_wanted& what)
+           {
+               asio::post(
+                   this->loop,
+                   [this, what]
+                   {
+                       this->dispatch->permit_refused(
+                           what.server, std::chrono::hours(1));
+                   });
+           }}))
     , context(this->make_context())
     , server(this->loop.get_executor(), this->context, make_limits())
 {
@@ -156,7 +167,11 @@
             const std::lock_guard lock(this->mutex);
             this->unreached_servers.push_back(server);
         },
-        [](const std::string&, fingerprint) {}};
+        [](const std::string&, fingerprint) {},
+        [this](const std::string& server, std::optional<double> named, instant)
+        {
+            this->limit_named(server, named);
+        }};
     return {
         surroundings,
         forward_options(),
@@ -165,6 +180,25 @@
         this->counts};
 }
 
+void forward_fixture::limit_named(
+    const std::string& server, std::optional<double> named)
+{
+    const std::lock_guard lock(this->mutex);
+    this->named_limits.push_back({server, named});
+    for (std::size_t i = 0; i < this->servers.size(); ++i)
+    {
+        if (server == "i-" + std::to_string(i + 1))
+            this->dispatch->server_limited(
+                {{}, this->servers[i]->address()}, named.value_or(0));
+    }
+}
+
+std::vector<forward_fixture::server_word> forward_fixture::limits_named()
+{
+    const std::lock_guard lock(this->mutex);
+    return this->named_limits;
+}
+
 std::vector<std::string> forward_fixture::unreached()
 {
     const std::lock_guard lock(this->mutex);
--- a/tests/unit/forward/forward_fixture.hpp
+++ b/tests/unit/forward/forward_fixture.hpp
@@ -66,6 +66,17 @@
     /// @return Servers to which no connection could be opened, in order.
     std::vector<std::string> unreached();
 
+    /// What one answer of a server said of its rate limit.
+    struct server_word
+    {
+        std::string server;
+        std::optional<double> per_second;
+    };
+
+    /// @return What servers said of their rate limits, in order. A limited
+    ///         server gets nothing more: each permit is refused.
+    std::vector<server_word> limits_named();
+
     /// Sends bytes on a new connection.
     /// @return All that comes until the connection ends.
     std::string exchange(std::string_view bytes);
@@ -87,6 +98,7 @@
 private:
     boost::asio::ip::tcp::socket connect();
     forward_context make_context();
+    void limit_named(const std::string& server, std::optional<double> named);
 
     platform::system_clock clock;
     events::null_event_sink sink;
@@ -99,6 +111,7 @@
     std::vector<fake_backend*> servers;
     serving_table_ptr table;
     std::vector<std::string> unreached_servers;
+    std::vector<server_word> named_limits;
     std::shared_ptr<edge::shared_dispatcher> dispatch;
     forward_context context;
     forward_server server;
--- a/tests/unit/quota/quota_fleet.cpp
+++ b/tests/unit/quota/quota_fleet.cpp
@@ -30,7 +30,7 @@
         this->flush(i);
 }
 
-deployment quota_fleet::configuration() const
+counted_limits quota_fleet::limits() const
 {
     deployment made;
     organisation one;
@@ -39,7 +39,9 @@
     if (this->settings.limit.per_second > 0)
         one.limit = this->settings.limit;
     made.organisations = {one};
-    return made;
+    quota_bounds bounds;
+    bounds.slack = this->settings.slack;
+    return limits_of(made, bounds);
 }
 
 void quota_fleet::start(router& one)
@@ -53,8 +55,8 @@
     one.client = std::make_unique<quota_client>(made);
     one.accountant = std::make_unique<quota_accountant>(one.name, made.bounds);
     one.armed = instant::max();
-    one.client->limits_changed(this->configuration());
-    one.accountant->limits_changed(this->configuration(), this->time);
+    one.client->limits_changed(this->limits());
+    one.accountant->limits_changed(this->limits(), this->time);
 }
 
 void quota_fleet::tell_routers(router& one)
@@ -277,8 +279,8 @@
     this->settings.limit = limit;
     for (router& one : this->routers)
     {
-        one.client->limits_changed(this->configuration());
-        one.accountant->limits_changed(this->configuration(), this->time);
+        one.client->limits_changed(this->limits());
+        one.accountant->limits_changed(this->limits(), this->time);
     }
 }
 
--- a/tests/unit/quota/quota_fleet.hpp
+++ b/tests/unit/quota/quota_fleet.hpp
@@ -139,7 +139,7 @@
     void decide(std::size_t router, const quota_decision& made);
     void arrive(double amount, duration patience, std::size_t router);
     std::size_t number_of(const std::string& name) const;
-    deployment configuration() const;
+    counted_limits limits() const;
 
     options settings;
     instant time = instant(1000s);
--- a/tests/unit/quota/test_quota_accountant.cpp
+++ b/tests/unit/quota/test_quota_accountant.cpp
@@ -15,14 +15,14 @@
     return instant(100s + since_start);
 }
 
-deployment make_deployment(std::optional<usage_limit> limit)
+counted_limits make_limits(std::optional<usage_limit> limit)
 {
     deployment made;
     organisation one;
     one.name = "o1";
     one.limit = limit;
     made.organisations = {one};
-    return made;
+    return limits_of(made, quota_bounds());
 }
 
 quota_ask make_ask(const std::string& router, std::uint64_t id = 0)
@@ -42,7 +42,7 @@
     half_heard()
     {
         this->counts.limits_changed(
-            make_deployment(usage_limit{1000, 1000}), at(0s));
+            make_limits(usage_limit{1000, 1000}), at(0s));
         this->counts.routers_known(4);
         for (duration passed = 0s; passed < 5s; passed += 100ms)
             this->hear(passed);
@@ -133,7 +133,7 @@
 Test(quota_accountant, one_without_a_limit_is_allowed_and_not_counted)
 {
     half_heard test;
-    test.counts.limits_changed(make_deployment({}), at(5s));
+    test.counts.limits_changed(make_limits({}), at(5s));
     const auto answer = test.counts.heard(make_ask("r1", 7), at(5s));
     cr_assert(answer.results.at(0).is_allowed);
     cr_assert(test.counts.accounts().empty());
@@ -142,7 +142,7 @@
 Test(quota_accountant, a_changed_limit_keeps_what_is_there)
 {
     half_heard test;
-    test.counts.limits_changed(make_deployment(usage_limit{100, 100}), at(5s));
+    test.counts.limits_changed(make_limits(usage_limit{100, 100}), at(5s));
     test.hear(5s);
     test.hear(5100ms);
     const auto& one = test.counts.accounts().at("o1");
@@ -179,7 +179,7 @@
 Test(quota_accountant, one_that_knows_of_no_router_hands_out_nothing)
 {
     quota_accountant counts("a", quota_bounds());
-    counts.limits_changed(make_deployment(usage_limit{1000, 1000}), at(0s));
+    counts.limits_changed(make_limits(usage_limit{1000, 1000}), at(0s));
     for (duration passed = 0s; passed < 3s; passed += 100ms)
         counts.heard(make_ask("r1"), at(passed));
     const auto answer = counts.heard(make_ask("r1", 7), at(3s));
--- a/tests/unit/quota/test_quota_client.cpp
+++ b/tests/unit/quota/test_quota_client.cpp
@@ -13,14 +13,19 @@
     return instant(100s + since_start);
 }
 
-deployment make_deployment()
+/// Beside the limits of all, in a window.
+constexpr double slack = 20'000;
+
+counted_limits make_limits()
 {
     deployment made;
     organisation one;
     one.name = "o1";
     one.limit = usage_limit{10'000, 10'000};
     made.organisations = {one};
-    return made;
+    quota_bounds bounds;
+    bounds.slack = slack;
+    return limits_of(made, bounds);
 }
 
 /// One of ten routers, two of which may count.
@@ -29,7 +34,7 @@
     explicit asking_router(quota_way way = quota_way::accountant)
         : client(make_options(way))
     {
-        this->client.limits_changed(make_deployment());
+        this->client.limits_changed(make_limits());
         this->client.accountants_known({"a", "b"}, 10);
         this->client.tick(at(0s));
     }
@@ -38,7 +43,7 @@
     {
         quota_client::options made;
         made.router = "r";
-        made.bounds.slack = 20'000;
+        made.bounds.slack = slack;
         made.way = way;
         return made;
     }
@@ -226,7 +231,7 @@
 Test(quota_client, a_router_that_knows_of_no_other_has_no_part)
 {
     quota_client alone(asking_router::make_options(quota_way::accountant));
-    alone.limits_changed(make_deployment());
+    alone.limits_changed(make_limits());
     for (duration passed = 0s; passed <= 5s; passed += 40ms)
         alone.tick(at(passed));
     alone.draw("o1", 1, 60s, at(5s));
