Tests of permits, limits' words and limited engines; a server that is missing for a while keeps its limit

A limited server that left the registry lost its limit here, though it may be back under it a second later; only another start ends it now. An ask that is never answered is made again after a second, and an engine is known by its id, not its address: else one could have waited for an answer for good.

--- a/src/app/gateway/gateway_app.cpp
+++ b/src/app/gateway/gateway_app.cpp
@@ -131,7 +131,7 @@
            [](const crash_seen&) {},
            [this](const permit_wanted& what)
            {
-               this->control->permit_wanted(what);
+               this->control->permit_needed(what);
            }}))
     , control(std::make_unique<gateway_control>(
           wanted,
--- a/src/app/gateway/gateway_control.hpp
+++ b/src/app/gateway/gateway_control.hpp
@@ -106,9 +106,9 @@
     }
 
     /// The dispatcher needs a permit to send to a limited server.
-    void permit_wanted(const roseworks::permit_wanted& what)
+    void permit_needed(const permit_wanted& what)
     {
-        this->pace->permit_wanted(what);
+        this->pace->permit_needed(what);
     }
 
     /// Limits of organisations.
--- a/src/app/gateway/pace_desk.cpp
+++ b/src/app/gateway/pace_desk.cpp
@@ -26,7 +26,8 @@
 
 bool is_same(const server_place& one, const server_place& other)
 {
-    return one.engine == other.engine && one.address == other.address;
+    return one.engine == other.engine &&
+           (one.engine || one.address == other.address);
 }
 
 } // namespace
@@ -96,20 +97,12 @@
 
 void pace_desk::servers_changed()
 {
-    std::vector<std::string> ended;
-    for (const auto& [id, one] : this->limited)
-    {
-        const auto found = this->view.servers().find(id);
-        const bool same = found != this->view.servers().end() &&
-                          found->second.run == one.run &&
-                          is_same(this->place_of(found->second), one.place);
-        if (!same)
-            ended.push_back(id);
-    }
-    for (const std::string& id : ended)
-        this->limits.forget(id);
+    if (!this->is_any_limited)
+        return;
+    this->forget_restarted();
     this->flush();
-    // One that was told of before its entry was read.
+    this->drop_moved();
+    // Back in the registry, or told of before its entry was read.
     for (const server_limit& limit : this->limits.in_force())
     {
         if (!this->limited.contains(limit.server))
@@ -117,6 +110,32 @@
     }
 }
 
+void pace_desk::forget_restarted()
+{
+    for (const auto& [id, born] : this->born_ms)
+    {
+        const auto found = this->view.servers().find(id);
+        if (found != this->view.servers().end() &&
+            found->second.entry.born_ms != born)
+            this->limits.forget(id);
+    }
+}
+
+void pace_desk::drop_moved()
+{
+    std::vector<std::string> moved;
+    for (const auto& [id, one] : this->limited)
+    {
+        const auto found = this->view.servers().find(id);
+        const bool is_there = found != this->view.servers().end() &&
+                              is_same(this->place_of(found->second), one.place);
+        if (!is_there)
+            moved.push_back(id);
+    }
+    for (const std::string& id : moved)
+        this->drop(id);
+}
+
 void pace_desk::flush()
 {
     const std::vector<server_limit> changes = this->limits.take_changes();
@@ -124,9 +143,12 @@
     {
         this->log(one);
         if (one.per_second > 0)
+        {
             this->keep(one);
-        else
-            this->drop(one.server);
+            continue;
+        }
+        this->drop(one.server);
+        this->born_ms.erase(one.server);
     }
     if (!changes.empty())
         this->limits_changed();
@@ -151,14 +173,10 @@
     const auto known = this->view.servers().find(limit.server);
     if (known == this->view.servers().end())
         return;
-    const limited_server& one = this->limited
-                                    .try_emplace(
-                                        limit.server,
-                                        this->loop,
-                                        this->place_of(known->second),
-                                        known->second.run)
-                                    .first->second;
-    this->dispatch.server_limited(one.place, limit.per_second);
+    this->born_ms[limit.server] = known->second.entry.born_ms;
+    const auto added = this->limited.try_emplace(
+        limit.server, this->loop, this->place_of(known->second));
+    this->dispatch.server_limited(added.first->second.place, limit.per_second);
 }
 
 void pace_desk::drop(const std::string& server)
@@ -185,7 +203,7 @@
               std::llround(changed.per_second * seconds_per_minute)}});
 }
 
-void pace_desk::permit_wanted(const roseworks::permit_wanted& what)
+void pace_desk::permit_needed(const permit_wanted& what)
 {
     asio::post(
         this->loop,
@@ -195,7 +213,7 @@
         });
 }
 
-void pace_desk::draw_permit(const roseworks::permit_wanted& what)
+void pace_desk::draw_permit(const permit_wanted& what)
 {
     const auto found = std::ranges::find_if(
         this->limited,
--- a/src/app/gateway/pace_desk.hpp
+++ b/src/app/gateway/pace_desk.hpp
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <atomic>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -25,7 +26,7 @@
     backend servers name: learns them from answers and other routers, and draws
     the dispatcher's permits from one account a server, which all routers share.
 
-    Belongs to the control thread, but for `answered` and `permit_wanted`; has
+    Belongs to the control thread, but for `answered` and `permit_needed`; has
     to outlive its context's last run.
 */
 class pace_desk
@@ -71,7 +72,7 @@
         const std::string& server, std::optional<double> named, instant sent);
 
     /// The dispatcher needs a permit; called from any thread.
-    void permit_wanted(const roseworks::permit_wanted& what);
+    void permit_needed(const permit_wanted& what);
 
     void word_heard(const server_limit_word& word);
 
@@ -79,27 +80,22 @@
     void servers_changed();
 
 private:
-    /// A server whose limit the dispatcher keeps.
+    /// A server that the dispatcher sends to under permits.
     struct limited_server
     {
-        limited_server(
-            boost::asio::io_context& loop,
-            server_place at,
-            replica_id run_there)
+        limited_server(boost::asio::io_context& loop, server_place at)
             : place(std::move(at))
-            , run(run_there)
             , permit_end(loop)
         {
         }
 
         server_place place;
-        replica_id run;                       ///< of the server
         boost::asio::steady_timer permit_end; ///< of the permit given last
     };
 
     void answered_now(
         const std::string& server, std::optional<double> named, instant sent);
-    void draw_permit(const roseworks::permit_wanted& what);
+    void draw_permit(const permit_wanted& what);
     void decided(const std::string& server, const quota_decision& made);
     void take_permit_back(const std::string& server);
     void flush();
@@ -108,6 +104,8 @@
     server_place place_of(const serving_view::server& one) const;
     void keep(const server_limit& limit);
     void drop(const std::string& server);
+    void forget_restarted();
+    void drop_moved();
     void log(const server_limit& changed);
     void arm();
 
@@ -121,6 +119,9 @@
     notices tell;
     server_limits limits;
     std::map<std::string, limited_server, std::less<>> limited; ///< by id
+    /// Starts of servers whose limits are known, by id: another start ends a
+    /// limit, an entry that is missing for a while doesn't.
+    std::map<std::string, std::int64_t, std::less<>> born_ms;
     boost::asio::steady_timer timer;
     std::atomic<bool> is_any_limited{false};
     bool stopped = false;
--- a/src/core/request/dispatcher_impl.hpp
+++ b/src/core/request/dispatcher_impl.hpp
@@ -132,12 +132,12 @@
     // dispatcher_permits.cpp
     /// Asks for permits to send to limited servers of a target for which
     /// requests wait.
-    void ask_for_permits(detail::target& where, instant now);
+    void ask_for_permits(const detail::target& where, instant now);
     /// @return Whether a request that could go elsewhere waits for the answer
     ///         to an ask: else limited servers would get nothing while there
     ///         are others, and nobody would see their limits end.
     bool awaits_permit(
-        detail::target& where,
+        const detail::target& where,
         pending& request,
         std::span<std::size_t const> usable,
         instant now);
--- a/src/core/request/dispatcher_permits.cpp
+++ b/src/core/request/dispatcher_permits.cpp
@@ -56,12 +56,19 @@
         permit_wanted{{one.where.engine, one.where.address}, waits});
 }
 
-void dispatcher::impl::ask_for_permits(detail::target& where, instant now)
+void dispatcher::impl::ask_for_permits(const detail::target& where, instant now)
 {
     if (this->limited_servers == 0 || where.waiting() == 0)
     {
         return;
     }
+    const auto usable = detail::balancer::usable(where.backends, now);
+    const auto free = detail::balancer::slots(
+        where.backends, usable, where.max_streams, this->loads, now);
+    if (free.any)
+    {
+        return; // what waits, waits for something else
+    }
     for (const detail::backend& one : where.backends)
     {
         const detail::server_pace* pace = this->loads.pace_of(one.server);
@@ -82,7 +89,7 @@
 }
 
 bool dispatcher::impl::awaits_permit(
-    detail::target& where,
+    const detail::target& where,
     pending& request,
     std::span<std::size_t const> usable,
     instant now)
@@ -100,7 +107,8 @@
         {
             continue;
         }
-        if (is_asked && pace->awaits_answer() && now < *request.permit_awaited)
+        if (is_asked && pace->awaits_answer(now) &&
+            now < *request.permit_awaited)
         {
             return true;
         }
--- a/src/core/routing/server_pace.cpp
+++ b/src/core/routing/server_pace.cpp
@@ -27,8 +27,10 @@
 
 std::optional<instant> server_pace::changes_at() const
 {
-    if (!this->is_limited() || this->is_asked)
+    if (!this->is_limited())
         return std::nullopt;
+    if (this->is_asked)
+        return this->last_asked + longest_answer;
     return this->allowed_from ? *this->allowed_from : this->ask_again;
 }
 
--- a/src/core/routing/server_pace.hpp
+++ b/src/core/routing/server_pace.hpp
@@ -33,14 +33,14 @@
     /// @return Whether a permit is to be asked for.
     bool must_ask(instant now) const
     {
-        return this->is_limited() && !this->is_asked && !this->allowed_from &&
-               this->ask_again <= now;
+        return this->is_limited() && !this->awaits_answer(now) &&
+               !this->allowed_from && this->ask_again <= now;
     }
 
     /// @return Whether the answer to an ask is still to come.
-    bool awaits_answer() const
+    bool awaits_answer(instant now) const
     {
-        return this->is_asked;
+        return this->is_asked && now - this->last_asked < longest_answer;
     }
 
     /// @return When `must_ask` or `may_send` changes by itself.
@@ -67,6 +67,9 @@
     bool withdraw();
 
 private:
+    /// An ask without an answer for so long is made again.
+    static constexpr duration longest_answer = std::chrono::seconds(1);
+
     double per_second = 0;
     bool is_asked = false;
     std::optional<instant> allowed_from; ///< of the permit
--- a/tests/fuzz/fuzz_quota_words.cpp
+++ b/tests/fuzz/fuzz_quota_words.cpp
@@ -1,7 +1,9 @@
-// Words of limits between the gateways, taken by an accountant and by a
-// router's side: whatever comes, a bucket holds a number that its limit allows.
+// Words of limits between the gateways, taken by an accountant, by a router's
+// side and by what it knows of servers: whatever comes, a bucket holds a number
+// that its limit allows, and a server's limit is a pace.
 
 #include "adapters/peers/word_archive.hpp"
+#include "core/pacing/server_limits.hpp"
 #include "core/quota/quota_accountant.hpp"
 #include "core/quota/quota_client.hpp"
 
@@ -78,6 +80,16 @@
     check(client.take_decisions().size() <= 1);
 }
 
+void take_limits(const server_limit_word& word, instant now)
+{
+    server_limits known(server_limits::options{"r"});
+    known.answered("s", 2.0, now, now);
+    known.heard(word, now);
+    known.tick(now + std::chrono::milliseconds(200));
+    for (const server_limit& one : known.in_force())
+        check(std::isfinite(one.per_second) && one.per_second > 0);
+}
+
 } // namespace
 
 extern "C" int
@@ -91,5 +103,7 @@
         take_ask(*ask, now);
     if (const auto answer = decode<quota_answer>(bytes))
         take_answer(*answer, now);
+    if (const auto word = decode<server_limit_word>(bytes))
+        take_limits(*word, now);
     return 0;
 }
--- a/tests/unit/dispatch/harness.hpp
+++ b/tests/unit/dispatch/harness.hpp
@@ -123,6 +123,28 @@
         this->collect();
     }
 
+    /// An engine names a rate limit; 0: it names none any more.
+    void limit(std::uint32_t engine, double per_second)
+    {
+        this->core.server_limited(
+            {engine_id(engine), {}}, per_second, this->now);
+        this->collect();
+    }
+
+    void allow(std::uint32_t engine, duration wait = 0ms)
+    {
+        this->core.permit_given(
+            {engine_id(engine), {}}, this->now + wait, this->now);
+        this->collect();
+    }
+
+    void deny(std::uint32_t engine, duration retry_after)
+    {
+        this->core.permit_refused(
+            {engine_id(engine), {}}, retry_after, this->now);
+        this->collect();
+    }
+
     void tick(duration passed = 0ms)
     {
         this->now += passed;
@@ -147,6 +169,10 @@
             {
                 this->demands.push_back(*wanted);
             }
+            else if (auto* permit = std::get_if<permit_wanted>(&command))
+            {
+                this->permits.push_back(*permit);
+            }
             else
             {
                 this->crashes.push_back(std::get<crash_seen>(command));
@@ -201,6 +227,7 @@
     std::map<ticket, std::vector<refusal>> refusals;
     std::vector<demand> demands;
     std::vector<crash_seen> crashes;
+    std::vector<permit_wanted> permits;
 };
 
 } // namespace roseworks::testing
--- /dev/null
+++ b/tests/unit/gateway/test_pace_desk.cpp
@@ -0,0 +1,240 @@
+#include "adapters/events/null_event_sink.hpp"
+#include "adapters/platform/system_clock.hpp"
+#include "app/gateway/pace_desk.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+using namespace roseworks;
+using namespace roseworks::app;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// There is no other router.
+class no_peers final : public gateway_peer_port
+{
+public:
+    void start(gateway_peer_listener&) override {}
+    void send(std::span<const std::string>, const router_word&) override {}
+    void send(std::span<const std::string>, const owner_word&) override {}
+    void send(std::span<const std::string>, const break_word&) override {}
+    void send(std::span<const std::string>, const directory_word&) override {}
+    void send(std::span<const std::string>, const server_limit_word&) override
+    {
+    }
+    void send(std::string_view, const quota_ask&) override {}
+    void send(std::string_view, const quota_answer&) override {}
+    void stop() override {}
+};
+
+server_entry make_entry(std::int64_t born_ms = 1)
+{
+    server_entry entry;
+    entry.id = "i-1";
+    entry.born_ms = born_ms;
+    entry.service = "app";
+    entry.address = "10.0.0.1:80";
+    entry.slots = 8;
+    return entry;
+}
+
+/// One router that knows one plain server.
+struct one_server
+{
+    one_server()
+        : view({})
+        , dispatch(edge::shared_dispatcher::make(
+              dispatcher({.affinity = prefix_affinity::none}),
+              this->loop.get_executor(),
+              this->clock,
+              {[](const demand&) {},
+               [](const crash_seen&) {},
+               [this](const permit_wanted& what)
+               {
+                   ++this->asked;
+                   this->desk.permit_needed(what);
+               }}))
+        , quotas(
+              this->loop,
+              {.router = "r"},
+              this->clock,
+              this->events,
+              this->peers)
+        , desk(
+              this->loop,
+              {.router = "r"},
+              this->clock,
+              this->events,
+              this->view,
+              *this->dispatch,
+              this->quotas,
+              {[this](const server_limit_word& word)
+               {
+                   this->words.push_back(word);
+               },
+               [this](std::map<std::string, double, std::less<>> named)
+               {
+                   this->rates = std::move(named);
+               }})
+    {
+        auto config = std::make_shared<deployment>();
+        config->version = 1;
+        config->services.emplace_back().name = "app";
+        this->view.deployment_read(config);
+        this->view.entry_read(make_entry());
+        this->publish();
+        this->quotas.start();
+        const router_address self[] = {{"r", "r:1", 1}};
+        this->quotas.routers_listed(self);
+    }
+
+    ~one_server()
+    {
+        this->desk.stop();
+        this->quotas.stop();
+        this->dispatch->stop();
+    }
+
+    void publish()
+    {
+        this->dispatch->table_changed(
+            this->view.make_table(true, {}, this->clock.now()));
+        this->desk.servers_changed();
+    }
+
+    void answer(std::optional<double> named)
+    {
+        this->desk.answered("i-1", named, this->clock.now());
+        this->turn();
+    }
+
+    void turn()
+    {
+        for (int i = 0; i < 5; ++i)
+            this->loop.poll();
+    }
+
+    /// @return Whether a request was sent.
+    std::shared_ptr<std::optional<bool>> submit(duration patience)
+    {
+        request_info info;
+        info.target = "app";
+        info.is_service = true;
+        info.deadline = this->clock.now() + patience;
+        const auto sent = std::make_shared<std::optional<bool>>();
+        this->dispatch->submit(
+            std::move(info),
+            [sent](const dispatch_port::reply& reply)
+            {
+                *sent = std::holds_alternative<grant>(reply);
+            });
+        return sent;
+    }
+
+    template <class Done>
+    bool run_until(Done done)
+    {
+        const auto limit = std::chrono::steady_clock::now() + 20s;
+        while (!done() && std::chrono::steady_clock::now() < limit)
+            this->loop.run_one_for(10ms);
+        return done();
+    }
+
+    boost::asio::io_context loop;
+    platform::system_clock clock;
+    events::null_event_sink events;
+    no_peers peers;
+    serving_view view;
+    std::vector<server_limit_word> words;
+    std::map<std::string, double, std::less<>> rates;
+    int asked = 0;
+    std::shared_ptr<edge::shared_dispatcher> dispatch;
+    quota_desk quotas;
+    pace_desk desk;
+};
+
+} // namespace
+
+Test(pace_desk, a_limit_that_an_answer_names_is_told_to_all)
+{
+    one_server test;
+    test.answer(2.0);
+    cr_assert_eq(test.words.size(), 1U);
+    cr_assert_eq(test.words[0].limits.at(0).server, "i-1");
+    cr_assert_eq(test.rates.at("i-1"), 2.0);
+}
+
+Test(pace_desk, a_request_to_a_limited_server_is_sent_under_a_permit)
+{
+    one_server test;
+    test.answer(50.0);
+    const auto sent = test.submit(20s);
+    cr_assert_not(sent->has_value());
+    cr_assert(test.run_until(
+        [&]
+        {
+            return sent->has_value();
+        }));
+    cr_assert(**sent);
+    cr_assert_geq(test.asked, 1);
+}
+
+Test(pace_desk, an_answer_without_a_limit_ends_it)
+{
+    one_server test;
+    test.answer(0.01);
+    test.answer({});
+    cr_assert(test.rates.empty());
+    const auto sent = test.submit(20s);
+    cr_assert(sent->has_value());
+    cr_assert(**sent);
+}
+
+Test(pace_desk, a_server_started_anew_has_named_nothing)
+{
+    one_server test;
+    test.answer(0.01);
+    test.view.entry_read(make_entry(2));
+    test.publish();
+    cr_assert(test.rates.empty());
+    const auto sent = test.submit(20s);
+    cr_assert(sent->has_value());
+}
+
+/// Entries are missing for a while when the registry was away.
+Test(pace_desk, a_server_that_is_back_in_the_registry_is_limited_still)
+{
+    one_server test;
+    test.answer(0.01);
+    test.view.entry_removed("i-1", test.clock.now());
+    test.publish();
+    test.view.entry_read(make_entry());
+    test.publish();
+    const auto sent = test.submit(20s);
+    cr_assert_not(sent->has_value() && **sent);
+}
+
+Test(pace_desk, a_word_of_a_server_that_is_read_later_counts_then)
+{
+    one_server test;
+    test.view.entry_removed("i-1", test.clock.now());
+    test.publish();
+    test.desk.word_heard({"other", {{"i-1", 0.01, 0}}});
+    test.view.entry_read(make_entry());
+    test.publish();
+    const auto sent = test.submit(20s);
+    cr_assert_not(sent->has_value() && **sent);
+}
--- a/tests/unit/gateway/test_quota_desk.cpp
+++ b/tests/unit/gateway/test_quota_desk.cpp
@@ -28,6 +28,9 @@
     void send(std::span<const std::string>, const owner_word&) override {}
     void send(std::span<const std::string>, const break_word&) override {}
     void send(std::span<const std::string>, const directory_word&) override {}
+    void send(std::span<const std::string>, const server_limit_word&) override
+    {
+    }
     void stop() override {}
 
     void send(std::string_view address, const quota_ask& ask) override
--- a/tests/unit/users_platform/test_gateway_peers.cpp
+++ b/tests/unit/users_platform/test_gateway_peers.cpp
@@ -51,6 +51,12 @@
         this->answers.push_back(answer);
     }
 
+    void server_limit_word_heard(const server_limit_word& word) override
+    {
+        this->limits.push_back(word);
+    }
+
+    std::vector<server_limit_word> limits;
     std::vector<quota_ask> asks;
     std::vector<quota_answer> answers;
     std::vector<router_word> routers;
@@ -134,6 +140,39 @@
     receiver.stop();
 }
 
+Test(gateway_peers, limits_of_many_servers_arrive_in_parts)
+{
+    peers_pair test;
+    const udp::endpoint place = free_endpoint();
+    gateway_peers receiver(test.loop, place, test.events, test.meter);
+    kept_words kept;
+    receiver.start(kept);
+    constexpr std::size_t servers = 50;
+    server_limit_word word{"r1", {}};
+    for (std::size_t i = 0; i < servers; ++i)
+        word.limits.push_back({"i-" + std::to_string(i), 1.5, 700});
+    const std::string to[] = {text_of(place)};
+    test.sender.send(to, word);
+    std::vector<told_server_limit> arrived;
+    run_until(
+        test.loop,
+        [&]
+        {
+            arrived.clear();
+            for (const server_limit_word& part : kept.limits)
+                arrived.insert(
+                    arrived.end(), part.limits.begin(), part.limits.end());
+            return arrived.size() == servers;
+        });
+    cr_assert_eq(arrived.size(), servers);
+    cr_assert_gt(kept.limits.size(), 1U);
+    cr_assert_eq(kept.limits[0].router, "r1");
+    cr_assert_eq(arrived.back().server, "i-49");
+    cr_assert_eq(arrived.back().per_second, 1.5);
+    cr_assert_eq(arrived.back().age_us, 700);
+    receiver.stop();
+}
+
 Test(gateway_peers, what_the_owner_read_arrives_in_packets_without_a_gap)
 {
     peers_pair test;
