Two ways to keep a server's limit, measured in virtual time; the bound counts all routers

The test's window counts every router's requests from half a second after the limit is first named, not only those of routers that an answer had told: stricter than the rule.

--- a/tests/unit/server_limits/limited_fleet.cpp
+++ b/tests/unit/server_limits/limited_fleet.cpp
@@ -18,7 +18,7 @@
 const engine_id limited_engine(1);
 constexpr std::string_view limited_server = "i-1";
 
-/// A router that has been told for less is excused.
+/// Routers have so long to learn of a limit.
 constexpr duration excused = 500ms;
 constexpr duration window = 4s;
 
@@ -67,6 +67,7 @@
     one.limits = std::make_unique<server_limits>(known);
     quota_client::options asks;
     asks.router = one.name;
+    asks.way = this->settings.way;
     asks.seed = this->random() << 20;
     one.client = std::make_unique<quota_client>(asks);
     one.accountant = std::make_unique<quota_accountant>(one.name, asks.bounds);
@@ -74,7 +75,6 @@
     one.accountant->routers_known(this->routers.size());
     one.draws.clear();
     one.armed = instant::max();
-    one.told.reset();
 }
 
 void limited_fleet::at(instant when, std::function<void()> action)
@@ -213,8 +213,9 @@
     const instant end = sent + duration(length(this->random));
     if (given.engine == limited_engine)
     {
-        const auto& told = this->routers[number].told;
-        this->arrivals.push_back({sent, told && *told + excused <= sent});
+        const bool is_named = this->named_since != instant::max();
+        this->arrivals.push_back(
+            {sent, is_named && sent - this->named_since >= excused});
     }
     this->on(
         number,
@@ -230,11 +231,9 @@
     router& one = this->routers[number];
     if (given.engine == limited_engine)
     {
-        const auto named = this->is_named
+        const auto named = this->named_since <= this->time
                                ? std::optional(this->settings.per_second)
                                : std::nullopt;
-        if (named && !one.told)
-            one.told = this->time;
         one.limits->answered(limited_server, named, sent, this->time);
     }
     attempt_result result;
--- a/tests/unit/server_limits/limited_fleet.hpp
+++ b/tests/unit/server_limits/limited_fleet.hpp
@@ -42,6 +42,7 @@
         duration longest_delay = 3ms;
         duration service = 150ms; ///< of a request, at most twice that
         duration patience = 3s;   ///< of a caller
+        quota_way way = quota_way::accountant;
         std::uint64_t seed = 1;
     };
 
@@ -57,7 +58,7 @@
     /// The first engine names its limit from now on, or no longer.
     void name_limit(bool names)
     {
-        this->is_named = names;
+        this->named_since = names ? this->time : instant::max();
     }
 
     /// Callers' requests at routers drawn alike, or at the last few only.
@@ -69,8 +70,8 @@
     /// It stands still for so long.
     void freeze(std::size_t router, duration length);
 
-    /// @return The most requests that the limited engine got in 4 s of
-    ///         routers that it had told half a second before or earlier.
+    /// @return The most requests that the limited engine got in 4 s, later
+    ///         than half a second after it had named its limit.
     std::size_t worst_window() const;
 
     /// @return What it may get so.
@@ -106,7 +107,6 @@
         std::uint64_t run = 0;
         instant frozen_until;
         instant armed = instant::max();
-        std::optional<instant> told; ///< passed an answer with the limit on
     };
 
     struct event
@@ -125,7 +125,7 @@
     struct arrival
     {
         instant when;
-        bool is_counted = false; ///< its router had been told
+        bool is_counted = false; ///< the limit had been named by then
     };
 
     void start(router& one);
@@ -155,7 +155,7 @@
     detail::sharded_table table;
     std::priority_queue<event, std::vector<event>, std::greater<>> events;
     std::vector<arrival> arrivals; ///< at the limited engine
-    bool is_named = false;
+    instant named_since = instant::max();
     std::size_t answered_count = 0;
     std::size_t refused_count = 0;
     std::size_t words_sent = 0;
