Where all engines are limited: permits by deadline, more copies, and waits that count the others

Cause: a permit went to whichever model was asked for first at this router; the predicted wait counted the own model's queue only, and an overdue turn as there at once; and no second copy was loaded where all engines are limited, so that busy models' few engines gave the pace while others were idle.

Change: a permit goes to whose deadline is nearest; waiting requests of other models on the same engines count; where more requests wait than a model's engines take in a second, another limited engine loads it, too, one at a time.

Ruled out: a longer life of permits and more than the limit; what is allowed beyond it is a tolerance.

--- a/src/core/request/dispatcher_impl.hpp
+++ b/src/core/request/dispatcher_impl.hpp
@@ -141,12 +141,25 @@
         pending& request,
         std::span<std::size_t const> usable,
         instant now);
+    /// @return Waiting targets that have a server, who is to go first in front.
+    std::vector<detail::target*> waiting_at(detail::server_key server) const;
+    /// @return Requests of other targets that wait for the same servers.
+    std::size_t waiting_beside(
+        const detail::target& where, std::span<std::size_t const> usable) const;
     void ask_for_permit(const detail::backend& one, bool waits, instant now);
-    /// @return How long a request waits where all servers are limited; zero
-    ///         where one isn't.
-    duration limited_wait(
+    /// How soon requests of a target can start where all its servers are
+    /// limited.
+    struct limited_outlook
+    {
+        duration next{};             ///< until the first one
+        double permits_a_second = 0; ///< of this router; 0: no such bound
+        std::size_t beside = 0;      ///< requests of others that go before
+
+        duration wait(std::size_t ahead) const;
+    };
+
+    limited_outlook limited_outlook_of(
         const detail::target& where,
-        std::size_t ahead,
         std::span<std::size_t const> usable,
         instant now) const;
 
@@ -171,6 +184,7 @@
         const detail::queue_item& item,
         std::size_t ahead,
         std::span<std::size_t const> usable,
+        const limited_outlook& limits,
         instant now) const;
     duration remaining_cold(const detail::target& where, instant now) const;
     duration spread(duration value);
--- a/src/core/request/dispatcher_permits.cpp
+++ b/src/core/request/dispatcher_permits.cpp
@@ -1,6 +1,8 @@
 #include "core/request/dispatcher_impl.hpp"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace roseworks
 {
@@ -12,6 +14,14 @@
 /// some trips between two data centres.
 constexpr duration longest_permit_answer = std::chrono::milliseconds(30);
 
+/// @return The class and deadline of what is to go first.
+std::pair<priority, instant> urgency_of(const detail::target* where)
+{
+    return {
+        where->queue.best_class().value_or(priority::batch),
+        where->queue.earliest_deadline().value_or(instant::max())};
+}
+
 } // namespace
 
 void dispatcher::impl::server_limited(
@@ -28,10 +38,56 @@
 void dispatcher::impl::permit_given(
     const server_place& server, instant from, instant now)
 {
-    this->loads.at(detail::key_of(server)).pace.allowed(from);
+    const detail::server_key key = detail::key_of(server);
+    this->loads.at(key).pace.allowed(from);
     this->due_no_later(from);
-    this->shared_server_free = true;
-    this->pump_if_freed(now);
+    if (from > now)
+    {
+        return;
+    }
+    for (detail::target* where : this->waiting_at(key))
+    {
+        this->pump(*where, now);
+    }
+}
+
+std::vector<detail::target*>
+dispatcher::impl::waiting_at(detail::server_key server) const
+{
+    const auto is_there = [server](const detail::target* where)
+    {
+        return std::ranges::any_of(
+            where->backends,
+            [server](const detail::backend& one)
+            {
+                return one.server == server && one.listed;
+            });
+    };
+    std::vector<detail::target*> there;
+    std::ranges::copy_if(this->waiting, std::back_inserter(there), is_there);
+    std::ranges::stable_sort(there, std::ranges::less(), urgency_of);
+    return there;
+}
+
+std::size_t dispatcher::impl::waiting_beside(
+    const detail::target& where, std::span<std::size_t const> usable) const
+{
+    std::set<const detail::target*, by_number> others;
+    for (const std::size_t i : usable)
+    {
+        for (const detail::target* one :
+             this->waiting_at(where.backends[i].server))
+        {
+            others.insert(one);
+        }
+    }
+    others.erase(&where);
+    std::size_t count = 0;
+    for (const detail::target* one : others)
+    {
+        count += one->waiting();
+    }
+    return count;
 }
 
 void dispatcher::impl::permit_refused(
@@ -123,13 +179,16 @@
     return false;
 }
 
-duration dispatcher::impl::limited_wait(
+dispatcher::impl::limited_outlook dispatcher::impl::limited_outlook_of(
     const detail::target& where,
-    std::size_t ahead,
     std::span<std::size_t const> usable,
     instant now) const
 {
-    double permits_a_second = 0;
+    limited_outlook outlook;
+    if (this->limited_servers == 0)
+    {
+        return outlook;
+    }
     std::optional<duration> next;
     for (const std::size_t i : usable)
     {
@@ -137,20 +196,28 @@
             this->loads.pace_of(where.backends[i].server);
         if (pace == nullptr || !pace->is_limited())
         {
-            return duration::zero();
+            return {};
         }
         const std::chrono::duration<double> turn = pace->turn(now);
-        permits_a_second += 1 / turn.count();
+        outlook.permits_a_second += 1 / turn.count();
         const duration one = pace->next_in(now);
         next = std::min(next.value_or(one), one);
     }
-    if (!next)
+    outlook.next = next.value_or(duration::zero());
+    // Who of them goes first changes; half of them do, on average.
+    outlook.beside = this->waiting_beside(where, usable) / 2;
+    return outlook;
+}
+
+duration dispatcher::impl::limited_outlook::wait(std::size_t ahead) const
+{
+    if (this->permits_a_second == 0)
     {
         return duration::zero();
     }
     const std::chrono::duration<double> queue(
-        static_cast<double>(ahead) / permits_a_second);
-    return *next + std::chrono::duration_cast<duration>(queue);
+        static_cast<double>(ahead + this->beside) / this->permits_a_second);
+    return this->next + std::chrono::duration_cast<duration>(queue);
 }
 
 } // namespace roseworks
--- a/src/core/request/dispatcher_submit.cpp
+++ b/src/core/request/dispatcher_submit.cpp
@@ -191,7 +191,9 @@
     const auto usable = detail::balancer::usable(where.backends, now);
     const std::size_t ahead =
         found->second.at == stage::suspect ? 0 : where.queue.ahead_of(item);
-    const duration wait = this->predicted_wait(where, item, ahead, usable, now);
+    const limited_outlook limits = this->limited_outlook_of(where, usable, now);
+    const duration wait =
+        this->predicted_wait(where, item, ahead, usable, limits, now);
     this->ask_for_replicas(where, now);
     if (!this->can_start(where, item, wait, now))
     {
--- a/src/core/request/dispatcher_tick.cpp
+++ b/src/core/request/dispatcher_tick.cpp
@@ -166,6 +166,7 @@
     const detail::queue_item& item,
     std::size_t ahead,
     std::span<std::size_t const> usable,
+    const limited_outlook& limits,
     instant now) const
 {
     if (usable.empty())
@@ -176,8 +177,7 @@
     const bool batch = item.level == priority::batch;
     const std::size_t slots = where.slots(usable, batch, this->loads, now);
     return std::max(
-        where.estimator.queue_wait(ahead, slots, now),
-        this->limited_wait(where, ahead, usable, now));
+        where.estimator.queue_wait(ahead, slots, now), limits.wait(ahead));
 }
 
 duration
@@ -223,12 +223,13 @@
         return;
     }
     const auto usable = detail::balancer::usable(where.backends, now);
+    const limited_outlook limits = this->limited_outlook_of(where, usable, now);
     std::vector<std::pair<ticket, duration>> refused;
     const auto examine_one =
         [&](const detail::queue_item& item, std::size_t ahead)
     {
         const duration wait =
-            this->predicted_wait(where, item, ahead, usable, now);
+            this->predicted_wait(where, item, ahead, usable, limits, now);
         if (this->can_start(where, item, wait, now))
         {
             return true;
--- a/src/core/routing/server_pace.cpp
+++ b/src/core/routing/server_pace.cpp
@@ -54,7 +54,10 @@
                                : until(this->ask_again);
     if (!this->waiting_since)
         return retry;
-    return std::max(retry, until(*this->waiting_since + this->usual_turn));
+    // One that is overdue isn't there yet, either.
+    const duration left = std::max(
+        until(*this->waiting_since + this->usual_turn), this->usual_turn / 2);
+    return std::max(retry, left);
 }
 
 void server_pace::asked(bool waits, instant now)
--- a/src/core/swapping/swap_planner.cpp
+++ b/src/core/swapping/swap_planner.cpp
@@ -233,11 +233,29 @@
             current.uncopied[key] += what.waiting;
         return;
     }
-    const bool placed = this->load_on_best(current, what, sources::own_copies);
+    bool placed = this->load_on_best(current, what, sources::own_copies);
+    if (!placed && what.only_limited && this->is_outpaced(current, what))
+    {
+        // All are limited: another one gives the model its pace, too.
+        want anywhere = what;
+        anywhere.only_limited = false;
+        placed = this->load_on_best(current, anywhere, sources::own_copies);
+    }
     if (!placed && this->is_urgent(current, what))
         this->reserve(current, what);
 }
 
+bool swap_planner::is_outpaced(const round& current, const want& what) const
+{
+    double pace = 0;
+    for (const auto& [id, engine] : current.engines.all())
+    {
+        if (engine.entry.service == what.service && engine.find(what.model))
+            pace += engine.rate_limit;
+    }
+    return what.waiting > pace;
+}
+
 bool swap_planner::load_on_best(round& current, const want& what, sources from)
 {
     const auto best = this->best_engine(current, what, from);
@@ -561,8 +579,9 @@
         return false;
     model_sum rest = this->sum_of(current, key);
     rest.running -= std::min(rest.running, info.running);
-    return rest.copies >
-           this->copies_needed(current, engine.entry.service, rest);
+    const std::size_t copies =
+        rest.copies + (engine.rate_limit > 0 ? rest.limited : 0);
+    return copies > this->copies_needed(current, engine.entry.service, rest);
 }
 
 void swap_planner::place_adapter(round& current, const want& what) const
--- a/src/core/swapping/swap_planner.hpp
+++ b/src/core/swapping/swap_planner.hpp
@@ -201,6 +201,9 @@
         std::string_view service,
         const model_sum& sum) const;
     void place_model(round& current, const want& what);
+    /// @return Whether more requests wait for it than the limited engines that
+    ///         have it take in a second.
+    bool is_outpaced(const round& current, const want& what) const;
     /// @return Whether there is an engine for it now.
     bool load_on_best(round& current, const want& what, sources from);
     void place_adapter(round& current, const want& what) const;
--- a/tests/unit/dispatch/test_limited_servers.cpp
+++ b/tests/unit/dispatch/test_limited_servers.cpp
@@ -203,3 +203,44 @@
     cr_assert_not(test.demands.empty());
     cr_assert_eq(test.demands.back().target, "m");
 }
+
+namespace
+{
+
+/// Two models on one limited engine, of which `m` was asked for first.
+struct two_models : lone_engine
+{
+    two_models()
+    {
+        this->model("rare", 2, 1, 8);
+    }
+
+    ticket submit_rare(duration patience)
+    {
+        request_info info = with_patience(*this, patience);
+        info.target = "rare";
+        return this->submit(std::move(info));
+    }
+};
+
+} // namespace
+
+/// A model that is asked for all the time took each permit before.
+Test(limited_servers, a_permit_goes_to_whose_deadline_is_nearest)
+{
+    two_models test;
+    const ticket busy = test.submit(with_patience(test, 10s));
+    const ticket rare = test.submit_rare(5s);
+    test.allow(1);
+    cr_assert(test.granted(rare));
+    cr_assert_not(test.granted(busy));
+}
+
+Test(limited_servers, requests_of_other_models_there_are_waited_for_too)
+{
+    two_models test;
+    for (int i = 0; i < 8; ++i)
+        test.submit(with_patience(test, 10s));
+    const ticket rare = test.submit_rare(2s);
+    cr_assert_eq(test.refused(rare), refusal_reason::deadline);
+}
--- a/tests/unit/swapping/test_limited_engines.cpp
+++ b/tests/unit/swapping/test_limited_engines.cpp
@@ -56,6 +56,20 @@
     cr_assert(test.plan(at(1s)).empty());
 }
 
+/// All engines are limited, and rare models waited while most of them were
+/// idle.
+Test(limited_engines, more_copies_give_a_model_more_pace_where_all_are_limited)
+{
+    limited_copy test;
+    test.engines.limits_named({{"e1", 2.0}, {"e2", 2.0}});
+    test.need("m1", 2500ms, at(1s), "r1", 3);
+    const auto orders = test.plan(at(1s));
+    cr_assert_eq(orders.size(), 1U);
+    cr_assert_eq(orders[0].engine, "e2");
+    test.accept(orders[0], at(1s));
+    cr_assert(test.plan(at(1s + 100ms)).empty(), "one at a time");
+}
+
 Test(limited_engines, a_cold_model_goes_to_an_engine_without_a_limit)
 {
     swap_fixture test(6);
