Golden sessions take the dispatcher's wish for a permit

No engine of a session names a limit; should one be asked for a permit, it is a line and so a difference.

--- a/tests/golden/session.hpp
+++ b/tests/golden/session.hpp
@@ -143,6 +143,7 @@
     void handle(std::size_t index, const refusal& refused);
     void handle(std::size_t index, const demand& what);
     void handle(std::size_t index, const crash_seen& what);
+    void handle(std::size_t index, const permit_wanted& what);
     void send(std::size_t index, const grant& given);
     void claim_decided(
         std::size_t index, ticket request, const claim_result& result);
--- a/tests/golden/session_traffic.cpp
+++ b/tests/golden/session_traffic.cpp
@@ -266,4 +266,12 @@
         what, crash_finding::crashed, this->time);
 }
 
+void session::handle(std::size_t index, const permit_wanted& what)
+{
+    // No engine of a session names a rate limit: a line of it is a difference.
+    this->write(
+        this->routers[index]->name,
+        "permit for " + this->engine_of(what.server.engine) + " wanted");
+}
+
 } // namespace roseworks::golden
