Lines tell what became of each read of the store, and how late a configuration came

The lines of a VM told when a version was in force and that the store was lost. A refusal's reason for outdated knowledge is named, not used yet.

--- a/include/roseworks/verdict.hpp
+++ b/include/roseworks/verdict.hpp
@@ -42,7 +42,8 @@
     stream_cut,        ///< a stream ended midway and can't be resumed
     key_reused,        ///< the idempotency key is of a call with other content
     unknown_key,       ///< no organisation holds the caller's API key
-    organisation_limit ///< the organisation has used what it may
+    organisation_limit, ///< the organisation has used what it may
+    outdated ///< this router lacks a configuration that others have
 };
 
 /// @return The word used in headers and problem documents: `not-run`, ...
@@ -107,6 +108,8 @@
         return "unknown_key";
     case refusal_reason::organisation_limit:
         return "organisation_limit";
+    case refusal_reason::outdated:
+        return "outdated";
     }
     return "unknown";
 }
--- a/src/adapters/edge/call_problem.cpp
+++ b/src/adapters/edge/call_problem.cpp
@@ -63,6 +63,8 @@
         return {401, "Unknown API key"};
     case refusal_reason::organisation_limit:
         return {429, "Organisation's limit reached"};
+    case refusal_reason::outdated:
+        return {503, "Configuration not known here yet"};
     }
     return {500, "No answer"};
 }
--- a/src/adapters/events/event_catalogue.cpp
+++ b/src/adapters/events/event_catalogue.cpp
@@ -349,6 +349,20 @@
      "counts as not named.",
      "server, value",
      "Find out what the server means."},
+    {store_read_failed, warn, "store_read_failed",
+     "A read of the platform's store gave nothing; told of the first, second, "
+     "fourth, eighth such read in a row. Unknown: its time limit ended it, or "
+     "its connection broke, after so many bytes.",
+     "topic, end, status, received_bytes, after_ms, in_row, behind_ms",
+     "behind_ms of -1: nothing is known to be missing. See to the store, or to "
+     "this VM's link."},
+    {deployment_read, info, "deployment_read",
+     "A record of the operators' configuration came: behind_ms after this "
+     "router heard of it, -1 where it heard of it by this.",
+     "offset, bytes, source, behind_ms, failed_reads", nothing},
+    {registry_listed, info, "registry_listed",
+     "The whole registry of backend servers came.",
+     "servers, source, failed_reads", nothing},
     {placement_owned, info, "placement_owned",
      "This router orders the engines from now on.",
      "fence", nothing},
--- a/src/adapters/platform/http_client.cpp
+++ b/src/adapters/platform/http_client.cpp
@@ -147,6 +147,7 @@
             parser,
             asio::redirect_error(asio::use_awaitable, error));
         this->meter.received += received;
+        answer.received = received;
         if (error)
             co_return answer;
 
--- a/src/adapters/platform/http_client.hpp
+++ b/src/adapters/platform/http_client.hpp
@@ -36,6 +36,7 @@
     unsigned status = 0; ///< when answered
     std::string body;    ///< when answered
     std::string etag;    ///< when answered; empty: the server names none
+    std::size_t received = 0; ///< bytes, of one that isn't whole, too
 
     /// @return Whether a whole answer of this status came.
     bool is(unsigned expected) const
--- a/src/app/traffic_metrics.hpp
+++ b/src/app/traffic_metrics.hpp
@@ -67,7 +67,8 @@
         to_string(refusal_reason::stream_cut),
         to_string(refusal_reason::key_reused),
         to_string(refusal_reason::unknown_key),
-        to_string(refusal_reason::organisation_limit)};
+        to_string(refusal_reason::organisation_limit),
+        to_string(refusal_reason::outdated)};
 };
 
 } // namespace roseworks::metrics
--- a/src/core/dissemination/topic_progress.cpp
+++ b/src/core/dissemination/topic_progress.cpp
@@ -25,6 +25,8 @@
 {
     if (!this->known || next < *this->known)
         return std::nullopt;
+    if (!this->behind())
+        this->announced_at = as_of;
     this->announced = std::max(this->announced, next);
     const bool joins = from <= *this->known;
     if (next > *this->known && !joins)
@@ -41,6 +43,11 @@
     return this->known && this->announced > *this->known;
 }
 
+std::optional<instant> topic_progress::behind_since() const
+{
+    return this->behind() ? std::optional(this->announced_at) : std::nullopt;
+}
+
 instant topic_progress::due() const
 {
     if (!this->known)
--- a/src/core/dissemination/topic_progress.hpp
+++ b/src/core/dissemination/topic_progress.hpp
@@ -55,6 +55,9 @@
     /// @return Whether something is known to be missing.
     bool behind() const;
 
+    /// @return Since when; empty while nothing is.
+    std::optional<instant> behind_since() const;
+
     /// @return The offset to read from next; empty before the first read.
     std::optional<std::uint64_t> next() const
     {
@@ -76,6 +79,7 @@
     options settings;
     std::optional<std::uint64_t> known;
     std::uint64_t announced = 0; ///< others have read up to here
+    instant announced_at;        ///< the first word of what is missing
     instant known_as_of;
     instant last_read;
 };
--- a/src/ports/event_sink.hpp
+++ b/src/ports/event_sink.hpp
@@ -128,6 +128,9 @@
     server_limit_ended = 1721,
     server_limit_reached = 1722,
     server_limit_malformed = 1723,
+    store_read_failed = 1724,
+    deployment_read = 1725,
+    registry_listed = 1726,
 
     // 18xx: placement by orders of one owner.
     placement_owned = 1801,
