--- /dev/null
+++ b/tests/unit/late_configuration/test_late_configuration.cpp
@@ -0,0 +1,264 @@
+#include "adapters/platform/system_clock.hpp"
+#include "fake_backend.hpp"
+#include "platform/keyed_tail.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <deque>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+using namespace roseworks;
+using namespace roseworks::users_platform;
+using roseworks::edge::tests::backend_peer;
+using roseworks::edge::tests::fake_backend;
+namespace asio = boost::asio;
+
+namespace
+{
+
+std::string http(unsigned status, const std::string& body)
+{
+    return "HTTP/1.1 " + std::to_string(status) +
+           " X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+}
+
+std::string listing(const std::string& key, bool has_more)
+{
+    return R"({"items":[{"key":")" + key +
+           R"(","value":"eA==","offset":0}],"end":1,"has_more":)" +
+           (has_more ? "true" : "false") + "}";
+}
+
+/// End and first offset, and no record.
+std::string nothing_new()
+{
+    return std::string(16, '\0');
+}
+
+/// Gives the answers it was told to give, one after the other; keeps what was
+/// asked.
+class scripted_store
+{
+public:
+    void will_answer(unsigned status, const std::string& body)
+    {
+        const std::scoped_lock lock(this->mutex);
+        this->answers.push_back(http(status, body));
+    }
+
+    std::vector<std::string> asked()
+    {
+        const std::scoped_lock lock(this->mutex);
+        return this->calls;
+    }
+
+    std::string address() const
+    {
+        return this->server.address();
+    }
+
+private:
+    void serve(backend_peer& peer)
+    {
+        while (true)
+        {
+            const std::string request = peer.read_request();
+            if (request.empty())
+                return;
+            const std::string answer = this->answer(request);
+            if (answer.empty())
+                return;
+            peer.send(answer);
+        }
+    }
+
+    std::string answer(const std::string& request)
+    {
+        const std::scoped_lock lock(this->mutex);
+        this->calls.push_back(request.substr(4, request.find(" HTTP") - 4));
+        if (this->answers.empty())
+            return {};
+        const std::string next = this->answers.front();
+        this->answers.pop_front();
+        return next;
+    }
+
+    std::mutex mutex;
+    std::deque<std::string> answers;
+    std::vector<std::string> calls;
+    fake_backend server{[this](backend_peer& peer)
+                        {
+                            this->serve(peer);
+                        }}; ///< last: its threads use the others
+};
+
+/// A tail that doesn't read again by itself, and waits an hour after a call
+/// that failed.
+struct patient_tail
+{
+    explicit patient_tail(
+        std::chrono::milliseconds retry = std::chrono::hours(1))
+        : client(
+              this->loop.get_executor(),
+              *platform::parse_endpoint(this->store.address()),
+              store_client::options(),
+              this->meter)
+        , tail(
+              this->loop.get_executor(),
+              this->clock,
+              this->client,
+              settings(retry),
+              {[this](const std::vector<keyed_record>& all)
+               {
+                   for (const keyed_record& record : all)
+                       this->listed.push_back(record.key);
+               },
+               [](const keyed_record&) {},
+               [this](bool answered)
+               {
+                   this->failures += answered ? 0 : 1;
+               }})
+    {
+    }
+
+    ~patient_tail()
+    {
+        this->tail.stop();
+        this->loop.poll();
+    }
+
+    static keyed_tail::options settings(std::chrono::milliseconds retry)
+    {
+        keyed_tail::options made;
+        made.topic = "keyed.op";
+        made.retry = retry;
+        made.longest_retry = retry;
+        made.most_age = std::chrono::hours(1);
+        return made;
+    }
+
+    void start()
+    {
+        asio::co_spawn(this->loop, this->tail.run(), asio::detached);
+    }
+
+    /// @return Whether so many calls were made.
+    bool run_until_calls(std::size_t count)
+    {
+        constexpr int most_turns = 100;
+        for (int i = 0; i < most_turns && this->store.asked().size() < count;
+             ++i)
+            this->loop.run_one_for(std::chrono::milliseconds(50));
+        for (int i = 0; i < 4; ++i)
+            this->loop.run_one_for(std::chrono::milliseconds(50));
+        return this->store.asked().size() >= count;
+    }
+
+    scripted_store store;
+    asio::io_context loop;
+    platform::byte_meter meter;
+    const platform::system_clock clock;
+    store_client client;
+    std::vector<std::string> listed;
+    int failures = 0;
+    keyed_tail tail;
+};
+
+} // namespace
+
+/// After a cut the store said that the history was dropped; the pause that the
+/// cut had earned was waited for once more.
+Test(late_configuration, a_history_that_was_dropped_is_no_lost_store)
+{
+    patient_tail test;
+    test.store.will_answer(200, listing("a", false));
+    test.store.will_answer(410, "{}");
+    test.store.will_answer(200, listing("b", false));
+    test.start();
+    cr_assert(test.run_until_calls(1));
+    cr_assert(!test.tail.heard(5, {5, 10}));
+    cr_assert(test.run_until_calls(3), "the listing waits for a pause");
+    cr_assert_eq(test.failures, 0);
+    const std::vector<std::string> both{"a", "b"};
+    cr_assert(test.listed == both);
+}
+
+/// A router that was cut off heard of a configuration and waited on.
+Test(late_configuration, a_word_of_news_ends_the_pause_after_a_failure)
+{
+    patient_tail test;
+    test.store.will_answer(200, listing("a", false));
+    test.store.will_answer(503, "");
+    test.store.will_answer(200, nothing_new());
+    test.start();
+    cr_assert(test.run_until_calls(1));
+    cr_assert(!test.tail.heard(5, {5, 10}));
+    cr_assert(test.run_until_calls(2));
+    cr_assert(!test.tail.heard(6, {6, 10}));
+    cr_assert(test.run_until_calls(3), "the news waits for the pause");
+}
+
+/// Three hundred routers that began three thousand entries again at each page
+/// that failed kept the store too busy to answer one of them.
+Test(late_configuration, a_listing_goes_on_at_the_page_that_failed)
+{
+    patient_tail test(std::chrono::milliseconds(1));
+    test.store.will_answer(200, listing("a", true));
+    test.store.will_answer(503, "");
+    test.store.will_answer(200, listing("b", false));
+    test.start();
+    cr_assert(test.run_until_calls(3));
+    cr_assert(test.store.asked()[2].ends_with("&after=a"));
+    const std::vector<std::string> both{"a", "b"};
+    cr_assert(test.listed == both);
+}
+
+/// Through a link of 10 Mbit/s a page took longer than a call might; it was
+/// begun again from nothing, for good.
+Test(late_configuration, an_answer_that_takes_long_and_goes_on_is_read_whole)
+{
+    const std::string whole = http(200, listing("a", false));
+    fake_backend slow(
+        [&](backend_peer& peer)
+        {
+            constexpr std::size_t pieces = 15;
+            const std::size_t size = whole.size() / pieces + 1;
+            peer.read_request();
+            for (std::size_t i = 0; i < whole.size(); i += size)
+            {
+                peer.send(std::string_view(whole).substr(i, size));
+                std::this_thread::sleep_for(std::chrono::milliseconds(100));
+            }
+        });
+    asio::io_context loop;
+    platform::byte_meter meter;
+    store_client::options settings;
+    settings.call_timeout = std::chrono::milliseconds(1000);
+    store_client client(
+        loop.get_executor(),
+        *platform::parse_endpoint(slow.address()),
+        settings,
+        meter);
+    keyed_page page;
+    asio::co_spawn(
+        loop,
+        client.list_newest("keyed.op", ""),
+        [&](const std::exception_ptr&, keyed_page got)
+        {
+            page = std::move(got);
+        });
+    loop.run();
+    cr_assert(page.end == store_end::answered);
+    cr_assert_eq(page.records.size(), 1);
+}
