--- a/src/app/traffic_metrics.hpp
+++ b/src/app/traffic_metrics.hpp
@@ -46,7 +46,7 @@
 struct label_traits<refusal_reason>
 {
     static constexpr std::string_view name = "reason";
-    static constexpr std::array<std::string_view, 21> values = {
+    static constexpr std::array<std::string_view, 22> values = {
         to_string(refusal_reason::none),
         to_string(refusal_reason::bad_request),
         to_string(refusal_reason::unknown_servable),
