--- a/src/core/dissemination/topic_progress.hpp
+++ b/src/core/dissemination/topic_progress.hpp
@@ -64,6 +64,12 @@
         return this->known;
     }
 
+    /// @return The offset after the last one that others are known to have.
+    std::uint64_t last_announced() const
+    {
+        return this->announced;
+    }
+
     instant as_of() const
     {
         return this->known_as_of;
