--- a/tests/unit/late_configuration/test_late_configuration.cpp
+++ b/tests/unit/late_configuration/test_late_configuration.cpp
@@ -153,16 +153,33 @@
         asio::co_spawn(this->loop, this->tail.run(), asio::detached);
     }
 
-    /// @return Whether so many calls were made.
-    bool run_until_calls(std::size_t count)
+    /// @return Whether it was so before the test would hang.
+    template <class Reached>
+    bool run_until(Reached reached)
     {
-        constexpr int most_turns = 100;
-        for (int i = 0; i < most_turns && this->store.asked().size() < count;
-             ++i)
-            this->loop.run_one_for(std::chrono::milliseconds(50));
-        for (int i = 0; i < 4; ++i)
+        const auto limit =
+            std::chrono::steady_clock::now() + std::chrono::seconds(20);
+        while (!reached() && std::chrono::steady_clock::now() < limit)
             this->loop.run_one_for(std::chrono::milliseconds(50));
-        return this->store.asked().size() >= count;
+        return reached();
+    }
+
+    bool run_until_calls(std::size_t count)
+    {
+        return this->run_until(
+            [&]
+            {
+                return this->store.asked().size() >= count;
+            });
+    }
+
+    bool run_until_listed(const std::vector<std::string>& keys)
+    {
+        return this->run_until(
+            [&]
+            {
+                return this->listed == keys;
+            });
     }
 
     scripted_store store;
@@ -186,12 +203,10 @@
     test.store.will_answer(410, "{}");
     test.store.will_answer(200, listing("b", false));
     test.start();
-    cr_assert(test.run_until_calls(1));
+    cr_assert(test.run_until_listed({"a"}));
     cr_assert(!test.tail.heard(5, {5, 10}));
-    cr_assert(test.run_until_calls(3), "the listing waits for a pause");
+    cr_assert(test.run_until_listed({"a", "b"}), "the listing waits");
     cr_assert_eq(test.failures, 0);
-    const std::vector<std::string> both{"a", "b"};
-    cr_assert(test.listed == both);
 }
 
 /// A router that was cut off heard of a configuration and waited on.
@@ -202,9 +217,13 @@
     test.store.will_answer(503, "");
     test.store.will_answer(200, nothing_new());
     test.start();
-    cr_assert(test.run_until_calls(1));
+    cr_assert(test.run_until_listed({"a"}));
     cr_assert(!test.tail.heard(5, {5, 10}));
-    cr_assert(test.run_until_calls(2));
+    cr_assert(test.run_until(
+        [&]
+        {
+            return test.failures == 1;
+        }));
     cr_assert(!test.tail.heard(6, {6, 10}));
     cr_assert(test.run_until_calls(3), "the news waits for the pause");
 }
@@ -218,10 +237,9 @@
     test.store.will_answer(503, "");
     test.store.will_answer(200, listing("b", false));
     test.start();
-    cr_assert(test.run_until_calls(3));
+    cr_assert(test.run_until_listed({"a", "b"}));
+    cr_assert_eq(test.store.asked().size(), 3);
     cr_assert(test.store.asked()[2].ends_with("&after=a"));
-    const std::vector<std::string> both{"a", "b"};
-    cr_assert(test.listed == both);
 }
 
 /// Through a link of 10 Mbit/s a page took longer than a call might; it was
