A read of the store may take as long as its bytes come

Cause: one second for the whole answer, whatever its length and the link. Other callers of the client keep their limit of the whole.

--- a/src/adapters/platform/http_client.cpp
+++ b/src/adapters/platform/http_client.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <deque>
 #include <sstream>
 #include <unordered_set>
@@ -133,7 +134,8 @@
     }
 
     /// Reads one answer; `no_answer` when it doesn't come whole.
-    asio::awaitable<http_answer> read(connection& from, bool& reusable)
+    asio::awaitable<http_answer>
+    read(connection& from, const http_call& call, bool& reusable)
     {
         http_answer answer;
         answer.end = exchange_end::no_answer;
@@ -141,13 +143,20 @@
         parser.body_limit(this->settings.max_answer_bytes);
         beast::flat_buffer buffer;
         error_code error;
-        const std::size_t received = co_await http::async_read(
-            from.stream,
-            buffer,
-            parser,
-            asio::redirect_error(asio::use_awaitable, error));
-        this->meter.received += received;
-        answer.received = received;
+        const auto latest = steady::now() + call.longest;
+        while (!parser.is_done() && !error)
+        {
+            const std::size_t received = co_await http::async_read_some(
+                from.stream,
+                buffer,
+                parser,
+                asio::redirect_error(asio::use_awaitable, error));
+            this->meter.received += received;
+            answer.received += received;
+            if (call.longest > call.timeout)
+                from.stream.expires_after(std::min<steady::duration>(
+                    latest - steady::now(), call.timeout));
+        }
         if (error)
             co_return answer;
 
@@ -190,7 +199,7 @@
         }
 
         bool reusable = false;
-        answer = co_await this->read(*with, reusable);
+        answer = co_await this->read(*with, call, reusable);
         if (reusable)
             this->keep(with, taken_in);
         co_return answer;
--- a/src/adapters/platform/http_client.hpp
+++ b/src/adapters/platform/http_client.hpp
@@ -61,7 +61,11 @@
     std::string authorization; ///< empty: none
     std::string if_none_match; ///< empty: the whole answer is wanted
     http_header header;
+    /// Of the whole call; where `longest` is longer, without a byte of the
+    /// answer.
     std::chrono::milliseconds timeout{};
+    /// Of the whole answer as long as its bytes come.
+    std::chrono::milliseconds longest{};
     /// Asked immediately before the first byte is written; empty: always.
     std::function<bool()> may_send;
 };
