Routers give each other copies of the configuration and of the registry

Callers saw dropped keys served, and 404 for routes that were there, at routers that the store turned away: up to 20.3 s late, with neighbours that had it (timeline, 23 of 65 VMs). And at a start of 300 each asked the store for 3,003 entries, which left it no time for the rest: all logged VMs said store_lost of a store that works. Cause of both, and the class: what one router knows and another lacks could be had from the store only, by as many bulk reads as there are routers.

Now a router whose read failed asks up to three others over TCP, and takes a copy that is no older than what it knows: the configuration as the store keeps it, decoded and checked as ever; the registry whole, or what changed since the asker's offset, removals too. The registry is asked of other routers first: four, the strongest, read the store after a start, the rest copy from these or from anybody, and go to the store after 3 s (news: 0.45 of its bound) without a copy, so that nothing hangs on the four. A copy of a list that was to be told isn't told as if it had been. A listing tells that the store was read.

--- a/src/adapters/peers/gateway_peers.cpp
+++ b/src/adapters/peers/gateway_peers.cpp
@@ -1,15 +1,13 @@
 #include "adapters/peers/gateway_peers.hpp"
 
 #include "adapters/peers/word_archive.hpp"
+#include "adapters/peers/word_frame.hpp"
 #include "adapters/platform/endpoint.hpp"
 
-#include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
-#include <xxhash.h>
 
 #include <algorithm>
-#include <cstring>
 #include <exception>
 #include <sstream>
 #include <utility>
@@ -24,30 +22,11 @@
 namespace
 {
 
-/// First bytes of a datagram: a checksum of the rest, which begins with the
-/// kind of the word.
-constexpr std::size_t checksum_bytes = 8;
-
-std::uint64_t checksum(std::string_view content)
-{
-    constexpr std::uint64_t seed = 0x726F7365; // another protocol's don't pass
-    return XXH64(content.data(), content.size(), seed);
-}
-
+/// What is sealed begins with the kind of the word.
 template <class Word>
 std::string encode(std::uint8_t kind, const Word& word)
 {
-    std::ostringstream out;
-    out.put(static_cast<char>(kind));
-    {
-        cereal::PortableBinaryOutputArchive archive(out);
-        archive(word);
-    }
-    const std::string content = out.str();
-    const std::uint64_t sum = checksum(content);
-    std::string datagram(checksum_bytes, '\0');
-    std::memcpy(datagram.data(), &sum, checksum_bytes);
-    return datagram + content;
+    return peers::seal(static_cast<char>(kind) + peers::to_archive(word));
 }
 
 /// @return The list cut into runs of about as many elements as fit.
@@ -122,22 +101,14 @@
 void gateway_peers::take(std::string_view datagram)
 {
     this->meter.received += datagram.size();
-    const std::string_view content =
-        datagram.substr(std::min(checksum_bytes, datagram.size()));
-    std::uint64_t sum = 0;
-    if (content.empty())
-    {
-        ++this->rejected_count;
-        return;
-    }
-    std::memcpy(&sum, datagram.data(), checksum_bytes);
-    if (sum != checksum(content))
+    const auto content = peers::unseal(datagram);
+    if (!content)
     {
         ++this->rejected_count;
         return;
     }
-    const std::string_view body = content.substr(1);
-    switch (static_cast<word_kind>(content.front()))
+    const std::string_view body = content->substr(1);
+    switch (static_cast<word_kind>(content->front()))
     {
     case word_kind::router:
         if (router_word word; this->decode(body, word))
--- a/src/adapters/platform/http_client.hpp
+++ b/src/adapters/platform/http_client.hpp
@@ -33,9 +33,9 @@
 struct http_answer
 {
     exchange_end end = exchange_end::not_sent;
-    unsigned status = 0; ///< when answered
-    std::string body;    ///< when answered
-    std::string etag;    ///< when answered; empty: the server names none
+    unsigned status = 0;      ///< when answered
+    std::string body;         ///< when answered
+    std::string etag;         ///< when answered; empty: the server names none
     std::size_t received = 0; ///< bytes, of one that isn't whole, too
 
     /// @return Whether a whole answer of this status came.
--- a/src/app/gateway/gateway_control.cpp
+++ b/src/app/gateway/gateway_control.cpp
@@ -1,5 +1,6 @@
 #include "app/gateway/gateway_control.hpp"
 
+#include "adapters/peers/copy_exchange.hpp"
 #include "platform/engine_commands.hpp"
 #include "platform/store_directory.hpp"
 
@@ -87,6 +88,19 @@
     return made;
 }
 
+copy_exchange::options copy_options(const settings::gateway_settings& settings)
+{
+    /// Of a link, for one router that is given a copy.
+    constexpr double mbps_for_each = 25;
+    constexpr double fewest = 2;
+    constexpr double most = 64;
+    copy_exchange::options made;
+    made.listen = tcp_endpoint(settings.listen.peers);
+    made.most_at_once = static_cast<std::size_t>(
+        std::clamp(settings.vm.link_mbps / mbps_for_each, fewest, most));
+    return made;
+}
+
 users_platform::store_directory::options
 directory_options(const settings::gateway_settings& settings)
 {
@@ -146,8 +160,15 @@
                   this->placement->servers_changed();
                   this->pace->servers_changed();
               }}))
+    , copies(std::make_unique<copy_exchange>(
+          this->loop, copy_options(wanted), this->meter))
     , directory(std::make_unique<users_platform::store_directory>(
-          this->loop, directory_options(wanted), time, sink, this->meter))
+          this->loop,
+          directory_options(wanted),
+          time,
+          sink,
+          this->meter,
+          *this->copies))
     , peers(std::make_unique<gateway_peers>(
           this->loop, udp_endpoint(wanted.listen.peers), sink, this->meter))
     , quotas(std::make_unique<quota_desk>(
@@ -216,6 +237,7 @@
             this->peers->start(*this);
             this->placement->start();
             this->quotas->start();
+            this->copies->serve(*this->directory);
             this->directory->start(*this);
             this->arm_uses();
         });
@@ -478,6 +500,7 @@
         this->loop,
         [this]
         {
+            this->copies->stop();
             this->directory->stop();
             this->peers->stop();
             this->placement->stop();
--- a/src/app/gateway/gateway_control.hpp
+++ b/src/app/gateway/gateway_control.hpp
@@ -13,6 +13,7 @@
 #include "app/table_holder.hpp"
 #include "core/request/crash_ledger.hpp"
 #include "ports/clock.hpp"
+#include "ports/directory_copy_port.hpp"
 #include "ports/directory_port.hpp"
 #include "ports/engine_command_port.hpp"
 #include "ports/event_sink.hpp"
@@ -186,6 +187,7 @@
         work;
     platform::byte_meter meter;
     std::unique_ptr<serving_desk> desk;
+    std::unique_ptr<directory_copy_port> copies;
     std::unique_ptr<directory_port> directory;
     std::unique_ptr<gateway_peer_port> peers;
     std::unique_ptr<quota_desk> quotas;
--- /dev/null
+++ b/src/core/dissemination/copy_choice.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <roseworks/instant.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace roseworks
+{
+
+/// A router that may be asked for a copy.
+struct copy_holder
+{
+    std::string name;
+    std::string address;
+    double capacity = 1; ///< of its VM, as it announced itself
+};
+
+/** Whom a router asks for a copy of what the store keeps, and which routers
+    read the store first.
+
+    After a start of all, each listing the whole registry would ask the store
+    for as many bulk reads as there are routers. So the few strongest read it,
+    and the others ask these, and later anybody, until one has it. Who got no
+    copy for too long reads the store itself: nothing hangs on the few.
+*/
+class copy_choice
+{
+public:
+    struct options
+    {
+        /// Routers that read the store at once.
+        std::size_t first_readers = 4;
+        /// A router that knows nothing yet reads the store itself after so long
+        /// without a copy.
+        duration patience = std::chrono::seconds(3);
+        /// The same of one that lacks news.
+        duration patience_for_news = std::chrono::milliseconds(450);
+        std::uint64_t seed = 1;
+    };
+
+    explicit copy_choice(options settings);
+
+    /// All routers that announced themselves, this one among them or not.
+    void routers_listed(const copy_holder& self, std::vector<copy_holder> all);
+
+    /// @return Whether this router is one of those that read the store first,
+    ///         or knows of no other.
+    bool reads_first() const
+    {
+        return this->is_first;
+    }
+
+    /// @param knows_any This router lacks news only.
+    /// @return Whether one that has asked since then asks on, before it goes to
+    ///         the store.
+    bool is_patient(bool knows_any, instant since, instant now) const
+    {
+        const duration most = knows_any ? this->settings.patience_for_news
+                                        : this->settings.patience;
+        return now - since < most;
+    }
+
+    /// @return Whom to ask next; empty when no other is known. Every second one
+    ///         is a first reader, the rest are anybody.
+    std::optional<std::string> next();
+
+private:
+    options settings;
+    std::vector<std::string> first;  ///< addresses of first readers
+    std::vector<std::string> others; ///< addresses of all but this router
+    bool is_first = true;
+    bool first_is_next = true;
+    std::mt19937_64 random;
+};
+
+} // namespace roseworks
--- a/src/core/dissemination/registry_changes.cpp
+++ b/src/core/dissemination/registry_changes.cpp
@@ -32,10 +32,18 @@
 {
     this->known.clear();
     this->collected.clear();
+    this->removals.clear();
+    this->removals_from.reset();
     for (const server_entry& entry : all)
         this->known.insert_or_assign(entry.id, without_copies(entry));
 }
 
+void registry_changes::listed_as_of(std::uint64_t offset)
+{
+    if (!this->removals_from)
+        this->removals_from = offset;
+}
+
 void registry_changes::read(const server_entry& entry)
 {
     using enum registry_change::kind;
@@ -54,6 +62,7 @@
     const auto found = this->known.find(id);
     if (found != this->known.end())
         this->known.erase(found);
+    this->remember_removal(id, offset);
     registry_change change{offset, registry_change::kind::gone, {}};
     change.entry.id = id;
     this->collect(std::move(change));
@@ -71,6 +80,50 @@
     this->collected.insert_or_assign(change.entry.id, std::move(change));
 }
 
+std::vector<registry_change> registry_changes::all() const
+{
+    std::vector<registry_change> entries;
+    entries.reserve(this->known.size());
+    for (const auto& [id, entry] : this->known)
+        entries.push_back({entry.heard, registry_change::kind::whole, entry});
+    return entries;
+}
+
+void registry_changes::remember_removal(
+    std::string_view id, std::uint64_t offset)
+{
+    constexpr std::size_t most_removals = 4096;
+    this->removals.push_back({std::string(id), offset});
+    if (this->removals.size() <= most_removals)
+        return;
+    this->removals_from = this->removals.front().offset + 1;
+    this->removals.pop_front();
+}
+
+std::optional<std::vector<registry_change>>
+registry_changes::since(std::uint64_t offset) const
+{
+    if (!this->removals_from || offset < *this->removals_from)
+        return std::nullopt;
+    std::vector<registry_change> changes;
+    for (const auto& [id, entry] : this->known)
+    {
+        if (entry.heard >= offset)
+            changes.push_back(
+                {entry.heard, registry_change::kind::whole, entry});
+    }
+    for (const removal& one : this->removals)
+    {
+        if (one.offset < offset || this->known.contains(one.id))
+            continue;
+        registry_change gone{one.offset, registry_change::kind::gone, {}};
+        gone.entry.id = one.id;
+        changes.push_back(std::move(gone));
+    }
+    std::ranges::sort(changes, {}, &registry_change::offset);
+    return changes;
+}
+
 bool registry_changes::only_models() const
 {
     return !this->collected.empty() &&
@@ -90,6 +143,8 @@
     const bool is_known = found != this->known.end();
     if (change.what == gone && is_known)
         this->known.erase(found);
+    if (change.what == gone)
+        this->remember_removal(change.entry.id, change.offset);
     if (change.what == gone || (change.what == models && !is_known))
         return std::nullopt;
     server_entry now = change.what == whole ? change.entry : found->second;
--- a/src/core/dissemination/registry_changes.hpp
+++ b/src/core/dissemination/registry_changes.hpp
@@ -3,6 +3,7 @@
 #include "core/dissemination/registry_change.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <span>
@@ -27,6 +28,9 @@
     /// The whole registry was read: what comes later is compared with it.
     void listed(std::span<const server_entry> all);
 
+    /// What was listed is known as of this offset.
+    void listed_as_of(std::uint64_t offset);
+
     void read(const server_entry& entry);
     void removed(std::string_view id, std::uint64_t offset);
 
@@ -37,6 +41,15 @@
     */
     std::optional<server_entry> told(const registry_change& change);
 
+    /// @return Every entry that is known, whole, for one who knows none.
+    std::vector<registry_change> all() const;
+
+    /** @return What changed from an offset on, in order, for one who knows all
+                before it; empty when it isn't known here any more.
+    */
+    std::optional<std::vector<registry_change>>
+    since(std::uint64_t offset) const;
+
     /// @return Whether there are changes, and all are of what engines hold:
     ///         none of a server that came, went or leaves.
     bool only_models() const;
@@ -47,9 +60,19 @@
 
 private:
     void collect(registry_change change);
+    void remember_removal(std::string_view id, std::uint64_t offset);
+
+    struct removal
+    {
+        std::string id;
+        std::uint64_t offset = 0;
+    };
 
     std::map<std::string, server_entry, std::less<>> known; ///< by id
     std::map<std::string, registry_change, std::less<>> collected;
+    std::deque<removal> removals; ///< the last ones, in order
+    /// Removals from here on are all remembered; empty: not known yet.
+    std::optional<std::uint64_t> removals_from;
 };
 
 } // namespace roseworks
--- a/src/core/dissemination/topic_progress.cpp
+++ b/src/core/dissemination/topic_progress.cpp
@@ -20,6 +20,13 @@
     this->announced = *this->known;
 }
 
+void topic_progress::copied(std::uint64_t next, instant as_of)
+{
+    this->known = std::max(this->known.value_or(0), next);
+    this->known_as_of = std::max(this->known_as_of, as_of);
+    this->announced = std::max(this->announced, *this->known);
+}
+
 std::optional<std::uint64_t>
 topic_progress::heard(std::uint64_t from, std::uint64_t next, instant as_of)
 {
--- a/src/core/dissemination/topic_progress.hpp
+++ b/src/core/dissemination/topic_progress.hpp
@@ -34,6 +34,10 @@
     /// @param as_of Nothing before that offset was missing at this instant.
     void read(std::uint64_t next, instant as_of);
 
+    /// Another router gave a copy of the topic, whole. As `read`, but what was
+    /// announced and isn't in the copy is still missing.
+    void copied(std::uint64_t next, instant as_of);
+
     /** Another router told what it read.
 
         A teller that knows less than this router is not believed: it may have
--- a/src/ports/directory_port.hpp
+++ b/src/ports/directory_port.hpp
@@ -3,6 +3,7 @@
 #include "core/dissemination/directory_word.hpp"
 #include "core/serving/deployment.hpp"
 #include "core/serving/server_entry.hpp"
+#include "ports/directory_copy_port.hpp"
 
 #include <roseworks/instant.hpp>
 
@@ -73,12 +74,11 @@
     virtual void store_read(const directory_word& word) = 0;
 };
 
-/// Port: the store that the platform offers to all routers.
-class directory_port
+/// Port: the store that the platform offers to all routers. Gives copies of
+/// what it knows to other routers.
+class directory_port : public directory_copy_source
 {
 public:
-    virtual ~directory_port() = default;
-
     /// Starts to read, to announce this router and to apply for ownership.
     virtual void start(directory_listener& listener) = 0;
 
--- /dev/null
+++ b/tests/unit/dissemination/test_copy_choice.cpp
@@ -0,0 +1,91 @@
+#include "core/dissemination/copy_choice.hpp"
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+using namespace roseworks;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+copy_holder router(int number, double capacity = 1)
+{
+    const std::string name = "r" + std::to_string(number);
+    return {name, "address-of-" + name, capacity};
+}
+
+/// @param strong The first so many are stronger than the rest.
+std::vector<copy_holder> routers(int count, int strong)
+{
+    std::vector<copy_holder> all;
+    for (int i = 0; i < count; ++i)
+        all.push_back(router(i, i < strong ? 2 : 1));
+    return all;
+}
+
+} // namespace
+
+Test(copy_choice, who_knows_of_no_other_reads_the_store)
+{
+    copy_choice choice({});
+    cr_assert(choice.reads_first());
+    cr_assert(!choice.next());
+    choice.routers_listed(router(1), {router(1)});
+    cr_assert(choice.reads_first());
+    cr_assert(!choice.next());
+}
+
+/// After a start of all, three hundred listings of the registry kept the store
+/// too busy for any other read.
+Test(copy_choice, of_all_routers_four_read_the_store_first)
+{
+    for (const int count : {7, 65, 300, 1000})
+    {
+        int first = 0;
+        for (const copy_holder& self : routers(count, 0))
+        {
+            copy_choice choice({});
+            choice.routers_listed(self, routers(count, 0));
+            first += choice.reads_first() ? 1 : 0;
+        }
+        cr_assert_eq(first, 4);
+    }
+}
+
+Test(copy_choice, the_strongest_read_first_and_are_asked)
+{
+    copy_choice choice({});
+    choice.routers_listed(router(60), routers(65, 3));
+    cr_assert(!choice.reads_first());
+    std::set<std::string> asked;
+    for (int i = 0; i < 40; ++i)
+        asked.insert(*choice.next());
+    for (const char* strong : {"r0", "r1", "r2"})
+        cr_assert(asked.contains(std::string("address-of-") + strong));
+}
+
+/// The few that read first may all be gone.
+Test(copy_choice, anybody_may_be_asked_but_not_oneself)
+{
+    copy_choice choice({});
+    choice.routers_listed(router(6), routers(7, 0));
+    std::set<std::string> asked;
+    for (int i = 0; i < 400; ++i)
+        asked.insert(*choice.next());
+    cr_assert_eq(asked.size(), 6);
+    cr_assert(!asked.contains("address-of-r6"));
+}
+
+Test(copy_choice, after_its_patience_a_router_reads_the_store_itself)
+{
+    const copy_choice choice({.patience = 3s, .patience_for_news = 450ms});
+    const instant since{10s};
+    cr_assert(choice.is_patient(false, since, since + 2s));
+    cr_assert(!choice.is_patient(false, since, since + 3s));
+    cr_assert(choice.is_patient(true, since, since + 400ms));
+    cr_assert(!choice.is_patient(true, since, since + 450ms));
+}
--- /dev/null
+++ b/tests/unit/users_platform/no_copies.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "ports/directory_copy_port.hpp"
+
+namespace roseworks::users_platform::tests
+{
+
+/// No other router gives a copy.
+class no_copies final : public directory_copy_port
+{
+public:
+    void serve(directory_copy_source&) override {}
+
+    void fetch(std::string_view, const copy_ask&, copy_done done) override
+    {
+        done(std::nullopt);
+    }
+
+    void stop() override {}
+};
+
+} // namespace roseworks::users_platform::tests
--- /dev/null
+++ b/tests/unit/users_platform/test_directory_copies.cpp
@@ -0,0 +1,283 @@
+#include "adapters/events/null_event_sink.hpp"
+#include "adapters/platform/system_clock.hpp"
+#include "fake_backend.hpp"
+#include "platform/own_record.hpp"
+#include "platform/store_directory.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/detail/base64.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+using namespace roseworks;
+using namespace roseworks::users_platform;
+using roseworks::edge::tests::backend_peer;
+using roseworks::edge::tests::fake_backend;
+namespace asio = boost::asio;
+
+namespace
+{
+
+std::string http(unsigned status, const std::string& body)
+{
+    return "HTTP/1.1 " + std::to_string(status) +
+           " X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+}
+
+std::string base64(const std::string& text)
+{
+    namespace coder = boost::beast::detail::base64;
+    std::string result(coder::encoded_size(text.size()), '\0');
+    result.resize(coder::encode(result.data(), text.data(), text.size()));
+    return result;
+}
+
+/// A store that lists the routers, and refuses all else that is read.
+class router_store
+{
+public:
+    std::string address() const
+    {
+        return this->server.address();
+    }
+
+    std::atomic<int> refused{0};
+
+private:
+    void serve(backend_peer& peer)
+    {
+        while (true)
+        {
+            const std::string request = peer.read_request();
+            if (request.empty())
+                return;
+            peer.send(this->answer(request));
+        }
+    }
+
+    std::string answer(const std::string& request)
+    {
+        if (request.starts_with("POST"))
+            return http(200, R"({"offset":0,"end":1})");
+        if (request.find("topic=keyed.routers") == std::string::npos)
+        {
+            ++this->refused;
+            return http(503, "");
+        }
+        const std::string other =
+            encode_router({{"edge-0", "10.0.0.9:1", 9}, false, 1});
+        return http(
+            200,
+            R"({"items":[{"key":"edge-0","value":")" + base64(other) +
+                R"(","offset":0}],"end":1,"has_more":false})");
+    }
+
+    fake_backend server{[this](backend_peer& peer)
+                        {
+                            this->serve(peer);
+                        }};
+};
+
+/// Another router that has it all.
+class knowing_router final : public directory_copy_port
+{
+public:
+    void serve(directory_copy_source&) override {}
+
+    void fetch(
+        std::string_view address, const copy_ask& ask, copy_done done) override
+    {
+        this->asked.emplace_back(address);
+        directory_copy copy;
+        copy.state = {this->next, 0};
+        const bool is_news = !ask.knows_any || this->next > ask.next;
+        if (is_news && ask.topic == directory_topic::deployment)
+            copy.configuration = R"({"version":)" +
+                                 std::to_string(this->version) +
+                                 R"(,"routes":[],"services":[]})";
+        if (is_news && ask.topic == directory_topic::registry)
+        {
+            registry_change change{2, registry_change::kind::whole, {}};
+            change.entry.id = "i-1";
+            change.entry.holdings.copies_known = false;
+            copy.servers.push_back(change);
+        }
+        done(copy);
+    }
+
+    void stop() override {}
+
+    std::uint64_t next = 5;
+    int version = 7;
+    std::vector<std::string> asked;
+};
+
+class kept_topics final : public directory_listener
+{
+public:
+    void deployment_read(std::shared_ptr<const deployment> read) override
+    {
+        this->version = read->version;
+    }
+
+    void servers_listed(std::vector<server_entry> all) override
+    {
+        this->servers = std::move(all);
+    }
+
+    void server_read(server_entry) override {}
+    void server_removed(std::string_view) override {}
+    void routers_listed(std::vector<router_address>) override {}
+    void tenure_changed(std::optional<placement_tenure>) override {}
+    void ownership_left() override {}
+    void term_ended() override {}
+    void directory_lost() override {}
+    void directory_back() override {}
+    void registry_back() override {}
+    void store_read(const directory_word&) override {}
+
+    std::uint64_t version = 0;
+    std::vector<server_entry> servers;
+};
+
+struct refused_directory
+{
+    refused_directory()
+        : directory(
+              this->loop,
+              settings(),
+              this->clock,
+              this->sink,
+              this->meter,
+              this->copies)
+    {
+        this->directory.start(this->listener);
+        this->directory.owner_heard(true);
+    }
+
+    ~refused_directory()
+    {
+        this->directory.stop();
+        this->loop.poll();
+    }
+
+    store_directory::options settings() const
+    {
+        store_directory::options made;
+        made.server = *platform::parse_endpoint(this->store.address());
+        made.self = {"edge-1", "10.0.0.1:7380", 1};
+        return made;
+    }
+
+    template <class Reached>
+    void run_until(Reached reached)
+    {
+        while (!reached())
+            this->loop.run_one();
+    }
+
+    router_store store;
+    asio::io_context loop;
+    platform::byte_meter meter;
+    const platform::system_clock clock;
+    events::null_event_sink sink;
+    kept_topics listener;
+    knowing_router copies;
+    store_directory directory;
+};
+
+} // namespace
+
+/// Whom the store turned away kept the configuration before, for as long as
+/// that took.
+Test(directory_copies, what_the_store_refuses_another_router_gives)
+{
+    refused_directory test;
+    test.run_until(
+        [&]
+        {
+            return test.listener.version == 7 && !test.listener.servers.empty();
+        });
+    cr_assert_eq(test.copies.asked.front(), "10.0.0.9:1");
+    cr_assert_eq(test.listener.servers.front().heard, 2);
+    cr_assert(!test.listener.servers.front().holdings.copies_known);
+}
+
+Test(directory_copies, news_is_copied_at_once_though_the_store_refuses)
+{
+    refused_directory test;
+    test.run_until(
+        [&]
+        {
+            return test.listener.version == 7;
+        });
+    test.copies.next = 6;
+    test.copies.version = 8;
+    directory_word word;
+    word.deployment = {6, 10};
+    test.directory.word_heard(word);
+    test.run_until(
+        [&]
+        {
+            return test.listener.version == 8;
+        });
+}
+
+/// A router that was cut off for a while would else bring old servers back.
+Test(directory_copies, a_copy_older_than_what_is_known_is_not_taken)
+{
+    refused_directory test;
+    test.run_until(
+        [&]
+        {
+            return test.listener.version == 7 && !test.listener.servers.empty();
+        });
+    test.listener.servers.clear();
+    test.copies.next = 4;
+    test.copies.version = 9;
+    const std::size_t before = test.copies.asked.size();
+    directory_word word;
+    word.deployment = {6, 10};
+    word.registry = {8, 10};
+    word.registry_from = 7;
+    test.directory.word_heard(word);
+    test.run_until(
+        [&]
+        {
+            return test.copies.asked.size() > before + 6;
+        });
+    cr_assert_eq(test.listener.version, 7);
+    cr_assert(test.listener.servers.empty());
+}
+
+Test(directory_copies, a_router_gives_what_it_knows)
+{
+    refused_directory test;
+    cr_assert(!test.directory.copy_for({directory_topic::registry, false, 0}));
+    test.run_until(
+        [&]
+        {
+            return test.listener.version == 7 && !test.listener.servers.empty();
+        });
+    test.loop.poll();
+    const auto registry =
+        test.directory.copy_for({directory_topic::registry, false, 0});
+    cr_assert_eq(registry->state.next, 5);
+    cr_assert_eq(registry->servers.size(), 1);
+    const auto newest =
+        test.directory.copy_for({directory_topic::deployment, true, 4});
+    cr_assert(newest->configuration.starts_with(R"({"version":7)"));
+    const auto nothing_new =
+        test.directory.copy_for({directory_topic::deployment, true, 5});
+    cr_assert(nothing_new->configuration.empty());
+    cr_assert(!test.directory.copy_for({directory_topic(9), false, 0}));
+}
--- a/tests/unit/users_platform/test_directory_words.cpp
+++ b/tests/unit/users_platform/test_directory_words.cpp
@@ -1,6 +1,7 @@
 #include "adapters/events/null_event_sink.hpp"
 #include "adapters/platform/system_clock.hpp"
 #include "fake_store.hpp"
+#include "no_copies.hpp"
 #include "platform/store_directory.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -16,6 +17,7 @@
 using namespace roseworks;
 using namespace roseworks::users_platform;
 using roseworks::users_platform::tests::fake_store;
+using roseworks::users_platform::tests::no_copies;
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
 
@@ -79,7 +81,12 @@
         std::chrono::milliseconds age = std::chrono::hours(1),
         double others_capacity = 1)
         : directory(
-              this->loop, settings(age), this->clock, this->sink, this->meter)
+              this->loop,
+              settings(age),
+              this->clock,
+              this->sink,
+              this->meter,
+              this->copies)
     {
         this->store.put(
             "edge-2",
@@ -120,6 +127,7 @@
     const platform::system_clock clock;
     events::null_event_sink sink;
     server_listener listener;
+    no_copies copies;
     store_directory directory;
 };
 
--- a/tests/unit/users_platform/test_own_record.cpp
+++ b/tests/unit/users_platform/test_own_record.cpp
@@ -1,6 +1,7 @@
 #include "adapters/events/null_event_sink.hpp"
 #include "adapters/platform/system_clock.hpp"
 #include "fake_store.hpp"
+#include "no_copies.hpp"
 #include "platform/store_directory.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -20,6 +21,7 @@
 using namespace roseworks;
 using namespace roseworks::users_platform;
 using roseworks::users_platform::tests::fake_store;
+using roseworks::users_platform::tests::no_copies;
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
 
@@ -125,8 +127,9 @@
     platform::byte_meter meter;
     const platform::system_clock clock;
     events::null_event_sink sink;
+    no_copies copies;
     store_directory directory(
-        loop, options_for(store, lease), clock, sink, meter);
+        loop, options_for(store, lease), clock, sink, meter, copies);
     tenure_listener listener(loop);
     directory.start(listener);
     directory.owner_heard(false);
@@ -234,8 +237,14 @@
     platform::byte_meter meter;
     const platform::system_clock clock;
     events::null_event_sink sink;
+    no_copies copies;
     store_directory directory(
-        loop, options_for(store, std::chrono::hours(1)), clock, sink, meter);
+        loop,
+        options_for(store, std::chrono::hours(1)),
+        clock,
+        sink,
+        meter,
+        copies);
     tenure_listener listener(loop);
     directory.start(listener);
     while (store.reads() < 6)
@@ -259,8 +268,14 @@
     platform::byte_meter meter;
     const platform::system_clock clock;
     events::null_event_sink sink;
+    no_copies copies;
     store_directory directory(
-        loop, options_for(store, std::chrono::hours(1)), clock, sink, meter);
+        loop,
+        options_for(store, std::chrono::hours(1)),
+        clock,
+        sink,
+        meter,
+        copies);
     tenure_listener listener(loop);
     directory.start(listener);
     directory.owner_heard(true);
@@ -286,7 +301,8 @@
     settings.term = 60ms;
     settings.term_margin = 10ms;
     settings.renewal = 10ms;
-    store_directory directory(loop, settings, clock, sink, meter);
+    no_copies copies;
+    store_directory directory(loop, settings, clock, sink, meter, copies);
     tenure_listener listener(loop);
     directory.start(listener);
     directory.owner_heard(false);
@@ -310,7 +326,8 @@
     events::null_event_sink sink;
     store_directory::options settings = options_for(store, 1ms);
     settings.renewal = 1ms;
-    store_directory directory(loop, settings, clock, sink, meter);
+    no_copies copies;
+    store_directory directory(loop, settings, clock, sink, meter, copies);
     tenure_listener listener(loop);
     directory.start(listener);
     directory.owner_heard(false);
@@ -341,7 +358,8 @@
     settings.term_margin = 0ms;
     settings.renewal = 1ms;
     settings.listening = std::chrono::hours(1);
-    store_directory directory(loop, settings, clock, sink, meter);
+    no_copies copies;
+    store_directory directory(loop, settings, clock, sink, meter, copies);
     tenure_listener listener(loop);
     directory.start(listener);
     directory.owner_heard(false);
