A router that lacks a configuration doesn't call its routes and keys unknown

While another router is known to have a newer one, what isn't found here is answered 503, not run, with Retry-After of 0.5 s. What is found is served as before.

Tests: forwarding.what_a_newer_configuration_may_have_is_not_called_unknown, and that a directory tells when it is behind and when no longer (directory_copies.news_is_copied_at_once_though_the_store_refuses).

--- a/include/roseworks/verdict.hpp
+++ b/include/roseworks/verdict.hpp
@@ -26,24 +26,24 @@
     bad_request,
     unknown_servable,
     unknown_service,
-    deadline,          ///< it can't start before its deadline
-    queue_full,        ///< a queue or memory limit is reached
-    displaced,         ///< more urgent work took its place
-    caller_limit,      ///< the caller is over its own limits
-    no_capacity,       ///< no replica, and none can be decided now
-    log_unavailable,   ///< nothing can be decided while the log is away
-    claim_held,        ///< another call holds the idempotency key
-    claim_expired,     ///< the key is older than the claim horizon
-    blocked,           ///< the request has crashed backend servers
-    draining,          ///< this router is shutting down
-    backend_failed,    ///< the backend server failed
-    backend_timeout,   ///< the backend server made no progress
-    retries_exhausted, ///< the retry budget is empty
-    stream_cut,        ///< a stream ended midway and can't be resumed
-    key_reused,        ///< the idempotency key is of a call with other content
-    unknown_key,       ///< no organisation holds the caller's API key
+    deadline,           ///< it can't start before its deadline
+    queue_full,         ///< a queue or memory limit is reached
+    displaced,          ///< more urgent work took its place
+    caller_limit,       ///< the caller is over its own limits
+    no_capacity,        ///< no replica, and none can be decided now
+    log_unavailable,    ///< nothing can be decided while the log is away
+    claim_held,         ///< another call holds the idempotency key
+    claim_expired,      ///< the key is older than the claim horizon
+    blocked,            ///< the request has crashed backend servers
+    draining,           ///< this router is shutting down
+    backend_failed,     ///< the backend server failed
+    backend_timeout,    ///< the backend server made no progress
+    retries_exhausted,  ///< the retry budget is empty
+    stream_cut,         ///< a stream ended midway and can't be resumed
+    key_reused,         ///< the idempotency key is of a call with other content
+    unknown_key,        ///< no organisation holds the caller's API key
     organisation_limit, ///< the organisation has used what it may
-    outdated ///< this router lacks a configuration that others have
+    outdated            ///< this router lacks a configuration that others have
 };
 
 /// @return The word used in headers and problem documents: `not-run`, ...
--- a/src/adapters/forward/forward_context.hpp
+++ b/src/adapters/forward/forward_context.hpp
@@ -37,7 +37,7 @@
     /// Part of a request's objective that it may wait to be within its
     /// organisation's limit.
     int wait_for_limit = 4;
-    /// Retry-After while no configuration is known.
+    /// Retry-After while no configuration is known, or a newer one is there.
     std::chrono::milliseconds start_retry{500};
     /// Retry-After of a request that crashes servers: as long as the block.
     std::chrono::milliseconds blocked_retry{60'000};
@@ -72,6 +72,9 @@
     std::function<void(
         const std::string& server, std::optional<double> named, instant sent)>
         answered;
+    /// Whether other routers have a newer configuration than the table's: what
+    /// isn't found in it may be there.
+    std::function<bool()> is_behind;
 };
 
 /// Shared by all connections of one traffic thread; belongs to it.
--- a/src/adapters/forward/forward_session.cpp
+++ b/src/adapters/forward/forward_session.cpp
@@ -146,20 +146,18 @@
         table->routes().find(request.host, request.target);
     if (route == nullptr)
     {
-        const bool more =
-            co_await this->answer(turned_away_with(not_found), request);
+        const bool more = co_await this->answer(
+            this->unless_behind(turned_away_with(not_found)), request);
         co_return more;
     }
     caller_organisation holder = find_caller(table->organisations(), request);
     const bool is_known = !holder.name.empty() || !holder.keys_required;
     if (!is_known && !route->keyless)
     {
-        const bool more = co_await this->answer(
-            make_own_answer(
-                refusal_reason::unknown_key,
-                verdict::not_run,
-                duration::zero()),
-            request);
+        const own_answer refused = make_own_answer(
+            refusal_reason::unknown_key, verdict::not_run, duration::zero());
+        const bool more =
+            co_await this->answer(this->unless_behind(refused), request);
         co_return more;
     }
     if (table->is_blocked(request.content()))
@@ -189,6 +187,17 @@
     co_return more;
 }
 
+own_answer forward_session::unless_behind(own_answer final_answer) const
+{
+    if (!this->context.ports.is_behind())
+        return final_answer;
+    // Callers don't come back after a 404 or a 401.
+    return make_own_answer(
+        refusal_reason::outdated,
+        verdict::not_run,
+        this->context.settings.start_retry);
+}
+
 asio::awaitable<bool>
 forward_session::answer(own_answer what, const forward_request& to)
 {
--- a/src/adapters/forward/forward_session.hpp
+++ b/src/adapters/forward/forward_session.hpp
@@ -32,6 +32,9 @@
     asio::awaitable<bool> serve_one();
     asio::awaitable<bool> serve(forward_request request);
     asio::awaitable<bool> answer(own_answer what, const forward_request& to);
+    /// @return The answer, or that it isn't known yet while others have a newer
+    ///         configuration.
+    own_answer unless_behind(own_answer final_answer) const;
     asio::awaitable<void>
     turn_away(unsigned status, const edge::caller_parser& parser);
 
--- a/src/app/gateway/gateway_app.cpp
+++ b/src/app/gateway/gateway_app.cpp
@@ -232,6 +232,10 @@
             instant sent)
         {
             this->control->server_answered(server, named, sent);
+        },
+        [this]
+        {
+            return this->control->is_behind();
         }};
     return {
         surroundings,
--- a/src/app/gateway/gateway_control.cpp
+++ b/src/app/gateway/gateway_control.cpp
@@ -521,6 +521,11 @@
     this->desk->deployment_read(std::move(configuration));
 }
 
+void gateway_control::deployment_behind(bool is_so)
+{
+    this->behind = is_so;
+}
+
 void gateway_control::servers_listed(std::vector<server_entry> all)
 {
     this->desk->servers_listed(std::move(all));
--- a/src/app/gateway/gateway_control.hpp
+++ b/src/app/gateway/gateway_control.hpp
@@ -123,6 +123,12 @@
         return this->desk->ready();
     }
 
+    /// @return Whether another router has a newer configuration than this one.
+    bool is_behind() const
+    {
+        return this->behind;
+    }
+
     /// @return Routers thought alive, this one included.
     std::size_t routers() const
     {
@@ -133,6 +139,7 @@
     // directory_listener
     void
     deployment_read(std::shared_ptr<const deployment> configuration) override;
+    void deployment_behind(bool is_so) override;
     void servers_listed(std::vector<server_entry> all) override;
     void server_read(server_entry entry) override;
     void server_removed(std::string_view id) override;
@@ -202,6 +209,7 @@
     need_teller teller;
     boost::asio::steady_timer uses_timer;
     std::atomic<std::size_t> alive{1};
+    std::atomic<bool> behind{false};
     instant lost_at;
     std::thread thread;
 };
--- a/src/ports/directory_port.hpp
+++ b/src/ports/directory_port.hpp
@@ -44,6 +44,10 @@
     virtual void
     deployment_read(std::shared_ptr<const deployment> configuration) = 0;
 
+    /// Whether another router is known to have a newer configuration, which
+    /// this one hasn't got yet.
+    virtual void deployment_behind(bool behind) = 0;
+
     /// The registry was read whole.
     virtual void servers_listed(std::vector<server_entry> all) = 0;
     virtual void server_read(server_entry entry) = 0;
--- a/tests/unit/forward/forward_fixture.cpp
+++ b/tests/unit/forward/forward_fixture.cpp
@@ -171,6 +171,10 @@
         [this](const std::string& server, std::optional<double> named, instant)
         {
             this->limit_named(server, named);
+        },
+        [this]
+        {
+            return this->is_behind.load();
         }};
     return {
         surroundings,
--- a/tests/unit/forward/forward_fixture.hpp
+++ b/tests/unit/forward/forward_fixture.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <atomic>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -60,6 +61,9 @@
     /// The configuration without the key of `o1`.
     void drop_first_key();
 
+    /// Other routers have a newer configuration.
+    std::atomic<bool> is_behind{false};
+
     /// Limits of organisations.
     fake_limits limits;
 
--- a/tests/unit/forward/test_forwarding.cpp
+++ b/tests/unit/forward/test_forwarding.cpp
@@ -333,6 +333,21 @@
     cr_assert(answer.starts_with("HTTP/1.1 404 "), "%s", answer.c_str());
 }
 
+/// A router that knew it lacked a configuration said 404 for its new routes;
+/// callers don't come back after that.
+Test(forwarding, what_a_newer_configuration_may_have_is_not_called_unknown)
+{
+    fake_backend backend(always(sealed));
+    forward_fixture test({&backend});
+    test.is_behind = true;
+    const std::string answer = test.exchange(test.request("GET", "/nowhere/"));
+    cr_assert(answer.starts_with("HTTP/1.1 503 "), "%s", answer.c_str());
+    cr_assert(answer.find("Retry-After: 0.5") != std::string::npos);
+    cr_assert(answer.find("outdated") != std::string::npos);
+    const std::string known = test.exchange(test.request("GET", "/again/"));
+    cr_assert(known.starts_with("HTTP/1.1 200 "), "%s", known.c_str());
+}
+
 Test(forwarding, before_a_configuration_everything_may_come_back)
 {
     fake_backend backend(always(sealed));
--- a/tests/unit/users_platform/test_directory_copies.cpp
+++ b/tests/unit/users_platform/test_directory_copies.cpp
@@ -129,6 +129,10 @@
         this->version = read->version;
     }
 
+    void deployment_behind(bool behind) override
+    {
+        this->behind.push_back(behind);
+    }
     void servers_listed(std::vector<server_entry> all) override
     {
         this->servers = std::move(all);
@@ -146,6 +150,7 @@
     void store_read(const directory_word&) override {}
 
     std::uint64_t version = 0;
+    std::vector<bool> behind;
     std::vector<server_entry> servers;
 };
 
@@ -228,8 +233,11 @@
     test.run_until(
         [&]
         {
-            return test.listener.version == 8;
+            return test.listener.version == 8 &&
+                   test.listener.behind.size() == 2;
         });
+    cr_assert(test.listener.behind[0]);
+    cr_assert(!test.listener.behind[1]);
 }
 
 /// A router that was cut off for a while would else bring old servers back.
--- a/tests/unit/users_platform/test_directory_words.cpp
+++ b/tests/unit/users_platform/test_directory_words.cpp
@@ -30,6 +30,7 @@
 public:
     void deployment_read(std::shared_ptr<const deployment>) override {}
 
+    void deployment_behind(bool) override {}
     void servers_listed(std::vector<server_entry>) override
     {
         this->listed = true;
--- a/tests/unit/users_platform/test_own_record.cpp
+++ b/tests/unit/users_platform/test_own_record.cpp
@@ -84,6 +84,7 @@
     }
 
     void deployment_read(std::shared_ptr<const deployment>) override {}
+    void deployment_behind(bool) override {}
     void servers_listed(std::vector<server_entry>) override {}
     void server_read(server_entry) override {}
     void server_removed(std::string_view) override {}
