Whom a starting router asks for a copy: by strength, and the store in widening steps

Found by a model in virtual time (start_fleet: routers that start together, a store of 80 MB/s, links of 200 and 10 Mbit/s, copy_choice as it is): were the four that read first gone for good, 296 of 300 routers went to the store together after 3 s, and the last had the registry after 13.7 s.

Tests: start_fleet, copy_choice.

--- a/src/core/dissemination/copy_choice.hpp
+++ b/src/core/dissemination/copy_choice.hpp
@@ -36,9 +36,10 @@
     {
         /// Routers that read the store at once.
         std::size_t first_readers = 4;
-        /// A router that knows nothing yet reads the store itself after so long
-        /// without a copy.
-        duration patience = std::chrono::seconds(3);
+        /// A router that knows nothing yet reads the store itself without a
+        /// copy after so long, and so much later each time that the routers
+        /// before it double: were the first readers gone, all would go at once.
+        duration patience = std::chrono::milliseconds(1500);
         /// The same of one that lacks news.
         duration patience_for_news = std::chrono::milliseconds(450);
         std::uint64_t seed = 1;
@@ -61,20 +62,23 @@
     ///         the store.
     bool is_patient(bool knows_any, instant since, instant now) const
     {
-        const duration most = knows_any ? this->settings.patience_for_news
-                                        : this->settings.patience;
+        const duration most = knows_any
+                                  ? this->settings.patience_for_news
+                                  : this->settings.patience * this->doublings;
         return now - since < most;
     }
 
     /// @return Whom to ask next; empty when no other is known. Every second one
-    ///         is a first reader, the rest are anybody.
+    ///         is a first reader, the rest are anybody, more often the strong.
     std::optional<std::string> next();
 
 private:
     options settings;
     std::vector<std::string> first;  ///< addresses of first readers
     std::vector<std::string> others; ///< addresses of all but this router
+    std::discrete_distribution<std::size_t> any_other; ///< by capacity
     bool is_first = true;
+    int doublings = 0; ///< from the first readers to this router
     bool first_is_next = true;
     std::mt19937_64 random;
 };
