--- a/src/adapters/settings/gateway_settings.hpp
+++ b/src/adapters/settings/gateway_settings.hpp
@@ -28,7 +28,7 @@
     {
         socket_address requests;
         socket_address readiness;
-        socket_address peers; ///< UDP
+        socket_address peers; ///< UDP and TCP
         socket_address metrics;
     } listen;
 
--- a/src/adapters/settings/load_gateway_settings.cpp
+++ b/src/adapters/settings/load_gateway_settings.cpp
@@ -185,7 +185,7 @@
              0,
              most_port,
              "",
-             "UDP, for the other routers."),
+             "UDP and TCP, for the other routers."),
          &put<listen, &listen_section::peers>},
         {row("listen",
              "metrics",
