--- a/tests/unit/dissemination/test_registry_changes.cpp
+++ b/tests/unit/dissemination/test_registry_changes.cpp
@@ -167,3 +167,69 @@
     cr_assert_eq(parts[0].registry_from, 7);
     cr_assert_eq(parts[0].registry.next, 9);
 }
+
+namespace
+{
+
+server_entry heard_at(const std::string& id, std::uint64_t offset)
+{
+    server_entry made;
+    made.id = id;
+    made.address = "10.0.0.1:80";
+    made.heard = offset;
+    return made;
+}
+
+std::vector<std::string> ids_of(const std::vector<registry_change>& changes)
+{
+    std::vector<std::string> ids;
+    for (const registry_change& change : changes)
+        ids.push_back(
+            (change.what == registry_change::kind::gone ? "-" : "") +
+            change.entry.id);
+    return ids;
+}
+
+} // namespace
+
+/// Another router asks for what it missed, and not for the whole registry.
+Test(registry_changes, what_changed_since_an_offset_is_given_with_removals)
+{
+    registry_changes registry;
+    const server_entry listed[] = {heard_at("a", 3), heard_at("b", 4)};
+    registry.listed(listed);
+    registry.listed_as_of(10);
+    registry.read(heard_at("c", 11));
+    registry.removed("a", 12);
+    registry.removed("c", 13);
+    registry.read(heard_at("d", 14));
+    const std::vector<std::string> all{"-a", "-c", "d"};
+    cr_assert(ids_of(registry.since(10).value()) == all);
+    const std::vector<std::string> last{"d"};
+    cr_assert(ids_of(registry.since(14).value()) == last);
+    cr_assert(registry.since(15).value().empty());
+}
+
+/// A removal that isn't known here would leave a dead server with the asker.
+Test(registry_changes, what_changed_before_the_listing_is_not_known)
+{
+    registry_changes registry;
+    const server_entry listed[] = {heard_at("a", 3)};
+    registry.listed(listed);
+    cr_assert(!registry.since(3));
+    registry.listed_as_of(10);
+    cr_assert(!registry.since(9));
+    cr_assert(registry.since(10));
+}
+
+Test(registry_changes, removals_are_forgotten_after_a_while)
+{
+    registry_changes registry;
+    registry.listed({});
+    registry.listed_as_of(0);
+    constexpr std::uint64_t many = 5000;
+    for (std::uint64_t i = 0; i < many; ++i)
+        registry.removed("s" + std::to_string(i), i);
+    cr_assert(!registry.since(0));
+    cr_assert_eq(registry.since(many - 1).value().size(), 1);
+}
