A copy of the registry is written once for all that ask, and can be told on

Read in the code, cause: a router that had copied the registry could only give it whole again, so that while it grew routers gave each other the whole instead of what was new; and each answer was made anew, 40 at once, on a quarter of a core, so that asks ran into their second of silence and were made again.

Test: registry_changes.who_was_given_the_registry_can_tell_what_changed_in_it.

--- a/src/adapters/peers/copy_exchange.cpp
+++ b/src/adapters/peers/copy_exchange.cpp
@@ -130,14 +130,26 @@
     const auto what = asked ? word_of<copy_ask>(*asked) : std::nullopt;
     if (what && this->source != nullptr)
     {
-        const directory_copy copy =
-            this->source->copy_for(*what).value_or(directory_copy());
-        std::string content = peers::to_archive(copy);
-        co_await this->write(with, std::move(content));
+        auto bytes = this->written(this->source->copy_for(*what));
+        co_await this->write(with, std::move(bytes));
     }
     --this->answering;
 }
 
+std::shared_ptr<const std::string>
+copy_exchange::written(std::shared_ptr<const directory_copy> copy)
+{
+    if (!copy)
+        copy = std::make_shared<const directory_copy>();
+    if (copy != this->last)
+    {
+        this->last_bytes = std::make_shared<const std::string>(
+            with_length(peers::seal(peers::to_archive(*copy))));
+        this->last = std::move(copy);
+    }
+    return this->last_bytes;
+}
+
 void copy_exchange::fetch(
     std::string_view address, const copy_ask& what, copy_done done)
 {
@@ -173,8 +185,9 @@
         whom, asio::redirect_error(asio::use_awaitable, error));
     if (error)
         co_return std::nullopt;
-    std::string content = peers::to_archive(what);
-    const bool sent = co_await this->write(with, std::move(content));
+    auto asked = std::make_shared<const std::string>(
+        with_length(peers::seal(peers::to_archive(what))));
+    const bool sent = co_await this->write(with, std::move(asked));
     if (!sent)
         co_return std::nullopt;
     const auto answered = co_await this->read(with, this->settings.most_bytes);
@@ -187,14 +200,14 @@
     co_return copy;
 }
 
-asio::awaitable<bool> copy_exchange::write(stream& to, std::string content)
+asio::awaitable<bool>
+copy_exchange::write(stream& to, std::shared_ptr<const std::string> bytes)
 {
-    const std::string bytes = with_length(peers::seal(content));
     std::size_t done = 0;
-    while (done < bytes.size())
+    while (done < bytes->size())
     {
         const auto piece = asio::buffer(
-            bytes.data() + done, std::min(piece_bytes, bytes.size() - done));
+            bytes->data() + done, std::min(piece_bytes, bytes->size() - done));
         error_code error;
         to.expires_after(this->settings.silence);
         const std::size_t size = co_await to.async_write_some(
--- a/src/adapters/peers/copy_exchange.hpp
+++ b/src/adapters/peers/copy_exchange.hpp
@@ -10,6 +10,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -56,7 +57,10 @@
     boost::asio::awaitable<void> answer(stream with);
     boost::asio::awaitable<std::optional<directory_copy>>
     ask(boost::asio::ip::tcp::endpoint whom, copy_ask what);
-    boost::asio::awaitable<bool> write(stream& to, std::string content);
+    std::shared_ptr<const std::string>
+    written(std::shared_ptr<const directory_copy> copy);
+    boost::asio::awaitable<bool>
+    write(stream& to, std::shared_ptr<const std::string> bytes);
     boost::asio::awaitable<std::optional<std::string>>
     read(stream& from, std::size_t most);
 
@@ -65,6 +69,9 @@
     platform::byte_meter& meter;
     boost::asio::ip::tcp::acceptor acceptor;
     directory_copy_source* source = nullptr;
+    /// Given last, and as it is sent: many ask for the same after a start.
+    std::shared_ptr<const directory_copy> last;
+    std::shared_ptr<const std::string> last_bytes;
     std::size_t answering = 0;
     bool stopped = false;
 };
--- a/src/app/gateway/gateway_control.cpp
+++ b/src/app/gateway/gateway_control.cpp
@@ -93,7 +93,7 @@
     /// Of a link, for one router that is given a copy.
     constexpr double mbps_for_each = 25;
     constexpr double fewest = 1;
-    constexpr double most = 64;
+    constexpr double most = 8;
     copy_exchange::options made;
     made.listen = tcp_endpoint(settings.listen.peers);
     made.most_at_once = static_cast<std::size_t>(
--- a/src/core/dissemination/directory_copy.hpp
+++ b/src/core/dissemination/directory_copy.hpp
@@ -58,6 +58,8 @@
     /// The servers are all there are, not only what changed since the ask's
     /// offset.
     bool is_whole = true;
+    /// Of a whole registry: its removals from this offset on are among them.
+    std::uint64_t removals_from = 0;
 
     template <class Archive>
     void serialize(Archive& archive)
@@ -67,7 +69,8 @@
             this->configuration,
             this->offset,
             this->servers,
-            this->is_whole);
+            this->is_whole,
+            this->removals_from);
     }
 };
 
--- a/src/core/dissemination/registry_changes.cpp
+++ b/src/core/dissemination/registry_changes.cpp
@@ -18,6 +18,13 @@
     return made;
 }
 
+registry_change gone_change(std::string_view id, std::uint64_t offset)
+{
+    registry_change made{offset, registry_change::kind::gone, {}};
+    made.entry.id = id;
+    return made;
+}
+
 /// @return Whether two entries differ in nothing but their models.
 bool same_but_models(const server_entry& before, const server_entry& now)
 {
@@ -63,9 +70,7 @@
     if (found != this->known.end())
         this->known.erase(found);
     this->remember_removal(id, offset);
-    registry_change change{offset, registry_change::kind::gone, {}};
-    change.entry.id = id;
-    this->collect(std::move(change));
+    this->collect(gone_change(id, offset));
 }
 
 void registry_changes::collect(registry_change change)
@@ -86,13 +91,26 @@
     entries.reserve(this->known.size());
     for (const auto& [id, entry] : this->known)
         entries.push_back({entry.heard, registry_change::kind::whole, entry});
+    for (const removal& one : this->removals)
+        entries.push_back(gone_change(one.id, one.offset));
     return entries;
 }
 
+void registry_changes::remember(
+    std::uint64_t from, std::span<const registry_change> changed)
+{
+    this->removals_from = from;
+    for (const registry_change& change : changed)
+    {
+        if (change.what == registry_change::kind::gone)
+            this->remember_removal(change.entry.id, change.offset);
+    }
+}
+
 void registry_changes::remember_removal(
     std::string_view id, std::uint64_t offset)
 {
-    constexpr std::size_t most_removals = 4096;
+    constexpr std::size_t most_removals = 512;
     this->removals.push_back({std::string(id), offset});
     if (this->removals.size() <= most_removals)
         return;
@@ -116,9 +134,7 @@
     {
         if (one.offset < offset || this->known.contains(one.id))
             continue;
-        registry_change gone{one.offset, registry_change::kind::gone, {}};
-        gone.entry.id = one.id;
-        changes.push_back(std::move(gone));
+        changes.push_back(gone_change(one.id, one.offset));
     }
     std::ranges::sort(changes, {}, &registry_change::offset);
     return changes;
--- a/src/core/dissemination/registry_changes.hpp
+++ b/src/core/dissemination/registry_changes.hpp
@@ -41,9 +41,21 @@
     */
     std::optional<server_entry> told(const registry_change& change);
 
-    /// @return Every entry that is known, whole, for one who knows none.
+    /// @return Every entry that is known, whole, and the removals that are
+    ///         remembered, for one who knows none.
     std::vector<registry_change> all() const;
 
+    /// @return All removals from this offset on are remembered; empty: none
+    ///         surely.
+    std::optional<std::uint64_t> remembered_from() const
+    {
+        return this->removals_from;
+    }
+
+    /// Takes what another router remembers beside what it listed: this one can
+    /// tell the same then.
+    void remember(std::uint64_t from, std::span<const registry_change> changed);
+
     /** @return What changed from an offset on, in order, for one who knows all
                 before it; empty when it isn't known here any more.
     */
--- a/src/ports/directory_copy_port.hpp
+++ b/src/ports/directory_copy_port.hpp
@@ -3,6 +3,7 @@
 #include "core/dissemination/directory_copy.hpp"
 
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string_view>
 
@@ -15,8 +16,10 @@
 public:
     virtual ~directory_copy_source() = default;
 
-    /// @return What is known here; empty when nothing of the topic is.
-    virtual std::optional<directory_copy> copy_for(const copy_ask& ask) = 0;
+    /// @return What is known here; null when nothing of the topic is. The same
+    ///         object for several asks may be written once for all.
+    virtual std::shared_ptr<const directory_copy>
+    copy_for(const copy_ask& ask) = 0;
 };
 
 /// Port: copies of the store's topics between the gateways.
--- a/tests/unit/dissemination/test_registry_changes.cpp
+++ b/tests/unit/dissemination/test_registry_changes.cpp
@@ -233,3 +233,23 @@
     cr_assert(!registry.since(0));
     cr_assert_eq(registry.since(many - 1).value().size(), 1);
 }
+
+/// Routers that had copied the registry could only give it whole again: three
+/// hundred gave it to each other time and again while it grew.
+Test(registry_changes, who_was_given_the_registry_can_tell_what_changed_in_it)
+{
+    registry_changes giver;
+    const server_entry listed[] = {heard_at("a", 3), heard_at("b", 4)};
+    giver.listed(listed);
+    giver.listed_as_of(10);
+    giver.removed("a", 12);
+    giver.read(heard_at("c", 14));
+    registry_changes taker;
+    const server_entry copied[] = {heard_at("b", 4), heard_at("c", 14)};
+    taker.listed(copied);
+    taker.remember(giver.remembered_from().value(), giver.all());
+    taker.listed_as_of(15);
+    const std::vector<std::string> changed{"-a", "c"};
+    cr_assert(ids_of(taker.since(10).value()) == changed);
+    cr_assert(!taker.since(9));
+}
--- a/tests/unit/users_platform/test_copy_exchange.cpp
+++ b/tests/unit/users_platform/test_copy_exchange.cpp
@@ -24,11 +24,11 @@
 class known_topics final : public directory_copy_source
 {
 public:
-    std::optional<directory_copy> copy_for(const copy_ask& ask) override
+    std::shared_ptr<const directory_copy> copy_for(const copy_ask& ask) override
     {
         this->asked = ask;
         if (!this->knows)
-            return std::nullopt;
+            return nullptr;
         directory_copy copy;
         copy.state = {9, 250};
         copy.configuration = std::string(200'000, 'x');
@@ -37,7 +37,7 @@
         change.entry.id = "i-1";
         change.entry.address = "10.0.0.1:80";
         copy.servers.push_back(change);
-        return copy;
+        return std::make_shared<const directory_copy>(copy);
     }
 
     bool knows = true;
