Routers copy from their own data centre first

Cause, by sums: two starts of 300 routers that copy 0.6 MB each, two of three from another data centre. Now routers say where they are; the four strongest of each data centre read the store, the rest ask these, others of their own, and every fourth time anybody, so that a data centre that lacks news gets it. A router alone in its data centre reads the store, as do all where a data centre has four.

Tests: copy_choice.routers_of_its_data_centre_are_asked_before_others and alone_in_its_data_centre_a_router_reads_first.

--- a/src/app/gateway/gateway_control.cpp
+++ b/src/app/gateway/gateway_control.cpp
@@ -111,7 +111,8 @@
         settings.listen.peers.to_string(),
         std::min(
             settings.vm.cores / usual_cores,
-            settings.vm.link_mbps / usual_link)};
+            settings.vm.link_mbps / usual_link),
+        settings.vm.data_centre};
     made.term = std::max(made.term, settings.store.shortest_term);
     // One read may be lost, and one takes its time.
     constexpr std::chrono::milliseconds shortest_age{100};
--- a/src/core/dissemination/copy_choice.hpp
+++ b/src/core/dissemination/copy_choice.hpp
@@ -19,22 +19,24 @@
     std::string name;
     std::string address;
     double capacity = 1; ///< of its VM, as it announced itself
+    std::string data_centre;
 };
 
 /** Whom a router asks for a copy of what the store keeps, and which routers
     read the store first.
 
     After a start of all, each listing the whole registry would ask the store
-    for as many bulk reads as there are routers. So the few strongest read it,
-    and the others ask these, and later anybody, until one has it. Who got no
-    copy for too long reads the store itself: nothing hangs on the few.
+    for as many bulk reads as there are routers. So the few strongest of each
+    data centre read it, and the others of it ask these, and anybody, until one
+    has it: bytes between data centres cost the most. Who got no copy for too
+    long reads the store itself: nothing hangs on the few.
 */
 class copy_choice
 {
 public:
     struct options
     {
-        /// Routers that read the store at once.
+        /// Routers of a data centre that read the store at once.
         std::size_t first_readers = 4;
         /// A router that knows nothing yet reads the store itself without a
         /// copy after so long, and so much later each time that the routers
@@ -48,7 +50,8 @@
     explicit copy_choice(options settings);
 
     /// All routers that announced themselves, this one among them or not.
-    void routers_listed(const copy_holder& self, std::vector<copy_holder> all);
+    void
+    routers_listed(const copy_holder& self, std::vector<copy_holder> routers);
 
     /// @return Whether this router is one of those that read the store first,
     ///         or knows of no other.
@@ -69,17 +72,29 @@
     }
 
     /// @return Whom to ask next; empty when no other is known. Every second one
-    ///         is a first reader, the rest are anybody, more often the strong.
+    ///         is a first reader of this data centre, every fourth anybody at
+    ///         all, the rest of this data centre; more often the strong.
     std::optional<std::string> next();
 
 private:
+    /// Routers, and how often each is drawn.
+    struct drawn_routers
+    {
+        void clear();
+        void add(const copy_holder& one);
+        const std::string& draw(std::mt19937_64& random) const;
+
+        std::vector<std::string> addresses;
+        std::vector<double> capacities;
+    };
+
     options settings;
-    std::vector<std::string> first;  ///< addresses of first readers
-    std::vector<std::string> others; ///< addresses of all but this router
-    std::discrete_distribution<std::size_t> any_other; ///< by capacity
+    std::vector<std::string> first; ///< addresses of first readers
+    drawn_routers near;             ///< of this data centre
+    drawn_routers all;              ///< anywhere
     bool is_first = true;
-    int doublings = 0; ///< from the first readers to this router
-    bool first_is_next = true;
+    int doublings = 0;     ///< from the first readers to this router
+    std::size_t asked = 0; ///< routers, so far
     std::mt19937_64 random;
 };
 
--- a/src/ports/directory_port.hpp
+++ b/src/ports/directory_port.hpp
@@ -31,6 +31,7 @@
     std::string address; ///< UDP ip:port
     /// What its VM can carry, 1 for a quarter of a core with 100 Mbit/s.
     double capacity = 1;
+    std::string data_centre; ///< empty: it didn't say
 
     bool operator==(const router_address&) const = default;
 };
--- a/tests/unit/dissemination/test_copy_choice.cpp
+++ b/tests/unit/dissemination/test_copy_choice.cpp
@@ -80,6 +80,36 @@
     cr_assert(!asked.contains("address-of-r6"));
 }
 
+/// A start of three hundred routers cost more for bytes between data centres
+/// than all else.
+Test(copy_choice, routers_of_its_data_centre_are_asked_before_others)
+{
+    std::vector<copy_holder> all = routers(60, 0);
+    for (std::size_t i = 0; i < all.size(); ++i)
+        all[i].data_centre = i < 30 ? "a" : "b";
+    copy_choice choice({});
+    choice.routers_listed(all[40], all);
+    int far = 0;
+    for (int i = 0; i < 40; ++i)
+    {
+        const std::string asked = *choice.next();
+        for (std::size_t j = 0; j < 30; ++j)
+            far += asked == all[j].address ? 1 : 0;
+    }
+    cr_assert_leq(far, 10);
+    cr_assert_gt(far, 0);
+}
+
+Test(copy_choice, alone_in_its_data_centre_a_router_reads_first)
+{
+    std::vector<copy_holder> all = routers(7, 0);
+    all[6].data_centre = "b";
+    copy_choice choice({});
+    choice.routers_listed(all[6], all);
+    cr_assert(choice.reads_first());
+    cr_assert(choice.next().has_value());
+}
+
 Test(copy_choice, after_its_patience_a_router_reads_the_store_itself)
 {
     copy_choice choice({.patience = 500ms, .patience_for_news = 450ms});
