An owner that was given a copy still lists what copies lack

Read in the code, not traced in a run: a router that became the placement owner while a copy was on its way, or whose listing failed once, took the copy for the listing that its tenure begins with. Copies leave out the copies of weights on engines' disks, so that it found no engine to load from for as long as it owned.

Test: late_configuration.an_owner_that_was_given_a_copy_lists_what_it_lacks, red before (it crashes: the stand-in runs out of threads by the reads that follow in place of a listing).

--- a/tests/unit/late_configuration/test_late_configuration.cpp
+++ b/tests/unit/late_configuration/test_late_configuration.cpp
@@ -21,6 +21,7 @@
 using namespace roseworks::users_platform;
 using roseworks::edge::tests::backend_peer;
 using roseworks::edge::tests::fake_backend;
+using namespace std::chrono_literals;
 namespace asio = boost::asio;
 
 namespace
@@ -192,6 +193,14 @@
     keyed_tail tail;
 };
 
+/// The router becomes the owner while a copy comes.
+asio::awaitable<topic_state> copy_for_new_owner(keyed_tail& tail)
+{
+    tail.lead(true);
+    tail.list_anew();
+    co_return topic_state{9, 10};
+}
+
 } // namespace
 
 /// After a cut the store said that the history was dropped; the pause that the
@@ -242,6 +251,54 @@
     cr_assert(test.store.asked()[2].ends_with("&after=a"));
 }
 
+/// A router became the owner while a copy was on its way to it: without the
+/// copies of weights on engines' disks, which routers don't tell each other, it
+/// found no engine to load from for as long as it owned.
+Test(late_configuration, an_owner_that_was_given_a_copy_lists_what_it_lacks)
+{
+    scripted_store store;
+    store.will_answer(200, listing("a", false));
+    asio::io_context loop;
+    platform::byte_meter meter;
+    const platform::system_clock clock;
+    store_client client(
+        loop.get_executor(),
+        *platform::parse_endpoint(store.address()),
+        store_client::options(),
+        meter);
+    keyed_tail::options settings = patient_tail::settings(1ms);
+    settings.topic = "keyed.servers";
+    settings.copies_first = true;
+    std::vector<std::string> listed;
+    keyed_tail* asking = nullptr;
+    keyed_tail::handlers told{
+        [&](const std::vector<keyed_record>& all)
+        {
+            for (const keyed_record& record : all)
+                listed.push_back(record.key);
+        },
+        [](const keyed_record&) {},
+        [](bool) {}};
+    told.asks_others = [](instant)
+    {
+        return true;
+    };
+    told.copy = [&]
+    {
+        return copy_for_new_owner(*asking);
+    };
+    keyed_tail tail(loop.get_executor(), clock, client, settings, told);
+    asking = &tail;
+    asio::co_spawn(loop, tail.run(), asio::detached);
+    const auto limit =
+        std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (listed.empty() && std::chrono::steady_clock::now() < limit)
+        loop.run_one_for(std::chrono::milliseconds(50));
+    cr_assert_eq(listed.size(), 1);
+    tail.stop();
+    loop.poll();
+}
+
 /// Through a link of 10 Mbit/s a page took longer than a call might; it was
 /// begun again from nothing, for good.
 Test(late_configuration, an_answer_that_takes_long_and_goes_on_is_read_whole)
