--- a/tests/unit/late_configuration/test_late_configuration.cpp
+++ b/tests/unit/late_configuration/test_late_configuration.cpp
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <deque>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -207,6 +208,89 @@
     co_return topic_state{9, 10};
 }
 
+/// It has owned for a moment when a copy comes.
+asio::awaitable<topic_state> copy_for_former_owner(keyed_tail& tail)
+{
+    tail.lead(true);
+    tail.list_anew();
+    tail.lead(false);
+    co_return topic_state{9, 10};
+}
+
+/// A tail that is given copies: a test says which, and starts it.
+struct copying_tail
+{
+    explicit copying_tail(std::chrono::milliseconds retry)
+        : settings(patient_tail::settings(retry))
+        , client(
+              this->loop.get_executor(),
+              *platform::parse_endpoint(this->store.address()),
+              store_client::options(),
+              this->meter)
+        , told{
+              [this](const std::vector<keyed_record>& all)
+              {
+                  for (const keyed_record& record : all)
+                      this->listed.push_back(record.key);
+              },
+              [](const keyed_record&) {},
+              [](bool) {}}
+    {
+        this->settings.topic = "keyed.servers";
+        this->settings.copies_first = true;
+        this->settings.most_age = 1s;
+    }
+
+    ~copying_tail()
+    {
+        this->tail->stop();
+        this->loop.poll();
+    }
+
+    void refuse_all()
+    {
+        for (int i = 0; i < 50; ++i)
+            this->store.will_answer(503, "");
+    }
+
+    void start()
+    {
+        this->tail.emplace(
+            this->loop.get_executor(),
+            this->clock,
+            this->client,
+            this->settings,
+            this->told);
+        asio::co_spawn(this->loop, this->tail->run(), asio::detached);
+    }
+
+    /// More than a call and what follows it take.
+    void run_turns()
+    {
+        for (int i = 0; i < 60; ++i)
+            this->loop.run_one_for(std::chrono::milliseconds(10));
+    }
+
+    bool run_until_listed(const std::vector<std::string>& keys)
+    {
+        const auto limit =
+            std::chrono::steady_clock::now() + std::chrono::seconds(20);
+        while (this->listed != keys && std::chrono::steady_clock::now() < limit)
+            this->loop.run_one_for(std::chrono::milliseconds(50));
+        return this->listed == keys;
+    }
+
+    scripted_store store;
+    asio::io_context loop;
+    platform::byte_meter meter;
+    const platform::system_clock clock;
+    keyed_tail::options settings;
+    store_client client;
+    keyed_tail::handlers told;
+    std::vector<std::string> listed;
+    std::optional<keyed_tail> tail;
+};
+
 } // namespace
 
 /// After a cut the store said that the history was dropped; the pause that the
@@ -262,79 +346,48 @@
 /// found no engine to load from for as long as it owned.
 Test(late_configuration, an_owner_that_was_given_a_copy_lists_what_it_lacks)
 {
-    scripted_store store;
-    store.will_answer(200, listing("a", false));
-    asio::io_context loop;
-    platform::byte_meter meter;
-    const platform::system_clock clock;
-    store_client client(
-        loop.get_executor(),
-        *platform::parse_endpoint(store.address()),
-        store_client::options(),
-        meter);
-    keyed_tail::options settings = patient_tail::settings(1ms);
-    settings.topic = "keyed.servers";
-    settings.copies_first = true;
-    std::vector<std::string> listed;
-    keyed_tail* asking = nullptr;
-    keyed_tail::handlers told{
-        [&](const std::vector<keyed_record>& all)
-        {
-            for (const keyed_record& record : all)
-                listed.push_back(record.key);
-        },
-        [](const keyed_record&) {},
-        [](bool) {}};
-    told.asks_others = [](instant)
+    copying_tail test(std::chrono::hours(1));
+    test.store.will_answer(200, listing("a", false));
+    test.told.asks_others = [](instant)
     {
         return true;
     };
-    told.copy = [&]
+    test.told.copy = [&]
     {
-        return copy_for_new_owner(*asking);
+        return copy_for_new_owner(*test.tail);
     };
-    keyed_tail tail(loop.get_executor(), clock, client, settings, told);
-    asking = &tail;
-    asio::co_spawn(loop, tail.run(), asio::detached);
-    const auto limit =
-        std::chrono::steady_clock::now() + std::chrono::seconds(20);
-    while (listed.empty() && std::chrono::steady_clock::now() < limit)
-        loop.run_one_for(std::chrono::milliseconds(50));
-    cr_assert_eq(listed.size(), 1);
-    tail.stop();
-    loop.poll();
+    test.start();
+    cr_assert(test.run_until_listed({"a"}));
+}
+
+/// A router lost ownership before the listing that its tenure had begun with
+/// was done, and then took copies and asked the store without a pause.
+Test(late_configuration, who_no_longer_owns_goes_by_copies)
+{
+    copying_tail test(std::chrono::hours(1));
+    test.refuse_all();
+    int copies = 0;
+    test.told.copy = [&]
+    {
+        ++copies;
+        return copy_for_former_owner(*test.tail);
+    };
+    test.start();
+    test.run_turns();
+    cr_assert_eq(copies, 1);
+    cr_assert_eq(test.store.asked().size(), 1);
 }
 
 /// While the store was down for all, each router asked it and then another
-/// router, which knew no more, without a pause: 26,000 calls in half a minute.
+/// router, which knew no more, without a pause.
 Test(late_configuration, a_copy_as_old_as_what_is_known_ends_no_pause)
 {
-    scripted_store store;
-    for (int i = 0; i < 50; ++i)
-        store.will_answer(503, "");
-    asio::io_context loop;
-    platform::byte_meter meter;
-    const platform::system_clock clock;
-    store_client client(
-        loop.get_executor(),
-        *platform::parse_endpoint(store.address()),
-        store_client::options(),
-        meter);
-    keyed_tail::options settings =
-        patient_tail::settings(std::chrono::hours(1));
-    settings.most_age = 1s;
-    keyed_tail::handlers told{
-        [](const std::vector<keyed_record>&) {},
-        [](const keyed_record&) {},
-        [](bool) {}};
-    told.copy = old_copy;
-    keyed_tail tail(loop.get_executor(), clock, client, settings, told);
-    asio::co_spawn(loop, tail.run(), asio::detached);
-    for (int i = 0; i < 60; ++i)
-        loop.run_one_for(std::chrono::milliseconds(10));
-    cr_assert_eq(store.asked().size(), 1);
-    tail.stop();
-    loop.poll();
+    copying_tail test(std::chrono::hours(1));
+    test.refuse_all();
+    test.told.copy = old_copy;
+    test.start();
+    test.run_turns();
+    cr_assert_eq(test.store.asked().size(), 1);
 }
 
 /// Through a link of 10 Mbit/s a page took longer than a call might; it was
