--- a/src/core/dissemination/directory_copy.hpp
+++ b/src/core/dissemination/directory_copy.hpp
@@ -74,4 +74,23 @@
     }
 };
 
+/// What a copy is worth to its asker.
+enum class copy_use : std::uint8_t
+{
+    none,     ///< older than what is known, or it says nothing
+    confirms, ///< as far as what is known, and as of when
+    changes,  ///< what is new in the registry since what is known
+    whole     ///< the configuration, or all of the registry
+};
+
+/// @param known How far the asker knows the topic by now; its age is below zero
+///              where it knows nothing.
+copy_use judge(
+    const directory_copy& copy,
+    directory_topic topic,
+    const topic_state& known);
+
+/// @return The registry of a whole copy.
+std::vector<server_entry> entries_of(const directory_copy& copy);
+
 } // namespace roseworks
--- a/tests/unit/dissemination/test_topic_progress.cpp
+++ b/tests/unit/dissemination/test_topic_progress.cpp
@@ -117,3 +117,17 @@
     cr_assert(!progress.behind());
     cr_assert(progress.due() == start + 310ms + 900ms);
 }
+
+/// A copy of a router that was behind, too, ended the search for what all
+/// others had.
+Test(topic_progress, what_a_copy_lacks_is_still_missing)
+{
+    topic_progress progress = reader();
+    cr_assert(!progress.heard(60, 70, start + 100ms));
+    progress.copied(65, start + 200ms);
+    cr_assert_eq(progress.next().value(), 65);
+    cr_assert(progress.behind());
+    progress.copied(70, start + 300ms);
+    cr_assert_not(progress.behind());
+    cr_assert(progress.due() == start + 1200ms);
+}
