--- a/src/app/gateway/gateway_control.cpp
+++ b/src/app/gateway/gateway_control.cpp
@@ -1,14 +1,11 @@
 #include "app/gateway/gateway_control.hpp"
 
-#include "adapters/peers/copy_exchange.hpp"
-#include "platform/engine_commands.hpp"
-#include "platform/store_directory.hpp"
+#include "app/gateway/gateway_options.hpp"
 
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
 #include <exception>
-#include <random>
 #include <utility>
 
 namespace roseworks::app
@@ -19,24 +16,6 @@
 namespace
 {
 
-asio::ip::tcp::endpoint tcp_endpoint(const settings::socket_address& address)
-{
-    return {asio::ip::make_address(address.ip), address.port};
-}
-
-/// A VM of capacity 1; the owner's words and the store's answers to it take
-/// some Mbit/s, its planning some hundredths of a core.
-constexpr double usual_cores = 0.25;
-constexpr double usual_link = 100;
-
-/// Of an owner's link, for words to routers that don't wait for them: callers'
-/// requests have the rest.
-constexpr double words_share_of_link = 0.025;
-constexpr double bytes_per_mbit = 125'000;
-
-/// Of a second of a router's link, for one word to all others of what it read.
-constexpr double told_share_of_link = 0.2;
-
 /// An owner that wasn't heard so long is gone; another may be there by then.
 constexpr duration owner_lifetime = std::chrono::milliseconds(1200);
 
@@ -53,80 +32,6 @@
     return {asio::ip::make_address(address.ip), address.port};
 }
 
-placement_desk::options
-placement_options(const settings::gateway_settings& settings)
-{
-    placement_desk::options made;
-    made.lease = settings.bounds.lease;
-    made.fences_checked = settings.bounds.fences_checked;
-    made.words.spare_bytes_per_second =
-        settings.vm.link_mbps * bytes_per_mbit * words_share_of_link;
-    made.planner.store.window = settings.bounds.load_window;
-    made.planner.store.factor = settings.bounds.load_factor;
-    return made;
-}
-
-users_platform::engine_commands::options
-command_options(const settings::gateway_settings& settings)
-{
-    users_platform::engine_commands::options made;
-    made.holder = settings.vm.name;
-    return made;
-}
-
-quota_desk::options quota_options(const settings::gateway_settings& settings)
-{
-    quota_desk::options made;
-    made.router = settings.vm.name;
-    constexpr std::chrono::milliseconds shortest_window{100};
-    made.bounds.window =
-        std::max(settings.bounds.limit_window, shortest_window);
-    made.bounds.excess = settings.bounds.limit_excess;
-    made.bounds.slack = settings.bounds.limit_slack;
-    std::random_device device;
-    made.seed = std::uint64_t(device()) << 32;
-    return made;
-}
-
-copy_exchange::options copy_options(const settings::gateway_settings& settings)
-{
-    /// Of a link, for one router that is given a copy.
-    constexpr double mbps_for_each = 25;
-    constexpr double fewest = 1;
-    constexpr double most = 8;
-    copy_exchange::options made;
-    made.listen = tcp_endpoint(settings.listen.peers);
-    made.most_at_once = static_cast<std::size_t>(
-        std::clamp(settings.vm.link_mbps / mbps_for_each, fewest, most));
-    return made;
-}
-
-users_platform::store_directory::options
-directory_options(const settings::gateway_settings& settings)
-{
-    users_platform::store_directory::options made;
-    made.server = tcp_endpoint(settings.store.address);
-    made.self = {
-        settings.vm.name,
-        settings.listen.peers.to_string(),
-        std::min(
-            settings.vm.cores / usual_cores,
-            settings.vm.link_mbps / usual_link),
-        settings.vm.data_centre};
-    made.term = std::max(made.term, settings.store.shortest_term);
-    // One read may be lost, and one takes its time.
-    constexpr std::chrono::milliseconds shortest_age{100};
-    made.registry_age =
-        std::max(settings.bounds.leaving * 9 / 20, shortest_age);
-    made.config_age = std::max(settings.bounds.configuration / 2, shortest_age);
-    made.most_told_bytes = static_cast<std::size_t>(
-        settings.vm.link_mbps * bytes_per_mbit * told_share_of_link);
-    made.lease = settings.bounds.lease;
-    made.first_start = settings.vm.first_start;
-    made.seed = std::random_device()();
-    return made;
-}
-
 } // namespace
 
 gateway_control::gateway_control(
