--- a/src/adapters/settings/write_reference.cpp
+++ b/src/adapters/settings/write_reference.cpp
@@ -26,8 +26,8 @@
 
 ```ini
 [router]
-name = colombo-a-r1
-data_centre = colombo-a
+name = hall-a-r1
+data_centre = hall-a
 listen = 127.0.0.1:8080
 
 [peers]
--- a/src/core/state/config_fold.cpp
+++ b/src/core/state/config_fold.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-/// @return `engine colombo-a-e1: <what>`.
+/// @return `engine hall-a-e1: <what>`.
 std::string about(const entity_change& change, std::string_view what)
 {
     std::string text(to_string(change.kind));
