From where changes weren't told is kept beside the changes

Now a listing and a taking clear both by construction.

Tests: registry_changes.after_a_listing_nothing_read_before_it_is_untold, and that a removal told by another router can be told on: both mechanisms, broken on purpose, had turned no test red before.

--- a/src/core/dissemination/registry_changes.cpp
+++ b/src/core/dissemination/registry_changes.cpp
@@ -39,6 +39,8 @@
 {
     this->known.clear();
     this->collected.clear();
+    // What was to be told isn't known any more.
+    this->first_untold.reset();
     this->removals.clear();
     this->removals_from.reset();
     for (const server_entry& entry : all)
@@ -140,6 +142,12 @@
     return changes;
 }
 
+void registry_changes::to_tell_from(std::uint64_t offset)
+{
+    if (!this->first_untold)
+        this->first_untold = offset;
+}
+
 bool registry_changes::only_models() const
 {
     return !this->collected.empty() &&
@@ -177,6 +185,7 @@
     for (auto& [id, change] : this->collected)
         changes.push_back(std::move(change));
     this->collected.clear();
+    this->first_untold.reset();
     std::ranges::sort(changes, {}, &registry_change::offset);
     return changes;
 }
--- a/src/core/dissemination/registry_changes.hpp
+++ b/src/core/dissemination/registry_changes.hpp
@@ -66,8 +66,18 @@
     ///         none of a server that came, went or leaves.
     bool only_models() const;
 
+    /// Everything from an offset on was read here, and is to be told.
+    void to_tell_from(std::uint64_t offset);
+
+    /// @return Since which offset what was read here wasn't told; empty: there
+    ///         is nothing.
+    std::optional<std::uint64_t> untold_from() const
+    {
+        return this->first_untold;
+    }
+
     /// @return The last change of each server that was read here since the last
-    ///         call, in order.
+    ///         call, in order. Nothing is untold then.
     std::vector<registry_change> take();
 
 private:
@@ -82,6 +92,7 @@
 
     std::map<std::string, server_entry, std::less<>> known; ///< by id
     std::map<std::string, registry_change, std::less<>> collected;
+    std::optional<std::uint64_t> first_untold;
     std::deque<removal> removals; ///< the last ones, in order
     /// Removals from here on are all remembered; empty: not known yet.
     std::optional<std::uint64_t> removals_from;
--- a/tests/unit/dissemination/test_registry_changes.cpp
+++ b/tests/unit/dissemination/test_registry_changes.cpp
@@ -253,3 +253,35 @@
     cr_assert(ids_of(taker.since(10).value()) == changed);
     cr_assert(!taker.since(9));
 }
+
+/// A word that accounts for an offset leaves out no change since it: what was
+/// read before a listing is gone from what can be told.
+Test(registry_changes, after_a_listing_nothing_read_before_it_is_untold)
+{
+    registry_changes registry;
+    registry.listed({});
+    registry.to_tell_from(5);
+    registry.read(heard_at("a", 5));
+    registry.to_tell_from(6);
+    cr_assert_eq(registry.untold_from().value(), 5);
+    registry.listed({});
+    cr_assert(!registry.untold_from());
+    cr_assert(registry.take().empty());
+    registry.to_tell_from(9);
+    cr_assert_eq(registry.untold_from().value(), 9);
+    registry.take();
+    cr_assert(!registry.untold_from());
+}
+
+Test(registry_changes, a_removal_that_was_told_can_be_told_on)
+{
+    registry_changes registry;
+    const server_entry listed[] = {heard_at("a", 3)};
+    registry.listed(listed);
+    registry.listed_as_of(4);
+    registry_change gone{6, registry_change::kind::gone, {}};
+    gone.entry.id = "a";
+    cr_assert(!registry.told(gone));
+    const std::vector<std::string> changed{"-a"};
+    cr_assert(ids_of(registry.since(4).value()) == changed);
+}
