The configuration is copied from other routers before the store is asked

Hypothesis: at each change every router lists the whole record for itself, as many calls and reads as there are VMs.

Tests: directory_copies.others_are_asked_for_news_before_the_store and one_of_the_strongest_asks_the_store_at_once. How long news is waited for moved from copy_choice to the directory, its assertions with it (the first of these tests).

--- a/src/core/dissemination/copy_choice.hpp
+++ b/src/core/dissemination/copy_choice.hpp
@@ -42,8 +42,6 @@
         /// copy after so long, and so much later each time that the routers
         /// before it double: were the first readers gone, all would go at once.
         duration patience = std::chrono::milliseconds(1500);
-        /// The same of one that lacks news.
-        duration patience_for_news = std::chrono::milliseconds(450);
         std::uint64_t seed = 1;
     };
 
@@ -60,15 +58,11 @@
         return this->is_first;
     }
 
-    /// @param knows_any This router lacks news only.
-    /// @return Whether one that has asked since then asks on, before it goes to
-    ///         the store.
-    bool is_patient(bool knows_any, instant since, instant now) const
+    /// @return Whether one that knows nothing and has asked since then asks on,
+    ///         before it goes to the store.
+    bool is_patient(instant since, instant now) const
     {
-        const duration most = knows_any
-                                  ? this->settings.patience_for_news
-                                  : this->settings.patience * this->doublings;
-        return now - since < most;
+        return now - since < this->settings.patience * this->doublings;
     }
 
     /// @return Whom to ask next; empty when no other is known. Every second one
