--- a/tests/unit/dissemination/test_start_fleet.cpp
+++ b/tests/unit/dissemination/test_start_fleet.cpp
@@ -40,7 +40,7 @@
 } // namespace
 
 /// Each of three hundred routers asked the store for three thousand entries;
-/// for ten seconds it had no time for a configuration.
+/// meanwhile it had no time for a configuration.
 Test(start_fleet, a_start_of_all_asks_the_store_for_few_listings)
 {
     for (const std::size_t routers : {7, 65, 300, 1000})
