The sliding window of retries covers its whole length

A service could get a router's whole share of the retries twice within 9.02 s, 74 where 54 are allowed, with no fault at any router. Cause: ten slices of a tenth of the window, of which the newest is incomplete, cover 9 to 10 s.

An eleventh slice makes the window 10 to 11 s.

--- a/src/core/request/shared_retry_budget.cpp
+++ b/src/core/request/shared_retry_budget.cpp
@@ -50,7 +50,7 @@
 
 void shared_retry_budget::advance(instant now)
 {
-    const duration length = this->settings.window / slice_count;
+    const duration length = this->settings.window / slices_per_window;
     const std::int64_t number = now.time_since_epoch() / length;
     if (!this->started)
     {
--- a/src/core/request/shared_retry_budget.hpp
+++ b/src/core/request/shared_retry_budget.hpp
@@ -48,7 +48,9 @@
     std::size_t available(std::size_t routers, instant now);
 
 private:
-    static constexpr std::size_t slice_count = 10;
+    // One slice more than a window has, because the newest is incomplete.
+    static constexpr std::size_t slices_per_window = 10;
+    static constexpr std::size_t slice_count = slices_per_window + 1;
 
     struct slice
     {
