The accountant counts the retries of a service for all routers

Cause: each router kept a share of the sum by itself. What a process had spent was forgotten at its end, so each start brought the whole share again, within the same window; and the share was the allowance divided by what the process believed to be the number of routers, which is 1 until it hears a placement owner, and then that owner's count so far.

Why this works: each service's retries are one more account of the accountant that already sums the limits of organisations and of servers (0015, 0016). Its bucket starts empty, grants only the part of the routers that report to it, and each router reports to one. The routers name the number of their requests of the last window in each message, not differences, so lost and repeated messages don't matter.

--- a/src/adapters/events/event_catalogue.cpp
+++ b/src/adapters/events/event_catalogue.cpp
@@ -345,9 +345,9 @@
      "organisation, per_second, burst, used, refused, left, share_percent",
      "Compare used with per_second: docs/OPERATIONS.md shows how."},
     {accountant_changed, info, "accountant_changed",
-     "This router asks another router whether requests are within their "
-     "organisations' limits. nobody: it asks none and uses its own share of "
-     "each limit.",
+     "This router asks another router whether requests and retries are within "
+     "the limits that all routers share. nobody: it asks none and uses its own "
+     "share of each limit.",
      "accountant", no_action},
     {server_limited, info, "server_limited",
      "A backend server announced or changed a rate limit: the number of "
@@ -384,6 +384,15 @@
     {registry_listed, info, "registry_listed",
      "The complete registry of backend servers was received.",
      "servers, source, failed_reads", no_action},
+    {retries_limited, warn, "retries_limited",
+     "This router accounts for the others and refused retries of a service "
+     "within the last second: used and refused are totals of that second over "
+     "all routers that ask it, requests is the number of requests in the "
+     "window of the limit, left is what remains of the limit, share_percent is "
+     "the share of the routers that it hears from.",
+     "service, requests, used, refused, left, share_percent",
+     "Find out why the service's servers fail or refuse: docs/OPERATIONS.md "
+     "shows how."},
     {placement_owned, info, "placement_owned",
      "This router now owns placement and sends orders to the engines.",
      "fence", no_action},
--- a/src/adapters/forward/forward_call.cpp
+++ b/src/adapters/forward/forward_call.cpp
@@ -3,6 +3,7 @@
 #include "adapters/forward/quota_gate.hpp"
 #include "adapters/forward/rate_limit_header.hpp"
 #include "adapters/forward/response_head.hpp"
+#include "core/quota/retry_limits.hpp"
 #include "core/serving/servable_key.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -29,6 +30,10 @@
 /// counts as having waited.
 constexpr duration wait_threshold{std::chrono::milliseconds(20)};
 
+/// Retry-After of a request that may not be retried here. The caller's own
+/// retry is a new request.
+constexpr duration retry_after_denied_retry{std::chrono::milliseconds(200)};
+
 std::string_view to_string_view(beast::string_view text)
 {
     return {text.data(), text.size()};
@@ -132,8 +137,7 @@
 
 asio::awaitable<bool> forward_call::run()
 {
-    this->context.retry_budget_of(this->service)
-        .record_request(this->request.arrived);
+    this->context.ports.quotas.count_request(this->service);
     asio::co_spawn(
         this->pool.executor,
         watch_for_disconnect(this->caller, this->inbox),
@@ -155,6 +159,8 @@
     if (this->quota_reserved && !this->may_have_run)
         this->context.ports.quotas.refund(
             this->organisation.name, this->organisation.cost);
+    if (this->retry_reserved)
+        this->context.ports.quotas.refund(retry_account(this->service), 1);
     beast::error_code ignored;
     this->caller.stream.socket().cancel(ignored);
     this->report();
@@ -226,18 +232,36 @@
     }
 }
 
-bool forward_call::withdraw_retry()
+asio::awaitable<bool> forward_call::reserve_retry()
 {
-    if (this->sends == 0)
-        return true;
-    const bool allowed =
-        this->context.retry_budget_of(this->service)
-            .withdraw(this->context.ports.live_routers(), this->context.now());
-    if (allowed)
+    if (this->sends == 0 || this->retry_reserved)
+        co_return true;
+    quota_request one_retry;
+    one_retry.organisation = retry_account(this->service);
+    one_retry.amount = 1;
+    quota_gate gate(this->context.ports.quotas, this->pool.executor);
+    const auto decision =
+        co_await gate.acquire(std::move(one_retry), *this->inbox);
+    if (!decision)
+    {
+        this->context.ports.dispatch.abandon(this->admission_ticket);
+        co_await this->finish_interrupted();
+        co_return false;
+    }
+    this->retry_reserved = decision->is_allowed;
+    if (this->retry_reserved)
+    {
         this->context.metrics.retries.increment();
-    else
-        this->context.metrics.retries_denied.increment();
-    return allowed;
+        co_return true;
+    }
+    this->context.metrics.retries_denied.increment();
+    this->context.ports.dispatch.abandon(this->admission_ticket);
+    co_await this->finish_without_response(
+        {true,
+         this->may_have_run ? verdict::may_have_run : verdict::not_run,
+         refusal_reason::retries_exhausted,
+         retry_after_denied_retry});
+    co_return false;
 }
 
 bool forward_call::is_key_revoked(const serving_table& table) const
@@ -250,6 +274,9 @@
 
 asio::awaitable<bool> forward_call::attempt(grant granted)
 {
+    const bool may_send = co_await this->reserve_retry();
+    if (!may_send)
+        co_return true;
     const serving_table_ptr table = this->context.ports.table();
     if (this->is_key_revoked(*table))
     {
@@ -263,16 +290,6 @@
     result.how = end_kind::not_sent;
     const bool is_listed =
         server != nullptr && server->service == this->service;
-    if (is_listed && !this->withdraw_retry())
-    {
-        this->context.ports.dispatch.abandon(this->admission_ticket);
-        co_await this->finish_without_response(
-            {true,
-             this->may_have_run ? verdict::may_have_run : verdict::not_run,
-             refusal_reason::retries_exhausted,
-             std::chrono::milliseconds(200)});
-        co_return true;
-    }
     if (is_listed)
     {
         const std::string instance = server->instance;
@@ -372,7 +389,11 @@
             : duration(this->context.options.non_repeatable_max_idle);
     exchange_state state = co_await exchange.send(
         granted.address, bytes, longest_idle, this->deadline);
-    this->sends += exchange.sent() ? 1 : 0;
+    if (exchange.sent())
+    {
+        ++this->sends;
+        this->retry_reserved = false;
+    }
     if (state == exchange_state::ok)
         state = co_await exchange.read_head(
             this->context.names, this->request.id, this->request.head_only);
--- a/src/adapters/forward/forward_call.hpp
+++ b/src/adapters/forward/forward_call.hpp
@@ -71,9 +71,10 @@
     /// Sends the request to the granted server once.
     /// @return Whether the call is finished.
     asio::awaitable<bool> attempt(grant granted);
-    /// Withdraws from the retry budget unless this is the first attempt.
+    /// Reserves a retry of the service unless this is the first attempt. Ends
+    /// the call if there is none.
     /// @return Whether the request may be sent.
-    bool withdraw_retry();
+    asio::awaitable<bool> reserve_retry();
     /// @return Whether the caller's API key was revoked while the request
     ///         waited for its first attempt.
     bool is_key_revoked(const serving_table& table) const;
@@ -123,6 +124,7 @@
     std::string last_server;     ///< instance ID; of the last attempt
     std::string last_rate_limit; ///< in the last response; empty: none
     bool quota_reserved = false; ///< from the organisation's limit
+    bool retry_reserved = false; ///< and not sent yet
     bool may_have_run = false;
     bool head_written = false;
     bool chunked = false; ///< the response to the caller is chunked
--- a/src/adapters/forward/forward_context.hpp
+++ b/src/adapters/forward/forward_context.hpp
@@ -3,7 +3,6 @@
 #include "adapters/edge/backend_context.hpp"
 #include "adapters/forward/forward_metrics.hpp"
 #include "adapters/forward/header_names.hpp"
-#include "core/request/shared_retry_budget.hpp"
 #include "core/serving/serving_table.hpp"
 #include "ports/dispatch_port.hpp"
 #include "ports/quota_port.hpp"
@@ -15,7 +14,6 @@
 #include <optional>
 #include <random>
 #include <string>
-#include <unordered_map>
 
 namespace roseworks::forward
 {
@@ -45,7 +43,6 @@
     /// Retry-After of a request that is blocked because it crashes servers.
     /// Same length as the block.
     std::chrono::milliseconds blocked_retry_after{60'000};
-    shared_retry_budget::options retries;
     std::uint64_t seed = 1; ///< of the choice among a route's services
 };
 
@@ -55,8 +52,6 @@
     dispatch_port& dispatch;
     quota_port& quotas;
     std::function<serving_table_ptr()> table; ///< newest; null: none yet
-    /// Number of live routers, including this one.
-    std::function<std::size_t()> live_routers;
     /// An engine reported its load in a response.
     std::function<void(const load_report&)> load_reported;
     /// An attempt of a request for a servable on an engine begins or has ended.
@@ -105,22 +100,12 @@
     {
     }
 
-    shared_retry_budget& retry_budget_of(const std::string& service)
-    {
-        return this->retry_budgets
-            .try_emplace(service, shared_retry_budget(this->settings.retries))
-            .first->second;
-    }
-
     const forward_options settings;
     const header_names names;
     const forward_dependencies ports;
     forward_metrics& metrics;
     std::mt19937_64 random;
     bool draining = false;
-
-private:
-    std::unordered_map<std::string, shared_retry_budget> retry_budgets;
 };
 
 } // namespace roseworks::forward
--- a/src/app/gateway/gateway_app.cpp
+++ b/src/app/gateway/gateway_app.cpp
@@ -78,9 +78,6 @@
 make_forward_options(const settings::gateway_settings& settings)
 {
     forward::forward_options made;
-    made.retries.ratio = settings.bounds.retry_ratio;
-    made.retries.extra = settings.bounds.retry_extra;
-    made.retries.window = settings.bounds.retry_window;
     made.seed = random_seed();
     return made;
 }
@@ -201,10 +198,6 @@
         {
             return this->tables.get();
         },
-        [this]
-        {
-            return this->control->live_router_count();
-        },
         [this](const load_report& report)
         {
             this->dispatch->load_reported(report);
--- a/src/app/gateway/gateway_control.hpp
+++ b/src/app/gateway/gateway_control.hpp
@@ -134,12 +134,6 @@
         return this->deployment_stale;
     }
 
-    /// @return The number of routers considered alive, including this one.
-    std::size_t live_router_count() const
-    {
-        return this->live_routers;
-    }
-
 private:
     // directory_listener
     void
@@ -218,7 +212,7 @@
     instant owner_missing_since;
     demand_reporter reporter;
     boost::asio::steady_timer usage_report_timer;
-    std::atomic<std::size_t> live_routers{1};
+    std::size_t live_routers = 1;
     std::atomic<bool> deployment_stale{false};
     instant store_lost_at;
     std::thread thread;
--- a/src/app/gateway/gateway_options.cpp
+++ b/src/app/gateway/gateway_options.cpp
@@ -66,6 +66,9 @@
     made.bounds.window = std::max(settings.bounds.limit_window, min_window);
     made.bounds.excess = settings.bounds.limit_excess;
     made.bounds.slack = settings.bounds.limit_slack;
+    made.retries.ratio = settings.bounds.retry_ratio;
+    made.retries.extra = settings.bounds.retry_extra;
+    made.retries.window = std::max(settings.bounds.retry_window, min_window);
     std::random_device device;
     made.seed = std::uint64_t(device()) << 32;
     return made;
--- a/src/app/gateway/quota_controller.cpp
+++ b/src/app/gateway/quota_controller.cpp
@@ -98,6 +98,7 @@
 void quota_controller::deployment_changed(const deployment& configuration)
 {
     this->organisation_limits = limits_of(configuration, this->settings.bounds);
+    this->retry_limits = retry_limits_of(configuration, this->settings.retries);
     this->limits_changed();
 }
 
@@ -114,6 +115,7 @@
 {
     global_limits all = this->organisation_limits;
     all.insert(this->backend_limits.begin(), this->backend_limits.end());
+    all.insert(this->retry_limits.begin(), this->retry_limits.end());
     this->has_limits = !all.empty();
     std::erase_if(
         this->logged_totals,
@@ -166,8 +168,9 @@
 {
     if (!this->has_limits)
     {
-        // The limit has been removed since the request arrived.
-        on_decision({0, true, {}, {}});
+        // The limit has been removed since the request arrived. A service that
+        // isn't configured any more gets no retries.
+        on_decision({0, !is_retry_account(request.organisation), {}, {}});
         return;
     }
     const std::uint64_t id = this->client.draw(
@@ -179,6 +182,17 @@
     this->flush();
 }
 
+void quota_controller::count_request(std::string service)
+{
+    asio::post(
+        this->loop,
+        [this, service = std::move(service)]
+        {
+            this->client.count_request(
+                retry_account(service), this->clock.now());
+        });
+}
+
 void quota_controller::refund(std::string organisation, double amount)
 {
     asio::post(
@@ -294,13 +308,25 @@
     constexpr double percent = 100;
     constexpr double seconds_per_minute = 60;
     const std::int64_t share = to_integer(this->accountant.share() * percent);
+    if (is_retry_account(name))
+    {
+        this->events.report(
+            event_id::retries_limited,
+            {{"service", service_of_account(name)},
+             {"requests", to_integer(one.requests)},
+             {"used", to_integer(used)},
+             {"refused", to_integer(refused)},
+             {"left", to_integer(one.bucket.level())},
+             {"share_percent", share}});
+        return;
+    }
     if (is_server_account(name))
     {
         this->events.report(
             event_id::server_limit_reached,
             {{"server", server_of_account(name)},
              {"per_minute",
-              to_integer(one.limit.per_second * seconds_per_minute)},
+              to_integer(one.limit.total.per_second * seconds_per_minute)},
              {"used", to_integer(used)},
              {"refused", to_integer(refused)},
              {"share_percent", share}});
@@ -309,8 +335,8 @@
     this->events.report(
         event_id::limit_reached,
         {{"organisation", name},
-         {"per_second", to_integer(one.limit.per_second)},
-         {"burst", to_integer(one.limit.burst)},
+         {"per_second", to_integer(one.limit.total.per_second)},
+         {"burst", to_integer(one.limit.total.burst)},
          {"used", to_integer(used)},
          {"refused", to_integer(refused)},
          {"left", to_integer(one.bucket.level())},
--- a/src/app/gateway/quota_controller.hpp
+++ b/src/app/gateway/quota_controller.hpp
@@ -4,6 +4,7 @@
 #include "core/quota/global_limits.hpp"
 #include "core/quota/quota_accountant.hpp"
 #include "core/quota/quota_client.hpp"
+#include "core/quota/retry_limits.hpp"
 #include "ports/clock.hpp"
 #include "ports/directory_port.hpp"
 #include "ports/event_sink.hpp"
@@ -24,8 +25,8 @@
 namespace roseworks::app
 {
 
-/** Enforces the limits of organisations, and the rate limits that backend
-    servers name, across all routers.
+/** Enforces the limits of organisations, the rate limits that backend servers
+    name, and the limits on the retries of services, across all routers.
 
     Quota is granted by a router that acts as the accountant of all. This class
     asks the accountant on behalf of this router's requests, and is itself the
@@ -41,6 +42,7 @@
     {
         std::string router; ///< name of this router
         quota_bounds bounds;
+        retry_allowance retries;
         quota_mode way = quota_mode::accountant;
         std::uint64_t seed = 1;
     };
@@ -66,6 +68,7 @@
 
     // quota_port
     void draw(quota_request request, handler on_decision) override;
+    void count_request(std::string service) override;
     void refund(std::string organisation, double amount) override;
 
 private:
@@ -108,6 +111,7 @@
     std::map<std::string, account_totals, std::less<>> logged_totals;
     global_limits organisation_limits;
     global_limits backend_limits;
+    global_limits retry_limits;
     boost::asio::steady_timer timer;
     /// Name of the accountant in the latest log line.
     std::string logged_accountant;
--- a/src/core/quota/global_limits.cpp
+++ b/src/core/quota/global_limits.cpp
@@ -21,7 +21,7 @@
     for (const organisation& entry : *configuration.organisations)
     {
         if (entry.limit)
-            limits[entry.name] = {*entry.limit, bounds.slack, 0};
+            limits[entry.name] = {.total = *entry.limit, .slack = bounds.slack};
     }
     return limits;
 }
@@ -29,7 +29,7 @@
 global_limit limit_of_server(double per_second)
 {
     constexpr double one_request = 1;
-    return {{per_second, one_request}, 0, one_request};
+    return {.total = {per_second, one_request}, .min_burst = one_request};
 }
 
 std::string server_account(std::string_view server)
--- a/src/core/quota/global_limits.hpp
+++ b/src/core/quota/global_limits.hpp
@@ -3,6 +3,8 @@
 #include "core/quota/limit_share.hpp"
 #include "core/serving/deployment.hpp"
 
+#include <roseworks/instant.hpp>
+
 #include <functional>
 #include <map>
 #include <string>
@@ -14,11 +16,15 @@
 /// A rate limit that applies to the sum of the usage at all routers.
 struct global_limit
 {
-    usage_limit total;
+    usage_limit total{};
     double slack = 0; ///< tolerated on top of the limit in each window
     /// Minimum burst of a router that enforces its share locally, however small
     /// that share is.
     double min_burst = 0;
+    /// Added to `total` for each request that arrived within `request_window`,
+    /// at any router.
+    usage_limit per_request{};
+    duration request_window{};
 };
 
 /// Limits by account name.
--- a/src/core/quota/limit_share.hpp
+++ b/src/core/quota/limit_share.hpp
@@ -24,6 +24,11 @@
     return {total.per_second * fraction, total.burst * fraction};
 }
 
+inline usage_limit sum_of(const usage_limit& one, const usage_limit& other)
+{
+    return {one.per_second + other.per_second, one.burst + other.burst};
+}
+
 /** @return How long a contact between router and accountant stays valid.
 
     A router that changes its accountant, or falls back to its local share, may
--- a/src/core/quota/quota_accountant.cpp
+++ b/src/core/quota/quota_accountant.cpp
@@ -1,5 +1,7 @@
 #include "core/quota/quota_accountant.hpp"
 
+#include "core/quota/retry_limits.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -57,7 +59,7 @@
         const auto before = this->accounts_by_name.find(name);
         if (before != this->accounts_by_name.end())
             added = before->second;
-        added.limit = limit.total;
+        added.limit = limit;
     }
     this->accounts_by_name = std::move(next);
 }
@@ -80,6 +82,7 @@
     from.counted_from = query.counting_delay_us < 0
                             ? instant::max()
                             : now + clamp_time(query.counting_delay_us);
+    from.request_counts = query.request_counts;
     this->refill_buckets(now);
     for (const quota_return& returned : query.returns)
         this->apply_return(returned);
@@ -98,12 +101,12 @@
         return *before;
     if (!is_valid_amount(draw.amount))
         return {draw.id, false, 0};
-    quota_result result{draw.id, true, 0};
+    // A service whose configuration this accountant lacks gets no retries.
+    quota_result result{draw.id, !is_retry_account(draw.organisation), 0};
     if (account* const found = this->find_account(draw))
     {
         account& entry = *found;
-        const usage_limit bucket_limit =
-            share_of(entry.limit, this->active_fraction);
+        const usage_limit bucket_limit = this->granted_limit(entry);
         const auto wait = entry.bucket.take(
             draw.amount, clamp_time(draw.max_wait_us), bucket_limit);
         result.is_allowed = wait.has_value();
@@ -134,7 +137,7 @@
         return nullptr;
     // The message about this limit is delayed or was lost.
     account& added = this->accounts_by_name[draw.organisation];
-    added.limit = limit_of_server(draw.announced_per_second).total;
+    added.limit = limit_of_server(draw.announced_per_second);
     return &added;
 }
 
@@ -145,8 +148,7 @@
         !is_valid_amount(returned.amount))
         return;
     account& entry = found->second;
-    entry.bucket.return_tokens(
-        returned.amount, share_of(entry.limit, this->active_fraction));
+    entry.bucket.return_tokens(returned.amount, this->granted_limit(entry));
     entry.used -= returned.amount;
 }
 
@@ -175,8 +177,7 @@
         this->routers,
         [now](const auto& entry)
         {
-            return entry.second.contact_until > now &&
-                   entry.second.counted_from <= now;
+            return entry.second.is_active(now);
         });
     const double active_fraction =
         this->known_routers == 0 ? 0
@@ -186,10 +187,38 @@
     // time.
     const double refill_fraction =
         std::min(this->active_fraction, active_fraction);
-    for (auto& [organisation, entry] : this->accounts_by_name)
-        entry.bucket.refill(
-            elapsed, share_of(entry.limit, std::min(refill_fraction, 1.0)));
+    this->active_fraction = std::min(refill_fraction, 1.0);
+    const auto requests = this->sum_requests(now);
+    for (auto& [name, entry] : this->accounts_by_name)
+    {
+        const auto reported = requests.find(name);
+        const double sum = reported == requests.end() ? 0 : reported->second;
+        entry.requests = std::min(entry.requests, sum);
+        entry.bucket.refill(elapsed, this->granted_limit(entry));
+        entry.requests = sum;
+    }
     this->active_fraction = std::min(active_fraction, 1.0);
 }
 
+std::map<std::string_view, double>
+quota_accountant::sum_requests(instant now) const
+{
+    std::map<std::string_view, double> sums;
+    for (const auto& [name, from] : this->routers)
+    {
+        if (!from.is_active(now))
+            continue;
+        for (const request_count& reported : from.request_counts)
+            sums[reported.account] += reported.in_window;
+    }
+    return sums;
+}
+
+usage_limit quota_accountant::granted_limit(const account& entry) const
+{
+    return sum_of(
+        share_of(entry.limit.total, this->active_fraction),
+        share_of(entry.limit.per_request, entry.requests));
+}
+
 } // namespace roseworks
--- a/src/core/quota/quota_accountant.hpp
+++ b/src/core/quota/quota_accountant.hpp
@@ -11,7 +11,9 @@
 #include <deque>
 #include <map>
 #include <string>
+#include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace roseworks
 {
@@ -46,8 +48,10 @@
     /// State of one organisation or backend server; for metrics and logs.
     struct account
     {
-        usage_limit limit;
+        global_limit limit;
         token_bucket bucket;
+        /// Requests in the limit's window, over all routers that report.
+        double requests = 0;
         double used = 0;    ///< taken and not returned, total
         double refused = 0; ///< total
     };
@@ -71,6 +75,12 @@
         instant counted_from = instant::max();
         /// Latest allowed draws, newest first.
         std::deque<quota_result> recent_results;
+        std::vector<request_count> request_counts; ///< as last reported
+
+        bool is_active(instant now) const
+        {
+            return this->contact_until > now && this->counted_from <= now;
+        }
     };
 
     quota_result evaluate(const quota_draw& draw, router& from);
@@ -78,6 +88,10 @@
     account* find_account(const quota_draw& draw);
     void apply_return(const quota_return& returned);
     void refill_buckets(instant now);
+    /// @return The sums of the reported requests, by account.
+    std::map<std::string_view, double> sum_requests(instant now) const;
+    /// @return What the routers that report may use of an account's limit.
+    usage_limit granted_limit(const account& entry) const;
 
     std::string name;
     quota_bounds bounds;
--- a/src/core/quota/quota_client.cpp
+++ b/src/core/quota/quota_client.cpp
@@ -1,5 +1,7 @@
 #include "core/quota/quota_client.hpp"
 
+#include "core/quota/retry_limits.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -19,6 +21,10 @@
 /// Returns that wait for the next message; more are dropped.
 constexpr std::size_t max_pending_returns = 64;
 
+/// Request counts in one message, so that it fits a datagram. An account above
+/// this number is limited as if it had no requests.
+constexpr std::size_t max_request_counts = 16;
+
 /// Longest retry delay for a refused caller, as limits and shares change.
 constexpr duration max_retry_after = std::chrono::seconds(5);
 
@@ -50,6 +56,12 @@
         {
             return !this->limits.contains(entry.first);
         });
+    std::erase_if(
+        this->requests,
+        [this](const auto& entry)
+        {
+            return !this->limits.contains(entry.first);
+        });
 }
 
 void quota_client::set_accountants(
@@ -97,6 +109,30 @@
     return id;
 }
 
+void quota_client::count_request(std::string_view account, instant now)
+{
+    const auto limit = this->limits.find(account);
+    if (limit == this->limits.end() ||
+        limit->second.request_window <= duration::zero())
+        return;
+    this->requests
+        .try_emplace(
+            std::string(account), sliding_count(limit->second.request_window))
+        .first->second.add(now);
+}
+
+std::vector<request_count> quota_client::request_counts(instant now) const
+{
+    std::vector<request_count> counts;
+    for (const auto& [account, counted] : this->requests)
+    {
+        const std::uint32_t in_window = counted.count(now);
+        if (in_window != 0 && counts.size() < max_request_counts)
+            counts.push_back({account, in_window});
+    }
+    return counts;
+}
+
 double quota_client::announced_limit(std::string_view account) const
 {
     const auto limit = this->limits.find(account);
@@ -122,12 +158,14 @@
     const auto found = this->waiting.find(id);
     const quota_draw draw = std::move(found->second.draw);
     this->waiting.erase(found);
-    quota_decision decision{id, true, {}, {}};
+    // A service that isn't configured any more gets no retries.
+    quota_decision decision{id, !is_retry_account(draw.organisation), {}, {}};
     const auto limit = this->limits.find(draw.organisation);
     if (limit != this->limits.end())
     {
         this->refill_local_buckets(now);
-        const usage_limit bucket_limit = this->local_limit(limit->second, now);
+        const usage_limit bucket_limit =
+            this->local_limit(limit->first, limit->second, now);
         token_bucket& bucket = this->local_buckets[draw.organisation];
         decision.retry_after = std::clamp(
             bucket.time_until(draw.amount, bucket_limit),
@@ -152,8 +190,8 @@
     return 1.0 / static_cast<double>(this->router_count);
 }
 
-usage_limit
-quota_client::local_limit(const global_limit& limit, instant now) const
+usage_limit quota_client::local_limit(
+    const std::string& account, const global_limit& limit, instant now) const
 {
     /// Fractions of the slack. With accountants, the slack bucket may refill
     /// once per window, so it gives at most twice its size in any window. With
@@ -169,8 +207,12 @@
     usage_limit bucket_limit = share_of(limit.total, fraction);
     bucket_limit.burst = std::max(bucket_limit.burst, limit.min_burst) + slack;
     if (!uses_local_shares && !this->has_no_accountant(now))
-        bucket_limit = {slack / seconds(this->settings.bounds.window), slack};
-    return bucket_limit;
+        return {slack / seconds(this->settings.bounds.window), slack};
+    const auto counted = this->requests.find(account);
+    if (counted == this->requests.end())
+        return bucket_limit;
+    return sum_of(
+        bucket_limit, share_of(limit.per_request, counted->second.count(now)));
 }
 
 void quota_client::refill_local_buckets(instant now)
@@ -182,7 +224,7 @@
     this->last_local_refill = now;
     for (const auto& [name, limit] : this->limits)
         this->local_buckets[name].refill(
-            elapsed, this->local_limit(limit, now));
+            elapsed, this->local_limit(name, limit, now));
 }
 
 bool quota_client::has_no_accountant(instant now) const
@@ -275,6 +317,7 @@
             std::max(duration(to.counted_from - now), duration::zero()).count();
     query.draws = std::move(draws);
     query.returns = std::exchange(this->returns, {});
+    query.request_counts = this->request_counts(now);
     to.last_message_at = now;
     if (!to.unanswered_since)
         to.unanswered_since = now;
@@ -296,7 +339,7 @@
     const auto limit = this->limits.find(organisation);
     if (limit != this->limits.end())
         this->local_buckets[limit->first].return_tokens(
-            amount, this->local_limit(limit->second, now));
+            amount, this->local_limit(limit->first, limit->second, now));
 }
 
 void quota_client::handle_reply(const quota_reply& reply, instant now)
--- a/src/core/quota/quota_client.hpp
+++ b/src/core/quota/quota_client.hpp
@@ -2,12 +2,14 @@
 
 #include "core/quota/global_limits.hpp"
 #include "core/quota/quota_messages.hpp"
+#include "core/quota/sliding_count.hpp"
 #include "core/quota/token_bucket.hpp"
 
 #include <roseworks/instant.hpp>
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -85,6 +87,10 @@
         duration max_wait,
         instant now);
 
+    /// Counts a request that arrived at this router. It raises the account's
+    /// limit if that depends on the number of requests.
+    void count_request(std::string_view account, instant now);
+
     /// Returns the tokens of a request that did not run.
     void
     return_tokens(std::string_view organisation, double amount, instant now);
@@ -139,7 +145,12 @@
     ///         routers is known.
     double own_fraction() const;
     /// @return Rate and burst that this router may use locally now.
-    usage_limit local_limit(const global_limit& limit, instant now) const;
+    usage_limit local_limit(
+        const std::string& account,
+        const global_limit& limit,
+        instant now) const;
+    /// @return The counts that raise limits, without those that are 0.
+    std::vector<request_count> request_counts(instant now) const;
     void refill_local_buckets(instant now);
     /// @return Whether no accountant is in contact with this router.
     bool has_no_accountant(instant now) const;
@@ -161,6 +172,8 @@
     decision_method method;
     global_limits limits;
     std::unordered_map<std::string, token_bucket> local_buckets; ///< by account
+    /// Requests that raise limits, by account.
+    std::map<std::string, sliding_count, std::less<>> requests;
     std::vector<accountant_contact> contacts;
     /// Index in `contacts`; the size of `contacts` when none answers.
     std::size_t current_index = 0;
--- a/src/core/quota/quota_messages.hpp
+++ b/src/core/quota/quota_messages.hpp
@@ -30,6 +30,20 @@
     }
 };
 
+/// The requests of an account that arrived at one router. Only accounts whose
+/// limit grows with them are reported.
+struct request_count
+{
+    std::string account;
+    std::uint32_t in_window = 0; ///< within the limit's window
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->account, this->in_window);
+    }
+};
+
 /// Tokens that were taken for a request that did not run.
 struct quota_return
 {
@@ -58,6 +72,7 @@
     std::int64_t counting_delay_us = never;
     std::vector<quota_draw> draws;
     std::vector<quota_return> returns;
+    std::vector<request_count> request_counts;
 
     template <class Archive>
     void serialize(Archive& archive)
@@ -67,7 +82,8 @@
             this->last_reply_age_us,
             this->counting_delay_us,
             this->draws,
-            this->returns);
+            this->returns,
+            this->request_counts);
     }
 };
 
--- a/src/ports/event_sink.hpp
+++ b/src/ports/event_sink.hpp
@@ -131,6 +131,7 @@
     store_read_failed = 1724,
     deployment_read = 1725,
     registry_listed = 1726,
+    retries_limited = 1727,
 
     // 18xx: placement by the orders of a single owner.
     placement_owned = 1801,
--- a/src/ports/quota_port.hpp
+++ b/src/ports/quota_port.hpp
@@ -10,15 +10,16 @@
 namespace roseworks
 {
 
-/// The amount that one request counts towards its organisation's limit.
+/// The amount that one request counts towards the limit of an account.
 struct quota_request
 {
-    std::string organisation;
-    double amount = 0;       ///< tokens, or requests if the limit counts these
-    duration longest_wait{}; ///< maximum wait for the limit to allow it
+    std::string organisation; ///< name of the account
+    double amount = 0;        ///< tokens, or requests if the limit counts these
+    duration longest_wait{};  ///< maximum wait for the limit to allow it
 };
 
-/// Port: limits of organisations, enforced across all routers. Thread-safe.
+/// Port: limits of organisations, and of the retries of services, enforced
+/// across all routers. Thread-safe.
 class quota_port
 {
 public:
@@ -30,6 +31,10 @@
     /// Reserves a request's tokens, or tells when they will be available.
     virtual void draw(quota_request request, handler on_decision) = 0;
 
+    /// Counts a request of a service, which raises the number of retries that
+    /// the service may get.
+    virtual void count_request(std::string service) = 0;
+
     /// Returns the tokens reserved for a request that didn't run and won't.
     virtual void refund(std::string organisation, double amount) = 0;
 };
--- a/tests/unit/forward/forward_fixture.cpp
+++ b/tests/unit/forward/forward_fixture.cpp
@@ -158,10 +158,6 @@
             const std::lock_guard lock(this->mutex);
             return this->table;
         },
-        []
-        {
-            return std::size_t(1);
-        },
         [](const load_report&) {},
         ignore,
         ignore,
@@ -229,6 +225,12 @@
     on_decision(result);
 }
 
+void fake_quota_port::count_request(std::string service)
+{
+    const std::lock_guard lock(this->mutex);
+    this->counted_services.push_back(std::move(service));
+}
+
 void fake_quota_port::refund(std::string, double amount)
 {
     const std::lock_guard lock(this->mutex);
--- a/tests/unit/forward/forward_fixture.hpp
+++ b/tests/unit/forward/forward_fixture.hpp
@@ -29,11 +29,13 @@
 {
 public:
     void draw(quota_request request, handler on_decision) override;
+    void count_request(std::string service) override;
     void refund(std::string organisation, double amount) override;
 
     std::mutex mutex;
     quota_decision decision{0, true, {}, {}};
     std::vector<quota_request> recorded_requests;
+    std::vector<std::string> counted_services; ///< of each request
     double returned_amount = 0;
 };
 
--- a/tests/unit/quota/quota_fleet.cpp
+++ b/tests/unit/quota/quota_fleet.cpp
@@ -30,8 +30,15 @@
         this->flush(i);
 }
 
+std::string quota_fleet::account() const
+{
+    return this->settings.retries ? retry_account("s") : organisation_name;
+}
+
 global_limits quota_fleet::limits() const
 {
+    if (this->settings.retries)
+        return {{this->account(), limit_of_retries(*this->settings.retries)}};
     deployment configuration;
     organisation entry;
     entry.name = organisation_name;
@@ -112,12 +119,28 @@
     double amount,
     duration max_wait,
     std::vector<double> weights)
+{
+    this->repeat_randomly(
+        length,
+        tokens_per_second / amount,
+        std::move(weights),
+        [this, amount, max_wait](std::size_t router)
+        {
+            this->handle_request(amount, max_wait, router);
+        });
+}
+
+void quota_fleet::repeat_randomly(
+    duration length,
+    double per_second,
+    std::vector<double> weights,
+    const std::function<void(std::size_t router)>& action)
 {
     if (weights.empty())
         weights.assign(this->routers.size(), 1.0);
     std::discrete_distribution<std::size_t> place(
         weights.begin(), weights.end());
-    std::exponential_distribution<double> pause(tokens_per_second / amount);
+    std::exponential_distribution<double> pause(per_second);
     const instant end = this->time + length;
     const auto next = [&]
     {
@@ -129,14 +152,20 @@
         const std::size_t router = place(this->random);
         this->schedule(
             when,
-            [this, amount, max_wait, router]
+            [action, router]
             {
-                this->handle_request(amount, max_wait, router);
+                action(router);
             });
     }
     this->run_until(end);
 }
 
+bool quota_fleet::happens(double probability)
+{
+    std::uniform_real_distribution<double> chance(0, 1);
+    return chance(this->random) < probability;
+}
+
 void quota_fleet::handle_request(
     double amount, duration max_wait, std::size_t number)
 {
@@ -145,13 +174,18 @@
     this->ideal_refilled_at = this->time;
     if (this->ideal_bucket.take(amount, duration::zero(), this->settings.limit))
         this->ideal_served += amount;
+    this->draw(number, amount, max_wait);
+}
+
+void quota_fleet::draw(std::size_t number, double amount, duration max_wait)
+{
     this->schedule_on(
         number,
         this->time,
         [this, number, amount, max_wait]
         {
             const std::uint64_t id = this->routers[number].client->draw(
-                organisation_name, amount, max_wait, this->time);
+                this->account(), amount, max_wait, this->time);
             this->open_draws[id] = amount;
             this->flush(number);
         });
@@ -240,9 +274,8 @@
     ++this->messages_sent;
     if (!this->reaches(from, to))
         return;
-    std::uniform_real_distribution<double> chance(0, 1);
-    int copies = chance(this->random) < this->settings.loss ? 0 : 1;
-    copies += chance(this->random) < this->settings.duplicate ? 1 : 0;
+    int copies = this->happens(this->settings.loss) ? 0 : 1;
+    copies += this->happens(this->settings.duplicate) ? 1 : 0;
     std::uniform_int_distribution<duration::rep> delay(
         this->settings.shortest_delay.count(),
         this->settings.longest_delay.count());
@@ -259,6 +292,12 @@
     this->flush(number);
 }
 
+void quota_fleet::restart_without_list(std::size_t number)
+{
+    this->start(this->routers[number]);
+    this->flush(number);
+}
+
 void quota_fleet::freeze(std::size_t number, duration length)
 {
     this->routers[number].frozen_until = this->time + length;
--- a/tests/unit/quota/quota_fleet.hpp
+++ b/tests/unit/quota/quota_fleet.hpp
@@ -2,10 +2,12 @@
 
 #include "core/quota/quota_accountant.hpp"
 #include "core/quota/quota_client.hpp"
+#include "core/quota/retry_limits.hpp"
 
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <string>
@@ -19,7 +21,7 @@
 
 using namespace std::chrono_literals;
 
-/** Simulates many routers that enforce one organisation's limit. The simulated
+/** Simulates many routers that enforce the limit of one account. The simulated
     network loses, delays, duplicates and reorders messages. It runs in virtual
     time, and one seed determines the whole run. */
 class quota_fleet
@@ -30,7 +32,9 @@
         std::size_t routers = 300;
         /// The first routers; only they may be accountants.
         std::size_t accountant_candidates = 6;
-        usage_limit limit{29'000, 29'000};
+        usage_limit limit{29'000, 29'000}; ///< of an organisation
+        /// Limits the retries of a service instead of an organisation.
+        std::optional<retry_allowance> retries;
         double slack = 110'000;
         quota_mode mode = quota_mode::accountant;
         double loss = 0;      ///< probability per message
@@ -64,6 +68,9 @@
     /// Restarts a router, which loses its state.
     void restart(std::size_t router);
 
+    /// Restarts a router that can't read the list of routers any more.
+    void restart_without_list(std::size_t router);
+
     /// Suspends a router for a time.
     void freeze(std::size_t router, duration length);
 
@@ -98,6 +105,43 @@
         return this->time;
     }
 
+    std::size_t size() const
+    {
+        return this->routers.size();
+    }
+
+protected:
+    /// Tokens that were used at a time.
+    struct use
+    {
+        instant when;
+        double amount;
+    };
+
+    /// Calls an action at random times, as a Poisson process, and advances the
+    /// time to the end. The routers are as likely as their weights say.
+    void repeat_randomly(
+        duration length,
+        double per_second,
+        std::vector<double> weights,
+        const std::function<void(std::size_t router)>& action);
+    /// Schedules an action on a router. It is delayed while the router is
+    /// suspended, and dropped when the router was restarted.
+    void
+    schedule_on(std::size_t router, instant when, std::function<void()> action);
+    /// Draws on a router, and uses the tokens as soon as it may.
+    void draw(std::size_t router, double amount, duration max_wait);
+    quota_client& client_of(std::size_t router)
+    {
+        return *this->routers[router].client;
+    }
+    const std::vector<use>& recorded_uses() const
+    {
+        return this->uses;
+    }
+    /// @return Whether something happens with this probability.
+    bool happens(double probability);
+
 private:
     struct router
     {
@@ -122,19 +166,9 @@
         }
     };
 
-    struct use
-    {
-        instant when;
-        double amount;
-    };
-
     void start(router& target);
     void set_routers(router& target);
     void schedule(instant when, std::function<void()> action);
-    /// Schedules an action on a router. It is delayed while the router is
-    /// suspended, and dropped when the router was restarted.
-    void
-    schedule_on(std::size_t router, instant when, std::function<void()> action);
     void run_until(instant when);
     void flush(std::size_t router);
     void schedule_tick(std::size_t router);
@@ -145,6 +179,7 @@
     void handle_request(double amount, duration max_wait, std::size_t router);
     std::size_t index_of(const std::string& name) const;
     global_limits limits() const;
+    std::string account() const;
 
     options settings;
     instant time = instant(1000s);
