--- a/src/core/placement/controller_steps.cpp
+++ b/src/core/placement/controller_steps.cpp
@@ -119,7 +119,7 @@
 std::set<engine_id> controller::impl::urgent_engines(instant now) const
 {
     std::set<engine_id> urgent = this->orders.urgent();
-    urgent.merge(this->proposals.wanted_reads(now));
+    urgent.merge(this->proposals.requested_reports(now));
     for (const std::set<engine_id>* more :
          {&this->grants.urgent(),
           &this->keeper.urgent(),
--- a/src/core/placement/grant_keeper_loads.cpp
+++ b/src/core/placement/grant_keeper_loads.cpp
@@ -86,7 +86,7 @@
         {
             const std::optional<priority> urgency =
                 model.engine == engine.id
-                    ? this->proposals.wanted_as(model.servable)
+                    ? this->proposals.demand_priority(model.servable)
                     : std::nullopt;
             // A record that gives it free may be in the log already.
             if (!urgency || model.held != engine.held ||
--- a/src/core/placement/grant_keeper_records.cpp
+++ b/src/core/placement/grant_keeper_records.cpp
@@ -162,7 +162,7 @@
         context.state.servable(model.servable);
     return !servable || servable->current != model.servable_revision ||
            !this->proposals.usable(engine) ||
-           this->proposals.wanted(model.servable);
+           this->proposals.is_demanded(model.servable);
 }
 
 bool grant_keeper::has_room(const engine_view& engine) const
@@ -333,9 +333,10 @@
             const bool fits = item.readable && !item.is_adapter &&
                               item.memory_mib <= grant.memory_mib &&
                               item.accelerators <= engine.spec->accelerators;
-            const bool cold =
-                item.max_replicas != 0 && item.min_replicas == 0 &&
-                !taken.contains(item.id) && !this->proposals.wanted(item.id);
+            const bool cold = item.max_replicas != 0 &&
+                              item.min_replicas == 0 &&
+                              !taken.contains(item.id) &&
+                              !this->proposals.is_demanded(item.id);
             if (fits && cold &&
                 granted[item.id.value % granted.size()] == engine.id)
             {
--- a/src/core/placement/idle_watch.cpp
+++ b/src/core/placement/idle_watch.cpp
@@ -143,7 +143,7 @@
     const servable_view& servable,
     const replica_view& replica) const
 {
-    if (this->demand.wanted(servable.id) ||
+    if (this->demand.is_demanded(servable.id) ||
         this->preloads.expected(context.state, servable.id, context.now))
     {
         return false;
--- a/src/core/placement/proposer.cpp
+++ b/src/core/placement/proposer.cpp
@@ -1,7 +1,6 @@
 #include "core/placement/proposer.hpp"
 
 #include <algorithm>
-#include <variant>
 
 namespace roseworks::detail
 {
@@ -9,22 +8,23 @@
 namespace
 {
 
-constexpr duration first_retry = std::chrono::milliseconds(100);
-constexpr duration longest_retry = std::chrono::seconds(5);
-/// While nothing has room, room is looked for so often.
-constexpr duration room_retry = std::chrono::milliseconds(500);
-/// The same while a fresh report of an engine is on its way.
-constexpr duration report_retry = std::chrono::milliseconds(100);
-/// A report that didn't come is asked for again after so long.
-constexpr duration report_memory = std::chrono::seconds(10);
-/// After a failed load, the engine is the last choice for so long.
+/// Interval between attempts to place a servable while no engine has room.
+constexpr duration room_retry_interval = std::chrono::milliseconds(500);
+
+/// The same while a report of an engine is expected, which may show room.
+constexpr duration report_retry_interval = std::chrono::milliseconds(100);
+
+/// A report that didn't arrive is requested again after this time.
+constexpr duration report_request_memory = std::chrono::seconds(10);
+
+/// After a failed load, the engine is chosen last for this time.
 constexpr duration failure_memory = std::chrono::seconds(30);
-/// What is known of a servable that nobody wants is kept for so long.
-constexpr duration track_memory = std::chrono::minutes(1);
-/// A further replica is added to busy ones at most so often.
+
+/// The progress of a servable without demand is kept for this time.
+constexpr duration progress_memory = std::chrono::minutes(1);
+
+/// Shortest interval between replicas that are added beyond the minimum.
 constexpr duration scale_up_interval = std::chrono::seconds(2);
-/// Reports older than this say nothing about an engine being reachable.
-constexpr duration report_life = std::chrono::seconds(30);
 
 } // namespace
 
@@ -46,49 +46,38 @@
 {
 }
 
-void proposer::demanded(const servable_demand& what, instant now)
+void proposer::demanded(const servable_demand& reported, instant now)
 {
-    servable_track& track = this->tracks[what.servable];
-    if (what.waiting == 0)
+    this->demands.update(reported, now);
+    if (reported.waiting == 0)
     {
-        track.demands.erase(what.from);
         return;
     }
-    track.demands[what.from] = {what.waiting, what.urgency, now};
-    if (!track.wanted_since)
+    placement_progress& progress =
+        this->progress_by_servable[reported.servable];
+    if (!progress.short_since)
     {
-        track.wanted_since = now;
+        progress.short_since = now;
     }
 }
 
-bool proposer::wanted(servable_id id) const
+bool proposer::is_demanded(servable_id id) const
 {
-    const auto track = this->tracks.find(id);
-    return track != this->tracks.end() && !track->second.demands.empty();
+    return this->demands.contains(id);
 }
 
-std::optional<priority> proposer::wanted_as(servable_id id) const
+std::optional<priority> proposer::demand_priority(servable_id id) const
 {
-    if (!this->wanted(id))
+    if (!this->is_demanded(id))
     {
         return {};
     }
-    return sum(this->tracks.at(id)).urgency;
+    return this->demands.total_of(id).urgency;
 }
 
 std::vector<servable_demand> proposer::own_demands() const
 {
-    std::vector<servable_demand> own;
-    for (const auto& [id, track] : this->tracks)
-    {
-        const auto place = track.demands.find(session_id{});
-        if (place != track.demands.end())
-        {
-            const demand& item = place->second;
-            own.push_back({id, item.urgency, item.waiting, session_id{}});
-        }
-    }
-    return own;
+    return this->demands.own_demands();
 }
 
 bool proposer::usable(const engine_view& engine) const
@@ -97,158 +86,80 @@
            !engine.spec->draining && !this->vms.leaving(engine.spec->vm);
 }
 
-void proposer::folded(const control_context& context, const fold_event& event)
-{
-    for (const state_change& change : event.changes)
-    {
-        if (change.what == state_change::kind::entity_put ||
-            change.what == state_change::kind::entity_removed)
-        {
-            this->catalogue_changed = true;
-        }
-        if (change.what != state_change::kind::replica_moved)
-        {
-            continue;
-        }
-        const std::optional<replica_view> replica =
-            context.state.replica(change.replica);
-        if (!replica)
-        {
-            this->evictions.erase(change.replica);
-            continue;
-        }
-        servable_track& track = this->tracks[replica->servable];
-        track.moved = context.now;
-        if (change.to == replica_state::failed)
-        {
-            track.failures[replica->engine] = context.now;
-        }
-    }
-    this->note_freed(context, event);
-    if (!event.handed_out)
-    {
-        return;
-    }
-    if (event.result.status != fold_status::accepted)
-    {
-        std::erase_if(
-            this->evictions,
-            [&](const auto& item)
-            {
-                return item.second == event.value.id.sequence;
-            });
-    }
-    if (const auto* decide = std::get_if<replica_decide>(&event.value.payload))
-    {
-        servable_track& track = this->tracks[decide->servable];
-        track.pending.erase(event.value.id.sequence);
-        if (event.result.status == fold_status::accepted)
-        {
-            track.retry = {};
-            return;
-        }
-        track.retry = std::clamp(track.retry * 2, first_retry, longest_retry);
-        track.not_before = context.now + track.retry;
-    }
-}
-
-/// A granted model that was given free no longer closes other engines to it.
-void proposer::note_freed(
-    const control_context& context, const fold_event& event)
-{
-    const auto* settled = std::get_if<grant_settle>(&event.value.payload);
-    const bool freed = settled != nullptr && !settled->used &&
-                       event.result.status == fold_status::accepted;
-    if (!freed)
-    {
-        return;
-    }
-    for (auto& [id, track] : this->tracks)
-    {
-        if (!track.demands.empty() && track.retry <= first_retry)
-        {
-            track.not_before = std::min(track.not_before, context.now);
-        }
-    }
-}
-
 void proposer::expire(instant now)
 {
     std::erase_if(
-        this->asked_reports,
+        this->report_requests,
         [&](const auto& item)
         {
-            return now >= item.second + report_memory;
+            return now >= item.second + report_request_memory;
         });
-    for (auto& [id, track] : this->tracks)
+    this->demands.expire(now, this->settings.demand_hold);
+    for (auto& [id, progress] : this->progress_by_servable)
     {
         std::erase_if(
-            track.demands,
-            [&](const auto& item)
-            {
-                return now >= item.second.heard + this->settings.demand_hold;
-            });
-        std::erase_if(
-            track.failures,
+            progress.failed_loads,
             [&](const auto& item)
             {
                 return now >= item.second + failure_memory;
             });
-        if (track.demands.empty() && !this->kept_ready.contains(id))
+        if (!this->is_demanded(id) && !this->with_minimum.contains(id))
         {
-            track.wanted_since.reset();
+            progress.short_since.reset();
         }
     }
     // Most servables of a fleet are idle: nothing is kept of those.
     std::erase_if(
-        this->tracks,
+        this->progress_by_servable,
         [&](const auto& item)
         {
-            const servable_track& track = item.second;
-            return track.demands.empty() && track.pending.empty() &&
-                   track.failures.empty() && !track.wanted_since &&
-                   now >= track.moved + track_memory && now >= track.not_before;
+            const placement_progress& progress = item.second;
+            return !this->is_demanded(item.first) && progress.pending.empty() &&
+                   progress.failed_loads.empty() && !progress.short_since &&
+                   now >= progress.last_change + progress_memory &&
+                   now >= progress.next_attempt;
         });
 }
 
-void proposer::list_declared(const fleet_state& state)
+void proposer::update_minimums(const fleet_state& state)
 {
-    this->kept_ready.clear();
+    this->with_minimum.clear();
     this->catalogue_changed = false;
     state.for_each_servable(
         [&](const servable_view& servable)
         {
             if (servable.min_replicas != 0)
             {
-                this->kept_ready.insert(servable.id);
+                this->with_minimum.insert(servable.id);
             }
         });
 }
 
-std::vector<servable_view> proposer::list_wishes(const fleet_state& state)
+std::vector<servable_view> proposer::list_servables(const fleet_state& state)
 {
     if (this->catalogue_changed)
     {
-        this->list_declared(state);
+        this->update_minimums(state);
     }
-    std::set<servable_id> ids = this->kept_ready;
-    for (const auto& [id, track] : this->tracks)
-    {
-        if (!track.demands.empty())
-        {
-            ids.insert(id);
-        }
-    }
-    std::vector<servable_view> wishes;
+    std::set<servable_id> ids = this->demands.servables();
+    ids.insert(this->with_minimum.begin(), this->with_minimum.end());
+    std::vector<servable_view> all;
     for (const servable_id id : ids)
     {
         const std::optional<servable_view> servable = state.servable(id);
         if (servable)
         {
-            wishes.push_back(*servable);
+            all.push_back(*servable);
         }
     }
-    return wishes;
+    std::ranges::stable_sort(
+        all,
+        {},
+        [&](const servable_view& servable)
+        {
+            return this->demands.total_of(servable.id).urgency;
+        });
+    return all;
 }
 
 void proposer::step(const control_context& context)
@@ -258,142 +169,138 @@
     {
         return;
     }
-    std::vector<servable_view> wishes = this->list_wishes(context.state);
-    std::stable_sort(
-        wishes.begin(),
-        wishes.end(),
-        [&](const servable_view& one, const servable_view& other)
-        {
-            return sum(this->tracks[one.id]).urgency <
-                   sum(this->tracks[other.id]).urgency;
-        });
-    for (const servable_view& servable : wishes)
+    for (const servable_view& servable : this->list_servables(context.state))
     {
         this->step_servable(context, servable);
     }
     this->step_preloads(context);
 }
 
-proposer::wish proposer::sum(const servable_track& track)
-{
-    wish total;
-    for (const auto& [from, item] : track.demands)
-    {
-        total.waiting += item.waiting;
-        total.urgency = std::min(total.urgency, item.urgency);
-    }
-    return total;
-}
-
-proposer::census proposer::count(
+proposer::replica_counts proposer::count_replicas(
     const control_context& context, const servable_view& servable) const
 {
-    census have;
+    replica_counts counts;
     context.state.for_each_replica_of(
         servable.id,
         [&](const replica_view& replica)
         {
-            ++have.held;
+            ++counts.existing;
             const std::optional<engine_view> engine =
                 context.state.engine(replica.engine);
-            const bool moves_on = replica.state == replica_state::decided ||
-                                  replica.state == replica_state::loading ||
-                                  replica.state == replica_state::ready;
-            if (!moves_on || !engine || !this->usable(*engine))
+            const bool will_be_ready =
+                replica.state == replica_state::decided ||
+                replica.state == replica_state::loading ||
+                replica.state == replica_state::ready;
+            if (!will_be_ready || !engine || !this->usable(*engine))
             {
                 return;
             }
-            ++have.useful;
-            have.ready += replica.state == replica_state::ready ? 1 : 0;
+            ++counts.useful;
+            counts.ready += replica.state == replica_state::ready ? 1 : 0;
         });
-    return have;
+    return counts;
 }
 
-std::size_t proposer::wanted_replicas(
-    const servable_view& servable, const wish& what, const census& have)
+std::size_t proposer::target_replicas(
+    const servable_view& servable,
+    const demand_table::total& demand,
+    const replica_counts& counts)
 {
-    std::size_t want = servable.min_replicas;
-    if (what.waiting != 0)
+    std::size_t target = servable.min_replicas;
+    if (demand.waiting != 0)
     {
         const std::size_t streams =
             std::max<std::size_t>(1, servable.max_streams);
-        const std::size_t for_waiting = (what.waiting + streams - 1) / streams;
-        want = std::max(want, for_waiting);
-        // Ready ones are full already, or nobody would wait for long.
-        const bool crowded =
-            have.ready == have.useful && have.ready != 0 &&
-            std::size_t(what.waiting) * 2 > have.ready * streams;
-        if (crowded)
+        const std::size_t for_waiting =
+            (demand.waiting + streams - 1) / streams;
+        target = std::max(target, for_waiting);
+        // The ready replicas are busy, or no request would wait for long.
+        const bool is_overloaded =
+            counts.all_ready() &&
+            std::size_t(demand.waiting) * 2 > counts.ready * streams;
+        if (is_overloaded)
         {
-            want = std::max(want, have.useful + 1);
+            target = std::max(target, counts.useful + 1);
         }
     }
-    return std::min<std::size_t>(want, servable.max_replicas);
+    return std::min<std::size_t>(target, servable.max_replicas);
+}
+
+instant proposer::proposal_due(
+    const servable_view& servable,
+    const placement_progress& progress,
+    const replica_counts& counts,
+    std::size_t rank) const
+{
+    const bool adds_to_minimum =
+        counts.all_ready() &&
+        counts.useful + progress.pending.size() >= servable.min_replicas;
+    const duration pause = adds_to_minimum ? scale_up_interval : duration{};
+    const instant due =
+        std::max(*progress.short_since, progress.last_change + pause);
+    // The next router in rank proposes when those before it don't.
+    return due +
+           this->settings.proposer_timeout * static_cast<duration::rep>(rank);
 }
 
 void proposer::step_servable(
     const control_context& context, const servable_view& servable)
 {
-    servable_track& track = this->tracks[servable.id];
-    const wish total = sum(track);
+    placement_progress& progress = this->progress_by_servable[servable.id];
+    const demand_table::total demand = this->demands.total_of(servable.id);
     const std::size_t rank =
         context.rank(rendezvous_domain::proposer, servable.id.value);
     if (rank != 0)
     {
-        this->forward(context, servable.id, track);
+        this->forward_own_demand(context, servable.id, progress);
     }
-    if (!servable.readable || context.now < track.not_before ||
+    if (!servable.readable || context.now < progress.next_attempt ||
         context.now < this->load_streaks.not_before(servable.id))
     {
         return;
     }
-    const census have = this->count(context, servable);
-    const std::size_t want = wanted_replicas(servable, total, have);
-    std::size_t useful = have.useful + track.pending.size();
-    std::size_t held = have.held + track.pending.size();
-    if (useful >= want)
+    const replica_counts counts = this->count_replicas(context, servable);
+    const std::size_t target = target_replicas(servable, demand, counts);
+    std::size_t useful = counts.useful + progress.pending.size();
+    std::size_t existing = counts.existing + progress.pending.size();
+    if (useful >= target)
     {
-        if (total.waiting == 0)
+        if (demand.waiting == 0)
         {
-            track.wanted_since.reset();
+            progress.short_since.reset();
         }
         return;
     }
-    if (!track.wanted_since)
+    if (!progress.short_since)
     {
-        track.wanted_since = context.now;
+        progress.short_since = context.now;
     }
-    const bool only_crowded = have.ready != 0 && have.ready == have.useful &&
-                              useful >= servable.min_replicas;
-    const instant due = std::max(
-        *track.wanted_since,
-        track.moved + (only_crowded ? scale_up_interval : duration{}));
-    // The next in line steps in when the one before it lets nothing move.
-    const duration turn =
-        this->settings.proposer_timeout * static_cast<duration::rep>(rank);
-    if (context.now < due + turn)
+    if (context.now < this->proposal_due(servable, progress, counts, rank))
     {
         return;
     }
-    while (useful < want && held < servable.max_replicas)
+    while (useful < target && existing < servable.max_replicas)
     {
-        const std::size_t before = track.pending.size();
-        this->propose(context, servable, track, total.urgency);
-        if (track.pending.size() == before)
+        const std::size_t before = progress.pending.size();
+        this->propose(context, servable, progress, demand.urgency);
+        if (progress.pending.size() == before)
         {
             return;
         }
         ++useful;
-        ++held;
+        ++existing;
     }
 }
 
-void proposer::forward(
-    const control_context& context, servable_id id, servable_track& track)
+void proposer::forward_own_demand(
+    const control_context& context,
+    servable_id id,
+    placement_progress& progress)
 {
-    const auto own = track.demands.find(session_id{});
-    if (own == track.demands.end() ||
-        context.now < track.forwarded + this->settings.demand_hold / 2)
+    const std::optional<servable_demand> own = this->demands.own_demand(id);
+    const instant due =
+        progress.demand_forwarded_at + this->settings.demand_hold / 2;
+    if (!own || context.now < due)
     {
         return;
     }
@@ -404,13 +311,11 @@
     {
         return;
     }
-    track.forwarded = context.now;
+    progress.demand_forwarded_at = context.now;
     forward_demand message;
     message.to = to;
     message.peer_address = std::string(session->peer_address);
-    message.what.servable = id;
-    message.what.urgency = own->second.urgency;
-    message.what.waiting = own->second.waiting;
+    message.what = *own;
     message.what.from = context.self;
     context.out.emplace_back(std::move(message));
 }
@@ -418,11 +323,11 @@
 void proposer::propose(
     const control_context& context,
     const servable_view& servable,
-    servable_track& track,
+    placement_progress& progress,
     priority urgency)
 {
     const std::optional<place> found =
-        this->choose_engine(context, servable, track, true);
+        this->choose_engine(context, servable, progress, true);
     if (found)
     {
         const std::optional<engine_view> engine =
@@ -430,18 +335,18 @@
         this->decide(context, servable, *engine, found->base, urgency);
         return;
     }
-    track.not_before = context.now + room_retry;
+    progress.next_attempt = context.now + room_retry_interval;
     const bool has_place =
-        this->choose_engine(context, servable, track, false).has_value();
+        this->choose_engine(context, servable, progress, false).has_value();
     if (servable.is_adapter && !has_place)
     {
-        this->want_base(context, servable, urgency);
+        this->demand_base(context, servable, urgency);
         return;
     }
     if (has_place && !this->make_room(context, servable) &&
-        !this->wanted_reads(context.now).empty())
+        !this->requested_reports(context.now).empty())
     {
-        track.not_before = context.now + report_retry;
+        progress.next_attempt = context.now + report_retry_interval;
     }
 }
 
@@ -461,11 +366,11 @@
     record.session = context.self;
     record.urgency = urgency;
     const std::uint64_t sequence = context.submit(record);
-    this->tracks[servable.id].pending[sequence] = {
+    this->progress_by_servable[servable.id].pending[sequence] = {
         engine.id, servable.memory_mib};
 }
 
-void proposer::want_base(
+void proposer::demand_base(
     const control_context& context,
     const servable_view& adapter,
     priority urgency)
@@ -480,11 +385,11 @@
 instant proposer::next_tick() const
 {
     instant next = instant::max();
-    for (const auto& [id, track] : this->tracks)
+    for (const auto& [id, progress] : this->progress_by_servable)
     {
-        if (!track.demands.empty())
+        if (this->is_demanded(id))
         {
-            next = std::min(next, track.not_before);
+            next = std::min(next, progress.next_attempt);
         }
     }
     return next;
--- a/src/core/placement/proposer.hpp
+++ b/src/core/placement/proposer.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/placement/activity.hpp"
+#include "core/placement/demand_table.hpp"
 #include "core/placement/engine_reports.hpp"
 #include "core/placement/load_failures.hpp"
 #include "core/placement/placement_policy.hpp"
@@ -42,22 +43,22 @@
         const engine_reports& reports,
         const load_failures& load_streaks);
 
-    /// A servable is wanted, here or (as heard) at another router.
-    void demanded(const servable_demand& what, instant now);
+    /// Records that requests wait for a servable, at this router or another.
+    void demanded(const servable_demand& reported, instant now);
 
-    /// A record was folded.
+    /// Applies the state changes of a record.
     void folded(const control_context& context, const fold_event& event);
 
-    /// Forward demand, propose replicas and make room for them; then load
-    /// ahead what is expected, where nobody waits for it.
+    /// Forwards demand, proposes replicas and makes room for them; then
+    /// preloads what is expected and not demanded yet.
     void step(const control_context& context);
 
-    /// @return Whether the servable is wanted now, as far as is known here.
-    bool wanted(servable_id id) const;
+    /// @return Whether requests are known to wait for the servable.
+    bool is_demanded(servable_id id) const;
 
-    /// @return The best class that waits for the servable, here or (as heard)
-    ///         elsewhere; empty when nobody does.
-    std::optional<priority> wanted_as(servable_id id) const;
+    /// @return The priority of the most urgent request that is known to wait
+    ///         for the servable; empty if none is.
+    std::optional<priority> demand_priority(servable_id id) const;
 
     /// @return Servables that requests of this router wait for.
     std::vector<servable_demand> own_demands() const;
@@ -65,69 +66,84 @@
     /// @return Whether a new replica may be decided on the engine.
     bool usable(const engine_view& engine) const;
 
-    /// @return Engines that are to be read at once: room on them is wanted.
-    std::set<engine_id> wanted_reads(instant now) const;
+    /// @return Engines whose reports are needed at once, to make room there.
+    std::set<engine_id> requested_reports(instant now) const;
 
     instant next_tick() const;
 
 private:
-    struct demand
-    {
-        std::uint32_t waiting = 0;
-        priority urgency = priority::normal;
-        instant heard{};
-    };
-
     struct pending_decide
     {
         engine_id engine;
         std::uint32_t memory_mib = 0;
     };
 
-    struct servable_track
+    /// Progress of one servable towards the replicas that it should have.
+    struct placement_progress
     {
-        std::map<session_id, demand> demands; ///< by who wants it
-        std::optional<instant> wanted_since;
-        instant moved{}; ///< a replica of it was decided or moved on
-        instant forwarded{};
-        instant not_before{};
-        duration retry{};
+        /// Since when it has had too few replicas.
+        std::optional<instant> short_since;
+        instant last_change{}; ///< of a replica's state
+        instant demand_forwarded_at{};
+        instant next_attempt{};
+        duration retry_interval{};
+        /// Submitted records that aren't folded yet, by sequence number.
         std::map<std::uint64_t, pending_decide> pending;
-        /// Engines on which a load failed lately.
-        std::map<engine_id, instant> failures;
+        /// When a load failed last, by engine.
+        std::map<engine_id, instant> failed_loads;
     };
 
-    /// Replicas of a servable as they count for the wish.
-    struct census
+    /// Numbers of a servable's replicas.
+    struct replica_counts
     {
-        std::size_t held = 0;   ///< not proven gone
-        std::size_t useful = 0; ///< ready or on their way, on a usable engine
+        std::size_t existing = 0; ///< not proven gone
+        std::size_t useful = 0;   ///< ready or going to be, on a usable engine
         std::size_t ready = 0;
-    };
 
-    struct wish
-    {
-        std::uint32_t waiting = 0;
-        priority urgency = priority::batch;
+        /// @return Whether no further replica is about to become ready.
+        bool all_ready() const
+        {
+            return this->ready != 0 && this->ready == this->useful;
+        }
     };
 
-    void note_freed(const control_context& context, const fold_event& event);
+    void apply_change(const control_context& context, const state_change& one);
+    /// Applies the result of a decision of this proposer.
+    void apply_decision(
+        const control_context& context,
+        const replica_decide& decision,
+        const fold_event& event);
+    /// Retries at once when a granted model was returned unused: its memory is
+    /// free again.
+    void retry_after_unused_grant(
+        const control_context& context, const fold_event& event);
     void expire(instant now);
-    void list_declared(const fleet_state& state);
-    std::vector<servable_view> list_wishes(const fleet_state& state);
+    void update_minimums(const fleet_state& state);
+    /// @return The servables that are demanded or have a minimum of replicas,
+    ///         the most urgent first.
+    std::vector<servable_view> list_servables(const fleet_state& state);
     void step_servable(
         const control_context& context, const servable_view& servable);
-    census
-    count(const control_context& context, const servable_view& servable) const;
-    static wish sum(const servable_track& track);
-    static std::size_t wanted_replicas(
-        const servable_view& servable, const wish& what, const census& have);
-    void forward(
-        const control_context& context, servable_id id, servable_track& track);
+    replica_counts count_replicas(
+        const control_context& context, const servable_view& servable) const;
+    static std::size_t target_replicas(
+        const servable_view& servable,
+        const demand_table::total& demand,
+        const replica_counts& counts);
+    /// @return When this router may propose further replicas.
+    instant proposal_due(
+        const servable_view& servable,
+        const placement_progress& progress,
+        const replica_counts& counts,
+        std::size_t rank) const;
+    void forward_own_demand(
+        const control_context& context,
+        servable_id id,
+        placement_progress& progress);
     void propose(
         const control_context& context,
         const servable_view& servable,
-        servable_track& track,
+        placement_progress& progress,
         priority urgency);
     void decide(
         const control_context& context,
@@ -135,7 +151,8 @@
         const engine_view& engine,
         replica_id base,
         priority urgency);
-    void want_base(
+    /// Demands the base model of an adapter.
+    void demand_base(
         const control_context& context,
         const servable_view& adapter,
         priority urgency);
@@ -149,13 +166,13 @@
     std::optional<place> choose_engine(
         const control_context& context,
         const servable_view& servable,
-        const servable_track& track,
+        const placement_progress& progress,
         bool needs_room) const;
     std::optional<replica_id> ready_base(
         const control_context& context,
         const servable_view& servable,
         const engine_view& engine) const;
-    bool store_at_leisure(const control_context& context) const;
+    bool may_preload_from_store(const control_context& context) const;
     static bool has_ready(const control_context& context, servable_id id);
     void step_preloads(const control_context& context);
     void preload(
@@ -170,7 +187,7 @@
     bool
     make_room(const control_context& context, const servable_view& servable);
     bool has_fresh_report(engine_id engine, instant now) const;
-    bool ask_report(engine_id engine, instant now);
+    bool request_report(engine_id engine, instant now);
     struct eviction_plan;
     eviction_plan plan_eviction(
         const control_context& context,
@@ -186,14 +203,15 @@
     const vm_watch& vms;
     const engine_reports& reports;
     const load_failures& load_streaks;
-    std::map<servable_id, servable_track> tracks;
+    demand_table demands;
+    std::map<servable_id, placement_progress> progress_by_servable;
     bool catalogue_changed = true;
     instant next_preloads{};
-    std::set<servable_id> kept_ready; ///< declared with a minimum
-    /// Evictions under way, by the replica that shall go.
+    std::set<servable_id> with_minimum; ///< declared with minimum replicas
+    /// Sequence numbers of the submitted evictions, by replica.
     std::map<replica_id, std::uint64_t> evictions;
     /// Engines whose reports an eviction waits for, and since when.
-    std::map<engine_id, instant> asked_reports;
+    std::map<engine_id, instant> report_requests;
 };
 
 } // namespace roseworks::detail
--- a/src/core/placement/proposer_place.cpp
+++ b/src/core/placement/proposer_place.cpp
@@ -29,9 +29,9 @@
 std::uint32_t proposer::pending_mib(engine_id engine) const
 {
     std::uint32_t total = 0;
-    for (const auto& [id, track] : this->tracks)
+    for (const auto& [id, progress] : this->progress_by_servable)
     {
-        for (const auto& [sequence, item] : track.pending)
+        for (const auto& [sequence, item] : progress.pending)
         {
             total += item.engine == engine ? item.memory_mib : 0;
         }
@@ -82,7 +82,7 @@
 std::optional<proposer::place> proposer::choose_engine(
     const control_context& context,
     const servable_view& servable,
-    const servable_track& track,
+    const placement_progress& progress,
     bool needs_room) const
 {
     std::map<std::string_view, std::size_t> in_data_centre;
@@ -102,7 +102,7 @@
         {
             note(item.engine);
         });
-    for (const auto& [sequence, item] : track.pending)
+    for (const auto& [sequence, item] : progress.pending)
     {
         note(item.engine);
     }
@@ -133,7 +133,7 @@
             {
                 return;
             }
-            const bool avoided = track.failures.contains(engine.id) ||
+            const bool avoided = progress.failed_loads.contains(engine.id) ||
                                  this->unreachable(engine.id);
             const engine_score rank{
                 avoided,
--- a/src/core/placement/proposer_preload.cpp
+++ b/src/core/placement/proposer_preload.cpp
@@ -10,23 +10,23 @@
 namespace
 {
 
-/// Expected uses are looked at so often.
+/// Interval between checks of the expected uses.
 constexpr duration preload_interval = std::chrono::seconds(1);
 
 } // namespace
 
-/// Whether a load that nobody waits for may take a weight-store slot: none is
-/// waited for, by a replica or by a caller without one, and one stays free.
-bool proposer::store_at_leisure(const control_context& context) const
+/// @return Whether a preload may use a slot of the weight store: no replica and
+///         no request without a replica waits for one, and another stays free.
+bool proposer::may_preload_from_store(const control_context& context) const
 {
     const bool awaited = std::any_of(
-        this->tracks.begin(),
-        this->tracks.end(),
+        this->progress_by_servable.begin(),
+        this->progress_by_servable.end(),
         [&](const auto& item)
         {
-            const servable_track& track = item.second;
-            return !track.pending.empty() ||
-                   (!track.demands.empty() &&
+            const placement_progress& progress = item.second;
+            return !progress.pending.empty() ||
+                   (this->is_demanded(item.first) &&
                     !this->has_ready(context, item.first));
         });
     if (awaited)
@@ -68,7 +68,7 @@
     {
         const std::optional<servable_view> servable =
             context.state.servable(use.servable);
-        if (!servable || !this->store_at_leisure(context))
+        if (!servable || !this->may_preload_from_store(context))
         {
             continue;
         }
@@ -103,20 +103,21 @@
         this->preloads.settle(context.state, servable.id, context.now);
         return;
     }
-    const servable_track& track = this->tracks[servable.id];
+    const placement_progress& progress =
+        this->progress_by_servable[servable.id];
     const std::size_t rank =
         context.rank(rendezvous_domain::proposer, servable.id.value);
     const instant turn =
         preloader::due_since(context.state, use) +
         this->settings.proposer_timeout * static_cast<duration::rep>(rank);
     if (!servable.readable || servable.max_replicas == 0 ||
-        context.now < std::max(turn, track.not_before) ||
+        context.now < std::max(turn, progress.next_attempt) ||
         context.now < this->load_streaks.not_before(servable.id))
     {
         return;
     }
     const std::optional<place> found =
-        this->choose_engine(context, servable, track, true);
+        this->choose_engine(context, servable, progress, true);
     if (!found)
     {
         return;
--- a/src/core/placement/proposer_room.cpp
+++ b/src/core/placement/proposer_room.cpp
@@ -14,19 +14,22 @@
 namespace
 {
 
-/// Nothing is evicted by an older report, unless a fresh one doesn't come.
-constexpr duration fresh_report = std::chrono::seconds(10);
-/// A fresh report is waited for so long.
-constexpr duration report_patience = std::chrono::seconds(1);
-/// Engines asked at once where no report shows what could go.
-constexpr std::size_t most_asked = 4;
+/// An eviction needs a report that is no older, unless none arrives.
+constexpr duration max_report_age = std::chrono::seconds(10);
+
+/// An eviction waits this long for a report.
+constexpr duration report_timeout = std::chrono::seconds(1);
+
+/// Engines whose reports are requested at once if none is known to have
+/// replicas to evict.
+constexpr std::size_t max_report_requests = 4;
 
 } // namespace
 
-/// What making room on one engine takes.
+/// Evictions that make room for a replica on one engine.
 struct proposer::eviction_plan
 {
-    bool under_way = false; ///< room is already being made there
+    bool in_progress = false; ///< evictions already free enough memory
     victim_plan victims;
 };
 
@@ -34,7 +37,7 @@
     const control_context& context, const replica_view& replica) const
 {
     if (replica.state != replica_state::ready ||
-        this->wanted(replica.servable) ||
+        this->is_demanded(replica.servable) ||
         !this->uses.seen_by_engine(replica.id) ||
         this->uses.idle(replica, context.now) < this->settings.evict_grace)
     {
@@ -46,13 +49,14 @@
     {
         return true;
     }
-    std::size_t staying = 0;
+    std::size_t remaining = 0;
     context.state.for_each_replica_of(
         replica.servable,
         [&](const replica_view& other)
         {
-            const bool leaves = this->evictions.contains(other.id);
-            staying += other.state == replica_state::ready && !leaves ? 1 : 0;
+            const bool is_leaving = this->evictions.contains(other.id);
+            remaining +=
+                other.state == replica_state::ready && !is_leaving ? 1 : 0;
         });
     bool has_adapters = false;
     context.state.for_each_replica_on(
@@ -61,7 +65,7 @@
         {
             has_adapters = has_adapters || other.base == replica.id;
         });
-    return !has_adapters && staying > servable->min_replicas;
+    return !has_adapters && remaining > servable->min_replicas;
 }
 
 proposer::eviction_plan proposer::plan_eviction(
@@ -82,16 +86,16 @@
         engine.id,
         [&](const replica_view& replica)
         {
-            const bool leaves = replica.state == replica_state::draining ||
-                                replica.state == replica_state::unloading ||
-                                replica.state == replica_state::failed ||
-                                this->evictions.contains(replica.id);
-            if (leaves)
+            const bool is_leaving = replica.state == replica_state::draining ||
+                                    replica.state == replica_state::unloading ||
+                                    replica.state == replica_state::failed ||
+                                    this->evictions.contains(replica.id);
+            if (is_leaving)
             {
                 being_freed += replica.memory_mib;
                 return;
             }
-            // An adapter is never let in at the price of its own base.
+            // An adapter needs its base, so that isn't evicted for it.
             if (replica.servable == servable.base ||
                 !this->evictable(context, replica))
             {
@@ -109,7 +113,7 @@
         });
     if (being_freed >= to_free)
     {
-        plan.under_way = true;
+        plan.in_progress = true;
         return plan;
     }
     plan.victims = choose_victims(candidates, to_free - being_freed);
@@ -122,7 +126,7 @@
     std::optional<victim_plan> best;
     engine_id chosen_engine;
     std::vector<engine_id> unknown;
-    bool under_way = false;
+    bool in_progress = false;
     context.state.for_each_engine(
         [&](const engine_view& engine)
         {
@@ -138,7 +142,7 @@
                 return;
             }
             eviction_plan plan = this->plan_eviction(context, servable, engine);
-            under_way = under_way || plan.under_way;
+            in_progress = in_progress || plan.in_progress;
             const bool better = plan.victims.possible &&
                                 (!best || plan.victims.cheaper_than(*best));
             if (better)
@@ -147,13 +151,13 @@
                 chosen_engine = engine.id;
             }
             else if (
-                !best && unknown.size() < most_asked &&
+                !best && unknown.size() < max_report_requests &&
                 !this->has_fresh_report(engine.id, context.now))
             {
                 unknown.push_back(engine.id);
             }
         });
-    if (under_way)
+    if (in_progress)
     {
         return false;
     }
@@ -161,11 +165,11 @@
     {
         for (const engine_id engine : unknown)
         {
-            this->ask_report(engine, context.now);
+            this->request_report(engine, context.now);
         }
         return false;
     }
-    if (this->ask_report(chosen_engine, context.now))
+    if (this->request_report(chosen_engine, context.now))
     {
         return false;
     }
@@ -185,32 +189,34 @@
 bool proposer::has_fresh_report(engine_id engine, instant now) const
 {
     const engine_sighting* sighting = this->reports.find(engine);
-    return sighting != nullptr && now <= sighting->read + fresh_report;
+    return sighting != nullptr && now <= sighting->read + max_report_age;
 }
 
-/// @return Whether a fresh report of the engine is to be waited for.
-bool proposer::ask_report(engine_id engine, instant now)
+/// Requests a report of an engine unless a recent one is known.
+/// @return Whether the eviction has to wait for it.
+bool proposer::request_report(engine_id engine, instant now)
 {
     if (this->has_fresh_report(engine, now))
     {
         return false;
     }
-    const auto [asked, is_new] = this->asked_reports.try_emplace(engine, now);
-    return now < asked->second + report_patience;
+    const auto [request, is_new] =
+        this->report_requests.try_emplace(engine, now);
+    return now < request->second + report_timeout;
 }
 
-std::set<engine_id> proposer::wanted_reads(instant now) const
+std::set<engine_id> proposer::requested_reports(instant now) const
 {
-    std::set<engine_id> wanted;
-    for (const auto& [engine, asked] : this->asked_reports)
+    std::set<engine_id> requested;
+    for (const auto& [engine, requested_at] : this->report_requests)
     {
-        if (now < asked + report_patience &&
+        if (now < requested_at + report_timeout &&
             !this->has_fresh_report(engine, now))
         {
-            wanted.insert(engine);
+            requested.insert(engine);
         }
     }
-    return wanted;
+    return requested;
 }
 
 } // namespace roseworks::detail
