Limits: accounts are called accounts, and forward_call in two files

No change of behaviour. The field that named an organisation holds an account since servers' limits and services' retries have one too.

--- a/src/adapters/forward/forward_call.cpp
+++ b/src/adapters/forward/forward_call.cpp
@@ -1,9 +1,7 @@
 #include "adapters/forward/forward_call.hpp"
 
-#include "adapters/forward/quota_gate.hpp"
 #include "adapters/forward/rate_limit_header.hpp"
 #include "adapters/forward/response_head.hpp"
-#include "core/quota/retry_limits.hpp"
 #include "core/serving/servable_key.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -30,10 +28,6 @@
 /// counts as having waited.
 constexpr duration wait_threshold{std::chrono::milliseconds(20)};
 
-/// Retry-After of a request that may not be retried here. The caller's own
-/// retry is a new request.
-constexpr duration retry_after_denied_retry{std::chrono::milliseconds(200)};
-
 std::string_view to_string_view(beast::string_view text)
 {
     return {text.data(), text.size()};
@@ -156,11 +150,7 @@
         co_await this->run_attempts();
     }
     this->inbox->finish();
-    if (this->quota_reserved && !this->may_have_run)
-        this->context.ports.quotas.refund(
-            this->organisation.name, this->organisation.cost);
-    if (this->retry_reserved)
-        this->context.ports.quotas.refund(retry_account(this->service), 1);
+    this->return_unused();
     beast::error_code ignored;
     this->caller.stream.socket().cancel(ignored);
     this->report();
@@ -168,33 +158,6 @@
         this->request.keep_alive && !this->context.draining;
 }
 
-asio::awaitable<bool> forward_call::reserve_quota()
-{
-    if (!this->organisation.is_limited)
-        co_return true;
-    quota_request quota_needed;
-    quota_needed.organisation = this->organisation.name;
-    quota_needed.amount = this->organisation.cost;
-    quota_needed.longest_wait =
-        this->route.objective / this->context.settings.quota_wait_divisor;
-    quota_gate gate(this->context.ports.quotas, this->pool.executor);
-    const auto decision =
-        co_await gate.acquire(std::move(quota_needed), *this->inbox);
-    if (!decision)
-    {
-        co_await this->finish_interrupted();
-        co_return false;
-    }
-    this->quota_reserved = decision->is_allowed;
-    if (!decision->is_allowed)
-        co_await this->finish_without_response(
-            {true,
-             verdict::not_run,
-             refusal_reason::organisation_limit,
-             decision->retry_after});
-    co_return decision->is_allowed;
-}
-
 asio::awaitable<void> forward_call::finish_interrupted()
 {
     this->connection_usable = false;
@@ -232,38 +195,6 @@
     }
 }
 
-asio::awaitable<bool> forward_call::reserve_retry()
-{
-    if (this->sends == 0 || this->retry_reserved)
-        co_return true;
-    quota_request one_retry;
-    one_retry.organisation = retry_account(this->service);
-    one_retry.amount = 1;
-    quota_gate gate(this->context.ports.quotas, this->pool.executor);
-    const auto decision =
-        co_await gate.acquire(std::move(one_retry), *this->inbox);
-    if (!decision)
-    {
-        this->context.ports.dispatch.abandon(this->admission_ticket);
-        co_await this->finish_interrupted();
-        co_return false;
-    }
-    this->retry_reserved = decision->is_allowed;
-    if (this->retry_reserved)
-    {
-        this->context.metrics.retries.increment();
-        co_return true;
-    }
-    this->context.metrics.retries_denied.increment();
-    this->context.ports.dispatch.abandon(this->admission_ticket);
-    co_await this->finish_without_response(
-        {true,
-         this->may_have_run ? verdict::may_have_run : verdict::not_run,
-         refusal_reason::retries_exhausted,
-         retry_after_denied_retry});
-    co_return false;
-}
-
 bool forward_call::is_key_revoked(const serving_table& table) const
 {
     if (this->organisation.name.empty() || this->sends != 0)
--- a/src/adapters/forward/forward_call.hpp
+++ b/src/adapters/forward/forward_call.hpp
@@ -75,6 +75,8 @@
     /// the call if there is none.
     /// @return Whether the request may be sent.
     asio::awaitable<bool> reserve_retry();
+    /// Returns what was reserved for a request that wasn't sent.
+    void return_unused();
     /// @return Whether the caller's API key was revoked while the request
     ///         waited for its first attempt.
     bool is_key_revoked(const serving_table& table) const;
--- a/src/adapters/forward/quota_gate.cpp
+++ b/src/adapters/forward/quota_gate.cpp
@@ -57,7 +57,7 @@
                     pending->decision = outcome;
                     pending->timer.cancel();
                     if (pending->is_abandoned && outcome.is_allowed)
-                        port.refund(request.organisation, request.amount);
+                        port.refund(request.account, request.amount);
                 });
         });
     while (!pending->decision && !inbox.interrupted())
@@ -75,7 +75,7 @@
         co_return pending->decision;
     pending->is_abandoned = true;
     if (pending->decision && pending->decision->is_allowed)
-        this->limits.refund(request.organisation, request.amount);
+        this->limits.refund(request.account, request.amount);
     co_return std::nullopt;
 }
 
--- a/src/app/gateway/gateway_app.cpp
+++ b/src/app/gateway/gateway_app.cpp
@@ -74,8 +74,7 @@
     return made;
 }
 
-forward::forward_options
-make_forward_options(const settings::gateway_settings& settings)
+forward::forward_options make_forward_options()
 {
     forward::forward_options made;
     made.seed = random_seed();
@@ -235,7 +234,7 @@
         }};
     return {
         backend,
-        make_forward_options(this->settings),
+        make_forward_options(),
         users_platform::make_header_names(),
         std::move(ports),
         this->counts};
--- a/src/app/gateway/quota_controller.cpp
+++ b/src/app/gateway/quota_controller.cpp
@@ -170,11 +170,11 @@
     {
         // The limit has been removed since the request arrived. A service that
         // isn't configured any more gets no retries.
-        on_decision({0, !is_retry_account(request.organisation), {}, {}});
+        on_decision({0, !is_retry_account(request.account), {}, {}});
         return;
     }
     const std::uint64_t id = this->client.draw(
-        request.organisation,
+        request.account,
         request.amount,
         request.longest_wait,
         this->clock.now());
@@ -193,13 +193,13 @@
         });
 }
 
-void quota_controller::refund(std::string organisation, double amount)
+void quota_controller::refund(std::string account, double amount)
 {
     asio::post(
         this->loop,
-        [this, organisation = std::move(organisation), amount]
+        [this, account = std::move(account), amount]
         {
-            this->client.return_tokens(organisation, amount, this->clock.now());
+            this->client.return_tokens(account, amount, this->clock.now());
         });
 }
 
--- a/src/app/gateway/quota_controller.hpp
+++ b/src/app/gateway/quota_controller.hpp
@@ -69,7 +69,7 @@
     // quota_port
     void draw(quota_request request, handler on_decision) override;
     void count_request(std::string service) override;
-    void refund(std::string organisation, double amount) override;
+    void refund(std::string account, double amount) override;
 
 private:
     void process_draw(const quota_request& request, handler on_decision);
--- a/src/app/gateway/server_limit_controller.cpp
+++ b/src/app/gateway/server_limit_controller.cpp
@@ -229,7 +229,7 @@
     if (this->stopped || found == this->limited_servers.end())
         return; // the limit has ended, and the dispatcher was notified
     quota_request request;
-    request.organisation = server_account(found->first);
+    request.account = server_account(found->first);
     request.amount = 1;
     request.longest_wait = wanted.waits
                                ? duration(this->settings.max_permit_wait)
--- a/src/core/quota/quota_accountant.cpp
+++ b/src/core/quota/quota_accountant.cpp
@@ -102,7 +102,7 @@
     if (!is_valid_amount(draw.amount))
         return {draw.id, false, 0};
     // A service whose configuration this accountant lacks gets no retries.
-    quota_result result{draw.id, !is_retry_account(draw.organisation), 0};
+    quota_result result{draw.id, !is_retry_account(draw.account), 0};
     if (account* const found = this->find_account(draw))
     {
         account& entry = *found;
@@ -127,23 +127,23 @@
 quota_accountant::account*
 quota_accountant::find_account(const quota_draw& draw)
 {
-    const auto found = this->accounts_by_name.find(draw.organisation);
+    const auto found = this->accounts_by_name.find(draw.account);
     if (found != this->accounts_by_name.end())
         return &found->second;
-    const bool is_announced = is_server_account(draw.organisation) &&
+    const bool is_announced = is_server_account(draw.account) &&
                               draw.announced_per_second > 0 &&
                               is_valid_amount(draw.announced_per_second);
     if (!is_announced || this->accounts_by_name.size() >= max_accounts)
         return nullptr;
     // The message about this limit is delayed or was lost.
-    account& added = this->accounts_by_name[draw.organisation];
+    account& added = this->accounts_by_name[draw.account];
     added.limit = limit_of_server(draw.announced_per_second);
     return &added;
 }
 
 void quota_accountant::apply_return(const quota_return& returned)
 {
-    const auto found = this->accounts_by_name.find(returned.organisation);
+    const auto found = this->accounts_by_name.find(returned.account);
     if (found == this->accounts_by_name.end() ||
         !is_valid_amount(returned.amount))
         return;
--- a/src/core/quota/quota_client.cpp
+++ b/src/core/quota/quota_client.cpp
@@ -89,19 +89,16 @@
 }
 
 std::uint64_t quota_client::draw(
-    std::string_view organisation,
-    double amount,
-    duration max_wait,
-    instant now)
+    std::string_view account, double amount, duration max_wait, instant now)
 {
     const std::uint64_t id = ++this->last_id;
     pending_draw added;
     added.draw = {
         id,
-        std::string(organisation),
+        std::string(account),
         amount,
         std::max(max_wait, duration::zero()).count(),
-        this->announced_limit(organisation)};
+        this->announced_limit(account)};
     added.created_at = now;
     added.last_sent_at = now;
     this->waiting.emplace(id, std::move(added));
@@ -159,14 +156,14 @@
     const quota_draw draw = std::move(found->second.draw);
     this->waiting.erase(found);
     // A service that isn't configured any more gets no retries.
-    quota_decision decision{id, !is_retry_account(draw.organisation), {}, {}};
-    const auto limit = this->limits.find(draw.organisation);
+    quota_decision decision{id, !is_retry_account(draw.account), {}, {}};
+    const auto limit = this->limits.find(draw.account);
     if (limit != this->limits.end())
     {
         this->refill_local_buckets(now);
         const usage_limit bucket_limit =
             this->local_limit(limit->first, limit->second, now);
-        token_bucket& bucket = this->local_buckets[draw.organisation];
+        token_bucket& bucket = this->local_buckets[draw.account];
         decision.retry_after = std::clamp(
             bucket.time_until(draw.amount, bucket_limit),
             this->settings.decision_timeout,
@@ -326,17 +323,17 @@
 }
 
 void quota_client::return_tokens(
-    std::string_view organisation, double amount, instant now)
+    std::string_view account, double amount, instant now)
 {
     const bool uses_local_shares =
         this->settings.mode == quota_mode::local_share;
     if (!uses_local_shares && !this->has_no_accountant(now))
     {
         if (this->returns.size() < max_pending_returns)
-            this->returns.push_back({std::string(organisation), amount});
+            this->returns.push_back({std::string(account), amount});
         return;
     }
-    const auto limit = this->limits.find(organisation);
+    const auto limit = this->limits.find(account);
     if (limit != this->limits.end())
         this->local_buckets[limit->first].return_tokens(
             amount, this->local_limit(limit->first, limit->second, now));
--- a/src/core/quota/quota_client.hpp
+++ b/src/core/quota/quota_client.hpp
@@ -82,7 +82,7 @@
     /// Requests tokens for one request.
     /// @return The draw's id. Its decision is returned by `take_decisions`.
     std::uint64_t draw(
-        std::string_view organisation,
+        std::string_view account,
         double amount,
         duration max_wait,
         instant now);
@@ -92,8 +92,7 @@
     void count_request(std::string_view account, instant now);
 
     /// Returns the tokens of a request that did not run.
-    void
-    return_tokens(std::string_view organisation, double amount, instant now);
+    void return_tokens(std::string_view account, double amount, instant now);
 
     void handle_reply(const quota_reply& reply, instant now);
 
--- a/src/core/quota/quota_messages.hpp
+++ b/src/core/quota/quota_messages.hpp
@@ -10,8 +10,9 @@
 /// Tokens that one request takes from the limit of an account.
 struct quota_draw
 {
-    std::uint64_t id = 0;     ///< unique per router, also across restarts
-    std::string organisation; ///< name of the account: organisation or server
+    std::uint64_t id = 0; ///< unique per router, also across restarts
+    std::string
+        account; ///< of an organisation, a server, or a service's retries
     double amount = 0;
     std::int64_t max_wait_us = 0;
     /// The limit that a backend server announced, for an accountant that
@@ -23,7 +24,7 @@
     {
         archive(
             this->id,
-            this->organisation,
+            this->account,
             this->amount,
             this->max_wait_us,
             this->announced_per_second);
@@ -47,13 +48,13 @@
 /// Tokens that were taken for a request that did not run.
 struct quota_return
 {
-    std::string organisation;
+    std::string account;
     double amount = 0;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(this->organisation, this->amount);
+        archive(this->account, this->amount);
     }
 };
 
--- a/src/ports/quota_port.hpp
+++ b/src/ports/quota_port.hpp
@@ -13,9 +13,9 @@
 /// The amount that one request counts towards the limit of an account.
 struct quota_request
 {
-    std::string organisation; ///< name of the account
-    double amount = 0;        ///< tokens, or requests if the limit counts these
-    duration longest_wait{};  ///< maximum wait for the limit to allow it
+    std::string account;
+    double amount = 0;       ///< tokens, or requests if the limit counts these
+    duration longest_wait{}; ///< maximum wait for the limit to allow it
 };
 
 /// Port: limits of organisations, and of the retries of services, enforced
@@ -36,7 +36,7 @@
     virtual void count_request(std::string service) = 0;
 
     /// Returns the tokens reserved for a request that didn't run and won't.
-    virtual void refund(std::string organisation, double amount) = 0;
+    virtual void refund(std::string account, double amount) = 0;
 };
 
 } // namespace roseworks
--- a/tests/unit/forward/forward_fixture.hpp
+++ b/tests/unit/forward/forward_fixture.hpp
@@ -30,7 +30,7 @@
 public:
     void draw(quota_request request, handler on_decision) override;
     void count_request(std::string service) override;
-    void refund(std::string organisation, double amount) override;
+    void refund(std::string account, double amount) override;
 
     std::mutex mutex;
     quota_decision decision{0, true, {}, {}};
--- a/tests/unit/forward/test_retries.cpp
+++ b/tests/unit/forward/test_retries.cpp
@@ -63,7 +63,7 @@
     cr_assert_eq(test.limits.counted_services.size(), 1);
     cr_assert_eq(test.limits.recorded_requests.size(), 1);
     const quota_request& drawn = test.limits.recorded_requests.at(0);
-    cr_assert_eq(drawn.organisation, retry_account("app"));
+    cr_assert_eq(drawn.account, retry_account("app"));
     cr_assert_eq(drawn.amount, 1);
     cr_assert_eq(test.limits.returned_amount, 0);
 }
--- a/tests/unit/gateway/test_quota_controller.cpp
+++ b/tests/unit/gateway/test_quota_controller.cpp
@@ -103,14 +103,15 @@
 
     /// Draws quota until a draw is allowed or refused, as given.
     /// @return Whether that happened before the time limit.
-    bool draws_until(bool allowed)
+    bool
+    draws_until(bool allowed, const quota_request& drawn = {"o1", 100, 0ms})
     {
         const auto limit = std::chrono::steady_clock::now() + 20s;
         while (std::chrono::steady_clock::now() < limit)
         {
             std::optional<quota_decision> decision;
             this->weak.draw(
-                {"o1", 100, 0ms},
+                drawn,
                 [&decision](const quota_decision& received)
                 {
                     decision = received;
@@ -149,6 +150,18 @@
     cr_assert(test.draws_until(false));
 }
 
+Test(quota_controller, retries_of_a_configured_service_are_counted)
+{
+    two_routers test;
+    deployment configuration;
+    configuration.services = {{"app", 1, {}}};
+    test.strong.deployment_changed(configuration);
+    test.weak.deployment_changed(configuration);
+    cr_assert(test.draws_until(true, {retry_account("app"), 1, 0ms}));
+    cr_assert(test.draws_until(false, {retry_account("app"), 1, 0ms}));
+    cr_assert(test.draws_until(false, {retry_account("old"), 1, 0ms}));
+}
+
 Test(quota_controller, sends_nothing_while_there_is_no_limit)
 {
     two_routers test;
--- a/tests/unit/users_platform/test_gateway_peers.cpp
+++ b/tests/unit/users_platform/test_gateway_peers.cpp
@@ -320,7 +320,7 @@
     cr_assert_eq(listener.asks[0].counting_delay_us, 7);
     cr_assert_eq(listener.asks[0].draws[0].id, 1ULL << 40);
     cr_assert_eq(listener.asks[0].draws[0].amount, 1540);
-    cr_assert_eq(listener.asks[0].returns[0].organisation, "o2");
+    cr_assert_eq(listener.asks[0].returns[0].account, "o2");
     cr_assert_eq(listener.answers[0].accountant, "r2");
     cr_assert(listener.answers[0].results[0].is_allowed);
     cr_assert_eq(listener.answers[0].results[0].wait_us, 20);
