--- a/tests/unit/retry_allowance/test_retry_allowance.cpp
+++ b/tests/unit/retry_allowance/test_retry_allowance.cpp
@@ -84,8 +84,7 @@
         {
             const instant start = fleet.now();
             fleet.receive(40s, offered);
-            const double used =
-                fleet.least_used(start, fleet.now(), allowance);
+            const double used = fleet.least_used(start, fleet.now(), allowance);
             cr_assert_geq(
                 used, 0.5, "%zu routers used %.3f", fleet.size(), used);
         });
