--- a/src/adapters/forward/forward_call.hpp
+++ b/src/adapters/forward/forward_call.hpp
@@ -71,9 +71,8 @@
     /// Sends the request to the granted server once.
     /// @return Whether the call is finished.
     asio::awaitable<bool> attempt(grant granted);
-    /// Reserves a retry of the service unless this is the first attempt. Ends
-    /// the call if there is none.
-    /// @return Whether the request may be sent.
+    /// Reserves a retry of the service if an earlier attempt sent data.
+    /// @return Whether the request may be sent. If not, the call is finished.
     asio::awaitable<bool> reserve_retry();
     /// Returns what was reserved for a request that wasn't sent.
     void return_unused();
@@ -126,7 +125,7 @@
     std::string last_server;     ///< instance ID; of the last attempt
     std::string last_rate_limit; ///< in the last response; empty: none
     bool quota_reserved = false; ///< from the organisation's limit
-    bool retry_reserved = false; ///< and not sent yet
+    bool retry_reserved = false; ///< from the service's limit, and not sent yet
     bool may_have_run = false;
     bool head_written = false;
     bool chunked = false; ///< the response to the caller is chunked
--- a/src/core/quota/quota_accountant.hpp
+++ b/src/core/quota/quota_accountant.hpp
@@ -45,7 +45,7 @@
     /// Refills the buckets; to be called at least every 100 ms.
     void tick(instant now);
 
-    /// State of one organisation or backend server; for metrics and logs.
+    /// State of one account; for metrics and logs.
     struct account
     {
         global_limit limit;
