Two tests of late configuration wait for what they count

It let the loop run for 0.6 s of real time at the most, in which the scripted store, a thread of its own, has to answer first. By reading: nothing had been requested yet; the number isn't printed, and no run shows it.

--- a/tests/unit/late_configuration/test_late_configuration.cpp
+++ b/tests/unit/late_configuration/test_late_configuration.cpp
@@ -295,6 +295,15 @@
             this->loop.run_one_for(std::chrono::milliseconds(10));
     }
 
+    template <class Condition>
+    void run_until(Condition holds)
+    {
+        const auto limit =
+            std::chrono::steady_clock::now() + std::chrono::seconds(20);
+        while (!holds() && std::chrono::steady_clock::now() < limit)
+            this->loop.run_one_for(std::chrono::milliseconds(10));
+    }
+
     bool run_until_listed(const std::vector<std::string>& keys)
     {
         const auto limit =
@@ -402,6 +411,11 @@
         return copy_for_former_owner(*test.tail);
     };
     test.start();
+    test.run_until(
+        [&]
+        {
+            return copies > 0;
+        });
     test.run_for_a_while();
     cr_assert_eq(copies, 1);
     cr_assert_eq(test.store.requests().size(), 1);
@@ -415,6 +429,11 @@
     test.refuse_all();
     test.tail_handlers.request_copy = old_copy;
     test.start();
+    test.run_until(
+        [&]
+        {
+            return !test.store.requests().empty();
+        });
     test.run_for_a_while();
     cr_assert_eq(test.store.requests().size(), 1);
 }
