--- a/tests/unit/forward/forward_fixture.hpp
+++ b/tests/unit/forward/forward_fixture.hpp
@@ -24,6 +24,14 @@
 using edge::tests::backend_peer;
 using edge::tests::fake_backend;
 
+constexpr std::string_view ok_response =
+    "HTTP/1.1 200 OK\r\nAttempt-Id: 9c41\r\nResponse-Seal: 3e1b\r\n"
+    "Content-Length: 5\r\n\r\nhello";
+
+constexpr std::string_view not_run_response =
+    "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: 9c41\r\n"
+    "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+
 /// Returns the same decision for all requests and records them.
 class fake_quota_port final : public quota_port
 {
--- a/tests/unit/forward/test_retries.cpp
+++ b/tests/unit/forward/test_retries.cpp
@@ -13,14 +13,6 @@
 namespace
 {
 
-constexpr std::string_view ok_response =
-    "HTTP/1.1 200 OK\r\nAttempt-Id: 9c41\r\nResponse-Seal: 3e1b\r\n"
-    "Content-Length: 5\r\n\r\nhello";
-
-constexpr std::string_view not_run_response =
-    "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: 9c41\r\n"
-    "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
-
 /// Two servers. The first request that arrives at either of them is refused.
 struct refusing_servers
 {
