--- a/src/adapters/events/event_catalogue.cpp
+++ b/src/adapters/events/event_catalogue.cpp
@@ -292,12 +292,14 @@
      "A backend server's complete response was relayed on the first attempt. "
      "Sampled under load.",
      "request_id, route, servable, organisation, end, status, reason, server, "
-     "server_limit, sends, objective_ms, wait_ms, first_ms, total_ms, events",
+     "server_limit, framing, sends, objective_ms, wait_ms, first_ms, total_ms, "
+     "events, unfinished_bytes",
      no_action},
     {request_ended, info, "request_ended",
      "A request ended in any other way, or was sent more than once.",
      "request_id, route, servable, organisation, end, status, reason, server, "
-     "server_limit, sends, objective_ms, wait_ms, first_ms, total_ms, events, target",
+     "server_limit, framing, sends, objective_ms, wait_ms, first_ms, total_ms, "
+     "events, unfinished_bytes, target",
      "Trace the request by its id as shown in docs/OPERATIONS.md."},
     {lines_left_out, warn, "lines_left_out",
      "Log lines were not written: over_limit exceeded the limit of lines per "
--- a/src/adapters/forward/forward_call.cpp
+++ b/src/adapters/forward/forward_call.cpp
@@ -340,6 +340,7 @@
                 server.instance, this->request.content_fingerprint());
         co_return failed;
     }
+    this->last_framing = exchange.framing();
     this->report_load(granted, exchange);
     this->report_rate_limit(exchange);
     if (is_not_run_refusal(exchange.head(), this->context.names))
@@ -447,12 +448,14 @@
          {"reason", to_string(this->reason)},
          {"server", this->last_server},
          {"server_limit", this->last_rate_limit},
+         {"framing", to_string(this->last_framing)},
          {"sends", this->sends},
          {"objective_ms", to_milliseconds(this->route.objective)},
          {"wait_ms", to_milliseconds(queue_time)},
          {"first_ms", to_milliseconds(first_byte_time)},
          {"total_ms", to_milliseconds(now - this->request.arrived)},
-         {"events", this->events.event_count()}});
+         {"events", this->events.event_count()},
+         {"unfinished_bytes", this->events.unfinished_bytes()}});
 }
 
 } // namespace roseworks::forward
--- a/src/adapters/forward/forward_call.hpp
+++ b/src/adapters/forward/forward_call.hpp
@@ -124,6 +124,7 @@
     std::uint32_t sends = 0;     ///< that sent data, including refused ones
     std::string last_server;     ///< instance ID; of the last attempt
     std::string last_rate_limit; ///< in the last response; empty: none
+    body_framing last_framing = body_framing::none; ///< of the last response
     bool quota_reserved = false; ///< from the organisation's limit
     bool retry_reserved = false; ///< from the service's limit, and not sent yet
     bool may_have_run = false;
--- a/src/adapters/forward/server_exchange.cpp
+++ b/src/adapters/forward/server_exchange.cpp
@@ -23,8 +23,33 @@
     return {text.data(), text.size()};
 }
 
+body_framing framing_of(const http::response_parser<http::buffer_body>& parser)
+{
+    if (parser.is_done())
+        return body_framing::none;
+    if (parser.chunked())
+        return body_framing::chunked;
+    return parser.need_eof() ? body_framing::connection : body_framing::length;
+}
+
 } // namespace
 
+std::string_view to_string(body_framing framing)
+{
+    switch (framing)
+    {
+    case body_framing::none:
+        break;
+    case body_framing::length:
+        return "length";
+    case body_framing::chunked:
+        return "chunked";
+    case body_framing::connection:
+        return "connection";
+    }
+    return "none";
+}
+
 server_exchange::server_exchange(
     forward_context& shared,
     edge::backend_pool& connections,
@@ -125,7 +150,8 @@
         do
         {
             const exchange_state skip_state = co_await this->read_some(piece);
-            if (skip_state != exchange_state::ok || this->close_delimited)
+            if (skip_state != exchange_state::ok ||
+                this->framing_of_body == body_framing::connection)
                 co_return exchange_state::broken;
         } while (!piece.empty());
     }
@@ -147,7 +173,7 @@
         edge::use_awaitable_tuple);
     if (error)
         co_return this->failure_state(error);
-    this->close_delimited = this->parser->need_eof();
+    this->framing_of_body = framing_of(*this->parser);
     co_return exchange_state::ok;
 }
 
@@ -180,8 +206,7 @@
 
 void server_exchange::return_to_pool()
 {
-    const bool reusable = this->is_complete() && !this->close_delimited &&
-                          !this->response_skipped &&
+    const bool reusable = this->is_complete() && !this->response_skipped &&
                           this->parser->get().keep_alive();
     if (!reusable || !this->connection)
         return;
--- a/src/adapters/forward/server_exchange.hpp
+++ b/src/adapters/forward/server_exchange.hpp
@@ -31,6 +31,18 @@
     interrupted ///< the caller left, or the process shuts down
 };
 
+/// How a response states where its body ends.
+enum class body_framing : std::uint8_t
+{
+    none,       ///< no response, or no body
+    length,     ///< `Content-Length`
+    chunked,    ///< chunks and a last chunk
+    connection, ///< the end of the connection
+};
+
+/// @return The name that log lines use.
+std::string_view to_string(body_framing framing);
+
 /** Sends one request to one backend server and reads the response in parts.
 
     One deadline applies to all steps together. A closed connection tells the
@@ -75,10 +87,10 @@
         return this->parser->get().base();
     }
 
-    /// @return Whether the body extends to the end of the connection.
-    bool is_close_delimited() const
+    /// @return How the response to this request is framed.
+    body_framing framing() const
     {
-        return this->close_delimited;
+        return this->framing_of_body;
     }
 
     bool is_complete() const
@@ -114,7 +126,7 @@
     std::optional<buffered_parser> parser;
     std::array<char, std::size_t(16) << 10> buffer;
     bool any_byte_sent = false;
-    bool close_delimited = false;
+    body_framing framing_of_body = body_framing::none;
     bool response_skipped = false; ///< a response to another request came first
 };
 
--- a/src/adapters/forward/sse_event_splitter.hpp
+++ b/src/adapters/forward/sse_event_splitter.hpp
@@ -41,6 +41,12 @@
         return this->pending.size() > this->max_pending_bytes;
     }
 
+    /// @return The number of bytes received after the last complete event.
+    std::size_t unfinished_bytes() const
+    {
+        return this->pending.size();
+    }
+
     /// @return The ID of the latest complete event that has one; empty if none.
     const std::string& last_id() const
     {
