A stream that ends inside an event has been broken off

Cause: the server's answer had neither a length nor chunks, so the end of its connection ended it, and relay_stream took each such end for the end of the stream, forwarded what it had of the last event and wrote its own last chunk. The router's framing states an end more strongly than the server did.

The same happened where a server frames a stream that ends inside an event.

Why this works: the grammar of events is the second witness. Bytes of an unfinished line, or lines of an event without its blank line, mean that the stream has been broken off, whatever its framing: a resumable route continues on another server, and elsewhere the caller gets no last chunk. A complete comment line is no event.

The test of take_remainder said that the bytes of an incomplete event end a stream; it is replaced by one for the bytes that may follow the last event (comment lines) and two that say when a stream is inside an event.

--- a/src/adapters/forward/forward_call_relay.cpp
+++ b/src/adapters/forward/forward_call_relay.cpp
@@ -173,11 +173,11 @@
             co_return relay_outcome::truncated;
         if (piece.empty())
         {
-            // The response is complete, even if its last bytes are not a
-            // complete event.
-            std::string remainder = complete_events_only
-                                        ? this->events.take_remainder()
-                                        : std::string();
+            if (this->events.is_inside_event())
+                co_return relay_outcome::truncated;
+            const std::string remainder = complete_events_only
+                                              ? this->events.take_remainder()
+                                              : std::string();
             written = co_await this->write_chunk(remainder);
             written = written && co_await this->caller.write_raw(last_chunk);
             co_return written ? relay_outcome::complete
--- a/src/adapters/forward/sse_event_splitter.cpp
+++ b/src/adapters/forward/sse_event_splitter.cpp
@@ -9,6 +9,7 @@
 {
 
 constexpr std::string_view id_field = "id:";
+constexpr char comment_start = ':';
 
 } // namespace
 
@@ -37,6 +38,7 @@
         ++this->count;
         this->pending.clear();
         this->line_start = 0;
+        this->has_field = false;
     }
     return completed_events;
 }
@@ -45,6 +47,7 @@
 {
     std::string_view line =
         std::string_view(this->pending).substr(this->line_start);
+    this->has_field = this->has_field || !line.starts_with(comment_start);
     if (!line.starts_with(id_field))
         return;
     line.remove_prefix(id_field.size());
@@ -58,6 +61,7 @@
 std::string sse_event_splitter::take_remainder()
 {
     this->line_start = 0;
+    this->has_field = false;
     return std::exchange(this->pending, {});
 }
 
@@ -66,6 +70,7 @@
     this->pending.clear();
     this->pending_id.clear();
     this->line_start = 0;
+    this->has_field = false;
 }
 
 } // namespace roseworks::forward
--- a/src/adapters/forward/sse_event_splitter.hpp
+++ b/src/adapters/forward/sse_event_splitter.hpp
@@ -28,7 +28,14 @@
     /// @return The events that these bytes complete; empty if there are none.
     std::string feed(std::string_view bytes);
 
-    /// Removes the bytes of the incomplete event.
+    /// @return Whether the bytes after the last complete event are a part of
+    ///         another event. Complete comment lines are not.
+    bool is_inside_event() const
+    {
+        return this->has_field || this->pending.size() != this->line_start;
+    }
+
+    /// Removes the bytes after the last complete event.
     /// @return These bytes.
     std::string take_remainder();
 
@@ -64,6 +71,7 @@
     std::size_t max_pending_bytes;
     std::string pending;
     std::size_t line_start = 0;
+    bool has_field = false; ///< a complete line of `pending` is not a comment
     std::string pending_id;
     std::string id;
     std::uint32_t count = 0;
--- a/tests/unit/forward/test_sse_event_splitter.cpp
+++ b/tests/unit/forward/test_sse_event_splitter.cpp
@@ -25,14 +25,37 @@
     cr_assert_eq(splitter.last_id(), "2");
 }
 
-Test(sse_event_splitter, take_remainder_returns_the_incomplete_event)
+Test(sse_event_splitter, take_remainder_returns_the_bytes_after_the_last_event)
 {
     sse_event_splitter splitter(1000);
-    splitter.feed("data: x\n\ntail");
-    cr_assert_eq(splitter.take_remainder(), "tail");
+    splitter.feed("data: x\n\n: ping\n");
+    cr_assert_eq(splitter.take_remainder(), ": ping\n");
     cr_assert_eq(splitter.take_remainder(), "");
 }
 
+Test(sse_event_splitter, an_unfinished_line_or_event_is_inside_an_event)
+{
+    for (const char* tail : {"t", "data: y", "data: y\n", "id: 2\n", ":", "\r"})
+    {
+        sse_event_splitter splitter(1000);
+        splitter.feed("data: x\n\n");
+        cr_expect_not(splitter.is_inside_event());
+        splitter.feed(tail);
+        cr_expect(splitter.is_inside_event(), "%s", tail);
+        splitter.discard_incomplete();
+        cr_expect_not(splitter.is_inside_event());
+    }
+}
+
+Test(sse_event_splitter, a_comment_line_is_not_inside_an_event)
+{
+    sse_event_splitter splitter(1000);
+    splitter.feed("data: x\n\n: ping\n");
+    cr_expect_not(splitter.is_inside_event());
+    splitter.feed("data: y\n: ping\n");
+    cr_expect(splitter.is_inside_event());
+}
+
 Test(sse_event_splitter, detects_an_event_over_the_limit)
 {
     sse_event_splitter splitter(8);
