A stream without a length needs an event before its connection may end it

Cause and evidence: test_cut_streams, a close after the head of a stream without a length or chunks. No byte of the body speaks for such an end, so the grammar of events can't either.

Why this works: the end of a connection ends a stream only if this response had a complete event; a comment alone is none. A server that states a length or a last chunk may still send an empty stream.

--- a/src/adapters/forward/forward_call.hpp
+++ b/src/adapters/forward/forward_call.hpp
@@ -93,6 +93,11 @@
     asio::awaitable<relay_outcome> relay(server_exchange& exchange);
     asio::awaitable<relay_outcome> relay_buffered(server_exchange& exchange);
     asio::awaitable<relay_outcome> relay_stream(server_exchange& exchange);
+    /// @param earlier_events Number of events before this attempt.
+    /// @return Whether the server's response, which has been read to its end,
+    ///         is a complete stream as far as its bytes can show it.
+    bool stream_has_ended(
+        const server_exchange& exchange, std::uint32_t earlier_events) const;
     asio::awaitable<bool> write_stream_head(const server_exchange& exchange);
     asio::awaitable<bool> write_chunk(std::string_view bytes);
     bool continues_stream(const server_exchange& exchange) const;
--- a/src/adapters/forward/forward_call_relay.cpp
+++ b/src/adapters/forward/forward_call_relay.cpp
@@ -153,11 +153,22 @@
     co_return written;
 }
 
+bool forward_call::stream_has_ended(
+    const server_exchange& exchange, std::uint32_t earlier_events) const
+{
+    if (this->events.is_inside_event())
+        return false;
+    // A server that crashes before the first event closes its connection too.
+    return exchange.framing() != body_framing::connection ||
+           this->events.event_count() != earlier_events;
+}
+
 asio::awaitable<forward_call::relay_outcome>
 forward_call::relay_stream(server_exchange& exchange)
 {
     const bool is_continuation = this->head_written;
     const bool complete_events_only = this->route.resumable;
+    const std::uint32_t earlier_events = this->events.event_count();
     this->events.discard_incomplete();
     bool written =
         is_continuation || co_await this->write_stream_head(exchange);
@@ -173,7 +184,7 @@
             co_return relay_outcome::truncated;
         if (piece.empty())
         {
-            if (this->events.is_inside_event())
+            if (!this->stream_has_ended(exchange, earlier_events))
                 co_return relay_outcome::truncated;
             const std::string remainder = complete_events_only
                                               ? this->events.take_remainder()
--- a/src/adapters/forward/sse_event_splitter.cpp
+++ b/src/adapters/forward/sse_event_splitter.cpp
@@ -35,7 +35,7 @@
         completed_events += this->pending;
         if (!this->pending_id.empty())
             this->id = std::exchange(this->pending_id, {});
-        ++this->count;
+        this->count += this->has_field ? 1 : 0;
         this->pending.clear();
         this->line_start = 0;
         this->has_field = false;
--- a/src/adapters/forward/sse_event_splitter.hpp
+++ b/src/adapters/forward/sse_event_splitter.hpp
@@ -60,6 +60,7 @@
         return this->id;
     }
 
+    /// @return The number of complete events. Comments alone are not an event.
     std::uint32_t event_count() const
     {
         return this->count;
--- a/tests/unit/forward/test_sse_event_splitter.cpp
+++ b/tests/unit/forward/test_sse_event_splitter.cpp
@@ -52,6 +52,8 @@
     sse_event_splitter splitter(1000);
     splitter.feed("data: x\n\n: ping\n");
     cr_expect_not(splitter.is_inside_event());
+    splitter.feed("\n");
+    cr_expect_eq(splitter.event_count(), 1);
     splitter.feed("data: y\n: ping\n");
     cr_expect(splitter.is_inside_event());
 }
