Lines of a stream may end with a CR alone

Cause: the splitter of events knew LF and CR LF. The format allows CR alone, so such a stream had no event at all.

Why this works: a CR ends a line. While the lines before it ended with CR LF, or nothing is known, the next byte decides, so that an event is never forwarded without the LF of its blank line; in a stream that ends its lines with CR an event is forwarded at its last CR, without waiting for the next one.

Three tests of the splitter say where a CR ends a line.

--- a/src/adapters/forward/sse_event_splitter.hpp
+++ b/src/adapters/forward/sse_event_splitter.hpp
@@ -67,13 +67,30 @@
     }
 
 private:
-    void parse_line();
+    /// What is known of the previous byte if it was a CR.
+    enum class cr_state : std::uint8_t
+    {
+        none,
+        undecided, ///< a line end, or the first half of one
+        ended_line ///< a line end; an LF may still belong to it
+    };
+
+    void feed_byte(char byte, std::string& completed_events);
+    /// Appends the LF after a CR that ended a line.
+    void complete_crlf(std::string& completed_events);
+    void end_line(std::string& completed_events);
+    void end_event(std::string& completed_events);
+    void parse_line(std::string_view line);
 
     std::size_t max_pending_bytes;
     std::string pending;
     std::size_t line_start = 0;
     bool has_field = false; ///< a complete line of `pending` is not a comment
     std::string pending_id;
+    /// Whether the latest line ended with a CR alone. A CR then ends a line at
+    /// once; elsewhere the next byte decides.
+    bool lines_end_with_cr = false;
+    cr_state last_cr = cr_state::none;
     std::string id;
     std::uint32_t count = 0;
 };
--- a/tests/unit/forward/test_sse_event_splitter.cpp
+++ b/tests/unit/forward/test_sse_event_splitter.cpp
@@ -58,6 +58,34 @@
     cr_expect(splitter.is_inside_event());
 }
 
+Test(sse_event_splitter, lines_may_end_with_cr)
+{
+    sse_event_splitter splitter(1000);
+    cr_assert_eq(splitter.feed("id: 1\rdata: x\r"), "");
+    cr_assert_eq(splitter.feed("\r"), "id: 1\rdata: x\r\r");
+    cr_assert_eq(splitter.last_id(), "1");
+    cr_assert_eq(splitter.feed("data: y\r\rid: 3"), "data: y\r\r");
+    cr_assert_eq(splitter.event_count(), 2);
+}
+
+Test(sse_event_splitter, a_cr_waits_for_the_lf_of_its_line_end)
+{
+    sse_event_splitter splitter(1000);
+    cr_assert_eq(splitter.feed("data: x\r\n\r"), "");
+    cr_assert(splitter.is_inside_event());
+    cr_assert_eq(splitter.feed("\n"), "data: x\r\n\r\n");
+    cr_assert_not(splitter.is_inside_event());
+}
+
+Test(sse_event_splitter, an_lf_after_a_cr_that_ended_an_event_is_no_event)
+{
+    sse_event_splitter splitter(1000);
+    cr_assert_eq(splitter.feed("data: x\r\r"), "data: x\r\r");
+    cr_assert_eq(splitter.feed("\n"), "\n");
+    cr_assert_eq(splitter.feed("data: y\r\n\r\n"), "data: y\r\n\r\n");
+    cr_assert_eq(splitter.event_count(), 2);
+}
+
 Test(sse_event_splitter, detects_an_event_over_the_limit)
 {
     sse_event_splitter splitter(8);
