Forwarding: the framing of the response to the caller has a class of its own

caller_response writes the head, the parts and the end of what the caller receives; forward_call keeps what the server's bytes mean.

--- a/src/adapters/forward/forward_call.cpp
+++ b/src/adapters/forward/forward_call.cpp
@@ -94,6 +94,7 @@
     , is_engine_service(on_engine_service)
     , inbox(std::make_shared<edge::call_inbox>(connections.executor))
     , events(shared.settings.max_event_bytes)
+    , response(shared, connection, this->request)
 {
     duration limit = this->route.timeout;
     if (this->request.deadline)
@@ -295,7 +296,7 @@
         set.priority = this->engine_priority();
     set.organisation = this->organisation.name;
     set.with_credentials = !this->organisation.keys_required;
-    if (this->head_written)
+    if (this->response.has_begun())
         set.last_event = this->events.last_id();
     return serialize_backend_request(this->request, this->context.names, set);
 }
@@ -394,10 +395,10 @@
         make_local_response(final_reason, outcome, final_state.retry_after));
 }
 
-asio::awaitable<void> forward_call::send_local_response(local_response response)
+asio::awaitable<void> forward_call::send_local_response(local_response local)
 {
-    this->reason = response.reason;
-    if (this->head_written)
+    this->reason = local.reason;
+    if (this->response.has_begun())
     {
         // The missing last chunk tells the caller that the response is
         // truncated.
@@ -405,12 +406,12 @@
         this->connection_usable = false;
         co_return;
     }
-    this->end = response.outcome == verdict::not_run ? request_end::refused
-                                                     : request_end::failed;
-    this->status = response.status;
+    this->end = local.outcome == verdict::not_run ? request_end::refused
+                                                  : request_end::failed;
+    this->local_status = local.status;
     const bool keep_open = this->request.keep_alive && !this->context.draining;
     const std::string bytes = to_bytes(
-        response,
+        local,
         this->context.names,
         this->request.id,
         keep_open,
@@ -444,7 +445,9 @@
          {"servable", this->request.model},
          {"organisation", this->organisation.name},
          {"end", to_string(this->end)},
-         {"status", this->status},
+         {"status",
+          this->response.has_begun() ? this->response.status()
+                                     : this->local_status},
          {"reason", to_string(this->reason)},
          {"server", this->last_server},
          {"server_limit", this->last_rate_limit},
--- a/src/adapters/forward/forward_call.hpp
+++ b/src/adapters/forward/forward_call.hpp
@@ -3,6 +3,7 @@
 #include "adapters/edge/call_inbox.hpp"
 #include "adapters/edge/caller_connection.hpp"
 #include "adapters/forward/caller_organisation.hpp"
+#include "adapters/forward/caller_response.hpp"
 #include "adapters/forward/forward_context.hpp"
 #include "adapters/forward/forward_request.hpp"
 #include "adapters/forward/local_response.hpp"
@@ -98,15 +99,17 @@
     ///         is a complete stream as far as its bytes can show it.
     bool stream_has_ended(
         const server_exchange& exchange, std::uint32_t earlier_events) const;
-    asio::awaitable<bool> write_stream_head(const server_exchange& exchange);
-    asio::awaitable<bool> write_chunk(std::string_view bytes);
+    /// @return The outcome of a relay that a failed read has ended.
+    static relay_outcome outcome_of(exchange_state state);
     bool continues_stream(const server_exchange& exchange) const;
     void report_load(const grant& granted, const server_exchange& exchange);
     /// Reports the rate limit that the server named in its response.
     void report_rate_limit(const server_exchange& exchange);
+    /// @return Whether another server can continue the caller's stream.
+    bool can_resume() const;
     attempt_result result_of(relay_outcome outcome) const;
     attempt_result result_of(exchange_state state) const;
-    asio::awaitable<void> send_local_response(local_response response);
+    asio::awaitable<void> send_local_response(local_response local);
     /// Finishes the call after the caller left or the process shut down.
     asio::awaitable<void> finish_interrupted();
     asio::awaitable<void>
@@ -133,9 +136,8 @@
     bool quota_reserved = false; ///< from the organisation's limit
     bool retry_reserved = false; ///< from the service's limit, and not sent yet
     bool may_have_run = false;
-    bool head_written = false;
-    bool chunked = false; ///< the response to the caller is chunked
-    unsigned status = 0;  ///< sent to the caller; 0: none
+    caller_response response;  ///< of a backend server
+    unsigned local_status = 0; ///< of a response without one; 0: none
     bool connection_usable = true;
     request_end end = request_end::failed;
     refusal_reason reason = refusal_reason::none;
--- a/src/adapters/forward/forward_call_relay.cpp
+++ b/src/adapters/forward/forward_call_relay.cpp
@@ -1,8 +1,7 @@
 #include "adapters/forward/forward_call.hpp"
 #include "adapters/forward/response_head.hpp"
 
-#include <array>
-#include <cstdio>
+#include <string>
 
 namespace roseworks::forward
 {
@@ -13,15 +12,17 @@
 using end_kind = attempt_result::end;
 
 constexpr unsigned status_ok = 200;
-constexpr std::string_view last_chunk = "0\r\n\r\n";
 
-std::string_view to_string_view(beast::string_view text)
+} // namespace
+
+forward_call::relay_outcome forward_call::outcome_of(exchange_state state)
 {
-    return {text.data(), text.size()};
+    if (state == exchange_state::interrupted)
+        return relay_outcome::interrupted;
+    return state == exchange_state::timed_out ? relay_outcome::deadline_passed
+                                              : relay_outcome::truncated;
 }
 
-} // namespace
-
 bool forward_call::continues_stream(const server_exchange& exchange) const
 {
     return exchange.head().result_int() == status_ok &&
@@ -33,13 +34,14 @@
 {
     const auto encoding = exchange.head()[http::field::content_encoding];
     const bool is_encoded = !encoding.empty() && encoding != "identity";
-    if (is_encoded || (this->head_written && !this->continues_stream(exchange)))
+    if (is_encoded ||
+        (this->response.has_begun() && !this->continues_stream(exchange)))
     {
         // An encoded body is not what the service produced. After the head was
         // sent, only an event stream can continue the response.
         attempt_result broken;
         broken.how = end_kind::broken;
-        broken.answer_started = this->head_written;
+        broken.answer_started = this->response.has_begun();
         co_return broken;
     }
     if (this->first_byte_at == instant())
@@ -63,14 +65,6 @@
 asio::awaitable<forward_call::relay_outcome>
 forward_call::relay_buffered(server_exchange& exchange)
 {
-    const auto outcome_of = [](exchange_state state)
-    {
-        if (state == exchange_state::interrupted)
-            return relay_outcome::interrupted;
-        return state == exchange_state::timed_out
-                   ? relay_outcome::deadline_passed
-                   : relay_outcome::truncated;
-    };
     std::string body;
     std::string_view piece;
     do
@@ -81,33 +75,14 @@
         body += piece;
     } while (!piece.empty() &&
              body.size() < this->context.settings.max_buffered_bytes);
-
-    this->status = exchange.head().result_int();
-    std::string bytes = serialize_head(exchange.head(), this->context.names);
-    const bool is_complete = piece.empty();
-    const bool close = !this->request.keep_alive || this->context.draining;
-    const auto length = exchange.head()[http::field::content_length];
-    if (this->request.head_only && !length.empty())
-        bytes +=
-            "Content-Length: " + std::string(to_string_view(length)) + "\r\n";
-    else if (is_complete && !this->request.head_only)
-        bytes += "Content-Length: " + std::to_string(body.size()) + "\r\n";
-    else if (!is_complete)
-        bytes += "Transfer-Encoding: chunked\r\n";
-    if (close)
-        bytes += "Connection: close\r\n";
-    bytes += "\r\n";
-    this->head_written = true;
-    if (is_complete)
+    if (piece.empty())
     {
-        bytes += body;
-        const bool written = co_await this->caller.write_raw(bytes);
+        const bool written =
+            co_await this->response.send_whole(exchange.head(), body);
         co_return written ? relay_outcome::complete
                           : relay_outcome::write_failed;
     }
-    this->chunked = true;
-    bool written = co_await this->caller.write_raw(bytes);
-    written = written && co_await this->write_chunk(body);
+    bool written = co_await this->response.send_part(exchange.head(), body);
     while (written)
     {
         const exchange_state state = co_await exchange.read_some(piece);
@@ -115,44 +90,15 @@
             co_return outcome_of(state);
         if (piece.empty())
         {
-            written = co_await this->caller.write_raw(last_chunk);
+            written = co_await this->response.finish(exchange.head(), {});
             co_return written ? relay_outcome::complete
                               : relay_outcome::write_failed;
         }
-        written = co_await this->write_chunk(piece);
+        written = co_await this->response.send_part(exchange.head(), piece);
     }
     co_return relay_outcome::write_failed;
 }
 
-asio::awaitable<bool>
-forward_call::write_stream_head(const server_exchange& exchange)
-{
-    this->status = exchange.head().result_int();
-    this->head_written = true;
-    this->chunked = true;
-    std::string bytes = serialize_head(exchange.head(), this->context.names);
-    bytes += "Transfer-Encoding: chunked\r\n";
-    if (!this->request.keep_alive || this->context.draining)
-        bytes += "Connection: close\r\n";
-    bytes += "\r\n";
-    const bool written = co_await this->caller.write_raw(bytes);
-    co_return written;
-}
-
-asio::awaitable<bool> forward_call::write_chunk(std::string_view bytes)
-{
-    if (bytes.empty())
-        co_return true;
-    std::array<char, 24> size{};
-    const int digits =
-        std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
-    std::string chunk(size.data(), static_cast<std::size_t>(digits));
-    chunk += bytes;
-    chunk += "\r\n";
-    const bool written = co_await this->caller.write_raw(chunk);
-    co_return written;
-}
-
 bool forward_call::stream_has_ended(
     const server_exchange& exchange, std::uint32_t earlier_events) const
 {
@@ -166,51 +112,51 @@
 asio::awaitable<forward_call::relay_outcome>
 forward_call::relay_stream(server_exchange& exchange)
 {
-    const bool is_continuation = this->head_written;
     const bool complete_events_only = this->route.resumable;
     const std::uint32_t earlier_events = this->events.event_count();
     this->events.discard_incomplete();
-    bool written =
-        is_continuation || co_await this->write_stream_head(exchange);
+    bool written = this->response.has_begun() ||
+                   co_await this->response.send_head(exchange.head());
     std::string_view piece;
     while (written)
     {
         const exchange_state state = co_await exchange.read_some(piece);
-        if (state == exchange_state::interrupted)
-            co_return relay_outcome::interrupted;
-        if (state == exchange_state::timed_out)
-            co_return relay_outcome::deadline_passed;
         if (state != exchange_state::ok)
-            co_return relay_outcome::truncated;
+            co_return outcome_of(state);
         if (piece.empty())
         {
             if (!this->stream_has_ended(exchange, earlier_events))
                 co_return relay_outcome::truncated;
-            const std::string remainder = complete_events_only
-                                              ? this->events.take_remainder()
-                                              : std::string();
-            written = co_await this->write_chunk(remainder);
-            written = written && co_await this->caller.write_raw(last_chunk);
+            const std::string rest = complete_events_only
+                                         ? this->events.take_remainder()
+                                         : std::string();
+            written = co_await this->response.finish(exchange.head(), rest);
             co_return written ? relay_outcome::complete
                               : relay_outcome::write_failed;
         }
         const std::string completed_events = this->events.feed(piece);
         if (this->events.exceeds_limit())
             co_return relay_outcome::truncated;
-        written = co_await this->write_chunk(
+        written = co_await this->response.send_part(
+            exchange.head(),
             complete_events_only ? std::string_view(completed_events) : piece);
     }
     co_return this->inbox->interrupted() ? relay_outcome::interrupted
                                          : relay_outcome::write_failed;
 }
 
+bool forward_call::can_resume() const
+{
+    return this->response.has_begun() && this->route.resumable &&
+           !this->events.last_id().empty();
+}
+
 attempt_result forward_call::result_of(relay_outcome outcome) const
 {
     attempt_result result;
-    result.answer_started = this->head_written;
+    result.answer_started = this->response.has_begun();
     result.tokens = this->events.event_count();
-    result.resumable = this->head_written && this->route.resumable &&
-                       this->chunked && !this->events.last_id().empty();
+    result.resumable = this->can_resume();
     result.total = this->context.now() - this->sent_at;
     if (this->first_byte_at != instant())
         result.first_byte = this->first_byte_at - this->sent_at;
@@ -236,9 +182,8 @@
 attempt_result forward_call::result_of(exchange_state state) const
 {
     attempt_result result;
-    result.answer_started = this->head_written;
-    result.resumable = this->head_written && this->route.resumable &&
-                       !this->events.last_id().empty();
+    result.answer_started = this->response.has_begun();
+    result.resumable = this->can_resume();
     switch (state)
     {
     case exchange_state::not_sent:
