A response without a body gets no chunks

What callers saw: a HEAD request for an event stream got the last chunk of a body that such a response doesn't have, which a caller that keeps the connection reads as the start of the next response.

Test: a_head_request_for_a_stream_gets_no_body failed before.

--- a/src/adapters/forward/forward_call_relay.cpp
+++ b/src/adapters/forward/forward_call_relay.cpp
@@ -55,7 +55,8 @@
 asio::awaitable<forward_call::relay_outcome>
 forward_call::relay(server_exchange& exchange)
 {
-    const bool is_stream = is_event_stream(exchange.head());
+    const bool is_stream = exchange.framing() != body_framing::none &&
+                           is_event_stream(exchange.head());
     const relay_outcome outcome = is_stream
                                       ? co_await this->relay_stream(exchange)
                                       : co_await this->relay_buffered(exchange);
--- a/tests/unit/forward/test_forwarding.cpp
+++ b/tests/unit/forward/test_forwarding.cpp
@@ -237,6 +237,16 @@
     }
 }
 
+Test(forwarding, a_head_request_for_a_stream_gets_no_body)
+{
+    fake_backend backend(send_always(stream_head));
+    forward_fixture test({&backend});
+    const std::string response =
+        test.exchange(test.request("HEAD", "/stream/x"));
+    cr_assert(response.starts_with("HTTP/1.1 200 "), "%s", response.c_str());
+    cr_assert_eq(response.find("\r\n\r\n"), response.size() - 4);
+}
+
 Test(forwarding, a_truncated_stream_has_no_last_chunk)
 {
     fake_backend backend(
