A caller of HTTP/1.0 gets no chunks, and a reset where its stream breaks

What callers saw: chunk sizes inside the body, and with keep-alive no end at all (the test waited 60 s), since HTTP/1.0 has neither chunks nor an end of the body but that of the connection.

Why this works: the end of the connection ends such a response, and a reset is the only way to say that it is broken. The socket is set to reset from the first byte to the last, so that a killed process doesn't look like an end either.

--- a/src/adapters/edge/caller_connection.cpp
+++ b/src/adapters/edge/caller_connection.cpp
@@ -188,8 +188,29 @@
     co_return !error;
 }
 
+void caller_connection::begin_unframed()
+{
+    beast::error_code ignored;
+    this->stream.socket().set_option(
+        asio::socket_base::linger(true, 0), ignored);
+    this->is_unframed = true;
+}
+
+void caller_connection::end_unframed()
+{
+    beast::error_code ignored;
+    this->stream.socket().set_option(
+        asio::socket_base::linger(false, 0), ignored);
+    this->is_unframed = false;
+}
+
 asio::awaitable<void> caller_connection::linger_close()
 {
+    if (this->is_unframed)
+    {
+        this->stream.close();
+        co_return;
+    }
     this->stream.expires_after(linger_timeout);
     co_await this->stream.shutdown_tls();
     beast::error_code error;
--- a/src/adapters/edge/caller_connection.hpp
+++ b/src/adapters/edge/caller_connection.hpp
@@ -72,6 +72,14 @@
     /// Writes bytes without any framing.
     asio::awaitable<bool> write_raw(std::string_view bytes);
 
+    /// Begins a response that the end of the connection ends. Until
+    /// `end_unframed`, the connection ends with a reset, also if the process
+    /// ends, so that a part never looks complete.
+    void begin_unframed();
+
+    /// States that the whole unframed response was written.
+    void end_unframed();
+
     /// Closes the connection after reading and discarding what the caller still
     /// sends, up to a time and size limit. Closing with unread data would reset
     /// the connection, and the caller could lose the last response.
@@ -101,6 +109,7 @@
     const edge_options& options;
     beast::flat_buffer buffer;
     bool between_requests = true;
+    bool is_unframed = false; ///< an unframed response has begun
 };
 
 } // namespace roseworks::edge
--- a/src/adapters/forward/caller_response.cpp
+++ b/src/adapters/forward/caller_response.cpp
@@ -15,6 +15,7 @@
 namespace
 {
 
+constexpr unsigned version_1_1 = 11;
 constexpr std::string_view chunked_framing = "Transfer-Encoding: chunked\r\n";
 constexpr std::string_view last_chunk = "0\r\n\r\n";
 
@@ -68,7 +69,7 @@
     if (part.empty())
         co_return true;
     std::string bytes = this->begin_parts(head);
-    append_chunk(bytes, part);
+    this->append_part(bytes, part);
     const bool written = co_await this->caller.write_raw(bytes);
     co_return written;
 }
@@ -77,16 +78,33 @@
 caller_response::finish(const response_head& head, std::string_view rest)
 {
     std::string bytes = this->begin_parts(head);
-    append_chunk(bytes, rest);
-    bytes += last_chunk;
+    this->append_part(bytes, rest);
+    if (!this->is_unframed)
+        bytes += last_chunk;
     const bool written = co_await this->caller.write_raw(bytes);
+    if (this->is_unframed && written)
+        this->caller.end_unframed();
     co_return written;
 }
 
+void caller_response::append_part(
+    std::string& bytes, std::string_view part) const
+{
+    if (this->is_unframed)
+        bytes += part;
+    else
+        append_chunk(bytes, part);
+}
+
 std::string caller_response::begin_parts(const response_head& head)
 {
-    return this->has_begun() ? std::string()
-                             : this->begin(head, chunked_framing);
+    if (this->has_begun())
+        return {};
+    this->is_unframed = this->request.version < version_1_1;
+    if (!this->is_unframed)
+        return this->begin(head, chunked_framing);
+    this->caller.begin_unframed();
+    return this->begin(head, {});
 }
 
 std::string
@@ -95,7 +113,9 @@
     this->sent_status = head.result_int();
     std::string bytes = serialize_head(head, this->context.names);
     bytes += framing;
-    if (!this->request.keep_alive || this->context.draining)
+    const bool close = !this->request.keep_alive || this->context.draining ||
+                       this->is_unframed;
+    if (close)
         bytes += "Connection: close\r\n";
     bytes += "\r\n";
     return bytes;
--- a/src/adapters/forward/caller_response.hpp
+++ b/src/adapters/forward/caller_response.hpp
@@ -19,8 +19,11 @@
 
     A response whose size is not known when it begins is sent in parts. Its last
     chunk tells the caller that it is complete, so `finish` is called only if
-    the server has stated the end. The head is sent together with the first
-   part: until then, another server's response can take the place of this one.
+    the server has stated the end. The head is sent with the first part: until
+    then, another server's response can take the place of this one.
+
+    A caller of HTTP/1.0 knows no chunks. For it the end of the connection ends
+    the parts, and without `finish` that end is a reset.
 
     All functions that send return false if the caller's connection has failed.
 */
@@ -54,6 +57,12 @@
         return this->sent_status != 0;
     }
 
+    /// @return Whether the connection has to end after this response.
+    bool ends_connection() const
+    {
+        return this->is_unframed;
+    }
+
     /// @return The status that the caller received; 0: none.
     unsigned status() const
     {
@@ -63,11 +72,13 @@
 private:
     std::string begin(const response_head& head, std::string_view framing);
     std::string begin_parts(const response_head& head);
+    void append_part(std::string& bytes, std::string_view part) const;
 
     forward_context& context;
     edge::caller_connection& caller;
     const forward_request& request;
     unsigned sent_status = 0;
+    bool is_unframed = false; ///< sent in parts, but not in chunks
 };
 
 } // namespace roseworks::forward
--- a/src/adapters/forward/forward_call.cpp
+++ b/src/adapters/forward/forward_call.cpp
@@ -155,8 +155,9 @@
     beast::error_code ignored;
     this->caller.stream.socket().cancel(ignored);
     this->report();
-    co_return this->connection_usable && !this->inbox->caller_has_left() &&
-        this->request.keep_alive && !this->context.draining;
+    co_return this->connection_usable && !this->response.ends_connection() &&
+        !this->inbox->caller_has_left() && this->request.keep_alive &&
+        !this->context.draining;
 }
 
 asio::awaitable<void> forward_call::finish_interrupted()
--- a/tests/unit/forward/forward_fixture.cpp
+++ b/tests/unit/forward/forward_fixture.cpp
@@ -264,11 +264,17 @@
 }
 
 std::string forward_fixture::exchange(std::string_view bytes)
+{
+    boost::system::error_code ignored;
+    return this->exchange(bytes, ignored);
+}
+
+std::string forward_fixture::exchange(
+    std::string_view bytes, boost::system::error_code& ended)
 {
     tcp::socket socket = this->connect();
     asio::write(socket, asio::buffer(bytes.data(), bytes.size()));
     std::string response;
-    boost::system::error_code ended;
     asio::read(socket, asio::dynamic_buffer(response), ended);
     return response;
 }
--- a/tests/unit/forward/forward_fixture.hpp
+++ b/tests/unit/forward/forward_fixture.hpp
@@ -99,6 +99,11 @@
     /// @return All bytes received until the connection ends.
     std::string exchange(std::string_view bytes);
 
+    /// Does the same.
+    /// @param ended Receives how the connection ended.
+    std::string
+    exchange(std::string_view bytes, boost::system::error_code& ended);
+
     /// @param headers Additional header lines, each with its line end.
     /// @return        A request with `Connection: close`.
     static std::string request(
