Routers ignore an outage of the store that only another VM had

Why this works: a router knows when it or another last read the store. Entries expire after three missed heartbeats, so an outage that ended within two heartbeats of an answer expired none. The latest longer period without an answer is remembered, since the first update after a real outage may come from a router that didn't notice it. The interval of the heartbeats is a setting, bounds.heartbeat_ms.

Tests: an_outage_of_another_vm_alone_keeps_no_removed_server failed before; real outages are still reported, with and without a newer update in between.

--- a/src/adapters/settings/gateway_settings.hpp
+++ b/src/adapters/settings/gateway_settings.hpp
@@ -45,6 +45,9 @@
         /// From a server's announcement that it leaves until it must receive
         /// no new requests.
         milliseconds leaving{2000};
+        /// Interval at which servers write to the registry. After three of them
+        /// without a write an entry expires.
+        milliseconds heartbeat{1000};
         /// Until a new configuration must be in force everywhere.
         milliseconds configuration{2000};
         /// Minimum time between orders of successive owners to an engine.
--- a/src/adapters/settings/load_gateway_settings.cpp
+++ b/src/adapters/settings/load_gateway_settings.cpp
@@ -248,6 +248,16 @@
              "Time after a server announces that it is leaving until it "
              "must receive no new requests."),
          &store_member<bounds, &bounds_section::leaving>},
+        {row("bounds",
+             "heartbeat_ms",
+             integer,
+             "1000",
+             1,
+             max_ms,
+             "ms",
+             "Interval at which servers write to the registry; entries expire "
+             "after three intervals without a write."),
+         &store_member<bounds, &bounds_section::heartbeat>},
         {row("bounds",
              "configuration_ms",
              integer,
--- a/src/app/gateway/gateway_options.cpp
+++ b/src/app/gateway/gateway_options.cpp
@@ -104,6 +104,8 @@
     // read and a repeat.
     constexpr std::chrono::milliseconds min_age{100};
     made.registry_max_age = std::max(settings.bounds.leaving * 9 / 20, min_age);
+    // The last write before an outage may be one interval old.
+    made.min_expiring_outage = 2 * settings.bounds.heartbeat;
     made.config_max_age = std::max(settings.bounds.configuration / 2, min_age);
     made.max_update_bytes = static_cast<std::size_t>(
         settings.vm.link_mbps * bytes_per_mbit * update_link_share);
--- /dev/null
+++ b/tests/unit/dissemination/test_outage_evidence.cpp
@@ -0,0 +1,60 @@
+#include "core/dissemination/outage_evidence.hpp"
+
+#include <chrono>
+
+#include <criterion/criterion.h>
+
+using namespace roseworks;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const instant start{std::chrono::seconds(100)};
+
+/// Answers of the store each 500 ms up to `start`.
+outage_evidence make_evidence()
+{
+    outage_evidence made(2s);
+    for (duration before = 5s; before >= duration::zero(); before -= 500ms)
+        made.store_answered(start - before);
+    return made;
+}
+
+} // namespace
+
+Test(outage_evidence, without_any_answer_an_outage_is_possible)
+{
+    cr_assert(outage_evidence(2s).may_have_been_out(start));
+}
+
+Test(outage_evidence, a_store_that_has_just_answered_was_not_out)
+{
+    const outage_evidence known = make_evidence();
+    cr_assert_not(known.may_have_been_out(start));
+    cr_assert_not(known.may_have_been_out(start + 1900ms));
+    cr_assert_not(known.may_have_been_out(start - 1s));
+}
+
+Test(outage_evidence, without_an_answer_for_long_the_store_may_have_been_out)
+{
+    cr_assert(make_evidence().may_have_been_out(start + 2s));
+}
+
+Test(outage_evidence, a_past_outage_is_remembered)
+{
+    outage_evidence known = make_evidence();
+    known.store_answered(start + 3s);
+    known.store_answered(start + 4s);
+    cr_assert(known.may_have_been_out(start + 2s));
+    cr_assert(known.may_have_been_out(start + 3100ms));
+    cr_assert_not(known.may_have_been_out(start));
+    cr_assert_not(known.may_have_been_out(start + 5100ms));
+}
+
+Test(outage_evidence, an_older_answer_changes_nothing)
+{
+    outage_evidence known = make_evidence();
+    known.store_answered(start - 10s);
+    cr_assert_not(known.may_have_been_out(start));
+}
--- a/tests/unit/settings/test_load_gateway_settings.cpp
+++ b/tests/unit/settings/test_load_gateway_settings.cpp
@@ -35,6 +35,7 @@
 [bounds]
 grace_s = 8
 leaving_ms = 2000
+heartbeat_ms = 1200
 lease_ms = 3000
 fences_checked = true
 retry_ratio = 0.2
--- a/tests/unit/users_platform/test_directory_copies.cpp
+++ b/tests/unit/users_platform/test_directory_copies.cpp
@@ -1,6 +1,7 @@
 #include "adapters/events/null_event_sink.hpp"
 #include "adapters/platform/system_clock.hpp"
 #include "fake_backend.hpp"
+#include "manual_clock.hpp"
 #include "platform/router_registration.hpp"
 #include "platform/store_directory.hpp"
 
@@ -21,6 +22,7 @@
 using namespace roseworks::users_platform;
 using roseworks::edge::tests::backend_peer;
 using roseworks::edge::tests::fake_backend;
+using roseworks::users_platform::tests::manual_clock;
 namespace asio = boost::asio;
 
 namespace
@@ -174,23 +176,6 @@
     std::vector<server_entry> servers;
 };
 
-/// A clock that a test advances.
-class manual_clock final : public clock_port
-{
-public:
-    instant now() const override
-    {
-        return this->time;
-    }
-
-    stamp_ms wall() const override
-    {
-        return 0;
-    }
-
-    instant time{std::chrono::seconds(100)};
-};
-
 const platform::system_clock real_clock;
 
 struct directory_fixture
--- a/tests/unit/users_platform/test_directory_updates.cpp
+++ b/tests/unit/users_platform/test_directory_updates.cpp
@@ -1,6 +1,6 @@
 #include "adapters/events/null_event_sink.hpp"
-#include "adapters/platform/system_clock.hpp"
 #include "fake_store.hpp"
+#include "manual_clock.hpp"
 #include "null_copy_port.hpp"
 #include "platform/store_directory.hpp"
 
@@ -17,6 +17,7 @@
 using namespace roseworks;
 using namespace roseworks::users_platform;
 using roseworks::users_platform::tests::fake_store;
+using roseworks::users_platform::tests::manual_clock;
 using roseworks::users_platform::tests::null_copy_port;
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
@@ -123,10 +124,32 @@
             this->loop.run_one();
     }
 
+    /// @return The next update of another router, which has just read the
+    /// store.
+    directory_update next_update()
+    {
+        directory_update update;
+        update.registry_from = this->last_offset;
+        update.registry = {++this->last_offset, 100};
+        return update;
+    }
+
+    /// Applies an update every 100 ms for this time.
+    void update_for(duration length)
+    {
+        const instant end = this->clock.time + length;
+        while (this->clock.time < end)
+        {
+            this->clock.time += 100ms;
+            this->directory.apply_peer_update(this->next_update());
+        }
+    }
+
     fake_store store;
+    std::uint64_t last_offset = 1; ///< where listings of the fake store end
     asio::io_context loop;
     platform::byte_meter meter;
-    const platform::system_clock clock;
+    manual_clock clock;
     events::null_event_sink sink;
     recording_listener listener;
     null_copy_port copies;
@@ -208,6 +231,44 @@
     cr_assert_eq(test.listener.recoveries, 1);
 }
 
+/// A VM that was cut off announces the end of an outage that the store didn't
+/// have. A router that kept removed servers because of it sent requests to them
+/// too long after their removal.
+Test(directory_updates, an_outage_of_another_vm_alone_keeps_no_removed_server)
+{
+    directory_fixture test;
+    test.update_for(5s);
+    directory_update update = test.next_update();
+    update.outage_ended_us_ago = 1000;
+    test.directory.apply_peer_update(update);
+    cr_assert_eq(test.listener.recoveries, 0);
+}
+
+Test(directory_updates, an_outage_without_updates_is_reported)
+{
+    directory_fixture test;
+    test.update_for(5s);
+    test.clock.time += 4s;
+    directory_update update = test.next_update();
+    update.outage_ended_us_ago = 1000;
+    test.directory.apply_peer_update(update);
+    cr_assert_eq(test.listener.recoveries, 1);
+}
+
+/// The first update after an outage may come from a router that did not notice
+/// it.
+Test(directory_updates, an_outage_is_reported_after_a_newer_update)
+{
+    directory_fixture test;
+    test.update_for(5s);
+    test.clock.time += 4s;
+    test.update_for(200ms);
+    directory_update update = test.next_update();
+    update.outage_ended_us_ago = 210'000;
+    test.directory.apply_peer_update(update);
+    cr_assert_eq(test.listener.recoveries, 1);
+}
+
 /// If the store refuses the owner's reads, a router with high capacity reads
 /// the store and sends updates, so that the others need not read.
 Test(directory_updates, a_high_capacity_router_with_old_data_reads_and_sends)
--- a/tests/unit/users_platform/test_keyed_topic_reader.cpp
+++ b/tests/unit/users_platform/test_keyed_topic_reader.cpp
@@ -1,6 +1,7 @@
 #include "adapters/platform/backoff.hpp"
 #include "adapters/platform/system_clock.hpp"
 #include "fake_backend.hpp"
+#include "manual_clock.hpp"
 #include "platform/keyed_topic_reader.hpp"
 #include "platform/store_frames.hpp"
 
@@ -18,6 +19,7 @@
 using namespace roseworks::users_platform;
 using edge::tests::backend_peer;
 using edge::tests::fake_backend;
+using roseworks::users_platform::tests::manual_clock;
 namespace asio = boost::asio;
 
 namespace
@@ -90,23 +92,6 @@
     return values;
 }
 
-/// A clock that a test advances.
-class manual_clock final : public clock_port
-{
-public:
-    instant now() const override
-    {
-        return this->time;
-    }
-
-    stamp_ms wall() const override
-    {
-        return 0;
-    }
-
-    instant time{std::chrono::seconds(100)};
-};
-
 /// A reader that is not the primary reader, and relies on the updates of
 /// another router.
 struct reader_fixture
