A router that was cut off learns that the store was not out

Cause: such a VM kept removed servers for 2.2 s after its own return, and a notice of another VM began that time anew, from when the notice arrived and not from the end of the outage that it named, up to two seconds earlier.

Why this works: each update says for how long the store has answered its sender or the routers that it hears. If that covers the time in which this router had no answer, there was no outage: servers that were kept are removed, and no notice is sent. A notice counts from the time that it names. The new field ends the message, so that earlier versions read the rest, and may be missing.

--- a/src/app/gateway/gateway_control.cpp
+++ b/src/app/gateway/gateway_control.cpp
@@ -512,12 +512,16 @@
     const auto away = std::chrono::duration_cast<std::chrono::milliseconds>(
         this->clock.now() - this->store_lost_at);
     this->events.report(event_id::store_back, {{"away_ms", away.count()}});
-    this->store_recovery_reported();
 }
 
-void gateway_control::store_recovery_reported()
+void gateway_control::store_outage_ended(instant end)
 {
-    this->serving->store_recovered();
+    this->serving->store_outage_ended(end);
+}
+
+void gateway_control::store_outage_refuted()
+{
+    this->serving->store_outage_refuted();
 }
 
 void gateway_control::store_read(const directory_update& message)
--- a/src/app/gateway/gateway_control.hpp
+++ b/src/app/gateway/gateway_control.hpp
@@ -148,7 +148,8 @@
     void term_ended() override;
     void store_unreachable() override;
     void store_reachable() override;
-    void store_recovery_reported() override;
+    void store_outage_ended(instant end) override;
+    void store_outage_refuted() override;
     void store_read(const directory_update& message) override;
 
     // gateway_peer_listener
--- a/src/app/gateway/serving_table_publisher.cpp
+++ b/src/app/gateway/serving_table_publisher.cpp
@@ -121,9 +121,15 @@
         this->schedule_publish();
 }
 
-void serving_table_publisher::store_recovered()
+void serving_table_publisher::store_outage_ended(instant end)
 {
-    this->deployment_view.registry_back(this->clock.now());
+    this->deployment_view.registry_back(end);
+}
+
+void serving_table_publisher::store_outage_refuted()
+{
+    if (this->deployment_view.registry_was_not_out())
+        this->schedule_publish();
 }
 
 void serving_table_publisher::residency_announced(engine_residency residency)
--- a/src/app/gateway/serving_table_publisher.hpp
+++ b/src/app/gateway/serving_table_publisher.hpp
@@ -64,7 +64,8 @@
     void servers_listed(std::vector<server_entry> all);
     void server_read(server_entry entry);
     void server_removed(std::string_view id);
-    void store_recovered();
+    void store_outage_ended(instant end);
+    void store_outage_refuted();
 
     /// The placement owner announced which models an engine holds.
     void residency_announced(engine_residency residency);
--- a/src/core/dissemination/directory_update.hpp
+++ b/src/core/dissemination/directory_update.hpp
@@ -40,6 +40,9 @@
     /// How long ago the store became reachable again; negative: there was no
     /// recent outage.
     std::int64_t outage_ended_us_ago = -1;
+    /// For how long the store has answered this router, or routers it hears of,
+    /// without an outage in which entries expire.
+    std::int64_t answered_for_us = 0;
 
     template <class Archive>
     void serialize(Archive& archive)
@@ -51,6 +54,13 @@
             this->registry_from,
             this->changes,
             this->outage_ended_us_ago);
+        // Routers of earlier versions leave this field out.
+        if constexpr (requires { archive.remaining(); })
+        {
+            if (archive.remaining() == 0)
+                return;
+        }
+        archive(this->answered_for_us);
     }
 };
 
--- a/src/core/dissemination/outage_evidence.cpp
+++ b/src/core/dissemination/outage_evidence.cpp
@@ -1,9 +1,11 @@
 #include "core/dissemination/outage_evidence.hpp"
 
+#include <algorithm>
+
 namespace roseworks
 {
 
-void outage_evidence::store_answered(instant when)
+void outage_evidence::answered_at(instant when)
 {
     if (when <= this->last_answer)
         return;
@@ -15,13 +17,27 @@
     this->last_answer = when;
 }
 
+bool outage_evidence::answered_between(instant begin, instant end)
+{
+    if (begin <= this->last_answer)
+        this->last_answer = std::max(this->last_answer, end);
+    const bool covers_gap = this->gap_end > this->gap_begin &&
+                            begin <= this->gap_begin && end >= this->gap_end;
+    if (!covers_gap)
+        return false;
+    this->gap_begin = begin;
+    this->gap_end = begin;
+    return true;
+}
+
 bool outage_evidence::may_have_been_out(instant end) const
 {
     if (end - this->last_answer >= this->min_length)
         return true;
     // Other routers may notice the end of an outage later than the first
     // answer.
-    return end > this->gap_begin && end < this->gap_end + this->min_length;
+    return this->gap_end > this->gap_begin && end > this->gap_begin &&
+           end < this->gap_end + this->min_length;
 }
 
 } // namespace roseworks
--- a/src/core/dissemination/outage_evidence.hpp
+++ b/src/core/dissemination/outage_evidence.hpp
@@ -5,10 +5,11 @@
 namespace roseworks
 {
 
-/** Tells an outage of the store from one that only another router had.
+/** Tells an outage of the store from one that only some routers had.
 
     Remembers the latest period in which no router is known to have read the
-    store. A router that was cut off takes its own outage for the store's.
+    store. A router that was cut off takes its own outage for the store's until
+    it hears from a router that had answers all the while.
 */
 class outage_evidence
 {
@@ -19,12 +20,22 @@
     {
     }
 
-    /// The store answered a read at this time, of this router or of another.
-    void store_answered(instant when);
+    /// The store answered a read at this time.
+    void answered_at(instant when);
+
+    /// Another router knows that the store answered without an outage.
+    /// @return Whether this refutes an outage that seemed possible.
+    bool answered_between(instant begin, instant end);
 
     /// @return Whether the store may have been out until then for all routers.
     bool may_have_been_out(instant end) const;
 
+    /// @return Since when the store has answered without an outage.
+    instant answered_since() const
+    {
+        return this->gap_end;
+    }
+
 private:
     duration min_length;
     instant last_answer;
--- a/src/core/serving/serving_view.cpp
+++ b/src/core/serving/serving_view.cpp
@@ -181,9 +181,34 @@
     return changed;
 }
 
-void serving_view::registry_back(instant now)
+void serving_view::registry_back(instant outage_end)
 {
-    this->reregistration_deadline = now + this->settings.reregistration_period;
+    this->reregistration_deadline =
+        outage_end + this->settings.reregistration_period;
+}
+
+bool serving_view::registry_was_not_out()
+{
+    this->reregistration_deadline = instant::min();
+    return this->remove_expired(instant::max());
+}
+
+bool serving_view::remove_expired(instant now)
+{
+    std::vector<std::string> expired;
+    for (const auto& [id, record] : this->servers_by_id)
+    {
+        if (record.expires_at && *record.expires_at <= now)
+            expired.push_back(id);
+    }
+    for (const std::string& id : expired)
+    {
+        const auto found = this->servers_by_id.find(id);
+        const std::string address = found->second.entry.address;
+        this->servers_by_id.erase(found);
+        this->remove_from_address(id, address);
+    }
+    return !expired.empty();
 }
 
 bool serving_view::update_residency(engine_residency report, instant now)
@@ -265,20 +290,7 @@
 
 bool serving_view::tick(instant now)
 {
-    std::vector<std::string> expired;
-    for (const auto& [id, record] : this->servers_by_id)
-    {
-        if (record.expires_at && *record.expires_at <= now)
-            expired.push_back(id);
-    }
-    for (const std::string& id : expired)
-    {
-        const auto found = this->servers_by_id.find(id);
-        const std::string address = found->second.entry.address;
-        this->servers_by_id.erase(found);
-        this->remove_from_address(id, address);
-    }
-    bool changed = !expired.empty();
+    bool changed = this->remove_expired(now);
     changed = std::erase_if(
                   this->expected_loads,
                   [&](const auto& entry)
--- a/src/core/serving/serving_view.hpp
+++ b/src/core/serving/serving_view.hpp
@@ -99,7 +99,13 @@
     bool entries_listed(std::vector<server_entry> all, instant now);
 
     /// The registry is available again after an outage.
-    void registry_back(instant now);
+    /// @param outage_end When the outage ended.
+    void registry_back(instant outage_end);
+
+    /// There was no outage of the registry: entries that were kept because of
+    /// one are removed.
+    /// @return Whether anything relevant to routing changed.
+    bool registry_was_not_out();
 
     /// Processes the placement owner's report on an engine.
     /// @return Whether anything relevant to routing changed.
@@ -162,6 +168,8 @@
     void build_catalogue();
     /// Adds a server to the index by address, or removes it.
     void add_to_address(const server& record);
+    /// Removes the entries that did not register again in time.
+    bool remove_expired(instant now);
     void remove_from_address(std::string_view id, const std::string& address);
     void update_superseded(const std::string& address);
     void add_engine(
--- a/src/ports/directory_port.hpp
+++ b/src/ports/directory_port.hpp
@@ -80,8 +80,13 @@
     /// The store answers again.
     virtual void store_reachable() = 0;
 
-    /// Another router reported that the store answers again.
-    virtual void store_recovery_reported() = 0;
+    /// An outage of the store has ended, in which entries of the registry may
+    /// have expired though their servers live.
+    /// @param end When it ended, which may be up to some seconds ago.
+    virtual void store_outage_ended(instant end) = 0;
+
+    /// The latest outage was not one of the store: other routers had answers.
+    virtual void store_outage_refuted() = 0;
 
     /// This router has read an update from the store. It has to be sent to the
     /// other routers, which then needn't read it themselves.
--- a/tests/unit/dissemination/test_outage_evidence.cpp
+++ b/tests/unit/dissemination/test_outage_evidence.cpp
@@ -17,7 +17,7 @@
 {
     outage_evidence made(2s);
     for (duration before = 5s; before >= duration::zero(); before -= 500ms)
-        made.store_answered(start - before);
+        made.answered_at(start - before);
     return made;
 }
 
@@ -44,8 +44,8 @@
 Test(outage_evidence, a_past_outage_is_remembered)
 {
     outage_evidence known = make_evidence();
-    known.store_answered(start + 3s);
-    known.store_answered(start + 4s);
+    known.answered_at(start + 3s);
+    known.answered_at(start + 4s);
     cr_assert(known.may_have_been_out(start + 2s));
     cr_assert(known.may_have_been_out(start + 3100ms));
     cr_assert_not(known.may_have_been_out(start));
@@ -55,6 +55,27 @@
 Test(outage_evidence, an_older_answer_changes_nothing)
 {
     outage_evidence known = make_evidence();
-    known.store_answered(start - 10s);
+    known.answered_at(start - 10s);
     cr_assert_not(known.may_have_been_out(start));
 }
+
+Test(outage_evidence, answers_of_another_router_refute_an_outage)
+{
+    outage_evidence known = make_evidence();
+    known.answered_at(start + 4s);
+    cr_assert(known.may_have_been_out(start + 4s));
+    cr_assert_not(known.answered_between(start + 1s, start + 4s));
+    cr_assert_not(known.answered_between(start - 1s, start + 3s));
+    cr_assert(known.may_have_been_out(start + 4s));
+    cr_assert(known.answered_between(start - 1s, start + 4s));
+    cr_assert_not(known.may_have_been_out(start + 4s));
+    cr_assert_eq(known.answered_since(), start - 1s);
+}
+
+Test(outage_evidence, answers_of_another_router_come_before_ones_own)
+{
+    outage_evidence known = make_evidence();
+    known.answered_between(start - 1s, start + 4s);
+    known.answered_at(start + 4s);
+    cr_assert_not(known.may_have_been_out(start + 4s));
+}
--- a/tests/unit/serving/test_serving_view.cpp
+++ b/tests/unit/serving/test_serving_view.cpp
@@ -123,6 +123,16 @@
         table_of(view, at(12s + 300ms))->find_service("app")->backends.empty());
 }
 
+Test(serving_view, a_refuted_outage_keeps_no_entry)
+{
+    serving_view view = make_view();
+    view.entry_read(make_plain("p1"));
+    view.registry_back(at(10s));
+    cr_assert_not(view.entry_removed("p1", at(10s)));
+    cr_assert(view.registry_was_not_out());
+    cr_assert(view.servers().empty());
+}
+
 Test(serving_view, an_entry_that_registers_again_in_time_stays)
 {
     serving_view view = make_view();
--- a/tests/unit/users_platform/test_directory_copies.cpp
+++ b/tests/unit/users_platform/test_directory_copies.cpp
@@ -168,7 +168,8 @@
     void term_ended() override {}
     void store_unreachable() override {}
     void store_reachable() override {}
-    void store_recovery_reported() override {}
+    void store_outage_ended(instant) override {}
+    void store_outage_refuted() override {}
     void store_read(const directory_update&) override {}
 
     std::uint64_t version = 0;
--- a/tests/unit/users_platform/test_directory_updates.cpp
+++ b/tests/unit/users_platform/test_directory_updates.cpp
@@ -58,9 +58,15 @@
     void store_unreachable() override {}
     void store_reachable() override {}
 
-    void store_recovery_reported() override
+    void store_outage_ended(instant end) override
     {
         ++this->recoveries;
+        this->outage_end = end;
+    }
+
+    void store_outage_refuted() override
+    {
+        ++this->refutations;
     }
 
     void store_read(const directory_update& update) override
@@ -71,6 +77,8 @@
     bool listed = false;
     bool routers = false;
     int recoveries = 0;
+    int refutations = 0;
+    instant outage_end;
     std::vector<server_entry> read;
     std::vector<std::string> removed;
     std::vector<directory_update> sent;
@@ -269,6 +277,40 @@
     cr_assert_eq(test.listener.recoveries, 1);
 }
 
+/// A notice arrives up to two seconds after the end of the outage. A router
+/// that counted the time to register again from the notice kept removed servers
+/// for longer than they may be used.
+Test(directory_updates, an_outage_ends_when_the_notice_says_so)
+{
+    directory_fixture test;
+    test.clock.time += 4s;
+    directory_update update = test.next_update();
+    update.outage_ended_us_ago = 1'900'000;
+    test.directory.apply_peer_update(update);
+    cr_assert_eq(test.listener.outage_end, test.clock.time - 1900ms);
+}
+
+/// A VM that comes back after it was cut off hears from routers that had
+/// answers of the store all the while.
+Test(directory_updates, answers_of_other_routers_refute_an_outage)
+{
+    directory_fixture test;
+    test.update_for(5s);
+    test.clock.time += 4s;
+    directory_update update = test.next_update();
+    update.outage_ended_us_ago = 1000;
+    test.directory.apply_peer_update(update);
+    cr_assert_eq(test.listener.recoveries, 1);
+    update = test.next_update();
+    update.answered_for_us = 3'000'000;
+    test.directory.apply_peer_update(update);
+    cr_assert_eq(test.listener.refutations, 0);
+    update = test.next_update();
+    update.answered_for_us = 6'000'000;
+    test.directory.apply_peer_update(update);
+    cr_assert_eq(test.listener.refutations, 1);
+}
+
 /// If the store refuses the owner's reads, a router with high capacity reads
 /// the store and sends updates, so that the others need not read.
 Test(directory_updates, a_high_capacity_router_with_old_data_reads_and_sends)
--- a/tests/unit/users_platform/test_router_registration.cpp
+++ b/tests/unit/users_platform/test_router_registration.cpp
@@ -94,7 +94,8 @@
     void ownership_ended() override {}
     void store_unreachable() override {}
     void store_reachable() override {}
-    void store_recovery_reported() override {}
+    void store_outage_ended(instant) override {}
+    void store_outage_refuted() override {}
     void store_read(const directory_update&) override {}
 
     void tenure_changed(std::optional<placement_tenure> tenure) override
