--- a/src/core/swapping/swap_planner.hpp
+++ b/src/core/swapping/swap_planner.hpp
@@ -4,14 +4,15 @@
 #include "core/swapping/engine_loss_estimator.hpp"
 #include "core/swapping/engine_tracker.hpp"
 #include "core/swapping/load_forecast.hpp"
+#include "core/swapping/planning_round.hpp"
 #include "core/swapping/store_load_limiter.hpp"
+#include "core/swapping/swap_order.hpp"
 
 #include <roseworks/instant.hpp>
 
 #include <cstddef>
 #include <cstdint>
 #include <optional>
-#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -21,17 +22,6 @@
 namespace roseworks
 {
 
-/// An order that should be sent now.
-struct swap_order
-{
-    std::string engine; ///< id of the engine's entry
-    engine_action action = engine_action::load;
-    std::string model;
-    std::string adapter; ///< empty: the base model
-    weight_source source = weight_source::disk;
-    std::uint32_t waiting = 0; ///< requests that wait for it
-};
-
 /** Decides which engine loads or unloads which model next.
 
     Designed for requests that are spread over many rarely used models and
@@ -121,86 +111,13 @@
     }
 
 private:
-    /// A base model or adapter that should be loaded.
-    struct placement_request
-    {
-        std::string servable; ///< key of the model or adapter
-        std::string service;
-        std::string model;
-        std::string adapter;
-        std::uint32_t waiting = 0;
-        instant objective;
-        instant deadline;
-        bool extra_copy = false; ///< loaded, but on too few engines
-        bool overloaded = false; ///< extra copy that is needed urgently
-        /// It is loaded only on engines with a rate limit.
-        bool only_rate_limited = false;
-        /// Expected number of requests that don't have to wait if a load from
-        /// the store starts now instead of after the next one.
-        double waits_avoided = 0;
-        bool has_no_copy = false; ///< no engine has the weights or loads them
-    };
-
-    /// An engine that could load the model.
-    struct candidate
-    {
-        const engine_state* engine = nullptr;
-        weight_source source = weight_source::disk;
-        std::vector<std::string> victims; ///< models to unload first
-        duration ready_in{};              ///< until the model is loaded
-        std::uint32_t running = 0;        ///< requests on the engine
-    };
-
-    /// Use of a model on one engine, its adapters included.
-    struct model_usage
-    {
-        std::uint32_t running = 0;
-        instant last_used;
-    };
-
-    /// Use of an engine's models.
-    struct engine_usage
-    {
-        /// In the order of the engine's loaded models.
-        std::vector<model_usage> loaded_models;
-        std::uint32_t running = 0;
-    };
-
-    /// Totals of a model over all engines of its service.
-    struct model_totals
-    {
-        std::size_t copies = 0;  ///< loaded on engines without a rate limit
-        std::size_t limited = 0; ///< loaded on engines with a rate limit
-        std::size_t loading = 0; ///< being loaded
-        std::uint32_t running = 0;
-    };
-
-    /// Engines that may load a model.
-    enum class load_targets : std::uint8_t
-    {
-        with_weights,      ///< those that have the weights
-        without_weights,   ///< those that need the weights from the store
-        nearly_empty_disks ///< the same, but only those with nearly empty disks
-    };
-
-    /// State of one planning round.
-    struct planning_round
-    {
-        const engine_tracker& engines;
-        const demand_tracker& needs;
-        instant now;
-        std::unordered_map<const engine_state*, engine_usage> usage_by_engine;
-        /// By model key.
-        std::unordered_map<std::string, model_totals> totals_by_model;
-        /// Ids of engines that get an order in this round or are reserved.
-        std::set<std::string, std::less<>> assigned_engines;
-        /// Keys of models for which requests wait, also for an adapter.
-        std::set<std::string, std::less<>> awaited_models;
-        std::vector<swap_order> orders;
-        /// Requests that wait for a model whose weights no engine has, by model
-        /// key.
-        std::unordered_map<std::string, std::uint32_t> waiting_without_copy;
-    };
+    using placement_request = detail::placement_request;
+    using candidate = detail::candidate;
+    using model_usage = detail::model_usage;
+    using engine_usage = detail::engine_usage;
+    using model_totals = detail::model_totals;
+    using load_targets = detail::load_targets;
+    using planning_round = detail::planning_round;
 
     void collect_usage(planning_round& round) const;
     engine_usage collect_usage(
