--- a/src/adapters/edge/backend_attempt_stream.cpp
+++ b/src/adapters/edge/backend_attempt_stream.cpp
@@ -63,10 +63,11 @@
             co_return;
         }
     }
+    const bool states_end = is_delimited && !events.is_inside_event();
     events.finish();
     this->outcome.result.tokens = earlier_tokens + events.tokens();
     const bool done = !events.done_event().empty();
-    const bool complete = this->call.is_service() ? is_delimited : done;
+    const bool complete = this->call.is_service() ? states_end : done;
     if (!complete)
     {
         this->set_end(end::broken);
--- a/src/adapters/edge/sse_reader.cpp
+++ b/src/adapters/edge/sse_reader.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::string_view data_field = "data:";
 constexpr std::string_view id_field = "id:";
+constexpr char comment_start = ':';
 constexpr std::string_view done_value = "[DONE]";
 
 /// @return The value of the field, without one leading space.
@@ -65,6 +66,7 @@
 {
     const std::string_view line =
         std::string_view(this->event).substr(this->line_start);
+    this->has_field = this->has_field || !line.starts_with(comment_start);
     if (line.starts_with(id_field))
         this->id = value_of(line, id_field);
     if (!line.starts_with(data_field))
@@ -94,6 +96,7 @@
     }
     this->event.clear();
     this->line_start = 0;
+    this->has_field = false;
     this->has_data = false;
     this->is_done_event = false;
     // Everything after [DONE] is discarded, including the LF of a CRLF that
--- a/src/adapters/edge/sse_reader.hpp
+++ b/src/adapters/edge/sse_reader.hpp
@@ -44,6 +44,13 @@
     /// event, terminated with an empty line.
     void finish();
 
+    /// @return Whether the bytes after the last whole event are a part of
+    ///         another one. Whole comment lines are not.
+    bool is_inside_event() const
+    {
+        return this->has_field || this->event.size() != this->line_start;
+    }
+
     /// @return The unmodified bytes of the whole events since the last call,
     ///         without `[DONE]`.
     std::string take_ready();
@@ -73,6 +80,7 @@
     std::string event; ///< the incomplete event
     std::string done;
     std::size_t line_start = 0;
+    bool has_field = false; ///< a whole line of `event` is not a comment
     bool has_data = false;
     bool is_done_event = false;
     bool after_cr = false;
--- a/tests/unit/edge/test_streams.cpp
+++ b/tests/unit/edge/test_streams.cpp
@@ -71,6 +71,27 @@
     cr_assert(fixture.dispatch.results().at(0).how == end::broken);
 }
 
+Test(streams, stream_of_a_service_that_ends_inside_an_event_is_cut)
+{
+    fake_backend backend(
+        [](backend_peer& peer)
+        {
+            peer.start_stream(peer.read_request());
+            peer.send_chunk("data: one\n\ndata: ha");
+            peer.send("0\r\n\r\n");
+        });
+    edge_fixture fixture;
+    fixture.dispatch.address = backend.address();
+    fixture.start();
+    const auto answer = fixture.call(service_call());
+    cr_assert(
+        answer.body().starts_with("data: one\n\nevent: error\ndata: {"),
+        "%s",
+        answer.body().c_str());
+    cr_assert(!contains(answer.body(), "data: ha"));
+    cr_assert(fixture.dispatch.results().at(0).how == end::broken);
+}
+
 Test(streams, done_without_the_end_of_the_body_is_cut)
 {
     fake_backend backend(
