A read of the store that ends before the end of the log is continued

The store's answer may have no length, too. If its connection ended between two records, the router took the records it had for all of them and its copy of the registry or the configuration for complete, until the next update or for up to 0.9 s.

Cause: the end of the log, which each answer names first, was skipped.

--- a/tests/unit/users_platform/test_keyed_topic_reader.cpp
+++ b/tests/unit/users_platform/test_keyed_topic_reader.cpp
@@ -57,6 +57,37 @@
     };
 }
 
+/// Answers the first read of two records without a length, and ends the
+/// connection after the first record.
+fake_backend::script cut_first_read(std::vector<std::string>& requested)
+{
+    return [&requested](backend_peer& peer)
+    {
+        const std::string header =
+            std::string(7, '\0') + '\2' + std::string(8, '\0');
+        while (true)
+        {
+            const std::string request = peer.read_request();
+            if (request.empty())
+                return;
+            const bool listing = request.starts_with("GET /log-newest");
+            requested.push_back(listing ? "list" : "read");
+            const bool is_cut = request.find("from=0") != std::string::npos;
+            if (listing)
+                peer.send(http_ok(R"({"items":[],"end":0,"has_more":false})"));
+            else if (is_cut)
+            {
+                peer.send(
+                    "HTTP/1.1 200 OK\r\n\r\n" + header +
+                    encode_keyed_record({"a", "1"}));
+                return;
+            }
+            else
+                peer.send(http_ok(header + encode_keyed_record({"b", "2"})));
+        }
+    };
+}
+
 /// Runs a reader until it has passed on `count` records.
 std::vector<std::string> read_records(
     keyed_topic_reader::options settings,
@@ -96,9 +127,13 @@
 /// another router.
 struct reader_fixture
 {
+    using make_script = fake_backend::script (*)(std::vector<std::string>&);
+
     explicit reader_fixture(
-        keyed_topic_reader::options settings = default_options())
-        : client(
+        keyed_topic_reader::options settings = default_options(),
+        make_script script = serve_store)
+        : backend(script(this->requested))
+        , client(
               this->loop.get_executor(),
               *platform::parse_endpoint(this->backend.address()),
               store_client::options(),
@@ -136,7 +171,7 @@
     }
 
     std::vector<std::string> requested;
-    fake_backend backend{serve_store(this->requested)};
+    fake_backend backend;
     asio::io_context loop;
     platform::byte_meter meter;
     manual_clock clock;
@@ -177,6 +212,20 @@
     test.loop.poll();
 }
 
+/// The end of the store's connection ends an answer without a length. If it
+/// comes too early, records are missing that the answer has announced.
+Test(keyed_topic_reader, an_answer_that_is_cut_between_records_is_continued)
+{
+    reader_fixture test(reader_fixture::default_options(), cut_first_read);
+    test.run_until_calls(1);
+    cr_assert(!test.reader.apply_update(1, {2, 10}));
+    test.run_until_calls(3);
+    cr_assert_eq(test.requested.size(), 3);
+    cr_assert_eq(test.reader.state().next, 2);
+    test.reader.stop();
+    test.loop.poll();
+}
+
 Test(keyed_topic_reader, old_data_is_read_again_without_an_update)
 {
     keyed_topic_reader::options settings = reader_fixture::default_options();
