A router that has just started speaks for no earlier answers of the store

Read, not seen: the evidence began with the machine's clock, so a process that starts within two heartbeats of its machine claimed answers since then and could refute a real outage. Its first answer is now the start.

Tests: the_first_answer_speaks_for_no_earlier_time and an_answer_without_the_records_that_it_announces_is_malformed.

--- a/src/core/dissemination/outage_evidence.cpp
+++ b/src/core/dissemination/outage_evidence.cpp
@@ -7,11 +7,13 @@
 
 void outage_evidence::answered_at(instant when)
 {
-    if (when <= this->last_answer)
+    if (!this->last_answer)
+        this->gap_end = when;
+    else if (when <= *this->last_answer)
         return;
-    if (when - this->last_answer >= this->min_length)
+    else if (when - *this->last_answer >= this->min_length)
     {
-        this->gap_begin = this->last_answer;
+        this->gap_begin = *this->last_answer;
         this->gap_end = when;
     }
     this->last_answer = when;
@@ -19,8 +21,10 @@
 
 bool outage_evidence::answered_between(instant begin, instant end)
 {
-    if (begin <= this->last_answer)
-        this->last_answer = std::max(this->last_answer, end);
+    if (!this->last_answer)
+        return false;
+    if (begin <= *this->last_answer)
+        this->last_answer = std::max(*this->last_answer, end);
     const bool covers_gap = this->gap_end > this->gap_begin &&
                             begin <= this->gap_begin && end >= this->gap_end;
     if (!covers_gap)
@@ -32,7 +36,7 @@
 
 bool outage_evidence::may_have_been_out(instant end) const
 {
-    if (end - this->last_answer >= this->min_length)
+    if (!this->last_answer || end - *this->last_answer >= this->min_length)
         return true;
     // Other routers may notice the end of an outage later than the first
     // answer.
--- a/src/core/dissemination/outage_evidence.hpp
+++ b/src/core/dissemination/outage_evidence.hpp
@@ -2,6 +2,8 @@
 
 #include <roseworks/instant.hpp>
 
+#include <optional>
+
 namespace roseworks
 {
 
@@ -30,17 +32,19 @@
     /// @return Whether the store may have been out until then for all routers.
     bool may_have_been_out(instant end) const;
 
-    /// @return Since when the store has answered without an outage.
-    instant answered_since() const
+    /// @return For how long the store has answered without an outage.
+    duration answered_for(instant now) const
     {
-        return this->gap_end;
+        return this->last_answer ? now - this->gap_end : duration::zero();
     }
 
 private:
     duration min_length;
-    instant last_answer;
-    instant gap_begin; ///< of the latest period without an answer
-    instant gap_end;
+    std::optional<instant> last_answer;
+    /// The latest period without an answer; the time before the first answer
+    /// counts as one.
+    instant gap_begin = instant::min();
+    instant gap_end = instant::min();
 };
 
 } // namespace roseworks
--- a/tests/unit/dissemination/test_outage_evidence.cpp
+++ b/tests/unit/dissemination/test_outage_evidence.cpp
@@ -69,7 +69,7 @@
     cr_assert(known.may_have_been_out(start + 4s));
     cr_assert(known.answered_between(start - 1s, start + 4s));
     cr_assert_not(known.may_have_been_out(start + 4s));
-    cr_assert_eq(known.answered_since(), start - 1s);
+    cr_assert_eq(known.answered_for(start + 5s), 6s);
 }
 
 Test(outage_evidence, answers_of_another_router_come_before_ones_own)
@@ -79,3 +79,14 @@
     known.answered_at(start + 4s);
     cr_assert_not(known.may_have_been_out(start + 4s));
 }
+
+/// A router that starts just after the machine's clock knows nothing of earlier
+/// times.
+Test(outage_evidence, the_first_answer_speaks_for_no_earlier_time)
+{
+    outage_evidence known(2s);
+    const instant just_booted{std::chrono::seconds(1)};
+    known.answered_at(just_booted);
+    cr_assert_eq(known.answered_for(just_booted + 100ms), 100ms);
+    cr_assert(known.may_have_been_out(just_booted + 100ms));
+}
--- a/tests/unit/users_platform/test_store_frames.cpp
+++ b/tests/unit/users_platform/test_store_frames.cpp
@@ -53,6 +53,14 @@
             parse_keyed_frames(text, 1).outcome == store_outcome::malformed);
 }
 
+/// An answer without a length may be cut before its first record.
+Test(store_frames, an_answer_without_the_records_that_it_announces_is_malformed)
+{
+    const std::string head = number(12) + number(3);
+    cr_assert(parse_keyed_frames(head, 11).outcome == store_outcome::malformed);
+    cr_assert(parse_keyed_frames(head, 12).outcome == store_outcome::answered);
+}
+
 Test(store_frames, a_record_with_a_truncated_key_is_skipped)
 {
     const std::string odd = std::string("\0\0\0\x02", 4) + "\x09z";
