Tests: another server's framing after a cut, and a stream cut twice

All nine pairs of framings of the first and the second server, and two cuts inside an event: no piece is missing or comes twice.

--- a/tests/unit/cut_streams/test_cut_streams.cpp
+++ b/tests/unit/cut_streams/test_cut_streams.cpp
@@ -52,7 +52,19 @@
 {
 public:
     explicit cutting_servers(const cut& first_response)
+        : cutting_servers(first_response, first_response.stream)
+    {
+    }
+
+    /// @param rest Frames the later responses.
+    /// @param later_size Size after which later responses are cut.
+    cutting_servers(
+        const cut& first_response,
+        const recorded_stream& rest,
+        std::size_t later_size = std::string::npos)
         : what(first_response)
+        , later(rest)
+        , size_of_later(later_size)
     {
     }
 
@@ -87,11 +99,15 @@
             end_connection(peer, this->what.end);
             return;
         }
-        peer.send(stream.response(stream.after(last_event_of(request))));
+        const std::string rest =
+            this->later.response(this->later.after(last_event_of(request)));
+        peer.send(std::string_view(rest).substr(0, this->size_of_later));
         peer.shut_down();
     }
 
     cut what;
+    const recorded_stream& later;
+    std::size_t size_of_later;
     std::atomic<int> received{0};
 };
 
@@ -184,6 +200,17 @@
     cr_expect_eq(servers.requests(), stated ? 1 : 2, "%s", name.c_str());
 }
 
+/// @return A size of the first response that ends inside the second event.
+std::size_t inside_second_event(const recorded_stream& stream)
+{
+    const std::size_t first_event =
+        stream.body().size() - stream.after(1).size();
+    std::size_t size = stream.head_size();
+    while (stream.decoded_size(size) < first_event + 3)
+        ++size;
+    return size;
+}
+
 using check = void (*)(const cut& what, stream_framing framing);
 
 /// @param first_size Size of the first cut.
@@ -313,3 +340,37 @@
         }
     }
 }
+
+Test(cut_streams, a_stream_continues_with_the_framing_of_another_server)
+{
+    for (const stream_framing first : all_framings)
+    {
+        for (const stream_framing second : all_framings)
+        {
+            const recorded_stream stream(lf, first);
+            const recorded_stream rest(lf, second);
+            cutting_servers servers(
+                {stream, connection_end::closed, inside_second_event(stream)},
+                rest);
+            const response_view seen = servers.call(resumable_route);
+            cr_expect(seen.is_complete);
+            cr_expect_eq(seen.body, stream.body());
+        }
+    }
+}
+
+Test(cut_streams, a_stream_that_is_cut_twice_inside_an_event_has_no_piece_twice)
+{
+    for (const stream_framing framing : all_framings)
+    {
+        const recorded_stream stream(lf, framing);
+        const std::size_t size = inside_second_event(stream);
+        cutting_servers servers(
+            {stream, connection_end::closed, size}, stream, size);
+        const response_view seen = servers.call(resumable_route);
+        cr_expect_not(seen.is_complete);
+        cr_expect(stream.body().starts_with(seen.body));
+        cr_expect(stream.ends_with_event(seen.body.size()));
+        cr_expect_eq(servers.requests(), 2);
+    }
+}
