--- a/src/adapters/forward/caller_response.hpp
+++ b/src/adapters/forward/caller_response.hpp
@@ -18,7 +18,7 @@
 /** Sends a backend server's response to the caller.
 
     A response whose size is not known when it begins is sent in parts. Its last
-    chunk tells the caller that it is complete, so `finish` is called only if
+    chunk states that it is complete, so `finish` is called only if
     the server has stated the end. The head is sent with the first part: until
     then, another server's response can take the place of this one.
 
--- a/src/core/dissemination/directory_update.hpp
+++ b/src/core/dissemination/directory_update.hpp
@@ -40,8 +40,8 @@
     /// How long ago the store became reachable again; negative: there was no
     /// recent outage.
     std::int64_t outage_ended_us_ago = -1;
-    /// For how long the store has answered this router, or routers it hears of,
-    /// without an outage in which entries expire.
+    /// For how long the store has answered the sender, or routers that update
+    /// it, without an outage in which entries expire.
     std::int64_t answered_for_us = 0;
 
     template <class Archive>
--- a/src/core/dissemination/outage_evidence.hpp
+++ b/src/core/dissemination/outage_evidence.hpp
@@ -7,11 +7,11 @@
 namespace roseworks
 {
 
-/** Tells an outage of the store from one that only some routers had.
+/** Distinguishes an outage of the store from one that only some routers had.
 
     Remembers the latest period in which no router is known to have read the
     store. A router that was cut off takes its own outage for the store's until
-    it hears from a router that had answers all the while.
+    an update arrives from a router that had answers all the while.
 */
 class outage_evidence
 {
--- a/tests/unit/cut_streams/test_cut_streams.cpp
+++ b/tests/unit/cut_streams/test_cut_streams.cpp
@@ -167,7 +167,7 @@
 }
 
 /// A reset after the last event: the rest of the stream is empty, and nothing
-/// tells an empty response without a length from one that broke off.
+/// distinguishes an empty response without a length from a broken one.
 bool has_ambiguous_rest(const cut& what, stream_framing framing)
 {
     return framing == stream_framing::connection &&
--- a/tests/unit/users_platform/test_directory_updates.cpp
+++ b/tests/unit/users_platform/test_directory_updates.cpp
@@ -290,7 +290,7 @@
     cr_assert_eq(test.listener.outage_end, test.clock.time - 1900ms);
 }
 
-/// A VM that comes back after it was cut off hears from routers that had
+/// A VM that comes back after it was cut off gets updates from routers that had
 /// answers of the store all the while.
 Test(directory_updates, answers_of_other_routers_refute_an_outage)
 {
