--- /dev/null
+++ b/tests/unit/crashing_requests/crash_fleet.cpp
@@ -0,0 +1,457 @@
+#include "crash_fleet.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace roseworks::testing
+{
+
+namespace
+{
+
+constexpr fingerprint crashing(7);
+constexpr fingerprint common(8);
+
+/// Crashes after which a request counts as one that crashes servers.
+constexpr std::size_t counted_crashes = 3;
+/// A router is in touch when it was undisturbed for this time, and has to know
+/// of a crash within it.
+constexpr duration contact_time = 3s;
+
+constexpr duration heartbeats_until_removal = 3600ms;
+constexpr duration registry_delay = 150ms;
+constexpr duration shortest_message = 500us;
+constexpr duration longest_message = 3ms;
+constexpr duration tick_interval = 100ms;
+
+} // namespace
+
+crash_fleet::crash_fleet(options config)
+    : settings(config)
+    , random(config.seed)
+{
+    for (std::size_t i = 0; i < this->settings.servers; ++i)
+    {
+        server& made = this->servers.emplace_back();
+        made.life = {"s" + std::to_string(i), 1};
+    }
+    for (std::size_t i = 0; i < this->settings.routers; ++i)
+        this->make_router();
+}
+
+void crash_fleet::make_router()
+{
+    const std::size_t number = this->routers.size();
+    router& made = this->routers.emplace_back(
+        router{crash_router(number, number + 1), {}, 1, {}, {}});
+    for (const server& one : this->servers)
+        made.registry.push_back({one.life, one.up});
+    for (std::size_t i = 0; i < this->routers.size(); ++i)
+        this->routers[i].knowledge.set_routers(this->routers.size());
+    this->tick(number, made.process);
+}
+
+void crash_fleet::add_router()
+{
+    this->make_router();
+    this->lose_touch(this->routers.size() - 1, duration::zero());
+}
+
+void crash_fleet::restart(std::size_t number)
+{
+    router& target = this->routers[number];
+    ++target.process;
+    target.knowledge = crash_router(number, this->routers.size());
+    for (std::size_t i = 0; i < this->servers.size(); ++i)
+        target.registry[i] = {this->servers[i].life, this->servers[i].up};
+    this->lose_touch(number, duration::zero());
+    this->tick(number, target.process);
+}
+
+void crash_fleet::freeze(std::size_t number, duration length)
+{
+    this->routers[number].frozen_until = this->now() + length;
+    this->lose_touch(number, length);
+}
+
+void crash_fleet::lose_touch(std::size_t number, duration length)
+{
+    this->routers[number].out_of_touch_until =
+        this->now() + length + contact_time;
+}
+
+bool crash_fleet::in_touch(std::size_t number) const
+{
+    return this->routers[number].out_of_touch_until <= this->now();
+}
+
+std::size_t crash_fleet::late_sends() const
+{
+    if (this->crash_times.size() < counted_crashes)
+        return 0;
+    const instant limit = this->crash_times[counted_crashes - 1] + contact_time;
+    return static_cast<std::size_t>(std::ranges::count_if(
+        this->sends_in_touch,
+        [limit](instant when)
+        {
+            return when > limit;
+        }));
+}
+
+void crash_fleet::schedule_arrivals(
+    duration length, double per_second, const std::function<void()>& send)
+{
+    if (per_second <= 0)
+        return;
+    std::exponential_distribution<double> pause(per_second);
+    const instant end = this->now() + length;
+    const auto next = [&]
+    {
+        return std::chrono::duration_cast<duration>(
+            std::chrono::duration<double>(pause(this->random)));
+    };
+    for (instant when = this->now() + next(); when < end; when += next())
+        this->queue.schedule(when, send);
+}
+
+void crash_fleet::send(duration length)
+{
+    this->schedule_arrivals(
+        length,
+        this->settings.crashing_per_second,
+        [this]
+        {
+            this->arrive(
+                crashing, this->random_below(this->routers.size()), false);
+        });
+    this->schedule_arrivals(
+        length,
+        this->settings.innocent_per_second,
+        [this]
+        {
+            ++this->sent_innocents;
+            this->arrive(
+                fingerprint(++this->last_content),
+                this->random_below(this->routers.size()),
+                false);
+        });
+    this->schedule_arrivals(
+        length,
+        this->settings.common_per_second,
+        [this]
+        {
+            ++this->sent_innocents;
+            this->arrive(
+                common, this->random_below(this->routers.size()), false);
+        });
+    this->queue.run_until(this->now() + length);
+}
+
+void crash_fleet::arrive(fingerprint request, std::size_t number, bool is_retry)
+{
+    const duration wait =
+        this->random_time(duration::zero(), this->settings.longest_wait);
+    this->on_router(
+        number,
+        this->routers[number].process,
+        this->now() + wait,
+        [this, request, number, is_retry]
+        {
+            this->start_run(request, number, is_retry);
+        });
+}
+
+void crash_fleet::start_run(
+    fingerprint request, std::size_t number, bool is_retry)
+{
+    if (!this->routers[number].knowledge.may_send(request, this->now()))
+    {
+        this->refused_innocents += request == crashing ? 0 : 1;
+        this->flush(number);
+        return;
+    }
+    this->flush(number);
+    const auto chosen = this->choose_server(number);
+    if (!chosen)
+        return;
+    server& target = this->servers[*chosen];
+    const simulated_life& known = this->routers[number].registry[*chosen].life;
+    if (!target.up)
+        return; // The connection fails, and no server runs the request.
+    if (request == crashing && this->in_touch(number))
+        this->sends_in_touch.push_back(this->now());
+    if (known.server != target.life.server)
+    {
+        // The server at the address now refuses a request for another one.
+        this->routers[number].knowledge.life_ended(
+            known, crash_router::life_end::replaced_at_address, this->now());
+        this->flush(number);
+        return;
+    }
+    const std::uint64_t run_number = ++this->last_run;
+    target.running.push_back(
+        {run_number, number, this->routers[number].process, request, is_retry});
+    const duration length = request == crashing
+                                ? this->random_time(20ms, 100ms)
+                                : this->random_time(50ms, 1500ms);
+    this->queue.schedule(
+        this->now() + length,
+        [this, server_number = *chosen, run_number]
+        {
+            this->end_run(server_number, run_number);
+        });
+}
+
+std::optional<std::size_t> crash_fleet::choose_server(std::size_t number)
+{
+    const std::vector<listed_server>& known = this->routers[number].registry;
+    constexpr int tries = 20;
+    for (int i = 0; i < tries; ++i)
+    {
+        const std::size_t server_number =
+            this->random_below(this->servers.size());
+        if (known[server_number].listed)
+            return server_number;
+    }
+    return std::nullopt;
+}
+
+void crash_fleet::end_run(std::size_t server_number, std::uint64_t run_number)
+{
+    std::vector<run>& running = this->servers[server_number].running;
+    const auto found = std::ranges::find(running, run_number, &run::number);
+    if (found == running.end())
+        return;
+    if (found->request == crashing)
+    {
+        this->crash(server_number);
+        return;
+    }
+    const run ended = *found;
+    running.erase(found);
+    this->on_router(
+        ended.router,
+        ended.router_run,
+        this->now(),
+        [this, ended]
+        {
+            router& target = this->routers[ended.router];
+            target.knowledge.answered(ended.request, this->now());
+            this->flush(ended.router);
+        });
+}
+
+void crash_fleet::crash(std::size_t server_number)
+{
+    server& target = this->servers[server_number];
+    this->crash_times.push_back(this->now());
+    target.up = false;
+    target.silent = this->happens(this->settings.silent_share);
+    const simulated_life ended = target.life;
+    for (const run& broken : std::exchange(target.running, {}))
+        this->break_run(ended, server_number, broken);
+    this->queue.schedule(
+        this->now() + heartbeats_until_removal,
+        [this, server_number, ended]
+        {
+            this->announce_end(server_number, ended);
+        });
+    this->queue.schedule(
+        this->now() +
+            this->random_time(
+                this->settings.shortest_outage, this->settings.longest_outage),
+        [this, server_number]
+        {
+            this->start_server(server_number);
+        });
+}
+
+void crash_fleet::break_run(
+    const simulated_life& life, std::size_t server_number, const run& broken)
+{
+    this->on_router(
+        broken.router,
+        broken.router_run,
+        this->now() + shortest_message,
+        [this, life, server_number, broken]
+        {
+            router& target = this->routers[broken.router];
+            target.knowledge.run_broken(broken.request, life, this->now());
+            this->flush(broken.router);
+            this->examine(broken.router, server_number, life);
+            if (broken.request != crashing && !broken.is_retry)
+                this->arrive(broken.request, broken.router, true);
+        });
+}
+
+void crash_fleet::examine(
+    std::size_t number, std::size_t server_number, simulated_life life)
+{
+    const bool is_down = !this->servers[server_number].up;
+    const bool is_silent = is_down && this->servers[server_number].silent;
+    const duration length = is_silent ? duration(2500ms) : duration(1ms);
+    this->on_router(
+        number,
+        this->routers[number].process,
+        this->now() + length,
+        [this, number, life, is_down, is_silent]
+        {
+            crash_router& knowledge = this->routers[number].knowledge;
+            using end = crash_router::life_end;
+            if (is_down)
+                knowledge.life_ended(
+                    life,
+                    is_silent ? end::unreachable : end::refused_connection,
+                    this->now());
+            else
+                knowledge.life_reached(life, this->now());
+            this->flush(number);
+        });
+}
+
+void crash_fleet::start_server(std::size_t server_number)
+{
+    server& target = this->servers[server_number];
+    target.up = true;
+    ++target.life.born_ms;
+    target.life.server = "s" + std::to_string(server_number) + "-" +
+                         std::to_string(target.life.born_ms);
+    this->announce_start(server_number);
+}
+
+void crash_fleet::announce_start(std::size_t server_number)
+{
+    const simulated_life started = this->servers[server_number].life;
+    for (std::size_t i = 0; i < this->routers.size(); ++i)
+        this->on_router(
+            i,
+            this->routers[i].process,
+            this->now() + registry_delay,
+            [this, i, server_number, started]
+            {
+                if (!this->hears_registry(i))
+                    return;
+                listed_server& known = this->routers[i].registry[server_number];
+                const simulated_life before = known.life;
+                known = {started, true};
+                if (before.server != started.server)
+                    this->routers[i].knowledge.life_ended(
+                        before,
+                        crash_router::life_end::replaced_at_address,
+                        this->now());
+                this->flush(i);
+            });
+}
+
+void crash_fleet::announce_end(
+    std::size_t server_number, const simulated_life& life)
+{
+    for (std::size_t i = 0; i < this->routers.size(); ++i)
+        this->on_router(
+            i,
+            this->routers[i].process,
+            this->now() + registry_delay,
+            [this, i, server_number, life]
+            {
+                if (!this->hears_registry(i))
+                    return;
+                listed_server& known = this->routers[i].registry[server_number];
+                if (known.life.server == life.server)
+                    known.listed = false;
+                this->routers[i].knowledge.life_ended(
+                    life,
+                    crash_router::life_end::removed_from_registry,
+                    this->now());
+                this->flush(i);
+            });
+}
+
+void crash_fleet::flush(std::size_t number)
+{
+    for (const crash_router::message& sent :
+         this->routers[number].knowledge.take_messages())
+    {
+        if (!sent.to_all)
+        {
+            this->deliver(number, sent.to, sent);
+            continue;
+        }
+        for (std::size_t to = 0; to < this->routers.size(); ++to)
+        {
+            if (to != number)
+                this->deliver(number, to, sent);
+        }
+    }
+}
+
+void crash_fleet::deliver(
+    std::size_t from, std::size_t to, const crash_router::message& sent)
+{
+    ++this->messages_sent;
+    if (!this->reaches(from, to) || this->happens(this->settings.loss))
+        return;
+    this->on_router(
+        to,
+        this->routers[to].process,
+        this->now() + this->random_time(shortest_message, longest_message),
+        [this, from, to, content = sent.content]
+        {
+            this->routers[to].knowledge.receive(content, from, this->now());
+            this->flush(to);
+        });
+}
+
+void crash_fleet::tick(std::size_t number, std::uint64_t process)
+{
+    this->on_router(
+        number,
+        process,
+        this->now() + tick_interval,
+        [this, number, process]
+        {
+            this->routers[number].knowledge.tick(this->now());
+            this->flush(number);
+            this->tick(number, process);
+        });
+}
+
+void crash_fleet::on_router(
+    std::size_t number,
+    std::uint64_t process,
+    instant when,
+    std::function<void()> action)
+{
+    this->queue.schedule(
+        when,
+        [this, number, process, action = std::move(action)]
+        {
+            const router& target = this->routers[number];
+            if (target.process != process)
+                return;
+            if (target.frozen_until > this->now())
+                this->on_router(number, process, target.frozen_until, action);
+            else
+                action();
+        });
+}
+
+std::size_t crash_fleet::random_below(std::size_t count)
+{
+    return std::uniform_int_distribution<std::size_t>(0, count - 1)(
+        this->random);
+}
+
+duration crash_fleet::random_time(duration shortest, duration longest)
+{
+    std::uniform_int_distribution<duration::rep> length(
+        shortest.count(), longest.count());
+    return duration(length(this->random));
+}
+
+bool crash_fleet::happens(double probability)
+{
+    return std::uniform_real_distribution<double>(0, 1)(this->random) <
+           probability;
+}
+
+} // namespace roseworks::testing
--- a/tests/unit/forward/forward_fixture.cpp
+++ b/tests/unit/forward/forward_fixture.cpp
@@ -52,7 +52,8 @@
 
 serving_table_ptr make_table(
     const std::vector<fake_backend*>& backends,
-    std::optional<std::vector<organisation>> organisations = {})
+    std::optional<std::vector<organisation>> organisations = {},
+    const std::unordered_set<fingerprint>& blocked = {})
 {
     auto config = std::make_shared<deployment>();
     config->version = 1;
@@ -69,6 +70,7 @@
     catalogue->organisations = std::make_shared<organisation_index>(config);
     serving_table::parts result;
     result.catalogue = catalogue;
+    result.blocked = blocked;
     service_routes& app = result.services["app"];
     app.name = "app";
     int number = 0;
@@ -222,6 +224,7 @@
         this->recorded_requests.push_back(std::move(request));
         result = this->decision;
     }
+    this->before_decision();
     on_decision(result);
 }
 
@@ -249,6 +252,21 @@
     this->table = make_table(this->servers, make_organisations({}));
 }
 
+void forward_fixture::block_request(
+    std::string_view method, std::string_view target)
+{
+    forward_request request;
+    request.method = method;
+    request.target = target;
+    const std::lock_guard lock(this->mutex);
+    const bool needs_keys = this->table->organisations().is_required();
+    this->table = make_table(
+        this->servers,
+        needs_keys ? std::optional(make_organisations("key-one"))
+                   : std::nullopt,
+        {request.content_fingerprint()});
+}
+
 void forward_fixture::clear_table()
 {
     const std::lock_guard lock(this->mutex);
--- a/tests/unit/forward/forward_fixture.hpp
+++ b/tests/unit/forward/forward_fixture.hpp
@@ -10,6 +10,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -41,6 +42,7 @@
     void refund(std::string account, double amount) override;
 
     std::mutex mutex;
+    std::function<void()> before_decision = [] {};
     quota_decision decision{0, true, {}, {}};
     std::vector<quota_request> recorded_requests;
     std::vector<std::string> counted_services; ///< of each request
@@ -74,6 +76,9 @@
     /// Changes the configuration: `o1` no longer holds a key.
     void revoke_first_key();
 
+    /// Blocks a request without a body as one that crashes servers.
+    void block_request(std::string_view method, std::string_view target);
+
     /// Whether other routers have a newer configuration.
     std::atomic<bool> is_outdated{false};
 
