Crashes of servers as state that all routers share (library and its tests)

Not yet used by the gateway. A run that ended without an answer is joined with the end of its server's life (id and start time), in whichever order they become known; the records are merged by union, sent at once and offered again to two random routers each half second, with a digest. Two ended lives block a content for 5 s, three for a minute and longer; then one request is a trial. A run that ended well clears its content everywhere.

to_hex moves to ports/, because adapters log hashes too.

--- a/src/app/record_reporter.cpp
+++ b/src/app/record_reporter.cpp
@@ -1,6 +1,6 @@
 #include "app/record_reporter.hpp"
 
-#include "app/hex_text.hpp"
+#include "ports/hex_text.hpp"
 
 #include <roseworks/names.hpp>
 
--- a/src/app/state_text.cpp
+++ b/src/app/state_text.cpp
@@ -1,6 +1,6 @@
 #include "app/state_text.hpp"
 
-#include "app/hex_text.hpp"
+#include "ports/hex_text.hpp"
 
 #include <roseworks/fleet_state.hpp>
 #include <roseworks/names.hpp>
--- /dev/null
+++ b/src/core/crashes/request_gate.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "core/crashes/blocked_requests.hpp"
+
+#include <roseworks/ids.hpp>
+#include <roseworks/instant.hpp>
+
+#include <cstddef>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace roseworks
+{
+
+/** Decides before each send whether a request may be sent to a backend server.
+
+    Blocked requests are refused. After the end of a block one request of each
+    content is sent as a trial, and the others wait for its result. A content
+    that this router has just seen run well is not blocked: a request that
+    crashes servers crashes each that runs it, while a popular one runs on many
+    that crash for other reasons.
+
+    Used on one traffic thread.
+*/
+class request_gate
+{
+public:
+    struct options
+    {
+        duration trial_length = std::chrono::seconds(10);
+        /// How long a run that ended well proves that its content is harmless.
+        duration answer_memory = std::chrono::seconds(10);
+        /// Number of contents remembered, each in the place that its hash
+        /// selects.
+        std::size_t answer_slots = 4096;
+    };
+
+    enum class verdict : std::uint8_t
+    {
+        allowed,
+        harmless, ///< allowed, and the block has to be cleared at all routers
+        trial,    ///< allowed, and all routers have to be told
+        refused
+    };
+
+    struct decision
+    {
+        verdict result = verdict::allowed;
+        duration retry_after{}; ///< if refused
+    };
+
+    explicit request_gate(options settings);
+
+    /// @return Time for which the request is refused; zero: it isn't.
+    duration refused_for(
+        const blocked_requests& known, fingerprint request, instant now) const;
+
+    /// Decides on a send, which has to follow at once if it is allowed.
+    decision
+    admit(const blocked_requests& known, fingerprint request, instant now);
+
+    /// A run of the request ended well.
+    void answered(fingerprint request, instant now);
+
+private:
+    struct answer
+    {
+        fingerprint request;
+        instant when;
+    };
+
+    bool was_answered(fingerprint request, instant now) const;
+    std::size_t slot_of(fingerprint request) const;
+
+    options settings;
+    std::vector<answer> answers;
+    /// Trials of this router, with their start.
+    std::unordered_map<fingerprint, instant> trials;
+};
+
+} // namespace roseworks
--- /dev/null
+++ b/src/core/crashes/run_end.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace roseworks
+{
+
+/// How a run on a backend server ended without a complete answer.
+enum class run_end : std::uint8_t
+{
+    connection, ///< the connection broke
+    silence,    ///< the time for an answer passed
+    caller      ///< the caller left
+};
+
+constexpr std::string_view to_string(run_end end)
+{
+    switch (end)
+    {
+    case run_end::connection:
+        break;
+    case run_end::silence:
+        return "silence";
+    case run_end::caller:
+        return "caller";
+    }
+    return "connection";
+}
+
+} // namespace roseworks
--- a/src/app/hex_text.hpp
+++ b/src/ports/hex_text.hpp
@@ -3,7 +3,7 @@
 #include <cstdint>
 #include <string>
 
-namespace roseworks::app
+namespace roseworks
 {
 
 /// @return 16 hexadecimal digits.
@@ -21,4 +21,4 @@
     return text;
 }
 
-} // namespace roseworks::app
+} // namespace roseworks
--- a/tests/unit/crashing_requests/crash_fleet.cpp
+++ b/tests/unit/crashing_requests/crash_fleet.cpp
@@ -43,7 +43,7 @@
 {
     const std::size_t number = this->routers.size();
     router& made = this->routers.emplace_back(
-        router{crash_router(number, number + 1), {}, 1, {}, {}});
+        router{crash_router(number, number + 1, this->now()), {}, 1, {}, {}});
     for (const server& one : this->servers)
         made.registry.push_back({one.life, one.up});
     for (std::size_t i = 0; i < this->routers.size(); ++i)
@@ -61,7 +61,7 @@
 {
     router& target = this->routers[number];
     ++target.process;
-    target.knowledge = crash_router(number, this->routers.size());
+    target.knowledge = crash_router(number, this->routers.size(), this->now());
     for (std::size_t i = 0; i < this->servers.size(); ++i)
         target.registry[i] = {this->servers[i].life, this->servers[i].up};
     this->lose_touch(number, duration::zero());
@@ -184,7 +184,7 @@
     {
         // The server at the address now refuses a request for another one.
         this->routers[number].knowledge.life_ended(
-            known, crash_router::life_end::replaced_at_address, this->now());
+            known, crash_evidence::replaced, this->now());
         this->flush(number);
         return;
     }
@@ -297,11 +297,11 @@
         [this, number, life, is_down, is_silent]
         {
             crash_router& knowledge = this->routers[number].knowledge;
-            using end = crash_router::life_end;
             if (is_down)
                 knowledge.life_ended(
                     life,
-                    is_silent ? end::unreachable : end::refused_connection,
+                    is_silent ? crash_evidence::unreachable
+                              : crash_evidence::refused,
                     this->now());
             else
                 knowledge.life_reached(life, this->now());
@@ -336,9 +336,7 @@
                 known = {started, true};
                 if (before.server != started.server)
                     this->routers[i].knowledge.life_ended(
-                        before,
-                        crash_router::life_end::replaced_at_address,
-                        this->now());
+                        before, crash_evidence::replaced, this->now());
                 this->flush(i);
             });
 }
@@ -359,9 +357,7 @@
                 if (known.life.server == life.server)
                     known.listed = false;
                 this->routers[i].knowledge.life_ended(
-                    life,
-                    crash_router::life_end::removed_from_registry,
-                    this->now());
+                    life, crash_evidence::removed, this->now());
                 this->flush(i);
             });
 }
--- a/tests/unit/crashing_requests/crash_router.hpp
+++ b/tests/unit/crashing_requests/crash_router.hpp
@@ -1,11 +1,9 @@
 #pragma once
 
-#include "core/request/crash_detector.hpp"
-#include "core/swapping/peer_messages.hpp"
-
-#include <roseworks/ids.hpp>
-#include <roseworks/instant.hpp>
+#include "core/crashes/crash_tracker.hpp"
+#include "core/crashes/request_gate.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <utility>
@@ -22,77 +20,112 @@
 };
 
 /// What one simulated router knows of requests that crash servers, joined in
-/// the way of the gateway's control thread.
+/// the way of the gateway's control and traffic threads.
 class crash_router
 {
 public:
-    enum class life_end : std::uint8_t
-    {
-        refused_connection,
-        unreachable,
-        replaced_at_address,
-        restarted,
-        removed_from_registry
-    };
-
     struct message
     {
-        bool to_all = true;
+        bool to_all = false;
         std::size_t to = 0;
-        connection_loss_report content;
+        crash_report content;
     };
 
-    crash_router(std::size_t number, std::size_t routers)
+    crash_router(std::size_t number, std::size_t routers, instant now)
+        : own_number(number)
+        , tracker(make_options(number, now), now)
+    {
+        this->set_routers(routers);
+    }
+
+    void set_routers(std::size_t count)
     {
-        static_cast<void>(number);
-        static_cast<void>(routers);
+        std::vector<std::string> others;
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            if (i != this->own_number)
+                others.push_back(std::to_string(i));
+        }
+        this->tracker.set_routers(std::move(others));
     }
 
     void
     run_broken(fingerprint request, const simulated_life& life, instant now)
     {
-        this->detector.record_break(request, life.server, now);
-        this->messages.push_back({true, 0, {"r", request.value, life.server}});
+        this->tracker.run_broken(
+            request, hash_of(life), run_end::connection, now);
     }
 
-    void life_ended(const simulated_life& life, life_end how, instant now)
+    void
+    life_ended(const simulated_life& life, crash_evidence evidence, instant now)
     {
-        if (how == life_end::removed_from_registry ||
-            how == life_end::restarted)
-            this->detector.server_lost(life.server, now);
+        this->tracker.life_ended(hash_of(life), evidence, now);
     }
 
-    void life_reached(const simulated_life&, instant) {}
+    void life_reached(const simulated_life& life, instant now)
+    {
+        this->tracker.life_reached(hash_of(life), now);
+    }
 
-    void answered(fingerprint, instant) {}
+    void answered(fingerprint request, instant now)
+    {
+        this->gate.answered(request, now);
+        if (this->tracker.blocked()->suspects.contains(request))
+            this->tracker.run_answered(request, now);
+    }
 
     /// @return Whether the request may be sent.
-    bool may_send(fingerprint request, instant)
+    bool may_send(fingerprint request, instant now)
     {
-        return !this->detector.blocked().contains(request);
+        const request_gate::decision decision =
+            this->gate.admit(*this->tracker.blocked(), request, now);
+        if (decision.result == request_gate::verdict::harmless)
+            this->tracker.run_answered(request, now);
+        if (decision.result == request_gate::verdict::trial)
+            this->tracker.trial_started(request, now);
+        return decision.result != request_gate::verdict::refused;
     }
 
-    void receive(const connection_loss_report& report, std::size_t, instant now)
+    void receive(const crash_report& report, std::size_t from, instant now)
     {
-        this->detector.record_break(
-            fingerprint(report.request), report.server, now);
+        this->tracker.report_received(report, std::to_string(from), now);
     }
 
-    void set_routers(std::size_t) {}
-
     void tick(instant now)
     {
-        this->detector.tick(now);
+        this->tracker.tick(now);
     }
 
     std::vector<message> take_messages()
     {
-        return std::exchange(this->messages, {});
+        std::vector<message> messages;
+        for (const auto& report : this->tracker.take_reports())
+        {
+            for (const std::string& address : report.recipients)
+                messages.push_back(
+                    {false, std::stoul(address), report.content});
+        }
+        return messages;
     }
 
 private:
-    crash_detector detector{crash_detector::options()};
-    std::vector<message> messages;
+    static crash_tracker::options make_options(std::size_t number, instant now)
+    {
+        crash_tracker::options made;
+        made.router = std::to_string(number);
+        made.seed = static_cast<std::uint64_t>(
+            now.time_since_epoch().count() + static_cast<std::int64_t>(number));
+        return made;
+    }
+
+    static server_life hash_of(const simulated_life& life)
+    {
+        return life_of(life.server, life.born_ms);
+    }
+
+    std::size_t own_number;
+    crash_tracker tracker;
+    request_gate gate{request_gate::options()};
 };
 
 } // namespace roseworks::testing
