The gateways learn of servers that a request crashed at once and from each other

What callers saw: a request that crashes each server that runs it went on being sent while its crashes were unknown or known to some routers only; each of its runs cost some twenty other callers their answers.

Cause: a crash was proved by the registry alone, 3.6 s after it at the earliest, not at all from a complete listing, not when the break became known after the loss, and once for each id; each process kept its own list, from datagrams that were sent once.

Now the router whose connection broke opens a new one at once: refused proves the end of that life. A 421 of another server, another start time, an entry that is gone or superseded (also in a listing) prove it as well; four failed connects within 3 s count when three lives are concerned. Crashes are exchanged as state (crash_tracker), also with routers that were cut off, frozen or started later.

--- a/bench/serving/bench_serving.cpp
+++ b/bench/serving/bench_serving.cpp
@@ -94,7 +94,7 @@
         rounds,
         [&](std::size_t)
         {
-            view.make_table(true, {}, instant(1s));
+            view.make_table(true, instant(1s));
         });
 }
 
--- a/src/adapters/events/event_catalogue.cpp
+++ b/src/adapters/events/event_catalogue.cpp
@@ -395,6 +395,29 @@
      "service, requests, used, refused, left, share_percent",
      "Find out why the service's servers fail or refuse: docs/OPERATIONS.md "
      "shows how."},
+    {run_broken, info, "run_broken",
+     "A request was sent to a backend server and its run ended without a "
+     "complete answer. Content is a hash of the request, the same at all "
+     "routers and for each repetition; end is connection, silence or caller.",
+     "request_id, content, server, end", no_action},
+    {crash_recorded, warn, "crash_recorded",
+     "A backend server ended while it ran a request. Life identifies the "
+     "server from its start to its end. Evidence is refused, replaced, "
+     "restarted, removed or unreachable, age_ms the time since the run broke; "
+     "from names the router that told of it, and is empty at the router that "
+     "sent the request.",
+     "content, life, server, evidence, age_ms, from",
+     "Several lines with one content: a request crashes servers. See "
+     "docs/OPERATIONS.md."},
+    {request_blocked, error, "request_blocked",
+     "A request is refused for a time, because several backend servers ended "
+     "while they ran it. The first request after that time is a trial.",
+     "content, lives, for_ms",
+     "Notify the caller and the owner of the service."},
+    {request_cleared, info, "request_cleared",
+     "A run of a request ended well although backend servers had ended while "
+     "they ran it, so it doesn't crash them. It isn't blocked.",
+     "content, lives, from", no_action},
     {placement_owned, info, "placement_owned",
      "This router now owns placement and sends orders to the engines.",
      "fence", no_action},
--- a/src/adapters/forward/forward_call.cpp
+++ b/src/adapters/forward/forward_call.cpp
@@ -21,6 +21,9 @@
 
 using end_kind = attempt_result::end;
 
+/// Status of a server that is not the one that the request names.
+constexpr unsigned status_misdirected = 421;
+
 /// Requests of this rank go ahead of all others in the admission queue.
 constexpr std::uint8_t urgent_rank = 0;
 
@@ -88,6 +91,7 @@
     , pool(connections)
     , caller(connection)
     , request(std::move(incoming))
+    , content(this->request.content_fingerprint())
     , route(matched_route)
     , organisation(std::move(key_holder))
     , service(std::move(selected_service))
@@ -174,7 +178,9 @@
 {
     while (true)
     {
+        this->is_waiting = true;
         const auto reply = co_await this->inbox->next_reply();
+        this->is_waiting = false;
         if (!reply)
         {
             this->context.ports.dispatch.abandon(this->admission_ticket);
@@ -183,6 +189,9 @@
         }
         if (const auto* refused_reply = std::get_if<refusal>(&*reply))
         {
+            // The dispatcher still has a request that was refused here.
+            if (refused_reply->reason == refusal_reason::blocked)
+                this->context.ports.dispatch.abandon(this->admission_ticket);
             co_await this->finish_without_response(
                 {true,
                  refused_reply->outcome,
@@ -337,9 +346,8 @@
         attempt_result failed = this->result_of(state);
         if (!exchange.sent() && failed.how != end_kind::caller_left)
             failed.how = end_kind::not_sent;
-        if (failed.how == end_kind::broken)
-            this->context.ports.connection_broken(
-                server.instance, this->request.content_fingerprint());
+        if (exchange.sent())
+            this->report_run(server, granted.address, failed);
         co_return failed;
     }
     this->last_framing = exchange.framing();
@@ -347,14 +355,21 @@
     this->report_rate_limit(exchange);
     if (is_not_run_refusal(exchange.head(), this->context.names))
     {
+        if (exchange.head().result_int() == status_misdirected)
+            this->context.ports.crashes.server_replaced(server.life);
         attempt_result refused;
         refused.how = end_kind::refused_not_run;
         co_return refused;
     }
     const attempt_result result = co_await this->forward_response(exchange);
-    if (result.how == end_kind::broken)
-        this->context.ports.connection_broken(
-            server.instance, this->request.content_fingerprint());
+    this->report_run(server, granted.address, result);
+    if (result.how == end_kind::answered && this->has_run_well(exchange))
+    {
+        this->context.gate.answered(this->content, this->context.now());
+        if (this->context.ports.crashes.blocked()->suspects.contains(
+                this->content))
+            this->context.ports.crashes.run_answered(this->content);
+    }
     co_return result;
 }
 
--- a/src/adapters/forward/forward_call.hpp
+++ b/src/adapters/forward/forward_call.hpp
@@ -54,6 +54,9 @@
         this->inbox->force_end();
     }
 
+    /// Refuses the call if it waits for a server and its request is blocked.
+    void refuse_if_blocked();
+
 private:
     enum class relay_outcome : std::uint8_t
     {
@@ -115,11 +118,23 @@
     asio::awaitable<void>
     finish_without_response(dispatcher::finish final_state);
     void report();
+    /// @return Whether the request may be sent now. If not, the call is
+    ///         finished.
+    asio::awaitable<bool> pass_gate();
+    asio::awaitable<void> refuse_blocked(duration retry_after);
+    /// Reports how a run of the request on a server ended.
+    void report_run(
+        const server_identity& server,
+        const std::string& address,
+        const attempt_result& result);
+    /// @return Whether the answer proves that the request runs well.
+    bool has_run_well(const server_exchange& exchange) const;
 
     forward_context& context;
     edge::backend_pool& pool;
     edge::caller_connection& caller;
     forward_request request;
+    fingerprint content; ///< of the request
     path_route route;
     caller_organisation organisation;
     std::string service;
@@ -136,6 +151,7 @@
     bool quota_reserved = false; ///< from the organisation's limit
     bool retry_reserved = false; ///< from the service's limit, and not sent yet
     bool may_have_run = false;
+    bool is_waiting = false;   ///< for a server
     caller_response response;  ///< of a backend server
     unsigned local_status = 0; ///< of a response without one; 0: none
     bool connection_usable = true;
--- /dev/null
+++ b/src/adapters/forward/forward_call_crashes.cpp
@@ -0,0 +1,110 @@
+// Keeps requests that crash backend servers from being sent to more of them.
+#include "adapters/forward/forward_call.hpp"
+#include "ports/hex_text.hpp"
+
+#include <boost/beast/http/status.hpp>
+
+#include <optional>
+
+namespace roseworks::forward
+{
+
+namespace
+{
+
+using end_kind = attempt_result::end;
+
+/// @return How a run without a complete answer ended; empty if the server
+///         answered or didn't run the request.
+std::optional<run_end> broken_run_of(end_kind how)
+{
+    switch (how)
+    {
+    case end_kind::broken:
+        return run_end::connection;
+    case end_kind::no_progress:
+        return run_end::silence;
+    case end_kind::caller_left:
+        return run_end::caller;
+    default:
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+asio::awaitable<bool> forward_call::pass_gate()
+{
+    using gate_verdict = request_gate::verdict;
+    crash_port& crashes = this->context.ports.crashes;
+    const request_gate::decision decision = this->context.gate.admit(
+        *crashes.blocked(), this->content, this->context.now());
+    switch (decision.result)
+    {
+    case gate_verdict::allowed:
+        break;
+    case gate_verdict::harmless:
+        crashes.run_answered(this->content);
+        break;
+    case gate_verdict::trial:
+        crashes.trial_started(this->content);
+        break;
+    case gate_verdict::refused:
+        this->context.ports.dispatch.abandon(this->admission_ticket);
+        co_await this->refuse_blocked(decision.retry_after);
+        co_return false;
+    }
+    co_return true;
+}
+
+asio::awaitable<void> forward_call::refuse_blocked(duration retry_after)
+{
+    const verdict outcome =
+        this->may_have_run ? verdict::may_have_run : verdict::not_run;
+    co_await this->finish_without_response(
+        {true, outcome, refusal_reason::blocked, retry_after});
+}
+
+void forward_call::refuse_if_blocked()
+{
+    if (!this->is_waiting)
+        return;
+    const duration blocked_for = this->context.gate.refused_for(
+        *this->context.ports.crashes.blocked(),
+        this->content,
+        this->context.now());
+    if (blocked_for <= duration::zero())
+        return;
+    const verdict outcome =
+        this->may_have_run ? verdict::may_have_run : verdict::not_run;
+    this->inbox->post_reply(refusal{
+        this->admission_ticket, refusal_reason::blocked, outcome, blocked_for});
+}
+
+void forward_call::report_run(
+    const server_identity& server,
+    const std::string& address,
+    const attempt_result& result)
+{
+    const auto end = broken_run_of(result.how);
+    if (!end)
+        return;
+    this->context.events.report(
+        event_id::run_broken,
+        {{"request_id", this->request.id},
+         {"content", to_hex(this->content.value)},
+         {"server", server.instance},
+         {"end", to_string(*end)}});
+    this->context.ports.crashes.run_broken(
+        {this->content, server.life, address, *end});
+}
+
+bool forward_call::has_run_well(const server_exchange& exchange) const
+{
+    // The end of a connection that ends the answer may be the server's crash.
+    return http::to_status_class(exchange.head().result_int()) ==
+               http::status_class::successful &&
+           exchange.framing() != body_framing::connection;
+}
+
+} // namespace roseworks::forward
--- a/src/adapters/forward/forward_context.hpp
+++ b/src/adapters/forward/forward_context.hpp
@@ -3,7 +3,9 @@
 #include "adapters/edge/backend_context.hpp"
 #include "adapters/forward/forward_metrics.hpp"
 #include "adapters/forward/header_names.hpp"
+#include "core/crashes/request_gate.hpp"
 #include "core/serving/serving_table.hpp"
+#include "ports/crash_port.hpp"
 #include "ports/dispatch_port.hpp"
 #include "ports/quota_port.hpp"
 
@@ -40,9 +42,6 @@
     int quota_wait_divisor = 4;
     /// Retry-After while this router has no configuration or an outdated one.
     std::chrono::milliseconds outdated_retry_after{500};
-    /// Retry-After of a request that is blocked because it crashes servers.
-    /// Same length as the block.
-    std::chrono::milliseconds blocked_retry_after{60'000};
     std::uint64_t seed = 1; ///< of the choice among a route's services
 };
 
@@ -51,6 +50,7 @@
 {
     dispatch_port& dispatch;
     quota_port& quotas;
+    crash_port& crashes;
     std::function<serving_table_ptr()> table; ///< newest; null: none yet
     /// An engine reported its load in a response.
     std::function<void(const load_report&)> load_reported;
@@ -65,9 +65,6 @@
         run_refused;
     /// No connection to a server could be opened.
     std::function<void(const std::string& server)> connect_failed;
-    /// A connection broke after a request was sent to the server.
-    std::function<void(const std::string& server, fingerprint)>
-        connection_broken;
     /// A server responded.
     /// @param requests_per_second Rate that the server accepts from all routers
     ///                            together; empty if it named no limit.
@@ -105,6 +102,7 @@
     const forward_dependencies ports;
     forward_metrics& metrics;
     std::mt19937_64 random;
+    request_gate gate{request_gate::options()};
     bool draining = false;
 };
 
--- a/src/adapters/forward/forward_server.cpp
+++ b/src/adapters/forward/forward_server.cpp
@@ -128,6 +128,12 @@
         session->close_idle();
 }
 
+void forward_server::refuse_blocked()
+{
+    for (forward_session* session : this->sessions)
+        session->refuse_blocked();
+}
+
 void forward_server::force_end()
 {
     const std::vector<forward_session*> open_sessions(
--- a/src/adapters/forward/forward_server.hpp
+++ b/src/adapters/forward/forward_server.hpp
@@ -41,6 +41,9 @@
     /// Stops accepting connections, and closes those without a request.
     void close_idle();
 
+    /// Refuses the waiting calls whose requests are blocked.
+    void refuse_blocked();
+
     /// Interrupts all calls, and closes idle connections.
     void force_end();
 
--- a/src/adapters/forward/forward_session.cpp
+++ b/src/adapters/forward/forward_session.cpp
@@ -73,6 +73,12 @@
     this->connection.stop_waiting();
 }
 
+void forward_session::refuse_blocked()
+{
+    if (this->active_call != nullptr)
+        this->active_call->refuse_if_blocked();
+}
+
 void forward_session::force_end()
 {
     if (this->active_call != nullptr)
@@ -159,13 +165,15 @@
             this->retry_if_outdated(refused), request);
         co_return reusable;
     }
-    if (table->is_blocked(request.content_fingerprint()))
+    const duration blocked_for = this->context.gate.refused_for(
+        *this->context.ports.crashes.blocked(),
+        request.content_fingerprint(),
+        this->context.now());
+    if (blocked_for > duration::zero())
     {
         const bool reusable = co_await this->send_response(
             make_local_response(
-                refusal_reason::blocked,
-                verdict::not_run,
-                this->context.settings.blocked_retry_after),
+                refusal_reason::blocked, verdict::not_run, blocked_for),
             request);
         co_return reusable;
     }
--- a/src/adapters/forward/forward_session.hpp
+++ b/src/adapters/forward/forward_session.hpp
@@ -26,6 +26,9 @@
     /// Closes the connection if no request has begun.
     void close_idle();
 
+    /// Refuses the running call if it waits and its request is blocked.
+    void refuse_blocked();
+
     /// Interrupts the running call. Without one, closes the connection.
     void force_end();
 
--- a/src/adapters/peers/gateway_peers.cpp
+++ b/src/adapters/peers/gateway_peers.cpp
@@ -57,6 +57,7 @@
 constexpr std::size_t max_usage_bytes = 72;
 constexpr std::size_t max_engine_bytes = 220;
 constexpr std::size_t max_limit_bytes = 64;
+constexpr std::size_t max_crash_bytes = 28;
 constexpr std::size_t max_content_bytes =
     gateway_peers::max_datagram_bytes - 100;
 
@@ -126,10 +127,6 @@
             this->listener->owner_announcement_received(
                 announcement, this->sender_address());
         return;
-    case message_kind::connection_loss:
-        if (connection_loss_report report; this->decode(body, report))
-            this->listener->connection_loss_received(report);
-        return;
     case message_kind::directory:
         if (directory_update message; this->decode(body, message))
             this->listener->directory_update_received(message);
@@ -147,6 +144,11 @@
         if (server_limit_update message; this->decode(body, message))
             this->listener->server_limit_update_received(message);
         return;
+    case message_kind::crashes:
+        if (crash_report message; this->decode(body, message))
+            this->listener->crash_report_received(
+                message, this->sender_address());
+        return;
     }
     ++this->rejected_count;
 }
@@ -250,10 +252,22 @@
 }
 
 void gateway_peers::send(
-    std::span<const std::string> addresses,
-    const connection_loss_report& report)
+    std::span<const std::string> addresses, const crash_report& report)
 {
-    this->send_message(addresses, message_kind::connection_loss, report);
+    const auto chunks =
+        split_list(report.crashes, max_crash_bytes, max_content_bytes);
+    crash_report part = report;
+    for (std::size_t i = 0; i < chunks.size(); ++i)
+    {
+        // Only the last part is answered, when all records have arrived.
+        const bool is_last = i + 1 == chunks.size();
+        part.stage = is_last ? report.stage : report_stage::news;
+        part.crashes = chunks[i];
+        this->send_message(addresses, message_kind::crashes, part);
+        part.trials.clear();
+    }
+    if (chunks.empty())
+        this->send_message(addresses, message_kind::crashes, part);
 }
 
 void gateway_peers::send(
--- a/src/adapters/peers/gateway_peers.hpp
+++ b/src/adapters/peers/gateway_peers.hpp
@@ -58,7 +58,7 @@
         const owner_announcement& announcement) override;
     void send(
         std::span<const std::string> addresses,
-        const connection_loss_report& report) override;
+        const crash_report& report) override;
     void send(
         std::span<const std::string> addresses,
         const directory_update& message) override;
@@ -79,11 +79,12 @@
     {
         router_status = 1,
         ownership = 2,
-        connection_loss = 3,
+        // 3 was a message of earlier versions.
         directory = 4,
         quota_request = 5,
         quota_response = 6,
-        server_limits = 7
+        server_limits = 7,
+        crashes = 8
     };
 
     void receive();
--- a/src/app/control_loop_log.cpp
+++ b/src/app/control_loop_log.cpp
@@ -1,6 +1,6 @@
 #include "app/control_loop.hpp"
-#include "app/hex_text.hpp"
 #include "app/whole_ms.hpp"
+#include "ports/hex_text.hpp"
 
 #include <algorithm>
 #include <memory>
--- /dev/null
+++ b/src/app/gateway/crash_controller.hpp
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "app/gateway/life_examiner.hpp"
+#include "app/table_holder.hpp"
+#include "core/crashes/crash_tracker.hpp"
+#include "core/serving/serving_view.hpp"
+#include "ports/clock.hpp"
+#include "ports/crash_port.hpp"
+#include "ports/directory_port.hpp"
+#include "ports/event_sink.hpp"
+#include "ports/gateway_peer_port.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace roseworks::app
+{
+
+/** Blocks requests that crash backend servers, together with all other routers.
+
+    Evidence of a server's end is a refused connection just after a run broke,
+    another server at its address, and its entry in the registry. What follows
+    is published to the traffic threads at once, apart from the serving table.
+
+    The functions of `crash_port` are thread-safe; all others run on the control
+    thread.
+*/
+class crash_controller final : public crash_port
+{
+public:
+    struct options
+    {
+        std::string router;
+        std::uint64_t seed = 1;
+        std::chrono::milliseconds tick_interval{250};
+    };
+
+    /// @param on_blocked Called when a request has become blocked.
+    crash_controller(
+        boost::asio::io_context& loop,
+        options settings,
+        const clock_port& clock,
+        event_sink& events,
+        gateway_peer_port& peers,
+        const serving_view& servers,
+        std::function<void()> on_blocked);
+
+    void start();
+    void stop();
+
+    void routers_listed(std::span<const router_address> all);
+
+    /// The view of the registry has changed.
+    void servers_changed();
+
+    /// @param from UDP ip:port of the router.
+    void report_received(const crash_report& report, std::string_view from);
+
+    // crash_port
+    blocked_requests_ptr blocked() const override;
+    void run_broken(const broken_run_report& run) override;
+    void server_replaced(server_life life) override;
+    void run_answered(fingerprint request) override;
+    void trial_started(fingerprint request) override;
+
+private:
+    /// A life of a server that the view has shown.
+    struct listed_life
+    {
+        std::int64_t born_ms = 0;
+        bool superseded = false;
+    };
+
+    /// Runs on the control thread, unless stopped.
+    void post(std::function<void()> action);
+    void life_ended(server_life life, crash_evidence evidence);
+    void handle_broken(const broken_run_report& run);
+    void find_ended_lives();
+    void schedule_tick();
+    /// Sends, logs and publishes what has changed.
+    void flush();
+    void log(const crash_change& change);
+
+    boost::asio::io_context& loop;
+    options settings;
+    const clock_port& clock;
+    event_sink& events;
+    gateway_peer_port& peers;
+    const serving_view& view;
+    std::function<void()> on_blocked;
+    crash_tracker tracker;
+    life_examiner examiner;
+    newest_table<blocked_requests_ptr> published;
+    std::map<std::string, listed_life, std::less<>> listed; ///< by id
+    boost::asio::steady_timer timer;
+    bool stopped = false;
+};
+
+} // namespace roseworks::app
--- a/src/app/gateway/gateway_app.cpp
+++ b/src/app/gateway/gateway_app.cpp
@@ -183,6 +183,10 @@
                 event_id::internal_error,
                 {{"where", "control_thread"}, {"reason", reason}});
             std::_Exit(EXIT_FAILURE);
+        },
+        [this]
+        {
+            // Waiting requests are not looked at again.
         }};
 }
 
@@ -193,6 +197,7 @@
     forward::forward_dependencies ports{
         *this->dispatch,
         this->control->organisation_limits(),
+        this->control->crashing_requests(),
         [this]
         {
             return this->tables.get();
@@ -217,10 +222,6 @@
         {
             this->control->server_unreachable(server);
         },
-        [this](const std::string& server, fingerprint request)
-        {
-            this->control->connection_lost(server, request);
-        },
         [this](
             const std::string& server,
             std::optional<double> named_limit,
--- a/src/app/gateway/gateway_control.cpp
+++ b/src/app/gateway/gateway_control.cpp
@@ -65,6 +65,7 @@
               {
                   this->placement->servers_changed();
                   this->limit_controller->servers_changed();
+                  this->crashes->servers_changed();
               }}))
     , copies(std::make_unique<copy_exchange>(
           this->loop, copy_options(initial_settings), this->meter))
@@ -86,6 +87,14 @@
           time,
           sink,
           *this->peers))
+    , crashes(std::make_unique<crash_controller>(
+          this->loop,
+          crash_options(initial_settings),
+          time,
+          sink,
+          *this->peers,
+          this->serving->view(),
+          this->notify.on_request_blocked))
     , limit_controller(std::make_unique<server_limit_controller>(
           this->loop,
           server_limit_controller::options{initial_settings.vm.name},
@@ -152,6 +161,7 @@
             this->peers->start(*this);
             this->placement->start();
             this->quotas->start();
+            this->crashes->start();
             this->copies->serve(*this->directory);
             this->directory->start(*this);
             this->schedule_usage_report();
@@ -206,8 +216,6 @@
                 return;
             this->reporter.tick();
             this->check_owner();
-            if (this->crashes.tick(this->clock.now()))
-                this->serving->set_blocked_requests(this->crashes.blocked());
             this->schedule_usage_report();
         });
 }
@@ -320,10 +328,10 @@
         this->reporter.report_all();
 }
 
-void gateway_control::connection_loss_received(
-    const connection_loss_report& message)
+void gateway_control::crash_report_received(
+    const crash_report& message, std::string_view from)
 {
-    this->record_connection_loss(message);
+    this->crashes->report_received(message, from);
 }
 
 void gateway_control::directory_update_received(const directory_update& message)
@@ -386,33 +394,6 @@
         });
 }
 
-void gateway_control::connection_lost(
-    const std::string& server, fingerprint request)
-{
-    asio::post(
-        this->loop,
-        [this, server, request]
-        {
-            const connection_loss_report message{
-                this->settings.vm.name, request.value, server};
-            this->peers->send(this->other_addresses(), message);
-            this->record_connection_loss(message);
-        });
-}
-
-void gateway_control::record_connection_loss(
-    const connection_loss_report& message)
-{
-    this->crashes.record_break(
-        fingerprint(message.request), message.server, this->clock.now());
-}
-
-void gateway_control::server_lost(std::string_view server)
-{
-    if (this->crashes.server_lost(server, this->clock.now()))
-        this->serving->set_blocked_requests(this->crashes.blocked());
-}
-
 void gateway_control::stop()
 {
     if (!this->thread.joinable())
@@ -426,6 +407,7 @@
             this->peers->stop();
             this->placement->stop();
             this->limit_controller->stop();
+            this->crashes->stop();
             this->quotas->stop();
             this->serving->stop();
             this->reporter.stop();
@@ -454,22 +436,18 @@
 
 void gateway_control::server_read(server_entry entry)
 {
-    const auto known = this->serving->view().servers().find(entry.id);
-    if (known != this->serving->view().servers().end() &&
-        known->second.entry.born_ms != entry.born_ms)
-        this->server_lost(entry.id);
     this->serving->server_read(std::move(entry));
 }
 
 void gateway_control::server_removed(std::string_view id)
 {
-    this->server_lost(id);
     this->serving->server_removed(id);
 }
 
 void gateway_control::routers_listed(std::vector<router_address> all)
 {
     this->quotas->routers_listed(all);
+    this->crashes->routers_listed(all);
     this->router_addresses.clear();
     for (router_address& router : all)
         this->router_addresses[router.name] = std::move(router.address);
--- a/src/app/gateway/gateway_control.hpp
+++ b/src/app/gateway/gateway_control.hpp
@@ -4,6 +4,7 @@
 #include "adapters/peers/gateway_peers.hpp"
 #include "adapters/platform/byte_meter.hpp"
 #include "adapters/settings/gateway_settings.hpp"
+#include "app/gateway/crash_controller.hpp"
 #include "app/gateway/demand_reporter.hpp"
 #include "app/gateway/placement_controller.hpp"
 #include "app/gateway/quota_controller.hpp"
@@ -11,7 +12,6 @@
 #include "app/gateway/serving_table_publisher.hpp"
 #include "app/gateway/usage_counter.hpp"
 #include "app/table_holder.hpp"
-#include "core/request/crash_detector.hpp"
 #include "ports/clock.hpp"
 #include "ports/directory_copy_port.hpp"
 #include "ports/directory_port.hpp"
@@ -50,6 +50,8 @@
         /// Called on the control thread.
         std::function<void(std::shared_ptr<const deployment>)> on_deployment;
         std::function<void(std::string reason)> on_failure;
+        /// A request that crashes servers has become blocked.
+        std::function<void()> on_request_blocked;
     };
 
     gateway_control(
@@ -81,11 +83,6 @@
     /// @param server id of its registry entry.
     void server_unreachable(const std::string& server);
 
-    /// The connection was lost during a request that the server may have
-    /// started.
-    /// @param server id of its registry entry.
-    void connection_lost(const std::string& server, fingerprint request);
-
     /// Stops and joins the thread.
     void stop();
 
@@ -123,6 +120,12 @@
         return *this->quotas;
     }
 
+    /// @return The port to the requests that crash servers.
+    crash_port& crashing_requests()
+    {
+        return *this->crashes;
+    }
+
     bool ready() const
     {
         return this->serving->ready();
@@ -156,8 +159,8 @@
     void router_report_received(const router_report& message) override;
     void owner_announcement_received(
         const owner_announcement& message, std::string_view from) override;
-    void
-    connection_loss_received(const connection_loss_report& message) override;
+    void crash_report_received(
+        const crash_report& message, std::string_view from) override;
     void directory_update_received(const directory_update& message) override;
     void quota_query_received(
         const quota_query& query, std::string_view from) override;
@@ -174,8 +177,6 @@
     void schedule_usage_report();
     void check_owner();
     void owner_lost(instant now);
-    void record_connection_loss(const connection_loss_report& message);
-    void server_lost(std::string_view server);
     std::vector<std::string> router_names() const;
     /// @return The addresses of all routers except this one.
     std::vector<std::string> other_addresses() const;
@@ -203,11 +204,11 @@
     std::unique_ptr<directory_port> directory;
     std::unique_ptr<gateway_peer_port> peers;
     std::unique_ptr<quota_controller> quotas;
+    std::unique_ptr<crash_controller> crashes;
     std::unique_ptr<server_limit_controller> limit_controller;
     std::unique_ptr<engine_command_port> commands;
     std::unique_ptr<placement_controller> placement;
     usage_counter usage;
-    crash_detector crashes{crash_detector::options()};
     std::map<std::string, std::string> router_addresses; ///< by name
     std::optional<known_owner> owner;
     instant owner_missing_since;
--- a/src/app/gateway/gateway_options.cpp
+++ b/src/app/gateway/gateway_options.cpp
@@ -74,6 +74,15 @@
     return made;
 }
 
+crash_controller::options
+crash_options(const settings::gateway_settings& settings)
+{
+    crash_controller::options made;
+    made.router = settings.vm.name;
+    made.seed = std::random_device()();
+    return made;
+}
+
 copy_exchange::options copy_options(const settings::gateway_settings& settings)
 {
     // One copy is sent at a time for each 25 Mbit/s of the link, within bounds.
--- a/src/app/gateway/gateway_options.hpp
+++ b/src/app/gateway/gateway_options.hpp
@@ -2,6 +2,7 @@
 
 #include "adapters/peers/copy_exchange.hpp"
 #include "adapters/settings/gateway_settings.hpp"
+#include "app/gateway/crash_controller.hpp"
 #include "app/gateway/placement_controller.hpp"
 #include "app/gateway/quota_controller.hpp"
 #include "platform/engine_commands.hpp"
@@ -22,6 +23,10 @@
 quota_controller::options
 quota_options(const settings::gateway_settings& settings);
 
+/// @return Options of the handling of requests that crash servers.
+crash_controller::options
+crash_options(const settings::gateway_settings& settings);
+
 /// @return Options of the exchange of copies with other routers. The link of
 ///         the VM bounds how many copies are sent at once.
 copy_exchange::options copy_options(const settings::gateway_settings& settings);
--- a/src/app/gateway/serving_table_publisher.cpp
+++ b/src/app/gateway/serving_table_publisher.cpp
@@ -176,13 +176,6 @@
         this->schedule_publish();
 }
 
-void serving_table_publisher::set_blocked_requests(
-    std::unordered_set<fingerprint> requests)
-{
-    this->blocked_requests = std::move(requests);
-    this->schedule_publish();
-}
-
 void serving_table_publisher::schedule_publish()
 {
     if (std::exchange(this->publish_scheduled, true))
@@ -209,8 +202,8 @@
 void serving_table_publisher::publish()
 {
     this->publish_scheduled = false;
-    serving_table_ptr table = this->deployment_view.make_table(
-        this->can_load, this->blocked_requests, this->clock.now());
+    serving_table_ptr table =
+        this->deployment_view.make_table(this->can_load, this->clock.now());
     if (!table)
         return;
     this->tables.put(table);
--- a/src/app/gateway/serving_table_publisher.hpp
+++ b/src/app/gateway/serving_table_publisher.hpp
@@ -85,9 +85,6 @@
     /// Sets whether models that no engine holds can be loaded.
     void set_loading_possible(bool possible);
 
-    /// Sets the requests that are blocked because they crashed several servers.
-    void set_blocked_requests(std::unordered_set<fingerprint> requests);
-
     const serving_view& view() const
     {
         return this->deployment_view;
@@ -118,7 +115,6 @@
     serving_view deployment_view;
     boost::asio::steady_timer publish_timer;
     boost::asio::steady_timer tick_timer;
-    std::unordered_set<fingerprint> blocked_requests;
     bool can_load = false;
     bool publish_scheduled = false;
     bool registry_read = false;
--- a/src/core/serving/serving_table.cpp
+++ b/src/core/serving/serving_table.cpp
@@ -49,14 +49,14 @@
     return &this->default_caller;
 }
 
-bool serving_table::is_blocked(fingerprint request) const
+bool serving_table::is_blocked(fingerprint) const
 {
-    return this->content.blocked.contains(request);
+    return false;
 }
 
-bool serving_table::is_suspect(fingerprint request) const
+bool serving_table::is_suspect(fingerprint) const
 {
-    return this->content.suspect.contains(request);
+    return false;
 }
 
 bool serving_table::log_available() const
--- a/src/core/serving/serving_table.hpp
+++ b/src/core/serving/serving_table.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/crashes/server_life.hpp"
 #include "core/serving/organisation_index.hpp"
 #include "core/serving/route_index.hpp"
 
@@ -33,6 +34,7 @@
     std::string instance; ///< id of the server's registry entry
     std::string service;
     std::string data_centre;
+    server_life life;
 };
 
 /** The routing data for the traffic threads: routes, and the engines that can
@@ -54,8 +56,6 @@
         std::unordered_map<std::string, server_identity> servers;
         /// Number of engines by service.
         std::unordered_map<std::string, std::uint16_t> engines;
-        std::unordered_set<fingerprint> blocked;
-        std::unordered_set<fingerprint> suspect;
         /// Expected load times of models that no engine has, by model key.
         std::unordered_map<std::string, instant> expected;
         bool placement_available = false; ///< a placement owner is active
@@ -67,6 +67,8 @@
     const servable_routes* find_servable(servable_id id) const override;
     const service_routes* find_service(std::string_view name) const override;
     const caller_spec* find_caller(std::string_view name) const override;
+    /// The table knows of no requests that crash servers: forwarding asks for
+    /// them before each attempt.
     bool is_blocked(fingerprint request) const override;
     bool is_suspect(fingerprint request) const override;
     bool log_available() const override;
--- a/src/core/serving/serving_view.cpp
+++ b/src/core/serving/serving_view.cpp
@@ -371,17 +371,14 @@
     }
 }
 
-serving_table_ptr serving_view::make_table(
-    bool placement_available,
-    const std::unordered_set<fingerprint>& blocked,
-    instant now) const
+serving_table_ptr
+serving_view::make_table(bool placement_available, instant now) const
 {
     if (!this->configuration)
         return nullptr;
     serving_table::parts content;
     content.catalogue = this->catalogue;
     content.placement_available = placement_available;
-    content.blocked = blocked;
     for (const auto& [model, expected] : this->expected_loads)
         content.expected.emplace(model, expected.ready);
     for (const service_profile& service : this->configuration->services)
@@ -394,7 +391,10 @@
         if (record.superseded)
             continue;
         content.servers[record.entry.address] = {
-            id, record.entry.service, record.entry.data_centre};
+            id,
+            record.entry.service,
+            record.entry.data_centre,
+            life_of(id, record.entry.born_ms)};
         if (record.entry.leaving)
             continue;
         if (this->is_engine(record))
--- a/src/core/serving/serving_view.hpp
+++ b/src/core/serving/serving_view.hpp
@@ -159,10 +159,7 @@
     }
 
     /// @return Null before the first configuration.
-    serving_table_ptr make_table(
-        bool placement_available,
-        const std::unordered_set<fingerprint>& blocked,
-        instant now) const;
+    serving_table_ptr make_table(bool placement_available, instant now) const;
 
 private:
     void build_catalogue();
--- a/src/core/swapping/peer_messages.hpp
+++ b/src/core/swapping/peer_messages.hpp
@@ -133,18 +133,4 @@
     }
 };
 
-/// Reports that a server's connection broke while a request ran on it.
-struct connection_loss_report
-{
-    std::string router;
-    std::uint64_t request = 0; ///< fingerprint of the request's content
-    std::string server;        ///< id of the server's entry
-
-    template <class Archive>
-    void serialize(Archive& archive)
-    {
-        archive(this->router, this->request, this->server);
-    }
-};
-
 } // namespace roseworks
--- /dev/null
+++ b/src/ports/crash_port.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "core/crashes/blocked_requests.hpp"
+#include "core/crashes/run_end.hpp"
+#include "core/crashes/server_life.hpp"
+
+#include <roseworks/ids.hpp>
+
+#include <string>
+
+namespace roseworks
+{
+
+/// A run that ended without a complete answer.
+struct broken_run_report
+{
+    fingerprint request;
+    server_life life;
+    std::string address; ///< ip:port of the server
+    run_end end = run_end::connection;
+};
+
+/// Port: what all routers know of requests that crash backend servers.
+/// Thread-safe.
+class crash_port
+{
+public:
+    virtual ~crash_port() = default;
+
+    /// @return The requests that are blocked now; never null.
+    virtual blocked_requests_ptr blocked() const = 0;
+
+    virtual void run_broken(const broken_run_report& run) = 0;
+
+    /// Another server answered at the address of this one.
+    virtual void server_replaced(server_life life) = 0;
+
+    /// A run of a suspected request ended well.
+    virtual void run_answered(fingerprint request) = 0;
+
+    /// A blocked request is sent as a trial.
+    virtual void trial_started(fingerprint request) = 0;
+};
+
+} // namespace roseworks
--- a/src/ports/event_sink.hpp
+++ b/src/ports/event_sink.hpp
@@ -132,6 +132,10 @@
     deployment_read = 1725,
     registry_listed = 1726,
     retries_limited = 1727,
+    run_broken = 1728,
+    crash_recorded = 1729,
+    request_blocked = 1730,
+    request_cleared = 1731,
 
     // 18xx: placement by the orders of a single owner.
     placement_owned = 1801,
--- a/src/ports/gateway_peer_port.hpp
+++ b/src/ports/gateway_peer_port.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/crashes/crash_report.hpp"
 #include "core/dissemination/directory_update.hpp"
 #include "core/pacing/server_limit_update.hpp"
 #include "core/quota/quota_messages.hpp"
@@ -25,8 +26,9 @@
     virtual void owner_announcement_received(
         const owner_announcement& announcement, std::string_view from) = 0;
 
-    virtual void
-    connection_loss_received(const connection_loss_report& report) = 0;
+    /// @param from UDP ip:port of the router.
+    virtual void crash_report_received(
+        const crash_report& report, std::string_view from) = 0;
     virtual void directory_update_received(const directory_update& update) = 0;
 
     /// @param from UDP ip:port of the router.
@@ -52,8 +54,7 @@
         std::span<const std::string> addresses,
         const owner_announcement& announcement) = 0;
     virtual void send(
-        std::span<const std::string> addresses,
-        const connection_loss_report& report) = 0;
+        std::span<const std::string> addresses, const crash_report& report) = 0;
     virtual void send(
         std::span<const std::string> addresses,
         const directory_update& update) = 0;
--- a/tests/unit/forward/forward_fixture.cpp
+++ b/tests/unit/forward/forward_fixture.cpp
@@ -52,8 +52,7 @@
 
 serving_table_ptr make_table(
     const std::vector<fake_backend*>& backends,
-    std::optional<std::vector<organisation>> organisations = {},
-    const std::unordered_set<fingerprint>& blocked = {})
+    std::optional<std::vector<organisation>> organisations = {})
 {
     auto config = std::make_shared<deployment>();
     config->version = 1;
@@ -70,7 +69,6 @@
     catalogue->organisations = std::make_shared<organisation_index>(config);
     serving_table::parts result;
     result.catalogue = catalogue;
-    result.blocked = blocked;
     service_routes& app = result.services["app"];
     app.name = "app";
     int number = 0;
@@ -78,7 +76,7 @@
     {
         const std::string id = "i-" + std::to_string(++number);
         app.backends.push_back({backend->address(), id, "a"});
-        result.servers[backend->address()] = {id, "app", "a"};
+        result.servers[backend->address()] = {id, "app", "a", life_of(id, 1)};
     }
     return std::make_shared<const serving_table>(std::move(result));
 }
@@ -155,6 +153,7 @@
     forward_dependencies dependencies{
         *this->dispatch,
         this->limits,
+        this->crashes,
         [this]
         {
             const std::lock_guard lock(this->mutex);
@@ -169,7 +168,6 @@
             const std::lock_guard lock(this->mutex);
             this->unreachable_servers.push_back(server);
         },
-        [](const std::string&, fingerprint) {},
         [this](
             const std::string& server,
             std::optional<double> requests_per_second,
@@ -253,18 +251,55 @@
 }
 
 void forward_fixture::block_request(
-    std::string_view method, std::string_view target)
+    std::string_view method, std::string_view target, duration length)
 {
     forward_request request;
     request.method = method;
     request.target = target;
+    const fingerprint content = request.content_fingerprint();
+    const std::lock_guard lock(this->crashes.mutex);
+    this->crashes.content.suspects.insert(content);
+    this->crashes.content.blocked_until[content] = this->clock.now() + length;
+}
+
+void forward_fixture::refuse_blocked()
+{
+    asio::post(
+        this->event_loop,
+        [this]
+        {
+            this->server.refuse_blocked();
+        });
+}
+
+blocked_requests_ptr fake_crash_port::blocked() const
+{
+    const std::lock_guard lock(this->mutex);
+    return std::make_shared<const blocked_requests>(this->content);
+}
+
+void fake_crash_port::run_broken(const broken_run_report& run)
+{
+    const std::lock_guard lock(this->mutex);
+    this->broken_runs.push_back(run);
+}
+
+void fake_crash_port::server_replaced(server_life life)
+{
+    const std::lock_guard lock(this->mutex);
+    this->replaced_servers.push_back(life);
+}
+
+void fake_crash_port::run_answered(fingerprint request)
+{
+    const std::lock_guard lock(this->mutex);
+    this->answered_requests.push_back(request);
+}
+
+void fake_crash_port::trial_started(fingerprint request)
+{
     const std::lock_guard lock(this->mutex);
-    const bool needs_keys = this->table->organisations().is_required();
-    this->table = make_table(
-        this->servers,
-        needs_keys ? std::optional(make_organisations("key-one"))
-                   : std::nullopt,
-        {request.content_fingerprint()});
+    this->trials.push_back(request);
 }
 
 void forward_fixture::clear_table()
--- a/tests/unit/forward/forward_fixture.hpp
+++ b/tests/unit/forward/forward_fixture.hpp
@@ -33,6 +33,24 @@
     "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: 9c41\r\n"
     "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 
+/// Holds the blocked requests and records the reports.
+class fake_crash_port final : public crash_port
+{
+public:
+    blocked_requests_ptr blocked() const override;
+    void run_broken(const broken_run_report& run) override;
+    void server_replaced(server_life life) override;
+    void run_answered(fingerprint request) override;
+    void trial_started(fingerprint request) override;
+
+    mutable std::mutex mutex;
+    blocked_requests content;
+    std::vector<broken_run_report> broken_runs;
+    std::vector<server_life> replaced_servers;
+    std::vector<fingerprint> answered_requests;
+    std::vector<fingerprint> trials;
+};
+
 /// Returns the same decision for all requests and records them.
 class fake_quota_port final : public quota_port
 {
@@ -77,7 +95,16 @@
     void revoke_first_key();
 
     /// Blocks a request without a body as one that crashes servers.
-    void block_request(std::string_view method, std::string_view target);
+    /// @param length Length of the block from now on.
+    void block_request(
+        std::string_view method,
+        std::string_view target,
+        duration length = std::chrono::hours(1));
+
+    /// Refuses the calls that wait although their requests are blocked.
+    void refuse_blocked();
+
+    fake_crash_port crashes;
 
     /// Whether other routers have a newer configuration.
     std::atomic<bool> is_outdated{false};
--- a/tests/unit/gateway/test_quota_controller.cpp
+++ b/tests/unit/gateway/test_quota_controller.cpp
@@ -28,10 +28,7 @@
     void send(std::span<const std::string>, const owner_announcement&) override
     {
     }
-    void
-    send(std::span<const std::string>, const connection_loss_report&) override
-    {
-    }
+    void send(std::span<const std::string>, const crash_report&) override {}
     void send(std::span<const std::string>, const directory_update&) override {}
     void send(std::span<const std::string>, const server_limit_update&) override
     {
--- a/tests/unit/gateway/test_server_limit_controller.cpp
+++ b/tests/unit/gateway/test_server_limit_controller.cpp
@@ -32,10 +32,7 @@
     void send(std::span<const std::string>, const owner_announcement&) override
     {
     }
-    void
-    send(std::span<const std::string>, const connection_loss_report&) override
-    {
-    }
+    void send(std::span<const std::string>, const crash_report&) override {}
     void send(std::span<const std::string>, const directory_update&) override {}
     void send(std::span<const std::string>, const server_limit_update&) override
     {
@@ -116,7 +113,7 @@
     void publish()
     {
         this->dispatch->table_changed(
-            this->view.make_table(true, {}, this->clock.now()));
+            this->view.make_table(true, this->clock.now()));
         this->controller.servers_changed();
     }
 
--- a/tests/unit/serving/test_serving_view.cpp
+++ b/tests/unit/serving/test_serving_view.cpp
@@ -11,7 +11,7 @@
 
 serving_table_ptr table_of(const serving_view& view, instant now)
 {
-    return view.make_table(true, {}, now);
+    return view.make_table(true, now);
 }
 
 std::size_t
--- a/tests/unit/users_platform/test_gateway_peers.cpp
+++ b/tests/unit/users_platform/test_gateway_peers.cpp
@@ -32,9 +32,10 @@
         this->owners.push_back(update);
     }
 
-    void connection_loss_received(const connection_loss_report& update) override
+    void
+    crash_report_received(const crash_report& update, std::string_view) override
     {
-        this->breaks.push_back(update);
+        this->crashes.push_back(update);
     }
 
     void directory_update_received(const directory_update& update) override
@@ -64,7 +65,7 @@
     std::vector<router_report> routers;
     std::vector<directory_update> directories;
     std::vector<owner_announcement> owners;
-    std::vector<connection_loss_report> breaks;
+    std::vector<crash_report> crashes;
 };
 
 /// A sender on an event loop that a test shares with a receiver.
@@ -125,12 +126,17 @@
     owner.engines.push_back({"e1", 0, 9, 3, {{"m1", {"a1"}}}});
     test.sender.send(recipients, update);
     test.sender.send(recipients, owner);
-    test.sender.send(recipients, connection_loss_report{"r1", 77, "e1"});
+    crash_report crashes;
+    crashes.stage = report_stage::offer;
+    crashes.crashes.resize(100);
+    crashes.crashes.back() = {77, 5, 3, crash_evidence::removed, true};
+    crashes.trials.push_back({78, 6, 4});
+    test.sender.send(recipients, crashes);
     run_until(
         test.loop,
         [&]
         {
-            return listener.routers.size() == 2 && !listener.breaks.empty();
+            return listener.routers.size() == 2 && listener.crashes.size() == 3;
         });
     cr_assert_eq(listener.routers[0].needs[0].servable, "llm/m1");
     cr_assert_eq(listener.routers[1].uses[0].started, 3);
@@ -140,7 +146,13 @@
     cr_assert(listener.owners[0].ownership_released);
     cr_assert_gt(listener.routers[1].sequence, listener.routers[0].sequence);
     cr_assert_eq(listener.owners[0].engines[0].resident[0].adapters[0], "a1");
-    cr_assert_eq(listener.breaks[0].request, 77);
+    const crash_report& last_part = listener.crashes[2];
+    cr_assert_eq(last_part.crashes.back().request, 77);
+    cr_assert(last_part.crashes.back().cleared);
+    cr_assert_eq(last_part.stage, report_stage::offer);
+    cr_assert_eq(listener.crashes[0].stage, report_stage::news);
+    cr_assert_eq(listener.crashes[0].trials.at(0).request, 78);
+    cr_assert(last_part.trials.empty());
     receiver.stop();
 }
 
