A request that crashes servers is asked for before each send

What callers saw: a request that had become blocked while it waited for a model, or between two attempts, was sent all the same and ended one more server.

Cause: the block was looked up once, on arrival, in a table that is published with a delay; the dispatcher's own checks don't act in the gateway, because requests are submitted without their content.

Each attempt passes the gate last, after all waits; a request that waits for a server is refused as soon as its content becomes blocked, and no longer causes loads.

--- a/src/adapters/forward/forward_call.cpp
+++ b/src/adapters/forward/forward_call.cpp
@@ -227,6 +227,9 @@
             {true, verdict::not_run, refusal_reason::unknown_key, {}});
         co_return true;
     }
+    const bool passed = co_await this->pass_gate();
+    if (!passed)
+        co_return true;
     const server_identity* server = table->find_server(granted.address);
     attempt_result result;
     result.how = end_kind::not_sent;
--- a/src/app/gateway/gateway_app.cpp
+++ b/src/app/gateway/gateway_app.cpp
@@ -186,7 +186,12 @@
         },
         [this]
         {
-            // Waiting requests are not looked at again.
+            asio::post(
+                this->traffic,
+                [this]
+                {
+                    this->server.refuse_blocked();
+                });
         }};
 }
 
