--- a/tests/unit/blocked_requests/test_blocked_requests.cpp
+++ b/tests/unit/blocked_requests/test_blocked_requests.cpp
@@ -1,13 +1,16 @@
 #include "forward_fixture.hpp"
 
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <string>
+#include <thread>
 
 #include <criterion/criterion.h>
 
 using namespace roseworks;
 using namespace roseworks::forward::tests;
+using namespace std::chrono_literals;
 
 namespace
 {
@@ -147,3 +150,133 @@
     cr_assert(has_status(response, "503"), "%s", response.c_str());
     cr_assert_neq(response.find("not-run"), std::string::npos);
 }
+
+Test(blocked_requests, are_refused_at_once_while_they_wait_for_a_server)
+{
+    counting_servers servers(
+        [](backend_peer& peer, const std::string&)
+        {
+            peer.send(ok_response);
+        });
+    forward_fixture test({&servers.first});
+    test.limit_server(0);
+    test.block_request("POST", "/once/x", -1s);
+    std::thread blocking(
+        [&]
+        {
+            while (test.permit_requests() == 0)
+                std::this_thread::sleep_for(1ms);
+            test.block_request("POST", "/once/x");
+            test.refuse_blocked();
+        });
+    const std::string response = test.exchange(test.request("POST", "/once/x"));
+    blocking.join();
+    cr_assert_eq(servers.arrivals, 0);
+    cr_assert(has_status(response, "503"), "%s", response.c_str());
+    cr_assert_neq(response.find("blocked"), std::string::npos);
+}
+
+Test(blocked_requests, are_refused_on_arrival)
+{
+    counting_servers servers(
+        [](backend_peer& peer, const std::string&)
+        {
+            peer.send(ok_response);
+        });
+    forward_fixture test({&servers.first});
+    test.block_request("POST", "/once/x", 90s);
+    const std::string response = test.exchange(test.request("POST", "/once/x"));
+    cr_assert_eq(servers.arrivals, 0);
+    cr_assert(has_status(response, "503"), "%s", response.c_str());
+    constexpr std::string_view header = "Retry-After: ";
+    const auto place = response.find(header);
+    cr_assert_neq(place, std::string::npos);
+    const double seconds = std::stod(response.substr(place + header.size()));
+    cr_assert_gt(seconds, 0);
+    cr_assert_leq(seconds, 90);
+}
+
+Test(blocked_requests, are_tried_once_after_the_block)
+{
+    counting_servers servers(
+        [](backend_peer& peer, const std::string&)
+        {
+            peer.shut_down();
+        });
+    forward_fixture test({&servers.first, &servers.second});
+    test.block_request("POST", "/again/x", -1s);
+    test.exchange(test.request("POST", "/again/x"));
+    test.exchange(test.request("POST", "/again/x"));
+    cr_assert_eq(servers.arrivals, 1);
+    cr_assert_eq(test.crashes.trials.size(), 1);
+}
+
+Test(blocked_requests, are_cleared_by_a_run_that_ends_well)
+{
+    counting_servers servers(
+        [](backend_peer& peer, const std::string&)
+        {
+            peer.send(ok_response);
+        });
+    forward_fixture test({&servers.first});
+    test.block_request("POST", "/once/x", -1s);
+    for (int i = 0; i < 2; ++i)
+    {
+        const std::string response =
+            test.exchange(test.request("POST", "/once/x"));
+        cr_assert(has_status(response, "200"), "%s", response.c_str());
+    }
+    cr_assert_geq(test.crashes.answered_requests.size(), 1);
+}
+
+Test(blocked_requests, are_not_cleared_by_an_answer_that_the_connection_ends)
+{
+    counting_servers servers(
+        [](backend_peer& peer, const std::string&)
+        {
+            peer.send("HTTP/1.1 200 OK\r\nAttempt-Id: 9c41\r\n\r\nhello");
+            peer.shut_down();
+        });
+    forward_fixture test({&servers.first});
+    test.block_request("POST", "/once/x", -1s);
+    test.exchange(test.request("POST", "/once/x"));
+    cr_assert(test.crashes.answered_requests.empty());
+}
+
+Test(blocked_requests, runs_without_an_answer_are_reported_with_their_end)
+{
+    counting_servers servers(
+        [](backend_peer& peer, const std::string& request)
+        {
+            if (request.find("/once/cut") != std::string::npos)
+                peer.shut_down();
+            else
+                peer.wait_for_close();
+        });
+    forward_fixture test({&servers.first});
+    test.exchange(test.request("POST", "/once/cut"));
+    std::string brief = test.request("POST", "/once/silent");
+    const std::string deadline = "Deadline-Ms: 30000";
+    brief.replace(brief.find(deadline), deadline.size(), "Deadline-Ms: 50");
+    test.exchange(brief);
+    cr_assert_eq(test.crashes.broken_runs.size(), 2);
+    const broken_run_report& cut = test.crashes.broken_runs[0];
+    cr_assert_eq(cut.end, run_end::connection);
+    cr_assert_eq(cut.life, life_of("i-1", 1));
+    cr_assert_eq(cut.address, servers.first.address());
+    cr_assert_eq(test.crashes.broken_runs[1].end, run_end::silence);
+}
+
+Test(blocked_requests, a_server_that_stands_for_another_shows_its_end)
+{
+    counting_servers servers(
+        [](backend_peer& peer, const std::string&)
+        {
+            peer.send("HTTP/1.1 421 Misdirected Request\r\n"
+                      "Attempt-Id: 9c41\r\nContent-Length: 0\r\n\r\n");
+        });
+    forward_fixture test({&servers.first});
+    test.exchange(test.request("POST", "/once/x"));
+    cr_assert_geq(test.crashes.replaced_servers.size(), 1);
+    cr_assert_eq(test.crashes.replaced_servers[0], life_of("i-1", 1));
+}
--- a/tests/unit/crashing_requests/test_crashing_requests.cpp
+++ b/tests/unit/crashing_requests/test_crashing_requests.cpp
@@ -115,6 +115,20 @@
     }
 }
 
+Test(crashing_requests, are_blocked_at_a_router_that_hears_only_the_store)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+    {
+        crash_fleet fleet(seeded(seed));
+        fleet.reaches = [](std::size_t from, std::size_t to)
+        {
+            return from != 0 && to != 0;
+        };
+        fleet.send(60s);
+        expect_few_late_sends(fleet, seed);
+    }
+}
+
 Test(crashing_requests, are_blocked_at_routers_that_restart)
 {
     for (std::uint64_t seed = 1; seed <= seeds; ++seed)
--- a/tests/unit/forward/forward_fixture.cpp
+++ b/tests/unit/forward/forward_fixture.cpp
@@ -104,6 +104,7 @@
            [](const crash_seen&) {},
            [this](const permit_wanted& what)
            {
+               ++this->permits_requested;
                asio::post(
                    this->event_loop,
                    [this, what]
@@ -262,6 +263,11 @@
     this->crashes.content.blocked_until[content] = this->clock.now() + length;
 }
 
+void forward_fixture::limit_server(std::size_t index)
+{
+    this->dispatch->server_limited({{}, this->servers[index]->address()}, 1);
+}
+
 void forward_fixture::refuse_blocked()
 {
     asio::post(
--- a/tests/unit/forward/forward_fixture.hpp
+++ b/tests/unit/forward/forward_fixture.hpp
@@ -101,6 +101,17 @@
         std::string_view target,
         duration length = std::chrono::hours(1));
 
+    /// Limits a server: it gets no more requests, because each permit is
+    /// refused.
+    /// @param index Of the server, from 0.
+    void limit_server(std::size_t index);
+
+    /// @return Permits that were requested so far.
+    int permit_requests() const
+    {
+        return this->permits_requested;
+    }
+
     /// Refuses the calls that wait although their requests are blocked.
     void refuse_blocked();
 
@@ -167,6 +178,7 @@
     std::mutex mutex;
     std::vector<fake_backend*> servers;
     serving_table_ptr table;
+    std::atomic<int> permits_requested{0};
     std::vector<std::string> unreachable_servers;
     std::vector<rate_limit_report> rate_limit_reports;
     std::shared_ptr<edge::shared_dispatcher> dispatch;
--- a/tests/unit/gateway/test_quota_controller.cpp
+++ b/tests/unit/gateway/test_quota_controller.cpp
@@ -1,6 +1,7 @@
 #include "adapters/events/null_event_sink.hpp"
 #include "adapters/platform/system_clock.hpp"
 #include "app/gateway/quota_controller.hpp"
+#include "null_peers.hpp"
 
 #include <boost/asio/io_context.hpp>
 
@@ -20,20 +21,10 @@
 {
 
 /// Delivers quota messages to the router at their address, synchronously.
-class direct_peers final : public gateway_peer_port
+class direct_peers final : public roseworks::testing::null_peers
 {
 public:
-    void start(gateway_peer_listener&) override {}
-    void send(std::span<const std::string>, const router_report&) override {}
-    void send(std::span<const std::string>, const owner_announcement&) override
-    {
-    }
-    void send(std::span<const std::string>, const crash_report&) override {}
-    void send(std::span<const std::string>, const directory_update&) override {}
-    void send(std::span<const std::string>, const server_limit_update&) override
-    {
-    }
-    void stop() override {}
+    using null_peers::send;
 
     void send(std::string_view address, const quota_query& query) override
     {
--- a/tests/unit/gateway/test_server_limit_controller.cpp
+++ b/tests/unit/gateway/test_server_limit_controller.cpp
@@ -1,6 +1,7 @@
 #include "adapters/events/null_event_sink.hpp"
 #include "adapters/platform/system_clock.hpp"
 #include "app/gateway/server_limit_controller.hpp"
+#include "null_peers.hpp"
 
 #include <boost/asio/io_context.hpp>
 
@@ -23,25 +24,6 @@
 namespace
 {
 
-/// Peer port of a router without peers; drops all messages.
-class no_peers final : public gateway_peer_port
-{
-public:
-    void start(gateway_peer_listener&) override {}
-    void send(std::span<const std::string>, const router_report&) override {}
-    void send(std::span<const std::string>, const owner_announcement&) override
-    {
-    }
-    void send(std::span<const std::string>, const crash_report&) override {}
-    void send(std::span<const std::string>, const directory_update&) override {}
-    void send(std::span<const std::string>, const server_limit_update&) override
-    {
-    }
-    void send(std::string_view, const quota_query&) override {}
-    void send(std::string_view, const quota_reply&) override {}
-    void stop() override {}
-};
-
 server_entry make_entry(std::int64_t born_ms = 1)
 {
     server_entry entry;
@@ -159,7 +141,7 @@
     boost::asio::io_context loop;
     platform::system_clock clock;
     events::null_event_sink events;
-    no_peers peers;
+    roseworks::testing::null_peers peers;
     serving_view view;
     std::vector<server_limit_update> sent_limits;
     std::map<std::string, double, std::less<>> rates;
