--- a/src/app/crash_witness.cpp
+++ b/src/app/crash_witness.cpp
@@ -1,14 +1,12 @@
 #include "app/crash_witness.hpp"
 
+#include "adapters/platform/endpoint.hpp"
+
 #include <boost/asio/error.hpp>
-#include <boost/asio/ip/address.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <charconv>
-#include <optional>
 #include <string>
-#include <string_view>
 #include <utility>
 
 namespace roseworks::app
@@ -24,23 +22,6 @@
 constexpr std::chrono::milliseconds pause{500};
 constexpr int most_tries = 10;
 
-std::optional<tcp::endpoint> parse_endpoint(std::string_view text)
-{
-    const auto colon = text.rfind(':');
-    if (colon == std::string_view::npos)
-        return std::nullopt;
-    boost::system::error_code failed;
-    const auto host =
-        asio::ip::make_address(std::string(text.substr(0, colon)), failed);
-    std::uint16_t port = 0;
-    const char* const last = text.data() + text.size();
-    const auto [rest, error] =
-        std::from_chars(text.data() + colon + 1, last, port);
-    if (failed || error != std::errc() || rest != last)
-        return std::nullopt;
-    return tcp::endpoint(host, port);
-}
-
 } // namespace
 
 struct crash_witness::inquiry
@@ -90,7 +71,7 @@
 
 void crash_witness::connect(const inquiry_ptr& about)
 {
-    const auto endpoint = parse_endpoint(about->what.address);
+    const auto endpoint = platform::parse_endpoint(about->what.address);
     if (!endpoint)
     {
         this->tell(about->what, crash_finding::unknown);
--- a/tests/unit/quota/quota_fleet.cpp
+++ b/tests/unit/quota/quota_fleet.cpp
@@ -15,7 +15,7 @@
 quota_fleet::quota_fleet(options config)
     : settings(config)
     , random(config.seed)
-    , ideal_refilled_at(this->time)
+    , ideal_refilled_at(this->now())
 {
     for (std::size_t i = 0; i < this->settings.routers; ++i)
         this->routers.emplace_back().name = "r" + std::to_string(i);
@@ -64,7 +64,7 @@
         std::make_unique<quota_accountant>(target.name, client_options.bounds);
     target.scheduled_tick = instant::max();
     target.client->set_limits(this->limits());
-    target.accountant->set_limits(this->limits(), this->time);
+    target.accountant->set_limits(this->limits(), this->now());
 }
 
 void quota_fleet::set_routers(router& target)
@@ -73,44 +73,27 @@
     target.accountant->set_router_count(this->routers.size());
 }
 
-void quota_fleet::schedule(instant when, std::function<void()> action)
-{
-    this->events.push({when, ++this->last_number, std::move(action)});
-}
-
 void quota_fleet::schedule_on(
     std::size_t number, instant when, std::function<void()> action)
 {
     const std::uint64_t run = this->routers[number].run;
-    this->schedule(
+    this->queue.schedule(
         when,
         [this, number, run, action = std::move(action)]
         {
             const router& target = this->routers[number];
             if (target.run != run)
                 return;
-            if (target.frozen_until > this->time)
+            if (target.frozen_until > this->now())
                 this->schedule_on(number, target.frozen_until, action);
             else
                 action();
         });
 }
 
-void quota_fleet::run_until(instant when)
-{
-    while (!this->events.empty() && this->events.top().at <= when)
-    {
-        const event next = this->events.top();
-        this->events.pop();
-        this->time = std::max(this->time, next.at);
-        next.action();
-    }
-    this->time = when;
-}
-
 void quota_fleet::advance(duration length)
 {
-    this->run_until(this->time + length);
+    this->queue.run_until(this->now() + length);
 }
 
 void quota_fleet::send(
@@ -141,23 +124,23 @@
     std::discrete_distribution<std::size_t> place(
         weights.begin(), weights.end());
     std::exponential_distribution<double> pause(per_second);
-    const instant end = this->time + length;
+    const instant end = this->now() + length;
     const auto next = [&]
     {
         return std::chrono::duration_cast<duration>(
             std::chrono::duration<double>(pause(this->random)));
     };
-    for (instant when = this->time + next(); when < end; when += next())
+    for (instant when = this->now() + next(); when < end; when += next())
     {
         const std::size_t router = place(this->random);
-        this->schedule(
+        this->queue.schedule(
             when,
             [action, router]
             {
                 action(router);
             });
     }
-    this->run_until(end);
+    this->queue.run_until(end);
 }
 
 bool quota_fleet::happens(double probability)
@@ -170,8 +153,8 @@
     double amount, duration max_wait, std::size_t number)
 {
     this->ideal_bucket.refill(
-        this->time - this->ideal_refilled_at, this->settings.limit);
-    this->ideal_refilled_at = this->time;
+        this->now() - this->ideal_refilled_at, this->settings.limit);
+    this->ideal_refilled_at = this->now();
     if (this->ideal_bucket.take(amount, duration::zero(), this->settings.limit))
         this->ideal_served += amount;
     this->draw(number, amount, max_wait);
@@ -181,11 +164,11 @@
 {
     this->schedule_on(
         number,
-        this->time,
+        this->now(),
         [this, number, amount, max_wait]
         {
             const std::uint64_t id = this->routers[number].client->draw(
-                this->account(), amount, max_wait, this->time);
+                this->account(), amount, max_wait, this->now());
             this->open_draws[id] = amount;
             this->flush(number);
         });
@@ -206,7 +189,7 @@
     const std::size_t to = this->index_of(message.to);
     const auto answered = [this, from](const quota_reply& answer)
     {
-        this->routers[from].client->handle_reply(answer, this->time);
+        this->routers[from].client->handle_reply(answer, this->now());
         this->flush(from);
     };
     this->deliver(
@@ -215,7 +198,7 @@
         [this, from, to, query = message.query, answered]
         {
             const quota_reply answer =
-                this->routers[to].accountant->handle_query(query, this->time);
+                this->routers[to].accountant->handle_query(query, this->now());
             this->deliver(
                 to,
                 from,
@@ -239,17 +222,17 @@
     this->served += amount;
     this->schedule_on(
         number,
-        this->time + decision.wait,
+        this->now() + decision.wait,
         [this, amount]
         {
-            this->uses.push_back({this->time, amount});
+            this->uses.push_back({this->now(), amount});
         });
 }
 
 void quota_fleet::schedule_tick(std::size_t number)
 {
     router& target = this->routers[number];
-    const instant due = std::max(target.client->next_tick(), this->time);
+    const instant due = std::max(target.client->next_tick(), this->now());
     if (target.scheduled_tick <= due)
         return;
     target.scheduled_tick = due;
@@ -262,8 +245,8 @@
             if (current.scheduled_tick != due)
                 return;
             current.scheduled_tick = instant::max();
-            current.accountant->tick(this->time);
-            current.client->tick(this->time);
+            current.accountant->tick(this->now());
+            current.client->tick(this->now());
             this->flush(number);
         });
 }
@@ -281,7 +264,7 @@
         this->settings.longest_delay.count());
     for (int i = 0; i < copies; ++i)
         this->schedule_on(
-            to, this->time + duration(delay(this->random)), action);
+            to, this->now() + duration(delay(this->random)), action);
 }
 
 void quota_fleet::restart(std::size_t number)
@@ -300,7 +283,7 @@
 
 void quota_fleet::freeze(std::size_t number, duration length)
 {
-    this->routers[number].frozen_until = this->time + length;
+    this->routers[number].frozen_until = this->now() + length;
 }
 
 void quota_fleet::add(std::size_t count)
@@ -324,7 +307,7 @@
     for (router& target : this->routers)
     {
         target.client->set_limits(this->limits());
-        target.accountant->set_limits(this->limits(), this->time);
+        target.accountant->set_limits(this->limits(), this->now());
     }
 }
 
--- a/tests/unit/quota/quota_fleet.hpp
+++ b/tests/unit/quota/quota_fleet.hpp
@@ -3,15 +3,14 @@
 #include "core/quota/quota_accountant.hpp"
 #include "core/quota/quota_client.hpp"
 #include "core/quota/retry_limits.hpp"
+#include "event_queue.hpp"
 
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
-#include <queue>
 #include <random>
 #include <string>
-#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -102,7 +101,7 @@
 
     instant now() const
     {
-        return this->time;
+        return this->queue.now();
     }
 
     std::size_t size() const
@@ -153,23 +152,8 @@
         instant scheduled_tick = instant::max();
     };
 
-    struct event
-    {
-        instant at;
-        std::uint64_t number;
-        std::function<void()> action;
-
-        bool operator>(const event& other) const
-        {
-            return std::tie(this->at, this->number) >
-                   std::tie(other.at, other.number);
-        }
-    };
-
     void start(router& target);
     void set_routers(router& target);
-    void schedule(instant when, std::function<void()> action);
-    void run_until(instant when);
     void flush(std::size_t router);
     void schedule_tick(std::size_t router);
     void
@@ -182,11 +166,10 @@
     std::string account() const;
 
     options settings;
-    instant time = instant(1000s);
+    event_queue queue;
     std::mt19937_64 random;
     std::vector<router> routers;
-    std::vector<std::string> candidate_names; ///< of accountants
-    std::priority_queue<event, std::vector<event>, std::greater<>> events;
+    std::vector<std::string> candidate_names;             ///< of accountants
     std::unordered_map<std::uint64_t, double> open_draws; ///< amounts by id
     std::vector<use> uses;
     token_bucket ideal_bucket;
@@ -194,7 +177,6 @@
     double ideal_served = 0;
     double served = 0;
     std::size_t messages_sent = 0;
-    std::uint64_t last_number = 0;
 };
 
 } // namespace roseworks::testing
--- a/tests/unit/server_limits/limited_fleet.cpp
+++ b/tests/unit/server_limits/limited_fleet.cpp
@@ -61,7 +61,7 @@
     traffic.data_centre = "a";
     traffic.seed = this->random();
     target.traffic = std::make_unique<dispatcher>(traffic);
-    target.traffic->table_changed(this->table.publish(), this->time);
+    target.traffic->table_changed(this->table.publish(), this->queue.now());
     server_limits::options known;
     known.router = target.name;
     target.limits = std::make_unique<server_limits>(known);
@@ -78,41 +78,24 @@
     target.scheduled_tick = instant::max();
 }
 
-void limited_fleet::schedule(instant when, std::function<void()> action)
-{
-    this->events.push({when, ++this->last_number, std::move(action)});
-}
-
 void limited_fleet::schedule_on(
     std::size_t number, instant when, std::function<void()> action)
 {
     const std::uint64_t run = this->routers[number].run;
-    this->schedule(
+    this->queue.schedule(
         when,
         [this, number, run, action = std::move(action)]
         {
             const router& target = this->routers[number];
             if (target.run != run)
                 return;
-            if (target.frozen_until > this->time)
+            if (target.frozen_until > this->queue.now())
                 this->schedule_on(number, target.frozen_until, action);
             else
                 action();
         });
 }
 
-void limited_fleet::run_until(instant when)
-{
-    while (!this->events.empty() && this->events.top().at <= when)
-    {
-        const event next = this->events.top();
-        this->events.pop();
-        this->time = std::max(this->time, next.at);
-        next.action();
-    }
-    this->time = when;
-}
-
 void limited_fleet::send(
     duration length, double per_second, std::size_t at_last)
 {
@@ -120,13 +103,13 @@
     std::uniform_int_distribution<std::size_t> place(
         first, this->routers.size() - 1);
     std::exponential_distribution<double> pause(per_second);
-    const instant end = this->time + length;
+    const instant end = this->queue.now() + length;
     const auto next = [&]
     {
         return std::chrono::duration_cast<duration>(
             std::chrono::duration<double>(pause(this->random)));
     };
-    for (instant when = this->time + next(); when < end; when += next())
+    for (instant when = this->queue.now() + next(); when < end; when += next())
     {
         const std::size_t number = place(this->random);
         this->schedule_on(
@@ -137,16 +120,16 @@
                 this->handle_request(number);
             });
     }
-    this->run_until(end);
+    this->queue.run_until(end);
 }
 
 void limited_fleet::handle_request(std::size_t number)
 {
     request_info info;
     info.target = "m";
-    info.deadline = this->time + this->settings.caller_timeout;
-    info.objective = this->time + this->settings.caller_timeout / 4;
-    this->routers[number].traffic->submit(std::move(info), this->time);
+    info.deadline = this->queue.now() + this->settings.caller_timeout;
+    info.objective = this->queue.now() + this->settings.caller_timeout / 4;
+    this->routers[number].traffic->submit(std::move(info), this->queue.now());
     this->flush(number);
 }
 
@@ -156,7 +139,7 @@
     this->take_commands(number);
     this->take_draws(number);
     router& target = this->routers[number];
-    if (const auto update = target.limits->take_update(this->time))
+    if (const auto update = target.limits->take_update(this->queue.now()))
     {
         for (std::size_t to = 0; to < this->routers.size(); ++to)
         {
@@ -167,7 +150,8 @@
                 to,
                 [this, to, update = *update]
                 {
-                    this->routers[to].limits->handle_update(update, this->time);
+                    this->routers[to].limits->handle_update(
+                        update, this->queue.now());
                     this->flush(to);
                 });
         }
@@ -181,15 +165,15 @@
     const auto changes = target.limits->take_changes();
     for (const server_limit& changed : changes)
         target.traffic->server_limited(
-            {limited_engine, {}}, changed.per_second, this->time);
+            {limited_engine, {}}, changed.per_second, this->queue.now());
     if (changes.empty())
         return;
     global_limits all;
     for (const server_limit& limit : target.limits->in_force())
         all[server_account(limit.server)] = limit_of_server(limit.per_second);
-    target.accountant->set_limits(all, this->time);
+    target.accountant->set_limits(all, this->queue.now());
     target.client->set_limits(std::move(all));
-    target.client->tick(this->time);
+    target.client->tick(this->queue.now());
 }
 
 void limited_fleet::take_commands(std::size_t number)
@@ -208,7 +192,7 @@
 
 void limited_fleet::run_request(std::size_t number, const grant& granted)
 {
-    const instant sent = this->time;
+    const instant sent = this->queue.now();
     std::uniform_int_distribution<duration::rep> length(
         this->settings.service.count(), 2 * this->settings.service.count());
     const instant end = sent + duration(length(this->random));
@@ -234,15 +218,16 @@
     router& target = this->routers[number];
     if (granted.engine == limited_engine)
     {
-        const auto named = this->announced_since <= this->time
+        const auto named = this->announced_since <= this->queue.now()
                                ? std::optional(this->settings.per_second)
                                : std::nullopt;
-        target.limits->handle_answer(limited_server, named, sent, this->time);
+        target.limits->handle_answer(
+            limited_server, named, sent, this->queue.now());
     }
     attempt_result result;
-    result.total = this->time - sent;
+    result.total = this->queue.now() - sent;
     result.first_byte = result.total / 2;
-    target.traffic->finished(granted.request, result, this->time);
+    target.traffic->finished(granted.request, result, this->queue.now());
     ++this->answered_count;
     this->flush(number);
 }
@@ -254,7 +239,7 @@
         server_account(limited_server),
         1,
         wanted.waits ? permit_max_wait : duration::zero(),
-        this->time);
+        this->queue.now());
     target.draws[id] = wanted.server;
 }
 
@@ -274,14 +259,14 @@
     {
         router& self = this->routers[from];
         self.client->handle_reply(
-            self.accountant->handle_query(message.query, this->time),
-            this->time);
+            self.accountant->handle_query(message.query, this->queue.now()),
+            this->queue.now());
         this->take_draws(from);
         return;
     }
     const auto answered = [this, from](const quota_reply& reply)
     {
-        this->routers[from].client->handle_reply(reply, this->time);
+        this->routers[from].client->handle_reply(reply, this->queue.now());
         this->flush(from);
     };
     this->deliver(
@@ -290,7 +275,8 @@
         [this, from, to, query = message.query, answered]
         {
             const quota_reply reply =
-                this->routers[to].accountant->handle_query(query, this->time);
+                this->routers[to].accountant->handle_query(
+                    query, this->queue.now());
             this->deliver(
                 to,
                 from,
@@ -313,19 +299,22 @@
     if (!decision.is_allowed)
     {
         target.traffic->permit_refused(
-            place, std::min(decision.retry_after, longest_retry), this->time);
+            place,
+            std::min(decision.retry_after, longest_retry),
+            this->queue.now());
         return;
     }
-    target.traffic->permit_given(place, this->time + decision.wait, this->time);
+    target.traffic->permit_given(
+        place, this->queue.now() + decision.wait, this->queue.now());
     this->schedule_on(
         number,
-        this->time + decision.wait + permit_lifetime,
+        this->queue.now() + decision.wait + permit_lifetime,
         [this, number, place]
         {
             router& current = this->routers[number];
             if (current.traffic->permit_withdrawn(place))
                 current.client->return_tokens(
-                    server_account(limited_server), 1, this->time);
+                    server_account(limited_server), 1, this->queue.now());
         });
     this->take_commands(number);
 }
@@ -341,7 +330,7 @@
         due = std::min(due, *next);
     if (due == instant::max())
         return;
-    due = std::max(due, this->time);
+    due = std::max(due, this->queue.now());
     if (target.scheduled_tick <= due)
         return;
     target.scheduled_tick = due;
@@ -354,11 +343,11 @@
             if (current.scheduled_tick != due)
                 return;
             current.scheduled_tick = instant::max();
-            current.limits->tick(this->time);
-            current.accountant->tick(this->time);
+            current.limits->tick(this->queue.now());
+            current.accountant->tick(this->queue.now());
             if (!current.limits->in_force().empty())
-                current.client->tick(this->time);
-            current.traffic->tick(this->time);
+                current.client->tick(this->queue.now());
+            current.traffic->tick(this->queue.now());
             this->flush(number);
         });
 }
@@ -375,7 +364,9 @@
         this->settings.shortest_delay.count(),
         this->settings.longest_delay.count());
     this->schedule_on(
-        to, this->time + duration(delay(this->random)), std::move(action));
+        to,
+        this->queue.now() + duration(delay(this->random)),
+        std::move(action));
 }
 
 void limited_fleet::restart(std::size_t number)
@@ -386,7 +377,7 @@
 
 void limited_fleet::freeze(std::size_t number, duration length)
 {
-    this->routers[number].frozen_until = this->time + length;
+    this->routers[number].frozen_until = this->queue.now() + length;
 }
 
 std::size_t limited_fleet::worst_window() const
@@ -418,7 +409,7 @@
         this->arrivals,
         [this, length](const arrival& entry)
         {
-            return entry.when > this->time - length;
+            return entry.when > this->queue.now() - length;
         }));
 }
 
--- a/tests/unit/server_limits/limited_fleet.hpp
+++ b/tests/unit/server_limits/limited_fleet.hpp
@@ -4,6 +4,7 @@
 #include "core/quota/quota_accountant.hpp"
 #include "core/quota/quota_client.hpp"
 #include "core/routing/sharded_table.hpp"
+#include "event_queue.hpp"
 
 #include <roseworks/dispatcher.hpp>
 
@@ -12,10 +13,8 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <queue>
 #include <random>
 #include <string>
-#include <tuple>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -62,7 +61,7 @@
     /// Makes the first engine start or stop announcing its limit.
     void announce_limit(bool announces)
     {
-        this->announced_since = announces ? this->time : instant::max();
+        this->announced_since = announces ? this->queue.now() : instant::max();
     }
 
     /// Sends callers' requests to random routers.
@@ -114,19 +113,6 @@
         instant scheduled_tick = instant::max();
     };
 
-    struct event
-    {
-        instant at;
-        std::uint64_t number;
-        std::function<void()> action;
-
-        bool operator>(const event& other) const
-        {
-            return std::tie(this->at, this->number) >
-                   std::tie(other.at, other.number);
-        }
-    };
-
     struct arrival
     {
         instant when;
@@ -134,12 +120,10 @@
     };
 
     void start(router& target);
-    void schedule(instant when, std::function<void()> action);
     /// Schedules an action on a router. It is delayed while the router is
     /// suspended, and dropped when the router was restarted.
     void
     schedule_on(std::size_t number, instant when, std::function<void()> action);
-    void run_until(instant when);
     void handle_request(std::size_t number);
     void flush(std::size_t number);
     void take_changes(std::size_t number);
@@ -156,18 +140,16 @@
     std::size_t index_of(const std::string& name) const;
 
     options settings;
-    instant time = instant(1000s);
+    event_queue queue;
     std::mt19937_64 random;
     std::vector<router> routers;
     std::vector<std::string> candidate_names; ///< of accountants
     detail::sharded_table table;
-    std::priority_queue<event, std::vector<event>, std::greater<>> events;
     std::vector<arrival> arrivals; ///< at the limited engine
     instant announced_since = instant::max();
     std::size_t answered_count = 0;
     std::size_t refused_count = 0;
     std::size_t messages_sent = 0;
-    std::uint64_t last_number = 0;
 };
 
 } // namespace roseworks::testing
