A run that ended in silence counts when its server ended while it ran

What callers saw: a server that dies without closing its connections leaves its requests waiting until their deadline, up to 11 s. Its entry is gone after 3.6 s, and a run that ended more than 5 s after that didn't count.

Cause: only the time between both ends was compared. Evidence: a_silent_run_during_which_the_server_ended_counts, red without the comparison with the time of sending. The outcomes of the gate are called so.

--- a/src/adapters/forward/forward_call_crashes.cpp
+++ b/src/adapters/forward/forward_call_crashes.cpp
@@ -35,21 +35,21 @@
 
 asio::awaitable<bool> forward_call::pass_gate()
 {
-    using gate_verdict = request_gate::verdict;
+    using gate_outcome = request_gate::outcome;
     crash_port& crashes = this->context.ports.crashes;
     const request_gate::decision decision = this->context.gate.admit(
         *crashes.blocked(), this->content, this->context.now());
     switch (decision.result)
     {
-    case gate_verdict::allowed:
+    case gate_outcome::allowed:
         break;
-    case gate_verdict::harmless:
+    case gate_outcome::harmless:
         crashes.run_answered(this->content);
         break;
-    case gate_verdict::trial:
+    case gate_outcome::trial:
         crashes.trial_started(this->content);
         break;
-    case gate_verdict::refused:
+    case gate_outcome::refused:
         this->context.ports.dispatch.abandon(this->admission_ticket);
         co_await this->refuse_blocked(decision.retry_after);
         co_return false;
@@ -96,7 +96,7 @@
          {"server", server.instance},
          {"end", to_string(*end)}});
     this->context.ports.crashes.run_broken(
-        {this->content, server.life, address, *end});
+        {this->content, server.life, address, *end, this->sent_at});
 }
 
 bool forward_call::has_run_well(const server_exchange& exchange) const
--- a/src/app/gateway/crash_controller.cpp
+++ b/src/app/gateway/crash_controller.cpp
@@ -161,7 +161,8 @@
 
 void crash_controller::handle_broken(const broken_run_report& run)
 {
-    this->tracker.run_broken(run.request, run.life, run.end, this->clock.now());
+    this->tracker.run_broken(
+        run.request, run.life, run.end, run.sent, this->clock.now());
     // Timeouts and callers that leave are too frequent for a connection each.
     if (run.end == run_end::connection)
         this->examiner.examine(run.life, run.address);
--- a/src/core/crashes/crash_detector.cpp
+++ b/src/core/crashes/crash_detector.cpp
@@ -17,12 +17,17 @@
 }
 
 void crash_detector::run_broken(
-    fingerprint request, server_life life, run_end end, instant now)
+    fingerprint request,
+    server_life life,
+    run_end end,
+    instant sent,
+    instant now)
 {
     const duration memory = this->memory_of(end);
     const auto ended = this->lives.find(life);
     const bool is_over =
-        ended != this->lives.end() && now - ended->second.known_at <= memory;
+        ended != this->lives.end() &&
+        this->is_related({end, sent, now}, ended->second.known_at);
     if (is_over)
         this->detected.push_back({request, life, ended->second.evidence, now});
     if (is_over && is_proof(ended->second.evidence))
@@ -32,6 +37,13 @@
         this->runs.pop_front();
 }
 
+bool crash_detector::is_related(const late_run& run, instant end_known_at) const
+{
+    const bool was_running = run.sent <= end_known_at;
+    return was_running ||
+           run.broken_at - end_known_at <= this->memory_of(run.end);
+}
+
 void crash_detector::life_reached(server_life life, instant now)
 {
     for (broken_run& run : this->runs)
--- a/src/core/crashes/crash_detector.hpp
+++ b/src/core/crashes/crash_detector.hpp
@@ -53,8 +53,13 @@
     explicit crash_detector(options settings);
 
     /// A run on a server ended without a complete answer.
-    void
-    run_broken(fingerprint request, server_life life, run_end end, instant now);
+    /// @param sent When the request was sent to the server.
+    void run_broken(
+        fingerprint request,
+        server_life life,
+        run_end end,
+        instant sent,
+        instant now);
 
     /// The server accepted a connection, or another server did so in its place.
     void life_reached(server_life life, instant now);
@@ -86,7 +91,17 @@
         instant known_at;
     };
 
+    /// A run on a life whose end is known, before it broke.
+    struct late_run
+    {
+        run_end end = run_end::connection;
+        instant sent;
+        instant broken_at;
+    };
+
     duration memory_of(run_end end) const;
+    /// @return Whether the life's end counts for the run.
+    bool is_related(const late_run& run, instant end_known_at) const;
 
     options settings;
     std::deque<broken_run> runs; ///< oldest first
--- a/src/core/crashes/crash_tracker.cpp
+++ b/src/core/crashes/crash_tracker.cpp
@@ -23,9 +23,13 @@
 }
 
 void crash_tracker::run_broken(
-    fingerprint request, server_life life, run_end end, instant now)
+    fingerprint request,
+    server_life life,
+    run_end end,
+    instant sent,
+    instant now)
 {
-    this->detector.run_broken(request, life, end, now);
+    this->detector.run_broken(request, life, end, sent, now);
     this->record_detected(now);
 }
 
--- a/src/core/crashes/crash_tracker.hpp
+++ b/src/core/crashes/crash_tracker.hpp
@@ -61,8 +61,13 @@
     /// @param addresses Addresses of all other routers.
     void set_routers(std::vector<std::string> addresses);
 
-    void
-    run_broken(fingerprint request, server_life life, run_end end, instant now);
+    /// @param sent When the request was sent to the server.
+    void run_broken(
+        fingerprint request,
+        server_life life,
+        run_end end,
+        instant sent,
+        instant now);
     void life_reached(server_life life, instant now);
     void life_ended(server_life life, crash_evidence evidence, instant now);
 
--- a/src/core/crashes/request_gate.cpp
+++ b/src/core/crashes/request_gate.cpp
@@ -43,10 +43,10 @@
     if (found == known.blocked_until.end())
         return {};
     if (this->was_answered(request, now))
-        return {verdict::harmless, {}};
+        return {outcome::harmless, {}};
     const duration wait = this->refused_for(known, request, now);
     if (wait > duration::zero())
-        return {verdict::refused, wait};
+        return {outcome::refused, wait};
     std::erase_if(
         this->trials,
         [this, now](const auto& entry)
@@ -54,7 +54,7 @@
             return now - entry.second >= this->settings.trial_length;
         });
     this->trials[request] = now;
-    return {verdict::trial, {}};
+    return {outcome::trial, {}};
 }
 
 void request_gate::answered(fingerprint request, instant now)
--- a/src/core/crashes/request_gate.hpp
+++ b/src/core/crashes/request_gate.hpp
@@ -6,7 +6,7 @@
 #include <roseworks/instant.hpp>
 
 #include <cstddef>
-#include <optional>
+#include <cstdint>
 #include <unordered_map>
 #include <vector>
 
@@ -36,7 +36,7 @@
         std::size_t answer_slots = 4096;
     };
 
-    enum class verdict : std::uint8_t
+    enum class outcome : std::uint8_t
     {
         allowed,
         harmless, ///< allowed, and the block has to be cleared at all routers
@@ -46,7 +46,7 @@
 
     struct decision
     {
-        verdict result = verdict::allowed;
+        outcome result = outcome::allowed;
         duration retry_after{}; ///< if refused
     };
 
--- a/src/ports/crash_port.hpp
+++ b/src/ports/crash_port.hpp
@@ -5,6 +5,7 @@
 #include "core/crashes/server_life.hpp"
 
 #include <roseworks/ids.hpp>
+#include <roseworks/instant.hpp>
 
 #include <string>
 
@@ -18,6 +19,7 @@
     server_life life;
     std::string address; ///< ip:port of the server
     run_end end = run_end::connection;
+    instant sent; ///< when the request was sent to the server
 };
 
 /// Port: what all routers know of requests that crash backend servers.
--- a/tests/unit/blocked_requests/test_blocked_requests.cpp
+++ b/tests/unit/blocked_requests/test_blocked_requests.cpp
@@ -226,7 +226,7 @@
             test.exchange(test.request("POST", "/once/x"));
         cr_assert(has_status(response, "200"), "%s", response.c_str());
     }
-    cr_assert_geq(test.crashes.answered_requests.size(), 1);
+    cr_assert_geq(test.crashes.answered_count(), 1);
 }
 
 Test(blocked_requests, are_not_cleared_by_an_answer_that_the_connection_ends)
@@ -240,7 +240,8 @@
     forward_fixture test({&servers.first});
     test.block_request("POST", "/once/x", -1s);
     test.exchange(test.request("POST", "/once/x"));
-    cr_assert(test.crashes.answered_requests.empty());
+    test.exchange(test.request("POST", "/once/y"));
+    cr_assert_eq(test.crashes.answered_count(), 0);
 }
 
 Test(blocked_requests, runs_without_an_answer_are_reported_with_their_end)
--- a/tests/unit/crashing_requests/crash_router.hpp
+++ b/tests/unit/crashing_requests/crash_router.hpp
@@ -53,7 +53,7 @@
     run_broken(fingerprint request, const simulated_life& life, instant now)
     {
         this->tracker.run_broken(
-            request, hash_of(life), run_end::connection, now);
+            request, hash_of(life), run_end::connection, now, now);
     }
 
     void
@@ -79,11 +79,11 @@
     {
         const request_gate::decision decision =
             this->gate.admit(*this->tracker.blocked(), request, now);
-        if (decision.result == request_gate::verdict::harmless)
+        if (decision.result == request_gate::outcome::harmless)
             this->tracker.run_answered(request, now);
-        if (decision.result == request_gate::verdict::trial)
+        if (decision.result == request_gate::outcome::trial)
             this->tracker.trial_started(request, now);
-        return decision.result != request_gate::verdict::refused;
+        return decision.result != request_gate::outcome::refused;
     }
 
     void receive(const crash_report& report, std::size_t from, instant now)
--- a/tests/unit/crashing_requests/test_crash_detector.cpp
+++ b/tests/unit/crashing_requests/test_crash_detector.cpp
@@ -31,7 +31,17 @@
         duration when,
         run_end end = run_end::connection)
     {
-        this->detector.run_broken(request, which, end, at(when));
+        this->broken_after(request, which, when, when, end);
+    }
+
+    void broken_after(
+        fingerprint request,
+        server_life which,
+        duration sent,
+        duration when,
+        run_end end)
+    {
+        this->detector.run_broken(request, which, end, at(sent), at(when));
         this->record(when);
     }
 
@@ -168,6 +178,28 @@
     cr_assert(test.blocks(bad));
 }
 
+Test(crash_detector, a_silent_run_during_which_the_server_ended_counts)
+{
+    one_router test;
+    for (const char* server : {"e1", "e2"})
+    {
+        test.ended(life(server), 3600ms);
+        test.broken_after(bad, life(server), 0s, 11s, run_end::silence);
+    }
+    cr_assert(test.blocks(bad));
+}
+
+Test(crash_detector, a_silent_run_that_began_long_after_the_end_does_not_count)
+{
+    one_router test;
+    for (const char* server : {"e1", "e2"})
+    {
+        test.ended(life(server), 0s);
+        test.broken_after(bad, life(server), 1s, 11s, run_end::silence);
+    }
+    cr_assert_not(test.blocks(bad));
+}
+
 Test(crash_detector, a_silent_run_long_before_the_end_does_not_count)
 {
     one_router test;
--- a/tests/unit/crashing_requests/test_request_gate.cpp
+++ b/tests/unit/crashing_requests/test_request_gate.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-using gate_verdict = request_gate::verdict;
+using gate_outcome = request_gate::outcome;
 
 constexpr fingerprint bad(7);
 constexpr instant start(100s);
@@ -28,10 +28,10 @@
     request_gate gate{request_gate::options()};
     const blocked_requests known = blocked_for(5s);
     const auto decision = gate.admit(known, bad, start + 2s);
-    cr_assert_eq(decision.result, gate_verdict::refused);
+    cr_assert_eq(decision.result, gate_outcome::refused);
     cr_assert_eq(decision.retry_after, 3s);
     const auto unknown = gate.admit(known, fingerprint(8), start + 2s);
-    cr_assert_eq(unknown.result, gate_verdict::allowed);
+    cr_assert_eq(unknown.result, gate_outcome::allowed);
 }
 
 Test(request_gate, one_request_is_a_trial_after_the_block)
@@ -39,12 +39,12 @@
     request_gate gate{request_gate::options()};
     const blocked_requests known = blocked_for(5s);
     cr_assert_eq(
-        gate.admit(known, bad, start + 6s).result, gate_verdict::trial);
+        gate.admit(known, bad, start + 6s).result, gate_outcome::trial);
     const auto second = gate.admit(known, bad, start + 7s);
-    cr_assert_eq(second.result, gate_verdict::refused);
+    cr_assert_eq(second.result, gate_outcome::refused);
     cr_assert_eq(second.retry_after, 9s);
     cr_assert_eq(
-        gate.admit(known, bad, start + 16s).result, gate_verdict::trial);
+        gate.admit(known, bad, start + 16s).result, gate_outcome::trial);
 }
 
 Test(request_gate, a_content_that_has_just_run_well_is_not_blocked)
@@ -53,10 +53,10 @@
     const blocked_requests known = blocked_for(60s);
     gate.answered(bad, start);
     cr_assert_eq(
-        gate.admit(known, bad, start + 9s).result, gate_verdict::harmless);
+        gate.admit(known, bad, start + 9s).result, gate_outcome::harmless);
     cr_assert_eq(gate.refused_for(known, bad, start + 9s), 0s);
     cr_assert_eq(
-        gate.admit(known, bad, start + 11s).result, gate_verdict::refused);
+        gate.admit(known, bad, start + 11s).result, gate_outcome::refused);
 }
 
 Test(request_gate, a_trial_that_ran_well_ends_the_wait_of_the_others)
@@ -66,5 +66,5 @@
     gate.admit(known, bad, start + 6s);
     gate.answered(bad, start + 7s);
     cr_assert_eq(
-        gate.admit(known, bad, start + 8s).result, gate_verdict::harmless);
+        gate.admit(known, bad, start + 8s).result, gate_outcome::harmless);
 }
--- a/tests/unit/forward/forward_fixture.cpp
+++ b/tests/unit/forward/forward_fixture.cpp
@@ -302,6 +302,12 @@
     this->answered_requests.push_back(request);
 }
 
+std::size_t fake_crash_port::answered_count() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->answered_requests.size();
+}
+
 void fake_crash_port::trial_started(fingerprint request)
 {
     const std::lock_guard lock(this->mutex);
--- a/tests/unit/forward/forward_fixture.hpp
+++ b/tests/unit/forward/forward_fixture.hpp
@@ -43,6 +43,8 @@
     void run_answered(fingerprint request) override;
     void trial_started(fingerprint request) override;
 
+    std::size_t answered_count() const;
+
     mutable std::mutex mutex;
     blocked_requests content;
     std::vector<broken_run_report> broken_runs;
