--- a/src/adapters/events/event_catalogue.cpp
+++ b/src/adapters/events/event_catalogue.cpp
@@ -398,15 +398,16 @@
     {run_broken, info, "run_broken",
      "A request was sent to a backend server and its run ended without a "
      "complete answer. Content is a hash of the request, the same at all "
-     "routers and for each repetition; end is connection, silence or caller.",
-     "request_id, content, server, end", no_action},
+     "routers and for each repetition; life identifies the server from its "
+     "start to its end; end is connection, silence or caller.",
+     "request_id, content, server, life, end", no_action},
     {crash_recorded, warn, "crash_recorded",
-     "A backend server ended while it ran a request. Life identifies the "
-     "server from its start to its end. Evidence is refused, replaced, "
+     "A backend server ended while it ran a request; run_broken with the same "
+     "life names the server. Evidence is refused, replaced, "
      "restarted, removed or unreachable, age_ms the time since the run broke; "
      "from names the router that told of it, and is empty at the router that "
      "sent the request.",
-     "content, life, server, evidence, age_ms, from",
+     "content, life, evidence, age_ms, from",
      "Several lines with one content: a request crashes servers. See "
      "docs/OPERATIONS.md."},
     {request_blocked, error, "request_blocked",
--- a/src/adapters/forward/forward_call_crashes.cpp
+++ b/src/adapters/forward/forward_call_crashes.cpp
@@ -94,6 +94,7 @@
         {{"request_id", this->request.id},
          {"content", to_hex(this->content.value)},
          {"server", server.instance},
+         {"life", to_hex(server.life.value)},
          {"end", to_string(*end)}});
     this->context.ports.crashes.run_broken(
         {this->content, server.life, address, *end, this->sent_at});
