A run that only its connection ended clears its content once its server is reached

What callers saw: a content that is served without a length could be blocked after two of its servers had crashed, and no run could clear it again, because the end of a connection may be a crash; one trial in ten seconds for up to ten minutes.

Cause: what looks like a good answer was neither counted as one nor looked at. Evidence: an_answer_that_its_connection_ended_is_harmless_if_reached, which fails without it. Now such a run of a suspected content is examined like a broken one: a refused connection is a crash, an accepted one clears the content.

--- a/src/adapters/forward/forward_call.cpp
+++ b/src/adapters/forward/forward_call.cpp
@@ -366,13 +366,8 @@
     }
     const attempt_result result = co_await this->forward_response(exchange);
     this->report_run(server, granted.address, result);
-    if (result.how == end_kind::answered && this->has_run_well(exchange))
-    {
-        this->context.gate.answered(this->content, this->context.now());
-        if (this->context.ports.crashes.blocked()->suspects.contains(
-                this->content))
-            this->context.ports.crashes.run_answered(this->content);
-    }
+    if (result.how == end_kind::answered)
+        this->report_answer(server, granted.address, exchange);
     co_return result;
 }
 
--- a/src/adapters/forward/forward_call.hpp
+++ b/src/adapters/forward/forward_call.hpp
@@ -127,8 +127,11 @@
         const server_identity& server,
         const std::string& address,
         const attempt_result& result);
-    /// @return Whether the answer proves that the request runs well.
-    bool has_run_well(const server_exchange& exchange) const;
+    /// Reports that the request has run well, if a server has ended under it.
+    void report_answer(
+        const server_identity& server,
+        const std::string& address,
+        const server_exchange& exchange);
 
     forward_context& context;
     edge::backend_pool& pool;
--- a/src/adapters/forward/forward_call_crashes.cpp
+++ b/src/adapters/forward/forward_call_crashes.cpp
@@ -100,12 +100,29 @@
         {this->content, server.life, address, *end, this->sent_at});
 }
 
-bool forward_call::has_run_well(const server_exchange& exchange) const
+void forward_call::report_answer(
+    const server_identity& server,
+    const std::string& address,
+    const server_exchange& exchange)
 {
-    // The end of a connection that ends the answer may be the server's crash.
-    return http::to_status_class(exchange.head().result_int()) ==
-               http::status_class::successful &&
-           exchange.framing() != body_framing::connection;
+    if (http::to_status_class(exchange.head().result_int()) !=
+        http::status_class::successful)
+        return;
+    crash_port& crashes = this->context.ports.crashes;
+    const bool is_suspect = crashes.blocked()->suspects.contains(this->content);
+    if (exchange.framing() != body_framing::connection)
+    {
+        this->context.gate.answered(this->content, this->context.now());
+        if (is_suspect)
+            crashes.run_answered(this->content);
+    }
+    else if (is_suspect)
+        crashes.run_broken(
+            {this->content,
+             server.life,
+             address,
+             run_end::closed,
+             this->sent_at});
 }
 
 } // namespace roseworks::forward
--- a/src/app/gateway/crash_controller.cpp
+++ b/src/app/gateway/crash_controller.cpp
@@ -58,6 +58,7 @@
            [this](server_life life)
            {
                this->tracker.life_reached(life, this->clock.now());
+               this->flush();
            }})
     , timer(context)
 {
@@ -164,7 +165,7 @@
     this->tracker.run_broken(
         run.request, run.life, run.end, run.sent, this->clock.now());
     // Timeouts and callers that leave are too frequent for a connection each.
-    if (run.end == run_end::connection)
+    if (run.end == run_end::connection || run.end == run_end::closed)
         this->examiner.examine(run.life, run.address);
     this->flush();
 }
--- a/src/core/crashes/crash_detector.cpp
+++ b/src/core/crashes/crash_detector.cpp
@@ -12,6 +12,8 @@
 
 duration crash_detector::memory_of(run_end end) const
 {
+    if (end == run_end::closed)
+        return this->settings.closed_memory;
     return end == run_end::connection ? this->settings.broken_memory
                                       : this->settings.silent_memory;
 }
@@ -32,7 +34,7 @@
         this->detected.push_back({request, life, ended->second.evidence, now});
     if (is_over && is_proof(ended->second.evidence))
         return;
-    this->runs.push_back({request, life, now, now + memory});
+    this->runs.push_back({request, life, end, now, now + memory});
     if (this->runs.size() > this->settings.max_runs)
         this->runs.pop_front();
 }
@@ -48,10 +50,19 @@
 {
     for (broken_run& run : this->runs)
     {
-        if (run.life == life)
-            run.forget_at =
-                std::min(run.forget_at, now + this->settings.reached_memory);
+        if (run.life != life)
+            continue;
+        run.forget_at =
+            std::min(run.forget_at, now + this->settings.reached_memory);
+        if (run.end == run_end::closed)
+            this->harmless.push_back(run.request);
     }
+    std::erase_if(
+        this->runs,
+        [life](const broken_run& run)
+        {
+            return run.life == life && run.end == run_end::closed;
+        });
 }
 
 void crash_detector::life_ended(
--- a/src/core/crashes/crash_detector.hpp
+++ b/src/core/crashes/crash_detector.hpp
@@ -46,6 +46,9 @@
         /// The same for runs that ended in silence or because the caller left.
         /// Covers three heartbeats of the registry.
         duration silent_memory = std::chrono::seconds(5);
+        /// The same for runs whose answer only its connection ended: the server
+        /// is examined at once.
+        duration closed_memory = std::chrono::seconds(1);
         std::size_t max_runs = 4096;
         std::size_t max_lives = 4096;
     };
@@ -76,11 +79,20 @@
         return std::exchange(this->detected, {});
     }
 
+    /// @return The requests whose answer only its connection ended, and whose
+    ///         server was reached afterwards: they ran well. Since the last
+    ///         call.
+    std::vector<fingerprint> take_harmless()
+    {
+        return std::exchange(this->harmless, {});
+    }
+
 private:
     struct broken_run
     {
         fingerprint request;
         server_life life;
+        run_end end = run_end::connection;
         instant broken_at;
         instant forget_at;
     };
@@ -108,6 +120,7 @@
     std::unordered_map<server_life, ended_life> lives;
     std::deque<server_life> life_order; ///< oldest first
     std::vector<detected_crash> detected;
+    std::vector<fingerprint> harmless;
 };
 
 } // namespace roseworks
--- a/src/core/crashes/crash_tracker.cpp
+++ b/src/core/crashes/crash_tracker.cpp
@@ -36,6 +36,8 @@
 void crash_tracker::life_reached(server_life life, instant now)
 {
     this->detector.life_reached(life, now);
+    for (const fingerprint request : this->detector.take_harmless())
+        this->run_answered(request, now);
 }
 
 void crash_tracker::life_ended(
--- a/src/core/crashes/run_end.hpp
+++ b/src/core/crashes/run_end.hpp
@@ -6,12 +6,15 @@
 namespace roseworks
 {
 
-/// How a run on a backend server ended without a complete answer.
+/// How a run on a backend server ended that may have crashed it.
 enum class run_end : std::uint8_t
 {
     connection, ///< the connection broke
     silence,    ///< the time for an answer passed
-    caller      ///< the caller left
+    caller,     ///< the caller left
+    /// The answer looks complete, but only its connection ended it, as a crash
+    /// does.
+    closed
 };
 
 constexpr std::string_view to_string(run_end end)
@@ -24,6 +27,8 @@
         return "silence";
     case run_end::caller:
         return "caller";
+    case run_end::closed:
+        return "closed";
     }
     return "connection";
 }
--- a/tests/unit/crashing_requests/test_crash_detector.cpp
+++ b/tests/unit/crashing_requests/test_crash_detector.cpp
@@ -200,6 +200,20 @@
     cr_assert_not(test.blocks(bad));
 }
 
+Test(crash_detector, an_answer_that_its_connection_ended_is_harmless_if_reached)
+{
+    one_router test;
+    test.broken(bad, life("e1"), 0s, run_end::closed);
+    cr_assert(test.detector.take_harmless().empty());
+    test.reached(life("e1"), 1ms);
+    cr_assert_eq(test.detector.take_harmless().size(), 1);
+    test.ended(life("e1"), 2ms);
+    cr_assert(test.ledger.empty());
+    test.broken(bad, life("e2"), 0s, run_end::closed);
+    test.ended(life("e2"), 1ms, crash_evidence::refused);
+    cr_assert_not(test.ledger.empty());
+}
+
 Test(crash_detector, a_silent_run_long_before_the_end_does_not_count)
 {
     one_router test;
