After a block each router tries at a time of its own

Cause: callers honour Retry-After, so all that were refused return at the end of the block, to several routers within a millisecond, and each router began a trial before it could learn of the others'.

Each router waits for a share of 5 s that depends on the content and its seed, and Retry-After says so; a trial is known everywhere within milliseconds.

--- a/src/adapters/forward/forward_context.hpp
+++ b/src/adapters/forward/forward_context.hpp
@@ -94,6 +94,7 @@
         , ports(std::move(ports_used))
         , metrics(shared_metrics)
         , random(chosen_options.seed)
+        , gate({.seed = chosen_options.seed})
     {
     }
 
@@ -102,7 +103,7 @@
     const forward_dependencies ports;
     forward_metrics& metrics;
     std::mt19937_64 random;
-    request_gate gate{request_gate::options()};
+    request_gate gate;
     bool draining = false;
 };
 
--- a/src/core/crashes/request_gate.cpp
+++ b/src/core/crashes/request_gate.cpp
@@ -1,5 +1,7 @@
 #include "core/crashes/request_gate.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace roseworks
@@ -23,6 +25,15 @@
            now - last.when <= this->settings.answer_memory;
 }
 
+duration request_gate::trial_delay(fingerprint request) const
+{
+    const std::uint64_t hash =
+        XXH64(&request.value, sizeof(request.value), this->settings.seed);
+    const auto spread =
+        static_cast<std::uint64_t>(this->settings.trial_spread.count());
+    return duration(static_cast<duration::rep>(hash % (spread + 1)));
+}
+
 duration request_gate::refused_for(
     const blocked_requests& known, fingerprint request, instant now) const
 {
@@ -33,7 +44,7 @@
     const auto trial = this->trials.find(request);
     if (trial != this->trials.end())
         until = std::max(until, trial->second + this->settings.trial_length);
-    return std::max(until - now, duration::zero());
+    return std::max(until + this->trial_delay(request) - now, duration::zero());
 }
 
 request_gate::decision request_gate::admit(
--- a/src/core/crashes/request_gate.hpp
+++ b/src/core/crashes/request_gate.hpp
@@ -29,6 +29,11 @@
     struct options
     {
         duration trial_length = std::chrono::seconds(10);
+        /// Routers may begin a trial at different times within this time after
+        /// the block. Callers return when the block ends, to all routers at
+        /// once; the others have to learn of the first trial before.
+        duration trial_spread = std::chrono::seconds(5);
+        std::uint64_t seed = 1; ///< differs between the routers
         /// How long a run that ended well proves that its content is harmless.
         duration answer_memory = std::chrono::seconds(10);
         /// Number of contents remembered, each in the place that its hash
@@ -71,6 +76,8 @@
     };
 
     bool was_answered(fingerprint request, instant now) const;
+    /// @return Time from the end of the request's block to a trial.
+    duration trial_delay(fingerprint request) const;
     std::size_t slot_of(fingerprint request) const;
 
     options settings;
--- a/tests/unit/crashing_requests/crash_fleet.cpp
+++ b/tests/unit/crashing_requests/crash_fleet.cpp
@@ -164,13 +164,14 @@
 void crash_fleet::start_run(
     fingerprint request, std::size_t number, bool is_retry)
 {
-    if (!this->routers[number].knowledge.may_send(request, this->now()))
+    const request_gate::decision decision =
+        this->routers[number].knowledge.admit(request, this->now());
+    this->flush(number);
+    if (decision.result == request_gate::outcome::refused)
     {
-        this->refused_innocents += request == crashing ? 0 : 1;
-        this->flush(number);
+        this->handle_refusal(request, decision.retry_after);
         return;
     }
-    this->flush(number);
     const auto chosen = this->choose_server(number);
     if (!chosen)
         return;
@@ -202,6 +203,20 @@
         });
 }
 
+void crash_fleet::handle_refusal(fingerprint request, duration retry_after)
+{
+    this->refused_innocents += request == crashing ? 0 : 1;
+    if (request != crashing || !this->settings.callers_return)
+        return;
+    this->queue.schedule(
+        this->now() + retry_after,
+        [this, request]
+        {
+            this->start_run(
+                request, this->random_below(this->routers.size()), false);
+        });
+}
+
 std::optional<std::size_t> crash_fleet::choose_server(std::size_t number)
 {
     const std::vector<listed_server>& known = this->routers[number].registry;
--- a/tests/unit/crashing_requests/crash_fleet.hpp
+++ b/tests/unit/crashing_requests/crash_fleet.hpp
@@ -35,6 +35,9 @@
         duration longest_outage = 4s;
         /// Time from the arrival of a request until it is sent, at most.
         duration longest_wait = 900ms;
+        /// Refused callers of the crashing request return at the end of
+        /// Retry-After, all at once.
+        bool callers_return = false;
         double silent_share = 0; ///< crashed servers that don't refuse connects
         double loss = 0;         ///< probability per message
         std::uint64_t seed = 1;
@@ -136,6 +139,7 @@
 
     void arrive(fingerprint request, std::size_t router, bool is_retry);
     void start_run(fingerprint request, std::size_t router, bool is_retry);
+    void handle_refusal(fingerprint request, duration retry_after);
     void end_run(std::size_t server, std::uint64_t number);
     void crash(std::size_t server);
     void start_server(std::size_t server);
--- a/tests/unit/crashing_requests/crash_router.hpp
+++ b/tests/unit/crashing_requests/crash_router.hpp
@@ -34,6 +34,7 @@
     crash_router(std::size_t number, std::size_t routers, instant now)
         : own_number(number)
         , tracker(make_options(number, now), now)
+        , gate({.seed = number + 1})
     {
         this->set_routers(routers);
     }
@@ -74,8 +75,8 @@
             this->tracker.run_answered(request, now);
     }
 
-    /// @return Whether the request may be sent.
-    bool may_send(fingerprint request, instant now)
+    /// @return Whether the request may be sent, or when it may return.
+    request_gate::decision admit(fingerprint request, instant now)
     {
         const request_gate::decision decision =
             this->gate.admit(*this->tracker.blocked(), request, now);
@@ -83,7 +84,7 @@
             this->tracker.run_answered(request, now);
         if (decision.result == request_gate::outcome::trial)
             this->tracker.trial_started(request, now);
-        return decision.result != request_gate::outcome::refused;
+        return decision;
     }
 
     void receive(const crash_report& report, std::size_t from, instant now)
@@ -125,7 +126,7 @@
 
     std::size_t own_number;
     crash_tracker tracker;
-    request_gate gate{request_gate::options()};
+    request_gate gate;
 };
 
 } // namespace roseworks::testing
--- a/tests/unit/crashing_requests/test_crashing_requests.cpp
+++ b/tests/unit/crashing_requests/test_crashing_requests.cpp
@@ -176,6 +176,19 @@
     }
 }
 
+Test(crashing_requests, that_return_at_the_end_of_a_block_are_tried_once)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+    {
+        crash_fleet::options settings = seeded(seed);
+        settings.routers = 9;
+        settings.callers_return = true;
+        crash_fleet fleet(settings);
+        fleet.send(100s);
+        expect_few_late_sends(fleet, seed);
+    }
+}
+
 Test(crashing_requests, do_not_block_the_requests_beside_them)
 {
     constexpr std::size_t one_in = 1000;
--- a/tests/unit/crashing_requests/test_request_gate.cpp
+++ b/tests/unit/crashing_requests/test_request_gate.cpp
@@ -1,5 +1,7 @@
 #include "core/crashes/request_gate.hpp"
 
+#include <algorithm>
+
 #include <criterion/criterion.h>
 
 using namespace roseworks;
@@ -13,6 +15,12 @@
 constexpr fingerprint bad(7);
 constexpr instant start(100s);
 
+/// A gate that begins trials at the end of a block.
+request_gate make_gate()
+{
+    return request_gate({.trial_spread = 0s});
+}
+
 blocked_requests blocked_for(duration length)
 {
     blocked_requests known;
@@ -25,7 +33,7 @@
 
 Test(request_gate, a_blocked_request_is_refused_until_the_block_ends)
 {
-    request_gate gate{request_gate::options()};
+    request_gate gate = make_gate();
     const blocked_requests known = blocked_for(5s);
     const auto decision = gate.admit(known, bad, start + 2s);
     cr_assert_eq(decision.result, gate_outcome::refused);
@@ -36,7 +44,7 @@
 
 Test(request_gate, one_request_is_a_trial_after_the_block)
 {
-    request_gate gate{request_gate::options()};
+    request_gate gate = make_gate();
     const blocked_requests known = blocked_for(5s);
     cr_assert_eq(
         gate.admit(known, bad, start + 6s).result, gate_outcome::trial);
@@ -49,7 +57,7 @@
 
 Test(request_gate, a_content_that_has_just_run_well_is_not_blocked)
 {
-    request_gate gate{request_gate::options()};
+    request_gate gate = make_gate();
     const blocked_requests known = blocked_for(60s);
     gate.answered(bad, start);
     cr_assert_eq(
@@ -61,10 +69,21 @@
 
 Test(request_gate, a_trial_that_ran_well_ends_the_wait_of_the_others)
 {
-    request_gate gate{request_gate::options()};
+    request_gate gate = make_gate();
     const blocked_requests known = blocked_for(5s);
     gate.admit(known, bad, start + 6s);
     gate.answered(bad, start + 7s);
     cr_assert_eq(
         gate.admit(known, bad, start + 8s).result, gate_outcome::harmless);
 }
+
+Test(request_gate, routers_begin_trials_at_different_times)
+{
+    const blocked_requests known = blocked_for(5s);
+    request_gate one({.seed = 1});
+    request_gate other({.seed = 2});
+    const duration first = one.refused_for(known, bad, start + 5s);
+    const duration second = other.refused_for(known, bad, start + 5s);
+    cr_assert_neq(first, second);
+    cr_assert_leq(std::max(first, second), 5s);
+}
