Reports of crashes are called changes; a block known late is logged with no length left

report_stage::news and the variables named after it were a figure of speech. The line request_blocked showed a negative for_ms where a router learnt of a block after its end.

--- a/src/adapters/peers/gateway_peers.cpp
+++ b/src/adapters/peers/gateway_peers.cpp
@@ -261,7 +261,7 @@
     {
         // Only the last part is answered, when all records have arrived.
         const bool is_last = i + 1 == chunks.size();
-        part.stage = is_last ? report.stage : report_stage::news;
+        part.stage = is_last ? report.stage : report_stage::change;
         part.crashes = chunks[i];
         this->send_message(addresses, message_kind::crashes, part);
         part.trials.clear();
--- a/src/core/crashes/crash_ledger.cpp
+++ b/src/core/crashes/crash_ledger.cpp
@@ -54,11 +54,11 @@
     known_crash& known = place->second;
     const bool is_better =
         is_proof(record.evidence) && !is_proof(known.evidence);
-    const bool is_news = record.cleared && !known.cleared;
+    const bool is_newly_cleared = record.cleared && !known.cleared;
     if (is_better)
         known.evidence = record.evidence;
     known.cleared = known.cleared || record.cleared;
-    return is_better || is_news;
+    return is_better || is_newly_cleared;
 }
 
 bool crash_ledger::add(const trial_record& record, instant now)
--- a/src/core/crashes/crash_report.hpp
+++ b/src/core/crashes/crash_report.hpp
@@ -46,7 +46,7 @@
 /// How a router answers a report whose digest differs from its own.
 enum class report_stage : std::uint8_t
 {
-    news = 0,   ///< not at all: the report holds changes only
+    change = 0, ///< not at all: the report holds changes only
     offer = 1,  ///< with all it knows
     answer = 2, ///< with all it knows, for the last time
     last = 3    ///< not at all
@@ -57,7 +57,7 @@
 struct crash_report
 {
     std::string router;
-    report_stage stage = report_stage::news;
+    report_stage stage = report_stage::change;
     std::uint64_t digest = 0; ///< of all records of the router
     std::vector<crash_record> crashes;
     std::vector<trial_record> trials;
--- a/src/core/crashes/crash_tracker.cpp
+++ b/src/core/crashes/crash_tracker.cpp
@@ -49,7 +49,7 @@
 
 void crash_tracker::record_detected(instant now)
 {
-    crash_report news;
+    crash_report update;
     for (const detected_crash& crash : this->detector.take_crashes())
     {
         const crash_record record{
@@ -59,10 +59,10 @@
             crash.evidence,
             false};
         if (this->add(record, {}, now))
-            news.crashes.push_back(record);
+            update.crashes.push_back(record);
     }
-    if (!news.crashes.empty())
-        this->send_to_all(std::move(news));
+    if (!update.crashes.empty())
+        this->send_to_all(std::move(update));
 }
 
 bool crash_tracker::add(
@@ -92,7 +92,8 @@
     block.what = crash_change::kind::blocked;
     block.request = request;
     block.lives = lives;
-    block.blocked_for = this->records.blocked_until(request) - now;
+    block.blocked_for =
+        std::max(this->records.blocked_until(request) - now, duration::zero());
     this->changes.push_back(std::move(block));
     return true;
 }
@@ -115,9 +116,9 @@
         return;
     this->is_changed = true;
     this->add_cleared(request, lives, {});
-    crash_report news;
-    news.crashes = this->records.crashes_of(request, now);
-    this->send_to_all(std::move(news));
+    crash_report update;
+    update.crashes = this->records.crashes_of(request, now);
+    this->send_to_all(std::move(update));
 }
 
 void crash_tracker::trial_started(fingerprint request, instant now)
@@ -126,9 +127,9 @@
     if (!this->records.add(trial, now))
         return;
     this->is_changed = true;
-    crash_report news;
-    news.trials.push_back(trial);
-    this->send_to_all(std::move(news));
+    crash_report update;
+    update.trials.push_back(trial);
+    this->send_to_all(std::move(update));
 }
 
 void crash_tracker::send_to_all(crash_report report)
--- a/tests/unit/gateway/test_crash_controller.cpp
+++ b/tests/unit/gateway/test_crash_controller.cpp
@@ -257,9 +257,9 @@
 Test(crash_controller, a_router_whose_digest_differs_receives_everything)
 {
     one_router test;
-    crash_report news;
-    news.crashes = {{bad.value, 1, 0, crash_evidence::refused, false}};
-    test.controller.report_received(news, "10.0.0.8:1");
+    crash_report update;
+    update.crashes = {{bad.value, 1, 0, crash_evidence::refused, false}};
+    test.controller.report_received(update, "10.0.0.8:1");
     crash_report offer;
     offer.stage = report_stage::offer;
     test.controller.report_received(offer, "10.0.0.7:1");
--- a/tests/unit/users_platform/test_gateway_peers.cpp
+++ b/tests/unit/users_platform/test_gateway_peers.cpp
@@ -150,7 +150,7 @@
     cr_assert_eq(last_part.crashes.back().request, 77);
     cr_assert(last_part.crashes.back().cleared);
     cr_assert_eq(last_part.stage, report_stage::offer);
-    cr_assert_eq(listener.crashes[0].stage, report_stage::news);
+    cr_assert_eq(listener.crashes[0].stage, report_stage::change);
     cr_assert_eq(listener.crashes[0].trials.at(0).request, 78);
     cr_assert(last_part.trials.empty());
     receiver.stop();
