--- a/src/adapters/edge/backend_attempt.cpp
+++ b/src/adapters/edge/backend_attempt.cpp
@@ -182,11 +182,11 @@
 asio::awaitable<bool> backend_attempt::open_new()
 {
     this->connection = this->pool.make(this->target.address);
-    const bool opened = co_await connect(
+    const connect_result result = co_await connect(
         *this->connection,
         this->limit_to_deadline(this->pool.context.options.connect_timeout),
         this->pool.context.options.tcp_user_timeout);
-    if (!opened || this->inbox.interrupted())
+    if (result != connect_result::opened || this->inbox.interrupted())
     {
         this->set_end(
             this->inbox.interrupted() ? end::caller_left : end::not_sent);
--- a/src/adapters/edge/backend_connection.cpp
+++ b/src/adapters/edge/backend_connection.cpp
@@ -1,5 +1,6 @@
 #include "adapters/edge/backend_connection.hpp"
 
+#include <boost/asio/error.hpp>
 #include <boost/asio/ip/address.hpp>
 
 #include <charconv>
@@ -62,25 +63,27 @@
     return true;
 }
 
-asio::awaitable<bool> connect(
+asio::awaitable<connect_result> connect(
     backend_connection& connection,
     std::chrono::steady_clock::duration limit,
     std::chrono::milliseconds tcp_user_timeout)
 {
     tcp::endpoint endpoint;
     if (!parse_address(connection.address, endpoint))
-        co_return false;
+        co_return connect_result::failed;
     connection.stream.expires_after(limit);
     const auto [error] =
         co_await connection.stream.async_connect(endpoint, use_awaitable_tuple);
+    if (error == asio::error::connection_refused)
+        co_return connect_result::refused;
     if (error)
-        co_return false;
+        co_return connect_result::failed;
     enable_dead_peer_detection(connection.stream.socket(), tcp_user_timeout);
     if (connection.tls_connector == nullptr)
-        co_return true;
+        co_return connect_result::opened;
     const bool secured =
         co_await connection.tls_connector->secure(connection.stream);
-    co_return secured;
+    co_return secured ? connect_result::opened : connect_result::failed;
 }
 
 } // namespace roseworks::edge
--- a/src/adapters/edge/backend_connection.hpp
+++ b/src/adapters/edge/backend_connection.hpp
@@ -55,14 +55,21 @@
 /// @return        Whether the address is valid.
 bool parse_address(const std::string& address, tcp::endpoint& into);
 
+/// The result of opening a connection.
+enum class connect_result : std::uint8_t
+{
+    opened,
+    refused, ///< the address refused the connection
+    failed   ///< no answer in time, or another error
+};
+
 /// Connects, enables the detection of dead peers (keepalive probes and
 /// `TCP_USER_TIMEOUT`), and does the TLS handshake if the connection has a
 /// connector.
 /// @param limit            Time limit for connecting and the handshake
 /// together.
 /// @param tcp_user_timeout The value of `TCP_USER_TIMEOUT`.
-/// @return                 Whether the connection is ready for use.
-asio::awaitable<bool> connect(
+asio::awaitable<connect_result> connect(
     backend_connection& connection,
     std::chrono::steady_clock::duration limit,
     std::chrono::milliseconds tcp_user_timeout);
--- a/src/adapters/edge/engine_cancel.cpp
+++ b/src/adapters/edge/engine_cancel.cpp
@@ -56,9 +56,9 @@
     std::string request_id,
     edge_options options)
 {
-    const bool open = co_await connect(
+    const connect_result result = co_await connect(
         *connection, options.connect_timeout, options.tcp_user_timeout);
-    if (open)
+    if (result == connect_result::opened)
         co_await cancel_run(*connection, request_id, options.cancel_timeout);
 }
 
--- a/src/adapters/forward/forward_context.hpp
+++ b/src/adapters/forward/forward_context.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/edge/backend_context.hpp"
+#include "adapters/edge/connection_opener.hpp"
 #include "adapters/forward/forward_metrics.hpp"
 #include "adapters/forward/header_names.hpp"
 #include "core/crashes/request_gate.hpp"
@@ -51,6 +52,7 @@
     dispatch_port& dispatch;
     quota_port& quotas;
     crash_port& crashes;
+    edge::connection_opener& connections;
     std::function<serving_table_ptr()> table; ///< newest; null: none yet
     /// An engine reported its load in a response.
     std::function<void(const load_report&)> load_reported;
--- a/src/adapters/forward/server_exchange.cpp
+++ b/src/adapters/forward/server_exchange.cpp
@@ -102,13 +102,14 @@
     this->connection = this->pool.make(this->server_address);
     const duration remaining = this->deadline - this->context.now();
     const duration max_timeout = this->context.options.connect_timeout;
-    const bool opened = co_await edge::connect(
-        *this->connection,
-        std::clamp(remaining, duration(1), max_timeout),
-        this->context.options.tcp_user_timeout);
+    const edge::connect_result result =
+        co_await this->context.ports.connections.open(
+            *this->connection,
+            std::clamp(remaining, duration(1), max_timeout));
     if (this->inbox.interrupted())
         co_return exchange_state::interrupted;
-    co_return opened ? exchange_state::ok : exchange_state::not_sent;
+    co_return result == edge::connect_result::opened ? exchange_state::ok
+                                                     : exchange_state::not_sent;
 }
 
 asio::awaitable<exchange_state> server_exchange::write(std::string_view bytes)
--- a/src/app/gateway/gateway_app.cpp
+++ b/src/app/gateway/gateway_app.cpp
@@ -139,6 +139,7 @@
           this->tables,
           this->dispatch,
           this->make_callbacks()))
+    , opener(make_edge_options().tcp_user_timeout)
     , context(this->make_context())
     , server(this->traffic.get_executor(), this->context, make_edge_options())
     , readiness_probe(
@@ -203,6 +204,7 @@
         *this->dispatch,
         this->control->organisation_limits(),
         this->control->crashing_requests(),
+        this->opener,
         [this]
         {
             return this->tables.get();
--- a/src/app/gateway/gateway_app.hpp
+++ b/src/app/gateway/gateway_app.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/edge/direct_opener.hpp"
 #include "adapters/edge/shared_dispatcher.hpp"
 #include "adapters/events/pipe_event_sink.hpp"
 #include "adapters/forward/forward_server.hpp"
@@ -78,6 +79,7 @@
     newest_table<serving_table_ptr> tables;
     std::shared_ptr<edge::shared_dispatcher> dispatch;
     std::unique_ptr<gateway_control> control;
+    edge::direct_opener opener;
     forward::forward_context context;
     forward::forward_server server;
     forward::probe_server readiness_probe;
--- a/tests/unit/forward/forward_fixture.cpp
+++ b/tests/unit/forward/forward_fixture.cpp
@@ -155,6 +155,7 @@
         *this->dispatch,
         this->limits,
         this->crashes,
+        this->direct,
         [this]
         {
             const std::lock_guard lock(this->mutex);
@@ -268,6 +269,11 @@
     this->dispatch->server_limited({{}, this->servers[index]->address()}, 1);
 }
 
+void forward_fixture::know_router(const forward_fixture&)
+{
+    // Routers have no use for each other's connections yet.
+}
+
 void forward_fixture::refuse_blocked()
 {
     asio::post(
--- a/tests/unit/forward/forward_fixture.hpp
+++ b/tests/unit/forward/forward_fixture.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "adapters/edge/direct_opener.hpp"
 #include "adapters/edge/shared_dispatcher.hpp"
 #include "adapters/events/null_event_sink.hpp"
 #include "adapters/forward/forward_server.hpp"
 #include "adapters/platform/system_clock.hpp"
+#include "cuttable_opener.hpp"
 #include "fake_backend.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -108,6 +110,9 @@
     /// @param index Of the server, from 0.
     void limit_server(std::size_t index);
 
+    /// Tells this router of another one, which reaches the same servers.
+    void know_router(const forward_fixture& other);
+
     /// @return Permits that were requested so far.
     int permit_requests() const
     {
@@ -119,6 +124,9 @@
 
     fake_crash_port crashes;
 
+    /// Opens the connections to the servers that this router opens itself.
+    cuttable_opener direct;
+
     /// Whether other routers have a newer configuration.
     std::atomic<bool> is_outdated{false};
 
