--- a/src/adapters/edge/backend_connection.cpp
+++ b/src/adapters/edge/backend_connection.cpp
@@ -25,6 +25,8 @@
     ::setsockopt(handle, IPPROTO_TCP, name, &value, sizeof(value));
 }
 
+} // namespace
+
 void enable_dead_peer_detection(
     tcp::socket& socket, std::chrono::milliseconds tcp_user_timeout)
 {
@@ -39,8 +41,6 @@
         handle, TCP_USER_TIMEOUT, static_cast<int>(tcp_user_timeout.count()));
 }
 
-} // namespace
-
 bool parse_address(const std::string& address, tcp::endpoint& into)
 {
     const auto colon = address.rfind(':');
--- a/src/adapters/edge/backend_connection.hpp
+++ b/src/adapters/edge/backend_connection.hpp
@@ -45,6 +45,8 @@
     instant opened;
     instant last_used;                   ///< end of the last exchange
     bool pooled = false;                 ///< has carried an exchange before
+    bool abandoned = false; ///< nobody waits for it any more
+    std::string relay; ///< name of the router that relays it; empty: none
     const tls::connector* tls_connector; ///< null: plain TCP
 };
 
@@ -55,6 +57,14 @@
 /// @return        Whether the address is valid.
 bool parse_address(const std::string& address, tcp::endpoint& into);
 
+/// Lets the kernel detect that the peer of a connection is gone. A peer that is
+/// silent for a second isn't.
+/// @param tcp_user_timeout Time without an acknowledgement after which the
+///                         connection fails. It also ends keepalive probes,
+///                         whatever their number.
+void enable_dead_peer_detection(
+    tcp::socket& socket, std::chrono::milliseconds tcp_user_timeout);
+
 /// The result of opening a connection.
 enum class connect_result : std::uint8_t
 {
--- a/src/adapters/edge/connection_opener.hpp
+++ b/src/adapters/edge/connection_opener.hpp
@@ -14,10 +14,15 @@
 public:
     virtual ~connection_opener() = default;
 
-    /// Opens a connection to `connection.address`.
+    /// Opens a connection to `connection.address`. Stops when the connection is
+    /// abandoned and its stream closed.
     /// @param limit Time limit, above zero.
     virtual asio::awaitable<connect_result>
     open(backend_connection& connection, duration limit) = 0;
+
+    /// @return Whether a connection that was kept open may carry another
+    ///         request.
+    virtual bool may_reuse(const backend_connection& connection) const = 0;
 };
 
 } // namespace roseworks::edge
--- a/src/adapters/edge/direct_opener.hpp
+++ b/src/adapters/edge/direct_opener.hpp
@@ -20,6 +20,11 @@
     asio::awaitable<connect_result>
     open(backend_connection& connection, duration limit) override;
 
+    bool may_reuse(const backend_connection&) const override
+    {
+        return true;
+    }
+
 private:
     std::chrono::milliseconds tcp_user_timeout;
 };
--- a/src/adapters/events/event_catalogue.cpp
+++ b/src/adapters/events/event_catalogue.cpp
@@ -292,14 +292,14 @@
      "A backend server's complete response was relayed on the first attempt. "
      "Sampled under load.",
      "request_id, route, servable, organisation, end, status, reason, server, "
-     "server_limit, framing, sends, objective_ms, wait_ms, first_ms, total_ms, "
-     "events, unfinished_bytes",
+     "relay, server_limit, framing, sends, objective_ms, wait_ms, first_ms, "
+     "total_ms, events, unfinished_bytes",
      no_action},
     {request_ended, info, "request_ended",
      "A request ended in any other way, or was sent more than once.",
      "request_id, route, servable, organisation, end, status, reason, server, "
-     "server_limit, framing, sends, objective_ms, wait_ms, first_ms, total_ms, "
-     "events, unfinished_bytes, target",
+     "relay, server_limit, framing, sends, objective_ms, wait_ms, first_ms, "
+     "total_ms, events, unfinished_bytes, target",
      "Trace the request by its id as shown in docs/OPERATIONS.md."},
     {lines_left_out, warn, "lines_left_out",
      "Log lines were not written: over_limit exceeded the limit of lines per "
@@ -419,6 +419,19 @@
      "A run of a request ended well although backend servers had ended while "
      "they ran it, so it doesn't crash them. It isn't blocked.",
      "content, lives, from", no_action},
+    {servers_cut_off, warn, "servers_cut_off",
+     "This router reaches most backend servers only through other routers: "
+     "through_others can't be reached directly, directly can.",
+     "through_others, directly",
+     "Check the network between this VM and the backend servers."},
+    {servers_reached, info, "servers_reached",
+     "This router reaches most backend servers directly again.",
+     "through_others, directly", no_action},
+    {relay_refused, warn, "relay_refused",
+     "A connection to the port for other routers was closed: it didn't come "
+     "from a router, sent no valid request, or more than max were open.",
+     "reason, open, max",
+     "Check which process connects to this port."},
     {placement_owned, info, "placement_owned",
      "This router now owns placement and sends orders to the engines.",
      "fence", no_action},
--- a/src/adapters/forward/forward_call.cpp
+++ b/src/adapters/forward/forward_call.cpp
@@ -334,6 +334,7 @@
             : duration(this->context.options.non_repeatable_max_idle);
     exchange_state state = co_await exchange.send(
         granted.address, bytes, longest_idle, this->deadline);
+    this->last_relay = exchange.relay();
     if (exchange.sent())
     {
         ++this->sends;
@@ -464,6 +465,7 @@
                                      : this->local_status},
          {"reason", to_string(this->reason)},
          {"server", this->last_server},
+         {"relay", this->last_relay},
          {"server_limit", this->last_rate_limit},
          {"framing", to_string(this->last_framing)},
          {"sends", this->sends},
--- a/src/adapters/forward/server_exchange.cpp
+++ b/src/adapters/forward/server_exchange.cpp
@@ -75,8 +75,10 @@
     this->deadline = until;
     this->inbox.on_interrupt = [this]
     {
-        if (this->connection)
-            this->connection->stream.close();
+        if (!this->connection)
+            return;
+        this->connection->abandoned = true;
+        this->connection->stream.close();
     };
     exchange_state state = co_await this->open(longest_idle);
     if (state != exchange_state::ok)
@@ -96,7 +98,11 @@
 
 asio::awaitable<exchange_state> server_exchange::open(duration longest_idle)
 {
-    this->connection = this->pool.acquire(this->server_address, longest_idle);
+    const edge::connection_opener& opener = this->context.ports.connections;
+    do
+        this->connection =
+            this->pool.acquire(this->server_address, longest_idle);
+    while (this->connection && !opener.may_reuse(*this->connection));
     if (this->connection)
         co_return exchange_state::ok;
     this->connection = this->pool.make(this->server_address);
--- a/src/adapters/forward/server_exchange.hpp
+++ b/src/adapters/forward/server_exchange.hpp
@@ -93,6 +93,14 @@
         return this->framing_of_body;
     }
 
+    /// @return Name of the router through which the request was sent; empty:
+    ///         directly.
+    std::string_view relay() const
+    {
+        return this->connection ? std::string_view(this->connection->relay)
+                                : std::string_view();
+    }
+
     bool is_complete() const
     {
         return this->parser && this->parser->is_done();
--- a/src/adapters/peers/copy_exchange.cpp
+++ b/src/adapters/peers/copy_exchange.cpp
@@ -1,7 +1,8 @@
 #include "adapters/peers/copy_exchange.hpp"
 
 #include "adapters/peers/checksum_frame.hpp"
-#include "adapters/peers/message_archive.hpp"
+#include "adapters/peers/length_prefix.hpp"
+#include "adapters/peers/decode_message.hpp"
 #include "adapters/platform/endpoint.hpp"
 
 #include <boost/asio/buffer.hpp>
@@ -27,50 +28,9 @@
 namespace
 {
 
-constexpr std::size_t length_bytes = 4;
-constexpr unsigned bits_per_byte = 8;
 constexpr std::size_t max_request_bytes = 256;
 constexpr std::size_t chunk_bytes = std::size_t(64) << 10;
 
-std::string add_length_prefix(const std::string& content)
-{
-    std::string framed;
-    for (std::size_t i = length_bytes; i > 0; --i)
-        framed += static_cast<char>(
-            content.size() >> ((i - 1) * bits_per_byte) & 0xFF);
-    return framed + content;
-}
-
-std::size_t decode_length(const std::array<char, length_bytes>& bytes)
-{
-    std::size_t length = 0;
-    for (const char byte : bytes)
-        length = length << bits_per_byte | static_cast<unsigned char>(byte);
-    return length;
-}
-
-/// @return The message of a frame, or empty if the frame is malformed.
-template <class Message>
-std::optional<Message> decode_message(const std::string& frame)
-{
-    const auto content = peers::remove_checksum(frame);
-    if (!content)
-        return std::nullopt;
-    try
-    {
-        message_archive archive(*content);
-        Message message;
-        archive(message);
-        return message;
-    }
-    catch (const std::exception&)
-    {
-        // The other router usually runs another version. It is treated as a
-        // router without a copy.
-        return std::nullopt;
-    }
-}
-
 } // namespace
 
 copy_exchange::copy_exchange(
@@ -130,7 +90,7 @@
     ++this->active_requests;
     const auto frame = co_await this->read_frame(connection, max_request_bytes);
     const auto request =
-        frame ? decode_message<copy_request>(*frame) : std::nullopt;
+        frame ? peers::decode_message<copy_request>(*frame) : std::nullopt;
     if (request && this->source != nullptr)
     {
         auto response = this->encode_copy(this->source->copy_for(*request));
@@ -147,7 +107,7 @@
     if (copy != this->last_copy)
     {
         this->last_frame = std::make_shared<const std::string>(
-            add_length_prefix(peers::add_checksum(peers::serialise(*copy))));
+            peers::add_length_prefix(peers::add_checksum(peers::serialise(*copy))));
         this->last_copy = std::move(copy);
     }
     return this->last_frame;
@@ -189,7 +149,7 @@
     if (error)
         co_return std::nullopt;
     auto frame = std::make_shared<const std::string>(
-        add_length_prefix(peers::add_checksum(peers::serialise(request))));
+        peers::add_length_prefix(peers::add_checksum(peers::serialise(request))));
     const bool sent = co_await this->write_frame(connection, std::move(frame));
     if (!sent)
         co_return std::nullopt;
@@ -197,7 +157,7 @@
         connection, this->settings.max_response_bytes);
     if (!response)
         co_return std::nullopt;
-    auto copy = decode_message<directory_copy>(*response);
+    auto copy = peers::decode_message<directory_copy>(*response);
     // A negative age means that the router has no data of this topic.
     if (copy && copy->state.age_us < 0)
         copy.reset();
@@ -229,13 +189,13 @@
 copy_exchange::read_frame(stream& from, std::size_t max_bytes)
 {
     error_code error;
-    std::array<char, length_bytes> prefix{};
+    std::array<char, peers::length_bytes> prefix{};
     from.expires_after(this->settings.idle_timeout);
     co_await asio::async_read(
         from,
         asio::buffer(prefix),
         asio::redirect_error(asio::use_awaitable, error));
-    const std::size_t length = decode_length(prefix);
+    const std::size_t length = peers::decode_length(prefix);
     if (error || length > max_bytes)
         co_return std::nullopt;
     std::string bytes;
--- a/src/adapters/settings/gateway_settings.hpp
+++ b/src/adapters/settings/gateway_settings.hpp
@@ -31,6 +31,7 @@
         socket_address readiness;
         socket_address peers; ///< UDP and TCP
         socket_address metrics;
+        socket_address relay; ///< for other routers' connections; port 0: none
     } listen;
 
     struct
--- a/src/adapters/settings/load_gateway_settings.cpp
+++ b/src/adapters/settings/load_gateway_settings.cpp
@@ -211,6 +211,17 @@
              "Address that serves metrics in the Prometheus text format at "
              "/metrics."),
          &store_member<listen, &listen_section::metrics>},
+        {row("listen",
+             "relay",
+             address,
+             "0.0.0.0:0",
+             0,
+             max_port,
+             "",
+             "TCP address where other routers ask for connections to backend "
+             "servers that they don't reach themselves. All routers use the "
+             "same port. Port 0: this router neither offers nor asks."),
+         &store_member<listen, &listen_section::relay>},
         {row("store",
              "address",
              address,
--- a/src/app/gateway/gateway_app.cpp
+++ b/src/app/gateway/gateway_app.cpp
@@ -1,5 +1,6 @@
 #include "app/gateway/gateway_app.hpp"
 
+#include "adapters/platform/endpoint.hpp"
 #include "adapters/settings/load_gateway_settings.hpp"
 #include "adapters/settings/settings_problems.hpp"
 #include "platform/header_names.hpp"
@@ -10,6 +11,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <random>
+#include <set>
 #include <sstream>
 #include <utility>
 
@@ -74,6 +76,17 @@
     return made;
 }
 
+relay::relayed_opener::options
+make_opener_options(const settings::gateway_settings& settings)
+{
+    relay::relayed_opener::options made;
+    made.tcp_user_timeout = make_edge_options().tcp_user_timeout;
+    made.reach.seed = random_seed();
+    made.routers.seed = random_seed();
+    made.routers.data_centre = settings.vm.data_centre;
+    return made;
+}
+
 forward::forward_options make_forward_options()
 {
     forward::forward_options made;
@@ -139,9 +152,24 @@
           this->tables,
           this->dispatch,
           this->make_callbacks()))
-    , opener(make_edge_options().tcp_user_timeout)
+    , direct(make_edge_options().tcp_user_timeout)
+    , opener(
+          make_opener_options(initial_settings),
+          this->direct,
+          this->clock,
+          this->events,
+          [] {})
     , context(this->make_context())
     , server(this->traffic.get_executor(), this->context, make_edge_options())
+    , relays(
+          this->traffic.get_executor(),
+          relay::relay_server::options(),
+          this->context,
+          this->opener,
+          [this]
+          {
+              return this->tables.get();
+          })
     , readiness_probe(
           this->traffic.get_executor(),
           [this](std::string_view)
@@ -193,9 +221,40 @@
                 {
                     this->server.refuse_blocked();
                 });
+        },
+        [this](std::vector<router_address> all)
+        {
+            asio::post(
+                this->traffic,
+                [this, all = std::move(all)]
+                {
+                    this->set_routers(all);
+                });
         }};
 }
 
+void gateway_app::set_routers(const std::vector<router_address>& all)
+{
+    const std::uint16_t port = this->settings.listen.relay.port;
+    if (port == 0)
+        return;
+    std::vector<relay_router> others;
+    std::set<asio::ip::address> addresses;
+    for (const router_address& one : all)
+    {
+        const auto peers = platform::parse_endpoint(one.address);
+        if (!peers || one.name == this->settings.vm.name)
+            continue;
+        const asio::ip::tcp::endpoint relay(peers->address(), port);
+        std::ostringstream text;
+        text << relay;
+        others.push_back({one.name, text.str(), one.data_centre});
+        addresses.insert(peers->address());
+    }
+    this->opener.set_routers(std::move(others));
+    this->relays.set_routers(std::move(addresses));
+}
+
 forward::forward_context gateway_app::make_context()
 {
     const edge::backend_context backend(
@@ -262,6 +321,9 @@
     const auto& listen = this->settings.listen;
     BOOST_LEAF_CHECK(check(
         listen.requests, this->server.listen(tcp_endpoint(listen.requests))));
+    if (listen.relay.port != 0)
+        BOOST_LEAF_CHECK(check(
+            listen.relay, this->relays.listen(tcp_endpoint(listen.relay))));
     BOOST_LEAF_CHECK(check(
         listen.readiness,
         this->readiness_probe.listen(tcp_endpoint(listen.readiness))));
@@ -359,6 +421,7 @@
         {{"in_flight", this->dispatch->in_flight()},
          {"queued", this->dispatch->queued()}});
     this->server.start_drain();
+    this->relays.start_drain();
     this->control->resign();
     this->check_drained();
 }
@@ -369,7 +432,8 @@
     if (elapsed >= balancer_reaction_time &&
         !std::exchange(this->idle_closed, true))
         this->server.close_idle();
-    const bool done = this->idle_closed && this->server.connections() == 0;
+    const bool done = this->idle_closed && this->server.connections() == 0 &&
+                      this->relays.connections() == 0;
     if (done || elapsed >= this->settings.bounds.grace - shutdown_margin)
     {
         this->finish();
@@ -388,8 +452,10 @@
 {
     // Time to send the last responses.
     constexpr milliseconds final_response_time{200};
-    const std::size_t unfinished = this->server.connections();
+    const std::size_t unfinished =
+        this->server.connections() + this->relays.connections();
     this->server.force_end();
+    this->relays.stop();
     this->events.report(
         event_id::drain_finished,
         {{"elapsed_ms",
--- a/src/app/gateway/gateway_app.hpp
+++ b/src/app/gateway/gateway_app.hpp
@@ -8,6 +8,8 @@
 #include "adapters/metrics/metrics_registry.hpp"
 #include "adapters/platform/byte_meter.hpp"
 #include "adapters/platform/system_clock.hpp"
+#include "adapters/relay/relay_server.hpp"
+#include "adapters/relay/relayed_opener.hpp"
 #include "adapters/settings/gateway_settings.hpp"
 #include "app/gateway/gateway_control.hpp"
 #include "app/table_holder.hpp"
@@ -19,6 +21,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace roseworks::app
 {
@@ -60,6 +63,8 @@
     boost::leaf::result<void> listen();
     forward::forward_context make_context();
     gateway_control::callbacks make_callbacks();
+    /// Passes the other routers to the parts that relay connections.
+    void set_routers(const std::vector<router_address>& all);
     void wait_for_signals();
     void reload();
     void start_drain();
@@ -79,9 +84,11 @@
     newest_table<serving_table_ptr> tables;
     std::shared_ptr<edge::shared_dispatcher> dispatch;
     std::unique_ptr<gateway_control> control;
-    edge::direct_opener opener;
+    edge::direct_opener direct;
+    relay::relayed_opener opener;
     forward::forward_context context;
     forward::forward_server server;
+    relay::relay_server relays;
     forward::probe_server readiness_probe;
     forward::probe_server metrics_probe;
     boost::asio::signal_set signals;
--- a/src/app/gateway/gateway_control.cpp
+++ b/src/app/gateway/gateway_control.cpp
@@ -448,6 +448,7 @@
 {
     this->quotas->routers_listed(all);
     this->crashes->routers_listed(all);
+    this->notify.on_routers(all);
     this->router_addresses.clear();
     for (router_address& router : all)
         this->router_addresses[router.name] = std::move(router.address);
--- a/src/app/gateway/gateway_control.hpp
+++ b/src/app/gateway/gateway_control.hpp
@@ -52,6 +52,8 @@
         std::function<void(std::string reason)> on_failure;
         /// A request that crashes servers has become blocked.
         std::function<void()> on_request_blocked;
+        /// The routers of the deployment, this one included, have changed.
+        std::function<void(std::vector<router_address>)> on_routers;
     };
 
     gateway_control(
--- a/src/ports/event_sink.hpp
+++ b/src/ports/event_sink.hpp
@@ -136,6 +136,9 @@
     crash_recorded = 1729,
     request_blocked = 1730,
     request_cleared = 1731,
+    servers_cut_off = 1732,
+    servers_reached = 1733,
+    relay_refused = 1734,
 
     // 18xx: placement by the orders of a single owner.
     placement_owned = 1801,
--- a/tests/unit/forward/cuttable_opener.hpp
+++ b/tests/unit/forward/cuttable_opener.hpp
@@ -43,6 +43,11 @@
         co_return result;
     }
 
+    bool may_reuse(const edge::backend_connection&) const override
+    {
+        return true;
+    }
+
     std::atomic<cut> network{cut::none};
     std::atomic<int> attempts{0};
 
--- a/tests/unit/forward/forward_fixture.cpp
+++ b/tests/unit/forward/forward_fixture.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
+#include <future>
+
 namespace roseworks::forward::tests
 {
 
@@ -113,12 +115,25 @@
                            what.server, std::chrono::hours(1));
                    });
            }}))
+    , opener({}, this->direct, this->clock, this->sink, [] {})
     , context(this->make_context())
     , server(this->event_loop.get_executor(), this->context, make_limits())
+    , relays(
+          this->event_loop.get_executor(),
+          {},
+          this->context,
+          this->opener,
+          [this]
+          {
+              return this->newest_table();
+          })
 {
     this->dispatch->table_changed(this->table);
-    const auto failed =
-        this->server.listen({asio::ip::make_address("127.0.0.1"), 0});
+    const auto loopback = asio::ip::make_address("127.0.0.1");
+    this->relays.set_routers({loopback});
+    auto failed = this->server.listen({loopback, 0});
+    if (!failed)
+        failed = this->relays.listen({loopback, 0});
     if (failed)
         throw boost::system::system_error(failed);
     this->thread = std::thread(
@@ -136,6 +151,7 @@
         {
             this->server.force_end();
             this->server.stop();
+            this->relays.stop();
             this->event_loop.stop();
         });
     this->thread.join();
@@ -155,11 +171,10 @@
         *this->dispatch,
         this->limits,
         this->crashes,
-        this->direct,
+        this->opener,
         [this]
         {
-            const std::lock_guard lock(this->mutex);
-            return this->table;
+            return this->newest_table();
         },
         [](const load_report&) {},
         ignore,
@@ -189,6 +204,12 @@
         this->forward_counters};
 }
 
+serving_table_ptr forward_fixture::newest_table()
+{
+    const std::lock_guard lock(this->mutex);
+    return this->table;
+}
+
 void forward_fixture::record_rate_limit(
     const std::string& server, std::optional<double> requests_per_second)
 {
@@ -269,9 +290,49 @@
     this->dispatch->server_limited({{}, this->servers[index]->address()}, 1);
 }
 
-void forward_fixture::know_router(const forward_fixture&)
+void forward_fixture::know_router(const forward_fixture& other)
+{
+    const tcp::endpoint endpoint = other.relay_endpoint();
+    const std::string address =
+        "127.0.0.1:" + std::to_string(endpoint.port());
+    this->run_on_loop(
+        [&]
+        {
+            this->opener.set_routers({{address, address, "a"}});
+        });
+}
+
+std::size_t forward_fixture::relayed_connections()
+{
+    std::size_t count = 0;
+    this->run_on_loop(
+        [&]
+        {
+            count = this->relays.connections();
+        });
+    return count;
+}
+
+void forward_fixture::start_drain()
 {
-    // Routers have no use for each other's connections yet.
+    this->run_on_loop(
+        [&]
+        {
+            this->relays.start_drain();
+        });
+}
+
+void forward_fixture::run_on_loop(const std::function<void()>& action)
+{
+    std::promise<void> done;
+    asio::post(
+        this->event_loop,
+        [&]
+        {
+            action();
+            done.set_value();
+        });
+    done.get_future().wait();
 }
 
 void forward_fixture::refuse_blocked()
--- a/tests/unit/forward/forward_fixture.hpp
+++ b/tests/unit/forward/forward_fixture.hpp
@@ -5,6 +5,8 @@
 #include "adapters/events/null_event_sink.hpp"
 #include "adapters/forward/forward_server.hpp"
 #include "adapters/platform/system_clock.hpp"
+#include "adapters/relay/relay_server.hpp"
+#include "adapters/relay/relayed_opener.hpp"
 #include "cuttable_opener.hpp"
 #include "fake_backend.hpp"
 
@@ -110,9 +112,21 @@
     /// @param index Of the server, from 0.
     void limit_server(std::size_t index);
 
-    /// Tells this router of another one, which reaches the same servers.
+    /// Tells this router of another one, which has the same servers.
     void know_router(const forward_fixture& other);
 
+    /// @return Number of connections that this router relays for others.
+    std::size_t relayed_connections();
+
+    /// From now on this router relays no further connections.
+    void start_drain();
+
+    /// @return Address where other routers ask for connections.
+    boost::asio::ip::tcp::endpoint relay_endpoint() const
+    {
+        return this->relays.local_endpoint();
+    }
+
     /// @return Permits that were requested so far.
     int permit_requests() const
     {
@@ -175,6 +189,9 @@
 private:
     boost::asio::ip::tcp::socket connect();
     forward_context make_context();
+    /// Runs an action on the event loop and waits for its end.
+    void run_on_loop(const std::function<void()>& action);
+    serving_table_ptr newest_table();
     void record_rate_limit(
         const std::string& server, std::optional<double> requests_per_second);
 
@@ -192,8 +209,10 @@
     std::vector<std::string> unreachable_servers;
     std::vector<rate_limit_report> rate_limit_reports;
     std::shared_ptr<edge::shared_dispatcher> dispatch;
+    relay::relayed_opener opener;
     forward_context context;
     forward_server server;
+    relay::relay_server relays;
     std::thread thread;
 };
 
