--- a/src/core/request/dispatcher_finish.cpp
+++ b/src/core/request/dispatcher_finish.cpp
@@ -200,12 +200,10 @@
     detail::retry_budget& budget = result.resumable
                                        ? request.destination->resume_budget
                                        : request.destination->budget;
-    if (!budget.withdraw(now, leave_reserve))
+    // An attempt that sent nothing has loaded no server.
+    const bool was_sent = result.how != end_kind::not_sent;
+    if (was_sent && !budget.withdraw(now, leave_reserve))
     {
-        if (recoverable)
-        {
-            return this->wait_for_recovery(request, now);
-        }
         const duration retry_delay =
             this->retry_delay_after_failure(request, now);
         return this->finalize(
--- a/tests/unit/dispatch/test_retries.cpp
+++ b/tests/unit/dispatch/test_retries.cpp
@@ -115,7 +115,7 @@
         for (int i = 0; i < tries; ++i)
         {
             const ticket id = test.submit();
-            const auto outcome = test.finish(id, end_kind::not_sent);
+            const auto outcome = test.finish(id, end_kind::refused_not_run);
             count += outcome.final_answer ? 0 : 1;
             cr_assert(
                 !outcome.final_answer ||
@@ -135,6 +135,22 @@
     cr_assert_eq(retried(20), 3, "the tokens of one second");
 }
 
+// Guards against refusing requests for their retries although none of them
+// reached a server.
+Test(retries, attempts_that_sent_nothing_use_no_budget)
+{
+    harness test;
+    test.model("m", 1, 4, 8);
+    for (int i = 0; i < 20; ++i)
+    {
+        const ticket id = test.submit();
+        const auto outcome = test.finish(id, end_kind::not_sent);
+        cr_assert(not outcome.final_answer, "attempt %d", i);
+        test.core.abandon(id, test.now);
+        test.collect();
+    }
+}
+
 Test(retries, a_broken_connection_makes_a_request_suspect)
 {
     harness test;
