--- a/src/adapters/relay/relayed_opener.cpp
+++ b/src/adapters/relay/relayed_opener.cpp
@@ -86,7 +86,8 @@
 {
     const relay_request request{connection.address, false};
     std::vector<std::string> tried;
-    std::size_t unreachable = 0;
+    std::size_t unanswered = 0;
+    std::size_t refusals = 0;
     while (tried.size() < this->settings.max_routers)
     {
         const instant now = this->clock.now();
@@ -114,17 +115,21 @@
                 connection.stream.socket(), this->settings.tcp_user_timeout);
             co_return connect_result::opened;
         case relay_status::refused:
+            direct_result = connect_result::refused;
+            ++refusals;
+            break;
         case relay_status::unreachable:
-            direct_result = status == relay_status::refused
-                                ? connect_result::refused
-                                : connect_result::failed;
-            ++unreachable;
+            direct_result = connect_result::failed;
+            ++unanswered;
             break;
         default:
             this->selector.failed(name, answered);
             break;
         }
-        if (unreachable < this->settings.max_unreachable)
+        const bool is_unreached =
+            unanswered >= this->settings.max_unanswered ||
+            refusals >= this->settings.max_refusals;
+        if (!is_unreached)
             continue;
         this->reach.unreached_by_all(connection.address, answered);
         co_return direct_result;
--- a/src/adapters/relay/relayed_opener.hpp
+++ b/src/adapters/relay/relayed_opener.hpp
@@ -39,9 +39,11 @@
         std::chrono::milliseconds relay_timeout{250};
         /// Maximum number of routers that are asked for one connection.
         std::size_t max_routers = 5;
-        /// A server counts as unreachable if it didn't answer this router and
-        /// so many others.
-        std::size_t max_unreachable = 2;
+        /// A server counts as unreachable for all if it didn't answer this
+        /// router and so many others, or refused so many others. Refusals cost
+        /// little time.
+        std::size_t max_unanswered = 2;
+        std::size_t max_refusals = 4;
         /// Time for which a connection through another router is reused, so
         /// that a router that shuts down is rid of them.
         std::chrono::milliseconds relayed_max_age{4000};
--- a/src/adapters/settings/gateway_settings.hpp
+++ b/src/adapters/settings/gateway_settings.hpp
@@ -31,7 +31,18 @@
         socket_address readiness;
         socket_address peers; ///< UDP and TCP
         socket_address metrics;
-        socket_address relay; ///< for other routers' connections; port 0: none
+        /// From the port of `peers` to that for connections that are relayed
+        /// for other routers; 0: none.
+        std::uint16_t relay_offset = 0;
+
+        /// @return Where other routers ask for connections; port 0: nowhere.
+        socket_address relay() const
+        {
+            if (this->relay_offset == 0)
+                return {this->peers.ip, 0};
+            const int port = this->peers.port + this->relay_offset;
+            return {this->peers.ip, static_cast<std::uint16_t>(port)};
+        }
     } listen;
 
     struct
--- a/src/adapters/settings/load_gateway_settings.cpp
+++ b/src/adapters/settings/load_gateway_settings.cpp
@@ -21,6 +21,7 @@
 constexpr std::string_view bool_words[] = {"false", "true"};
 constexpr std::int64_t max_ms = 3'600'000;
 constexpr std::int64_t max_port = 65'535;
+constexpr std::int64_t max_relay_offset = 100;
 
 /// Stores a parsed value in its member of the settings.
 /// @return Whether the member accepts the value.
@@ -212,16 +213,17 @@
              "/metrics."),
          &store_member<listen, &listen_section::metrics>},
         {row("listen",
-             "relay",
-             address,
-             "0.0.0.0:0",
+             "relay_offset",
+             integer,
+             "0",
              0,
-             max_port,
-             "",
-             "TCP address where other routers ask for connections to backend "
-             "servers that they don't reach themselves. All routers use the "
-             "same port. Port 0: this router neither offers nor asks."),
-         &store_member<listen, &listen_section::relay>},
+             max_relay_offset,
+             "ports",
+             "Distance from the port of `peers` to the TCP port where other "
+             "routers ask for connections to backend servers that they don't "
+             "reach themselves; the same on all routers. 0: connections aren't "
+             "relayed."),
+         &store_member<listen, &listen_section::relay_offset>},
         {row("store",
              "address",
              address,
--- a/src/core/reach/relay_selector.cpp
+++ b/src/core/reach/relay_selector.cpp
@@ -41,7 +41,13 @@
         const bool is_near = one.data_centre == this->settings.data_centre;
         (is_near ? near : far).push_back(&one);
     }
-    const std::vector<const relay_router*>& best = near.empty() ? far : near;
+    // The network of a whole data centre may be cut.
+    const bool prefers_near = tried.empty();
+    const std::vector<const relay_router*>& preferred =
+        prefers_near ? near : far;
+    const std::vector<const relay_router*>& rest = prefers_near ? far : near;
+    const std::vector<const relay_router*>& best =
+        preferred.empty() ? rest : preferred;
     if (best.empty())
         return nullptr;
     const std::uint64_t high = this->random() >> 32;
--- a/src/core/reach/relay_selector.hpp
+++ b/src/core/reach/relay_selector.hpp
@@ -23,9 +23,9 @@
 
 /** Chooses the router through which a connection to a backend server is opened.
 
-    Draws among the routers of this data centre, then among the others. A router
-    that didn't answer, or that can't open connections itself, is left out for a
-    while.
+    Draws the first router for a connection among those of this data centre,
+    further ones among the others. A router that didn't answer, or that can't
+    open connections itself, is left out for a while.
 
     Not thread-safe. Deterministic for a seed.
 */
