--- a/src/adapters/relay/relay_server.cpp
+++ b/src/adapters/relay/relay_server.cpp
@@ -119,7 +119,9 @@
         this->context.now(),
         nullptr);
     relay_status status = relay_status::no_reply;
-    if (request)
+    if (request && request->test_only)
+        status = co_await this->test(*request, server);
+    else if (request)
         status = co_await this->connect(*request, server);
     else
         this->context.events.report(
@@ -171,4 +173,38 @@
     co_return relay_status::unreachable;
 }
 
+asio::awaitable<relay_status> relay_server::test(
+    const relay_request& request, edge::backend_connection& server)
+{
+    const serving_table_ptr current = this->table();
+    if (!current || current->find_server(request.server) == nullptr)
+        co_return relay_status::not_listed;
+    const edge::connect_result result =
+        co_await this->opener.open_for_other(server);
+    if (result == edge::connect_result::opened)
+        co_return relay_status::opened;
+    if (result != edge::connect_result::refused)
+        co_return relay_status::unreachable;
+    const bool is_credible =
+        co_await this->reaches_another_server(request.server);
+    co_return is_credible ? relay_status::refused : relay_status::cut_off;
+}
+
+asio::awaitable<bool> relay_server::reaches_another_server(std::string server)
+{
+    const serving_table_ptr current = this->table();
+    const std::vector<std::string> others = current->servers_beside(
+        server, this->settings.max_compared_servers);
+    for (const std::string& other : others)
+    {
+        edge::backend_connection compared(
+            this->executor, other, 0, this->context.now(), nullptr);
+        const edge::connect_result result =
+            co_await this->opener.open_for_other(compared);
+        if (result == edge::connect_result::opened)
+            co_return true;
+    }
+    co_return false;
+}
+
 } // namespace roseworks::relay
--- a/src/adapters/relay/relay_server.hpp
+++ b/src/adapters/relay/relay_server.hpp
@@ -36,6 +36,9 @@
         std::size_t max_connections = 512;
         /// Time for another router to send its request.
         std::chrono::milliseconds request_timeout{1000};
+        /// Maximum number of other servers to which a connection is opened, to
+        /// show that a refusal comes from the server and not from the network.
+        std::size_t max_compared_servers = 2;
     };
 
     /// @param table Newest serving table; null: none yet.
@@ -81,6 +84,11 @@
     edge::asio::awaitable<void> serve(edge::tcp::socket socket);
     edge::asio::awaitable<relay_status>
     connect(const relay_request& request, edge::backend_connection& server);
+    /// Tests a server for another router.
+    edge::asio::awaitable<relay_status>
+    test(const relay_request& request, edge::backend_connection& server);
+    /// @return Whether another server of the same service accepts a connection.
+    edge::asio::awaitable<bool> reaches_another_server(std::string server);
     bool is_router(const edge::tcp::socket& socket) const;
 
     edge::asio::any_io_executor executor;
--- a/src/app/gateway/crash_controller.cpp
+++ b/src/app/gateway/crash_controller.cpp
@@ -39,6 +39,7 @@
     const clock_port& time,
     event_sink& sink,
     gateway_peer_port& others,
+    reach_opinion_port& opinions,
     const serving_view& servers,
     std::function<void()> blocked_handler)
     : loop(context)
@@ -51,6 +52,7 @@
     , tracker(tracker_options(this->settings), time.now())
     , examiner(
           context,
+          opinions,
           {[this](server_life life, crash_evidence evidence)
            {
                this->life_ended(life, evidence);
--- a/src/app/gateway/crash_controller.hpp
+++ b/src/app/gateway/crash_controller.hpp
@@ -49,6 +49,7 @@
         const clock_port& clock,
         event_sink& events,
         gateway_peer_port& peers,
+        reach_opinion_port& opinions,
         const serving_view& servers,
         std::function<void()> on_blocked);
 
--- a/src/app/gateway/gateway_app.hpp
+++ b/src/app/gateway/gateway_app.hpp
@@ -21,7 +21,6 @@
 
 #include <memory>
 #include <string>
-#include <vector>
 
 namespace roseworks::app
 {
@@ -63,8 +62,6 @@
     boost::leaf::result<void> listen();
     forward::forward_context make_context();
     gateway_control::callbacks make_callbacks();
-    /// Passes the other routers to the parts that relay connections.
-    void set_routers(const std::vector<router_address>& all);
     void wait_for_signals();
     void reload();
     void start_drain();
--- a/src/app/gateway/gateway_control.cpp
+++ b/src/app/gateway/gateway_control.cpp
@@ -87,12 +87,14 @@
           time,
           sink,
           *this->peers))
+    , opinions(this->loop, opinion_options())
     , crashes(std::make_unique<crash_controller>(
           this->loop,
           crash_options(initial_settings),
           time,
           sink,
           *this->peers,
+          this->opinions,
           this->serving->view(),
           this->notify.on_request_blocked))
     , limit_controller(std::make_unique<server_limit_controller>(
@@ -408,6 +410,7 @@
             this->placement->stop();
             this->limit_controller->stop();
             this->crashes->stop();
+            this->opinions.stop();
             this->quotas->stop();
             this->serving->stop();
             this->reporter.stop();
@@ -448,7 +451,10 @@
 {
     this->quotas->routers_listed(all);
     this->crashes->routers_listed(all);
-    this->notify.on_routers(all);
+    const relay_routers relays = find_relay_routers(
+        all, this->settings.vm.name, this->settings.listen.relay().port);
+    this->opinions.set_routers(relays.routers);
+    this->notify.on_routers(relays);
     this->router_addresses.clear();
     for (router_address& router : all)
         this->router_addresses[router.name] = std::move(router.address);
--- a/src/app/gateway/gateway_control.hpp
+++ b/src/app/gateway/gateway_control.hpp
@@ -3,11 +3,13 @@
 #include "adapters/edge/shared_dispatcher.hpp"
 #include "adapters/peers/gateway_peers.hpp"
 #include "adapters/platform/byte_meter.hpp"
+#include "adapters/relay/router_opinions.hpp"
 #include "adapters/settings/gateway_settings.hpp"
 #include "app/gateway/crash_controller.hpp"
 #include "app/gateway/demand_reporter.hpp"
 #include "app/gateway/placement_controller.hpp"
 #include "app/gateway/quota_controller.hpp"
+#include "app/gateway/relay_routers.hpp"
 #include "app/gateway/server_limit_controller.hpp"
 #include "app/gateway/serving_table_publisher.hpp"
 #include "app/gateway/usage_counter.hpp"
@@ -52,8 +54,8 @@
         std::function<void(std::string reason)> on_failure;
         /// A request that crashes servers has become blocked.
         std::function<void()> on_request_blocked;
-        /// The routers of the deployment, this one included, have changed.
-        std::function<void(std::vector<router_address>)> on_routers;
+        /// The other routers of the deployment have changed.
+        std::function<void(relay_routers)> on_routers;
     };
 
     gateway_control(
@@ -206,6 +208,7 @@
     std::unique_ptr<directory_port> directory;
     std::unique_ptr<gateway_peer_port> peers;
     std::unique_ptr<quota_controller> quotas;
+    relay::router_opinions opinions;
     std::unique_ptr<crash_controller> crashes;
     std::unique_ptr<server_limit_controller> limit_controller;
     std::unique_ptr<engine_command_port> commands;
--- a/src/app/gateway/gateway_options.cpp
+++ b/src/app/gateway/gateway_options.cpp
@@ -83,6 +83,13 @@
     return made;
 }
 
+relay::router_opinions::options opinion_options()
+{
+    relay::router_opinions::options made;
+    made.seed = std::random_device()();
+    return made;
+}
+
 copy_exchange::options copy_options(const settings::gateway_settings& settings)
 {
     // One copy is sent at a time for each 25 Mbit/s of the link, within bounds.
--- a/src/app/gateway/gateway_options.hpp
+++ b/src/app/gateway/gateway_options.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/peers/copy_exchange.hpp"
+#include "adapters/relay/router_opinions.hpp"
 #include "adapters/settings/gateway_settings.hpp"
 #include "app/gateway/crash_controller.hpp"
 #include "app/gateway/placement_controller.hpp"
@@ -27,6 +28,9 @@
 crash_controller::options
 crash_options(const settings::gateway_settings& settings);
 
+/// @return Options of the questions to other routers about servers.
+relay::router_opinions::options opinion_options();
+
 /// @return Options of the exchange of copies with other routers. The link of
 ///         the VM bounds how many copies are sent at once.
 copy_exchange::options copy_options(const settings::gateway_settings& settings);
--- a/src/app/gateway/life_examiner.cpp
+++ b/src/app/gateway/life_examiner.cpp
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <sstream>
 #include <utility>
 
 namespace roseworks::app
@@ -32,6 +33,13 @@
 /// More servers at once are left to the registry.
 constexpr std::size_t max_running = 64;
 
+std::string to_text(const tcp::endpoint& address)
+{
+    std::ostringstream text;
+    text << address;
+    return text.str();
+}
+
 } // namespace
 
 struct life_examiner::examination
@@ -51,8 +59,12 @@
     asio::steady_timer timer;
 };
 
-life_examiner::life_examiner(asio::io_context& context, callbacks handlers)
+life_examiner::life_examiner(
+    asio::io_context& context,
+    reach_opinion_port& other_routers,
+    callbacks handlers)
     : loop(context)
+    , others(other_routers)
     , notify(std::move(handlers))
 {
 }
@@ -116,24 +128,38 @@
 {
     boost::system::error_code ignored;
     current->socket.close(ignored);
-    if (error == asio::error::connection_refused)
-    {
-        this->notify.on_ended(current->life, crash_evidence::refused);
-        this->finish(current);
-        return;
-    }
     if (!error)
     {
         this->notify.on_reached(current->life);
         this->finish(current);
         return;
     }
-    if (current->tries < max_tries)
+    const bool is_refused = error == asio::error::connection_refused;
+    if (!is_refused && current->tries < max_tries)
     {
         this->try_again(current);
         return;
     }
-    this->notify.on_ended(current->life, crash_evidence::unreachable);
+    this->others.ask(
+        to_text(current->address),
+        [this, current](reach_opinion found)
+        {
+            if (!this->stopped)
+                this->conclude(current, found);
+        });
+}
+
+void life_examiner::conclude(
+    const examination_ptr& current, reach_opinion others_found)
+{
+    if (others_found == reach_opinion::reached)
+        this->notify.on_reached(current->life);
+    else
+        this->notify.on_ended(
+            current->life,
+            others_found == reach_opinion::refused
+                ? crash_evidence::refused
+                : crash_evidence::unreachable);
     this->finish(current);
 }
 
--- a/src/core/crashes/crash_evidence.hpp
+++ b/src/core/crashes/crash_evidence.hpp
@@ -10,7 +10,7 @@
 enum class crash_evidence : std::uint8_t
 {
     unreachable = 1, ///< no connection could be opened for some seconds
-    refused = 2,     ///< it refused a new connection
+    refused = 2,     ///< it refused new connections of several routers
     replaced = 3,    ///< another server runs at its address
     restarted = 4,   ///< it registered again with another start time
     removed = 5      ///< its entry left the registry
--- a/src/core/serving/serving_table.cpp
+++ b/src/core/serving/serving_table.cpp
@@ -93,6 +93,21 @@
     return found == this->content.servers.end() ? nullptr : &found->second;
 }
 
+std::vector<std::string> serving_table::servers_beside(
+    const std::string& address, std::size_t max) const
+{
+    std::vector<std::string> result;
+    const server_identity* known = this->find_server(address);
+    for (const auto& [other, identity] : this->content.servers)
+    {
+        if (known == nullptr || result.size() == max)
+            break;
+        if (other != address && identity.service == known->service)
+            result.push_back(other);
+    }
+    return result;
+}
+
 bool serving_table::has_engines(std::string_view service) const
 {
     return this->content.catalogue->engine_services.contains(
--- a/src/core/serving/serving_table.hpp
+++ b/src/core/serving/serving_table.hpp
@@ -6,6 +6,7 @@
 
 #include <roseworks/routing_table.hpp>
 
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -79,6 +80,10 @@
     /// @return The server that runs at an address, or null.
     const server_identity* find_server(const std::string& address) const;
 
+    /// @return Addresses of other servers of the same service, at most `max`.
+    std::vector<std::string>
+    servers_beside(const std::string& address, std::size_t max) const;
+
     /// @return Whether the service consists of model engines.
     bool has_engines(std::string_view service) const;
 
