--- a/src/app/gateway/gateway_app.cpp
+++ b/src/app/gateway/gateway_app.cpp
@@ -156,7 +156,10 @@
           this->direct,
           this->clock,
           this->events,
-          [] {})
+          [this]
+          {
+              this->control->servers_cut_off(this->opener.is_cut_off());
+          })
     , context(this->make_context())
     , server(this->traffic.get_executor(), this->context, make_edge_options())
     , relays(
--- a/src/app/gateway/gateway_control.cpp
+++ b/src/app/gateway/gateway_control.cpp
@@ -27,6 +27,10 @@
 /// loaded. A new owner takes over within its predecessor's term plus a second.
 constexpr duration max_ownerless_period = std::chrono::milliseconds(4000);
 
+/// `TCP_USER_TIMEOUT` of connections that only test whether an engine accepts
+/// them.
+constexpr std::chrono::milliseconds engine_user_timeout{1000};
+
 asio::ip::udp::endpoint udp_endpoint(const settings::socket_address& address)
 {
     return {asio::ip::make_address(address.ip), address.port};
@@ -116,13 +120,25 @@
               }}))
     , commands(std::make_unique<users_platform::engine_commands>(
           this->loop, command_options(initial_settings), this->meter))
+    , direct(engine_user_timeout)
+    , engines(
+          this->loop,
+          engine_reach::options(),
+          time,
+          *this->commands,
+          this->direct,
+          this->opinions,
+          [this](bool)
+          {
+              this->update_may_own();
+          })
     , placement(std::make_unique<placement_controller>(
           this->loop,
           placement_options(initial_settings),
           initial_settings.vm.name,
           time,
           sink,
-          *this->commands,
+          this->engines,
           this->serving->view(),
           [this]
           {
@@ -161,6 +177,7 @@
             this->owner_missing_since = this->clock.now();
             this->serving->start();
             this->peers->start(*this);
+            this->engines.start();
             this->placement->start();
             this->quotas->start();
             this->crashes->start();
@@ -396,6 +413,24 @@
         });
 }
 
+void gateway_control::servers_cut_off(bool cut_off)
+{
+    asio::post(
+        this->loop,
+        [this, cut_off]
+        {
+            this->traffic_cut_off = cut_off;
+            this->update_may_own();
+        });
+}
+
+void gateway_control::update_may_own()
+{
+    const bool is_cut_off =
+        this->traffic_cut_off || this->engines.is_cut_off();
+    this->directory->set_may_own(!is_cut_off);
+}
+
 void gateway_control::stop()
 {
     if (!this->thread.joinable())
@@ -407,6 +442,7 @@
             this->copies->stop();
             this->directory->stop();
             this->peers->stop();
+            this->engines.stop();
             this->placement->stop();
             this->limit_controller->stop();
             this->crashes->stop();
--- a/src/app/gateway/gateway_control.hpp
+++ b/src/app/gateway/gateway_control.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/edge/direct_opener.hpp"
 #include "adapters/edge/shared_dispatcher.hpp"
 #include "adapters/peers/gateway_peers.hpp"
 #include "adapters/platform/byte_meter.hpp"
@@ -7,6 +8,7 @@
 #include "adapters/settings/gateway_settings.hpp"
 #include "app/gateway/crash_controller.hpp"
 #include "app/gateway/demand_reporter.hpp"
+#include "app/gateway/engine_reach.hpp"
 #include "app/gateway/placement_controller.hpp"
 #include "app/gateway/quota_controller.hpp"
 #include "app/gateway/relay_routers.hpp"
@@ -87,6 +89,10 @@
     /// @param server id of its registry entry.
     void server_unreachable(const std::string& server);
 
+    /// Whether the traffic thread reaches most servers only through other
+    /// routers. Meanwhile this router doesn't own placement.
+    void servers_cut_off(bool cut_off);
+
     /// Stops and joins the thread.
     void stop();
 
@@ -185,6 +191,8 @@
     /// @return The addresses of all routers except this one.
     std::vector<std::string> other_addresses() const;
     void send_to_owner(router_report message);
+    /// Tells the directory whether this router may own placement.
+    void update_may_own();
 
     /// The owner of placement, from its latest announcement.
     struct known_owner
@@ -212,6 +220,8 @@
     std::unique_ptr<crash_controller> crashes;
     std::unique_ptr<server_limit_controller> limit_controller;
     std::unique_ptr<engine_command_port> commands;
+    edge::direct_opener direct;
+    engine_reach engines;
     std::unique_ptr<placement_controller> placement;
     usage_counter usage;
     std::map<std::string, std::string> router_addresses; ///< by name
@@ -220,6 +230,7 @@
     demand_reporter reporter;
     boost::asio::steady_timer usage_report_timer;
     std::size_t live_routers = 1;
+    bool traffic_cut_off = false; ///< as the traffic thread reports it
     std::atomic<bool> deployment_stale{false};
     instant store_lost_at;
     std::thread thread;
--- a/src/ports/directory_port.hpp
+++ b/src/ports/directory_port.hpp
@@ -106,6 +106,10 @@
     /// none is.
     virtual void set_owner_known(bool known) = 0;
 
+    /// Tells whether this router may own placement. One that may not releases
+    /// ownership at once and doesn't apply for it.
+    virtual void set_may_own(bool may_own) = 0;
+
     /// Another router sent an update that it has read from the store.
     virtual void apply_peer_update(const directory_update& update) = 0;
 
--- a/tests/unit/users_platform/test_router_registration.cpp
+++ b/tests/unit/users_platform/test_router_registration.cpp
@@ -91,7 +91,11 @@
     void server_read(server_entry) override {}
     void server_removed(std::string_view) override {}
     void routers_listed(std::vector<router_address>) override {}
-    void ownership_ended() override {}
+    void ownership_ended() override
+    {
+        this->released = true;
+    }
+
     void store_unreachable() override {}
     void store_reachable() override {}
     void store_outage_ended(instant) override {}
@@ -113,6 +117,7 @@
     asio::io_context& loop;
     std::optional<placement_tenure> last_tenure;
     bool ended = false;
+    bool released = false; ///< the other routers may apply
 };
 
 store_directory::options options_for(const fake_store& store, duration lease)
@@ -397,3 +402,54 @@
     const std::vector<std::string> done = store.history();
     cr_assert_eq(std::ranges::count(done, "join"), 1);
 }
+
+/// Guards against an owner that is cut off from all engines and stays owner.
+Test(store_directory, a_router_that_may_not_own_releases_ownership)
+{
+    fake_store store;
+    store.put("edge-1", record(false, 3));
+    asio::io_context loop;
+    platform::byte_meter meter;
+    const platform::system_clock clock;
+    events::null_event_sink sink;
+    store_directory::options settings = options_for(store, 1ms);
+    settings.renewal_interval = 1ms;
+    null_copy_port copies;
+    store_directory directory(loop, settings, clock, sink, meter, copies);
+    tenure_listener listener(loop);
+    directory.start(listener);
+    directory.set_owner_known(false);
+    loop.run();
+    cr_assert(listener.last_tenure.has_value());
+    directory.set_may_own(false);
+    cr_assert_not(listener.last_tenure.has_value());
+    const auto run_on = [&](auto reached)
+    {
+        while (!reached())
+        {
+            loop.restart();
+            loop.run_one();
+        }
+    };
+    run_on(
+        [&]
+        {
+            return listener.released;
+        });
+    const std::vector<std::string> before = store.history();
+    directory.set_owner_known(false);
+    const int seen = store.reads();
+    run_on(
+        [&]
+        {
+            return store.reads() >= seen + 6;
+        });
+    cr_assert(store.history() == before, "it doesn't apply");
+    directory.set_may_own(true);
+    run_on(
+        [&]
+        {
+            return listener.last_tenure.has_value();
+        });
+    directory.stop();
+}
