--- a/src/app/gateway/gateway_app.cpp
+++ b/src/app/gateway/gateway_app.cpp
@@ -47,6 +47,10 @@
 /// retransmitted only after a second.
 constexpr milliseconds backend_connect_timeout{300};
 
+/// Time without an acknowledgement after which a connection to a backend server
+/// or a router is dead. A server may be silent for a second and go on.
+constexpr milliseconds backend_user_timeout{2500};
+
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_unavailable = 503;
@@ -69,6 +73,7 @@
     made.connect_timeout = backend_connect_timeout;
     made.connection_max_idle = backend_max_idle;
     made.non_repeatable_max_idle = single_send_max_idle;
+    made.tcp_user_timeout = backend_user_timeout;
     made.max_idle_connections = 8;
     made.connection_max_age = milliseconds(300'000);
     return made;
