--- a/src/adapters/edge/backend_connection.cpp
+++ b/src/adapters/edge/backend_connection.cpp
@@ -17,7 +17,8 @@
 
 /// The first probe goes out early: `TCP_USER_TIMEOUT` ends a connection once it
 /// has passed since the last byte and a probe is unanswered. With a first probe
-/// after the timeout, a server that is silent for one interval would be dropped.
+/// after the timeout, a server that is silent for one interval would be
+/// dropped.
 constexpr int keepalive_idle_seconds = 1;
 constexpr int keepalive_interval_seconds = 1;
 constexpr int keepalive_probes = 3;
--- a/src/adapters/edge/backend_connection.hpp
+++ b/src/adapters/edge/backend_connection.hpp
@@ -43,10 +43,10 @@
     std::string address;  ///< ip:port
     std::uint64_t serial; ///< increases with each new connection
     instant opened;
-    instant last_used;                   ///< end of the last exchange
-    bool pooled = false;                 ///< has carried an exchange before
+    instant last_used;      ///< end of the last exchange
+    bool pooled = false;    ///< has carried an exchange before
     bool abandoned = false; ///< nobody waits for it any more
-    std::string relay; ///< name of the router that relays it; empty: none
+    std::string relay;      ///< name of the router that relays it; empty: none
     const tls::connector* tls_connector; ///< null: plain TCP
 };
 
--- a/src/adapters/forward/forward_call.hpp
+++ b/src/adapters/forward/forward_call.hpp
@@ -146,9 +146,9 @@
     std::shared_ptr<edge::call_inbox> inbox;
     ticket admission_ticket;
     sse_event_splitter events;
-    std::uint32_t attempts = 0;  ///< that may have run the request
-    std::uint32_t sends = 0;     ///< that sent data, including refused ones
-    std::string last_server;     ///< instance ID; of the last attempt
+    std::uint32_t attempts = 0; ///< that may have run the request
+    std::uint32_t sends = 0;    ///< that sent data, including refused ones
+    std::string last_server;    ///< instance ID; of the last attempt
     std::string last_relay; ///< router that relayed the last attempt; or empty
     std::string last_rate_limit; ///< in the last response; empty: none
     body_framing last_framing = body_framing::none; ///< of the last response
--- a/src/adapters/forward/server_exchange.cpp
+++ b/src/adapters/forward/server_exchange.cpp
@@ -110,8 +110,7 @@
     const duration max_timeout = this->context.options.connect_timeout;
     const edge::connect_result result =
         co_await this->context.ports.connections.open(
-            *this->connection,
-            std::clamp(remaining, duration(1), max_timeout));
+            *this->connection, std::clamp(remaining, duration(1), max_timeout));
     if (this->inbox.interrupted())
         co_return exchange_state::interrupted;
     co_return result == edge::connect_result::opened ? exchange_state::ok
--- a/src/adapters/peers/copy_exchange.cpp
+++ b/src/adapters/peers/copy_exchange.cpp
@@ -1,8 +1,8 @@
 #include "adapters/peers/copy_exchange.hpp"
 
 #include "adapters/peers/checksum_frame.hpp"
-#include "adapters/peers/length_prefix.hpp"
 #include "adapters/peers/decode_message.hpp"
+#include "adapters/peers/length_prefix.hpp"
 #include "adapters/platform/endpoint.hpp"
 
 #include <boost/asio/buffer.hpp>
@@ -106,8 +106,9 @@
         copy = std::make_shared<const directory_copy>();
     if (copy != this->last_copy)
     {
-        this->last_frame = std::make_shared<const std::string>(
-            peers::add_length_prefix(peers::add_checksum(peers::serialise(*copy))));
+        this->last_frame =
+            std::make_shared<const std::string>(peers::add_length_prefix(
+                peers::add_checksum(peers::serialise(*copy))));
         this->last_copy = std::move(copy);
     }
     return this->last_frame;
@@ -148,8 +149,8 @@
         endpoint, asio::redirect_error(asio::use_awaitable, error));
     if (error)
         co_return std::nullopt;
-    auto frame = std::make_shared<const std::string>(
-        peers::add_length_prefix(peers::add_checksum(peers::serialise(request))));
+    auto frame = std::make_shared<const std::string>(peers::add_length_prefix(
+        peers::add_checksum(peers::serialise(request))));
     const bool sent = co_await this->write_frame(connection, std::move(frame));
     if (!sent)
         co_return std::nullopt;
--- a/src/adapters/relay/relay_handshake.cpp
+++ b/src/adapters/relay/relay_handshake.cpp
@@ -46,7 +46,9 @@
 }
 
 asio::awaitable<relay_status> exchange_handshake(
-    tls::secure_stream& stream, tcp::endpoint router, const relay_request& request)
+    tls::secure_stream& stream,
+    tcp::endpoint router,
+    const relay_request& request)
 {
     const auto [connect_error] =
         co_await stream.async_connect(router, use_awaitable_tuple);
@@ -77,7 +79,8 @@
     return encode_message(reply);
 }
 
-asio::awaitable<std::optional<relay_request>> read_request(tls::secure_stream& stream)
+asio::awaitable<std::optional<relay_request>>
+read_request(tls::secure_stream& stream)
 {
     auto request = co_await read_message<relay_request>(stream);
     co_return request;
--- a/src/adapters/relay/relay_messages.hpp
+++ b/src/adapters/relay/relay_messages.hpp
@@ -50,7 +50,8 @@
 struct relay_request
 {
     std::string server; ///< ip:port of a registered server
-    bool test_only = false; ///< whether the connection is closed after the reply
+    bool test_only =
+        false; ///< whether the connection is closed after the reply
 
     template <class Archive>
     void serialize(Archive& archive)
--- a/src/adapters/relay/relay_server.cpp
+++ b/src/adapters/relay/relay_server.cpp
@@ -193,8 +193,8 @@
 asio::awaitable<bool> relay_server::reaches_another_server(std::string server)
 {
     const serving_table_ptr current = this->table();
-    const std::vector<std::string> others = current->servers_beside(
-        server, this->settings.max_compared_servers);
+    const std::vector<std::string> others =
+        current->servers_beside(server, this->settings.max_compared_servers);
     for (const std::string& other : others)
     {
         edge::backend_connection compared(
--- a/src/adapters/relay/relayed_opener.cpp
+++ b/src/adapters/relay/relayed_opener.cpp
@@ -74,8 +74,8 @@
 asio::awaitable<connect_result>
 relayed_opener::open_for_other(edge::backend_connection& connection)
 {
-    const connect_result result = co_await this->open_directly(
-        connection, this->settings.direct_timeout);
+    const connect_result result =
+        co_await this->open_directly(connection, this->settings.direct_timeout);
     co_return result;
 }
 
@@ -126,9 +126,8 @@
             this->selector.failed(name, answered);
             break;
         }
-        const bool is_unreached =
-            unanswered >= this->settings.max_unanswered ||
-            refusals >= this->settings.max_refusals;
+        const bool is_unreached = unanswered >= this->settings.max_unanswered ||
+                                  refusals >= this->settings.max_refusals;
         if (!is_unreached)
             continue;
         this->reach.unreached_by_all(connection.address, answered);
--- a/src/adapters/relay/router_opinions.cpp
+++ b/src/adapters/relay/router_opinions.cpp
@@ -79,8 +79,7 @@
     this->answered(current, status);
 }
 
-void router_opinions::answered(
-    const question_ptr& current, relay_status status)
+void router_opinions::answered(const question_ptr& current, relay_status status)
 {
     --current->pending;
     current->refusals += status == relay_status::refused ? 1 : 0;
--- a/src/app/gateway/gateway_control.cpp
+++ b/src/app/gateway/gateway_control.cpp
@@ -426,8 +426,7 @@
 
 void gateway_control::update_may_own()
 {
-    const bool is_cut_off =
-        this->traffic_cut_off || this->engines.is_cut_off();
+    const bool is_cut_off = this->traffic_cut_off || this->engines.is_cut_off();
     this->directory->set_may_own(!is_cut_off);
 }
 
--- a/src/core/reach/relay_selector.hpp
+++ b/src/core/reach/relay_selector.hpp
@@ -49,8 +49,7 @@
 
     /// @param tried Names of routers that aren't chosen.
     /// @return      Null if there is no router.
-    const relay_router*
-    choose(std::span<const std::string> tried, instant now);
+    const relay_router* choose(std::span<const std::string> tried, instant now);
 
     void succeeded(const std::string& router);
     void failed(const std::string& router, instant now);
--- a/src/core/serving/serving_table.cpp
+++ b/src/core/serving/serving_table.cpp
@@ -93,8 +93,8 @@
     return found == this->content.servers.end() ? nullptr : &found->second;
 }
 
-std::vector<std::string> serving_table::servers_beside(
-    const std::string& address, std::size_t max) const
+std::vector<std::string>
+serving_table::servers_beside(const std::string& address, std::size_t max) const
 {
     std::vector<std::string> result;
     const server_identity* known = this->find_server(address);
--- a/tests/unit/cut_off_routers/test_cut_off_routers.cpp
+++ b/tests/unit/cut_off_routers/test_cut_off_routers.cpp
@@ -31,8 +31,7 @@
 
 bool is_served(const std::string& response)
 {
-    return response.starts_with("HTTP/1.1 200 ") &&
-           response.ends_with("hello");
+    return response.starts_with("HTTP/1.1 200 ") && response.ends_with("hello");
 }
 
 /// Asks a router for a connection to a server, as another router does.
@@ -137,12 +136,10 @@
         [](backend_peer& peer)
         {
             peer.read_request();
-            peer.send(
-                "HTTP/1.1 200 OK\r\nAttempt-Id: 9c41\r\n"
-                "Response-Seal: 3e1b\r\n\r\nhel");
+            peer.send("HTTP/1.1 200 OK\r\nAttempt-Id: 9c41\r\n"
+                      "Response-Seal: 3e1b\r\n\r\nhel");
             std::this_thread::sleep_for(50ms);
-            peer.socket.set_option(
-                boost::asio::socket_base::linger(true, 0));
+            peer.socket.set_option(boost::asio::socket_base::linger(true, 0));
             peer.socket.close();
         });
     forward_fixture other({&server});
@@ -150,7 +147,8 @@
     test.know_router(other);
     test.direct.network = cut::refusing;
     const std::string response = test.exchange(test.request("POST", "/once/1"));
-    cr_assert_not(response.starts_with("HTTP/1.1 200 "), "%s", response.c_str());
+    cr_assert_not(
+        response.starts_with("HTTP/1.1 200 "), "%s", response.c_str());
 }
 
 Test(cut_off_routers, get_the_end_of_a_connection_as_an_end)
@@ -159,9 +157,8 @@
         [](backend_peer& peer)
         {
             peer.read_request();
-            peer.send(
-                "HTTP/1.1 200 OK\r\nAttempt-Id: 9c41\r\n"
-                "Response-Seal: 3e1b\r\n\r\nhello");
+            peer.send("HTTP/1.1 200 OK\r\nAttempt-Id: 9c41\r\n"
+                      "Response-Seal: 3e1b\r\n\r\nhello");
             peer.shut_down();
         });
     forward_fixture other({&server});
@@ -204,8 +201,7 @@
     fake_backend server(answer_all);
     fake_backend stranger(answer_all);
     forward_fixture test({&server});
-    cr_assert_eq(
-        ask(test, server.address()), relay::relay_status::opened);
+    cr_assert_eq(ask(test, server.address()), relay::relay_status::opened);
     cr_assert_eq(
         ask(test, stranger.address()), relay::relay_status::not_listed);
     cr_assert_eq(ask(test, "nonsense"), relay::relay_status::not_listed);
--- a/tests/unit/forward/forward_fixture.cpp
+++ b/tests/unit/forward/forward_fixture.cpp
@@ -293,8 +293,7 @@
 void forward_fixture::know_router(const forward_fixture& other)
 {
     const tcp::endpoint endpoint = other.relay_endpoint();
-    const std::string address =
-        "127.0.0.1:" + std::to_string(endpoint.port());
+    const std::string address = "127.0.0.1:" + std::to_string(endpoint.port());
     this->run_on_loop(
         [&]
         {
