--- a/src/adapters/forward/forward_metrics.cpp
+++ b/src/adapters/forward/forward_metrics.cpp
@@ -15,6 +15,9 @@
     , retries_denied(registry.add_counter<>(
           "roseworks_forward_retries_denied_total",
           "Retries that the shared budget didn't allow."))
+    , relayed_connections(registry.add_counter<>(
+          "roseworks_relayed_connections_total",
+          "Connections to backend servers opened through another router."))
     , late_answers(registry.add_counter<>(
           "roseworks_late_answers_total",
           "Answers of backend servers that belonged to no request."))
--- a/src/adapters/forward/forward_metrics.hpp
+++ b/src/adapters/forward/forward_metrics.hpp
@@ -93,6 +93,7 @@
     metrics::counter<request_end>& requests;
     metrics::counter<>& retries;
     metrics::counter<>& retries_denied;
+    metrics::counter<>& relayed_connections;
     metrics::counter<>& late_answers;
     metrics::counter<>& silent_connections;
     metrics::gauge<>& connections;
--- a/src/adapters/forward/server_exchange.cpp
+++ b/src/adapters/forward/server_exchange.cpp
@@ -111,6 +111,8 @@
     const edge::connect_result result =
         co_await this->context.ports.connections.open(
             *this->connection, std::clamp(remaining, duration(1), max_timeout));
+    if (!this->connection->relay.empty())
+        this->context.metrics.relayed_connections.increment();
     if (this->inbox.interrupted())
         co_return exchange_state::interrupted;
     co_return result == edge::connect_result::opened ? exchange_state::ok
--- a/src/adapters/relay/relay_messages.hpp
+++ b/src/adapters/relay/relay_messages.hpp
@@ -16,11 +16,12 @@
     unreachable = 3, ///< the server didn't answer in time
     not_listed = 4,  ///< it knows no server at the address
     busy = 5,        ///< it shuts down, or relays as many as it may
-    cut_off = 6      ///< it doesn't reach the server itself, but others do
+    cut_off = 6,     ///< it reaches no servers itself, but others do
+    not_tried = 7    ///< it has just got no answer from the server itself
 };
 
 /// Number of the last status.
-inline constexpr std::uint8_t last_relay_status = 6;
+inline constexpr std::uint8_t last_relay_status = 7;
 
 /// @return The name that log lines use.
 constexpr std::string_view to_string(relay_status status)
@@ -41,6 +42,8 @@
         return "busy";
     case relay_status::cut_off:
         return "cut_off";
+    case relay_status::not_tried:
+        return "not_tried";
     }
     return "no_reply";
 }
--- a/src/adapters/relay/relay_server.cpp
+++ b/src/adapters/relay/relay_server.cpp
@@ -155,9 +155,9 @@
     const serving_table_ptr current = this->table();
     if (!current || current->find_server(request.server) == nullptr)
         co_return relay_status::not_listed;
-    if (!this->opener.reaches(request.server))
+    if (!this->opener.tries_for_other(request.server))
         co_return this->opener.is_cut_off() ? relay_status::cut_off
-                                            : relay_status::unreachable;
+                                            : relay_status::not_tried;
     const edge::connect_result result =
         co_await this->opener.open_for_other(server);
     server.stream.expires_never();
--- a/src/adapters/relay/relayed_opener.cpp
+++ b/src/adapters/relay/relayed_opener.cpp
@@ -39,9 +39,18 @@
         result = co_await this->open_directly(connection, limit);
     if (result == connect_result::opened || connection.abandoned)
         co_return result;
-    if (!this->reach.asks_others(connection.address, this->clock.now()))
-        co_return result;
-    result = co_await this->open_through_others(connection, result, until);
+    if (this->reach.asks_others(connection.address, this->clock.now()))
+        result = co_await this->open_through_others(connection, result, until);
+    const instant now = this->clock.now();
+    const bool is_last_resort =
+        result != connect_result::opened && !is_direct &&
+        !connection.abandoned && now < until &&
+        this->reach.tries_as_last_resort(connection.address, now);
+    if (is_last_resort)
+    {
+        connection.stream.close();
+        result = co_await this->open_directly(connection, until - now);
+    }
     this->report_change();
     co_return result;
 }
@@ -122,6 +131,8 @@
             direct_result = connect_result::failed;
             ++unanswered;
             break;
+        case relay_status::not_tried:
+            break;
         default:
             this->selector.failed(name, answered);
             break;
@@ -144,6 +155,12 @@
     return now - connection.opened < this->settings.relayed_max_age;
 }
 
+void relayed_opener::tick()
+{
+    this->reach.tick(this->clock.now());
+    this->report_change();
+}
+
 void relayed_opener::report_change()
 {
     const bool is_cut_off = this->reach.is_cut_off();
--- a/src/adapters/relay/relayed_opener.hpp
+++ b/src/adapters/relay/relayed_opener.hpp
@@ -72,17 +72,20 @@
 
     bool may_reuse(const edge::backend_connection& connection) const override;
 
+    /// Judges anew; call it about once a second.
+    void tick();
+
     /// @return Whether other routers reach the servers that this one doesn't.
     bool is_cut_off() const
     {
         return this->reach.is_cut_off();
     }
 
-    /// @return Whether this router would open a connection to the server
-    ///         directly now.
-    bool reaches(std::string_view server) const
+    /// @return Whether this router tries to open a connection to the server for
+    ///         another router.
+    bool tries_for_other(std::string_view server) const
     {
-        return this->reach.tries_direct(server, this->clock.now());
+        return this->reach.tries_as_last_resort(server, this->clock.now());
     }
 
     /// Opens a connection for another router, directly only.
--- a/src/app/gateway/engine_reach.cpp
+++ b/src/app/gateway/engine_reach.cpp
@@ -89,7 +89,9 @@
 
 void engine_reach::unanswered(const std::string& address)
 {
-    this->unanswered_engines.try_emplace(address, this->clock.now());
+    const instant now = this->clock.now();
+    this->unanswered_engines.try_emplace(address, missing_answer{now, now})
+        .first->second.last = now;
 }
 
 void engine_reach::schedule_round()
@@ -108,14 +110,23 @@
 void engine_reach::start_tests()
 {
     const instant now = this->clock.now();
+    this->reach.tick(now);
+    this->report_change();
+    if (!this->reach.is_cut_off())
+        std::erase_if(
+            this->unanswered_engines,
+            [&](const auto& entry)
+            {
+                return now - entry.second.last > this->settings.test_period;
+            });
     std::vector<std::string> due;
-    for (auto& [address, next_test] : this->unanswered_engines)
+    for (auto& [address, missing] : this->unanswered_engines)
     {
         if (due.size() == this->settings.max_tests_per_round)
             break;
-        if (now < next_test)
+        if (now < missing.next_test)
             continue;
-        next_test = now + this->settings.test_interval;
+        missing.next_test = now + this->settings.test_interval;
         due.push_back(address);
     }
     // A test may end at once and change the map.
@@ -147,17 +158,25 @@
         address,
         [this, address](reach_opinion found)
         {
-            if (found == reach_opinion::reached)
-                this->reach.opened_by_other(address, this->clock.now());
-            else
-            {
-                this->reach.unreached_by_all(address, this->clock.now());
-                this->unanswered_engines.erase(address);
-            }
-            this->report_change();
+            this->handle_opinion(address, found);
         });
 }
 
+void engine_reach::handle_opinion(
+    const std::string& address, reach_opinion found)
+{
+    const instant now = this->clock.now();
+    if (found == reach_opinion::reached)
+        this->reach.opened_by_other(address, now);
+    else
+        this->reach.unreached_by_all(address, now);
+    // Only engines that others reach can show that this router reaches them
+    // again.
+    if (found != reach_opinion::reached && this->reach.is_cut_off())
+        this->unanswered_engines.erase(address);
+    this->report_change();
+}
+
 void engine_reach::report_change()
 {
     const bool is_cut_off = this->reach.is_cut_off();
--- a/src/app/gateway/engine_reach.hpp
+++ b/src/app/gateway/engine_reach.hpp
@@ -40,6 +40,9 @@
         std::chrono::milliseconds connect_timeout{250};
         /// Interval between two tests of the same engine.
         duration test_interval = std::chrono::seconds(1);
+        /// An engine is tested for this time after its last missing answer, and
+        /// longer while this router is cut off.
+        duration test_period = std::chrono::seconds(3);
         /// Maximum number of tests within `round_interval`.
         std::size_t max_tests_per_round = 6;
         std::chrono::milliseconds round_interval{500};
@@ -75,10 +78,17 @@
     }
 
 private:
+    struct missing_answer
+    {
+        instant last; ///< when an answer was last missing
+        instant next_test;
+    };
+
     void answered(const std::string& address);
     void unanswered(const std::string& address);
     void schedule_round();
     void start_tests();
+    void handle_opinion(const std::string& address, reach_opinion found);
     boost::asio::awaitable<void> test(std::string address);
     void report_change();
 
@@ -90,8 +100,8 @@
     reach_opinion_port& others;
     std::function<void(bool)> notify;
     server_reach reach;
-    /// Engines that didn't answer, by the time of their next test.
-    std::map<std::string, instant> unanswered_engines;
+    /// Engines that didn't answer, by address.
+    std::map<std::string, missing_answer> unanswered_engines;
     boost::asio::steady_timer round_timer;
     bool was_cut_off = false; ///< when `notify` was last called
     bool stopped = false;
--- a/src/app/gateway/gateway_app.cpp
+++ b/src/app/gateway/gateway_app.cpp
@@ -190,7 +190,7 @@
           })
     , signals(this->traffic, SIGINT, SIGTERM, SIGHUP)
     , drain_timer(this->traffic)
-    , dropped_lines_timer(this->traffic)
+    , second_timer(this->traffic)
 {
 }
 
@@ -328,7 +328,7 @@
          {"version", ROSEWORKS_VERSION},
          {"incarnation", this->clock.wall()}});
     this->wait_for_signals();
-    this->report_dropped_lines();
+    this->run_every_second();
     this->control->start();
     this->traffic.run();
     this->control->stop();
@@ -351,7 +351,7 @@
         });
 }
 
-void gateway_app::report_dropped_lines()
+void gateway_app::run_every_second()
 {
     constexpr std::chrono::seconds interval{1};
     const auto dropped = this->events.take_dropped_lines();
@@ -360,12 +360,13 @@
             event_id::lines_left_out,
             {{"over_limit", dropped.over_limit},
              {"not_taken", dropped.not_taken}});
-    this->dropped_lines_timer.expires_after(interval);
-    this->dropped_lines_timer.async_wait(
+    this->opener.tick();
+    this->second_timer.expires_after(interval);
+    this->second_timer.async_wait(
         [this](const boost::system::error_code& error)
         {
             if (!error)
-                this->report_dropped_lines();
+                this->run_every_second();
         });
 }
 
--- a/src/app/gateway/gateway_app.hpp
+++ b/src/app/gateway/gateway_app.hpp
@@ -66,7 +66,8 @@
     void reload();
     void start_drain();
     void check_drained();
-    void report_dropped_lines();
+    /// Reports lines that were not written, and judges the ways to the servers.
+    void run_every_second();
     void finish();
     forward::probe_response readiness() const;
     forward::probe_response metrics_page(std::string_view path) const;
@@ -90,7 +91,7 @@
     forward::probe_server metrics_probe;
     boost::asio::signal_set signals;
     boost::asio::steady_timer drain_timer;
-    boost::asio::steady_timer dropped_lines_timer;
+    boost::asio::steady_timer second_timer;
     instant drain_start;
     bool draining = false;
     bool idle_closed = false;
--- a/src/core/reach/server_reach.cpp
+++ b/src/core/reach/server_reach.cpp
@@ -22,6 +22,21 @@
     return !this->cut_off || is_proven;
 }
 
+bool server_reach::tries_as_last_resort(
+    std::string_view server, instant now) const
+{
+    const auto is_recent = [&](const std::optional<instant>& attempt)
+    {
+        return attempt && now - *attempt <= this->settings.unanswered_lifetime;
+    };
+    const way* known = this->find(server);
+    const bool was_unanswered = known != nullptr &&
+                                known->last_failure == failure::no_answer &&
+                                is_recent(known->failed_at);
+    return !was_unanswered &&
+           !(this->cut_off && is_recent(this->last_unanswered));
+}
+
 bool server_reach::asks_others(std::string_view server, instant now) const
 {
     const way* known = this->find(server);
@@ -52,6 +67,8 @@
     known.reached_by_other = known.failed_at && known.reached_by_other;
     known.failed_at = now;
     known.last_failure = how;
+    if (how == failure::no_answer)
+        this->last_unanswered = now;
     known.retry_interval = std::clamp(
         known.retry_interval * 2,
         this->settings.min_retry_interval,
--- a/src/core/reach/server_reach.hpp
+++ b/src/core/reach/server_reach.hpp
@@ -42,9 +42,12 @@
         /// Servers that only other routers reach, from which on this router
         /// counts as cut off.
         std::size_t min_lost_servers = 2;
+        /// For this time after an attempt without an answer, further ones are
+        /// expected to get none.
+        duration unanswered_lifetime = std::chrono::milliseconds(500);
         /// After both ways to a server have failed, other routers aren't asked
         /// for this time.
-        duration unreached_lifetime = std::chrono::seconds(1);
+        duration unreached_lifetime = std::chrono::milliseconds(300);
         std::uint64_t seed = 1;
     };
 
@@ -60,6 +63,12 @@
     /// @return Whether the direct way to a server is tried first.
     bool tries_direct(std::string_view server, instant now) const;
 
+    /// @return Whether the direct way is tried when there is no other one, or
+    /// for
+    ///         another router. It isn't while the attempt would most likely
+    ///         cost a timeout.
+    bool tries_as_last_resort(std::string_view server, instant now) const;
+
     /// @return Whether other routers may be asked for a way to a server.
     bool asks_others(std::string_view server, instant now) const;
 
@@ -77,6 +86,13 @@
     /// Neither this router nor others could open a connection to a server.
     void unreached_by_all(std::string_view server, instant now);
 
+    /// Forgets what is too old. Without it, a router that sends nothing would
+    /// keep its judgement.
+    void tick(instant now)
+    {
+        this->update(now);
+    }
+
     bool is_cut_off() const
     {
         return this->cut_off;
@@ -113,6 +129,7 @@
 
     options settings;
     std::map<std::string, way, std::less<>> ways; ///< by address
+    std::optional<instant> last_unanswered; ///< direct attempt, to any server
     std::mt19937_64 random;
     bool cut_off = false;
     std::size_t lost = 0;
--- a/tests/unit/cut_off_routers/test_cut_off_routers.cpp
+++ b/tests/unit/cut_off_routers/test_cut_off_routers.cpp
@@ -9,10 +9,12 @@
 #include <atomic>
 #include <chrono>
 #include <memory>
+#include <random>
 #include <string>
 #include <string_view>
 #include <thread>
 #include <utility>
+#include <vector>
 
 #include <criterion/criterion.h>
 
@@ -52,6 +54,44 @@
     return status;
 }
 
+/// Routers that know each other and the same servers.
+struct fleet
+{
+    fleet(int size, const std::vector<fake_backend*>& servers)
+    {
+        for (int i = 0; i < size; ++i)
+            this->all.push_back(std::make_unique<forward_fixture>(servers));
+        for (const auto& one : this->all)
+        {
+            std::vector<const forward_fixture*> others;
+            for (const auto& other : this->all)
+            {
+                if (other != one)
+                    others.push_back(other.get());
+            }
+            one->know_routers(others);
+        }
+    }
+
+    /// Sends requests to each router, one after the other.
+    /// @return Number of requests that were served.
+    int serve_all(int count_per_router) const
+    {
+        int served = 0;
+        for (int i = 0; i < count_per_router; ++i)
+        {
+            for (const auto& one : this->all)
+                served += is_served(one->exchange(
+                              forward_fixture::request("POST", "/once/1")))
+                              ? 1
+                              : 0;
+        }
+        return served;
+    }
+
+    std::vector<std::unique_ptr<forward_fixture>> all;
+};
+
 /// @return The response of a router that reaches no server itself and knows one
 ///         that does.
 std::string exchange_while_cut_off(cut how, std::string_view target)
@@ -196,6 +236,39 @@
     cr_assert_eq(other.relayed_connections(), 0);
 }
 
+Test(cut_off_routers, are_served_by_the_one_router_that_reaches_the_servers)
+{
+    fake_backend first(answer_all);
+    fake_backend second(answer_all);
+    const fleet routers(7, {&first, &second});
+    for (const cut how : {cut::refusing, cut::silent})
+    {
+        for (std::size_t i = 1; i < routers.all.size(); ++i)
+            routers.all[i]->direct.network = how;
+        const int served = routers.serve_all(10);
+        cr_assert_geq(served, 63, "%d of 70", served);
+    }
+}
+
+// Guards against routers that keep an old judgement of their ways.
+Test(cut_off_routers, serve_through_cuts_in_series)
+{
+    fake_backend first(answer_all);
+    fake_backend second(answer_all);
+    const fleet routers(4, {&first, &second});
+    std::mt19937 random(7);
+    int served = 0;
+    for (int round = 0; round < 30; ++round)
+    {
+        const std::size_t reaching = random() % routers.all.size();
+        for (std::size_t i = 0; i < routers.all.size(); ++i)
+            routers.all[i]->direct.network =
+                i == reaching ? cut::none : static_cast<cut>(random() % 3);
+        served += routers.serve_all(1);
+    }
+    cr_assert_geq(served, 108, "%d of 120", served);
+}
+
 Test(relayed_connections, are_opened_to_registered_servers_only)
 {
     fake_backend server(answer_all);
--- a/tests/unit/forward/forward_fixture.cpp
+++ b/tests/unit/forward/forward_fixture.cpp
@@ -290,14 +290,20 @@
     this->dispatch->server_limited({{}, this->servers[index]->address()}, 1);
 }
 
-void forward_fixture::know_router(const forward_fixture& other)
+void forward_fixture::know_routers(
+    const std::vector<const forward_fixture*>& others)
 {
-    const tcp::endpoint endpoint = other.relay_endpoint();
-    const std::string address = "127.0.0.1:" + std::to_string(endpoint.port());
+    std::vector<relay_router> known;
+    for (const forward_fixture* other : others)
+    {
+        const std::string address =
+            "127.0.0.1:" + std::to_string(other->relay_endpoint().port());
+        known.push_back({address, address, "a"});
+    }
     this->run_on_loop(
         [&]
         {
-            this->opener.set_routers({{address, address, "a"}});
+            this->opener.set_routers(std::move(known));
         });
 }
 
--- a/tests/unit/forward/forward_fixture.hpp
+++ b/tests/unit/forward/forward_fixture.hpp
@@ -113,7 +113,13 @@
     void limit_server(std::size_t index);
 
     /// Tells this router of another one, which has the same servers.
-    void know_router(const forward_fixture& other);
+    void know_router(const forward_fixture& other)
+    {
+        this->know_routers({&other});
+    }
+
+    /// Tells this router of all others.
+    void know_routers(const std::vector<const forward_fixture*>& others);
 
     /// @return Number of connections that this router relays for others.
     std::size_t relayed_connections();
--- a/tests/unit/reach/test_server_reach.cpp
+++ b/tests/unit/reach/test_server_reach.cpp
@@ -107,6 +107,34 @@
     cr_assert(test.reach.tries_direct("1", test.now));
 }
 
+// Guards against routers that wait for each other while one reaches the server
+// again.
+Test(server_reach, the_last_resort_is_tried_unless_it_would_cost_a_timeout)
+{
+    harness test;
+    test.reach.direct_failed("a", failure::refused, test.now);
+    cr_assert(test.reach.tries_as_last_resort("a", test.now));
+    test.reach.direct_failed("b", failure::no_answer, test.now);
+    cr_assert_not(test.reach.tries_as_last_resort("b", test.now));
+    cr_assert(test.reach.tries_as_last_resort("c", test.now));
+    test.lose(1, 3);
+    cr_assert_not(test.reach.tries_as_last_resort("c", test.now));
+    test.now += 501ms;
+    cr_assert(test.reach.tries_as_last_resort("b", test.now));
+    cr_assert(test.reach.tries_as_last_resort("c", test.now));
+}
+
+// Guards against a router that sends nothing and keeps an old judgement.
+Test(server_reach, a_judgement_expires_without_further_attempts)
+{
+    harness test;
+    test.lose(1, 5);
+    test.reach.tick(test.now + 5s);
+    cr_assert(test.reach.is_cut_off());
+    test.reach.tick(test.now + 11s);
+    cr_assert_not(test.reach.is_cut_off());
+}
+
 Test(server_reach, routers_return_to_the_direct_way_at_different_times)
 {
     int early = 0;
--- a/tests/unit/users_platform/test_router_registration.cpp
+++ b/tests/unit/users_platform/test_router_registration.cpp
@@ -129,24 +129,77 @@
     return settings;
 }
 
-/// Runs a directory until this router owns placement.
-/// @return The calls that the store received.
-std::vector<std::string> run_until_owner(fake_store& store, duration lease)
+/// One router with its directory, not started.
+struct one_router
 {
+    explicit one_router(const store_directory::options& settings)
+        : directory(
+              this->loop,
+              settings,
+              this->clock,
+              this->sink,
+              this->meter,
+              this->copies)
+        , listener(this->loop)
+    {
+    }
+
+    ~one_router()
+    {
+        this->directory.stop();
+    }
+
+    /// Starts while no owner is known.
+    void start()
+    {
+        this->directory.start(this->listener);
+        this->directory.set_owner_known(false);
+    }
+
+    void run_until_owner()
+    {
+        this->start();
+        this->loop.run();
+        cr_assert(this->listener.last_tenure.has_value());
+    }
+
+    template <class Reached>
+    void run_until(Reached reached)
+    {
+        while (!reached())
+        {
+            this->loop.restart();
+            this->loop.run_one();
+        }
+    }
+
+    /// Runs until the store has received some further reads.
+    void run_for_reads(const fake_store& store, int count)
+    {
+        const int until = store.reads() + count;
+        this->run_until(
+            [&]
+            {
+                return store.reads() >= until;
+            });
+    }
+
     asio::io_context loop;
     platform::byte_meter meter;
     const platform::system_clock clock;
     events::null_event_sink sink;
     null_copy_port copies;
-    store_directory directory(
-        loop, options_for(store, lease), clock, sink, meter, copies);
-    tenure_listener listener(loop);
-    directory.start(listener);
-    directory.set_owner_known(false);
-    loop.run();
-    directory.stop();
-    cr_assert(listener.last_tenure.has_value());
-    cr_assert_eq(listener.last_tenure->fence, 5);
+    store_directory directory;
+    tenure_listener listener;
+};
+
+/// Runs a directory until this router owns placement.
+/// @return The calls that the store received.
+std::vector<std::string> run_until_owner(fake_store& store, duration lease)
+{
+    one_router router(options_for(store, lease));
+    router.run_until_owner();
+    cr_assert_eq(router.listener.last_tenure->fence, 5);
     return store.history();
 }
 
@@ -247,30 +300,18 @@
 {
     fake_store store;
     store.put("edge-1", record(true, 3));
-    asio::io_context loop;
-    platform::byte_meter meter;
-    const platform::system_clock clock;
-    events::null_event_sink sink;
-    null_copy_port copies;
-    store_directory directory(
-        loop,
-        options_for(store, std::chrono::hours(1)),
-        clock,
-        sink,
-        meter,
-        copies);
-    tenure_listener listener(loop);
-    directory.start(listener);
+    one_router router(options_for(store, std::chrono::hours(1)));
+    router.directory.start(router.listener);
     while (store.reads() < 6)
     {
-        directory.set_owner_known(true);
-        directory.set_owner_known(false);
-        loop.run_one();
+        router.directory.set_owner_known(true);
+        router.directory.set_owner_known(false);
+        router.loop.run_one();
     }
-    directory.stop();
+    router.directory.stop();
     const std::vector<std::string> expected{appended(true, 4)};
     cr_assert(store.history() == expected);
-    cr_assert(!listener.last_tenure.has_value());
+    cr_assert(!router.listener.last_tenure.has_value());
 }
 
 /// Guards against needless changes of the owner: the store may reassign the
@@ -279,24 +320,11 @@
 {
     fake_store store;
     store.put("edge-1", record(false, 3));
-    asio::io_context loop;
-    platform::byte_meter meter;
-    const platform::system_clock clock;
-    events::null_event_sink sink;
-    null_copy_port copies;
-    store_directory directory(
-        loop,
-        options_for(store, std::chrono::hours(1)),
-        clock,
-        sink,
-        meter,
-        copies);
-    tenure_listener listener(loop);
-    directory.start(listener);
-    directory.set_owner_known(true);
-    while (store.reads() < 6)
-        loop.run_one();
-    directory.stop();
+    one_router router(options_for(store, std::chrono::hours(1)));
+    router.directory.start(router.listener);
+    router.directory.set_owner_known(true);
+    router.run_for_reads(store, 6);
+    router.directory.stop();
     const std::vector<std::string> expected{appended(false, 4)};
     cr_assert(store.history() == expected);
 }
@@ -308,25 +336,17 @@
     fake_store store;
     store.put("edge-1", record(false, 3));
     store.answer_joins(1);
-    asio::io_context loop;
-    platform::byte_meter meter;
-    const platform::system_clock clock;
-    events::null_event_sink sink;
     store_directory::options settings = options_for(store, 1ms);
     settings.term = 60ms;
     settings.term_margin = 10ms;
     settings.renewal_interval = 10ms;
-    null_copy_port copies;
-    store_directory directory(loop, settings, clock, sink, meter, copies);
-    tenure_listener listener(loop);
-    directory.start(listener);
-    directory.set_owner_known(false);
-    while (!listener.ended)
+    one_router router(settings);
+    router.start();
+    while (!router.listener.ended)
     {
-        loop.run();
-        loop.restart();
+        router.loop.run();
+        router.loop.restart();
     }
-    directory.stop();
 }
 
 /// Guards against an owner that renews after it was disconnected from the store
@@ -335,25 +355,15 @@
 {
     fake_store store;
     store.put("edge-1", record(false, 3));
-    asio::io_context loop;
-    platform::byte_meter meter;
-    const platform::system_clock clock;
-    events::null_event_sink sink;
     store_directory::options settings = options_for(store, 1ms);
     settings.renewal_interval = 1ms;
-    null_copy_port copies;
-    store_directory directory(loop, settings, clock, sink, meter, copies);
-    tenure_listener listener(loop);
-    directory.start(listener);
-    directory.set_owner_known(false);
-    loop.run();
-    loop.restart();
-    directory.other_owner_detected(listener.last_tenure->fence + 1);
-    directory.set_owner_known(true);
-    const int seen = store.reads();
-    while (store.reads() < seen + 6)
-        loop.run_one();
-    directory.stop();
+    one_router router(settings);
+    router.run_until_owner();
+    const std::uint64_t fence = router.listener.last_tenure->fence;
+    router.directory.other_owner_detected(fence + 1);
+    router.directory.set_owner_known(true);
+    router.run_for_reads(store, 6);
+    router.directory.stop();
     const std::vector<std::string> done = store.history();
     cr_assert_eq(std::ranges::count(done, "join"), 1);
 }
@@ -365,40 +375,20 @@
 {
     fake_store store;
     store.put("edge-1", record(false, 3));
-    asio::io_context loop;
-    platform::byte_meter meter;
-    const platform::system_clock clock;
-    events::null_event_sink sink;
     store_directory::options settings = options_for(store, 1ms);
     settings.term = 0ms; // expires at once
     settings.term_margin = 0ms;
     settings.renewal_interval = 1ms;
     settings.post_term_wait = std::chrono::hours(1);
-    null_copy_port copies;
-    store_directory directory(loop, settings, clock, sink, meter, copies);
-    tenure_listener listener(loop);
-    directory.start(listener);
-    directory.set_owner_known(false);
-    const auto run_on = [&](auto reached)
-    {
-        while (!reached())
-        {
-            loop.restart();
-            loop.run_one();
-        }
-    };
-    run_on(
-        [&]
-        {
-            return listener.ended;
-        });
-    const int seen = store.reads();
-    run_on(
+    one_router router(settings);
+    router.start();
+    router.run_until(
         [&]
         {
-            return store.reads() >= seen + 6;
+            return router.listener.ended;
         });
-    directory.stop();
+    router.run_for_reads(store, 6);
+    router.directory.stop();
     const std::vector<std::string> done = store.history();
     cr_assert_eq(std::ranges::count(done, "join"), 1);
 }
@@ -408,48 +398,25 @@
 {
     fake_store store;
     store.put("edge-1", record(false, 3));
-    asio::io_context loop;
-    platform::byte_meter meter;
-    const platform::system_clock clock;
-    events::null_event_sink sink;
     store_directory::options settings = options_for(store, 1ms);
     settings.renewal_interval = 1ms;
-    null_copy_port copies;
-    store_directory directory(loop, settings, clock, sink, meter, copies);
-    tenure_listener listener(loop);
-    directory.start(listener);
-    directory.set_owner_known(false);
-    loop.run();
-    cr_assert(listener.last_tenure.has_value());
-    directory.set_may_own(false);
-    cr_assert_not(listener.last_tenure.has_value());
-    const auto run_on = [&](auto reached)
-    {
-        while (!reached())
-        {
-            loop.restart();
-            loop.run_one();
-        }
-    };
-    run_on(
+    one_router router(settings);
+    router.run_until_owner();
+    router.directory.set_may_own(false);
+    cr_assert_not(router.listener.last_tenure.has_value());
+    router.run_until(
         [&]
         {
-            return listener.released;
+            return router.listener.released;
         });
     const std::vector<std::string> before = store.history();
-    directory.set_owner_known(false);
-    const int seen = store.reads();
-    run_on(
-        [&]
-        {
-            return store.reads() >= seen + 6;
-        });
+    router.directory.set_owner_known(false);
+    router.run_for_reads(store, 6);
     cr_assert(store.history() == before, "it doesn't apply");
-    directory.set_may_own(true);
-    run_on(
+    router.directory.set_may_own(true);
+    router.run_until(
         [&]
         {
-            return listener.last_tenure.has_value();
+            return router.listener.last_tenure.has_value();
         });
-    directory.stop();
 }
--- a/tools/lines/request_story.cpp
+++ b/tools/lines/request_story.cpp
@@ -72,6 +72,10 @@
     if (line.name == "engine_unreached")
         return joined(
             {"engine ", line.text("engine"), " could not be reached"});
+    if (line.name == "servers_cut_off")
+        return "reaches most servers only through other routers";
+    if (line.name == "servers_reached")
+        return "reaches most servers directly again";
     if (line.name == "placement_owned")
         return "took placement over";
     if (line.name == "placement_given_up")
@@ -121,6 +125,8 @@
 {
     const bool is_placement =
         line.name == "placement_owned" || line.name == "placement_given_up";
+    const bool is_reach =
+        line.name == "servers_cut_off" || line.name == "servers_reached";
     const bool is_order =
         line.name == "engine_ordered" || line.name == "engine_order_ended";
     return std::ranges::any_of(
@@ -135,7 +141,8 @@
                                      line.text("engine") == server));
             const bool of_model =
                 is_order && line.text("model") == model_in(end);
-            return is_placement || of_server || of_model;
+            const bool of_router = is_reach && line.vm == end.vm;
+            return is_placement || of_server || of_model || of_router;
         });
 }
 
