--- a/src/adapters/relay/relayed_opener.cpp
+++ b/src/adapters/relay/relayed_opener.cpp
@@ -166,10 +166,16 @@
     const bool is_cut_off = this->reach.is_cut_off();
     if (is_cut_off == std::exchange(this->was_cut_off, is_cut_off))
         return;
-    this->events.report(
-        is_cut_off ? event_id::servers_cut_off : event_id::servers_reached,
-        {{"through_others", this->reach.lost_servers()},
-         {"directly", this->reach.reached_servers()}});
+    const std::size_t lost = this->reach.lost_servers();
+    const std::size_t reached = this->reach.reached_servers();
+    if (is_cut_off)
+        this->events.report(
+            event_id::servers_cut_off,
+            {{"through_others", lost}, {"directly", reached}});
+    else
+        this->events.report(
+            event_id::servers_reached,
+            {{"through_others", lost}, {"directly", reached}});
     this->notify();
 }
 
