--- a/src/adapters/relay/relay_messages.hpp
+++ b/src/adapters/relay/relay_messages.hpp
@@ -7,7 +7,7 @@
 namespace roseworks::relay
 {
 
-/// What another router did about a connection that it was asked to open.
+/// How another router answers when it is asked to open a connection.
 enum class relay_status : std::uint8_t
 {
     no_reply = 0,    ///< it didn't answer, or not understandably
--- a/src/adapters/relay/relay_server.cpp
+++ b/src/adapters/relay/relay_server.cpp
@@ -82,12 +82,12 @@
         }
         const std::size_t open_count =
             this->open_connections.size() + this->handshakes;
-        if (!this->is_router(socket) ||
-            open_count >= this->settings.max_connections)
+        const bool is_known = this->is_router(socket);
+        if (!is_known || open_count >= this->settings.max_connections)
         {
             this->context.events.report(
                 event_id::relay_refused,
-                {{"reason", "not a router, or too many connections"},
+                {{"reason", is_known ? "too many connections" : "not a router"},
                  {"open", open_count},
                  {"max", this->settings.max_connections}});
             continue;
--- a/src/adapters/relay/relayed_opener.cpp
+++ b/src/adapters/relay/relayed_opener.cpp
@@ -149,10 +149,10 @@
 
 bool relayed_opener::may_reuse(const edge::backend_connection& connection) const
 {
-    const instant now = this->clock.now();
     if (connection.relay.empty())
-        return this->reach.may_reuse_direct(connection.address, now);
-    return now - connection.opened < this->settings.relayed_max_age;
+        return this->reach.may_reuse_direct(connection.address);
+    const duration age = this->clock.now() - connection.opened;
+    return age < this->settings.relayed_max_age;
 }
 
 void relayed_opener::tick()
--- a/src/core/reach/server_reach.cpp
+++ b/src/core/reach/server_reach.cpp
@@ -44,7 +44,7 @@
            now - *known->unreached_at > this->settings.unreached_lifetime;
 }
 
-bool server_reach::may_reuse_direct(std::string_view server, instant) const
+bool server_reach::may_reuse_direct(std::string_view server) const
 {
     const way* known = this->find(server);
     return known == nullptr || !known->failed_at ||
--- a/src/core/reach/server_reach.hpp
+++ b/src/core/reach/server_reach.hpp
@@ -63,10 +63,9 @@
     /// @return Whether the direct way to a server is tried first.
     bool tries_direct(std::string_view server, instant now) const;
 
-    /// @return Whether the direct way is tried when there is no other one, or
-    /// for
-    ///         another router. It isn't while the attempt would most likely
-    ///         cost a timeout.
+    /// @return Whether the direct way is tried for another router, or when
+    ///         there is no other way. It isn't while the attempt would most
+    ///         likely cost a timeout.
     bool tries_as_last_resort(std::string_view server, instant now) const;
 
     /// @return Whether other routers may be asked for a way to a server.
@@ -75,7 +74,7 @@
     /// @return Whether a direct connection that was kept open can be used. New
     ///         ones may be refused while open ones work, but if new ones get no
     ///         answer, open ones are dead.
-    bool may_reuse_direct(std::string_view server, instant now) const;
+    bool may_reuse_direct(std::string_view server) const;
 
     void direct_opened(std::string_view server, instant now);
     void direct_failed(std::string_view server, failure how, instant now);
--- a/tests/unit/reach/test_server_reach.cpp
+++ b/tests/unit/reach/test_server_reach.cpp
@@ -92,9 +92,9 @@
     harness test;
     test.reach.direct_failed("a", failure::refused, test.now);
     test.reach.direct_failed("b", failure::no_answer, test.now);
-    cr_assert(test.reach.may_reuse_direct("a", test.now));
-    cr_assert_not(test.reach.may_reuse_direct("b", test.now));
-    cr_assert(test.reach.may_reuse_direct("c", test.now));
+    cr_assert(test.reach.may_reuse_direct("a"));
+    cr_assert_not(test.reach.may_reuse_direct("b"));
+    cr_assert(test.reach.may_reuse_direct("c"));
 }
 
 Test(server_reach, old_failures_are_forgotten)
