--- a/src/adapters/platform/http_client.cpp
+++ b/src/adapters/platform/http_client.cpp
@@ -128,6 +128,9 @@
         if (error)
             co_return false;
         created.stream.socket().set_option(tcp::no_delay(true), error);
+        if (this->settings.resets_connections)
+            created.stream.socket().set_option(
+                asio::socket_base::linger(true, 0), error);
         if (this->settings.tls_connector == nullptr)
             co_return true;
         const bool is_secured =
--- a/src/adapters/platform/http_client.hpp
+++ b/src/adapters/platform/http_client.hpp
@@ -89,6 +89,9 @@
         std::chrono::milliseconds connect_timeout{1000};
         std::chrono::milliseconds max_idle_time{10'000};
         std::size_t max_idle = 2;
+        /// Connections end with a reset. Else the kernel goes on to deliver a
+        /// request that got no answer, after a partition even seconds later.
+        bool resets_connections = false;
         std::size_t max_answer_bytes = std::size_t(32) << 20;
         const tls::connector* tls_connector = nullptr; ///< null: plain HTTP
     };
