--- a/src/app/gateway/gateway_control.hpp
+++ b/src/app/gateway/gateway_control.hpp
@@ -191,7 +191,7 @@
     /// @return The addresses of all routers except this one.
     std::vector<std::string> other_addresses() const;
     void send_to_owner(router_report message);
-    /// Tells the directory whether this router may own placement.
+    /// Passes to the directory whether this router may own placement.
     void update_may_own();
 
     /// The owner of placement, from its latest announcement.
--- a/src/ports/directory_port.hpp
+++ b/src/ports/directory_port.hpp
@@ -102,11 +102,11 @@
     /// ownership of placement.
     virtual void start(directory_listener& listener) = 0;
 
-    /// Tells whether an owner is known. Routers apply for ownership only while
+    /// Sets whether an owner is known. Routers apply for ownership only while
     /// none is.
     virtual void set_owner_known(bool known) = 0;
 
-    /// Tells whether this router may own placement. One that may not releases
+    /// Sets whether this router may own placement. One that may not releases
     /// ownership at once and doesn't apply for it.
     virtual void set_may_own(bool may_own) = 0;
 
