--- a/tests/integration/late_configuration_test.cpp
+++ b/tests/integration/late_configuration_test.cpp
@@ -1,27 +1,18 @@
 // Gateways as real processes before a stand-in of the platform's store.
 
-#include "tests/support/child_process.hpp"
-#include "tests/support/http_call.hpp"
+#include "tests/support/gateway_process.hpp"
 #include "tests/support/platform_store.hpp"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/ip/udp.hpp>
-
 #include <chrono>
-#include <filesystem>
-#include <fstream>
 #include <memory>
 #include <string>
 #include <thread>
-#include <unistd.h>
 #include <vector>
 
 #include <criterion/criterion.h>
 
 using namespace roseworks::test;
 using namespace std::chrono_literals;
-namespace asio = boost::asio;
 
 namespace
 {
@@ -30,101 +21,6 @@
 constexpr const char* registry_topic = "keyed.servers";
 constexpr const char* router_topic = "keyed.routers";
 
-/// @return Whether neither TCP nor UDP uses a port of loopback.
-bool is_free(unsigned short port)
-{
-    asio::io_context context;
-    const auto loopback = asio::ip::address_v4::loopback();
-    boost::system::error_code taken;
-    asio::ip::tcp::acceptor connections(context, asio::ip::tcp::v4());
-    connections.bind({loopback, port}, taken);
-    if (taken)
-        return false;
-    asio::ip::udp::socket datagrams(context, asio::ip::udp::v4());
-    datagrams.bind({loopback, port}, taken);
-    return !taken;
-}
-
-/// @return A free port that no other call of this process has given. Below
-///         those that the kernel gives to connections, which might take it
-///         before the gateway listens there.
-unsigned free_port()
-{
-    constexpr int lowest = 10'000;
-    constexpr int spread = 20'000;
-    constexpr int apart = 97; // more than one test takes
-    static int next = ::getpid() * apart % spread;
-    while (true)
-    {
-        const auto port = static_cast<unsigned short>(lowest + next);
-        next = (next + 1) % spread;
-        if (is_free(port))
-            return port;
-    }
-}
-
-/// One gateway, and what it listens on.
-class gateway
-{
-public:
-    gateway(const std::string& name, const std::string& store)
-        : requests(address(free_port()))
-        , readiness(address(free_port()))
-        , settings_file(
-              std::filesystem::temp_directory_path() /
-              (name + "-" + std::to_string(::getpid()) + ".ini"))
-    {
-        std::ofstream file(this->settings_file);
-        file << "[vm]\nname = " << name
-             << "\ndata_centre = dc\ncores = 0.25\nlink_mbps = 100\n"
-             << "first_start = false\n[listen]\nrequests = " << this->requests
-             << "\nreadiness = " << this->readiness
-             << "\npeers = " << address(free_port())
-             << "\nmetrics = " << address(free_port())
-             << "\n[store]\naddress = " << store << '\n';
-        file.close();
-        const std::vector<std::string> arguments{
-            "--config", this->settings_file.string()};
-        this->process =
-            std::make_unique<child_process>("roseworks-gateway", arguments);
-    }
-
-    ~gateway()
-    {
-        this->process.reset();
-        std::filesystem::remove(this->settings_file);
-    }
-
-    gateway(gateway&&) = delete;
-    gateway& operator=(gateway&&) = delete;
-
-    bool is_ready() const
-    {
-        return send(this->readiness, {.target = "/ready"}).status == 200;
-    }
-
-    /// @return The status that a request of this path gets.
-    unsigned ask(const std::string& path) const
-    {
-        http_call call;
-        call.target = path;
-        call.headers = {
-            {"Host", "a.example"}, {"Attempt-Id", "1"}, {"Deadline-Ms", "200"}};
-        return send(this->requests, call).status;
-    }
-
-private:
-    static std::string address(unsigned port)
-    {
-        return "127.0.0.1:" + std::to_string(port);
-    }
-
-    std::string requests;
-    std::string readiness;
-    std::filesystem::path settings_file;
-    std::unique_ptr<child_process> process;
-};
-
 std::string configuration(int version, const std::vector<std::string>& paths)
 {
     std::string routes;
@@ -169,13 +65,13 @@
     platform_store store(2);
     store.write(config_topic, "config", configuration(1, {"/a/"}));
     store.write(registry_topic, "i-1", server_entry(1));
-    const gateway first("late-a", store.address(0));
+    const gateway_process first({"late-a", store.address(0)});
     cr_assert(reached(
         [&]
         {
             return first.is_ready();
         }));
-    const gateway second("late-b", store.address(1));
+    const gateway_process second({"late-b", store.address(1)});
     cr_assert(reached(
         [&]
         {
@@ -209,10 +105,11 @@
     store.write(config_topic, "config", configuration(1, {"/a/"}));
     for (int i = 1; i <= servers; ++i)
         store.write(registry_topic, "i-" + std::to_string(i), server_entry(i));
-    std::vector<std::unique_ptr<gateway>> all;
+    std::vector<std::unique_ptr<gateway_process>> all;
     const auto start = [&](const std::string& name)
     {
-        all.push_back(std::make_unique<gateway>(name, store.address(0)));
+        all.push_back(std::make_unique<gateway_process>(
+            gateway_process::options{name, store.address(0)}));
     };
     const auto all_ready = [&]
     {
--- /dev/null
+++ b/tests/support/gateway_process.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "tests/support/child_process.hpp"
+
+#include <filesystem>
+#include <memory>
+#include <string>
+
+namespace roseworks::test
+{
+
+/// A gateway as a real process on loopback, and what it listens on.
+class gateway_process
+{
+public:
+    struct options
+    {
+        std::string name;
+        std::string store; ///< ip:port of the platform's store
+        std::string data_centre = "dc";
+    };
+
+    explicit gateway_process(const options& settings);
+    ~gateway_process();
+    gateway_process(gateway_process&&) = delete;
+    gateway_process& operator=(gateway_process&&) = delete;
+
+    bool is_ready() const;
+
+    /// @return The status that a request of this path gets.
+    unsigned ask(const std::string& path) const;
+
+private:
+    std::string requests;
+    std::string readiness;
+    std::filesystem::path settings_file;
+    std::unique_ptr<child_process> process;
+};
+
+} // namespace roseworks::test
--- a/tests/support/platform_store.cpp
+++ b/tests/support/platform_store.cpp
@@ -153,6 +153,12 @@
     return this->listings_begun[name];
 }
 
+int platform_store::answers_with_records(const std::string& name)
+{
+    const std::scoped_lock lock(this->mutex);
+    return this->answers_by_topic[name];
+}
+
 void platform_store::accept(std::size_t number)
 {
     while (true)
@@ -246,6 +252,7 @@
             {"key", next->first},
             {"value", base64(records[next->second].value)},
             {"offset", next->second}});
+    this->answers_by_topic[name] += items.empty() ? 0 : 1;
     const json::object page{
         {"items", items},
         {"end", records.size()},
@@ -269,6 +276,7 @@
             return this->closing || this->topics[name].size() > from;
         });
     const topic& records = this->topics[name];
+    this->answers_by_topic[name] += records.size() > from ? 1 : 0;
     std::string page = big_endian(records.size(), 8) + big_endian(0, 8);
     for (std::size_t i = from; i < records.size(); ++i)
     {
--- a/tests/support/platform_store.hpp
+++ b/tests/support/platform_store.hpp
@@ -51,6 +51,9 @@
     /// @return Listings of a topic from its first key on that were begun.
     int listings(const std::string& topic);
 
+    /// @return Answers that contained at least one record of a topic.
+    int answers_with_records(const std::string& topic);
+
 private:
     struct record
     {
@@ -82,6 +85,7 @@
     std::vector<std::unique_ptr<door>> doors;
     std::map<std::string, topic> topics;
     std::map<std::string, int> listings_begun;
+    std::map<std::string, int> answers_by_topic; ///< those with records
     std::string owner; ///< of the group's one partition
     bool closing = false;
     std::vector<std::shared_ptr<boost::asio::ip::tcp::socket>> sockets;
--- /dev/null
+++ b/tests/unit/server_limits/router_fleet.cpp
@@ -0,0 +1,367 @@
+#include "router_fleet.hpp"
+
+#include "core/quota/global_limits.hpp"
+
+#include <algorithm>
+
+namespace roseworks::testing
+{
+
+namespace
+{
+
+/// The same values as in the gateway.
+constexpr duration permit_lifetime = 500ms;
+constexpr duration permit_max_wait = 1s;
+constexpr duration longest_retry = 1s;
+
+constexpr std::string_view server_prefix = "i-";
+
+engine_id engine_of(std::string_view server)
+{
+    const std::string number(server.substr(server_prefix.size()));
+    return engine_id(static_cast<std::uint32_t>(std::stoul(number)));
+}
+
+} // namespace
+
+std::string router_fleet::server_name(engine_id engine)
+{
+    return std::string(server_prefix) + std::to_string(engine.value);
+}
+
+router_fleet::router_fleet(options config)
+    : settings(config)
+    , random(config.seed)
+{
+    servable_routes model;
+    model.id = servable_id(1);
+    model.name = "m";
+    model.max_streams = this->settings.slots;
+    model.load_estimate_ms = 1000;
+    model.max_replicas = 8;
+    for (std::uint32_t i = 1; i <= this->settings.engines; ++i)
+    {
+        const std::string number = std::to_string(i);
+        model.ready.push_back(
+            {replica_id(1000 + i),
+             engine_id(i),
+             "10.0.0." + number + ":80",
+             "a",
+             "vm" + number});
+    }
+    this->table.put(std::move(model));
+    for (std::size_t i = 0; i < this->settings.routers; ++i)
+        this->routers.emplace_back().name = "r" + std::to_string(i);
+    for (std::size_t i = 0; i < this->settings.accountant_candidates; ++i)
+        this->candidate_names.push_back(this->routers[i].name);
+    for (router& target : this->routers)
+        this->start(target);
+}
+
+void router_fleet::start(router& target)
+{
+    ++target.run;
+    dispatcher::options traffic;
+    traffic.affinity = prefix_affinity::none;
+    traffic.data_centre = "a";
+    traffic.seed = this->random();
+    target.traffic = std::make_unique<dispatcher>(traffic);
+    target.traffic->table_changed(this->table.publish(), this->queue.now());
+    server_limits::options known;
+    known.router = target.name;
+    target.limits = std::make_unique<server_limits>(known);
+    quota_client::options client_options;
+    client_options.router = target.name;
+    client_options.mode = this->settings.mode;
+    client_options.seed = this->random() << 20;
+    target.client = std::make_unique<quota_client>(client_options);
+    target.accountant =
+        std::make_unique<quota_accountant>(target.name, client_options.bounds);
+    target.client->set_accountants(this->candidate_names, this->routers.size());
+    target.accountant->set_router_count(this->routers.size());
+    target.draws.clear();
+    target.scheduled_tick = instant::max();
+}
+
+void router_fleet::schedule_on(
+    std::size_t number, instant when, std::function<void()> action)
+{
+    const std::uint64_t run = this->routers[number].run;
+    this->queue.schedule(
+        when,
+        [this, number, run, action = std::move(action)]
+        {
+            const router& target = this->routers[number];
+            if (target.run != run)
+                return;
+            if (target.frozen_until > this->queue.now())
+                this->schedule_on(number, target.frozen_until, action);
+            else
+                action();
+        });
+}
+
+void router_fleet::send(duration length, double per_second, std::size_t at_last)
+{
+    const std::size_t first = at_last == 0 ? 0 : this->routers.size() - at_last;
+    std::uniform_int_distribution<std::size_t> place(
+        first, this->routers.size() - 1);
+    std::exponential_distribution<double> pause(per_second);
+    const instant end = this->queue.now() + length;
+    const auto next = [&]
+    {
+        return std::chrono::duration_cast<duration>(
+            std::chrono::duration<double>(pause(this->random)));
+    };
+    for (instant when = this->queue.now() + next(); when < end; when += next())
+    {
+        const std::size_t number = place(this->random);
+        this->schedule_on(
+            number,
+            when,
+            [this, number]
+            {
+                this->handle_request(number);
+            });
+    }
+    this->queue.run_until(end);
+}
+
+void router_fleet::handle_request(std::size_t number)
+{
+    request_info info;
+    info.target = "m";
+    info.deadline = this->queue.now() + this->settings.caller_timeout;
+    info.objective = this->queue.now() + this->settings.caller_timeout / 4;
+    this->routers[number].traffic->submit(std::move(info), this->queue.now());
+    this->flush(number);
+}
+
+void router_fleet::flush(std::size_t number)
+{
+    this->take_changes(number);
+    this->take_commands(number);
+    this->take_draws(number);
+    router& target = this->routers[number];
+    if (const auto update = target.limits->take_update(this->queue.now()))
+    {
+        for (std::size_t to = 0; to < this->routers.size(); ++to)
+        {
+            if (to == number)
+                continue;
+            this->deliver(
+                number,
+                to,
+                [this, to, update = *update]
+                {
+                    this->routers[to].limits->handle_update(
+                        update, this->queue.now());
+                    this->flush(to);
+                });
+        }
+    }
+    this->schedule_tick(number);
+}
+
+void router_fleet::take_changes(std::size_t number)
+{
+    router& target = this->routers[number];
+    const auto changes = target.limits->take_changes();
+    for (const server_limit& changed : changes)
+        target.traffic->server_limited(
+            {engine_of(changed.server), {}},
+            changed.per_second,
+            this->queue.now());
+    if (changes.empty())
+        return;
+    global_limits all;
+    for (const server_limit& limit : target.limits->in_force())
+        all[server_account(limit.server)] = limit_of_server(limit.per_second);
+    target.accountant->set_limits(all, this->queue.now());
+    target.client->set_limits(std::move(all));
+    target.client->tick(this->queue.now());
+}
+
+void router_fleet::take_commands(std::size_t number)
+{
+    for (const dispatch_command& command :
+         this->routers[number].traffic->take_commands())
+    {
+        if (const auto* granted = std::get_if<grant>(&command))
+            this->run_request(number, *granted);
+        else if (std::holds_alternative<refusal>(command))
+            ++this->refused_count;
+        else if (const auto* wanted = std::get_if<permit_wanted>(&command))
+            this->draw_permit(number, *wanted);
+    }
+}
+
+void router_fleet::draw_permit(std::size_t number, const permit_wanted& wanted)
+{
+    router& target = this->routers[number];
+    const std::uint64_t id = target.client->draw(
+        server_account(server_name(wanted.server.engine)),
+        1,
+        wanted.waits ? permit_max_wait : duration::zero(),
+        this->queue.now());
+    target.draws[id] = wanted.server;
+}
+
+void router_fleet::take_draws(std::size_t number)
+{
+    router& target = this->routers[number];
+    for (const quota_message& message : target.client->take_messages())
+        this->send_query(number, message);
+    for (const quota_decision& decision : target.client->take_decisions())
+        this->apply_decision(number, decision);
+}
+
+void router_fleet::send_query(std::size_t from, const quota_message& message)
+{
+    const std::size_t to = this->index_of(message.to);
+    if (to == from)
+    {
+        router& self = this->routers[from];
+        self.client->handle_reply(
+            self.accountant->handle_query(message.query, this->queue.now()),
+            this->queue.now());
+        this->take_draws(from);
+        return;
+    }
+    const auto answered = [this, from](const quota_reply& reply)
+    {
+        this->routers[from].client->handle_reply(reply, this->queue.now());
+        this->flush(from);
+    };
+    this->deliver(
+        from,
+        to,
+        [this, from, to, query = message.query, answered]
+        {
+            const quota_reply reply =
+                this->routers[to].accountant->handle_query(
+                    query, this->queue.now());
+            this->deliver(
+                to,
+                from,
+                [answered, reply]
+                {
+                    answered(reply);
+                });
+        });
+}
+
+void router_fleet::apply_decision(
+    std::size_t number, const quota_decision& decision)
+{
+    router& target = this->routers[number];
+    const auto found = target.draws.find(decision.id);
+    if (found == target.draws.end())
+        return;
+    const server_place place = found->second;
+    target.draws.erase(found);
+    if (!decision.is_allowed)
+    {
+        target.traffic->permit_refused(
+            place,
+            std::min(decision.retry_after, longest_retry),
+            this->queue.now());
+        return;
+    }
+    target.traffic->permit_given(
+        place, this->queue.now() + decision.wait, this->queue.now());
+    this->schedule_on(
+        number,
+        this->queue.now() + decision.wait + permit_lifetime,
+        [this, number, place]
+        {
+            router& current = this->routers[number];
+            if (current.traffic->permit_withdrawn(place))
+                current.client->return_tokens(
+                    server_account(server_name(place.engine)),
+                    1,
+                    this->queue.now());
+        });
+    this->take_commands(number);
+}
+
+void router_fleet::schedule_tick(std::size_t number)
+{
+    router& target = this->routers[number];
+    const bool counts = !target.limits->in_force().empty();
+    instant due = counts ? target.client->next_tick() : instant::max();
+    if (const auto next = target.limits->next_tick())
+        due = std::min(due, *next);
+    if (const auto next = target.traffic->next_tick())
+        due = std::min(due, *next);
+    if (due == instant::max())
+        return;
+    due = std::max(due, this->queue.now());
+    if (target.scheduled_tick <= due)
+        return;
+    target.scheduled_tick = due;
+    this->schedule_on(
+        number,
+        due,
+        [this, number, due]
+        {
+            router& current = this->routers[number];
+            if (current.scheduled_tick != due)
+                return;
+            current.scheduled_tick = instant::max();
+            current.limits->tick(this->queue.now());
+            current.accountant->tick(this->queue.now());
+            if (!current.limits->in_force().empty())
+                current.client->tick(this->queue.now());
+            current.traffic->tick(this->queue.now());
+            this->flush(number);
+        });
+}
+
+void router_fleet::deliver(
+    std::size_t from, std::size_t to, std::function<void()> action)
+{
+    ++this->messages_sent;
+    std::uniform_real_distribution<double> chance(0, 1);
+    const bool is_lost = chance(this->random) < this->settings.loss;
+    if (is_lost || !this->reaches(from, to))
+        return;
+    std::uniform_int_distribution<duration::rep> delay(
+        this->settings.shortest_delay.count(),
+        this->settings.longest_delay.count());
+    this->schedule_on(
+        to,
+        this->queue.now() + duration(delay(this->random)),
+        std::move(action));
+}
+
+void router_fleet::restart(std::size_t number)
+{
+    this->start(this->routers[number]);
+    this->flush(number);
+}
+
+void router_fleet::freeze(std::size_t number, duration length)
+{
+    this->routers[number].frozen_until = this->queue.now() + length;
+}
+
+std::size_t router_fleet::index_of(const std::string& name) const
+{
+    const auto found = std::ranges::find(this->routers, name, &router::name);
+    return static_cast<std::size_t>(found - this->routers.begin());
+}
+
+void router_fleet::end_attempt(
+    std::size_t number, const grant& granted, const attempt_result& result)
+{
+    const auto finish = this->routers[number].traffic->finished(
+        granted.request, result, this->queue.now());
+    if (finish.final_answer)
+        ++(result.how == attempt_result::end::answered ? this->answered_count
+                                                       : this->refused_count);
+    this->flush(number);
+}
+
+} // namespace roseworks::testing
--- a/tests/unit/server_limits/test_limited_fleet.cpp
+++ b/tests/unit/server_limits/test_limited_fleet.cpp
@@ -39,14 +39,12 @@
         fleet.allowed());
 }
 
-/// A fleet whose first engine has announced its limit for 12 s.
-limited_fleet make_limited(const limited_fleet::options& config)
+/// Sends requests until the first engine has announced its limit for 12 s.
+void run_limited(limited_fleet& fleet, const limited_fleet::options& config)
 {
-    limited_fleet fleet(config);
     fleet.send(warm_up, total_load(config));
     fleet.announce_limit(true);
     fleet.send(12s, total_load(config));
-    return fleet;
 }
 
 /// Requests received in the last `length`, as a fraction of the limit.
@@ -69,7 +67,8 @@
     for (const std::size_t routers : {7, 65, 300})
     {
         const auto config = make_options(routers);
-        const limited_fleet fleet = make_limited(config);
+        limited_fleet fleet(config);
+        run_limited(fleet, config);
         assert_in_bounds(fleet);
         const double used = used_share(fleet, config, 8s);
         cr_assert_gt(used, 0.5, "%zu routers use %.2f", routers, used);
@@ -84,14 +83,17 @@
         auto config = make_options(65);
         config.loss = 0.1;
         config.seed = seed;
-        assert_in_bounds(make_limited(config));
+        limited_fleet fleet(config);
+        run_limited(fleet, config);
+        assert_in_bounds(fleet);
     }
 }
 
 Test(limited_fleet, a_server_with_a_very_low_limit_still_gets_requests)
 {
     const auto config = make_options(65, 0.2);
-    limited_fleet fleet = make_limited(config);
+    limited_fleet fleet(config);
+    run_limited(fleet, config);
     fleet.send(20s, total_load(config));
     assert_in_bounds(fleet);
     cr_assert_gt(fleet.arrived_within(20s), 0);
@@ -102,7 +104,8 @@
     for (const std::size_t routers : {7, 65, 300})
     {
         const auto config = make_options(routers);
-        limited_fleet fleet = make_limited(config);
+        limited_fleet fleet(config);
+        run_limited(fleet, config);
         fleet.announce_limit(false);
         fleet.send(2s, total_load(config));
         fleet.send(4s, total_load(config));
@@ -140,7 +143,8 @@
     for (const std::size_t frozen : {0, 1, 8})
     {
         const auto config = make_options(9);
-        limited_fleet fleet = make_limited(config);
+        limited_fleet fleet(config);
+        run_limited(fleet, config);
         fleet.freeze(frozen, 3s);
         fleet.send(8s, total_load(config));
         assert_in_bounds(fleet);
@@ -151,7 +155,8 @@
 Test(limited_fleet, restarts_one_after_another_break_no_limit)
 {
     const auto config = make_options(9);
-    limited_fleet fleet = make_limited(config);
+    limited_fleet fleet(config);
+    run_limited(fleet, config);
     for (std::size_t i = 0; i < config.routers; ++i)
     {
         fleet.restart(i);
@@ -165,7 +170,8 @@
     for (const std::size_t routers : {9, 300})
     {
         const auto config = make_options(routers);
-        limited_fleet fleet = make_limited(config);
+        limited_fleet fleet(config);
+        run_limited(fleet, config);
         for (std::size_t i = 0; i < config.routers; ++i)
             fleet.restart(i);
         fleet.send(8s, total_load(config));
@@ -176,7 +182,8 @@
 Test(limited_fleet, routers_that_are_cut_off_keep_to_their_share)
 {
     const auto config = make_options(9);
-    limited_fleet fleet = make_limited(config);
+    limited_fleet fleet(config);
+    run_limited(fleet, config);
     const auto side = [](std::size_t router)
     {
         return router >= 6;
@@ -194,7 +201,8 @@
     for (const bool hears : {false, true})
     {
         const auto config = make_options(9);
-        limited_fleet fleet = make_limited(config);
+        limited_fleet fleet(config);
+        run_limited(fleet, config);
         fleet.reaches = [hears](std::size_t from, std::size_t to)
         {
             return (hears ? from : to) != 0;
