--- a/include/roseworks/dispatcher.hpp
+++ b/include/roseworks/dispatcher.hpp
@@ -94,16 +94,36 @@
     std::string address; ///< ip:port
 };
 
-/// Asks for a permit to send one request to a server with a rate limit. The
-/// answer is `permit_given` or `permit_refused`.
+/// Asks for a permit to send one request to a server with a rate limit, or
+/// whose places are counted. The answer is `permit_given` or `permit_refused`.
 struct permit_wanted
 {
     server_place server;
     bool waits = false; ///< a waiting request has no other server
 };
 
-using dispatch_command =
-    std::variant<grant, refusal, demand, crash_seen, permit_wanted>;
+/// A request, or a permit that no request used, has given up its place at a
+/// server whose places are counted.
+struct place_released
+{
+    server_place server;
+    bool rejected = false; ///< the server had no room for the request
+};
+
+/// No request waits any more for a place that was requested.
+struct permit_cancelled
+{
+    server_place server;
+};
+
+using dispatch_command = std::variant<
+    grant,
+    refusal,
+    demand,
+    crash_seen,
+    permit_wanted,
+    place_released,
+    permit_cancelled>;
 
 /// How an attempt ended, as seen by the backend connection.
 struct attempt_result
@@ -122,6 +142,7 @@
     end how = end::answered;
     bool answer_started = false; ///< bytes were sent to the caller
     bool resumable = false; ///< another backend server can continue the answer
+    bool no_room = false;   ///< refused since the server is full
     std::uint32_t tokens = 0; ///< tokens sent to the caller
     duration first_byte{};    ///< from sending the request to the first byte
     duration total{};         ///< from sending the request to the end
@@ -249,6 +270,14 @@
     void
     server_limited(const server_place& server, double per_second, instant now);
 
+    /** Sets whether the requests at a backend server are counted over all
+        routers.
+
+        Then each request that is sent there needs a permit, which is released
+        with `place_released` at its end.
+    */
+    void server_counted(const server_place& server, bool counted, instant now);
+
     /// One request may be sent to a rate-limited server at `from` or later.
     void permit_given(const server_place& server, instant from, instant now);
 
--- a/src/adapters/edge/shared_dispatcher.cpp
+++ b/src/adapters/edge/shared_dispatcher.cpp
@@ -158,6 +158,15 @@
         });
 }
 
+void shared_dispatcher::server_counted(const server_place& server, bool counted)
+{
+    this->with_lock(
+        [&](instant time)
+        {
+            this->core.server_counted(server, counted, time);
+        });
+}
+
 void shared_dispatcher::permit_given(const server_place& server, duration wait)
 {
     this->with_lock(
@@ -236,6 +245,10 @@
         into.crashes.push_back(*crash);
     else if (const auto* permit = std::get_if<permit_wanted>(&command))
         into.permits.push_back(*permit);
+    else if (const auto* place = std::get_if<place_released>(&command))
+        into.places.push_back(*place);
+    else if (const auto* cancelled = std::get_if<permit_cancelled>(&command))
+        into.cancelled_permits.push_back(*cancelled);
 }
 
 void shared_dispatcher::collect_reply(
@@ -259,6 +272,10 @@
         this->notify.on_crash(crash);
     for (const permit_wanted& permit : what.permits)
         this->notify.on_permit_wanted(permit);
+    for (const place_released& place : what.places)
+        this->notify.on_place_released(place);
+    for (const permit_cancelled& cancelled : what.cancelled_permits)
+        this->notify.on_permit_cancelled(cancelled);
     if (what.restart_timer_needed)
         this->schedule_timer_restart();
 }
--- a/src/adapters/edge/shared_dispatcher.hpp
+++ b/src/adapters/edge/shared_dispatcher.hpp
@@ -37,6 +37,10 @@
         std::function<void(const demand&)> on_demand;
         std::function<void(const crash_seen&)> on_crash;
         std::function<void(const permit_wanted&)> on_permit_wanted;
+        std::function<void(const place_released&)> on_place_released =
+            [](const place_released&) {};
+        std::function<void(const permit_cancelled&)> on_permit_cancelled =
+            [](const permit_cancelled&) {};
     };
 
     /// @param core     The dispatcher.
@@ -63,6 +67,7 @@
     void vm_leaving(std::string_view vm, bool leaving);
     void crash_examined(const crash_seen& what, crash_finding finding);
     void server_limited(const server_place& server, double per_second);
+    void server_counted(const server_place& server, bool counted);
     /// @param wait Time until the permit becomes valid.
     void permit_given(const server_place& server, duration wait);
     void permit_refused(const server_place& server, duration retry_after);
@@ -82,6 +87,8 @@
         std::vector<demand> demands;
         std::vector<crash_seen> crashes;
         std::vector<permit_wanted> permits;
+        std::vector<place_released> places;
+        std::vector<permit_cancelled> cancelled_permits;
         bool restart_timer_needed = false;
     };
 
--- a/src/adapters/events/event_catalogue.cpp
+++ b/src/adapters/events/event_catalogue.cpp
@@ -432,6 +432,12 @@
      "from a router, sent no valid request, or more than max were open.",
      "reason, open, max",
      "Check which process connects to this port."},
+    {service_brittle, info, "service_brittle",
+     "is_brittle 1: the servers of a service announce that they fall over when "
+     "they have to reject more than max_rejections requests within a second, "
+     "and the requests there are counted over all routers. 0: they no longer "
+     "do.",
+     "service, is_brittle, max_rejections", no_action},
     {placement_owned, info, "placement_owned",
      "This router now owns placement and sends orders to the engines.",
      "fence", no_action},
--- a/src/adapters/forward/forward_call.cpp
+++ b/src/adapters/forward/forward_call.cpp
@@ -24,6 +24,9 @@
 /// Status of a server that is not the one that the request names.
 constexpr unsigned status_misdirected = 421;
 
+/// Status of a server that has no room for a request.
+constexpr unsigned status_unavailable = 503;
+
 /// Requests of this rank go ahead of all others in the admission queue.
 constexpr std::uint8_t urgent_rank = 0;
 
@@ -363,6 +366,7 @@
             this->context.ports.crashes.server_replaced(server.life);
         attempt_result refused;
         refused.how = end_kind::refused_not_run;
+        refused.no_room = exchange.head().result_int() == status_unavailable;
         co_return refused;
     }
     const attempt_result result = co_await this->forward_response(exchange);
@@ -393,8 +397,11 @@
         this->context.events.report(
             event_id::server_limit_malformed,
             {{"server", this->last_server}, {"value", this->last_rate_limit}});
+    const server_notice notice{
+        rate_limit.requests_per_second,
+        parse_max_rejections(exchange.head(), this->context.names)};
     this->context.ports.response_received(
-        this->last_server, rate_limit.requests_per_second, this->sent_at);
+        this->last_server, notice, this->sent_at);
 }
 
 asio::awaitable<void>
--- a/src/adapters/forward/forward_context.hpp
+++ b/src/adapters/forward/forward_context.hpp
@@ -5,6 +5,7 @@
 #include "adapters/forward/forward_metrics.hpp"
 #include "adapters/forward/header_names.hpp"
 #include "core/crashes/request_gate.hpp"
+#include "core/pacing/server_notice.hpp"
 #include "core/serving/serving_table.hpp"
 #include "ports/crash_port.hpp"
 #include "ports/dispatch_port.hpp"
@@ -68,13 +69,9 @@
     /// No connection to a server could be opened.
     std::function<void(const std::string& server)> connect_failed;
     /// A server responded.
-    /// @param requests_per_second Rate that the server accepts from all routers
-    ///                            together; empty if it named no limit.
-    /// @param sent                When the request was sent.
+    /// @param sent When the request was sent.
     std::function<void(
-        const std::string& server,
-        std::optional<double> requests_per_second,
-        instant sent)>
+        const std::string& server, const server_notice& notice, instant sent)>
         response_received;
     /// Whether other routers have a newer configuration than the table's. What
     /// the table lacks may be defined there.
--- a/src/adapters/forward/header_names.hpp
+++ b/src/adapters/forward/header_names.hpp
@@ -18,10 +18,12 @@
     std::string not_run;         ///< the server did not run the request
     std::string load;            ///< running, waiting, slots
     std::string rate_limit;      ///< requests per second the server accepts
-    std::string priority;        ///< 0 to 9
-    std::string last_event;      ///< last event that the caller received
-    std::string organisation;    ///< name of the API key's holder
-    std::string tokens;          ///< of the prompt; maximum for the response
+    /// Rejections per second that a brittle server withstands.
+    std::string max_rejections;
+    std::string priority;     ///< 0 to 9
+    std::string last_event;   ///< last event that the caller received
+    std::string organisation; ///< name of the API key's holder
+    std::string tokens;       ///< of the prompt; maximum for the response
     std::vector<std::string> reserved; ///< dropped from callers' requests
 };
 
--- a/src/adapters/forward/rate_limit_header.cpp
+++ b/src/adapters/forward/rate_limit_header.cpp
@@ -24,13 +24,11 @@
     return number;
 }
 
-} // namespace
-
 server_rate_limit
-parse_rate_limit(const response_head& head, const header_names& names)
+parse_header(const response_head& head, const std::string& name)
 {
     server_rate_limit limit;
-    const auto [first, last] = head.equal_range(names.rate_limit);
+    const auto [first, last] = head.equal_range(name);
     for (auto field = first; field != last; ++field)
     {
         const auto value = field->value();
@@ -44,4 +42,18 @@
     return limit;
 }
 
+} // namespace
+
+server_rate_limit
+parse_rate_limit(const response_head& head, const header_names& names)
+{
+    return parse_header(head, names.rate_limit);
+}
+
+std::optional<double>
+parse_max_rejections(const response_head& head, const header_names& names)
+{
+    return parse_header(head, names.max_rejections).requests_per_second;
+}
+
 } // namespace roseworks::forward
--- a/src/adapters/forward/rate_limit_header.hpp
+++ b/src/adapters/forward/rate_limit_header.hpp
@@ -17,6 +17,11 @@
     bool is_malformed = false;  ///< present, but no valid number
 };
 
+/// @return The rejections per second that the server withstands; empty unless
+///         the response states a valid number.
+std::optional<double>
+parse_max_rejections(const response_head& head, const header_names& names);
+
 /// Uses the lowest of several values and ignores malformed ones.
 /// @return The rate limit that the response names.
 server_rate_limit
--- a/src/app/gateway/gateway_app.cpp
+++ b/src/app/gateway/gateway_app.cpp
@@ -147,6 +147,14 @@
            [this](const permit_wanted& wanted)
            {
                this->control->permit_needed(wanted);
+           },
+           [this](const place_released& released)
+           {
+               this->control->place_released(released);
+           },
+           [this](const permit_cancelled& cancelled)
+           {
+               this->control->permit_cancelled(cancelled);
            }}))
     , control(std::make_unique<gateway_control>(
           initial_settings,
@@ -275,10 +283,10 @@
         },
         [this](
             const std::string& server,
-            std::optional<double> named_limit,
+            const server_notice& notice,
             instant sent)
         {
-            this->control->server_answered(server, named_limit, sent);
+            this->control->server_answered(server, notice, sent);
         },
         [this]
         {
--- a/src/app/gateway/gateway_control.hpp
+++ b/src/app/gateway/gateway_control.hpp
@@ -106,24 +106,33 @@
     void request_ended(const std::string& servable, const std::string& engine);
 
     /// A server answered a request.
-    /// @param server      id of its registry entry.
-    /// @param named_limit Rate limit that the answer names, in requests per
-    ///                    second; empty if it names none.
-    /// @param sent        When the request was sent.
+    /// @param server id of its registry entry.
+    /// @param sent   When the request was sent.
     void server_answered(
-        const std::string& server,
-        std::optional<double> named_limit,
-        instant sent)
+        const std::string& server, const server_notice& notice, instant sent)
     {
-        this->limit_controller->answered(server, named_limit, sent);
+        this->limit_controller->answered(server, notice, sent);
     }
 
-    /// The dispatcher needs a permit to send to a rate-limited server.
+    /// The dispatcher needs a permit to send to a rate-limited or brittle
+    /// server.
     void permit_needed(const permit_wanted& wanted)
     {
         this->limit_controller->permit_needed(wanted);
     }
 
+    /// No request waits any more for a permit.
+    void permit_cancelled(const roseworks::permit_cancelled& cancelled)
+    {
+        this->limit_controller->permit_cancelled(cancelled);
+    }
+
+    /// A request to a brittle server has ended.
+    void place_released(const roseworks::place_released& released)
+    {
+        this->limit_controller->place_released(released);
+    }
+
     /// @return The port to the limits of organisations.
     quota_port& organisation_limits()
     {
--- a/src/app/gateway/quota_controller.cpp
+++ b/src/app/gateway/quota_controller.cpp
@@ -111,10 +111,32 @@
     this->limits_changed();
 }
 
+void quota_controller::server_places_changed(
+    const std::map<std::string, double, std::less<>>& all)
+{
+    this->backend_places.clear();
+    for (const auto& [account, slots] : all)
+        this->backend_places[account] = limit_of_places(slots);
+    this->limits_changed();
+}
+
+void quota_controller::release_place(std::string_view account, bool rejected)
+{
+    this->client.release_place(account, rejected, this->clock.now());
+    this->flush();
+}
+
+void quota_controller::cancel_place(std::string_view account)
+{
+    this->client.cancel_place(account, this->clock.now());
+    this->flush();
+}
+
 void quota_controller::limits_changed()
 {
     global_limits all = this->organisation_limits;
     all.insert(this->backend_limits.begin(), this->backend_limits.end());
+    all.insert(this->backend_places.begin(), this->backend_places.end());
     all.insert(this->retry_limits.begin(), this->retry_limits.end());
     this->has_limits = !all.empty();
     std::erase_if(
@@ -143,6 +165,23 @@
 {
     this->peers.send(
         from, this->accountant.handle_query(query, this->clock.now()));
+    this->send_late_replies();
+}
+
+void quota_controller::send_late_replies()
+{
+    for (const quota_accountant::late_reply& one :
+         this->accountant.take_late_replies())
+    {
+        if (one.router == this->settings.router)
+        {
+            this->reply_received(one.reply);
+            continue;
+        }
+        const auto address = this->addresses.find(one.router);
+        if (address != this->addresses.end())
+            this->peers.send(address->second, one.reply);
+    }
 }
 
 void quota_controller::reply_received(const quota_reply& reply)
@@ -211,6 +250,7 @@
         for (const quota_message& message : messages)
             this->send(message);
     }
+    this->send_late_replies();
     for (const quota_decision& decision : this->client.take_decisions())
         this->deliver(decision);
     this->schedule_tick();
--- a/src/app/gateway/quota_controller.hpp
+++ b/src/app/gateway/quota_controller.hpp
@@ -62,6 +62,17 @@
     /// @param all The rate limits that backend servers name, in full.
     void server_limits_changed(std::span<const server_limit> all);
 
+    /// @param all The slots of the backend servers whose places are counted, by
+    ///            account.
+    void server_places_changed(
+        const std::map<std::string, double, std::less<>>& all);
+
+    /// A request that held a place has ended.
+    void release_place(std::string_view account, bool rejected);
+
+    /// Refuses the draw that waits for a place, if there is one.
+    void cancel_place(std::string_view account);
+
     void routers_listed(std::span<const router_address> all);
     void query_received(const quota_query& query, std::string_view from);
     void reply_received(const quota_reply& reply);
@@ -77,6 +88,7 @@
     void flush();
     void send(const quota_message& message);
     void deliver(const quota_decision& decision);
+    void send_late_replies();
     void limits_changed();
     /// @return Whether any account has a limit, or a request still waits for a
     ///         decision on a limit that has been removed.
@@ -111,6 +123,7 @@
     std::map<std::string, account_totals, std::less<>> logged_totals;
     global_limits organisation_limits;
     global_limits backend_limits;
+    global_limits backend_places;
     global_limits retry_limits;
     boost::asio::steady_timer timer;
     /// Name of the accountant in the latest log line.
--- a/src/app/gateway/server_limit_controller.cpp
+++ b/src/app/gateway/server_limit_controller.cpp
@@ -1,5 +1,6 @@
 #include "app/gateway/server_limit_controller.hpp"
 
+#include "core/pacing/brittle_services.hpp"
 #include "core/quota/global_limits.hpp"
 
 #include <boost/asio/post.hpp>
@@ -51,6 +52,7 @@
     , quotas(quota)
     , notify(std::move(handlers))
     , limits(limits_options(this->settings))
+    , brittle_services(brittle_service_options(this->settings.router))
     , timer(context)
 {
 }
@@ -63,31 +65,41 @@
 }
 
 void server_limit_controller::answered(
-    const std::string& server, std::optional<double> named_limit, instant sent)
+    const std::string& server, const server_notice& notice, instant sent)
 {
-    if (!named_limit && !this->has_limits)
+    if (notice.is_empty() && !this->has_limits && !this->has_brittle_services)
         return;
     asio::post(
         this->loop,
-        [this, server, named_limit, sent]
+        [this, server, notice, sent]
         {
-            this->process_answer(server, named_limit, sent);
+            this->process_answer(server, notice, sent);
         });
 }
 
 void server_limit_controller::process_answer(
-    const std::string& server, std::optional<double> named_limit, instant sent)
+    const std::string& server, const server_notice& notice, instant sent)
 {
     if (this->stopped)
         return;
-    this->limits.handle_answer(server, named_limit, sent, this->clock.now());
+    const instant now = this->clock.now();
+    this->limits.handle_answer(server, notice.rate_limit, sent, now);
+    const auto found = this->view.servers().find(server);
+    if (found != this->view.servers().end())
+        this->brittle_services.handle_answer(
+            brittle_service_key(found->second.entry.service),
+            notice.max_rejections,
+            sent,
+            now);
     this->flush();
 }
 
 void server_limit_controller::limits_received(
     const server_limit_update& message)
 {
-    this->limits.handle_update(message, this->clock.now());
+    const auto [servers, services] = split_by_kind(message);
+    this->limits.handle_update(servers, this->clock.now());
+    this->brittle_services.handle_update(services, this->clock.now());
     this->flush();
 }
 
@@ -100,7 +112,7 @@
 
 void server_limit_controller::servers_changed()
 {
-    if (!this->has_limits)
+    if (!this->has_limits && !this->has_brittle_services)
         return;
     this->remove_restarted();
     this->flush();
@@ -109,9 +121,12 @@
     // received before its entry was read.
     for (const server_limit& limit : this->limits.in_force())
     {
-        if (!this->limited_servers.contains(limit.server))
+        const auto known = this->limited_servers.find(limit.server);
+        if (known == this->limited_servers.end() ||
+            !known->second.has_rate_limit)
             this->apply_limit(limit);
     }
+    this->update_counted_servers();
 }
 
 void server_limit_controller::remove_restarted()
@@ -138,7 +153,10 @@
             moved.push_back(id);
     }
     for (const std::string& id : moved)
+    {
         this->remove_limit(id);
+        this->set_counted(id, false);
+    }
 }
 
 void server_limit_controller::flush()
@@ -157,11 +175,83 @@
     }
     if (!changes.empty())
         this->limits_changed();
-    if (const auto message = this->limits.take_update(this->clock.now()))
-        this->notify.on_limits_to_send(*message);
+    this->log_brittle_services();
+    for (server_limits* known : {&this->limits, &this->brittle_services})
+    {
+        if (const auto message = known->take_update(this->clock.now()))
+            this->notify.on_limits_to_send(*message);
+    }
     this->schedule_tick();
 }
 
+void server_limit_controller::log_brittle_services()
+{
+    const auto changes = this->brittle_services.take_changes();
+    if (changes.empty())
+        return;
+    for (const server_limit& one : changes)
+        this->events.report(
+            event_id::service_brittle,
+            {{"service", service_of_brittle_key(one.server)},
+             {"is_brittle", one.per_second > 0 ? 1 : 0},
+             {"max_rejections", std::llround(one.per_second)}});
+    this->has_brittle_services = !this->brittle_services.in_force().empty();
+    this->update_counted_servers();
+}
+
+void server_limit_controller::update_counted_servers()
+{
+    std::map<std::string, double, std::less<>> slots;
+    std::vector<std::string> added;
+    for (const auto& [id, one] : this->view.servers())
+    {
+        const std::string key = brittle_service_key(one.entry.service);
+        if (this->brittle_services.limit_of(key) == 0)
+            continue;
+        const std::string account = places_account(id);
+        slots[account] = one.entry.slots;
+        if (!this->slots_by_account.contains(account))
+            added.push_back(id);
+    }
+    if (slots == this->slots_by_account)
+        return;
+    std::vector<std::string> removed;
+    for (const auto& [id, one] : this->limited_servers)
+    {
+        if (one.counts_places && !slots.contains(places_account(id)))
+            removed.push_back(id);
+    }
+    this->slots_by_account = std::move(slots);
+    this->quotas.server_places_changed(this->slots_by_account);
+    for (const std::string& id : removed)
+        this->set_counted(id, false);
+    for (const std::string& id : added)
+        this->set_counted(id, true);
+}
+
+void server_limit_controller::set_counted(
+    const std::string& server, bool counted)
+{
+    const auto known = this->view.servers().find(server);
+    if (counted && known != this->view.servers().end())
+        this->limited_servers.try_emplace(
+            server, this->loop, this->place_of(known->second));
+    const auto found = this->limited_servers.find(server);
+    if (found == this->limited_servers.end() ||
+        std::exchange(found->second.counts_places, counted) == counted)
+        return;
+    this->dispatch.server_counted(found->second.place, counted);
+    this->remove_unlimited(server);
+}
+
+void server_limit_controller::remove_unlimited(const std::string& server)
+{
+    const auto found = this->limited_servers.find(server);
+    if (found != this->limited_servers.end() && !found->second.has_rate_limit &&
+        !found->second.counts_places)
+        this->limited_servers.erase(found);
+}
+
 void server_limit_controller::limits_changed()
 {
     const std::vector<server_limit> all = this->limits.in_force();
@@ -181,16 +271,18 @@
     this->start_times_ms[limit.server] = known->second.entry.born_ms;
     const auto added = this->limited_servers.try_emplace(
         limit.server, this->loop, this->place_of(known->second));
+    added.first->second.has_rate_limit = true;
     this->dispatch.server_limited(added.first->second.place, limit.per_second);
 }
 
 void server_limit_controller::remove_limit(const std::string& server)
 {
     const auto found = this->limited_servers.find(server);
-    if (found == this->limited_servers.end())
+    if (found == this->limited_servers.end() ||
+        !std::exchange(found->second.has_rate_limit, false))
         return;
     const server_place place = found->second.place;
-    this->limited_servers.erase(found);
+    this->remove_unlimited(server);
     this->dispatch.server_limited(place, 0);
 }
 
@@ -218,30 +310,103 @@
         });
 }
 
-void server_limit_controller::draw_permit(const permit_wanted& wanted)
+server_limit_controller::limited_servers_map::iterator
+server_limit_controller::find_at(const server_place& place)
 {
-    const auto found = std::ranges::find_if(
+    return std::ranges::find_if(
         this->limited_servers,
-        [&wanted](const auto& one)
+        [&place](const auto& one)
         {
-            return is_same_server(one.second.place, wanted.server);
+            return is_same_server(one.second.place, place);
         });
+}
+
+void server_limit_controller::place_released(
+    const roseworks::place_released& released)
+{
+    asio::post(
+        this->loop,
+        [this, released]
+        {
+            const auto found = this->find_at(released.server);
+            if (this->stopped || found == this->limited_servers.end())
+                return; // the server's places aren't counted any more
+            this->quotas.release_place(
+                places_account(found->first), released.rejected);
+        });
+}
+
+void server_limit_controller::permit_cancelled(
+    const roseworks::permit_cancelled& cancelled)
+{
+    asio::post(
+        this->loop,
+        [this, cancelled]
+        {
+            const auto found = this->find_at(cancelled.server);
+            if (!this->stopped && found != this->limited_servers.end())
+                this->quotas.cancel_place(places_account(found->first));
+        });
+}
+
+void server_limit_controller::draw_permit(const permit_wanted& wanted)
+{
+    const auto found = this->find_at(wanted.server);
     if (this->stopped || found == this->limited_servers.end())
         return; // the limit has ended, and the dispatcher was notified
+    const duration longest_wait = wanted.waits
+                                      ? duration(this->settings.max_permit_wait)
+                                      : duration::zero();
+    if (!found->second.counts_places)
+    {
+        this->draw_rate(found->first, longest_wait);
+        return;
+    }
+    quota_request request;
+    request.account = places_account(found->first);
+    request.amount = 1;
+    request.longest_wait = longest_wait;
+    this->quotas.draw(
+        std::move(request),
+        [this, longest_wait, server = found->first](
+            const quota_decision& decision)
+        {
+            const auto one = this->limited_servers.find(server);
+            if (one == this->limited_servers.end())
+                return;
+            if (!decision.is_allowed)
+                this->refuse_permit(server, decision);
+            else if (one->second.has_rate_limit)
+                this->draw_rate(server, longest_wait);
+            else
+                this->dispatch.permit_given(one->second.place, decision.wait);
+        });
+}
+
+void server_limit_controller::draw_rate(
+    const std::string& server, duration longest_wait)
+{
     quota_request request;
-    request.account = server_account(found->first);
+    request.account = server_account(server);
     request.amount = 1;
-    request.longest_wait = wanted.waits
-                               ? duration(this->settings.max_permit_wait)
-                               : duration::zero();
+    request.longest_wait = longest_wait;
     this->quotas.draw(
         std::move(request),
-        [this, server = found->first](const quota_decision& decision)
+        [this, server](const quota_decision& decision)
         {
             this->handle_decision(server, decision);
         });
 }
 
+void server_limit_controller::refuse_permit(
+    const std::string& server, const quota_decision& decision)
+{
+    const duration longest = this->settings.max_retry_delay;
+    this->dispatch.permit_refused(
+        this->limited_servers.at(server).place,
+        std::min(decision.retry_after, longest));
+}
+
 void server_limit_controller::handle_decision(
     const std::string& server, const quota_decision& decision)
 {
@@ -251,9 +416,9 @@
     limited_server& one = found->second;
     if (!decision.is_allowed)
     {
-        const duration longest = this->settings.max_retry_delay;
-        this->dispatch.permit_refused(
-            one.place, std::min(decision.retry_after, longest));
+        if (one.counts_places)
+            this->quotas.release_place(places_account(server), false);
+        this->refuse_permit(server, decision);
         return;
     }
     this->dispatch.permit_given(one.place, decision.wait);
@@ -272,13 +437,18 @@
     const auto found = this->limited_servers.find(server);
     if (found == this->limited_servers.end())
         return;
-    if (this->dispatch.permit_withdrawn(found->second.place))
-        this->quotas.refund(server_account(server), 1);
+    if (!this->dispatch.permit_withdrawn(found->second.place))
+        return;
+    this->quotas.refund(server_account(server), 1);
+    if (found->second.counts_places)
+        this->quotas.release_place(places_account(server), false);
 }
 
 void server_limit_controller::schedule_tick()
 {
-    const auto due = this->limits.next_tick();
+    std::optional<instant> due = this->limits.next_tick();
+    if (const auto next = this->brittle_services.next_tick())
+        due = std::min(due.value_or(*next), *next);
     if (this->stopped || !due)
         return;
     this->timer.expires_after(
@@ -289,6 +459,7 @@
             if (error || this->stopped)
                 return;
             this->limits.tick(this->clock.now());
+            this->brittle_services.tick(this->clock.now());
             this->flush();
         });
 }
--- a/src/app/gateway/server_limit_controller.hpp
+++ b/src/app/gateway/server_limit_controller.hpp
@@ -3,6 +3,7 @@
 #include "adapters/edge/shared_dispatcher.hpp"
 #include "app/gateway/quota_controller.hpp"
 #include "core/pacing/server_limits.hpp"
+#include "core/pacing/server_notice.hpp"
 #include "core/serving/serving_view.hpp"
 #include "ports/clock.hpp"
 #include "ports/event_sink.hpp"
@@ -22,15 +23,16 @@
 namespace roseworks::app
 {
 
-/** Keeps all routers together within the rate limits that backend servers name
-    in their answers.
+/** Keeps all routers together within what backend servers state in their
+    answers: their rate limits, and the room of brittle servers.
 
-    Learns the limits from answers and from other routers. Draws the permits
-    that the dispatcher needs from an account per server, which all routers
-    share.
+    Learns both from answers and from other routers. Draws the permits that the
+    dispatcher needs from accounts per server, which all routers share. All
+    servers of a service count as brittle if one of them says so, so that a
+    server that starts is treated so before its first answer.
 
-    Used on the control thread only, except for `answered` and `permit_needed`.
-    Has to outlive the last run of its io_context.
+    Used on the control thread only, except for `answered`, `permit_needed` and
+    `place_released`. Has to outlive the last run of its io_context.
 */
 class server_limit_controller
 {
@@ -70,16 +72,19 @@
     void stop();
 
     /// A server answered a request. Called from any thread.
-    /// @param named_limit Rate limit that the answer names, in requests per
-    ///                    second; empty if it names none.
     void answered(
-        const std::string& server,
-        std::optional<double> named_limit,
-        instant sent);
+        const std::string& server, const server_notice& notice, instant sent);
 
     /// The dispatcher needs a permit. Called from any thread.
     void permit_needed(const permit_wanted& wanted);
 
+    /// A request to a server whose places are counted has ended. Called from
+    /// any thread.
+    void place_released(const roseworks::place_released& released);
+
+    /// No request waits any more for a permit. Called from any thread.
+    void permit_cancelled(const roseworks::permit_cancelled& cancelled);
+
     void limits_received(const server_limit_update& message);
 
     /// Servers were added, removed or restarted.
@@ -96,15 +101,23 @@
         }
 
         server_place place;
+        bool has_rate_limit = false;
+        bool counts_places = false;
         /// Expires with the latest permit.
         boost::asio::steady_timer permit_expiry;
     };
 
+    using limited_servers_map =
+        std::map<std::string, limited_server, std::less<>>;
+
     void process_answer(
-        const std::string& server,
-        std::optional<double> named_limit,
-        instant sent);
+        const std::string& server, const server_notice& notice, instant sent);
+    /// @return The server at a place, or the end of `limited_servers`.
+    limited_servers_map::iterator find_at(const server_place& place);
     void draw_permit(const permit_wanted& wanted);
+    void draw_rate(const std::string& server, duration longest_wait);
+    void
+    refuse_permit(const std::string& server, const quota_decision& decision);
     void
     handle_decision(const std::string& server, const quota_decision& decision);
     void withdraw_permit(const std::string& server);
@@ -114,6 +127,12 @@
     server_place place_of(const serving_view::server& one) const;
     void apply_limit(const server_limit& limit);
     void remove_limit(const std::string& server);
+    /// Forgets a server for which neither kind of limit holds.
+    void remove_unlimited(const std::string& server);
+    /// Counts the places of all servers of brittle services, and of no others.
+    void update_counted_servers();
+    void set_counted(const std::string& server, bool counted);
+    void log_brittle_services();
     void remove_restarted();
     void remove_moved();
     void log_change(const server_limit& changed);
@@ -128,13 +147,17 @@
     quota_controller& quotas;
     callbacks notify;
     server_limits limits;
-    /// Servers that have a limit, by id.
-    std::map<std::string, limited_server, std::less<>> limited_servers;
+    server_limits brittle_services;
+    /// Servers that have a limit, or whose places are counted, by id.
+    limited_servers_map limited_servers;
+    /// Slots of the servers whose places are counted, by account.
+    std::map<std::string, double, std::less<>> slots_by_account;
     /// Start times of servers with known limits, by id. A limit ends when the
     /// server restarts, but not when its entry is missing for a while.
     std::map<std::string, std::int64_t, std::less<>> start_times_ms;
     boost::asio::steady_timer timer;
     std::atomic<bool> has_limits{false};
+    std::atomic<bool> has_brittle_services{false};
     bool stopped = false;
 };
 
--- a/src/core/pacing/server_limits.cpp
+++ b/src/core/pacing/server_limits.cpp
@@ -71,7 +71,8 @@
         return;
     entry* const record = this->find_or_add(server);
     const bool is_overtaken =
-        !announced && record != nullptr && sent < record->limit.seen;
+        !announced && record != nullptr &&
+        sent < record->limit.seen + this->settings.end_delay;
     if (record == nullptr || is_overtaken)
         return;
     const bool was_limited = record->limit.per_second > 0;
--- a/src/core/pacing/server_limits.hpp
+++ b/src/core/pacing/server_limits.hpp
@@ -49,6 +49,9 @@
         /// A limit expires when it was not seen for this long, that is, when no
         /// router sent the server anything.
         duration limit_retention = std::chrono::seconds(60);
+        /// A limit ends only with an answer whose request was sent at least
+        /// this long after the limit was last seen.
+        duration end_delay{};
         /// Limits of further servers are ignored.
         std::size_t max_servers = 1024;
     };
--- a/src/core/quota/global_limits.cpp
+++ b/src/core/quota/global_limits.cpp
@@ -9,6 +9,7 @@
 /// Names of organisations don't begin with a control character, so they can't
 /// clash with this.
 constexpr std::string_view server_account_prefix = "\x01server ";
+constexpr std::string_view places_account_prefix = "\x01places ";
 
 } // namespace
 
@@ -32,6 +33,25 @@
     return {.total = {per_second, one_request}, .min_burst = one_request};
 }
 
+global_limit limit_of_places(double slots)
+{
+    constexpr double one_request = 1;
+    return {
+        .total = {slots, one_request},
+        .min_burst = one_request,
+        .slots = slots};
+}
+
+std::string places_account(std::string_view server)
+{
+    return std::string(places_account_prefix) + std::string(server);
+}
+
+bool is_places_account(std::string_view account)
+{
+    return account.starts_with(places_account_prefix);
+}
+
 std::string server_account(std::string_view server)
 {
     return std::string(server_account_prefix) + std::string(server);
--- a/src/core/quota/global_limits.hpp
+++ b/src/core/quota/global_limits.hpp
@@ -25,6 +25,10 @@
     /// at any router.
     usage_limit per_request{};
     duration request_window{};
+    /// If not 0, requests hold places instead of taking tokens: a backend
+    /// server runs so many at once. `total` then only applies to a router that
+    /// reaches no accountant.
+    double slots = 0;
 };
 
 /// Limits by account name.
@@ -37,6 +41,17 @@
 /// @return The limit for a rate that a backend server announced.
 global_limit limit_of_server(double per_second);
 
+/// @return The limit on the requests that a backend server has at once.
+/// @param slots Requests that it runs at once.
+global_limit limit_of_places(double slots);
+
+/// @return The account name for the places of a backend server.
+/// @param server id of its registry entry.
+std::string places_account(std::string_view server);
+
+/// @return Whether the account counts the places of a backend server.
+bool is_places_account(std::string_view account);
+
 /// @return The account name for a backend server's limit.
 /// @param server id of its registry entry.
 std::string server_account(std::string_view server);
--- a/src/core/quota/quota_accountant.cpp
+++ b/src/core/quota/quota_accountant.cpp
@@ -37,6 +37,9 @@
     return duration(std::clamp<std::int64_t>(us, 0, max_time_us));
 }
 
+/// When a place that can't be waited for may be requested again.
+constexpr duration place_retry_delay = std::chrono::milliseconds(50);
+
 /// Interval between two counts of the active routers.
 constexpr duration count_interval = std::chrono::milliseconds(20);
 
@@ -60,6 +63,8 @@
         if (before != this->accounts_by_name.end())
             added = before->second;
         added.limit = limit;
+        if (limit.slots > 0 && !added.places)
+            added.places.emplace(limit.slots);
     }
     this->accounts_by_name = std::move(next);
 }
@@ -86,14 +91,71 @@
     this->refill_buckets(now);
     for (const quota_return& returned : query.returns)
         this->apply_return(returned);
+    for (const quota_draw& draw : query.draws)
+        this->find_account(draw);
+    this->report_usages(query, now);
     quota_reply reply;
     reply.accountant = this->name;
     for (const quota_draw& draw : query.draws)
-        reply.results.push_back(this->evaluate(draw, from));
+        reply.results.push_back(this->evaluate(query, draw, from, now));
     return reply;
 }
 
-quota_result quota_accountant::evaluate(const quota_draw& draw, router& from)
+void quota_accountant::report_usages(const quota_query& query, instant now)
+{
+    router& from = this->routers[query.router];
+    if (from.run == query.run && query.sequence < from.sequence)
+        return;
+    from.run = query.run;
+    from.sequence = query.sequence;
+    for (const place_usage& usage : query.usages)
+    {
+        const auto found = this->accounts_by_name.find(usage.account);
+        if (found == this->accounts_by_name.end() || !found->second.places)
+            continue;
+        found->second.places->report(query.router, usage, now);
+        this->grant_waiting(*found->second.places, now);
+    }
+}
+
+void quota_accountant::grant_waiting(place_counter& places, instant now)
+{
+    for (const place_counter::late_grant& one : places.grant_waiting(now))
+    {
+        const quota_result result{one.draw, true, 0};
+        this->remember(this->routers[one.router], result);
+        this->late_replies.push_back(
+            {one.router, quota_reply{this->name, {result}}});
+    }
+}
+
+void quota_accountant::remember(router& from, const quota_result& result)
+{
+    from.recent_results.push_front(result);
+    if (from.recent_results.size() > max_cached_results)
+        from.recent_results.pop_back();
+}
+
+quota_result quota_accountant::draw_place(
+    place_counter& places,
+    std::string_view router,
+    const quota_draw& draw,
+    instant now)
+{
+    using outcome = place_counter::outcome;
+    const outcome decided =
+        places.draw(router, draw.id, clamp_time(draw.max_wait_us), now);
+    if (decided == outcome::granted)
+        return {draw.id, true, 0};
+    return {
+        draw.id,
+        false,
+        decided == outcome::queued ? quota_result::queued
+                                   : place_retry_delay.count()};
+}
+
+quota_result quota_accountant::evaluate(
+    const quota_query& query, const quota_draw& draw, router& from, instant now)
 {
     const auto before =
         std::ranges::find(from.recent_results, draw.id, &quota_result::id);
@@ -106,6 +168,13 @@
     if (account* const found = this->find_account(draw))
     {
         account& entry = *found;
+        if (entry.places)
+        {
+            result = this->draw_place(*entry.places, query.router, draw, now);
+            if (result.is_allowed)
+                this->remember(from, result);
+            return result;
+        }
         const usage_limit bucket_limit = this->granted_limit(entry);
         const auto wait = entry.bucket.take(
             draw.amount, clamp_time(draw.max_wait_us), bucket_limit);
@@ -118,9 +187,7 @@
     if (!result.is_allowed)
         // No tokens were taken, so a repeated draw is evaluated again.
         return result;
-    from.recent_results.push_front(result);
-    if (from.recent_results.size() > max_cached_results)
-        from.recent_results.pop_back();
+    this->remember(from, result);
     return result;
 }
 
@@ -130,14 +197,18 @@
     const auto found = this->accounts_by_name.find(draw.account);
     if (found != this->accounts_by_name.end())
         return &found->second;
-    const bool is_announced = is_server_account(draw.account) &&
-                              draw.announced_per_second > 0 &&
-                              is_valid_amount(draw.announced_per_second);
+    const bool counts_places = is_places_account(draw.account);
+    const bool is_announced =
+        (counts_places || is_server_account(draw.account)) &&
+        draw.announced > 0 && is_valid_amount(draw.announced);
     if (!is_announced || this->accounts_by_name.size() >= max_accounts)
         return nullptr;
     // The message about this limit is delayed or was lost.
     account& added = this->accounts_by_name[draw.account];
-    added.limit = limit_of_server(draw.announced_per_second);
+    added.limit = counts_places ? limit_of_places(draw.announced)
+                                : limit_of_server(draw.announced);
+    if (counts_places)
+        added.places.emplace(draw.announced);
     return &added;
 }
 
@@ -198,6 +269,25 @@
         entry.requests = sum;
     }
     this->active_fraction = std::min(active_fraction, 1.0);
+    this->refill_places(now);
+}
+
+void quota_accountant::refill_places(instant now)
+{
+    const auto is_active = [this, now](std::string_view router)
+    {
+        const auto found = this->routers.find(std::string(router));
+        return found != this->routers.end() && found->second.is_active(now);
+    };
+    for (auto& [name, entry] : this->accounts_by_name)
+    {
+        if (!entry.places)
+            continue;
+        entry.places->set_share(this->active_fraction);
+        entry.places->keep_routers(is_active);
+        entry.places->tick(now);
+        this->grant_waiting(*entry.places, now);
+    }
 }
 
 std::map<std::string_view, double>
--- a/src/core/quota/quota_accountant.hpp
+++ b/src/core/quota/quota_accountant.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/quota/global_limits.hpp"
+#include "core/quota/place_counter.hpp"
 #include "core/quota/quota_messages.hpp"
 #include "core/quota/token_bucket.hpp"
 
@@ -10,9 +11,11 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace roseworks
@@ -42,6 +45,20 @@
     /// Processes a message of a router.
     quota_reply handle_query(const quota_query& query, instant now);
 
+    /// A reply that isn't the answer to a query: a draw that was queued has
+    /// been allowed.
+    struct late_reply
+    {
+        std::string router;
+        quota_reply reply;
+    };
+
+    /// @return The late replies since the last call.
+    std::vector<late_reply> take_late_replies()
+    {
+        return std::exchange(this->late_replies, {});
+    }
+
     /// Refills the buckets; to be called at least every 100 ms.
     void tick(instant now);
 
@@ -52,8 +69,9 @@
         token_bucket bucket;
         /// Requests in the limit's window, over all routers that report.
         double requests = 0;
-        double used = 0;    ///< taken and not returned, total
-        double refused = 0; ///< total
+        double used = 0;                     ///< taken and not returned, total
+        double refused = 0;                  ///< total
+        std::optional<place_counter> places; ///< set if the limit has slots
     };
 
     const std::map<std::string, account, std::less<>>& accounts() const
@@ -76,6 +94,8 @@
         /// Latest allowed draws, newest first.
         std::deque<quota_result> recent_results;
         std::vector<request_count> request_counts; ///< as last reported
+        std::uint64_t run = 0;                     ///< of the latest message
+        std::uint64_t sequence = 0;                ///< of the latest message
 
         bool is_active(instant now) const
         {
@@ -83,7 +103,20 @@
         }
     };
 
-    quota_result evaluate(const quota_draw& draw, router& from);
+    quota_result evaluate(
+        const quota_query& query,
+        const quota_draw& draw,
+        router& from,
+        instant now);
+    quota_result draw_place(
+        place_counter& places,
+        std::string_view router,
+        const quota_draw& draw,
+        instant now);
+    void remember(router& from, const quota_result& result);
+    void report_usages(const quota_query& query, instant now);
+    void grant_waiting(place_counter& places, instant now);
+    void refill_places(instant now);
     /// @return Null for an account without a limit.
     account* find_account(const quota_draw& draw);
     void apply_return(const quota_return& returned);
@@ -100,6 +133,7 @@
     std::size_t known_routers = 0; ///< 0: not known yet
     double active_fraction = 0;
     instant last_refill;
+    std::vector<late_reply> late_replies;
 };
 
 } // namespace roseworks
--- a/src/core/quota/quota_client.cpp
+++ b/src/core/quota/quota_client.cpp
@@ -25,6 +25,21 @@
 /// this number is limited as if it had no requests.
 constexpr std::size_t max_request_counts = 16;
 
+/// Places in one message, so that it fits a datagram.
+constexpr std::size_t max_place_usages = 16;
+
+/// Places that didn't change are repeated up to this number in a message.
+constexpr std::size_t max_repeated_usages = 4;
+
+/// For how long a change of the held places is repeated.
+constexpr duration change_report_time = std::chrono::milliseconds(1000);
+
+/// Interval between repeats of a draw that waits at the accountant.
+constexpr duration queued_resend_interval = std::chrono::milliseconds(100);
+
+/// Retry delay after a draw has waited in vain.
+constexpr duration place_retry_delay = std::chrono::milliseconds(20);
+
 /// Longest retry delay for a refused caller, as limits and shares change.
 constexpr duration max_retry_after = std::chrono::seconds(5);
 
@@ -56,6 +71,12 @@
         {
             return !this->limits.contains(entry.first);
         });
+    std::erase_if(
+        this->places,
+        [this](const auto& entry)
+        {
+            return !this->limits.contains(entry.first);
+        });
     std::erase_if(
         this->requests,
         [this](const auto& entry)
@@ -102,6 +123,12 @@
     added.created_at = now;
     added.last_sent_at = now;
     this->waiting.emplace(id, std::move(added));
+    if (is_places_account(account))
+    {
+        held_places& one = this->places[std::string(account)];
+        one.pending_draw = id;
+        this->changed(std::string(account), one, now);
+    }
     (this->*this->method)(id, now);
     return id;
 }
@@ -133,9 +160,11 @@
 double quota_client::announced_limit(std::string_view account) const
 {
     const auto limit = this->limits.find(account);
-    const bool is_announced =
-        limit != this->limits.end() && is_server_account(account);
-    return is_announced ? limit->second.total.per_second : 0;
+    if (limit == this->limits.end())
+        return 0;
+    if (is_places_account(account))
+        return limit->second.slots;
+    return is_server_account(account) ? limit->second.total.per_second : 0;
 }
 
 void quota_client::ask_accountant(std::uint64_t id, instant now)
@@ -177,9 +206,102 @@
         decision.is_allowed = wait.has_value();
         decision.wait = wait.value_or(duration::zero());
     }
+    this->decided(draw, decision.is_allowed, now);
     this->decisions.push_back(decision);
 }
 
+void quota_client::decided(const quota_draw& draw, bool is_allowed, instant now)
+{
+    if (!is_places_account(draw.account))
+        return;
+    held_places& one = this->places[draw.account];
+    if (one.pending_draw == draw.id)
+        one.pending_draw = 0;
+    one.held += is_allowed ? 1 : 0;
+    this->changed(draw.account, one, now);
+}
+
+void quota_client::changed(
+    const std::string& account, held_places& one, instant now)
+{
+    one.changed_at = now;
+    if (std::ranges::find(this->unreported_places, account) ==
+        this->unreported_places.end())
+        this->unreported_places.push_back(account);
+}
+
+void quota_client::release_place(
+    std::string_view account, bool rejected, instant now)
+{
+    const auto found = this->places.find(account);
+    if (found == this->places.end())
+        return;
+    held_places& one = found->second;
+    one.held -= one.held > 0 ? 1 : 0;
+    this->changed(found->first, one, now);
+    if (rejected)
+    {
+        ++one.rejections;
+        one.last_rejection = now;
+    }
+    // Other routers may wait for the place.
+    if (this->current_index < this->contacts.size())
+        this->send_query(this->contacts[this->current_index], {}, now);
+}
+
+void quota_client::cancel_place(std::string_view account, instant now)
+{
+    const auto found = this->places.find(account);
+    if (found == this->places.end() || found->second.pending_draw == 0)
+        return;
+    this->resolve({found->second.pending_draw, false, 0}, now);
+    if (this->current_index < this->contacts.size())
+        this->send_query(this->contacts[this->current_index], {}, now);
+}
+
+place_usage quota_client::usage_of(
+    const std::string& account, const held_places& one, instant now)
+{
+    return {
+        account,
+        one.held,
+        one.pending_draw,
+        one.rejections,
+        duration(now - one.last_rejection).count()};
+}
+
+std::vector<place_usage> quota_client::place_usages(instant now)
+{
+    std::vector<place_usage> usages;
+    const std::size_t reported =
+        std::min(this->unreported_places.size(), max_place_usages);
+    for (std::size_t i = 0; i < reported; ++i)
+    {
+        const auto found = this->places.find(this->unreported_places[i]);
+        if (found != this->places.end())
+            usages.push_back(this->usage_of(found->first, found->second, now));
+    }
+    this->unreported_places.erase(
+        this->unreported_places.begin(),
+        this->unreported_places.begin() +
+            static_cast<std::ptrdiff_t>(reported));
+    // The others are repeated in turn, since a message may have been lost.
+    auto next = this->places.upper_bound(this->last_reported_place);
+    for (std::size_t i = 0;
+         i < this->places.size() && usages.size() < max_repeated_usages;
+         ++i)
+    {
+        if (next == this->places.end())
+            next = this->places.begin();
+        const held_places& one = next->second;
+        if (one.held > 0 || now - one.changed_at < change_report_time)
+            usages.push_back(this->usage_of(next->first, one, now));
+        this->last_reported_place = next->first;
+        ++next;
+    }
+    return usages;
+}
+
 double quota_client::own_fraction() const
 {
     if (this->router_count == 0)
@@ -315,6 +437,9 @@
     query.draws = std::move(draws);
     query.returns = std::exchange(this->returns, {});
     query.request_counts = this->request_counts(now);
+    query.usages = this->place_usages(now);
+    query.run = this->settings.seed;
+    query.sequence = ++this->message_count;
     to.last_message_at = now;
     if (!to.unanswered_since)
         to.unanswered_since = now;
@@ -364,14 +489,18 @@
     for (const quota_result& result : reply.results)
     {
         const auto found = this->waiting.find(result.id);
-        if (result.is_allowed || is_final)
-            this->resolve(result);
+        const bool is_queued =
+            !result.is_allowed && result.wait_us == quota_result::queued;
+        if (is_queued && found != this->waiting.end())
+            found->second.queued_at = now;
+        else if (result.is_allowed || is_final)
+            this->resolve(result, now);
         else if (found != this->waiting.end())
             found->second.provisional_refusal = result;
     }
 }
 
-void quota_client::resolve(const quota_result& result)
+void quota_client::resolve(const quota_result& result, instant now)
 {
     const auto found = this->waiting.find(result.id);
     if (found == this->waiting.end())
@@ -381,6 +510,7 @@
                                   : max_retry_after;
     const duration wait =
         std::clamp(duration(result.wait_us), duration::zero(), max_wait);
+    this->decided(found->second.draw, result.is_allowed, now);
     this->waiting.erase(found);
     quota_decision decision{result.id, result.is_allowed, {}, {}};
     (result.is_allowed ? decision.wait : decision.retry_after) = wait;
@@ -431,24 +561,29 @@
     std::vector<quota_draw> resent;
     for (auto& [id, entry] : this->waiting)
     {
-        if (now - entry.created_at >= this->settings.decision_timeout)
+        if (this->has_timed_out(entry, now))
         {
             timed_out.push_back(id);
             continue;
         }
-        if (now - entry.last_sent_at >= this->settings.resend_interval)
+        const duration interval = entry.queued_at
+                                      ? queued_resend_interval
+                                      : this->settings.resend_interval;
+        if (now - entry.last_sent_at >= interval)
         {
             entry.last_sent_at = now;
             resent.push_back(entry.draw);
         }
-        this->schedule_by(entry.last_sent_at + this->settings.resend_interval);
+        this->schedule_by(entry.last_sent_at + interval);
     }
     for (const std::uint64_t id : timed_out)
     {
-        const auto provisional_refusal =
-            this->waiting.at(id).provisional_refusal;
-        if (provisional_refusal)
-            this->resolve(*provisional_refusal);
+        const pending_draw& entry = this->waiting.at(id);
+        const auto provisional_refusal = entry.provisional_refusal;
+        if (entry.queued_at)
+            this->resolve({id, false, place_retry_delay.count()}, now);
+        else if (provisional_refusal)
+            this->resolve(*provisional_refusal, now);
         else
             this->decide_locally(id, now);
     }
@@ -457,6 +592,17 @@
             this->contacts[this->current_index], std::move(resent), now);
 }
 
+bool quota_client::has_timed_out(const pending_draw& entry, instant now) const
+{
+    const duration waited = now - entry.created_at;
+    const bool is_queued =
+        entry.queued_at &&
+        now - *entry.queued_at < this->settings.decision_timeout;
+    if (is_queued)
+        return waited >= duration(entry.draw.max_wait_us);
+    return waited >= this->settings.decision_timeout;
+}
+
 void quota_client::send_keepalives(instant now)
 {
     const duration keepalive_interval =
--- a/src/core/quota/quota_client.hpp
+++ b/src/core/quota/quota_client.hpp
@@ -91,6 +91,13 @@
     /// limit if that depends on the number of requests.
     void count_request(std::string_view account, instant now);
 
+    /// A request that held a place at a backend server has ended.
+    /// @param rejected The server had no room for it.
+    void release_place(std::string_view account, bool rejected, instant now);
+
+    /// Refuses the draw that waits for a place, if there is one.
+    void cancel_place(std::string_view account, instant now);
+
     /// Returns the tokens of a request that did not run.
     void return_tokens(std::string_view account, double amount, instant now);
 
@@ -118,6 +125,18 @@
         instant last_sent_at;
         /// From an accountant that lacks data yet.
         std::optional<quota_result> provisional_refusal;
+        /// When the accountant last confirmed that the draw waits there.
+        std::optional<instant> queued_at;
+    };
+
+    /// The places that this router holds at one backend server.
+    struct held_places
+    {
+        std::uint32_t held = 0;
+        std::uint64_t pending_draw = 0;
+        std::uint32_t rejections = 0;
+        instant last_rejection;
+        instant changed_at;
     };
 
     struct accountant_contact
@@ -136,8 +155,19 @@
     using decision_method =
         void (quota_client::*)(std::uint64_t id, instant now);
 
-    /// @return The rate that a backend server announced; 0 for other accounts.
+    /// @return The rate limit or the slots of a backend server; 0 for other
+    ///         accounts.
     double announced_limit(std::string_view account) const;
+    /// @return What this router holds, as far as it fits into a message; what
+    ///         changed recently comes first.
+    std::vector<place_usage> place_usages(instant now);
+    place_usage
+    usage_of(const std::string& account, const held_places& one, instant now);
+    /// Notes that the places held under an account have changed.
+    void changed(const std::string& account, held_places& one, instant now);
+    void decided(const quota_draw& draw, bool is_allowed, instant now);
+    /// @return Whether a draw without a result has waited for too long.
+    bool has_timed_out(const pending_draw& entry, instant now) const;
     void ask_accountant(std::uint64_t id, instant now);
     void decide_locally(std::uint64_t id, instant now);
     /// @return This router's fraction of each limit; 0 until the number of
@@ -161,7 +191,7 @@
     void start_contact(accountant_contact& contact, instant now);
     void send_query(
         accountant_contact& to, std::vector<quota_draw> draws, instant now);
-    void resolve(const quota_result& result);
+    void resolve(const quota_result& result, instant now);
     void detect_unresponsive(instant now);
     void resend_draws(instant now);
     void send_keepalives(instant now);
@@ -173,6 +203,9 @@
     std::unordered_map<std::string, token_bucket> local_buckets; ///< by account
     /// Requests that raise limits, by account.
     std::map<std::string, sliding_count, std::less<>> requests;
+    std::map<std::string, held_places, std::less<>> places; ///< by account
+    std::vector<std::string> unreported_places; ///< accounts that changed
+    std::string last_reported_place; ///< account; repeats continue after it
     std::vector<accountant_contact> contacts;
     /// Index in `contacts`; the size of `contacts` when none answers.
     std::size_t current_index = 0;
@@ -182,6 +215,7 @@
     std::vector<quota_message> messages;
     std::vector<quota_decision> decisions;
     std::uint64_t last_id;
+    std::uint64_t message_count = 0; ///< queries sent so far
     /// When two accountants last counted this router at once.
     std::optional<instant> last_overlap;
     instant last_local_refill;
--- a/src/core/quota/quota_messages.hpp
+++ b/src/core/quota/quota_messages.hpp
@@ -15,9 +15,9 @@
         account; ///< of an organisation, a server, or a service's retries
     double amount = 0;
     std::int64_t max_wait_us = 0;
-    /// The limit that a backend server announced, for an accountant that
+    /// The rate limit or the slots of a backend server, for an accountant that
     /// doesn't know it yet; 0: the configured limit applies.
-    double announced_per_second = 0;
+    double announced = 0;
 
     template <class Archive>
     void serialize(Archive& archive)
@@ -27,7 +27,7 @@
             this->account,
             this->amount,
             this->max_wait_us,
-            this->announced_per_second);
+            this->announced);
     }
 };
 
@@ -58,6 +58,27 @@
     }
 };
 
+/// The requests that a router has at a backend server whose places are counted.
+struct place_usage
+{
+    std::string account;
+    std::uint32_t held = 0;
+    std::uint64_t pending_draw = 0;   ///< without an answer yet; 0: none
+    std::uint32_t rejections = 0;     ///< for want of room, since the start
+    std::int64_t rejected_us_ago = 0; ///< time since the latest one
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(
+            this->account,
+            this->held,
+            this->pending_draw,
+            this->rejections,
+            this->rejected_us_ago);
+    }
+};
+
 /// Message from a router to its accountant. Draws are repeated until they are
 /// answered. Returns are not: a lost one costs the organisation these tokens.
 struct quota_query
@@ -74,6 +95,11 @@
     std::vector<quota_draw> draws;
     std::vector<quota_return> returns;
     std::vector<request_count> request_counts;
+    std::vector<place_usage> usages; ///< of some accounts
+    /// Identifies the router's run, and the position of this message in it:
+    /// usages of a message that was overtaken by a later one are outdated.
+    std::uint64_t run = 0;
+    std::uint64_t sequence = 0;
 
     template <class Archive>
     void serialize(Archive& archive)
@@ -85,16 +111,26 @@
             this->draws,
             this->returns,
             this->request_counts);
+        // Routers of earlier versions leave this field out.
+        if constexpr (requires { archive.remaining(); })
+        {
+            if (archive.remaining() == 0)
+                return;
+        }
+        archive(this->usages, this->run, this->sequence);
     }
 };
 
 /// Result of one draw.
 struct quota_result
 {
+    /// The draw waits for a place, and another result follows.
+    static constexpr std::int64_t queued = -1;
+
     std::uint64_t id = 0;
     bool is_allowed = false;
     /// Allowed: time until the request may be sent. Refused: time until the
-    /// bucket holds enough tokens.
+    /// bucket holds enough tokens, or `queued`.
     std::int64_t wait_us = 0;
 
     template <class Archive>
--- a/src/core/request/dispatcher.cpp
+++ b/src/core/request/dispatcher.cpp
@@ -54,6 +54,12 @@
     this->self->server_limited(server, per_second, now);
 }
 
+void dispatcher::server_counted(
+    const server_place& server, bool counted, instant now)
+{
+    this->self->server_counted(server, counted, now);
+}
+
 void dispatcher::permit_given(
     const server_place& server, instant from, instant now)
 {
--- a/src/core/request/dispatcher_finish.cpp
+++ b/src/core/request/dispatcher_finish.cpp
@@ -102,6 +102,7 @@
     }
 
     destination.last_used = now;
+    this->pass_on_places(now);
     this->grant_waiting(destination, now);
     this->request_replicas(destination, now);
     return outcome;
@@ -163,7 +164,7 @@
     const bool not_run = is_not_run(result.how) && !result.answer_started;
     request.may_have_run = request.may_have_run || !not_run;
     this->update_after_failure(request, result);
-    this->release_slot(request);
+    this->release_slot(request, result.no_room);
 
     const verdict outcome =
         request.may_have_run ? verdict::may_have_run : verdict::not_run;
@@ -344,11 +345,17 @@
         this->dequeue(request);
     }
     this->forget(id);
+    this->pass_on_places(now);
     this->grant_waiting(destination, now);
 }
 
-void dispatcher::impl::release_slot(pending& request)
+void dispatcher::impl::release_slot(pending& request, bool rejected)
 {
+    if (std::exchange(request.holds_place, false))
+    {
+        this->freed_places.push_back(
+            {{request.engine, request.address}, rejected});
+    }
     detail::target& destination = *request.destination;
     if (detail::backend* used =
             destination.find(request.replica, request.address))
--- a/src/core/request/dispatcher_grant.cpp
+++ b/src/core/request/dispatcher_grant.cpp
@@ -63,8 +63,8 @@
         destination.queue.push(item);
     }
     this->grant_suspects(destination, now);
-    this->request_permits(destination, now);
     this->update_waiting_set(destination);
+    this->request_permits(destination, now);
 }
 
 bool dispatcher::impl::grant_next(
@@ -167,6 +167,7 @@
     request.replica = chosen.where.replica;
     request.address = chosen.where.address;
     request.server = chosen.server;
+    request.engine = chosen.where.engine;
     --this->queued_count;
     this->queued_bytes[static_cast<std::size_t>(request.item.level)] -=
         request.info.held_bytes;
@@ -176,6 +177,7 @@
     destination.long_in_flight += request.item.long_prompt ? 1 : 0;
     detail::server_state& server = this->loads.at(chosen.server);
     ++server.own;
+    request.holds_place = server.permits.counts_places();
     server.permits.used();
     if (alone)
     {
--- a/src/core/request/dispatcher_impl.hpp
+++ b/src/core/request/dispatcher_impl.hpp
@@ -36,6 +36,7 @@
     void load_reported(const load_report& report, instant now);
     void cache_reported(const cache_report& report, instant now);
     void server_limited(const server_place&, double per_second, instant now);
+    void server_counted(const server_place&, bool counted, instant now);
     void permit_given(const server_place& server, instant from, instant now);
     void permit_refused(const server_place&, duration retry_after, instant now);
     bool permit_withdrawn(const server_place& server);
@@ -87,6 +88,9 @@
         replica_id replica;          ///< of the running attempt
         std::string address;         ///< of the running attempt
         detail::server_key server{}; ///< of the running attempt
+        engine_id engine;            ///< of the running attempt
+        /// The running attempt holds a place that has to be released.
+        bool holds_place = false;
         /// Server that is kept idle for this suspect request.
         std::optional<detail::server_key> reserved_server;
         std::vector<detail::server_key> tried; ///< servers of failed attempts
@@ -165,6 +169,21 @@
         std::span<std::size_t const> usable) const;
     void
     request_permit(const detail::backend& candidate, bool waits, instant now);
+    /// Requests places from the least loaded servers of a target, one for each
+    /// waiting request.
+    void request_places(const detail::target& destination, instant now);
+    /// Cancels the requests for places that nobody waits for any more.
+    void cancel_places(const detail::target& destination, instant now);
+    void set_pace(
+        const server_place& server,
+        double per_second,
+        bool counted,
+        instant now);
+    /// Uses the places that were given up for requests that wait here, within
+    /// bounds, and releases the others.
+    void pass_on_places(instant now);
+    /// Releases a permit that no request has used.
+    void release_unused(const server_place& server);
     /// How soon requests of a target can start if all its servers are
     /// rate-limited.
     struct rate_limit_forecast
@@ -184,7 +203,7 @@
         instant now) const;
 
     // dispatcher_finish.cpp
-    void release_slot(pending& request);
+    void release_slot(pending& request, bool rejected = false);
     void record_crash(pending& request, engine_id engine, bool resumable);
     void update_after_failure(pending& request, const attempt_result& result);
     bool may_retry(const pending& request, const attempt_result& result) const;
@@ -254,6 +273,7 @@
     bool draining = false;
     /// A server became available that requests of other targets may wait for.
     bool shared_server_freed = false;
+    std::vector<place_released> freed_places; ///< since the last call
 };
 
 } // namespace roseworks
--- a/src/core/request/dispatcher_permits.cpp
+++ b/src/core/request/dispatcher_permits.cpp
@@ -14,6 +14,14 @@
 /// permit request. Covers a few round trips between two data centres.
 constexpr duration permit_answer_timeout = std::chrono::milliseconds(30);
 
+/// How long a request for a place may be unanswered before a place on another
+/// server is requested, too: the first server has no room.
+constexpr duration place_answer_timeout = std::chrono::milliseconds(20);
+
+/// How often in a row a place is used again without being released. More would
+/// keep the routers waiting that hold none.
+constexpr std::uint32_t max_place_reuses = 8;
+
 /// @return Sort key: the best waiting class, then the earliest deadline.
 std::pair<priority, instant> urgency_of(const detail::target* destination)
 {
@@ -26,16 +34,65 @@
 
 void dispatcher::impl::server_limited(
     const server_place& server, double per_second, instant now)
+{
+    const detail::server_permits& pace =
+        this->loads.at(detail::key_of(server)).permits;
+    this->set_pace(server, per_second, pace.counts_places(), now);
+}
+
+void dispatcher::impl::server_counted(
+    const server_place& server, bool counted, instant now)
+{
+    const detail::server_permits& pace =
+        this->loads.at(detail::key_of(server)).permits;
+    this->set_pace(server, pace.rate(), counted, now);
+}
+
+void dispatcher::impl::set_pace(
+    const server_place& server, double per_second, bool counted, instant now)
 {
     detail::server_permits& pace =
         this->loads.at(detail::key_of(server)).permits;
     this->limited_server_count -= pace.is_limited() ? 1 : 0;
-    pace.limit(per_second);
+    pace.limit(per_second, counted);
     this->limited_server_count += pace.is_limited() ? 1 : 0;
     this->shared_server_freed = true;
     this->grant_waiting_on_freed_servers(now);
 }
 
+void dispatcher::impl::pass_on_places(instant now)
+{
+    for (const place_released& freed : std::exchange(this->freed_places, {}))
+    {
+        const detail::server_key key = detail::key_of(freed.server);
+        detail::server_permits& pace = this->loads.at(key).permits;
+        const bool may_reuse = !freed.rejected && pace.counts_places() &&
+                               !pace.may_send(now) &&
+                               pace.reuses() < max_place_reuses;
+        if (!may_reuse)
+        {
+            this->commands.emplace_back(freed);
+            continue;
+        }
+        pace.reused(now);
+        for (detail::target* destination : this->targets_waiting_for(key))
+        {
+            this->grant_waiting_of(*destination, now);
+        }
+        this->release_unused(freed.server);
+    }
+}
+
+void dispatcher::impl::release_unused(const server_place& server)
+{
+    detail::server_permits& pace =
+        this->loads.at(detail::key_of(server)).permits;
+    if (pace.counts_places() && pace.revoke())
+    {
+        this->commands.emplace_back(place_released{server, false});
+    }
+}
+
 void dispatcher::impl::permit_given(
     const server_place& server, instant from, instant now)
 {
@@ -50,6 +107,7 @@
     {
         this->grant_waiting(*destination, now);
     }
+    this->release_unused(server);
 }
 
 std::vector<detail::target*>
@@ -117,10 +175,15 @@
 void dispatcher::impl::request_permits(
     const detail::target& destination, instant now)
 {
-    if (this->limited_server_count == 0 || destination.waiting() == 0)
+    if (this->limited_server_count == 0)
     {
         return;
     }
+    if (destination.waiting() == 0)
+    {
+        this->cancel_places(destination, now);
+        return;
+    }
     const auto usable = detail::balancer::usable(destination.backends, now);
     const auto free = detail::balancer::slots(
         destination.backends,
@@ -132,6 +195,7 @@
     {
         return; // the requests wait for something other than a permit
     }
+    this->request_places(destination, now);
     for (const detail::backend& candidate : destination.backends)
     {
         const detail::server_permits* pace =
@@ -140,7 +204,7 @@
         {
             continue;
         }
-        if (pace->must_request(now))
+        if (!pace->counts_places() && pace->must_request(now))
         {
             this->request_permit(candidate, true, now);
         }
@@ -152,6 +216,74 @@
     }
 }
 
+void dispatcher::impl::cancel_places(
+    const detail::target& destination, instant now)
+{
+    for (const detail::backend& candidate : destination.backends)
+    {
+        const detail::server_permits* pace =
+            this->loads.permits_of(candidate.server);
+        const bool is_pending = pace != nullptr && pace->counts_places() &&
+                                pace->awaits_answer(now);
+        if (!is_pending || !this->targets_waiting_for(candidate.server).empty())
+        {
+            continue;
+        }
+        this->loads.at(candidate.server).permits.cancelled();
+        this->commands.emplace_back(permit_cancelled{
+            {candidate.where.engine, candidate.where.address}});
+    }
+}
+
+void dispatcher::impl::request_places(
+    const detail::target& destination, instant now)
+{
+    std::vector<const detail::backend*> free;
+    std::size_t requested = 0;
+    for (const std::size_t i :
+         detail::balancer::usable(destination.backends, now))
+    {
+        const detail::backend& candidate = destination.backends[i];
+        const detail::server_permits* pace =
+            this->loads.permits_of(candidate.server);
+        if (pace == nullptr || !pace->counts_places())
+        {
+            continue;
+        }
+        const bool is_recent =
+            pace->awaits_answer(now) &&
+            now - pace->requested_since() < place_answer_timeout;
+        requested += is_recent ? 1 : 0;
+        if (is_recent)
+        {
+            this->schedule_tick_by(
+                pace->requested_since() + place_answer_timeout);
+        }
+        if (pace->must_request(now))
+        {
+            free.push_back(&candidate);
+        }
+    }
+    // Shuffled, because all routers would otherwise prefer the same servers.
+    std::shuffle(free.begin(), free.end(), this->random);
+    std::ranges::stable_sort(
+        free,
+        {},
+        [this, now](const detail::backend* candidate)
+        {
+            return this->loads.load(candidate->server, now);
+        });
+    for (const detail::backend* candidate : free)
+    {
+        if (requested >= destination.waiting())
+        {
+            return;
+        }
+        this->request_permit(*candidate, true, now);
+        ++requested;
+    }
+}
+
 bool dispatcher::impl::awaits_permit(
     const detail::target& destination,
     pending& request,
@@ -162,6 +294,16 @@
     {
         return false;
     }
+    const auto has_permit = [&](std::size_t i)
+    {
+        const detail::server_key server = destination.backends[i].server;
+        return this->loads.is_limited(server) &&
+               this->loads.may_send(server, now);
+    };
+    if (std::ranges::any_of(usable, has_permit))
+    {
+        return false;
+    }
     const bool is_asked = request.permit_wait_until.has_value();
     for (const std::size_t i : usable)
     {
--- a/src/core/routing/balancer.cpp
+++ b/src/core/routing/balancer.cpp
@@ -81,6 +81,12 @@
     {
         return 0;
     }
+    // The places are counted over all routers, so this router's own estimate
+    // of the load isn't needed.
+    if (loads.counts_places(one.server))
+    {
+        return 1;
+    }
     const std::uint32_t limit = loads.limit(one.server, streams, now);
     const std::uint32_t free =
         limit > one.in_flight ? limit - one.in_flight : 0;
@@ -198,16 +204,22 @@
         });
     // A valid permit was requested for one of these requests and counts towards
     // the server's limit already, so it is used first.
-    const auto with_permit = std::ranges::find_if(
-        candidates,
-        [&](std::size_t i)
-        {
-            return loads.is_limited(all[i].server);
-        });
+    const auto has_permit = [&](std::size_t i)
+    {
+        return loads.is_limited(all[i].server) &&
+               has_slot(all[i], query.max_streams, loads, now);
+    };
+    const auto with_permit = std::ranges::find_if(candidates, has_permit);
     if (with_permit != candidates.end())
     {
         return *with_permit;
     }
+    // Even a server that was tried before: its permit was requested in turn.
+    const auto tried_with_permit = std::ranges::find_if(among, has_permit);
+    if (candidates.empty() && tried_with_permit != among.end())
+    {
+        return *tried_with_permit;
+    }
     const std::vector<std::size_t> own = this->prefer_local(all, candidates);
     const std::vector<std::size_t>& best =
         above_mean(all, own, candidates, loads, now) ? candidates : own;
--- a/src/core/routing/server_loads.cpp
+++ b/src/core/routing/server_loads.cpp
@@ -80,6 +80,12 @@
     return permits != nullptr && permits->is_limited();
 }
 
+bool server_loads::counts_places(server_key server) const
+{
+    const server_permits* permits = this->permits_of(server);
+    return permits != nullptr && permits->counts_places();
+}
+
 bool server_loads::reserved(server_key server) const
 {
     const auto found = this->states.find(server);
--- a/src/core/routing/server_loads.hpp
+++ b/src/core/routing/server_loads.hpp
@@ -87,9 +87,11 @@
     /// @return Null for an unknown server.
     const server_permits* permits_of(server_key server) const;
 
-    /// @return Whether the server has a rate limit.
+    /// @return Whether the server has a rate limit, or its places are counted.
     bool is_limited(server_key server) const;
 
+    bool counts_places(server_key server) const;
+
     /// @return Whether a suspect request runs alone on the server or waits to
     ///         do so.
     bool reserved(server_key server) const;
--- a/src/core/routing/server_permits.cpp
+++ b/src/core/routing/server_permits.cpp
@@ -13,17 +13,24 @@
 /// server in between.
 constexpr duration idle_after = std::chrono::seconds(2);
 
+/// Estimated time until a place is free, before any was granted.
+constexpr duration first_place_interval = std::chrono::milliseconds(10);
+
 } // namespace
 
-void server_permits::limit(double requests)
+void server_permits::limit(double requests, bool counts_places)
 {
-    const bool toggled = (requests > 0) != this->is_limited();
+    const bool becomes_limited = requests > 0 || counts_places;
+    const bool toggled = becomes_limited != this->is_limited();
     if (toggled)
         *this = server_permits();
     this->per_second = requests;
+    this->counted = counts_places;
     if (toggled && requests > 0)
         this->average_interval = std::chrono::duration_cast<duration>(
             std::chrono::duration<double>(1 / requests));
+    else if (toggled && counts_places)
+        this->average_interval = first_place_interval;
 }
 
 std::optional<instant> server_permits::changes_at() const
@@ -78,6 +85,7 @@
     if (!this->is_limited())
         return;
     this->valid_from = from;
+    this->reuse_count = 0;
     if (this->waiting_since)
         this->average_interval =
             (this->average_interval + (from - *this->waiting_since)) / 2;
--- a/src/core/routing/server_permits.hpp
+++ b/src/core/routing/server_permits.hpp
@@ -2,12 +2,14 @@
 
 #include <roseworks/instant.hpp>
 
+#include <cstdint>
 #include <optional>
 
 namespace roseworks::detail
 {
 
-/** The permits of this router for a server that has a rate limit.
+/** The permits of this router for a server that has a rate limit, or whose
+    places are counted.
 
     The limit holds for all routers together, so each request needs a permit
     from the router that counts the requests of this server. One permit is
@@ -17,12 +19,23 @@
 class server_permits
 {
 public:
-    /// @param per_second Requests a second of all routers; 0: no limit.
-    void limit(double per_second);
+    /// @param per_second    Requests a second of all routers; 0: no limit.
+    /// @param counts_places Whether the requests at the server are counted.
+    void limit(double per_second, bool counts_places);
 
     bool is_limited() const
     {
-        return this->per_second > 0;
+        return this->per_second > 0 || this->counted;
+    }
+
+    bool counts_places() const
+    {
+        return this->counted;
+    }
+
+    double rate() const
+    {
+        return this->per_second;
     }
 
     bool may_send(instant now) const
@@ -60,6 +73,32 @@
     /// @param from When the permit becomes valid.
     void granted(instant from);
 
+    /// The request for a permit was withdrawn.
+    void cancelled()
+    {
+        this->is_requested = false;
+        this->waiting_since.reset();
+    }
+
+    /// The place of a request that has ended is used for another one.
+    void reused(instant now)
+    {
+        this->valid_from = now;
+        ++this->reuse_count;
+    }
+
+    /// @return How often places were used again since the last permit.
+    std::uint32_t reuses() const
+    {
+        return this->reuse_count;
+    }
+
+    /// @return When the latest permit was requested.
+    instant requested_since() const
+    {
+        return this->requested_at;
+    }
+
     /// @param retry When a permit may be requested again.
     void refused(instant retry);
 
@@ -78,6 +117,8 @@
     static constexpr duration answer_timeout = std::chrono::seconds(1);
 
     double per_second = 0;
+    bool counted = false; ///< whether the requests at the server are counted
+    std::uint32_t reuse_count = 0;
     bool is_requested = false;
     std::optional<instant> valid_from;    ///< start of the permit's validity
     instant retry_at = instant::min();    ///< earliest time of the next request
--- a/src/ports/event_sink.hpp
+++ b/src/ports/event_sink.hpp
@@ -139,6 +139,7 @@
     servers_cut_off = 1732,
     servers_reached = 1733,
     relay_refused = 1734,
+    service_brittle = 1735,
 
     // 18xx: placement by the orders of a single owner.
     placement_owned = 1801,
--- a/tests/golden/session.hpp
+++ b/tests/golden/session.hpp
@@ -144,6 +144,8 @@
     void handle(std::size_t index, const demand& what);
     void handle(std::size_t index, const crash_seen& what);
     void handle(std::size_t index, const permit_wanted& what);
+    void handle(std::size_t index, const place_released& what);
+    void handle(std::size_t index, const permit_cancelled& what);
     void send(std::size_t index, const grant& given);
     void claim_decided(
         std::size_t index, ticket request, const claim_result& result);
--- a/tests/golden/session_traffic.cpp
+++ b/tests/golden/session_traffic.cpp
@@ -274,4 +274,19 @@
         "permit for " + this->engine_of(what.server.engine) + " wanted");
 }
 
+void session::handle(std::size_t index, const place_released& what)
+{
+    // No engine of a session is brittle: a line of it is a difference.
+    this->write(
+        this->routers[index]->name,
+        "place at " + this->engine_of(what.server.engine) + " released");
+}
+
+void session::handle(std::size_t index, const permit_cancelled& what)
+{
+    this->write(
+        this->routers[index]->name,
+        "permit for " + this->engine_of(what.server.engine) + " cancelled");
+}
+
 } // namespace roseworks::golden
--- a/tests/unit/brittle_servers/brittle_fleet.cpp
+++ b/tests/unit/brittle_servers/brittle_fleet.cpp
@@ -26,9 +26,13 @@
     const double run =
         std::chrono::duration<double>(this->settings.shortest_run).count() *
         mean_factor;
+    return this->slots() / run;
+}
+
+double brittle_fleet::slots() const
+{
     return static_cast<double>(
-               this->servers.size() * this->settings.server.slots) /
-           run;
+        this->servers.size() * this->settings.server.slots);
 }
 
 std::size_t brittle_fleet::falls(instant from) const
@@ -111,6 +115,15 @@
         end::answered, end::refused_not_run, end::broken, end::not_sent};
     attempt_result attempt;
     attempt.how = ends[static_cast<std::size_t>(result)];
+    attempt.no_room = result == modelled_server::result::rejected;
+    const bool is_response = result == modelled_server::result::answered ||
+                             result == modelled_server::result::rejected;
+    server_notice notice;
+    if (this->servers[granted.engine.value - 1]->is_brittle())
+        notice.max_rejections =
+            static_cast<double>(this->settings.max_rejections);
+    if (is_response)
+        this->handle_notice(number, granted.engine, notice, sent);
     attempt.total = this->now() - sent;
     attempt.first_byte = attempt.total / 2;
     this->end_attempt(number, granted, attempt);
--- a/tests/unit/brittle_servers/brittle_fleet.hpp
+++ b/tests/unit/brittle_servers/brittle_fleet.hpp
@@ -27,6 +27,9 @@
     /// Makes all servers brittle, or sound again.
     void set_brittle(bool is_brittle);
 
+    /// @return Requests that the servers can run at once.
+    double slots() const;
+
     /// @return Requests a second that the servers can run.
     double capacity() const;
 
--- a/tests/unit/forward/forward_fixture.cpp
+++ b/tests/unit/forward/forward_fixture.cpp
@@ -205,12 +205,9 @@
             const std::lock_guard lock(this->mutex);
             this->unreachable_servers.push_back(server);
         },
-        [this](
-            const std::string& server,
-            std::optional<double> requests_per_second,
-            instant)
+        [this](const std::string& server, const server_notice& notice, instant)
         {
-            this->record_rate_limit(server, requests_per_second);
+            this->record_rate_limit(server, notice.rate_limit);
         },
         [this]
         {
--- a/tests/unit/forward/test_rate_limit_header.cpp
+++ b/tests/unit/forward/test_rate_limit_header.cpp
@@ -54,3 +54,15 @@
     cr_assert_eq(limit.requests_per_second.value(), 2.5);
     cr_assert_not(limit.is_malformed);
 }
+
+Test(rate_limit_header, a_brittle_server_states_the_rejections_it_withstands)
+{
+    response_head head;
+    header_names names;
+    names.rate_limit = "Limit";
+    names.max_rejections = "Brittle";
+    cr_assert(!parse_max_rejections(head, names));
+    head.insert("Brittle", "4");
+    cr_assert_eq(parse_max_rejections(head, names).value(), 4.0);
+    cr_assert(!parse_rate_limit(head, names).requests_per_second);
+}
--- a/tests/unit/gateway/test_server_limit_controller.cpp
+++ b/tests/unit/gateway/test_server_limit_controller.cpp
@@ -5,8 +5,10 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <optional>
@@ -50,6 +52,14 @@
                {
                    ++this->permit_requests;
                    this->controller.permit_needed(wanted);
+               },
+               [this](const place_released& released)
+               {
+                   this->controller.place_released(released);
+               },
+               [this](const permit_cancelled& cancelled)
+               {
+                   this->controller.permit_cancelled(cancelled);
                }}))
         , quotas(
               this->loop,
@@ -101,7 +111,12 @@
 
     void answer(std::optional<double> named)
     {
-        this->controller.answered("i-1", named, this->clock.now());
+        this->answer(server_notice{named, {}});
+    }
+
+    void answer(const server_notice& notice)
+    {
+        this->controller.answered("i-1", notice, this->clock.now());
         this->run_ready_handlers();
     }
 
@@ -229,3 +244,43 @@
     const auto sent = test.submit(20s);
     cr_assert_not(sent->has_value() && **sent);
 }
+
+/// Routers sent a brittle server more requests than it had room for, until it
+/// fell over.
+Test(
+    server_limit_controller,
+    a_brittle_server_gets_as_many_requests_as_it_has_slots)
+{
+    constexpr std::size_t requests = 12;
+    constexpr std::ptrdiff_t slots = 8; // of the server's entry
+    one_server test;
+    test.answer(server_notice{{}, 4.0});
+    cr_assert_eq(test.sent_limits.size(), 1U);
+    std::vector<std::shared_ptr<std::optional<bool>>> sent;
+    for (std::size_t i = 0; i < requests; ++i)
+        sent.push_back(test.submit(20s));
+    const auto granted = [&]
+    {
+        return std::ranges::count_if(
+            sent,
+            [](const auto& one)
+            {
+                return one->has_value();
+            });
+    };
+    cr_assert(test.run_until(
+        [&]
+        {
+            return granted() >= slots;
+        }));
+    test.loop.run_for(100ms);
+    cr_assert_eq(granted(), slots);
+    // Once no server is brittle, the others are sent as before.
+    test.controller.limits_received(
+        {"r2", {{"\x01" "brittle app", 0, 0}}});
+    cr_assert(test.run_until(
+        [&]
+        {
+            return granted() > slots;
+        }));
+}
--- a/tests/unit/server_limits/router_fleet.cpp
+++ b/tests/unit/server_limits/router_fleet.cpp
@@ -1,5 +1,6 @@
 #include "router_fleet.hpp"
 
+#include "core/pacing/brittle_services.hpp"
 #include "core/quota/global_limits.hpp"
 
 #include <algorithm>
@@ -16,6 +17,7 @@
 constexpr duration longest_retry = 1s;
 
 constexpr std::string_view server_prefix = "i-";
+constexpr std::string_view service = "s"; ///< of all engines
 
 engine_id engine_of(std::string_view server)
 {
@@ -71,6 +73,8 @@
     server_limits::options known;
     known.router = target.name;
     target.limits = std::make_unique<server_limits>(known);
+    target.brittle_services =
+        std::make_unique<server_limits>(brittle_service_options(target.name));
     quota_client::options client_options;
     client_options.router = target.name;
     client_options.mode = this->settings.mode;
@@ -143,27 +147,81 @@
     this->take_changes(number);
     this->take_commands(number);
     this->take_draws(number);
-    router& target = this->routers[number];
-    if (const auto update = target.limits->take_update(this->queue.now()))
+    const router& target = this->routers[number];
+    for (server_limits* known :
+         {target.limits.get(), target.brittle_services.get()})
     {
-        for (std::size_t to = 0; to < this->routers.size(); ++to)
-        {
-            if (to == number)
-                continue;
-            this->deliver(
-                number,
-                to,
-                [this, to, update = *update]
-                {
-                    this->routers[to].limits->handle_update(
-                        update, this->queue.now());
-                    this->flush(to);
-                });
-        }
+        if (const auto update = known->take_update(this->queue.now()))
+            this->send_limits(number, *update);
     }
     this->schedule_tick(number);
 }
 
+void router_fleet::send_limits(
+    std::size_t number, const server_limit_update& update)
+{
+    for (std::size_t to = 0; to < this->routers.size(); ++to)
+    {
+        if (to == number)
+            continue;
+        this->deliver(
+            number,
+            to,
+            [this, to, update]
+            {
+                const auto [servers, services] = split_by_kind(update);
+                router& other = this->routers[to];
+                other.limits->handle_update(servers, this->queue.now());
+                other.brittle_services->handle_update(
+                    services, this->queue.now());
+                this->flush(to);
+            });
+    }
+}
+
+bool router_fleet::counts_places(const router& target) const
+{
+    return !target.brittle_services->in_force().empty();
+}
+
+std::string
+router_fleet::account_of(const router& target, engine_id engine) const
+{
+    return this->counts_places(target) ? places_account(server_name(engine))
+                                       : server_account(server_name(engine));
+}
+
+void router_fleet::update_limits(router& target)
+{
+    global_limits all;
+    for (const server_limit& limit : target.limits->in_force())
+        all[server_account(limit.server)] = limit_of_server(limit.per_second);
+    for (std::uint32_t i = 1;
+         this->counts_places(target) && i <= this->settings.engines;
+         ++i)
+        all[places_account(server_name(engine_id(i)))] =
+            limit_of_places(this->settings.slots);
+    target.accountant->set_limits(all, this->queue.now());
+    target.client->set_limits(std::move(all));
+    target.client->tick(this->queue.now());
+}
+
+void router_fleet::handle_notice(
+    std::size_t number,
+    engine_id engine,
+    const server_notice& notice,
+    instant sent)
+{
+    const router& target = this->routers[number];
+    target.limits->handle_answer(
+        server_name(engine), notice.rate_limit, sent, this->queue.now());
+    target.brittle_services->handle_answer(
+        brittle_service_key(service),
+        notice.max_rejections,
+        sent,
+        this->queue.now());
+}
+
 void router_fleet::take_changes(std::size_t number)
 {
     router& target = this->routers[number];
@@ -173,14 +231,15 @@
             {engine_of(changed.server), {}},
             changed.per_second,
             this->queue.now());
-    if (changes.empty())
+    const auto brittle_changes = target.brittle_services->take_changes();
+    if (changes.empty() && brittle_changes.empty())
         return;
-    global_limits all;
-    for (const server_limit& limit : target.limits->in_force())
-        all[server_account(limit.server)] = limit_of_server(limit.per_second);
-    target.accountant->set_limits(all, this->queue.now());
-    target.client->set_limits(std::move(all));
-    target.client->tick(this->queue.now());
+    this->update_limits(target);
+    for (std::uint32_t i = 1;
+         !brittle_changes.empty() && i <= this->settings.engines;
+         ++i)
+        target.traffic->server_counted(
+            {engine_id(i), {}}, this->counts_places(target), this->queue.now());
 }
 
 void router_fleet::take_commands(std::size_t number)
@@ -194,6 +253,16 @@
             ++this->refused_count;
         else if (const auto* wanted = std::get_if<permit_wanted>(&command))
             this->draw_permit(number, *wanted);
+        else if (const auto* place = std::get_if<place_released>(&command))
+            this->routers[number].client->release_place(
+                places_account(server_name(place->server.engine)),
+                place->rejected,
+                this->queue.now());
+        else if (
+            const auto* cancelled = std::get_if<permit_cancelled>(&command))
+            this->routers[number].client->cancel_place(
+                places_account(server_name(cancelled->server.engine)),
+                this->queue.now());
     }
 }
 
@@ -201,7 +270,7 @@
 {
     router& target = this->routers[number];
     const std::uint64_t id = target.client->draw(
-        server_account(server_name(wanted.server.engine)),
+        this->account_of(target, wanted.server.engine),
         1,
         wanted.waits ? permit_max_wait : duration::zero(),
         this->queue.now());
@@ -213,10 +282,29 @@
     router& target = this->routers[number];
     for (const quota_message& message : target.client->take_messages())
         this->send_query(number, message);
+    this->take_late_replies(number);
     for (const quota_decision& decision : target.client->take_decisions())
         this->apply_decision(number, decision);
 }
 
+void router_fleet::take_late_replies(std::size_t number)
+{
+    for (const quota_accountant::late_reply& one :
+         this->routers[number].accountant->take_late_replies())
+    {
+        const std::size_t to = this->index_of(one.router);
+        const auto receive = [this, to, reply = one.reply]
+        {
+            this->routers[to].client->handle_reply(reply, this->queue.now());
+            this->flush(to);
+        };
+        if (to == number)
+            this->schedule_on(to, this->queue.now(), receive);
+        else
+            this->deliver(number, to, receive);
+    }
+}
+
 void router_fleet::send_query(std::size_t from, const quota_message& message)
 {
     const std::size_t to = this->index_of(message.to);
@@ -242,6 +330,7 @@
             const quota_reply reply =
                 this->routers[to].accountant->handle_query(
                     query, this->queue.now());
+            this->take_late_replies(to);
             this->deliver(
                 to,
                 from,
@@ -271,6 +360,9 @@
     }
     target.traffic->permit_given(
         place, this->queue.now() + decision.wait, this->queue.now());
+    this->take_commands(number);
+    if (this->counts_places(target))
+        return;
     this->schedule_on(
         number,
         this->queue.now() + decision.wait + permit_lifetime,
@@ -283,16 +375,18 @@
                     1,
                     this->queue.now());
         });
-    this->take_commands(number);
 }
 
 void router_fleet::schedule_tick(std::size_t number)
 {
     router& target = this->routers[number];
-    const bool counts = !target.limits->in_force().empty();
+    const bool counts =
+        !target.limits->in_force().empty() || this->counts_places(target);
     instant due = counts ? target.client->next_tick() : instant::max();
     if (const auto next = target.limits->next_tick())
         due = std::min(due, *next);
+    if (const auto next = target.brittle_services->next_tick())
+        due = std::min(due, *next);
     if (const auto next = target.traffic->next_tick())
         due = std::min(due, *next);
     if (due == instant::max())
@@ -311,8 +405,10 @@
                 return;
             current.scheduled_tick = instant::max();
             current.limits->tick(this->queue.now());
+            current.brittle_services->tick(this->queue.now());
             current.accountant->tick(this->queue.now());
-            if (!current.limits->in_force().empty())
+            if (!current.limits->in_force().empty() ||
+                this->counts_places(current))
                 current.client->tick(this->queue.now());
             current.traffic->tick(this->queue.now());
             this->flush(number);
--- a/tests/unit/server_limits/router_fleet.hpp
+++ b/tests/unit/server_limits/router_fleet.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/pacing/server_limits.hpp"
+#include "core/pacing/server_notice.hpp"
 #include "core/quota/quota_accountant.hpp"
 #include "core/quota/quota_client.hpp"
 #include "core/routing/sharded_table.hpp"
@@ -93,6 +94,7 @@
         std::string name;
         std::unique_ptr<dispatcher> traffic;
         std::unique_ptr<server_limits> limits;
+        std::unique_ptr<server_limits> brittle_services;
         std::unique_ptr<quota_client> client;
         std::unique_ptr<quota_accountant> accountant;
         std::unordered_map<std::uint64_t, server_place> draws;
@@ -108,6 +110,13 @@
     /// follow.
     virtual void run_request(std::size_t number, const grant& granted) = 0;
 
+    /// An engine answered a request.
+    void handle_notice(
+        std::size_t number,
+        engine_id engine,
+        const server_notice& notice,
+        instant sent);
+
     /// An attempt of a request has ended.
     void end_attempt(
         std::size_t number, const grant& granted, const attempt_result& result);
@@ -133,6 +142,11 @@
     void take_changes(std::size_t number);
     void take_commands(std::size_t number);
     void take_draws(std::size_t number);
+    void take_late_replies(std::size_t number);
+    void send_limits(std::size_t number, const server_limit_update& update);
+    void update_limits(router& target);
+    bool counts_places(const router& target) const;
+    std::string account_of(const router& target, engine_id engine) const;
     void draw_permit(std::size_t number, const permit_wanted& wanted);
     void apply_decision(std::size_t number, const quota_decision& decision);
     void schedule_tick(std::size_t number);
