--- a/src/adapters/platform/http_client.cpp
+++ b/src/adapters/platform/http_client.cpp
@@ -1,5 +1,6 @@
 #include "adapters/platform/http_client.hpp"
 
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -10,6 +11,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
+#include <cstdint>
 #include <deque>
 #include <sstream>
 #include <unordered_set>
@@ -42,6 +44,15 @@
 
 using connection_ptr = std::shared_ptr<connection>;
 
+/// @return Whether the rest of the body has a known length that is worth
+///         reading without the parser.
+bool is_large_rest(const http::response_parser<http::string_body>& parser)
+{
+    constexpr std::uint64_t min_bytes = std::uint64_t(16) << 10;
+    return parser.is_header_done() && !parser.is_done() && !parser.chunked() &&
+           parser.content_length_remaining().value_or(0) >= min_bytes;
+}
+
 http::request<http::string_body>
 make_request(http_call& call, const std::string& host)
 {
@@ -146,26 +157,51 @@
         answer.outcome = exchange_outcome::no_answer;
         http::response_parser<http::string_body> parser;
         parser.body_limit(this->settings.max_answer_bytes);
-        // Each read is one pass of a busy event loop. A small buffer would make
-        // hundreds of them for a large answer.
-        constexpr std::size_t read_bytes = std::size_t(64) << 10;
         beast::flat_buffer buffer;
-        buffer.reserve(read_bytes);
         error_code error;
         const auto deadline = steady::now() + call.total_timeout;
-        while (!parser.is_done() && !error)
+        const auto count = [&](std::size_t received)
         {
-            const std::size_t received = co_await http::async_read_some(
-                from.stream,
-                buffer,
-                parser,
-                asio::redirect_error(asio::use_awaitable, error));
             this->meter.received += received;
             answer.received += received;
             ++answer.reads;
             if (call.total_timeout > call.timeout)
                 from.stream.expires_after(std::min<steady::duration>(
                     deadline - steady::now(), call.timeout));
+        };
+        while (!parser.is_done() && !error)
+        {
+            const std::size_t received = co_await http::async_read_some(
+                from.stream,
+                buffer,
+                parser,
+                asio::redirect_error(asio::use_awaitable, error));
+            count(received);
+            if (!error && is_large_rest(parser))
+                break;
+        }
+        if (error)
+            co_return answer;
+        std::string body = std::move(parser.get().body());
+        std::size_t size = body.size();
+        // Each read takes all that has arrived: on a busy event loop, reads of
+        // a limited size would delay a large answer by seconds.
+        if (!parser.is_done())
+        {
+            body.resize(size + *parser.content_length_remaining());
+            const std::size_t copied = asio::buffer_copy(
+                asio::buffer(body.data() + size, body.size() - size),
+                buffer.data());
+            buffer.consume(copied);
+            size += copied;
+        }
+        while (size < body.size() && !error)
+        {
+            const std::size_t received = co_await from.stream.async_read_some(
+                asio::buffer(body.data() + size, body.size() - size),
+                asio::redirect_error(asio::use_awaitable, error));
+            count(received);
+            size += received;
         }
         if (error)
             co_return answer;
@@ -174,7 +210,7 @@
         answer.outcome = exchange_outcome::answered;
         answer.status = parser.get().result_int();
         answer.etag = std::string(parser.get()[http::field::etag]);
-        answer.body = std::move(parser.get().body());
+        answer.body = std::move(body);
         co_return answer;
     }
 
--- a/tests/unit/gateway/test_server_limit_controller.cpp
+++ b/tests/unit/gateway/test_server_limit_controller.cpp
@@ -7,8 +7,8 @@
 
 #include <algorithm>
 #include <chrono>
-#include <functional>
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -198,7 +198,7 @@
 {
     one_server test;
     test.answer(0.01);
-    test.answer({});
+    test.answer(std::nullopt);
     cr_assert(test.rates.empty());
     const auto sent = test.submit(20s);
     cr_assert(sent->has_value());
@@ -277,7 +277,11 @@
     cr_assert_eq(granted(), slots);
     // Once no server is brittle, the others are sent as before.
     test.controller.limits_received(
-        {"r2", {{"\x01" "brittle app", 0, 0}}});
+        {"r2",
+         {{"\x01"
+           "brittle app",
+           0,
+           0}}});
     cr_assert(test.run_until(
         [&]
         {
--- a/tests/unit/late_configuration/test_late_configuration.cpp
+++ b/tests/unit/late_configuration/test_late_configuration.cpp
@@ -390,7 +390,7 @@
     {
         return true;
     };
-    test.tail_handlers.request_copy = [&]
+    test.tail_handlers.request_copy = [&](instant)
     {
         return copy_for_new_owner(*test.tail);
     };
@@ -405,7 +405,7 @@
     copying_tail_fixture test(std::chrono::hours(1));
     test.refuse_all();
     int copies = 0;
-    test.tail_handlers.request_copy = [&]
+    test.tail_handlers.request_copy = [&](instant)
     {
         ++copies;
         return copy_for_former_owner(*test.tail);
@@ -427,7 +427,10 @@
 {
     copying_tail_fixture test(std::chrono::hours(1));
     test.refuse_all();
-    test.tail_handlers.request_copy = old_copy;
+    test.tail_handlers.request_copy = [](instant)
+    {
+        return old_copy();
+    };
     test.start();
     test.run_until(
         [&]
--- a/tests/unit/quota/test_place_counter.cpp
+++ b/tests/unit/quota/test_place_counter.cpp
@@ -16,8 +16,8 @@
 
 const instant start(100s);
 
-place_usage
-usage(std::uint32_t held, std::uint64_t pending = 0, std::uint32_t rejections = 0)
+place_usage usage(
+    std::uint32_t held, std::uint64_t pending = 0, std::uint32_t rejections = 0)
 {
     return {"places", held, pending, rejections, 0};
 }
@@ -114,8 +114,7 @@
     {
         for (const instant end = now + length; now < end; now += 20ms)
         {
-            places.report("c", usage(0, 9), now);
-            places.draw("c", 9, 0s, now);
+            take_all(places, now);
             places.tick(now);
         }
     };
