--- a/src/core/dissemination/distribution_tree.cpp
+++ b/src/core/dissemination/distribution_tree.cpp
@@ -53,7 +53,13 @@
     if (own == order.end() || own == order.begin())
         return std::string(root);
     const auto position = static_cast<std::size_t>(own - order.begin());
-    return std::string(order[(position - 1) / this->settings.fan_out]);
+    // The root is usually the owner of placement, which is busy. It has one
+    // child in its own data centre, which passes the version on to the others.
+    const std::size_t first = local_root != order.end() ? 1 : 0;
+    if (position <= first)
+        return std::string(order.front());
+    return std::string(
+        order[first + (position - first - 1) / this->settings.fan_out]);
 }
 
 } // namespace roseworks
--- a/src/core/dissemination/distribution_tree.hpp
+++ b/src/core/dissemination/distribution_tree.hpp
@@ -15,10 +15,11 @@
     router.
 
     The router that read the version is the root. Of every other data centre the
-    router with the highest capacity requests it from the root; within a data
-    centre each router passes it on to a few others, those with the highest
-    capacity first. So no link carries more than a few copies, and the depth
-    grows with the logarithm of the number of routers.
+    router with the highest capacity requests it from the root, and so does one
+    more router of the root's own; within a data centre each of these passes it
+   on to a few others, those with the highest capacity first. So no link carries
+   more than a few copies, and the depth grows with the logarithm of the number
+   of routers.
 
     All routers compute the same tree from the same list. Where the lists
     differ, a router may ask one that doesn't have the version yet, and asks
--- a/src/core/dissemination/version_fetch.cpp
+++ b/src/core/dissemination/version_fetch.cpp
@@ -23,9 +23,9 @@
     this->started = since;
     const std::size_t number = this->attempts++;
     const auto parent = tree.parent(this->announcer);
-    if (number == 0 && parent)
+    if (number < this->settings.parent_attempts && parent)
         return attempt{*parent, this->settings.hold_time};
-    if (number == 1 && parent)
+    if (number == this->settings.parent_attempts && parent)
         return attempt{this->announcer, duration::zero()};
     const auto other = others.next();
     if (!other)
--- a/src/core/dissemination/version_fetch.hpp
+++ b/src/core/dissemination/version_fetch.hpp
@@ -16,11 +16,12 @@
 /** Decides from whom a router requests a version of the configuration that it
     lacks, and when it reads the store instead.
 
-    The first request goes to the router above this one in the distribution
-    tree, the second one to the router that announced the version, the others to
-    routers drawn at random. Only a few routers read the store early. The others
-    do so only when the time limit for a new version is near: they reach no
-    router that has it.
+    The first requests go to the router above this one in the distribution tree,
+    the next one to the router that announced the version, the others to routers
+    drawn at random. If all routers soon turned to the announcer, it would be
+   too busy to pass the version down the tree. Only a few routers read the store
+   early. The others do so only when the time limit for a new version is near:
+   they reach no router that has it.
 */
 class version_fetch
 {
@@ -29,6 +30,8 @@
     {
         /// How long a router may hold a request until it has the version.
         duration hold_time = std::chrono::milliseconds(300);
+        /// Requests to the router above this one before others are asked.
+        std::size_t parent_attempts = 2;
         /// Routers that read the store after `store_delay`, the second one
         /// `store_interval` later than the first, and so on.
         std::size_t early_readers = 6;
