--- a/include/roseworks/ids.hpp
+++ b/include/roseworks/ids.hpp
@@ -73,6 +73,11 @@
 /// Author of records: a stable hash of a VM's or operator's name.
 using author_id = strong_id<struct author_tag, std::uint64_t>;
 
+/// Software of a backend server: a stable hash of its service and the version
+/// that it announces. The value 0 means "unknown" and is the same as nothing,
+/// not even as another unknown one.
+using software_version = strong_id<struct software_version_tag, std::uint64_t>;
+
 /// Content hash of a request that may crash backend servers.
 using fingerprint = strong_id<struct fingerprint_tag, std::uint64_t>;
 
--- a/src/adapters/events/event_catalogue.cpp
+++ b/src/adapters/events/event_catalogue.cpp
@@ -292,13 +292,15 @@
      "A backend server's complete response was relayed on the first attempt. "
      "Sampled under load.",
      "request_id, route, servable, organisation, end, status, reason, server, "
-     "relay, server_limit, framing, sends, objective_ms, wait_ms, first_ms, "
+     "software, first_software, last_event, resumes, relay, server_limit, "
+     "framing, sends, objective_ms, wait_ms, first_ms, "
      "total_ms, events, unfinished_bytes",
      no_action},
     {request_ended, info, "request_ended",
      "A request ended in any other way, or was sent more than once.",
      "request_id, route, servable, organisation, end, status, reason, server, "
-     "relay, server_limit, framing, sends, objective_ms, wait_ms, first_ms, "
+     "software, first_software, last_event, resumes, relay, server_limit, "
+     "framing, sends, objective_ms, wait_ms, first_ms, "
      "total_ms, events, unfinished_bytes, target",
      "Trace the request by its id as shown in docs/OPERATIONS.md."},
     {lines_left_out, warn, "lines_left_out",
@@ -313,7 +315,8 @@
      "version, routes, services", no_action},
     {server_seen, info, "server_seen",
      "A backend server registered, restarted or changed its state.",
-     "server, service, address, data_centre, state, born_ms", no_action},
+     "server, service, version, software, address, data_centre, state, born_ms",
+     no_action},
     {server_gone, info, "server_gone",
      "A backend server is no longer in the registry.",
      "server", no_action},
--- a/src/adapters/forward/forward_call.cpp
+++ b/src/adapters/forward/forward_call.cpp
@@ -3,6 +3,7 @@
 #include "adapters/forward/rate_limit_header.hpp"
 #include "adapters/forward/response_head.hpp"
 #include "core/serving/servable_key.hpp"
+#include "ports/hex_text.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -330,6 +331,7 @@
     }
     const std::string bytes = this->serialize_request(server, now);
     this->last_server = server.instance;
+    this->last_software = server.software;
     server_exchange exchange(this->context, this->pool, *this->inbox);
     const duration longest_idle =
         this->route.repeatable()
@@ -472,6 +474,10 @@
                                      : this->local_status},
          {"reason", to_string(this->reason)},
          {"server", this->last_server},
+         {"software", to_hex(this->last_software.value)},
+         {"first_software", to_hex(this->first_software.value)},
+         {"last_event", this->request.caller_last_event},
+         {"resumes", this->request.resumes},
          {"relay", this->last_relay},
          {"server_limit", this->last_rate_limit},
          {"framing", to_string(this->last_framing)},
--- a/src/adapters/forward/forward_call.hpp
+++ b/src/adapters/forward/forward_call.hpp
@@ -149,6 +149,9 @@
     std::uint32_t attempts = 0; ///< that may have run the request
     std::uint32_t sends = 0;    ///< that sent data, including refused ones
     std::string last_server;    ///< instance ID; of the last attempt
+    software_version last_software; ///< of `last_server`
+    /// Of the server that wrote the first event for the caller.
+    software_version first_software;
     std::string last_relay; ///< router that relayed the last attempt; or empty
     std::string last_rate_limit; ///< in the last response; empty: none
     body_framing last_framing = body_framing::none; ///< of the last response
--- a/src/adapters/forward/forward_request.cpp
+++ b/src/adapters/forward/forward_request.cpp
@@ -171,6 +171,8 @@
     const auto last_event = message[names.last_event];
     if (!last_event.empty())
         result.caller_last_event = to_string_view(last_event);
+    if (message.count(names.resumes) == 1)
+        result.resumes = to_string_view(message[names.resumes]);
     result.version = message.version();
     result.keep_alive = message.keep_alive();
     result.head_only = message.method() == http::verb::head;
--- a/src/adapters/forward/forward_request.hpp
+++ b/src/adapters/forward/forward_request.hpp
@@ -24,6 +24,9 @@
     std::string id;                ///< empty: the caller sent none
     std::string model;             ///< model or model/adapter; empty: none
     std::string caller_last_event; ///< `Last-Event-Id` from the caller
+    /// The attempt that began the stream, as the caller names it; empty: it
+    /// names none, or several.
+    std::string resumes;
     std::string header_lines;      ///< forwarded lines, each with its line end
     /// Header lines with the caller's credentials. Forwarded only if callers
     /// need no API key.
--- a/src/adapters/forward/header_names.hpp
+++ b/src/adapters/forward/header_names.hpp
@@ -22,6 +22,9 @@
     std::string max_rejections;
     std::string priority;     ///< 0 to 9
     std::string last_event;   ///< last event that the caller received
+    /// Request ID of the attempt that brought the first event of the stream
+    /// that the caller takes up.
+    std::string resumes;
     std::string organisation; ///< name of the API key's holder
     std::string tokens;       ///< of the prompt; maximum for the response
     std::vector<std::string> reserved; ///< dropped from callers' requests
--- a/src/app/gateway/serving_table_publisher.cpp
+++ b/src/app/gateway/serving_table_publisher.cpp
@@ -1,6 +1,8 @@
 #include "app/gateway/serving_table_publisher.hpp"
 
 #include "core/serving/organisation_changes.hpp"
+#include "core/serving/server_software.hpp"
+#include "ports/hex_text.hpp"
 
 #include <utility>
 
@@ -100,13 +102,17 @@
         const server_entry& before = found->second.entry;
         if (before.born_ms == entry.born_ms &&
             before.leaving == entry.leaving &&
-            before.address == entry.address && before.service == entry.service)
+            before.address == entry.address &&
+            before.service == entry.service && before.version == entry.version)
             return;
     }
     this->events.report(
         event_id::server_seen,
         {{"server", entry.id},
          {"service", entry.service},
+         {"version", entry.version},
+         {"software",
+          to_hex(software_of(entry.service, entry.version).value)},
          {"address", entry.address},
          {"data_centre", entry.data_centre},
          {"state", entry.leaving ? "leaving" : "ready"},
--- a/src/core/dissemination/directory_copy.hpp
+++ b/src/core/dissemination/directory_copy.hpp
@@ -98,6 +98,12 @@
                 return;
         }
         archive(this->changes);
+        if constexpr (requires { archive.remaining(); })
+        {
+            if (archive.remaining() == 0)
+                return;
+        }
+        serialize_versions(archive, this->servers);
     }
 };
 
--- a/src/core/dissemination/directory_update.hpp
+++ b/src/core/dissemination/directory_update.hpp
@@ -75,6 +75,12 @@
                 return;
         }
         archive(this->sender, this->configuration);
+        if constexpr (requires { archive.remaining(); })
+        {
+            if (archive.remaining() == 0)
+                return;
+        }
+        serialize_versions(archive, this->changes);
     }
 };
 
--- a/src/core/dissemination/registry_change.cpp
+++ b/src/core/dissemination/registry_change.cpp
@@ -66,7 +66,8 @@
     if (this->what == kind::models)
         return models;
     return models + full_entry_bytes + this->entry.service.size() +
-           this->entry.address.size() + this->entry.data_centre.size();
+           this->entry.address.size() + this->entry.data_centre.size() +
+           this->entry.version.size();
 }
 
 } // namespace roseworks
--- a/src/core/dissemination/registry_change.hpp
+++ b/src/core/dissemination/registry_change.hpp
@@ -2,11 +2,13 @@
 
 #include "core/serving/server_entry.hpp"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace roseworks
@@ -80,4 +82,28 @@
     }
 };
 
+/** Encodes or decodes the versions of the servers' software.
+
+    They follow a list of changes at the end of its message, where routers of
+    earlier versions ignore them.
+*/
+template <class Archive>
+void serialize_versions(Archive& archive, std::vector<registry_change>& changes)
+{
+    constexpr bool is_loading = requires { archive.remaining(); };
+    std::vector<std::string> versions;
+    if constexpr (!is_loading)
+    {
+        for (const registry_change& change : changes)
+            versions.push_back(change.entry.version);
+    }
+    archive(versions);
+    if constexpr (is_loading)
+    {
+        const std::size_t count = std::min(versions.size(), changes.size());
+        for (std::size_t i = 0; i < count; ++i)
+            changes[i].entry.version = std::move(versions[i]);
+    }
+}
+
 } // namespace roseworks
--- a/src/core/serving/server_entry.hpp
+++ b/src/core/serving/server_entry.hpp
@@ -42,6 +42,7 @@
     std::string id;
     std::int64_t born_ms = 0; ///< start time, milliseconds since the Unix epoch
     std::string service;
+    std::string version; ///< of its software; empty: it announces none
     std::string address; ///< ip:port
     std::string data_centre;
     std::uint32_t slots = 1;
@@ -56,6 +57,7 @@
     {
         return this->id == other.id && this->born_ms == other.born_ms &&
                this->service == other.service &&
+               this->version == other.version &&
                this->address == other.address &&
                this->data_centre == other.data_centre &&
                this->slots == other.slots && this->leaving == other.leaving &&
--- a/src/core/serving/serving_table.hpp
+++ b/src/core/serving/serving_table.hpp
@@ -36,6 +36,7 @@
     std::string service;
     std::string data_centre;
     server_life life;
+    software_version software;
 };
 
 /** The routing data for the traffic threads: routes, and the engines that can
--- a/src/core/serving/serving_view.cpp
+++ b/src/core/serving/serving_view.cpp
@@ -1,6 +1,7 @@
 #include "core/serving/serving_view.hpp"
 
 #include "core/serving/servable_key.hpp"
+#include "core/serving/server_software.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -126,8 +127,10 @@
         this->update_superseded(record.entry.address);
     if (record.entry == entry)
         return was_expiring || record.superseded != was_superseded;
-    const bool restarted = record.entry.born_ms != entry.born_ms;
-    if (restarted && entry.born_ms < record.entry.born_ms)
+    // A version can't change while the process runs.
+    const bool restarted = record.entry.born_ms != entry.born_ms ||
+                           record.entry.version != entry.version;
+    if (entry.born_ms < record.entry.born_ms)
         return was_expiring; // late entry of an earlier run
     if (restarted)
     {
@@ -394,7 +397,8 @@
             id,
             record.entry.service,
             record.entry.data_centre,
-            life_of(id, record.entry.born_ms)};
+            life_of(id, record.entry.born_ms),
+            software_of(record.entry.service, record.entry.version)};
         if (record.entry.leaving)
             continue;
         if (this->is_engine(record))
--- a/tests/unit/forward/forward_fixture.cpp
+++ b/tests/unit/forward/forward_fixture.cpp
@@ -1,5 +1,6 @@
 #include "forward_fixture.hpp"
 
+#include "core/serving/server_software.hpp"
 #include "platform/header_names.hpp"
 
 #include <boost/asio/buffer.hpp>
@@ -54,6 +55,7 @@
 
 serving_table_ptr make_table(
     const std::vector<fake_backend*>& backends,
+    const std::vector<std::string>& versions,
     std::optional<std::vector<organisation>> organisations = {})
 {
     auto config = std::make_shared<deployment>();
@@ -73,12 +75,15 @@
     result.catalogue = catalogue;
     service_routes& app = result.services["app"];
     app.name = "app";
-    int number = 0;
+    std::size_t number = 0;
     for (const fake_backend* backend : backends)
     {
+        const software_version software = software_of(
+            "app", number < versions.size() ? versions[number] : "v1");
         const std::string id = "i-" + std::to_string(++number);
         app.backends.push_back({backend->address(), id, "a"});
-        result.servers[backend->address()] = {id, "app", "a", life_of(id, 1)};
+        result.servers[backend->address()] = {
+            id, "app", "a", life_of(id, 1), software};
     }
     return std::make_shared<const serving_table>(std::move(result));
 }
@@ -111,12 +116,15 @@
 
 } // namespace
 
-forward_fixture::forward_fixture(std::vector<fake_backend*> backends)
+forward_fixture::forward_fixture(
+    std::vector<fake_backend*> backends,
+    std::vector<std::string> software_versions)
     : forward_counters(this->registry)
     , event_loop(1)
     , loop_guard(this->event_loop.get_executor())
     , servers(std::move(backends))
-    , table(make_table(this->servers))
+    , versions(std::move(software_versions))
+    , table(make_table(this->servers, this->versions))
     , dispatch(edge::shared_dispatcher::make(
           dispatcher(dispatcher::options{.affinity = prefix_affinity::none}),
           this->event_loop.get_executor(),
@@ -281,13 +289,15 @@
 void forward_fixture::use_organisations()
 {
     const std::lock_guard lock(this->mutex);
-    this->table = make_table(this->servers, make_organisations("key-one"));
+    this->table = make_table(
+        this->servers, this->versions, make_organisations("key-one"));
 }
 
 void forward_fixture::revoke_first_key()
 {
     const std::lock_guard lock(this->mutex);
-    this->table = make_table(this->servers, make_organisations({}));
+    this->table = make_table(
+        this->servers, this->versions, make_organisations({}));
 }
 
 void forward_fixture::block_request(
--- a/tests/unit/forward/forward_fixture.hpp
+++ b/tests/unit/forward/forward_fixture.hpp
@@ -83,7 +83,11 @@
 class forward_fixture
 {
 public:
-    explicit forward_fixture(std::vector<fake_backend*> backends);
+    /// @param versions Of the servers' software, in order; empty: the same one
+    ///                 for all.
+    explicit forward_fixture(
+        std::vector<fake_backend*> backends,
+        std::vector<std::string> versions = {});
     ~forward_fixture();
 
     forward_fixture(const forward_fixture&) = delete;
@@ -210,6 +214,7 @@
         loop_guard;
     std::mutex mutex;
     std::vector<fake_backend*> servers;
+    std::vector<std::string> versions;
     serving_table_ptr table;
     std::atomic<int> permits_requested{0};
     std::vector<std::string> unreachable_servers;
--- a/tests/unit/users_platform/test_decoders.cpp
+++ b/tests/unit/users_platform/test_decoders.cpp
@@ -44,6 +44,24 @@
 
 } // namespace
 
+Test(server_decoder, reads_the_version_of_the_software)
+{
+    cr_assert_eq(decode_server("i-1", entry).value->version, "v1");
+    const auto version_in = [](std::string_view field)
+    {
+        return decode_server("i-1", with(entry, R"("version":"v1",)", field))
+            .value->version;
+    };
+    const std::string too_long =
+        R"("version":")" + std::string(300, 'v') + R"(",)";
+    cr_assert_eq(version_in(""), "");
+    cr_assert_eq(version_in(R"("version":7,)"), "");
+    cr_assert_eq(version_in(R"("version":null,)"), "");
+    cr_assert_eq(version_in(R"("version":"",)"), "");
+    cr_assert_eq(version_in(too_long), "");
+    cr_assert_eq(version_in(R"("version":"V1",)"), "V1");
+}
+
 Test(deployment_decoder, reads_routes_and_services)
 {
     const auto read = decode_deployment(configuration);
