--- /dev/null
+++ b/tests/unit/software_versions/test_software_versions.cpp
@@ -0,0 +1,82 @@
+// A stream goes on only at the software version that began it.
+
+#include "forward_fixture.hpp"
+#include "response_view.hpp"
+#include "versioned_servers.hpp"
+
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+using namespace roseworks;
+using namespace roseworks::forward::tests;
+
+namespace
+{
+
+using version_list = std::vector<std::string>;
+
+/// The choice of servers is the same in each play, so the versions change
+/// places.
+const version_list one_each[] = {{"v1", "v1.1"}, {"v1.1", "v1"}};
+
+const version_list two_each[] = {
+    {"v1", "v1", "v1.1", "v1.1"},
+    {"v1", "v1.1", "v1", "v1.1"},
+    {"v1", "v1.1", "v1.1", "v1"},
+    {"v1.1", "v1", "v1", "v1.1"},
+    {"v1.1", "v1", "v1.1", "v1"},
+    {"v1.1", "v1.1", "v1", "v1"}};
+
+response_view
+call(versioned_servers& servers, std::string_view headers = {})
+{
+    forward_fixture test(servers.backends(), servers.versions());
+    return view_response(
+        test.exchange(test.request("POST", "/resume/x", headers)));
+}
+
+} // namespace
+
+Test(software_versions, an_answer_does_not_go_on_at_another_version)
+{
+    for (const version_list& versions : one_each)
+    {
+        versioned_servers servers(versions, {2});
+        const response_view seen = call(servers);
+        cr_assert_eq(versions_in(seen.body).size(), 1, "%s", seen.body.c_str());
+        cr_assert_not(seen.is_complete);
+        cr_assert_eq(servers.arrivals().size(), 1);
+    }
+}
+
+Test(software_versions, an_answer_goes_on_at_the_version_that_began_it)
+{
+    for (const version_list& versions : two_each)
+    {
+        versioned_servers servers(versions, {2});
+        const response_view seen = call(servers);
+        cr_assert_eq(versions_in(seen.body).size(), 1, "%s", seen.body.c_str());
+        cr_assert(seen.is_complete);
+        cr_assert_eq(servers.arrivals().size(), 2);
+    }
+}
+
+Test(software_versions, a_stream_of_unknown_origin_is_sent_to_no_server)
+{
+    versioned_servers servers({"v1", "v1.1"}, {});
+    const response_view seen =
+        call(servers, "Last-Event-Id: 2\r\nResumes: 5ad4204a5cf56774\r\n");
+    cr_assert_eq(seen.status, 503, "%s", seen.body.c_str());
+    cr_assert_neq(seen.body.find("not-run"), std::string::npos);
+    cr_assert(servers.arrivals().empty());
+}
+
+Test(software_versions, a_stream_without_named_origin_is_sent_to_no_server)
+{
+    versioned_servers servers({"v1", "v1.1"}, {});
+    const response_view seen = call(servers, "Last-Event-Id: 2\r\n");
+    cr_assert_eq(seen.status, 503, "%s", seen.body.c_str());
+    cr_assert(servers.arrivals().empty());
+}
