--- a/include/roseworks/verdict.hpp
+++ b/include/roseworks/verdict.hpp
@@ -43,6 +43,7 @@
     key_reused,         ///< the idempotency key was used for other content
     unknown_key,        ///< no organisation has the caller's API key
     organisation_limit, ///< the organisation has reached its limit
+    unknown_origin,     ///< what began the stream isn't known, or is gone
     outdated            ///< this router lacks a configuration that others have
 };
 
@@ -108,6 +109,8 @@
         return "unknown_key";
     case refusal_reason::organisation_limit:
         return "organisation_limit";
+    case refusal_reason::unknown_origin:
+        return "unknown_origin";
     case refusal_reason::outdated:
         return "outdated";
     }
--- a/src/adapters/edge/call_problem.cpp
+++ b/src/adapters/edge/call_problem.cpp
@@ -63,6 +63,8 @@
         return {401, "Unknown API key"};
     case refusal_reason::organisation_limit:
         return {429, "Organisation's limit reached"};
+    case refusal_reason::unknown_origin:
+        return {503, "Origin of the stream not known"};
     case refusal_reason::outdated:
         return {503, "Configuration not known here yet"};
     }
--- a/src/adapters/forward/forward_call.cpp
+++ b/src/adapters/forward/forward_call.cpp
@@ -134,24 +134,26 @@
         info.deadline, this->request.arrived + this->route.max_queue_time());
     info.objective = this->request.arrived + this->route.objective;
     info.repeatable = this->route.repeatable();
+    info.software = this->origin;
     info.held_bytes = this->request.body.size();
     return info;
 }
 
 software_version forward_call::needed_software() const
 {
-    return this->response.has_begun() ? this->first_software
-                                      : software_version();
+    return this->response.has_begun() ? this->first_software : this->origin;
 }
 
 asio::awaitable<bool> forward_call::run()
 {
-    this->context.ports.quotas.count_request(this->service);
     asio::co_spawn(
         this->pool.executor,
         watch_for_disconnect(this->caller, this->inbox),
         asio::detached);
-    const bool may_send = co_await this->reserve_quota();
+    bool may_send = co_await this->find_origin();
+    this->context.ports.quotas.count_request(this->service);
+    if (may_send)
+        may_send = co_await this->reserve_quota();
     if (may_send)
     {
         std::weak_ptr<edge::call_inbox> weak_inbox = this->inbox;
@@ -487,6 +489,8 @@
          {"first_software", to_hex(this->first_software.value)},
          {"last_event", this->request.caller_last_event},
          {"resumes", this->request.resumes},
+         {"origin",
+          this->takes_up_stream() ? to_string(this->origin_known_by) : ""},
          {"relay", this->last_relay},
          {"server_limit", this->last_rate_limit},
          {"framing", to_string(this->last_framing)},
--- a/src/adapters/forward/forward_call.hpp
+++ b/src/adapters/forward/forward_call.hpp
@@ -9,6 +9,8 @@
 #include "adapters/forward/local_response.hpp"
 #include "adapters/forward/server_exchange.hpp"
 #include "adapters/forward/sse_event_splitter.hpp"
+#include "core/origins/stream_key.hpp"
+#include "core/origins/stream_origin.hpp"
 #include "core/serving/deployment.hpp"
 
 #include <memory>
@@ -71,6 +73,18 @@
     /// @return The software that a server needs to run the next attempt; 0:
     ///         any.
     software_version needed_software() const;
+    stream_key key_of_attempt(std::string_view attempt) const;
+    /// @return Whether the caller takes up a stream that it has got a part of.
+    bool takes_up_stream() const;
+    /// Finds the software that began the stream which the caller takes up.
+    /// @return Whether the request may be sent. If not, the call is finished.
+    asio::awaitable<bool> find_origin();
+    /// Lets the request run only on servers of a software.
+    /// @return Whether such a server of this route takes requests.
+    bool use_origin(software_version software);
+    asio::awaitable<void> refuse_stream(duration retry_after);
+    /// Records which software wrote the first event, once there is one.
+    void record_origin();
     /// Reserves quota if the organisation has a limit.
     /// @return Whether the request may be sent. If not, the call is finished.
     asio::awaitable<bool> reserve_quota();
@@ -153,6 +167,10 @@
     std::uint32_t sends = 0;    ///< that sent data, including refused ones
     std::string last_server;    ///< instance ID; of the last attempt
     software_version last_software; ///< of `last_server`
+    /// That began the stream which the caller takes up; 0: it takes none up.
+    software_version origin;
+    /// How `origin` is known.
+    origin_source origin_known_by = origin_source::unknown;
     /// Of the server that wrote the first event for the caller.
     software_version first_software;
     std::string last_relay; ///< router that relayed the last attempt; or empty
--- a/src/adapters/forward/forward_call_relay.cpp
+++ b/src/adapters/forward/forward_call_relay.cpp
@@ -137,8 +137,7 @@
         const std::string completed_events = this->events.feed(piece);
         if (this->events.exceeds_limit())
             co_return relay_outcome::truncated;
-        if (!this->first_software && this->events.event_count() != 0)
-            this->first_software = this->last_software;
+        this->record_origin();
         written = co_await this->response.send_part(
             exchange.head(),
             complete_events_only ? std::string_view(completed_events) : piece);
--- a/src/adapters/forward/forward_context.hpp
+++ b/src/adapters/forward/forward_context.hpp
@@ -9,6 +9,7 @@
 #include "core/serving/serving_table.hpp"
 #include "ports/crash_port.hpp"
 #include "ports/dispatch_port.hpp"
+#include "ports/origin_port.hpp"
 #include "ports/quota_port.hpp"
 
 #include <atomic>
@@ -53,6 +54,7 @@
     dispatch_port& dispatch;
     quota_port& quotas;
     crash_port& crashes;
+    origin_port& origins;
     edge::connection_opener& connections;
     std::function<serving_table_ptr()> table; ///< newest; null: none yet
     /// An engine reported its load in a response.
--- a/src/adapters/forward/forward_metrics.cpp
+++ b/src/adapters/forward/forward_metrics.cpp
@@ -18,6 +18,9 @@
     , relayed_connections(registry.add_counter<>(
           "roseworks_relayed_connections_total",
           "Connections to backend servers opened through another router."))
+    , origins(registry.add_counter<origin_source>(
+          "roseworks_stream_origins_total",
+          "Streams that callers took up, by how their origin was known."))
     , late_answers(registry.add_counter<>(
           "roseworks_late_answers_total",
           "Answers of backend servers that belonged to no request."))
--- a/src/adapters/forward/forward_metrics.hpp
+++ b/src/adapters/forward/forward_metrics.hpp
@@ -2,6 +2,7 @@
 
 #include "adapters/edge/traffic_observer.hpp"
 #include "adapters/metrics/metrics_registry.hpp"
+#include "core/origins/stream_origin.hpp"
 
 #include <array>
 #include <cstdint>
@@ -46,6 +47,17 @@
         "turned_away"};
 };
 
+template <>
+struct label_traits<origin_source>
+{
+    static constexpr std::string_view name = "source";
+    static constexpr std::array<std::string_view, 4> values = {
+        to_string(origin_source::unknown),
+        to_string(origin_source::own_record),
+        to_string(origin_source::router),
+        to_string(origin_source::only_version)};
+};
+
 template <>
 struct label_traits<forward::admission>
 {
@@ -94,6 +106,7 @@
     metrics::counter<>& retries;
     metrics::counter<>& retries_denied;
     metrics::counter<>& relayed_connections;
+    metrics::counter<origin_source>& origins; ///< of streams taken up
     metrics::counter<>& late_answers;
     metrics::counter<>& silent_connections;
     metrics::gauge<>& connections;
--- a/src/adapters/peers/gateway_peers.cpp
+++ b/src/adapters/peers/gateway_peers.cpp
@@ -58,6 +58,9 @@
 constexpr std::size_t max_engine_bytes = 220;
 constexpr std::size_t max_limit_bytes = 64;
 constexpr std::size_t max_crash_bytes = 28;
+constexpr std::size_t max_origin_bytes = 24;
+/// Of the sightings that accompany records.
+constexpr std::size_t max_sightings_bytes = 1000;
 constexpr std::size_t max_content_bytes =
     gateway_peers::max_datagram_bytes - 100;
 
@@ -166,6 +169,11 @@
             this->listener->crash_report_received(
                 message, this->sender_address());
         return;
+    case message_kind::origins:
+        if (origin_message message; this->decode(body, message))
+            this->listener->origin_message_received(
+                message, this->sender_address());
+        return;
     }
     ++this->rejected_count;
 }
@@ -287,6 +295,25 @@
         this->send_message(addresses, message_kind::crashes, part);
 }
 
+void gateway_peers::send(
+    std::span<const std::string> addresses, const origin_message& message)
+{
+    const std::size_t room = message.sightings.empty()
+                                 ? max_content_bytes
+                                 : max_content_bytes - max_sightings_bytes;
+    origin_message part = message;
+    for (auto& chunk : split_list(message.records, max_origin_bytes, room))
+    {
+        part.records = std::move(chunk);
+        this->send_message(addresses, message_kind::origins, part);
+        // Sent only once.
+        part.sightings.clear();
+        part.observed_us = 0;
+    }
+    if (message.records.empty())
+        this->send_message(addresses, message_kind::origins, part);
+}
+
 void gateway_peers::send(
     std::span<const std::string> addresses, const directory_update& message)
 {
--- a/src/adapters/peers/gateway_peers.hpp
+++ b/src/adapters/peers/gateway_peers.hpp
@@ -59,6 +59,9 @@
     void send(
         std::span<const std::string> addresses,
         const crash_report& report) override;
+    void send(
+        std::span<const std::string> addresses,
+        const origin_message& message) override;
     void send(
         std::span<const std::string> addresses,
         const directory_update& message) override;
@@ -84,7 +87,8 @@
         quota_request = 5,
         quota_response = 6,
         server_limits = 7,
-        crashes = 8
+        crashes = 8,
+        origins = 9
     };
 
     void receive();
--- a/src/app/gateway/gateway_app.cpp
+++ b/src/app/gateway/gateway_app.cpp
@@ -256,6 +256,7 @@
         *this->dispatch,
         this->control->organisation_limits(),
         this->control->crashing_requests(),
+        this->control->stream_origins(),
         this->opener,
         [this]
         {
--- a/src/app/gateway/gateway_control.cpp
+++ b/src/app/gateway/gateway_control.cpp
@@ -63,6 +63,7 @@
               {
                   this->placement->deployment_changed(configuration);
                   this->quotas->deployment_changed(*configuration);
+                  this->origins->deployment_changed(*configuration);
                   this->notify.on_deployment(std::move(configuration));
               },
               [this]
@@ -70,6 +71,7 @@
                   this->placement->servers_changed();
                   this->limit_controller->servers_changed();
                   this->crashes->servers_changed();
+                  this->origins->servers_changed();
               }}))
     , copies(std::make_unique<copy_exchange>(
           this->loop, copy_options(initial_settings), this->meter))
@@ -101,6 +103,16 @@
           this->opinions,
           this->serving->view(),
           this->notify.on_request_blocked))
+    , origins(std::make_unique<origin_controller>(
+          this->loop,
+          origin_options(initial_settings),
+          time,
+          *this->peers,
+          this->serving->view(),
+          [this]
+          {
+              return this->directory->registry_age();
+          }))
     , limit_controller(std::make_unique<server_limit_controller>(
           this->loop,
           server_limit_controller::options{initial_settings.vm.name},
@@ -353,6 +365,12 @@
     this->crashes->report_received(message, from);
 }
 
+void gateway_control::origin_message_received(
+    const origin_message& message, std::string_view from)
+{
+    this->origins->message_received(message, from);
+}
+
 void gateway_control::directory_update_received(const directory_update& message)
 {
     this->directory->apply_peer_update(message);
@@ -445,6 +463,7 @@
             this->placement->stop();
             this->limit_controller->stop();
             this->crashes->stop();
+            this->origins->stop();
             this->opinions.stop();
             this->quotas->stop();
             this->serving->stop();
@@ -486,6 +505,7 @@
 {
     this->quotas->routers_listed(all);
     this->crashes->routers_listed(all);
+    this->origins->routers_listed(all);
     const relay_routers relays = find_relay_routers(
         all, this->settings.vm.name, this->settings.listen.relay().port);
     this->opinions.set_routers(relays.routers);
--- a/src/app/gateway/gateway_control.hpp
+++ b/src/app/gateway/gateway_control.hpp
@@ -9,6 +9,7 @@
 #include "app/gateway/crash_controller.hpp"
 #include "app/gateway/demand_reporter.hpp"
 #include "app/gateway/engine_reach.hpp"
+#include "app/gateway/origin_controller.hpp"
 #include "app/gateway/placement_controller.hpp"
 #include "app/gateway/quota_controller.hpp"
 #include "app/gateway/relay_routers.hpp"
@@ -145,6 +146,12 @@
         return *this->crashes;
     }
 
+    /// @return The port to the origins of streams.
+    origin_port& stream_origins()
+    {
+        return *this->origins;
+    }
+
     bool ready() const
     {
         return this->serving->ready();
@@ -180,6 +187,8 @@
         const owner_announcement& message, std::string_view from) override;
     void crash_report_received(
         const crash_report& message, std::string_view from) override;
+    void origin_message_received(
+        const origin_message& message, std::string_view from) override;
     void directory_update_received(const directory_update& message) override;
     void quota_query_received(
         const quota_query& query, std::string_view from) override;
@@ -227,6 +236,7 @@
     std::unique_ptr<quota_controller> quotas;
     relay::router_opinions opinions;
     std::unique_ptr<crash_controller> crashes;
+    std::unique_ptr<origin_controller> origins;
     std::unique_ptr<server_limit_controller> limit_controller;
     std::unique_ptr<engine_command_port> commands;
     edge::direct_opener direct;
--- a/src/app/gateway/gateway_options.cpp
+++ b/src/app/gateway/gateway_options.cpp
@@ -83,6 +83,16 @@
     return made;
 }
 
+origin_controller::options
+origin_options(const settings::gateway_settings& settings)
+{
+    origin_controller::options made;
+    made.tracking.router = settings.vm.name;
+    made.tracking.first_start = settings.vm.first_start;
+    made.tracking.seed = std::random_device()();
+    return made;
+}
+
 relay::router_opinions::options opinion_options()
 {
     relay::router_opinions::options made;
--- a/src/app/gateway/gateway_options.hpp
+++ b/src/app/gateway/gateway_options.hpp
@@ -4,6 +4,7 @@
 #include "adapters/relay/router_opinions.hpp"
 #include "adapters/settings/gateway_settings.hpp"
 #include "app/gateway/crash_controller.hpp"
+#include "app/gateway/origin_controller.hpp"
 #include "app/gateway/placement_controller.hpp"
 #include "app/gateway/quota_controller.hpp"
 #include "platform/engine_commands.hpp"
@@ -28,6 +29,10 @@
 crash_controller::options
 crash_options(const settings::gateway_settings& settings);
 
+/// @return Options of the origins of streams.
+origin_controller::options
+origin_options(const settings::gateway_settings& settings);
+
 /// @return Options of the questions to other routers about servers.
 relay::router_opinions::options opinion_options();
 
--- a/src/app/traffic_metrics.hpp
+++ b/src/app/traffic_metrics.hpp
@@ -46,7 +46,7 @@
 struct label_traits<refusal_reason>
 {
     static constexpr std::string_view name = "reason";
-    static constexpr std::array<std::string_view, 22> values = {
+    static constexpr std::array<std::string_view, 23> values = {
         to_string(refusal_reason::none),
         to_string(refusal_reason::bad_request),
         to_string(refusal_reason::unknown_servable),
@@ -68,6 +68,7 @@
         to_string(refusal_reason::key_reused),
         to_string(refusal_reason::unknown_key),
         to_string(refusal_reason::organisation_limit),
+        to_string(refusal_reason::unknown_origin),
         to_string(refusal_reason::outdated)};
 };
 
--- a/src/ports/directory_port.hpp
+++ b/src/ports/directory_port.hpp
@@ -113,6 +113,10 @@
     /// Another router sent an update that it has read from the store.
     virtual void apply_peer_update(const directory_update& update) = 0;
 
+    /// @return Time since the registry was known to be complete; empty if it
+    ///         never was.
+    virtual std::optional<duration> registry_age() const = 0;
+
     /// Another router owns placement with the given fencing number. If the
     /// number is higher than that of this router's tenure, this router doesn't
     /// renew: after a partition from the store, a renewal would take the
--- a/src/ports/gateway_peer_port.hpp
+++ b/src/ports/gateway_peer_port.hpp
@@ -2,6 +2,7 @@
 
 #include "core/crashes/crash_report.hpp"
 #include "core/dissemination/directory_update.hpp"
+#include "core/origins/origin_message.hpp"
 #include "core/pacing/server_limit_update.hpp"
 #include "core/quota/quota_messages.hpp"
 #include "core/swapping/peer_messages.hpp"
@@ -29,6 +30,10 @@
     /// @param from UDP ip:port of the router.
     virtual void crash_report_received(
         const crash_report& report, std::string_view from) = 0;
+
+    /// @param from UDP ip:port of the router.
+    virtual void origin_message_received(
+        const origin_message& message, std::string_view from) = 0;
     virtual void directory_update_received(const directory_update& update) = 0;
 
     /// @param from UDP ip:port of the router.
@@ -55,6 +60,9 @@
         const owner_announcement& announcement) = 0;
     virtual void send(
         std::span<const std::string> addresses, const crash_report& report) = 0;
+    virtual void send(
+        std::span<const std::string> addresses,
+        const origin_message& message) = 0;
     virtual void send(
         std::span<const std::string> addresses,
         const directory_update& update) = 0;
--- a/tests/unit/forward/forward_fixture.cpp
+++ b/tests/unit/forward/forward_fixture.cpp
@@ -200,6 +200,7 @@
         *this->dispatch,
         this->limits,
         this->crashes,
+        this->origins,
         this->opener,
         [this]
         {
@@ -378,6 +379,24 @@
         });
 }
 
+fake_origin_port::fake_origin_port()
+    : answer{software_of("app", "v1"), origin_source::only_version, {}}
+{
+}
+
+void fake_origin_port::began(stream_key stream, software_version software)
+{
+    const std::lock_guard lock(this->mutex);
+    this->begun.emplace_back(stream, software);
+}
+
+void fake_origin_port::find(origin_question question, handler on_answer)
+{
+    const std::lock_guard lock(this->mutex);
+    this->questions.push_back(std::move(question));
+    on_answer(this->answer);
+}
+
 blocked_requests_ptr fake_crash_port::blocked() const
 {
     const std::lock_guard lock(this->mutex);
--- a/tests/unit/forward/forward_fixture.hpp
+++ b/tests/unit/forward/forward_fixture.hpp
@@ -21,6 +21,7 @@
 #include <string>
 #include <string_view>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace roseworks::forward::tests
@@ -73,6 +74,21 @@
     double returned_amount = 0;
 };
 
+/// Answers all questions alike and records them. Without an answer of its own
+/// it takes version `v1` of service `app` for the only one.
+class fake_origin_port final : public origin_port
+{
+public:
+    fake_origin_port();
+    void began(stream_key stream, software_version software) override;
+    void find(origin_question question, handler on_answer) override;
+
+    std::mutex mutex;
+    stream_origin answer;
+    std::vector<std::pair<stream_key, software_version>> begun;
+    std::vector<origin_question> questions;
+};
+
 /** Forwards over real sockets and the real dispatcher to fake backend servers
     of one service without engines.
 
@@ -147,6 +163,7 @@
     void refuse_blocked();
 
     fake_crash_port crashes;
+    fake_origin_port origins;
 
     /// Opens the connections to the servers that this router opens itself.
     cuttable_opener direct;
--- a/tests/unit/software_versions/test_software_versions.cpp
+++ b/tests/unit/software_versions/test_software_versions.cpp
@@ -1,5 +1,6 @@
 // A stream goes on only at the software version that began it.
 
+#include "core/serving/server_software.hpp"
 #include "forward_fixture.hpp"
 #include "response_view.hpp"
 #include "versioned_servers.hpp"
@@ -35,11 +36,10 @@
         test.exchange(test.request("POST", "/resume/x", headers)));
 }
 
-response_view
-call(versioned_servers& servers, std::string_view headers = {})
+response_view call(versioned_servers& servers)
 {
     forward_fixture test(servers.backends(), servers.versions());
-    return take_up(test, headers);
+    return take_up(test, {});
 }
 
 /// Expects that one version wrote all events, and that no other one was asked.
@@ -117,17 +117,81 @@
 Test(software_versions, a_stream_of_unknown_origin_is_sent_to_no_server)
 {
     versioned_servers servers({"v1", "v1.1"}, {});
+    forward_fixture test(servers.backends(), servers.versions());
+    test.origins.answer = {};
     const response_view seen =
-        call(servers, "Last-Event-Id: 2\r\nResumes: 5ad4204a5cf56774\r\n");
+        take_up(test, "Last-Event-Id: 2\r\nResumes: 5ad4204a5cf56774\r\n");
     cr_assert_eq(seen.status, 503, "%s", seen.body.c_str());
     cr_assert_neq(seen.body.find("not-run"), std::string::npos);
+    cr_assert_neq(seen.head.find("Retry-After: "), std::string::npos);
     cr_assert(servers.arrivals().empty());
+    cr_assert(test.origins.questions.at(0).stream);
 }
 
 Test(software_versions, a_stream_without_named_origin_is_sent_to_no_server)
 {
     versioned_servers servers({"v1", "v1.1"}, {});
-    const response_view seen = call(servers, "Last-Event-Id: 2\r\n");
+    forward_fixture test(servers.backends(), servers.versions());
+    test.origins.answer = {};
+    const response_view seen = take_up(test, "Last-Event-Id: 2\r\n");
     cr_assert_eq(seen.status, 503, "%s", seen.body.c_str());
     cr_assert(servers.arrivals().empty());
+    cr_assert_not(test.origins.questions.at(0).stream);
+}
+
+Test(software_versions, an_origin_that_is_named_twice_names_none)
+{
+    versioned_servers servers({"v1"}, {});
+    forward_fixture test(servers.backends(), servers.versions());
+    take_up(test, "Last-Event-Id: 2\r\nResumes: a\r\nResumes: b\r\n");
+    take_up(
+        test,
+        "Last-Event-Id: 2\r\nResumes: " + std::string(1000, 'a') + "\r\n");
+    cr_assert_not(test.origins.questions.at(0).stream);
+    cr_assert_not(test.origins.questions.at(1).stream);
+}
+
+Test(software_versions, a_stream_goes_on_at_the_version_of_its_origin)
+{
+    for (const version_list& versions : two_each)
+    {
+        versioned_servers servers(versions, {1, 1});
+        forward_fixture test(servers.backends(), servers.versions());
+        test.origins.answer = {
+            software_of("app", "v1.1"), origin_source::router, "r2"};
+        const response_view seen =
+            take_up(test, "Last-Event-Id: 2\r\nResumes: 5ad4\r\n");
+        cr_assert_eq(seen.status, 200);
+        cr_assert(versions_in(seen.body) == version_list{"v1.1"});
+        for (const versioned_servers::arrival& one : servers.arrivals())
+            cr_assert_eq(one.version, "v1.1");
+    }
+}
+
+Test(software_versions, a_stream_whose_version_is_gone_is_refused_at_once)
+{
+    versioned_servers servers({"v1.1", "v1.2"}, {});
+    forward_fixture test(servers.backends(), servers.versions());
+    test.origins.answer = {
+        software_of("app", "v1"), origin_source::router, "r2"};
+    const response_view seen =
+        take_up(test, "Last-Event-Id: 2\r\nResumes: 5ad4\r\n");
+    cr_assert_eq(seen.status, 503);
+    cr_assert_neq(seen.body.find("not-run"), std::string::npos);
+    cr_assert_eq(seen.head.find("Retry-After: "), std::string::npos);
+    cr_assert(servers.arrivals().empty());
+}
+
+Test(software_versions, the_first_event_is_recorded_under_its_attempt)
+{
+    versioned_servers servers({"v1", "v1"}, {0, 1});
+    forward_fixture test(servers.backends(), servers.versions());
+    take_up(test, {});
+    cr_assert(test.origins.questions.empty());
+    cr_assert_eq(test.origins.begun.size(), 1);
+    cr_assert(test.origins.begun[0].second == software_of("app", "v1"));
+    // The caller names that attempt later.
+    take_up(test, "Last-Event-Id: 1\r\nResumes: 9c41\r\n");
+    cr_assert(
+        test.origins.questions.at(0).stream == test.origins.begun[0].first);
 }
--- a/tests/unit/users_platform/test_gateway_peers.cpp
+++ b/tests/unit/users_platform/test_gateway_peers.cpp
@@ -40,6 +40,12 @@
         this->crashes.push_back(update);
     }
 
+    void origin_message_received(
+        const origin_message& update, std::string_view) override
+    {
+        this->origins.push_back(update);
+    }
+
     void directory_update_received(const directory_update& update) override
     {
         this->directories.push_back(update);
@@ -68,6 +74,7 @@
     std::vector<directory_update> directories;
     std::vector<owner_announcement> owners;
     std::vector<crash_report> crashes;
+    std::vector<origin_message> origins;
 };
 
 /// A sender on an event loop that a test shares with a receiver.
