--- a/src/app/gateway/demand_reporter.cpp
+++ b/src/app/gateway/demand_reporter.cpp
@@ -1,5 +1,7 @@
 #include "app/gateway/demand_reporter.hpp"
 
+#include "core/serving/servable_key.hpp"
+
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -60,7 +62,8 @@
 {
     const instant now = this->clock.now();
     const auto [position, added] =
-        this->waiting.try_emplace(waiting_demand.target);
+        this->waiting.try_emplace(with_software(
+            waiting_demand.target, waiting_demand.software));
     demand_state& need = position->second;
     const bool changed =
         added || need.last.waiting != waiting_demand.waiting ||
@@ -127,12 +130,13 @@
 }
 
 servable_need
-demand_reporter::make_need(const demand& waiting_demand, instant now) const
+demand_reporter::make_need(
+    const std::string& servable, const demand& waiting_demand, instant now)
 {
     const bool has_no_objective =
         waiting_demand.earliest_objective == instant::max();
     return {
-        waiting_demand.target,
+        servable,
         waiting_demand.waiting,
         has_no_objective ? servable_need::no_objective
                          : micros_until(waiting_demand.earliest_objective, now),
@@ -149,7 +153,7 @@
         if (ended)
             report.needs.push_back({servable, 0, 0, 0});
         else if (all || need.unreported)
-            report.needs.push_back(this->make_need(need.last, now));
+            report.needs.push_back(make_need(servable, need.last, now));
         need.unreported = false;
     }
     std::erase_if(
--- a/src/app/gateway/demand_reporter.hpp
+++ b/src/app/gateway/demand_reporter.hpp
@@ -65,7 +65,8 @@
         bool unreported = true; ///< not reported to the owner yet
     };
 
-    servable_need make_need(const demand& waiting_demand, instant now) const;
+    static servable_need make_need(
+        const std::string& servable, const demand& waiting_demand, instant now);
     void report_demand(bool all);
 
     std::string name;
@@ -74,7 +75,7 @@
     sender send;
     const std::uint64_t run_number;
     std::uint64_t last_sequence = 0;
-    std::map<std::string, demand_state> waiting; ///< by servable
+    std::map<std::string, demand_state> waiting; ///< by servable and software
     instant last_full_report;
     boost::asio::steady_timer demand_timer;
     boost::asio::steady_timer usage_timer;
--- a/src/core/serving/servable_key.hpp
+++ b/src/core/serving/servable_key.hpp
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <roseworks/ids.hpp>
+
+#include <charconv>
 #include <string>
 #include <string_view>
 
@@ -43,4 +46,39 @@
     return parts;
 }
 
+/// Follows a servable's key where only servers of one software are of use.
+/// Names contain no control characters.
+inline constexpr char software_separator = '\x1d';
+
+/// @return The key of a servable on servers of a software; the key itself if
+///         any software will do.
+inline std::string with_software(std::string key, software_version software)
+{
+    if (!software)
+        return key;
+    key += software_separator;
+    key += std::to_string(software.value);
+    return key;
+}
+
+/// A servable for which requests wait.
+struct wanted_servable
+{
+    std::string_view servable; ///< its key
+    software_version software; ///< of the servers that may run it; 0: all may
+};
+
+inline wanted_servable split_software(std::string_view key)
+{
+    wanted_servable wanted;
+    const auto separator = key.find(software_separator);
+    wanted.servable = key.substr(0, separator);
+    if (separator == std::string_view::npos)
+        return wanted;
+    const std::string_view number = key.substr(separator + 1);
+    std::from_chars(
+        number.data(), number.data() + number.size(), wanted.software.value);
+    return wanted;
+}
+
 } // namespace roseworks
--- a/src/core/swapping/demand_tracker.cpp
+++ b/src/core/swapping/demand_tracker.cpp
@@ -1,5 +1,7 @@
 #include "core/swapping/demand_tracker.hpp"
 
+#include "core/serving/servable_key.hpp"
+
 #include <algorithm>
 #include <tuple>
 #include <utility>
@@ -75,7 +77,9 @@
         // count waiting requests, too.
         if (need.waiting > before.waiting)
             this->demand_estimate.add(
-                need.servable, need.waiting - before.waiting, now);
+                split_software(need.servable).servable,
+                need.waiting - before.waiting,
+                now);
         before = {
             need.waiting, objective, time_after(now, need.deadline_in_us), now};
     }
@@ -118,7 +122,9 @@
             waiting_servable& sum = found[servable];
             if (sum.waiting == 0)
             {
-                sum.servable = servable;
+                const wanted_servable wanted = split_software(servable);
+                sum.servable = wanted.servable;
+                sum.software = wanted.software;
                 sum.deadline = need.deadline;
             }
             sum.waiting += need.waiting;
@@ -147,12 +153,14 @@
 demand_tracker::routers_waiting(std::string_view servable, instant now) const
 {
     std::vector<std::string> found;
-    const std::string key(servable);
+    const auto waits = [&](const auto& need)
+    {
+        return split_software(need.first).servable == servable &&
+               now - need.second.reported_at <= this->settings.need_lifetime;
+    };
     for (const auto& [router, row] : this->rows)
     {
-        const auto need = row.needs.find(key);
-        if (need != row.needs.end() &&
-            now - need->second.reported_at <= this->settings.need_lifetime)
+        if (std::ranges::any_of(row.needs, waits))
             found.push_back(router);
     }
     return found;
--- a/src/core/swapping/demand_tracker.hpp
+++ b/src/core/swapping/demand_tracker.hpp
@@ -3,6 +3,7 @@
 #include "core/swapping/demand_estimator.hpp"
 #include "core/swapping/peer_messages.hpp"
 
+#include <roseworks/ids.hpp>
 #include <roseworks/instant.hpp>
 
 #include <cstddef>
@@ -20,6 +21,8 @@
 struct waiting_servable
 {
     std::string servable; ///< key of the model or adapter
+    /// Of the engines on which a copy is of use; 0: of all.
+    software_version software;
     std::uint32_t waiting = 0;
     instant objective = instant::max(); ///< earliest that can still be met
     instant deadline;                   ///< earliest one
@@ -87,7 +90,8 @@
         return this->demand_estimate.requests_per_second(model, now);
     }
 
-    /// @return Routers at which requests wait for a servable.
+    /// @return Routers at which requests wait for a servable, on engines of any
+    ///         software.
     std::vector<std::string>
     routers_waiting(std::string_view servable, instant now) const;
 
--- a/src/core/swapping/engine_tracker.cpp
+++ b/src/core/swapping/engine_tracker.cpp
@@ -1,6 +1,7 @@
 #include "core/swapping/engine_tracker.hpp"
 
 #include "core/serving/servable_key.hpp"
+#include "core/serving/server_software.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -123,13 +124,15 @@
     {
         engine_state added;
         added.entry = entry;
+        added.software = software_of(entry.service, entry.version);
         set_local_copies(added, entry.holdings);
         this->engines_by_id.emplace(entry.id, std::move(added));
         return true;
     }
     engine_state& engine = found->second;
     const bool restarted = engine.entry.born_ms != entry.born_ms ||
-                           engine.entry.address != entry.address;
+                           engine.entry.address != entry.address ||
+                           engine.entry.version != entry.version;
     if (restarted)
     {
         const instant last = engine.last_order;
@@ -139,6 +142,7 @@
         engine.not_before = not_before;
     }
     engine.entry = entry;
+    engine.software = software_of(entry.service, entry.version);
     if (!engine.state_confirmed)
         set_local_copies(engine, entry.holdings);
     return restarted;
--- a/src/core/swapping/engine_tracker.hpp
+++ b/src/core/swapping/engine_tracker.hpp
@@ -6,6 +6,7 @@
 #include "core/serving/server_entry.hpp"
 #include "ports/engine_command_port.hpp"
 
+#include <roseworks/ids.hpp>
 #include <roseworks/instant.hpp>
 
 #include <cstdint>
@@ -96,6 +97,7 @@
 struct engine_state
 {
     server_entry entry;
+    software_version software;
     bool state_confirmed = false; ///< the state is confirmed by a report
     bool reachable = true;        ///< result of the last attempt
     double rate_limit = 0; ///< requests per second; 0: the engine named none
--- a/src/core/swapping/peer_messages.hpp
+++ b/src/core/swapping/peer_messages.hpp
@@ -22,7 +22,8 @@
     static constexpr std::int64_t no_objective =
         std::numeric_limits<std::int64_t>::max();
 
-    std::string servable; ///< key of the model or adapter
+    /// Key of the model or adapter, with the software that its servers need.
+    std::string servable;
     std::uint32_t waiting = 0;
     std::int64_t objective_in_us = no_objective; ///< earliest one
     std::int64_t deadline_in_us = 0;             ///< earliest one
--- a/src/core/swapping/planning_round.hpp
+++ b/src/core/swapping/planning_round.hpp
@@ -23,6 +23,9 @@
     std::string service;
     std::string model;
     std::string adapter;
+    /// Of the engines that may load it; 0: all may. Streams that such an engine
+    /// began wait for it.
+    software_version software;
     std::uint32_t waiting = 0;
     instant objective;
     instant deadline;
@@ -36,6 +39,14 @@
     bool has_no_copy = false; ///< no engine has the weights or loads them
 };
 
+/// @return Whether a copy on the engine serves the request.
+inline bool
+is_of_use(const engine_state& engine, const placement_request& request)
+{
+    return engine.entry.service == request.service &&
+           (!request.software || engine.software == request.software);
+}
+
 /// An engine that could load the model.
 struct candidate
 {
--- a/src/core/swapping/swap_planner.cpp
+++ b/src/core/swapping/swap_planner.cpp
@@ -133,13 +133,17 @@
         request.service = parts.service;
         request.model = parts.model;
         request.adapter = parts.adapter;
+        request.software = need.software;
         request.waiting = need.waiting;
         request.objective = need.objective;
         request.deadline = need.deadline;
         const std::string key = servable_key(parts.service, parts.model);
         const model_totals& totals = this->totals_of(round, key);
-        request.only_rate_limited = totals.copies == 0 && totals.limited != 0;
-        if (!request.adapter.empty() && totals.copies == 0)
+        request.only_rate_limited = !request.software && totals.copies == 0 &&
+                                    totals.limited != 0;
+        const bool has_model = request.software ? this->is_loaded(round, request)
+                                                : totals.copies != 0;
+        if (!request.adapter.empty() && !has_model)
             request.adapter.clear();
         requests.push_back(std::move(request));
     }
@@ -198,17 +202,59 @@
         requests, std::ranges::less(), &placement_request::servable);
 }
 
+bool swap_planner::is_loaded(
+    const planning_round& round, const placement_request& request) const
+{
+    return std::ranges::any_of(
+        round.engines.all(),
+        [&request](const auto& entry)
+        {
+            const engine_state& engine = entry.second;
+            return is_of_use(engine, request) && !engine.entry.leaving &&
+                   engine.reachable && engine.find(request.model) != nullptr;
+        });
+}
+
+bool swap_planner::is_available(
+    const planning_round& round, const placement_request& request) const
+{
+    if (!request.software)
+    {
+        const model_totals& totals = this->totals_of(
+            round, servable_key(request.service, request.model));
+        return totals.copies + totals.loading != 0;
+    }
+    const auto loads = [&request](const auto& order)
+    {
+        return order.action == engine_action::load && order.adapter.empty() &&
+               order.model == request.model;
+    };
+    const auto is_loading = [&](const auto& entry)
+    {
+        const engine_state& engine = entry.second;
+        return is_of_use(engine, request) && engine.order &&
+               loads(*engine.order);
+    };
+    const auto is_ordered = [&](const swap_order& order)
+    {
+        return loads(order) &&
+               is_of_use(*round.engines.find(order.engine), request);
+    };
+    return this->is_loaded(round, request) ||
+           std::ranges::any_of(round.engines.all(), is_loading) ||
+           std::ranges::any_of(round.orders, is_ordered);
+}
+
 void swap_planner::place_model(
     planning_round& round, const placement_request& request)
 {
     const std::string key = servable_key(request.service, request.model);
-    const model_totals& totals = this->totals_of(round, key);
-    const bool is_available = totals.copies + totals.loading != 0;
-    if (is_available && !request.extra_copy)
+    if (!request.extra_copy && this->is_available(round, request))
         return;
     if (!this->has_any_copy(round, request))
     {
-        if (!request.extra_copy)
+        // A load from the store takes longer than a stream's caller waits.
+        if (!request.extra_copy && !request.software)
             round.waiting_without_copy[key] += request.waiting;
         return;
     }
@@ -281,8 +327,7 @@
         [&request](const auto& entry)
         {
             const engine_state& engine = entry.second;
-            return engine.entry.service == request.service &&
-                   !engine.entry.leaving &&
+            return is_of_use(engine, request) && !engine.entry.leaving &&
                    engine.weight_source_of(request.model) !=
                        weight_source::store;
         });
--- a/src/core/swapping/swap_planner.hpp
+++ b/src/core/swapping/swap_planner.hpp
@@ -133,6 +133,13 @@
         const planning_round& round,
         std::string_view service,
         const model_totals& totals) const;
+    /// @return Whether an engine that may serve the request holds its model.
+    bool is_loaded(
+        const planning_round& round, const placement_request& request) const;
+    /// @return Whether an engine that may serve the request holds its model or
+    ///         loads it.
+    bool is_available(
+        const planning_round& round, const placement_request& request) const;
     void place_model(planning_round& round, const placement_request& request);
     /// @return Whether more requests wait for the model than the rate limits of
     ///         the engines that have it allow in a second.
--- a/src/core/swapping/swap_planner_engines.cpp
+++ b/src/core/swapping/swap_planner_engines.cpp
@@ -57,7 +57,7 @@
     std::uint32_t least = 0;
     for (const auto& [id, engine] : round.engines.all())
     {
-        if (engine.entry.service != request.service || engine.entry.leaving ||
+        if (!is_of_use(engine, request) || engine.entry.leaving ||
             !engine.state_confirmed || round.assigned_engines.contains(id) ||
             engine.weight_source_of(request.model) == weight_source::store ||
             !adds_capacity(engine, request.only_rate_limited))
@@ -89,7 +89,7 @@
     {
         if (static_cast<double>(engine.on_disk.size()) >= most_copies)
             continue;
-        if (engine.entry.service != request.service ||
+        if (!is_of_use(engine, request) ||
             !engine.accepts_orders(round.now) ||
             round.assigned_engines.contains(id) ||
             engine.find(request.model) != nullptr)
@@ -200,7 +200,7 @@
     for (const auto& [id, engine] : round.engines.all())
     {
         const loaded_model* model = engine.find(request.model);
-        if (engine.entry.service != request.service || model == nullptr ||
+        if (!is_of_use(engine, request) || model == nullptr ||
             engine.entry.leaving || !engine.reachable ||
             !adds_capacity(engine, is_elsewhere))
             continue;
--- a/tests/unit/swapping/swap_fixture.hpp
+++ b/tests/unit/swapping/swap_fixture.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/serving/servable_key.hpp"
+#include "core/serving/server_software.hpp"
 #include "core/swapping/swap_planner.hpp"
 
 #include <memory>
@@ -64,11 +65,13 @@
         const std::string& id,
         const std::vector<std::string>& loaded,
         std::vector<std::string> on_disk,
-        instant now)
+        instant now,
+        const std::string& version = "v1")
     {
         server_entry entry;
         entry.id = id;
         entry.service = "llm";
+        entry.version = version;
         entry.address = "10.0.0.1:80";
         this->engines.update_entry(entry);
         this->report_state(id, loaded, std::move(on_disk), 0, now);
@@ -95,13 +98,15 @@
         duration objective_in,
         instant now,
         const std::string& router = "r1",
-        std::uint32_t waiting = 1)
+        std::uint32_t waiting = 1,
+        const std::string& version = "")
     {
         router_report report;
         report.router = router;
         report.sequence = ++this->sequence;
         report.needs = {
-            {servable_key("llm", servable),
+            {with_software(
+                 servable_key("llm", servable), software_of("llm", version)),
              waiting,
              objective_in.count(),
              duration(objective_in + 8s).count()}};
