--- a/src/adapters/forward/forward_call_relay.cpp
+++ b/src/adapters/forward/forward_call_relay.cpp
@@ -57,6 +57,9 @@
 {
     const bool is_stream = exchange.framing() != body_framing::none &&
                            is_event_stream(exchange.head());
+    const forward_options& limits = this->context.settings;
+    exchange.limit_body(
+        is_stream ? limits.max_stream_bytes : limits.max_body_bytes);
     const relay_outcome outcome = is_stream
                                       ? co_await this->relay_stream(exchange)
                                       : co_await this->relay_buffered(exchange);
@@ -116,6 +119,7 @@
     const bool complete_events_only = this->route.resumable;
     const std::uint32_t earlier_events = this->events.event_count();
     this->events.discard_incomplete();
+    std::size_t bytes_without_event = 0;
     bool written = true;
     std::string_view piece;
     while (written)
@@ -134,8 +138,14 @@
             co_return written ? relay_outcome::complete
                               : relay_outcome::write_failed;
         }
+        const std::uint32_t known_events = this->events.event_count();
         const std::string completed_events = this->events.feed(piece);
-        if (this->events.exceeds_limit())
+        bytes_without_event = this->events.event_count() == known_events
+                                  ? bytes_without_event + piece.size()
+                                  : 0;
+        const bool is_endless = bytes_without_event >
+                                this->context.settings.max_bytes_without_event;
+        if (is_endless || this->events.exceeds_limit())
             co_return relay_outcome::truncated;
         this->record_origin();
         written = co_await this->response.send_part(
--- a/src/adapters/forward/forward_context.hpp
+++ b/src/adapters/forward/forward_context.hpp
@@ -32,6 +32,15 @@
     std::size_t max_buffered_bytes = std::size_t(256) << 10;
     /// Largest event of a stream.
     std::size_t max_event_bytes = std::size_t(256) << 10;
+    /// Most bytes between two events of a stream, comments and empty lines
+    /// included. A server in trouble may send them without end, as it may any
+    /// others.
+    std::size_t max_bytes_without_event = std::size_t(512) << 10;
+    std::size_t max_stream_bytes = std::size_t(32) << 20; ///< from one server
+    /// Largest body of any other response.
+    std::size_t max_body_bytes = std::size_t(8) << 20;
+    /// Largest body of a response to another request, which is skipped.
+    std::size_t max_skipped_bytes = std::size_t(256) << 10;
     /// Subtracted from the time limit, so that the response can still reach the
     /// caller in time. At most a tenth of the time limit is subtracted.
     std::chrono::milliseconds response_margin{20};
--- a/src/adapters/forward/server_exchange.cpp
+++ b/src/adapters/forward/server_exchange.cpp
@@ -182,6 +182,8 @@
     if (error)
         co_return this->failure_state(error);
     this->framing_of_body = framing_of(*this->parser);
+    this->body_bytes = 0;
+    this->limit_body(this->context.settings.max_skipped_bytes);
     co_return exchange_state::ok;
 }
 
@@ -206,6 +208,9 @@
             co_return this->failure_state(error);
         if (received == 0)
             continue;
+        this->body_bytes += received;
+        if (this->body_bytes > this->max_body_bytes)
+            co_return exchange_state::broken;
         piece = {this->buffer.data(), received};
         co_return exchange_state::ok;
     }
--- a/src/adapters/forward/server_exchange.hpp
+++ b/src/adapters/forward/server_exchange.hpp
@@ -78,6 +78,13 @@
     asio::awaitable<exchange_state>
     read_head(const header_names& names, std::string_view id, bool head_only);
 
+    /// Sets how many bytes the body of the response may have. More break the
+    /// exchange.
+    void limit_body(std::size_t max_bytes)
+    {
+        this->max_body_bytes = max_bytes;
+    }
+
     /// Reads a part of the body. An empty part with `ok` means that the body
     /// has ended.
     asio::awaitable<exchange_state> read_some(std::string_view& piece);
@@ -134,6 +141,8 @@
     std::optional<buffered_parser> parser;
     std::array<char, std::size_t(16) << 10> buffer;
     bool any_byte_sent = false;
+    std::size_t max_body_bytes = 0;
+    std::size_t body_bytes = 0; ///< read of the present response
     body_framing framing_of_body = body_framing::none;
     bool response_skipped = false; ///< a response to another request came first
 };
--- a/src/adapters/platform/http_client.cpp
+++ b/src/adapters/platform/http_client.cpp
@@ -31,6 +31,8 @@
 namespace
 {
 
+constexpr std::size_t max_buffered_bytes = std::size_t(64) << 10;
+
 struct connection
 {
     explicit connection(const asio::any_io_executor& executor)
@@ -157,7 +159,8 @@
         answer.outcome = exchange_outcome::no_answer;
         http::response_parser<http::string_body> parser;
         parser.body_limit(this->settings.max_answer_bytes);
-        beast::flat_buffer buffer;
+        // Bounds the head, extensions of chunks and trailers.
+        beast::flat_buffer buffer(max_buffered_bytes);
         error_code error;
         const auto deadline = steady::now() + call.total_timeout;
         const auto count = [&](std::size_t received)
