--- a/src/core/request/dispatcher_finish.cpp
+++ b/src/core/request/dispatcher_finish.cpp
@@ -77,8 +77,8 @@
                 now);
         }
         destination.breaker.close();
-        destination.budget.deposit(now);
-        destination.resume_budget.deposit(now);
+        destination.budgets->retries.deposit(now);
+        destination.budgets->resumes.deposit(now);
         this->release_slot(request);
         outcome = this->finalize(id, {});
     }
@@ -204,9 +204,9 @@
         return this->finalize(
             id, {true, outcome, refusal_reason::blocked, blocked_retry_after});
     }
-    detail::retry_budget& budget = result.resumable
-                                       ? request.destination->resume_budget
-                                       : request.destination->budget;
+    detail::retry_budgets& budgets = *request.destination->budgets;
+    detail::retry_budget& budget =
+        result.resumable ? budgets.resumes : budgets.retries;
     if (result.resumable &&
         !this->need_software(request, result.software, now))
     {
--- a/src/core/request/dispatcher_impl.hpp
+++ b/src/core/request/dispatcher_impl.hpp
@@ -116,6 +116,10 @@
     refusal_reason
     check_target(const detail::target& destination, instant now) const;
     detail::target* find_or_add_target(const request_info& info, instant now);
+    /// @return The budgets of the target without a needed software, if there is
+    ///         one; else new ones.
+    std::shared_ptr<detail::retry_budgets>
+    budgets_of(const request_info& info, const targets& by_name) const;
     /// @return When a caller may return that was refused because of the
     ///         target's state; 0: not known.
     static duration retry_delay_of(const detail::target& destination);
--- a/src/core/request/dispatcher_submit.cpp
+++ b/src/core/request/dispatcher_submit.cpp
@@ -143,6 +143,19 @@
     return may_load ? refusal_reason::none : refusal_reason::log_unavailable;
 }
 
+std::shared_ptr<detail::retry_budgets> dispatcher::impl::budgets_of(
+    const request_info& info, const targets& by_name) const
+{
+    // A version of its own would start with the tokens of one second.
+    const auto of_all_versions = by_name.find(info.target);
+    if (of_all_versions != by_name.end())
+    {
+        return of_all_versions->second->budgets;
+    }
+    return std::make_shared<detail::retry_budgets>(
+        this->settings.retry_budget_percent);
+}
+
 duration dispatcher::impl::retry_delay_of(const detail::target& destination)
 {
     // Servers of an earlier version don't come back.
@@ -176,7 +189,7 @@
         info.software,
         info.is_service,
         this->settings.ageing,
-        this->settings.retry_budget_percent);
+        this->budgets_of(info, by_name));
     detail::target* destination = added.get();
     by_name.emplace(std::move(key), std::move(added));
     destination->last_used = now;
--- a/src/core/request/target.cpp
+++ b/src/core/request/target.cpp
@@ -12,14 +12,13 @@
     software_version needed,
     bool service,
     duration ageing,
-    std::uint32_t retry_percent)
+    std::shared_ptr<retry_budgets> shared_budgets)
     : number(order)
     , name(std::move(target_name))
     , software(needed)
     , is_service(service)
     , queue(ageing)
-    , budget(retry_percent)
-    , resume_budget(retry_budget::make_full(retry_percent))
+    , budgets(std::move(shared_budgets))
 {
 }
 
--- a/src/core/request/target.hpp
+++ b/src/core/request/target.hpp
@@ -7,6 +7,7 @@
 #include "core/routing/balancer.hpp"
 
 #include <functional>
+#include <memory>
 #include <set>
 #include <string>
 #include <string_view>
@@ -18,6 +19,19 @@
 /// occupy at most half of the slots.
 inline constexpr std::uint32_t long_prompt_bytes = 8 * 1024;
 
+/// Limits of the retries of one model, adapter or plain service.
+struct retry_budgets
+{
+    explicit retry_budgets(std::uint32_t retry_percent)
+        : retries(retry_percent)
+        , resumes(retry_budget::make_full(retry_percent))
+    {
+    }
+
+    retry_budget retries;
+    retry_budget resumes; ///< of streams
+};
+
 /** Dispatcher state of one model, adapter or plain service: its queue, its
     backend servers from the routing table, and its measured timings.
 
@@ -32,13 +46,14 @@
 
     /// @param number   Position in the order of first use.
     /// @param software Of the servers that may be used; 0: all may.
+    /// @param budgets  Shared by all targets of one name.
     target(
         std::uint32_t number,
         std::string name,
         software_version software,
         bool is_service,
         duration ageing,
-        std::uint32_t retry_percent);
+        std::shared_ptr<retry_budgets> budgets);
 
     /** Applies the target's entry in a new routing table. Counters are kept.
 
@@ -95,8 +110,7 @@
     std::vector<ticket> suspects;
     std::vector<backend> backends;
     wait_estimator estimator;
-    retry_budget budget;
-    retry_budget resume_budget; ///< for resumed streams
+    std::shared_ptr<retry_budgets> budgets;
     circuit_breaker breaker;
     std::uint32_t in_flight = 0;
     std::uint32_t long_in_flight = 0;
