--- a/include/roseworks/dispatcher.hpp
+++ b/include/roseworks/dispatcher.hpp
@@ -148,7 +148,7 @@
     bool resumable = false; ///< another backend server can continue the answer
     /// Software that a server needs to continue the answer; 0: any.
     software_version software;
-    bool no_room = false;   ///< refused since the server is full
+    bool no_room = false;     ///< refused since the server is full
     std::uint32_t tokens = 0; ///< tokens sent to the caller
     duration first_byte{};    ///< from sending the request to the first byte
     duration total{};         ///< from sending the request to the end
--- a/include/roseworks/routing_table.hpp
+++ b/include/roseworks/routing_table.hpp
@@ -80,8 +80,7 @@
     virtual bool is_suspect(fingerprint request) const = 0;
 
     /// @return The software of the server at an address; 0 if it isn't known.
-    virtual software_version
-    software_at(const std::string& /*address*/) const
+    virtual software_version software_at(const std::string& /*address*/) const
     {
         return {};
     }
--- a/src/adapters/forward/forward_call.hpp
+++ b/src/adapters/forward/forward_call.hpp
@@ -163,9 +163,9 @@
     std::shared_ptr<edge::call_inbox> inbox;
     ticket admission_ticket;
     sse_event_splitter events;
-    std::uint32_t attempts = 0; ///< that may have run the request
-    std::uint32_t sends = 0;    ///< that sent data, including refused ones
-    std::string last_server;    ///< instance ID; of the last attempt
+    std::uint32_t attempts = 0;     ///< that may have run the request
+    std::uint32_t sends = 0;        ///< that sent data, including refused ones
+    std::string last_server;        ///< instance ID; of the last attempt
     software_version last_software; ///< of `last_server`
     /// That began the stream which the caller takes up; 0: it takes none up.
     software_version origin;
--- a/src/adapters/forward/forward_call_origin.cpp
+++ b/src/adapters/forward/forward_call_origin.cpp
@@ -43,8 +43,7 @@
     for (const service_share& share : this->route.services)
         question.services.push_back(share.service);
     origin_gate gate(this->context.ports.origins, this->pool.executor);
-    const auto found =
-        co_await gate.find(std::move(question), *this->inbox);
+    const auto found = co_await gate.find(std::move(question), *this->inbox);
     if (!found)
     {
         co_await this->finish_interrupted();
@@ -84,10 +83,7 @@
 asio::awaitable<void> forward_call::refuse_stream(duration retry_after)
 {
     co_await this->finish_without_response(
-        {true,
-         verdict::not_run,
-         refusal_reason::unknown_origin,
-         retry_after});
+        {true, verdict::not_run, refusal_reason::unknown_origin, retry_after});
 }
 
 void forward_call::record_origin()
--- a/src/adapters/forward/forward_request.hpp
+++ b/src/adapters/forward/forward_request.hpp
@@ -27,7 +27,7 @@
     /// The attempt that began the stream, as the caller names it; empty: it
     /// names none, or several.
     std::string resumes;
-    std::string header_lines;      ///< forwarded lines, each with its line end
+    std::string header_lines; ///< forwarded lines, each with its line end
     /// Header lines with the caller's credentials. Forwarded only if callers
     /// need no API key.
     std::string credential_lines;
--- a/src/app/gateway/demand_reporter.cpp
+++ b/src/app/gateway/demand_reporter.cpp
@@ -61,9 +61,8 @@
 void demand_reporter::update_demand(const demand& waiting_demand)
 {
     const instant now = this->clock.now();
-    const auto [position, added] =
-        this->waiting.try_emplace(with_software(
-            waiting_demand.target, waiting_demand.software));
+    const auto [position, added] = this->waiting.try_emplace(
+        with_software(waiting_demand.target, waiting_demand.software));
     demand_state& need = position->second;
     const bool changed =
         added || need.last.waiting != waiting_demand.waiting ||
@@ -129,8 +128,7 @@
     return report;
 }
 
-servable_need
-demand_reporter::make_need(
+servable_need demand_reporter::make_need(
     const std::string& servable, const demand& waiting_demand, instant now)
 {
     const bool has_no_objective =
--- a/src/app/gateway/gateway_control.cpp
+++ b/src/app/gateway/gateway_control.cpp
@@ -109,10 +109,7 @@
           time,
           *this->peers,
           this->serving->view(),
-          [this]
-          {
-              return this->directory->registry_age();
-          }))
+          *this->directory))
     , limit_controller(std::make_unique<server_limit_controller>(
           this->loop,
           server_limit_controller::options{initial_settings.vm.name},
--- a/src/app/gateway/gateway_options.cpp
+++ b/src/app/gateway/gateway_options.cpp
@@ -89,6 +89,7 @@
     origin_controller::options made;
     made.tracking.router = settings.vm.name;
     made.tracking.first_start = settings.vm.first_start;
+    made.heartbeat = settings.bounds.heartbeat;
     made.tracking.seed = std::random_device()();
     return made;
 }
--- a/src/app/gateway/origin_controller.cpp
+++ b/src/app/gateway/origin_controller.cpp
@@ -18,13 +18,13 @@
     const clock_port& time,
     gateway_peer_port& others,
     const serving_view& servers,
-    std::function<std::optional<duration>()> age_of_registry)
+    directory_port& store)
     : loop(context)
     , settings(std::move(initial_settings))
     , clock(time)
     , peers(others)
     , view(servers)
-    , registry_age(std::move(age_of_registry))
+    , directory(store)
     , tracker(this->settings.tracking, time.now())
     , timer(context)
 {
@@ -51,7 +51,7 @@
 {
     for (const path_route& route : configuration.routes)
     {
-        if (route.kind == request_kind::streaming)
+        if (route.resumable)
             this->tracker.set_stream_lifetime(
                 route.timeout + this->settings.lifetime_margin);
     }
@@ -62,7 +62,7 @@
     std::vector<origin_tracker::router> routers;
     for (const router_address& one : all)
         routers.push_back({one.name, one.address});
-    this->tracker.set_routers(std::move(routers));
+    this->tracker.set_routers(std::move(routers), this->clock.now());
     this->flush();
 }
 
@@ -81,7 +81,7 @@
     const origin_message& message, std::string_view from)
 {
     this->tracker.message_received(
-        message, from, this->registry_age(), this->clock.now());
+        message, from, this->directory.registry_age(), this->clock.now());
     this->flush();
 }
 
@@ -114,12 +114,34 @@
     for (const std::string& service : question.services)
         asked.services.push_back(key_of_service(service));
     this->handlers.emplace(asked.id, std::move(on_answer));
-    this->tracker.ask(asked, this->registry_age(), this->clock.now());
+    this->tracker.ask(asked, this->directory.registry_age(), this->clock.now());
     this->flush();
 }
 
+void origin_controller::read_registry_log()
+{
+    this->directory.read_registry_log(
+        [this](const std::optional<registry_log>& log)
+        {
+            if (this->stopped || !log)
+                return;
+            std::vector<listed_software> seen;
+            for (const registry_write& one : log->writes)
+                seen.push_back({key_of_service(one.service), one.software});
+            const instant now = this->clock.now();
+            const instant since =
+                log->from_beginning
+                    ? instant()
+                    : now - time_covered(*log, this->settings.heartbeat);
+            this->tracker.add_past(seen, since, now);
+            this->flush();
+        });
+}
+
 void origin_controller::flush()
 {
+    if (this->tracker.take_log_wanted())
+        this->read_registry_log();
     for (const origin_tracker::outgoing_message& message :
          this->tracker.take_messages())
         this->peers.send(message.recipients, message.content);
@@ -147,7 +169,8 @@
             if (error || this->stopped)
                 return;
             this->tick_at = instant::max();
-            this->tracker.tick(this->registry_age(), this->clock.now());
+            this->tracker.tick(
+                this->directory.registry_age(), this->clock.now());
             this->flush();
         });
 }
--- a/src/app/gateway/origin_controller.hpp
+++ b/src/app/gateway/origin_controller.hpp
@@ -14,7 +14,6 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -25,8 +24,8 @@
 /** Keeps the software that began each stream, together with the other routers,
     so that a caller can take its stream up at any of them.
 
-    The functions of `origin_port` are thread-safe; all others run on the control
-    thread.
+    The functions of `origin_port` are thread-safe; all others run on the
+   control thread.
 */
 class origin_controller final : public origin_port
 {
@@ -38,17 +37,18 @@
         /// limit: its own time limit is as long, and routers hear of a version
         /// some time after it is in service.
         duration lifetime_margin = std::chrono::seconds(2);
+        /// Between two writes of a server to the registry.
+        duration heartbeat = std::chrono::seconds(1);
     };
 
-    /// @param registry_age Returns the age of this router's registry; empty: it
-    ///                     knows none.
+    /// @param directory Has to outlive this object.
     origin_controller(
         boost::asio::io_context& loop,
         options settings,
         const clock_port& clock,
         gateway_peer_port& peers,
         const serving_view& servers,
-        std::function<std::optional<duration>()> registry_age);
+        directory_port& directory);
 
     void stop();
 
@@ -59,8 +59,7 @@
     void servers_changed();
 
     /// @param from UDP ip:port of the router.
-    void
-    message_received(const origin_message& message, std::string_view from);
+    void message_received(const origin_message& message, std::string_view from);
 
     // origin_port
     void began(stream_key stream, software_version software) override;
@@ -70,6 +69,7 @@
     /// Runs on the control thread, unless stopped.
     void post(std::function<void()> action);
     void ask(const origin_question& question, handler on_answer);
+    void read_registry_log();
     /// Sends messages and answers, and schedules the next tick.
     void flush();
     void schedule_tick();
@@ -79,7 +79,7 @@
     const clock_port& clock;
     gateway_peer_port& peers;
     const serving_view& view;
-    std::function<std::optional<duration>()> registry_age;
+    directory_port& directory;
     origin_tracker tracker;
     std::map<std::uint64_t, handler> handlers; ///< by number of the question
     std::uint64_t last_question = 0;
--- a/src/core/dissemination/registry_change.hpp
+++ b/src/core/dissemination/registry_change.hpp
@@ -90,7 +90,10 @@
 template <class Archive>
 void serialize_versions(Archive& archive, std::vector<registry_change>& changes)
 {
-    constexpr bool is_loading = requires { archive.remaining(); };
+    constexpr bool is_loading = requires
+    {
+        archive.remaining();
+    };
     std::vector<std::string> versions;
     if constexpr (!is_loading)
     {
--- a/src/core/origins/origin_tracker.cpp
+++ b/src/core/origins/origin_tracker.cpp
@@ -40,14 +40,18 @@
     , history(this->settings.first_start ? instant() : now)
     , random(this->settings.seed)
     , last_number(this->random() >> 16)
-    , start_rounds_left(
-          this->settings.first_start ? 0 : this->settings.start_rounds)
     , next_cleaning(now + cleaning_interval)
 {
 }
 
-void origin_tracker::set_routers(std::vector<router> all)
+void origin_tracker::set_routers(std::vector<router> all, instant now)
 {
+    const auto rank = static_cast<std::size_t>(std::ranges::count_if(
+        all,
+        [this](const router& one)
+        {
+            return one.name < this->settings.router;
+        }));
     std::erase_if(
         all,
         [this](const router& one)
@@ -56,8 +60,13 @@
         });
     const bool is_first = this->others.empty() && !all.empty();
     this->others = std::move(all);
-    if (is_first && this->start_rounds_left != 0)
-        this->next_start_query = instant();
+    if (!is_first || this->settings.first_start || this->start_rounds != 0)
+        return;
+    this->next_start_query = now;
+    this->log_read_at =
+        now + this->settings.log_read_delay +
+        this->settings.log_read_interval *
+            static_cast<int>(std::min(rank, this->settings.max_log_rank));
 }
 
 void origin_tracker::set_stream_lifetime(duration lifetime)
@@ -79,7 +88,9 @@
         ranked.emplace_back(weight_of(one.name, stream), &one);
     const std::size_t count = std::min(this->settings.holders, ranked.size());
     std::ranges::partial_sort(
-        ranked, ranked.begin() + static_cast<std::ptrdiff_t>(count), std::greater());
+        ranked,
+        ranked.begin() + static_cast<std::ptrdiff_t>(count),
+        std::greater());
     std::vector<std::string> addresses;
     for (std::size_t i = 0; i < count; ++i)
         addresses.push_back(ranked[i].second->address);
@@ -162,11 +173,10 @@
             this->finish(asked, {*only, origin_source::only_version, {}});
             return;
         }
-        const bool is_certain = asked.services.size() != 1 ||
-                                this->history.had_several(
-                                    asked.services.front(),
-                                    this->stream_lifetime,
-                                    now);
+        const bool is_certain =
+            asked.services.size() != 1 ||
+            this->history.had_several(
+                asked.services.front(), this->stream_lifetime, now);
         if (is_certain)
         {
             this->finish(asked, {});
@@ -174,11 +184,13 @@
         }
     }
     const std::uint64_t number = ++this->last_number;
-    query.missing = this->holders_of(
-        asked.stream ? asked.stream : stream_key(number));
+    query.missing =
+        this->holders_of(asked.stream ? asked.stream : stream_key(number));
     query.recipients = query.missing.size();
     query.repeat_at = now + this->settings.repeat_delay;
-    query.ends_at = now + this->settings.query_timeout;
+    query.ends_at =
+        now + (this->is_learning(now) ? this->settings.start_query_timeout
+                                      : this->settings.query_timeout);
     if (query.missing.empty())
     {
         // There is no other router that could have begun the stream.
@@ -192,6 +204,8 @@
 void origin_tracker::send_query(
     std::uint64_t number, const pending_query& query)
 {
+    if (query.missing.empty())
+        return;
     origin_message message;
     message.router = this->settings.router;
     message.kind = origin_message_kind::query;
@@ -301,7 +315,7 @@
         return;
     }
     query.received.push_back(message);
-    if (!query.missing.empty())
+    if (!query.missing.empty() || this->is_learning(now))
         return;
     this->finish_without_record(query, registry_age, now);
     this->queries.erase(found);
@@ -321,15 +335,15 @@
     {
         seen.add_sightings(one, now);
         seen.extend(one, now);
-        is_recent = is_recent ||
-                    (one.registry_age_us != origin_message::never &&
-                     duration(one.registry_age_us) <= max_age);
+        is_recent =
+            is_recent || (one.registry_age_us != origin_message::never &&
+                          duration(one.registry_age_us) <= max_age);
     }
     // While the store answers nobody, no server can register. Then it is enough
     // that most of the routers that were asked have seen the same.
     const bool most_answered =
-        this->others.empty() ||
-        (query.recipients != 0 && query.received.size() * 2 >= query.recipients);
+        this->others.empty() || (query.recipients != 0 &&
+                                 query.received.size() * 2 >= query.recipients);
     if (!is_recent && !most_answered)
         return std::nullopt;
     return seen.only_software(
@@ -353,21 +367,59 @@
              : stream_origin());
 }
 
-void origin_tracker::send_start_queries(instant now)
+bool origin_tracker::has_seen_enough(instant now) const
+{
+    return this->history.since() <= now - this->stream_lifetime;
+}
+
+bool origin_tracker::is_learning(instant now) const
+{
+    return !this->has_seen_enough(now) &&
+           this->next_start_query != instant::max();
+}
+
+std::vector<std::string> origin_tracker::random_routers(std::size_t count)
 {
-    --this->start_rounds_left;
-    this->next_start_query = this->start_rounds_left == 0
-                                 ? instant::max()
-                                 : now + this->settings.start_interval;
     std::vector<std::string> addresses;
     for (const router& one : this->others)
         addresses.push_back(one.address);
     std::ranges::shuffle(addresses, this->random);
-    addresses.resize(std::min(addresses.size(), this->settings.start_queries));
+    addresses.resize(std::min(addresses.size(), count));
+    return addresses;
+}
+
+void origin_tracker::send_start_queries(instant now)
+{
+    const bool wants_records = this->start_rounds < this->settings.start_rounds;
+    const bool is_done = this->start_rounds >= this->settings.history_rounds ||
+                         (!wants_records && this->has_seen_enough(now));
+    this->next_start_query =
+        is_done ? instant::max() : now + this->settings.start_interval;
+    if (is_done)
+        return;
+    ++this->start_rounds;
+    const auto kind =
+        wants_records ? origin_message_kind::start : origin_message_kind::query;
+    std::vector<std::string> addresses =
+        this->random_routers(this->settings.start_queries);
     if (!addresses.empty())
         this->messages.push_back(
-            {std::move(addresses),
-             this->make_message(origin_message_kind::start, now)});
+            {std::move(addresses), this->make_message(kind, now)});
+}
+
+void origin_tracker::add_past(
+    std::span<const listed_software> servers, instant since, instant now)
+{
+    this->history.add_seen(servers, since, now);
+    if (!this->has_seen_enough(now))
+        return;
+    // The others have just started, too, and wait for it.
+    origin_message message =
+        this->make_message(origin_message_kind::answer, now);
+    if (this->last_registry_age)
+        message.registry_age_us = this->last_registry_age->count();
+    this->messages.push_back(
+        {this->random_routers(this->others.size()), std::move(message)});
 }
 
 void origin_tracker::tick(std::optional<duration> registry_age, instant now)
@@ -375,13 +427,20 @@
     this->last_registry_age = registry_age;
     if (now >= this->next_start_query)
         this->send_start_queries(now);
+    if (now >= this->log_read_at)
+    {
+        this->log_read_at = instant::max();
+        this->is_log_wanted = !this->has_seen_enough(now);
+    }
     if (!this->unsent.empty() &&
         now >= this->unsent_since + this->settings.batch_delay)
         this->flush_records(now);
     for (auto place = this->queries.begin(); place != this->queries.end();)
     {
         auto& [number, query] = *place;
-        if (now >= query.ends_at)
+        const bool is_answered =
+            query.missing.empty() && !this->is_learning(now);
+        if (now >= query.ends_at || is_answered)
         {
             this->finish_without_record(query, registry_age, now);
             place = this->queries.erase(place);
@@ -403,7 +462,8 @@
 
 instant origin_tracker::next_tick() const
 {
-    instant next = std::min(this->next_cleaning, this->next_start_query);
+    instant next = std::min(
+        {this->next_cleaning, this->next_start_query, this->log_read_at});
     if (!this->unsent.empty())
         next = std::min(next, this->unsent_since + this->settings.batch_delay);
     for (const auto& [number, query] : this->queries)
--- a/src/core/origins/origin_tracker.hpp
+++ b/src/core/origins/origin_tracker.hpp
@@ -26,8 +26,8 @@
 
     A stream may go on only at the software that began it, and its caller may
     take it up at any router. So a router sends the origin of each stream to
-    several others, its holders, which follow from the stream's key by rendezvous
-    hashing. A router that doesn't know a stream asks the holders.
+    several others, its holders, which follow from the stream's key by
+   rendezvous hashing. A router that doesn't know a stream asks the holders.
 
     Without a record, the origin is known if the only service in question had a
     single version for longer than any stream lives. A router concludes that
@@ -36,7 +36,9 @@
     agree. In all other cases the origin is unknown.
 
     A router that has just started asks others for the records that it holds
-    for them, and for what they have seen.
+    for them, and for what they have seen. If none of them has seen enough, all
+    have just started: then some routers read what the registry still has of
+    the past, and the others learn it from these.
 
     Not thread-safe. Deterministic for a seed. */
 class origin_tracker
@@ -54,12 +56,22 @@
         duration repeat_delay = std::chrono::milliseconds(20);
         /// A query ends without the missing answers after this time.
         duration query_timeout = std::chrono::milliseconds(60);
+        /// The same while a started router learns what the others have seen.
+        duration start_query_timeout = std::chrono::milliseconds(700);
         /// A registry of at most this age shows all versions in service.
         duration max_registry_age = std::chrono::milliseconds(1000);
         /// Routers that are asked after the start, and how often.
         std::size_t start_queries = 3;
         int start_rounds = 3;
         duration start_interval = std::chrono::milliseconds(150);
+        /// While nobody has seen enough, a started router goes on to ask for
+        /// what the others have seen.
+        int history_rounds = 12;
+        /// The first routers by name read the past of the registry this long
+        /// after they know the others, the next ones one after the other.
+        duration log_read_delay = std::chrono::milliseconds(100);
+        duration log_read_interval = std::chrono::milliseconds(150);
+        std::size_t max_log_rank = 6;
         /// The whole deployment starts for the first time, so there are no
         /// earlier streams.
         bool first_start = false;
@@ -99,7 +111,7 @@
     origin_tracker(options settings, instant now);
 
     /// @param all Of the deployment; this one may be among them.
-    void set_routers(std::vector<router> all);
+    void set_routers(std::vector<router> all, instant now);
 
     /// Sets how long after its begin a stream may be taken up. A shorter time
     /// than before has no effect.
@@ -140,6 +152,17 @@
         return std::exchange(this->answers, {});
     }
 
+    /// @return Whether the past of the registry has to be read.
+    bool take_log_wanted()
+    {
+        return std::exchange(this->is_log_wanted, false);
+    }
+
+    /// Adds what servers of the past had.
+    /// @param since From when on nothing is missing.
+    void add_past(
+        std::span<const listed_software> servers, instant since, instant now);
+
     std::size_t record_count() const
     {
         return this->records.size();
@@ -161,9 +184,10 @@
     std::vector<std::string> holders_of(stream_key stream) const;
     bool holds(std::string_view router, stream_key stream) const;
     void send_query(std::uint64_t number, const pending_query& query);
-    void
-    send_answer(const origin_message& asked, std::string_view from, instant now);
-    void send_records_to(const origin_message& start, std::string_view to, instant now);
+    void send_answer(
+        const origin_message& asked, std::string_view from, instant now);
+    void send_records_to(
+        const origin_message& start, std::string_view to, instant now);
     void handle_answer(
         const origin_message& message,
         std::string_view from,
@@ -183,8 +207,12 @@
         instant now);
     void flush_records(instant now);
     void send_start_queries(instant now);
-    origin_message
-    make_message(origin_message_kind kind, instant now) const;
+    /// @return Whether this router has seen all for as long as a stream lives.
+    bool has_seen_enough(instant now) const;
+    /// @return Whether this router has just started and may soon know more.
+    bool is_learning(instant now) const;
+    std::vector<std::string> random_routers(std::size_t count);
+    origin_message make_message(origin_message_kind kind, instant now) const;
 
     options settings;
     origin_store records;
@@ -198,8 +226,10 @@
     instant unsent_since = instant::max();
     std::map<std::uint64_t, pending_query> queries; ///< by number
     std::uint64_t last_number = 0;
-    int start_rounds_left = 0;
+    int start_rounds = 0; ///< so far
     instant next_start_query = instant::max();
+    instant log_read_at = instant::max();
+    bool is_log_wanted = false;
     instant next_cleaning;
     std::vector<outgoing_message> messages;
     std::vector<answer> answers;
--- a/src/core/origins/software_history.cpp
+++ b/src/core/origins/software_history.cpp
@@ -46,8 +46,7 @@
     }
 }
 
-void software_history::add_sightings(
-    const origin_message& message, instant now)
+void software_history::add_sightings(const origin_message& message, instant now)
 {
     for (const software_sighting& one : message.sightings)
     {
@@ -63,8 +62,16 @@
 {
     // A message that may leave sightings out proves nothing of the past.
     if (message.sightings.size() < max_sightings)
-        this->complete_since = std::min(
-            this->complete_since, now - duration(message.observed_us));
+        this->complete_since =
+            std::min(this->complete_since, now - duration(message.observed_us));
+}
+
+void software_history::add_seen(
+    std::span<const listed_software> servers, instant since, instant now)
+{
+    for (const listed_software& server : servers)
+        this->services[server.service][server.software].last_seen = now;
+    this->complete_since = std::min(this->complete_since, since);
 }
 
 std::optional<software_version> software_history::only_software(
@@ -113,9 +120,7 @@
                 return;
             const instant last = seen.is_listed ? now : seen.last_seen;
             message.sightings.push_back(
-                {service.value,
-                 software.value,
-                 duration(now - last).count()});
+                {service.value, software.value, duration(now - last).count()});
         }
     }
 }
--- a/src/core/origins/software_history.hpp
+++ b/src/core/origins/software_history.hpp
@@ -58,8 +58,12 @@
     only_software(service_key service, duration period, instant now) const;
 
     /// @return Whether the service had several versions within a period.
-    bool
-    had_several(service_key service, duration period, instant now) const;
+    bool had_several(service_key service, duration period, instant now) const;
+
+    /// Adds software that servers had during some time up to now.
+    /// @param since From when on nothing is missing.
+    void add_seen(
+        std::span<const listed_software> servers, instant since, instant now);
 
     /// @return From when on the history is complete.
     instant since() const
--- a/src/core/request/dispatcher_finish.cpp
+++ b/src/core/request/dispatcher_finish.cpp
@@ -207,8 +207,7 @@
     detail::retry_budgets& budgets = *request.destination->budgets;
     detail::retry_budget& budget =
         result.resumable ? budgets.resumes : budgets.retries;
-    if (result.resumable &&
-        !this->need_software(request, result.software, now))
+    if (result.resumable && !this->need_software(request, result.software, now))
     {
         return this->finalize(id, {true, outcome, request.last_failure});
     }
--- a/src/core/request/dispatcher_submit.cpp
+++ b/src/core/request/dispatcher_submit.cpp
@@ -133,7 +133,8 @@
         return refusal_reason::none;
     }
     const bool is_software_gone =
-        destination.software && !this->table->has_software(destination.software);
+        destination.software &&
+        !this->table->has_software(destination.software);
     if (destination.is_service || destination.max_replicas == 0 ||
         is_software_gone)
     {
--- a/src/core/request/target.hpp
+++ b/src/core/request/target.hpp
@@ -125,8 +125,7 @@
     void apply(const servable_routes& entry, const routing_table& table);
     void apply(const service_routes& entry, const routing_table& table);
     /// @return Whether the server at an address has the software.
-    bool
-    may_use(const routing_table& table, const std::string& address) const;
+    bool may_use(const routing_table& table, const std::string& address) const;
     void list_backend(route listed_route, server_key server);
 };
 
--- a/src/core/serving/server_software.cpp
+++ b/src/core/serving/server_software.cpp
@@ -5,8 +5,7 @@
 namespace roseworks
 {
 
-software_version
-software_of(std::string_view service, std::string_view version)
+software_version software_of(std::string_view service, std::string_view version)
 {
     if (version.empty())
         return {};
--- a/src/core/swapping/swap_planner.cpp
+++ b/src/core/swapping/swap_planner.cpp
@@ -139,10 +139,11 @@
         request.deadline = need.deadline;
         const std::string key = servable_key(parts.service, parts.model);
         const model_totals& totals = this->totals_of(round, key);
-        request.only_rate_limited = !request.software && totals.copies == 0 &&
-                                    totals.limited != 0;
-        const bool has_model = request.software ? this->is_loaded(round, request)
-                                                : totals.copies != 0;
+        request.only_rate_limited =
+            !request.software && totals.copies == 0 && totals.limited != 0;
+        const bool has_model = request.software
+                                   ? this->is_loaded(round, request)
+                                   : totals.copies != 0;
         if (!request.adapter.empty() && !has_model)
             request.adapter.clear();
         requests.push_back(std::move(request));
--- a/src/core/swapping/swap_planner_engines.cpp
+++ b/src/core/swapping/swap_planner_engines.cpp
@@ -89,8 +89,7 @@
     {
         if (static_cast<double>(engine.on_disk.size()) >= most_copies)
             continue;
-        if (!is_of_use(engine, request) ||
-            !engine.accepts_orders(round.now) ||
+        if (!is_of_use(engine, request) || !engine.accepts_orders(round.now) ||
             round.assigned_engines.contains(id) ||
             engine.find(request.model) != nullptr)
             continue;
--- a/src/ports/directory_port.hpp
+++ b/src/ports/directory_port.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/dissemination/directory_update.hpp"
+#include "core/origins/registry_log.hpp"
 #include "core/serving/deployment.hpp"
 #include "core/serving/server_entry.hpp"
 #include "ports/directory_copy_port.hpp"
@@ -8,6 +9,7 @@
 #include <roseworks/instant.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -113,6 +115,13 @@
     /// Another router sent an update that it has read from the store.
     virtual void apply_peer_update(const directory_update& update) = 0;
 
+    /// Receives the writes that the registry still has; empty if they can't be
+    /// read.
+    using log_handler = std::function<void(std::optional<registry_log>)>;
+
+    /// Reads the past of the registry from the store.
+    virtual void read_registry_log(log_handler on_read) = 0;
+
     /// @return Time since the registry was known to be complete; empty if it
     ///         never was.
     virtual std::optional<duration> registry_age() const = 0;
--- a/tests/unit/dispatch/test_software.cpp
+++ b/tests/unit/dispatch/test_software.cpp
@@ -183,7 +183,8 @@
     const ticket second = test.submit(test.needing(first_version));
     const ticket third = test.submit(test.needing(first_version));
     cr_assert(test.granted(first) && test.granted(second));
-    test.put({{"10.0.0.3:80", second_version}, {"10.0.0.4:80", second_version}});
+    test.put(
+        {{"10.0.0.3:80", second_version}, {"10.0.0.4:80", second_version}});
     cr_assert(test.refused(third) == refusal_reason::no_capacity);
     cr_assert(test.cut_stream(first, first_version).final_answer);
 }
@@ -191,8 +192,7 @@
 Test(software, a_model_is_requested_for_the_software_that_is_needed)
 {
     versioned_harness test(1);
-    test.put(
-        {{"10.0.0.1:80", first_version}, {"10.0.0.9:80", second_version}});
+    test.put({{"10.0.0.1:80", first_version}, {"10.0.0.9:80", second_version}});
     const ticket id = test.submit(test.needing(second_version));
     cr_assert(test.refused(id) == refusal_reason::none);
     cr_assert_eq(test.demands.size(), 1);
--- a/tests/unit/endless_answers/endless_server.cpp
+++ b/tests/unit/endless_answers/endless_server.cpp
@@ -33,9 +33,8 @@
         if (peer.read_request().empty())
             return;
         ++this->received;
-        peer.send(
-            "HTTP/1.1 200 OK\r\nAttempt-Id: 9c41\r\n"
-            "Content-Length: 2\r\n\r\nok");
+        peer.send("HTTP/1.1 200 OK\r\nAttempt-Id: 9c41\r\n"
+                  "Content-Length: 2\r\n\r\nok");
     }
     if (this->complete_answers == 0)
     {
@@ -49,8 +48,8 @@
         piece += this->content.repeat;
     boost::system::error_code error;
     while (!error && this->bytes_sent < max_bytes)
-        this->bytes_sent += boost::asio::write(
-            peer.socket, boost::asio::buffer(piece), error);
+        this->bytes_sent +=
+            boost::asio::write(peer.socket, boost::asio::buffer(piece), error);
     peer.shut_down();
 }
 
--- a/tests/unit/endless_answers/test_endless_answers.cpp
+++ b/tests/unit/endless_answers/test_endless_answers.cpp
@@ -114,7 +114,8 @@
         forward_fixture test({&server.backend()});
         const response_view seen =
             view_response(test.exchange(test.request("POST", one.route)));
-        cr_expect_not(seen.is_complete && seen.status == 200, "%s", one.name.c_str());
+        cr_expect_not(
+            seen.is_complete && seen.status == 200, "%s", one.name.c_str());
         cr_expect_lt(
             server.sent(),
             one.limit + in_transit,
--- a/tests/unit/forward/forward_fixture.cpp
+++ b/tests/unit/forward/forward_fixture.cpp
@@ -298,8 +298,8 @@
 void forward_fixture::revoke_first_key()
 {
     const std::lock_guard lock(this->mutex);
-    this->table = make_table(
-        this->servers, this->versions, make_organisations({}));
+    this->table =
+        make_table(this->servers, this->versions, make_organisations({}));
 }
 
 void forward_fixture::block_request(
--- a/tests/unit/software_versions/versioned_servers.hpp
+++ b/tests/unit/software_versions/versioned_servers.hpp
@@ -26,7 +26,8 @@
     static constexpr std::size_t event_count = 6;
 
     /// @param versions    Of each server.
-    /// @param events_sent Of the first request, of the second, and so on, before
+    /// @param events_sent Of the first request, of the second, and so on,
+    /// before
     ///                    the connection is closed; later ones get all events.
     versioned_servers(
         std::vector<std::string> versions,
--- a/tests/unit/stream_origins/origin_fleet.cpp
+++ b/tests/unit/stream_origins/origin_fleet.cpp
@@ -72,7 +72,7 @@
         {
             if (this->routers[number].process != process)
                 return;
-            this->routers[number].tracker->set_routers(all);
+            this->routers[number].tracker->set_routers(all, this->now());
             this->read_registry(number, process);
             this->flush(number);
         });
@@ -107,6 +107,8 @@
         this->now() + this->settings.registry_delay,
         [this, newer = std::move(newer)]
         {
+            for (const std::string& version : this->versions)
+                this->past_versions.emplace_back(this->now(), version);
             this->versions = newer;
         });
 }
@@ -122,8 +124,8 @@
 void origin_fleet::run(duration length)
 {
     const instant end = this->now() + length;
-    const auto gap = duration(static_cast<duration::rep>(
-        1e6 / this->settings.streams_per_second));
+    const auto gap = duration(
+        static_cast<duration::rep>(1e6 / this->settings.streams_per_second));
     for (instant at = this->now(); at < end; at += gap)
         this->queue.schedule(
             at,
@@ -146,10 +148,9 @@
     begun.attempt = "attempt-" + std::to_string(++this->last_stream);
     begun.version = one.registry[this->random() % one.registry.size()];
     begun.begun = this->now();
-    begun.ends =
-        this->now() + this->random_time(
-                          this->settings.shortest_stream,
-                          this->settings.longest_stream);
+    begun.ends = this->now() + this->random_time(
+                                   this->settings.shortest_stream,
+                                   this->settings.longest_stream);
     this->routers[*number].tracker->began(
         key(begun.attempt), software(begun.version), this->now());
     this->flush(*number);
@@ -261,9 +262,28 @@
     }
     for (const origin_tracker::answer& given : one.tracker->take_answers())
         this->handle_answer(number, given);
+    if (one.tracker->take_log_wanted())
+        this->read_log(number);
     this->schedule_tick(number);
 }
 
+void origin_fleet::read_log(std::size_t number)
+{
+    if (!this->hears_registry(number))
+        return;
+    const instant since = this->now() - this->settings.log_length;
+    std::vector<listed_software> seen;
+    for (const auto& [until, version] : this->past_versions)
+    {
+        if (until >= since)
+            seen.push_back({key_of_service("llm"), software(version)});
+    }
+    for (const std::string& version : this->versions)
+        seen.push_back({key_of_service("llm"), software(version)});
+    this->routers[number].tracker->add_past(seen, since, this->now());
+    this->flush(number);
+}
+
 void origin_fleet::schedule_tick(std::size_t number)
 {
     const std::uint64_t process = this->routers[number].process;
--- a/tests/unit/stream_origins/origin_fleet.hpp
+++ b/tests/unit/stream_origins/origin_fleet.hpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace roseworks::testing
@@ -39,7 +40,8 @@
         duration longest_try = 5s;
         duration restart_time = 900ms; ///< until a killed router is back
         duration registry_delay = 400ms;
-        double loss = 0; ///< probability per message
+        duration log_length = 15s; ///< that the registry still has
+        double loss = 0;           ///< probability per message
         bool names_attempt = true;
         bool first_start = true;
         std::uint64_t seed = 1;
@@ -54,10 +56,10 @@
 
         double share() const
         {
-            return this->taken_up == 0 ? 1.0
-                                       : static_cast<double>(this->went_on) /
-                                             static_cast<double>(
-                                                 this->taken_up);
+            return this->taken_up == 0
+                       ? 1.0
+                       : static_cast<double>(this->went_on) /
+                             static_cast<double>(this->taken_up);
         }
     };
 
@@ -141,6 +143,7 @@
     void take_up(stream one);
     void handle_answer(std::size_t router, const origin_tracker::answer& one);
     void flush(std::size_t router);
+    void read_log(std::size_t router);
     void schedule_tick(std::size_t router);
     std::optional<duration> registry_age(std::size_t router) const;
     std::optional<std::size_t> random_live_router();
@@ -155,6 +158,8 @@
     std::mt19937_64 random;
     std::vector<router> routers;
     std::vector<std::string> versions;
+    /// With the time until which they were in service.
+    std::vector<std::pair<instant, std::string>> past_versions;
     std::map<std::uint64_t, stream> running; ///< by number
     std::uint64_t last_stream = 0;
     instant started;
--- a/tests/unit/stream_origins/test_stream_origins.cpp
+++ b/tests/unit/stream_origins/test_stream_origins.cpp
@@ -36,11 +36,7 @@
     cr_expect_eq(seen.at_other_version, 0, "%zu", seen.at_other_version);
     cr_expect_gt(seen.taken_up, 50, "%zu", seen.taken_up);
     cr_expect_geq(
-        seen.share(),
-        share,
-        "%zu of %zu went on",
-        seen.went_on,
-        seen.taken_up);
+        seen.share(), share, "%zu of %zu went on", seen.went_on, seen.taken_up);
 }
 
 } // namespace
@@ -194,6 +190,42 @@
     }
 }
 
+Test(stream_origins, a_single_version_goes_on_after_all_were_killed_at_once)
+{
+    for (const std::size_t routers : fleet_sizes)
+    {
+        for (const bool names_attempt : {true, false})
+        {
+            auto settings = make_options(routers, {"v1"});
+            settings.names_attempt = names_attempt;
+            origin_fleet fleet(settings);
+            fleet.run(12s);
+            fleet.kill_share(1.0);
+            fleet.run(2s);
+            fleet.reset_share(0.8);
+            fleet.run(5s);
+            expect_share(fleet, 0.99);
+        }
+    }
+}
+
+Test(stream_origins, all_killed_after_a_release_mix_no_versions)
+{
+    for (const std::size_t routers : fleet_sizes)
+    {
+        auto settings = make_options(routers, {"v1"});
+        settings.names_attempt = false;
+        origin_fleet fleet(settings);
+        fleet.run(3s);
+        fleet.set_versions({"v1.1"});
+        fleet.run(600ms);
+        fleet.kill_share(1.0);
+        fleet.run(5s);
+        cr_expect_gt(fleet.seen().taken_up, 50);
+        cr_expect_eq(fleet.seen().at_other_version, 0);
+    }
+}
+
 Test(stream_origins, a_single_version_goes_on_while_the_store_is_down)
 {
     for (const std::size_t routers : fleet_sizes)
