--- a/src/core/swapping/engine_tracker.cpp
+++ b/src/core/swapping/engine_tracker.cpp
@@ -248,6 +248,10 @@
     engine_state* engine = this->find_mutable(id);
     if (engine == nullptr || !engine->order)
         return false;
+    const bool may_have_arrived = outcome != command_outcome::not_sent &&
+                                  outcome != command_outcome::withheld;
+    if (may_have_arrived)
+        engine->last_order = now;
     pending_order& order = *engine->order;
     engine->out_of_step_orders = outcome == command_outcome::out_of_step
                                      ? engine->out_of_step_orders + 1
--- a/src/core/swapping/engine_tracker.hpp
+++ b/src/core/swapping/engine_tracker.hpp
@@ -106,8 +106,9 @@
     std::deque<std::string> in_memory; ///< in host memory, last used last
     std::vector<std::string> on_disk;  ///< copies on the engine's disk
     std::optional<pending_order> order;
-    instant not_before = instant::min();  ///< no order is sent before this time
-    instant last_order = instant::min();  ///< when this router last sent one
+    instant not_before = instant::min(); ///< no order is sent before this time
+    /// Latest time at which an order of this router may have arrived there.
+    instant last_order = instant::min();
     std::uint32_t out_of_step_orders = 0; ///< consecutive orders out of step
     bool owner_changed = false; ///< another owner may have sent it orders
     std::uint64_t revision = 1; ///< of the announced content
--- a/tests/unit/swapping/test_engine_tracker.cpp
+++ b/tests/unit/swapping/test_engine_tracker.cpp
@@ -157,6 +157,21 @@
     cr_assert(test.engines.find("e1")->accepts_orders(at(4s)));
 }
 
+/// An order that arrived just after it was sent, and the next one of the same
+/// owner, were a little less than the lease apart at the engine.
+Test(engine_tracker, the_lease_begins_when_an_order_was_answered)
+{
+    swap_fixture test(3);
+    test.engine("e1", {}, {"m1"}, at(0s));
+    test.engines.order_sent("e1", load_of("m1"), at(1s));
+    test.engines.order_answered("e1", command_outcome::accepted, at(1s + 8ms));
+    test.engines.complete_due_orders(at(2s));
+    test.engines.take_over(3s, true);
+    test.report_state("e1", {"m2"}, {"m1"}, 3, at(2s + 500ms));
+    cr_assert_not(test.engines.find("e1")->accepts_orders(at(4s + 7ms)));
+    cr_assert(test.engines.find("e1")->accepts_orders(at(4s + 8ms)));
+}
+
 Test(engine_tracker, an_engine_without_another_owners_orders_does_not_wait)
 {
     swap_fixture test(3);
