--- a/src/adapters/peers/deflate.cpp
+++ b/src/adapters/peers/deflate.cpp
@@ -11,6 +11,16 @@
 namespace zlib = boost::beast::zlib;
 using boost::system::error_code;
 
+namespace
+{
+
+using namespace std::string_view_literals;
+
+/// An empty block of fixed codes, at the start of a byte.
+constexpr std::string_view empty_final_block = "\x03\x00"sv;
+
+} // namespace
+
 std::string deflate(std::string_view text)
 {
     zlib::deflate_stream stream;
@@ -23,12 +33,13 @@
     progress.next_out = compressed.data();
     progress.avail_out = compressed.size();
     error_code ignored; // the whole output fits
-    // The stream may lack the last bits of its final block, which are zero if
-    // that block is empty: so the text ends before it, and zeros follow it.
+    // The stream may lack the last bits of its final block. So that block is
+    // empty, and its last byte is known.
     stream.write(progress, zlib::Flush::sync, ignored);
     stream.write(progress, zlib::Flush::finish, ignored);
     compressed.resize(progress.total_out);
-    compressed += '\0';
+    if (!compressed.ends_with(empty_final_block))
+        compressed += '\0';
     return compressed;
 }
 
