--- a/src/app/gateway/origin_controller.cpp
+++ b/src/app/gateway/origin_controller.cpp
@@ -60,6 +60,7 @@
 void origin_controller::routers_listed(std::span<const router_address> all)
 {
     std::vector<origin_tracker::router> routers;
+    routers.reserve(all.size());
     for (const router_address& one : all)
         routers.push_back({one.name, one.address});
     this->tracker.set_routers(std::move(routers), this->clock.now());
@@ -72,6 +73,7 @@
     for (const auto& [id, record] : this->view.servers())
         present.emplace(record.software, record.entry.service);
     std::vector<listed_software> listed;
+    listed.reserve(present.size());
     for (const auto& [software, service] : present)
         listed.push_back({key_of_service(service), software});
     this->tracker.servers_listed(listed, this->clock.now());
@@ -126,6 +128,7 @@
             if (this->stopped || !log)
                 return;
             std::vector<listed_software> seen;
+            seen.reserve(log->writes.size());
             for (const registry_write& one : log->writes)
                 seen.push_back({key_of_service(one.service), one.software});
             const instant now = this->clock.now();
--- a/src/core/origins/origin_message.hpp
+++ b/src/core/origins/origin_message.hpp
@@ -64,16 +64,18 @@
     void serialize(Archive& archive)
     {
         auto code = static_cast<std::uint8_t>(this->kind);
+        archive(code, this->records);
+        this->kind = static_cast<origin_message_kind>(code);
+        // Most messages are records, which need nothing else.
+        if (this->kind == origin_message_kind::records)
+            return;
         archive(
             this->router,
-            code,
             this->number,
             this->stream,
-            this->records,
             this->observed_us,
             this->registry_age_us,
             this->sightings);
-        this->kind = static_cast<origin_message_kind>(code);
     }
 };
 
--- a/tests/unit/stream_origins/origin_fleet.cpp
+++ b/tests/unit/stream_origins/origin_fleet.cpp
@@ -12,7 +12,8 @@
 namespace
 {
 
-/// A message without lists, with the headers of UDP and IP.
+/// Messages without their lists, with the headers of UDP and IP.
+constexpr std::size_t records_message_bytes = 47;
 constexpr std::size_t message_bytes = 110;
 constexpr std::size_t record_bytes = 24;
 
@@ -21,7 +22,10 @@
 
 std::size_t bytes_of(const origin_message& message)
 {
-    return message_bytes +
+    const std::size_t base = message.kind == origin_message_kind::records
+                                 ? records_message_bytes
+                                 : message_bytes;
+    return base +
            record_bytes * (message.records.size() + message.sightings.size());
 }
 
--- a/tests/unit/users_platform/test_gateway_peers.cpp
+++ b/tests/unit/users_platform/test_gateway_peers.cpp
@@ -199,6 +199,45 @@
     receiver.stop();
 }
 
+Test(gateway_peers, origins_of_streams_arrive_in_parts)
+{
+    peers_fixture test;
+    const udp::endpoint receiver_address = free_endpoint();
+    gateway_peers receiver(
+        test.loop, receiver_address, test.events, test.meter);
+    recording_listener listener;
+    receiver.start(listener);
+    const std::string recipients[] = {to_text(receiver_address)};
+    origin_message sent;
+    sent.router = "r1";
+    sent.kind = origin_message_kind::answer;
+    sent.number = 7;
+    sent.observed_us = 1000;
+    sent.sightings = {{1, 2, 3}};
+    for (std::uint64_t i = 1; i <= 200; ++i)
+        sent.records.push_back({i, i + 1, 5});
+    test.sender.send(recipients, sent);
+    origin_message records;
+    records.records = {{11, 12, 13}};
+    test.sender.send(recipients, records);
+    run_until(
+        test.loop,
+        [&]
+        {
+            return !listener.origins.empty() &&
+                   listener.origins.back().kind == origin_message_kind::records;
+        });
+    std::size_t count = 0;
+    for (const origin_message& part : listener.origins)
+        count += part.records.size();
+    cr_assert_eq(count, 201);
+    cr_assert_eq(listener.origins.front().number, 7);
+    cr_assert_eq(listener.origins.front().sightings.size(), 1);
+    cr_assert_eq(listener.origins.front().sightings[0].age_us, 3);
+    cr_assert_eq(listener.origins.back().records[0].software, 12);
+    receiver.stop();
+}
+
 Test(gateway_peers, directory_updates_are_split_without_a_gap)
 {
     peers_fixture test;
@@ -223,6 +262,7 @@
         change.entry.id = "e" + std::to_string(i);
         change.entry.address = "10.0.0.9:80";
         change.entry.slots = 7;
+        change.entry.version = "v7";
         change.entry.leaving = true;
         change.entry.holdings.resident = {
             {std::string(200, 'm'), {"a2"}}, {"m2", {}}};
@@ -254,6 +294,7 @@
     cr_assert(changes[4].what == whole);
     cr_assert_eq(changes[4].entry.address, "10.0.0.9:80");
     cr_assert_eq(changes[4].entry.slots, 7);
+    cr_assert_eq(changes[4].entry.version, "v7");
     cr_assert(changes[4].entry.leaving);
     cr_assert(changes[8].what == gone);
     receiver.stop();
