--- a/src/core/origins/origin_message.hpp
+++ b/src/core/origins/origin_message.hpp
@@ -43,7 +43,7 @@
     start = 3 ///< the sender has just started; answered with what it needs
 };
 
-/// What one router tells or asks another about the origins of streams.
+/// A message between routers about the origins of streams.
 struct origin_message
 {
     /// The registry is not known.
--- a/src/core/origins/stream_origin.hpp
+++ b/src/core/origins/stream_origin.hpp
@@ -13,7 +13,7 @@
 enum class origin_source : std::uint8_t
 {
     unknown,
-    own_record,  ///< this router recorded it, or was told before
+    own_record,  ///< this router recorded or received it before
     router,      ///< another router answered
     only_version ///< no other version was in service for long enough
 };
