--- a/src/adapters/events/event_catalogue.cpp
+++ b/src/adapters/events/event_catalogue.cpp
@@ -402,8 +402,9 @@
      "A request was sent to a backend server and its run ended without a "
      "complete answer. Content is a hash of the request, the same at all "
      "routers and for each repetition; life identifies the server from its "
-     "start to its end; end is connection, silence or caller.",
-     "request_id, content, server, life, end", no_action},
+     "start to its end; end is connection, silence or caller; parts are hashes "
+     "of the parts of the prompt that other requests may share.",
+     "request_id, content, server, life, end, parts", no_action},
     {crash_recorded, warn, "crash_recorded",
      "A backend server ended while it ran a request; run_broken with the same "
      "life names the server. Evidence is refused, replaced, "
--- a/src/adapters/forward/forward_call_crashes.cpp
+++ b/src/adapters/forward/forward_call_crashes.cpp
@@ -5,6 +5,8 @@
 #include <boost/beast/http/status.hpp>
 
 #include <optional>
+#include <span>
+#include <string>
 
 namespace roseworks::forward
 {
@@ -31,6 +33,19 @@
     }
 }
 
+/// @return The hashes of the parts, separated by commas.
+std::string to_text(std::span<const fingerprint> parts)
+{
+    std::string text;
+    for (const fingerprint part : parts)
+    {
+        if (!text.empty())
+            text += ',';
+        text += to_hex(part.value);
+    }
+    return text;
+}
+
 } // namespace
 
 asio::awaitable<bool> forward_call::pass_gate()
@@ -95,7 +110,8 @@
          {"content", to_hex(this->content.value)},
          {"server", server.instance},
          {"life", to_hex(server.life.value)},
-         {"end", to_string(*end)}});
+         {"end", to_string(*end)},
+         {"parts", to_text(this->request.prompt_parts)}});
     this->context.ports.crashes.run_broken(
         {this->content, server.life, address, *end, this->sent_at});
 }
--- a/src/adapters/forward/forward_request.cpp
+++ b/src/adapters/forward/forward_request.cpp
@@ -125,6 +125,26 @@
     return std::uint64_t(prompt) + response;
 }
 
+/// @return The parts of the prompt that other requests may share. Several
+///         headers are one list.
+std::vector<fingerprint>
+find_prompt_parts(const http::fields& fields, const header_names& names)
+{
+    if (names.prompt_parts.empty() || names.parse_prompt_parts == nullptr)
+        return {};
+    std::string list;
+    const auto [first, last] = fields.equal_range(names.prompt_parts);
+    for (auto place = first; place != last; ++place)
+    {
+        if (!list.empty())
+            list += ',';
+        list += to_string_view(place->value());
+    }
+    if (list.empty())
+        return {};
+    return names.parse_prompt_parts(list);
+}
+
 std::optional<std::chrono::milliseconds>
 parse_milliseconds(std::string_view text)
 {
@@ -168,6 +188,7 @@
     sort_header_lines(result, message, names);
     result.key = parse_bearer_key(message);
     result.tokens = parse_tokens(to_string_view(message[names.tokens]));
+    result.prompt_parts = find_prompt_parts(message, names);
     const auto last_event = message[names.last_event];
     if (!last_event.empty())
         result.caller_last_event = to_string_view(last_event);
--- a/src/adapters/forward/forward_request.hpp
+++ b/src/adapters/forward/forward_request.hpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace roseworks::forward
 {
@@ -33,6 +34,9 @@
     std::string credential_lines;
     std::string key;                     ///< API key; empty: none, or ambiguous
     std::optional<std::uint64_t> tokens; ///< sum for prompt and response
+    /// Hashes of the parts of the prompt that other requests may share, in
+    /// order. Any of them may crash the servers that run it.
+    std::vector<fingerprint> prompt_parts;
     std::string body;
     /// Remaining time that the caller stated; empty: none.
     std::optional<std::chrono::milliseconds> deadline;
--- a/src/adapters/forward/header_names.hpp
+++ b/src/adapters/forward/header_names.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <roseworks/ids.hpp>
+
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace roseworks::forward
@@ -27,6 +30,10 @@
     std::string resumes;
     std::string organisation; ///< name of the API key's holder
     std::string tokens;       ///< of the prompt; maximum for the response
+    std::string prompt_parts; ///< parts of the prompt, in order
+    /// Reads the value of `prompt_parts`.
+    /// @return Hashes of the parts that other requests may share.
+    std::vector<fingerprint> (*parse_prompt_parts)(std::string_view) = nullptr;
     std::vector<std::string> reserved; ///< dropped from callers' requests
 };
 
--- a/tests/unit/crashing_requests/crash_fleet.cpp
+++ b/tests/unit/crashing_requests/crash_fleet.cpp
@@ -1,6 +1,8 @@
 #include "crash_fleet.hpp"
 
 #include <algorithm>
+#include <cmath>
+#include <numeric>
 #include <utility>
 
 namespace roseworks::testing
@@ -14,6 +16,35 @@
 
 /// Crashes after which a request counts as one that crashes servers.
 constexpr std::size_t counted_crashes = 3;
+/// The same for a part of prompts.
+constexpr std::size_t counted_part_crashes = 5;
+
+constexpr std::size_t first_parts = 3;
+constexpr std::size_t second_parts = 375;
+constexpr std::size_t third_parts = 40;
+/// The second part that becomes bad if one does that ran well before.
+constexpr std::size_t turning_part = 7;
+
+/// @return A part of prompts, by its position and its number there.
+fingerprint part_at(std::size_t position, std::size_t number)
+{
+    constexpr std::uint64_t parts_per_position = 100'000;
+    constexpr std::uint64_t first_value = 1'000'000'000;
+    return fingerprint(first_value + position * parts_per_position + number);
+}
+
+/// Numbers of parts that no sound request has.
+constexpr std::size_t first_bad_number = 50'000;
+
+std::size_t count_after(const std::vector<instant>& times, instant limit)
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        times,
+        [limit](instant when)
+        {
+            return when > limit;
+        }));
+}
 /// A router is in touch when it was undisturbed for this time, and has to know
 /// of a crash within it.
 constexpr duration contact_time = 3s;
@@ -29,6 +60,7 @@
 crash_fleet::crash_fleet(options config)
     : settings(config)
     , random(config.seed)
+    , started_at(this->queue.now())
 {
     for (std::size_t i = 0; i < this->settings.servers; ++i)
     {
@@ -37,6 +69,15 @@
     }
     for (std::size_t i = 0; i < this->settings.routers; ++i)
         this->make_router();
+    const prompt_traffic& prompts = this->settings.prompts;
+    for (std::size_t i = 0; i < prompts.bad_parts; ++i)
+    {
+        const std::size_t number = prompts.ran_well_before
+                                       ? turning_part + i
+                                       : first_bad_number + i;
+        this->bad_parts.push_back(
+            {part_at(prompts.bad_position, number), {}, {}});
+    }
 }
 
 void crash_fleet::make_router()
@@ -90,12 +131,116 @@
     if (this->crash_times.size() < counted_crashes)
         return 0;
     const instant limit = this->crash_times[counted_crashes - 1] + contact_time;
-    return static_cast<std::size_t>(std::ranges::count_if(
-        this->sends_in_touch,
-        [limit](instant when)
+    return count_after(this->sends_in_touch, limit);
+}
+
+std::size_t crash_fleet::late_prompt_sends() const
+{
+    std::size_t most = 0;
+    for (const bad_part& bad : this->bad_parts)
+    {
+        if (bad.crashes.size() < counted_part_crashes)
+            continue;
+        const instant limit =
+            bad.crashes[counted_part_crashes - 1] + contact_time;
+        most = std::max(most, count_after(bad.sends_in_touch, limit));
+    }
+    return most;
+}
+
+bool crash_fleet::are_bad_ones_coming() const
+{
+    return this->now() >= this->started_at + this->settings.prompts.bad_from;
+}
+
+crash_fleet::bad_part*
+crash_fleet::bad_part_of(const simulated_request& request)
+{
+    if (!request.is_crashing)
+        return nullptr;
+    for (bad_part& bad : this->bad_parts)
+    {
+        if (std::ranges::find(request.parts, bad.part) != request.parts.end())
+            return &bad;
+    }
+    return nullptr;
+}
+
+crash_fleet::begun_count* crash_fleet::current_count()
+{
+    if (!this->are_bad_ones_coming())
+        return &this->before;
+    const std::vector<instant>& crashes = this->bad_parts.front().crashes;
+    const bool is_after =
+        crashes.size() >= counted_part_crashes &&
+        this->now() > crashes[counted_part_crashes - 1] + 2 * contact_time;
+    return is_after ? &this->after : nullptr;
+}
+
+simulated_request crash_fleet::make_repeated()
+{
+    simulated_request made;
+    made.from = simulated_request::origin::repeated;
+    made.content = crashing;
+    made.is_crashing = true;
+    made.ends_after = this->random_time(20ms, 100ms);
+    made.begins_after = made.ends_after;
+    return made;
+}
+
+simulated_request crash_fleet::make_innocent(fingerprint content)
+{
+    simulated_request made;
+    made.content = content;
+    made.retries_left = 1;
+    made.ends_after = this->random_time(50ms, 1500ms);
+    made.begins_after = made.ends_after;
+    return made;
+}
+
+simulated_request crash_fleet::make_prompt()
+{
+    const prompt_traffic& prompts = this->settings.prompts;
+    const double skewed =
+        std::pow(double(second_parts), this->random_below(10'000) / 10'000.0);
+    simulated_request made;
+    made.from = simulated_request::origin::prompt;
+    made.content = fingerprint(++this->last_content);
+    made.parts = {
+        part_at(0, this->random_below(first_parts)),
+        part_at(1, static_cast<std::size_t>(skewed)),
+        part_at(2, this->random_below(third_parts))};
+    made.retries_left = prompts.retries;
+    made.begins_after = this->random_time(50ms, 300ms);
+    made.ends_after = this->random_time(500ms, 4s);
+    if (!this->are_bad_ones_coming())
+        return made;
+    if (this->happens(prompts.bad_share))
+        made.parts[prompts.bad_position] =
+            this->bad_parts[this->random_below(prompts.bad_parts)].part;
+    made.is_crashing = std::ranges::any_of(
+        this->bad_parts,
+        [&made](const bad_part& bad)
         {
-            return when > limit;
-        }));
+            return std::ranges::find(made.parts, bad.part) != made.parts.end();
+        });
+    if (made.is_crashing)
+        made.ends_after = made.begins_after + this->random_time(20ms, 100ms);
+    return made;
+}
+
+void crash_fleet::crash_servers(double share)
+{
+    std::vector<std::size_t> numbers(this->servers.size());
+    std::iota(numbers.begin(), numbers.end(), std::size_t(0));
+    std::ranges::shuffle(numbers, this->random);
+    numbers.resize(static_cast<std::size_t>(
+        share * static_cast<double>(this->servers.size())));
+    for (const std::size_t number : numbers)
+    {
+        if (this->servers[number].up)
+            this->crash(number);
+    }
 }
 
 void crash_fleet::schedule_arrivals(
@@ -122,7 +267,8 @@
         [this]
         {
             this->arrive(
-                crashing, this->random_below(this->routers.size()), false);
+                this->make_repeated(),
+                this->random_below(this->routers.size()));
         });
     this->schedule_arrivals(
         length,
@@ -130,10 +276,10 @@
         [this]
         {
             ++this->sent_innocents;
+            const fingerprint content(++this->last_content);
             this->arrive(
-                fingerprint(++this->last_content),
-                this->random_below(this->routers.size()),
-                false);
+                this->make_innocent(content),
+                this->random_below(this->routers.size()));
         });
     this->schedule_arrivals(
         length,
@@ -142,12 +288,42 @@
         {
             ++this->sent_innocents;
             this->arrive(
-                common, this->random_below(this->routers.size()), false);
+                this->make_innocent(common),
+                this->random_below(this->routers.size()));
+        });
+    this->schedule_arrivals(
+        length,
+        this->settings.prompts.per_second,
+        [this]
+        {
+            const simulated_request made = this->make_prompt();
+            this->count_arrival(made);
+            this->arrive(made, this->random_below(this->routers.size()));
         });
     this->queue.run_until(this->now() + length);
 }
 
-void crash_fleet::arrive(fingerprint request, std::size_t number, bool is_retry)
+void crash_fleet::count_arrival(const simulated_request& request)
+{
+    if (request.is_crashing)
+        return;
+    ++this->sent_innocents;
+    if (begun_count* count = this->current_count())
+        ++count->arrived;
+}
+
+void crash_fleet::count_sends(
+    const simulated_request& request, std::size_t number)
+{
+    if (!request.is_crashing || !this->in_touch(number))
+        return;
+    if (request.from == simulated_request::origin::repeated)
+        this->sends_in_touch.push_back(this->now());
+    else if (bad_part* bad = this->bad_part_of(request))
+        bad->sends_in_touch.push_back(this->now());
+}
+
+void crash_fleet::arrive(const simulated_request& request, std::size_t number)
 {
     const duration wait =
         this->random_time(duration::zero(), this->settings.longest_wait);
@@ -155,14 +331,14 @@
         number,
         this->routers[number].process,
         this->now() + wait,
-        [this, request, number, is_retry]
+        [this, request, number]
         {
-            this->start_run(request, number, is_retry);
+            this->start_run(request, number);
         });
 }
 
 void crash_fleet::start_run(
-    fingerprint request, std::size_t number, bool is_retry)
+    const simulated_request& request, std::size_t number)
 {
     const request_gate::decision decision =
         this->routers[number].knowledge.admit(request, this->now());
@@ -172,15 +348,14 @@
         this->handle_refusal(request, decision.retry_after);
         return;
     }
-    const auto chosen = this->choose_server(number);
+    const auto chosen = this->choose_server(request, number);
     if (!chosen)
         return;
     server& target = this->servers[*chosen];
     const simulated_life& known = this->routers[number].registry[*chosen].life;
     if (!target.up)
         return; // The connection fails, and no server runs the request.
-    if (request == crashing && this->in_touch(number))
-        this->sends_in_touch.push_back(this->now());
+    this->count_sends(request, number);
     if (known.server != target.life.server)
     {
         // The server at the address now refuses a request for another one.
@@ -191,33 +366,51 @@
     }
     const std::uint64_t run_number = ++this->last_run;
     target.running.push_back(
-        {run_number, number, this->routers[number].process, request, is_retry});
-    const duration length = request == crashing
-                                ? this->random_time(20ms, 100ms)
-                                : this->random_time(50ms, 1500ms);
+        {run_number,
+         number,
+         this->routers[number].process,
+         request,
+         this->now()});
     this->queue.schedule(
-        this->now() + length,
+        this->now() + request.begins_after,
+        [this, server_number = *chosen, run_number]
+        {
+            this->begin_answer(server_number, run_number);
+        });
+    this->queue.schedule(
+        this->now() + request.ends_after,
         [this, server_number = *chosen, run_number]
         {
             this->end_run(server_number, run_number);
         });
 }
 
-void crash_fleet::handle_refusal(fingerprint request, duration retry_after)
+void crash_fleet::handle_refusal(
+    const simulated_request& request, duration retry_after)
 {
-    this->refused_innocents += request == crashing ? 0 : 1;
-    if (request != crashing || !this->settings.callers_return)
+    this->refused_innocents += request.is_crashing ? 0 : 1;
+    if (!request.is_crashing || !this->settings.callers_return)
         return;
     this->queue.schedule(
         this->now() + retry_after,
         [this, request]
         {
-            this->start_run(
-                request, this->random_below(this->routers.size()), false);
+            this->start_run(request, this->random_below(this->routers.size()));
         });
 }
 
-std::optional<std::size_t> crash_fleet::choose_server(std::size_t number)
+bool crash_fleet::is_free(
+    std::size_t number, const simulated_request& request) const
+{
+    // The other kinds of requests don't fill servers.
+    if (request.from != simulated_request::origin::prompt)
+        return true;
+    const server& one = this->servers[number];
+    return one.up && one.running.size() < this->settings.slots;
+}
+
+std::optional<std::size_t> crash_fleet::choose_server(
+    const simulated_request& request, std::size_t number)
 {
     const std::vector<listed_server>& known = this->routers[number].registry;
     constexpr int tries = 20;
@@ -225,20 +418,38 @@
     {
         const std::size_t server_number =
             this->random_below(this->servers.size());
-        if (known[server_number].listed)
+        if (known[server_number].listed &&
+            this->is_free(server_number, request))
             return server_number;
     }
     return std::nullopt;
 }
 
+void crash_fleet::begin_answer(
+    std::size_t server_number, std::uint64_t run_number)
+{
+    const std::vector<run>& running = this->servers[server_number].running;
+    const auto found = std::ranges::find(running, run_number, &run::number);
+    if (found == running.end())
+        return;
+    const simulated_request& request = found->request;
+    const bool counts = request.from == simulated_request::origin::prompt &&
+                        !request.is_crashing && request.is_first_attempt;
+    begun_count* count = counts ? this->current_count() : nullptr;
+    if (count != nullptr)
+        ++count->begun;
+}
+
 void crash_fleet::end_run(std::size_t server_number, std::uint64_t run_number)
 {
     std::vector<run>& running = this->servers[server_number].running;
     const auto found = std::ranges::find(running, run_number, &run::number);
     if (found == running.end())
         return;
-    if (found->request == crashing)
+    if (found->request.is_crashing)
     {
+        if (bad_part* bad = this->bad_part_of(found->request))
+            bad->crashes.push_back(this->now());
         this->crash(server_number);
         return;
     }
@@ -251,7 +462,10 @@
         [this, ended]
         {
             router& target = this->routers[ended.router];
-            target.knowledge.answered(ended.request, this->now());
+            target.knowledge.answered(
+                ended.request,
+                ended.started + ended.request.begins_after,
+                this->now());
             this->flush(ended.router);
         });
 }
@@ -284,21 +498,34 @@
 void crash_fleet::break_run(
     const simulated_life& life, std::size_t server_number, const run& broken)
 {
+    const instant begins = broken.started + broken.request.begins_after;
+    const std::optional<instant> began =
+        begins <= this->now() ? std::optional(begins) : std::nullopt;
     this->on_router(
         broken.router,
         broken.router_run,
         this->now() + shortest_message,
-        [this, life, server_number, broken]
+        [this, life, server_number, broken, began]
         {
             router& target = this->routers[broken.router];
-            target.knowledge.run_broken(broken.request, life, this->now());
+            target.knowledge.run_broken(
+                broken.request, life, began, this->now());
             this->flush(broken.router);
             this->examine(broken.router, server_number, life);
-            if (broken.request != crashing && !broken.is_retry)
-                this->arrive(broken.request, broken.router, true);
+            this->retry(broken);
         });
 }
 
+void crash_fleet::retry(const run& broken)
+{
+    if (broken.request.retries_left == 0)
+        return;
+    simulated_request again = broken.request;
+    --again.retries_left;
+    again.is_first_attempt = false;
+    this->arrive(again, broken.router);
+}
+
 void crash_fleet::examine(
     std::size_t number, std::size_t server_number, simulated_life life)
 {
--- a/tests/unit/crashing_requests/crash_fleet.hpp
+++ b/tests/unit/crashing_requests/crash_fleet.hpp
@@ -16,15 +16,31 @@
 
 using namespace std::chrono_literals;
 
-/** Simulates routers and backend servers while one request crashes each server
-    that runs it. Callers send that request again and again, to any router, and
-    send innocent requests beside it. Runs in virtual time; one seed determines
-    the whole run. */
+/** Simulates routers and backend servers while one request, or one part of
+    prompts, crashes each server that runs it. Callers send such requests to any
+    router, and innocent requests beside them. Runs in virtual time; one seed
+    determines the whole run. */
 class crash_fleet
 {
 public:
+    /// Requests whose prompts have parts. Some hold a part that crashes servers;
+    /// no two are alike.
+    struct prompt_traffic
+    {
+        double per_second = 0;
+        double bad_share = 0.05; ///< of the requests, while bad ones come
+        std::size_t bad_position = 1;
+        std::size_t bad_parts = 1;
+        /// The bad part is one that ran well until bad requests come.
+        bool ran_well_before = false;
+        duration bad_from = 10s;
+        int retries = 1; ///< after a broken run
+    };
+
     struct options
     {
+        prompt_traffic prompts;
+        std::size_t slots = 20; ///< runs of prompts at once on a server
         std::size_t routers = 7;
         std::size_t servers = 20;
         double crashing_per_second = 2; ///< sends of the crashing request
@@ -73,10 +89,46 @@
     /// Marks a router as out of touch from now on, for a time.
     void lose_touch(std::size_t router, duration length);
 
+    /// Crashes a share of the servers at one moment, for another reason than a
+    /// request.
+    void crash_servers(double share);
+
     /// @return Sends of the crashing request by routers in touch, later than
     ///         the allowed time after it has crashed the third server.
     std::size_t late_sends() const;
 
+    /// @return Sends of requests with a part that crashes servers, by routers
+    ///         in touch, later than the allowed time after its fifth crash: of
+    ///         the part with the most.
+    std::size_t late_prompt_sends() const;
+
+    /// Sound requests with prompts that have arrived, and those of them that
+    /// began to be answered at the first attempt.
+    struct begun_count
+    {
+        std::size_t arrived = 0;
+        std::size_t begun = 0;
+
+        double share() const
+        {
+            return static_cast<double>(this->begun) /
+                   static_cast<double>(this->arrived);
+        }
+    };
+
+    /// @return Requests before bad ones came.
+    const begun_count& begun_before() const
+    {
+        return this->before;
+    }
+
+    /// @return Requests later than twice the allowed time after the fifth
+    ///         crash, while bad ones come.
+    const begun_count& begun_after() const
+    {
+        return this->after;
+    }
+
     /// @return Servers that the crashing request has crashed.
     std::size_t crashes() const
     {
@@ -109,8 +161,8 @@
         std::uint64_t number;
         std::size_t router;
         std::uint64_t router_run; ///< of the router's process
-        fingerprint request;
-        bool is_retry = false;
+        simulated_request request;
+        instant started;
     };
 
     struct server
@@ -137,13 +189,34 @@
         instant out_of_touch_until;
     };
 
-    void arrive(fingerprint request, std::size_t router, bool is_retry);
-    void start_run(fingerprint request, std::size_t router, bool is_retry);
-    void handle_refusal(fingerprint request, duration retry_after);
+    /// Crashes by one part, and sends of requests with it.
+    struct bad_part
+    {
+        fingerprint part;
+        std::vector<instant> crashes;
+        std::vector<instant> sends_in_touch;
+    };
+
+    simulated_request make_repeated();
+    simulated_request make_innocent(fingerprint content);
+    simulated_request make_prompt();
+    bool are_bad_ones_coming() const;
+    /// @return The part that makes the request crash servers; null: none.
+    bad_part* bad_part_of(const simulated_request& request);
+    /// @return The count that a sound request belongs to now; null: none.
+    begun_count* current_count();
+    void count_sends(const simulated_request& request, std::size_t router);
+    void count_arrival(const simulated_request& request);
+    void arrive(const simulated_request& request, std::size_t router);
+    void start_run(const simulated_request& request, std::size_t router);
+    void handle_refusal(const simulated_request& request, duration retry_after);
+    void begin_answer(std::size_t server, std::uint64_t number);
     void end_run(std::size_t server, std::uint64_t number);
     void crash(std::size_t server);
+    bool is_free(std::size_t server, const simulated_request& request) const;
     void start_server(std::size_t server);
     void break_run(const simulated_life& life, std::size_t server, const run&);
+    void retry(const run& broken);
     void examine(std::size_t router, std::size_t server, simulated_life life);
     void announce_start(std::size_t server);
     void announce_end(std::size_t server, const simulated_life& life);
@@ -157,7 +230,8 @@
         instant when,
         std::function<void()> action);
     void make_router();
-    std::optional<std::size_t> choose_server(std::size_t router);
+    std::optional<std::size_t>
+    choose_server(const simulated_request& request, std::size_t router);
     std::size_t random_below(std::size_t count);
     duration random_time(duration shortest, duration longest);
     bool happens(double probability);
@@ -168,10 +242,14 @@
     options settings;
     event_queue queue;
     std::mt19937_64 random;
+    instant started_at;
     std::vector<router> routers;
     std::vector<server> servers;
     std::vector<instant> crash_times;
     std::vector<instant> sends_in_touch; ///< of the crashing request
+    std::vector<bad_part> bad_parts;
+    begun_count before;
+    begun_count after;
     std::uint64_t last_run = 0;
     std::uint64_t last_content = 100;
     std::size_t refused_innocents = 0;
--- a/tests/unit/crashing_requests/crash_router.hpp
+++ b/tests/unit/crashing_requests/crash_router.hpp
@@ -2,9 +2,11 @@
 
 #include "core/crashes/crash_tracker.hpp"
 #include "core/crashes/request_gate.hpp"
+#include "simulated_request.hpp"
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -50,11 +52,16 @@
         this->tracker.set_routers(std::move(others));
     }
 
-    void
-    run_broken(fingerprint request, const simulated_life& life, instant now)
+    /// @param began When the first event was received; empty: not yet.
+    void run_broken(
+        const simulated_request& request,
+        const simulated_life& life,
+        std::optional<instant> began,
+        instant now)
     {
+        static_cast<void>(began);
         this->tracker.run_broken(
-            request, hash_of(life), run_end::connection, now, now);
+            request.content, hash_of(life), run_end::connection, now, now);
     }
 
     void
@@ -68,22 +75,25 @@
         this->tracker.life_reached(hash_of(life), now);
     }
 
-    void answered(fingerprint request, instant now)
+    /// @param began When the first event was received.
+    void
+    answered(const simulated_request& request, instant began, instant now)
     {
-        this->gate.answered(request, now);
-        if (this->tracker.blocked()->suspects.contains(request))
-            this->tracker.run_answered(request, now);
+        static_cast<void>(began);
+        this->gate.answered(request.content, now);
+        if (this->tracker.blocked()->suspects.contains(request.content))
+            this->tracker.run_answered(request.content, now);
     }
 
     /// @return Whether the request may be sent, or when it may return.
-    request_gate::decision admit(fingerprint request, instant now)
+    request_gate::decision admit(const simulated_request& request, instant now)
     {
         const request_gate::decision decision =
-            this->gate.admit(*this->tracker.blocked(), request, now);
+            this->gate.admit(*this->tracker.blocked(), request.content, now);
         if (decision.result == request_gate::outcome::harmless)
-            this->tracker.run_answered(request, now);
+            this->tracker.run_answered(request.content, now);
         if (decision.result == request_gate::outcome::trial)
-            this->tracker.trial_started(request, now);
+            this->tracker.trial_started(request.content, now);
         return decision;
     }
 
--- a/tests/unit/users_platform/test_decoders.cpp
+++ b/tests/unit/users_platform/test_decoders.cpp
@@ -1,4 +1,5 @@
 #include "platform/deployment_decoder.hpp"
+#include "platform/prompt_parts.hpp"
 #include "platform/server_decoder.hpp"
 
 #include <string>
@@ -248,3 +249,28 @@
     cr_assert_eq(adapters.size(), 2);
     cr_assert_eq(adapters[1], "a2");
 }
+
+Test(prompt_parts, all_but_the_last_may_be_shared)
+{
+    const auto parts = parse_shared_prompt_parts("5c1e07a2:800, 91BD:410,e4:2");
+    cr_assert_eq(parts.size(), 2);
+    cr_assert_eq(parts[1], parse_shared_prompt_parts("91bd:1,0:1")[0]);
+    cr_assert_neq(parts[0], parts[1]);
+    cr_assert(parse_shared_prompt_parts("5c1e07a2:800").empty());
+}
+
+Test(prompt_parts, a_malformed_list_names_none)
+{
+    for (const std::string_view list :
+         {"", ",", "1:2,", "1:2,,3:4", "1,2:3", "xyz:1,2:3", ":1,2:3", "1:,2:3",
+          "1:-2,2:3", "1:99999999999,2:3"})
+        cr_assert(parse_shared_prompt_parts(list).empty());
+}
+
+Test(prompt_parts, their_number_is_limited)
+{
+    std::string list = "1:1";
+    for (int i = 0; i < 1000; ++i)
+        list += ",2:1";
+    cr_assert_eq(parse_shared_prompt_parts(list).size(), 32);
+}
