--- a/include/roseworks/ids.hpp
+++ b/include/roseworks/ids.hpp
@@ -78,8 +78,8 @@
 /// not even as another unknown one.
 using software_version = strong_id<struct software_version_tag, std::uint64_t>;
 
-/// Hash of a request's content, or of a part of its prompt. Either may crash the
-/// backend servers that run it.
+/// Hash of a request's content, or of a part of its prompt. Either may crash
+/// the backend servers that run it.
 using fingerprint = strong_id<struct fingerprint_tag, std::uint64_t>;
 
 } // namespace roseworks
--- a/src/adapters/events/event_catalogue.cpp
+++ b/src/adapters/events/event_catalogue.cpp
@@ -416,13 +416,17 @@
      "docs/OPERATIONS.md."},
     {request_blocked, error, "request_blocked",
      "A request is refused for a time, because several backend servers ended "
-     "while they ran it. The first request after that time is a trial.",
-     "content, lives, for_ms",
+     "while they ran it; where subject is prompt_part, each request with this "
+     "part in its prompt. The first request after that time is a trial. Lives "
+     "is the number of servers whose end counts against it, explained the "
+     "number whose end all blocked parts explain.",
+     "content, subject, lives, explained, for_ms",
      "Notify the caller and the owner of the service."},
     {request_cleared, info, "request_cleared",
-     "A run of a request ended well although backend servers had ended while "
-     "they ran it, so it doesn't crash them. It isn't blocked.",
-     "content, lives, from", no_action},
+     "A run of a request, or of one with a part in its prompt, ended well "
+     "although backend servers had ended while they ran it, so it doesn't "
+     "crash them. It isn't blocked.",
+     "content, subject, lives, from", no_action},
     {servers_cut_off, warn, "servers_cut_off",
      "This router reaches most backend servers only through other routers: "
      "through_others can't be reached directly, directly can.",
--- a/src/adapters/forward/forward_call.cpp
+++ b/src/adapters/forward/forward_call.cpp
@@ -334,6 +334,7 @@
 {
     const instant now = this->context.now();
     this->sent_at = now;
+    this->answer_began.reset();
     if (this->sends == 0)
     {
         this->first_sent = now;
--- a/src/adapters/forward/forward_call.hpp
+++ b/src/adapters/forward/forward_call.hpp
@@ -21,6 +21,16 @@
 namespace roseworks::forward
 {
 
+/// @param content Hash of the request.
+/// @return Time for which the request, or a part of its prompt, is blocked;
+///         zero: it isn't.
+duration blocked_for(
+    const request_gate& gate,
+    const blocked_requests& known,
+    const forward_request& request,
+    fingerprint content,
+    instant now);
+
 /** Handles one request from admission to the last byte of its response.
 
     A request that is not repeatable is not sent again once a server may have
@@ -139,11 +149,19 @@
     ///         finished.
     asio::awaitable<bool> pass_gate();
     asio::awaitable<void> refuse_blocked(duration retry_after);
+    /// @return Time for which the request, or a part of its prompt, is blocked;
+    ///         zero: it isn't.
+    duration blocked_for() const;
+    void admit_subject(const blocked_requests& known, fingerprint subject);
+    /// @return What the run that ends now worked on.
+    run_content content_of_run() const;
     /// Reports how a run of the request on a server ended.
     void report_run(
         const server_identity& server,
         const std::string& address,
         const attempt_result& result);
+    /// Reports that an answer on the suspected parts of its prompt ended well.
+    void report_good_parts(const blocked_requests& known);
     /// Reports that the request has run well, if a server has ended under it.
     void report_answer(
         const server_identity& server,
@@ -186,6 +204,8 @@
     request_end end = request_end::failed;
     refusal_reason reason = refusal_reason::none;
     instant sent_at;
+    /// When the server of this attempt began to write its answer.
+    std::optional<instant> answer_began;
     instant first_sent;
     instant first_byte_at;
     bool waited = false;
--- a/src/adapters/forward/forward_call_crashes.cpp
+++ b/src/adapters/forward/forward_call_crashes.cpp
@@ -4,9 +4,12 @@
 
 #include <boost/beast/http/status.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <span>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace roseworks::forward
 {
@@ -48,30 +51,58 @@
 
 } // namespace
 
+duration blocked_for(
+    const request_gate& gate,
+    const blocked_requests& known,
+    const forward_request& request,
+    fingerprint content,
+    instant now)
+{
+    duration longest = gate.refused_for(known, content, now);
+    for (const fingerprint part : request.prompt_parts)
+        longest = std::max(longest, gate.refused_for(known, part, now));
+    return longest;
+}
+
+duration forward_call::blocked_for() const
+{
+    return forward::blocked_for(
+        this->context.gate,
+        *this->context.ports.crashes.blocked(),
+        this->request,
+        this->content,
+        this->context.now());
+}
+
 asio::awaitable<bool> forward_call::pass_gate()
 {
-    using gate_outcome = request_gate::outcome;
-    crash_port& crashes = this->context.ports.crashes;
-    const request_gate::decision decision = this->context.gate.admit(
-        *crashes.blocked(), this->content, this->context.now());
-    switch (decision.result)
+    const duration retry_after = this->blocked_for();
+    if (retry_after > duration::zero())
     {
-    case gate_outcome::allowed:
-        break;
-    case gate_outcome::harmless:
-        crashes.run_answered(this->content);
-        break;
-    case gate_outcome::trial:
-        crashes.trial_started(this->content);
-        break;
-    case gate_outcome::refused:
         this->context.ports.dispatch.abandon(this->admission_ticket);
-        co_await this->refuse_blocked(decision.retry_after);
+        co_await this->refuse_blocked(retry_after);
         co_return false;
     }
+    const blocked_requests_ptr known = this->context.ports.crashes.blocked();
+    this->admit_subject(*known, this->content);
+    for (const fingerprint part : this->request.prompt_parts)
+        this->admit_subject(*known, part);
     co_return true;
 }
 
+void forward_call::admit_subject(
+    const blocked_requests& known, fingerprint subject)
+{
+    using gate_outcome = request_gate::outcome;
+    crash_port& crashes = this->context.ports.crashes;
+    const request_gate::decision decision =
+        this->context.gate.admit(known, subject, this->context.now());
+    if (decision.result == gate_outcome::harmless)
+        crashes.run_answered(subject);
+    else if (decision.result == gate_outcome::trial)
+        crashes.trial_started(subject);
+}
+
 asio::awaitable<void> forward_call::refuse_blocked(duration retry_after)
 {
     const verdict outcome =
@@ -84,16 +115,25 @@
 {
     if (!this->is_waiting)
         return;
-    const duration blocked_for = this->context.gate.refused_for(
-        *this->context.ports.crashes.blocked(),
-        this->content,
-        this->context.now());
-    if (blocked_for <= duration::zero())
+    const duration retry_after = this->blocked_for();
+    if (retry_after <= duration::zero())
         return;
     const verdict outcome =
         this->may_have_run ? verdict::may_have_run : verdict::not_run;
     this->inbox->post_reply(refusal{
-        this->admission_ticket, refusal_reason::blocked, outcome, blocked_for});
+        this->admission_ticket, refusal_reason::blocked, outcome, retry_after});
+}
+
+run_content forward_call::content_of_run() const
+{
+    const instant now = this->context.now();
+    run_content run{this->content, {}, this->answer_began};
+    if (!may_be_part_crash(run, now, this->route.max_event_gap))
+        return run;
+    for (const fingerprint part : this->request.prompt_parts)
+        run.parts.push_back(
+            {part, this->context.good_parts.contains(part, now)});
+    return run;
 }
 
 void forward_call::report_run(
@@ -113,7 +153,7 @@
          {"end", to_string(*end)},
          {"parts", to_text(this->request.prompt_parts)}});
     this->context.ports.crashes.run_broken(
-        {this->content, server.life, address, *end, this->sent_at});
+        {this->content_of_run(), server.life, address, *end, this->sent_at});
 }
 
 void forward_call::report_answer(
@@ -125,20 +165,36 @@
         http::status_class::successful)
         return;
     crash_port& crashes = this->context.ports.crashes;
-    const bool is_suspect = crashes.blocked()->suspects.contains(this->content);
-    if (exchange.framing() != body_framing::connection)
+    if (exchange.framing() == body_framing::connection)
     {
-        this->context.gate.answered(this->content, this->context.now());
-        if (is_suspect)
-            crashes.run_answered(this->content);
-    }
-    else if (is_suspect)
+        // A crash ends the connection, too.
         crashes.run_broken(
-            {this->content,
+            {this->content_of_run(),
              server.life,
              address,
              run_end::closed,
              this->sent_at});
+        return;
+    }
+    const blocked_requests_ptr known = crashes.blocked();
+    this->context.gate.answered(this->content, this->context.now());
+    if (known->suspects.contains(this->content))
+        crashes.run_answered(this->content);
+    this->report_good_parts(*known);
+}
+
+void forward_call::report_good_parts(const blocked_requests& known)
+{
+    std::vector<prompt_part> suspected;
+    for (const fingerprint part : this->request.prompt_parts)
+    {
+        this->context.good_parts.add(part, this->context.now());
+        if (known.suspects.contains(part))
+            suspected.push_back({part, true});
+    }
+    if (!suspected.empty() && this->answer_began)
+        this->context.ports.crashes.parts_answered(
+            std::move(suspected), *this->answer_began);
 }
 
 } // namespace roseworks::forward
--- a/src/adapters/forward/forward_call_relay.cpp
+++ b/src/adapters/forward/forward_call_relay.cpp
@@ -60,6 +60,8 @@
     const forward_options& limits = this->context.settings;
     exchange.limit_body(
         is_stream ? limits.max_stream_bytes : limits.max_body_bytes);
+    if (!is_stream)
+        this->answer_began = this->context.now();
     const relay_outcome outcome = is_stream
                                       ? co_await this->relay_stream(exchange)
                                       : co_await this->relay_buffered(exchange);
@@ -143,6 +145,8 @@
         bytes_without_event = this->events.event_count() == known_events
                                   ? bytes_without_event + piece.size()
                                   : 0;
+        if (!this->answer_began && this->events.event_count() != earlier_events)
+            this->answer_began = this->context.now();
         const bool is_endless = bytes_without_event >
                                 this->context.settings.max_bytes_without_event;
         if (is_endless || this->events.exceeds_limit())
--- a/src/adapters/forward/forward_context.hpp
+++ b/src/adapters/forward/forward_context.hpp
@@ -114,6 +114,8 @@
     forward_metrics& metrics;
     std::mt19937_64 random;
     request_gate gate;
+    /// Parts of prompts that were answered well of late.
+    recent_answers good_parts{4096, std::chrono::seconds(20)};
     bool draining = false;
 };
 
--- a/src/adapters/forward/forward_session.cpp
+++ b/src/adapters/forward/forward_session.cpp
@@ -165,15 +165,17 @@
             this->retry_if_outdated(refused), request);
         co_return reusable;
     }
-    const duration blocked_for = this->context.gate.refused_for(
+    const duration retry_after = blocked_for(
+        this->context.gate,
         *this->context.ports.crashes.blocked(),
+        request,
         request.content_fingerprint(),
         this->context.now());
-    if (blocked_for > duration::zero())
+    if (retry_after > duration::zero())
     {
         const bool reusable = co_await this->send_response(
             make_local_response(
-                refusal_reason::blocked, verdict::not_run, blocked_for),
+                refusal_reason::blocked, verdict::not_run, retry_after),
             request);
         co_return reusable;
     }
--- a/src/adapters/peers/gateway_peers.cpp
+++ b/src/adapters/peers/gateway_peers.cpp
@@ -58,6 +58,7 @@
 constexpr std::size_t max_engine_bytes = 220;
 constexpr std::size_t max_limit_bytes = 64;
 constexpr std::size_t max_crash_bytes = 28;
+constexpr std::size_t max_part_crash_bytes = 38;
 constexpr std::size_t max_origin_bytes = 24;
 /// Of the sightings that accompany records.
 constexpr std::size_t max_sightings_bytes = 1000;
@@ -169,6 +170,11 @@
             this->listener->crash_report_received(
                 message, this->sender_address());
         return;
+    case message_kind::part_crashes:
+        if (part_crash_report message; this->decode(body, message))
+            this->listener->part_crash_report_received(
+                message, this->sender_address());
+        return;
     case message_kind::origins:
         if (origin_message message; this->decode(body, message))
             this->listener->origin_message_received(
@@ -278,21 +284,39 @@
 
 void gateway_peers::send(
     std::span<const std::string> addresses, const crash_report& report)
+{
+    this->send_crashes(
+        addresses, message_kind::crashes, report, max_crash_bytes);
+}
+
+void gateway_peers::send(
+    std::span<const std::string> addresses, const part_crash_report& report)
+{
+    this->send_crashes(
+        addresses, message_kind::part_crashes, report, max_part_crash_bytes);
+}
+
+template <class Record>
+void gateway_peers::send_crashes(
+    std::span<const std::string> addresses,
+    message_kind kind,
+    const basic_crash_report<Record>& report,
+    std::size_t record_bytes)
 {
     const auto chunks =
-        split_list(report.crashes, max_crash_bytes, max_content_bytes);
-    crash_report part = report;
+        split_list(report.crashes, record_bytes, max_content_bytes);
+    basic_crash_report<Record> part = report;
     for (std::size_t i = 0; i < chunks.size(); ++i)
     {
         // Only the last part is answered, when all records have arrived.
         const bool is_last = i + 1 == chunks.size();
         part.stage = is_last ? report.stage : report_stage::change;
         part.crashes = chunks[i];
-        this->send_message(addresses, message_kind::crashes, part);
+        this->send_message(addresses, kind, part);
         part.trials.clear();
     }
     if (chunks.empty())
-        this->send_message(addresses, message_kind::crashes, part);
+        this->send_message(addresses, kind, part);
 }
 
 void gateway_peers::send(
--- a/src/adapters/peers/gateway_peers.hpp
+++ b/src/adapters/peers/gateway_peers.hpp
@@ -59,6 +59,9 @@
     void send(
         std::span<const std::string> addresses,
         const crash_report& report) override;
+    void send(
+        std::span<const std::string> addresses,
+        const part_crash_report& report) override;
     void send(
         std::span<const std::string> addresses,
         const origin_message& message) override;
@@ -88,7 +91,8 @@
         quota_response = 6,
         server_limits = 7,
         crashes = 8,
-        origins = 9
+        origins = 9,
+        part_crashes = 10
     };
 
     void receive();
@@ -98,6 +102,12 @@
     std::string sender_address() const;
     template <class Message>
     bool decode(std::string_view content, Message& message);
+    template <class Record>
+    void send_crashes(
+        std::span<const std::string> addresses,
+        message_kind kind,
+        const basic_crash_report<Record>& report,
+        std::size_t record_bytes);
     void send_datagram(
         std::span<const std::string> addresses, const std::string& datagram);
     void send_next_part();
--- a/src/app/gateway/crash_controller.cpp
+++ b/src/app/gateway/crash_controller.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 #include <vector>
@@ -98,7 +99,7 @@
         if (one.name != this->settings.router)
             addresses.push_back(one.address);
     }
-    this->tracker.set_routers(std::move(addresses));
+    this->tracker.set_routers(addresses);
 }
 
 void crash_controller::servers_changed()
@@ -142,6 +143,13 @@
     this->flush();
 }
 
+void crash_controller::report_received(
+    const part_crash_report& report, std::string_view from)
+{
+    this->tracker.report_received(report, from, this->clock.now());
+    this->flush();
+}
+
 void crash_controller::life_ended(server_life life, crash_evidence evidence)
 {
     this->tracker.life_ended(life, evidence, this->clock.now());
@@ -165,13 +173,34 @@
 void crash_controller::handle_broken(const broken_run_report& run)
 {
     this->tracker.run_broken(
-        run.request, run.life, run.end, run.sent, this->clock.now());
-    // Timeouts and callers that leave are too frequent for a connection each.
-    if (run.end == run_end::connection || run.end == run_end::closed)
+        run.content, run.life, run.end, run.sent, this->clock.now());
+    if (this->is_examined(run))
         this->examiner.examine(run.life, run.address);
     this->flush();
 }
 
+bool crash_controller::is_examined(const broken_run_report& run)
+{
+    // Timeouts and callers that leave are too frequent for a connection each.
+    if (run.end != run_end::closed)
+        return run.end == run_end::connection;
+    const blocked_requests_ptr known = this->published.get();
+    const auto is_suspect = [&known](const prompt_part& part)
+    {
+        return known->suspects.contains(part.id);
+    };
+    if (known->suspects.contains(run.content.request) ||
+        std::ranges::any_of(run.content.parts, is_suspect))
+        return true;
+    // All answers of a service may end with their connections.
+    const instant now = this->clock.now();
+    if (now < this->next_unsuspected_examination)
+        return false;
+    this->next_unsuspected_examination =
+        now + this->settings.unsuspected_interval;
+    return true;
+}
+
 void crash_controller::server_replaced(server_life life)
 {
     this->post(
@@ -191,12 +220,23 @@
         });
 }
 
-void crash_controller::trial_started(fingerprint request)
+void crash_controller::parts_answered(
+    std::vector<prompt_part> parts, instant began)
 {
     this->post(
-        [this, request]
+        [this, parts = std::move(parts), began]
         {
-            this->tracker.trial_started(request, this->clock.now());
+            this->tracker.parts_answered(parts, began, this->clock.now());
+            this->flush();
+        });
+}
+
+void crash_controller::trial_started(fingerprint subject)
+{
+    this->post(
+        [this, subject]
+        {
+            this->tracker.trial_started(subject, this->clock.now());
             this->flush();
         });
 }
@@ -220,6 +260,9 @@
     for (const crash_tracker::outgoing_report& report :
          this->tracker.take_reports())
         this->peers.send(report.recipients, report.content);
+    for (const crash_tracker::outgoing_part_report& report :
+         this->tracker.take_part_reports())
+        this->peers.send(report.recipients, report.content);
     if (!this->tracker.take_is_changed())
         return;
     this->published.put(this->tracker.blocked());
@@ -237,6 +280,7 @@
 void crash_controller::log(const crash_change& change)
 {
     const std::string content = to_hex(change.request.value);
+    const std::string_view subject = change.is_part ? "prompt_part" : "request";
     switch (change.what)
     {
     case crash_change::kind::recorded:
@@ -252,13 +296,16 @@
         this->events.report(
             event_id::request_blocked,
             {{"content", content},
+             {"subject", subject},
              {"lives", change.lives},
+             {"explained", change.explained},
              {"for_ms", to_ms(change.blocked_for)}});
         break;
     case crash_change::kind::cleared:
         this->events.report(
             event_id::request_cleared,
             {{"content", content},
+             {"subject", subject},
              {"lives", change.lives},
              {"from", change.from}});
         break;
--- a/src/app/gateway/crash_controller.hpp
+++ b/src/app/gateway/crash_controller.hpp
@@ -19,11 +19,13 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace roseworks::app
 {
 
-/** Blocks requests that crash backend servers, together with all other routers.
+/** Blocks requests, and parts of prompts, that crash backend servers, together
+    with all other routers.
 
     Evidence of a server's end is a refused connection just after a run broke,
     another server at its address, and its entry in the registry. What follows
@@ -40,6 +42,9 @@
         std::string router;
         std::uint64_t seed = 1;
         std::chrono::milliseconds tick_interval{250};
+        /// Shortest interval between examinations of servers whose answers only
+        /// their connections ended, while nothing in them is suspected.
+        std::chrono::milliseconds unsuspected_interval{500};
     };
 
     /// @param on_blocked Called when a request has become blocked.
@@ -63,13 +68,16 @@
 
     /// @param from UDP ip:port of the router.
     void report_received(const crash_report& report, std::string_view from);
+    void
+    report_received(const part_crash_report& report, std::string_view from);
 
     // crash_port
     blocked_requests_ptr blocked() const override;
     void run_broken(const broken_run_report& run) override;
     void server_replaced(server_life life) override;
     void run_answered(fingerprint request) override;
-    void trial_started(fingerprint request) override;
+    void parts_answered(std::vector<prompt_part> parts, instant began) override;
+    void trial_started(fingerprint subject) override;
 
 private:
     /// A life of a server that the view has shown.
@@ -83,6 +91,8 @@
     void post(std::function<void()> action);
     void life_ended(server_life life, crash_evidence evidence);
     void handle_broken(const broken_run_report& run);
+    /// @return Whether the server of an ended run is worth a connection.
+    bool is_examined(const broken_run_report& run);
     void find_ended_lives();
     void schedule_tick();
     /// Sends, logs and publishes what has changed.
@@ -101,6 +111,7 @@
     newest_table<blocked_requests_ptr> published;
     std::map<std::string, listed_life, std::less<>> listed; ///< by id
     boost::asio::steady_timer timer;
+    instant next_unsuspected_examination;
     bool stopped = false;
 };
 
--- a/src/app/gateway/gateway_control.cpp
+++ b/src/app/gateway/gateway_control.cpp
@@ -362,6 +362,12 @@
     this->crashes->report_received(message, from);
 }
 
+void gateway_control::part_crash_report_received(
+    const part_crash_report& message, std::string_view from)
+{
+    this->crashes->report_received(message, from);
+}
+
 void gateway_control::origin_message_received(
     const origin_message& message, std::string_view from)
 {
--- a/src/app/gateway/gateway_control.hpp
+++ b/src/app/gateway/gateway_control.hpp
@@ -187,6 +187,8 @@
         const owner_announcement& message, std::string_view from) override;
     void crash_report_received(
         const crash_report& message, std::string_view from) override;
+    void part_crash_report_received(
+        const part_crash_report& message, std::string_view from) override;
     void origin_message_received(
         const origin_message& message, std::string_view from) override;
     void directory_update_received(const directory_update& message) override;
--- a/src/core/crashes/blocked_requests.hpp
+++ b/src/core/crashes/blocked_requests.hpp
@@ -11,14 +11,16 @@
 namespace roseworks
 {
 
-/// Requests that backend servers' lives ended under, as one router knows them.
-/// Immutable, for the traffic threads.
+/// Requests, and parts of prompts, that backend servers' lives ended under, as
+/// one router knows them. Immutable, for the traffic threads.
 struct blocked_requests
 {
-    /// Requests under which several lives ended, with the end of the block.
+    /// Those under which several lives ended, with the end of the block.
     /// Afterwards a trial is due.
     std::unordered_map<fingerprint, instant> blocked_until;
-    /// Requests under which any life ended.
+    /// Blocked ones that any router may try when the block ends.
+    std::unordered_set<fingerprint> tried_at_once;
+    /// Those under which any life ended.
     std::unordered_set<fingerprint> suspects;
 };
 
--- a/src/core/crashes/crash_detector.cpp
+++ b/src/core/crashes/crash_detector.cpp
@@ -19,7 +19,7 @@
 }
 
 void crash_detector::run_broken(
-    fingerprint request,
+    const run_content& content,
     server_life life,
     run_end end,
     instant sent,
@@ -31,10 +31,10 @@
         ended != this->lives.end() &&
         this->is_related({end, sent, now}, ended->second.known_at);
     if (is_over)
-        this->detected.push_back({request, life, ended->second.evidence, now});
+        this->detected.push_back({content, life, ended->second.evidence, now});
     if (is_over && is_proof(ended->second.evidence))
         return;
-    this->runs.push_back({request, life, end, now, now + memory});
+    this->runs.push_back({content, life, end, now, now + memory});
     if (this->runs.size() > this->settings.max_runs)
         this->runs.pop_front();
 }
@@ -55,7 +55,7 @@
         run.forget_at =
             std::min(run.forget_at, now + this->settings.reached_memory);
         if (run.end == run_end::closed)
-            this->harmless.push_back(run.request);
+            this->harmless.push_back(run.content);
     }
     std::erase_if(
         this->runs,
@@ -83,7 +83,7 @@
     {
         if (run.life == life && run.forget_at >= now)
             this->detected.push_back(
-                {run.request, life, evidence, run.broken_at});
+                {run.content, life, evidence, run.broken_at});
     }
     if (!is_proof(evidence))
         return;
--- a/src/core/crashes/crash_detector.hpp
+++ b/src/core/crashes/crash_detector.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/crashes/crash_evidence.hpp"
+#include "core/crashes/run_content.hpp"
 #include "core/crashes/run_end.hpp"
 #include "core/crashes/server_life.hpp"
 
@@ -19,7 +20,7 @@
 /// A life of a backend server that ended while it ran a request.
 struct detected_crash
 {
-    fingerprint request;
+    run_content content;
     server_life life;
     crash_evidence evidence = crash_evidence::unreachable;
     instant broken_at; ///< when the run broke
@@ -58,7 +59,7 @@
     /// A run on a server ended without a complete answer.
     /// @param sent When the request was sent to the server.
     void run_broken(
-        fingerprint request,
+        const run_content& content,
         server_life life,
         run_end end,
         instant sent,
@@ -79,10 +80,10 @@
         return std::exchange(this->detected, {});
     }
 
-    /// @return The requests whose answer only its connection ended, and whose
-    ///         server was reached afterwards: they ran well. Since the last
-    ///         call.
-    std::vector<fingerprint> take_harmless()
+    /// @return The runs whose answer only its connection ended, and whose
+    /// server
+    ///         was reached afterwards: they ended well. Since the last call.
+    std::vector<run_content> take_harmless()
     {
         return std::exchange(this->harmless, {});
     }
@@ -90,7 +91,7 @@
 private:
     struct broken_run
     {
-        fingerprint request;
+        run_content content;
         server_life life;
         run_end end = run_end::connection;
         instant broken_at;
@@ -120,7 +121,7 @@
     std::unordered_map<server_life, ended_life> lives;
     std::deque<server_life> life_order; ///< oldest first
     std::vector<detected_crash> detected;
-    std::vector<fingerprint> harmless;
+    std::vector<run_content> harmless;
 };
 
 } // namespace roseworks
--- a/src/core/crashes/crash_ledger.cpp
+++ b/src/core/crashes/crash_ledger.cpp
@@ -47,7 +47,8 @@
         known_crash{now - age, record.evidence, record.cleared});
     if (added)
     {
-        if (this->record_count() > this->settings.max_records)
+        ++this->record_count;
+        if (this->record_count > this->settings.max_records)
             this->drop_least_important();
         return true;
     }
@@ -88,7 +89,9 @@
         this->suspects,
         [this, now](const auto& entry)
         {
-            return this->is_expired(entry.second, now);
+            const bool is_expired = this->is_expired(entry.second, now);
+            this->record_count -= is_expired ? entry.second.crashes.size() : 0;
+            return is_expired;
         });
     for (auto& [request, one] : this->suspects)
         changes += std::erase_if(
@@ -116,7 +119,7 @@
     std::size_t all = 0;
     for (const auto& [life, crash] : one.crashes)
     {
-        if (crash.cleared)
+        if (crash.cleared || this->explained.contains(life))
             continue;
         ++all;
         proven += is_proof(crash.evidence) ? 1 : 0;
@@ -191,14 +194,6 @@
     return requests;
 }
 
-std::size_t crash_ledger::record_count() const
-{
-    std::size_t count = 0;
-    for (const auto& [request, one] : this->suspects)
-        count += one.crashes.size();
-    return count;
-}
-
 void crash_ledger::drop_least_important()
 {
     const auto least = std::ranges::min_element(
@@ -208,6 +203,7 @@
         {
             return importance_of(entry.second);
         });
+    this->record_count -= least->second.crashes.size();
     this->suspects.erase(least);
 }
 
@@ -270,16 +266,14 @@
     return sum;
 }
 
-blocked_requests_ptr crash_ledger::blocked() const
+void crash_ledger::publish(blocked_requests& into) const
 {
-    auto result = std::make_shared<blocked_requests>();
     for (const auto& [request, one] : this->suspects)
     {
-        result->suspects.insert(request);
+        into.suspects.insert(request);
         if (this->blocking_lives(one) != 0)
-            result->blocked_until.emplace(request, this->blocked_until(one));
+            into.blocked_until.emplace(request, this->blocked_until(one));
     }
-    return result;
 }
 
 } // namespace roseworks
--- a/src/core/crashes/crash_ledger.hpp
+++ b/src/core/crashes/crash_ledger.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -26,6 +27,8 @@
 class crash_ledger
 {
 public:
+    using record = crash_record;
+
     struct options
     {
         /// How long a request with a single crash is remembered.
@@ -81,11 +84,25 @@
 
     /// @return The records, the worst requests first.
     std::vector<crash_record> crashes(instant now, std::size_t most) const;
+    /// @return The records that are told to other routers.
+    std::vector<crash_record> announced(instant now) const
+    {
+        return this->crashes(now, this->settings.max_announced);
+    }
+
     std::vector<crash_record>
     crashes_of(fingerprint request, instant now) const;
     std::vector<trial_record> trials(instant now) const;
 
-    blocked_requests_ptr blocked() const;
+    /// Sets the lives whose ends parts of prompts explain. They don't count
+    /// against requests.
+    void set_explained(std::unordered_set<server_life> lives)
+    {
+        this->explained = std::move(lives);
+    }
+
+    /// Adds the blocked and the suspected requests.
+    void publish(blocked_requests& into) const;
 
 private:
     struct known_crash
@@ -110,7 +127,6 @@
     duration block_length(std::size_t lives) const;
     bool is_expired(const suspect& one, instant now) const;
     std::vector<fingerprint> by_importance() const;
-    std::size_t record_count() const;
     void drop_least_important();
     static void append(
         std::vector<crash_record>& into,
@@ -120,6 +136,8 @@
 
     options settings;
     std::unordered_map<fingerprint, suspect> suspects;
+    std::unordered_set<server_life> explained;
+    std::size_t record_count = 0;
 };
 
 } // namespace roseworks
--- a/src/core/crashes/crash_report.hpp
+++ b/src/core/crashes/crash_report.hpp
@@ -29,11 +29,44 @@
     }
 };
 
-/// A router sends one request of a content that was blocked until then.
+/// A life of a backend server ended while it ran requests with a part in their
+/// prompts.
+struct part_crash_record
+{
+    std::uint64_t part = 0; ///< hash of the part
+    std::uint64_t life = 0;
+    std::uint64_t request = 0; ///< hash of one of the requests
+    std::int64_t age_us = 0;   ///< time since the run broke
+    crash_evidence evidence = crash_evidence::unreachable;
+    std::uint8_t position = 0; ///< of the part in the prompt, from 0
+    /// An answer on the part had ended well shortly before.
+    bool ran_well = false;
+    /// An answer on the part that began later has ended well.
+    bool cleared = false;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        auto code = static_cast<std::uint8_t>(this->evidence);
+        archive(
+            this->part,
+            this->life,
+            this->request,
+            this->age_us,
+            code,
+            this->position,
+            this->ran_well,
+            this->cleared);
+        this->evidence = static_cast<crash_evidence>(code);
+    }
+};
+
+/// A router sends one request of a content, or with a part in its prompt, that
+/// was blocked until then.
 struct trial_record
 {
-    std::uint64_t request = 0;
-    std::uint64_t number = 0; ///< drawn at random
+    std::uint64_t request = 0; ///< hash of the content or the part
+    std::uint64_t number = 0;  ///< drawn at random
     std::int64_t age_us = 0;
 
     template <class Archive>
@@ -52,14 +85,17 @@
     last = 3    ///< not at all
 };
 
-/// What one router tells others about requests that crash backend servers.
-/// Records are merged by union, so the order and repetitions don't matter.
-struct crash_report
+/// What one router tells others about requests, or parts of prompts, that crash
+/// backend servers. Records are merged by union, so the order and repetitions
+/// don't matter.
+template <class Record>
+struct basic_crash_report
 {
     std::string router;
     report_stage stage = report_stage::change;
-    std::uint64_t digest = 0; ///< of all records of the router
-    std::vector<crash_record> crashes;
+    /// Of all records of the router; 0 in reports of changes.
+    std::uint64_t digest = 0;
+    std::vector<Record> crashes;
     std::vector<trial_record> trials;
 
     template <class Archive>
@@ -71,4 +107,7 @@
     }
 };
 
+using crash_report = basic_crash_report<crash_record>;
+using part_crash_report = basic_crash_report<part_crash_record>;
+
 } // namespace roseworks
--- a/src/core/crashes/crash_tracker.cpp
+++ b/src/core/crashes/crash_tracker.cpp
@@ -1,43 +1,65 @@
 #include "core/crashes/crash_tracker.hpp"
 
 #include <algorithm>
-#include <iterator>
+#include <limits>
+#include <memory>
 
 namespace roseworks
 {
 
+namespace
+{
+
+template <class Ledger>
+typename crash_exchange<Ledger>::options
+exchange_options(const crash_tracker::options& settings)
+{
+    typename crash_exchange<Ledger>::options made;
+    made.router = settings.router;
+    made.seed = settings.seed;
+    return made;
+}
+
+} // namespace
+
 crash_tracker::crash_tracker(options chosen, instant now)
     : settings(std::move(chosen))
     , detector(this->settings.detection)
     , records(this->settings.records)
-    , random(this->settings.seed)
-    , started_at(now)
-    , next_offer(now)
-    , answers_left(this->settings.answers_per_interval)
+    , parts(this->settings.parts)
+    , exchange(
+          this->records, exchange_options<crash_ledger>(this->settings), now)
+    , part_exchange(
+          this->parts, exchange_options<part_ledger>(this->settings), now)
 {
 }
 
-void crash_tracker::set_routers(std::vector<std::string> addresses)
+void crash_tracker::set_routers(const std::vector<std::string>& addresses)
 {
-    this->routers = std::move(addresses);
+    this->exchange.set_routers(addresses);
+    this->part_exchange.set_routers(addresses);
 }
 
 void crash_tracker::run_broken(
-    fingerprint request,
+    const run_content& content,
     server_life life,
     run_end end,
     instant sent,
     instant now)
 {
-    this->detector.run_broken(request, life, end, sent, now);
+    this->detector.run_broken(content, life, end, sent, now);
     this->record_detected(now);
 }
 
 void crash_tracker::life_reached(server_life life, instant now)
 {
     this->detector.life_reached(life, now);
-    for (const fingerprint request : this->detector.take_harmless())
-        this->run_answered(request, now);
+    for (const run_content& run : this->detector.take_harmless())
+    {
+        this->run_answered(run.request, now);
+        if (run.began)
+            this->parts_answered(run.parts, *run.began, now);
+    }
 }
 
 void crash_tracker::life_ended(
@@ -49,20 +71,53 @@
 
 void crash_tracker::record_detected(instant now)
 {
-    crash_report update;
+    std::vector<crash_record> added;
+    std::vector<part_crash_record> added_parts;
     for (const detected_crash& crash : this->detector.take_crashes())
     {
-        const crash_record record{
-            crash.request.value,
+        this->record_parts(crash, now, added_parts);
+        this->record_request(crash, now, added);
+    }
+    this->judge_parts(now);
+    this->exchange.send_to_all(std::move(added), {});
+    this->part_exchange.send_to_all(std::move(added_parts), {});
+}
+
+void crash_tracker::record_request(
+    const detected_crash& crash, instant now, std::vector<crash_record>& added)
+{
+    const crash_record record{
+        crash.content.request.value,
+        crash.life.value,
+        (now - crash.broken_at).count(),
+        crash.evidence,
+        false};
+    if (this->add(record, {}, now))
+        added.push_back(record);
+}
+
+void crash_tracker::record_parts(
+    const detected_crash& crash,
+    instant now,
+    std::vector<part_crash_record>& added)
+{
+    constexpr std::size_t last_position =
+        std::numeric_limits<std::uint8_t>::max();
+    const std::vector<prompt_part>& all = crash.content.parts;
+    for (std::size_t i = 0; i < all.size(); ++i)
+    {
+        const part_crash_record record{
+            all[i].id.value,
             crash.life.value,
+            crash.content.request.value,
             (now - crash.broken_at).count(),
             crash.evidence,
+            static_cast<std::uint8_t>(std::min(i, last_position)),
+            all[i].ran_well,
             false};
         if (this->add(record, {}, now))
-            update.crashes.push_back(record);
+            added.push_back(record);
     }
-    if (!update.crashes.empty())
-        this->send_to_all(std::move(update));
 }
 
 bool crash_tracker::add(
@@ -75,7 +130,7 @@
     this->is_changed = true;
     if (record.cleared)
     {
-        this->add_cleared(request, 1, from);
+        this->add_cleared(request, false, 1, from);
         return true;
     }
     crash_change recorded;
@@ -98,12 +153,50 @@
     return true;
 }
 
+bool crash_tracker::add(
+    const part_crash_record& record, std::string_view from, instant now)
+{
+    if (!this->parts.add(record, now))
+        return false;
+    this->is_changed = true;
+    if (record.cleared)
+        this->add_cleared(fingerprint(record.part), true, 1, from);
+    return true;
+}
+
+void crash_tracker::judge_parts(instant now)
+{
+    std::unordered_map<fingerprint, std::size_t> current;
+    for (const auto& [part, blame] : this->parts.blamed())
+    {
+        current.emplace(part, blame.moments);
+        const auto before = this->known_blames.find(part);
+        if (before != this->known_blames.end() &&
+            before->second >= blame.moments)
+            continue;
+        crash_change block;
+        block.what = crash_change::kind::blocked;
+        block.request = part;
+        block.is_part = true;
+        block.lives = blame.lives;
+        block.blocked_for = std::max(blame.until - now, duration::zero());
+        block.explained = this->parts.explained().size();
+        this->changes.push_back(std::move(block));
+        this->is_changed = true;
+    }
+    if (current.empty() && this->known_blames.empty())
+        return;
+    this->known_blames = std::move(current);
+    this->records.set_explained(this->parts.explained());
+}
+
 void crash_tracker::add_cleared(
-    fingerprint request, std::size_t lives, std::string_view from)
+    fingerprint subject, bool is_part, std::size_t lives, std::string_view from)
 {
     crash_change cleared;
     cleared.what = crash_change::kind::cleared;
-    cleared.request = request;
+    cleared.request = subject;
+    cleared.is_part = is_part;
     cleared.lives = lives;
     cleared.from = from;
     this->changes.push_back(std::move(cleared));
@@ -115,42 +208,45 @@
     if (lives == 0)
         return;
     this->is_changed = true;
-    this->add_cleared(request, lives, {});
-    crash_report update;
-    update.crashes = this->records.crashes_of(request, now);
-    this->send_to_all(std::move(update));
+    this->add_cleared(request, false, lives, {});
+    this->exchange.send_to_all(this->records.crashes_of(request, now), {});
 }
 
-void crash_tracker::trial_started(fingerprint request, instant now)
+void crash_tracker::parts_answered(
+    std::span<const prompt_part> answered, instant began, instant now)
 {
-    const trial_record trial{request.value, this->random(), 0};
-    if (!this->records.add(trial, now))
-        return;
-    this->is_changed = true;
-    crash_report update;
-    update.trials.push_back(trial);
-    this->send_to_all(std::move(update));
+    std::vector<part_crash_record> cleared;
+    for (const auto& [part, ran_well] : answered)
+    {
+        const std::size_t lives = this->parts.clear(part, began);
+        if (lives == 0)
+            continue;
+        this->is_changed = true;
+        this->add_cleared(part, true, lives, {});
+        // A single end is no reason to block, so the offers tell of it.
+        if (lives < 2)
+            continue;
+        for (const part_crash_record& record :
+             this->parts.crashes_of(part, now))
+            cleared.push_back(record);
+    }
+    this->judge_parts(now);
+    this->part_exchange.send_to_all(std::move(cleared), {});
 }
 
-void crash_tracker::send_to_all(crash_report report)
+void crash_tracker::trial_started(fingerprint subject, instant now)
 {
-    if (this->routers.empty())
+    const trial_record trial{subject.value, this->exchange.random_number(), 0};
+    if (this->parts.add(trial, now))
+    {
+        this->judge_parts(now);
+        this->part_exchange.send_to_all({}, {trial});
+    }
+    else if (this->records.add(trial, now))
+        this->exchange.send_to_all({}, {trial});
+    else
         return;
-    report.router = this->settings.router;
-    report.digest = this->records.digest();
-    this->reports.push_back({this->routers, std::move(report)});
-}
-
-crash_report crash_tracker::full_report(report_stage stage, instant now) const
-{
-    crash_report report;
-    report.router = this->settings.router;
-    report.stage = stage;
-    report.digest = this->records.digest();
-    report.crashes =
-        this->records.crashes(now, this->settings.records.max_announced);
-    report.trials = this->records.trials(now);
-    return report;
+    this->is_changed = true;
 }
 
 void crash_tracker::report_received(
@@ -160,52 +256,39 @@
         this->add(record, report.router, now);
     for (const trial_record& trial : report.trials)
         this->is_changed = this->records.add(trial, now) || this->is_changed;
-    this->answer(report, from, now);
+    this->exchange.answer(report, from, now);
 }
 
-void crash_tracker::answer(
-    const crash_report& report, std::string_view from, instant now)
+void crash_tracker::report_received(
+    const part_crash_report& report, std::string_view from, instant now)
 {
-    const bool is_answered = report.stage == report_stage::offer ||
-                             report.stage == report_stage::answer;
-    if (!is_answered || report.digest == this->records.digest() ||
-        this->answers_left == 0)
-        return;
-    --this->answers_left;
-    const report_stage stage = report.stage == report_stage::offer
-                                   ? report_stage::answer
-                                   : report_stage::last;
-    this->reports.push_back(
-        {{std::string(from)}, this->full_report(stage, now)});
+    for (const part_crash_record& record : report.crashes)
+        this->add(record, report.router, now);
+    for (const trial_record& trial : report.trials)
+        this->is_changed = this->parts.add(trial, now) || this->is_changed;
+    this->judge_parts(now);
+    this->part_exchange.answer(report, from, now);
 }
 
 void crash_tracker::tick(instant now)
 {
     this->detector.tick(now);
     this->is_changed = this->records.tick(now) || this->is_changed;
-    if (now < this->next_offer)
-        return;
-    this->next_offer = now + this->settings.offer_interval;
-    this->answers_left = this->settings.answers_per_interval;
-    const bool has_started =
-        now - this->started_at >= this->settings.start_period;
-    if (!has_started || !this->records.empty())
-        this->send_offers(now);
-}
-
-void crash_tracker::send_offers(instant now)
-{
-    crash_report offer = this->full_report(report_stage::offer, now);
-    if (offer.crashes.size() > this->settings.records_per_offer)
-        offer.crashes.resize(this->settings.records_per_offer);
-    std::vector<std::string> chosen;
-    std::ranges::sample(
-        this->routers,
-        std::back_inserter(chosen),
-        static_cast<std::ptrdiff_t>(this->settings.offers_per_interval),
-        this->random);
-    if (!chosen.empty())
-        this->reports.push_back({std::move(chosen), std::move(offer)});
+    if (this->parts.tick(now))
+    {
+        this->is_changed = true;
+        this->judge_parts(now);
+    }
+    this->exchange.tick(now);
+    this->part_exchange.tick(now);
+}
+
+blocked_requests_ptr crash_tracker::blocked() const
+{
+    auto result = std::make_shared<blocked_requests>();
+    this->records.publish(*result);
+    this->parts.publish(*result);
+    return result;
 }
 
 } // namespace roseworks
--- a/src/core/crashes/crash_tracker.hpp
+++ b/src/core/crashes/crash_tracker.hpp
@@ -2,30 +2,25 @@
 
 #include "core/crashes/crash_change.hpp"
 #include "core/crashes/crash_detector.hpp"
+#include "core/crashes/crash_exchange.hpp"
 #include "core/crashes/crash_ledger.hpp"
 #include "core/crashes/crash_report.hpp"
+#include "core/crashes/part_ledger.hpp"
 
 #include <cstddef>
 #include <cstdint>
-#include <random>
+#include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
 namespace roseworks
 {
 
-/** What one router knows of requests that crash backend servers, and what it
-    tells the others.
-
-    Each change is sent to all routers at once. Besides, a router that knows of
-    any such request offers what it knows to a few others, drawn at random, at
-    short intervals: so each router that was cut off, frozen or restarted, or
-    that missed a message, receives several offers a second. Two routers whose
-    digests differ exchange all they know. A router that has just started asks
-    others itself, because they may not know it yet. Without crashes nothing is
-    sent.
+/** What one router knows of requests, and of parts of prompts, that crash
+    backend servers, and what it tells the others.
 
     Not thread-safe. Deterministic for a seed.
 */
@@ -37,33 +32,24 @@
         std::string router; ///< name
         crash_detector::options detection;
         crash_ledger::options records;
-        duration offer_interval = std::chrono::milliseconds(500);
-        std::size_t offers_per_interval = 2;
-        /// Records in an offer, so that it fits into one datagram. The worst
-        /// are also known to routers that can't answer.
-        std::size_t records_per_offer = 32;
-        /// Most answers to offers within an interval.
-        std::size_t answers_per_interval = 8;
-        /// How long after its start a router asks others.
-        duration start_period = std::chrono::seconds(3);
+        part_ledger::options parts;
         std::uint64_t seed = 1;
     };
 
-    /// A report for other routers.
-    struct outgoing_report
-    {
-        std::vector<std::string> recipients; ///< addresses
-        crash_report content;
-    };
+    using outgoing_report = crash_exchange<crash_ledger>::outgoing;
+    using outgoing_part_report = crash_exchange<part_ledger>::outgoing;
 
     crash_tracker(options settings, instant now);
 
+    crash_tracker(const crash_tracker&) = delete;
+    crash_tracker& operator=(const crash_tracker&) = delete;
+
     /// @param addresses Addresses of all other routers.
-    void set_routers(std::vector<std::string> addresses);
+    void set_routers(const std::vector<std::string>& addresses);
 
     /// @param sent When the request was sent to the server.
     void run_broken(
-        fingerprint request,
+        const run_content& content,
         server_life life,
         run_end end,
         instant sent,
@@ -74,18 +60,31 @@
     /// A run of a suspected request ended well.
     void run_answered(fingerprint request, instant now);
 
-    /// This router sends a blocked request as a trial.
-    void trial_started(fingerprint request, instant now);
+    /// An answer on suspected parts of its prompt ended well.
+    /// @param began When the server began to write it.
+    void parts_answered(
+        std::span<const prompt_part> answered, instant began, instant now);
+
+    /// This router sends, as a trial, a blocked request or one with a blocked
+    /// part.
+    void trial_started(fingerprint subject, instant now);
 
     /// @param from Address of the sender.
     void report_received(
         const crash_report& report, std::string_view from, instant now);
+    void report_received(
+        const part_crash_report& report, std::string_view from, instant now);
 
     void tick(instant now);
 
     std::vector<outgoing_report> take_reports()
     {
-        return std::exchange(this->reports, {});
+        return this->exchange.take_reports();
+    }
+
+    std::vector<outgoing_part_report> take_part_reports()
+    {
+        return this->part_exchange.take_reports();
     }
 
     std::vector<crash_change> take_changes()
@@ -99,33 +98,41 @@
         return std::exchange(this->is_changed, false);
     }
 
-    /// @return The requests that are blocked now.
-    blocked_requests_ptr blocked() const
-    {
-        return this->records.blocked();
-    }
+    /// @return The requests and parts that are blocked now.
+    blocked_requests_ptr blocked() const;
 
 private:
     void record_detected(instant now);
+    void record_request(
+        const detected_crash& crash,
+        instant now,
+        std::vector<crash_record>& added);
+    void record_parts(
+        const detected_crash& crash,
+        instant now,
+        std::vector<part_crash_record>& added);
     /// @return Whether the record was new.
     bool add(const crash_record& record, std::string_view from, instant now);
-    void
-    add_cleared(fingerprint request, std::size_t lives, std::string_view from);
-    void send_to_all(crash_report report);
-    crash_report full_report(report_stage stage, instant now) const;
-    void send_offers(instant now);
-    void answer(const crash_report& report, std::string_view from, instant now);
+    bool
+    add(const part_crash_record& record, std::string_view from, instant now);
+    /// Lets the blocked parts explain ends of lives, and notes which parts have
+    /// become blocked.
+    void judge_parts(instant now);
+    void add_cleared(
+        fingerprint subject,
+        bool is_part,
+        std::size_t lives,
+        std::string_view from);
 
     options settings;
     crash_detector detector;
     crash_ledger records;
-    std::mt19937_64 random;
-    std::vector<std::string> routers; ///< addresses of the others
-    std::vector<outgoing_report> reports;
+    part_ledger parts;
+    crash_exchange<crash_ledger> exchange;
+    crash_exchange<part_ledger> part_exchange;
+    /// Blocked parts, with the number of moments at which lives ended.
+    std::unordered_map<fingerprint, std::size_t> known_blames;
     std::vector<crash_change> changes;
-    instant started_at;
-    instant next_offer;
-    std::size_t answers_left = 0; ///< in this interval
     bool is_changed = false;
 };
 
--- a/src/core/crashes/request_gate.cpp
+++ b/src/core/crashes/request_gate.cpp
@@ -9,22 +9,10 @@
 
 request_gate::request_gate(options chosen)
     : settings(chosen)
-    , answers(std::max<std::size_t>(chosen.answer_slots, 1))
+    , answers(chosen.answer_slots, chosen.answer_memory)
 {
 }
 
-std::size_t request_gate::slot_of(fingerprint request) const
-{
-    return static_cast<std::size_t>(request.value % this->answers.size());
-}
-
-bool request_gate::was_answered(fingerprint request, instant now) const
-{
-    const answer& last = this->answers[this->slot_of(request)];
-    return last.request == request &&
-           now - last.when <= this->settings.answer_memory;
-}
-
 duration request_gate::trial_delay(fingerprint request) const
 {
     const std::uint64_t hash =
@@ -38,13 +26,16 @@
     const blocked_requests& known, fingerprint request, instant now) const
 {
     const auto found = known.blocked_until.find(request);
-    if (found == known.blocked_until.end() || this->was_answered(request, now))
+    if (found == known.blocked_until.end() ||
+        this->answers.contains(request, now))
         return duration::zero();
     instant until = found->second;
     const auto trial = this->trials.find(request);
     if (trial != this->trials.end())
         until = std::max(until, trial->second + this->settings.trial_length);
-    return std::max(until + this->trial_delay(request) - now, duration::zero());
+    if (!known.tried_at_once.contains(request))
+        until += this->trial_delay(request);
+    return std::max(until - now, duration::zero());
 }
 
 request_gate::decision request_gate::admit(
@@ -53,7 +44,7 @@
     const auto found = known.blocked_until.find(request);
     if (found == known.blocked_until.end())
         return {};
-    if (this->was_answered(request, now))
+    if (this->answers.contains(request, now))
         return {outcome::harmless, {}};
     const duration wait = this->refused_for(known, request, now);
     if (wait > duration::zero())
@@ -70,7 +61,7 @@
 
 void request_gate::answered(fingerprint request, instant now)
 {
-    this->answers[this->slot_of(request)] = {request, now};
+    this->answers.add(request, now);
     this->trials.erase(request);
 }
 
--- a/src/core/crashes/request_gate.hpp
+++ b/src/core/crashes/request_gate.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/crashes/blocked_requests.hpp"
+#include "core/crashes/recent_answers.hpp"
 
 #include <roseworks/ids.hpp>
 #include <roseworks/instant.hpp>
@@ -8,7 +9,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <unordered_map>
-#include <vector>
 
 namespace roseworks
 {
@@ -69,19 +69,11 @@
     void answered(fingerprint request, instant now);
 
 private:
-    struct answer
-    {
-        fingerprint request;
-        instant when;
-    };
-
-    bool was_answered(fingerprint request, instant now) const;
     /// @return Time from the end of the request's block to a trial.
     duration trial_delay(fingerprint request) const;
-    std::size_t slot_of(fingerprint request) const;
 
     options settings;
-    std::vector<answer> answers;
+    recent_answers answers;
     /// Trials of this router, with their start.
     std::unordered_map<fingerprint, instant> trials;
 };
--- a/src/ports/gateway_peer_port.hpp
+++ b/src/ports/gateway_peer_port.hpp
@@ -31,6 +31,10 @@
     virtual void crash_report_received(
         const crash_report& report, std::string_view from) = 0;
 
+    /// @param from UDP ip:port of the router.
+    virtual void part_crash_report_received(
+        const part_crash_report& report, std::string_view from) = 0;
+
     /// @param from UDP ip:port of the router.
     virtual void origin_message_received(
         const origin_message& message, std::string_view from) = 0;
@@ -60,6 +64,9 @@
         const owner_announcement& announcement) = 0;
     virtual void send(
         std::span<const std::string> addresses, const crash_report& report) = 0;
+    virtual void send(
+        std::span<const std::string> addresses,
+        const part_crash_report& report) = 0;
     virtual void send(
         std::span<const std::string> addresses,
         const origin_message& message) = 0;
--- a/tests/unit/blocked_requests/test_blocked_requests.cpp
+++ b/tests/unit/blocked_requests/test_blocked_requests.cpp
@@ -270,6 +270,120 @@
     cr_assert_eq(test.crashes.broken_runs[1].end, run_end::silence);
 }
 
+Test(blocked_parts, are_refused_on_arrival)
+{
+    counting_servers servers(
+        [](backend_peer& peer, const std::string&)
+        {
+            peer.send(ok_response);
+        });
+    forward_fixture test({&servers.first});
+    test.block_part("b:1,0:1");
+    const std::string response = test.exchange(
+        test.request("POST", "/once/x", "Prompt-Prefix: a:5,b:7,c:9\r\n"));
+    cr_assert_eq(servers.arrivals, 0);
+    cr_assert(has_status(response, "503"), "%s", response.c_str());
+    cr_assert_neq(response.find("blocked"), std::string::npos);
+    cr_assert_neq(response.find("not-run"), std::string::npos);
+    cr_assert_neq(response.find("Retry-After: "), std::string::npos);
+}
+
+Test(blocked_parts, are_not_sent_again_after_a_server_that_gave_no_answer)
+{
+    counting_servers servers(
+        [](backend_peer& peer, const std::string&)
+        {
+            peer.shut_down();
+        });
+    forward_fixture test({&servers.first, &servers.second});
+    servers.on_arrival = [&test]
+    {
+        test.block_part("b:1,0:1");
+    };
+    const std::string response = test.exchange(
+        test.request("POST", "/again/x", "Prompt-Prefix: a:5,b:7,c:9\r\n"));
+    cr_assert_eq(servers.arrivals, 1);
+    cr_assert(has_status(response, "502"), "%s", response.c_str());
+}
+
+Test(blocked_parts, do_not_block_requests_with_the_other_parts)
+{
+    counting_servers servers(
+        [](backend_peer& peer, const std::string&)
+        {
+            peer.send(ok_response);
+        });
+    forward_fixture test({&servers.first});
+    test.block_part("b:1,0:1");
+    for (const std::string_view parts : {"a:5,c:9", "a:5,d:7,c:9", "a:5,b:7"})
+    {
+        const std::string headers =
+            "Prompt-Prefix: " + std::string(parts) + "\r\n";
+        const std::string response =
+            test.exchange(test.request("POST", "/once/x", headers));
+        cr_assert(has_status(response, "200"), "%s", response.c_str());
+    }
+}
+
+Test(blocked_parts, are_tried_once_after_the_block)
+{
+    counting_servers servers(
+        [](backend_peer& peer, const std::string&)
+        {
+            peer.shut_down();
+        });
+    forward_fixture test({&servers.first, &servers.second});
+    test.block_part("b:1,0:1", -10s);
+    for (int i = 0; i < 2; ++i)
+        test.exchange(test.request(
+            "POST",
+            "/again/x" + std::to_string(i),
+            "Prompt-Prefix: a:5,b:7,c:9\r\n"));
+    cr_assert_eq(servers.arrivals, 1);
+    cr_assert_eq(test.crashes.trials.size(), 1);
+}
+
+Test(blocked_parts, an_answer_that_ends_well_is_reported)
+{
+    counting_servers servers(
+        [](backend_peer& peer, const std::string&)
+        {
+            peer.send(ok_response);
+        });
+    forward_fixture test({&servers.first});
+    test.block_part("b:1,0:1", -10s);
+    test.exchange(
+        test.request("POST", "/once/x", "Prompt-Prefix: a:5,b:7,c:9\r\n"));
+    cr_assert_eq(test.crashes.answered_parts.size(), 1);
+}
+
+Test(blocked_parts, a_stream_without_length_cut_inside_an_event_is_a_broken_run)
+{
+    const std::string_view event = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n";
+    for (std::size_t cut = 1; cut < event.size(); ++cut)
+    {
+        const std::string_view sent = event.substr(0, cut);
+        const bool is_inside = !sent.ends_with("\n\n");
+        counting_servers servers(
+            [sent](backend_peer& peer, const std::string&)
+            {
+                peer.send("HTTP/1.1 200 OK\r\nAttempt-Id: 9c41\r\n"
+                          "Content-Type: text/event-stream\r\n\r\n");
+                peer.send(sent);
+                peer.shut_down();
+            });
+        forward_fixture test({&servers.first});
+        const std::string response = test.exchange(test.request(
+            "POST", "/stream/x", "Prompt-Prefix: a:5,b:7,c:9\r\n"));
+        cr_assert_eq(test.crashes.broken_runs.size(), 1, "cut at %zu", cut);
+        const broken_run_report& run = test.crashes.broken_runs[0];
+        cr_assert_eq(
+            run.end, is_inside ? run_end::connection : run_end::closed);
+        cr_assert_eq(run.content.parts.size(), 2);
+        cr_assert_eq(response.ends_with("0\r\n\r\n"), !is_inside);
+    }
+}
+
 Test(blocked_requests, a_server_that_stands_for_another_shows_its_end)
 {
     counting_servers servers(
--- a/tests/unit/crashing_parts/test_crashing_parts.cpp
+++ b/tests/unit/crashing_parts/test_crashing_parts.cpp
@@ -73,8 +73,7 @@
 }
 
 /// Counts the innocent requests that are refused, over all seeds.
-void expect_few_refusals(
-    crash_fleet::options settings, const disturbance& play)
+void expect_few_refusals(crash_fleet::options settings, const disturbance& play)
 {
     constexpr std::size_t one_in = 1000;
     std::size_t refused = 0;
--- a/tests/unit/crashing_requests/crash_fleet.cpp
+++ b/tests/unit/crashing_requests/crash_fleet.cpp
@@ -72,9 +72,8 @@
     const prompt_traffic& prompts = this->settings.prompts;
     for (std::size_t i = 0; i < prompts.bad_parts; ++i)
     {
-        const std::size_t number = prompts.ran_well_before
-                                       ? turning_part + i
-                                       : first_bad_number + i;
+        const std::size_t number =
+            prompts.ran_well_before ? turning_part + i : first_bad_number + i;
         this->bad_parts.push_back(
             {part_at(prompts.bad_position, number), {}, {}});
     }
@@ -409,8 +408,8 @@
     return one.up && one.running.size() < this->settings.slots;
 }
 
-std::optional<std::size_t> crash_fleet::choose_server(
-    const simulated_request& request, std::size_t number)
+std::optional<std::size_t>
+crash_fleet::choose_server(const simulated_request& request, std::size_t number)
 {
     const std::vector<listed_server>& known = this->routers[number].registry;
     constexpr int tries = 20;
@@ -632,9 +631,9 @@
         to,
         this->routers[to].process,
         this->now() + this->random_time(shortest_message, longest_message),
-        [this, from, to, content = sent.content]
+        [this, from, to, sent]
         {
-            this->routers[to].knowledge.receive(content, from, this->now());
+            this->routers[to].knowledge.receive(sent, from, this->now());
             this->flush(to);
         });
 }
--- a/tests/unit/crashing_requests/crash_fleet.hpp
+++ b/tests/unit/crashing_requests/crash_fleet.hpp
@@ -23,8 +23,8 @@
 class crash_fleet
 {
 public:
-    /// Requests whose prompts have parts. Some hold a part that crashes servers;
-    /// no two are alike.
+    /// Requests whose prompts have parts. Some hold a part that crashes
+    /// servers; no two are alike.
     struct prompt_traffic
     {
         double per_second = 0;
--- a/tests/unit/crashing_requests/crash_router.hpp
+++ b/tests/unit/crashing_requests/crash_router.hpp
@@ -4,11 +4,14 @@
 #include "core/crashes/request_gate.hpp"
 #include "simulated_request.hpp"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
+#include <variant>
 #include <vector>
 
 namespace roseworks::testing
@@ -30,12 +33,13 @@
     {
         bool to_all = false;
         std::size_t to = 0;
-        crash_report content;
+        std::variant<crash_report, part_crash_report> content;
     };
 
     crash_router(std::size_t number, std::size_t routers, instant now)
         : own_number(number)
-        , tracker(make_options(number, now), now)
+        , tracker(
+              std::make_unique<crash_tracker>(make_options(number, now), now))
         , gate({.seed = number + 1})
     {
         this->set_routers(routers);
@@ -49,7 +53,7 @@
             if (i != this->own_number)
                 others.push_back(std::to_string(i));
         }
-        this->tracker.set_routers(std::move(others));
+        this->tracker->set_routers(std::move(others));
     }
 
     /// @param began When the first event was received; empty: not yet.
@@ -59,67 +63,118 @@
         std::optional<instant> began,
         instant now)
     {
-        static_cast<void>(began);
-        this->tracker.run_broken(
-            request.content, hash_of(life), run_end::connection, now, now);
+        run_content run{request.content, this->parts_of(request, now), began};
+        if (!may_be_part_crash(run, now, event_gap))
+            run.parts.clear();
+        this->tracker->run_broken(
+            run, hash_of(life), run_end::connection, now, now);
     }
 
     void
     life_ended(const simulated_life& life, crash_evidence evidence, instant now)
     {
-        this->tracker.life_ended(hash_of(life), evidence, now);
+        this->tracker->life_ended(hash_of(life), evidence, now);
     }
 
     void life_reached(const simulated_life& life, instant now)
     {
-        this->tracker.life_reached(hash_of(life), now);
+        this->tracker->life_reached(hash_of(life), now);
     }
 
     /// @param began When the first event was received.
-    void
-    answered(const simulated_request& request, instant began, instant now)
+    void answered(const simulated_request& request, instant began, instant now)
     {
-        static_cast<void>(began);
         this->gate.answered(request.content, now);
-        if (this->tracker.blocked()->suspects.contains(request.content))
-            this->tracker.run_answered(request.content, now);
+        if (this->known().suspects.contains(request.content))
+            this->tracker->run_answered(request.content, now);
+        this->tracker->parts_answered(this->parts_of(request, now), began, now);
+        for (const fingerprint part : request.parts)
+            this->good_parts.add(part, now);
     }
 
     /// @return Whether the request may be sent, or when it may return.
     request_gate::decision admit(const simulated_request& request, instant now)
     {
-        const request_gate::decision decision =
-            this->gate.admit(*this->tracker.blocked(), request.content, now);
-        if (decision.result == request_gate::outcome::harmless)
-            this->tracker.run_answered(request.content, now);
-        if (decision.result == request_gate::outcome::trial)
-            this->tracker.trial_started(request.content, now);
+        std::vector<fingerprint> subjects = request.parts;
+        subjects.push_back(request.content);
+        request_gate::decision decision;
+        for (const fingerprint one : subjects)
+            decision.retry_after = std::max(
+                decision.retry_after,
+                this->gate.refused_for(this->known(), one, now));
+        if (decision.retry_after > duration::zero())
+        {
+            decision.result = request_gate::outcome::refused;
+            return decision;
+        }
+        for (const fingerprint one : subjects)
+            this->admit_subject(one, now);
         return decision;
     }
 
-    void receive(const crash_report& report, std::size_t from, instant now)
+    void receive(const message& sent, std::size_t from, instant now)
     {
-        this->tracker.report_received(report, std::to_string(from), now);
+        std::visit(
+            [&](const auto& report)
+            {
+                this->tracker->report_received(
+                    report, std::to_string(from), now);
+            },
+            sent.content);
     }
 
     void tick(instant now)
     {
-        this->tracker.tick(now);
+        this->tracker->tick(now);
     }
 
     std::vector<message> take_messages()
     {
         std::vector<message> messages;
-        for (const auto& report : this->tracker.take_reports())
+        const auto add = [&messages](const auto& reports)
         {
-            for (const std::string& address : report.recipients)
-                messages.push_back(
-                    {false, std::stoul(address), report.content});
-        }
+            for (const auto& report : reports)
+            {
+                for (const std::string& address : report.recipients)
+                    messages.push_back(
+                        {false, std::stoul(address), report.content});
+            }
+        };
+        add(this->tracker->take_reports());
+        add(this->tracker->take_part_reports());
         return messages;
     }
 
 private:
+    /// Longest gap between two events of the simulated answers.
+    static constexpr duration event_gap = std::chrono::milliseconds(200);
+
+    /// @return What the control thread has published.
+    const blocked_requests& known()
+    {
+        if (this->tracker->take_is_changed() || !this->published)
+            this->published = this->tracker->blocked();
+        return *this->published;
+    }
+
+    std::vector<prompt_part>
+    parts_of(const simulated_request& request, instant now) const
+    {
+        std::vector<prompt_part> parts;
+        for (const fingerprint part : request.parts)
+            parts.push_back({part, this->good_parts.contains(part, now)});
+        return parts;
+    }
+
+    void admit_subject(fingerprint subject, instant now)
+    {
+        const auto decision = this->gate.admit(this->known(), subject, now);
+        if (decision.result == request_gate::outcome::harmless)
+            this->tracker->run_answered(subject, now);
+        if (decision.result == request_gate::outcome::trial)
+            this->tracker->trial_started(subject, now);
+    }
+
     static crash_tracker::options make_options(std::size_t number, instant now)
     {
         crash_tracker::options made;
@@ -135,8 +190,10 @@
     }
 
     std::size_t own_number;
-    crash_tracker tracker;
+    std::unique_ptr<crash_tracker> tracker;
     request_gate gate;
+    recent_answers good_parts{4096, std::chrono::seconds(20)};
+    blocked_requests_ptr published;
 };
 
 } // namespace roseworks::testing
--- a/tests/unit/crashing_requests/test_crash_detector.cpp
+++ b/tests/unit/crashing_requests/test_crash_detector.cpp
@@ -41,7 +41,8 @@
         duration when,
         run_end end)
     {
-        this->detector.run_broken(request, which, end, at(sent), at(when));
+        this->detector.run_broken(
+            {request, {}, {}}, which, end, at(sent), at(when));
         this->record(when);
     }
 
@@ -64,7 +65,7 @@
         for (const detected_crash& crash : this->detector.take_crashes())
             this->ledger.add(
                 crash_record{
-                    crash.request.value,
+                    crash.content.request.value,
                     crash.life.value,
                     (at(when) - crash.broken_at).count(),
                     crash.evidence,
--- a/tests/unit/forward/forward_fixture.cpp
+++ b/tests/unit/forward/forward_fixture.cpp
@@ -2,6 +2,7 @@
 
 #include "core/serving/server_software.hpp"
 #include "platform/header_names.hpp"
+#include "platform/prompt_parts.hpp"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
@@ -314,6 +315,15 @@
     this->crashes.content.blocked_until[content] = this->clock.now() + length;
 }
 
+void forward_fixture::block_part(std::string_view list, duration length)
+{
+    const fingerprint part =
+        users_platform::parse_shared_prompt_parts(list).front();
+    const std::lock_guard lock(this->crashes.mutex);
+    this->crashes.content.suspects.insert(part);
+    this->crashes.content.blocked_until[part] = this->clock.now() + length;
+}
+
 void forward_fixture::limit_server(std::size_t index)
 {
     this->dispatch->server_limited({{}, this->servers[index]->address()}, 1);
@@ -427,6 +437,13 @@
     return this->answered_requests.size();
 }
 
+void fake_crash_port::parts_answered(std::vector<prompt_part> parts, instant)
+{
+    const std::lock_guard lock(this->mutex);
+    this->answered_parts.insert(
+        this->answered_parts.end(), parts.begin(), parts.end());
+}
+
 void fake_crash_port::trial_started(fingerprint request)
 {
     const std::lock_guard lock(this->mutex);
--- a/tests/unit/forward/forward_fixture.hpp
+++ b/tests/unit/forward/forward_fixture.hpp
@@ -46,7 +46,8 @@
     void run_broken(const broken_run_report& run) override;
     void server_replaced(server_life life) override;
     void run_answered(fingerprint request) override;
-    void trial_started(fingerprint request) override;
+    void parts_answered(std::vector<prompt_part> parts, instant began) override;
+    void trial_started(fingerprint subject) override;
 
     std::size_t answered_count() const;
 
@@ -55,6 +56,7 @@
     std::vector<broken_run_report> broken_runs;
     std::vector<server_life> replaced_servers;
     std::vector<fingerprint> answered_requests;
+    std::vector<prompt_part> answered_parts;
     std::vector<fingerprint> trials;
 };
 
@@ -127,6 +129,11 @@
         std::string_view target,
         duration length = std::chrono::hours(1));
 
+    /// Blocks a part of prompts.
+    /// @param list Parts as callers name them; the first is blocked.
+    void
+    block_part(std::string_view list, duration length = std::chrono::hours(1));
+
     /// Limits a server: it gets no more requests, because each permit is
     /// refused.
     /// @param index Of the server, from 0.
--- a/tests/unit/gateway/null_peers.hpp
+++ b/tests/unit/gateway/null_peers.hpp
@@ -15,6 +15,9 @@
     {
     }
     void send(std::span<const std::string>, const crash_report&) override {}
+    void send(std::span<const std::string>, const part_crash_report&) override
+    {
+    }
     void send(std::span<const std::string>, const directory_update&) override {}
     void send(std::span<const std::string>, const origin_message&) override {}
     void send(std::span<const std::string>, const server_limit_update&) override
--- a/tests/unit/users_platform/test_decoders.cpp
+++ b/tests/unit/users_platform/test_decoders.cpp
@@ -262,8 +262,16 @@
 Test(prompt_parts, a_malformed_list_names_none)
 {
     for (const std::string_view list :
-         {"", ",", "1:2,", "1:2,,3:4", "1,2:3", "xyz:1,2:3", ":1,2:3", "1:,2:3",
-          "1:-2,2:3", "1:99999999999,2:3"})
+         {"",
+          ",",
+          "1:2,",
+          "1:2,,3:4",
+          "1,2:3",
+          "xyz:1,2:3",
+          ":1,2:3",
+          "1:,2:3",
+          "1:-2,2:3",
+          "1:99999999999,2:3"})
         cr_assert(parse_shared_prompt_parts(list).empty());
 }
 
--- a/tests/unit/users_platform/test_gateway_peers.cpp
+++ b/tests/unit/users_platform/test_gateway_peers.cpp
@@ -40,6 +40,12 @@
         this->crashes.push_back(update);
     }
 
+    void part_crash_report_received(
+        const part_crash_report& update, std::string_view) override
+    {
+        this->part_crashes.push_back(update);
+    }
+
     void origin_message_received(
         const origin_message& update, std::string_view) override
     {
@@ -74,6 +80,7 @@
     std::vector<directory_update> directories;
     std::vector<owner_announcement> owners;
     std::vector<crash_report> crashes;
+    std::vector<part_crash_report> part_crashes;
     std::vector<origin_message> origins;
 };
 
