--- a/src/adapters/events/event_catalogue.cpp
+++ b/src/adapters/events/event_catalogue.cpp
@@ -446,6 +446,12 @@
      "and the requests there are counted over all routers. 0: they no longer "
      "do.",
      "service, is_brittle, max_rejections", no_action},
+    {connections_refused, warn, "connections_refused",
+     "Callers' connections were closed unread within the last second, because "
+     "as many were open as this router takes, or its event loop was late; such "
+     "callers try another router.",
+     "refused, open, max, overloaded",
+     "Check whether the platform sends most connections to this VM."},
     {placement_owned, info, "placement_owned",
      "This router now owns placement and sends orders to the engines.",
      "fence", no_action},
--- a/src/adapters/forward/caller_response.cpp
+++ b/src/adapters/forward/caller_response.cpp
@@ -113,8 +113,8 @@
     this->sent_status = head.result_int();
     std::string bytes = serialize_head(head, this->context.names);
     bytes += framing;
-    const bool close = !this->request.keep_alive || this->context.draining ||
-                       this->is_unframed;
+    const bool close = !this->request.keep_alive ||
+                       this->context.closes_connections() || this->is_unframed;
     if (close)
         bytes += "Connection: close\r\n";
     bytes += "\r\n";
--- a/src/adapters/forward/forward_call.cpp
+++ b/src/adapters/forward/forward_call.cpp
@@ -173,7 +173,7 @@
     this->report();
     co_return this->connection_usable && !this->response.ends_connection() &&
         !this->inbox->caller_has_left() && this->request.keep_alive &&
-        !this->context.draining;
+        !this->context.closes_connections();
 }
 
 asio::awaitable<void> forward_call::finish_interrupted()
@@ -445,7 +445,8 @@
     this->end = local.outcome == verdict::not_run ? request_end::refused
                                                   : request_end::failed;
     this->local_status = local.status;
-    const bool keep_open = this->request.keep_alive && !this->context.draining;
+    const bool keep_open =
+        this->request.keep_alive && !this->context.closes_connections();
     const std::string bytes = to_bytes(
         local,
         this->context.names,
--- a/src/adapters/forward/forward_context.hpp
+++ b/src/adapters/forward/forward_context.hpp
@@ -4,6 +4,7 @@
 #include "adapters/edge/connection_opener.hpp"
 #include "adapters/forward/forward_metrics.hpp"
 #include "adapters/forward/header_names.hpp"
+#include "core/admission/load_guard.hpp"
 #include "core/crashes/request_gate.hpp"
 #include "core/pacing/server_notice.hpp"
 #include "core/serving/serving_table.hpp"
@@ -52,6 +53,10 @@
     /// A request may wait for its organisation's limit for the route's
     /// objective divided by this number.
     int quota_wait_divisor = 4;
+    /// Bounds of callers' connections.
+    load_guard::options load;
+    /// Interval between measurements of the event loop's delay.
+    std::chrono::milliseconds delay_interval{50};
     /// Retry-After while this router has no configuration or an outdated one.
     std::chrono::milliseconds outdated_retry_after{500};
     std::uint64_t seed = 1; ///< of the choice among a route's services
@@ -116,7 +121,16 @@
     request_gate gate;
     /// Parts of prompts that were answered well of late.
     recent_answers good_parts{4096, std::chrono::seconds(20)};
+    /// Whether this process ends.
     bool draining = false;
+    /// Whether this router has more connections than it keeps.
+    bool sheds_connections = false;
+
+    /// @return Whether connections are closed after their response.
+    bool closes_connections() const
+    {
+        return this->draining || this->sheds_connections;
+    }
 };
 
 } // namespace roseworks::forward
--- a/src/adapters/forward/forward_server.cpp
+++ b/src/adapters/forward/forward_server.cpp
@@ -38,6 +38,8 @@
     , pool(this->executor, shared)
     , acceptor(this->executor)
     , sweep_timer(this->executor)
+    , delay_timer(this->executor)
+    , guard(shared.settings.load)
 {
 }
 
@@ -50,6 +52,7 @@
         return error;
     asio::co_spawn(this->executor, this->accept(), asio::detached);
     asio::co_spawn(this->executor, this->sweep(), asio::detached);
+    asio::co_spawn(this->executor, this->measure_delay(), asio::detached);
     return error;
 }
 
@@ -76,6 +79,11 @@
             co_await pause.async_wait(edge::use_awaitable_tuple);
             continue;
         }
+        if (!this->guard.takes_connection(this->sessions.size()))
+        {
+            this->refuse(socket);
+            continue;
+        }
         asio::co_spawn(
             this->executor,
             this->run_session(std::move(socket)),
@@ -88,6 +96,7 @@
     forward_session session(
         this->context, this->pool, std::move(socket), this->limits);
     this->sessions.insert(&session);
+    this->update_shedding();
     this->context.observer.caller_connected();
     try
     {
@@ -101,6 +110,7 @@
     }
     this->context.observer.caller_disconnected();
     this->sessions.erase(&session);
+    this->update_shedding();
 }
 
 asio::awaitable<void> forward_server::sweep()
@@ -110,6 +120,45 @@
         this->sweep_timer.expires_after(sweep_interval);
         co_await this->sweep_timer.async_wait(edge::use_awaitable_tuple);
         this->pool.sweep();
+        this->report_refused();
+    }
+}
+
+void forward_server::refuse(edge::tcp::socket& socket)
+{
+    ++this->refused;
+    beast::error_code ignored;
+    socket.close(ignored);
+}
+
+void forward_server::update_shedding()
+{
+    this->context.sheds_connections =
+        !this->guard.keeps_connection(this->sessions.size());
+}
+
+void forward_server::report_refused()
+{
+    if (this->refused == 0)
+        return;
+    this->context.events.report(
+        event_id::connections_refused,
+        {{"refused", std::exchange(this->refused, 0)},
+         {"open", this->sessions.size()},
+         {"max", this->context.settings.load.max_connections},
+         {"overloaded", this->guard.is_overloaded() ? 1 : 0}});
+}
+
+asio::awaitable<void> forward_server::measure_delay()
+{
+    while (!this->stopped)
+    {
+        const instant due =
+            this->context.now() + this->context.settings.delay_interval;
+        this->delay_timer.expires_after(this->context.settings.delay_interval);
+        co_await this->delay_timer.async_wait(edge::use_awaitable_tuple);
+        this->guard.delay_measured(this->context.now() - due);
+        this->update_shedding();
     }
 }
 
@@ -146,6 +195,7 @@
 {
     this->stopped = true;
     this->sweep_timer.cancel();
+    this->delay_timer.cancel();
     beast::error_code ignored;
     this->acceptor.close(ignored);
 }
--- a/src/adapters/forward/forward_server.hpp
+++ b/src/adapters/forward/forward_server.hpp
@@ -63,6 +63,13 @@
     asio::awaitable<void> accept();
     asio::awaitable<void> run_session(edge::tcp::socket socket);
     asio::awaitable<void> sweep();
+    /// Measures how late this event loop is.
+    asio::awaitable<void> measure_delay();
+    /// Closes a connection before anything of it was read.
+    void refuse(edge::tcp::socket& socket);
+    /// Decides whether connections stay open after their response.
+    void update_shedding();
+    void report_refused();
 
     asio::any_io_executor executor;
     forward_context& context;
@@ -71,6 +78,9 @@
     edge::tcp::acceptor acceptor;
     edge::tcp::endpoint bound_endpoint;
     asio::steady_timer sweep_timer;
+    asio::steady_timer delay_timer;
+    load_guard guard;
+    std::size_t refused = 0; ///< connections since the last report
     std::unordered_set<forward_session*> sessions;
     bool stopped = false;
 };
--- a/src/adapters/forward/forward_session.cpp
+++ b/src/adapters/forward/forward_session.cpp
@@ -211,7 +211,8 @@
 asio::awaitable<bool> forward_session::send_response(
     local_response response, const forward_request& request)
 {
-    const bool keep_open = request.keep_alive && !this->context.draining;
+    const bool keep_open =
+        request.keep_alive && !this->context.closes_connections();
     this->context.metrics.requests.increment(
         response.reason == refusal_reason::bad_request
             ? request_end::turned_away
--- a/src/ports/event_sink.hpp
+++ b/src/ports/event_sink.hpp
@@ -140,6 +140,7 @@
     servers_reached = 1733,
     relay_refused = 1734,
     service_brittle = 1735,
+    connections_refused = 1736,
 
     // 18xx: placement by the orders of a single owner.
     placement_owned = 1801,
--- a/tests/unit/forward/forward_fixture.cpp
+++ b/tests/unit/forward/forward_fixture.cpp
@@ -120,7 +120,8 @@
 
 forward_fixture::forward_fixture(
     std::vector<fake_backend*> backends,
-    std::vector<std::string> software_versions)
+    std::vector<std::string> software_versions,
+    forward_options options)
     : forward_counters(this->registry)
     , event_loop(1)
     , loop_guard(this->event_loop.get_executor())
@@ -146,7 +147,7 @@
            }}))
     , opener(
           make_opener_options(), this->direct, this->clock, this->sink, [] {})
-    , context(this->make_context())
+    , context(this->make_context(options))
     , server(this->event_loop.get_executor(), this->context, make_limits())
     , relays(
           this->event_loop.get_executor(),
@@ -188,7 +189,7 @@
     this->dispatch->stop();
 }
 
-forward_context forward_fixture::make_context()
+forward_context forward_fixture::make_context(const forward_options& options)
 {
     const edge::backend_context base_context(
         make_limits(),
@@ -226,7 +227,7 @@
         }};
     return {
         base_context,
-        forward_options(),
+        options,
         users_platform::make_header_names(),
         std::move(dependencies),
         this->forward_counters};
--- a/tests/unit/forward/forward_fixture.hpp
+++ b/tests/unit/forward/forward_fixture.hpp
@@ -105,7 +105,8 @@
     ///                 for all.
     explicit forward_fixture(
         std::vector<fake_backend*> backends,
-        std::vector<std::string> versions = {});
+        std::vector<std::string> versions = {},
+        forward_options options = {});
     ~forward_fixture();
 
     forward_fixture(const forward_fixture&) = delete;
@@ -222,7 +223,7 @@
 
 private:
     boost::asio::ip::tcp::socket connect();
-    forward_context make_context();
+    forward_context make_context(const forward_options& options);
     /// Runs an action on the event loop and waits for its end.
     void run_on_loop(const std::function<void()>& action);
     serving_table_ptr newest_table();
