--- a/tests/unit/quota/test_quota_fleet.cpp
+++ b/tests/unit/quota/test_quota_fleet.cpp
@@ -94,6 +94,25 @@
     assert_in_bounds(fleet);
 }
 
+/// The platform hands most connections to one router.
+Test(quota_fleet, most_traffic_at_one_router_is_served)
+{
+    constexpr double share_of_one = 0.9;
+    for (const std::size_t routers : {7U, 65U, 300U})
+    {
+        settled_fleet fleet(make_options(routers));
+        fleet.send(10s, limit, small_request, short_wait);
+        std::vector<double> weights(
+            routers, (1 - share_of_one) / static_cast<double>(routers - 1));
+        weights.back() = share_of_one;
+        fleet.send(3s, limit, small_request, short_wait, weights);
+        fleet.reset_counters();
+        fleet.send(10s, limit, small_request, short_wait, weights);
+        assert_served(fleet, 0.95);
+        assert_in_bounds(fleet);
+    }
+}
+
 Test(quota_fleet, large_requests_get_the_whole_limit)
 {
     settled_fleet fleet(make_options(65));
--- a/tests/unit/retry_allowance/test_retry_allowance.cpp
+++ b/tests/unit/retry_allowance/test_retry_allowance.cpp
@@ -105,6 +105,26 @@
     }
 }
 
+/// The platform hands most connections to one router, which gets the others'
+/// part of the allowance within three seconds.
+Test(retry_allowance, most_callers_of_one_router_use_half_of_it_or_more)
+{
+    constexpr double share_of_one = 0.9;
+    for (const std::size_t routers : fleet_sizes)
+    {
+        settled_fleet fleet(routers);
+        fleet.receive(20s, {});
+        std::vector<double> weights(
+            routers, (1 - share_of_one) / static_cast<double>(routers - 1));
+        weights.back() = share_of_one;
+        const instant moved = fleet.now();
+        fleet.receive(40s, {}, weights);
+        assert_allowed(fleet);
+        cr_assert_geq(
+            fleet.least_used(moved + 3s, fleet.now(), allowance), 0.5);
+    }
+}
+
 /// Each router spends all that it may, and is killed and started again.
 Test(retry_allowance, routers_killed_in_series_stay_within_it)
 {
--- a/tests/unit/server_limits/test_limited_fleet.cpp
+++ b/tests/unit/server_limits/test_limited_fleet.cpp
@@ -137,6 +137,28 @@
     }
 }
 
+/// The platform hands most connections to one router.
+Test(limited_fleet, traffic_that_moves_to_one_router_is_served)
+{
+    for (const std::size_t routers : {7, 65, 300})
+    {
+        const auto config = make_options(routers);
+        limited_fleet fleet(config);
+        run_limited(fleet, config);
+        fleet.send(3s, total_load(config), 1);
+        const std::size_t answered = fleet.served();
+        fleet.send(10s, total_load(config), 1);
+        assert_in_bounds(fleet);
+        const double share = static_cast<double>(fleet.served() - answered) /
+                             (10 * total_load(config));
+        // The number of requests is random.
+        cr_assert_gt(share, 0.85, "%zu routers answer %.2f", routers, share);
+        cr_assert_eq(fleet.refused(), 0, "%zu refused", fleet.refused());
+        const double used = used_share(fleet, config, 8s);
+        cr_assert_gt(used, 0.5, "%zu routers use %.2f", routers, used);
+    }
+}
+
 /// Covers the accountant, another possible accountant and a plain router.
 Test(limited_fleet, a_suspended_router_breaks_no_limit)
 {
