--- a/src/core/crashes/part_ledger.cpp
+++ b/src/core/crashes/part_ledger.cpp
@@ -149,8 +149,8 @@
     std::ranges::sort(requests);
     result.lives = times.size();
     result.last = times.back();
-    result.requests = static_cast<std::size_t>(
-        std::distance(requests.begin(), std::ranges::unique(requests).begin()));
+    result.requests = static_cast<std::size_t>(std::distance(
+        requests.begin(), std::unique(requests.begin(), requests.end())));
     instant moment = times.front();
     result.moments = 1;
     for (const instant when : times)
