--- a/src/core/crashes/crash_ledger.hpp
+++ b/src/core/crashes/crash_ledger.hpp
@@ -50,7 +50,7 @@
         /// How long a trial keeps other requests of its content waiting.
         duration trial_length = std::chrono::seconds(10);
         std::size_t max_records = 2048;
-        /// Most records that are told to other routers, the worst first.
+        /// Most records that are sent to other routers, the worst first.
         std::size_t max_announced = 256;
     };
 
@@ -79,12 +79,12 @@
     /// @return When the request's block ends; only for blocked requests.
     instant blocked_until(fingerprint request) const;
 
-    /// @return A hash of the records that are told to other routers.
+    /// @return A hash of the records that are sent to other routers.
     std::uint64_t digest() const;
 
     /// @return The records, the worst requests first.
     std::vector<crash_record> crashes(instant now, std::size_t most) const;
-    /// @return The records that are told to other routers.
+    /// @return The records that are sent to other routers.
     std::vector<crash_record> announced(instant now) const
     {
         return this->crashes(now, this->settings.max_announced);
--- a/src/core/crashes/crash_report.hpp
+++ b/src/core/crashes/crash_report.hpp
@@ -85,7 +85,7 @@
     last = 3    ///< not at all
 };
 
-/// What one router tells others about requests, or parts of prompts, that crash
+/// What one router reports to others on requests, or prompt parts, that crash
 /// backend servers. Records are merged by union, so the order and repetitions
 /// don't matter.
 template <class Record>
--- a/src/core/crashes/crash_tracker.hpp
+++ b/src/core/crashes/crash_tracker.hpp
@@ -20,7 +20,7 @@
 {
 
 /** What one router knows of requests, and of parts of prompts, that crash
-    backend servers, and what it tells the others.
+    backend servers, and what it sends to the others.
 
     Not thread-safe. Deterministic for a seed.
 */
--- a/src/core/crashes/part_ledger.hpp
+++ b/src/core/crashes/part_ledger.hpp
@@ -54,7 +54,7 @@
         /// How long a trial keeps other requests with the part waiting.
         duration trial_length = std::chrono::seconds(10);
         std::size_t max_records = 4096;
-        /// Most records that are told to other routers, the worst first.
+        /// Most records that are sent to other routers, the worst first.
         std::size_t max_announced = 256;
     };
 
@@ -98,12 +98,12 @@
     /// @return The lives whose ends the blocked parts explain.
     const std::unordered_set<server_life>& explained() const;
 
-    /// @return A hash of the records that are told to other routers.
+    /// @return A hash of the records that are sent to other routers.
     std::uint64_t digest() const;
 
     /// @return The records, the worst parts first.
     std::vector<part_crash_record> crashes(instant now, std::size_t most) const;
-    /// @return The records that are told to other routers.
+    /// @return The records that are sent to other routers.
     std::vector<part_crash_record> announced(instant now) const
     {
         return this->crashes(now, this->settings.max_announced);
