Plan of the work on overload and uneven servers; settings of its parts, all off

The settings [room], [pace], [placement], [hedging] and [quota] are read and checked; nothing uses them yet. A server's load header is read with its fourth figure, and a request carries its rank from 0 to 9 into admission, so that the parts can be built side by side. No behaviour changes.

--- a/include/roseworks/dispatcher.hpp
+++ b/include/roseworks/dispatcher.hpp
@@ -27,6 +27,8 @@
     bool is_service = false;
     std::string caller = "anonymous";
     priority asked = priority::normal; ///< capped by the caller's class
+    /// Position among all requests, 0 to 9; 0 is first. Finer than `asked`.
+    std::uint8_t rank = 0;
     instant deadline;
     /// Latency objective: the answer loses value after it.
     instant objective = instant::max();
@@ -160,6 +162,9 @@
     engine_id engine;
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
+    /// How long work takes on the server's host at this moment, in percent of
+    /// the usual time; 0: not stated.
+    std::uint32_t host_time_percent = 0;
 };
 
 /// A prompt prefix was added to an engine's cache or evicted from it.
--- a/src/adapters/forward/forward_call.cpp
+++ b/src/adapters/forward/forward_call.cpp
@@ -53,18 +53,36 @@
         inbox->caller_left();
 }
 
-std::optional<std::array<std::uint32_t, 2>> parse_load(std::string_view text)
+/// Figures that a server states about its load.
+struct stated_load
 {
-    std::array<std::uint32_t, 2> numbers{};
-    for (std::uint32_t& number : numbers)
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    /// As `load_report::host_time_percent`.
+    std::uint32_t host_time_percent = 0;
+};
+
+/// Parses RUNNING,WAITING,SLOTS or RUNNING,WAITING,SLOTS,HOST_TIME_PERCENT.
+std::optional<stated_load> parse_load(std::string_view text)
+{
+    constexpr std::size_t min_count = 3;
+    std::array<std::uint32_t, min_count + 1> numbers{};
+    std::size_t count = 0;
+    while (count < numbers.size())
     {
         const char* const end = text.data() + text.size();
-        const auto [stop, error] = std::from_chars(text.data(), end, number);
-        if (error != std::errc() || stop == end || *stop != ',')
+        const auto [stop, error] =
+            std::from_chars(text.data(), end, numbers[count]);
+        if (error != std::errc() || (stop != end && *stop != ','))
             return std::nullopt;
+        ++count;
+        if (stop == end)
+            break;
         text.remove_prefix(static_cast<std::size_t>(stop - text.data()) + 1);
     }
-    return numbers;
+    if (count < min_count)
+        return std::nullopt;
+    return stated_load{numbers[0], numbers[1], numbers[3]};
 }
 
 event_id completion_event(bool without_retry)
@@ -129,6 +147,7 @@
     const std::uint8_t rank =
         is_owned ? this->organisation.rank : this->route.rank;
     info.asked = rank == urgent_rank ? priority::urgent : priority::normal;
+    info.rank = static_cast<std::uint8_t>(this->engine_priority());
     info.deadline = this->deadline;
     info.deadline = std::min<instant>(
         info.deadline, this->request.arrived + this->route.max_queue_time());
@@ -396,9 +415,12 @@
     const auto text = exchange.head()[this->context.names.load];
     if (text.empty() || !granted.engine)
         return;
-    if (const auto numbers = parse_load(to_string_view(text)))
+    if (const auto load = parse_load(to_string_view(text)))
         this->context.ports.load_reported(
-            {granted.engine, (*numbers)[0], (*numbers)[1]});
+            {granted.engine,
+             load->running,
+             load->waiting,
+             load->host_time_percent});
 }
 
 void forward_call::report_rate_limit(const server_exchange& exchange)
--- a/src/adapters/settings/gateway_settings.hpp
+++ b/src/adapters/settings/gateway_settings.hpp
@@ -79,6 +79,40 @@
         double limit_slack = 0;    ///< further excess, in the limit's unit
     } bounds;
 
+    /// The room of crowded engines, over all routers.
+    struct
+    {
+        bool count_crowded = false; ///< places at crowded engines are counted
+        /// Requests that may wait at a crowded engine, as a share of its slots.
+        double queue_share = 0.25;
+    } room;
+
+    /// The speed of engines.
+    struct
+    {
+        bool estimate = false; ///< estimated from the answers of all routers
+    } pace;
+
+    struct
+    {
+        /// The number of copies of a model and the choice of their engines
+        /// follow demand and free room.
+        bool copies_by_room = false;
+    } placement;
+
+    struct
+    {
+        /// Second attempts before the first has failed, as a share of a
+        /// service's requests over all routers; 0: none.
+        double extra_share = 0;
+    } hedging;
+
+    struct
+    {
+        /// An organisation's limit goes to its urgent requests first.
+        bool order_by_urgency = false;
+    } quota;
+
     struct
     {
         std::uint32_t lines_per_second = 400;
--- a/src/adapters/settings/load_gateway_settings.cpp
+++ b/src/adapters/settings/load_gateway_settings.cpp
@@ -68,6 +68,17 @@
     return number;
 }
 
+/// Stores a number that must be at most 1.
+template <auto Section, auto Member>
+bool store_share(gateway_settings& settings, const setting_value& value)
+{
+    const auto number = parse_fraction(value);
+    const bool is_valid = number && *number <= 1;
+    if (is_valid)
+        (settings.*Section).*Member = *number;
+    return is_valid;
+}
+
 /// Stores a duration that the file gives in seconds, possibly with decimals.
 template <auto Section, auto Member>
 bool store_seconds(gateway_settings& settings, const setting_value& value)
@@ -94,6 +105,11 @@
 constexpr auto listen = &gateway_settings::listen;
 constexpr auto store = &gateway_settings::store;
 constexpr auto bounds = &gateway_settings::bounds;
+constexpr auto room = &gateway_settings::room;
+constexpr auto pace = &gateway_settings::pace;
+constexpr auto placement = &gateway_settings::placement;
+constexpr auto hedging = &gateway_settings::hedging;
+constexpr auto quota = &gateway_settings::quota;
 constexpr auto log = &gateway_settings::log;
 
 template <class Settings, class Section>
@@ -103,6 +119,11 @@
 using listen_section = decltype(section_of(listen));
 using store_section = decltype(section_of(store));
 using bounds_section = decltype(section_of(bounds));
+using room_section = decltype(section_of(room));
+using pace_section = decltype(section_of(pace));
+using placement_section = decltype(section_of(placement));
+using hedging_section = decltype(section_of(hedging));
+using quota_section = decltype(section_of(quota));
 using log_section = decltype(section_of(log));
 
 setting_row
@@ -377,6 +398,70 @@
              "tokens",
              "Tokens allowed in a window in addition to limit_excess."),
          &store_fraction<bounds, &bounds_section::limit_slack>},
+        {row("room",
+             "count_crowded",
+             word,
+             "false",
+             0,
+             0,
+             "",
+             "Whether the requests at crowded engines are counted over all "
+             "routers.",
+             bool_words),
+         &store_member<room, &room_section::count_crowded>},
+        {row("room",
+             "queue_share",
+             name,
+             "0.25",
+             0,
+             0,
+             "",
+             "Requests that may wait at a crowded engine, as a share of its "
+             "slots; at most 1."),
+         &store_share<room, &room_section::queue_share>},
+        {row("pace",
+             "estimate",
+             word,
+             "false",
+             0,
+             0,
+             "",
+             "Whether the speed of engines is estimated from the answers of "
+             "all routers.",
+             bool_words),
+         &store_member<pace, &pace_section::estimate>},
+        {row("placement",
+             "copies_by_room",
+             word,
+             "false",
+             0,
+             0,
+             "",
+             "Whether the number of copies of a model and the choice of their "
+             "engines follow demand and free room.",
+             bool_words),
+         &store_member<placement, &placement_section::copies_by_room>},
+        {row("hedging",
+             "extra_share",
+             name,
+             "0",
+             0,
+             0,
+             "",
+             "Second attempts before the first has failed, as a share of a "
+             "service's requests over all routers; at most 1, 0: none."),
+         &store_share<hedging, &hedging_section::extra_share>},
+        {row("quota",
+             "order_by_urgency",
+             word,
+             "false",
+             0,
+             0,
+             "",
+             "Whether an organisation's limit goes to its urgent requests "
+             "first while it asks for more than the limit.",
+             bool_words),
+         &store_member<quota, &quota_section::order_by_urgency>},
         {row("log",
              "lines_per_second",
              integer,
