A draw can carry its order: rank, objective and class

The order goes beside the draws, at the end of a query and only if it isn't the default one, so that routers of earlier versions and queries without it are as before. Nothing reads it yet.

--- a/src/adapters/settings/gateway_settings.hpp
+++ b/src/adapters/settings/gateway_settings.hpp
@@ -79,11 +79,13 @@
         double limit_slack = 0;    ///< further excess, in the limit's unit
     } bounds;
 
-    /// The room of crowded engines, over all routers.
+    /// The room of saturated engines, over all routers.
     struct
     {
-        bool count_crowded = false; ///< places at crowded engines are counted
-        /// Requests that may wait at a crowded engine, as a share of its slots.
+        bool count_saturated =
+            false; ///< places at saturated engines are counted
+        /// Requests that may wait at a saturated engine, as a share of its
+        /// slots.
         double queue_share = 0.25;
     } room;
 
--- a/src/adapters/settings/load_gateway_settings.cpp
+++ b/src/adapters/settings/load_gateway_settings.cpp
@@ -399,16 +399,16 @@
              "Tokens allowed in a window in addition to limit_excess."),
          &store_fraction<bounds, &bounds_section::limit_slack>},
         {row("room",
-             "count_crowded",
+             "count_saturated",
              word,
              "false",
              0,
              0,
              "",
-             "Whether the requests at crowded engines are counted over all "
+             "Whether the requests at saturated engines are counted over all "
              "routers.",
              bool_words),
-         &store_member<room, &room_section::count_crowded>},
+         &store_member<room, &room_section::count_saturated>},
         {row("room",
              "queue_share",
              name,
@@ -416,7 +416,7 @@
              0,
              0,
              "",
-             "Requests that may wait at a crowded engine, as a share of its "
+             "Requests that may wait at a saturated engine, as a share of its "
              "slots; at most 1."),
          &store_share<room, &room_section::queue_share>},
         {row("pace",
--- a/src/app/gateway/quota_controller.cpp
+++ b/src/app/gateway/quota_controller.cpp
@@ -216,7 +216,8 @@
         request.account,
         request.amount,
         request.longest_wait,
-        this->clock.now());
+        this->clock.now(),
+        request.order);
     this->pending_draws.emplace(id, std::move(on_decision));
     this->flush();
 }
--- a/src/core/quota/quota_client.cpp
+++ b/src/core/quota/quota_client.cpp
@@ -101,7 +101,11 @@
 }
 
 std::uint64_t quota_client::draw(
-    std::string_view account, double amount, duration max_wait, instant now)
+    std::string_view account,
+    double amount,
+    duration max_wait,
+    instant now,
+    const draw_order& order)
 {
     const std::uint64_t id = ++this->last_id;
     pending_draw added;
@@ -111,6 +115,8 @@
         amount,
         std::max(max_wait, duration::zero()).count(),
         this->announced_limit(account)};
+    added.order = order;
+    added.order.id = id;
     added.created_at = now;
     added.last_sent_at = now;
     this->waiting.emplace(id, std::move(added));
@@ -333,6 +339,7 @@
     if (to.counted_from != instant::max())
         query.counting_delay_us =
             std::max(duration(to.counted_from - now), duration::zero()).count();
+    query.orders = this->orders_of(draws, now);
     query.draws = std::move(draws);
     query.returns = std::exchange(this->returns, {});
     query.request_counts = this->request_counts(now);
@@ -346,6 +353,29 @@
     this->messages.push_back({to.name, std::move(query)});
 }
 
+std::vector<draw_order>
+quota_client::orders_of(std::span<const quota_draw> draws, instant now) const
+{
+    std::vector<draw_order> orders;
+    for (const quota_draw& draw : draws)
+    {
+        const auto found = this->waiting.find(draw.id);
+        draw_order default_order;
+        default_order.id = draw.id;
+        if (found == this->waiting.end() ||
+            found->second.order == default_order)
+            continue;
+        draw_order order = found->second.order;
+        const std::int64_t passed =
+            duration(now - found->second.created_at).count();
+        if (order.objective_in_us != draw_order::no_objective)
+            order.objective_in_us =
+                std::max(order.objective_in_us - passed, std::int64_t(0));
+        orders.push_back(order);
+    }
+    return orders;
+}
+
 void quota_client::return_tokens(
     std::string_view account, double amount, instant now)
 {
--- a/src/core/quota/quota_client.hpp
+++ b/src/core/quota/quota_client.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -80,12 +81,14 @@
     void set_accountants(std::vector<std::string> names, std::size_t known);
 
     /// Requests tokens for one request.
+    /// @param order Its id is ignored, and its objective is relative to `now`.
     /// @return The draw's id. Its decision is returned by `take_decisions`.
     std::uint64_t draw(
         std::string_view account,
         double amount,
         duration max_wait,
-        instant now);
+        instant now,
+        const draw_order& order = {});
 
     /// Counts a request that arrived at this router. It raises the account's
     /// limit if that depends on the number of requests.
@@ -121,6 +124,7 @@
     struct pending_draw
     {
         quota_draw draw;
+        draw_order order;
         instant created_at;
         instant last_sent_at;
         /// From an accountant that lacks data yet.
@@ -191,6 +195,9 @@
     void start_contact(accountant_contact& contact, instant now);
     void send_query(
         accountant_contact& to, std::vector<quota_draw> draws, instant now);
+    /// @return The order of those draws that don't have the default one.
+    std::vector<draw_order>
+    orders_of(std::span<const quota_draw> draws, instant now) const;
     void resolve(const quota_result& result, instant now);
     void detect_unresponsive(instant now);
     void resend_draws(instant now);
--- a/src/core/quota/quota_messages.hpp
+++ b/src/core/quota/quota_messages.hpp
@@ -31,6 +31,29 @@
     }
 };
 
+/// Which of several draws that wait for the same account goes first. Sent with
+/// the draws, in a list of its own: routers of earlier versions read none.
+struct draw_order
+{
+    /// The request has no objective, or none that it can still meet.
+    static constexpr std::int64_t no_objective = -1;
+
+    std::uint64_t id = 0;  ///< of the draw
+    std::uint8_t rank = 0; ///< of the request, 0 to 9; 0 is first
+    std::int64_t objective_in_us = no_objective; ///< from the sending
+    /// Of an organisation's request: 0 is served first if the limit is short.
+    std::uint8_t urgency_class = 0;
+
+    bool operator==(const draw_order&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(
+            this->id, this->rank, this->objective_in_us, this->urgency_class);
+    }
+};
+
 /// The requests of an account that arrived at one router. Only accounts whose
 /// limit grows with them are reported.
 struct request_count
@@ -100,6 +123,8 @@
     /// usages of a message that was overtaken by a later one are outdated.
     std::uint64_t run = 0;
     std::uint64_t sequence = 0;
+    /// Of draws that don't have the default order.
+    std::vector<draw_order> orders;
 
     template <class Archive>
     void serialize(Archive& archive)
@@ -118,6 +143,14 @@
                 return;
         }
         archive(this->usages, this->run, this->sequence);
+        if constexpr (requires { archive.remaining(); })
+        {
+            if (archive.remaining() == 0)
+                return;
+        }
+        else if (this->orders.empty())
+            return;
+        archive(this->orders);
     }
 };
 
--- a/src/ports/quota_port.hpp
+++ b/src/ports/quota_port.hpp
@@ -16,6 +16,7 @@
     std::string account;
     double amount = 0;       ///< tokens, or requests if the limit counts these
     duration longest_wait{}; ///< maximum wait for the limit to allow it
+    draw_order order{};      ///< its id is set when the draw is made
 };
 
 /// Port: limits of organisations, and of the retries of services, enforced
