The requests at saturated engines are counted over all routers

Cause: each of 84 routers may always have one request at an engine of 12 slots. The engine's own queue fills, and each answer is late, although the engine gives as many answers as behind a short queue.

Change: an engine whose queue is longer than queue_share x slots, or that rejects a request for want of room, is saturated. Draws carry rank and objective; the accountant grants places in that order, each eighth one to the draw that has waited longest. While places are counted, a router grants the requests that can still meet their objective first. Off unless [room] count_saturated is set.

--- a/include/roseworks/dispatcher.hpp
+++ b/include/roseworks/dispatcher.hpp
@@ -106,6 +106,10 @@
 {
     server_place server;
     bool waits = false; ///< a waiting request has no other server
+    /// Of the request that the permit is for.
+    std::uint8_t rank = 0;
+    /// The objective of that request; `max`: it can't meet it any more.
+    instant objective = instant::max();
 };
 
 /// A request, or a permit that no request used, has given up its place at a
@@ -228,6 +232,10 @@
         duration ageing = std::chrono::seconds(30);
         duration demand_interval = std::chrono::milliseconds(50);
         prefix_affinity affinity = prefix_affinity::cache_events;
+        /// Whether requests for servers whose places are counted are granted in
+        /// the order of the objectives that can still be met. Under overload,
+        /// the order of deadlines would serve each request too late.
+        bool objectives_first = false;
         /// This router's; preferred while its servers have spare capacity.
         std::string data_centre;
         std::uint64_t seed = 1;
--- a/src/adapters/events/event_catalogue.cpp
+++ b/src/adapters/events/event_catalogue.cpp
@@ -452,6 +452,11 @@
      "callers try another router.",
      "refused, open, max, overloaded",
      "Check whether the platform sends most connections to this VM."},
+    {server_saturated, info, "server_saturated",
+     "is_saturated 1: an engine's queue is long or full, and the requests there "
+     "are counted over all routers, up to `places`. 0: its slots have not been "
+     "full for a while.",
+     "server, is_saturated, places", no_action},
     {placement_owned, info, "placement_owned",
      "This router now owns placement and sends orders to the engines.",
      "fence", no_action},
--- a/src/adapters/forward/forward_call.cpp
+++ b/src/adapters/forward/forward_call.cpp
@@ -144,10 +144,11 @@
                       : servable_key(this->service, this->request.model);
     const bool is_owned = !this->organisation.name.empty();
     info.caller = is_owned ? this->organisation.name : "callers";
-    const std::uint8_t rank =
-        is_owned ? this->organisation.rank : this->route.rank;
-    info.asked = rank == urgent_rank ? priority::urgent : priority::normal;
     info.rank = static_cast<std::uint8_t>(this->engine_priority());
+    std::uint8_t rank = is_owned ? this->organisation.rank : this->route.rank;
+    if (this->context.settings.order_by_route_rank)
+        rank = info.rank;
+    info.asked = rank == urgent_rank ? priority::urgent : priority::normal;
     info.deadline = this->deadline;
     info.deadline = std::min<instant>(
         info.deadline, this->request.arrived + this->route.max_queue_time());
@@ -391,8 +392,7 @@
         co_return failed;
     }
     this->last_framing = exchange.framing();
-    this->report_load(granted, exchange);
-    this->report_rate_limit(exchange);
+    this->report_notice(exchange, this->report_load(granted, exchange));
     if (is_not_run_refusal(exchange.head(), this->context.names))
     {
         if (exchange.head().result_int() == status_misdirected)
@@ -409,21 +409,25 @@
     co_return result;
 }
 
-void forward_call::report_load(
-    const grant& granted, const server_exchange& exchange)
+std::optional<server_load_notice>
+forward_call::report_load(const grant& granted, const server_exchange& exchange)
 {
     const auto text = exchange.head()[this->context.names.load];
     if (text.empty() || !granted.engine)
-        return;
-    if (const auto load = parse_load(to_string_view(text)))
-        this->context.ports.load_reported(
-            {granted.engine,
-             load->running,
-             load->waiting,
-             load->host_time_percent});
+        return std::nullopt;
+    const auto load = parse_load(to_string_view(text));
+    if (!load)
+        return std::nullopt;
+    this->context.ports.load_reported(
+        {granted.engine,
+         load->running,
+         load->waiting,
+         load->host_time_percent});
+    return server_load_notice{load->running, load->waiting};
 }
 
-void forward_call::report_rate_limit(const server_exchange& exchange)
+void forward_call::report_notice(
+    const server_exchange& exchange, std::optional<server_load_notice> load)
 {
     constexpr std::size_t max_logged_length = 32;
     const server_rate_limit rate_limit =
@@ -435,7 +439,10 @@
             {{"server", this->last_server}, {"value", this->last_rate_limit}});
     const server_notice notice{
         rate_limit.requests_per_second,
-        parse_max_rejections(exchange.head(), this->context.names)};
+        parse_max_rejections(exchange.head(), this->context.names),
+        load,
+        exchange.head().result_int() == status_unavailable &&
+            is_not_run_refusal(exchange.head(), this->context.names)};
     this->context.ports.response_received(
         this->last_server, notice, this->sent_at);
 }
--- a/src/adapters/forward/forward_call.hpp
+++ b/src/adapters/forward/forward_call.hpp
@@ -11,6 +11,7 @@
 #include "adapters/forward/sse_event_splitter.hpp"
 #include "core/origins/stream_key.hpp"
 #include "core/origins/stream_origin.hpp"
+#include "core/pacing/server_notice.hpp"
 #include "core/serving/deployment.hpp"
 
 #include <memory>
@@ -132,9 +133,13 @@
     /// @return The outcome of a relay that a failed read has ended.
     static relay_outcome outcome_of(exchange_state state);
     bool continues_stream(const server_exchange& exchange) const;
-    void report_load(const grant& granted, const server_exchange& exchange);
-    /// Reports the rate limit that the server named in its response.
-    void report_rate_limit(const server_exchange& exchange);
+    /// @return The load that the server stated; empty: none.
+    std::optional<server_load_notice>
+    report_load(const grant& granted, const server_exchange& exchange);
+    /// Reports what the server's response says about its limits and its load.
+    void report_notice(
+        const server_exchange& exchange,
+        std::optional<server_load_notice> load);
     /// @return Whether another server can continue the caller's stream.
     bool can_resume() const;
     attempt_result result_of(relay_outcome outcome) const;
--- a/src/adapters/forward/forward_context.hpp
+++ b/src/adapters/forward/forward_context.hpp
@@ -53,6 +53,9 @@
     /// A request may wait for its organisation's limit for the route's
     /// objective divided by this number.
     int quota_wait_divisor = 4;
+    /// Whether the rank of a route orders an organisation's requests in the
+    /// admission queue. If not, only the organisation's rank does.
+    bool order_by_route_rank = false;
     /// Bounds of callers' connections.
     load_guard::options load;
     /// Interval between measurements of the event loop's delay.
--- a/src/app/gateway/gateway_app.cpp
+++ b/src/app/gateway/gateway_app.cpp
@@ -90,9 +90,11 @@
     return made;
 }
 
-forward::forward_options make_forward_options()
+forward::forward_options
+make_forward_options(const settings::gateway_settings& settings)
 {
     forward::forward_options made;
+    made.order_by_route_rank = settings.room.count_saturated;
     made.seed = random_seed();
     return made;
 }
@@ -103,6 +105,7 @@
     dispatcher::options made;
     made.data_centre = settings.vm.data_centre;
     made.affinity = prefix_affinity::none;
+    made.objectives_first = settings.room.count_saturated;
     made.seed = random_seed();
     return made;
 }
@@ -295,7 +298,7 @@
         }};
     return {
         backend,
-        make_forward_options(),
+        make_forward_options(this->settings),
         users_platform::make_header_names(),
         std::move(ports),
         this->counts};
--- a/src/app/gateway/gateway_control.cpp
+++ b/src/app/gateway/gateway_control.cpp
@@ -112,7 +112,7 @@
           *this->directory))
     , limit_controller(std::make_unique<server_limit_controller>(
           this->loop,
-          server_limit_controller::options{initial_settings.vm.name},
+          server_limit_options(initial_settings),
           time,
           sink,
           this->serving->view(),
@@ -509,6 +509,7 @@
     this->quotas->routers_listed(all);
     this->crashes->routers_listed(all);
     this->origins->routers_listed(all);
+    this->limit_controller->set_router_count(all.size());
     const relay_routers relays = find_relay_routers(
         all, this->settings.vm.name, this->settings.listen.relay().port);
     this->opinions.set_routers(relays.routers);
--- a/src/app/gateway/gateway_options.cpp
+++ b/src/app/gateway/gateway_options.cpp
@@ -74,6 +74,16 @@
     return made;
 }
 
+server_limit_controller::options
+server_limit_options(const settings::gateway_settings& settings)
+{
+    server_limit_controller::options made;
+    made.router = settings.vm.name;
+    made.count_saturated = settings.room.count_saturated;
+    made.saturation.queue_share = settings.room.queue_share;
+    return made;
+}
+
 crash_controller::options
 crash_options(const settings::gateway_settings& settings)
 {
--- a/src/app/gateway/gateway_options.hpp
+++ b/src/app/gateway/gateway_options.hpp
@@ -7,6 +7,7 @@
 #include "app/gateway/origin_controller.hpp"
 #include "app/gateway/placement_controller.hpp"
 #include "app/gateway/quota_controller.hpp"
+#include "app/gateway/server_limit_controller.hpp"
 #include "platform/engine_commands.hpp"
 #include "platform/store_directory.hpp"
 
@@ -25,6 +26,10 @@
 quota_controller::options
 quota_options(const settings::gateway_settings& settings);
 
+/// @return Options of the limits that backend servers state.
+server_limit_controller::options
+server_limit_options(const settings::gateway_settings& settings);
+
 /// @return Options of the handling of requests that crash servers.
 crash_controller::options
 crash_options(const settings::gateway_settings& settings);
--- a/src/app/gateway/server_limit_controller.cpp
+++ b/src/app/gateway/server_limit_controller.cpp
@@ -1,6 +1,6 @@
 #include "app/gateway/server_limit_controller.hpp"
 
-#include "core/pacing/brittle_services.hpp"
+#include "core/pacing/update_kinds.hpp"
 #include "core/quota/global_limits.hpp"
 
 #include <boost/asio/post.hpp>
@@ -53,6 +53,7 @@
     , notify(std::move(handlers))
     , limits(limits_options(this->settings))
     , brittle_services(brittle_service_options(this->settings.router))
+    , saturated_servers(saturated_server_options(this->settings.router))
     , timer(context)
 {
 }
@@ -67,7 +68,7 @@
 void server_limit_controller::answered(
     const std::string& server, const server_notice& notice, instant sent)
 {
-    if (notice.is_empty() && !this->has_limits && !this->has_brittle_services)
+    if (!this->is_relevant(notice))
         return;
     asio::post(
         this->loop,
@@ -77,6 +78,14 @@
         });
 }
 
+bool server_limit_controller::is_relevant(const server_notice& notice) const
+{
+    const bool states_load = notice.load || notice.no_room;
+    return !notice.is_empty() || this->has_limits ||
+           this->has_brittle_services ||
+           (this->settings.count_saturated && states_load);
+}
+
 void server_limit_controller::process_answer(
     const std::string& server, const server_notice& notice, instant sent)
 {
@@ -86,20 +95,47 @@
     this->limits.handle_answer(server, notice.rate_limit, sent, now);
     const auto found = this->view.servers().find(server);
     if (found != this->view.servers().end())
+    {
         this->brittle_services.handle_answer(
             brittle_service_key(found->second.entry.service),
             notice.max_rejections,
             sent,
             now);
+        this->check_saturation(found->second, notice, sent, now);
+    }
     this->flush();
 }
 
+void server_limit_controller::check_saturation(
+    const serving_view::server& one,
+    const server_notice& notice,
+    instant sent,
+    instant now)
+{
+    const bool states_load = notice.load || notice.no_room;
+    if (!this->settings.count_saturated || !states_load ||
+        !this->view.is_engine(one))
+        return;
+    const std::string key = saturated_server_key(one.entry.id);
+    const bool is_shown = this->settings.saturation.is_shown(
+        notice,
+        one.entry.slots,
+        this->router_count,
+        this->saturated_servers.limit_of(key) > 0);
+    constexpr double present = 1;
+    this->saturated_servers.handle_answer(
+        key, is_shown ? std::optional(present) : std::nullopt, sent, now);
+}
+
 void server_limit_controller::limits_received(
     const server_limit_update& message)
 {
-    const auto [servers, services] = split_by_kind(message);
-    this->limits.handle_update(servers, this->clock.now());
-    this->brittle_services.handle_update(services, this->clock.now());
+    const update_kinds kinds = split_by_kind(message);
+    const instant now = this->clock.now();
+    this->limits.handle_update(kinds.rate_limits, now);
+    this->brittle_services.handle_update(kinds.brittle_services, now);
+    if (this->settings.count_saturated)
+        this->saturated_servers.handle_update(kinds.saturated_servers, now);
     this->flush();
 }
 
@@ -112,7 +148,8 @@
 
 void server_limit_controller::servers_changed()
 {
-    if (!this->has_limits && !this->has_brittle_services)
+    if (!this->has_limits && !this->has_brittle_services &&
+        !this->has_saturated_servers)
         return;
     this->remove_restarted();
     this->flush();
@@ -176,7 +213,9 @@
     if (!changes.empty())
         this->limits_changed();
     this->log_brittle_services();
-    for (server_limits* known : {&this->limits, &this->brittle_services})
+    this->log_saturated_servers();
+    for (server_limits* known :
+         {&this->limits, &this->brittle_services, &this->saturated_servers})
     {
         if (const auto message = known->take_update(this->clock.now()))
             this->notify.on_limits_to_send(*message);
@@ -199,17 +238,52 @@
     this->update_counted_servers();
 }
 
+void server_limit_controller::log_saturated_servers()
+{
+    const auto changes = this->saturated_servers.take_changes();
+    if (changes.empty())
+        return;
+    for (const server_limit& one : changes)
+    {
+        const std::string_view id = server_of_saturated_key(one.server);
+        const auto found = this->view.servers().find(id);
+        const bool is_known = found != this->view.servers().end();
+        this->events.report(
+            event_id::server_saturated,
+            {{"server", id},
+             {"is_saturated", one.per_second > 0 ? 1 : 0},
+             {"places",
+              is_known ? std::llround(this->settings.saturation.places(
+                             found->second.entry.slots))
+                       : 0}});
+    }
+    this->has_saturated_servers = !this->saturated_servers.in_force().empty();
+    this->update_counted_servers();
+}
+
+double
+server_limit_controller::counted_places(const serving_view::server& one) const
+{
+    const std::string service = brittle_service_key(one.entry.service);
+    if (this->brittle_services.limit_of(service) != 0)
+        return one.entry.slots;
+    const std::string server = saturated_server_key(one.entry.id);
+    return this->saturated_servers.limit_of(server) == 0
+               ? 0
+               : this->settings.saturation.places(one.entry.slots);
+}
+
 void server_limit_controller::update_counted_servers()
 {
     std::map<std::string, double, std::less<>> slots;
     std::vector<std::string> added;
     for (const auto& [id, one] : this->view.servers())
     {
-        const std::string key = brittle_service_key(one.entry.service);
-        if (this->brittle_services.limit_of(key) == 0)
+        const double places = this->counted_places(one);
+        if (places == 0)
             continue;
         const std::string account = places_account(id);
-        slots[account] = one.entry.slots;
+        slots[account] = places;
         if (!this->slots_by_account.contains(account))
             added.push_back(id);
     }
@@ -366,6 +440,10 @@
     request.account = places_account(found->first);
     request.amount = 1;
     request.longest_wait = longest_wait;
+    request.order.rank = wanted.rank;
+    if (wanted.objective != instant::max())
+        request.order.objective_in_us = std::max<std::int64_t>(
+            duration(wanted.objective - this->clock.now()).count(), 0);
     this->quotas.draw(
         std::move(request),
         [this, longest_wait, server = found->first](
@@ -447,8 +525,12 @@
 void server_limit_controller::schedule_tick()
 {
     std::optional<instant> due = this->limits.next_tick();
-    if (const auto next = this->brittle_services.next_tick())
-        due = std::min(due.value_or(*next), *next);
+    for (const server_limits* known :
+         {&this->brittle_services, &this->saturated_servers})
+    {
+        if (const auto next = known->next_tick())
+            due = std::min(due.value_or(*next), *next);
+    }
     if (this->stopped || !due)
         return;
     this->timer.expires_after(
@@ -460,6 +542,7 @@
                 return;
             this->limits.tick(this->clock.now());
             this->brittle_services.tick(this->clock.now());
+            this->saturated_servers.tick(this->clock.now());
             this->flush();
         });
 }
--- a/src/app/gateway/server_limit_controller.hpp
+++ b/src/app/gateway/server_limit_controller.hpp
@@ -2,6 +2,7 @@
 
 #include "adapters/edge/shared_dispatcher.hpp"
 #include "app/gateway/quota_controller.hpp"
+#include "core/pacing/saturated_servers.hpp"
 #include "core/pacing/server_limits.hpp"
 #include "core/pacing/server_notice.hpp"
 #include "core/serving/serving_view.hpp"
@@ -12,6 +13,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -24,12 +26,14 @@
 {
 
 /** Keeps all routers together within what backend servers state in their
-    answers: their rate limits, and the room of brittle servers.
+    answers: their rate limits, and the room of brittle and of saturated
+    servers.
 
-    Learns both from answers and from other routers. Draws the permits that the
+    Learns these from answers and from other routers. Draws the permits that the
     dispatcher needs from accounts per server, which all routers share. All
     servers of a service count as brittle if one of them says so, so that a
-    server that starts is treated so before its first answer.
+    server that starts is treated so before its first answer. An engine is
+    saturated by itself.
 
     Used on the control thread only, except for `answered`, `permit_needed` and
     `place_released`. Has to outlive the last run of its io_context.
@@ -48,6 +52,9 @@
         /// Maximum delay before a refused permit is requested again, since the
         /// limit may have ended by then.
         std::chrono::milliseconds max_retry_delay{1000};
+        /// Whether the requests at saturated engines are counted.
+        bool count_saturated = false;
+        saturation_rule saturation;
     };
 
     struct callbacks
@@ -90,6 +97,12 @@
     /// Servers were added, removed or restarted.
     void servers_changed();
 
+    /// @param count Number of known routers, including this one.
+    void set_router_count(std::size_t count)
+    {
+        this->router_count = count;
+    }
+
 private:
     /// A server to which the dispatcher sends under permits only.
     struct limited_server
@@ -110,8 +123,15 @@
     using limited_servers_map =
         std::map<std::string, limited_server, std::less<>>;
 
+    /// @return Whether an answer may change what is known of its server.
+    bool is_relevant(const server_notice& notice) const;
     void process_answer(
         const std::string& server, const server_notice& notice, instant sent);
+    void check_saturation(
+        const serving_view::server& one,
+        const server_notice& notice,
+        instant sent,
+        instant now);
     /// @return The server at a place, or the end of `limited_servers`.
     limited_servers_map::iterator find_at(const server_place& place);
     void draw_permit(const permit_wanted& wanted);
@@ -129,10 +149,15 @@
     void remove_limit(const std::string& server);
     /// Forgets a server for which neither kind of limit holds.
     void remove_unlimited(const std::string& server);
-    /// Counts the places of all servers of brittle services, and of no others.
+    /// Counts the places of all servers of brittle services and of saturated
+    /// engines, and of no others.
     void update_counted_servers();
+    /// @return Requests that all routers together may have at a server; 0: its
+    ///         places aren't counted.
+    double counted_places(const serving_view::server& one) const;
     void set_counted(const std::string& server, bool counted);
     void log_brittle_services();
+    void log_saturated_servers();
     void remove_restarted();
     void remove_moved();
     void log_change(const server_limit& changed);
@@ -148,6 +173,8 @@
     callbacks notify;
     server_limits limits;
     server_limits brittle_services;
+    server_limits saturated_servers;
+    std::size_t router_count = 0;
     /// Servers that have a limit, or whose places are counted, by id.
     limited_servers_map limited_servers;
     /// Slots of the servers whose places are counted, by account.
@@ -158,6 +185,7 @@
     boost::asio::steady_timer timer;
     std::atomic<bool> has_limits{false};
     std::atomic<bool> has_brittle_services{false};
+    std::atomic<bool> has_saturated_servers{false};
     bool stopped = false;
 };
 
--- a/src/core/admission/admission_queue.cpp
+++ b/src/core/admission/admission_queue.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 namespace roseworks::detail
 {
@@ -53,11 +54,38 @@
         {
             return choice{*aged_item, true};
         }
-        return choice{this->items.at(*id), false};
+        return choice{
+            this->first_by_objective(this->items.at(*id), allowed), false};
     }
     return std::nullopt;
 }
 
+const queue_item& admission_queue::first_by_objective(
+    const queue_item& first, const filter& allowed) const
+{
+    if (!allowed.objective_from)
+    {
+        return first;
+    }
+    const queue_item* best = nullptr;
+    for (const auto& [id, item] : this->items)
+    {
+        const bool is_eligible = item.level == first.level &&
+                                 item.caller == first.caller &&
+                                 (allowed.allow_long || !item.long_prompt) &&
+                                 item.objective >= *allowed.objective_from;
+        if (!is_eligible)
+        {
+            continue;
+        }
+        const bool is_earlier =
+            best == nullptr || std::pair(item.objective, item.id) <
+                                   std::pair(best->objective, best->id);
+        best = is_earlier ? &item : best;
+    }
+    return best == nullptr ? first : *best;
+}
+
 std::optional<queue_item> admission_queue::aged(
     const filter& allowed, std::size_t best, instant now) const
 {
--- a/src/core/admission/admission_queue.hpp
+++ b/src/core/admission/admission_queue.hpp
@@ -35,6 +35,9 @@
     {
         bool allow_batch = true;
         bool allow_long = true;
+        /// If set, requests of the chosen class and caller whose objective is
+        /// at this time or later go first, the earliest objective of all.
+        std::optional<instant> objective_from = std::nullopt;
     };
 
     /// A chosen request. It stays queued unless passed to `take`.
@@ -108,6 +111,9 @@
         return static_cast<std::size_t>(level);
     }
 
+    /// @return The request that goes before `first`, or `first` itself.
+    const queue_item&
+    first_by_objective(const queue_item& first, const filter& allowed) const;
     std::optional<queue_item>
     aged(const filter& allowed, std::size_t best, instant now) const;
 
--- a/src/core/admission/queue_item.hpp
+++ b/src/core/admission/queue_item.hpp
@@ -15,6 +15,8 @@
 {
     ticket id;
     instant deadline;
+    /// Latency objective; `max`: none.
+    instant objective = instant::max();
     instant enqueued; ///< arrival of the request; unchanged by retries
     priority level = priority::normal;
     caller_number caller = 0;
--- a/src/core/pacing/brittle_services.hpp
+++ b/src/core/pacing/brittle_services.hpp
@@ -33,20 +33,6 @@
     return key.substr(brittle_service_key({}).size());
 }
 
-/// @return The entries about servers, and those about brittle services.
-inline std::pair<server_limit_update, server_limit_update>
-split_by_kind(const server_limit_update& update)
-{
-    std::pair<server_limit_update, server_limit_update> parts;
-    parts.first.router = parts.second.router = update.router;
-    for (const server_limit_entry& one : update.limits)
-    {
-        const bool is_service = is_brittle_service_key(one.server);
-        (is_service ? parts.second : parts.first).limits.push_back(one);
-    }
-    return parts;
-}
-
 /** @return The options for the services that are brittle.
 
     The newest answer of any server of a service counts. So a service is sound
--- a/src/core/pacing/server_notice.hpp
+++ b/src/core/pacing/server_notice.hpp
@@ -1,10 +1,18 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 
 namespace roseworks
 {
 
+/// The requests that a backend server has.
+struct server_load_notice
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+};
+
 /// What an answer of a backend server says about the load that it bears.
 struct server_notice
 {
@@ -13,7 +21,10 @@
     /// Requests that it may have to reject within a second without falling
     /// over.
     std::optional<double> max_rejections;
+    std::optional<server_load_notice> load;
+    bool no_room = false; ///< it rejected the request for want of room
 
+    /// @return Whether the answer announces no limit.
     bool is_empty() const
     {
         return !this->rate_limit && !this->max_rejections;
--- a/src/core/quota/place_counter.cpp
+++ b/src/core/quota/place_counter.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 #include <utility>
 
 namespace roseworks
@@ -28,6 +29,9 @@
 /// another accountant.
 constexpr duration rejection_lifetime = std::chrono::milliseconds(200);
 
+/// Cap for times in received messages (one hour).
+constexpr std::int64_t max_objective_us = 3'600'000'000;
+
 } // namespace
 
 place_counter::place_counter(double server_slots)
@@ -101,7 +105,11 @@
 }
 
 place_counter::outcome place_counter::draw(
-    std::string_view router, std::uint64_t id, duration max_wait, instant now)
+    std::string_view router,
+    std::uint64_t id,
+    duration max_wait,
+    instant now,
+    const draw_order& order)
 {
     const auto queued = this->waiting_by_router.find(router);
     if (queued != this->waiting_by_router.end() && queued->second == id)
@@ -114,7 +122,16 @@
     this->is_short = true;
     if (max_wait <= duration::zero())
         return outcome::refused;
-    this->waiting.push_back({std::string(router), id, now + max_wait});
+    const bool has_objective =
+        order.objective_in_us != draw_order::no_objective;
+    const duration until_objective(
+        std::clamp<std::int64_t>(order.objective_in_us, 0, max_objective_us));
+    this->waiting.push_back(
+        {std::string(router),
+         id,
+         now + max_wait,
+         order.rank,
+         has_objective ? now + until_objective : instant::max()});
     this->waiting_by_router[std::string(router)] = id;
     return outcome::queued;
 }
@@ -122,23 +139,55 @@
 std::vector<place_counter::late_grant> place_counter::grant_waiting(instant now)
 {
     std::vector<late_grant> granted;
+    if (this->waiting.empty() || !this->has_room())
+        return granted;
+    this->drop_outdated(now);
     while (!this->waiting.empty() && this->has_room())
     {
-        const waiting_draw next = std::move(this->waiting.front());
-        this->waiting.pop_front();
-        const auto newest = this->waiting_by_router.find(next.router);
-        if (newest == this->waiting_by_router.end() ||
-            newest->second != next.id)
-            continue;
-        this->waiting_by_router.erase(newest);
-        if (next.expires_at <= now)
-            continue;
+        const auto chosen = this->next_draw(now);
+        const waiting_draw next = std::move(*chosen);
+        this->waiting.erase(chosen);
+        this->waiting_by_router.erase(next.router);
         this->grant(next.router, next.id, now);
         granted.push_back({next.router, next.id});
     }
     return granted;
 }
 
+void place_counter::drop_outdated(instant now)
+{
+    std::erase_if(
+        this->waiting,
+        [this, now](const waiting_draw& one)
+        {
+            const auto newest = this->waiting_by_router.find(one.router);
+            const bool is_newest = newest != this->waiting_by_router.end() &&
+                                   newest->second == one.id;
+            if (is_newest && one.expires_at <= now)
+                this->waiting_by_router.erase(newest);
+            return !is_newest || one.expires_at <= now;
+        });
+}
+
+std::deque<place_counter::waiting_draw>::iterator
+place_counter::next_draw(instant now)
+{
+    ++this->grants_since_oldest;
+    if (this->grants_since_oldest >= oldest_first_interval)
+    {
+        this->grants_since_oldest = 0;
+        return this->waiting.begin();
+    }
+    const auto order_of = [now](const waiting_draw& one)
+    {
+        // A request that misses its objective in any case yields to those that
+        // can meet theirs.
+        return std::tuple(
+            one.rank, one.objective < now ? instant::max() : one.objective);
+    };
+    return std::ranges::min_element(this->waiting, {}, order_of);
+}
+
 void place_counter::tick(instant now)
 {
     for (auto& [name, one] : this->routers)
--- a/src/core/quota/place_counter.hpp
+++ b/src/core/quota/place_counter.hpp
@@ -54,13 +54,21 @@
     void report(std::string_view router, const place_usage& usage, instant now);
 
     /// A router requests a place. It has reported its usage before.
+    /// @param order Of the request that the place is for.
     outcome draw(
         std::string_view router,
         std::uint64_t id,
         duration max_wait,
-        instant now);
+        instant now,
+        const draw_order& order = {});
 
-    /// Grants free places to the routers that wait, in order of their requests.
+    /** Grants free places to the routers that wait.
+
+        The lowest rank goes first, then the earliest objective that can still
+        be met. Draws of the same order are granted as they came. One place in
+        `oldest_first_interval` goes to the draw that has waited longest, so
+        that no rank starves.
+    */
     std::vector<late_grant> grant_waiting(instant now);
 
     /// Raises the number of places if requests wait, and drops grants that no
@@ -96,8 +104,16 @@
         std::string router;
         std::uint64_t id = 0;
         instant expires_at;
+        std::uint8_t rank = 0;
+        instant objective = instant::max(); ///< `max`: none
     };
 
+    static constexpr std::uint32_t oldest_first_interval = 8;
+
+    void drop_outdated(instant now);
+    /// @return The draw that is granted next. There must be one.
+    std::deque<waiting_draw>::iterator next_draw(instant now);
+
     void grant(std::string_view router, std::uint64_t id, instant now);
     void rejected(instant now);
     bool is_new_rejection(std::string_view router, const place_usage& usage);
@@ -118,6 +134,7 @@
     /// Number of rejections that each router has reported.
     std::map<std::string, std::uint32_t, std::less<>> rejections;
     std::deque<waiting_draw> waiting;
+    std::uint32_t grants_since_oldest = 0;
     /// The draw that waits for each router. Others in `waiting` are outdated.
     std::map<std::string, std::uint64_t, std::less<>> waiting_by_router;
 };
--- a/src/core/quota/quota_accountant.cpp
+++ b/src/core/quota/quota_accountant.cpp
@@ -40,6 +40,14 @@
 /// When a place that can't be waited for may be requested again.
 constexpr duration place_retry_delay = std::chrono::milliseconds(50);
 
+/// @return The order that a query gives a draw.
+draw_order order_of(const quota_query& query, const quota_draw& draw)
+{
+    const auto found =
+        std::ranges::find(query.orders, draw.id, &draw_order::id);
+    return found == query.orders.end() ? draw_order() : *found;
+}
+
 /// Interval between two counts of the active routers.
 constexpr duration count_interval = std::chrono::milliseconds(20);
 
@@ -140,11 +148,12 @@
     place_counter& places,
     std::string_view router,
     const quota_draw& draw,
+    const draw_order& order,
     instant now)
 {
     using outcome = place_counter::outcome;
     const outcome decided =
-        places.draw(router, draw.id, clamp_time(draw.max_wait_us), now);
+        places.draw(router, draw.id, clamp_time(draw.max_wait_us), now, order);
     if (decided == outcome::granted)
         return {draw.id, true, 0};
     return {
@@ -170,7 +179,8 @@
         account& entry = *found;
         if (entry.places)
         {
-            result = this->draw_place(*entry.places, query.router, draw, now);
+            result = this->draw_place(
+                *entry.places, query.router, draw, order_of(query, draw), now);
             if (result.is_allowed)
                 this->remember(from, result);
             return result;
--- a/src/core/quota/quota_accountant.hpp
+++ b/src/core/quota/quota_accountant.hpp
@@ -112,6 +112,7 @@
         place_counter& places,
         std::string_view router,
         const quota_draw& draw,
+        const draw_order& order,
         instant now);
     void remember(router& from, const quota_result& result);
     void report_usages(const quota_query& query, instant now);
--- a/src/core/request/dispatcher_grant.cpp
+++ b/src/core/request/dispatcher_grant.cpp
@@ -98,8 +98,9 @@
     const bool long_may_start =
         destination.long_in_flight < std::max<std::size_t>(half, 1) ||
         destination.queue.short_prompt_count(free.batch) == 0;
-    const auto chosen =
-        destination.queue.next({free.batch, long_may_start}, now);
+    detail::admission_queue::filter allowed{free.batch, long_may_start};
+    allowed.objective_from = this->objective_from(destination, usable, now);
+    const auto chosen = destination.queue.next(allowed, now);
     if (!chosen)
     {
         return false;
@@ -159,6 +160,23 @@
     return true;
 }
 
+std::optional<instant> dispatcher::impl::objective_from(
+    const detail::target& destination,
+    std::span<std::size_t const> usable,
+    instant now) const
+{
+    const auto is_counted = [&](std::size_t i)
+    {
+        return this->loads.counts_places(destination.backends[i].server);
+    };
+    if (!this->settings.objectives_first ||
+        std::ranges::none_of(usable, is_counted))
+    {
+        return std::nullopt;
+    }
+    return now + destination.estimator.prefill_time(0, now);
+}
+
 void dispatcher::impl::grant_to(
     pending& request, detail::backend& chosen, bool alone)
 {
--- a/src/core/request/dispatcher_impl.hpp
+++ b/src/core/request/dispatcher_impl.hpp
@@ -145,6 +145,12 @@
         detail::target& destination,
         std::vector<detail::queue_item>& skipped,
         instant);
+    /// @return The earliest objective that a request granted now can meet, if
+    ///         objectives are served first.
+    std::optional<instant> objective_from(
+        const detail::target& destination,
+        std::span<std::size_t const> usable,
+        instant now) const;
     void grant_to(pending& request, detail::backend& chosen, bool alone);
     void grant_waiting_of(detail::target& destination, instant now);
     void grant_waiting_on_freed_servers(instant now);
@@ -175,8 +181,14 @@
     std::size_t competing_requests(
         const detail::target& destination,
         std::span<std::size_t const> usable) const;
-    void
-    request_permit(const detail::backend& candidate, bool waits, instant now);
+    void request_permit(
+        const detail::target& destination,
+        const detail::backend& candidate,
+        bool waits,
+        instant now);
+    /// @return The waiting request that the next permit is for; null: none.
+    const pending*
+    next_waiting(const detail::target& destination, instant now) const;
     /// Requests places from the least loaded servers of a target, one for each
     /// waiting request.
     void request_places(const detail::target& destination, instant now);
--- a/src/core/request/dispatcher_permits.cpp
+++ b/src/core/request/dispatcher_permits.cpp
@@ -22,6 +22,10 @@
 /// keep the routers waiting that hold none.
 constexpr std::uint32_t max_place_reuses = 8;
 
+/// A place that was held for this long is released, so that another router's
+/// requests are served in their order. A release costs a few milliseconds.
+constexpr duration max_place_hold = std::chrono::milliseconds(200);
+
 /// @return Sort key: the best waiting class, then the earliest deadline.
 std::pair<priority, instant> urgency_of(const detail::target* destination)
 {
@@ -66,8 +70,10 @@
     {
         const detail::server_key key = detail::key_of(freed.server);
         detail::server_permits& pace = this->loads.at(key).permits;
+        const bool is_held_long = this->settings.objectives_first &&
+                                  now - pace.granted_since() >= max_place_hold;
         const bool may_reuse = !freed.rejected && pace.counts_places() &&
-                               !pace.may_send(now) &&
+                               !pace.may_send(now) && !is_held_long &&
                                pace.reuses() < max_place_reuses;
         if (!may_reuse)
         {
@@ -165,11 +171,32 @@
 }
 
 void dispatcher::impl::request_permit(
-    const detail::backend& candidate, bool waits, instant now)
+    const detail::target& destination,
+    const detail::backend& candidate,
+    bool waits,
+    instant now)
 {
     this->loads.at(candidate.server).permits.requested(waits, now);
-    this->commands.emplace_back(permit_wanted{
-        {candidate.where.engine, candidate.where.address}, waits});
+    permit_wanted wanted{
+        {candidate.where.engine, candidate.where.address}, waits};
+    const pending* const next = this->next_waiting(destination, now);
+    if (this->settings.objectives_first && next != nullptr)
+    {
+        const bool can_meet = next->info.objective >=
+                              now + destination.estimator.prefill_time(0, now);
+        wanted.rank = next->info.rank;
+        wanted.objective = can_meet ? next->info.objective : instant::max();
+    }
+    this->commands.emplace_back(wanted);
+}
+
+const dispatcher::impl::pending* dispatcher::impl::next_waiting(
+    const detail::target& destination, instant now) const
+{
+    detail::admission_queue::filter allowed;
+    allowed.objective_from = now + destination.estimator.prefill_time(0, now);
+    const auto next = destination.queue.next(allowed, now);
+    return next ? &this->requests.at(next->item.id) : nullptr;
 }
 
 void dispatcher::impl::request_permits(
@@ -206,7 +233,7 @@
         }
         if (!pace->counts_places() && pace->must_request(now))
         {
-            this->request_permit(candidate, true, now);
+            this->request_permit(destination, candidate, true, now);
         }
         const auto next = pace->changes_at();
         if (next && *next > now)
@@ -279,7 +306,7 @@
         {
             return;
         }
-        this->request_permit(*candidate, true, now);
+        this->request_permit(destination, *candidate, true, now);
         ++requested;
     }
 }
@@ -321,7 +348,7 @@
         }
         if (!is_asked && pace->must_request(now))
         {
-            this->request_permit(candidate, false, now);
+            this->request_permit(destination, candidate, false, now);
             request.permit_wait_until = now + permit_answer_timeout;
             this->schedule_tick_by(*request.permit_wait_until);
             return true;
--- a/src/core/request/dispatcher_submit.cpp
+++ b/src/core/request/dispatcher_submit.cpp
@@ -208,6 +208,7 @@
     detail::queue_item item;
     item.id = id;
     item.deadline = info.deadline;
+    item.objective = info.objective;
     item.enqueued = now;
     item.level = cap_priority(info.asked, spec.highest);
     item.caller = caller;
--- a/src/core/routing/server_permits.cpp
+++ b/src/core/routing/server_permits.cpp
@@ -85,6 +85,7 @@
     if (!this->is_limited())
         return;
     this->valid_from = from;
+    this->granted_at = from;
     this->reuse_count = 0;
     if (this->waiting_since)
         this->average_interval =
--- a/src/core/routing/server_permits.hpp
+++ b/src/core/routing/server_permits.hpp
@@ -93,6 +93,12 @@
         return this->reuse_count;
     }
 
+    /// @return When the latest permit became valid.
+    instant granted_since() const
+    {
+        return this->granted_at;
+    }
+
     /// @return When the latest permit was requested.
     instant requested_since() const
     {
@@ -125,6 +131,7 @@
     duration average_interval{};          ///< between permits, while waiting
     std::optional<instant> waiting_since; ///< since when a request waits
     instant requested_at;
+    instant granted_at;
 };
 
 } // namespace roseworks::detail
--- a/src/ports/event_sink.hpp
+++ b/src/ports/event_sink.hpp
@@ -141,6 +141,7 @@
     relay_refused = 1734,
     service_brittle = 1735,
     connections_refused = 1736,
+    server_saturated = 1737,
 
     // 18xx: placement by the orders of a single owner.
     placement_owned = 1801,
--- a/tests/unit/server_limits/router_fleet.cpp
+++ b/tests/unit/server_limits/router_fleet.cpp
@@ -1,6 +1,6 @@
 #include "router_fleet.hpp"
 
-#include "core/pacing/brittle_services.hpp"
+#include "core/pacing/update_kinds.hpp"
 #include "core/quota/global_limits.hpp"
 
 #include <algorithm>
@@ -169,11 +169,12 @@
             to,
             [this, to, update]
             {
-                const auto [servers, services] = split_by_kind(update);
+                const update_kinds kinds = split_by_kind(update);
                 router& other = this->routers[to];
-                other.limits->handle_update(servers, this->queue.now());
+                other.limits->handle_update(
+                    kinds.rate_limits, this->queue.now());
                 other.brittle_services->handle_update(
-                    services, this->queue.now());
+                    kinds.brittle_services, this->queue.now());
                 this->flush(to);
             });
     }
