Saturated engines: order by rank within a router, forecasts by rank, tests under load

Cause: requests of a later rank that could still meet their objective went ahead of urgent ones that had missed theirs, and the forecast of a wait was taken from the long waits of deferred requests, so that urgent ones were refused. A new accountant granted a server's whole room before it knew what the routers held there, and forgot accounts that only the draws had announced.

--- a/src/adapters/settings/gateway_settings.hpp
+++ b/src/adapters/settings/gateway_settings.hpp
@@ -86,7 +86,7 @@
             false; ///< places at saturated engines are counted
         /// Requests that may wait at a saturated engine, as a share of its
         /// slots.
-        double queue_share = 0.25;
+        double queue_share = 0.1;
     } room;
 
     /// The speed of engines.
--- a/src/adapters/settings/load_gateway_settings.cpp
+++ b/src/adapters/settings/load_gateway_settings.cpp
@@ -412,7 +412,7 @@
         {row("room",
              "queue_share",
              name,
-             "0.25",
+             "0.1",
              0,
              0,
              "",
--- a/src/app/gateway/gateway_control.cpp
+++ b/src/app/gateway/gateway_control.cpp
@@ -509,7 +509,6 @@
     this->quotas->routers_listed(all);
     this->crashes->routers_listed(all);
     this->origins->routers_listed(all);
-    this->limit_controller->set_router_count(all.size());
     const relay_routers relays = find_relay_routers(
         all, this->settings.vm.name, this->settings.listen.relay().port);
     this->opinions.set_routers(relays.routers);
--- a/src/app/gateway/server_limit_controller.cpp
+++ b/src/app/gateway/server_limit_controller.cpp
@@ -118,10 +118,7 @@
         return;
     const std::string key = saturated_server_key(one.entry.id);
     const bool is_shown = this->settings.saturation.is_shown(
-        notice,
-        one.entry.slots,
-        this->router_count,
-        this->saturated_servers.limit_of(key) > 0);
+        notice, one.entry.slots, this->saturated_servers.limit_of(key) > 0);
     constexpr double present = 1;
     this->saturated_servers.handle_answer(
         key, is_shown ? std::optional(present) : std::nullopt, sent, now);
--- a/src/app/gateway/server_limit_controller.hpp
+++ b/src/app/gateway/server_limit_controller.hpp
@@ -97,12 +97,6 @@
     /// Servers were added, removed or restarted.
     void servers_changed();
 
-    /// @param count Number of known routers, including this one.
-    void set_router_count(std::size_t count)
-    {
-        this->router_count = count;
-    }
-
 private:
     /// A server to which the dispatcher sends under permits only.
     struct limited_server
@@ -174,7 +168,6 @@
     server_limits limits;
     server_limits brittle_services;
     server_limits saturated_servers;
-    std::size_t router_count = 0;
     /// Servers that have a limit, or whose places are counted, by id.
     limited_servers_map limited_servers;
     /// Slots of the servers whose places are counted, by account.
--- a/src/core/admission/admission_queue.cpp
+++ b/src/core/admission/admission_queue.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
-#include <utility>
+#include <tuple>
 
 namespace roseworks::detail
 {
@@ -67,23 +67,30 @@
     {
         return first;
     }
-    const queue_item* best = nullptr;
+    // A request that misses its objective in any case yields to those of its
+    // rank that can meet theirs.
+    const auto order_of =
+        [from = *allowed.objective_from](const queue_item& item)
+    {
+        const bool is_late = item.objective < from;
+        return std::tuple(
+            item.rank,
+            is_late,
+            is_late ? item.deadline : item.objective,
+            item.id.value);
+    };
+    const queue_item* best = &first;
     for (const auto& [id, item] : this->items)
     {
         const bool is_eligible = item.level == first.level &&
                                  item.caller == first.caller &&
-                                 (allowed.allow_long || !item.long_prompt) &&
-                                 item.objective >= *allowed.objective_from;
-        if (!is_eligible)
+                                 (allowed.allow_long || !item.long_prompt);
+        if (is_eligible && order_of(item) < order_of(*best))
         {
-            continue;
+            best = &item;
         }
-        const bool is_earlier =
-            best == nullptr || std::pair(item.objective, item.id) <
-                                   std::pair(best->objective, best->id);
-        best = is_earlier ? &item : best;
     }
-    return best == nullptr ? first : *best;
+    return *best;
 }
 
 std::optional<queue_item> admission_queue::aged(
--- a/src/core/admission/admission_queue.hpp
+++ b/src/core/admission/admission_queue.hpp
@@ -35,8 +35,9 @@
     {
         bool allow_batch = true;
         bool allow_long = true;
-        /// If set, requests of the chosen class and caller whose objective is
-        /// at this time or later go first, the earliest objective of all.
+        /// If set, the requests of the chosen class and caller are ordered by
+        /// rank, and within a rank by objective; those whose objective is
+        /// earlier than this time go last.
         std::optional<instant> objective_from = std::nullopt;
     };
 
--- a/src/core/admission/queue_item.hpp
+++ b/src/core/admission/queue_item.hpp
@@ -19,6 +19,7 @@
     instant objective = instant::max();
     instant enqueued; ///< arrival of the request; unchanged by retries
     priority level = priority::normal;
+    std::uint8_t rank = 0; ///< within `level`, if objectives go first
     caller_number caller = 0;
     std::uint16_t weight = 1; ///< the caller's weight in `fair_share`
     std::uint32_t cost = 1;   ///< work units that the caller is charged
--- a/src/core/pacing/saturated_servers.hpp
+++ b/src/core/pacing/saturated_servers.hpp
@@ -16,14 +16,14 @@
 
 /** Decides from a server's answers whether it is saturated.
 
-    Load pattern: many routers, each of which may always have one request at a
-    server, fill the server's queue. Each answer is late then, although the
-    server gives as many answers as with a short queue.
+    Load pattern: routers that each know only their own requests at a server
+    fill its queue together. Each answer is late then, although the server gives
+    as many answers as with a short queue.
 */
 struct saturation_rule
 {
     /// Requests that may wait at a saturated server, as a share of its slots.
-    double queue_share = 0.25;
+    double queue_share = 0.1;
 
     /// @return Requests that all routers together may have at a saturated
     ///         server.
@@ -38,19 +38,13 @@
         saturated while its slots are full, since its queue would be full again
         as soon as its places aren't counted.
 
-        @param routers      Live routers. Each may have a request at the server,
-                            so they can only fill its queue if they are more
-                            than its slots.
         @param is_saturated Whether it counted as saturated before.
     */
     bool is_shown(
         const server_notice& notice,
         std::uint32_t slots,
-        std::size_t routers,
         bool is_saturated) const
     {
-        if (routers <= slots)
-            return false;
         if (!notice.load)
             return notice.no_room;
         // A server also rejects requests for a model that it is loading.
--- a/src/core/quota/place_counter.hpp
+++ b/src/core/quota/place_counter.hpp
@@ -108,7 +108,7 @@
         instant objective = instant::max(); ///< `max`: none
     };
 
-    static constexpr std::uint32_t oldest_first_interval = 8;
+    static constexpr std::uint32_t oldest_first_interval = 16;
 
     void drop_outdated(instant now);
     /// @return The draw that is granted next. There must be one.
--- a/src/core/quota/quota_accountant.cpp
+++ b/src/core/quota/quota_accountant.cpp
@@ -48,6 +48,10 @@
     return found == query.orders.end() ? draw_order() : *found;
 }
 
+/// An account of places that isn't in the limits is kept for this long after
+/// its last draw.
+constexpr duration places_retention = std::chrono::seconds(2);
+
 /// Interval between two counts of the active routers.
 constexpr duration count_interval = std::chrono::milliseconds(20);
 
@@ -72,7 +76,14 @@
             added = before->second;
         added.limit = limit;
         if (limit.slots > 0 && !added.places)
-            added.places.emplace(limit.slots);
+            this->add_places(added, limit.slots);
+    }
+    // Routers may know a server's places before this one does. Without the
+    // count of what they hold, the server would get too many requests.
+    for (const auto& [name, before] : this->accounts_by_name)
+    {
+        if (before.places && now - before.last_draw < places_retention)
+            next.try_emplace(name, before);
     }
     this->accounts_by_name = std::move(next);
 }
@@ -179,6 +190,7 @@
         account& entry = *found;
         if (entry.places)
         {
+            entry.last_draw = now;
             result = this->draw_place(
                 *entry.places, query.router, draw, order_of(query, draw), now);
             if (result.is_allowed)
@@ -218,10 +230,18 @@
     added.limit = counts_places ? limit_of_places(draw.announced)
                                 : limit_of_server(draw.announced);
     if (counts_places)
-        added.places.emplace(draw.announced);
+        this->add_places(added, draw.announced);
     return &added;
 }
 
+void quota_accountant::add_places(account& entry, double slots) const
+{
+    // After a restart, the routers have more requests at the server than this
+    // accountant has been told.
+    entry.places.emplace(slots);
+    entry.places->set_share(this->active_fraction);
+}
+
 void quota_accountant::apply_return(const quota_return& returned)
 {
     const auto found = this->accounts_by_name.find(returned.account);
--- a/src/core/quota/quota_accountant.hpp
+++ b/src/core/quota/quota_accountant.hpp
@@ -72,6 +72,7 @@
         double used = 0;                     ///< taken and not returned, total
         double refused = 0;                  ///< total
         std::optional<place_counter> places; ///< set if the limit has slots
+        instant last_draw;
     };
 
     const std::map<std::string, account, std::less<>>& accounts() const
@@ -120,6 +121,8 @@
     void refill_places(instant now);
     /// @return Null for an account without a limit.
     account* find_account(const quota_draw& draw);
+    /// Counts the places of a server, for the routers that report.
+    void add_places(account& entry, double slots) const;
     void apply_return(const quota_return& returned);
     void refill_buckets(instant now);
     /// @return The sums of the reported requests, by account.
--- a/src/core/request/dispatcher_impl.hpp
+++ b/src/core/request/dispatcher_impl.hpp
@@ -217,10 +217,14 @@
         duration wait(std::size_t ahead) const;
     };
 
+    /// @param rank Of the request that waits.
     rate_limit_forecast forecast_rate_limit(
         const detail::target& destination,
         std::span<std::size_t const> usable,
+        std::uint8_t rank,
         instant now) const;
+    /// @return The rank by which a request waits for permits.
+    std::uint8_t permit_rank(const detail::queue_item& item) const;
 
     // dispatcher_finish.cpp
     void release_slot(pending& request, bool rejected = false);
--- a/src/core/request/dispatcher_permits.cpp
+++ b/src/core/request/dispatcher_permits.cpp
@@ -176,7 +176,6 @@
     bool waits,
     instant now)
 {
-    this->loads.at(candidate.server).permits.requested(waits, now);
     permit_wanted wanted{
         {candidate.where.engine, candidate.where.address}, waits};
     const pending* const next = this->next_waiting(destination, now);
@@ -187,6 +186,7 @@
         wanted.rank = next->info.rank;
         wanted.objective = can_meet ? next->info.objective : instant::max();
     }
+    this->loads.at(candidate.server).permits.requested(waits, wanted.rank, now);
     this->commands.emplace_back(wanted);
 }
 
@@ -360,6 +360,7 @@
 dispatcher::impl::rate_limit_forecast dispatcher::impl::forecast_rate_limit(
     const detail::target& destination,
     std::span<std::size_t const> usable,
+    std::uint8_t rank,
     instant now) const
 {
     rate_limit_forecast forecast;
@@ -376,9 +377,10 @@
         {
             return {};
         }
-        const std::chrono::duration<double> turn = pace->permit_interval(now);
+        const std::chrono::duration<double> turn =
+            pace->permit_interval(rank, now);
         forecast.permits_per_second += 1 / turn.count();
-        const duration until_permit = pace->estimated_wait(now);
+        const duration until_permit = pace->estimated_wait(rank, now);
         next = std::min(next.value_or(until_permit), until_permit);
     }
     forecast.until_first = next.value_or(duration::zero());
--- a/src/core/request/dispatcher_submit.cpp
+++ b/src/core/request/dispatcher_submit.cpp
@@ -209,6 +209,7 @@
     item.id = id;
     item.deadline = info.deadline;
     item.objective = info.objective;
+    item.rank = info.rank;
     item.enqueued = now;
     item.level = cap_priority(info.asked, spec.highest);
     item.caller = caller;
@@ -238,8 +239,8 @@
     const std::size_t ahead = found->second.current_stage == stage::suspect
                                   ? 0
                                   : destination.queue.ahead_of(item);
-    const rate_limit_forecast forecast =
-        this->forecast_rate_limit(destination, usable, now);
+    const rate_limit_forecast forecast = this->forecast_rate_limit(
+        destination, usable, this->permit_rank(item), now);
     const duration wait =
         this->predicted_wait(destination, item, ahead, usable, forecast, now);
     this->request_replicas(destination, now);
--- a/src/core/request/dispatcher_tick.cpp
+++ b/src/core/request/dispatcher_tick.cpp
@@ -1,6 +1,7 @@
 #include "core/request/dispatcher_impl.hpp"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace roseworks
@@ -233,6 +234,13 @@
     return base + base / 4 * random_part / (1 << 16);
 }
 
+std::uint8_t dispatcher::impl::permit_rank(const detail::queue_item& item) const
+{
+    constexpr std::uint8_t last = detail::server_permits::rank_count - 1;
+    return this->settings.objectives_first ? std::min(item.rank, last)
+                                           : std::uint8_t(0);
+}
+
 void dispatcher::impl::refuse_late(detail::target& destination, instant now)
 {
     if (destination.waiting() == 0)
@@ -240,12 +248,21 @@
         return;
     }
     const auto usable = detail::balancer::usable(destination.backends, now);
-    const rate_limit_forecast forecast =
-        this->forecast_rate_limit(destination, usable, now);
+    std::array<
+        std::optional<rate_limit_forecast>,
+        detail::server_permits::rank_count>
+        forecasts;
     std::vector<std::pair<ticket, duration>> refused;
     const auto check_deadline =
         [&](const detail::queue_item& item, std::size_t ahead)
     {
+        const std::uint8_t rank = this->permit_rank(item);
+        if (!forecasts.at(rank))
+        {
+            forecasts.at(rank) =
+                this->forecast_rate_limit(destination, usable, rank, now);
+        }
+        const rate_limit_forecast& forecast = *forecasts.at(rank);
         const duration wait = this->predicted_wait(
             destination, item, ahead, usable, forecast, now);
         if (this->can_meet_deadline(destination, item, wait, now))
--- a/src/core/routing/server_permits.cpp
+++ b/src/core/routing/server_permits.cpp
@@ -27,10 +27,10 @@
     this->per_second = requests;
     this->counted = counts_places;
     if (toggled && requests > 0)
-        this->average_interval = std::chrono::duration_cast<duration>(
-            std::chrono::duration<double>(1 / requests));
+        this->average_intervals.fill(std::chrono::duration_cast<duration>(
+            std::chrono::duration<double>(1 / requests)));
     else if (toggled && counts_places)
-        this->average_interval = first_place_interval;
+        this->average_intervals.fill(first_place_interval);
 }
 
 std::optional<instant> server_permits::changes_at() const
@@ -42,14 +42,20 @@
     return this->valid_from ? *this->valid_from : this->retry_at;
 }
 
-duration server_permits::permit_interval(instant now) const
+std::optional<instant> server_permits::awaited_since(std::uint8_t rank) const
 {
-    const duration waited =
-        this->waiting_since ? now - *this->waiting_since : duration::zero();
-    return std::max(this->average_interval, waited);
+    // A permit for a later rank is granted after those of this rank.
+    return this->waiting_rank <= rank ? this->waiting_since : std::nullopt;
 }
 
-duration server_permits::estimated_wait(instant now) const
+duration server_permits::permit_interval(std::uint8_t rank, instant now) const
+{
+    const auto since = this->awaited_since(rank);
+    const duration waited = since ? now - *since : duration::zero();
+    return std::max(this->average_intervals.at(rank), waited);
+}
+
+duration server_permits::estimated_wait(std::uint8_t rank, instant now) const
 {
     const auto until = [now](instant when)
     {
@@ -60,16 +66,16 @@
     const duration retry = this->is_requested || this->retry_at <= now
                                ? duration::zero()
                                : until(this->retry_at);
-    if (!this->waiting_since)
+    const auto since = this->awaited_since(rank);
+    if (!since)
         return retry;
+    const duration average = this->average_intervals.at(rank);
     // An overdue permit is expected after half an average interval, not now.
-    const duration left = std::max(
-        until(*this->waiting_since + this->average_interval),
-        this->average_interval / 2);
+    const duration left = std::max(until(*since + average), average / 2);
     return std::max(retry, left);
 }
 
-void server_permits::requested(bool waits, instant now)
+void server_permits::requested(bool waits, std::uint8_t rank, instant now)
 {
     const bool restarted =
         !this->waiting_since || now - this->requested_at >= idle_after;
@@ -77,6 +83,7 @@
         this->waiting_since = now;
     this->is_requested = true;
     this->requested_at = now;
+    this->waiting_rank = std::min<std::uint8_t>(rank, rank_count - 1);
 }
 
 void server_permits::granted(instant from)
@@ -87,9 +94,9 @@
     this->valid_from = from;
     this->granted_at = from;
     this->reuse_count = 0;
+    duration& average = this->average_intervals.at(this->waiting_rank);
     if (this->waiting_since)
-        this->average_interval =
-            (this->average_interval + (from - *this->waiting_since)) / 2;
+        average = (average + (from - *this->waiting_since)) / 2;
     this->waiting_since.reset();
 }
 
--- a/src/core/routing/server_permits.hpp
+++ b/src/core/routing/server_permits.hpp
@@ -2,6 +2,8 @@
 
 #include <roseworks/instant.hpp>
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 
@@ -61,15 +63,17 @@
     ///         without a call of this object.
     std::optional<instant> changes_at() const;
 
-    /// @return The estimated time until a request may be sent.
-    duration estimated_wait(instant now) const;
+    /// @return The estimated time until a request of this rank may be sent.
+    duration estimated_wait(std::uint8_t rank, instant now) const;
 
-    /// @return The time between two permits of this router while requests wait.
-    duration permit_interval(instant now) const;
+    /// @return The time between two permits of this router while requests of
+    ///         this rank wait.
+    duration permit_interval(std::uint8_t rank, instant now) const;
 
     /// A permit was requested.
     /// @param waits Whether a request waits that no other server can take.
-    void requested(bool waits, instant now);
+    /// @param rank  Of that request, below `rank_count`.
+    void requested(bool waits, std::uint8_t rank, instant now);
     /// @param from When the permit becomes valid.
     void granted(instant from);
 
@@ -118,7 +122,12 @@
     /// @return Whether there was one.
     bool revoke();
 
+    static constexpr std::size_t rank_count = 10;
+
 private:
+    /// @return Since when a permit for this rank or an earlier one is awaited.
+    std::optional<instant> awaited_since(std::uint8_t rank) const;
+
     /// A permit is requested again if no answer came within this time.
     static constexpr duration answer_timeout = std::chrono::seconds(1);
 
@@ -126,9 +135,11 @@
     bool counted = false; ///< whether the requests at the server are counted
     std::uint32_t reuse_count = 0;
     bool is_requested = false;
-    std::optional<instant> valid_from;    ///< start of the permit's validity
-    instant retry_at = instant::min();    ///< earliest time of the next request
-    duration average_interval{};          ///< between permits, while waiting
+    std::optional<instant> valid_from; ///< start of the permit's validity
+    instant retry_at = instant::min(); ///< earliest time of the next request
+    /// Between permits, while requests of a rank wait.
+    std::array<duration, rank_count> average_intervals{};
+    std::uint8_t waiting_rank = 0;        ///< of the requested permit
     std::optional<instant> waiting_since; ///< since when a request waits
     instant requested_at;
     instant granted_at;
--- a/tests/unit/brittle_servers/modelled_server.hpp
+++ b/tests/unit/brittle_servers/modelled_server.hpp
@@ -58,6 +58,16 @@
     /// @return The most rejections within a second, from `from` on.
     std::size_t worst_second(instant from) const;
 
+    std::size_t running_count() const
+    {
+        return this->running.size();
+    }
+
+    std::size_t waiting_count() const
+    {
+        return this->waiting.size();
+    }
+
     /// @return The time in which requests ran, over all slots.
     duration busy() const
     {
--- a/tests/unit/server_limits/router_fleet.cpp
+++ b/tests/unit/server_limits/router_fleet.cpp
@@ -66,6 +66,7 @@
     ++target.run;
     dispatcher::options traffic;
     traffic.affinity = prefix_affinity::none;
+    traffic.objectives_first = this->settings.saturation.has_value();
     traffic.data_centre = "a";
     traffic.seed = this->random();
     target.traffic = std::make_unique<dispatcher>(traffic);
@@ -75,6 +76,8 @@
     target.limits = std::make_unique<server_limits>(known);
     target.brittle_services =
         std::make_unique<server_limits>(brittle_service_options(target.name));
+    target.saturated_servers =
+        std::make_unique<server_limits>(saturated_server_options(target.name));
     quota_client::options client_options;
     client_options.router = target.name;
     client_options.mode = this->settings.mode;
@@ -132,13 +135,22 @@
     this->queue.run_until(end);
 }
 
-void router_fleet::handle_request(std::size_t number)
+request_info router_fleet::make_request()
 {
     request_info info;
     info.target = "m";
     info.deadline = this->queue.now() + this->settings.caller_timeout;
     info.objective = this->queue.now() + this->settings.caller_timeout / 4;
-    this->routers[number].traffic->submit(std::move(info), this->queue.now());
+    return info;
+}
+
+void router_fleet::request_submitted(std::size_t, ticket) {}
+
+void router_fleet::handle_request(std::size_t number)
+{
+    const ticket id = this->routers[number].traffic->submit(
+        this->make_request(), this->queue.now());
+    this->request_submitted(number, id);
     this->flush(number);
 }
 
@@ -149,7 +161,9 @@
     this->take_draws(number);
     const router& target = this->routers[number];
     for (server_limits* known :
-         {target.limits.get(), target.brittle_services.get()})
+         {target.limits.get(),
+          target.brittle_services.get(),
+          target.saturated_servers.get()})
     {
         if (const auto update = known->take_update(this->queue.now()))
             this->send_limits(number, *update);
@@ -175,6 +189,8 @@
                     kinds.rate_limits, this->queue.now());
                 other.brittle_services->handle_update(
                     kinds.brittle_services, this->queue.now());
+                other.saturated_servers->handle_update(
+                    kinds.saturated_servers, this->queue.now());
                 this->flush(to);
             });
     }
@@ -182,14 +198,31 @@
 
 bool router_fleet::counts_places(const router& target) const
 {
-    return !target.brittle_services->in_force().empty();
+    return !target.brittle_services->in_force().empty() ||
+           !target.saturated_servers->in_force().empty();
+}
+
+bool router_fleet::counts_places(const router& target, engine_id engine) const
+{
+    return !target.brittle_services->in_force().empty() ||
+           target.saturated_servers->limit_of(
+               saturated_server_key(server_name(engine))) > 0;
+}
+
+double router_fleet::places_of(const router& target) const
+{
+    const bool is_brittle = !target.brittle_services->in_force().empty();
+    return is_brittle || !this->settings.saturation
+               ? this->settings.slots
+               : this->settings.saturation->places(this->settings.slots);
 }
 
 std::string
 router_fleet::account_of(const router& target, engine_id engine) const
 {
-    return this->counts_places(target) ? places_account(server_name(engine))
-                                       : server_account(server_name(engine));
+    return this->counts_places(target, engine)
+               ? places_account(server_name(engine))
+               : server_account(server_name(engine));
 }
 
 void router_fleet::update_limits(router& target)
@@ -197,11 +230,12 @@
     global_limits all;
     for (const server_limit& limit : target.limits->in_force())
         all[server_account(limit.server)] = limit_of_server(limit.per_second);
-    for (std::uint32_t i = 1;
-         this->counts_places(target) && i <= this->settings.engines;
-         ++i)
-        all[places_account(server_name(engine_id(i)))] =
-            limit_of_places(this->settings.slots);
+    for (std::uint32_t i = 1; i <= this->settings.engines; ++i)
+    {
+        if (this->counts_places(target, engine_id(i)))
+            all[places_account(server_name(engine_id(i)))] =
+                limit_of_places(this->places_of(target));
+    }
     target.accountant->set_limits(all, this->queue.now());
     target.client->set_limits(std::move(all));
     target.client->tick(this->queue.now());
@@ -221,6 +255,18 @@
         notice.max_rejections,
         sent,
         this->queue.now());
+    if (!this->settings.saturation)
+        return;
+    const std::string key = saturated_server_key(server_name(engine));
+    const bool is_shown = this->settings.saturation->is_shown(
+        notice,
+        this->settings.slots,
+        target.saturated_servers->limit_of(key) > 0);
+    target.saturated_servers->handle_answer(
+        key,
+        is_shown ? std::optional(1.0) : std::nullopt,
+        sent,
+        this->queue.now());
 }
 
 void router_fleet::take_changes(std::size_t number)
@@ -233,14 +279,19 @@
             changed.per_second,
             this->queue.now());
     const auto brittle_changes = target.brittle_services->take_changes();
-    if (changes.empty() && brittle_changes.empty())
+    const auto saturated_changes = target.saturated_servers->take_changes();
+    if (changes.empty() && brittle_changes.empty() && saturated_changes.empty())
         return;
     this->update_limits(target);
+    const bool is_counting_changed =
+        !brittle_changes.empty() || !saturated_changes.empty();
     for (std::uint32_t i = 1;
-         !brittle_changes.empty() && i <= this->settings.engines;
+         is_counting_changed && i <= this->settings.engines;
          ++i)
         target.traffic->server_counted(
-            {engine_id(i), {}}, this->counts_places(target), this->queue.now());
+            {engine_id(i), {}},
+            this->counts_places(target, engine_id(i)),
+            this->queue.now());
 }
 
 void router_fleet::take_commands(std::size_t number)
@@ -267,6 +318,16 @@
     }
 }
 
+draw_order router_fleet::order_of(const permit_wanted& wanted) const
+{
+    draw_order order;
+    order.rank = wanted.rank;
+    if (wanted.objective != instant::max())
+        order.objective_in_us = std::max<std::int64_t>(
+            duration(wanted.objective - this->queue.now()).count(), 0);
+    return order;
+}
+
 void router_fleet::draw_permit(std::size_t number, const permit_wanted& wanted)
 {
     router& target = this->routers[number];
@@ -274,7 +335,8 @@
         this->account_of(target, wanted.server.engine),
         1,
         wanted.waits ? permit_max_wait : duration::zero(),
-        this->queue.now());
+        this->queue.now(),
+        this->order_of(wanted));
     target.draws[id] = wanted.server;
 }
 
@@ -362,7 +424,7 @@
     target.traffic->permit_given(
         place, this->queue.now() + decision.wait, this->queue.now());
     this->take_commands(number);
-    if (this->counts_places(target))
+    if (this->counts_places(target, place.engine))
         return;
     this->schedule_on(
         number,
@@ -386,8 +448,12 @@
     instant due = counts ? target.client->next_tick() : instant::max();
     if (const auto next = target.limits->next_tick())
         due = std::min(due, *next);
-    if (const auto next = target.brittle_services->next_tick())
-        due = std::min(due, *next);
+    for (const server_limits* known :
+         {target.brittle_services.get(), target.saturated_servers.get()})
+    {
+        if (const auto next = known->next_tick())
+            due = std::min(due, *next);
+    }
     if (const auto next = target.traffic->next_tick())
         due = std::min(due, *next);
     if (due == instant::max())
@@ -407,6 +473,7 @@
             current.scheduled_tick = instant::max();
             current.limits->tick(this->queue.now());
             current.brittle_services->tick(this->queue.now());
+            current.saturated_servers->tick(this->queue.now());
             current.accountant->tick(this->queue.now());
             if (!current.limits->in_force().empty() ||
                 this->counts_places(current))
--- a/tests/unit/server_limits/router_fleet.hpp
+++ b/tests/unit/server_limits/router_fleet.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/pacing/saturated_servers.hpp"
 #include "core/pacing/server_limits.hpp"
 #include "core/pacing/server_notice.hpp"
 #include "core/quota/quota_accountant.hpp"
@@ -13,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
@@ -48,6 +50,8 @@
         duration longest_delay = 3ms;
         duration caller_timeout = 3s; ///< time limit of a caller
         quota_mode mode = quota_mode::accountant;
+        /// Empty: the requests at saturated engines aren't counted.
+        std::optional<saturation_rule> saturation;
         std::uint64_t seed = 1;
     };
 
@@ -95,6 +99,7 @@
         std::unique_ptr<dispatcher> traffic;
         std::unique_ptr<server_limits> limits;
         std::unique_ptr<server_limits> brittle_services;
+        std::unique_ptr<server_limits> saturated_servers;
         std::unique_ptr<quota_client> client;
         std::unique_ptr<quota_accountant> accountant;
         std::unordered_map<std::uint64_t, server_place> draws;
@@ -110,6 +115,12 @@
     /// follow.
     virtual void run_request(std::size_t number, const grant& granted) = 0;
 
+    /// @return A request that a caller sends now.
+    virtual request_info make_request();
+
+    /// A router has taken in the request that was made last.
+    virtual void request_submitted(std::size_t number, ticket id);
+
     /// An engine answered a request.
     void handle_notice(
         std::size_t number,
@@ -146,7 +157,11 @@
     void send_limits(std::size_t number, const server_limit_update& update);
     void update_limits(router& target);
     bool counts_places(const router& target) const;
+    bool counts_places(const router& target, engine_id engine) const;
+    /// @return Requests that all routers may have at an engine, if counted.
+    double places_of(const router& target) const;
     std::string account_of(const router& target, engine_id engine) const;
+    draw_order order_of(const permit_wanted& wanted) const;
     void draw_permit(std::size_t number, const permit_wanted& wanted);
     void apply_decision(std::size_t number, const quota_decision& decision);
     void schedule_tick(std::size_t number);
