Pending draws of a router carry the orders of the requests that go first

Cause: a draw kept the rank of the request that it was made for. With deferred requests waiting, a router had a draw of the last rank at each engine, and an urgent request that came later couldn't draw.

Change: the pending draws have the ranks of as many waiting requests, first ones first; a draw whose request changes is sent again with its new order.

--- a/include/roseworks/dispatcher.hpp
+++ b/include/roseworks/dispatcher.hpp
@@ -106,6 +106,9 @@
 {
     server_place server;
     bool waits = false; ///< a waiting request has no other server
+    /// Changes the order of the permit that was requested before and has not
+    /// been granted yet; no further permit is requested.
+    bool reorders = false;
     /// Of the request that the permit is for.
     std::uint8_t rank = 0;
     /// The objective of that request; `max`: it can't meet it any more.
--- a/src/app/gateway/quota_controller.cpp
+++ b/src/app/gateway/quota_controller.cpp
@@ -132,6 +132,13 @@
     this->flush();
 }
 
+void quota_controller::reorder_place(
+    std::string_view account, const draw_order& order)
+{
+    this->client.reorder_place(account, order, this->clock.now());
+    this->flush();
+}
+
 void quota_controller::limits_changed()
 {
     global_limits all = this->organisation_limits;
--- a/src/app/gateway/quota_controller.hpp
+++ b/src/app/gateway/quota_controller.hpp
@@ -73,6 +73,9 @@
     /// Refuses the draw that waits for a place, if there is one.
     void cancel_place(std::string_view account);
 
+    /// Changes the order of the draw that waits for a place.
+    void reorder_place(std::string_view account, const draw_order& order);
+
     void routers_listed(std::span<const router_address> all);
     void query_received(const quota_query& query, std::string_view from);
     void reply_received(const quota_reply& reply);
--- a/src/app/gateway/server_limit_controller.cpp
+++ b/src/app/gateway/server_limit_controller.cpp
@@ -26,6 +26,16 @@
     return made;
 }
 
+draw_order order_of(const permit_wanted& wanted, instant now)
+{
+    draw_order order;
+    order.rank = wanted.rank;
+    if (wanted.objective != instant::max())
+        order.objective_in_us =
+            std::max<std::int64_t>(duration(wanted.objective - now).count(), 0);
+    return order;
+}
+
 bool is_same_server(const server_place& one, const server_place& other)
 {
     return one.engine == other.engine &&
@@ -428,6 +438,8 @@
     const duration longest_wait = wanted.waits
                                       ? duration(this->settings.max_permit_wait)
                                       : duration::zero();
+    if (!found->second.counts_places && wanted.reorders)
+        return; // permits of a rate limit have no order
     if (!found->second.counts_places)
     {
         this->draw_rate(found->first, longest_wait);
@@ -437,10 +449,12 @@
     request.account = places_account(found->first);
     request.amount = 1;
     request.longest_wait = longest_wait;
-    request.order.rank = wanted.rank;
-    if (wanted.objective != instant::max())
-        request.order.objective_in_us = std::max<std::int64_t>(
-            duration(wanted.objective - this->clock.now()).count(), 0);
+    request.order = order_of(wanted, this->clock.now());
+    if (wanted.reorders)
+    {
+        this->quotas.reorder_place(request.account, request.order);
+        return;
+    }
     this->quotas.draw(
         std::move(request),
         [this, longest_wait, server = found->first](
--- a/src/core/admission/admission_queue.cpp
+++ b/src/core/admission/admission_queue.cpp
@@ -7,6 +7,23 @@
 namespace roseworks::detail
 {
 
+namespace
+{
+
+/// @return Sort key of a request. One that misses its objective in any case
+///         yields to those of its rank that can meet theirs.
+auto order_of(const queue_item& item, instant objective_from)
+{
+    const bool is_late = item.objective < objective_from;
+    return std::tuple(
+        item.rank,
+        is_late,
+        is_late ? item.deadline : item.objective,
+        item.id.value);
+}
+
+} // namespace
+
 admission_queue::admission_queue(duration ageing_interval)
     : ageing(std::max(ageing_interval, duration(1)))
 {
@@ -67,25 +84,14 @@
     {
         return first;
     }
-    // A request that misses its objective in any case yields to those of its
-    // rank that can meet theirs.
-    const auto order_of =
-        [from = *allowed.objective_from](const queue_item& item)
-    {
-        const bool is_late = item.objective < from;
-        return std::tuple(
-            item.rank,
-            is_late,
-            is_late ? item.deadline : item.objective,
-            item.id.value);
-    };
     const queue_item* best = &first;
     for (const auto& [id, item] : this->items)
     {
         const bool is_eligible = item.level == first.level &&
                                  item.caller == first.caller &&
                                  (allowed.allow_long || !item.long_prompt);
-        if (is_eligible && order_of(item) < order_of(*best))
+        if (is_eligible && order_of(item, *allowed.objective_from) <
+                               order_of(*best, *allowed.objective_from))
         {
             best = &item;
         }
@@ -93,6 +99,28 @@
     return *best;
 }
 
+std::vector<queue_item> admission_queue::first_by_objective(
+    std::size_t count, instant objective_from) const
+{
+    std::vector<queue_item> all;
+    all.reserve(this->items.size());
+    for (const auto& [id, item] : this->items)
+    {
+        all.push_back(item);
+    }
+    const auto first = std::min(count, all.size());
+    std::ranges::partial_sort(
+        all,
+        all.begin() + static_cast<std::ptrdiff_t>(first),
+        {},
+        [objective_from](const queue_item& item)
+        {
+            return order_of(item, objective_from);
+        });
+    all.resize(first);
+    return all;
+}
+
 std::optional<queue_item> admission_queue::aged(
     const filter& allowed, std::size_t best, instant now) const
 {
--- a/src/core/admission/admission_queue.hpp
+++ b/src/core/admission/admission_queue.hpp
@@ -58,6 +58,12 @@
     /// @return The next request that the filter allows; empty if there is none.
     std::optional<choice> next(const filter& allowed, instant now) const;
 
+    /// @param objective_from As in `filter`.
+    /// @return The first requests in the order of `filter::objective_from`, of
+    ///         all classes and callers; at most `count`.
+    std::vector<queue_item>
+    first_by_objective(std::size_t count, instant objective_from) const;
+
     /// Removes a chosen request and charges its caller.
     void take(const choice& chosen);
 
--- a/src/core/quota/place_counter.cpp
+++ b/src/core/quota/place_counter.cpp
@@ -29,9 +29,21 @@
 /// another accountant.
 constexpr duration rejection_lifetime = std::chrono::milliseconds(200);
 
+/// A draw that has waited for this long may go ahead of lower ranks.
+constexpr duration min_aged_wait = std::chrono::milliseconds(500);
+
 /// Cap for times in received messages (one hour).
 constexpr std::int64_t max_objective_us = 3'600'000'000;
 
+/// @return The time of an objective; `max`: none.
+instant objective_of(const draw_order& order, instant now)
+{
+    if (order.objective_in_us == draw_order::no_objective)
+        return instant::max();
+    return now + duration(std::clamp<std::int64_t>(
+                     order.objective_in_us, 0, max_objective_us));
+}
+
 } // namespace
 
 place_counter::place_counter(double server_slots)
@@ -113,7 +125,10 @@
 {
     const auto queued = this->waiting_by_router.find(router);
     if (queued != this->waiting_by_router.end() && queued->second == id)
+    {
+        this->reorder(id, order, now);
         return outcome::queued;
+    }
     if (this->waiting_by_router.empty() && this->has_room())
     {
         this->grant(router, id, now);
@@ -122,20 +137,27 @@
     this->is_short = true;
     if (max_wait <= duration::zero())
         return outcome::refused;
-    const bool has_objective =
-        order.objective_in_us != draw_order::no_objective;
-    const duration until_objective(
-        std::clamp<std::int64_t>(order.objective_in_us, 0, max_objective_us));
     this->waiting.push_back(
         {std::string(router),
          id,
          now + max_wait,
+         now,
          order.rank,
-         has_objective ? now + until_objective : instant::max()});
+         objective_of(order, now)});
     this->waiting_by_router[std::string(router)] = id;
     return outcome::queued;
 }
 
+void place_counter::reorder(
+    std::uint64_t id, const draw_order& order, instant now)
+{
+    const auto found = std::ranges::find(this->waiting, id, &waiting_draw::id);
+    if (found == this->waiting.end())
+        return;
+    found->rank = order.rank;
+    found->objective = objective_of(order, now);
+}
+
 std::vector<place_counter::late_grant> place_counter::grant_waiting(instant now)
 {
     std::vector<late_grant> granted;
@@ -173,7 +195,8 @@
 place_counter::next_draw(instant now)
 {
     ++this->grants_since_oldest;
-    if (this->grants_since_oldest >= oldest_first_interval)
+    if (this->grants_since_oldest >= oldest_first_interval &&
+        now - this->waiting.front().drawn_at >= min_aged_wait)
     {
         this->grants_since_oldest = 0;
         return this->waiting.begin();
--- a/src/core/quota/place_counter.hpp
+++ b/src/core/quota/place_counter.hpp
@@ -66,8 +66,8 @@
 
         The lowest rank goes first, then the earliest objective that can still
         be met. Draws of the same order are granted as they came. One place in
-        `oldest_first_interval` goes to the draw that has waited longest, so
-        that no rank starves.
+        `oldest_first_interval` goes to the draw that has waited longest, if it
+        has waited for half a second, so that no rank starves.
     */
     std::vector<late_grant> grant_waiting(instant now);
 
@@ -104,12 +104,15 @@
         std::string router;
         std::uint64_t id = 0;
         instant expires_at;
+        instant drawn_at;
         std::uint8_t rank = 0;
         instant objective = instant::max(); ///< `max`: none
     };
 
     static constexpr std::uint32_t oldest_first_interval = 16;
 
+    /// A draw that waits has got another order.
+    void reorder(std::uint64_t id, const draw_order& order, instant now);
     void drop_outdated(instant now);
     /// @return The draw that is granted next. There must be one.
     std::deque<waiting_draw>::iterator next_draw(instant now);
--- a/src/core/quota/quota_client.hpp
+++ b/src/core/quota/quota_client.hpp
@@ -98,6 +98,10 @@
     /// @param rejected The server had no room for it.
     void release_place(std::string_view account, bool rejected, instant now);
 
+    /// Changes the order of the draw that waits for a place, if there is one.
+    void reorder_place(
+        std::string_view account, const draw_order& order, instant now);
+
     /// Refuses the draw that waits for a place, if there is one.
     void cancel_place(std::string_view account, instant now);
 
--- a/src/core/quota/quota_client_places.cpp
+++ b/src/core/quota/quota_client_places.cpp
@@ -59,6 +59,26 @@
         this->send_query(this->contacts[this->current_index], {}, now);
 }
 
+void quota_client::reorder_place(
+    std::string_view account, const draw_order& order, instant now)
+{
+    const auto place = this->places.find(account);
+    if (place == this->places.end())
+        return;
+    const auto found = this->waiting.find(place->second.pending_draw);
+    if (found == this->waiting.end())
+        return;
+    pending_draw& pending = found->second;
+    pending.order = order;
+    pending.order.id = found->first;
+    if (order.objective_in_us != draw_order::no_objective)
+        pending.order.objective_in_us +=
+            duration(now - pending.created_at).count();
+    if (this->current_index < this->contacts.size())
+        this->send_query(
+            this->contacts[this->current_index], {pending.draw}, now);
+}
+
 void quota_client::cancel_place(std::string_view account, instant now)
 {
     const auto found = this->places.find(account);
--- a/src/core/request/dispatcher_impl.hpp
+++ b/src/core/request/dispatcher_impl.hpp
@@ -181,14 +181,21 @@
     std::size_t competing_requests(
         const detail::target& destination,
         std::span<std::size_t const> usable) const;
+    /// @param wanted The server in it is set here.
     void request_permit(
+        const detail::backend& candidate, permit_wanted wanted, instant now);
+    /// @return The orders of permits for the first requests that wait, at least
+    ///         as many as `count`.
+    std::vector<permit_wanted> first_waiting(
         const detail::target& destination,
-        const detail::backend& candidate,
-        bool waits,
+        std::size_t count,
+        instant now) const;
+    /// Changes the order of pending permits that were requested for a request
+    /// of another rank.
+    void reorder_permits(
+        std::span<const detail::backend* const> requested,
+        std::span<const permit_wanted> orders,
         instant now);
-    /// @return The waiting request that the next permit is for; null: none.
-    const pending*
-    next_waiting(const detail::target& destination, instant now) const;
     /// Requests places from the least loaded servers of a target, one for each
     /// waiting request.
     void request_places(const detail::target& destination, instant now);
--- a/src/core/request/dispatcher_permits.cpp
+++ b/src/core/request/dispatcher_permits.cpp
@@ -171,32 +171,59 @@
 }
 
 void dispatcher::impl::request_permit(
-    const detail::target& destination,
-    const detail::backend& candidate,
-    bool waits,
-    instant now)
+    const detail::backend& candidate, permit_wanted wanted, instant now)
+{
+    wanted.server = {candidate.where.engine, candidate.where.address};
+    this->loads.at(candidate.server)
+        .permits.requested(wanted.waits, wanted.rank, now);
+    this->commands.emplace_back(std::move(wanted));
+}
+
+std::vector<permit_wanted> dispatcher::impl::first_waiting(
+    const detail::target& destination, std::size_t count, instant now) const
 {
-    permit_wanted wanted{
-        {candidate.where.engine, candidate.where.address}, waits};
-    const pending* const next = this->next_waiting(destination, now);
-    if (this->settings.objectives_first && next != nullptr)
+    permit_wanted unordered;
+    unordered.waits = true;
+    if (!this->settings.objectives_first)
     {
-        const bool can_meet = next->info.objective >=
-                              now + destination.estimator.prefill_time(0, now);
-        wanted.rank = next->info.rank;
-        wanted.objective = can_meet ? next->info.objective : instant::max();
+        return std::vector<permit_wanted>(count, unordered);
     }
-    this->loads.at(candidate.server).permits.requested(waits, wanted.rank, now);
-    this->commands.emplace_back(wanted);
+    const instant reachable = now + destination.estimator.prefill_time(0, now);
+    std::vector<permit_wanted> orders;
+    for (const detail::queue_item& item :
+         destination.queue.first_by_objective(count, reachable))
+    {
+        permit_wanted& one = orders.emplace_back(unordered);
+        one.rank = this->permit_rank(item);
+        one.objective =
+            item.objective >= reachable ? item.objective : instant::max();
+    }
+    // Suspect requests wait too, in the order of the last one.
+    const permit_wanted last = orders.empty() ? unordered : orders.back();
+    orders.resize(count, last);
+    return orders;
 }
 
-const dispatcher::impl::pending* dispatcher::impl::next_waiting(
-    const detail::target& destination, instant now) const
+void dispatcher::impl::reorder_permits(
+    std::span<const detail::backend* const> requested,
+    std::span<const permit_wanted> orders,
+    instant now)
 {
-    detail::admission_queue::filter allowed;
-    allowed.objective_from = now + destination.estimator.prefill_time(0, now);
-    const auto next = destination.queue.next(allowed, now);
-    return next ? &this->requests.at(next->item.id) : nullptr;
+    for (std::size_t i = 0; i < requested.size(); ++i)
+    {
+        const detail::backend& candidate = *requested[i];
+        detail::server_permits& permits =
+            this->loads.at(candidate.server).permits;
+        if (permits.requested_rank() == orders[i].rank)
+        {
+            continue;
+        }
+        permits.reordered(orders[i].rank, now);
+        permit_wanted changed = orders[i];
+        changed.server = {candidate.where.engine, candidate.where.address};
+        changed.reorders = true;
+        this->commands.emplace_back(std::move(changed));
+    }
 }
 
 void dispatcher::impl::request_permits(
@@ -233,7 +260,10 @@
         }
         if (!pace->counts_places() && pace->must_request(now))
         {
-            this->request_permit(destination, candidate, true, now);
+            this->request_permit(
+                candidate,
+                this->first_waiting(destination, 1, now).front(),
+                now);
         }
         const auto next = pace->changes_at();
         if (next && *next > now)
@@ -266,6 +296,7 @@
     const detail::target& destination, instant now)
 {
     std::vector<const detail::backend*> free;
+    std::vector<const detail::backend*> pending_servers;
     std::size_t requested = 0;
     for (const std::size_t i :
          detail::balancer::usable(destination.backends, now))
@@ -281,6 +312,10 @@
             pace->awaits_answer(now) &&
             now - pace->requested_since() < place_answer_timeout;
         requested += is_recent ? 1 : 0;
+        if (pace->awaits_answer(now))
+        {
+            pending_servers.push_back(&candidate);
+        }
         if (is_recent)
         {
             this->schedule_tick_by(
@@ -300,13 +335,28 @@
         {
             return this->loads.load(candidate->server, now);
         });
+    // The permits that are pending are for the requests that go first. Each
+    // is for another request: one urgent request must not make all of them
+    // urgent.
+    std::ranges::stable_sort(
+        pending_servers,
+        {},
+        [this](const detail::backend* candidate)
+        {
+            return this->loads.at(candidate->server).permits.requested_rank();
+        });
+    const auto orders = this->first_waiting(
+        destination, pending_servers.size() + free.size(), now);
+    this->reorder_permits(pending_servers, orders, now);
+    std::size_t next = pending_servers.size();
     for (const detail::backend* candidate : free)
     {
         if (requested >= destination.waiting())
         {
             return;
         }
-        this->request_permit(destination, *candidate, true, now);
+        this->request_permit(*candidate, orders[next], now);
+        ++next;
         ++requested;
     }
 }
@@ -348,7 +398,10 @@
         }
         if (!is_asked && pace->must_request(now))
         {
-            this->request_permit(destination, candidate, false, now);
+            permit_wanted optional;
+            optional.rank = this->permit_rank(request.item);
+            optional.objective = request.info.objective;
+            this->request_permit(candidate, std::move(optional), now);
             request.permit_wait_until = now + permit_answer_timeout;
             this->schedule_tick_by(*request.permit_wait_until);
             return true;
--- a/src/core/routing/server_permits.hpp
+++ b/src/core/routing/server_permits.hpp
@@ -103,6 +103,19 @@
         return this->granted_at;
     }
 
+    /// @return The rank for which the pending permit was requested.
+    std::uint8_t requested_rank() const
+    {
+        return this->waiting_rank;
+    }
+
+    /// The pending permit is for a request of another rank.
+    void reordered(std::uint8_t rank, instant now)
+    {
+        this->waiting_rank = rank;
+        this->waiting_since = now;
+    }
+
     /// @return When the latest permit was requested.
     instant requested_since() const
     {
--- a/tests/unit/quota/test_place_counter.cpp
+++ b/tests/unit/quota/test_place_counter.cpp
@@ -153,3 +153,38 @@
     one.set_share(0);
     cr_assert_eq(one.places(), 0);
 }
+
+/// A deferred request took the place that an urgent one of another router
+/// waited for.
+Test(place_counter, grants_by_rank_and_reachable_objective)
+{
+    place_counter places(1);
+    places.report("holder", usage(0, 1), start);
+    cr_assert(places.draw("holder", 1, 0s, start) == outcome::granted);
+    const auto draw = [&](const char* router,
+                          std::uint64_t id,
+                          std::uint8_t rank,
+                          std::int64_t objective_in_us)
+    {
+        places.report(router, usage(0, id), start);
+        const draw_order order{id, rank, objective_in_us, 0};
+        cr_assert(
+            places.draw(router, id, 10s, start, order) == outcome::queued);
+    };
+    draw("deferred", 2, 2, 8'000'000);
+    draw("missed", 3, 1, 1'000);
+    draw("later", 4, 1, 300'000);
+    draw("soon", 5, 1, 200'000);
+    const std::uint64_t expected[] = {5, 4, 3, 2};
+    std::uint64_t holder = 1;
+    const char* names[] = {"", "holder", "deferred", "missed", "later", "soon"};
+    instant now = start + 10ms;
+    for (const std::uint64_t id : expected)
+    {
+        places.report(names[holder], usage(0), now);
+        const auto granted = places.grant_waiting(now);
+        cr_assert_eq(granted.size(), 1);
+        cr_expect_eq(granted.front().draw, id);
+        holder = id;
+    }
+}
--- a/tests/unit/server_limits/router_fleet.cpp
+++ b/tests/unit/server_limits/router_fleet.cpp
@@ -331,6 +331,14 @@
 void router_fleet::draw_permit(std::size_t number, const permit_wanted& wanted)
 {
     router& target = this->routers[number];
+    if (wanted.reorders)
+    {
+        target.client->reorder_place(
+            places_account(server_name(wanted.server.engine)),
+            this->order_of(wanted),
+            this->queue.now());
+        return;
+    }
     const std::uint64_t id = target.client->draw(
         this->account_of(target, wanted.server.engine),
         1,
