--- a/src/app/gateway/gateway_control.cpp
+++ b/src/app/gateway/gateway_control.cpp
@@ -112,7 +112,7 @@
           *this->directory))
     , limit_controller(std::make_unique<server_limit_controller>(
           this->loop,
-          server_limit_controller::options{initial_settings.vm.name},
+          server_limit_options(initial_settings),
           time,
           sink,
           this->serving->view(),
--- a/src/core/admission/admission_queue.hpp
+++ b/src/core/admission/admission_queue.hpp
@@ -35,6 +35,10 @@
     {
         bool allow_batch = true;
         bool allow_long = true;
+        /// If set, the requests of the chosen class and caller are ordered by
+        /// rank, and within a rank by objective; those whose objective is
+        /// earlier than this time go last.
+        std::optional<instant> objective_from = std::nullopt;
     };
 
     /// A chosen request. It stays queued unless passed to `take`.
@@ -54,6 +58,12 @@
     /// @return The next request that the filter allows; empty if there is none.
     std::optional<choice> next(const filter& allowed, instant now) const;
 
+    /// @param objective_from As in `filter`.
+    /// @return The first requests in the order of `filter::objective_from`, of
+    ///         all classes and callers; at most `count`.
+    std::vector<queue_item>
+    first_by_objective(std::size_t count, instant objective_from) const;
+
     /// Removes a chosen request and charges its caller.
     void take(const choice& chosen);
 
@@ -108,6 +118,9 @@
         return static_cast<std::size_t>(level);
     }
 
+    /// @return The request that goes before `first`, or `first` itself.
+    const queue_item&
+    first_by_objective(const queue_item& first, const filter& allowed) const;
     std::optional<queue_item>
     aged(const filter& allowed, std::size_t best, instant now) const;
 
--- a/src/core/quota/quota_accountant.hpp
+++ b/src/core/quota/quota_accountant.hpp
@@ -72,6 +72,7 @@
         double used = 0;                     ///< taken and not returned, total
         double refused = 0;                  ///< total
         std::optional<place_counter> places; ///< set if the limit has slots
+        instant last_draw;
     };
 
     const std::map<std::string, account, std::less<>>& accounts() const
@@ -112,6 +113,7 @@
         place_counter& places,
         std::string_view router,
         const quota_draw& draw,
+        const draw_order& order,
         instant now);
     void remember(router& from, const quota_result& result);
     void report_usages(const quota_query& query, instant now);
@@ -119,6 +121,8 @@
     void refill_places(instant now);
     /// @return Null for an account without a limit.
     account* find_account(const quota_draw& draw);
+    /// Counts the places of a server, for the routers that report.
+    void add_places(account& entry, double slots) const;
     void apply_return(const quota_return& returned);
     void refill_buckets(instant now);
     /// @return The sums of the reported requests, by account.
--- a/src/core/request/dispatcher_impl.hpp
+++ b/src/core/request/dispatcher_impl.hpp
@@ -145,6 +145,12 @@
         detail::target& destination,
         std::vector<detail::queue_item>& skipped,
         instant);
+    /// @return The earliest objective that a request granted now can meet, if
+    ///         objectives are served first.
+    std::optional<instant> objective_from(
+        const detail::target& destination,
+        std::span<std::size_t const> usable,
+        instant now) const;
     void grant_to(pending& request, detail::backend& chosen, bool alone);
     void grant_waiting_of(detail::target& destination, instant now);
     void grant_waiting_on_freed_servers(instant now);
@@ -175,8 +181,21 @@
     std::size_t competing_requests(
         const detail::target& destination,
         std::span<std::size_t const> usable) const;
-    void
-    request_permit(const detail::backend& candidate, bool waits, instant now);
+    /// @param wanted The server in it is set here.
+    void request_permit(
+        const detail::backend& candidate, permit_wanted wanted, instant now);
+    /// @return The orders of permits for the first requests that wait, at least
+    ///         as many as `count`.
+    std::vector<permit_wanted> first_waiting(
+        const detail::target& destination,
+        std::size_t count,
+        instant now) const;
+    /// Changes the order of pending permits that were requested for a request
+    /// of another rank.
+    void reorder_permits(
+        std::span<const detail::backend* const> requested,
+        std::span<const permit_wanted> orders,
+        instant now);
     /// Requests places from the least loaded servers of a target, one for each
     /// waiting request.
     void request_places(const detail::target& destination, instant now);
@@ -205,10 +224,14 @@
         duration wait(std::size_t ahead) const;
     };
 
+    /// @param rank Of the request that waits.
     rate_limit_forecast forecast_rate_limit(
         const detail::target& destination,
         std::span<std::size_t const> usable,
+        std::uint8_t rank,
         instant now) const;
+    /// @return The rank by which a request waits for permits.
+    std::uint8_t permit_rank(const detail::queue_item& item) const;
 
     // dispatcher_finish.cpp
     void release_slot(pending& request, bool rejected = false);
--- a/src/core/request/dispatcher_permits.cpp
+++ b/src/core/request/dispatcher_permits.cpp
@@ -22,6 +22,10 @@
 /// keep the routers waiting that hold none.
 constexpr std::uint32_t max_place_reuses = 8;
 
+/// A place that was held for this long is released, so that another router's
+/// requests are served in their order. A release costs a few milliseconds.
+constexpr duration max_place_hold = std::chrono::milliseconds(200);
+
 /// @return Sort key: the best waiting class, then the earliest deadline.
 std::pair<priority, instant> urgency_of(const detail::target* destination)
 {
@@ -66,8 +70,10 @@
     {
         const detail::server_key key = detail::key_of(freed.server);
         detail::server_permits& pace = this->loads.at(key).permits;
+        const bool is_held_long = this->settings.objectives_first &&
+                                  now - pace.granted_since() >= max_place_hold;
         const bool may_reuse = !freed.rejected && pace.counts_places() &&
-                               !pace.may_send(now) &&
+                               !pace.may_send(now) && !is_held_long &&
                                pace.reuses() < max_place_reuses;
         if (!may_reuse)
         {
@@ -165,11 +171,59 @@
 }
 
 void dispatcher::impl::request_permit(
-    const detail::backend& candidate, bool waits, instant now)
+    const detail::backend& candidate, permit_wanted wanted, instant now)
+{
+    wanted.server = {candidate.where.engine, candidate.where.address};
+    this->loads.at(candidate.server)
+        .permits.requested(wanted.waits, wanted.rank, now);
+    this->commands.emplace_back(std::move(wanted));
+}
+
+std::vector<permit_wanted> dispatcher::impl::first_waiting(
+    const detail::target& destination, std::size_t count, instant now) const
 {
-    this->loads.at(candidate.server).permits.requested(waits, now);
-    this->commands.emplace_back(permit_wanted{
-        {candidate.where.engine, candidate.where.address}, waits});
+    permit_wanted unordered;
+    unordered.waits = true;
+    if (!this->settings.objectives_first)
+    {
+        return std::vector<permit_wanted>(count, unordered);
+    }
+    const instant reachable = now + destination.estimator.prefill_time(0, now);
+    std::vector<permit_wanted> orders;
+    for (const detail::queue_item& item :
+         destination.queue.first_by_objective(count, reachable))
+    {
+        permit_wanted& one = orders.emplace_back(unordered);
+        one.rank = this->permit_rank(item);
+        one.objective =
+            item.objective >= reachable ? item.objective : instant::max();
+    }
+    // Suspect requests wait too, in the order of the last one.
+    const permit_wanted last = orders.empty() ? unordered : orders.back();
+    orders.resize(count, last);
+    return orders;
+}
+
+void dispatcher::impl::reorder_permits(
+    std::span<const detail::backend* const> requested,
+    std::span<const permit_wanted> orders,
+    instant now)
+{
+    for (std::size_t i = 0; i < requested.size(); ++i)
+    {
+        const detail::backend& candidate = *requested[i];
+        detail::server_permits& permits =
+            this->loads.at(candidate.server).permits;
+        if (permits.requested_rank() == orders[i].rank)
+        {
+            continue;
+        }
+        permits.reordered(orders[i].rank, now);
+        permit_wanted changed = orders[i];
+        changed.server = {candidate.where.engine, candidate.where.address};
+        changed.reorders = true;
+        this->commands.emplace_back(std::move(changed));
+    }
 }
 
 void dispatcher::impl::request_permits(
@@ -206,7 +260,10 @@
         }
         if (!pace->counts_places() && pace->must_request(now))
         {
-            this->request_permit(candidate, true, now);
+            this->request_permit(
+                candidate,
+                this->first_waiting(destination, 1, now).front(),
+                now);
         }
         const auto next = pace->changes_at();
         if (next && *next > now)
@@ -239,6 +296,7 @@
     const detail::target& destination, instant now)
 {
     std::vector<const detail::backend*> free;
+    std::vector<const detail::backend*> pending_servers;
     std::size_t requested = 0;
     for (const std::size_t i :
          detail::balancer::usable(destination.backends, now))
@@ -254,6 +312,10 @@
             pace->awaits_answer(now) &&
             now - pace->requested_since() < place_answer_timeout;
         requested += is_recent ? 1 : 0;
+        if (pace->awaits_answer(now))
+        {
+            pending_servers.push_back(&candidate);
+        }
         if (is_recent)
         {
             this->schedule_tick_by(
@@ -273,13 +335,28 @@
         {
             return this->loads.load(candidate->server, now);
         });
+    // The permits that are pending are for the requests that go first. Each
+    // is for another request: one urgent request must not make all of them
+    // urgent.
+    std::ranges::stable_sort(
+        pending_servers,
+        {},
+        [this](const detail::backend* candidate)
+        {
+            return this->loads.at(candidate->server).permits.requested_rank();
+        });
+    const auto orders = this->first_waiting(
+        destination, pending_servers.size() + free.size(), now);
+    this->reorder_permits(pending_servers, orders, now);
+    std::size_t next = pending_servers.size();
     for (const detail::backend* candidate : free)
     {
         if (requested >= destination.waiting())
         {
             return;
         }
-        this->request_permit(*candidate, true, now);
+        this->request_permit(*candidate, orders[next], now);
+        ++next;
         ++requested;
     }
 }
@@ -321,7 +398,10 @@
         }
         if (!is_asked && pace->must_request(now))
         {
-            this->request_permit(candidate, false, now);
+            permit_wanted optional;
+            optional.rank = this->permit_rank(request.item);
+            optional.objective = request.info.objective;
+            this->request_permit(candidate, std::move(optional), now);
             request.permit_wait_until = now + permit_answer_timeout;
             this->schedule_tick_by(*request.permit_wait_until);
             return true;
@@ -333,6 +413,7 @@
 dispatcher::impl::rate_limit_forecast dispatcher::impl::forecast_rate_limit(
     const detail::target& destination,
     std::span<std::size_t const> usable,
+    std::uint8_t rank,
     instant now) const
 {
     rate_limit_forecast forecast;
@@ -349,9 +430,10 @@
         {
             return {};
         }
-        const std::chrono::duration<double> turn = pace->permit_interval(now);
+        const std::chrono::duration<double> turn =
+            pace->permit_interval(rank, now);
         forecast.permits_per_second += 1 / turn.count();
-        const duration until_permit = pace->estimated_wait(now);
+        const duration until_permit = pace->estimated_wait(rank, now);
         next = std::min(next.value_or(until_permit), until_permit);
     }
     forecast.until_first = next.value_or(duration::zero());
