Estimate of the time that engines take; the balancer weighs loads by it

Routers chose engines by the number of requests in flight only, so engines of 0.55 times the speed got as many requests as those of 1.2.

Without an estimate the choices and random draws are unchanged.

--- a/include/roseworks/dispatcher.hpp
+++ b/include/roseworks/dispatcher.hpp
@@ -276,6 +276,13 @@
     /// A backend server reported its load.
     void load_reported(const load_report& report, instant now);
 
+    /** The time that an engine takes was estimated.
+
+        @param percent Of the mean time of the engines; 100 is the mean.
+        @param until   After this the engine counts as 100 again.
+    */
+    void pace_estimated(engine_id engine, std::uint32_t percent, instant until);
+
     /** A backend server announced or removed a rate limit over all routers.
 
         While there is a limit, each request sent there needs a permit.
--- a/src/adapters/edge/shared_dispatcher.cpp
+++ b/src/adapters/edge/shared_dispatcher.cpp
@@ -111,6 +111,16 @@
         });
 }
 
+void shared_dispatcher::pace_estimated(
+    engine_id engine, std::uint32_t percent, duration lifetime)
+{
+    this->with_lock(
+        [&](instant time)
+        {
+            this->core.pace_estimated(engine, percent, time + lifetime);
+        });
+}
+
 void shared_dispatcher::routers_alive(std::size_t count)
 {
     this->with_lock(
--- a/src/adapters/edge/shared_dispatcher.hpp
+++ b/src/adapters/edge/shared_dispatcher.hpp
@@ -62,6 +62,9 @@
     /// See the functions of the same name in `dispatcher`.
     void table_changed(routing_table_ptr table);
     void load_reported(const load_report& report);
+    /// @param lifetime Time until the estimate expires.
+    void
+    pace_estimated(engine_id engine, std::uint32_t percent, duration lifetime);
     void routers_alive(std::size_t count);
     void cache_reported(const cache_report& report);
     void vm_leaving(std::string_view vm, bool leaving);
--- a/src/core/request/dispatcher.cpp
+++ b/src/core/request/dispatcher.cpp
@@ -48,6 +48,12 @@
     this->self->load_reported(report, now);
 }
 
+void dispatcher::pace_estimated(
+    engine_id engine, std::uint32_t percent, instant until)
+{
+    this->self->pace_estimated(engine, percent, until);
+}
+
 void dispatcher::server_limited(
     const server_place& server, double per_second, instant now)
 {
--- a/src/core/request/dispatcher_impl.hpp
+++ b/src/core/request/dispatcher_impl.hpp
@@ -34,6 +34,10 @@
     // Changes to the environment.
     void table_changed(routing_table_ptr next, instant now);
     void load_reported(const load_report& report, instant now);
+    void pace_estimated(engine_id engine, std::uint32_t percent, instant until)
+    {
+        this->loads.pace_estimated(engine, percent, until);
+    }
     void cache_reported(const cache_report& report, instant now);
     void server_limited(const server_place&, double per_second, instant now);
     void server_counted(const server_place&, bool counted, instant now);
--- a/src/core/routing/balancer.cpp
+++ b/src/core/routing/balancer.cpp
@@ -48,7 +48,7 @@
 {
     const auto load_of = [&](std::size_t i)
     {
-        return loads.load(all[i].server, now);
+        return loads.paced_load(all[i].server, now);
     };
     double sum = 0;
     for (const std::size_t i : among)
@@ -235,8 +235,8 @@
     const std::size_t first = this->random_index(best.size());
     std::size_t second = this->random_index(best.size() - 1);
     second += second >= first ? 1 : 0;
-    const std::uint32_t first_load = loads.load(all[best[first]].server, now);
-    const std::uint32_t second_load = loads.load(all[best[second]].server, now);
+    const double first_load = loads.paced_load(all[best[first]].server, now);
+    const double second_load = loads.paced_load(all[best[second]].server, now);
     return best[second_load < first_load ? second : first];
 }
 
@@ -271,12 +271,13 @@
     double sum = 0;
     for (const std::size_t i : near)
     {
-        sum += loads.load(all[i].server, now);
+        sum += loads.paced_load(all[i].server, now);
     }
     const double mean = sum / static_cast<double>(near.size());
     const auto accepts = [&](std::size_t i)
     {
-        return loads.load(all[i].server, now) <= affinity_bound * mean + 1 &&
+        return loads.paced_load(all[i].server, now) <=
+                   affinity_bound * mean + 1 &&
                has_slot(all[i], query.max_streams, loads, now);
     };
     const auto ranks_higher = [&](std::size_t left, std::size_t right)
@@ -287,8 +288,8 @@
 
     const auto is_preferred = [&](std::size_t left, std::size_t right)
     {
-        const std::uint32_t left_load = loads.load(all[left].server, now);
-        const std::uint32_t right_load = loads.load(all[right].server, now);
+        const double left_load = loads.paced_load(all[left].server, now);
+        const double right_load = loads.paced_load(all[right].server, now);
         return left_load < right_load ||
                (left_load == right_load && ranks_higher(left, right));
     };
--- a/src/core/routing/balancer.hpp
+++ b/src/core/routing/balancer.hpp
@@ -64,6 +64,9 @@
     All other requests go to the less loaded of two random candidates. A retry
     goes to a server that was not tried yet, if there is one.
 
+    The load of a backend counts by the time that it takes, where its pace is
+    estimated: (requests in flight + 1) x pace.
+
     Batch requests leave one slot of all replicas together free if a replica has
     more than one slot. One for all is enough: the more replicas there are, the
     sooner one of them has a free slot for an urgent request.
--- a/src/core/routing/server_loads.cpp
+++ b/src/core/routing/server_loads.cpp
@@ -29,6 +29,22 @@
     state.reported = now;
 }
 
+void server_loads::pace_estimated(
+    engine_id engine, std::uint32_t percent, instant until)
+{
+    server_state& state = this->at(key_of(engine));
+    state.pace = std::max(percent, 1U);
+    state.pace_until = until;
+}
+
+std::uint32_t server_loads::pace(server_key server, instant now) const
+{
+    const auto found = this->states.find(server);
+    const bool is_known =
+        found != this->states.end() && now < found->second.pace_until;
+    return is_known ? found->second.pace : mean_pace;
+}
+
 std::uint32_t server_loads::foreign(server_key server, instant now) const
 {
     const auto found = this->states.find(server);
@@ -46,9 +62,11 @@
 {
     // Without other known routers, foreign requests are not sent by routers,
     // and there is nobody to share the streams with.
-    const std::uint32_t share =
+    const std::uint32_t equal_share =
         this->routers > 1 ? streams / static_cast<std::uint32_t>(this->routers)
                           : 0;
+    const std::uint32_t share =
+        equal_share * mean_pace / std::max(this->pace(server, now), mean_pace);
     const std::uint32_t others = this->foreign(server, now);
     const std::uint32_t left = streams > others ? streams - others : 0;
     return std::max({left, share, std::uint32_t(1)});
@@ -62,6 +80,12 @@
     return own + this->foreign(server, now);
 }
 
+double server_loads::paced_load(server_key server, instant now) const
+{
+    const double after = 1.0 + this->load(server, now);
+    return after * this->pace(server, now) / mean_pace - 1;
+}
+
 const server_permits* server_loads::permits_of(server_key server) const
 {
     const auto found = this->states.find(server);
--- a/src/core/routing/server_loads.hpp
+++ b/src/core/routing/server_loads.hpp
@@ -33,6 +33,9 @@
     std::uint32_t own = 0;     ///< requests of this router in flight
     std::uint32_t foreign = 0; ///< requests of others at the last report
     instant reported = instant::min();
+    /// Estimated time of the server in percent of the mean, until `pace_until`.
+    std::uint32_t pace = 100; ///< at least 1
+    instant pace_until = instant::min();
     /// The suspect request that runs alone on the server.
     ticket exclusive;
     /// The suspect request that waits for the server to be idle.
@@ -48,6 +51,8 @@
 public:
     /// An older report is ignored.
     static constexpr duration report_lifetime = std::chrono::seconds(12);
+    /// The pace of a server without an estimate.
+    static constexpr std::uint32_t mean_pace = 100;
 
     server_state& at(server_key server)
     {
@@ -56,6 +61,13 @@
 
     void reported(const load_report& report, instant now);
 
+    /// @param percent See `dispatcher::pace_estimated`.
+    void pace_estimated(engine_id engine, std::uint32_t percent, instant until);
+
+    /// @return Estimated time of the server in percent of the mean; `mean_pace`
+    ///         without a valid estimate.
+    std::uint32_t pace(server_key server, instant now) const;
+
     /// @return Requests of other routers on the server by its last report; 0
     ///         when this is older than `report_lifetime`.
     std::uint32_t foreign(server_key server, instant now) const;
@@ -70,7 +82,8 @@
 
         This is the number of streams that other routers leave free, but never
         less than an equal share. Without the share, a router that found the
-        server idle would keep all of its streams.
+        server idle would keep all of its streams. The share of a server that
+        is slower than the mean is smaller in proportion.
 
         @param streams The number of requests that the server runs at once.
     */
@@ -80,6 +93,11 @@
     /// @return Requests of this router and of others on the server.
     std::uint32_t load(server_key server, instant now) const;
 
+    /// @return The load that would keep a server of the mean pace busy for as
+    ///         long: (load + 1) x pace / 100 - 1. Exactly `load` at the mean
+    ///         pace; above -1.
+    double paced_load(server_key server, instant now) const;
+
     /// @return Whether the server has no rate limit, or a permit for it is
     ///         valid.
     bool may_send(server_key server, instant now) const;
