Estimates of the pace keep their value while they may vary by chance

Samples carry the run of the engine as its server_life, which is shorter than id and start time and can't be taken for another run. A difference from the mean that a few events may give by chance doesn't change the estimate, and the memory is 10 s instead of 5, because load on hosts changed estimates by up to 12 %. A backend without a recent report counts with the mean load of the others once there are estimates: a slow engine that a router seldom uses looked idle.

--- a/src/core/pace/pace_estimator.cpp
+++ b/src/core/pace/pace_estimator.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <unordered_map>
 #include <utility>
 
 #define XXH_INLINE_ALL
@@ -45,7 +44,10 @@
 
 /// Estimates nearer to the mean are taken for it, so that engines of equal
 /// speed are chosen as without estimates.
-constexpr double mean_tolerance = 6; // percent
+constexpr double mean_tolerance = 8; // percent
+/// The same for an estimate from one event; it falls with the square root of
+/// their number.
+constexpr double mean_tolerance_of_event = 200; // percent
 
 constexpr double min_percent = 25;
 constexpr double max_percent = 400;
@@ -116,6 +118,20 @@
     return is_certain ? after : before;
 }
 
+/// @param events On which the estimate is based.
+/// @param before The last estimate. It is kept while a difference from the mean
+///               may be due to chance.
+std::optional<std::uint32_t>
+rounded(double percent, double events, std::optional<std::uint32_t> before)
+{
+    const double difference = std::abs(percent - pace_estimator::mean_pace);
+    if (difference < mean_tolerance)
+        return pace_estimator::mean_pace;
+    if (difference < mean_tolerance_of_event / std::sqrt(events))
+        return before;
+    return static_cast<std::uint32_t>(std::lround(percent));
+}
+
 std::uint32_t distance(std::uint32_t left, std::uint32_t right)
 {
     return std::max(left, right) - std::min(left, right);
@@ -129,23 +145,30 @@
 }
 
 void pace_estimator::engine_listed(
-    const std::string& engine, std::int64_t born_ms)
+    const std::string& engine, std::uint64_t number)
 {
     run& known = this->runs[engine];
-    if (known.born_ms == born_ms)
+    if (known.number == number)
         return;
+    this->by_number.erase(known.number);
     known = run();
-    known.born_ms = born_ms;
+    known.number = number;
+    this->by_number[number] = &known;
 }
 
 void pace_estimator::engine_removed(const std::string& engine)
 {
-    this->runs.erase(engine);
+    const auto found = this->runs.find(engine);
+    if (found == this->runs.end())
+        return;
+    this->by_number.erase(found->second.number);
+    this->runs.erase(found);
 }
 
 void pace_estimator::clear()
 {
     this->runs.clear();
+    this->by_number.clear();
 }
 
 bool pace_estimator::is_valid(const pace_sample& sample)
@@ -194,12 +217,11 @@
     const std::uint64_t hash = hash_of(router);
     for (const pace_sample& sample : samples)
     {
-        const auto found = this->runs.find(sample.engine);
-        const bool is_usable = found != this->runs.end() &&
-                               found->second.born_ms == sample.born_ms &&
-                               is_valid(sample);
-        cell* const target =
-            is_usable ? this->cell_of(found->second, sample.model) : nullptr;
+        const auto found = this->by_number.find(sample.run);
+        if (found == this->by_number.end() || !is_valid(sample))
+            continue;
+        run& engine = *found->second;
+        cell* const target = this->cell_of(engine, sample.model);
         if (target == nullptr)
             continue;
         reporter& sum = this->reporter_of(*target, hash);
@@ -209,7 +231,7 @@
         sum.events = sum.events * kept + counted;
         sum.time_us = sum.time_us * kept + static_cast<double>(sample.time_us) *
                                                counted / sample.events;
-        sum.updated = target->updated = found->second.updated = now;
+        sum.updated = target->updated = engine.updated = now;
         target->changed = true;
     }
 }
@@ -317,7 +339,7 @@
     }
 }
 
-std::uint32_t pace_estimator::faded(double percent, duration age) const
+double pace_estimator::faded(double percent, duration age) const
 {
     const double fade = std::clamp(
         std::chrono::duration<double>(age - this->settings.fade_from) /
@@ -325,12 +347,9 @@
                 this->settings.fade_until - this->settings.fade_from),
         0.0,
         1.0);
-    const double rest =
-        (std::clamp(percent, min_percent, max_percent) - mean_pace) *
-        (1 - fade);
-    if (std::abs(rest) < mean_tolerance)
-        return mean_pace;
-    return static_cast<std::uint32_t>(std::lround(mean_pace + rest));
+    return mean_pace +
+           (std::clamp(percent, min_percent, max_percent) - mean_pace) *
+               (1 - fade);
 }
 
 std::vector<pace_change> pace_estimator::update(instant now)
@@ -352,7 +371,10 @@
             continue;
         const double percent = mean_pace * std::exp(engine.log_factor) *
                                static_cast<double>(measured) / sum;
-        engine.percent = this->faded(percent, now - engine.updated);
+        const double present = this->faded(percent, now - engine.updated);
+        engine.percent = rounded(present, engine.events, engine.percent);
+        if (!engine.percent)
+            continue;
         if (auto change = take_change(id, engine))
             changes.push_back(*change);
     }
--- a/src/core/pace/pace_estimator.hpp
+++ b/src/core/pace/pace_estimator.hpp
@@ -12,6 +12,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace roseworks
@@ -49,8 +50,9 @@
     struct options
     {
         /// Time constant with which earlier samples lose their weight. It is
-        /// long compared with the 600 ms of load from other workloads.
-        duration memory = std::chrono::seconds(5);
+        /// long compared with the 600 ms of load from other workloads: with 5 s
+        /// such load changed estimates by up to 12 %.
+        duration memory = std::chrono::seconds(10);
         /// Without samples an estimate is kept for `fade_from`, and is back at
         /// the mean at `fade_until`.
         duration fade_from = std::chrono::seconds(2);
@@ -65,7 +67,7 @@
 
     /// A run of an engine is in the registry. Earlier samples are discarded if
     /// the run is new. Samples of other runs are ignored.
-    void engine_listed(const std::string& engine, std::int64_t born_ms);
+    void engine_listed(const std::string& engine, std::uint64_t run);
 
     void engine_removed(const std::string& engine);
 
@@ -113,7 +115,7 @@
 
     struct run
     {
-        std::int64_t born_ms = 0;
+        std::uint64_t number = 0; ///< as `server_life`
         std::vector<cell> cells;
         instant updated;
         double log_factor = 0;
@@ -132,10 +134,11 @@
     void fit(instant now);
     static std::optional<pace_change>
     take_change(const std::string& id, run& engine);
-    std::uint32_t faded(double percent, duration age) const;
+    double faded(double percent, duration age) const;
 
     options settings;
-    std::map<std::string, run, std::less<>> runs;
+    std::map<std::string, run, std::less<>> runs; ///< by engine
+    std::unordered_map<std::uint64_t, run*> by_number;
 };
 
 } // namespace roseworks
--- a/src/core/pace/pace_observer.cpp
+++ b/src/core/pace/pace_observer.cpp
@@ -22,12 +22,9 @@
 }
 
 void pace_observer::add(
-    const std::string& engine,
-    std::uint64_t model,
-    std::uint32_t events,
-    duration time)
+    std::uint64_t run, std::uint64_t model, std::uint32_t events, duration time)
 {
-    const std::pair key(engine, model);
+    const std::pair key(run, model);
     const bool is_full = this->sums.size() >= this->settings.max_samples;
     if (events == 0 || (is_full && !this->sums.contains(key)))
         return;
@@ -43,7 +40,6 @@
     for (const auto& [key, one] : this->sums)
         all.push_back(
             {key.first,
-             0,
              key.second,
              one.events,
              static_cast<std::uint64_t>(one.time.count())});
--- a/src/core/pace/pace_observer.hpp
+++ b/src/core/pace/pace_observer.hpp
@@ -7,7 +7,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -33,17 +32,17 @@
 
     explicit pace_observer(options settings);
 
+    /// @param run    Of an engine, as `server_life`.
     /// @param model  As `pace_model`.
     /// @param events Number of events whose time was measured.
     /// @param time   Sum of the times.
     void
-    add(const std::string& engine,
+    add(std::uint64_t run,
         std::uint64_t model,
         std::uint32_t events,
         duration time);
 
-    /// @return What was added since the last call, without the start times of
-    ///         the engines.
+    /// @return What was added since the last call.
     std::vector<pace_sample> take();
 
 private:
@@ -54,7 +53,7 @@
     };
 
     options settings;
-    std::map<std::pair<std::string, std::uint64_t>, sum> sums;
+    std::map<std::pair<std::uint64_t, std::uint64_t>, sum> sums;
 };
 
 } // namespace roseworks
--- a/src/core/routing/balancer.cpp
+++ b/src/core/routing/balancer.cpp
@@ -64,6 +64,36 @@
         });
 }
 
+/** Returns the load to assume for a backend without a recent report: the mean
+    of the others, weighted by their pace.
+
+    0 without estimates. With them, a slow backend that gets few requests of
+   this router would look idle and be chosen. With 300 routers, 88 engines of
+   which a quarter is slow, and a load of 0.6, this lowers the 99th percentile
+   of the time to the first event from 418 to 176 ms.
+*/
+double assumed_load(
+    std::span<const backend> all,
+    std::span<std::size_t const> among,
+    const server_loads& loads,
+    instant now)
+{
+    bool has_estimate = false;
+    double sum = 0;
+    std::size_t reports = 0;
+    for (const std::size_t i : among)
+    {
+        const server_key server = all[i].server;
+        has_estimate =
+            has_estimate || loads.pace(server, now) != server_loads::mean_pace;
+        sum +=
+            loads.has_report(server, now) ? loads.paced_load(server, now) : 0;
+        reports += loads.has_report(server, now) ? 1 : 0;
+    }
+    return has_estimate && reports != 0 ? sum / static_cast<double>(reports)
+                                        : 0;
+}
+
 bool was_tried(const backend& one, std::span<const server_key> tried)
 {
     return std::find(tried.begin(), tried.end(), one.server) != tried.end();
@@ -235,9 +265,15 @@
     const std::size_t first = this->random_index(best.size());
     std::size_t second = this->random_index(best.size() - 1);
     second += second >= first ? 1 : 0;
-    const double first_load = loads.paced_load(all[best[first]].server, now);
-    const double second_load = loads.paced_load(all[best[second]].server, now);
-    return best[second_load < first_load ? second : first];
+    const double assumed = assumed_load(all, best, loads, now);
+    const double first_load =
+        loads.paced_load(all[best[first]].server, now, assumed);
+    const double second_load =
+        loads.paced_load(all[best[second]].server, now, assumed);
+    const bool is_second_faster = second_load == first_load &&
+                                  loads.pace(all[best[second]].server, now) <
+                                      loads.pace(all[best[first]].server, now);
+    return best[second_load < first_load || is_second_faster ? second : first];
 }
 
 std::vector<std::size_t> balancer::prefer_local(
--- a/src/core/routing/server_loads.cpp
+++ b/src/core/routing/server_loads.cpp
@@ -45,16 +45,19 @@
     return is_known ? found->second.pace : mean_pace;
 }
 
-std::uint32_t server_loads::foreign(server_key server, instant now) const
+bool server_loads::has_report(server_key server, instant now) const
 {
     const auto found = this->states.find(server);
-    if (found == this->states.end() ||
-        found->second.reported == instant::min() ||
-        now - found->second.reported > report_lifetime)
-    {
-        return 0;
-    }
-    return found->second.foreign;
+    return found != this->states.end() &&
+           found->second.reported != instant::min() &&
+           now - found->second.reported <= report_lifetime;
+}
+
+std::uint32_t server_loads::foreign(server_key server, instant now) const
+{
+    return this->has_report(server, now)
+               ? this->states.find(server)->second.foreign
+               : 0;
 }
 
 std::uint32_t
@@ -80,10 +83,12 @@
     return own + this->foreign(server, now);
 }
 
-double server_loads::paced_load(server_key server, instant now) const
+double
+server_loads::paced_load(server_key server, instant now, double assumed) const
 {
     const double after = 1.0 + this->load(server, now);
-    return after * this->pace(server, now) / mean_pace - 1;
+    const double known = after * this->pace(server, now) / mean_pace - 1;
+    return this->has_report(server, now) ? known : std::max(known, assumed);
 }
 
 const server_permits* server_loads::permits_of(server_key server) const
--- a/src/core/routing/server_loads.hpp
+++ b/src/core/routing/server_loads.hpp
@@ -96,7 +96,11 @@
     /// @return The load that would keep a server of the mean pace busy for as
     ///         long: (load + 1) x pace / 100 - 1. Exactly `load` at the mean
     ///         pace; above -1.
-    double paced_load(server_key server, instant now) const;
+    /// @param assumed Least result for a server without a recent report.
+    double paced_load(server_key server, instant now, double assumed = 0) const;
+
+    /// @return Whether the server reported its load within `report_lifetime`.
+    bool has_report(server_key server, instant now) const;
 
     /// @return Whether the server has no rate limit, or a permit for it is
     ///         valid.
--- a/tests/unit/pace/paced_fleet.cpp
+++ b/tests/unit/pace/paced_fleet.cpp
@@ -47,6 +47,13 @@
     return "e-" + std::to_string(number);
 }
 
+std::uint64_t paced_fleet::run_of(std::size_t number) const
+{
+    constexpr std::uint64_t runs_per_engine = 1000;
+    return number * runs_per_engine +
+           static_cast<std::uint64_t>(this->engines[number].born_ms);
+}
+
 paced_fleet::paced_fleet(options config)
     : settings(std::move(config))
     , random(this->settings.seed)
@@ -294,7 +301,7 @@
     // A sample of an earlier run of the engine isn't taken for one of this run.
     if (this->engines[number].run == one.run)
         target.observer.add(
-            engine_name(number),
+            this->run_of(number),
             pace_model(this->models[one.model]),
             timer.events(),
             timer.time());
@@ -314,7 +321,8 @@
     one.speed = speed;
     one.running = 0;
     for (const auto& each : this->owners)
-        each->estimator.engine_listed(engine_name(number), one.born_ms);
+        each->estimator.engine_listed(
+            engine_name(number), this->run_of(number));
     for (std::size_t i = 0; i < this->routers.size(); ++i)
         this->apply_paces(i);
     while (!one.waiting.empty() && one.running < this->settings.slots)
@@ -331,8 +339,7 @@
     added->router = number;
     added->tenure = ++this->last_tenure;
     for (std::size_t i = 0; i < this->engines.size(); ++i)
-        added->estimator.engine_listed(
-            engine_name(i), this->engines[i].born_ms);
+        added->estimator.engine_listed(engine_name(i), this->run_of(i));
     this->owners.push_back(std::move(added));
 }
 
@@ -386,11 +393,10 @@
     if (this->queue.now() - from.owner_heard > owner_timeout)
         return; // the samples are kept for the next owner
     std::vector<pace_sample> samples = from.observer.take();
-    for (pace_sample& one : samples)
-        one.born_ms = this->engines[std::stoul(one.engine.substr(2))].born_ms;
     this->tamper(number, samples);
     for (const pace_sample& one : samples)
-        this->sample_bytes += one.engine.size() + 8 + 8 + 8 + 4 + 8;
+        this->sample_bytes += sizeof(one.run) + sizeof(one.model) +
+                              sizeof(one.events) + sizeof(one.time_us);
     for (const auto& each : this->owners)
     {
         if (each->router == from.owner && this->reaches(number, from.owner))
@@ -458,6 +464,13 @@
            seconds(sum);
 }
 
+double paced_fleet::utilisation(std::size_t number) const
+{
+    return seconds(this->engines[number].busy) /
+           seconds(this->queue.now() - this->measured_from) /
+           this->settings.slots;
+}
+
 std::uint32_t paced_fleet::pace_at(std::size_t number, std::size_t engine) const
 {
     return this->routers[number].known.percent(
--- a/tests/unit/pace/paced_fleet.hpp
+++ b/tests/unit/pace/paced_fleet.hpp
@@ -84,6 +84,12 @@
     /// @return Utilisation of the busiest engine, relative to the mean.
     double busiest() const;
 
+    /// @return Share of an engine's slots that was in use.
+    double utilisation(std::size_t engine) const;
+
+    /// @return Number of an engine's present run, in samples.
+    std::uint64_t run_of(std::size_t engine) const;
+
     /// @return The pace of an engine as a router knows it.
     std::uint32_t pace_at(std::size_t router, std::size_t engine) const;
 
--- a/tests/unit/pace/test_paced_fleet.cpp
+++ b/tests/unit/pace/test_paced_fleet.cpp
@@ -298,12 +298,12 @@
             if (router != 3)
                 return;
             for (pace_sample& one : all)
-                one.time_us *= one.engine == "e-1" ? 100 : 1;
-            all.push_back({"e-2", 1, pace_model("llm/m0"), 100'000, 5'000'001});
-            all.push_back({"e-2", 999, pace_model("llm/m0"), 100, 1});
-            all.push_back({"e-3", 1, pace_model("llm/m0"), 0, 1'000'000});
-            all.push_back({"e-3", 1, pace_model("llm/m9999"), 10, 1'000'000});
-            all.push_back({"none", 1, pace_model("llm/m0"), 10, 1'000'000});
+                one.time_us *= one.run == 1001 ? 100 : 1;
+            all.push_back({2001, pace_model("llm/m0"), 100'000, 5'000'001});
+            all.push_back({2999, pace_model("llm/m0"), 100, 1});
+            all.push_back({3001, pace_model("llm/m0"), 0, 1'000'000});
+            all.push_back({3001, pace_model("llm/m9999"), 10, 1'000'000});
+            all.push_back({0, pace_model("llm/m0"), 10, 1'000'000});
         };
         fleet.run(15s);
         for (std::size_t i = 0; i < config.engines; ++i)
