An estimate from few events differs from the mean only if it is certain

Estimates from few events at the start varied by chance, and with disturbed hosts changed the choices among engines of equal speed.

--- a/src/core/pace/pace_estimator.cpp
+++ b/src/core/pace/pace_estimator.cpp
@@ -47,7 +47,7 @@
 constexpr double mean_tolerance = 8; // percent
 /// The same for an estimate from one event; it falls with the square root of
 /// their number.
-constexpr double mean_tolerance_of_event = 200; // percent
+constexpr double mean_tolerance_of_event = 300; // percent
 
 constexpr double min_percent = 25;
 constexpr double max_percent = 400;
