The gateway estimates the speed of engines with [pace] estimate

Routers measure the time between events of the streams that they relay, where the response states the fourth value of Replica-Load, and send the sums to the owner of placement once a second. The new fields of router_report and owner_announcement are trailing and left out when empty. Off by default; then no field is sent and nothing is measured beyond the clock reads of the timer.

--- a/src/adapters/events/event_catalogue.cpp
+++ b/src/adapters/events/event_catalogue.cpp
@@ -475,6 +475,12 @@
      "engine, for_ms",
      "No action needed, unless many routers report one engine that is running: "
      "then check the network between them."},
+    {engine_pace_changed, info, "engine_pace_changed",
+     "The estimated time that an engine takes for its work has come into "
+     "another class: fast (below 80 % of the mean over the engines), usual, or "
+     "slow (above 125 %). Only the owner of placement reports it.",
+     "engine, percent, before, after",
+     "Compare the engine's host with the others if it stays slow."},
     // clang-format on
 };
 
--- a/src/adapters/forward/forward_call.cpp
+++ b/src/adapters/forward/forward_call.cpp
@@ -363,6 +363,7 @@
     const std::string bytes = this->serialize_request(server, now);
     this->last_server = server.instance;
     this->last_software = server.software;
+    this->last_life = server.life;
     server_exchange exchange(this->context, this->pool, *this->inbox);
     const duration longest_idle =
         this->route.repeatable()
@@ -412,15 +413,19 @@
 void forward_call::report_load(
     const grant& granted, const server_exchange& exchange)
 {
+    this->host_time_percent = 0;
     const auto text = exchange.head()[this->context.names.load];
     if (text.empty() || !granted.engine)
         return;
-    if (const auto load = parse_load(to_string_view(text)))
-        this->context.ports.load_reported(
-            {granted.engine,
-             load->running,
-             load->waiting,
-             load->host_time_percent});
+    const auto load = parse_load(to_string_view(text));
+    if (!load)
+        return;
+    this->host_time_percent = load->host_time_percent;
+    this->context.ports.load_reported(
+        {granted.engine,
+         load->running,
+         load->waiting,
+         load->host_time_percent});
 }
 
 void forward_call::report_rate_limit(const server_exchange& exchange)
--- a/src/adapters/forward/forward_call.hpp
+++ b/src/adapters/forward/forward_call.hpp
@@ -185,6 +185,10 @@
     std::uint32_t sends = 0;        ///< that sent data, including refused ones
     std::string last_server;        ///< instance ID; of the last attempt
     software_version last_software; ///< of `last_server`
+    server_life last_life;          ///< of `last_server`
+    /// As `load_report::host_time_percent`; in the last response of an engine.
+    std::uint32_t host_time_percent = 0;
+    stream_timer event_timer{0, instant()}; ///< of the last attempt's stream
     /// That began the stream which the caller takes up; 0: it takes none up.
     software_version origin;
     /// How `origin` is known.
--- a/src/adapters/forward/forward_call_relay.cpp
+++ b/src/adapters/forward/forward_call_relay.cpp
@@ -62,9 +62,14 @@
         is_stream ? limits.max_stream_bytes : limits.max_body_bytes);
     if (!is_stream)
         this->answer_began = this->context.now();
-    const relay_outcome outcome = is_stream
-                                      ? co_await this->relay_stream(exchange)
-                                      : co_await this->relay_buffered(exchange);
+    if (!is_stream)
+        co_return co_await this->relay_buffered(exchange);
+    this->event_timer =
+        stream_timer(this->host_time_percent, this->context.now());
+    const relay_outcome outcome = co_await this->relay_stream(exchange);
+    if (this->event_timer.events() != 0 && this->context.ports.stream_measured)
+        this->context.ports.stream_measured(
+            this->admission_info().target, this->last_life, this->event_timer);
     co_return outcome;
 }
 
@@ -126,6 +131,7 @@
     std::string_view piece;
     while (written)
     {
+        const instant waiting_since = this->context.now();
         const exchange_state state = co_await exchange.read_some(piece);
         if (state != exchange_state::ok)
             co_return outcome_of(state);
@@ -142,6 +148,10 @@
         }
         const std::uint32_t known_events = this->events.event_count();
         const std::string completed_events = this->events.feed(piece);
+        this->event_timer.received(
+            this->events.event_count() - known_events,
+            waiting_since,
+            this->context.now());
         bytes_without_event = this->events.event_count() == known_events
                                   ? bytes_without_event + piece.size()
                                   : 0;
--- a/src/adapters/forward/forward_context.hpp
+++ b/src/adapters/forward/forward_context.hpp
@@ -6,6 +6,8 @@
 #include "adapters/forward/header_names.hpp"
 #include "core/admission/load_guard.hpp"
 #include "core/crashes/request_gate.hpp"
+#include "core/crashes/server_life.hpp"
+#include "core/pace/stream_timer.hpp"
 #include "core/pacing/server_notice.hpp"
 #include "core/serving/serving_table.hpp"
 #include "ports/crash_port.hpp"
@@ -92,6 +94,11 @@
     /// Whether other routers have a newer configuration than the table's. What
     /// the table lacks may be defined there.
     std::function<bool()> is_outdated;
+    /// The time between the events of a stream from an engine was measured.
+    /// Null: nobody needs it.
+    std::function<void(
+        const std::string& servable, server_life run, const stream_timer&)>
+        stream_measured = nullptr;
 };
 
 /// Shared by all connections of one traffic thread. Used only on that thread.
--- a/src/adapters/peers/gateway_peers.cpp
+++ b/src/adapters/peers/gateway_peers.cpp
@@ -56,6 +56,8 @@
 constexpr std::size_t max_need_bytes = 72;
 constexpr std::size_t max_usage_bytes = 72;
 constexpr std::size_t max_engine_bytes = 220;
+constexpr std::size_t max_pace_bytes = sizeof(std::uint16_t); ///< of an engine
+constexpr std::size_t max_pace_sample_bytes = 28;
 constexpr std::size_t max_limit_bytes = 64;
 constexpr std::size_t max_crash_bytes = 28;
 constexpr std::size_t max_part_crash_bytes = 38;
@@ -247,6 +249,7 @@
     router_report part = report;
     part.needs.clear();
     part.uses.clear();
+    part.pace_samples.clear();
     for (const auto& chunk : needs)
     {
         part.needs = chunk;
@@ -262,7 +265,16 @@
         ++part.sequence;
         part.unreachable_engines.clear();
     }
-    if (needs.empty() && uses.empty())
+    part.uses.clear();
+    for (const auto& chunk : split_list(
+             report.pace_samples, max_pace_sample_bytes, max_content_bytes))
+    {
+        part.pace_samples = chunk;
+        this->send_message(addresses, message_kind::router_status, part);
+        ++part.sequence;
+        part.unreachable_engines.clear();
+    }
+    if (needs.empty() && uses.empty() && report.pace_samples.empty())
         this->send_message(addresses, message_kind::router_status, part);
 }
 
@@ -272,10 +284,22 @@
 {
     owner_announcement part = announcement;
     part.engines.clear();
+    const bool has_paces =
+        announcement.paces.size() == announcement.engines.size();
+    const std::size_t engine_bytes =
+        max_engine_bytes + (has_paces ? max_pace_bytes : 0);
+    auto pace = announcement.paces.begin();
     for (const auto& chunk :
-         split_list(announcement.engines, max_engine_bytes, max_content_bytes))
+         split_list(announcement.engines, engine_bytes, max_content_bytes))
     {
         part.engines = chunk;
+        part.paces.clear();
+        if (has_paces)
+        {
+            const auto end = pace + static_cast<std::ptrdiff_t>(chunk.size());
+            part.paces.assign(pace, end);
+            pace = end;
+        }
         this->send_message(addresses, message_kind::ownership, part);
     }
     if (announcement.engines.empty())
--- a/src/app/gateway/gateway_app.cpp
+++ b/src/app/gateway/gateway_app.cpp
@@ -134,6 +134,7 @@
     , config_path(std::move(path))
     , events(make_event_options(initial_settings), this->clock)
     , counts(this->registry)
+    , paces(this->registry)
     , traffic(1)
     , dispatch(edge::shared_dispatcher::make(
           dispatcher(make_dispatcher_options(initial_settings)),
@@ -292,6 +293,13 @@
         [this]
         {
             return this->control->is_deployment_stale();
+        },
+        [this](
+            const std::string& servable,
+            server_life run,
+            const stream_timer& times)
+        {
+            this->control->stream_measured(servable, run, times);
         }};
     return {
         backend,
@@ -370,6 +378,11 @@
             {{"over_limit", dropped.over_limit},
              {"not_taken", dropped.not_taken}});
     this->opener.tick();
+    for (const pace_class each :
+         {pace_class::fast, pace_class::usual, pace_class::slow})
+        this->paces.engines.set(
+            static_cast<std::int64_t>(this->control->paced_engines(each)),
+            each);
     this->second_timer.expires_after(interval);
     this->second_timer.async_wait(
         [this](const boost::system::error_code& error)
--- a/src/app/gateway/gateway_control.cpp
+++ b/src/app/gateway/gateway_control.cpp
@@ -72,7 +72,9 @@
                   this->limit_controller->servers_changed();
                   this->crashes->servers_changed();
                   this->origins->servers_changed();
+                  this->paces.servers_changed();
               }}))
+    , paces(time, this->serving->view(), *dispatch)
     , copies(std::make_unique<copy_exchange>(
           this->loop, copy_options(initial_settings), this->meter))
     , directory(std::make_unique<users_platform::store_directory>(
@@ -243,11 +245,25 @@
             if (error)
                 return;
             this->reporter.tick();
+            this->report_paces();
             this->check_owner();
             this->schedule_usage_report();
         });
 }
 
+void gateway_control::report_paces()
+{
+    // Without an owner, the samples are kept for the next one.
+    if (!this->settings.pace.estimate || !this->owner)
+        return;
+    std::vector<pace_sample> samples = this->paces.take_samples();
+    if (samples.empty())
+        return;
+    router_report message = this->reporter.make_report();
+    message.pace_samples = std::move(samples);
+    this->send_to_owner(std::move(message));
+}
+
 void gateway_control::send_to_owner(router_report message)
 {
     if (!this->owner)
@@ -349,6 +365,8 @@
     this->live_routers = std::max<std::size_t>(message.routers, 1);
     for (const engine_residency& engine : message.engines)
         this->serving->residency_announced(engine);
+    if (this->settings.pace.estimate)
+        this->paces.announced(message);
     for (const announced_load_forecast& one : message.load_forecasts)
         this->serving->forecast_announced(
             one.model, now + duration(one.ready_in_us));
--- a/src/app/gateway/gateway_control.hpp
+++ b/src/app/gateway/gateway_control.hpp
@@ -10,6 +10,7 @@
 #include "app/gateway/demand_reporter.hpp"
 #include "app/gateway/engine_reach.hpp"
 #include "app/gateway/origin_controller.hpp"
+#include "app/gateway/pace_controller.hpp"
 #include "app/gateway/placement_controller.hpp"
 #include "app/gateway/quota_controller.hpp"
 #include "app/gateway/relay_routers.hpp"
@@ -115,6 +116,20 @@
         this->limit_controller->answered(server, notice, sent);
     }
 
+    /// The time between the events of a stream was measured.
+    void stream_measured(
+        const std::string& servable, server_life run, const stream_timer& times)
+    {
+        if (this->settings.pace.estimate)
+            this->paces.measured(servable, run, times);
+    }
+
+    /// @return Number of engines in a class, while this router owns placement.
+    std::size_t paced_engines(pace_class wanted) const
+    {
+        return this->placement->paced_engines(wanted);
+    }
+
     /// The dispatcher needs a permit to send to a rate-limited or brittle
     /// server.
     void permit_needed(const permit_wanted& wanted)
@@ -205,6 +220,7 @@
         const owner_announcement& message,
         std::span<const std::string> routers);
     void schedule_usage_report();
+    void report_paces();
     void check_owner();
     void owner_lost(instant now);
     std::vector<std::string> router_names() const;
@@ -232,6 +248,7 @@
         work_guard;
     platform::byte_meter meter;
     std::unique_ptr<serving_table_publisher> serving;
+    pace_controller paces;
     std::unique_ptr<directory_copy_port> copies;
     std::unique_ptr<directory_port> directory;
     std::unique_ptr<gateway_peer_port> peers;
--- a/src/app/gateway/gateway_options.cpp
+++ b/src/app/gateway/gateway_options.cpp
@@ -42,6 +42,7 @@
     placement_controller::options made;
     made.lease = settings.bounds.lease;
     made.fences_checked = settings.bounds.fences_checked;
+    made.estimates_pace = settings.pace.estimate;
     made.announcements.budget_bytes_per_second =
         settings.vm.link_mbps * bytes_per_mbit * announcement_link_share;
     made.planner.store_limiter.window = settings.bounds.load_window;
--- a/src/app/gateway/placement_controller.cpp
+++ b/src/app/gateway/placement_controller.cpp
@@ -1,5 +1,6 @@
 #include "app/gateway/placement_controller.hpp"
 
+#include "core/crashes/server_life.hpp"
 #include "core/serving/servable_key.hpp"
 
 #include <algorithm>
@@ -109,6 +110,7 @@
           time,
           this->tracker,
           this->demands,
+          initial_settings.estimates_pace ? &this->paces : nullptr,
           std::move(lister),
           std::move(send_announcement))
     , step_timer(context)
@@ -155,13 +157,19 @@
             gone.push_back(id);
     }
     for (const std::string& id : gone)
+    {
         this->tracker.remove(id);
+        this->paces.engine_removed(id);
+    }
     for (const auto& [id, server] : this->view.servers())
     {
         const service_profile* service =
             this->view.config()->find_service(server.entry.service);
         if (service == nullptr || !service->engine || server.superseded)
             continue;
+        if (this->settings.estimates_pace)
+            this->paces.engine_listed(
+                id, life_of(id, server.entry.born_ms).value);
         const bool is_new = this->tracker.update_entry(server.entry);
         if (is_new && this->active)
             this->schedule_report_read(id, milliseconds(0));
@@ -214,7 +222,10 @@
         event_id::placement_owned, {{"fence", this->tenure->fence}});
     this->announcer.set_fence(this->tenure->fence);
     if (!this->active)
+    {
+        this->paces.clear();
         this->sync_engines();
+    }
     const bool continued = std::exchange(this->active, true);
     if (continued)
         return; // renewed with a new number: the tracked state is still valid
@@ -234,6 +245,36 @@
         event_id::placement_given_up,
         {{"fence", this->fence()}, {"reason", reason}});
     this->announcer.set_fence(std::nullopt);
+    this->paces.clear();
+    this->count_paces();
+}
+
+void placement_controller::estimate_paces(instant now)
+{
+    if (!this->settings.estimates_pace ||
+        now - this->last_pace_estimate < this->settings.pace_interval)
+        return;
+    this->last_pace_estimate = now;
+    for (const pace_change& change : this->paces.update(now))
+    {
+        this->announcer.engine_changed(change.engine, {});
+        if (change.before != change.after)
+            this->events.report(
+                event_id::engine_pace_changed,
+                {{"engine", change.engine},
+                 {"percent", change.percent},
+                 {"before", roseworks::to_string(change.before)},
+                 {"after", roseworks::to_string(change.after)}});
+    }
+    this->count_paces();
+}
+
+void placement_controller::count_paces()
+{
+    for (const pace_class each :
+         {pace_class::fast, pace_class::usual, pace_class::slow})
+        this->pace_counts[static_cast<std::size_t>(each)] =
+            this->paces.count(each);
 }
 
 void placement_controller::other_owner_announced(std::uint64_t fence)
@@ -250,6 +291,9 @@
     if (!this->demands.apply_router_report(message, this->clock.now()) ||
         !this->active)
         return;
+    if (this->settings.estimates_pace)
+        this->paces.add(
+            message.router, message.pace_samples, this->clock.now());
     // If an engine already holds the model, the router that reports demand has
     // missed the announcement.
     for (const servable_need& need : message.needs)
@@ -278,6 +322,7 @@
          this->tracker.take_unconfirmed_store_loads(now))
         this->schedule_report_read(engine, milliseconds(0));
     this->demands.tick(now);
+    this->estimate_paces(now);
     const duration interval = std::clamp<duration>(
         plan_interval_per_engine * static_cast<int>(this->tracker.all().size()),
         min_plan_interval,
--- a/src/app/gateway/placement_controller.hpp
+++ b/src/app/gateway/placement_controller.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "app/gateway/residency_announcer.hpp"
+#include "core/pace/pace_estimator.hpp"
 #include "core/serving/serving_view.hpp"
 #include "core/swapping/demand_tracker.hpp"
 #include "core/swapping/engine_tracker.hpp"
@@ -13,6 +14,9 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <array>
+#include <atomic>
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <map>
@@ -73,6 +77,10 @@
         /// its address. The registry has usually removed its entry by then.
         std::chrono::milliseconds replaced_engine_delay{4000};
         residency_announcer::options announcements;
+        /// Whether the pace of engines is estimated from the routers' reports.
+        bool estimates_pace = false;
+        /// Interval between estimates.
+        std::chrono::milliseconds pace_interval{500};
     };
 
     placement_controller(
@@ -117,6 +125,13 @@
         return this->tenure ? this->tenure->fence : 0;
     }
 
+    /// @return Number of engines whose pace is in a class; 0 if this router
+    ///         doesn't own placement. Called from any thread.
+    std::size_t paced_engines(pace_class wanted) const
+    {
+        return this->pace_counts[static_cast<std::size_t>(wanted)];
+    }
+
     const engine_tracker& engines() const
     {
         return this->tracker;
@@ -159,6 +174,8 @@
     void start_ownership();
     void sync_engines();
     void end_ownership(std::string_view reason);
+    void estimate_paces(instant now);
+    void count_paces();
 
     boost::asio::io_context& loop;
     options settings;
@@ -171,6 +188,9 @@
     std::map<std::string, double, std::less<>> rate_limits;
     demand_tracker demands;
     swap_planner planner;
+    pace_estimator paces{pace_estimator::options()};
+    instant last_pace_estimate;
+    std::array<std::atomic<std::size_t>, 3> pace_counts{}; ///< by `pace_class`
     residency_announcer announcer;
     std::optional<placement_tenure> tenure;
     /// A higher fencing number was announced since the last takeover.
--- a/src/app/gateway/residency_announcer.cpp
+++ b/src/app/gateway/residency_announcer.cpp
@@ -15,6 +15,7 @@
     const clock_port& time,
     const engine_tracker& tracker,
     const demand_tracker& demands,
+    const pace_estimator* estimates,
     router_lister lister,
     sender send_announcement)
     : settings(initial_settings)
@@ -22,6 +23,7 @@
     , clock(time)
     , engines(tracker)
     , needs(demands)
+    , paces(estimates)
     , routers(std::move(lister))
     , send(std::move(send_announcement))
     , batch_timer(loop)
@@ -150,6 +152,17 @@
     return announcement;
 }
 
+void residency_announcer::add_engine(
+    owner_announcement& announcement, const engine_state& engine) const
+{
+    announcement.engines.push_back(engine.residency(*this->fence));
+    if (this->paces == nullptr)
+        return;
+    const auto percent = this->paces->percent(engine.entry.id);
+    announcement.paces.push_back(
+        static_cast<std::uint16_t>(percent.value_or(0)));
+}
+
 void residency_announcer::announce_changes()
 {
     const auto all = std::exchange(this->pending_changes, {});
@@ -167,7 +180,7 @@
         {
             const engine_state* engine = this->engines.find(id);
             if (engine != nullptr && engine->state_confirmed)
-                announcement.engines.push_back(engine->residency(*this->fence));
+                this->add_engine(announcement, *engine);
         }
         if (!announcement.engines.empty())
             this->send(announcement, recipients);
@@ -205,8 +218,7 @@
             next = known.begin();
         this->last_beacon_engine = next->first;
         if (next->second.state_confirmed)
-            announcement.engines.push_back(
-                next->second.residency(*this->fence));
+            this->add_engine(announcement, next->second);
         ++next;
     }
     this->send(announcement, all);
--- a/src/app/gateway/residency_announcer.hpp
+++ b/src/app/gateway/residency_announcer.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/pace/pace_estimator.hpp"
 #include "core/swapping/demand_tracker.hpp"
 #include "core/swapping/engine_tracker.hpp"
 #include "core/swapping/load_forecast.hpp"
@@ -70,6 +71,7 @@
     /// @return The names of all routers, including this one.
     using router_lister = std::function<std::vector<std::string>()>;
 
+    /// @param paces Null: no pace is announced.
     residency_announcer(
         boost::asio::io_context& loop,
         options settings,
@@ -77,6 +79,7 @@
         const clock_port& clock,
         const engine_tracker& engines,
         const demand_tracker& needs,
+        const pace_estimator* paces,
         router_lister routers,
         sender send);
 
@@ -112,6 +115,9 @@
     /// @return Whether the budget was sufficient.
     bool take_budget(std::size_t router_count);
     owner_announcement make_announcement() const;
+    /// Adds the present state of an engine.
+    void add_engine(
+        owner_announcement& announcement, const engine_state& engine) const;
     void announce_changes();
     void schedule_beacon();
     void send_beacon();
@@ -121,6 +127,7 @@
     const clock_port& clock;
     const engine_tracker& engines;
     const demand_tracker& needs;
+    const pace_estimator* paces;
     router_lister routers;
     sender send;
     std::optional<std::uint64_t> fence; ///< empty if this isn't the owner
--- a/src/core/swapping/peer_messages.hpp
+++ b/src/core/swapping/peer_messages.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/pace/pace_sample.hpp"
 #include "core/serving/engine_residency.hpp"
 
 #include <roseworks/instant.hpp>
@@ -79,6 +80,8 @@
     std::vector<servable_usage> uses;
     /// Ids of engines to which a connection has just failed.
     std::vector<std::string> unreachable_engines;
+    /// Times between events that the router measured since its last report.
+    std::vector<pace_sample> pace_samples;
 
     template <class Archive>
     void serialize(Archive& archive)
@@ -90,6 +93,15 @@
             this->needs,
             this->uses,
             this->unreachable_engines);
+        // Routers of earlier versions leave this field out.
+        if constexpr (requires { archive.remaining(); })
+        {
+            if (archive.remaining() == 0)
+                return;
+        }
+        else if (this->pace_samples.empty())
+            return;
+        archive(this->pace_samples);
     }
 };
 
@@ -119,6 +131,9 @@
     bool term_expired = false;
     std::vector<engine_residency> engines;
     std::vector<announced_load_forecast> load_forecasts;
+    /// Pace of each of `engines`, in percent of the mean; 0: no estimate. Empty
+    /// if the owner estimates none.
+    std::vector<std::uint16_t> paces;
 
     template <class Archive>
     void serialize(Archive& archive)
@@ -131,6 +146,15 @@
             this->term_expired,
             this->engines,
             this->load_forecasts);
+        // Routers of earlier versions leave this field out.
+        if constexpr (requires { archive.remaining(); })
+        {
+            if (archive.remaining() == 0)
+                return;
+        }
+        else if (this->paces.empty())
+            return;
+        archive(this->paces);
     }
 };
 
--- a/src/ports/event_sink.hpp
+++ b/src/ports/event_sink.hpp
@@ -148,7 +148,8 @@
     engine_ordered = 1803,
     engine_order_ended = 1804,
     engine_examined = 1805,
-    engine_unreached = 1806
+    engine_unreached = 1806,
+    engine_pace_changed = 1810
 };
 
 /// A named value of an event: text or a signed 64-bit integer. The text isn't
