--- a/src/core/request/dispatcher_permits.cpp
+++ b/src/core/request/dispatcher_permits.cpp
@@ -271,7 +271,7 @@
         {},
         [this, now](const detail::backend* candidate)
         {
-            return this->loads.load(candidate->server, now);
+            return this->loads.paced_load(candidate->server, now);
         });
     for (const detail::backend* candidate : free)
     {
