--- a/src/core/request/dispatcher_permits.cpp
+++ b/src/core/request/dispatcher_permits.cpp
@@ -333,7 +333,7 @@
         {},
         [this, now](const detail::backend* candidate)
         {
-            return this->loads.load(candidate->server, now);
+            return this->loads.paced_load(candidate->server, now);
         });
     // The permits that are pending are for the requests that go first. Each
     // is for another request: one urgent request must not make all of them
