Order an organisation's draws by urgency while its limit is short

An organisation that sends many times its limit had its urgent requests refused, because those that can wait reserve tokens in advance.

urgency_shares divides the tokens of an organisation's bucket among three classes by the demand of the last second: guaranteed minima, then the lowest class first. Every allowed draw is still taken from the bucket. Routers ask again for refused draws that can wait. Off unless the accountant is made with the order, and draws carry a class.

--- a/src/core/quota/quota_accountant.cpp
+++ b/src/core/quota/quota_accountant.cpp
@@ -37,6 +37,24 @@
     return duration(std::clamp<std::int64_t>(us, 0, max_time_us));
 }
 
+/// Names of organisations don't begin with a control character; all other
+/// accounts' do.
+bool is_organisation_account(std::string_view name)
+{
+    constexpr char first_printable = ' ';
+    return !name.empty() &&
+           static_cast<unsigned char>(name.front()) >= first_printable;
+}
+
+/// @return The class of a draw. Routers that don't order requests send none.
+std::uint8_t class_of(const quota_query& query, std::uint64_t id)
+{
+    const auto found = std::ranges::find(query.orders, id, &draw_order::id);
+    if (found == query.orders.end())
+        return urgency::normal;
+    return std::min(found->urgency_class, urgency::deferrable);
+}
+
 /// When a place that can't be waited for may be requested again.
 constexpr duration place_retry_delay = std::chrono::milliseconds(50);
 
@@ -47,8 +65,15 @@
 
 quota_accountant::quota_accountant(
     std::string own_name, quota_bounds tolerances)
+    : quota_accountant(std::move(own_name), tolerances, order_options())
+{
+}
+
+quota_accountant::quota_accountant(
+    std::string own_name, quota_bounds tolerances, order_options ordering)
     : name(std::move(own_name))
     , bounds(tolerances)
+    , order(ordering)
 {
 }
 
@@ -65,6 +90,10 @@
         added.limit = limit;
         if (limit.slots > 0 && !added.places)
             added.places.emplace(limit.slots);
+        if (this->order.by_urgency && is_organisation_account(name) &&
+            !added.order)
+            added.order.emplace(
+                urgency_order{urgency_shares(this->order.seed), {}});
     }
     this->accounts_by_name = std::move(next);
 }
@@ -175,14 +204,8 @@
                 this->remember(from, result);
             return result;
         }
-        const usage_limit bucket_limit = this->granted_limit(entry);
-        const auto wait = entry.bucket.take(
-            draw.amount, clamp_time(draw.max_wait_us), bucket_limit);
-        result.is_allowed = wait.has_value();
-        (wait ? entry.used : entry.refused) += draw.amount;
-        result.wait_us =
-            wait.value_or(entry.bucket.time_until(draw.amount, bucket_limit))
-                .count();
+        result = entry.order ? this->draw_in_order(query, draw, entry, now)
+                             : this->draw_tokens(draw, entry);
     }
     if (!result.is_allowed)
         // No tokens were taken, so a repeated draw is evaluated again.
@@ -191,6 +214,53 @@
     return result;
 }
 
+quota_result
+quota_accountant::draw_tokens(const quota_draw& draw, account& entry) const
+{
+    const usage_limit limit = this->granted_limit(entry);
+    const auto wait =
+        entry.bucket.take(draw.amount, clamp_time(draw.max_wait_us), limit);
+    (wait ? entry.used : entry.refused) += draw.amount;
+    return {
+        draw.id,
+        wait.has_value(),
+        wait.value_or(entry.bucket.time_until(draw.amount, limit)).count()};
+}
+
+quota_result quota_accountant::draw_in_order(
+    const quota_query& query,
+    const quota_draw& draw,
+    account& entry,
+    instant now) const
+{
+    const usage_limit limit = this->granted_limit(entry);
+    const std::uint8_t urgency = class_of(query, draw.id);
+    urgency_shares& shares = entry.order->shares;
+    class_totals& totals = entry.order->totals[urgency];
+    const bool is_new = shares.add_demand(draw.id, urgency, draw.amount, now);
+    shares.update(entry.bucket, limit, now);
+    const auto wait = shares.take(
+        entry.bucket,
+        urgency,
+        draw.amount,
+        clamp_time(draw.max_wait_us),
+        limit);
+    if (wait)
+    {
+        entry.used += draw.amount;
+        totals.used += draw.amount;
+        return {draw.id, true, wait->count()};
+    }
+    if (is_new)
+    {
+        entry.refused += draw.amount;
+        totals.refused += draw.amount;
+    }
+    const duration expected = shares.expected_wait(
+        entry.bucket, draw.id, urgency, draw.amount, limit);
+    return {draw.id, false, expected.count()};
+}
+
 quota_accountant::account*
 quota_accountant::find_account(const quota_draw& draw)
 {
--- a/src/core/quota/quota_accountant.hpp
+++ b/src/core/quota/quota_accountant.hpp
@@ -4,9 +4,11 @@
 #include "core/quota/place_counter.hpp"
 #include "core/quota/quota_messages.hpp"
 #include "core/quota/token_bucket.hpp"
+#include "core/quota/urgency_shares.hpp"
 
 #include <roseworks/instant.hpp>
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -34,7 +36,17 @@
 class quota_accountant
 {
 public:
+    /// How an organisation's limit goes to its requests.
+    struct order_options
+    {
+        /// While it asks for more than its limit, urgent requests go first.
+        bool by_urgency = false;
+        std::uint64_t seed = 1; ///< of the jitter on the times of refusals
+    };
+
     quota_accountant(std::string own_name, quota_bounds bounds);
+    quota_accountant(
+        std::string own_name, quota_bounds bounds, order_options order);
 
     /// Replaces the limits in force.
     void set_limits(const global_limits& all, instant now);
@@ -62,6 +74,21 @@
     /// Refills the buckets; to be called at least every 100 ms.
     void tick(instant now);
 
+    /// What was allowed and refused to one class of requests, in total.
+    /// Repeats of a refused draw are not counted.
+    struct class_totals
+    {
+        double used = 0; ///< returned tokens included
+        double refused = 0;
+    };
+
+    /// The order of an organisation's requests.
+    struct urgency_order
+    {
+        urgency_shares shares;
+        std::array<class_totals, urgency::class_count> totals{};
+    };
+
     /// State of one account; for metrics and logs.
     struct account
     {
@@ -72,6 +99,8 @@
         double used = 0;                     ///< taken and not returned, total
         double refused = 0;                  ///< total
         std::optional<place_counter> places; ///< set if the limit has slots
+        /// Set for an organisation if its requests are ordered.
+        std::optional<urgency_order> order;
     };
 
     const std::map<std::string, account, std::less<>>& accounts() const
@@ -108,6 +137,14 @@
         const quota_draw& draw,
         router& from,
         instant now);
+    /// Takes a draw's tokens from an account's bucket.
+    quota_result draw_tokens(const quota_draw& draw, account& entry) const;
+    /// As `draw_tokens`, for an account whose requests are ordered.
+    quota_result draw_in_order(
+        const quota_query& query,
+        const quota_draw& draw,
+        account& entry,
+        instant now) const;
     quota_result draw_place(
         place_counter& places,
         std::string_view router,
@@ -128,6 +165,7 @@
 
     std::string name;
     quota_bounds bounds;
+    order_options order;
     std::map<std::string, account, std::less<>> accounts_by_name;
     std::unordered_map<std::string, router> routers;
     std::size_t known_routers = 0; ///< 0: not known yet
--- a/src/core/quota/quota_client.cpp
+++ b/src/core/quota/quota_client.cpp
@@ -1,6 +1,7 @@
 #include "core/quota/quota_client.hpp"
 
 #include "core/quota/retry_limits.hpp"
+#include "core/quota/urgency_class.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -28,6 +29,22 @@
 /// Interval between repeats of a draw that waits at the accountant.
 constexpr duration queued_resend_interval = std::chrono::milliseconds(100);
 
+/// Interval between repeats of a refused draw that can wait. The accountant
+/// recognises a repeat within a second.
+constexpr duration held_resend_interval = std::chrono::milliseconds(250);
+
+/// Shorter waits still get two repeats.
+constexpr int repeats_in_wait = 2;
+
+/// Refused draws that wait at once, which bounds the messages about them.
+constexpr std::size_t max_held_draws = 256;
+
+/// Repeated draws in one message, so that it fits a datagram.
+constexpr std::size_t max_resent_draws = 24;
+
+/// A draw that can wait does so for its objective divided by this.
+constexpr int hold_divisor = 2;
+
 /// Retry delay after a draw has waited in vain.
 constexpr duration place_retry_delay = std::chrono::milliseconds(20);
 
@@ -37,6 +54,16 @@
 /// Messages per contact timeout: a contact survives the loss of two.
 constexpr int messages_per_timeout = 3;
 
+/// @return How long a draw asks again after a refusal; 0: not at all.
+duration hold_time(const draw_order& order, duration max_wait)
+{
+    if (order.urgency_class == urgency::urgent)
+        return duration::zero();
+    if (order.urgency_class < urgency::deferrable)
+        return max_wait;
+    return std::max(max_wait, duration(order.objective_in_us / hold_divisor));
+}
+
 double seconds(duration length)
 {
     return std::chrono::duration<double>(length).count();
@@ -118,6 +145,7 @@
     added.order = order;
     added.order.id = id;
     added.created_at = now;
+    added.hold_until = now + hold_time(order, duration(added.draw.max_wait_us));
     added.last_sent_at = now;
     this->waiting.emplace(id, std::move(added));
     if (is_places_account(account))
@@ -422,6 +450,8 @@
             !result.is_allowed && result.wait_us == quota_result::queued;
         if (is_queued && found != this->waiting.end())
             found->second.queued_at = now;
+        else if (!result.is_allowed && this->hold(result, now))
+            continue;
         else if (result.is_allowed || is_final)
             this->resolve(result, now);
         else if (found != this->waiting.end())
@@ -429,6 +459,38 @@
     }
 }
 
+bool quota_client::hold(const quota_result& refusal, instant now)
+{
+    const auto found = this->waiting.find(refusal.id);
+    if (found == this->waiting.end())
+        return false;
+    pending_draw& entry = found->second;
+    if (now >= entry.hold_until)
+        return false;
+    if (!entry.held_refusal)
+    {
+        if (this->held_count >= max_held_draws)
+            return false;
+        ++this->held_count;
+    }
+    entry.held_refusal = refusal;
+    this->schedule_by(entry.last_sent_at + this->ask_interval(entry));
+    this->schedule_by(entry.hold_until);
+    return true;
+}
+
+duration quota_client::ask_interval(const pending_draw& entry) const
+{
+    if (entry.queued_at)
+        return queued_resend_interval;
+    if (entry.held_refusal)
+        return std::clamp(
+            duration(entry.hold_until - entry.created_at) / repeats_in_wait,
+            this->settings.resend_interval,
+            held_resend_interval);
+    return this->settings.resend_interval;
+}
+
 void quota_client::resolve(const quota_result& result, instant now)
 {
     const auto found = this->waiting.find(result.id);
@@ -440,6 +502,7 @@
     const duration wait =
         std::clamp(duration(result.wait_us), duration::zero(), max_wait);
     this->decided(found->second.draw, result.is_allowed, now);
+    this->held_count -= found->second.held_refusal ? 1 : 0;
     this->waiting.erase(found);
     quota_decision decision{result.id, result.is_allowed, {}, {}};
     (result.is_allowed ? decision.wait : decision.retry_after) = wait;
@@ -495,20 +558,25 @@
             timed_out.push_back(id);
             continue;
         }
-        const duration interval = entry.queued_at
-                                      ? queued_resend_interval
-                                      : this->settings.resend_interval;
+        const duration interval = this->ask_interval(entry);
         if (now - entry.last_sent_at >= interval)
         {
             entry.last_sent_at = now;
+            if (entry.held_refusal)
+                entry.draw.max_wait_us = std::min(
+                    entry.draw.max_wait_us,
+                    duration(entry.hold_until - now).count());
             resent.push_back(entry.draw);
         }
         this->schedule_by(entry.last_sent_at + interval);
+        if (entry.held_refusal)
+            this->schedule_by(entry.hold_until);
     }
     for (const std::uint64_t id : timed_out)
     {
         const pending_draw& entry = this->waiting.at(id);
-        const auto provisional_refusal = entry.provisional_refusal;
+        const auto provisional_refusal =
+            entry.held_refusal ? entry.held_refusal : entry.provisional_refusal;
         if (entry.queued_at)
             this->resolve({id, false, place_retry_delay.count()}, now);
         else if (provisional_refusal)
@@ -516,9 +584,21 @@
         else
             this->decide_locally(id, now);
     }
-    if (!resent.empty() && this->current_index < this->contacts.size())
-        this->send_query(
-            this->contacts[this->current_index], std::move(resent), now);
+    this->send_again(std::move(resent), now);
+}
+
+void quota_client::send_again(std::vector<quota_draw> draws, instant now)
+{
+    if (draws.empty() || this->current_index >= this->contacts.size())
+        return;
+    accountant_contact& to = this->contacts[this->current_index];
+    while (this->held_count > 0 && draws.size() > max_resent_draws)
+    {
+        const auto first_of_rest = draws.end() - max_resent_draws;
+        this->send_query(to, {first_of_rest, draws.end()}, now);
+        draws.erase(first_of_rest, draws.end());
+    }
+    this->send_query(to, std::move(draws), now);
 }
 
 bool quota_client::has_timed_out(const pending_draw& entry, instant now) const
@@ -529,6 +609,8 @@
         now - *entry.queued_at < this->settings.decision_timeout;
     if (is_queued)
         return waited >= duration(entry.draw.max_wait_us);
+    if (entry.held_refusal)
+        return now >= entry.hold_until;
     return waited >= this->settings.decision_timeout;
 }
 
--- a/src/core/quota/quota_client.hpp
+++ b/src/core/quota/quota_client.hpp
@@ -131,6 +131,9 @@
         std::optional<quota_result> provisional_refusal;
         /// When the accountant last confirmed that the draw waits there.
         std::optional<instant> queued_at;
+        /// The latest refusal of a draw that waits and asks again.
+        std::optional<quota_result> held_refusal;
+        instant hold_until; ///< it asks again until then
     };
 
     /// The places that this router holds at one backend server.
@@ -193,6 +196,11 @@
     void choose_accountant(instant now);
     /// Starts a contact: sets when the accountant begins to count this router.
     void start_contact(accountant_contact& contact, instant now);
+    /// Keeps a refused draw, to ask for it again.
+    /// @return Whether the draw can wait.
+    bool hold(const quota_result& refusal, instant now);
+    /// @return The interval between two queries about a draw.
+    duration ask_interval(const pending_draw& entry) const;
     void send_query(
         accountant_contact& to, std::vector<quota_draw> draws, instant now);
     /// @return The order of those draws that don't have the default one.
@@ -201,6 +209,8 @@
     void resolve(const quota_result& result, instant now);
     void detect_unresponsive(instant now);
     void resend_draws(instant now);
+    /// Sends draws that got no answer, or that wait, in one or more messages.
+    void send_again(std::vector<quota_draw> draws, instant now);
     void send_keepalives(instant now);
     void schedule_by(instant when);
 
@@ -218,6 +228,7 @@
     std::size_t current_index = 0;
     std::size_t router_count = 0; ///< 0: not known yet
     std::map<std::uint64_t, pending_draw> waiting;
+    std::size_t held_count = 0; ///< draws in `waiting` that were refused
     std::vector<quota_return> returns;
     std::vector<quota_message> messages;
     std::vector<quota_decision> decisions;
--- a/tests/unit/quota/quota_fleet.cpp
+++ b/tests/unit/quota/quota_fleet.cpp
@@ -1,17 +1,11 @@
 #include "quota_fleet.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace roseworks::testing
 {
 
-namespace
-{
-
-constexpr const char* organisation_name = "o1";
-
-} // namespace
-
 quota_fleet::quota_fleet(options config)
     : settings(config)
     , random(config.seed)
@@ -46,6 +40,12 @@
     if (this->settings.limit.per_second > 0)
         entry.limit = this->settings.limit;
     configuration.organisations = {entry};
+    for (const auto& [name, limit] : this->settings.other_limits)
+    {
+        entry.name = name;
+        entry.limit = limit;
+        configuration.organisations->push_back(entry);
+    }
     quota_bounds bounds;
     bounds.slack = this->settings.slack;
     return limits_of(configuration, bounds);
@@ -60,8 +60,11 @@
     client_options.mode = this->settings.mode;
     client_options.seed = this->random() << 20;
     target.client = std::make_unique<quota_client>(client_options);
-    target.accountant =
-        std::make_unique<quota_accountant>(target.name, client_options.bounds);
+    target.accountant = std::make_unique<quota_accountant>(
+        target.name,
+        client_options.bounds,
+        quota_accountant::order_options{
+            this->settings.order_by_urgency, this->settings.seed});
     target.scheduled_tick = instant::max();
     target.client->set_limits(this->limits());
     target.accountant->set_limits(this->limits(), this->now());
@@ -143,6 +146,86 @@
     this->queue.run_until(end);
 }
 
+void quota_fleet::send_kinds(
+    duration length, std::vector<load_kind>& kinds, std::vector<double> weights)
+{
+    std::vector<double> rates;
+    double total = 0;
+    for (const load_kind& kind : kinds)
+        total += rates.emplace_back(kind.per_second);
+    std::discrete_distribution<std::size_t> choice(rates.begin(), rates.end());
+    this->repeat_randomly(
+        length,
+        total,
+        std::move(weights),
+        [this, &kinds, choice](std::size_t router) mutable
+        {
+            load_kind& kind = kinds[choice(this->random)];
+            this->draw_kind(
+                router,
+                {kind.amount, kind.account, &kind, this->now(), 0, kind.round});
+        });
+}
+
+void quota_fleet::draw_kind(std::size_t number, open_draw request)
+{
+    this->schedule_on(
+        number,
+        this->now(),
+        [this, number, request]
+        {
+            constexpr int wait_divisor = 4; // forward_options
+            const load_kind& kind = *request.kind;
+            draw_order order;
+            if (this->settings.order_by_urgency)
+            {
+                order.objective_in_us = kind.objective.count();
+                order.urgency_class = kind.urgency;
+            }
+            const std::uint64_t id = this->routers[number].client->draw(
+                kind.account,
+                kind.amount,
+                kind.objective / wait_divisor,
+                this->now(),
+                order);
+            this->open_draws[id] = request;
+            this->flush(number);
+        });
+}
+
+void quota_fleet::finish_kind(
+    std::size_t number,
+    const open_draw& request,
+    const quota_decision& decision)
+{
+    load_kind& kind = *request.kind;
+    if (request.round != kind.round)
+        return;
+    kind.sent += request.amount;
+    const duration waited = this->now() - request.began;
+    kind.longest_wait = std::max(kind.longest_wait, waited + decision.wait);
+    if (decision.is_allowed)
+    {
+        kind.served += request.amount;
+        return;
+    }
+    kind.shortest_retry_after =
+        std::min(kind.shortest_retry_after, decision.retry_after);
+    kind.longest_retry_after =
+        std::max(kind.longest_retry_after, decision.retry_after);
+    if (request.refusals + 1 >= kind.max_refusals)
+        return;
+    open_draw next = request;
+    ++next.refusals;
+    const std::size_t router = (number + 1) % this->routers.size();
+    this->queue.schedule(
+        this->now() + kind.retry_delay,
+        [this, router, next]
+        {
+            this->draw_kind(router, next);
+        });
+}
+
 bool quota_fleet::happens(double probability)
 {
     std::uniform_real_distribution<double> chance(0, 1);
@@ -169,7 +252,8 @@
         {
             const std::uint64_t id = this->routers[number].client->draw(
                 this->account(), amount, max_wait, this->now());
-            this->open_draws[id] = amount;
+            this->open_draws[id] = {
+                amount, this->account(), nullptr, this->now(), 0};
             this->flush(number);
         });
 }
@@ -215,17 +299,20 @@
     const auto found = this->open_draws.find(decision.id);
     if (found == this->open_draws.end())
         return;
-    const double amount = found->second;
+    const open_draw request = found->second;
     this->open_draws.erase(found);
+    if (request.kind != nullptr)
+        this->finish_kind(number, request, decision);
     if (!decision.is_allowed)
         return;
-    this->served += amount;
+    this->served += request.amount;
     this->schedule_on(
         number,
         this->now() + decision.wait,
-        [this, amount]
+        [this, request]
         {
-            this->uses.push_back({this->now(), amount});
+            this->uses.push_back(
+                {this->now(), request.amount, request.account});
         });
 }
 
@@ -317,10 +404,19 @@
     this->served = 0;
 }
 
-double quota_fleet::worst_window() const
+double quota_fleet::worst_window(std::string_view of_account) const
 {
+    const std::string_view account =
+        this->settings.retries ? std::string_view() : of_account;
     const duration window = quota_bounds().window;
-    std::vector<use> all = this->uses;
+    std::vector<use> all;
+    std::ranges::copy_if(
+        this->uses,
+        std::back_inserter(all),
+        [account](const use& one)
+        {
+            return account.empty() || one.account == account;
+        });
     std::ranges::sort(all, {}, &use::when);
     double sum = 0;
     double worst = 0;
--- a/tests/unit/quota/quota_fleet.hpp
+++ b/tests/unit/quota/quota_fleet.hpp
@@ -7,10 +7,12 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -35,6 +37,10 @@
         /// Limits the retries of a service instead of an organisation.
         std::optional<retry_allowance> retries;
         double slack = 110'000;
+        /// Further organisations with limits, by name.
+        std::map<std::string, usage_limit> other_limits;
+        /// The accountants serve urgent requests first.
+        bool order_by_urgency = false;
         quota_mode mode = quota_mode::accountant;
         double loss = 0;      ///< probability per message
         double duplicate = 0; ///< probability per message
@@ -43,6 +49,33 @@
         std::uint64_t seed = 1;
     };
 
+    /// Requests of one kind, and what became of them.
+    struct load_kind
+    {
+        std::string name;
+        std::string account = organisation_name;
+        double per_second = 0;
+        double amount = 0; ///< tokens of each request
+        duration objective{};
+        std::uint8_t urgency = 0;
+        /// Callers repeat a refused request after this time, at another router,
+        /// until it has been refused this often.
+        duration retry_delay{};
+        int max_refusals = 1;
+
+        /// Requests of earlier rounds are not counted any more.
+        int round = 0;
+        /// Tokens of decided requests; a caller's retry is another request.
+        double sent = 0;
+        double served = 0; ///< tokens
+        duration longest_wait{};
+        duration shortest_retry_after = duration::max();
+        duration longest_retry_after{};
+    };
+
+    /// The organisation with the limit of the options.
+    static constexpr const char* organisation_name = "o1";
+
     explicit quota_fleet(options settings);
 
     /// Whether a message from one router reaches another now.
@@ -64,6 +97,14 @@
         duration max_wait,
         std::vector<double> weights = {});
 
+    /// Sends requests of several kinds to random routers. Without weights, all
+    /// routers are equally likely. If `order_by_urgency`
+    /// is set, their draws carry a class.
+    void send_kinds(
+        duration length,
+        std::vector<load_kind>& kinds,
+        std::vector<double> weights = {});
+
     /// Restarts a router, which loses its state.
     void restart(std::size_t router);
 
@@ -79,7 +120,7 @@
     void set_limit(usage_limit limit);
 
     /// @return The most tokens used within any window.
-    double worst_window() const;
+    double worst_window(std::string_view account = organisation_name) const;
 
     /// @return The most tokens that may be used within a window.
     double allowed() const;
@@ -115,6 +156,18 @@
     {
         instant when;
         double amount;
+        std::string account;
+    };
+
+    /// A request that waits for its decision.
+    struct open_draw
+    {
+        double amount = 0;
+        std::string account;
+        load_kind* kind = nullptr;
+        instant began;
+        int refusals = 0;
+        int round = 0; ///< of the kind
     };
 
     /// Calls an action at random times, as a Poisson process, and advances the
@@ -160,6 +213,12 @@
     deliver(std::size_t from, std::size_t to, std::function<void()> action);
     void send_query(std::size_t from, const quota_message& message);
     void apply_decision(std::size_t router, const quota_decision& decision);
+    /// Draws for a request of a kind.
+    void draw_kind(std::size_t router, open_draw request);
+    void finish_kind(
+        std::size_t router,
+        const open_draw& request,
+        const quota_decision& decision);
     void handle_request(double amount, duration max_wait, std::size_t router);
     std::size_t index_of(const std::string& name) const;
     global_limits limits() const;
@@ -169,8 +228,8 @@
     event_queue queue;
     std::mt19937_64 random;
     std::vector<router> routers;
-    std::vector<std::string> candidate_names;             ///< of accountants
-    std::unordered_map<std::uint64_t, double> open_draws; ///< amounts by id
+    std::vector<std::string> candidate_names;                ///< of accountants
+    std::unordered_map<std::uint64_t, open_draw> open_draws; ///< by id
     std::vector<use> uses;
     token_bucket ideal_bucket;
     instant ideal_refilled_at;
--- a/tests/unit/quota/test_quota_accountant.cpp
+++ b/tests/unit/quota/test_quota_accountant.cpp
@@ -192,3 +192,46 @@
     const auto answer = accountant.handle_query(make_query("r1", 7), at(3s));
     cr_assert_not(answer.results.at(0).is_allowed);
 }
+
+/// Routers that don't order their requests state no class. Theirs must not
+/// displace the urgent ones, nor wait behind all others.
+Test(quota_accountant, a_draw_without_a_class_is_a_normal_one)
+{
+    quota_accountant accountant(
+        "a", quota_bounds(), quota_accountant::order_options{true, 1});
+    accountant.set_router_count(1);
+    accountant.set_limits({{"o1", {.total = {1'000, 1'000}}}}, instant(100s));
+    quota_query query;
+    query.router = "r";
+    query.last_reply_age_us = 0;
+    query.counting_delay_us = 0;
+    query.draws = {{1, "o1", 700, 0, 0}, {2, "o1", 300, 0, 0}};
+    draw_order order;
+    order.id = 2;
+    order.urgency_class = 200; // above the highest one
+    query.orders = {order};
+    accountant.handle_query(query, instant(101s));
+    const auto& account = accountant.accounts().at("o1");
+    cr_assert(account.order.has_value());
+    const auto& totals = account.order->totals;
+    cr_assert_eq(totals[0].used + totals[0].refused, 0);
+    cr_assert_eq(totals[1].used + totals[1].refused, 700);
+    cr_assert_eq(totals[2].used + totals[2].refused, 300);
+}
+
+/// Only organisations' requests have an order, and only with the setting.
+Test(quota_accountant, other_accounts_have_no_order)
+{
+    const global_limits limits = {
+        {"o1", {.total = {1'000, 1'000}}},
+        {server_account("s"), limit_of_server(10)}};
+    quota_accountant ordering(
+        "a", quota_bounds(), quota_accountant::order_options{true, 1});
+    ordering.set_limits(limits, instant(100s));
+    cr_assert(ordering.accounts().at("o1").order.has_value());
+    cr_assert_not(
+        ordering.accounts().at(server_account("s")).order.has_value());
+    quota_accountant plain("a", quota_bounds());
+    plain.set_limits(limits, instant(100s));
+    cr_assert_not(plain.accounts().at("o1").order.has_value());
+}
--- a/tests/unit/quota/test_quota_client.cpp
+++ b/tests/unit/quota/test_quota_client.cpp
@@ -239,3 +239,119 @@
     cr_assert_not(decisions.at(0).is_allowed);
     cr_assert_gt(decisions.at(0).retry_after, duration(0));
 }
+
+namespace
+{
+
+draw_order make_order(std::uint8_t urgency, duration objective)
+{
+    draw_order order;
+    order.urgency_class = urgency;
+    order.objective_in_us = objective.count();
+    return order;
+}
+
+} // namespace
+
+/// A refusal at the first try would lose requests that have time.
+Test(quota_client, a_refused_draw_that_can_wait_asks_again)
+{
+    client_fixture test;
+    test.establish_contact("a");
+    const std::uint64_t id =
+        test.client.draw("o1", 700, 2s, at(1s), make_order(2, 8s));
+    test.queries_to("a");
+    int repeats = 0;
+    for (duration when = 1s; when < 4900ms; when += 10ms)
+    {
+        test.client.tick(at(when));
+        for (const quota_query& query : test.queries_to("a"))
+        {
+            test.answer("a", when);
+            if (query.draws.empty())
+                continue;
+            ++repeats;
+            cr_assert_eq(query.draws[0].id, id);
+            cr_assert_eq(query.orders.at(0).urgency_class, 2);
+            const duration left = 5s - when;
+            cr_assert_leq(query.draws[0].max_wait_us, left.count());
+            test.client.handle_reply({"a", {{id, false, 900'000}}}, at(when));
+        }
+        cr_assert(test.client.take_decisions().empty());
+    }
+    cr_assert_geq(repeats, 12);
+    cr_assert_leq(repeats, 20);
+    for (duration when = 4900ms; when <= 5s; when += 10ms)
+        test.client.tick(at(when));
+    const auto decisions = test.client.take_decisions();
+    cr_assert_eq(decisions.size(), 1);
+    cr_assert_not(decisions[0].is_allowed);
+    cr_assert(decisions[0].retry_after == 900ms);
+}
+
+Test(quota_client, a_waiting_draw_is_sent_when_it_is_allowed)
+{
+    client_fixture test;
+    test.establish_contact("a");
+    const std::uint64_t id =
+        test.client.draw("o1", 700, 2s, at(1s), make_order(2, 8s));
+    test.client.handle_reply({"a", {{id, false, 900'000}}}, at(1002ms));
+    cr_assert(test.client.take_decisions().empty());
+    test.client.handle_reply({"a", {{id, true, 0}}}, at(1252ms));
+    const auto decisions = test.client.take_decisions();
+    cr_assert_eq(decisions.size(), 1);
+    cr_assert(decisions[0].is_allowed);
+}
+
+Test(quota_client, a_refused_urgent_draw_does_not_wait)
+{
+    client_fixture test;
+    test.establish_contact("a");
+    const std::uint64_t id =
+        test.client.draw("o1", 700, 62ms, at(1s), make_order(0, 250ms));
+    test.client.handle_reply({"a", {{id, false, 900'000}}}, at(1002ms));
+    const auto decisions = test.client.take_decisions();
+    cr_assert_eq(decisions.size(), 1);
+    cr_assert_not(decisions[0].is_allowed);
+}
+
+/// An accountant refused the draw, so it must not get local tokens as well.
+Test(quota_client, a_waiting_draw_is_refused_if_the_accountants_are_lost)
+{
+    client_fixture test;
+    test.establish_contact("a");
+    const std::uint64_t id =
+        test.client.draw("o1", 100, 2s, at(1s), make_order(2, 8s));
+    test.client.handle_reply({"a", {{id, false, 900'000}}}, at(1002ms));
+    for (duration when = 1010ms; when <= 5s; when += 10ms)
+        test.client.tick(at(when));
+    const auto decisions = test.client.take_decisions();
+    cr_assert_eq(decisions.size(), 1);
+    cr_assert_not(decisions[0].is_allowed);
+}
+
+/// The messages about waiting draws are bounded.
+Test(quota_client, only_so_many_refused_draws_wait)
+{
+    constexpr std::size_t max_waiting = 256;
+    client_fixture test;
+    test.establish_contact("a");
+    quota_reply refusals{"a", {}};
+    for (std::size_t i = 0; i < max_waiting + 10; ++i)
+    {
+        const std::uint64_t id =
+            test.client.draw("o1", 700, 2s, at(1s), make_order(2, 8s));
+        refusals.results.push_back({id, false, 900'000});
+    }
+    test.client.take_messages();
+    test.client.handle_reply(refusals, at(1002ms));
+    cr_assert_eq(test.client.take_decisions().size(), 10);
+    test.client.tick(at(1252ms));
+    std::size_t repeated = 0;
+    for (const quota_query& query : test.queries_to("a"))
+    {
+        cr_assert_leq(query.draws.size(), 24);
+        repeated += query.draws.size();
+    }
+    cr_assert_eq(repeated, max_waiting);
+}
