Gateway: [quota] order_by_urgency

The setting makes the accountant order an organisation's requests, and sets the class of each draw from its route. limit_reached ends with usage by class, and the metric roseworks_quota_usage_total has the classes of all organisations; both only with the setting on. With it off draws carry no order.

--- a/src/adapters/events/event_catalogue.cpp
+++ b/src/adapters/events/event_catalogue.cpp
@@ -346,8 +346,12 @@
      "This router accounts for the others and refused tokens of an "
      "organisation within the last second: used and refused are totals of that "
      "second over all routers that ask it, left is what remains of the limit, "
-     "share_percent is the share of the routers that it hears from.",
-     "organisation, per_second, burst, used, refused, left, share_percent",
+     "share_percent is the share of the routers that it hears from. With "
+     "[quota] order_by_urgency also used and refused by class; repeats of a "
+     "refused request that waits are not counted again.",
+     "organisation, per_second, burst, used, refused, left, share_percent, "
+     "used_urgent, refused_urgent, used_normal, refused_normal, "
+     "used_deferrable, refused_deferrable",
      "Compare used with per_second: docs/OPERATIONS.md shows how."},
     {accountant_changed, info, "accountant_changed",
      "This router asks another router whether requests and retries are within "
--- a/src/adapters/forward/forward_call_limits.cpp
+++ b/src/adapters/forward/forward_call_limits.cpp
@@ -2,7 +2,9 @@
 #include "adapters/forward/forward_call.hpp"
 #include "adapters/forward/quota_gate.hpp"
 #include "core/quota/retry_limits.hpp"
+#include "core/quota/urgency_class.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace roseworks::forward
@@ -15,6 +17,20 @@
 /// retry is a new request.
 constexpr duration retry_after_denied_retry{std::chrono::milliseconds(200)};
 
+/// @param window    Over which an organisation's usage is summed.
+/// @param time_left Until the deadline: a request that can wait for its
+///                  organisation's limit does so for half of it at most.
+/// @return          The order of a request among those of its organisation.
+draw_order
+order_of(const path_route& route, duration window, duration time_left)
+{
+    draw_order order;
+    order.urgency_class = urgency::class_of(route, window);
+    order.objective_in_us =
+        std::clamp(route.objective, duration::zero(), time_left).count();
+    return order;
+}
+
 } // namespace
 
 asio::awaitable<bool> forward_call::reserve_quota()
@@ -26,6 +42,14 @@
     quota_needed.amount = this->organisation.cost;
     quota_needed.longest_wait =
         this->route.objective / this->context.settings.quota_wait_divisor;
+    const duration window = this->context.settings.urgency_window;
+    if (window > duration::zero())
+        quota_needed.order = order_of(
+            this->route,
+            window,
+            std::max(
+                duration(this->deadline - this->context.now()),
+                duration::zero()));
     quota_gate gate(this->context.ports.quotas, this->pool.executor);
     const auto decision =
         co_await gate.acquire(std::move(quota_needed), *this->inbox);
--- a/src/adapters/forward/forward_context.hpp
+++ b/src/adapters/forward/forward_context.hpp
@@ -53,6 +53,9 @@
     /// A request may wait for its organisation's limit for the route's
     /// objective divided by this number.
     int quota_wait_divisor = 4;
+    /// The window over which organisations' usage is summed, if their limits go
+    /// to urgent requests first; 0: they don't.
+    duration urgency_window{};
     /// Bounds of callers' connections.
     load_guard::options load;
     /// Interval between measurements of the event loop's delay.
--- a/src/app/gateway/gateway_app.cpp
+++ b/src/app/gateway/gateway_app.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/settings/load_gateway_settings.hpp"
 #include "adapters/settings/settings_problems.hpp"
+#include "app/gateway/gateway_options.hpp"
 #include "platform/header_names.hpp"
 
 #include <boost/asio/post.hpp>
@@ -90,13 +91,26 @@
     return made;
 }
 
-forward::forward_options make_forward_options()
+forward::forward_options
+make_forward_options(const settings::gateway_settings& settings)
 {
     forward::forward_options made;
     made.seed = random_seed();
+    if (settings.quota.order_by_urgency)
+        made.urgency_window = limit_window(settings);
     return made;
 }
 
+/// @return Empty if an organisation's requests have no order.
+std::optional<quota_metrics> make_quota_metrics(
+    const settings::gateway_settings& settings,
+    metrics::metrics_registry& registry)
+{
+    if (!settings.quota.order_by_urgency)
+        return std::nullopt;
+    return quota_metrics(registry);
+}
+
 dispatcher::options
 make_dispatcher_options(const settings::gateway_settings& settings)
 {
@@ -134,6 +148,7 @@
     , config_path(std::move(path))
     , events(make_event_options(initial_settings), this->clock)
     , counts(this->registry)
+    , quota_counts(make_quota_metrics(initial_settings, this->registry))
     , traffic(1)
     , dispatch(edge::shared_dispatcher::make(
           dispatcher(make_dispatcher_options(initial_settings)),
@@ -245,6 +260,11 @@
                     this->opener.set_routers(std::move(others.routers));
                     this->relays.set_routers(std::move(others.addresses));
                 });
+        },
+        [this](std::uint8_t urgency, double used, double refused)
+        {
+            if (this->quota_counts)
+                this->quota_counts->add(urgency, used, refused);
         }};
 }
 
@@ -295,7 +315,7 @@
         }};
     return {
         backend,
-        make_forward_options(),
+        make_forward_options(this->settings),
         users_platform::make_header_names(),
         std::move(ports),
         this->counts};
--- a/src/app/gateway/gateway_app.hpp
+++ b/src/app/gateway/gateway_app.hpp
@@ -12,6 +12,7 @@
 #include "adapters/relay/relayed_opener.hpp"
 #include "adapters/settings/gateway_settings.hpp"
 #include "app/gateway/gateway_control.hpp"
+#include "app/gateway/quota_metrics.hpp"
 #include "app/table_holder.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -20,6 +21,7 @@
 #include <boost/leaf/result.hpp>
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace roseworks::app
@@ -78,6 +80,7 @@
     events::pipe_event_sink events;
     metrics::metrics_registry registry;
     forward::forward_metrics counts;
+    std::optional<quota_metrics> quota_counts; ///< set if requests are ordered
     boost::asio::io_context traffic;
     newest_table<serving_table_ptr> tables;
     std::shared_ptr<edge::shared_dispatcher> dispatch;
--- a/src/app/gateway/gateway_control.cpp
+++ b/src/app/gateway/gateway_control.cpp
@@ -89,7 +89,7 @@
           this->meter))
     , quotas(std::make_unique<quota_controller>(
           this->loop,
-          quota_options(initial_settings),
+          quota_options(initial_settings, this->notify.on_class_usage),
           time,
           sink,
           *this->peers))
--- a/src/app/gateway/gateway_control.hpp
+++ b/src/app/gateway/gateway_control.hpp
@@ -29,6 +29,7 @@
 
 #include <atomic>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -59,6 +60,9 @@
         std::function<void()> on_request_blocked;
         /// The other routers of the deployment have changed.
         std::function<void(relay_routers)> on_routers;
+        /// As `quota_controller::options::on_class_usage`; may be empty.
+        std::function<void(std::uint8_t urgency, double used, double refused)>
+            on_class_usage{};
     };
 
     gateway_control(
--- a/src/app/gateway/gateway_options.cpp
+++ b/src/app/gateway/gateway_options.cpp
@@ -57,18 +57,28 @@
     return made;
 }
 
-quota_controller::options
-quota_options(const settings::gateway_settings& settings)
+duration limit_window(const settings::gateway_settings& settings)
+{
+    constexpr std::chrono::milliseconds min_window{100};
+    return std::max(settings.bounds.limit_window, min_window);
+}
+
+quota_controller::options quota_options(
+    const settings::gateway_settings& settings,
+    std::function<void(std::uint8_t urgency, double used, double refused)>
+        on_class_usage)
 {
     quota_controller::options made;
     made.router = settings.vm.name;
     constexpr std::chrono::milliseconds min_window{100};
-    made.bounds.window = std::max(settings.bounds.limit_window, min_window);
+    made.bounds.window = limit_window(settings);
     made.bounds.excess = settings.bounds.limit_excess;
     made.bounds.slack = settings.bounds.limit_slack;
     made.retries.ratio = settings.bounds.retry_ratio;
     made.retries.extra = settings.bounds.retry_extra;
     made.retries.window = std::max(settings.bounds.retry_window, min_window);
+    made.order_by_urgency = settings.quota.order_by_urgency;
+    made.on_class_usage = std::move(on_class_usage);
     std::random_device device;
     made.seed = std::uint64_t(device()) << 32;
     return made;
--- a/src/app/gateway/gateway_options.hpp
+++ b/src/app/gateway/gateway_options.hpp
@@ -10,6 +10,11 @@
 #include "platform/engine_commands.hpp"
 #include "platform/store_directory.hpp"
 
+#include <roseworks/instant.hpp>
+
+#include <cstdint>
+#include <functional>
+
 namespace roseworks::app
 {
 
@@ -22,8 +27,14 @@
 command_options(const settings::gateway_settings& settings);
 
 /// @return Options of the limits of organisations.
-quota_controller::options
-quota_options(const settings::gateway_settings& settings);
+/// @param on_class_usage See `quota_controller::options`.
+quota_controller::options quota_options(
+    const settings::gateway_settings& settings,
+    std::function<void(std::uint8_t urgency, double used, double refused)>
+        on_class_usage);
+
+/// @return The window over which an organisation's usage is summed.
+duration limit_window(const settings::gateway_settings& settings);
 
 /// @return Options of the handling of requests that crash servers.
 crash_controller::options
--- a/src/app/gateway/quota_controller.cpp
+++ b/src/app/gateway/quota_controller.cpp
@@ -77,7 +77,10 @@
     , clock(time)
     , events(sink)
     , peers(others)
-    , accountant(this->settings.router, this->settings.bounds)
+    , accountant(
+          this->settings.router,
+          this->settings.bounds,
+          {this->settings.order_by_urgency, this->settings.seed})
     , client(client_options(this->settings))
     , timer(context)
 {
@@ -330,13 +333,19 @@
     for (const auto& [name, one] : this->accountant.accounts())
     {
         account_totals& before = this->logged_totals[name];
+        const class_usage totals =
+            one.order ? one.order->totals : class_usage();
+        const class_usage by_class = usage_since(before.by_class, totals);
+        if (one.order)
+            this->count_usage(by_class);
         if (one.refused > before.refused)
             this->log_refusals(
                 name,
                 one,
                 one.used - before.used,
-                one.refused - before.refused);
-        before = {one.used, one.refused};
+                one.refused - before.refused,
+                by_class);
+        before = {one.used, one.refused, totals};
     }
 }
 
@@ -344,11 +353,11 @@
     std::string_view name,
     const quota_accountant::account& one,
     double used,
-    double refused)
+    double refused,
+    const class_usage& by_class)
 {
-    constexpr double percent = 100;
     constexpr double seconds_per_minute = 60;
-    const std::int64_t share = to_integer(this->accountant.share() * percent);
+    const std::int64_t share = this->share_percent();
     if (is_retry_account(name))
     {
         this->events.report(
@@ -373,6 +382,28 @@
              {"share_percent", share}});
         return;
     }
+    if (one.order)
+        this->log_ordered_limit(name, one, used, refused, by_class);
+    else
+        this->events.report(
+            event_id::limit_reached,
+            {{"organisation", name},
+             {"per_second", to_integer(one.limit.total.per_second)},
+             {"burst", to_integer(one.limit.total.burst)},
+             {"used", to_integer(used)},
+             {"refused", to_integer(refused)},
+             {"left", to_integer(one.bucket.level())},
+             {"share_percent", share}});
+}
+
+void quota_controller::log_ordered_limit(
+    std::string_view name,
+    const quota_accountant::account& one,
+    double used,
+    double refused,
+    const class_usage& by_class)
+{
+    const auto& [urgent, normal, deferrable] = by_class;
     this->events.report(
         event_id::limit_reached,
         {{"organisation", name},
@@ -381,7 +412,38 @@
          {"used", to_integer(used)},
          {"refused", to_integer(refused)},
          {"left", to_integer(one.bucket.level())},
-         {"share_percent", share}});
+         {"share_percent", this->share_percent()},
+         {"used_urgent", to_integer(urgent.used)},
+         {"refused_urgent", to_integer(urgent.refused)},
+         {"used_normal", to_integer(normal.used)},
+         {"refused_normal", to_integer(normal.refused)},
+         {"used_deferrable", to_integer(deferrable.used)},
+         {"refused_deferrable", to_integer(deferrable.refused)}});
+}
+
+std::int64_t quota_controller::share_percent() const
+{
+    constexpr double percent = 100;
+    return to_integer(this->accountant.share() * percent);
+}
+
+quota_controller::class_usage
+quota_controller::usage_since(const class_usage& before, const class_usage& now)
+{
+    class_usage since{};
+    for (std::size_t i = 0; i < since.size(); ++i)
+        since[i] = {
+            now[i].used - before[i].used, now[i].refused - before[i].refused};
+    return since;
+}
+
+void quota_controller::count_usage(const class_usage& used) const
+{
+    if (!this->settings.on_class_usage)
+        return;
+    for (std::size_t i = 0; i < used.size(); ++i)
+        this->settings.on_class_usage(
+            static_cast<std::uint8_t>(i), used[i].used, used[i].refused);
 }
 
 } // namespace roseworks::app
--- a/src/app/gateway/quota_controller.hpp
+++ b/src/app/gateway/quota_controller.hpp
@@ -14,6 +14,9 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <array>
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <span>
@@ -45,6 +48,13 @@
         retry_allowance retries;
         quota_mode way = quota_mode::accountant;
         std::uint64_t seed = 1;
+        /// Urgent requests of an organisation go first while its limit is
+        /// short.
+        bool order_by_urgency = false;
+        /// Receives each second what was allowed and refused to a class, if
+        /// requests are ordered. Called on the control thread.
+        std::function<void(std::uint8_t urgency, double used, double refused)>
+            on_class_usage{};
     };
 
     quota_controller(
@@ -83,6 +93,9 @@
     void refund(std::string account, double amount) override;
 
 private:
+    using class_usage =
+        std::array<quota_accountant::class_totals, urgency::class_count>;
+
     void process_draw(const quota_request& request, handler on_decision);
     /// Sends messages, delivers decisions and sets the timer.
     void flush();
@@ -97,17 +110,31 @@
     void tick();
     void log_usage();
     void log_refused_accounts();
+    /// Logs an organisation's refusals by class.
+    void log_ordered_limit(
+        std::string_view name,
+        const quota_accountant::account& one,
+        double used,
+        double refused,
+        const class_usage& by_class);
     void log_refusals(
         std::string_view name,
         const quota_accountant::account& one,
         double used,
-        double refused);
+        double refused,
+        const class_usage& by_class);
+    /// @return What each class used and was refused between two times.
+    static class_usage
+    usage_since(const class_usage& before, const class_usage& now);
+    void count_usage(const class_usage& used) const;
+    std::int64_t share_percent() const;
 
     /// Totals of an account at the time of its latest log line.
     struct account_totals
     {
         double used = 0;
         double refused = 0;
+        class_usage by_class{};
     };
 
     boost::asio::io_context& loop;
--- a/src/core/quota/urgency_shares.cpp
+++ b/src/core/quota/urgency_shares.cpp
@@ -1,6 +1,7 @@
 #include "core/quota/urgency_shares.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 
 namespace roseworks
@@ -12,6 +13,11 @@
 /// Demand is summed over this time.
 constexpr duration demand_window = std::chrono::seconds(1);
 
+/// The guaranteed minima follow a mean of the demand over this time, if that is
+/// more than the last second's. The latter alone would give a class of rare,
+/// large requests too little, and the mean alone one of growing demand.
+constexpr duration mean_time = std::chrono::seconds(8);
+
 constexpr duration slice_length = std::chrono::milliseconds(50);
 
 /// Draws whose repeats are recognised, per account.
@@ -30,8 +36,9 @@
 constexpr double saved_seconds = 0.25;
 constexpr double saved_draws = 2;
 
-/// Remaining size of the largest draw after each slice without a larger one.
-constexpr double largest_decay = 0.99;
+/// Remaining size of the largest draw after each slice without a larger one:
+/// half in 17 s. Rare requests need what their class saves between them.
+constexpr double largest_decay = 0.998;
 
 /// Longest stated time before the jitter. With it, the time stays within the
 /// 5 s to which routers limit a retry time.
@@ -67,6 +74,7 @@
     std::uint64_t id, std::uint8_t urgency, double amount, instant now)
 {
     this->forget_before(now);
+    this->age_mean(now);
     const auto [seen, is_new] = this->last_seen.try_emplace(id, now);
     seen->second = now;
     if (this->sightings.size() >= max_sightings)
@@ -75,6 +83,7 @@
         this->sightings.pop_front();
     }
     this->sightings.push_back({now, id});
+    this->largest[urgency] = std::max(this->largest[urgency], amount);
     if (!is_new)
         return false;
     if (this->slices.empty() || now - this->slices.back().start >= slice_length)
@@ -84,8 +93,8 @@
         this->slices.push_back({now, {}});
     }
     this->slices.back().amounts[urgency] += amount;
+    this->mean_demand[urgency] += amount;
     this->demand[urgency] += amount;
-    this->largest[urgency] = std::max(this->largest[urgency], amount);
     return true;
 }
 
@@ -111,6 +120,19 @@
         this->demand.fill(0);
 }
 
+void urgency_shares::age_mean(instant now)
+{
+    const double passed =
+        std::chrono::duration<double>(
+            std::max(duration(now - this->aged_at), duration::zero()))
+            .count();
+    const double factor =
+        std::exp(-passed / std::chrono::duration<double>(mean_time).count());
+    for (double& one : this->mean_demand)
+        one *= factor;
+    this->aged_at = now;
+}
+
 void urgency_shares::update(
     const token_bucket& bucket, const usage_limit& limit, instant now)
 {
@@ -129,12 +151,15 @@
 
 void urgency_shares::divide_rate(double per_second)
 {
-    const double total = sum_of_values(this->demand);
+    const double seconds = std::chrono::duration<double>(mean_time).count();
+    by_class weights{};
+    for (std::size_t i = 0; i < urgency::class_count; ++i)
+        weights[i] = std::max(this->mean_demand[i] / seconds, this->demand[i]);
+    const double total = sum_of_values(weights);
     double left = per_second;
     for (std::size_t i = 0; i < urgency::class_count; ++i)
     {
-        this->rates[i] = guaranteed_part * per_second *
-                         std::max(this->demand[i], 0.0) / total;
+        this->rates[i] = guaranteed_part * per_second * weights[i] / total;
         left -= this->rates[i];
     }
     for (std::size_t i = 0; i < urgency::class_count; ++i)
@@ -176,15 +201,16 @@
     double excess = 0;
     for (std::size_t i = 0; i < urgency::class_count; ++i)
     {
-        caps[i] = this->demand[i] > 0 ? saved_seconds * limit.per_second +
-                                            saved_draws * this->largest[i]
-                                      : 0;
+        caps[i] = saved_draws * this->largest[i] +
+                  (this->demand[i] > 0 ? saved_seconds * limit.per_second : 0);
         const double above = std::max(this->credits[i] - caps[i], 0.0);
         this->credits[i] -= above;
         excess += above;
     }
     for (std::size_t i = 0; i < urgency::class_count && excess > 0; ++i)
     {
+        if (this->demand[i] <= 0)
+            continue;
         const double added =
             std::clamp(caps[i] - this->credits[i], 0.0, excess);
         this->credits[i] += added;
--- a/src/core/quota/urgency_shares.hpp
+++ b/src/core/quota/urgency_shares.hpp
@@ -94,6 +94,7 @@
     };
 
     void forget_before(instant now);
+    void age_mean(instant now);
     void divide_rate(double per_second);
     void divide_tokens(double level, const usage_limit& limit);
     /// Moves tokens that a class has above its cap to those that lack some.
@@ -105,10 +106,12 @@
     std::deque<slice> slices;
     std::deque<sighting> sightings;                       ///< oldest first
     std::unordered_map<std::uint64_t, instant> last_seen; ///< by draw id
-    by_class demand{};  ///< over the last second
-    by_class largest{}; ///< draw of each class, decays
-    by_class rates{};   ///< tokens per second
-    by_class credits{}; ///< add up to the bucket's level while `ordered`
+    by_class demand{};      ///< over the last second
+    by_class mean_demand{}; ///< decays
+    instant aged_at;        ///< when `mean_demand` was decayed
+    by_class largest{};     ///< draw of each class, decays
+    by_class rates{};       ///< tokens per second
+    by_class credits{};     ///< add up to the bucket's level while `ordered`
     bool ordered = false;
 };
 
--- a/tests/unit/forward/forward_fixture.cpp
+++ b/tests/unit/forward/forward_fixture.cpp
@@ -68,6 +68,10 @@
         make_route("/resume/", request_kind::streaming, true),
         make_route("/open/", request_kind::idempotent, false)};
     config->routes.back().allow_anonymous = true;
+    path_route later = make_route("/later/", request_kind::idempotent, false);
+    later.objective = std::chrono::seconds(8);
+    later.rank = 2;
+    config->routes.push_back(std::move(later));
     config->organisations = std::move(organisations);
     auto catalogue = std::make_shared<servable_catalogue>();
     catalogue->routes = std::make_shared<route_index>(config);
--- a/tests/unit/forward/forward_fixture.hpp
+++ b/tests/unit/forward/forward_fixture.hpp
@@ -95,8 +95,9 @@
     of one service without engines.
 
     Routes: `/once/` (not repeatable), `/again/` (idempotent, two attempts),
-    `/stream/` and `/resume/` (streams, the latter resumable) and `/open/`
-    (idempotent, without an API key).
+    `/stream/` and `/resume/` (streams, the latter resumable), `/open/`
+    (idempotent, without an API key) and `/later/` (idempotent, rank 2,
+    objective 8 s).
 */
 class forward_fixture
 {
--- a/tests/unit/forward/test_organisations.cpp
+++ b/tests/unit/forward/test_organisations.cpp
@@ -187,6 +187,42 @@
     cr_assert_eq(backend.requests(), 0);
 }
 
+/// With the setting off, a draw must be the same as before there was an order.
+Test(organisations, draws_have_no_order_by_default)
+{
+    recording_backend backend(ok_response);
+    forward_fixture test({&backend.server});
+    test.use_organisations();
+    test.exchange(test.request("GET", "/later/x", first_key));
+    const quota_request& drawn = test.limits.recorded_requests.at(0);
+    cr_assert(drawn.order == draw_order());
+    cr_assert(drawn.longest_wait == 2s);
+}
+
+Test(organisations, draws_carry_their_class_and_the_time_to_wait)
+{
+    recording_backend backend(ok_response);
+    forward::forward_options options;
+    options.urgency_window = 8s;
+    forward_fixture test({&backend.server}, {}, options);
+    test.use_organisations();
+    test.exchange(test.request("GET", "/later/x", first_key));
+    test.exchange(test.request("GET", "/once/x", first_key));
+    std::string urgent = test.request("GET", "/later/x", first_key);
+    const std::string_view usual_deadline = "30000";
+    urgent.replace(urgent.find(usual_deadline), usual_deadline.size(), "3000");
+    test.exchange(urgent);
+    const auto& drawn = test.limits.recorded_requests;
+    cr_assert_eq(drawn.size(), 3);
+    cr_assert_eq(drawn[0].order.urgency_class, 2);
+    cr_assert_eq(drawn[0].order.objective_in_us, 8'000'000);
+    cr_assert(drawn[0].longest_wait == 2s);
+    cr_assert_eq(drawn[1].order.urgency_class, 0);
+    // An order that equals the default one would not be sent.
+    cr_assert_neq(drawn[1].order.objective_in_us, draw_order::no_objective);
+    cr_assert_leq(drawn[2].order.objective_in_us, 3'000'000);
+}
+
 Test(organisations, an_organisation_without_a_limit_needs_no_quota)
 {
     recording_backend backend(ok_response);
--- a/tests/unit/gateway/test_quota_controller.cpp
+++ b/tests/unit/gateway/test_quota_controller.cpp
@@ -1,10 +1,10 @@
-#include "adapters/events/null_event_sink.hpp"
 #include "adapters/platform/system_clock.hpp"
 #include "app/gateway/quota_controller.hpp"
 #include "null_peers.hpp"
 
 #include <boost/asio/io_context.hpp>
 
+#include <array>
 #include <chrono>
 #include <memory>
 #include <optional>
@@ -55,13 +55,36 @@
     return made;
 }
 
+/// Records the names of the fields of the lines about a limit.
+class limit_lines final : public event_sink
+{
+public:
+    void emit(const event_record& record) noexcept override
+    {
+        if (record.id != event_id::limit_reached)
+            return;
+        this->fields.clear();
+        for (const event_field& one : record.fields)
+            this->fields.emplace_back(one.name);
+    }
+
+    std::vector<std::string> fields; ///< of the latest line
+};
+
 /// Two routers, one on a VM of high and one of low capacity, on one event loop.
 struct two_routers
 {
-    two_routers()
+    explicit two_routers(bool order_by_urgency = false)
         : strong(
               this->loop,
-              {.router = "strong"},
+              {.router = "strong",
+               .order_by_urgency = order_by_urgency,
+               .on_class_usage =
+                   [this](std::uint8_t urgency, double used, double refused)
+               {
+                   this->used.at(urgency) += used;
+                   this->refused.at(urgency) += refused;
+               }},
               this->clock,
               this->events,
               this->peers)
@@ -114,7 +137,9 @@
 
     boost::asio::io_context loop;
     platform::system_clock clock;
-    events::null_event_sink events;
+    limit_lines events;
+    std::array<double, urgency::class_count> used{};
+    std::array<double, urgency::class_count> refused{};
     direct_peers peers;
     quota_controller strong;
     quota_controller weak;
@@ -183,3 +208,44 @@
     cr_assert(decision->is_allowed);
     cr_assert(test.draws_until(true));
 }
+
+namespace
+{
+
+/// Draws of one class, refused by a limit that holds none of them.
+void draw_until_a_line(two_routers& test, std::uint8_t urgency)
+{
+    test.configure(1e3);
+    cr_assert(test.draws_until(true));
+    quota_request drawn{"o1", 100, 0ms};
+    drawn.order.urgency_class = urgency;
+    drawn.order.objective_in_us = 0;
+    const auto limit = std::chrono::steady_clock::now() + 20s;
+    while (test.events.fields.empty() &&
+           std::chrono::steady_clock::now() < limit)
+        cr_assert(test.draws_until(false, drawn));
+}
+
+} // namespace
+
+/// The page of metrics and the lines by class must show what happened.
+Test(quota_controller, reports_usage_by_class_if_requests_are_ordered)
+{
+    two_routers test(true);
+    draw_until_a_line(test, urgency::deferrable);
+    cr_assert_eq(test.events.fields.size(), 13);
+    cr_assert_eq(test.events.fields.at(6), "share_percent");
+    cr_assert_eq(test.events.fields.at(7), "used_urgent");
+    cr_assert_eq(test.events.fields.back(), "refused_deferrable");
+    cr_assert_gt(test.refused.at(urgency::deferrable), 0);
+    cr_assert_eq(test.refused.at(urgency::urgent), 0);
+}
+
+Test(quota_controller, reports_no_classes_by_default)
+{
+    two_routers test;
+    draw_until_a_line(test, urgency::deferrable);
+    cr_assert_eq(test.events.fields.size(), 7);
+    cr_assert_eq(test.events.fields.back(), "share_percent");
+    cr_assert_eq(test.refused.at(urgency::deferrable), 0);
+}
--- a/tests/unit/quota/test_urgency_fleet.cpp
+++ b/tests/unit/quota/test_urgency_fleet.cpp
@@ -345,6 +345,23 @@
     cr_expect_geq(quotes.longest_wait.count(), duration(3900ms).count());
 }
 
+/// Some classes have no request for seconds. What they have saved for the next
+/// one must stay theirs.
+Test(urgency_fleet, rare_requests_of_a_small_organisation)
+{
+    constexpr double part = 1.0 / 16;
+    auto config = ordered_fleet::make_options(77, 10 / part);
+    config.limit.burst = 15'000;
+    ordered_fleet fleet(config);
+    for (load_kind& one : fleet.requests)
+        one.per_second *= part;
+    fleet.overload(1200s);
+    fleet.finish();
+    assert_in_bounds(fleet);
+    assert_urgent_first(fleet);
+    assert_none_starved(fleet);
+}
+
 /// Retries add to the demand of their class only.
 Test(urgency_fleet, callers_that_retry_at_once)
 {
