Absurd amounts don't distort the order of an organisation's draws

A draw counts towards its class's demand with a full bucket at most, so one amount far above any request no longer holds the organisation's tokens for its class.

--- a/src/core/quota/quota_accountant.cpp
+++ b/src/core/quota/quota_accountant.cpp
@@ -237,7 +237,11 @@
     const std::uint8_t urgency = class_of(query, draw.id);
     urgency_shares& shares = entry.order->shares;
     class_totals& totals = entry.order->totals[urgency];
-    const bool is_new = shares.add_demand(draw.id, urgency, draw.amount, now);
+    // No request gets more than a full bucket at once. An absurd amount must
+    // not stand for the organisation's demand.
+    const double counted =
+        std::min(draw.amount, std::max(limit.burst, limit.per_second));
+    const bool is_new = shares.add_demand(draw.id, urgency, counted, now);
     shares.update(entry.bucket, limit, now);
     const auto wait = shares.take(
         entry.bucket,
--- a/src/core/quota/urgency_shares.cpp
+++ b/src/core/quota/urgency_shares.cpp
@@ -165,7 +165,7 @@
     for (std::size_t i = 0; i < urgency::class_count; ++i)
     {
         const double wanted = headroom * this->demand[i] - this->rates[i];
-        const double added = std::clamp(wanted, 0.0, left);
+        const double added = std::max(std::min(wanted, left), 0.0);
         this->rates[i] += added;
         left -= added;
     }
@@ -212,7 +212,7 @@
         if (this->demand[i] <= 0)
             continue;
         const double added =
-            std::clamp(caps[i] - this->credits[i], 0.0, excess);
+            std::max(std::min(caps[i] - this->credits[i], excess), 0.0);
         this->credits[i] += added;
         excess -= added;
     }
