--- a/src/adapters/forward/forward_context.hpp
+++ b/src/adapters/forward/forward_context.hpp
@@ -58,6 +58,9 @@
     /// Whether the rank of a route orders an organisation's requests in the
     /// admission queue. If not, only the organisation's rank does.
     bool order_by_route_rank = false;
+    /// The window over which organisations' usage is summed, if their limits go
+    /// to urgent requests first; 0: they don't.
+    duration urgency_window{};
     /// Bounds of callers' connections.
     load_guard::options load;
     /// Interval between measurements of the event loop's delay.
--- a/src/app/gateway/gateway_app.cpp
+++ b/src/app/gateway/gateway_app.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/settings/load_gateway_settings.hpp"
 #include "adapters/settings/settings_problems.hpp"
+#include "app/gateway/gateway_options.hpp"
 #include "platform/header_names.hpp"
 
 #include <boost/asio/post.hpp>
@@ -96,9 +97,21 @@
     forward::forward_options made;
     made.order_by_route_rank = settings.room.count_saturated;
     made.seed = random_seed();
+    if (settings.quota.order_by_urgency)
+        made.urgency_window = limit_window(settings);
     return made;
 }
 
+/// @return Empty if an organisation's requests have no order.
+std::optional<quota_metrics> make_quota_metrics(
+    const settings::gateway_settings& settings,
+    metrics::metrics_registry& registry)
+{
+    if (!settings.quota.order_by_urgency)
+        return std::nullopt;
+    return quota_metrics(registry);
+}
+
 dispatcher::options
 make_dispatcher_options(const settings::gateway_settings& settings)
 {
@@ -138,6 +151,7 @@
     , events(make_event_options(initial_settings), this->clock)
     , counts(this->registry)
     , paces(this->registry)
+    , quota_counts(make_quota_metrics(initial_settings, this->registry))
     , traffic(1)
     , dispatch(edge::shared_dispatcher::make(
           dispatcher(make_dispatcher_options(initial_settings)),
@@ -249,6 +263,11 @@
                     this->opener.set_routers(std::move(others.routers));
                     this->relays.set_routers(std::move(others.addresses));
                 });
+        },
+        [this](std::uint8_t urgency, double used, double refused)
+        {
+            if (this->quota_counts)
+                this->quota_counts->add(urgency, used, refused);
         }};
 }
 
--- a/src/app/gateway/gateway_app.hpp
+++ b/src/app/gateway/gateway_app.hpp
@@ -13,6 +13,7 @@
 #include "adapters/settings/gateway_settings.hpp"
 #include "app/gateway/gateway_control.hpp"
 #include "app/gateway/pace_metrics.hpp"
+#include "app/gateway/quota_metrics.hpp"
 #include "app/table_holder.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -21,6 +22,7 @@
 #include <boost/leaf/result.hpp>
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace roseworks::app
@@ -80,6 +82,7 @@
     metrics::metrics_registry registry;
     forward::forward_metrics counts;
     pace_metrics paces;
+    std::optional<quota_metrics> quota_counts; ///< set if requests are ordered
     boost::asio::io_context traffic;
     newest_table<serving_table_ptr> tables;
     std::shared_ptr<edge::shared_dispatcher> dispatch;
--- a/tests/unit/quota/test_quota_accountant.cpp
+++ b/tests/unit/quota/test_quota_accountant.cpp
@@ -192,3 +192,86 @@
     const auto answer = accountant.handle_query(make_query("r1", 7), at(3s));
     cr_assert_not(answer.results.at(0).is_allowed);
 }
+
+/// Routers that don't order their requests state no class. Theirs must not
+/// displace the urgent ones, nor wait behind all others.
+Test(quota_accountant, a_draw_without_a_class_is_a_normal_one)
+{
+    quota_accountant accountant(
+        "a", quota_bounds(), quota_accountant::order_options{true, 1});
+    accountant.set_router_count(1);
+    accountant.set_limits({{"o1", {.total = {1'000, 1'000}}}}, instant(100s));
+    quota_query query;
+    query.router = "r";
+    query.last_reply_age_us = 0;
+    query.counting_delay_us = 0;
+    query.draws = {{1, "o1", 700, 0, 0}, {2, "o1", 300, 0, 0}};
+    draw_order order;
+    order.id = 2;
+    order.urgency_class = 200; // above the highest one
+    query.orders = {order};
+    accountant.handle_query(query, instant(101s));
+    const auto& account = accountant.accounts().at("o1");
+    cr_assert(account.order.has_value());
+    const auto& totals = account.order->totals;
+    cr_assert_eq(totals[0].used + totals[0].refused, 0);
+    cr_assert_eq(totals[1].used + totals[1].refused, 700);
+    cr_assert_eq(totals[2].used + totals[2].refused, 300);
+}
+
+/// Only organisations' requests have an order, and only with the setting.
+Test(quota_accountant, other_accounts_have_no_order)
+{
+    const global_limits limits = {
+        {"o1", {.total = {1'000, 1'000}}},
+        {server_account("s"), limit_of_server(10)}};
+    quota_accountant ordering(
+        "a", quota_bounds(), quota_accountant::order_options{true, 1});
+    ordering.set_limits(limits, instant(100s));
+    cr_assert(ordering.accounts().at("o1").order.has_value());
+    cr_assert_not(
+        ordering.accounts().at(server_account("s")).order.has_value());
+    quota_accountant plain("a", quota_bounds());
+    plain.set_limits(limits, instant(100s));
+    cr_assert_not(plain.accounts().at("o1").order.has_value());
+}
+
+/// One request with an absurd amount must not take the minimum that the other
+/// classes are guaranteed by their part of the demand.
+Test(quota_accountant, an_absurd_amount_does_not_upset_the_order)
+{
+    quota_accountant accountant(
+        "a", quota_bounds(), quota_accountant::order_options{true, 1});
+    accountant.set_router_count(1);
+    accountant.set_limits({{"o1", {.total = {1'000, 1'000}}}}, instant(100s));
+    std::uint64_t id = 0;
+    const auto draw = [&](std::uint8_t urgency, double amount, duration when)
+    {
+        quota_query query;
+        query.router = "r";
+        query.last_reply_age_us = 0;
+        query.counting_delay_us = 0;
+        query.draws = {{++id, "o1", amount, 0, 0}};
+        draw_order order;
+        order.id = id;
+        order.objective_in_us = 0;
+        order.urgency_class = urgency;
+        query.orders = {order};
+        accountant.handle_query(query, instant(100s + when));
+    };
+    for (duration when = 0s; when < 20s; when += 10ms)
+    {
+        if (when == 1s)
+            draw(urgency::deferrable, 1e11, when);
+        draw(urgency::urgent, 20, when);
+        draw(urgency::normal, 20, when);
+    }
+    // Half of the demand is of either class. The absurd request counts with a
+    // full bucket, which its class may save.
+    constexpr double seconds = 20;
+    constexpr double min_normal = 0.25 * 0.5 * 1'000 * seconds;
+    constexpr double min_urgent = 0.95 * (1'000 * seconds - min_normal - 1'000);
+    const auto& totals = accountant.accounts().at("o1").order->totals;
+    cr_assert_geq(totals[urgency::normal].used, min_normal);
+    cr_assert_geq(totals[urgency::urgent].used, min_urgent);
+}
