Number and engines of a model's copies follow demand and free slots

With copies_by_room (off by default): the counts are corrected by the starts (Little's law); the number of copies follows from running and waiting requests; a model whose engines are full gets at least twice its copies, before rare models; a model without a copy gets all copies that its waiting requests need at once; engines with most free slots are preferred among loads of similar length, and engines that hold or could take another overloaded model come last; an overloaded model that needs more copies than engines have its weights is loaded from the store ahead of second disk copies; copies in use aren't given up for a burst; an adapter whose engines are full is loaded on a further one, and one order serves all requests that wait for it.

--- a/src/core/swapping/demand_tracker.cpp
+++ b/src/core/swapping/demand_tracker.cpp
@@ -33,6 +33,7 @@
 demand_tracker::demand_tracker(options chosen)
     : settings(chosen)
     , demand_estimate(chosen.demand)
+    , start_estimate(chosen.starts)
 {
 }
 
@@ -98,6 +99,7 @@
         before = {reported.running, now, now};
         this->uses[key].last_used = now;
         this->demand_estimate.add(reported.servable, reported.started, now);
+        this->start_estimate.add(reported.servable, reported.started, now);
     }
 }
 
@@ -193,6 +195,7 @@
 void demand_tracker::tick(instant now)
 {
     this->demand_estimate.tick(now);
+    this->start_estimate.tick(now);
     for (auto& [router, row] : this->rows)
     {
         std::erase_if(
--- a/src/core/swapping/demand_tracker.hpp
+++ b/src/core/swapping/demand_tracker.hpp
@@ -51,6 +51,9 @@
         /// when it is unloaded there.
         duration recent_use = std::chrono::seconds(10);
         demand_estimator::options demand;
+        /// Half-life of the count of starts. Demand shifts to other models
+        /// within seconds.
+        demand_estimator::options starts{std::chrono::milliseconds(500)};
     };
 
     explicit demand_tracker(options settings);
@@ -90,6 +93,14 @@
         return this->demand_estimate.requests_per_second(model, now);
     }
 
+    /// @param model Key of the model.
+    /// @return Requests for it that started per second in the last seconds, on
+    ///         all engines.
+    double start_rate(const std::string& model, instant now) const
+    {
+        return this->start_estimate.requests_per_second(model, now);
+    }
+
     /// @return Routers at which requests wait for a servable, on engines of any
     ///         software.
     std::vector<std::string>
@@ -140,6 +151,7 @@
     std::map<std::string, router_row, std::less<>> rows;
     std::unordered_map<std::string, use> uses; ///< by use_key
     demand_estimator demand_estimate;
+    demand_estimator start_estimate;
 };
 
 } // namespace roseworks
--- a/src/core/swapping/engine_tracker.hpp
+++ b/src/core/swapping/engine_tracker.hpp
@@ -101,7 +101,8 @@
     bool state_confirmed = false; ///< the state is confirmed by a report
     bool reachable = true;        ///< result of the last attempt
     double rate_limit = 0; ///< requests per second; 0: the engine named none
-    std::uint64_t orders_taken = 0; ///< accepted since the engine's start
+    std::uint32_t pace_percent = 100; ///< time of its work; 100: as usual
+    std::uint64_t orders_taken = 0;   ///< accepted since the engine's start
     std::vector<loaded_model> loaded_models;
     std::deque<std::string> in_memory; ///< in host memory, last used last
     std::vector<std::string> on_disk;  ///< copies on the engine's disk
--- a/src/core/swapping/planning_round.hpp
+++ b/src/core/swapping/planning_round.hpp
@@ -36,7 +36,8 @@
     /// Expected number of requests that don't have to wait if a load from
     /// the store starts now instead of after the next one.
     double waits_avoided = 0;
-    bool has_no_copy = false; ///< no engine has the weights or loads them
+    bool has_no_copy = false;      ///< no engine has the weights or loads them
+    std::size_t copies_needed = 0; ///< for the requests that run and wait
 };
 
 /// @return Whether a copy on the engine serves the request.
@@ -55,6 +56,10 @@
     std::vector<std::string> victims; ///< models to unload first
     duration ready_in{};              ///< until the model is loaded
     std::uint32_t running = 0;        ///< requests on the engine
+    std::uint32_t free_slots = 0;     ///< at the usual pace
+    /// The engine holds, or has the weights of, another model that is
+    /// overloaded.
+    bool wanted_by_overloaded = false;
 };
 
 /// Use of a model on one engine, its adapters included.
@@ -70,6 +75,8 @@
     /// In the order of the engine's loaded models.
     std::vector<model_usage> loaded_models;
     std::uint32_t running = 0;
+    /// Estimate of the running requests that allows for the reports' lag.
+    double estimated_running = 0;
 };
 
 /// Totals of a model over all engines of its service.
@@ -79,6 +86,18 @@
     std::size_t limited = 0; ///< loaded on engines with a rate limit
     std::size_t loading = 0; ///< being loaded
     std::uint32_t running = 0;
+    std::uint32_t waiting = 0; ///< requests that routers report as waiting
+    /// Estimated requests for each one that is reported as running.
+    double lag_factor = 1;
+    /// Slots in use on the engines of `copies`, also by other models.
+    double slots_in_use = 0;
+    bool overloaded = false; ///< its requests find hardly a free slot
+
+    /// @return Estimated requests that run or wait.
+    double requests() const
+    {
+        return this->running * this->lag_factor + this->waiting;
+    }
 };
 
 /// Engines that may load a model.
@@ -106,6 +125,10 @@
     /// Requests that wait for a model whose weights no engine has, by model
     /// key.
     std::unordered_map<std::string, std::uint32_t> waiting_without_copy;
+    std::vector<std::string> overloaded_models; ///< keys
+    /// Running and waiting requests of overloaded models that need more copies
+    /// than engines have their weights, by model key.
+    std::unordered_map<std::string, std::uint32_t> overloaded_without_weights;
 };
 
 } // namespace roseworks::detail
--- a/src/core/swapping/swap_planner.cpp
+++ b/src/core/swapping/swap_planner.cpp
@@ -10,9 +10,26 @@
 namespace roseworks
 {
 
+namespace
+{
+
+/// @return Options of the store's limiter. Loads that the owner starts for a
+///         shift of demand are too few to observe the store's capacity first:
+///         four at once take four times as long each at a store that loads one
+///         model at full speed.
+store_load_limiter::options limiter_options(const swap_planner::options& chosen)
+{
+    store_load_limiter::options made = chosen.store_limiter;
+    if (chosen.copies_by_room)
+        made.initial_concurrency = 1;
+    return made;
+}
+
+} // namespace
+
 swap_planner::swap_planner(options chosen)
     : settings(chosen)
-    , store_limiter(chosen.store_limiter)
+    , store_limiter(limiter_options(chosen))
     , engine_loss(chosen.engine_loss)
 {
 }
@@ -20,13 +37,18 @@
 std::vector<swap_order> swap_planner::plan(
     const engine_tracker& engines, const demand_tracker& needs, instant now)
 {
-    planning_round round{engines, needs, now, {}, {}, {}, {}, {}, {}};
+    planning_round round{engines, needs, now, {}, {}, {}, {}, {}, {}, {}, {}};
     this->collect_usage(round);
+    if (this->settings.copies_by_room)
+        this->collect_room(round);
     std::vector<placement_request> requests = this->collect_requests(round);
     for (const placement_request& request : requests)
         round.awaited_models.insert(
             servable_key(request.service, request.model));
-    this->add_extra_copies(round, requests);
+    if (this->settings.copies_by_room)
+        this->add_copies_for_demand(round, requests);
+    else
+        this->add_extra_copies(round, requests);
     std::ranges::stable_sort(
         requests,
         [](const placement_request& left, const placement_request& right)
@@ -166,6 +188,8 @@
     std::string_view service,
     const model_totals& totals) const
 {
+    if (this->settings.copies_by_room)
+        return this->copies_for_demand(round, service, totals);
     const std::uint32_t per_copy = this->max_running_per_copy(round, service);
     return (totals.running + per_copy - 1) / per_copy;
 }
@@ -259,6 +283,11 @@
             round.waiting_without_copy[key] += request.waiting;
         return;
     }
+    const bool needs_store =
+        this->settings.copies_by_room && request.overloaded &&
+        request.copies_needed > this->engines_with_weights(round, request);
+    if (needs_store)
+        round.overloaded_without_weights[key] = request.waiting;
     bool placed =
         this->load_on_best_engine(round, request, load_targets::with_weights);
     if (!placed && request.only_rate_limited &&
@@ -299,24 +328,32 @@
     const std::string key = servable_key(request.service, request.model);
     const std::string& id = best->engine->entry.id;
     round.assigned_engines.insert(id);
+    model_totals& totals = round.totals_by_model[key];
+    swap_order order;
+    order.engine = id;
+    if (this->settings.copies_by_room)
+    {
+        order.copies = totals.copies + totals.limited + totals.loading;
+        order.copies_needed = request.copies_needed;
+        order.free_slots = best->free_slots;
+    }
     // Requests may wait for a model and its adapters at once: one load serves
     // both.
-    ++round.totals_by_model[key].loading;
+    ++totals.loading;
     if (!best->victims.empty())
     {
-        round.orders.push_back(
-            {id, engine_action::unload, best->victims.front(), "", {}, 0});
+        order.action = engine_action::unload;
+        order.model = best->victims.front();
+        order.source = {};
+        round.orders.push_back(std::move(order));
         return true;
     }
     if (best->source == weight_source::store)
         this->store_limiter.load_started(round.now);
-    round.orders.push_back(
-        {id,
-         engine_action::load,
-         request.model,
-         "",
-         best->source,
-         request.waiting});
+    order.model = request.model;
+    order.source = best->source;
+    order.waiting = request.waiting;
+    round.orders.push_back(std::move(order));
     return true;
 }
 
--- a/src/core/swapping/swap_planner.hpp
+++ b/src/core/swapping/swap_planner.hpp
@@ -85,6 +85,16 @@
         double min_expected_waits = 0.2;
         /// Interval at which the copies on all engines are counted.
         duration copy_count_interval = std::chrono::milliseconds(100);
+        /// Whether the number of copies and the choice of their engines follow
+        /// demand and free slots.
+        bool copies_by_room = false;
+        /// With `copies_by_room`: share of the slots of its engines that a
+        /// model's requests may use. Above it, random peaks have to wait.
+        double slot_share = 0.6;
+        /// With `copies_by_room`: copies added at least, as far as engines have
+        /// the weights, when no copy has a free slot: the requests that wait at
+        /// the routers aren't known then.
+        std::size_t min_added_copies = 8;
         engine_loss_estimator::options engine_loss;
         store_load_limiter::options store_limiter;
     };
@@ -226,11 +236,61 @@
     const model_totals&
     totals_of(const planning_round& round, std::string_view key) const;
 
+    // With `copies_by_room`:
+
+    /// Counts the waiting requests and the slots in use.
+    void collect_room(planning_round& round);
+    void collect_room(planning_round& round, const engine_state& engine) const;
+    /// @return Estimated running requests for each one that is reported.
+    double lag_factor(
+        const planning_round& round,
+        const std::string& key,
+        const model_totals& totals) const;
+    /// @return Whether an engine has hardly a free slot.
+    bool is_full(const planning_round& round, const engine_state& engine) const;
+    std::uint32_t
+    slots_of(const planning_round& round, std::string_view service) const;
+    /// @return Slots that an engine has free, in slots of the usual pace.
+    std::uint32_t
+    free_slots(const planning_round& round, const engine_state& engine) const;
+    std::size_t copies_for_demand(
+        const planning_round& round,
+        std::string_view service,
+        const model_totals& totals) const;
+    void add_copies_for_demand(
+        const planning_round& round,
+        std::vector<placement_request>& requests) const;
+    /// Adds requests for adapters that are only on full engines.
+    void add_extra_adapters(
+        const planning_round& round,
+        std::vector<placement_request>& requests) const;
+    /// @return Whether the engine holds, or has the weights of, another model
+    ///         that is overloaded.
+    bool is_wanted_by_overloaded(
+        const planning_round& round,
+        const engine_state& engine,
+        std::string_view other_than) const;
+    bool is_preferred(
+        const planning_round& round,
+        const candidate& left,
+        const candidate& right) const;
+    /// @return Whether an overloaded model is loaded from the store or has to
+    ///         be.
+    bool is_store_reserved(
+        const planning_round& round, const std::string& service) const;
+    std::size_t engines_with_weights(
+        const planning_round& round, const placement_request& request) const;
+    /// @return Whether an order for the adapter was made in this round.
+    bool is_adapter_ordered(
+        const planning_round& round, const placement_request& request) const;
+
     options settings;
     store_load_limiter store_limiter;
     engine_loss_estimator engine_loss;
     std::vector<load_forecast> forecasts;
     instant copies_counted_at;
+    /// Models whose engines were full recently, by key.
+    std::unordered_map<std::string, instant> overloaded_until;
 };
 
 } // namespace roseworks
--- a/src/core/swapping/swap_planner_engines.cpp
+++ b/src/core/swapping/swap_planner_engines.cpp
@@ -99,10 +99,7 @@
         auto one = this->evaluate(round, engine, *model, targets, urgent);
         if (!one)
             continue;
-        const bool sooner =
-            !best || std::tie(one->ready_in, one->running) <
-                         std::tie(best->ready_in, best->running);
-        if (sooner)
+        if (!best || this->is_preferred(round, *one, *best))
             best = std::move(one);
     }
     return best;
@@ -129,6 +126,12 @@
                    unload_delay * static_cast<int>(one.victims.size()) +
                    rate_limit_interval(engine);
     one.running = round.usage_by_engine.at(&engine).running;
+    if (this->settings.copies_by_room)
+    {
+        one.free_slots = this->free_slots(round, engine);
+        one.wanted_by_overloaded =
+            this->is_wanted_by_overloaded(round, engine, model.name);
+    }
     return one;
 }
 
@@ -183,7 +186,10 @@
         just_loaded || (used && !urgent))
         return false;
     model_totals rest = this->totals_of(round, key);
-    rest.running -= std::min(rest.running, usage.running);
+    // A copy in use isn't given up for a burst.
+    const bool counts_own = this->settings.copies_by_room && !urgent;
+    if (!counts_own)
+        rest.running -= std::min(rest.running, usage.running);
     const std::size_t copies =
         rest.copies + (engine.rate_limit > 0 ? rest.limited : 0);
     return copies > this->copies_needed(round, engine.entry.service, rest);
@@ -196,6 +202,9 @@
     std::tuple<bool, std::uint32_t> best_cost;
     const std::string key = servable_key(request.service, request.model);
     const bool is_elsewhere = this->totals_of(round, key).copies != 0;
+    if (this->settings.copies_by_room &&
+        this->is_adapter_ordered(round, request))
+        return;
     for (const auto& [id, engine] : round.engines.all())
     {
         const loaded_model* model = engine.find(request.model);
@@ -206,7 +215,11 @@
         if (std::ranges::find(
                 model->adapters, request.adapter, &loaded_adapter::name) !=
             model->adapters.end())
+        {
+            if (request.extra_copy)
+                continue;
             return; // the waiting routers are told that it is loaded
+        }
         const bool is_loading = engine.order &&
                                 engine.order->adapter == request.adapter &&
                                 engine.order->model == request.model;
@@ -215,6 +228,8 @@
         if (!engine.accepts_orders(round.now) ||
             round.assigned_engines.contains(id))
             continue;
+        if (request.extra_copy && this->is_full(round, engine))
+            continue;
         const engine_profile* profile =
             round.engines.find_profile(request.service);
         const bool full = engine.adapter_count() >= profile->adapter_slots;
--- a/src/core/swapping/swap_planner_store.cpp
+++ b/src/core/swapping/swap_planner_store.cpp
@@ -73,7 +73,19 @@
         const double expected_waits =
             copy_count == 0 ? std::min(round.needs.demand(key, round.now), 1.0)
                             : requests_during_load * all_lost_probability;
-        if (copy_count >= this->settings.desired_copies ||
+        const auto overloaded = round.overloaded_without_weights.find(key);
+        if (overloaded != round.overloaded_without_weights.end())
+        {
+            // Until another engine has the weights, all of them wait longer.
+            request.overloaded = true;
+            request.extra_copy = true;
+            request.copies_needed = this->copies_for_demand(
+                round, service, this->totals_of(round, key));
+            request.waiting = overloaded->second;
+            request.waits_avoided += overloaded->second;
+        }
+        else if (
+            copy_count >= this->settings.desired_copies ||
             request.waiting + expected_waits <
                 this->settings.min_expected_waits)
             continue;
@@ -118,8 +130,16 @@
         const std::vector<placement_request> requests =
             this->collect_store_requests(round, service);
         this->forecast_loads(round, service, requests);
+        const bool reserved = this->settings.copies_by_room &&
+                              this->is_store_reserved(round, service);
         for (const placement_request& request : requests)
         {
+            // Concurrent loads slow each other down: second copies on disk
+            // wait until the overloaded models are loaded.
+            const bool only_prevents_loss =
+                !request.has_no_copy && !request.overloaded;
+            if (reserved && only_prevents_loss)
+                continue;
             const auto targets = this->store_load_targets(round, request);
             if (!targets)
                 break;
@@ -128,6 +148,27 @@
     }
 }
 
+bool swap_planner::is_store_reserved(
+    const planning_round& round, const std::string& service) const
+{
+    const auto loads_overloaded = [&](const auto& entry)
+    {
+        const engine_state& engine = entry.second;
+        return engine.entry.service == service && engine.order &&
+               engine.order->is_store_load() &&
+               this->totals_of(
+                       round, servable_key(service, engine.order->model))
+                   .overloaded;
+    };
+    const auto is_of_service = [&service](const auto& entry)
+    {
+        return split_servable_key(entry.first).service == service;
+    };
+    return std::ranges::any_of(
+               round.overloaded_without_weights, is_of_service) ||
+           std::ranges::any_of(round.engines.all(), loads_overloaded);
+}
+
 std::vector<instant> swap_planner::store_slots(
     const planning_round& round, const std::string& service) const
 {
--- /dev/null
+++ b/tests/unit/copies_by_room/test_bursts_and_failures.cpp
@@ -0,0 +1,114 @@
+#include "fleet_replay.hpp"
+
+#include <cstdio>
+
+#include <criterion/criterion.h>
+
+using namespace roseworks;
+using namespace roseworks::testing;
+
+namespace
+{
+
+constexpr double bound = 0.9; ///< share of what full knowledge serves in time
+
+replay_scenario burst(std::size_t routers)
+{
+    replay_scenario load;
+    load.routers = routers;
+    load.busy_rate = 120;
+    load.length = 20s;
+    load.hot_disks = 7;
+    load.hot = {{2s, 20s, 0, 120}};
+    load.bursts = {{6s, 14s, 400}};
+    return load;
+}
+
+/// @param rare_best Share of the requests for rare models that a planner with
+///                  full knowledge serves in time.
+void expect_shares(const replay_scenario& load, double rare_best)
+{
+    fleet_replay test(load);
+    test.play();
+    const double best = test.full_knowledge().share();
+    std::printf(
+        "routers %zu: hot %.3f of %.3f, rare %.3f of %.3f, busy %.3f, disk "
+        "%zu, store %zu\n",
+        load.routers,
+        test.hot.share(),
+        best,
+        test.rare.share(),
+        rare_best,
+        test.busy.share(),
+        test.disk_loads,
+        test.store_loads);
+    cr_expect_geq(
+        test.hot.share(), bound * best, "%.3f of %.3f", test.hot.share(), best);
+    cr_expect_geq(
+        test.rare.share(), bound * rare_best, "%.3f", test.rare.share());
+    cr_expect_geq(test.busy.share(), bound, "%.3f", test.busy.share());
+}
+
+} // namespace
+
+// Guards against a burst of requests for rare models that evicts copies in use.
+Test(rare_burst, copies_in_use_stay_7_routers)
+{
+    expect_shares(burst(7), 1);
+}
+
+Test(rare_burst, copies_in_use_stay_84_routers)
+{
+    expect_shares(burst(84), 1);
+}
+
+Test(rare_burst, copies_in_use_stay_300_routers)
+{
+    expect_shares(burst(300), 1);
+}
+
+// Guards against copies that are ordered again and again while engines begin
+// their orders late.
+Test(rare_burst, orders_executed_300_ms_late)
+{
+    replay_scenario load = burst(84);
+    load.order_delay = 300ms;
+    expect_shares(load, 1);
+}
+
+// Guards against lost engines whose models take the memory of busy ones.
+Test(lost_engines, a_third_of_the_engines_84_routers)
+{
+    replay_scenario load = burst(84);
+    load.hot_disks = 19;
+    load.bursts.clear();
+    load.engines_lost = 8s;
+    // Of the rare models, a ninth has weights on no remaining engine: a third
+    // of their requests come after the loss, 12 of 20 s.
+    expect_shares(load, 1 - 12.0 / 20 / 9);
+}
+
+Test(lost_engines, a_third_of_the_engines_300_routers)
+{
+    replay_scenario load = burst(300);
+    load.hot_disks = 19;
+    load.bursts.clear();
+    load.engines_lost = 8s;
+    expect_shares(load, 1 - 12.0 / 20 / 9);
+}
+
+// Guards against a new owner that evicts what routers use before it has heard
+// of the use.
+Test(lost_owner, killed_during_the_burst_84_routers)
+{
+    replay_scenario load = burst(84);
+    load.owner_killed = 7s;
+    expect_shares(load, 1);
+}
+
+Test(lost_owner, killed_during_the_burst_300_routers)
+{
+    replay_scenario load = burst(300);
+    load.owner_killed = 7s;
+    expect_shares(load, 1);
+}
