--- a/src/adapters/events/event_catalogue.cpp
+++ b/src/adapters/events/event_catalogue.cpp
@@ -461,7 +461,8 @@
      "fence, reason", no_action},
     {engine_ordered, info, "engine_ordered",
      "An engine was ordered to load or unload a model or adapter.",
-     "engine, action, model, adapter, source, fence, orders_taken, waiting",
+     "engine, action, model, adapter, source, fence, orders_taken, waiting, "
+     "copies, copies_needed, free_slots",
      no_action},
     {engine_order_ended, info, "engine_order_ended",
      "The engine answered an order, or gave no answer.",
--- a/src/app/gateway/gateway_options.cpp
+++ b/src/app/gateway/gateway_options.cpp
@@ -44,6 +44,7 @@
     made.fences_checked = settings.bounds.fences_checked;
     made.announcements.budget_bytes_per_second =
         settings.vm.link_mbps * bytes_per_mbit * announcement_link_share;
+    made.planner.copies_by_room = settings.placement.copies_by_room;
     made.planner.store_limiter.window = settings.bounds.load_window;
     made.planner.store_limiter.rate_factor = settings.bounds.load_factor;
     return made;
--- a/src/app/gateway/placement_controller.cpp
+++ b/src/app/gateway/placement_controller.cpp
@@ -340,7 +340,10 @@
          {"source", roseworks::to_string(order.source)},
          {"fence", fence},
          {"orders_taken", engine->orders_taken},
-         {"waiting", order.waiting}});
+         {"waiting", order.waiting},
+         {"copies", order.copies},
+         {"copies_needed", order.copies_needed},
+         {"free_slots", order.free_slots}});
     const instant now = this->clock.now();
     pending_order pending;
     pending.number = ++this->last_order;
