Copies in use outlast bursts of rare models; tests of copies_by_room

A request for a model that isn't loaded no longer replaces a model on which one or two requests run; only an overloaded model does.

--- a/src/core/swapping/swap_planner_copies.cpp
+++ b/src/core/swapping/swap_planner_copies.cpp
@@ -179,8 +179,10 @@
         const std::size_t missing = std::min(
             needed - std::min(needed, totals.copies + totals.loading),
             most_loading - std::min(most_loading, totals.loading));
-        const std::size_t first = totals.copies + totals.loading == 0 ? 1 : 0;
-        for (std::size_t i = first; i < missing; ++i)
+        // The waiting requests lead to the first copy.
+        const bool is_first =
+            totals.copies + totals.loading == 0 && !overloaded;
+        for (std::size_t i = 0; !is_first && i < missing; ++i)
         {
             placement_request request;
             request.servable = key;
--- a/src/core/swapping/swap_planner_engines.cpp
+++ b/src/core/swapping/swap_planner_engines.cpp
@@ -79,7 +79,10 @@
 {
     const model_profile* model =
         round.engines.find_model(request.service, request.model);
-    const bool urgent = this->is_urgent(round, request);
+    // With `copies_by_room`, a burst of requests for models that aren't loaded
+    // doesn't replace copies in use.
+    const bool urgent = this->is_urgent(round, request) &&
+                        (!this->settings.copies_by_room || request.overloaded);
     const double most_copies =
         targets == load_targets::nearly_empty_disks
             ? this->nearly_empty_limit(round, request.service)
@@ -186,10 +189,7 @@
         just_loaded || (used && !urgent))
         return false;
     model_totals rest = this->totals_of(round, key);
-    // A copy in use isn't given up for a burst.
-    const bool counts_own = this->settings.copies_by_room && !urgent;
-    if (!counts_own)
-        rest.running -= std::min(rest.running, usage.running);
+    rest.running -= std::min(rest.running, usage.running);
     const std::size_t copies =
         rest.copies + (engine.rate_limit > 0 ? rest.limited : 0);
     return copies > this->copies_needed(round, engine.entry.service, rest);
