--- a/src/core/swapping/swap_planner_engines.cpp
+++ b/src/core/swapping/swap_planner_engines.cpp
@@ -299,4 +299,31 @@
            static_cast<double>(std::max<std::ptrdiff_t>(engines, 1));
 }
 
+bool swap_planner::exceeds_rate_limits(
+    const planning_round& round, const placement_request& request) const
+{
+    double rate = 0;
+    for (const auto& [id, engine] : round.engines.all())
+    {
+        if (engine.entry.service == request.service &&
+            engine.find(request.model))
+            rate += engine.rate_limit;
+    }
+    return request.waiting > rate;
+}
+
+bool swap_planner::has_any_copy(
+    const planning_round& round, const placement_request& request) const
+{
+    return std::ranges::any_of(
+        round.engines.all(),
+        [&request](const auto& entry)
+        {
+            const engine_state& engine = entry.second;
+            return is_of_use(engine, request) && !engine.entry.leaving &&
+                   engine.weight_source_of(request.model) !=
+                       weight_source::store;
+        });
+}
+
 } // namespace roseworks
