--- a/tests/unit/copies_by_room/test_bursts_and_failures.cpp
+++ b/tests/unit/copies_by_room/test_bursts_and_failures.cpp
@@ -49,6 +49,36 @@
     cr_expect_geq(test.busy.share(), bound, "%.3f", test.busy.share());
 }
 
+// Guards against copies that are ordered again and again while engines begin
+// their orders late.
+void play_late_orders(std::size_t routers)
+{
+    replay_scenario load = burst(routers);
+    load.order_delay = 300ms;
+    expect_shares(load, 1);
+}
+
+// Guards against lost engines whose models take the memory of busy ones.
+void play_lost_engines(std::size_t routers)
+{
+    replay_scenario load = burst(routers);
+    load.hot_disks = 19;
+    load.bursts.clear();
+    load.engines_lost = 8s;
+    // The requests of the last 12 of 20 s find no weights of a ninth of the
+    // rare models: both disks with them are lost.
+    expect_shares(load, 1 - 12.0 / 20 / 9);
+}
+
+// Guards against a new owner that evicts what routers use before it has heard
+// of the use.
+void play_killed_owner(std::size_t routers)
+{
+    replay_scenario load = burst(routers);
+    load.owner_killed = 7s;
+    expect_shares(load, 1);
+}
+
 } // namespace
 
 // Guards against a burst of requests for rare models that evicts copies in use.
@@ -67,48 +97,47 @@
     expect_shares(burst(300), 1);
 }
 
-// Guards against copies that are ordered again and again while engines begin
-// their orders late.
-Test(rare_burst, orders_executed_300_ms_late)
+Test(late_orders, begin_300_ms_late_7_routers)
 {
-    replay_scenario load = burst(84);
-    load.order_delay = 300ms;
-    expect_shares(load, 1);
+    play_late_orders(7);
+}
+
+Test(late_orders, begin_300_ms_late_84_routers)
+{
+    play_late_orders(84);
+}
+
+Test(late_orders, begin_300_ms_late_300_routers)
+{
+    play_late_orders(300);
+}
+
+Test(lost_engines, a_third_of_the_engines_7_routers)
+{
+    play_lost_engines(7);
 }
 
-// Guards against lost engines whose models take the memory of busy ones.
 Test(lost_engines, a_third_of_the_engines_84_routers)
 {
-    replay_scenario load = burst(84);
-    load.hot_disks = 19;
-    load.bursts.clear();
-    load.engines_lost = 8s;
-    // Of the rare models, a ninth has weights on no remaining engine: a third
-    // of their requests come after the loss, 12 of 20 s.
-    expect_shares(load, 1 - 12.0 / 20 / 9);
+    play_lost_engines(84);
 }
 
 Test(lost_engines, a_third_of_the_engines_300_routers)
 {
-    replay_scenario load = burst(300);
-    load.hot_disks = 19;
-    load.bursts.clear();
-    load.engines_lost = 8s;
-    expect_shares(load, 1 - 12.0 / 20 / 9);
+    play_lost_engines(300);
+}
+
+Test(lost_owner, killed_during_the_burst_7_routers)
+{
+    play_killed_owner(7);
 }
 
-// Guards against a new owner that evicts what routers use before it has heard
-// of the use.
 Test(lost_owner, killed_during_the_burst_84_routers)
 {
-    replay_scenario load = burst(84);
-    load.owner_killed = 7s;
-    expect_shares(load, 1);
+    play_killed_owner(84);
 }
 
 Test(lost_owner, killed_during_the_burst_300_routers)
 {
-    replay_scenario load = burst(300);
-    load.owner_killed = 7s;
-    expect_shares(load, 1);
+    play_killed_owner(300);
 }
