--- a/src/core/swapping/planning_round.hpp
+++ b/src/core/swapping/planning_round.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -77,6 +78,8 @@
     std::uint32_t running = 0;
     /// Estimate of the running requests that allows for the reports' lag.
     double estimated_running = 0;
+    /// Overloaded models that the engine holds or has the weights of.
+    std::vector<std::string_view> overloaded_models;
 };
 
 /// Totals of a model over all engines of its service.
@@ -126,6 +129,9 @@
     /// key.
     std::unordered_map<std::string, std::uint32_t> waiting_without_copy;
     std::vector<std::string> overloaded_models; ///< keys
+    std::vector<waiting_servable> waiting;
+    /// Keys of models that no further engine can load in this round.
+    std::set<std::string, std::less<>> unplaceable;
     /// Running and waiting requests of overloaded models that need more copies
     /// than engines have their weights, by model key.
     std::unordered_map<std::string, std::uint32_t> overloaded_without_weights;
--- a/src/core/swapping/swap_planner.cpp
+++ b/src/core/swapping/swap_planner.cpp
@@ -37,7 +37,9 @@
 std::vector<swap_order> swap_planner::plan(
     const engine_tracker& engines, const demand_tracker& needs, instant now)
 {
-    planning_round round{engines, needs, now, {}, {}, {}, {}, {}, {}, {}, {}};
+    planning_round round{
+        engines, needs, now, {}, {}, {}, {}, {}, {}, {}, {}, {}, {}};
+    round.waiting = needs.waiting_servables(now);
     this->collect_usage(round);
     if (this->settings.copies_by_room)
         this->collect_room(round);
@@ -144,8 +146,7 @@
 swap_planner::collect_requests(const planning_round& round) const
 {
     std::vector<placement_request> requests;
-    for (const waiting_servable& need :
-         round.needs.waiting_servables(round.now))
+    for (const waiting_servable& need : round.waiting)
     {
         const servable_parts parts = split_servable_key(need.servable);
         if (round.engines.find_model(parts.service, parts.model) == nullptr)
@@ -288,8 +289,11 @@
         request.copies_needed > this->engines_with_weights(round, request);
     if (needs_store)
         round.overloaded_without_weights[key] = request.waiting;
-    bool placed =
-        this->load_on_best_engine(round, request, load_targets::with_weights);
+    const bool is_full = request.extra_copy && round.unplaceable.contains(key);
+    bool placed = !is_full && this->load_on_best_engine(
+                                  round, request, load_targets::with_weights);
+    if (!placed && this->settings.copies_by_room && request.extra_copy)
+        round.unplaceable.insert(key);
     if (!placed && request.only_rate_limited &&
         this->exceeds_rate_limits(round, request))
     {
--- a/src/core/swapping/swap_planner.hpp
+++ b/src/core/swapping/swap_planner.hpp
@@ -241,11 +241,13 @@
     /// Counts the waiting requests and the slots in use.
     void collect_room(planning_round& round);
     void collect_room(planning_round& round, const engine_state& engine) const;
+    /// @param interval Interval of the routers' reports, in seconds.
     /// @return Estimated running requests for each one that is reported.
     double lag_factor(
         const planning_round& round,
         const std::string& key,
-        const model_totals& totals) const;
+        const model_totals& totals,
+        double interval) const;
     /// @return Whether an engine has hardly a free slot.
     bool is_full(const planning_round& round, const engine_state& engine) const;
     std::uint32_t
--- a/src/core/swapping/swap_planner_copies.cpp
+++ b/src/core/swapping/swap_planner_copies.cpp
@@ -63,15 +63,14 @@
 double swap_planner::lag_factor(
     const planning_round& round,
     const std::string& key,
-    const model_totals& totals) const
+    const model_totals& totals,
+    double interval) const
 {
     if (totals.running == 0)
         return 1;
     // Routers report ends at once, but starts at their interval only. A request
     // is seen for its time less half the interval on average, or, if it is
     // shorter than the interval, for time^2 / (2 x interval).
-    const double interval =
-        seconds(usage_report_interval(round.needs.active_routers(round.now)));
     const double starts = round.needs.start_rate(key, round.now);
     const double seen = totals.running;
     const double estimate = seen >= starts * interval / 2
@@ -82,12 +81,13 @@
 
 void swap_planner::collect_room(planning_round& round)
 {
+    const double interval =
+        seconds(usage_report_interval(round.needs.active_routers(round.now)));
     for (auto& [key, totals] : round.totals_by_model)
-        totals.lag_factor = this->lag_factor(round, key, totals);
+        totals.lag_factor = this->lag_factor(round, key, totals, interval);
     for (const auto& [id, engine] : round.engines.all())
         this->collect_room(round, engine);
-    for (const waiting_servable& need :
-         round.needs.waiting_servables(round.now))
+    for (const waiting_servable& need : round.waiting)
     {
         // Streams that need certain software don't wait for any copy.
         if (need.software)
@@ -112,6 +112,19 @@
         if (totals.overloaded)
             round.overloaded_models.push_back(key);
     }
+    for (auto& [engine, usage] : round.usage_by_engine)
+    {
+        for (const std::string& key : round.overloaded_models)
+        {
+            const servable_parts parts = split_servable_key(key);
+            const bool has_weights =
+                parts.service == engine->entry.service &&
+                (engine->find(parts.model) != nullptr ||
+                 engine->weight_source_of(parts.model) != weight_source::store);
+            if (has_weights)
+                usage.overloaded_models.push_back(parts.model);
+        }
+    }
     std::erase_if(
         this->overloaded_until,
         [&round](const auto& entry)
@@ -124,25 +137,22 @@
     planning_round& round, const engine_state& engine) const
 {
     engine_usage& usage = round.usage_by_engine.at(&engine);
-    const auto totals_of_loaded = [&](const loaded_model& loaded)
-    {
-        return round.totals_by_model.find(
-            servable_key(engine.entry.service, loaded.name));
-    };
+    const bool counts = !engine.entry.leaving && engine.reachable;
+    if (!counts)
+        return;
+    std::vector<model_totals*> totals;
     for (std::size_t i = 0; i < engine.loaded_models.size(); ++i)
     {
-        const auto totals = totals_of_loaded(engine.loaded_models[i]);
-        const double factor = totals == round.totals_by_model.end()
-                                  ? 1
-                                  : totals->second.lag_factor;
-        usage.estimated_running += usage.loaded_models[i].running * factor;
+        totals.push_back(&round.totals_by_model.at(
+            servable_key(engine.entry.service, engine.loaded_models[i].name)));
+        usage.estimated_running +=
+            usage.loaded_models[i].running * totals.back()->lag_factor;
     }
-    if (engine.entry.leaving || !engine.reachable || engine.rate_limit > 0)
+    if (engine.rate_limit > 0)
         return;
     const double slots = this->slots_of(round, engine.entry.service);
-    for (const loaded_model& loaded : engine.loaded_models)
-        totals_of_loaded(loaded)->second.slots_in_use +=
-            std::min(usage.estimated_running, slots);
+    for (model_totals* const one : totals)
+        one->slots_in_use += std::min(usage.estimated_running, slots);
 }
 
 std::size_t swap_planner::copies_for_demand(
@@ -267,15 +277,10 @@
     std::string_view other_than) const
 {
     return std::ranges::any_of(
-        round.overloaded_models,
-        [&](const std::string& key)
+        round.usage_by_engine.at(&engine).overloaded_models,
+        [other_than](std::string_view model)
         {
-            const servable_parts parts = split_servable_key(key);
-            return parts.service == engine.entry.service &&
-                   parts.model != other_than &&
-                   (engine.find(parts.model) != nullptr ||
-                    engine.weight_source_of(parts.model) !=
-                        weight_source::store);
+            return model != other_than;
         });
 }
 
