--- a/src/core/swapping/swap_planner.cpp
+++ b/src/core/swapping/swap_planner.cpp
@@ -10,9 +10,26 @@
 namespace roseworks
 {
 
+namespace
+{
+
+/// @return Options of the store's limiter. Loads that the owner starts for a
+///         shift of demand are too few to observe the store's capacity first:
+///         four at once take four times as long each at a store that loads one
+///         model at full speed.
+store_load_limiter::options limiter_options(const swap_planner::options& chosen)
+{
+    store_load_limiter::options made = chosen.store_limiter;
+    if (chosen.copies_by_room)
+        made.initial_concurrency = 1;
+    return made;
+}
+
+} // namespace
+
 swap_planner::swap_planner(options chosen)
     : settings(chosen)
-    , store_limiter(chosen.store_limiter)
+    , store_limiter(limiter_options(chosen))
     , engine_loss(chosen.engine_loss)
 {
 }
@@ -20,13 +37,20 @@
 std::vector<swap_order> swap_planner::plan(
     const engine_tracker& engines, const demand_tracker& needs, instant now)
 {
-    planning_round round{engines, needs, now, {}, {}, {}, {}, {}, {}};
+    planning_round round{
+        engines, needs, now, {}, {}, {}, {}, {}, {}, {}, {}, {}, {}};
+    round.waiting = needs.waiting_servables(now);
     this->collect_usage(round);
+    if (this->settings.copies_by_room)
+        this->collect_room(round);
     std::vector<placement_request> requests = this->collect_requests(round);
     for (const placement_request& request : requests)
         round.awaited_models.insert(
             servable_key(request.service, request.model));
-    this->add_extra_copies(round, requests);
+    if (this->settings.copies_by_room)
+        this->add_copies_for_demand(round, requests);
+    else
+        this->add_extra_copies(round, requests);
     std::ranges::stable_sort(
         requests,
         [](const placement_request& left, const placement_request& right)
@@ -122,8 +146,7 @@
 swap_planner::collect_requests(const planning_round& round) const
 {
     std::vector<placement_request> requests;
-    for (const waiting_servable& need :
-         round.needs.waiting_servables(round.now))
+    for (const waiting_servable& need : round.waiting)
     {
         const servable_parts parts = split_servable_key(need.servable);
         if (round.engines.find_model(parts.service, parts.model) == nullptr)
@@ -166,6 +189,8 @@
     std::string_view service,
     const model_totals& totals) const
 {
+    if (this->settings.copies_by_room)
+        return this->copies_for_demand(round, service, totals);
     const std::uint32_t per_copy = this->max_running_per_copy(round, service);
     return (totals.running + per_copy - 1) / per_copy;
 }
@@ -259,8 +284,16 @@
             round.waiting_without_copy[key] += request.waiting;
         return;
     }
-    bool placed =
-        this->load_on_best_engine(round, request, load_targets::with_weights);
+    const bool needs_store =
+        this->settings.copies_by_room && request.overloaded &&
+        request.copies_needed > this->engines_with_weights(round, request);
+    if (needs_store)
+        round.overloaded_without_weights[key] = request.waiting;
+    const bool is_full = request.extra_copy && round.unplaceable.contains(key);
+    bool placed = !is_full && this->load_on_best_engine(
+                                  round, request, load_targets::with_weights);
+    if (!placed && this->settings.copies_by_room && request.extra_copy)
+        round.unplaceable.insert(key);
     if (!placed && request.only_rate_limited &&
         this->exceeds_rate_limits(round, request))
     {
@@ -275,19 +308,6 @@
         this->reserve_engine(round, request);
 }
 
-bool swap_planner::exceeds_rate_limits(
-    const planning_round& round, const placement_request& request) const
-{
-    double rate = 0;
-    for (const auto& [id, engine] : round.engines.all())
-    {
-        if (engine.entry.service == request.service &&
-            engine.find(request.model))
-            rate += engine.rate_limit;
-    }
-    return request.waiting > rate;
-}
-
 bool swap_planner::load_on_best_engine(
     planning_round& round,
     const placement_request& request,
@@ -299,39 +319,33 @@
     const std::string key = servable_key(request.service, request.model);
     const std::string& id = best->engine->entry.id;
     round.assigned_engines.insert(id);
+    model_totals& totals = round.totals_by_model[key];
+    swap_order order;
+    order.engine = id;
+    if (this->settings.copies_by_room)
+    {
+        order.copies = totals.copies + totals.limited + totals.loading;
+        order.copies_needed = request.copies_needed;
+        order.free_slots = best->free_slots;
+    }
     // Requests may wait for a model and its adapters at once: one load serves
     // both.
-    ++round.totals_by_model[key].loading;
+    ++totals.loading;
     if (!best->victims.empty())
     {
-        round.orders.push_back(
-            {id, engine_action::unload, best->victims.front(), "", {}, 0});
+        order.action = engine_action::unload;
+        order.model = best->victims.front();
+        order.source = {};
+        round.orders.push_back(std::move(order));
         return true;
     }
     if (best->source == weight_source::store)
         this->store_limiter.load_started(round.now);
-    round.orders.push_back(
-        {id,
-         engine_action::load,
-         request.model,
-         "",
-         best->source,
-         request.waiting});
+    order.model = request.model;
+    order.source = best->source;
+    order.waiting = request.waiting;
+    round.orders.push_back(std::move(order));
     return true;
 }
 
-bool swap_planner::has_any_copy(
-    const planning_round& round, const placement_request& request) const
-{
-    return std::ranges::any_of(
-        round.engines.all(),
-        [&request](const auto& entry)
-        {
-            const engine_state& engine = entry.second;
-            return is_of_use(engine, request) && !engine.entry.leaving &&
-                   engine.weight_source_of(request.model) !=
-                       weight_source::store;
-        });
-}
-
 } // namespace roseworks
--- a/src/core/swapping/swap_planner_engines.cpp
+++ b/src/core/swapping/swap_planner_engines.cpp
@@ -79,7 +79,10 @@
 {
     const model_profile* model =
         round.engines.find_model(request.service, request.model);
-    const bool urgent = this->is_urgent(round, request);
+    // With `copies_by_room`, a burst of requests for models that aren't loaded
+    // doesn't replace copies in use.
+    const bool urgent = this->is_urgent(round, request) &&
+                        (!this->settings.copies_by_room || request.overloaded);
     const double most_copies =
         targets == load_targets::nearly_empty_disks
             ? this->nearly_empty_limit(round, request.service)
@@ -99,10 +102,7 @@
         auto one = this->evaluate(round, engine, *model, targets, urgent);
         if (!one)
             continue;
-        const bool sooner =
-            !best || std::tie(one->ready_in, one->running) <
-                         std::tie(best->ready_in, best->running);
-        if (sooner)
+        if (!best || this->is_preferred(round, *one, *best))
             best = std::move(one);
     }
     return best;
@@ -129,6 +129,12 @@
                    unload_delay * static_cast<int>(one.victims.size()) +
                    rate_limit_interval(engine);
     one.running = round.usage_by_engine.at(&engine).running;
+    if (this->settings.copies_by_room)
+    {
+        one.free_slots = this->free_slots(round, engine);
+        one.wanted_by_overloaded =
+            this->is_wanted_by_overloaded(round, engine, model.name);
+    }
     return one;
 }
 
@@ -196,6 +202,9 @@
     std::tuple<bool, std::uint32_t> best_cost;
     const std::string key = servable_key(request.service, request.model);
     const bool is_elsewhere = this->totals_of(round, key).copies != 0;
+    if (this->settings.copies_by_room &&
+        this->is_adapter_ordered(round, request))
+        return;
     for (const auto& [id, engine] : round.engines.all())
     {
         const loaded_model* model = engine.find(request.model);
@@ -206,7 +215,11 @@
         if (std::ranges::find(
                 model->adapters, request.adapter, &loaded_adapter::name) !=
             model->adapters.end())
+        {
+            if (request.extra_copy)
+                continue;
             return; // the waiting routers are told that it is loaded
+        }
         const bool is_loading = engine.order &&
                                 engine.order->adapter == request.adapter &&
                                 engine.order->model == request.model;
@@ -215,6 +228,8 @@
         if (!engine.accepts_orders(round.now) ||
             round.assigned_engines.contains(id))
             continue;
+        if (request.extra_copy && this->is_full(round, engine))
+            continue;
         const engine_profile* profile =
             round.engines.find_profile(request.service);
         const bool full = engine.adapter_count() >= profile->adapter_slots;
@@ -284,4 +299,31 @@
            static_cast<double>(std::max<std::ptrdiff_t>(engines, 1));
 }
 
+bool swap_planner::exceeds_rate_limits(
+    const planning_round& round, const placement_request& request) const
+{
+    double rate = 0;
+    for (const auto& [id, engine] : round.engines.all())
+    {
+        if (engine.entry.service == request.service &&
+            engine.find(request.model))
+            rate += engine.rate_limit;
+    }
+    return request.waiting > rate;
+}
+
+bool swap_planner::has_any_copy(
+    const planning_round& round, const placement_request& request) const
+{
+    return std::ranges::any_of(
+        round.engines.all(),
+        [&request](const auto& entry)
+        {
+            const engine_state& engine = entry.second;
+            return is_of_use(engine, request) && !engine.entry.leaving &&
+                   engine.weight_source_of(request.model) !=
+                       weight_source::store;
+        });
+}
+
 } // namespace roseworks
