--- a/src/app/gateway/gateway_options.cpp
+++ b/src/app/gateway/gateway_options.cpp
@@ -69,6 +69,7 @@
     made.retries.ratio = settings.bounds.retry_ratio;
     made.retries.extra = settings.bounds.retry_extra;
     made.retries.window = std::max(settings.bounds.retry_window, min_window);
+    made.hedge_share = settings.hedging.extra_share;
     std::random_device device;
     made.seed = std::uint64_t(device()) << 32;
     return made;
--- a/src/app/gateway/quota_controller.cpp
+++ b/src/app/gateway/quota_controller.cpp
@@ -99,6 +99,10 @@
 {
     this->organisation_limits = limits_of(configuration, this->settings.bounds);
     this->retry_limits = retry_limits_of(configuration, this->settings.retries);
+    this->hedge_limits = hedge_limits_of(
+        configuration,
+        this->settings.hedge_share,
+        this->settings.retries.window);
     this->limits_changed();
 }
 
@@ -138,6 +142,7 @@
     all.insert(this->backend_limits.begin(), this->backend_limits.end());
     all.insert(this->backend_places.begin(), this->backend_places.end());
     all.insert(this->retry_limits.begin(), this->retry_limits.end());
+    all.insert(this->hedge_limits.begin(), this->hedge_limits.end());
     this->has_limits = !all.empty();
     std::erase_if(
         this->logged_totals,
@@ -329,6 +334,9 @@
 {
     for (const auto& [name, one] : this->accountant.accounts())
     {
+        // A refused hedge is no failure: the request's first attempt runs on.
+        if (is_hedge_account(name))
+            continue;
         account_totals& before = this->logged_totals[name];
         if (one.refused > before.refused)
             this->log_refusals(
--- a/src/app/gateway/quota_controller.hpp
+++ b/src/app/gateway/quota_controller.hpp
@@ -2,6 +2,7 @@
 
 #include "core/pacing/server_limit.hpp"
 #include "core/quota/global_limits.hpp"
+#include "core/quota/hedge_limits.hpp"
 #include "core/quota/quota_accountant.hpp"
 #include "core/quota/quota_client.hpp"
 #include "core/quota/retry_limits.hpp"
@@ -26,7 +27,8 @@
 {
 
 /** Enforces the limits of organisations, the rate limits that backend servers
-    name, and the limits on the retries of services, across all routers.
+    name, and the limits on the retries and hedges of services, across all
+    routers.
 
     Quota is granted by a router that acts as the accountant of all. This class
     asks the accountant on behalf of this router's requests, and is itself the
@@ -43,6 +45,8 @@
         std::string router; ///< name of this router
         quota_bounds bounds;
         retry_allowance retries;
+        /// Hedges of a service, as a share of its requests; 0: none.
+        double hedge_share = 0;
         quota_mode way = quota_mode::accountant;
         std::uint64_t seed = 1;
     };
@@ -125,6 +129,7 @@
     global_limits backend_limits;
     global_limits backend_places;
     global_limits retry_limits;
+    global_limits hedge_limits;
     boost::asio::steady_timer timer;
     /// Name of the accountant in the latest log line.
     std::string logged_accountant;
--- a/src/core/quota/global_limits.hpp
+++ b/src/core/quota/global_limits.hpp
@@ -25,6 +25,8 @@
     /// at any router.
     usage_limit per_request{};
     duration request_window{};
+    /// The account under which these requests are reported; empty: its own.
+    std::string counted_under;
     /// If not 0, requests hold places instead of taking tokens: a backend
     /// server runs so many at once. `total` then only applies to a router that
     /// reaches no accountant.
--- a/src/core/quota/quota_accountant.cpp
+++ b/src/core/quota/quota_accountant.cpp
@@ -262,7 +262,9 @@
     const auto requests = this->sum_requests(now);
     for (auto& [name, entry] : this->accounts_by_name)
     {
-        const auto reported = requests.find(name);
+        const std::string& counted_under = entry.limit.counted_under;
+        const auto reported =
+            requests.find(counted_under.empty() ? name : counted_under);
         const double sum = reported == requests.end() ? 0 : reported->second;
         entry.requests = std::min(entry.requests, sum);
         entry.bucket.refill(elapsed, this->granted_limit(entry));
--- a/src/core/quota/quota_client.cpp
+++ b/src/core/quota/quota_client.cpp
@@ -1,5 +1,6 @@
 #include "core/quota/quota_client.hpp"
 
+#include "core/quota/hedge_limits.hpp"
 #include "core/quota/retry_limits.hpp"
 
 #include <algorithm>
@@ -184,7 +185,8 @@
     // A service that isn't configured any more gets no retries.
     quota_decision decision{id, !is_retry_account(draw.account), {}, {}};
     const auto limit = this->limits.find(draw.account);
-    if (limit != this->limits.end())
+    // The sum of hedges is only known to an accountant.
+    if (limit != this->limits.end() && !is_hedge_account(draw.account))
     {
         this->refill_local_buckets(now);
         const usage_limit bucket_limit =
--- a/tests/unit/quota/quota_fleet.cpp
+++ b/tests/unit/quota/quota_fleet.cpp
@@ -32,13 +32,24 @@
 
 std::string quota_fleet::account() const
 {
+    if (this->settings.hedge_share > 0)
+        return hedge_account("s");
     return this->settings.retries ? retry_account("s") : organisation_name;
 }
 
 global_limits quota_fleet::limits() const
 {
     if (this->settings.retries)
-        return {{this->account(), limit_of_retries(*this->settings.retries)}};
+    {
+        global_limits all{
+            {retry_account("s"), limit_of_retries(*this->settings.retries)}};
+        if (this->settings.hedge_share > 0)
+            all[hedge_account("s")] = limit_of_hedges(
+                "s",
+                this->settings.hedge_share,
+                this->settings.retries->window);
+        return all;
+    }
     deployment configuration;
     organisation entry;
     entry.name = organisation_name;
--- a/tests/unit/quota/quota_fleet.hpp
+++ b/tests/unit/quota/quota_fleet.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/quota/hedge_limits.hpp"
 #include "core/quota/quota_accountant.hpp"
 #include "core/quota/quota_client.hpp"
 #include "core/quota/retry_limits.hpp"
@@ -34,6 +35,8 @@
         usage_limit limit{29'000, 29'000}; ///< of an organisation
         /// Limits the retries of a service instead of an organisation.
         std::optional<retry_allowance> retries;
+        /// Limits the hedges of that service, too; requests draw these.
+        double hedge_share = 0;
         double slack = 110'000;
         quota_mode mode = quota_mode::accountant;
         double loss = 0;      ///< probability per message
