Send a late request to a second server beside the first one

Cause: the decisions on hedges had no effect, since nothing was sent.

Change: with [hedging] extra_share above 0, a call runs its first attempt up to the first output beside a timer. When it is late, the call draws from the hedge and the retry account, and dispatcher::hedge grants a second attempt on another server under a ticket of its own. attempt_race names the one that answers; the other's connection is closed and its ticket abandoned. Replies to a ticket that the call doesn't use any more are dropped. With 0, requests take the path they took.

--- a/include/roseworks/dispatcher.hpp
+++ b/include/roseworks/dispatcher.hpp
@@ -259,6 +259,21 @@
     /// before the attempt was sent. Frees its granted slot.
     void abandon(ticket request, instant now);
 
+    /** Starts a second attempt of a request beside the granted one.
+
+        It runs on a server to which the request hasn't been sent, in a free
+        slot, and only while no request waits for the target. A server with a
+        rate limit or counted places isn't used. The attempt has a ticket of its
+        own, which has to be passed to `finished` or `abandon` once, like that
+        of the first attempt. The caller of this function ensures that at most
+        one of the two tickets is continued.
+
+        @param running Ticket of a granted request.
+        @return The grant; empty: no second attempt, for one of these reasons or
+                because the request isn't repeatable or is suspect.
+    */
+    std::optional<grant> hedge(ticket running, instant now);
+
     /** The backend server of a `crash_seen` was examined.
 
         A broken connection to a server that survived isn't counted as a crash
--- a/src/adapters/edge/shared_dispatcher.cpp
+++ b/src/adapters/edge/shared_dispatcher.cpp
@@ -72,6 +72,20 @@
     return outcome;
 }
 
+std::optional<grant>
+shared_dispatcher::hedge(ticket running, reply_handler handler)
+{
+    std::optional<grant> granted;
+    this->with_lock(
+        [&](instant time)
+        {
+            granted = this->core.hedge(running, time);
+            if (granted)
+                this->waiters.emplace(granted->request, std::move(handler));
+        });
+    return granted;
+}
+
 void shared_dispatcher::abandon(ticket request)
 {
     this->with_lock(
--- a/src/adapters/edge/shared_dispatcher.hpp
+++ b/src/adapters/edge/shared_dispatcher.hpp
@@ -56,6 +56,7 @@
     ticket submit(request_info info, reply_handler handler) override;
     dispatcher::finish
     finished(ticket request, const attempt_result& result) override;
+    std::optional<grant> hedge(ticket running, reply_handler handler) override;
     void abandon(ticket request) override;
     void drain() override;
 
--- a/src/adapters/forward/forward_call.cpp
+++ b/src/adapters/forward/forward_call.cpp
@@ -85,6 +85,16 @@
     return stated_load{numbers[0], numbers[1], numbers[3]};
 }
 
+ticket ticket_of(const dispatch_port::reply& reply)
+{
+    return std::visit(
+        [](const auto& one)
+        {
+            return one.request;
+        },
+        reply);
+}
+
 event_id completion_event(bool without_retry)
 {
     if (without_retry)
@@ -218,6 +228,9 @@
             co_await this->finish_interrupted();
             co_return;
         }
+        // Replies to an attempt that was closed may still arrive.
+        if (ticket_of(*reply) != this->admission_ticket)
+            continue;
         if (const auto* refused_reply = std::get_if<refusal>(&*reply))
         {
             // The dispatcher still has a request that was refused here.
@@ -279,7 +292,7 @@
         if (granted.engine)
             this->context.ports.run_ended(servable, instance);
         if (granted.engine && result.how == end_kind::refused_not_run)
-            co_await this->wait_for_table_update(servable, instance);
+            co_await this->wait_for_table_update(servable, this->last_server);
     }
     const bool ran = result.how != end_kind::not_sent &&
                      result.how != end_kind::refused_not_run;
@@ -363,6 +376,9 @@
     const std::string bytes = this->serialize_request(server, now);
     this->last_server = server.instance;
     this->last_software = server.software;
+    if (const auto hedge_after = this->hedge_delay())
+        co_return co_await this->exchange_hedged(
+            granted, server, bytes, *hedge_after);
     server_exchange exchange(this->context, this->pool, *this->inbox);
     const duration longest_idle =
         this->route.repeatable()
@@ -379,6 +395,15 @@
     if (state == exchange_state::ok)
         state = co_await exchange.read_head(
             this->context.names, this->request.id, this->request.head_only);
+    co_return co_await this->finish_exchange(granted, server, exchange, state);
+}
+
+std::optional<attempt_result> forward_call::failure_of(
+    const grant& granted,
+    const server_identity& server,
+    const server_exchange& exchange,
+    exchange_state state)
+{
     if (state != exchange_state::ok)
     {
         if (state == exchange_state::not_sent)
@@ -388,7 +413,7 @@
             failed.how = end_kind::not_sent;
         if (exchange.sent())
             this->report_run(server, granted.address, failed);
-        co_return failed;
+        return failed;
     }
     this->last_framing = exchange.framing();
     this->report_load(granted, exchange);
@@ -397,12 +422,29 @@
     {
         if (exchange.head().result_int() == status_misdirected)
             this->context.ports.crashes.server_replaced(server.life);
+        else
+            this->context.hedges.rejected(this->service, this->context.now());
         attempt_result refused;
         refused.how = end_kind::refused_not_run;
         refused.no_room = exchange.head().result_int() == status_unavailable;
-        co_return refused;
+        return refused;
+    }
+    return std::nullopt;
+}
+
+asio::awaitable<attempt_result> forward_call::finish_exchange(
+    const grant& granted,
+    const server_identity& server,
+    server_exchange& exchange,
+    exchange_state state)
+{
+    if (const auto failed = this->failure_of(granted, server, exchange, state))
+    {
+        this->record_latency(*failed);
+        co_return *failed;
     }
     const attempt_result result = co_await this->forward_response(exchange);
+    this->record_latency(result);
     this->report_run(server, granted.address, result);
     if (result.how == end_kind::answered)
         this->report_answer(server, granted.address, exchange);
--- a/src/adapters/forward/forward_call.hpp
+++ b/src/adapters/forward/forward_call.hpp
@@ -2,6 +2,7 @@
 
 #include "adapters/edge/call_inbox.hpp"
 #include "adapters/edge/caller_connection.hpp"
+#include "adapters/forward/attempt_run.hpp"
 #include "adapters/forward/caller_organisation.hpp"
 #include "adapters/forward/caller_response.hpp"
 #include "adapters/forward/forward_context.hpp"
@@ -9,6 +10,8 @@
 #include "adapters/forward/local_response.hpp"
 #include "adapters/forward/server_exchange.hpp"
 #include "adapters/forward/sse_event_splitter.hpp"
+#include "core/hedging/attempt_race.hpp"
+#include "core/hedging/hedge_policy.hpp"
 #include "core/origins/stream_key.hpp"
 #include "core/origins/stream_origin.hpp"
 #include "core/serving/deployment.hpp"
@@ -120,6 +123,57 @@
     serialize_request(const server_identity& server, instant now) const;
     asio::awaitable<attempt_result>
     exchange_with(const grant& granted, const server_identity& server);
+    /// Handles a response that has arrived, or the lack of one.
+    asio::awaitable<attempt_result> finish_exchange(
+        const grant& granted,
+        const server_identity& server,
+        server_exchange& exchange,
+        exchange_state state);
+    /// Reports an exchange without a response to forward.
+    /// @return Empty if there is one.
+    std::optional<attempt_result> failure_of(
+        const grant& granted,
+        const server_identity& server,
+        const server_exchange& exchange,
+        exchange_state state);
+    // forward_call_hedge.cpp
+    hedge_request hedge_properties() const;
+    /// @return When a second attempt is due; empty: none.
+    std::optional<duration> hedge_delay();
+    /// Adds the time of the first attempt to the known latencies. Later calls
+    /// have no effect.
+    void record_latency(const attempt_result& result);
+    /// Sends the request to the granted server and, after the delay, to another
+    /// one, too. Forwards the response of one of them.
+    asio::awaitable<attempt_result> exchange_hedged(
+        const grant& granted,
+        const server_identity& server,
+        std::string bytes,
+        duration delay);
+    struct hedge_race;
+    std::shared_ptr<attempt_run> make_run(
+        const grant& granted, const server_identity& server, std::string bytes);
+    /// Starts the second attempt if all limits allow it.
+    asio::awaitable<void> start_hedge(hedge_race& race);
+    /// Reserves a unit of an account for a hedge.
+    /// @return Whether it is reserved.
+    asio::awaitable<bool>
+    reserve_for_hedge(hedge_race& race, std::string account, hedge_limit limit);
+    /// Sends the request to the server that the dispatcher chooses.
+    void send_hedge(hedge_race& race);
+    void refuse_hedge(hedge_limit limit);
+    /// Waits until one attempt is left, and closes the other one.
+    asio::awaitable<std::shared_ptr<attempt_run>> decide_race(hedge_race& race);
+    /// Passes what has happened to the attempts on to `hedge_race::order`.
+    void update_race(hedge_race& race);
+    /// Counts an attempt that was sent.
+    void count_run(const hedge_race& race, const attempt_run& run);
+    /// Sets what the reports say about the attempt.
+    void use_run(attempt_run& run);
+    /// Ends an attempt that failed while the other one still runs.
+    void end_failed(hedge_race& race, race_side side);
+    /// Closes an attempt that lost, or whose time is over.
+    void end_closed(hedge_race& race, race_side side);
     asio::awaitable<attempt_result> forward_response(server_exchange& exchange);
     asio::awaitable<relay_outcome> relay(server_exchange& exchange);
     asio::awaitable<relay_outcome> relay_buffered(server_exchange& exchange);
@@ -196,6 +250,7 @@
     body_framing last_framing = body_framing::none; ///< of the last response
     bool quota_reserved = false; ///< from the organisation's limit
     bool retry_reserved = false; ///< from the service's limit, and not sent yet
+    bool latency_recorded = false; ///< of the first attempt, or there is none
     bool may_have_run = false;
     bool is_waiting = false;   ///< for a server
     caller_response response;  ///< of a backend server
--- a/src/adapters/forward/forward_context.hpp
+++ b/src/adapters/forward/forward_context.hpp
@@ -6,6 +6,7 @@
 #include "adapters/forward/header_names.hpp"
 #include "core/admission/load_guard.hpp"
 #include "core/crashes/request_gate.hpp"
+#include "core/hedging/hedge_policy.hpp"
 #include "core/pacing/server_notice.hpp"
 #include "core/serving/serving_table.hpp"
 #include "ports/crash_port.hpp"
@@ -60,6 +61,8 @@
     /// Retry-After while this router has no configuration or an outdated one.
     std::chrono::milliseconds outdated_retry_after{500};
     std::uint64_t seed = 1; ///< of the choice among a route's services
+    /// Hedges of a service, as a share of its requests; 0: none.
+    double hedge_share = 0;
 };
 
 /// What forwarding depends on. All of it has to outlive the event loop.
@@ -110,6 +113,7 @@
         , metrics(shared_metrics)
         , random(chosen_options.seed)
         , gate({.seed = chosen_options.seed})
+        , hedges(chosen_options.hedge_share)
     {
     }
 
@@ -119,6 +123,7 @@
     forward_metrics& metrics;
     std::mt19937_64 random;
     request_gate gate;
+    hedge_policy hedges;
     /// Parts of prompts that were answered well of late.
     recent_answers good_parts{4096, std::chrono::seconds(20)};
     /// Whether this process ends.
--- a/src/adapters/forward/forward_metrics.cpp
+++ b/src/adapters/forward/forward_metrics.cpp
@@ -15,6 +15,18 @@
     , retries_denied(registry.add_counter<>(
           "roseworks_forward_retries_denied_total",
           "Retries that the shared budget didn't allow."))
+    , hedges_sent(registry.add_counter<>(
+          "roseworks_hedges_sent_total",
+          "Second attempts sent beside a late first one."))
+    , hedges(registry.add_counter<hedge_end>(
+          "roseworks_hedges_total", "Second attempts by how they ended."))
+    , hedges_refused(registry.add_counter<hedge_limit>(
+          "roseworks_hedges_refused_total",
+          "Requests that got no second attempt, by the limit that refused it."))
+    , hedge_tokens(registry.add_counter<>(
+          "roseworks_hedge_tokens_total",
+          "Tokens that attempts closed for another one may have cost at most, "
+          "where the caller stated them."))
     , relayed_connections(registry.add_counter<>(
           "roseworks_relayed_connections_total",
           "Connections to backend servers opened through another router."))
--- a/src/adapters/forward/forward_metrics.hpp
+++ b/src/adapters/forward/forward_metrics.hpp
@@ -2,6 +2,7 @@
 
 #include "adapters/edge/traffic_observer.hpp"
 #include "adapters/metrics/metrics_registry.hpp"
+#include "core/hedging/hedge_policy.hpp"
 #include "core/origins/stream_origin.hpp"
 
 #include <array>
@@ -29,6 +30,14 @@
     waited
 };
 
+/// How a hedge ended.
+enum class hedge_end : std::uint8_t
+{
+    won,   ///< it answered the request
+    lost,  ///< the first attempt answered
+    failed ///< it ended without output
+};
+
 } // namespace roseworks::forward
 
 namespace roseworks::metrics
@@ -58,6 +67,31 @@
         to_string(origin_source::only_version)};
 };
 
+template <>
+struct label_traits<forward::hedge_end>
+{
+    static constexpr std::string_view name = "end";
+    static constexpr std::array<std::string_view, 3> values = {
+        "won", "lost", "failed"};
+};
+
+template <>
+struct label_traits<hedge_limit>
+{
+    static constexpr std::string_view name = "limit";
+    static constexpr std::array<std::string_view, 10> values = {
+        "none",
+        "not_repeatable",
+        "output_begun",
+        "attempts",
+        "suspected",
+        "samples",
+        "rejections",
+        "no_server",
+        "shared_budget",
+        "retry_budget"};
+};
+
 template <>
 struct label_traits<forward::admission>
 {
@@ -105,6 +139,10 @@
     metrics::counter<request_end>& requests;
     metrics::counter<>& retries;
     metrics::counter<>& retries_denied;
+    metrics::counter<>& hedges_sent;
+    metrics::counter<hedge_end>& hedges;
+    metrics::counter<hedge_limit>& hedges_refused;
+    metrics::counter<>& hedge_tokens; ///< of closed attempts
     metrics::counter<>& relayed_connections;
     metrics::counter<origin_source>& origins; ///< of streams taken up
     metrics::counter<>& late_answers;
--- a/src/adapters/forward/server_exchange.cpp
+++ b/src/adapters/forward/server_exchange.cpp
@@ -1,5 +1,7 @@
 #include "adapters/forward/server_exchange.hpp"
 
+#include "adapters/forward/sse_event_splitter.hpp"
+
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
@@ -122,6 +124,7 @@
 asio::awaitable<exchange_state> server_exchange::write(std::string_view bytes)
 {
     this->apply_deadline();
+    this->write_begun = true;
     const auto [error, size] = co_await asio::async_write(
         this->connection->stream,
         asio::buffer(bytes.data(), bytes.size()),
@@ -191,6 +194,12 @@
 server_exchange::read_some(std::string_view& piece)
 {
     piece = {};
+    if (!this->read_ahead.empty())
+    {
+        this->returned = std::exchange(this->read_ahead, {});
+        piece = this->returned;
+        co_return exchange_state::ok;
+    }
     while (!this->parser->is_done())
     {
         auto& body = this->parser->get().body();
@@ -217,6 +226,26 @@
     co_return exchange_state::ok;
 }
 
+asio::awaitable<exchange_state>
+server_exchange::read_ahead_of_event(std::size_t max_bytes)
+{
+    std::string ahead;
+    sse_event_splitter events(max_bytes);
+    while (events.event_count() == 0 && ahead.size() <= max_bytes)
+    {
+        std::string_view piece;
+        const exchange_state state = co_await this->read_some(piece);
+        if (state != exchange_state::ok)
+            co_return state;
+        if (piece.empty())
+            break;
+        ahead += piece;
+        events.feed(piece);
+    }
+    this->read_ahead = std::move(ahead);
+    co_return exchange_state::ok;
+}
+
 void server_exchange::return_to_pool()
 {
     const bool reusable = this->is_complete() && !this->response_skipped &&
--- a/src/adapters/forward/server_exchange.hpp
+++ b/src/adapters/forward/server_exchange.hpp
@@ -89,6 +89,11 @@
     /// has ended.
     asio::awaitable<exchange_state> read_some(std::string_view& piece);
 
+    /// Reads until the first complete event of a stream or its end. What was
+    /// read is returned by the next `read_some`.
+    /// @param max_bytes Reading stops after this many bytes without an event.
+    asio::awaitable<exchange_state> read_ahead_of_event(std::size_t max_bytes);
+
     const response_head& head() const
     {
         return this->parser->get().base();
@@ -119,6 +124,13 @@
         return this->any_byte_sent;
     }
 
+    /// @return Whether a byte of the request may have been handed to the kernel
+    ///         while `send` is still running.
+    bool write_has_begun() const
+    {
+        return this->write_begun;
+    }
+
     /// Returns the connection to the pool if the response was completely read
     /// and the connection can be reused.
     void return_to_pool();
@@ -140,7 +152,10 @@
     edge::backend_connection_ptr connection;
     std::optional<buffered_parser> parser;
     std::array<char, std::size_t(16) << 10> buffer;
+    std::string read_ahead; ///< not yet returned by `read_some`
+    std::string returned;   ///< holds the piece last returned from it
     bool any_byte_sent = false;
+    bool write_begun = false;
     std::size_t max_body_bytes = 0;
     std::size_t body_bytes = 0; ///< read of the present response
     body_framing framing_of_body = body_framing::none;
--- a/src/app/gateway/gateway_app.cpp
+++ b/src/app/gateway/gateway_app.cpp
@@ -90,9 +90,11 @@
     return made;
 }
 
-forward::forward_options make_forward_options()
+forward::forward_options
+make_forward_options(const settings::gateway_settings& settings)
 {
     forward::forward_options made;
+    made.hedge_share = settings.hedging.extra_share;
     made.seed = random_seed();
     return made;
 }
@@ -295,7 +297,7 @@
         }};
     return {
         backend,
-        make_forward_options(),
+        make_forward_options(this->settings),
         users_platform::make_header_names(),
         std::move(ports),
         this->counts};
--- a/src/core/admission/caller_limits.cpp
+++ b/src/core/admission/caller_limits.cpp
@@ -73,6 +73,16 @@
     return added;
 }
 
+void caller_limits::share(caller_number caller)
+{
+    const auto found = this->entries.find(caller);
+    assert(found != this->entries.end() && found->second.in_flight != 0);
+    if (found != this->entries.end())
+    {
+        ++found->second.in_flight;
+    }
+}
+
 void caller_limits::release(caller_number caller)
 {
     const auto found = this->entries.find(caller);
--- a/src/core/admission/caller_limits.hpp
+++ b/src/core/admission/caller_limits.hpp
@@ -35,6 +35,10 @@
     admission
     admit(std::string_view name, const caller_spec& spec, instant now);
 
+    /// Counts a second attempt of an admitted request as in flight, too, until
+    /// `release`. It takes nothing from the caller's rate.
+    void share(caller_number caller);
+
     /// Called when an admitted request has its final answer.
     void release(caller_number caller);
 
--- a/src/core/hedging/hedge_delays.cpp
+++ b/src/core/hedging/hedge_delays.cpp
@@ -38,7 +38,8 @@
     if (now >= one.cached_until)
     {
         one.cached_delay = one.latencies.percentile(late_fraction, now);
-        one.cached_until = now + cache_time;
+        if (one.cached_delay)
+            one.cached_until = now + cache_time;
     }
     return one.cached_delay;
 }
--- a/src/core/request/dispatcher.cpp
+++ b/src/core/request/dispatcher.cpp
@@ -32,6 +32,11 @@
     this->self->abandon(request, now);
 }
 
+std::optional<grant> dispatcher::hedge(ticket running, instant now)
+{
+    return this->self->hedge(running, now);
+}
+
 void dispatcher::crash_examined(
     const crash_seen& what, crash_finding finding, instant now)
 {
--- a/src/core/request/dispatcher_impl.hpp
+++ b/src/core/request/dispatcher_impl.hpp
@@ -28,6 +28,7 @@
     ticket submit(request_info info, instant now);
     finish finished(ticket id, const attempt_result& result, instant now);
     void abandon(ticket id, instant now);
+    std::optional<grant> hedge(ticket running, instant now);
     void
     crash_examined(const crash_seen& crash, crash_finding finding, instant now);
 
@@ -154,6 +155,12 @@
     void release_reservation(ticket id);
     void update_waiting_set(detail::target& destination);
 
+    // dispatcher_hedge.cpp
+    bool may_hedge(const pending& running) const;
+    /// @return Index of a backend that the request hasn't been sent to.
+    std::optional<std::size_t>
+    choose_hedge_backend(const pending& request, instant now);
+
     // dispatcher_permits.cpp
     /// Requests a permit from each rate-limited server of a target that has
     /// requests waiting and no free slot.
--- a/src/ports/dispatch_port.hpp
+++ b/src/ports/dispatch_port.hpp
@@ -3,6 +3,7 @@
 #include <roseworks/dispatcher.hpp>
 
 #include <functional>
+#include <optional>
 #include <variant>
 
 namespace roseworks
@@ -41,6 +42,14 @@
     virtual dispatcher::finish
     finished(ticket request, const attempt_result& result) = 0;
 
+    /// Starts a second attempt beside a granted one; see `dispatcher::hedge`.
+    /// @param handler Receives the replies if the new ticket is continued.
+    /// @return        Empty: no second attempt.
+    virtual std::optional<grant> hedge(ticket, reply_handler)
+    {
+        return std::nullopt;
+    }
+
     /// Removes a request of which nothing was sent, and frees its slot.
     virtual void abandon(ticket request) = 0;
 
--- a/tests/unit/forward/forward_fixture.cpp
+++ b/tests/unit/forward/forward_fixture.cpp
@@ -517,4 +517,13 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(1));
 }
 
+void forward_fixture::disconnect_when(
+    std::string_view bytes, const std::function<bool()>& condition)
+{
+    tcp::socket socket = this->connect();
+    asio::write(socket, asio::buffer(bytes.data(), bytes.size()));
+    while (!condition())
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+}
+
 } // namespace roseworks::forward::tests
--- a/tests/unit/forward/forward_fixture.hpp
+++ b/tests/unit/forward/forward_fixture.hpp
@@ -161,6 +161,18 @@
         return this->relays.local_endpoint();
     }
 
+    /// @return Attempts that hold a slot of a server.
+    std::size_t running_attempts() const
+    {
+        return this->dispatch->in_flight();
+    }
+
+    /// @return The metrics of forwarding.
+    const forward_metrics& counters() const
+    {
+        return this->forward_counters;
+    }
+
     /// @return Permits that were requested so far.
     int permit_requests() const
     {
@@ -217,6 +229,11 @@
     /// response.
     void disconnect_during_response(std::string_view bytes);
 
+    /// Sends a request and closes the connection as soon as the condition
+    /// holds.
+    void disconnect_when(
+        std::string_view bytes, const std::function<bool()>& condition);
+
     /// Sends a request and closes the connection after quota was requested for
     /// it.
     void disconnect_during_quota_wait(std::string_view bytes);
