A caller that leaves early adds no latency sample

Cause: the time until a caller left counted as that of the first attempt. Callers that leave early would pull the percentile down, and hedges would start earlier.

Change: only an attempt that was closed for its hedge adds its age.

--- a/src/adapters/forward/forward_call_hedge.cpp
+++ b/src/adapters/forward/forward_call_hedge.cpp
@@ -154,9 +154,12 @@
         !this->route.repeatable())
         return;
     const instant now = this->context.now();
+    // A caller that left early says nothing about the latency.
+    const bool was_closed_for_hedge =
+        result.how == end_kind::caller_left && !this->inbox->interrupted();
     const bool is_known = this->answer_began ||
                           result.how == end_kind::no_progress ||
-                          result.how == end_kind::caller_left;
+                          was_closed_for_hedge;
     if (is_known)
         this->context.hedges.output_began(
             {this->route.name, size_class_of(this->request.body.size())},
