--- a/src/core/hedging/latency_window.cpp
+++ b/src/core/hedging/latency_window.cpp
@@ -57,12 +57,12 @@
 
 std::size_t latency_window::bucket_of(duration latency)
 {
-    constexpr int sub_bits = std::bit_width(sub_buckets) - 1;
+    constexpr int sub_bits = static_cast<int>(std::bit_width(sub_buckets)) - 1;
     const auto units = static_cast<std::uint64_t>(
         std::max(latency, duration::zero()) / resolution);
     if (units < sub_buckets)
         return units;
-    const int shift = std::bit_width(units) - 1 - sub_bits;
+    const int shift = static_cast<int>(std::bit_width(units)) - 1 - sub_bits;
     const std::size_t octave = static_cast<std::size_t>(shift) + 1;
     const std::size_t within = (units >> shift) - sub_buckets;
     return std::min(octave * sub_buckets + within, bucket_count - 1);
