--- a/src/app/gateway/gateway_app.cpp
+++ b/src/app/gateway/gateway_app.cpp
@@ -96,6 +96,7 @@
 {
     forward::forward_options made;
     made.order_by_route_rank = settings.room.count_saturated;
+    made.hedge_share = settings.hedging.extra_share;
     made.seed = random_seed();
     if (settings.quota.order_by_urgency)
         made.urgency_window = limit_window(settings);
--- a/src/app/gateway/gateway_options.cpp
+++ b/src/app/gateway/gateway_options.cpp
@@ -81,6 +81,7 @@
     made.retries.window = std::max(settings.bounds.retry_window, min_window);
     made.order_by_urgency = settings.quota.order_by_urgency;
     made.on_class_usage = std::move(on_class_usage);
+    made.hedge_share = settings.hedging.extra_share;
     std::random_device device;
     made.seed = std::uint64_t(device()) << 32;
     return made;
