--- a/tests/unit/users_platform/test_copy_exchange.cpp
+++ b/tests/unit/users_platform/test_copy_exchange.cpp
@@ -73,25 +73,42 @@
     explicit exchange_fixture(
         std::size_t max_concurrent_requests = 8,
         std::size_t max_connections = 64)
-        : provider(
-              this->loop,
-              options(this->loop, max_concurrent_requests, max_connections),
-              this->meter)
-        , requester(this->loop, options(this->loop, 8, 64), this->meter)
+        : provider_made(make(max_concurrent_requests, max_connections))
+        , requester_made(make(8, 64))
+        , provider(*this->provider_made)
+        , requester(*this->requester_made)
     {
         this->provider.serve(this->topics);
     }
 
-    copy_exchange::options
-    options(asio::io_context& on, std::size_t most, std::size_t max_connections)
+    /// Another process may take a free port before it is bound here, so a port
+    /// that is in use by then is replaced by another one.
+    std::unique_ptr<copy_exchange>
+    make(std::size_t most, std::size_t max_connections)
     {
-        copy_exchange::options result;
-        result.listen = free_endpoint(on);
-        result.max_concurrent_requests = most;
-        result.max_connections = max_connections;
-        if (this->provider_address.empty())
-            this->provider_address = to_text(result.listen);
-        return result;
+        constexpr int max_tries = 20;
+        for (int i = 1;; ++i)
+        {
+            copy_exchange::options chosen;
+            chosen.listen = free_endpoint(this->loop);
+            chosen.max_concurrent_requests = most;
+            chosen.max_connections = max_connections;
+            try
+            {
+                auto made = std::make_unique<copy_exchange>(
+                    this->loop, chosen, this->meter);
+                if (this->provider_address.empty())
+                    this->provider_address = to_text(chosen.listen);
+                return made;
+            }
+            catch (const boost::system::system_error& error)
+            {
+                const bool is_taken =
+                    error.code() == boost::asio::error::address_in_use;
+                if (!is_taken || i == max_tries)
+                    throw;
+            }
+        }
     }
 
     std::optional<directory_copy> fetch(const copy_request& request)
@@ -122,8 +139,10 @@
     asio::io_context loop;
     platform::byte_meter meter;
     fake_copy_source topics;
-    copy_exchange provider;
-    copy_exchange requester;
+    std::unique_ptr<copy_exchange> provider_made;
+    std::unique_ptr<copy_exchange> requester_made;
+    copy_exchange& provider;
+    copy_exchange& requester;
 };
 
 } // namespace
