--- a/src/core/pace/pace_estimator.hpp
+++ b/src/core/pace/pace_estimator.hpp
@@ -58,7 +58,7 @@
         duration fade_from = std::chrono::seconds(2);
         duration fade_until = std::chrono::seconds(30);
         std::size_t max_models = 8; ///< of an engine
-        /// Maximum number of routers that are told apart, for each engine and
+        /// Maximum number of routers counted separately, for each engine and
         /// model. Further ones share these entries.
         std::size_t max_reporters = 32;
     };
--- a/src/core/quota/quota_accountant.cpp
+++ b/src/core/quota/quota_accountant.cpp
@@ -310,8 +310,8 @@
 
 void quota_accountant::add_places(account& entry, double slots) const
 {
-    // After a restart, the routers have more requests at the server than this
-    // accountant has been told.
+    // After a restart, the routers have more requests at the server than they
+    // have reported to this accountant.
     entry.places.emplace(slots);
     entry.places->set_share(this->active_fraction);
 }
--- a/tests/unit/hedging/test_attempt_race.cpp
+++ b/tests/unit/hedging/test_attempt_race.cpp
@@ -89,7 +89,7 @@
 }
 
 /// Any order of events: an answer assembled from two attempts is never possible
-/// because at most one attempt is ever told that it wins, and only once.
+/// because at most one attempt ever wins, and only once.
 Test(attempt_race, at_most_one_attempt_wins_whatever_happens)
 {
     std::mt19937_64 random(1);
--- a/tests/unit/pace/test_paced_fleet.cpp
+++ b/tests/unit/pace/test_paced_fleet.cpp
@@ -232,7 +232,7 @@
     cr_expect_eq(fleet.pace_at(1, 4), 100U);
 }
 
-/// Two owners, of which each hears a part of the routers, must both end up with
+/// Two owners that each get the reports of a part of the routers must both have
 /// estimates that are of use.
 Test(paced_fleet, two_owners_give_usable_estimates, .timeout = 300)
 {
