--- a/src/adapters/forward/attempt_run.hpp
+++ b/src/adapters/forward/attempt_run.hpp
@@ -17,8 +17,8 @@
 
     Runs on its own up to the first output: the head of the response, or of an
     event stream the first event. Closing it closes its connection, which stops
-    the request on the server. Event loop only. Must be owned by a `shared_ptr`: the
-   run keeps itself alive until its connection has ended.
+    the request on the server. Event loop only. Must be owned by a `shared_ptr`:
+   the run keeps itself alive until its connection has ended.
 */
 class attempt_run : public std::enable_shared_from_this<attempt_run>
 {
