The end of a request names what its server stated: that it leaves, or a pause

What couldn't be told apart: whether a router doesn't read that a server leaves, or asks for a pause, or reads it and forgets it, or doesn't use it on each path. request_served and request_ended have server_leaving and server_pause now, and roseworks_server_notices_total counts both.

--- a/src/adapters/events/event_catalogue.cpp
+++ b/src/adapters/events/event_catalogue.cpp
@@ -293,14 +293,14 @@
      "Sampled under load.",
      "request_id, route, servable, organisation, end, status, reason, server, "
      "software, first_software, last_event, resumes, origin, relay, server_limit, "
-     "framing, sends, objective_ms, wait_ms, first_ms, "
+     "server_pause, server_leaving, framing, sends, objective_ms, wait_ms, first_ms, "
      "total_ms, events, unfinished_bytes",
      no_action},
     {request_ended, info, "request_ended",
      "A request ended in any other way, or was sent more than once.",
      "request_id, route, servable, organisation, end, status, reason, server, "
      "software, first_software, last_event, resumes, origin, relay, server_limit, "
-     "framing, sends, objective_ms, wait_ms, first_ms, "
+     "server_pause, server_leaving, framing, sends, objective_ms, wait_ms, first_ms, "
      "total_ms, events, unfinished_bytes, target",
      "Trace the request by its id as shown in docs/OPERATIONS.md."},
     {lines_left_out, warn, "lines_left_out",
--- a/src/adapters/forward/forward_call.cpp
+++ b/src/adapters/forward/forward_call.cpp
@@ -1,6 +1,6 @@
 #include "adapters/forward/forward_call.hpp"
 
-#include "adapters/forward/rate_limit_header.hpp"
+#include "adapters/forward/notice_headers.hpp"
 #include "adapters/forward/response_head.hpp"
 #include "core/serving/servable_key.hpp"
 #include "ports/hex_text.hpp"
@@ -482,12 +482,14 @@
         this->context.events.report(
             event_id::server_limit_malformed,
             {{"server", this->last_server}, {"value", this->last_rate_limit}});
-    const server_notice notice{
-        rate_limit.requests_per_second,
-        parse_max_rejections(exchange.head(), this->context.names),
-        load,
-        exchange.head().result_int() == status_unavailable &&
-            is_not_run_refusal(exchange.head(), this->context.names)};
+    server_notice notice = parse_notice(exchange.head(), this->context.names);
+    notice.load = load;
+    this->last_leaving = notice.leaving;
+    this->last_pause = pause_text(exchange.head()).substr(0, max_logged_length);
+    if (notice.leaving)
+        this->context.metrics.notices.increment(notice_kind::leaving);
+    if (notice.pause)
+        this->context.metrics.notices.increment(notice_kind::pause);
     this->context.ports.response_received(
         this->last_server, notice, this->sent_at);
 }
@@ -569,6 +571,8 @@
           this->takes_up_stream() ? to_string(this->origin_known_by) : ""},
          {"relay", this->last_relay},
          {"server_limit", this->last_rate_limit},
+         {"server_pause", this->last_pause},
+         {"server_leaving", this->last_leaving ? 1 : 0},
          {"framing", to_string(this->last_framing)},
          {"sends", this->sends},
          {"objective_ms", to_milliseconds(this->route.objective)},
--- a/src/adapters/forward/forward_call.hpp
+++ b/src/adapters/forward/forward_call.hpp
@@ -256,6 +256,8 @@
     software_version first_software;
     std::string last_relay; ///< router that relayed the last attempt; or empty
     std::string last_rate_limit; ///< in the last response; empty: none
+    std::string last_pause;      ///< the same
+    bool last_leaving = false;   ///< the last response said so of its server
     body_framing last_framing = body_framing::none; ///< of the last response
     bool quota_reserved = false; ///< from the organisation's limit
     bool retry_reserved = false; ///< from the service's limit, and not sent yet
--- a/src/adapters/forward/forward_metrics.cpp
+++ b/src/adapters/forward/forward_metrics.cpp
@@ -27,6 +27,11 @@
           "roseworks_hedge_tokens_total",
           "Tokens that attempts closed for another one may have cost at most, "
           "where the caller stated them."))
+    , notices(registry.add_counter<notice_kind>(
+          "roseworks_server_notices_total",
+          "Responses in which a backend server says that it leaves, or asks "
+          "for "
+          "a pause."))
     , relayed_connections(registry.add_counter<>(
           "roseworks_relayed_connections_total",
           "Connections to backend servers opened through another router."))
--- a/src/adapters/forward/forward_metrics.hpp
+++ b/src/adapters/forward/forward_metrics.hpp
@@ -30,6 +30,13 @@
     waited
 };
 
+/// What a backend server states about itself in a response.
+enum class notice_kind : std::uint8_t
+{
+    leaving, ///< it is about to end
+    pause    ///< it wants no requests for a while
+};
+
 /// How a hedge ended.
 enum class hedge_end : std::uint8_t
 {
@@ -92,6 +99,14 @@
         "retry_budget"};
 };
 
+template <>
+struct label_traits<forward::notice_kind>
+{
+    static constexpr std::string_view name = "notice";
+    static constexpr std::array<std::string_view, 2> values = {
+        "leaving", "pause"};
+};
+
 template <>
 struct label_traits<forward::admission>
 {
@@ -142,7 +157,8 @@
     metrics::counter<>& hedges_sent;
     metrics::counter<hedge_end>& hedges;
     metrics::counter<hedge_limit>& hedges_refused;
-    metrics::counter<>& hedge_tokens; ///< of closed attempts
+    metrics::counter<>& hedge_tokens;       ///< of closed attempts
+    metrics::counter<notice_kind>& notices; ///< of backend servers
     metrics::counter<>& relayed_connections;
     metrics::counter<origin_source>& origins; ///< of streams taken up
     metrics::counter<>& late_answers;
--- a/src/adapters/forward/header_names.hpp
+++ b/src/adapters/forward/header_names.hpp
@@ -23,6 +23,7 @@
     std::string rate_limit;      ///< requests per second the server accepts
     /// Rejections per second that a brittle server withstands.
     std::string max_rejections;
+    std::string leaving;    ///< set in each response of a leaving server
     std::string priority;   ///< 0 to 9
     std::string last_event; ///< last event that the caller received
     /// Request ID of the attempt that brought the first event of the stream
--- a/src/adapters/forward/rate_limit_header.cpp
+++ b/src/adapters/forward/notice_headers.cpp
@@ -1,4 +1,4 @@
-#include "adapters/forward/rate_limit_header.hpp"
+#include "adapters/forward/notice_headers.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -11,6 +11,15 @@
 namespace
 {
 
+constexpr unsigned status_too_many = 429;
+constexpr unsigned status_unavailable = 503;
+
+/// A longer pause is more likely a mistake than a wish.
+constexpr duration longest_pause = std::chrono::hours(1);
+
+/// Value of the header that states that the server leaves.
+constexpr std::string_view is_leaving = "1";
+
 std::optional<double> parse_number(std::string_view text)
 {
     double number = 0;
@@ -56,4 +65,29 @@
     return parse_header(head, names.max_rejections).requests_per_second;
 }
 
+std::string_view pause_text(const response_head& head)
+{
+    const unsigned status = head.result_int();
+    if (status != status_too_many && status != status_unavailable)
+        return {};
+    const auto value = head[boost::beast::http::field::retry_after];
+    return {value.data(), value.size()};
+}
+
+server_notice
+parse_notice(const response_head& head, const header_names& names)
+{
+    server_notice notice;
+    notice.rate_limit = parse_rate_limit(head, names).requests_per_second;
+    notice.max_rejections = parse_max_rejections(head, names);
+    notice.no_room = head.result_int() == status_unavailable &&
+                     is_not_run_refusal(head, names);
+    notice.leaving = head[names.leaving] == is_leaving;
+    if (const auto seconds = parse_number(pause_text(head)))
+        notice.pause = std::chrono::duration_cast<duration>(
+            std::min<std::chrono::duration<double>>(
+                std::chrono::duration<double>(*seconds), longest_pause));
+    return notice;
+}
+
 } // namespace roseworks::forward
--- a/src/adapters/forward/rate_limit_header.hpp
+++ b/src/adapters/forward/notice_headers.hpp
@@ -2,6 +2,7 @@
 
 #include "adapters/forward/header_names.hpp"
 #include "adapters/forward/response_head.hpp"
+#include "core/pacing/server_notice.hpp"
 
 #include <optional>
 #include <string_view>
@@ -27,4 +28,14 @@
 server_rate_limit
 parse_rate_limit(const response_head& head, const header_names& names);
 
+/// @return The value of Retry-After in a rejection (429 or 503), as received.
+///         Empty in other responses. Refers to the head.
+std::string_view pause_text(const response_head& head);
+
+/// @return What the response states about its server, except for its load. A
+///         Retry-After that isn't a number of seconds is ignored; one of more
+///         than an hour counts as an hour.
+server_notice
+parse_notice(const response_head& head, const header_names& names);
+
 } // namespace roseworks::forward
--- a/src/core/pacing/server_notice.hpp
+++ b/src/core/pacing/server_notice.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <roseworks/instant.hpp>
+
 #include <cstdint>
 #include <optional>
 
@@ -13,7 +15,8 @@
     std::uint32_t waiting = 0;
 };
 
-/// What an answer of a backend server says about the load that it bears.
+/// What an answer of a backend server states about the server itself. It holds
+/// for longer than the attempt that it answers.
 struct server_notice
 {
     /// Requests per second that it accepts from all routers together.
@@ -23,6 +26,10 @@
     std::optional<double> max_rejections;
     std::optional<server_load_notice> load;
     bool no_room = false; ///< it rejected the request for want of room
+    /// The server is about to end, and takes no new requests.
+    bool leaving = false;
+    /// Time for which it wants no requests of this router.
+    std::optional<duration> pause;
 
     /// @return Whether the answer announces no limit.
     bool is_empty() const
