--- a/tests/unit/server_limits/router_fleet.cpp
+++ b/tests/unit/server_limits/router_fleet.cpp
@@ -146,6 +146,8 @@
 
 void router_fleet::request_submitted(std::size_t, ticket) {}
 
+void router_fleet::request_refused(std::size_t, const refusal&) {}
+
 void router_fleet::handle_request(std::size_t number)
 {
     const ticket id = this->routers[number].traffic->submit(
@@ -301,8 +303,11 @@
     {
         if (const auto* granted = std::get_if<grant>(&command))
             this->run_request(number, *granted);
-        else if (std::holds_alternative<refusal>(command))
+        else if (const auto* refused = std::get_if<refusal>(&command))
+        {
             ++this->refused_count;
+            this->request_refused(number, *refused);
+        }
         else if (const auto* wanted = std::get_if<permit_wanted>(&command))
             this->draw_permit(number, *wanted);
         else if (const auto* place = std::get_if<place_released>(&command))
--- a/tests/unit/server_limits/router_fleet.hpp
+++ b/tests/unit/server_limits/router_fleet.hpp
@@ -121,6 +121,9 @@
     /// A router has taken in the request that was made last.
     virtual void request_submitted(std::size_t number, ticket id);
 
+    /// A router has refused a request that waited.
+    virtual void request_refused(std::size_t number, const refusal& refused);
+
     /// An engine answered a request.
     void handle_notice(
         std::size_t number,
