A server that states that it leaves gets no further request

What callers saw: requests reached an engine 3.3 to 7.6 s after an answer had told the router that sent them that it leaves, while the store was away.

Cause: that a server leaves was known from the registry only. What a response states of its server was read as the result of one attempt and forgotten with it.

Why it works: each response head is read where it is accepted, for every path (first attempts, retries, hedges and their losers, resumed streams, relayed connections), and the dispatcher knows it before the next decision. It is asked once more just before the first byte: what was granted before ends as withheld, which counts neither as a retry nor as a failure. The statement belongs to one life of the server: no registry entry takes it back, a restart ends it. The serving table, the placement owner and the other routers learn it; what another router reports expires, and a later answer refutes it. A router that relays reads the responses that it passes on, and rejects requests itself that it may not send. An engine's report that it leaves counts, too.

The property test of the dispatcher knows the new end of an attempt and draws it.

--- a/include/roseworks/dispatcher.hpp
+++ b/include/roseworks/dispatcher.hpp
@@ -146,6 +146,7 @@
         answered,        ///< the answer is complete
         refused_not_run, ///< the server reported that it did not run
         not_sent,        ///< no byte was sent: connect failed or timed out
+        withheld,        ///< no byte was sent: the server takes no requests now
         broken,          ///< the connection broke after bytes were sent
         no_progress,     ///< a progress timer expired after bytes were sent
         stopped,         ///< stopped by a cancel, which may have been late
@@ -344,9 +345,18 @@
     /// equal share of a server's slots, whatever the others run there.
     void routers_alive(std::size_t count, instant now);
 
-    /// While `leaving`, backend servers on this VM get no new requests.
+    /// While `leaving`, backend servers on this VM get no new requests. Where
+    /// servers have no known VM, the routing table names each of them by its id
+    /// instead.
     void vm_leaving(std::string_view vm, bool leaving, instant now);
 
+    /// Asked before the first byte of a granted request is sent, since the
+    /// server may have stated something after the grant.
+    /// @param vm As in the routing table.
+    /// @return Whether the server takes requests.
+    bool takes_requests(
+        const server_place& server, std::string_view vm, instant now) const;
+
     /// Shuts down: waiting requests are refused with reason `draining` and
     /// verdict `not_run`; granted requests continue.
     void drain(instant now);
--- a/src/adapters/edge/shared_dispatcher.cpp
+++ b/src/adapters/edge/shared_dispatcher.cpp
@@ -86,6 +86,25 @@
     return granted;
 }
 
+void shared_dispatcher::server_stated(
+    const server_place&, std::string_view instance, const server_notice& notice)
+{
+    if (!notice.leaving)
+        return;
+    this->with_lock(
+        [&](instant time)
+        {
+            this->core.vm_leaving(instance, true, time);
+        });
+}
+
+bool shared_dispatcher::takes_requests(
+    const server_place& place, std::string_view instance) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->core.takes_requests(place, instance, this->clock.now());
+}
+
 void shared_dispatcher::abandon(ticket request)
 {
     this->with_lock(
--- a/src/adapters/edge/shared_dispatcher.hpp
+++ b/src/adapters/edge/shared_dispatcher.hpp
@@ -57,6 +57,12 @@
     dispatcher::finish
     finished(ticket request, const attempt_result& result) override;
     std::optional<grant> hedge(ticket running, reply_handler handler) override;
+    void server_stated(
+        const server_place& place,
+        std::string_view instance,
+        const server_notice& notice) override;
+    bool takes_requests(
+        const server_place& place, std::string_view instance) const override;
     void abandon(ticket request) override;
     void drain() override;
 
--- a/src/adapters/events/event_catalogue.cpp
+++ b/src/adapters/events/event_catalogue.cpp
@@ -461,6 +461,11 @@
      "are counted over all routers, up to `places`. 0: its slots have not been "
      "full for a while.",
      "server, is_saturated, places", no_action},
+    {server_leaving, info, "server_leaving",
+     "is_leaving 1: a backend server leaves and gets no new requests, as it "
+     "stated in an answer (source server), or as another router reports (source "
+     "router). 0: the report expired or was refuted, or the server restarted.",
+     "server, is_leaving, source", no_action},
     {placement_owned, info, "placement_owned",
      "This router now owns placement and sends orders to the engines.",
      "fence", no_action},
--- a/src/adapters/forward/forward_call.cpp
+++ b/src/adapters/forward/forward_call.cpp
@@ -295,8 +295,7 @@
         if (granted.engine && result.how == end_kind::refused_not_run)
             co_await this->wait_for_table_update(servable, this->last_server);
     }
-    const bool ran = result.how != end_kind::not_sent &&
-                     result.how != end_kind::refused_not_run;
+    const bool ran = may_have_reached_a_run(result.how);
     this->may_have_run = this->may_have_run || ran;
     this->attempts += ran ? 1 : 0;
     const dispatcher::finish finish =
@@ -386,8 +385,10 @@
         this->route.repeatable()
             ? duration(this->context.options.connection_max_idle)
             : duration(this->context.options.non_repeatable_max_idle);
-    exchange_state state = co_await exchange.send(
-        granted.address, bytes, longest_idle, this->deadline);
+    const exchange_target target{
+        {granted.engine, granted.address}, server.instance};
+    exchange_state state =
+        co_await exchange.send(target, bytes, longest_idle, this->deadline);
     this->last_relay = exchange.relay();
     if (exchange.sent())
     {
@@ -406,6 +407,13 @@
     const server_exchange& exchange,
     exchange_state state)
 {
+    if (exchange.withheld())
+    {
+        this->context.metrics.requests_withheld.increment();
+        attempt_result withheld;
+        withheld.how = end_kind::withheld;
+        return withheld;
+    }
     if (state != exchange_state::ok)
     {
         if (state == exchange_state::not_sent)
@@ -418,7 +426,8 @@
         return failed;
     }
     this->last_framing = exchange.framing();
-    this->report_notice(exchange, this->report_load(granted, exchange));
+    this->report_notice(
+        granted, server, exchange, this->report_load(granted, exchange));
     if (is_not_run_refusal(exchange.head(), this->context.names))
     {
         if (exchange.head().result_int() == status_misdirected)
@@ -472,7 +481,10 @@
 }
 
 void forward_call::report_notice(
-    const server_exchange& exchange, std::optional<server_load_notice> load)
+    const grant& granted,
+    const server_identity& server,
+    const server_exchange& exchange,
+    std::optional<server_load_notice> load)
 {
     constexpr std::size_t max_logged_length = 32;
     const server_rate_limit rate_limit =
@@ -490,8 +502,11 @@
         this->context.metrics.notices.increment(notice_kind::leaving);
     if (notice.pause)
         this->context.metrics.notices.increment(notice_kind::pause);
-    this->context.ports.response_received(
-        this->last_server, notice, this->sent_at);
+    if (!is_of_server(exchange.head(), this->context.names, server.instance))
+        return;
+    this->context.ports.dispatch.server_stated(
+        {granted.engine, granted.address}, server.instance, notice);
+    this->context.ports.response_received(server, notice, this->sent_at);
 }
 
 asio::awaitable<void>
--- a/src/adapters/forward/forward_call.hpp
+++ b/src/adapters/forward/forward_call.hpp
@@ -25,6 +25,15 @@
 namespace roseworks::forward
 {
 
+/// @return Whether a server may have run the request in an attempt that ended
+///         in this way.
+constexpr bool may_have_reached_a_run(attempt_result::end how)
+{
+    return how != attempt_result::end::not_sent &&
+           how != attempt_result::end::withheld &&
+           how != attempt_result::end::refused_not_run;
+}
+
 /// @param content Hash of the request.
 /// @return Time for which the request, or a part of its prompt, is blocked;
 ///         zero: it isn't.
@@ -192,6 +201,8 @@
     report_load(const grant& granted, const server_exchange& exchange);
     /// Reports what the server's response says about its limits and its load.
     void report_notice(
+        const grant& granted,
+        const server_identity& server,
         const server_exchange& exchange,
         std::optional<server_load_notice> load);
     /// @return Whether another server can continue the caller's stream.
--- a/src/adapters/forward/forward_call_hedge.cpp
+++ b/src/adapters/forward/forward_call_hedge.cpp
@@ -383,8 +383,7 @@
     const attempt_result result = failed.value_or(closed_attempt());
     if (!is_hedge)
         this->record_latency(result);
-    const bool ran = result.how != end_kind::not_sent &&
-                     result.how != end_kind::refused_not_run;
+    const bool ran = may_have_reached_a_run(result.how);
     this->may_have_run = this->may_have_run || ran;
     this->attempts += ran ? 1 : 0;
     if (run.granted.engine && result.how == end_kind::refused_not_run)
@@ -412,6 +411,11 @@
     run.detach();
     run.close();
     this->use_run(run);
+    const bool has_response =
+        run.is_settled() && run.state() == exchange_state::ok;
+    if (has_response)
+        this->report_notice(
+            run.granted, run.server, run.exchange(), std::nullopt);
     // A lower bound: without it, the known latencies would only be those of
     // attempts that were in time.
     if (!is_hedge)
--- a/src/adapters/forward/forward_context.hpp
+++ b/src/adapters/forward/forward_context.hpp
@@ -98,7 +98,9 @@
     /// A server responded.
     /// @param sent When the request was sent.
     std::function<void(
-        const std::string& server, const server_notice& notice, instant sent)>
+        const server_identity& server,
+        const server_notice& notice,
+        instant sent)>
         response_received;
     /// Whether other routers have a newer configuration than the table's. What
     /// the table lacks may be defined there.
--- a/src/adapters/forward/forward_metrics.hpp
+++ b/src/adapters/forward/forward_metrics.hpp
@@ -159,6 +159,7 @@
     metrics::counter<hedge_limit>& hedges_refused;
     metrics::counter<>& hedge_tokens;       ///< of closed attempts
     metrics::counter<notice_kind>& notices; ///< of backend servers
+    metrics::counter<>& requests_withheld;
     metrics::counter<>& relayed_connections;
     metrics::counter<origin_source>& origins; ///< of streams taken up
     metrics::counter<>& late_answers;
--- /dev/null
+++ b/src/adapters/forward/relayed_notices.cpp
@@ -0,0 +1,66 @@
+#include "adapters/forward/relayed_notices.hpp"
+
+#include "adapters/forward/notice_headers.hpp"
+#include "adapters/forward/response_head.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <optional>
+
+namespace roseworks::forward
+{
+
+namespace
+{
+
+std::optional<response_head> parse_head(std::string_view text)
+{
+    boost::beast::http::response_parser<boost::beast::http::empty_body> parser;
+    boost::system::error_code error;
+    parser.put(boost::asio::buffer(text.data(), text.size()), error);
+    if (!parser.is_header_done())
+        return std::nullopt;
+    return parser.get().base();
+}
+
+} // namespace
+
+relayed_notices::relayed_notices(forward_context& shared)
+    : context(shared)
+{
+}
+
+std::string relayed_notices::rejection_for(std::string_view server) const
+{
+    const std::string address(server);
+    const serving_table_ptr table = this->context.ports.table();
+    const server_identity* known =
+        table ? table->find_server(address) : nullptr;
+    if (known == nullptr || this->context.ports.dispatch.takes_requests(
+                                {known->engine, address}, known->instance))
+        return {};
+    return "HTTP/1.1 503 Service Unavailable\r\n" +
+           this->context.names.not_run +
+           ": 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+}
+
+void relayed_notices::response_relayed(
+    std::string_view server, std::string_view head)
+{
+    const std::string address(server);
+    const serving_table_ptr table = this->context.ports.table();
+    const server_identity* known =
+        table ? table->find_server(address) : nullptr;
+    const auto parsed = parse_head(head);
+    if (known == nullptr || !parsed ||
+        !is_of_server(*parsed, this->context.names, known->instance))
+        return;
+    const server_notice notice = parse_notice(*parsed, this->context.names);
+    this->context.ports.dispatch.server_stated(
+        {known->engine, address}, known->instance, notice);
+    this->context.ports.response_received(*known, notice, this->context.now());
+}
+
+} // namespace roseworks::forward
--- a/src/adapters/forward/response_head.cpp
+++ b/src/adapters/forward/response_head.cpp
@@ -56,6 +56,16 @@
            (refusal && head.find(names.not_run) != head.end());
 }
 
+bool is_of_server(
+    const response_head& head,
+    const header_names& names,
+    std::string_view instance)
+{
+    const std::string_view named = to_string_view(head[names.instance]);
+    return head.result_int() != status_misdirected &&
+           (named.empty() || named == instance);
+}
+
 bool is_event_stream(const response_head& head)
 {
     return beast::iequals(
--- a/src/adapters/forward/response_head.hpp
+++ b/src/adapters/forward/response_head.hpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http/message.hpp>
 
 #include <string>
+#include <string_view>
 
 namespace roseworks::forward
 {
@@ -16,6 +17,13 @@
 /// @return Whether the response states that the request did not run.
 bool is_not_run_refusal(const response_head& head, const header_names& names);
 
+/// @return Whether the response comes from the server with this id: another
+///         one may answer at its address.
+bool is_of_server(
+    const response_head& head,
+    const header_names& names,
+    std::string_view instance);
+
 /// @return Whether the body is a stream of server-sent events.
 bool is_event_stream(const response_head& head);
 
--- a/src/adapters/forward/server_exchange.cpp
+++ b/src/adapters/forward/server_exchange.cpp
@@ -68,12 +68,12 @@
 }
 
 asio::awaitable<exchange_state> server_exchange::send(
-    std::string address,
+    exchange_target server,
     std::string_view bytes,
     duration longest_idle,
     instant until)
 {
-    this->server_address = std::move(address);
+    this->target = std::move(server);
     this->deadline = until;
     this->inbox.on_interrupt = [this]
     {
@@ -87,8 +87,8 @@
         co_return state;
     const bool was_pooled = this->connection->pooled;
     state = co_await this->write(bytes);
-    const bool nothing_sent =
-        state != exchange_state::ok && was_pooled && !this->any_byte_sent;
+    const bool nothing_sent = state != exchange_state::ok && was_pooled &&
+                              !this->any_byte_sent && !this->is_withheld;
     if (!nothing_sent || this->inbox.interrupted())
         co_return state;
     // The pooled connection was already closed, and no byte was sent on it.
@@ -103,11 +103,11 @@
     const edge::connection_opener& opener = this->context.ports.connections;
     do
         this->connection =
-            this->pool.acquire(this->server_address, longest_idle);
+            this->pool.acquire(this->target.place.address, longest_idle);
     while (this->connection && !opener.may_reuse(*this->connection));
     if (this->connection)
         co_return exchange_state::ok;
-    this->connection = this->pool.make(this->server_address);
+    this->connection = this->pool.make(this->target.place.address);
     const duration remaining = this->deadline - this->context.now();
     const duration max_timeout = this->context.options.connect_timeout;
     const edge::connect_result result =
@@ -123,6 +123,11 @@
 
 asio::awaitable<exchange_state> server_exchange::write(std::string_view bytes)
 {
+    const dispatch_port& dispatch = this->context.ports.dispatch;
+    this->is_withheld =
+        !dispatch.takes_requests(this->target.place, this->target.instance);
+    if (this->is_withheld)
+        co_return exchange_state::not_sent;
     this->apply_deadline();
     this->write_begun = true;
     const auto [error, size] = co_await asio::async_write(
--- a/src/adapters/forward/server_exchange.hpp
+++ b/src/adapters/forward/server_exchange.hpp
@@ -43,6 +43,13 @@
 /// @return The name that log lines use.
 std::string_view to_string(body_framing framing);
 
+/// The server that a request is sent to.
+struct exchange_target
+{
+    server_place place;
+    std::string instance; ///< id of the server
+};
+
 /** Sends one request to one backend server and reads the response in parts.
 
     One deadline applies to all steps together. A closed connection tells the
@@ -61,12 +68,13 @@
     server_exchange(const server_exchange&) = delete;
     server_exchange& operator=(const server_exchange&) = delete;
 
-    /// Sends the request on a pooled connection or on a new one.
+    /// Sends the request on a pooled connection or on a new one. Sends nothing
+    /// if the server takes no requests any more once a connection is open.
     /// @param longest_idle Longest time that a pooled connection may have been
     ///                     idle.
     /// @param until        Deadline of the exchange.
     asio::awaitable<exchange_state> send(
-        std::string address,
+        exchange_target server,
         std::string_view bytes,
         duration longest_idle,
         instant until);
@@ -124,6 +132,12 @@
         return this->any_byte_sent;
     }
 
+    /// @return Whether nothing was sent because the server takes no requests.
+    bool withheld() const
+    {
+        return this->is_withheld;
+    }
+
     /// @return Whether a byte of the request may have been handed to the kernel
     ///         while `send` is still running.
     bool write_has_begun() const
@@ -147,7 +161,7 @@
     forward_context& context;
     edge::backend_pool& pool;
     edge::call_inbox& inbox;
-    std::string server_address;
+    exchange_target target;
     instant deadline;
     edge::backend_connection_ptr connection;
     std::optional<buffered_parser> parser;
@@ -155,6 +169,7 @@
     std::string read_ahead; ///< not yet returned by `read_some`
     std::string returned;   ///< holds the piece last returned from it
     bool any_byte_sent = false;
+    bool is_withheld = false;
     bool write_begun = false;
     std::size_t max_body_bytes = 0;
     std::size_t body_bytes = 0; ///< read of the present response
--- a/src/adapters/relay/relay_server.cpp
+++ b/src/adapters/relay/relay_server.cpp
@@ -31,12 +31,14 @@
     options chosen,
     edge::backend_context& shared,
     relayed_opener& connection_opener,
-    std::function<serving_table_ptr()> newest_table)
+    std::function<serving_table_ptr()> newest_table,
+    relay_watch& known)
     : executor(std::move(loop))
     , settings(chosen)
     , context(shared)
     , opener(connection_opener)
     , table(std::move(newest_table))
+    , watch(known)
     , acceptor(this->executor)
 {
 }
@@ -141,7 +143,8 @@
     caller.expires_never();
     edge::enable_dead_peer_detection(
         caller.socket(), this->context.options.tcp_user_timeout);
-    relayed_connection relayed(caller.socket(), server.stream.socket());
+    relayed_connection relayed(
+        caller.socket(), server.stream.socket(), request->server, this->watch);
     this->open_connections.insert(&relayed);
     co_await relayed.run();
     this->open_connections.erase(&relayed);
@@ -155,6 +158,8 @@
     const serving_table_ptr current = this->table();
     if (!current || current->find_server(request.server) == nullptr)
         co_return relay_status::not_listed;
+    if (!this->watch.rejection_for(request.server).empty())
+        co_return relay_status::busy;
     if (!this->opener.tries_for_other(request.server))
         co_return this->opener.is_cut_off() ? relay_status::cut_off
                                             : relay_status::not_tried;
--- a/src/adapters/relay/relay_server.hpp
+++ b/src/adapters/relay/relay_server.hpp
@@ -3,6 +3,7 @@
 #include "adapters/edge/backend_context.hpp"
 #include "adapters/edge/net.hpp"
 #include "adapters/relay/relay_messages.hpp"
+#include "adapters/relay/relay_watch.hpp"
 #include "adapters/relay/relayed_opener.hpp"
 #include "adapters/tls/secure_stream.hpp"
 #include "core/serving/serving_table.hpp"
@@ -42,12 +43,14 @@
     };
 
     /// @param table Newest serving table; null: none yet.
+    /// @param watch Must outlive the event loop.
     relay_server(
         edge::asio::any_io_executor loop,
         options settings,
         edge::backend_context& shared,
         relayed_opener& opener,
-        std::function<serving_table_ptr()> table);
+        std::function<serving_table_ptr()> table,
+        relay_watch& watch);
     ~relay_server();
 
     /// Binds to the endpoint and starts to accept connections.
@@ -96,6 +99,7 @@
     edge::backend_context& context;
     relayed_opener& opener;
     std::function<serving_table_ptr()> table;
+    relay_watch& watch;
     edge::tcp::acceptor acceptor;
     edge::tcp::endpoint bound_endpoint;
     std::set<edge::asio::ip::address> routers;
--- a/src/app/gateway/engine_reach.cpp
+++ b/src/app/gateway/engine_reach.cpp
@@ -18,14 +18,14 @@
     engine_command_port& engine_commands,
     edge::connection_opener& direct_way,
     reach_opinion_port& other_routers,
-    std::function<void(bool)> on_change)
+    callbacks handlers)
     : loop(context)
     , settings(chosen)
     , clock(time)
     , engines(engine_commands)
     , direct(direct_way)
     , others(other_routers)
-    , notify(std::move(on_change))
+    , notify(std::move(handlers))
     , reach(chosen.reach)
     , round_timer(context)
 {
@@ -69,13 +69,15 @@
     this->engines.read_report(
         engine,
         address,
-        [this, address, done = std::move(done)](
+        [this, engine, address, done = std::move(done)](
             const std::optional<holdings_report>& report)
         {
             if (report)
                 this->answered(address);
             else
                 this->unanswered(address);
+            if (report && report->leaving)
+                this->notify.on_leaving(engine);
             done(report);
         });
 }
@@ -181,7 +183,7 @@
 {
     const bool is_cut_off = this->reach.is_cut_off();
     if (is_cut_off != std::exchange(this->was_cut_off, is_cut_off))
-        this->notify(is_cut_off);
+        this->notify.on_change(is_cut_off);
 }
 
 } // namespace roseworks::app
--- a/src/app/gateway/engine_reach.hpp
+++ b/src/app/gateway/engine_reach.hpp
@@ -48,7 +48,14 @@
         std::chrono::milliseconds round_interval{500};
     };
 
-    /// @param on_change Called when `is_cut_off` has changed.
+    struct callbacks
+    {
+        /// `is_cut_off` has changed.
+        std::function<void(bool is_cut_off)> on_change;
+        /// An engine reported that it leaves.
+        std::function<void(const std::string& engine)> on_leaving;
+    };
+
     engine_reach(
         boost::asio::io_context& loop,
         options settings,
@@ -56,7 +63,7 @@
         engine_command_port& engines,
         edge::connection_opener& direct,
         reach_opinion_port& others,
-        std::function<void(bool is_cut_off)> on_change);
+        callbacks handlers);
 
     void start();
     void stop();
@@ -98,12 +105,12 @@
     engine_command_port& engines;
     edge::connection_opener& direct;
     reach_opinion_port& others;
-    std::function<void(bool)> notify;
+    callbacks notify;
     server_reach reach;
     /// Engines that didn't answer, by address.
     std::map<std::string, missing_answer> unanswered_engines;
     boost::asio::steady_timer round_timer;
-    bool was_cut_off = false; ///< when `notify` was last called
+    bool was_cut_off = false; ///< when `on_change` was last called
     bool stopped = false;
 };
 
--- a/src/app/gateway/gateway_app.cpp
+++ b/src/app/gateway/gateway_app.cpp
@@ -194,6 +194,7 @@
           })
     , context(this->make_context())
     , server(this->traffic.get_executor(), this->context, make_edge_options())
+    , relayed(this->context)
     , relays(
           this->traffic.get_executor(),
           relay::relay_server::options(),
@@ -202,7 +203,8 @@
           [this]
           {
               return this->tables.get();
-          })
+          },
+          this->relayed)
     , readiness_probe(
           this->traffic.get_executor(),
           [this](std::string_view)
@@ -307,7 +309,7 @@
             this->control->server_unreachable(server);
         },
         [this](
-            const std::string& server,
+            const server_identity& server,
             const server_notice& notice,
             instant sent)
         {
--- a/src/app/gateway/gateway_app.hpp
+++ b/src/app/gateway/gateway_app.hpp
@@ -5,6 +5,7 @@
 #include "adapters/events/pipe_event_sink.hpp"
 #include "adapters/forward/forward_server.hpp"
 #include "adapters/forward/probe_server.hpp"
+#include "adapters/forward/relayed_notices.hpp"
 #include "adapters/metrics/metrics_registry.hpp"
 #include "adapters/platform/byte_meter.hpp"
 #include "adapters/platform/system_clock.hpp"
@@ -91,6 +92,7 @@
     relay::relayed_opener opener;
     forward::forward_context context;
     forward::forward_server server;
+    forward::relayed_notices relayed;
     relay::relay_server relays;
     forward::probe_server readiness_probe;
     forward::probe_server metrics_probe;
--- a/src/app/gateway/gateway_control.cpp
+++ b/src/app/gateway/gateway_control.cpp
@@ -1,6 +1,7 @@
 #include "app/gateway/gateway_control.hpp"
 
 #include "app/gateway/gateway_options.hpp"
+#include "core/pacing/update_kinds.hpp"
 
 #include <boost/asio/post.hpp>
 
@@ -70,6 +71,7 @@
               {
                   this->placement->servers_changed();
                   this->limit_controller->servers_changed();
+                  this->notices.servers_changed();
                   this->crashes->servers_changed();
                   this->origins->servers_changed();
                   this->paces.servers_changed();
@@ -129,6 +131,21 @@
               {
                   this->placement->rate_limits_changed(std::move(rates));
               }}))
+    , notices(
+          this->loop,
+          initial_settings.vm.name,
+          time,
+          sink,
+          this->serving->view(),
+          *dispatch,
+          {[this](const server_limit_update& message)
+           {
+               this->peers->send(this->other_addresses(), message);
+           },
+           [this](server_life life, bool leaving)
+           {
+               this->serving->set_leaving(life, leaving);
+           }})
     , commands(std::make_unique<users_platform::engine_commands>(
           this->loop, command_options(initial_settings), this->meter))
     , direct(engine_user_timeout)
@@ -139,10 +156,14 @@
           *this->commands,
           this->direct,
           this->opinions,
-          [this](bool)
-          {
-              this->update_may_own();
-          })
+          {[this](bool)
+           {
+               this->update_may_own();
+           },
+           [this](const std::string& engine)
+           {
+               this->notices.engine_leaves(engine);
+           }})
     , placement(std::make_unique<placement_controller>(
           this->loop,
           placement_options(initial_settings),
@@ -411,7 +432,9 @@
 void gateway_control::server_limit_update_received(
     const server_limit_update& message)
 {
-    this->limit_controller->limits_received(message);
+    const update_kinds kinds = split_by_kind(message);
+    this->limit_controller->limits_received(kinds);
+    this->notices.update_received(kinds.leaving_servers);
 }
 
 void gateway_control::request_ended(
@@ -483,6 +506,7 @@
             this->engines.stop();
             this->placement->stop();
             this->limit_controller->stop();
+            this->notices.stop();
             this->crashes->stop();
             this->origins->stop();
             this->opinions.stop();
--- a/src/app/gateway/gateway_control.hpp
+++ b/src/app/gateway/gateway_control.hpp
@@ -9,6 +9,7 @@
 #include "app/gateway/crash_controller.hpp"
 #include "app/gateway/demand_reporter.hpp"
 #include "app/gateway/engine_reach.hpp"
+#include "app/gateway/notice_controller.hpp"
 #include "app/gateway/origin_controller.hpp"
 #include "app/gateway/pace_controller.hpp"
 #include "app/gateway/placement_controller.hpp"
@@ -112,12 +113,14 @@
     void request_ended(const std::string& servable, const std::string& engine);
 
     /// A server answered a request.
-    /// @param server id of its registry entry.
     /// @param sent   When the request was sent.
     void server_answered(
-        const std::string& server, const server_notice& notice, instant sent)
+        const server_identity& server,
+        const server_notice& notice,
+        instant sent)
     {
-        this->limit_controller->answered(server, notice, sent);
+        this->limit_controller->answered(server.instance, notice, sent);
+        this->notices.answered(server, notice, sent);
     }
 
     /// The time between the events of a stream was measured.
@@ -261,6 +264,7 @@
     std::unique_ptr<crash_controller> crashes;
     std::unique_ptr<origin_controller> origins;
     std::unique_ptr<server_limit_controller> limit_controller;
+    notice_controller notices;
     std::unique_ptr<engine_command_port> commands;
     edge::direct_opener direct;
     engine_reach engines;
--- a/src/app/gateway/server_limit_controller.cpp
+++ b/src/app/gateway/server_limit_controller.cpp
@@ -1,6 +1,5 @@
 #include "app/gateway/server_limit_controller.hpp"
 
-#include "core/pacing/update_kinds.hpp"
 #include "core/quota/global_limits.hpp"
 
 #include <boost/asio/post.hpp>
@@ -134,10 +133,8 @@
         key, is_shown ? std::optional(present) : std::nullopt, sent, now);
 }
 
-void server_limit_controller::limits_received(
-    const server_limit_update& message)
+void server_limit_controller::limits_received(const update_kinds& kinds)
 {
-    const update_kinds kinds = split_by_kind(message);
     const instant now = this->clock.now();
     this->limits.handle_update(kinds.rate_limits, now);
     this->brittle_services.handle_update(kinds.brittle_services, now);
--- a/src/app/gateway/server_limit_controller.hpp
+++ b/src/app/gateway/server_limit_controller.hpp
@@ -5,6 +5,7 @@
 #include "core/pacing/saturated_servers.hpp"
 #include "core/pacing/server_limits.hpp"
 #include "core/pacing/server_notice.hpp"
+#include "core/pacing/update_kinds.hpp"
 #include "core/serving/serving_view.hpp"
 #include "ports/clock.hpp"
 #include "ports/event_sink.hpp"
@@ -92,7 +93,7 @@
     /// No request waits any more for a permit. Called from any thread.
     void permit_cancelled(const roseworks::permit_cancelled& cancelled);
 
-    void limits_received(const server_limit_update& message);
+    void limits_received(const update_kinds& kinds);
 
     /// Servers were added, removed or restarted.
     void servers_changed();
--- a/src/app/gateway/serving_table_publisher.cpp
+++ b/src/app/gateway/serving_table_publisher.cpp
@@ -101,7 +101,7 @@
     {
         const server_entry& before = found->second.entry;
         if (before.born_ms == entry.born_ms &&
-            before.leaving == entry.leaving &&
+            found->second.registered_leaving == entry.leaving &&
             before.address == entry.address &&
             before.service == entry.service && before.version == entry.version)
             return;
@@ -126,6 +126,12 @@
         this->schedule_publish();
 }
 
+void serving_table_publisher::set_leaving(server_life life, bool leaving)
+{
+    if (this->deployment_view.set_leaving(life, leaving))
+        this->schedule_publish();
+}
+
 void serving_table_publisher::store_outage_ended(instant end)
 {
     this->deployment_view.registry_back(end);
--- a/src/app/gateway/serving_table_publisher.hpp
+++ b/src/app/gateway/serving_table_publisher.hpp
@@ -67,6 +67,9 @@
     void store_outage_ended(instant end);
     void store_outage_refuted();
 
+    /// A server leaves, or doesn't, whatever its registry entry says.
+    void set_leaving(server_life life, bool leaving);
+
     /// The placement owner announced which models an engine holds.
     void residency_announced(engine_residency residency);
 
--- a/src/core/request/dispatcher.cpp
+++ b/src/core/request/dispatcher.cpp
@@ -103,6 +103,12 @@
     this->self->vm_leaving(vm, leaving, now);
 }
 
+bool dispatcher::takes_requests(
+    const server_place& server, std::string_view vm, instant now) const
+{
+    return this->self->takes_requests(server, vm, now);
+}
+
 void dispatcher::drain(instant)
 {
     this->self->drain();
--- a/src/core/request/dispatcher_finish.cpp
+++ b/src/core/request/dispatcher_finish.cpp
@@ -20,7 +20,8 @@
 
 bool is_not_run(end_kind how)
 {
-    return how == end_kind::refused_not_run || how == end_kind::not_sent;
+    return how == end_kind::refused_not_run || how == end_kind::not_sent ||
+           how == end_kind::withheld;
 }
 
 /// @return Whether an answer that had started was cut by the request's own
@@ -90,9 +91,10 @@
     }
     else
     {
-        // A run that was cancelled, or cut by its own deadline, is not a
-        // failure of its server.
+        // A run that was cancelled, never began, or was cut by its own
+        // deadline, is not a failure of its server.
         const bool stopped = result.how == end_kind::stopped ||
+                             result.how == end_kind::withheld ||
                              cut_by_own_deadline(request.item, result, now);
         if (used != nullptr && !stopped)
         {
@@ -143,6 +145,12 @@
             used == nullptr ? engine_id{} : used->where.engine;
         this->record_crash(request, engine, result.resumable);
     }
+    if (result.how == end_kind::withheld)
+    {
+        // No attempt was made. The server isn't granted while it takes none.
+        --request.attempts_without_progress;
+        return;
+    }
     request.last_failure = reason_of(result);
     request.resumed = request.resumed || result.resumable;
     if (result.resumable && result.tokens > 0)
@@ -214,7 +222,8 @@
     const bool leave_reserve =
         result.resumable && request.item.level != priority::urgent;
     // An attempt that sent nothing has loaded no server.
-    const bool was_sent = result.how != end_kind::not_sent;
+    const bool was_sent =
+        result.how != end_kind::not_sent && result.how != end_kind::withheld;
     if (was_sent && !budget.withdraw(now, leave_reserve))
     {
         const duration retry_delay =
@@ -224,7 +233,10 @@
             {true, outcome, refusal_reason::retries_exhausted, retry_delay});
     }
 
-    request.tried.push_back(request.server);
+    if (result.how != end_kind::withheld)
+    {
+        request.tried.push_back(request.server);
+    }
     request.awaits_crash_findings = request.crashes.total() >= max_crashes;
     this->enqueue(request);
     this->schedule_tick_for_queued(
--- a/src/core/request/dispatcher_impl.hpp
+++ b/src/core/request/dispatcher_impl.hpp
@@ -47,6 +47,8 @@
     bool permit_withdrawn(const server_place& server);
     void routers_alive(std::size_t count, instant now);
     void vm_leaving(std::string_view vm, bool leaving, instant now);
+    bool takes_requests(
+        const server_place& server, std::string_view vm, instant now) const;
     void drain();
     void tick(instant now);
 
--- a/src/core/request/dispatcher_tick.cpp
+++ b/src/core/request/dispatcher_tick.cpp
@@ -107,6 +107,12 @@
     }
 }
 
+bool dispatcher::impl::takes_requests(
+    const server_place&, std::string_view vm, instant) const
+{
+    return !this->leaving.contains(vm);
+}
+
 void dispatcher::impl::drain()
 {
     this->draining = true;
--- a/src/core/serving/holdings_report.hpp
+++ b/src/core/serving/holdings_report.hpp
@@ -13,6 +13,7 @@
 {
     std::int64_t born_ms = 0;       ///< 0: not reported
     bool busy = false;              ///< an order is in progress
+    bool leaving = false;           ///< the engine is about to end
     std::uint64_t orders_taken = 0; ///< accepted since the engine's start
     std::uint32_t running = 0;      ///< requests in progress
     std::uint32_t waiting = 0;      ///< queued requests
--- a/src/core/serving/serving_table.hpp
+++ b/src/core/serving/serving_table.hpp
@@ -37,6 +37,7 @@
     std::string data_centre;
     server_life life;
     software_version software;
+    engine_id engine; ///< 0 for a plain server
 };
 
 /** The routing data for the traffic threads: routes, and the engines that can
--- a/src/core/serving/serving_view.cpp
+++ b/src/core/serving/serving_view.cpp
@@ -98,6 +98,9 @@
 
 bool serving_view::entry_read(server_entry entry)
 {
+    const bool registered_leaving = entry.leaving;
+    entry.leaving = entry.leaving || this->leaving_lives.contains(
+                                         life_of(entry.id, entry.born_ms));
     const auto found = this->servers_by_id.find(entry.id);
     if (found == this->servers_by_id.end())
     {
@@ -109,6 +112,7 @@
         added.engine = number;
         added.run = replica_id(++this->last_run);
         added.software = software_of(entry.service, entry.version);
+        added.registered_leaving = registered_leaving;
         added.entry = std::move(entry);
         const std::string id = added.entry.id;
         this->add_to_address(
@@ -126,6 +130,8 @@
     const bool was_superseded = record.superseded;
     if (was_superseded)
         this->update_superseded(record.entry.address);
+    if (record.entry.born_ms == entry.born_ms)
+        record.registered_leaving = registered_leaving;
     if (record.entry == entry)
         return was_expiring || record.superseded != was_superseded;
     // A version can't change while the process runs.
@@ -143,6 +149,7 @@
         record.refusals.clear();
     record.software = software_of(entry.service, entry.version);
     record.entry = std::move(entry);
+    record.registered_leaving = registered_leaving;
     if (before != record.entry.address)
     {
         this->remove_from_address(record.entry.id, before);
@@ -293,6 +300,22 @@
     return record.backoff_until;
 }
 
+bool serving_view::set_leaving(server_life life, bool leaving)
+{
+    if (leaving)
+        this->leaving_lives.insert(life);
+    else
+        this->leaving_lives.erase(life);
+    for (auto& [id, record] : this->servers_by_id)
+    {
+        if (life_of(id, record.entry.born_ms) != life)
+            continue;
+        const bool is_leaving = leaving || record.registered_leaving;
+        return std::exchange(record.entry.leaving, is_leaving) != is_leaving;
+    }
+    return false;
+}
+
 bool serving_view::tick(instant now)
 {
     bool changed = this->remove_expired(now);
@@ -400,7 +423,8 @@
             record.entry.service,
             record.entry.data_centre,
             life_of(id, record.entry.born_ms),
-            record.software};
+            record.software,
+            this->is_engine(record) ? record.engine : engine_id()};
         if (record.entry.leaving)
             continue;
         if (record.software)
--- a/src/core/serving/serving_view.hpp
+++ b/src/core/serving/serving_view.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/crashes/server_life.hpp"
 #include "core/serving/deployment.hpp"
 #include "core/serving/engine_residency.hpp"
 #include "core/serving/server_entry.hpp"
@@ -16,6 +17,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace roseworks
@@ -69,8 +71,9 @@
     struct server
     {
         server_entry entry;
-        engine_id engine; ///< the same for all runs with one id
-        replica_id run;   ///< differs for each run
+        bool registered_leaving = false; ///< in the registry entry as read
+        engine_id engine;                ///< the same for all runs with one id
+        replica_id run;                  ///< differs for each run
         software_version software;
         /// Time at which it is removed unless it registers again.
         std::optional<instant> expires_at;
@@ -138,6 +141,11 @@
     std::optional<instant>
     mark_unreachable(std::string_view server, instant now);
 
+    /// Sets whether a server leaves, whatever its registry entry says. Holds
+    /// for this life of it only.
+    /// @return Whether anything relevant to routing changed.
+    bool set_leaving(server_life life, bool leaving);
+
     /// @return Whether servers, reports, refusals or back-offs expired.
     bool tick(instant now);
 
@@ -188,6 +196,8 @@
         ids_by_address;
     std::unordered_map<std::string, engine_id> engine_ids;
     std::unordered_map<std::string, servable_id> servable_ids;
+    /// Servers that leave, although their entries may not say so.
+    std::unordered_set<server_life> leaving_lives;
     std::uint64_t last_run = 0;
     instant reregistration_deadline = instant::min();
 
--- a/src/ports/dispatch_port.hpp
+++ b/src/ports/dispatch_port.hpp
@@ -1,9 +1,12 @@
 #pragma once
 
+#include "core/pacing/server_notice.hpp"
+
 #include <roseworks/dispatcher.hpp>
 
 #include <functional>
 #include <optional>
+#include <string_view>
 #include <variant>
 
 namespace roseworks
@@ -50,6 +53,27 @@
         return std::nullopt;
     }
 
+    /// A backend server stated something about itself in a response. It counts
+    /// for all later requests, from the return of this function on.
+    /// @param place    The server, as a grant names it.
+    /// @param instance Its id.
+    virtual void server_stated(
+        const server_place& place,
+        std::string_view instance,
+        const server_notice& notice)
+    {
+        static_cast<void>(place);
+        static_cast<void>(instance);
+        static_cast<void>(notice);
+    }
+
+    /// @return Whether a granted request may still be sent to the server. If
+    ///         not, the attempt ends as `withheld`.
+    virtual bool takes_requests(const server_place&, std::string_view) const
+    {
+        return true;
+    }
+
     /// Removes a request of which nothing was sent, and frees its slot.
     virtual void abandon(ticket request) = 0;
 
--- a/src/ports/event_sink.hpp
+++ b/src/ports/event_sink.hpp
@@ -142,6 +142,7 @@
     service_brittle = 1735,
     connections_refused = 1736,
     server_saturated = 1737,
+    server_leaving = 1738,
 
     // 18xx: placement by the orders of a single owner.
     placement_owned = 1801,
--- a/tests/unit/dispatch/test_guarantees.cpp
+++ b/tests/unit/dispatch/test_guarantees.cpp
@@ -129,7 +129,7 @@
         }
         auto chosen = this->running.begin();
         std::advance(chosen, detail / 8 % this->running.size());
-        const auto how = static_cast<end_kind>(detail % 6);
+        const auto how = static_cast<end_kind>(detail % 7);
         const bool started = detail % 3 == 0 && how >= end_kind::broken;
         this->end(*chosen, how, started);
     }
@@ -137,8 +137,9 @@
     void end(ticket id, end_kind how, bool started)
     {
         this->running.erase(id);
-        const bool may_have_run =
-            how != end_kind::refused_not_run && how != end_kind::not_sent;
+        const bool may_have_run = how != end_kind::refused_not_run &&
+                                  how != end_kind::not_sent &&
+                                  how != end_kind::withheld;
         if (may_have_run)
         {
             this->reached.insert(id);
--- a/tests/unit/forward/forward_fixture.cpp
+++ b/tests/unit/forward/forward_fixture.cpp
@@ -153,6 +153,7 @@
           make_opener_options(), this->direct, this->clock, this->sink, [] {})
     , context(this->make_context(options))
     , server(this->event_loop.get_executor(), this->context, make_limits())
+    , notices(this->context)
     , relays(
           this->event_loop.get_executor(),
           make_relay_options(),
@@ -161,7 +162,8 @@
           [this]
           {
               return this->newest_table();
-          })
+          },
+          this->notices)
 {
     this->dispatch->table_changed(this->table);
     const auto loopback = asio::ip::make_address("127.0.0.1");
@@ -221,9 +223,10 @@
             const std::lock_guard lock(this->mutex);
             this->unreachable_servers.push_back(server);
         },
-        [this](const std::string& server, const server_notice& notice, instant)
+        [this](
+            const server_identity& server, const server_notice& notice, instant)
         {
-            this->record_rate_limit(server, notice.rate_limit);
+            this->record_rate_limit(server.instance, notice.rate_limit);
         },
         [this]
         {
--- a/tests/unit/forward/forward_fixture.hpp
+++ b/tests/unit/forward/forward_fixture.hpp
@@ -4,6 +4,7 @@
 #include "adapters/edge/shared_dispatcher.hpp"
 #include "adapters/events/null_event_sink.hpp"
 #include "adapters/forward/forward_server.hpp"
+#include "adapters/forward/relayed_notices.hpp"
 #include "adapters/platform/system_clock.hpp"
 #include "adapters/relay/relay_server.hpp"
 #include "adapters/relay/relayed_opener.hpp"
@@ -266,6 +267,7 @@
     relay::relayed_opener opener;
     forward_context context;
     forward_server server;
+    relayed_notices notices;
     relay::relay_server relays;
     std::thread thread;
 };
--- a/tests/unit/gateway/test_engine_reach.cpp
+++ b/tests/unit/gateway/test_engine_reach.cpp
@@ -93,6 +93,7 @@
     scripted_opener opener;
     roseworks::testing::fake_opinions opinions{this->loop};
     std::vector<bool> changes;
+    std::vector<std::string> leaving_engines;
     engine_reach reach{
         this->loop,
         make_options(),
@@ -100,10 +101,14 @@
         this->engines,
         this->opener,
         this->opinions,
-        [this](bool is_cut_off)
-        {
-            this->changes.push_back(is_cut_off);
-        }};
+        {[this](bool is_cut_off)
+         {
+             this->changes.push_back(is_cut_off);
+         },
+         [this](const std::string& engine)
+         {
+             this->leaving_engines.push_back(engine);
+         }}};
 };
 
 } // namespace
@@ -166,3 +171,18 @@
         test.loop.run_one_for(1ms);
     cr_assert_eq(test.opener.attempts, 0);
 }
+
+Test(engine_reach, an_engine_whose_report_says_that_it_leaves_is_reported)
+{
+    one_router test;
+    for (const bool leaving : {false, true})
+    {
+        test.reach.read_report(
+            "e1", "10.0.0.1:80", [](const std::optional<holdings_report>&) {});
+        holdings_report report;
+        report.leaving = leaving;
+        test.engines.reports.back().done(report);
+    }
+    cr_assert_eq(test.leaving_engines.size(), 1);
+    cr_assert_eq(test.leaving_engines[0], "e1");
+}
--- a/tests/unit/gateway/test_server_limit_controller.cpp
+++ b/tests/unit/gateway/test_server_limit_controller.cpp
@@ -238,7 +238,8 @@
     one_server test;
     test.view.entry_removed("i-1", test.clock.now());
     test.publish();
-    test.controller.limits_received({"other", {{"i-1", 0.01, 0}}});
+    test.controller.limits_received(
+        split_by_kind({"other", {{"i-1", 0.01, 0}}}));
     test.view.entry_read(make_entry());
     test.publish();
     const auto sent = test.submit(20s);
@@ -276,12 +277,12 @@
     test.loop.run_for(100ms);
     cr_assert_eq(granted(), slots);
     // Once no server is brittle, the others are sent as before.
-    test.controller.limits_received(
+    test.controller.limits_received(split_by_kind(
         {"r2",
          {{"\x01"
            "brittle app",
            0,
-           0}}});
+           0}}}));
     cr_assert(test.run_until(
         [&]
         {
--- a/tests/unit/server_limits/router_fleet.cpp
+++ b/tests/unit/server_limits/router_fleet.cpp
@@ -19,6 +19,11 @@
 constexpr std::string_view server_prefix = "i-";
 constexpr std::string_view service = "s"; ///< of all engines
 
+std::string vm_name(std::uint32_t engine)
+{
+    return "vm" + std::to_string(engine);
+}
+
 engine_id engine_of(std::string_view server)
 {
     const std::string number(server.substr(server_prefix.size()));
@@ -50,7 +55,7 @@
              engine_id(i),
              "10.0.0." + number + ":80",
              "a",
-             "vm" + number});
+             vm_name(i)});
     }
     this->table.put(std::move(model));
     for (std::size_t i = 0; i < this->settings.routers; ++i)
@@ -250,6 +255,9 @@
     instant sent)
 {
     const router& target = this->routers[number];
+    if (notice.leaving)
+        target.traffic->vm_leaving(
+            vm_name(engine.value), true, this->queue.now());
     target.limits->handle_answer(
         server_name(engine), notice.rate_limit, sent, this->queue.now());
     target.brittle_services->handle_answer(
--- a/tests/unit/serving/test_serving_view.cpp
+++ b/tests/unit/serving/test_serving_view.cpp
@@ -396,3 +396,47 @@
     cr_assert(view.tick(at(2s)));
     cr_assert_not(table_of(view, at(2s))->expected_ready(model).has_value());
 }
+
+/// The registry can't be read, or its entry is older than the statement.
+Test(serving_view, a_server_that_stated_it_leaves_gets_no_requests)
+{
+    serving_view view = make_view();
+    const server_entry entry = make_engine("e1", "m1");
+    view.entry_read(entry);
+    const server_life life = life_of("e1", entry.born_ms);
+    cr_assert(view.set_leaving(life, true));
+    cr_assert_eq(engine_count(view, "m1", at(0s)), 0);
+    cr_assert_not(view.set_leaving(life, true));
+    server_entry later = entry;
+    later.registry_revision = 2;
+    later.slots = 12;
+    view.entry_read(later);
+    view.entries_listed({later}, at(1s));
+    cr_assert_eq(engine_count(view, "m1", at(1s)), 0);
+    cr_assert(view.set_leaving(life, false));
+    cr_assert_eq(engine_count(view, "m1", at(1s)), 1);
+}
+
+Test(serving_view, a_restarted_server_does_not_leave)
+{
+    serving_view view = make_view();
+    server_entry entry = make_engine("e1", "m1");
+    view.entry_read(entry);
+    view.set_leaving(life_of("e1", entry.born_ms), true);
+    entry.born_ms += 1;
+    entry.registry_revision = 2;
+    view.entry_read(entry);
+    cr_assert_eq(engine_count(view, "m1", at(0s)), 1);
+}
+
+Test(serving_view, a_withdrawn_statement_leaves_the_registry_entry_in_force)
+{
+    serving_view view = make_view();
+    server_entry entry = make_engine("e1", "m1");
+    const server_life life = life_of("e1", entry.born_ms);
+    view.set_leaving(life, true);
+    entry.leaving = true;
+    view.entry_read(entry);
+    cr_assert_not(view.set_leaving(life, false));
+    cr_assert_eq(engine_count(view, "m1", at(0s)), 0);
+}
