A server that asks for a pause gets no request of the router until its end

What callers saw: an engine that had answered 503 with Retry-After 3 got 9 and 10 more requests of one router within the 3 s, three of them the attempts of one request, whose caller then got 503 backend_failed with no time to return.

Why it works: the pause is kept by server, in the dispatcher, where all models, retries, hedges and suspect requests choose; it is applied from the traffic thread before the attempt ends, and asked once more before the first byte. Paused servers are left out; if all are paused, requests wait if the end is early enough, else they are refused at once with the time until the end. After it, each router begins within an eighth of the pause, with one request; one more may run whenever all allowed ones were taken and none waits at the server. A restart ends a pause; a place drawn for the server goes back.

--- a/include/roseworks/dispatcher.hpp
+++ b/include/roseworks/dispatcher.hpp
@@ -350,6 +350,22 @@
     /// instead.
     void vm_leaving(std::string_view vm, bool leaving, instant now);
 
+    /** A backend server wants no requests of this router for some time.
+
+        None is granted to it before the end; then one at first, and more as it
+        takes them. Requests without another server wait, or are refused at once
+        if they can't be served in time after the end. A longer pause holds.
+
+        @param length 0: the pause ends, for example since the server restarted.
+    */
+    void
+    server_paused(const server_place& server, duration length, instant now);
+
+    /// A server that had asked for a pause rejected a request, or took one and
+    /// has no others waiting.
+    void
+    server_took_request(const server_place& server, bool rejected, instant now);
+
     /// Asked before the first byte of a granted request is sent, since the
     /// server may have stated something after the grant.
     /// @param vm As in the routing table.
--- a/src/adapters/edge/shared_dispatcher.cpp
+++ b/src/adapters/edge/shared_dispatcher.cpp
@@ -87,14 +87,32 @@
 }
 
 void shared_dispatcher::server_stated(
-    const server_place&, std::string_view instance, const server_notice& notice)
+    const server_place& place,
+    std::string_view instance,
+    const server_notice& notice)
 {
-    if (!notice.leaving)
+    if (!notice.leaving && !notice.pause && !this->had_pauses)
         return;
     this->with_lock(
         [&](instant time)
         {
-            this->core.vm_leaving(instance, true, time);
+            if (notice.leaving)
+                this->core.vm_leaving(instance, true, time);
+            if (notice.pause)
+                this->core.server_paused(place, *notice.pause, time);
+            else if (!notice.is_queueing())
+                this->core.server_took_request(place, notice.no_room, time);
+        });
+    if (notice.pause)
+        this->had_pauses = true;
+}
+
+void shared_dispatcher::pause_ended(const server_place& server)
+{
+    this->with_lock(
+        [&](instant time)
+        {
+            this->core.server_paused(server, duration::zero(), time);
         });
 }
 
--- a/src/adapters/edge/shared_dispatcher.hpp
+++ b/src/adapters/edge/shared_dispatcher.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -75,6 +76,8 @@
     void routers_alive(std::size_t count);
     void cache_reported(const cache_report& report);
     void vm_leaving(std::string_view vm, bool leaving);
+    /// A server that had asked for a pause has restarted.
+    void pause_ended(const server_place& server);
     void crash_examined(const crash_seen& what, crash_finding finding);
     void server_limited(const server_place& server, double per_second);
     void server_counted(const server_place& server, bool counted);
@@ -125,6 +128,8 @@
     std::unordered_map<ticket, reply_handler> waiters;
     std::optional<instant> timer_due;
     bool stopped = false;
+    /// Whether any server has asked for a pause so far.
+    std::atomic<bool> had_pauses{false};
 
     const clock_port& clock;
     callbacks notify;
--- a/src/adapters/events/event_catalogue.cpp
+++ b/src/adapters/events/event_catalogue.cpp
@@ -466,6 +466,16 @@
      "stated in an answer (source server), or as another router reports (source "
      "router). 0: the report expired or was refuted, or the server restarted.",
      "server, is_leaving, source", no_action},
+    {server_paused, info, "server_paused",
+     "A backend server rejected a request with 503 and asked this router for a "
+     "pause: it gets no request of any model for pause_ms. 0: the pause ended "
+     "early, since the server restarted.",
+     "server, pause_ms", "Check whether the server has too little room."},
+    {server_pause_malformed, warn, "server_pause_malformed",
+     "The Retry-After of a backend server's 503 is not a number of seconds; it "
+     "is ignored.",
+     "server, value",
+     "Find out what the server means by the value."},
     {placement_owned, info, "placement_owned",
      "This router now owns placement and sends orders to the engines.",
      "fence", no_action},
--- a/src/adapters/forward/forward_call.cpp
+++ b/src/adapters/forward/forward_call.cpp
@@ -292,7 +292,10 @@
         result = co_await this->exchange_with(granted, *server);
         if (granted.engine)
             this->context.ports.run_ended(servable, instance);
-        if (granted.engine && result.how == end_kind::refused_not_run)
+        const bool lacks_model = granted.engine &&
+                                 result.how == end_kind::refused_not_run &&
+                                 !this->is_last_paused;
+        if (lacks_model)
             co_await this->wait_for_table_update(servable, this->last_server);
     }
     const bool ran = may_have_reached_a_run(result.how);
@@ -498,6 +501,11 @@
     notice.load = load;
     this->last_leaving = notice.leaving;
     this->last_pause = pause_text(exchange.head()).substr(0, max_logged_length);
+    this->is_last_paused = notice.pause.has_value();
+    if (!this->last_pause.empty() && !notice.pause)
+        this->context.events.report(
+            event_id::server_pause_malformed,
+            {{"server", this->last_server}, {"value", this->last_pause}});
     if (notice.leaving)
         this->context.metrics.notices.increment(notice_kind::leaving);
     if (notice.pause)
--- a/src/adapters/forward/forward_call.hpp
+++ b/src/adapters/forward/forward_call.hpp
@@ -269,6 +269,7 @@
     std::string last_rate_limit; ///< in the last response; empty: none
     std::string last_pause;      ///< the same
     bool last_leaving = false;   ///< the last response said so of its server
+    bool is_last_paused = false; ///< the last response asked for a pause
     body_framing last_framing = body_framing::none; ///< of the last response
     bool quota_reserved = false; ///< from the organisation's limit
     bool retry_reserved = false; ///< from the service's limit, and not sent yet
--- a/src/adapters/forward/forward_call_hedge.cpp
+++ b/src/adapters/forward/forward_call_hedge.cpp
@@ -386,7 +386,8 @@
     const bool ran = may_have_reached_a_run(result.how);
     this->may_have_run = this->may_have_run || ran;
     this->attempts += ran ? 1 : 0;
-    if (run.granted.engine && result.how == end_kind::refused_not_run)
+    if (run.granted.engine && result.how == end_kind::refused_not_run &&
+        !this->is_last_paused)
         this->context.ports.run_refused(
             this->admission_info().target, run.server.instance);
     if (is_hedge && run.granted.engine)
--- a/src/adapters/forward/notice_headers.cpp
+++ b/src/adapters/forward/notice_headers.cpp
@@ -11,7 +11,6 @@
 namespace
 {
 
-constexpr unsigned status_too_many = 429;
 constexpr unsigned status_unavailable = 503;
 
 /// A longer pause is more likely a mistake than a wish.
@@ -67,15 +66,13 @@
 
 std::string_view pause_text(const response_head& head)
 {
-    const unsigned status = head.result_int();
-    if (status != status_too_many && status != status_unavailable)
+    if (head.result_int() != status_unavailable)
         return {};
     const auto value = head[boost::beast::http::field::retry_after];
     return {value.data(), value.size()};
 }
 
-server_notice
-parse_notice(const response_head& head, const header_names& names)
+server_notice parse_notice(const response_head& head, const header_names& names)
 {
     server_notice notice;
     notice.rate_limit = parse_rate_limit(head, names).requests_per_second;
--- a/src/adapters/forward/notice_headers.hpp
+++ b/src/adapters/forward/notice_headers.hpp
@@ -28,8 +28,8 @@
 server_rate_limit
 parse_rate_limit(const response_head& head, const header_names& names);
 
-/// @return The value of Retry-After in a rejection (429 or 503), as received.
-///         Empty in other responses. Refers to the head.
+/// @return The value of Retry-After in a 503, as received. Empty in other
+///         responses: a 429 is about the request. Refers to the head.
 std::string_view pause_text(const response_head& head);
 
 /// @return What the response states about its server, except for its load. A
--- a/src/app/gateway/notice_controller.cpp
+++ b/src/app/gateway/notice_controller.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 namespace roseworks::app
@@ -38,24 +39,69 @@
 void notice_controller::answered(
     const server_identity& server, const server_notice& notice, instant sent)
 {
-    if (!notice.leaving && !this->has_leaving)
+    if (!notice.leaving && !notice.pause && !this->has_leaving)
         return;
     asio::post(
         this->loop,
-        [this,
-         id = server.instance,
-         life = server.life,
-         is_leaving = notice.leaving,
-         sent]
+        [this, server, notice, sent]
         {
             if (this->stopped)
                 return;
+            const instant now = this->clock.now();
+            if (notice.pause)
+                this->record_pause(server, now + *notice.pause);
             this->leaving.handle_answer(
-                id, life, is_leaving, sent, this->clock.now());
+                server.instance, server.life, notice.leaving, sent, now);
             this->flush();
         });
 }
 
+void notice_controller::record_pause(
+    const server_identity& server, instant until)
+{
+    const instant now = this->clock.now();
+    const auto known = this->pauses.find(server.instance);
+    // Requests that were on their way are rejected alike.
+    const bool is_new = known == this->pauses.end() ||
+                        known->second.life != server.life ||
+                        known->second.until <= now;
+    if (is_new)
+        this->events.report(
+            event_id::server_paused,
+            {{"server", server.instance},
+             {"pause_ms",
+              std::chrono::duration_cast<std::chrono::milliseconds>(until - now)
+                  .count()}});
+    std::erase_if(
+        this->pauses,
+        [now](const auto& one)
+        {
+            return one.second.until <= now;
+        });
+    pause& recorded = this->pauses[server.instance];
+    recorded.until = std::max(recorded.until, until);
+    recorded.life = server.life;
+    recorded.place = {server.engine, server.address};
+}
+
+void notice_controller::end_pauses_of_earlier_lives()
+{
+    const auto is_of_earlier_life = [this](const auto& one)
+    {
+        const auto found = this->view.servers().find(one.first);
+        const bool is_earlier =
+            found != this->view.servers().end() &&
+            life_of(one.first, found->second.entry.born_ms) != one.second.life;
+        if (!is_earlier)
+            return false;
+        this->events.report(
+            event_id::server_paused, {{"server", one.first}, {"pause_ms", 0}});
+        this->dispatch.pause_ended(one.second.place);
+        return true;
+    };
+    std::erase_if(this->pauses, is_of_earlier_life);
+}
+
 void notice_controller::engine_leaves(const std::string& engine)
 {
     const auto found = this->view.servers().find(engine);
@@ -77,6 +123,7 @@
 
 void notice_controller::servers_changed()
 {
+    this->end_pauses_of_earlier_lives();
     if (!this->has_leaving)
         return;
     for (const auto& [id, life] : this->leaving.all())
--- a/src/app/gateway/notice_controller.hpp
+++ b/src/app/gateway/notice_controller.hpp
@@ -14,6 +14,7 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <string>
 
 namespace roseworks::app
@@ -67,6 +68,16 @@
     void servers_changed();
 
 private:
+    /// A pause that a server asked for.
+    struct pause
+    {
+        server_life life;
+        server_place place;
+        instant until;
+    };
+
+    void record_pause(const server_identity& server, instant until);
+    void end_pauses_of_earlier_lives();
     void flush();
     void apply(const leaving_servers::change& changed);
     void schedule_tick();
@@ -78,6 +89,7 @@
     edge::shared_dispatcher& dispatch;
     callbacks notify;
     leaving_servers leaving;
+    std::map<std::string, pause, std::less<>> pauses; ///< by server
     boost::asio::steady_timer timer;
     /// Whether answers without a statement matter.
     std::atomic<bool> has_leaving{false};
--- a/src/core/pacing/server_notice.hpp
+++ b/src/core/pacing/server_notice.hpp
@@ -31,6 +31,13 @@
     /// Time for which it wants no requests of this router.
     std::optional<duration> pause;
 
+    /// @return Whether the server took the request although it had others to
+    ///         run first.
+    bool is_queueing() const
+    {
+        return this->load && this->load->waiting > 0;
+    }
+
     /// @return Whether the answer announces no limit.
     bool is_empty() const
     {
--- a/src/core/request/dispatcher.cpp
+++ b/src/core/request/dispatcher.cpp
@@ -103,6 +103,18 @@
     this->self->vm_leaving(vm, leaving, now);
 }
 
+void dispatcher::server_paused(
+    const server_place& server, duration length, instant now)
+{
+    this->self->server_paused(server, length, now);
+}
+
+void dispatcher::server_took_request(
+    const server_place& server, bool rejected, instant now)
+{
+    this->self->server_took_request(server, rejected, now);
+}
+
 bool dispatcher::takes_requests(
     const server_place& server, std::string_view vm, instant now) const
 {
--- a/src/core/request/dispatcher_finish.cpp
+++ b/src/core/request/dispatcher_finish.cpp
@@ -212,6 +212,12 @@
         return this->finalize(
             id, {true, outcome, refusal_reason::blocked, blocked_retry_after});
     }
+    if (const auto wait = this->hopeless_wait(request, now))
+    {
+        return this->finalize(
+            id,
+            {true, outcome, refusal_reason::deadline, this->add_jitter(*wait)});
+    }
     detail::retry_budgets& budgets = *request.destination->budgets;
     detail::retry_budget& budget =
         result.resumable ? budgets.resumes : budgets.retries;
@@ -244,6 +250,20 @@
     return {false, outcome, request.last_failure};
 }
 
+std::optional<duration>
+dispatcher::impl::hopeless_wait(const pending& request, instant now) const
+{
+    const detail::target& destination = *request.destination;
+    const auto usable =
+        detail::balancer::usable(destination.backends, this->loads, now);
+    const duration wait =
+        this->until_a_server_takes_requests(destination, usable, now);
+    const bool is_in_time =
+        wait == duration::zero() ||
+        this->can_meet_deadline(destination, request.item, wait, now);
+    return is_in_time ? std::nullopt : std::optional(wait);
+}
+
 bool dispatcher::impl::need_software(
     pending& request, software_version software, instant now)
 {
@@ -278,7 +298,8 @@
     {
         return false;
     }
-    const auto usable = detail::balancer::usable(destination.backends, now);
+    const auto usable =
+        detail::balancer::usable(destination.backends, this->loads, now);
     const auto is_untried = [&](std::size_t i)
     {
         const detail::server_key server = destination.backends[i].server;
@@ -317,7 +338,8 @@
 dispatcher::impl::retry_delay_after_failure(const pending& request, instant now)
 {
     const detail::target& destination = *request.destination;
-    const auto usable = detail::balancer::usable(destination.backends, now);
+    const auto usable =
+        detail::balancer::usable(destination.backends, this->loads, now);
     const auto is_other_server = [&](std::size_t i)
     {
         return destination.backends[i].server != request.server;
--- a/src/core/request/dispatcher_grant.cpp
+++ b/src/core/request/dispatcher_grant.cpp
@@ -30,7 +30,8 @@
     destination.refresh(*this->table, this->leaving);
 
     const bool ready =
-        !detail::balancer::usable(destination.backends, now).empty();
+        !detail::balancer::usable(destination.backends, this->loads, now)
+             .empty();
     if (!ready || !destination.cold_since)
     {
         return;
@@ -81,7 +82,8 @@
         this->schedule_tick_by(*destination.breaker.next_probe_at());
         return false;
     }
-    const auto usable = detail::balancer::usable(destination.backends, now);
+    const auto usable =
+        detail::balancer::usable(destination.backends, this->loads, now);
     const auto free = detail::balancer::slots(
         destination.backends,
         usable,
@@ -290,7 +292,7 @@
     detail::target& destination, const pending& request, instant now)
 {
     std::vector<std::size_t> candidates =
-        detail::balancer::usable(destination.backends, now);
+        detail::balancer::usable(destination.backends, this->loads, now);
     if (candidates.size() == 1)
     {
         // Prefer an ejected replica over the last one that still answers.
@@ -298,6 +300,7 @@
         {
             const detail::backend& candidate = destination.backends[i];
             if (candidate.listed && !candidate.leaving &&
+                !this->loads.is_paused(candidate.server, now) &&
                 i != candidates.front())
             {
                 candidates.front() = i;
@@ -325,7 +328,8 @@
         const bool is_unavailable =
             server.exclusive ||
             (server.reserved_by && server.reserved_by != request.item.id) ||
-            !server.permits.may_send(now);
+            !server.permits.may_send(now) ||
+            !server.pause.allows(server.own, now);
         if (is_unavailable || (has_untried && !is_untried(i)))
         {
             continue;
--- a/src/core/request/dispatcher_hedge.cpp
+++ b/src/core/request/dispatcher_hedge.cpp
@@ -56,7 +56,8 @@
 dispatcher::impl::choose_hedge_backend(const pending& request, instant now)
 {
     const detail::target& destination = *request.destination;
-    auto usable = detail::balancer::usable(destination.backends, now);
+    auto usable =
+        detail::balancer::usable(destination.backends, this->loads, now);
     const auto is_excluded = [&](std::size_t i)
     {
         const detail::server_key server = destination.backends[i].server;
--- a/src/core/request/dispatcher_impl.hpp
+++ b/src/core/request/dispatcher_impl.hpp
@@ -47,6 +47,10 @@
     bool permit_withdrawn(const server_place& server);
     void routers_alive(std::size_t count, instant now);
     void vm_leaving(std::string_view vm, bool leaving, instant now);
+    void
+    server_paused(const server_place& server, duration length, instant now);
+    void
+    server_took_request(const server_place& server, bool rejected, instant now);
     bool takes_requests(
         const server_place& server, std::string_view vm, instant now) const;
     void drain();
@@ -267,6 +271,16 @@
     void refuse(ticket id, refusal_reason reason, duration retry_after);
 
     // dispatcher_tick.cpp
+    /// @return Time until a server takes requests, if the request can't be
+    ///         served in time then; else empty.
+    std::optional<duration>
+    hopeless_wait(const pending& request, instant now) const;
+    /// @return Time until the first of the usable servers takes requests; 0 if
+    ///         one takes them now, or there is none.
+    duration until_a_server_takes_requests(
+        const detail::target& destination,
+        std::span<std::size_t const> usable,
+        instant now) const;
     duration predicted_wait(
         const detail::target& destination,
         const detail::queue_item& item,
--- a/src/core/request/dispatcher_permits.cpp
+++ b/src/core/request/dispatcher_permits.cpp
@@ -73,6 +73,7 @@
         const bool is_held_long = this->settings.objectives_first &&
                                   now - pace.granted_since() >= max_place_hold;
         const bool may_reuse = !freed.rejected && pace.counts_places() &&
+                               !this->loads.is_paused(key, now) &&
                                !pace.may_send(now) && !is_held_long &&
                                pace.reuses() < max_place_reuses;
         if (!may_reuse)
@@ -104,6 +105,11 @@
 {
     const detail::server_key key = detail::key_of(server);
     this->loads.at(key).permits.granted(from);
+    if (this->loads.is_paused(key, now))
+    {
+        this->release_unused(server);
+        return;
+    }
     this->schedule_tick_by(from);
     if (from > now)
     {
@@ -238,7 +244,8 @@
         this->cancel_places(destination, now);
         return;
     }
-    const auto usable = detail::balancer::usable(destination.backends, now);
+    const auto usable =
+        detail::balancer::usable(destination.backends, this->loads, now);
     const auto free = detail::balancer::slots(
         destination.backends,
         usable,
@@ -254,7 +261,8 @@
     {
         const detail::server_permits* pace =
             this->loads.permits_of(candidate.server);
-        if (pace == nullptr || !candidate.listed || candidate.leaving)
+        if (pace == nullptr || !candidate.listed || candidate.leaving ||
+            this->loads.is_paused(candidate.server, now))
         {
             continue;
         }
@@ -299,12 +307,13 @@
     std::vector<const detail::backend*> pending_servers;
     std::size_t requested = 0;
     for (const std::size_t i :
-         detail::balancer::usable(destination.backends, now))
+         detail::balancer::usable(destination.backends, this->loads, now))
     {
         const detail::backend& candidate = destination.backends[i];
         const detail::server_permits* pace =
             this->loads.permits_of(candidate.server);
-        if (pace == nullptr || !pace->counts_places())
+        if (pace == nullptr || !pace->counts_places() ||
+            this->loads.is_paused(candidate.server, now))
         {
             continue;
         }
@@ -387,7 +396,7 @@
         const detail::backend& candidate = destination.backends[i];
         const detail::server_permits* pace =
             this->loads.permits_of(candidate.server);
-        if (pace == nullptr)
+        if (pace == nullptr || this->loads.is_paused(candidate.server, now))
         {
             continue;
         }
--- a/src/core/request/dispatcher_submit.cpp
+++ b/src/core/request/dispatcher_submit.cpp
@@ -128,7 +128,8 @@
         return destination.is_service ? refusal_reason::unknown_service
                                       : refusal_reason::unknown_servable;
     }
-    if (!detail::balancer::usable(destination.backends, now).empty())
+    if (!detail::balancer::usable(destination.backends, this->loads, now)
+             .empty())
     {
         return refusal_reason::none;
     }
@@ -235,7 +236,8 @@
     const detail::queue_item item = found->second.item;
     this->schedule_tick_for_queued(
         std::min(item.deadline, now + this->settings.demand_interval));
-    const auto usable = detail::balancer::usable(destination.backends, now);
+    const auto usable =
+        detail::balancer::usable(destination.backends, this->loads, now);
     const std::size_t ahead = found->second.current_stage == stage::suspect
                                   ? 0
                                   : destination.queue.ahead_of(item);
--- a/src/core/request/dispatcher_tick.cpp
+++ b/src/core/request/dispatcher_tick.cpp
@@ -108,9 +108,10 @@
 }
 
 bool dispatcher::impl::takes_requests(
-    const server_place&, std::string_view vm, instant) const
+    const server_place& server, std::string_view vm, instant now) const
 {
-    return !this->leaving.contains(vm);
+    return !this->leaving.contains(vm) &&
+           !this->loads.is_paused(detail::key_of(server), now);
 }
 
 void dispatcher::impl::drain()
@@ -196,8 +197,9 @@
     const std::size_t slots =
         destination.slots(usable, batch, this->loads, now);
     return std::max(
-        destination.estimator.queue_wait(ahead, slots, now),
-        forecast.wait(ahead));
+        {destination.estimator.queue_wait(ahead, slots, now),
+         forecast.wait(ahead),
+         this->until_a_server_takes_requests(destination, usable, now)});
 }
 
 duration dispatcher::impl::remaining_cold_start(
@@ -253,7 +255,8 @@
     {
         return;
     }
-    const auto usable = detail::balancer::usable(destination.backends, now);
+    const auto usable =
+        detail::balancer::usable(destination.backends, this->loads, now);
     std::array<
         std::optional<rate_limit_forecast>,
         detail::server_permits::rank_count>
@@ -316,7 +319,8 @@
     {
         return;
     }
-    const auto usable = detail::balancer::usable(destination.backends, now);
+    const auto usable =
+        detail::balancer::usable(destination.backends, this->loads, now);
     const auto ready = static_cast<std::size_t>(std::count_if(
         destination.backends.begin(),
         destination.backends.end(),
--- a/src/core/routing/balancer.cpp
+++ b/src/core/routing/balancer.cpp
@@ -107,7 +107,8 @@
     instant now)
 {
     const std::uint32_t streams = std::max<std::uint16_t>(max_streams, 1);
-    if (loads.reserved(one.server) || !loads.may_send(one.server, now))
+    if (loads.reserved(one.server) || !loads.may_send(one.server, now) ||
+        !loads.pause_allows(one.server, now))
     {
         return 0;
     }
@@ -132,17 +133,29 @@
 {
 }
 
-std::vector<std::size_t>
-balancer::usable(std::span<const backend> all, instant now)
+std::vector<std::size_t> balancer::usable(
+    std::span<const backend> all, const server_loads& loads, instant now)
 {
-    std::vector<std::size_t> healthy;
-    std::vector<std::size_t> left_out;
+    std::vector<std::size_t> present;
     for (std::size_t i = 0; i < all.size(); ++i)
     {
-        if (!all[i].listed || all[i].leaving)
+        if (all[i].listed && !all[i].leaving)
         {
-            continue;
+            present.push_back(i);
         }
+    }
+    const auto is_paused = [&](std::size_t i)
+    {
+        return loads.is_paused(all[i].server, now);
+    };
+    if (!std::ranges::all_of(present, is_paused))
+    {
+        std::erase_if(present, is_paused);
+    }
+    std::vector<std::size_t> healthy;
+    std::vector<std::size_t> left_out;
+    for (const std::size_t i : present)
+    {
         (all[i].health.ejected(now) ? left_out : healthy).push_back(i);
     }
 
--- a/src/core/routing/balancer.hpp
+++ b/src/core/routing/balancer.hpp
@@ -78,10 +78,12 @@
 public:
     balancer(std::string own_data_centre, std::uint64_t seed);
 
-    /// @return Indices of the backends that are listed, not leaving and not
-    ///         ejected. At most half of the backends are left out as ejected.
-    static std::vector<std::size_t>
-    usable(std::span<const backend> all, instant now);
+    /// @return Indices of the backends that are listed, not leaving, not paused
+    ///         and not ejected. At most half of the backends are left out as
+    ///         ejected, since that is a guess. Paused ones are left out unless
+    ///         all are paused: then requests may wait for the end.
+    static std::vector<std::size_t> usable(
+        std::span<const backend> all, const server_loads& loads, instant now);
 
     /// @return Whether a request may be sent to the backend now.
     static bool has_slot(
--- a/src/core/routing/server_loads.cpp
+++ b/src/core/routing/server_loads.cpp
@@ -115,6 +115,25 @@
     return permits != nullptr && permits->counts_places();
 }
 
+bool server_loads::is_paused(server_key server, instant now) const
+{
+    return now < this->pause_end(server);
+}
+
+instant server_loads::pause_end(server_key server) const
+{
+    const auto found = this->states.find(server);
+    return found == this->states.end() ? instant::min()
+                                       : found->second.pause.ends_at();
+}
+
+bool server_loads::pause_allows(server_key server, instant now) const
+{
+    const auto found = this->states.find(server);
+    return found == this->states.end() ||
+           found->second.pause.allows(found->second.own, now);
+}
+
 bool server_loads::reserved(server_key server) const
 {
     const auto found = this->states.find(server);
--- a/src/core/routing/server_loads.hpp
+++ b/src/core/routing/server_loads.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/routing/server_pause.hpp"
 #include "core/routing/server_permits.hpp"
 
 #include <roseworks/dispatcher.hpp>
@@ -42,6 +43,7 @@
     ticket reserved_by;
     /// Used if the server has a rate limit.
     server_permits permits;
+    server_pause pause;
 };
 
 /** The loads of the backend servers: their reports, which lag behind, corrected
@@ -114,6 +116,16 @@
 
     bool counts_places(server_key server) const;
 
+    /// @return Whether the server wants no requests now.
+    bool is_paused(server_key server, instant now) const;
+
+    /// @return The end of the server's latest pause; `min`: there was none.
+    instant pause_end(server_key server) const;
+
+    /// @return Whether no pause, and no slow start after one, keeps a further
+    ///         request from the server.
+    bool pause_allows(server_key server, instant now) const;
+
     /// @return Whether a suspect request runs alone on the server or waits to
     ///         do so.
     bool reserved(server_key server) const;
--- a/src/core/serving/serving_table.hpp
+++ b/src/core/serving/serving_table.hpp
@@ -37,7 +37,8 @@
     std::string data_centre;
     server_life life;
     software_version software;
-    engine_id engine; ///< 0 for a plain server
+    engine_id engine;    ///< 0 for a plain server
+    std::string address; ///< ip:port
 };
 
 /** The routing data for the traffic threads: routes, and the engines that can
--- a/src/core/serving/serving_view.cpp
+++ b/src/core/serving/serving_view.cpp
@@ -424,7 +424,8 @@
             record.entry.data_centre,
             life_of(id, record.entry.born_ms),
             record.software,
-            this->is_engine(record) ? record.engine : engine_id()};
+            this->is_engine(record) ? record.engine : engine_id(),
+            record.entry.address};
         if (record.entry.leaving)
             continue;
         if (record.software)
--- a/src/ports/event_sink.hpp
+++ b/src/ports/event_sink.hpp
@@ -143,6 +143,8 @@
     connections_refused = 1736,
     server_saturated = 1737,
     server_leaving = 1738,
+    server_paused = 1739,
+    server_pause_malformed = 1740,
 
     // 18xx: placement by the orders of a single owner.
     placement_owned = 1801,
--- a/tests/unit/server_limits/router_fleet.cpp
+++ b/tests/unit/server_limits/router_fleet.cpp
@@ -258,6 +258,12 @@
     if (notice.leaving)
         target.traffic->vm_leaving(
             vm_name(engine.value), true, this->queue.now());
+    if (notice.pause)
+        target.traffic->server_paused(
+            {engine, {}}, *notice.pause, this->queue.now());
+    else if (!notice.is_queueing())
+        target.traffic->server_took_request(
+            {engine, {}}, notice.no_room, this->queue.now());
     target.limits->handle_answer(
         server_name(engine), notice.rate_limit, sent, this->queue.now());
     target.brittle_services->handle_answer(
--- a/tests/unit/server_pauses/pausing_fleet.cpp
+++ b/tests/unit/server_pauses/pausing_fleet.cpp
@@ -81,10 +81,10 @@
     for (std::size_t i = 0; i < this->engines.size(); ++i)
     {
         const auto found = this->pauses.find({number, i});
+        const bool was_paused =
+            found != this->pauses.end() && !found->second.empty();
         end = std::min(
-            end,
-            found == this->pauses.end() ? instant::min()
-                                        : found->second.back().until);
+            end, was_paused ? found->second.back().until : instant::min());
     }
     return end;
 }
@@ -170,6 +170,10 @@
     server_notice notice;
     notice.no_room = is_rejection;
     notice.leaving = this->engines[index].leaving;
+    const modelled_server& server = *this->engines[index].server;
+    notice.load = server_load_notice{
+        static_cast<std::uint32_t>(server.running_count()),
+        static_cast<std::uint32_t>(server.waiting_count())};
     if (is_rejection)
         notice.pause = this->settings.pause;
     this->schedule_on(
