--- a/src/app/gateway/notice_controller.cpp
+++ b/src/app/gateway/notice_controller.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <utility>
 
 namespace roseworks::app
@@ -11,6 +12,15 @@
 
 namespace asio = boost::asio;
 
+namespace
+{
+
+/// With more of them, those that have left the registry are forgotten. A server
+/// that has only lost its entry for a while would get requests again.
+constexpr std::size_t max_leaving_servers = 1024;
+
+} // namespace
+
 notice_controller::notice_controller(
     asio::io_context& context,
     std::string router,
@@ -39,7 +49,7 @@
 void notice_controller::answered(
     const server_identity& server, const server_notice& notice, instant sent)
 {
-    if (!notice.leaving && !notice.pause && !this->has_leaving)
+    if (!notice.leaving && !notice.pause && !this->has_reports)
         return;
     asio::post(
         this->loop,
@@ -124,23 +134,32 @@
 void notice_controller::servers_changed()
 {
     this->end_pauses_of_earlier_lives();
-    if (!this->has_leaving)
+    if (this->leaving.empty())
         return;
-    for (const auto& [id, life] : this->leaving.all())
+    this->end_statements_of_earlier_lives();
+    this->flush();
+}
+
+void notice_controller::end_statements_of_earlier_lives()
+{
+    const auto known = this->leaving.all();
+    const bool is_full = known.size() > max_leaving_servers;
+    for (const auto& [id, life] : known)
     {
         const auto found = this->view.servers().find(id);
         if (found != this->view.servers().end())
             this->leaving.restarted(
                 id, life_of(id, found->second.entry.born_ms));
+        else if (is_full)
+            this->leaving.forget(id);
     }
-    this->flush();
 }
 
 void notice_controller::flush()
 {
     for (const leaving_servers::change& changed : this->leaving.take_changes())
         this->apply(changed);
-    this->has_leaving = !this->leaving.empty();
+    this->has_reports = this->leaving.has_reports();
     if (const auto message = this->leaving.take_update(this->clock.now()))
         this->notify.on_message(*message);
     this->schedule_tick();
--- a/src/app/gateway/notice_controller.hpp
+++ b/src/app/gateway/notice_controller.hpp
@@ -78,6 +78,7 @@
 
     void record_pause(const server_identity& server, instant until);
     void end_pauses_of_earlier_lives();
+    void end_statements_of_earlier_lives();
     void flush();
     void apply(const leaving_servers::change& changed);
     void schedule_tick();
@@ -92,7 +93,7 @@
     std::map<std::string, pause, std::less<>> pauses; ///< by server
     boost::asio::steady_timer timer;
     /// Whether answers without a statement matter.
-    std::atomic<bool> has_leaving{false};
+    std::atomic<bool> has_reports{false};
     bool stopped = false;
 };
 
--- a/src/core/pacing/leaving_servers.cpp
+++ b/src/core/pacing/leaving_servers.cpp
@@ -104,7 +104,14 @@
 void leaving_servers::restarted(std::string_view server, server_life life)
 {
     const auto found = this->stated.find(server);
-    if (found == this->stated.end() || found->second == life)
+    if (found != this->stated.end() && found->second != life)
+        this->forget(server);
+}
+
+void leaving_servers::forget(std::string_view server)
+{
+    const auto found = this->stated.find(server);
+    if (found == this->stated.end())
         return;
     this->changes.push_back({found->first, found->second, false, true});
     this->stated.erase(found);
--- a/src/core/pacing/leaving_servers.hpp
+++ b/src/core/pacing/leaving_servers.hpp
@@ -65,10 +65,19 @@
         return this->reports.next_tick();
     }
 
+    /// Drops what a server stated that has been gone for long.
+    void forget(std::string_view server);
+
     /// @return Whether no server is known to leave.
     bool empty() const
     {
-        return this->stated.empty() && this->reports.in_force().empty();
+        return this->stated.empty() && !this->has_reports();
+    }
+
+    /// @return Whether an answer without the statement may refute a report.
+    bool has_reports() const
+    {
+        return !this->reports.in_force().empty();
     }
 
     /// @return The lives that count as leaving, by the id of the server.
--- a/tests/unit/forward/test_notice_headers.cpp
+++ b/tests/unit/forward/test_notice_headers.cpp
@@ -80,7 +80,10 @@
         head.result(503);
         head.insert("Retry-After", text);
         cr_assert_eq(
-            parse_notice(head, names).pause.value().count(), micros, "%s", text);
+            parse_notice(head, names).pause.value().count(),
+            micros,
+            "%s",
+            text);
     }
 }
 
