--- a/src/adapters/edge/shared_dispatcher.cpp
+++ b/src/adapters/edge/shared_dispatcher.cpp
@@ -91,19 +91,22 @@
     std::string_view instance,
     const server_notice& notice)
 {
-    if (!notice.leaving && !notice.pause && !this->had_pauses)
+    // A shorter pause, even one of no length, ends no longer one.
+    const duration pause = notice.pause.value_or(duration::zero());
+    const bool is_pause = pause > duration::zero();
+    if (!notice.leaving && !is_pause && !this->had_pauses)
         return;
     this->with_lock(
         [&](instant time)
         {
             if (notice.leaving)
                 this->core.vm_leaving(instance, true, time);
-            if (notice.pause)
-                this->core.server_paused(place, *notice.pause, time);
+            if (is_pause)
+                this->core.server_paused(place, pause, time);
             else if (!notice.is_queueing())
                 this->core.server_took_request(place, notice.no_room, time);
         });
-    if (notice.pause)
+    if (is_pause)
         this->had_pauses = true;
 }
 
--- a/src/adapters/forward/forward_metrics.cpp
+++ b/src/adapters/forward/forward_metrics.cpp
@@ -30,13 +30,11 @@
     , notices(registry.add_counter<notice_kind>(
           "roseworks_server_notices_total",
           "Responses in which a backend server says that it leaves, or asks "
-          "for "
-          "a pause."))
+          "for a pause."))
     , requests_withheld(registry.add_counter<>(
           "roseworks_requests_withheld_total",
           "Attempts that ended before the first byte was sent, since the "
-          "server "
-          "takes no requests any more."))
+          "server takes no requests any more."))
     , relayed_connections(registry.add_counter<>(
           "roseworks_relayed_connections_total",
           "Connections to backend servers opened through another router."))
--- a/src/adapters/forward/relayed_notices.cpp
+++ b/src/adapters/forward/relayed_notices.cpp
@@ -25,6 +25,13 @@
     return parser.get().base();
 }
 
+/// @return The server at an address; null: none is known.
+const server_identity*
+find_in(const serving_table_ptr& table, const std::string& address)
+{
+    return table ? table->find_server(address) : nullptr;
+}
+
 } // namespace
 
 relayed_notices::relayed_notices(forward_context& shared)
@@ -36,8 +43,7 @@
 {
     const std::string address(server);
     const serving_table_ptr table = this->context.ports.table();
-    const server_identity* known =
-        table ? table->find_server(address) : nullptr;
+    const server_identity* known = find_in(table, address);
     if (known == nullptr || this->context.ports.dispatch.takes_requests(
                                 {known->engine, address}, known->instance))
         return {};
@@ -51,8 +57,7 @@
 {
     const std::string address(server);
     const serving_table_ptr table = this->context.ports.table();
-    const server_identity* known =
-        table ? table->find_server(address) : nullptr;
+    const server_identity* known = find_in(table, address);
     const auto parsed = parse_head(head);
     if (known == nullptr || !parsed ||
         !is_of_server(*parsed, this->context.names, known->instance))
@@ -60,7 +65,9 @@
     const server_notice notice = parse_notice(*parsed, this->context.names);
     this->context.ports.dispatch.server_stated(
         {known->engine, address}, known->instance, notice);
-    this->context.ports.response_received(*known, notice, this->context.now());
+    // When the request was sent isn't known, so what the response lacks doesn't
+    // end anything.
+    this->context.ports.response_received(*known, notice, instant::min());
 }
 
 } // namespace roseworks::forward
--- a/tests/unit/gateway/test_notice_controller.cpp
+++ b/tests/unit/gateway/test_notice_controller.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <chrono>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -28,7 +30,7 @@
 
 server_identity make_identity(std::int64_t born_ms = 1)
 {
-    return {"i-1", "app", "a", life_of("i-1", born_ms), {}, {}};
+    return {"i-1", "app", "a", life_of("i-1", born_ms), {}, {}, "10.0.0.1:80"};
 }
 
 server_notice leaving_notice()
@@ -141,3 +143,31 @@
     cr_assert_not(test.takes_requests());
     test.controller.engine_leaves("i-2");
 }
+
+Test(notice_controller, a_shorter_pause_ends_no_longer_one)
+{
+    one_router test("r1");
+    for (const auto pause : {std::chrono::hours(1), std::chrono::hours(0)})
+    {
+        server_notice notice;
+        notice.no_room = true;
+        notice.pause = pause;
+        test.dispatch->server_stated({{}, "10.0.0.1:80"}, "i-1", notice);
+        test.answer(notice);
+        cr_assert_not(test.takes_requests());
+    }
+}
+
+Test(notice_controller, a_restarted_server_is_not_paused)
+{
+    one_router test("r1");
+    server_notice notice;
+    notice.pause = std::chrono::hours(1);
+    test.dispatch->server_stated({{}, "10.0.0.1:80"}, "i-1", notice);
+    test.answer(notice);
+    test.controller.servers_changed();
+    cr_assert_not(test.takes_requests());
+    test.view.entry_read(make_entry(2));
+    test.controller.servers_changed();
+    cr_assert(test.takes_requests());
+}
