A restart ends what other routers reported of a server

Cause: restarted() ended only what the server had stated to this router; reports, which hold the life in their key, stayed until they expired, and the dispatcher knows servers by id. The other way round, the end of an earlier life's report could have let requests through to a later life that leaves: the dispatcher is told now what holds for the id.

--- a/src/app/gateway/notice_controller.cpp
+++ b/src/app/gateway/notice_controller.cpp
@@ -172,7 +172,10 @@
         {{"server", changed.server},
          {"is_leaving", changed.is_leaving ? 1 : 0},
          {"source", changed.is_own ? "server" : "router"}});
-    this->dispatch.vm_leaving(changed.server, changed.is_leaving);
+    // The dispatcher knows servers by id: an earlier life may have ended.
+    this->dispatch.vm_leaving(
+        changed.server,
+        changed.is_leaving || this->leaving.contains(changed.server));
     this->notify.on_leaving(changed.life, changed.is_leaving);
 }
 
--- a/src/core/pacing/leaving_servers.cpp
+++ b/src/core/pacing/leaving_servers.cpp
@@ -103,6 +103,13 @@
 
 void leaving_servers::restarted(std::string_view server, server_life life)
 {
+    for (const server_limit& one : this->reports.in_force())
+    {
+        const auto reported = parse_key(one.server);
+        if (reported && reported->server == server && reported->life != life)
+            this->reports.remove(one.server);
+    }
+    this->take_report_changes();
     const auto found = this->stated.find(server);
     if (found != this->stated.end() && found->second != life)
         this->forget(server);
@@ -137,6 +144,12 @@
     }
 }
 
+bool leaving_servers::contains(std::string_view server) const
+{
+    const auto all = this->all();
+    return all.find(server) != all.end();
+}
+
 std::map<std::string, server_life, std::less<>> leaving_servers::all() const
 {
     auto known = this->stated;
--- a/src/core/pacing/leaving_servers.hpp
+++ b/src/core/pacing/leaving_servers.hpp
@@ -54,7 +54,7 @@
     /// Processes what another router reports.
     void handle_update(const server_limit_update& update, instant now);
 
-    /// The server has another life now.
+    /// The server has another life now. What was known of earlier ones ends.
     void restarted(std::string_view server, server_life life);
 
     void tick(instant now);
@@ -80,6 +80,9 @@
         return !this->reports.in_force().empty();
     }
 
+    /// @return Whether any life of the server counts as leaving.
+    bool contains(std::string_view server) const;
+
     /// @return The lives that count as leaving, by the id of the server.
     std::map<std::string, server_life, std::less<>> all() const;
 
--- a/tests/unit/gateway/test_notice_controller.cpp
+++ b/tests/unit/gateway/test_notice_controller.cpp
@@ -135,6 +135,31 @@
     cr_assert_not(test.view.servers().at("i-1").entry.leaving);
 }
 
+Test(notice_controller, the_end_of_an_earlier_life_ends_nothing_of_the_next)
+{
+    one_router told("r1");
+    told.answer(leaving_notice());
+    one_router test("r2");
+    test.controller.update_received(told.sent.at(0));
+    cr_assert_not(test.takes_requests());
+    test.view.entry_read(make_entry(2));
+    test.answer(leaving_notice(), 2);
+    test.controller.servers_changed();
+    cr_assert_not(test.takes_requests());
+    cr_assert(test.view.servers().at("i-1").entry.leaving);
+}
+
+Test(notice_controller, a_restart_ends_what_another_router_reported)
+{
+    one_router told("r1");
+    told.answer(leaving_notice());
+    one_router test("r2");
+    test.controller.update_received(told.sent.at(0));
+    test.view.entry_read(make_entry(2));
+    test.controller.servers_changed();
+    cr_assert(test.takes_requests());
+}
+
 Test(notice_controller, an_engine_that_reports_it_leaves_gets_no_requests)
 {
     one_router test("r1");
--- a/tests/unit/server_limits/test_leaving_servers.cpp
+++ b/tests/unit/server_limits/test_leaving_servers.cpp
@@ -60,6 +60,21 @@
     cr_assert_not(changes[0].is_leaving);
 }
 
+Test(leaving_servers, a_restart_ends_the_word_of_another_router)
+{
+    leaving_servers known("r2");
+    known.handle_update(told_update(first_life), at(0s));
+    known.take_changes();
+    known.restarted("i-1", first_life);
+    cr_assert(known.take_changes().empty());
+    known.restarted("i-1", second_life);
+    const auto changes = known.take_changes();
+    cr_assert_eq(changes.size(), 1);
+    cr_assert_not(changes[0].is_leaving);
+    cr_assert_eq(changes[0].life, first_life);
+    cr_assert(known.empty());
+}
+
 Test(leaving_servers, other_routers_are_told)
 {
     leaving_servers other("r2");
