A server whose address another one has taken gets no further request

What callers would see: a request at an address that another process has by now is answered 421 and sent once more, so it takes longer and uses up the retry budget; without a budget it is refused.

Cause: a plain server's 421 ended the attempt only. While the store is away, the registry names the server for as long.

Why it works: such an answer is read where all statements are, and the dispatcher knows it before the next decision. It counts like another router's report that the server leaves: it expires after 30 s, goes to the other routers, and a later answer of the server refutes it. server_replaced (RW1741) names it.

--- a/src/adapters/edge/shared_dispatcher.cpp
+++ b/src/adapters/edge/shared_dispatcher.cpp
@@ -94,16 +94,17 @@
     // A shorter pause, even one of no length, ends no longer one.
     const duration pause = notice.pause.value_or(duration::zero());
     const bool is_pause = pause > duration::zero();
-    if (!notice.leaving && !is_pause && !this->had_pauses)
+    const bool is_gone = notice.leaving || notice.replaced;
+    if (!is_gone && !is_pause && !this->had_pauses)
         return;
     this->with_lock(
         [&](instant time)
         {
-            if (notice.leaving)
+            if (is_gone)
                 this->core.vm_leaving(instance, true, time);
             if (is_pause)
                 this->core.server_paused(place, pause, time);
-            else if (!notice.is_queueing())
+            else if (!notice.replaced && !notice.is_queueing())
                 this->core.server_took_request(place, notice.no_room, time);
         });
     if (is_pause)
--- a/src/adapters/events/event_catalogue.cpp
+++ b/src/adapters/events/event_catalogue.cpp
@@ -463,7 +463,7 @@
      "server, is_saturated, places", no_action},
     {server_leaving, info, "server_leaving",
      "is_leaving 1: a backend server leaves and gets no new requests, as it "
-     "stated in an answer (source server), or as another router reports (source "
+     "stated in an answer (source server), or as a router reports (source "
      "router). 0: the report expired or was refuted, or the server restarted.",
      "server, is_leaving, source", no_action},
     {server_paused, info, "server_paused",
@@ -476,6 +476,11 @@
      "is ignored.",
      "server, value",
      "Find out what the server means by the value."},
+    {server_replaced, info, "server_replaced",
+     "Another server answered at the address of a backend server, so its process "
+     "has ended. It gets no new requests for 30 s, or until it answers or "
+     "restarts.",
+     "server, address", no_action},
     {placement_owned, info, "placement_owned",
      "This router now owns placement and sends orders to the engines.",
      "fence", no_action},
--- a/src/adapters/forward/forward_call_notices.cpp
+++ b/src/adapters/forward/forward_call_notices.cpp
@@ -99,8 +99,15 @@
         this->context.metrics.notices.increment(notice_kind::leaving);
     if (notice.pause)
         this->context.metrics.notices.increment(notice_kind::pause);
-    if (!is_of_server(exchange.head(), this->context.names, server.instance))
+    const response_source source = source_of(
+        exchange.head(),
+        this->context.names,
+        server.instance,
+        static_cast<bool>(granted.engine));
+    if (source == response_source::unknown)
         return;
+    if (source == response_source::other_server)
+        notice = server_notice{.replaced = true};
     this->context.ports.dispatch.server_stated(
         {granted.engine, granted.address}, server.instance, notice);
     this->context.ports.response_received(server, notice, this->sent_at);
--- a/src/adapters/forward/relayed_notices.cpp
+++ b/src/adapters/forward/relayed_notices.cpp
@@ -59,10 +59,19 @@
     const serving_table_ptr table = this->context.ports.table();
     const server_identity* known = find_in(table, address);
     const auto parsed = parse_head(head);
-    if (known == nullptr || !parsed ||
-        !is_of_server(*parsed, this->context.names, known->instance))
+    if (known == nullptr || !parsed)
         return;
-    const server_notice notice = parse_notice(*parsed, this->context.names);
+    const response_source source = source_of(
+        *parsed,
+        this->context.names,
+        known->instance,
+        static_cast<bool>(known->engine));
+    if (source == response_source::unknown)
+        return;
+    const server_notice notice =
+        source == response_source::server
+            ? parse_notice(*parsed, this->context.names)
+            : server_notice{.replaced = true};
     this->context.ports.dispatch.server_stated(
         {known->engine, address}, known->instance, notice);
     // When the request was sent isn't known, so what the response lacks doesn't
--- a/src/adapters/forward/response_head.cpp
+++ b/src/adapters/forward/response_head.cpp
@@ -56,14 +56,18 @@
            (refusal && head.find(names.not_run) != head.end());
 }
 
-bool is_of_server(
+response_source source_of(
     const response_head& head,
     const header_names& names,
-    std::string_view instance)
+    std::string_view instance,
+    bool is_engine)
 {
     const std::string_view named = to_string_view(head[names.instance]);
-    return head.result_int() != status_misdirected &&
-           (named.empty() || named == instance);
+    if (!named.empty() && named != instance)
+        return response_source::other_server;
+    if (head.result_int() != status_misdirected)
+        return response_source::server;
+    return is_engine ? response_source::unknown : response_source::other_server;
 }
 
 bool is_event_stream(const response_head& head)
--- a/src/app/gateway/gateway_control.hpp
+++ b/src/app/gateway/gateway_control.hpp
@@ -119,7 +119,8 @@
         const server_notice& notice,
         instant sent)
     {
-        this->limit_controller->answered(server.instance, notice, sent);
+        if (!notice.replaced)
+            this->limit_controller->answered(server.instance, notice, sent);
         this->notices.answered(server, notice, sent);
     }
 
--- a/src/app/gateway/notice_controller.cpp
+++ b/src/app/gateway/notice_controller.cpp
@@ -49,7 +49,9 @@
 void notice_controller::answered(
     const server_identity& server, const server_notice& notice, instant sent)
 {
-    if (!notice.leaving && !notice.pause && !this->has_reports)
+    const bool states_something =
+        notice.leaving || notice.replaced || notice.pause;
+    if (!states_something && !this->has_reports)
         return;
     asio::post(
         this->loop,
@@ -60,12 +62,25 @@
             const instant now = this->clock.now();
             if (notice.pause)
                 this->record_pause(server, now + *notice.pause);
-            this->leaving.handle_answer(
-                server.instance, server.life, notice.leaving, sent, now);
+            if (notice.replaced)
+                this->record_replacement(server);
+            else
+                this->leaving.handle_answer(
+                    server.instance, server.life, notice.leaving, sent, now);
             this->flush();
         });
 }
 
+void notice_controller::record_replacement(const server_identity& server)
+{
+    if (!this->leaving.contains(server.instance))
+        this->events.report(
+            event_id::server_replaced,
+            {{"server", server.instance}, {"address", server.address}});
+    this->leaving.handle_replacement(
+        server.instance, server.life, this->clock.now());
+}
+
 void notice_controller::record_pause(
     const server_identity& server, instant until)
 {
--- a/src/app/gateway/notice_controller.hpp
+++ b/src/app/gateway/notice_controller.hpp
@@ -76,6 +76,7 @@
         instant until;
     };
 
+    void record_replacement(const server_identity& server);
     void record_pause(const server_identity& server, instant until);
     void end_pauses_of_earlier_lives();
     void end_statements_of_earlier_lives();
--- a/src/core/pacing/leaving_servers.cpp
+++ b/src/core/pacing/leaving_servers.cpp
@@ -16,6 +16,9 @@
                                         "leaving ";
 constexpr std::size_t life_digits = 16;
 
+/// Value of an entry of a server that leaves.
+constexpr double present = 1;
+
 /// What another router reports holds for so long. A server ends some seconds
 /// after it has announced it; meanwhile other routers don't hear from it.
 constexpr duration report_lifetime = std::chrono::seconds(30);
@@ -86,7 +89,6 @@
         this->reports.handle_answer(key, std::nullopt, sent, now);
     if (leaving && !this->is_stated(server, life))
     {
-        constexpr double present = 1;
         this->stated.insert_or_assign(std::string(server), life);
         this->reports.handle_answer(key, present, sent, now);
         this->changes.push_back({std::string(server), life, true, true});
@@ -94,6 +96,14 @@
     this->take_report_changes();
 }
 
+void leaving_servers::handle_replacement(
+    std::string_view server, server_life life, instant now)
+{
+    if (!this->is_stated(server, life))
+        this->reports.handle_answer(key_of(server, life), present, now, now);
+    this->take_report_changes();
+}
+
 void leaving_servers::handle_update(
     const server_limit_update& update, instant now)
 {
--- a/src/core/pacing/leaving_servers.hpp
+++ b/src/core/pacing/leaving_servers.hpp
@@ -51,6 +51,11 @@
         instant sent,
         instant now);
 
+    /// Another server answered at the address of this one. Counts like the
+    /// report of another router: it expires, and a later answer refutes it.
+    void
+    handle_replacement(std::string_view server, server_life life, instant now);
+
     /// Processes what another router reports.
     void handle_update(const server_limit_update& update, instant now);
 
--- a/src/core/pacing/server_notice.hpp
+++ b/src/core/pacing/server_notice.hpp
@@ -28,6 +28,8 @@
     bool no_room = false; ///< it rejected the request for want of room
     /// The server is about to end, and takes no new requests.
     bool leaving = false;
+    /// Another server has its address; the rest is empty then.
+    bool replaced = false;
     /// Time for which it wants no requests of this router.
     std::optional<duration> pause;
 
--- a/tests/unit/gateway/test_notice_controller.cpp
+++ b/tests/unit/gateway/test_notice_controller.cpp
@@ -169,6 +169,18 @@
     test.controller.engine_leaves("i-2");
 }
 
+Test(notice_controller, a_replaced_server_gets_no_requests)
+{
+    one_router test("r1");
+    server_notice notice;
+    notice.replaced = true;
+    test.dispatch->server_stated({{}, "10.0.0.1:80"}, "i-1", notice);
+    cr_assert_not(test.takes_requests());
+    test.answer(notice);
+    cr_assert(test.view.servers().at("i-1").entry.leaving);
+    cr_assert_eq(test.sent.size(), 1);
+}
+
 Test(notice_controller, a_shorter_pause_ends_no_longer_one)
 {
     one_router test("r1");
--- a/tests/unit/server_limits/test_leaving_servers.cpp
+++ b/tests/unit/server_limits/test_leaving_servers.cpp
@@ -124,6 +124,30 @@
     cr_assert(is_leaving(known, first_life));
 }
 
+/// A wrong response can't take a server away for its life.
+Test(leaving_servers, a_replacement_expires_and_is_told_to_other_routers)
+{
+    leaving_servers known("r1");
+    known.handle_replacement("i-1", first_life, at(0s));
+    cr_assert(is_leaving(known, first_life));
+    const auto changes = known.take_changes();
+    cr_assert_eq(changes.size(), 1);
+    cr_assert(changes[0].is_leaving);
+    cr_assert(known.take_update(at(0s)).has_value());
+    known.tick(at(1min));
+    cr_assert(known.empty());
+    cr_assert_not(known.take_changes().at(0).is_leaving);
+}
+
+Test(leaving_servers, a_replacement_ends_no_statement_of_the_server)
+{
+    leaving_servers known("r1");
+    known.handle_answer("i-1", first_life, true, at(0s), at(0s));
+    known.handle_replacement("i-1", first_life, at(1s));
+    known.tick(at(1min));
+    cr_assert(is_leaving(known, first_life));
+}
+
 Test(leaving_servers, malformed_keys_are_ignored)
 {
     leaving_servers known("r1");
--- a/tests/unit/server_notices/stating_server.hpp
+++ b/tests/unit/server_notices/stating_server.hpp
@@ -38,6 +38,13 @@
         this->rejections_left = requests;
     }
 
+    /// From now on another server has the address: it takes no request that is
+    /// meant for this one.
+    void replace()
+    {
+        this->replaced = true;
+    }
+
     /// From now on the response to each request ends after a part of the body.
     void cut_responses()
     {
@@ -65,6 +72,12 @@
                 "\r\nContent-Length: 0\r\n\r\n");
             return;
         }
+        if (this->replaced)
+        {
+            peer.send("HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: 9c41\r\n"
+                      "Content-Length: 0\r\n\r\n");
+            return;
+        }
         const std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: 9c41\r\n"
                                  "Response-Seal: 3e1b\r\n" +
                                  notice;
@@ -82,6 +95,7 @@
 
     std::atomic<bool> leaving{false};
     std::atomic<bool> cutting{false};
+    std::atomic<bool> replaced{false};
     std::atomic<int> rejections_left{0};
     std::atomic<int> received{0};
     std::string pause;
--- a/tests/unit/server_notices/test_server_notices.cpp
+++ b/tests/unit/server_notices/test_server_notices.cpp
@@ -84,6 +84,42 @@
     cr_expect_leq(leaving.requests(), 1, "%d requests", leaving.requests());
 }
 
+/// Its registry entry may outlast it by as long as the store is away.
+Test(server_notices, a_server_whose_address_another_one_has_gets_no_request)
+{
+    for (const std::string_view target :
+         {"/once/x", "/again/x", "/stream/x", "/resume/x", "/later/x"})
+    {
+        stating_server gone;
+        stating_server present;
+        gone.replace();
+        forward_fixture test({&gone.backend, &present.backend});
+        cr_expect_eq(serve(test, "POST", target), requests_sent);
+        cr_expect_leq(
+            gone.requests(),
+            1,
+            "%s: %d requests",
+            target.data(),
+            gone.requests());
+    }
+}
+
+Test(server_notices, no_request_over_another_router_reaches_a_replaced_server)
+{
+    stating_server gone;
+    stating_server present;
+    forward_fixture other({&gone.backend, &present.backend});
+    forward_fixture test({&gone.backend, &present.backend});
+    test.know_router(other);
+    test.direct.network = cut::refusing;
+    gone.replace();
+    serve(other, "POST", "/once/x");
+    const int before = gone.requests();
+    serve(test, "POST", "/again/x");
+    cr_expect_eq(
+        gone.requests(), before, "%d requests", gone.requests() - before);
+}
+
 /// Incident inc10: a server that had asked for 3 s got up to 10 requests of
 /// one router in that time.
 Test(
