Pauses and leaving servers with killed and frozen routers, in virtual time

What a router was told before its restart or the end of its freeze doesn't count, as the users' rule says.

--- a/tests/unit/server_pauses/pausing_fleet.cpp
+++ b/tests/unit/server_pauses/pausing_fleet.cpp
@@ -100,14 +100,38 @@
             this->hopeless_wait, this->now() - found->second);
 }
 
+void pausing_fleet::kill(std::size_t router)
+{
+    this->excused_until[router] = this->now();
+    this->restart(router);
+}
+
+void pausing_fleet::suspend(std::size_t router, duration length)
+{
+    this->excused_until[router] = this->now() + length;
+    this->freeze(router, length);
+}
+
+bool pausing_fleet::is_orphaned(const sent_request& request) const
+{
+    return this->routers[request.router].run != request.run;
+}
+
+bool pausing_fleet::is_excused(std::size_t router, instant told) const
+{
+    const auto found = this->excused_until.find(router);
+    return found != this->excused_until.end() && told <= found->second;
+}
+
 void pausing_fleet::run_request(std::size_t number, const grant& granted)
 {
-    const instant sent = this->now();
+    const sent_request request{
+        number, this->routers[number].run, granted, this->now()};
     this->queue.schedule(
-        sent + this->one_way(),
-        [this, number, granted, sent]
+        request.sent + this->one_way(),
+        [this, request]
         {
-            this->arrive(number, granted, sent);
+            this->arrive(request);
         });
 }
 
@@ -122,28 +146,33 @@
 {
     for (pause_record& one : this->pauses[{number, engine}])
     {
-        if (this->now() < one.from || this->now() >= one.until)
+        const bool counts = this->now() >= one.from &&
+                            this->now() < one.until &&
+                            !this->is_excused(number, one.answered);
+        if (!counts)
             continue;
         ++one.arrivals;
         this->worst_pause = std::max(this->worst_pause, one.arrivals);
     }
     const auto told = this->told_leaving.find({number, engine});
     if (told != this->told_leaving.end() &&
+        !this->is_excused(number, told->second) &&
         this->now() - told->second > leaving_bound)
         ++this->late_arrivals;
 }
 
-void pausing_fleet::arrive(
-    std::size_t number, const grant& granted, instant sent)
+void pausing_fleet::arrive(const sent_request& request)
 {
-    const std::size_t index = granted.engine.value - 1;
-    this->record_arrival(number, index);
+    const std::size_t index = request.granted.engine.value - 1;
+    this->record_arrival(request.router, index);
     engine& one = this->engines[index];
     if (this->is_rejected(one))
     {
-        this->pauses[{number, index}].push_back(
-            {this->now() + pause_grace, this->now() + this->settings.pause, 0});
-        this->respond(number, granted, sent, modelled_server::result::rejected);
+        const instant now = this->now();
+        if (!this->is_orphaned(request))
+            this->pauses[{request.router, index}].push_back(
+                {now, now + pause_grace, now + this->settings.pause, 0});
+        this->respond(request, modelled_server::result::rejected);
         return;
     }
     std::uniform_int_distribution<duration::rep> length(
@@ -151,21 +180,20 @@
         2 * this->settings.shortest_run.count());
     one.server->receive(
         duration(length(this->random)),
-        [this, number, granted, sent](modelled_server::result result)
+        [this, request](modelled_server::result result)
         {
-            this->respond(number, granted, sent, result);
+            this->respond(request, result);
         });
     this->peak = std::max(
         this->peak, one.server->running_count() + one.server->waiting_count());
 }
 
 void pausing_fleet::respond(
-    std::size_t number,
-    const grant& granted,
-    instant sent,
-    modelled_server::result result)
+    const sent_request& request, modelled_server::result result)
 {
-    const std::size_t index = granted.engine.value - 1;
+    if (this->is_orphaned(request))
+        return;
+    const std::size_t index = request.granted.engine.value - 1;
     const bool is_rejection = result == modelled_server::result::rejected;
     server_notice notice;
     notice.no_room = is_rejection;
@@ -177,21 +205,34 @@
     if (is_rejection)
         notice.pause = this->settings.pause;
     this->schedule_on(
-        number,
+        request.router,
         this->now() + this->one_way(),
-        [this, number, granted, sent, notice, index]
+        [this, request, notice]
         {
-            if (notice.leaving)
-                this->told_leaving.try_emplace({number, index}, this->now());
-            this->handle_notice(number, granted.engine, notice, sent);
-            attempt_result attempt;
-            attempt.how = notice.no_room ? attempt_result::end::refused_not_run
-                                         : attempt_result::end::answered;
-            attempt.no_room = notice.no_room;
-            attempt.total = this->now() - sent;
-            attempt.first_byte = attempt.total / 2;
-            this->end_attempt(number, granted, attempt);
+            this->receive_response(request, notice);
         });
 }
 
+void pausing_fleet::receive_response(
+    const sent_request& request, const server_notice& notice)
+{
+    const std::size_t index = request.granted.engine.value - 1;
+    if (notice.leaving)
+    {
+        const auto [told, is_first] = this->told_leaving.try_emplace(
+            {request.router, index}, this->now());
+        if (!is_first && this->is_excused(request.router, told->second))
+            told->second = this->now();
+    }
+    this->handle_notice(
+        request.router, request.granted.engine, notice, request.sent);
+    attempt_result attempt;
+    attempt.how = notice.no_room ? attempt_result::end::refused_not_run
+                                 : attempt_result::end::answered;
+    attempt.no_room = notice.no_room;
+    attempt.total = this->now() - request.sent;
+    attempt.first_byte = attempt.total / 2;
+    this->end_attempt(request.router, request.granted, attempt);
+}
+
 } // namespace roseworks::testing
--- a/tests/unit/server_pauses/pausing_fleet.hpp
+++ b/tests/unit/server_pauses/pausing_fleet.hpp
@@ -34,6 +34,13 @@
     /// From now on all answers of an engine say that it leaves.
     void leave(std::size_t engine);
 
+    /// Restarts a router. What it was told before doesn't count any more.
+    void kill(std::size_t router);
+
+    /// Freezes a router for a time. What it was told until the end doesn't
+    /// count any more.
+    void suspend(std::size_t router, duration length);
+
     /// @return Requests a second that the engines can run.
     double capacity() const;
 
@@ -73,8 +80,18 @@
 private:
     using route_key = std::pair<std::size_t, std::size_t>; ///< router, engine
 
+    /// A request that was sent to an engine.
+    struct sent_request
+    {
+        std::size_t router;
+        std::uint64_t run; ///< of the router
+        grant granted;
+        instant sent;
+    };
+
     struct pause_record
     {
+        instant answered;
         instant from;  ///< half a second after the answer
         instant until; ///< end of the pause
         std::size_t arrivals = 0;
@@ -91,14 +108,15 @@
     void request_submitted(std::size_t number, ticket id) override;
     void request_refused(std::size_t number, const refusal& refused) override;
     void run_request(std::size_t number, const grant& granted) override;
-    void arrive(std::size_t number, const grant& granted, instant sent);
+    void arrive(const sent_request& request);
     void record_arrival(std::size_t number, std::size_t engine);
     bool is_rejected(const engine& one);
-    void respond(
-        std::size_t number,
-        const grant& granted,
-        instant sent,
-        modelled_server::result result);
+    void respond(const sent_request& request, modelled_server::result result);
+    void
+    receive_response(const sent_request& request, const server_notice& notice);
+    /// @return Whether the router that sent it has restarted since.
+    bool is_orphaned(const sent_request& request) const;
+    bool is_excused(std::size_t router, instant told) const;
     duration one_way();
     /// @return When the first engine takes requests of a router again.
     instant end_of_pauses(std::size_t number) const;
@@ -106,7 +124,8 @@
     options settings;
     std::vector<engine> engines;
     std::map<route_key, std::vector<pause_record>> pauses;
-    std::map<route_key, instant> told_leaving; ///< when a router was told
+    std::map<route_key, instant> told_leaving;    ///< when a router was told
+    std::map<std::size_t, instant> excused_until; ///< by router
     std::map<std::pair<std::size_t, std::uint64_t>, instant> submitted;
     std::size_t worst_pause = 0;
     std::size_t late_arrivals = 0;
--- a/tests/unit/server_pauses/test_server_pauses.cpp
+++ b/tests/unit/server_pauses/test_server_pauses.cpp
@@ -182,3 +182,44 @@
                 fleet.after_leaving());
         });
 }
+
+/// A router that has lost its state, or was frozen while it was told, mustn't
+/// make the others send to servers that asked them for a pause or leave.
+Test(server_pauses, killed_and_frozen_routers_change_nothing_for_the_others)
+{
+    constexpr duration frozen = 700ms;
+    constexpr std::size_t rounds = 8;
+    for_each_fleet(
+        4,
+        [](pausing_fleet& fleet, std::size_t routers)
+        {
+            fleet.send(2s, 0.3 * fleet.capacity());
+            fleet.reject(0, 2s);
+            fleet.leave(1);
+            const std::size_t served = fleet.served();
+            const std::size_t refused = fleet.refused();
+            for (std::size_t i = 0; i < rounds; ++i)
+            {
+                fleet.kill(2 * i % routers);
+                fleet.suspend((2 * i + 1) % routers, frozen);
+                fleet.send(1s, 0.3 * fleet.capacity());
+            }
+            cr_expect_leq(
+                fleet.most_in_pause(),
+                most_in_pause,
+                "%zu routers: %zu requests in a pause",
+                routers,
+                fleet.most_in_pause());
+            cr_expect_eq(
+                fleet.after_leaving(),
+                0,
+                "%zu routers: %zu requests at a leaving server",
+                routers,
+                fleet.after_leaving());
+            const double all = static_cast<double>(
+                fleet.served() - served + fleet.refused() - refused);
+            const double share =
+                static_cast<double>(fleet.served() - served) / all;
+            cr_expect_geq(share, 0.95, "%zu routers: %.3f", routers, share);
+        });
+}
