--- a/src/adapters/relay/relayed_connection.hpp
+++ b/src/adapters/relay/relayed_connection.hpp
@@ -22,7 +22,7 @@
 
     The other router sends one request at a time. Its first bytes, and those
     after a response, begin a request; one that may not be sent is rejected
-   here.
+    here.
 */
 class relayed_connection
 {
--- a/tests/unit/server_pauses/test_server_pauses.cpp
+++ b/tests/unit/server_pauses/test_server_pauses.cpp
@@ -41,6 +41,45 @@
     }
 }
 
+/// Checks that no router sent too much to an engine in a pause.
+void expect_pauses_kept(const pausing_fleet& fleet, std::size_t routers)
+{
+    cr_expect_leq(
+        fleet.most_in_pause(),
+        most_in_pause,
+        "%zu routers: %zu requests in a pause",
+        routers,
+        fleet.most_in_pause());
+}
+
+/// What became of the requests since the object was made.
+class outcome_counter
+{
+public:
+    explicit outcome_counter(const pausing_fleet& fleet)
+        : watched(fleet)
+        , served(fleet.served())
+        , refused(fleet.refused())
+    {
+    }
+
+    /// Checks that at least this share of the requests was served.
+    void expect_served(double least_share, std::size_t routers) const
+    {
+        const auto now_served =
+            static_cast<double>(this->watched.served() - this->served);
+        const auto now_refused =
+            static_cast<double>(this->watched.refused() - this->refused);
+        const double share = now_served / (now_served + now_refused);
+        cr_expect_geq(share, least_share, "%zu routers: %.3f", routers, share);
+    }
+
+private:
+    const pausing_fleet& watched;
+    std::size_t served;
+    std::size_t refused;
+};
+
 } // namespace
 
 /// Incident inc10: the retries of one request and the requests for all other
@@ -53,21 +92,11 @@
         {
             fleet.send(2s, 0.5 * fleet.capacity());
             fleet.reject(0, 1s);
-            const std::size_t served = fleet.served();
-            const std::size_t refused = fleet.refused();
+            const outcome_counter outcomes(fleet);
             fleet.send(6s, 0.5 * fleet.capacity());
-            cr_expect_leq(
-                fleet.most_in_pause(),
-                most_in_pause,
-                "%zu routers: %zu requests in a pause",
-                routers,
-                fleet.most_in_pause());
+            expect_pauses_kept(fleet, routers);
             // The others have room for all.
-            const double all = static_cast<double>(
-                fleet.served() - served + fleet.refused() - refused);
-            const double share =
-                static_cast<double>(fleet.served() - served) / all;
-            cr_expect_geq(share, 0.99, "%zu routers: %.3f", routers, share);
+            outcomes.expect_served(0.99, routers);
         });
 }
 
@@ -81,12 +110,7 @@
             for (std::size_t i = 0; i < 4; ++i)
                 fleet.reject(i, 12s, 0.8);
             fleet.send(16s, 0.5 * fleet.capacity());
-            cr_expect_leq(
-                fleet.most_in_pause(),
-                most_in_pause,
-                "%zu routers: %zu requests in a pause",
-                routers,
-                fleet.most_in_pause());
+            expect_pauses_kept(fleet, routers);
         });
 }
 
@@ -155,13 +179,9 @@
         fleet.reject(0, 300ms);
         fleet.reject(1, 300ms);
         fleet.send(5s, 0.5 * fleet.capacity());
-        const std::size_t served = fleet.served();
-        const std::size_t refused = fleet.refused();
+        const outcome_counter outcomes(fleet);
         fleet.send(3s, 0.5 * fleet.capacity());
-        const double all = static_cast<double>(
-            fleet.served() - served + fleet.refused() - refused);
-        const double share = static_cast<double>(fleet.served() - served) / all;
-        cr_expect_geq(share, 0.99, "%zu routers: %.3f", routers, share);
+        outcomes.expect_served(0.99, routers);
     }
 }
 
@@ -196,30 +216,20 @@
             fleet.send(2s, 0.3 * fleet.capacity());
             fleet.reject(0, 2s);
             fleet.leave(1);
-            const std::size_t served = fleet.served();
-            const std::size_t refused = fleet.refused();
+            const outcome_counter outcomes(fleet);
             for (std::size_t i = 0; i < rounds; ++i)
             {
                 fleet.kill(2 * i % routers);
                 fleet.suspend((2 * i + 1) % routers, frozen);
                 fleet.send(1s, 0.3 * fleet.capacity());
             }
-            cr_expect_leq(
-                fleet.most_in_pause(),
-                most_in_pause,
-                "%zu routers: %zu requests in a pause",
-                routers,
-                fleet.most_in_pause());
+            expect_pauses_kept(fleet, routers);
             cr_expect_eq(
                 fleet.after_leaving(),
                 0,
                 "%zu routers: %zu requests at a leaving server",
                 routers,
                 fleet.after_leaving());
-            const double all = static_cast<double>(
-                fleet.served() - served + fleet.refused() - refused);
-            const double share =
-                static_cast<double>(fleet.served() - served) / all;
-            cr_expect_geq(share, 0.95, "%zu routers: %.3f", routers, share);
+            outcomes.expect_served(0.95, routers);
         });
 }
