The end of lives of leaving servers costs no square of their number

Only a server whose life has changed is looked up now, and the set is built once for all changes. test_gateway: 65 of 65, the same assertions.

--- a/src/adapters/forward/notice_headers.cpp
+++ b/src/adapters/forward/notice_headers.cpp
@@ -13,7 +13,7 @@
 
 constexpr unsigned status_unavailable = 503;
 
-/// A longer pause is more likely a mistake than a wish.
+/// A longer pause is more likely a mistake than intended.
 constexpr duration longest_pause = std::chrono::hours(1);
 
 /// Value of the header that states that the server leaves.
--- a/src/app/gateway/notice_controller.cpp
+++ b/src/app/gateway/notice_controller.cpp
@@ -162,36 +162,44 @@
     for (const auto& [id, life] : known)
     {
         const auto found = this->view.servers().find(id);
-        if (found != this->view.servers().end())
-            this->leaving.restarted(
-                id, life_of(id, found->second.entry.born_ms));
-        else if (is_full)
-            this->leaving.forget(id);
+        if (found == this->view.servers().end())
+        {
+            if (is_full)
+                this->leaving.forget(id);
+            continue;
+        }
+        const server_life present = life_of(id, found->second.entry.born_ms);
+        if (present != life)
+            this->leaving.restarted(id, present);
     }
 }
 
 void notice_controller::flush()
 {
-    for (const leaving_servers::change& changed : this->leaving.take_changes())
-        this->apply(changed);
+    const auto changes = this->leaving.take_changes();
+    if (!changes.empty())
+        this->apply(changes);
     this->has_reports = this->leaving.has_reports();
     if (const auto message = this->leaving.take_update(this->clock.now()))
         this->notify.on_message(*message);
     this->schedule_tick();
 }
 
-void notice_controller::apply(const leaving_servers::change& changed)
+void notice_controller::apply(std::span<const leaving_servers::change> changes)
 {
-    this->events.report(
-        event_id::server_leaving,
-        {{"server", changed.server},
-         {"is_leaving", changed.is_leaving ? 1 : 0},
-         {"source", changed.is_own ? "server" : "router"}});
-    // The dispatcher knows servers by id: an earlier life may have ended.
-    this->dispatch.vm_leaving(
-        changed.server,
-        changed.is_leaving || this->leaving.contains(changed.server));
-    this->notify.on_leaving(changed.life, changed.is_leaving);
+    const auto known = this->leaving.all();
+    for (const leaving_servers::change& changed : changes)
+    {
+        this->events.report(
+            event_id::server_leaving,
+            {{"server", changed.server},
+             {"is_leaving", changed.is_leaving ? 1 : 0},
+             {"source", changed.is_own ? "server" : "router"}});
+        // The dispatcher knows servers by id: an earlier life may have ended.
+        this->dispatch.vm_leaving(
+            changed.server, known.contains(changed.server));
+        this->notify.on_leaving(changed.life, changed.is_leaving);
+    }
 }
 
 void notice_controller::schedule_tick()
--- a/src/app/gateway/notice_controller.hpp
+++ b/src/app/gateway/notice_controller.hpp
@@ -15,13 +15,14 @@
 #include <atomic>
 #include <functional>
 #include <map>
+#include <span>
 #include <string>
 
 namespace roseworks::app
 {
 
-/** Tells the routers, the placement owner and the serving table what backend
-    servers state about themselves.
+/** Reports to the routers, the placement owner and the serving table what
+   backend servers state about themselves.
 
     The traffic threads apply a statement before they send anything else; this
     class only makes it known to the rest. It also ends what was known of a
@@ -81,7 +82,7 @@
     void end_pauses_of_earlier_lives();
     void end_statements_of_earlier_lives();
     void flush();
-    void apply(const leaving_servers::change& changed);
+    void apply(std::span<const leaving_servers::change> changes);
     void schedule_tick();
 
     boost::asio::io_context& loop;
