--- a/review/standins/harness.cpp
+++ b/review/standins/harness.cpp
@@ -226,11 +226,14 @@
         ::close(std::exchange(this->socket, -1));
 }
 
-server::server(handler chosen)
+server::server(handler chosen, unsigned short wanted)
     : answer(std::move(chosen))
     , listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
 {
-    sockaddr_in any = socket_address("127.0.0.1:0");
+    sockaddr_in any = socket_address("127.0.0.1:" + std::to_string(wanted));
+    const int reused = 1;
+    ::setsockopt(
+        this->listener, SOL_SOCKET, SO_REUSEADDR, &reused, sizeof reused);
     ::bind(this->listener, reinterpret_cast<sockaddr*>(&any), sizeof any);
     ::listen(this->listener, 128);
     socklen_t size = sizeof any;
--- a/review/standins/harness.hpp
+++ b/review/standins/harness.hpp
@@ -96,10 +96,15 @@
 public:
     using handler = std::function<bool(connection&, const message&)>;
 
-    explicit server(handler answer);
+    /// @param wanted Port; 0: any that is free.
+    explicit server(handler answer, unsigned short wanted = 0);
     ~server();
 
     std::string address() const;
+    unsigned short port_number() const
+    {
+        return this->port;
+    }
 
 private:
     void accept();
