--- a/review/build.sh
+++ b/review/build.sh
@@ -4,6 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 out=target/review
+rm -rf "$out"
 mkdir -p "$out"
 flags=(-std=c++20 -O1 -I.)
 shared=(review/standins/harness.cpp review/standins/small_deployment.cpp
--- a/review/standins/harness.cpp
+++ b/review/standins/harness.cpp
@@ -10,6 +10,7 @@
 #include <fcntl.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -364,6 +365,8 @@
     this->process = ::fork();
     if (this->process != 0)
         return;
+    // Ends with the program that started it, whatever ends that.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int out = ::open(log.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
     ::dup2(out, STDOUT_FILENO);
     ::dup2(out, STDERR_FILENO);
@@ -395,8 +398,10 @@
 {
     if (this->process <= 0)
         return false;
-    if (::waitpid(this->process, nullptr, WNOHANG) == 0)
+    int status = 0;
+    if (::waitpid(this->process, &status, WNOHANG) == 0)
         return true;
+    this->signal_of_end = WIFSIGNALED(status) ? WTERMSIG(status) : 0;
     this->process = -1;
     return false;
 }
--- a/review/standins/harness.hpp
+++ b/review/standins/harness.hpp
@@ -143,6 +143,11 @@
     void kill();
     /// @return Whether the process still runs.
     bool runs();
+    /// @return The signal that ended the process; 0: none, or it runs.
+    int ending_signal() const
+    {
+        return this->signal_of_end;
+    }
     bool wait_until_ready(int timeout_ms) const;
     const std::string& name() const
     {
@@ -167,6 +172,7 @@
     std::string metrics_address;
     std::string file;
     pid_t process = -1;
+    int signal_of_end = 0;
 };
 
 std::string free_address();
