--- a/review/standins/engine_deployment.cpp
+++ b/review/standins/engine_deployment.cpp
@@ -63,6 +63,7 @@
 
 bool engine::answer(connection& caller, const message& request)
 {
+    this->message_count += 2; // and its answer
     if (request.first_line.starts_with("POST /order "))
         return caller.send(this->answer_order(request));
     if (request.first_line.starts_with("GET /report "))
@@ -365,4 +366,12 @@
     return total;
 }
 
+int engine_deployment::messages() const
+{
+    int total = 0;
+    for (const auto& one : this->engines)
+        total += one->messages();
+    return total;
+}
+
 } // namespace review
--- a/review/standins/engine_deployment.hpp
+++ b/review/standins/engine_deployment.hpp
@@ -23,6 +23,11 @@
     int orders();
     int lower_tokens();
     int turns();
+    /// @return Requests that arrived and answers to them.
+    int messages() const
+    {
+        return this->message_count;
+    }
 
     /// The next order of this holder arrives later by the delay.
     void hold_next(
@@ -53,6 +58,7 @@
     std::uint64_t orders_taken = 0;
     std::vector<arrived_order> arrived;
     std::uint64_t highest_token = 0;
+    std::atomic<int> message_count{0};
     int lower_count = 0;
     int turn_count = 0;
     std::string held_holder;
@@ -84,6 +90,7 @@
     int orders();
     int lower_tokens();
     int turns();
+    int messages() const;
 
     record log;
 
