Tests of callers that don't stay inside the limits, which fail

A gateway and a router as real processes, with limits lowered in their own settings (body 512 KiB, header 8 KiB) and a VM of 64 MB and 400 descriptors: trailers and a chunk extension without end (one caller, 128 MiB), 192 chunked bodies in chunks of 64 KiB and of one byte that stop one byte short and stay open, bodies over the limit announced and just sent. Checked are only that the process lives, the most resident memory since its start, open descriptors, and that an ordinary request is served while the crowd is there and after it. A check waits until the process has read what was sent, as the kernel shows it.

process_usage moves from the soak to the shared test code.

--- /dev/null
+++ b/tests/integration/misbehaving_callers_test.cpp
@@ -0,0 +1,375 @@
+// A gateway and a router as real processes before callers that don't stay
+// inside the limits: the process lives, keeps within the memory and the
+// descriptors of its VM, and serves an ordinary request while such callers are
+// there and after them.
+
+#include "fake_backend.hpp"
+#include "tests/support/caller_crowd.hpp"
+#include "tests/support/calls.hpp"
+#include "tests/support/fleet.hpp"
+#include "tests/support/gateway_process.hpp"
+#include "tests/support/http_call.hpp"
+#include "tests/support/platform_store.hpp"
+#include "tests/support/process_usage.hpp"
+
+#include <string>
+#include <string_view>
+
+#include <criterion/criterion.h>
+
+using namespace roseworks::test;
+using roseworks::edge::tests::backend_peer;
+using roseworks::edge::tests::fake_backend;
+using roseworks::edge::tests::header_of;
+
+namespace
+{
+
+/// Of the VM. The bodies of the crowd are larger than its memory.
+constexpr std::uint64_t vm_memory_mb = 64;
+constexpr std::uint64_t vm_descriptors = 400;
+
+constexpr std::size_t max_body_bytes = std::size_t(512) << 10;
+constexpr std::size_t large_chunk_bytes = std::size_t(64) << 10;
+constexpr std::size_t caller_count = 192;
+
+/// What a single caller sends whose bytes have no end.
+constexpr std::size_t endless_bytes = std::size_t(128) << 20;
+
+/// What each caller of a crowd sends beyond the limit.
+constexpr std::size_t excess_bytes = std::size_t(2) << 20;
+
+/// Of an ordinary request.
+constexpr std::size_t ordinary_body_bytes = 800;
+
+/// A process that serves callers, before one server.
+class deployment
+{
+public:
+    virtual ~deployment() = default;
+
+    virtual std::string address() const = 0;
+    virtual child_process& process() = 0;
+    /// @return The status that an ordinary request gets.
+    virtual unsigned ask() = 0;
+    /// @return Request line and headers of a request, without the last line
+    ///         end.
+    virtual std::string head() const = 0;
+
+    std::string chunked_head() const
+    {
+        return this->head() + "Transfer-Encoding: chunked\r\n\r\n";
+    }
+
+    /// Waits until the process has read all that callers have sent.
+    void settle() const
+    {
+        cr_assert(
+            eventually(
+                [&]
+                {
+                    return unread_bytes(this->address()) == 0;
+                }),
+            "what callers send isn't read");
+    }
+
+    /// Checks what holds at any time.
+    void check()
+    {
+        this->settle();
+        constexpr std::uint64_t kib_per_mb = 1000;
+        cr_assert(this->process().running(), "the process has ended");
+        const process_usage usage = usage_of(this->process().pid());
+        cr_expect_leq(
+            usage.peak_kib,
+            vm_memory_mb * kib_per_mb,
+            "%lu KiB are resident at the peak",
+            usage.peak_kib);
+        cr_expect_leq(
+            usage.descriptors,
+            vm_descriptors,
+            "%lu descriptors are open",
+            usage.descriptors);
+        cr_expect_eq(this->ask(), 200U, "an ordinary request isn't served");
+    }
+};
+
+void answer_all(backend_peer& peer)
+{
+    while (true)
+    {
+        const std::string request = peer.read_request();
+        if (request.empty())
+            return;
+        peer.send(
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nAttempt-Id: " +
+            header_of(request, "Attempt-Id") + "\r\n\r\nok");
+    }
+}
+
+class gateway_deployment final : public deployment
+{
+public:
+    gateway_deployment()
+    {
+        this->store.write("keyed.op", "config", configuration());
+        this->store.write(
+            "keyed.servers",
+            "i-1",
+            R"({"service":"s","address":")" + this->backend.address() +
+                R"(","zone":"dc","version":"v1","slots":64,)"
+                R"("state":"ready","seq":1})");
+        cr_assert(eventually(
+            [&]
+            {
+                return this->gateway.is_ready() && this->ask() == 200;
+            }));
+    }
+
+    std::string address() const override
+    {
+        return this->gateway.address();
+    }
+
+    child_process& process() override
+    {
+        return this->gateway.program();
+    }
+
+    unsigned ask() override
+    {
+        http_call call;
+        call.method = "POST";
+        call.target = "/a/x";
+        call.headers = {
+            {"Host", "a.example"},
+            {"Attempt-Id", "ordinary"},
+            {"Deadline-Ms", "20000"}};
+        call.body = std::string(ordinary_body_bytes, 'x');
+        return send(this->gateway.address(), call).status;
+    }
+
+    std::string head() const override
+    {
+        return "POST /a/x HTTP/1.1\r\nHost: a.example\r\n"
+               "Attempt-Id: crowd\r\nDeadline-Ms: 20000\r\n";
+    }
+
+private:
+    static std::string configuration()
+    {
+        return R"({"version":1,"limits":{"max_header_bytes":8192,)"
+               R"("max_body_bytes":)" +
+               std::to_string(max_body_bytes) +
+               R"(,"header_timeout_ms":10000,"idle_timeout_ms":60000},)"
+               R"("routes":[{"name":"r","host":"a.example",)"
+               R"("path_prefix":"/a/","kind":"idempotent","max_attempts":3,)"
+               R"("timeout_ms":20000,"service":"s"}],)"
+               R"("services":[{"name":"s"}]})";
+    }
+
+    platform_store store{1};
+    fake_backend backend{answer_all};
+    gateway_process gateway{{"misbehaving", store.address(0)}};
+};
+
+class router_deployment final : public deployment
+{
+public:
+    router_deployment()
+    {
+        const auto applied = this->nodes.apply({});
+        cr_assert_eq(applied.exit_code, 0, "%s", applied.output.c_str());
+        cr_assert(this->nodes.wait_ready());
+        cr_assert_eq(this->ask(), 200U);
+    }
+
+    std::string address() const override
+    {
+        return this->nodes.router_address(0);
+    }
+
+    child_process& process() override
+    {
+        return this->nodes.router(0);
+    }
+
+    unsigned ask() override
+    {
+        const std::string key = "key-" + std::to_string(++this->asked);
+        const std::string text(ordinary_body_bytes, 'x');
+        return send(this->address(), dispatch(key, "\"" + text + "\"")).status;
+    }
+
+    std::string head() const override
+    {
+        return "POST /services/s1/dispatch HTTP/1.1\r\nHost: a.example\r\n"
+               "Content-Type: application/json\r\nIdempotency-Key: crowd\r\n";
+    }
+
+private:
+    static fleet_setup setup()
+    {
+        fleet_setup made;
+        made.routers = 1;
+        made.router_settings =
+            "[traffic]\nmax_header_bytes = 8192\nmax_body_bytes = " +
+            std::to_string(max_body_bytes) + "\n";
+        return made;
+    }
+
+    fleet nodes{setup()};
+    int asked = 0;
+};
+
+void check_endless_trailers(deployment& tested)
+{
+    {
+        raw_caller caller(tested.address());
+        const std::string line = "X-Trailer: " + std::string(52, 'x') + "\r\n";
+        caller.send(tested.chunked_head() + chunk_of("x") + "0\r\n") &&
+            caller.send_repeated(line, endless_bytes / line.size());
+        tested.check();
+    }
+    tested.check();
+}
+
+void check_endless_chunk_extension(deployment& tested)
+{
+    {
+        raw_caller caller(tested.address());
+        caller.send(tested.chunked_head() + chunk_of("x") + "1;x=") &&
+            caller.send_repeated("x", endless_bytes);
+        tested.check();
+    }
+    tested.check();
+}
+
+/// Sends chunked bodies that stop just short of their end, and leaves them
+/// open.
+void check_unfinished_bodies(deployment& tested, std::size_t chunk_bytes)
+{
+    {
+        caller_crowd crowd(tested.address(), caller_count);
+        crowd.each(
+            [&](raw_caller& caller)
+            {
+                caller.send(tested.chunked_head()) &&
+                    send_chunks(caller, max_body_bytes - 1, chunk_bytes);
+            });
+        tested.check();
+    }
+    tested.check();
+}
+
+void check_announced_bodies(deployment& tested)
+{
+    {
+        caller_crowd crowd(tested.address(), caller_count);
+        crowd.each(
+            [&](raw_caller& caller)
+            {
+                caller.send(
+                    tested.head() + "Content-Length: 1000000000000\r\n\r\n") &&
+                    caller.send_repeated("x", max_body_bytes + excess_bytes);
+            });
+        tested.check();
+    }
+    tested.check();
+}
+
+void check_bodies_just_sent(deployment& tested)
+{
+    {
+        caller_crowd crowd(tested.address(), caller_count);
+        // All are at the limit before one exceeds it.
+        crowd.each(
+            [&](raw_caller& caller)
+            {
+                caller.send(tested.chunked_head()) &&
+                    send_chunks(caller, max_body_bytes, large_chunk_bytes);
+            });
+        tested.settle();
+        crowd.each(
+            [&](raw_caller& caller)
+            {
+                send_chunks(caller, excess_bytes, large_chunk_bytes);
+            });
+        tested.check();
+    }
+    tested.check();
+}
+
+} // namespace
+
+Test(gateway_misbehaving_callers, trailers_without_end)
+{
+    gateway_deployment tested;
+    check_endless_trailers(tested);
+}
+
+Test(gateway_misbehaving_callers, a_chunk_extension_without_end)
+{
+    gateway_deployment tested;
+    check_endless_chunk_extension(tested);
+}
+
+Test(gateway_misbehaving_callers, unfinished_bodies_in_large_chunks)
+{
+    gateway_deployment tested;
+    check_unfinished_bodies(tested, large_chunk_bytes);
+}
+
+Test(gateway_misbehaving_callers, unfinished_bodies_in_chunks_of_one_byte)
+{
+    gateway_deployment tested;
+    check_unfinished_bodies(tested, 1);
+}
+
+Test(gateway_misbehaving_callers, bodies_over_the_limit_that_were_announced)
+{
+    gateway_deployment tested;
+    check_announced_bodies(tested);
+}
+
+Test(gateway_misbehaving_callers, bodies_over_the_limit_that_were_just_sent)
+{
+    gateway_deployment tested;
+    check_bodies_just_sent(tested);
+}
+
+Test(router_misbehaving_callers, trailers_without_end)
+{
+    router_deployment tested;
+    check_endless_trailers(tested);
+}
+
+Test(router_misbehaving_callers, a_chunk_extension_without_end)
+{
+    router_deployment tested;
+    check_endless_chunk_extension(tested);
+}
+
+Test(router_misbehaving_callers, unfinished_bodies_in_large_chunks)
+{
+    router_deployment tested;
+    check_unfinished_bodies(tested, large_chunk_bytes);
+}
+
+Test(router_misbehaving_callers, unfinished_bodies_in_chunks_of_one_byte)
+{
+    router_deployment tested;
+    check_unfinished_bodies(tested, 1);
+}
+
+Test(router_misbehaving_callers, bodies_over_the_limit_that_were_announced)
+{
+    router_deployment tested;
+    check_announced_bodies(tested);
+}
+
+Test(router_misbehaving_callers, bodies_over_the_limit_that_were_just_sent)
+{
+    router_deployment tested;
+    check_bodies_just_sent(tested);
+}
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -2,7 +2,7 @@
 #include "tests/soak/in_force_watch.hpp"
 #include "tests/soak/judge.hpp"
 #include "tests/soak/ledger_watch.hpp"
-#include "tests/soak/process_usage.hpp"
+#include "tests/support/process_usage.hpp"
 #include "tests/soak/soak_fleet.hpp"
 #include "tests/soak/soak_options.hpp"
 #include "tests/soak/storm.hpp"
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -95,6 +95,11 @@
     return this->child->running();
 }
 
+int child_process::pid() const
+{
+    return this->child->id();
+}
+
 program_result
 run_program(std::string_view program, const std::vector<std::string>& args)
 {
--- a/tests/support/child_process.hpp
+++ b/tests/support/child_process.hpp
@@ -55,6 +55,8 @@
 
     bool running();
 
+    int pid() const;
+
 private:
     boost::process::ipstream output;
     std::unique_ptr<boost::process::child> child;
--- a/tests/support/gateway_process.cpp
+++ b/tests/support/gateway_process.cpp
@@ -61,6 +61,7 @@
 gateway_process::gateway_process(const options& settings)
     : requests(free_address())
     , readiness(free_address())
+    , metrics(free_address())
     , settings_file(
           std::filesystem::temp_directory_path() /
           (settings.name + "-" + std::to_string(::getpid()) + ".ini"))
@@ -71,7 +72,7 @@
          << "\ncores = 0.25\nlink_mbps = 100\nfirst_start = false\n[listen]"
          << "\nrequests = " << this->requests
          << "\nreadiness = " << this->readiness
-         << "\npeers = " << free_address() << "\nmetrics = " << free_address()
+         << "\npeers = " << free_address() << "\nmetrics = " << this->metrics
          << "\n[store]\naddress = " << settings.store << '\n';
     file.close();
     const std::vector<std::string> arguments{
--- a/tests/support/gateway_process.hpp
+++ b/tests/support/gateway_process.hpp
@@ -33,12 +33,30 @@
         return this->requests;
     }
 
+    /// @return ip:port where a load balancer asks whether it is ready.
+    const std::string& readiness_address() const
+    {
+        return this->readiness;
+    }
+
+    /// @return ip:port of its metrics.
+    const std::string& metrics_address() const
+    {
+        return this->metrics;
+    }
+
+    child_process& program()
+    {
+        return *this->process;
+    }
+
     /// @return The status that a request of this path gets.
     unsigned ask(const std::string& path) const;
 
 private:
     std::string requests;
     std::string readiness;
+    std::string metrics;
     std::filesystem::path settings_file;
     std::unique_ptr<child_process> process;
 };
--- a/tests/soak/process_usage.cpp
+++ b/tests/support/process_usage.cpp
@@ -1,6 +1,6 @@
-#include "tests/soak/process_usage.hpp"
+#include "tests/support/process_usage.hpp"
 
-#include <algorithm>
+#include <cstdio>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
@@ -14,8 +14,6 @@
 
 namespace fs = std::filesystem;
 
-constexpr std::uint64_t page_kib = 4;
-
 std::string text_of(const fs::path& path)
 {
     std::ifstream in(path);
@@ -36,16 +34,22 @@
     return found;
 }
 
+} // namespace
+
 process_usage usage_of(int pid)
 {
     const fs::path folder = "/proc/" + std::to_string(pid);
     process_usage usage;
     usage.pid = pid;
-    std::ifstream in(folder / "statm");
-    std::uint64_t all_pages = 0;
-    std::uint64_t resident_pages = 0;
-    in >> all_pages >> resident_pages;
-    usage.resident_kib = resident_pages * page_kib;
+    std::ifstream status(folder / "status");
+    std::string word;
+    while (status >> word)
+    {
+        if (word == "VmHWM:")
+            status >> usage.peak_kib;
+        if (word == "VmRSS:")
+            status >> usage.resident_kib;
+    }
     std::error_code gone;
     const fs::directory_iterator first(folder / "fd", gone);
     if (!gone)
@@ -53,7 +57,32 @@
     return usage;
 }
 
-} // namespace
+std::uint64_t unread_bytes(const std::string& address)
+{
+    const auto port = std::stoul(address.substr(address.rfind(':') + 1));
+    std::ifstream connections("/proc/net/tcp");
+    std::string line;
+    std::getline(connections, line); // names of the columns
+    std::uint64_t sum = 0;
+    while (std::getline(connections, line))
+    {
+        // slot: local-ip:port remote-ip:port state sent:unread, in hexadecimal
+        unsigned long local_port = 0;
+        unsigned state = 0;
+        unsigned long unread = 0;
+        const int found = std::sscanf(
+            line.c_str(),
+            " %*u: %*x:%lx %*x:%*x %x %*x:%lx",
+            &local_port,
+            &state,
+            &unread);
+        constexpr int fields = 3;
+        constexpr unsigned listening = 0x0A; // its number counts connections
+        if (found == fields && local_port == port && state != listening)
+            sum += unread;
+    }
+    return sum;
+}
 
 process_usage router_usage(const std::string& name)
 {
