Chunk headers and trailers of callers have a size limit

Callers saw the process end: one caller that sent trailers or a chunk extension without end took it over the memory of its VM.

Cause: read_body left the reading to Beast with a buffer without a maximum. Beast's header limit ends with the head, and its parser asks for more bytes until it has the end of a chunk header's line, or the empty line after the trailers. Only chunk data counted against the body limit.

Change: the connection reads 16 KiB at a time and parses what it has. What the parser leaves is an incomplete chunk header or incomplete trailers; more of it than a head may have (max_header_bytes) is refused with 431 and the connection closes. A client inside the limits doesn't meet that: what it sends beside a body is a header, too.

--- a/src/adapters/edge/caller_connection.cpp
+++ b/src/adapters/edge/caller_connection.cpp
@@ -20,6 +20,7 @@
 {
 
 constexpr std::size_t read_bytes = std::size_t(4) << 10;
+constexpr std::size_t body_read_bytes = std::size_t(16) << 10;
 constexpr std::size_t max_linger_bytes = std::size_t(256) << 10;
 constexpr std::chrono::seconds linger_timeout{1};
 constexpr std::string_view continue_answer = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -51,12 +52,6 @@
     return {static_cast<const char*>(data.data()), data.size()};
 }
 
-bool is_http_error(beast::error_code error)
-{
-    return error.category() ==
-           make_error_code(http::error::bad_chunk).category();
-}
-
 } // namespace
 
 caller_connection::caller_connection(
@@ -100,7 +95,7 @@
     this->buffer.shrink_to_fit();
     this->between_requests = true;
     this->stream.expires_after(idle);
-    const bool received = co_await this->read_some();
+    const bool received = co_await this->read_some(read_bytes);
     this->between_requests = false;
     if (!received)
         co_return closed();
@@ -120,15 +115,15 @@
             co_return malformed("the header is over the limit", 431);
         if (known == head_scan::status::complete)
             co_return caller_read{};
-        const bool received = co_await this->read_some();
+        const bool received = co_await this->read_some(read_bytes);
         if (!received)
             co_return closed();
     }
 }
 
-asio::awaitable<bool> caller_connection::read_some()
+asio::awaitable<bool> caller_connection::read_some(std::size_t max_bytes)
 {
-    const auto space = this->buffer.prepare(read_bytes);
+    const auto space = this->buffer.prepare(max_bytes);
     const auto [error, size] =
         co_await this->stream.async_read_some(space, use_awaitable_tuple);
     if (error)
@@ -148,17 +143,36 @@
         if (!sent)
             co_return closed();
     }
-    if (parser.is_done())
-        co_return caller_read{};
+    parser.eager(true);
     this->stream.expires_after(this->options.body_timeout);
-    const auto [error, size] = co_await http::async_read(
-        this->stream, this->buffer, parser, use_awaitable_tuple);
-    if (!error)
-        co_return caller_read{};
-    if (is_http_error(error) && error != http::error::partial_message &&
-        error != http::error::end_of_stream)
-        co_return to_read_result(error);
-    co_return closed();
+    while (!parser.is_done())
+    {
+        caller_read parsed = this->parse_body(parser);
+        if (parsed.result != caller_read::status::done)
+            co_return parsed;
+        if (parser.is_done())
+            break;
+        const bool received = co_await this->read_some(body_read_bytes);
+        if (!received)
+            co_return closed();
+    }
+    co_return caller_read{};
+}
+
+caller_read caller_connection::parse_body(caller_parser& parser)
+{
+    if (this->buffer.size() == 0)
+        return {};
+    beast::error_code error;
+    const std::size_t used = parser.put(this->buffer.data(), error);
+    this->buffer.consume(used);
+    if (error && error != http::error::need_more)
+        return to_read_result(error);
+    // The parser leaves an incomplete chunk header or incomplete trailers, for
+    // which it has no limit of its own.
+    if (this->buffer.size() > this->options.max_header_bytes)
+        return malformed("a chunk header or the trailers are too large", 431);
+    return {};
 }
 
 asio::awaitable<bool> caller_connection::write(buffered_response& answer)
--- a/src/adapters/edge/caller_connection.hpp
+++ b/src/adapters/edge/caller_connection.hpp
@@ -54,7 +54,8 @@
     asio::awaitable<caller_read>
     read_head(caller_parser& parser, std::chrono::milliseconds idle);
 
-    /// Reads the rest of a request whose head was accepted.
+    /// Reads the rest of a request whose head was accepted. What is buffered
+    /// beside the body stays within the size limit of a request head.
     asio::awaitable<caller_read> read_body(caller_parser& parser);
 
     /// @return Whether the kernel has accepted the whole response.
@@ -104,7 +105,10 @@
     asio::awaitable<caller_read>
     wait_for_request(std::chrono::milliseconds idle);
     asio::awaitable<caller_read> read_whole_head();
-    asio::awaitable<bool> read_some();
+    asio::awaitable<bool> read_some(std::size_t max_bytes);
+    /// Parses what was read of a body. Chunk headers and trailers may be as
+    /// large as a request head.
+    caller_read parse_body(caller_parser& parser);
 
     const edge_options& options;
     beast::flat_buffer buffer;
