--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -2,12 +2,12 @@
 #include "tests/soak/in_force_watch.hpp"
 #include "tests/soak/judge.hpp"
 #include "tests/soak/ledger_watch.hpp"
-#include "tests/support/process_usage.hpp"
 #include "tests/soak/soak_fleet.hpp"
 #include "tests/soak/soak_options.hpp"
 #include "tests/soak/storm.hpp"
 #include "tests/soak/traffic.hpp"
 #include "tests/support/calls.hpp"
+#include "tests/support/process_usage.hpp"
 
 #include <cxxopts.hpp>
 
