Trailers of a caller's request are no headers

A trailer could also name the API key that is believed, and the priority's route by its model.

Cause: Beast's parser adds trailers to the fields of the message, and make_forward_request converted these fields after the body had been read. check_framing had seen the head only.

Change: the request is made of the head, right after the check, and its body is added when it is read. Trailers are dropped (RFC 9110, 6.5.1).

--- a/src/adapters/forward/forward_request.cpp
+++ b/src/adapters/forward/forward_request.cpp
@@ -174,9 +174,8 @@
 }
 
 forward_request make_forward_request(
-    edge::caller_parser& parser, const header_names& names, instant now)
+    const edge::caller_parser::value_type& message, const header_names& names)
 {
-    auto& message = parser.get();
     forward_request result;
     result.method = to_string_view(message.method_string());
     result.target = to_string_view(message.target());
@@ -197,8 +196,6 @@
     result.version = message.version();
     result.keep_alive = message.keep_alive();
     result.head_only = message.method() == http::verb::head;
-    result.body = std::move(message.body());
-    result.arrived = now;
     return result;
 }
 
--- a/src/adapters/forward/forward_request.hpp
+++ b/src/adapters/forward/forward_request.hpp
@@ -16,7 +16,7 @@
 namespace roseworks::forward
 {
 
-/// A caller's request, completely read and with valid framing.
+/// A caller's request with valid framing.
 struct forward_request
 {
     std::string method;
@@ -50,10 +50,12 @@
     fingerprint content_fingerprint() const;
 };
 
-/// Converts a parsed request. Leaves out hop-by-hop headers and headers that
-/// only the router may set.
+/// Converts the head of a request; its body and `arrived` stay empty. Leaves
+/// out hop-by-hop headers and headers that only the router may set.
+/// @param head Must not have been parsed beyond the head: trailers are no
+///             headers (RFC 9110, 6.5.1), but the parser adds them to these.
 forward_request make_forward_request(
-    edge::caller_parser& parser, const header_names& names, instant now);
+    const edge::caller_parser::value_type& head, const header_names& names);
 
 /// Headers that are set for one attempt on a backend server.
 struct attempt_headers
--- a/src/adapters/forward/forward_session.cpp
+++ b/src/adapters/forward/forward_session.cpp
@@ -100,21 +100,24 @@
     unsigned error_status = read.problem.status;
     if (read.result == edge::caller_read::status::done)
         error_status = framing_error_status(parser);
-    if (error_status == 0)
-    {
-        read = co_await this->connection.read_body(parser);
-        if (read.result == edge::caller_read::status::closed)
-            co_return false;
-        if (read.result == edge::caller_read::status::malformed)
-            error_status = read.problem.status;
-    }
     if (error_status != 0)
     {
         co_await this->reject_request(error_status, parser);
         co_return false;
     }
-    const bool reusable = co_await this->handle_request(
-        make_forward_request(parser, this->context.names, this->context.now()));
+    forward_request request =
+        make_forward_request(parser.get(), this->context.names);
+    read = co_await this->connection.read_body(parser);
+    if (read.result == edge::caller_read::status::closed)
+        co_return false;
+    if (read.result == edge::caller_read::status::malformed)
+    {
+        co_await this->reject_request(read.problem.status, parser);
+        co_return false;
+    }
+    request.body = std::move(parser.get().body());
+    request.arrived = this->context.now();
+    const bool reusable = co_await this->handle_request(std::move(request));
     co_return reusable;
 }
 
--- a/tests/unit/forward/test_forward_request.cpp
+++ b/tests/unit/forward/test_forward_request.cpp
@@ -16,13 +16,20 @@
 forward_request parse(std::string_view text)
 {
     edge::caller_parser parser;
-    parser.eager(true);
     boost::system::error_code error;
-    parser.put(boost::asio::buffer(text.data(), text.size()), error);
+    const std::size_t head =
+        parser.put(boost::asio::buffer(text.data(), text.size()), error);
+    cr_assert(not error, "%s", error.message().c_str());
+    forward_request request =
+        make_forward_request(parser.get(), users_platform::make_header_names());
+    text.remove_prefix(head);
+    parser.eager(true);
+    if (!parser.is_done())
+        parser.put(boost::asio::buffer(text.data(), text.size()), error);
     cr_assert(not error, "%s", error.message().c_str());
     cr_assert(parser.is_done());
-    return make_forward_request(
-        parser, users_platform::make_header_names(), instant(1s));
+    request.body = std::move(parser.get().body());
+    return request;
 }
 
 const std::string_view typical_request =
--- a/tests/unit/forward/test_forwarding.cpp
+++ b/tests/unit/forward/test_forwarding.cpp
@@ -371,3 +371,26 @@
     cr_assert(response.starts_with("HTTP/1.1 503 "), "%s", response.c_str());
     cr_assert(contains(response, "Retry-After: "));
 }
+
+/// Only the head was checked. A trailer that counted as a header could name
+/// another request, another model or another caller's key.
+Test(forwarding, trailers_are_not_headers)
+{
+    std::string received;
+    fake_backend backend(
+        [&received](backend_peer& peer)
+        {
+            received = peer.read_request();
+            peer.send(ok_response);
+        });
+    forward_fixture test({&backend});
+    const std::string response = test.exchange(
+        "POST /once/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: 9c41\r\n"
+        "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\nabc\r\n0\r\nAttempt-Id: 77\r\nModel: other\r\nX-Mark: 1\r\n"
+        "Deadline-Ms: 1\r\nLast-Event-Id: 9\r\n\r\n");
+    cr_assert(response.starts_with("HTTP/1.1 200 "), "%s", response.c_str());
+    cr_assert(received.ends_with("\r\n\r\nabc"), "%s", received.c_str());
+    for (const char* name : {"Attempt-Id: 77", "Model", "X-Mark", "Last-Event"})
+        cr_assert_not(contains(received, name), "%s", received.c_str());
+}
--- a/tests/unit/forward/test_organisations.cpp
+++ b/tests/unit/forward/test_organisations.cpp
@@ -274,3 +274,18 @@
     cr_assert_eq(returned_tokens(), 200);
     cr_assert_eq(backend.requests(), 0);
 }
+
+/// Only the head was checked.
+Test(organisations, a_key_in_a_trailer_is_not_believed)
+{
+    recording_backend backend(ok_response);
+    forward_fixture test({&backend.server});
+    test.use_organisations();
+    const std::string response = test.exchange(
+        "POST /once/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: 9c41\r\n"
+        "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\nabc\r\n0\r\n" +
+        std::string(first_key) + "\r\n");
+    cr_assert(response.starts_with("HTTP/1.1 401 "), "%s", response.c_str());
+    cr_assert_eq(backend.requests(), 0);
+}
