One bound for the memory of what all callers send

Cause: each body had a limit, their sum had none. Connections (600) x body, with twice a body as the capacity of a string that grew, and a buffer beside it; an announced length was reserved at once.

Change: receive_budget (core, without I/O) accounts for what each connection really holds, as it grows, from the first byte of a request to the end of its response, in one event loop; 5/8 of the VM's memory beyond 56 MiB, which the control state needs (docs/CAPACITY.md). The setting memory_mb names the VM's memory ([vm] of the gateway, filled by the platform's template; [router] of the router, whose traffic threads share it); 0 takes what the kernel states. When it is full, a small request (192 KiB) takes what is reserved for small ones, or displaces the body that has been sent for the longest time; a large one displaces only a stalled body (4 KiB in a second), else it is refused, so that large requests don't displace each other shortly before their end. A single request inside the limits is always taken. Who goes gets 503 not-run with Retry-After 0.2 s, which is true: its body isn't whole, no server has it. The connection reads on for up to 5 s before it closes, so that a caller who still sends isn't reset before it reads that.

A body grows by doubling up to its announced length or the limit, not beyond.

Ruled out: to stop reading (bytes wait in the kernel then, and count), to refuse newcomers only (a crowd that stays locks out the others), to reserve what is announced (a crowd that sends nothing takes all).

--- a/src/adapters/edge/caller_session.cpp
+++ b/src/adapters/edge/caller_session.cpp
@@ -98,10 +98,13 @@
 } // namespace
 
 caller_session::caller_session(
-    edge_context& shared, backend_pool& connections, tcp::socket socket)
+    edge_context& shared,
+    backend_pool& connections,
+    receive_budget& memory,
+    tcp::socket socket)
     : context(shared)
     , pool(connections)
-    , connection(std::move(socket), shared.options)
+    , connection(std::move(socket), shared.options, memory, shared.clock)
 {
     beast::error_code ignored;
     this->connection.stream.socket().set_option(tcp::no_delay(true), ignored);
@@ -166,7 +169,7 @@
     caller_read read = co_await this->connection.read_head(parser, idle);
     if (read.result == caller_read::status::closed)
         co_return false;
-    if (read.result == caller_read::status::malformed)
+    if (read.result == caller_read::status::rejected)
     {
         co_await this->refuse(
             std::move(read.problem), nullptr, default_context);
@@ -185,7 +188,7 @@
     read = co_await this->connection.read_body(parser);
     if (read.result == caller_read::status::closed)
         co_return false;
-    if (read.result == caller_read::status::malformed)
+    if (read.result == caller_read::status::rejected)
     {
         co_await this->refuse(std::move(read.problem), &call, default_context);
         co_return false;
--- a/src/adapters/edge/caller_session.hpp
+++ b/src/adapters/edge/caller_session.hpp
@@ -16,7 +16,10 @@
 {
 public:
     caller_session(
-        edge_context& shared, backend_pool& connections, tcp::socket socket);
+        edge_context& shared,
+        backend_pool& connections,
+        receive_budget& memory,
+        tcp::socket socket);
 
     /// Serves requests until the connection ends.
     asio::awaitable<void> run();
--- a/src/adapters/edge/edge_options.hpp
+++ b/src/adapters/edge/edge_options.hpp
@@ -17,6 +17,9 @@
     std::size_t max_header_bytes = std::size_t(16) << 10;
     std::size_t max_body_bytes = std::size_t(4) << 20;
     std::size_t max_connections = 10'000;
+    /// Memory for the requests of all callers. A single request inside the
+    /// limits is taken in any case.
+    std::size_t max_request_memory = std::size_t(128) << 20;
     milliseconds default_deadline{60'000};
     milliseconds max_deadline{3'600'000};
     milliseconds caller_idle{60'000};   ///< between two requests
--- a/src/adapters/edge/server.cpp
+++ b/src/adapters/edge/server.cpp
@@ -37,9 +37,10 @@
               std::make_shared<edge_context>(settings, std::move(dependencies)))
         , acceptor(loops.front())
     {
+        const std::size_t memory = settings.max_request_memory / loops.size();
         for (const asio::any_io_executor& loop : loops)
             this->threads.push_back(
-                std::make_shared<traffic_thread>(loop, this->context));
+                std::make_shared<traffic_thread>(loop, this->context, memory));
     }
 
     beast::error_code open(const tcp::endpoint& endpoint);
--- a/src/adapters/edge/traffic_observer.hpp
+++ b/src/adapters/edge/traffic_observer.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/edge/request_target.hpp"
+#include "core/admission/receive_budget.hpp"
 
 #include <roseworks/instant.hpp>
 #include <roseworks/verdict.hpp>
@@ -50,6 +51,9 @@
     /// a response.
     virtual void connection_silent(std::string_view address) = 0;
 
+    /// Callers met a limit this often.
+    virtual void caller_limit_met(receive_limit limit, std::uint64_t times) = 0;
+
     virtual void caller_connected() = 0;
     virtual void caller_disconnected() = 0;
 };
--- a/src/adapters/edge/traffic_thread.cpp
+++ b/src/adapters/edge/traffic_thread.cpp
@@ -1,5 +1,7 @@
 #include "adapters/edge/traffic_thread.hpp"
 
+#include "adapters/edge/request_memory.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -48,12 +50,16 @@
 };
 
 traffic_thread::traffic_thread(
-    asio::any_io_executor loop, std::shared_ptr<edge_context> shared)
+    asio::any_io_executor loop,
+    std::shared_ptr<edge_context> shared,
+    std::size_t max_memory)
     : executor(std::move(loop))
     , context(std::move(shared))
     , pool(this->executor, *this->context)
+    , memory({.max_bytes = max_memory})
     , sweep_timer(this->executor)
 {
+    this->memory.set_largest_request(largest_request(this->context->options));
 }
 
 void traffic_thread::start()
@@ -84,14 +90,16 @@
     tcp::socket socket, std::shared_ptr<connection_count> count)
 {
     const auto self = this->shared_from_this();
-    caller_session session(*this->context, this->pool, std::move(socket));
+    const bool has_place = !count->over_limit();
+    caller_session session(
+        *this->context, this->pool, this->memory, std::move(socket));
     this->sessions.insert(&session);
     try
     {
-        if (count->over_limit())
-            co_await session.reject_over_limit();
-        else
+        if (has_place)
             co_await session.run();
+        else
+            co_await session.reject_over_limit();
     }
     catch (const std::exception& error)
     {
@@ -128,6 +136,10 @@
         this->sweep_timer.expires_after(sweep_interval);
         co_await this->sweep_timer.async_wait(use_awaitable_tuple);
         this->pool.sweep();
+        report_limits(
+            this->memory,
+            this->context->ports.observer,
+            this->context->ports.events);
     }
 }
 
--- a/src/adapters/edge/traffic_thread.hpp
+++ b/src/adapters/edge/traffic_thread.hpp
@@ -21,8 +21,11 @@
 class traffic_thread : public std::enable_shared_from_this<traffic_thread>
 {
 public:
+    /// @param memory For the requests of its callers, in bytes.
     traffic_thread(
-        asio::any_io_executor loop, std::shared_ptr<edge_context> shared);
+        asio::any_io_executor loop,
+        std::shared_ptr<edge_context> shared,
+        std::size_t memory);
 
     /// Starts the periodic sweep of the connection pool.
     void start();
@@ -48,6 +51,7 @@
 
     std::shared_ptr<edge_context> context;
     backend_pool pool;
+    receive_budget memory;
     std::unordered_set<caller_session*> sessions;
     asio::steady_timer sweep_timer;
     bool stopped = false;
--- a/src/adapters/forward/forward_metrics.cpp
+++ b/src/adapters/forward/forward_metrics.cpp
@@ -47,6 +47,9 @@
     , silent_connections(registry.add_counter<>(
           "roseworks_silent_connections_total",
           "Kept connections that went silent while a new one answered."))
+    , limits_met(registry.add_counter<receive_limit>(
+          "roseworks_caller_limits_met_total",
+          "Requests and connections of callers that met a limit, by limit."))
     , connections(registry.add_gauge<>(
           "roseworks_caller_connections", "Callers' open connections."))
     , first_byte(registry.add_latency<admission>(
--- a/src/adapters/forward/forward_metrics.hpp
+++ b/src/adapters/forward/forward_metrics.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/edge/receive_limit_labels.hpp"
 #include "adapters/edge/traffic_observer.hpp"
 #include "adapters/metrics/metrics_registry.hpp"
 #include "core/hedging/hedge_policy.hpp"
@@ -141,6 +142,11 @@
         this->silent_connections.increment();
     }
 
+    void caller_limit_met(receive_limit limit, std::uint64_t times) override
+    {
+        this->limits_met.add(times, limit);
+    }
+
     void caller_connected() override
     {
         this->connections.add(1);
@@ -164,6 +170,7 @@
     metrics::counter<origin_source>& origins; ///< of streams taken up
     metrics::counter<>& late_answers;
     metrics::counter<>& silent_connections;
+    metrics::counter<receive_limit>& limits_met; ///< by callers
     metrics::gauge<>& connections;
     metrics::latency<admission>& first_byte;
     metrics::latency<>& queue_wait;
--- a/src/adapters/forward/forward_server.cpp
+++ b/src/adapters/forward/forward_server.cpp
@@ -1,8 +1,11 @@
 #include "adapters/forward/forward_server.hpp"
 
+#include "adapters/edge/request_memory.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <exception>
 #include <utility>
@@ -40,7 +43,9 @@
     , sweep_timer(this->executor)
     , delay_timer(this->executor)
     , guard(shared.settings.load)
+    , memory({.max_bytes = caller_options.max_request_memory})
 {
+    this->memory.set_largest_request(edge::largest_request(this->limits));
 }
 
 beast::error_code forward_server::listen(const edge::tcp::endpoint& endpoint)
@@ -62,6 +67,7 @@
     this->limits.max_body_bytes = bounds.max_body_bytes;
     this->limits.head_timeout = to_milliseconds(bounds.header_timeout);
     this->limits.caller_idle = to_milliseconds(bounds.idle_timeout);
+    this->memory.set_largest_request(edge::largest_request(this->limits));
 }
 
 asio::awaitable<void> forward_server::accept()
@@ -79,7 +85,7 @@
             co_await pause.async_wait(edge::use_awaitable_tuple);
             continue;
         }
-        if (!this->guard.takes_connection(this->sessions.size()))
+        if (!this->takes_connection())
         {
             this->refuse(socket);
             continue;
@@ -94,7 +100,11 @@
 asio::awaitable<void> forward_server::run_session(edge::tcp::socket socket)
 {
     forward_session session(
-        this->context, this->pool, std::move(socket), this->limits);
+        this->context,
+        this->pool,
+        this->memory,
+        std::move(socket),
+        this->limits);
     this->sessions.insert(&session);
     this->update_shedding();
     this->context.observer.caller_connected();
@@ -121,9 +131,15 @@
         co_await this->sweep_timer.async_wait(edge::use_awaitable_tuple);
         this->pool.sweep();
         this->report_refused();
+        this->report_limits();
     }
 }
 
+bool forward_server::takes_connection()
+{
+    return this->guard.takes_connection(this->sessions.size());
+}
+
 void forward_server::refuse(edge::tcp::socket& socket)
 {
     ++this->refused;
@@ -149,6 +165,12 @@
          {"overloaded", this->guard.is_overloaded() ? 1 : 0}});
 }
 
+void forward_server::report_limits()
+{
+    edge::report_limits(
+        this->memory, this->context.observer, this->context.events);
+}
+
 asio::awaitable<void> forward_server::measure_delay()
 {
     while (!this->stopped)
--- a/src/adapters/forward/forward_server.hpp
+++ b/src/adapters/forward/forward_server.hpp
@@ -67,9 +67,13 @@
     asio::awaitable<void> measure_delay();
     /// Closes a connection before anything of it was read.
     void refuse(edge::tcp::socket& socket);
+    /// @return Whether another connection may be served.
+    bool takes_connection();
     /// Decides whether connections stay open after their response.
     void update_shedding();
     void report_refused();
+    /// Counts and logs the limits that callers have met.
+    void report_limits();
 
     asio::any_io_executor executor;
     forward_context& context;
@@ -80,6 +84,7 @@
     asio::steady_timer sweep_timer;
     asio::steady_timer delay_timer;
     load_guard guard;
+    receive_budget memory;
     std::size_t refused = 0; ///< connections since the last report
     std::unordered_set<forward_session*> sessions;
     bool stopped = false;
--- a/src/adapters/forward/forward_session.cpp
+++ b/src/adapters/forward/forward_session.cpp
@@ -14,24 +14,25 @@
 namespace
 {
 
-/// @return The error status for invalid message framing; 0 if it is valid.
-unsigned framing_error_status(const edge::caller_parser& parser)
+/// @return The problem of invalid message framing; empty if it is valid.
+std::optional<edge::call_problem>
+framing_problem(const edge::caller_parser& parser)
 {
+    using result = std::optional<edge::call_problem>;
     return leaf::try_handle_all(
-        [&]() -> leaf::result<unsigned>
+        [&]() -> leaf::result<result>
         {
             BOOST_LEAF_CHECK(
                 edge::check_framing(parser.get(), parser.get().version()));
-            return 0U;
+            return result();
         },
-        [](const edge::call_problem& problem)
+        [](edge::call_problem problem)
         {
-            return problem.status;
+            return result(std::move(problem));
         },
         []
         {
-            constexpr unsigned bad_request = 400;
-            return bad_request;
+            return result(edge::client_error("invalid framing"));
         });
 }
 
@@ -48,12 +49,13 @@
 forward_session::forward_session(
     forward_context& shared,
     edge::backend_pool& connections,
+    receive_budget& memory,
     edge::tcp::socket socket,
     const edge::edge_options& limits)
     : context(shared)
     , pool(connections)
     , options(limits)
-    , connection(std::move(socket), this->options)
+    , connection(std::move(socket), this->options, memory, shared.clock)
 {
     beast::error_code ignored;
     this->connection.stream.socket().set_option(
@@ -97,12 +99,14 @@
         co_await this->connection.read_head(parser, this->options.caller_idle);
     if (read.result == edge::caller_read::status::closed)
         co_return false;
-    unsigned error_status = read.problem.status;
-    if (read.result == edge::caller_read::status::done)
-        error_status = framing_error_status(parser);
-    if (error_status != 0)
+    std::optional<edge::call_problem> problem;
+    if (read.result == edge::caller_read::status::rejected)
+        problem = std::move(read.problem);
+    else
+        problem = framing_problem(parser);
+    if (problem)
     {
-        co_await this->reject_request(error_status, parser);
+        co_await this->reject_request(*problem, parser);
         co_return false;
     }
     forward_request request =
@@ -110,9 +114,9 @@
     read = co_await this->connection.read_body(parser);
     if (read.result == edge::caller_read::status::closed)
         co_return false;
-    if (read.result == edge::caller_read::status::malformed)
+    if (read.result == edge::caller_read::status::rejected)
     {
-        co_await this->reject_request(read.problem.status, parser);
+        co_await this->reject_request(read.problem, parser);
         co_return false;
     }
     request.body = std::move(parser.get().body());
@@ -122,17 +126,26 @@
 }
 
 asio::awaitable<void> forward_session::reject_request(
-    unsigned status, const edge::caller_parser& parser)
+    const edge::call_problem& problem, const edge::caller_parser& parser)
 {
-    this->context.metrics.requests.increment(request_end::turned_away);
+    const bool is_malformed = problem.reason == refusal_reason::bad_request;
+    this->context.metrics.requests.increment(
+        is_malformed ? request_end::turned_away : request_end::refused);
     const auto id = parser.get()[this->context.names.request_id];
+    const std::string_view shown(id.data(), id.size());
     this->context.events.report(
         event_id::bad_request,
-        {{"request_id", std::string_view(id.data(), id.size())},
-         {"reason", "framing"},
-         {"status", status}});
+        {{"request_id", shown},
+         {"reason", problem.detail.empty() ? problem.title : problem.detail},
+         {"status", problem.status}});
+    const local_response response{
+        problem.status, problem.outcome, problem.reason, problem.retry_after};
     const std::string bytes = to_bytes(
-        make_request_error(status), this->context.names, {}, false, false);
+        response,
+        this->context.names,
+        is_malformed ? std::string_view() : shown,
+        false,
+        false);
     co_await this->connection.write_raw(bytes);
 }
 
--- a/src/adapters/forward/forward_session.hpp
+++ b/src/adapters/forward/forward_session.hpp
@@ -12,11 +12,13 @@
 class forward_session
 {
 public:
+    /// @param memory For the requests of all callers.
     /// @param limits Limits for the caller. They apply for the lifetime of the
     ///               connection.
     forward_session(
         forward_context& shared,
         edge::backend_pool& connections,
+        receive_budget& memory,
         edge::tcp::socket socket,
         const edge::edge_options& limits);
 
@@ -40,8 +42,8 @@
     /// @return The given response, or a retryable one if other routers have a
     ///         newer configuration.
     local_response retry_if_outdated(local_response permanent_error) const;
-    asio::awaitable<void>
-    reject_request(unsigned status, const edge::caller_parser& parser);
+    asio::awaitable<void> reject_request(
+        const edge::call_problem& problem, const edge::caller_parser& parser);
 
     forward_context& context;
     edge::backend_pool& pool;
--- a/src/adapters/forward/probe_server.cpp
+++ b/src/adapters/forward/probe_server.cpp
@@ -19,6 +19,9 @@
 /// Requests of probes are small. Larger ones are rejected.
 constexpr std::size_t max_probe_header_bytes = 4096;
 
+/// For the requests of all probes.
+constexpr std::size_t max_probe_memory = std::size_t(1) << 20;
+
 std::string to_bytes(const probe_response& response)
 {
     const auto phrase =
@@ -33,9 +36,12 @@
 
 } // namespace
 
-probe_server::probe_server(asio::any_io_executor loop, handler request_handler)
+probe_server::probe_server(
+    asio::any_io_executor loop, const clock_port& time, handler request_handler)
     : executor(std::move(loop))
+    , clock(time)
     , handle(std::move(request_handler))
+    , memory({.max_bytes = max_probe_memory})
     , acceptor(this->executor)
 {
     this->options.max_header_bytes = max_probe_header_bytes;
@@ -66,7 +72,8 @@
 
 asio::awaitable<void> probe_server::serve(edge::tcp::socket socket)
 {
-    edge::caller_connection connection(std::move(socket), this->options);
+    edge::caller_connection connection(
+        std::move(socket), this->options, this->memory, this->clock);
     bool reusable = true;
     while (reusable)
     {
--- a/src/adapters/forward/probe_server.hpp
+++ b/src/adapters/forward/probe_server.hpp
@@ -26,7 +26,10 @@
 public:
     using handler = std::function<probe_response(std::string_view path)>;
 
-    probe_server(edge::asio::any_io_executor loop, handler request_handler);
+    probe_server(
+        edge::asio::any_io_executor loop,
+        const clock_port& time,
+        handler request_handler);
 
     /// Binds to the endpoint and starts to accept connections.
     /// @return The error; empty on success.
@@ -39,8 +42,10 @@
     edge::asio::awaitable<void> serve(edge::tcp::socket socket);
 
     edge::asio::any_io_executor executor;
+    const clock_port& clock;
     handler handle;
     edge::edge_options options;
+    receive_budget memory;
     edge::tcp::acceptor acceptor;
 };
 
--- a/src/adapters/settings/gateway_settings.hpp
+++ b/src/adapters/settings/gateway_settings.hpp
@@ -19,8 +19,10 @@
     {
         std::string name;
         std::string data_centre;
-        double cores = 0.25;      ///< processor cores that the VM may use
-        double link_mbps = 100;   ///< rate of its network link in Mbit/s
+        double cores = 0.25;         ///< processor cores that the VM may use
+        double link_mbps = 100;      ///< rate of its network link in Mbit/s
+        std::uint32_t memory_mb = 0; ///< of the VM, in MB; 0: as the kernel
+                                     ///< states it
         bool first_start = false; ///< the whole deployment starts for the first
                                   ///< time
     } vm;
--- a/src/adapters/settings/load_gateway_settings.cpp
+++ b/src/adapters/settings/load_gateway_settings.cpp
@@ -21,6 +21,7 @@
 constexpr std::string_view bool_words[] = {"false", "true"};
 constexpr std::int64_t max_ms = 3'600'000;
 constexpr std::int64_t max_port = 65'535;
+constexpr std::int64_t max_memory_mb = 1'000'000;
 constexpr std::int64_t max_relay_offset = 100;
 
 /// Stores a parsed value in its member of the settings.
@@ -184,6 +185,16 @@
              "Mbit/s",
              "Rate of the VM's network link."),
          &store_fraction<vm, &vm_section::link_mbps>},
+        {row("vm",
+             "memory_mb",
+             integer,
+             "0",
+             0,
+             max_memory_mb,
+             "MB",
+             "Memory of the VM, of which callers' requests may occupy a part "
+             "(docs/CAPACITY.md). 0: what the kernel states."),
+         &store_member<vm, &vm_section::memory_mb>},
         {row("vm",
              "first_start",
              word,
--- a/src/adapters/settings/router_settings.hpp
+++ b/src/adapters/settings/router_settings.hpp
@@ -25,6 +25,7 @@
     socket_address listen;
     std::uint32_t traffic_threads = 0;
     milliseconds drain_limit{};
+    std::uint32_t memory_mb = 0; ///< of the VM; 0: as the kernel states it
     /// The file to which the bound addresses are written. Empty: none.
     std::string address_file;
 };
--- a/src/adapters/settings/settings_table.cpp
+++ b/src/adapters/settings/settings_table.cpp
@@ -46,6 +46,7 @@
 constexpr std::int64_t hour_ms = 3'600'000;
 constexpr std::int64_t day_ms = 24 * hour_ms;
 constexpr std::int64_t mebibyte = 1 << 20;
+constexpr std::int64_t max_memory_mb = 1'000'000;
 
 constexpr auto strategy_words = []
 {
@@ -196,6 +197,10 @@
     address_row<in_router, &router_section::listen>(
         "router", "listen", value_kind::address, required, 0,
         "TCP address that serves callers. Port 0 selects a free port."),
+    integer_row<in_router, &router_section::memory_mb>(
+        "router", "memory_mb", "0", 0, max_memory_mb, "MB",
+        "Memory of the VM, of which callers' requests may occupy a part "
+        "(docs/CAPACITY.md). 0: what the kernel states."),
     integer_row<in_router, &router_section::traffic_threads>(
         "router", "traffic_threads", "2", 1, 64, "threads",
         "Threads that serve traffic; one additional thread maintains the "
--- a/src/app/gateway/gateway_app.cpp
+++ b/src/app/gateway/gateway_app.cpp
@@ -1,5 +1,6 @@
 #include "app/gateway/gateway_app.hpp"
 
+#include "adapters/edge/request_memory.hpp"
 #include "adapters/settings/load_gateway_settings.hpp"
 #include "adapters/settings/settings_problems.hpp"
 #include "app/gateway/gateway_options.hpp"
@@ -80,6 +81,15 @@
     return made;
 }
 
+edge::edge_options
+make_caller_options(const settings::gateway_settings& settings)
+{
+    edge::edge_options made = make_edge_options();
+    made.max_request_memory =
+        edge::request_memory(edge::vm_memory(settings.vm.memory_mb));
+    return made;
+}
+
 relay::relayed_opener::options
 make_opener_options(const settings::gateway_settings& settings)
 {
@@ -193,7 +203,10 @@
               this->control->servers_cut_off(this->opener.is_cut_off());
           })
     , context(this->make_context())
-    , server(this->traffic.get_executor(), this->context, make_edge_options())
+    , server(
+          this->traffic.get_executor(),
+          this->context,
+          make_caller_options(initial_settings))
     , relayed(this->context)
     , relays(
           this->traffic.get_executor(),
@@ -207,12 +220,14 @@
           this->relayed)
     , readiness_probe(
           this->traffic.get_executor(),
+          this->clock,
           [this](std::string_view)
           {
               return this->readiness();
           })
     , metrics_probe(
           this->traffic.get_executor(),
+          this->clock,
           [this](std::string_view requested_path)
           {
               return this->metrics_page(requested_path);
--- a/src/app/graph_options.cpp
+++ b/src/app/graph_options.cpp
@@ -1,5 +1,6 @@
 #include "app/graph_options.hpp"
 
+#include "adapters/edge/request_memory.hpp"
 #include "adapters/settings/operator_key_file.hpp"
 #include "adapters/settings/settings_problems.hpp"
 
@@ -203,6 +204,8 @@
     result.max_header_bytes = traffic.max_header_bytes;
     result.max_body_bytes = traffic.max_body_bytes;
     result.max_connections = traffic.max_connections;
+    result.max_request_memory =
+        edge::request_memory(edge::vm_memory(from.router.memory_mb));
     result.default_deadline = traffic.default_deadline;
     result.max_deadline = traffic.max_deadline;
     result.caller_idle = traffic.caller_idle;
--- a/src/app/traffic_metrics.cpp
+++ b/src/app/traffic_metrics.cpp
@@ -45,6 +45,9 @@
     , silent_connections(registry.add_counter(
           "roseworks_silent_connections_total",
           "Connections that went silent while new ones worked."))
+    , limits_met(registry.add_counter<receive_limit>(
+          "roseworks_caller_limits_met_total",
+          "Requests and connections of callers that met a limit, by limit."))
     , streams(
           registry.add_gauge("roseworks_streams", "Answers being streamed."))
     , callers(registry.add_gauge(
@@ -93,6 +96,11 @@
     this->late_answers.increment();
 }
 
+void traffic_metrics::caller_limit_met(receive_limit limit, std::uint64_t times)
+{
+    this->limits_met.add(times, limit);
+}
+
 void traffic_metrics::connection_silent(std::string_view)
 {
     this->silent_connections.increment();
--- a/src/app/traffic_metrics.hpp
+++ b/src/app/traffic_metrics.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/edge/receive_limit_labels.hpp"
 #include "adapters/edge/traffic_observer.hpp"
 #include "adapters/metrics/metrics_registry.hpp"
 
@@ -88,6 +89,7 @@
     void stream_closed() override;
     void late_answer_dropped() override;
     void connection_silent(std::string_view address) override;
+    void caller_limit_met(receive_limit limit, std::uint64_t times) override;
     void caller_connected() override;
     void caller_disconnected() override;
 
@@ -98,6 +100,7 @@
     metrics::counter<>& tokens;
     metrics::counter<>& late_answers;
     metrics::counter<>& silent_connections;
+    metrics::counter<receive_limit>& limits_met; ///< by callers
     metrics::gauge<>& streams;
     metrics::gauge<>& callers;
     metrics::latency<priority>& queue_wait;
--- a/src/ports/event_sink.hpp
+++ b/src/ports/event_sink.hpp
@@ -146,6 +146,7 @@
     server_paused = 1739,
     server_pause_malformed = 1740,
     server_replaced = 1741,
+    caller_limits_met = 1742,
 
     // 18xx: placement by the orders of a single owner.
     placement_owned = 1801,
--- a/tests/integration/misbehaving_callers_test.cpp
+++ b/tests/integration/misbehaving_callers_test.cpp
@@ -26,7 +26,7 @@
 {
 
 /// Of the VM. The bodies of the crowd are larger than its memory.
-constexpr std::uint64_t vm_memory_mb = 64;
+constexpr unsigned vm_memory_mb = 64;
 constexpr std::uint64_t vm_descriptors = 400;
 
 constexpr std::size_t max_body_bytes = std::size_t(512) << 10;
@@ -170,7 +170,10 @@
 
     platform_store store{1};
     fake_backend backend{answer_all};
-    gateway_process gateway{{"misbehaving", store.address(0)}};
+    gateway_process gateway{
+        {.name = "misbehaving",
+         .store = store.address(0),
+         .memory_mb = vm_memory_mb}};
 };
 
 class router_deployment final : public deployment
@@ -212,6 +215,7 @@
     {
         fleet_setup made;
         made.routers = 1;
+        made.memory_mb = vm_memory_mb;
         made.router_settings =
             "[traffic]\nmax_header_bytes = 8192\nmax_body_bytes = " +
             std::to_string(max_body_bytes) + "\n";
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -193,7 +193,8 @@
     std::ostringstream out;
     out << "[router]\nname = " << target.name << "\ndata_centre = dc-a\n"
         << "listen = 127.0.0.1:0\ndrain_limit_ms = "
-        << this->setup.drain_limit_ms << "\n"
+        << this->setup.drain_limit_ms
+        << "\nmemory_mb = " << this->setup.memory_mb << "\n"
         << "[peers]\nlisten = 127.0.0.1:0\n"
         << "[log]\naddress = " << this->log_server.reached_at()
         << "\npoll_wait_ms = 200\n"
--- a/tests/support/fleet.hpp
+++ b/tests/support/fleet.hpp
@@ -36,6 +36,8 @@
     bool proxies = false;
     /// Options that make the log, VM list, engines and services speak TLS.
     std::vector<std::string> standin_tls;
+    /// Memory of a router's VM in MB; 0: that of the machine.
+    std::uint32_t memory_mb = 0;
     /// Lines appended to each router's settings, section headers included.
     std::string router_settings;
     std::vector<std::string> log_arguments;
--- a/tests/support/gateway_process.cpp
+++ b/tests/support/gateway_process.cpp
@@ -69,7 +69,8 @@
     std::ofstream file(this->settings_file);
     file << "[vm]\nname = " << settings.name
          << "\ndata_centre = " << settings.data_centre
-         << "\ncores = 0.25\nlink_mbps = 100\nfirst_start = false\n[listen]"
+         << "\ncores = 0.25\nlink_mbps = 100\nmemory_mb = "
+         << settings.memory_mb << "\nfirst_start = false\n[listen]"
          << "\nrequests = " << this->requests
          << "\nreadiness = " << this->readiness
          << "\npeers = " << free_address() << "\nmetrics = " << this->metrics
--- a/tests/support/gateway_process.hpp
+++ b/tests/support/gateway_process.hpp
@@ -18,6 +18,7 @@
         std::string name;
         std::string store; ///< ip:port of the platform's store
         std::string data_centre = "dc";
+        unsigned memory_mb = 0; ///< of the VM; 0: that of the machine
     };
 
     explicit gateway_process(const options& settings);
--- a/tests/unit/edge/edge_fixture.hpp
+++ b/tests/unit/edge/edge_fixture.hpp
@@ -99,6 +99,7 @@
     {
         ++this->silent;
     }
+    void caller_limit_met(roseworks::receive_limit, std::uint64_t) override {}
     void caller_connected() override {}
     void caller_disconnected() override {}
 
