A request's body is held once while a server works on it

Change: an attempt sends head and body as two buffers; the body is shared by the request and its attempts.

--- a/review/standins/harness.cpp
+++ b/review/standins/harness.cpp
@@ -342,7 +342,7 @@
     std::ofstream out(this->file);
     out << "[vm]\nname = " << this->settings.name
         << "\ndata_centre = " << this->settings.zone
-        << "\ncores = 0.25\nlink_mbps = 1000\nfirst_start = "
+        << "\ncores = 0.25\nlink_mbps = 1000\nmemory_mb = 260\nfirst_start = "
         << (this->settings.first_start ? "true" : "false")
         << "\n\n[listen]\nrequests = " << this->requests_address
         << "\nreadiness = " << this->readiness_address
--- a/src/adapters/forward/attempt_run.cpp
+++ b/src/adapters/forward/attempt_run.cpp
@@ -60,7 +60,10 @@
     const exchange_target target{
         {this->granted.engine, this->granted.address}, this->server.instance};
     exchange_state state = co_await this->connection.send(
-        target, this->sent.bytes, this->sent.longest_idle, this->sent.deadline);
+        target,
+        this->sent.request,
+        this->sent.longest_idle,
+        this->sent.deadline);
     if (state == exchange_state::ok)
         state = co_await this->connection.read_head(
             this->context.names, this->sent.request_id, this->sent.head_only);
--- a/src/adapters/forward/attempt_run.hpp
+++ b/src/adapters/forward/attempt_run.hpp
@@ -26,7 +26,7 @@
     /// What an attempt sends, and until when.
     struct parameters
     {
-        std::string bytes;      ///< the whole request
+        outgoing_request request;
         std::string request_id; ///< echoed by the response
         bool head_only = false;
         duration longest_idle{}; ///< of a pooled connection
--- a/src/adapters/forward/forward_call.cpp
+++ b/src/adapters/forward/forward_call.cpp
@@ -125,7 +125,7 @@
     info.objective = this->request.arrived + this->route.objective;
     info.repeatable = this->route.repeatable();
     info.software = this->origin;
-    info.held_bytes = this->request.body.size();
+    info.held_bytes = to_view(this->request.body).size();
     return info;
 }
 
@@ -306,8 +306,8 @@
     return std::min(this->organisation.rank * route_ranks + within, last);
 }
 
-std::string forward_call::serialize_request(
-    const server_identity& server, instant now) const
+outgoing_request
+forward_call::outgoing(const server_identity& server, instant now) const
 {
     attempt_headers set;
     const duration remaining = this->deadline - now;
@@ -321,7 +321,7 @@
     set.with_credentials = !this->organisation.keys_required;
     if (this->response.has_begun())
         set.last_event = this->events.last_id();
-    return serialize_backend_request(this->request, this->context.names, set);
+    return make_outgoing_request(this->request, this->context.names, set);
 }
 
 asio::awaitable<attempt_result>
@@ -336,13 +336,13 @@
         this->waited = now - this->request.arrived > wait_threshold;
         this->context.metrics.queue_wait.record(now - this->request.arrived);
     }
-    const std::string bytes = this->serialize_request(server, now);
+    const outgoing_request outgoing = this->outgoing(server, now);
     this->last_server = server.instance;
     this->last_software = server.software;
     this->last_life = server.life;
     if (const auto hedge_after = this->hedge_delay())
         co_return co_await this->exchange_hedged(
-            granted, server, bytes, *hedge_after);
+            granted, server, outgoing, *hedge_after);
     server_exchange exchange(this->context, this->pool, *this->inbox);
     const duration longest_idle =
         this->route.repeatable()
@@ -351,7 +351,7 @@
     const exchange_target target{
         {granted.engine, granted.address}, server.instance};
     exchange_state state =
-        co_await exchange.send(target, bytes, longest_idle, this->deadline);
+        co_await exchange.send(target, outgoing, longest_idle, this->deadline);
     this->last_relay = exchange.relay();
     if (exchange.sent())
     {
--- a/src/adapters/forward/forward_call.hpp
+++ b/src/adapters/forward/forward_call.hpp
@@ -129,8 +129,7 @@
         const std::string& servable, const std::string& instance);
     /// @return The priority that is sent to engines, from 0 to 9.
     unsigned engine_priority() const;
-    std::string
-    serialize_request(const server_identity& server, instant now) const;
+    outgoing_request outgoing(const server_identity& server, instant now) const;
     asio::awaitable<attempt_result>
     exchange_with(const grant& granted, const server_identity& server);
     /// Handles a response that has arrived, or the lack of one.
@@ -158,11 +157,13 @@
     asio::awaitable<attempt_result> exchange_hedged(
         const grant& granted,
         const server_identity& server,
-        std::string bytes,
+        outgoing_request outgoing,
         duration delay);
     struct hedge_race;
     std::shared_ptr<attempt_run> make_run(
-        const grant& granted, const server_identity& server, std::string bytes);
+        const grant& granted,
+        const server_identity& server,
+        outgoing_request outgoing);
     /// Starts the second attempt if all limits allow it.
     asio::awaitable<void> start_hedge(hedge_race& race);
     /// Reserves a unit of an account for a hedge.
--- a/src/adapters/forward/forward_call_hedge.cpp
+++ b/src/adapters/forward/forward_call_hedge.cpp
@@ -109,7 +109,8 @@
 hedge_request forward_call::hedge_properties() const
 {
     hedge_request made;
-    made.kind = {this->route.name, size_class_of(this->request.body.size())};
+    made.kind = {
+        this->route.name, size_class_of(to_view(this->request.body).size())};
     made.service = this->service;
     made.repeatable = this->route.repeatable();
     made.output_begun = this->response.has_begun();
@@ -162,16 +163,19 @@
                           was_closed_for_hedge;
     if (is_known)
         this->context.hedges.output_began(
-            {this->route.name, size_class_of(this->request.body.size())},
+            {this->route.name,
+             size_class_of(to_view(this->request.body).size())},
             this->answer_began.value_or(now) - this->sent_at,
             now);
 }
 
 std::shared_ptr<attempt_run> forward_call::make_run(
-    const grant& granted, const server_identity& server, std::string bytes)
+    const grant& granted,
+    const server_identity& server,
+    outgoing_request outgoing)
 {
     attempt_run::parameters sent;
-    sent.bytes = std::move(bytes);
+    sent.request = std::move(outgoing);
     sent.request_id = this->request.id;
     sent.head_only = this->request.head_only;
     sent.longest_idle = this->context.options.connection_max_idle;
@@ -183,12 +187,12 @@
 asio::awaitable<attempt_result> forward_call::exchange_hedged(
     const grant& granted,
     const server_identity& server,
-    std::string bytes,
+    outgoing_request outgoing,
     duration delay)
 {
     hedge_race race(this->pool.executor, *this->inbox);
     std::shared_ptr<attempt_run>& first = race.run_of(race_side::first);
-    first = this->make_run(granted, server, std::move(bytes));
+    first = this->make_run(granted, server, std::move(outgoing));
     race.start(race_side::first, first);
     const instant due = first->sent_at + delay;
     while (!first->is_settled() && this->context.now() < due)
@@ -282,8 +286,8 @@
     const instant now = this->context.now();
     race.hedge_ticket = granted->request;
     race.order.emplace(this->route.kind == request_kind::streaming, now);
-    race.run_of(race_side::second) = this->make_run(
-        *granted, *server, this->serialize_request(*server, now));
+    race.run_of(race_side::second) =
+        this->make_run(*granted, *server, this->outgoing(*server, now));
     if (granted->engine)
         this->context.ports.run_started(
             this->admission_info().target, server->instance);
--- a/src/adapters/forward/forward_request.cpp
+++ b/src/adapters/forward/forward_request.cpp
@@ -169,7 +169,7 @@
     std::uint64_t hash = add(0, this->method);
     hash = add(hash, this->target);
     hash = add(hash, this->model);
-    hash = add(hash, this->body);
+    hash = add(hash, to_view(this->body));
     return fingerprint(hash == 0 ? 1 : hash);
 }
 
@@ -199,13 +199,14 @@
     return result;
 }
 
-std::string serialize_backend_request(
+outgoing_request make_outgoing_request(
     const forward_request& request,
     const header_names& names,
     const attempt_headers& attempt)
 {
+    constexpr std::size_t own_lines_bytes = 512;
     std::string bytes;
-    bytes.reserve(request.header_lines.size() + request.body.size() + 512);
+    bytes.reserve(request.header_lines.size() + own_lines_bytes);
     bytes += request.method;
     bytes += ' ';
     bytes += request.target;
@@ -226,14 +227,13 @@
                                             : attempt.last_event;
     if (!last_event.empty())
         append_line(bytes, names.last_event, last_event);
-    const bool has_body = !request.body.empty() ||
-                          (request.method != "GET" && request.method != "HEAD");
+    const std::string_view body = to_view(request.body);
+    const bool has_body =
+        !body.empty() || (request.method != "GET" && request.method != "HEAD");
     if (has_body)
-        append_line(
-            bytes, "Content-Length", std::to_string(request.body.size()));
+        append_line(bytes, "Content-Length", std::to_string(body.size()));
     bytes += "\r\n";
-    bytes += request.body;
-    return bytes;
+    return {std::move(bytes), request.body};
 }
 
 } // namespace roseworks::forward
--- a/src/adapters/forward/forward_request.hpp
+++ b/src/adapters/forward/forward_request.hpp
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -16,6 +17,15 @@
 namespace roseworks::forward
 {
 
+/// A body that several attempts send at the same time; null: empty.
+using shared_body = std::shared_ptr<const std::string>;
+
+/// @return The bytes of a body.
+inline std::string_view to_view(const shared_body& body)
+{
+    return body ? std::string_view(*body) : std::string_view();
+}
+
 /// A caller's request with valid framing.
 struct forward_request
 {
@@ -37,7 +47,7 @@
     /// Hashes of the parts of the prompt that other requests may share, in
     /// order. Any of them may crash the servers that run it.
     std::vector<fingerprint> prompt_parts;
-    std::string body;
+    shared_body body;
     /// Remaining time that the caller stated; empty: none.
     std::optional<std::chrono::milliseconds> deadline;
     unsigned version = 11; ///< of HTTP, times ten
@@ -68,8 +78,14 @@
     bool with_credentials = false;      ///< the caller's are forwarded
 };
 
-/// @return The request as sent to a backend server, including the body.
-std::string serialize_backend_request(
+/// A request as sent to a backend server. The body isn't copied.
+struct outgoing_request
+{
+    std::string head;
+    shared_body body;
+};
+
+outgoing_request make_outgoing_request(
     const forward_request& request,
     const header_names& names,
     const attempt_headers& attempt);
--- a/src/adapters/forward/forward_session.cpp
+++ b/src/adapters/forward/forward_session.cpp
@@ -119,7 +119,8 @@
         co_await this->reject_request(read.problem, parser);
         co_return false;
     }
-    request.body = std::move(parser.get().body());
+    request.body =
+        std::make_shared<const std::string>(std::move(parser.get().body()));
     request.arrived = this->context.now();
     const bool reusable = co_await this->handle_request(std::move(request));
     co_return reusable;
--- a/src/adapters/forward/server_exchange.cpp
+++ b/src/adapters/forward/server_exchange.cpp
@@ -69,7 +69,7 @@
 
 asio::awaitable<exchange_state> server_exchange::send(
     exchange_target server,
-    std::string_view bytes,
+    const outgoing_request& request,
     duration longest_idle,
     instant until)
 {
@@ -86,7 +86,7 @@
     if (state != exchange_state::ok)
         co_return state;
     const bool was_pooled = this->connection->pooled;
-    state = co_await this->write(bytes);
+    state = co_await this->write(request);
     const bool nothing_sent = state != exchange_state::ok && was_pooled &&
                               !this->any_byte_sent && !this->is_withheld;
     if (!nothing_sent || this->inbox.interrupted())
@@ -94,7 +94,7 @@
     // The pooled connection was already closed, and no byte was sent on it.
     state = co_await this->open(duration::min());
     if (state == exchange_state::ok)
-        state = co_await this->write(bytes);
+        state = co_await this->write(request);
     co_return state;
 }
 
@@ -121,7 +121,8 @@
                                                      : exchange_state::not_sent;
 }
 
-asio::awaitable<exchange_state> server_exchange::write(std::string_view bytes)
+asio::awaitable<exchange_state>
+server_exchange::write(const outgoing_request& request)
 {
     const dispatch_port& dispatch = this->context.ports.dispatch;
     this->is_withheld =
@@ -130,10 +131,11 @@
         co_return exchange_state::not_sent;
     this->apply_deadline();
     this->write_begun = true;
+    const std::string_view body = to_view(request.body);
+    const std::array<asio::const_buffer, 2> parts{
+        asio::buffer(request.head), asio::buffer(body.data(), body.size())};
     const auto [error, size] = co_await asio::async_write(
-        this->connection->stream,
-        asio::buffer(bytes.data(), bytes.size()),
-        edge::use_awaitable_tuple);
+        this->connection->stream, parts, edge::use_awaitable_tuple);
     this->any_byte_sent = this->any_byte_sent || size != 0;
     if (!error)
         co_return exchange_state::ok;
--- a/src/adapters/forward/server_exchange.hpp
+++ b/src/adapters/forward/server_exchange.hpp
@@ -4,6 +4,7 @@
 #include "adapters/edge/call_inbox.hpp"
 #include "adapters/edge/net.hpp"
 #include "adapters/forward/forward_context.hpp"
+#include "adapters/forward/forward_request.hpp"
 #include "adapters/forward/response_head.hpp"
 
 #include <boost/beast/http/buffer_body.hpp>
@@ -70,12 +71,13 @@
 
     /// Sends the request on a pooled connection or on a new one. Sends nothing
     /// if the server takes no requests any more once a connection is open.
+    /// @param request      Must exist until the end.
     /// @param longest_idle Longest time that a pooled connection may have been
     ///                     idle.
     /// @param until        Deadline of the exchange.
     asio::awaitable<exchange_state> send(
         exchange_target server,
-        std::string_view bytes,
+        const outgoing_request& request,
         duration longest_idle,
         instant until);
 
@@ -154,7 +156,7 @@
 
     asio::awaitable<exchange_state> open(duration longest_idle);
     asio::awaitable<exchange_state> read_one_head(bool head_only);
-    asio::awaitable<exchange_state> write(std::string_view bytes);
+    asio::awaitable<exchange_state> write(const outgoing_request& request);
     exchange_state failure_state(beast::error_code error) const;
     void apply_deadline();
 
--- a/tests/unit/forward/test_forward_request.cpp
+++ b/tests/unit/forward/test_forward_request.cpp
@@ -28,10 +28,22 @@
         parser.put(boost::asio::buffer(text.data(), text.size()), error);
     cr_assert(not error, "%s", error.message().c_str());
     cr_assert(parser.is_done());
-    request.body = std::move(parser.get().body());
+    request.body =
+        std::make_shared<const std::string>(std::move(parser.get().body()));
     return request;
 }
 
+/// @return The request as sent to a backend server.
+std::string bytes_of(
+    const forward_request& request,
+    const header_names& names,
+    const attempt_headers& attempt)
+{
+    const outgoing_request made =
+        make_outgoing_request(request, names, attempt);
+    return made.head + *made.body;
+}
+
 const std::string_view typical_request =
     "POST /a/b?c HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: 9c41\r\n"
     "Last-Event-Id: 12\r\nModel: m1/a3\r\nToken-Usage: 1460,80\r\n"
@@ -48,14 +60,14 @@
     cr_assert_eq(request.id, "9c41");
     cr_assert_eq(request.model, "m1/a3");
     cr_assert(*request.deadline == 6s);
-    cr_assert_eq(request.body, "abc");
+    cr_assert_eq(*request.body, "abc");
     cr_assert(request.keep_alive);
 }
 
 Test(forward_request, forwards_caller_headers_and_adds_attempt_headers)
 {
     const forward_request request = parse(typical_request);
-    const std::string bytes = serialize_backend_request(
+    const std::string bytes = bytes_of(
         request, users_platform::make_header_names(), {1500ms, "i-7", 2U, {}});
     cr_assert_eq(
         bytes,
@@ -67,7 +79,7 @@
 
 Test(forward_request, a_resumed_stream_sends_the_routers_last_event_id)
 {
-    const std::string bytes = serialize_backend_request(
+    const std::string bytes = bytes_of(
         parse(typical_request),
         users_platform::make_header_names(),
         {1500ms, "i-7", {}, "19"});
@@ -93,7 +105,7 @@
     const forward_request request =
         parse("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
               "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n");
-    const std::string bytes = serialize_backend_request(
+    const std::string bytes = bytes_of(
         request, users_platform::make_header_names(), {1s, "", {}, {}});
     cr_assert_eq(
         bytes,
