A caller that stalls or idles gives its connection to another one

Callers were closed unread, or got 503, while all connections (600 of a gateway, max_connections of a router) were taken by callers who sent nothing or a part of a request: until body_timeout (30 s), the head's time limit or the idle limit of the configuration.

Cause: a connection that came when all were taken was refused, whatever the others did.

While the event loop is late none is taken, as before. An idle connection on which bytes have arrived stays.

--- a/src/adapters/edge/traffic_thread.cpp
+++ b/src/adapters/edge/traffic_thread.cpp
@@ -90,7 +90,8 @@
     tcp::socket socket, std::shared_ptr<connection_count> count)
 {
     const auto self = this->shared_from_this();
-    const bool has_place = !count->over_limit();
+    const bool has_place =
+        !count->over_limit() || this->memory.free_place(this->context->now());
     caller_session session(
         *this->context, this->pool, this->memory, std::move(socket));
     this->sessions.insert(&session);
--- a/src/adapters/forward/forward_server.cpp
+++ b/src/adapters/forward/forward_server.cpp
@@ -137,7 +137,13 @@
 
 bool forward_server::takes_connection()
 {
-    return this->guard.takes_connection(this->sessions.size());
+    const std::size_t open =
+        this->sessions.size() -
+        std::min(this->sessions.size(), this->memory.leaving());
+    if (this->guard.takes_connection(open))
+        return true;
+    return !this->guard.is_overloaded() &&
+           this->memory.free_place(this->context.now());
 }
 
 void forward_server::refuse(edge::tcp::socket& socket)
--- a/tests/integration/misbehaving_callers_test.cpp
+++ b/tests/integration/misbehaving_callers_test.cpp
@@ -39,6 +39,16 @@
 /// What each caller of a crowd sends beyond the limit.
 constexpr std::size_t excess_bytes = std::size_t(2) << 20;
 
+/// Connections that a process takes, and of a crowd that takes them all.
+constexpr std::size_t router_places = 100;
+constexpr std::size_t gateway_places = 600;
+constexpr std::size_t crowd_beyond_places = 20;
+constexpr std::size_t other_descriptors = 100;
+
+/// Longer than a test waits.
+const std::string long_time_limits =
+    R"("header_timeout_ms":600000,"idle_timeout_ms":600000)";
+
 /// Of an ordinary request.
 constexpr std::size_t ordinary_body_bytes = 800;
 
@@ -107,12 +117,17 @@
     }
 }
 
+const std::string usual_time_limits =
+    R"("header_timeout_ms":10000,"idle_timeout_ms":60000)";
+
 class gateway_deployment final : public deployment
 {
 public:
-    gateway_deployment()
+    /// @param time_limits Of callers, as a configuration has them.
+    explicit gateway_deployment(
+        const std::string& time_limits = usual_time_limits)
     {
-        this->store.write("keyed.op", "config", configuration());
+        this->store.write("keyed.op", "config", configuration(time_limits));
         this->store.write(
             "keyed.servers",
             "i-1",
@@ -156,13 +171,12 @@
     }
 
 private:
-    static std::string configuration()
+    static std::string configuration(const std::string& time_limits)
     {
         return R"({"version":1,"limits":{"max_header_bytes":8192,)"
                R"("max_body_bytes":)" +
-               std::to_string(max_body_bytes) +
-               R"(,"header_timeout_ms":10000,"idle_timeout_ms":60000},)"
-               R"("routes":[{"name":"r","host":"a.example",)"
+               std::to_string(max_body_bytes) + "," + time_limits +
+               R"(},"routes":[{"name":"r","host":"a.example",)"
                R"("path_prefix":"/a/","kind":"idempotent","max_attempts":3,)"
                R"("timeout_ms":20000,"service":"s"}],)"
                R"("services":[{"name":"s"}]})";
@@ -179,7 +193,9 @@
 class router_deployment final : public deployment
 {
 public:
-    router_deployment()
+    /// @param traffic Further lines of the section `traffic`.
+    explicit router_deployment(const std::string& traffic = {})
+        : nodes(setup(traffic))
     {
         const auto applied = this->nodes.apply({});
         cr_assert_eq(applied.exit_code, 0, "%s", applied.output.c_str());
@@ -211,18 +227,18 @@
     }
 
 private:
-    static fleet_setup setup()
+    static fleet_setup setup(const std::string& traffic)
     {
         fleet_setup made;
         made.routers = 1;
         made.memory_mb = vm_memory_mb;
         made.router_settings =
             "[traffic]\nmax_header_bytes = 8192\nmax_body_bytes = " +
-            std::to_string(max_body_bytes) + "\n";
+            std::to_string(max_body_bytes) + "\n" + traffic;
         return made;
     }
 
-    fleet nodes{setup()};
+    fleet nodes;
     int asked = 0;
 };
 
@@ -304,6 +320,36 @@
     tested.check();
 }
 
+/// All connections are taken by callers who send these bytes and wait.
+void check_places(
+    deployment& tested, std::size_t places, std::string_view bytes)
+{
+    {
+        caller_crowd crowd(tested.address(), places + crowd_beyond_places);
+        crowd.each(
+            [&](raw_caller& caller)
+            {
+                caller.send(bytes);
+            });
+        tested.settle();
+        cr_expect(
+            eventually(
+                [&]
+                {
+                    return tested.ask() == 200;
+                }),
+            "no ordinary request is served");
+        const process_usage usage = usage_of(tested.process().pid());
+        cr_expect_leq(usage.descriptors, places + other_descriptors);
+    }
+    cr_assert(tested.process().running());
+    cr_expect(eventually(
+        [&]
+        {
+            return tested.ask() == 200;
+        }));
+}
+
 } // namespace
 
 Test(gateway_misbehaving_callers, trailers_without_end)
@@ -377,3 +423,23 @@
     router_deployment tested;
     check_bodies_just_sent(tested);
 }
+
+Test(gateway_misbehaving_callers, connections_left_idle)
+{
+    gateway_deployment tested(long_time_limits);
+    check_places(tested, gateway_places, {});
+}
+
+Test(gateway_misbehaving_callers, heads_left_unfinished)
+{
+    gateway_deployment tested(long_time_limits);
+    check_places(tested, gateway_places, "POST /a/x HTTP/1.1\r\nHost: a");
+}
+
+Test(router_misbehaving_callers, connections_left_idle)
+{
+    router_deployment tested(
+        "max_connections = " + std::to_string(router_places) +
+        "\ncaller_idle_ms = 600000\n");
+    check_places(tested, router_places, {});
+}
--- a/tests/unit/forward/test_receive_budget.cpp
+++ b/tests/unit/forward/test_receive_budget.cpp
@@ -185,3 +185,50 @@
         cr_assert_leq(budget.used_bytes(), budget.max_bytes());
     }
 }
+
+Test(receive_budget, a_place_is_freed_by_who_is_closed_stalls_or_idles)
+{
+    receive_budget budget(make_options());
+    connections all;
+    add(all, budget, 5, small_request);
+    all[1]->share.complete();
+    all[2]->share.wait(instant(10ms));
+    all[3]->share.received(kilobyte, instant(1500ms));
+    all[4]->share.close();
+    cr_assert(budget.free_place(instant(2s)));
+    cr_assert(all[4]->is_displaced, "it is closed anyway");
+    cr_assert(budget.free_place(instant(2s)));
+    cr_assert(all[0]->is_displaced, "it stalls");
+    cr_assert_eq(budget.leaving(), 2U);
+    cr_assert_not(budget.free_place(instant(2s)), "two are leaving");
+    all[4].reset();
+    cr_assert_eq(budget.leaving(), 1U);
+    cr_assert(budget.free_place(instant(2s)));
+    cr_assert(all[2]->is_displaced, "it idles");
+    all[0].reset();
+    cr_assert_not(budget.free_place(instant(2s)), "the others are at work");
+    cr_assert_not(all[1]->is_displaced);
+    cr_assert_not(all[3]->is_displaced);
+}
+
+Test(receive_budget, a_place_is_not_freed_by_who_came_just_now)
+{
+    receive_budget budget(make_options());
+    connections all;
+    add(all, budget, 2, small_request);
+    all[1]->share.wait(instant());
+    cr_assert_not(budget.free_place(instant(900ms)));
+}
+
+Test(receive_budget, an_idle_connection_whose_request_arrives_stays)
+{
+    receive_budget budget(make_options());
+    connections all;
+    add(all, budget, 2, small_request);
+    all[0]->share.wait(instant());
+    all[0]->agrees = false;
+    all[1]->share.wait(instant(1ms));
+    cr_assert(budget.free_place(instant(2s)));
+    cr_assert_not(all[0]->is_displaced);
+    cr_assert(all[1]->is_displaced);
+}
