The listeners for probes and metrics bound their connections

Callers of a gateway could take all its descriptors, and so the connections of all others, by opening connections to the readiness or the metrics address: 192 idle ones, 218 descriptors, and as many more as somebody opens.

Cause: probe_server counted no connections; an idle one stayed for a minute.

Change: 64 connections a listener; beyond them the one that has been idle for the longest time is closed, without a minimum, so that a load balancer is answered while others hold connections. The event caller_limits_met names the listener.

--- a/src/adapters/edge/request_memory.cpp
+++ b/src/adapters/edge/request_memory.cpp
@@ -39,7 +39,10 @@
 }
 
 void report_limits(
-    receive_budget& memory, traffic_observer& observer, event_sink& events)
+    std::string_view listener,
+    receive_budget& memory,
+    traffic_observer& observer,
+    event_sink& events)
 {
     const receive_budget::counts met = memory.take_counts();
     if (std::accumulate(met.begin(), met.end(), std::uint64_t(0)) == 0)
@@ -52,7 +55,8 @@
     };
     events.report(
         event_id::caller_limits_met,
-        {{"header", times(receive_limit::header)},
+        {{"listener", listener},
+         {"header", times(receive_limit::header)},
          {"framing", times(receive_limit::framing)},
          {"body", times(receive_limit::body)},
          {"memory", times(receive_limit::memory)},
--- a/src/adapters/edge/request_memory.hpp
+++ b/src/adapters/edge/request_memory.hpp
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string_view>
 
 namespace roseworks::edge
 {
@@ -23,7 +24,11 @@
 std::size_t largest_request(const edge_options& limits);
 
 /// Counts and logs which limits callers have met since the last call.
+/// @param listener Name of the setting with the listener's address.
 void report_limits(
-    receive_budget& memory, traffic_observer& observer, event_sink& events);
+    std::string_view listener,
+    receive_budget& memory,
+    traffic_observer& observer,
+    event_sink& events);
 
 } // namespace roseworks::edge
--- a/src/adapters/edge/traffic_thread.cpp
+++ b/src/adapters/edge/traffic_thread.cpp
@@ -138,6 +138,7 @@
         co_await this->sweep_timer.async_wait(use_awaitable_tuple);
         this->pool.sweep();
         report_limits(
+            "listen",
             this->memory,
             this->context->ports.observer,
             this->context->ports.events);
--- a/src/adapters/events/event_catalogue.cpp
+++ b/src/adapters/events/event_catalogue.cpp
@@ -482,13 +482,14 @@
      "restarts.",
      "server, address", no_action},
     {caller_limits_met, warn, "caller_limits_met",
-     "Callers met limits within the last second (roseworks-router: the last "
-     "5 s): heads, chunk headers or trailers, and bodies that were too large; "
+     "Callers met limits at a listener (the setting with its address) within "
+     "the last second (roseworks-router: the last 5 s): heads, chunk headers or trailers, and bodies that were too large; "
      "requests refused since the memory for requests was used up; requests "
      "that were still being sent and were ended to free memory; connections "
      "that stalled or were idle and were closed for another caller. None of "
      "these requests has run.",
-     "header, framing, body, memory, displaced, place, held_bytes, max_bytes",
+     "listener, header, framing, body, memory, displaced, place, held_bytes, "
+     "max_bytes",
      "Find out which callers send such requests; if they are ordinary ones, "
      "give the VM more memory."},
     {placement_owned, info, "placement_owned",
--- a/src/adapters/forward/forward_server.cpp
+++ b/src/adapters/forward/forward_server.cpp
@@ -174,7 +174,7 @@
 void forward_server::report_limits()
 {
     edge::report_limits(
-        this->memory, this->context.observer, this->context.events);
+        "requests", this->memory, this->context.observer, this->context.events);
 }
 
 asio::awaitable<void> forward_server::measure_delay()
--- a/src/adapters/forward/probe_server.hpp
+++ b/src/adapters/forward/probe_server.hpp
@@ -3,6 +3,7 @@
 #include "adapters/edge/caller_connection.hpp"
 #include "adapters/edge/net.hpp"
 
+#include <cstddef>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -37,9 +38,16 @@
 
     void stop();
 
+    /// @return The limits that callers meet here.
+    receive_budget& limits()
+    {
+        return this->memory;
+    }
+
 private:
     edge::asio::awaitable<void> accept();
     edge::asio::awaitable<void> serve(edge::tcp::socket socket);
+    edge::asio::awaitable<void> serve_requests(edge::tcp::socket socket);
 
     edge::asio::any_io_executor executor;
     const clock_port& clock;
@@ -47,6 +55,7 @@
     edge::edge_options options;
     receive_budget memory;
     edge::tcp::acceptor acceptor;
+    std::size_t open = 0; ///< connections
 };
 
 } // namespace roseworks::forward
--- a/src/app/gateway/gateway_app.cpp
+++ b/src/app/gateway/gateway_app.cpp
@@ -418,6 +418,13 @@
             {{"over_limit", dropped.over_limit},
              {"not_taken", dropped.not_taken}});
     this->opener.tick();
+    edge::report_limits(
+        "readiness",
+        this->readiness_probe.limits(),
+        this->counts,
+        this->events);
+    edge::report_limits(
+        "metrics", this->metrics_probe.limits(), this->counts, this->events);
     for (const pace_class each :
          {pace_class::fast, pace_class::usual, pace_class::slow})
         this->paces.engines.set(
--- a/tests/integration/misbehaving_callers_test.cpp
+++ b/tests/integration/misbehaving_callers_test.cpp
@@ -42,6 +42,7 @@
 /// Connections that a process takes, and of a crowd that takes them all.
 constexpr std::size_t router_places = 100;
 constexpr std::size_t gateway_places = 600;
+constexpr std::size_t probe_places = 64; ///< of a listener for probes
 constexpr std::size_t crowd_beyond_places = 20;
 constexpr std::size_t other_descriptors = 100;
 
@@ -151,6 +152,16 @@
         return this->gateway.program();
     }
 
+    const std::string& readiness_address() const
+    {
+        return this->gateway.readiness_address();
+    }
+
+    const std::string& metrics_address() const
+    {
+        return this->gateway.metrics_address();
+    }
+
     unsigned ask() override
     {
         http_call call;
@@ -350,6 +361,33 @@
         }));
 }
 
+/// Many connections to a listener for probes are left open.
+void check_probe_connections(bool readiness)
+{
+    gateway_deployment tested;
+    const std::string address =
+        readiness ? tested.readiness_address() : tested.metrics_address();
+    const std::string target = readiness ? "/ready" : "/metrics";
+    {
+        const caller_crowd crowd(address, caller_count);
+        cr_expect(
+            eventually(
+                [&]
+                {
+                    return send(address, {.target = target}).status == 200;
+                }),
+            "a probe isn't answered");
+        const process_usage usage = usage_of(tested.process().pid());
+        cr_expect_leq(
+            usage.descriptors,
+            probe_places + other_descriptors,
+            "%lu descriptors are open",
+            usage.descriptors);
+        tested.check();
+    }
+    tested.check();
+}
+
 } // namespace
 
 Test(gateway_misbehaving_callers, trailers_without_end)
@@ -443,3 +481,13 @@
         "\ncaller_idle_ms = 600000\n");
     check_places(tested, router_places, {});
 }
+
+Test(gateway_misbehaving_callers, connections_to_the_readiness_address)
+{
+    check_probe_connections(true);
+}
+
+Test(gateway_misbehaving_callers, connections_to_the_metrics_address)
+{
+    check_probe_connections(false);
+}
