What callers have sent and nobody has read is bounded, too

Callers who went on sending while a server worked on their request filled the kernel's receive buffers, which count as the VM's memory: 580 connections held 49,375 KiB unread beside 17,744 KiB of the process, 64,000 KiB allowed. With a larger body before, the kernel lets each buffer grow to megabytes.

Cause: the listeners left the size of the buffers to the kernel.

Change: the listeners for callers set it to an eighth of the VM's memory divided by the connections, 16 to 64 KiB; those for probes to 4 KiB. Accepted connections inherit it.

Evidence: bytes_after_a_whole_request, red before with the figures above, passes; 18 of 18 tests of the program. test_forward, test_edge pass.

--- a/src/adapters/edge/edge_options.hpp
+++ b/src/adapters/edge/edge_options.hpp
@@ -20,6 +20,8 @@
     /// Memory for the requests of all callers. A single request inside the
     /// limits is taken in any case.
     std::size_t max_request_memory = std::size_t(128) << 20;
+    /// Bytes that the kernel holds unread for each connection.
+    std::size_t receive_buffer = std::size_t(64) << 10;
     milliseconds default_deadline{60'000};
     milliseconds max_deadline{3'600'000};
     milliseconds caller_idle{60'000};   ///< between two requests
--- a/src/adapters/edge/net.hpp
+++ b/src/adapters/edge/net.hpp
@@ -23,13 +23,24 @@
 inline constexpr auto use_awaitable_tuple = asio::as_tuple(asio::use_awaitable);
 
 /// Opens an acceptor, binds it to an endpoint and starts to listen.
-inline boost::system::error_code
-open_listener(tcp::acceptor& acceptor, const tcp::endpoint& endpoint)
+/// @param receive_buffer Bytes that the kernel holds unread for each accepted
+///                       connection; it doubles them for its own use. 0: what
+///                       the kernel finds fit, up to megabytes.
+inline boost::system::error_code open_listener(
+    tcp::acceptor& acceptor,
+    const tcp::endpoint& endpoint,
+    std::size_t receive_buffer = 0)
 {
     boost::system::error_code error;
     acceptor.open(endpoint.protocol(), error);
     if (!error)
         acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    boost::system::error_code ignored;
+    if (!error && receive_buffer != 0)
+        acceptor.set_option(
+            asio::socket_base::receive_buffer_size(
+                static_cast<int>(receive_buffer)),
+            ignored);
     if (!error)
         acceptor.bind(endpoint, error);
     if (!error)
--- a/src/adapters/edge/request_memory.cpp
+++ b/src/adapters/edge/request_memory.cpp
@@ -18,6 +18,16 @@
     return (vm_memory - std::min(vm_memory, process_bytes)) / whole * share;
 }
 
+std::size_t receive_buffer(std::size_t vm_memory, std::size_t max_connections)
+{
+    constexpr std::size_t share = 8; // of the VM's memory, for all connections
+    // A smaller one slows callers down, a larger one doesn't help them.
+    constexpr std::size_t min_bytes = std::size_t(16) << 10;
+    constexpr std::size_t max_bytes = std::size_t(64) << 10;
+    return std::clamp(
+        vm_memory / share / max_connections, min_bytes, max_bytes);
+}
+
 std::size_t vm_memory(std::uint32_t memory_mb)
 {
     constexpr std::size_t bytes_per_mb = 1'000'000;
--- a/src/adapters/edge/request_memory.hpp
+++ b/src/adapters/edge/request_memory.hpp
@@ -16,6 +16,12 @@
 /// @return          What the requests of all callers may occupy of it.
 std::size_t request_memory(std::size_t vm_memory);
 
+/// @param vm_memory       Memory of the VM in bytes.
+/// @param max_connections Connections of callers.
+/// @return                What the kernel may hold unread for each of them, in
+///                        bytes.
+std::size_t receive_buffer(std::size_t vm_memory, std::size_t max_connections);
+
 /// @param memory_mb Memory of the VM in MB; 0: what the kernel states.
 /// @return          The same in bytes.
 std::size_t vm_memory(std::uint32_t memory_mb);
--- a/src/adapters/edge/server.cpp
+++ b/src/adapters/edge/server.cpp
@@ -63,7 +63,8 @@
 
 beast::error_code server::impl::open(const tcp::endpoint& endpoint)
 {
-    beast::error_code error = open_listener(this->acceptor, endpoint);
+    beast::error_code error = open_listener(
+        this->acceptor, endpoint, this->context->options.receive_buffer);
     if (!error)
         this->bound = this->acceptor.local_endpoint(error);
     if (!error)
--- a/src/adapters/forward/forward_server.cpp
+++ b/src/adapters/forward/forward_server.cpp
@@ -50,7 +50,8 @@
 
 beast::error_code forward_server::listen(const edge::tcp::endpoint& endpoint)
 {
-    beast::error_code error = edge::open_listener(this->acceptor, endpoint);
+    beast::error_code error = edge::open_listener(
+        this->acceptor, endpoint, this->limits.receive_buffer);
     if (!error)
         this->bound_endpoint = this->acceptor.local_endpoint(error);
     if (error)
--- a/src/adapters/forward/probe_server.cpp
+++ b/src/adapters/forward/probe_server.cpp
@@ -64,12 +64,13 @@
     , acceptor(this->executor)
 {
     this->options.max_header_bytes = max_probe_header_bytes;
+    this->options.receive_buffer = max_probe_header_bytes;
 }
 
 beast::error_code probe_server::listen(const edge::tcp::endpoint& endpoint)
 {
-    const beast::error_code error =
-        edge::open_listener(this->acceptor, endpoint);
+    const beast::error_code error = edge::open_listener(
+        this->acceptor, endpoint, this->options.receive_buffer);
     if (!error)
         asio::co_spawn(this->executor, this->accept(), asio::detached);
     return error;
--- a/src/app/gateway/gateway_app.cpp
+++ b/src/app/gateway/gateway_app.cpp
@@ -85,8 +85,10 @@
 make_caller_options(const settings::gateway_settings& settings)
 {
     edge::edge_options made = make_edge_options();
-    made.max_request_memory =
-        edge::request_memory(edge::vm_memory(settings.vm.memory_mb));
+    const std::size_t memory = edge::vm_memory(settings.vm.memory_mb);
+    made.max_request_memory = edge::request_memory(memory);
+    made.receive_buffer =
+        edge::receive_buffer(memory, load_guard::options().max_connections);
     return made;
 }
 
--- a/src/app/graph_options.cpp
+++ b/src/app/graph_options.cpp
@@ -204,8 +204,10 @@
     result.max_header_bytes = traffic.max_header_bytes;
     result.max_body_bytes = traffic.max_body_bytes;
     result.max_connections = traffic.max_connections;
-    result.max_request_memory =
-        edge::request_memory(edge::vm_memory(from.router.memory_mb));
+    const std::size_t memory = edge::vm_memory(from.router.memory_mb);
+    result.max_request_memory = edge::request_memory(memory);
+    result.receive_buffer =
+        edge::receive_buffer(memory, traffic.max_connections);
     result.default_deadline = traffic.default_deadline;
     result.max_deadline = traffic.max_deadline;
     result.caller_idle = traffic.caller_idle;
--- a/tests/integration/misbehaving_callers_test.cpp
+++ b/tests/integration/misbehaving_callers_test.cpp
@@ -12,8 +12,11 @@
 #include "tests/support/platform_store.hpp"
 #include "tests/support/process_usage.hpp"
 
+#include <atomic>
+#include <chrono>
 #include <string>
 #include <string_view>
+#include <thread>
 
 #include <criterion/criterion.h>
 
@@ -105,13 +108,16 @@
     }
 };
 
-void answer_all(backend_peer& peer)
+/// Answers all requests once it is told to.
+void answer_when(backend_peer& peer, const std::atomic<bool>& is_told)
 {
     while (true)
     {
         const std::string request = peer.read_request();
         if (request.empty())
             return;
+        while (!is_told)
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
         peer.send(
             "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nAttempt-Id: " +
             header_of(request, "Attempt-Id") + "\r\n\r\nok");
@@ -129,12 +135,8 @@
         const std::string& time_limits = usual_time_limits)
     {
         this->store.write("keyed.op", "config", configuration(time_limits));
-        this->store.write(
-            "keyed.servers",
-            "i-1",
-            R"({"service":"s","address":")" + this->backend.address() +
-                R"(","zone":"dc","version":"v1","slots":64,)"
-                R"("state":"ready","seq":1})");
+        this->register_server("i-1", "s", this->backend);
+        this->register_server("i-2", "slow", this->slow_backend);
         cr_assert(eventually(
             [&]
             {
@@ -152,6 +154,12 @@
         return this->gateway.program();
     }
 
+    /// From now on the server for `/slow/` answers, too.
+    void answer_slow()
+    {
+        this->is_slow_told = true;
+    }
+
     const std::string& readiness_address() const
     {
         return this->gateway.readiness_address();
@@ -182,6 +190,20 @@
     }
 
 private:
+    void register_server(
+        const std::string& id,
+        const std::string& service,
+        const fake_backend& server)
+    {
+        this->store.write(
+            "keyed.servers",
+            id,
+            R"({"service":")" + service + R"(","address":")" +
+                server.address() +
+                R"(","zone":"dc","version":"v1","slots":64,)"
+                R"("state":"ready","seq":1})");
+    }
+
     static std::string configuration(const std::string& time_limits)
     {
         return R"({"version":1,"limits":{"max_header_bytes":8192,)"
@@ -189,12 +211,24 @@
                std::to_string(max_body_bytes) + "," + time_limits +
                R"(},"routes":[{"name":"r","host":"a.example",)"
                R"("path_prefix":"/a/","kind":"idempotent","max_attempts":3,)"
-               R"("timeout_ms":20000,"service":"s"}],)"
-               R"("services":[{"name":"s"}]})";
+               R"("timeout_ms":20000,"service":"s"},)"
+               R"({"name":"t","host":"a.example","path_prefix":"/slow/",)"
+               R"("kind":"idempotent","max_attempts":1,"timeout_ms":60000,)"
+               R"("service":"slow"}],)"
+               R"("services":[{"name":"s"},{"name":"slow"}]})";
     }
 
     platform_store store{1};
-    fake_backend backend{answer_all};
+    std::atomic<bool> is_slow_told{false};
+    const std::atomic<bool> is_told{true};
+    fake_backend backend{[this](backend_peer& peer)
+                         {
+                             answer_when(peer, this->is_told);
+                         }};
+    fake_backend slow_backend{[this](backend_peer& peer)
+                              {
+                                  answer_when(peer, this->is_slow_told);
+                              }};
     gateway_process gateway{
         {.name = "misbehaving",
          .store = store.address(0),
@@ -388,6 +422,42 @@
     tested.check();
 }
 
+/// Callers go on sending while a server works on their request.
+void check_bytes_after_requests()
+{
+    gateway_deployment tested;
+    {
+        caller_crowd crowd(
+            tested.address(), gateway_places - crowd_beyond_places);
+        crowd.each(
+            [&](raw_caller& caller)
+            {
+                caller.send("POST /a/slow HTTP/1.1\r\nHost: a.example\r\n"
+                            "Deadline-Ms: 20000\r\nContent-Length: 1\r\n\r\nx");
+            });
+        tested.settle();
+        crowd.each(
+            [&](raw_caller& caller)
+            {
+                caller.fill(std::string(large_chunk_bytes, 'x'), excess_bytes);
+            });
+        constexpr std::uint64_t bytes_per_kib = 1024;
+        constexpr std::uint64_t kib_per_mb = 1000;
+        const std::uint64_t unread_kib =
+            unread_bytes(tested.address()) / bytes_per_kib;
+        const process_usage usage = usage_of(tested.process().pid());
+        cr_expect_leq(
+            unread_kib + usage.peak_kib,
+            vm_memory_mb * kib_per_mb,
+            "%lu KiB are resident at the peak, %lu KiB unread",
+            usage.peak_kib,
+            unread_kib);
+        cr_expect_eq(tested.ask(), 200U, "an ordinary request isn't served");
+        tested.answer_slow();
+    }
+    tested.check();
+}
+
 } // namespace
 
 Test(gateway_misbehaving_callers, trailers_without_end)
@@ -491,3 +561,8 @@
 {
     check_probe_connections(false);
 }
+
+Test(gateway_misbehaving_callers, bytes_after_a_whole_request)
+{
+    check_bytes_after_requests();
+}
--- a/tests/support/caller_crowd.cpp
+++ b/tests/support/caller_crowd.cpp
@@ -83,6 +83,22 @@
     return this->send(std::string_view(piece).substr(0, times * bytes.size()));
 }
 
+void raw_caller::fill(std::string_view bytes, std::size_t max_bytes)
+{
+    std::size_t taken = 0;
+    while (taken < max_bytes)
+    {
+        const auto sent = ::send(
+            this->socket.native_handle(),
+            bytes.data(),
+            bytes.size(),
+            MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (sent <= 0)
+            return;
+        taken += static_cast<std::size_t>(sent);
+    }
+}
+
 caller_crowd::caller_crowd(std::string_view address, std::size_t count)
 {
     for (std::size_t i = 0; i < count; ++i)
--- a/tests/support/caller_crowd.hpp
+++ b/tests/support/caller_crowd.hpp
@@ -28,6 +28,10 @@
     /// @return Whether the other side took all of them.
     bool send_repeated(std::string_view bytes, std::size_t times);
 
+    /// Sends the same bytes until the kernel takes no more, or so many were
+    /// taken.
+    void fill(std::string_view bytes, std::size_t max_bytes);
+
 private:
     boost::asio::io_context context;
     boost::asio::ip::tcp::socket socket;
