--- a/tests/integration/misbehaving_callers_test.cpp
+++ b/tests/integration/misbehaving_callers_test.cpp
@@ -14,6 +14,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -566,3 +567,20 @@
 {
     check_bytes_after_requests();
 }
+
+/// The grace period ends before such bodies would.
+Test(gateway_misbehaving_callers, shutdown_while_bodies_are_unfinished)
+{
+    gateway_deployment tested;
+    caller_crowd crowd(tested.address(), caller_count);
+    crowd.each(
+        [&](raw_caller& caller)
+        {
+            caller.send(tested.chunked_head()) &&
+                send_chunks(caller, ordinary_body_bytes, ordinary_body_bytes);
+        });
+    tested.check();
+    const std::optional<int> code = tested.process().terminate();
+    cr_assert(code.has_value(), "the process doesn't end");
+    cr_expect_eq(*code, 0);
+}
