--- a/tests/unit/users_platform/test_router_registration.cpp
+++ b/tests/unit/users_platform/test_router_registration.cpp
@@ -393,6 +393,29 @@
     cr_assert_eq(std::ranges::count(done, "join"), 1);
 }
 
+/// Guards against an order in flight that arrives after those of the next
+/// owner, with the lower fencing token.
+Test(store_directory, ownership_is_released_after_the_margin_for_orders)
+{
+    fake_store store;
+    store.put("edge-1", record(false, 3));
+    store.answer_joins(1);
+    store_directory::options settings = options_for(store, 1ms);
+    settings.term = 1h;
+    settings.term_margin = 100ms;
+    one_router router(settings);
+    router.run_until_owner();
+    const instant resigned = router.clock.now();
+    router.directory.resign();
+    cr_assert_not(router.listener.last_tenure.has_value());
+    router.run_until(
+        [&]
+        {
+            return router.listener.released;
+        });
+    cr_assert(router.clock.now() - resigned >= settings.term_margin);
+}
+
 /// Guards against an owner that is cut off from all engines and stays owner.
 Test(store_directory, a_router_that_may_not_own_releases_ownership)
 {
