--- a/src/adapters/edge/caller_body.hpp
+++ b/src/adapters/edge/caller_body.hpp
@@ -31,9 +31,8 @@
     class reader
     {
     public:
-        template <bool is_request, class Fields>
-        reader(
-            boost::beast::http::header<is_request, Fields>&, value_type& into)
+        template <bool IsRequest, class Fields>
+        reader(boost::beast::http::header<IsRequest, Fields>&, value_type& into)
             : body(into)
         {
         }
