Connections may outlive the account of what callers hold

Found by reading the diff: when an event loop of a gateway is stopped with callers connected, the loop destroys their connections after the server and its receive_budget, whose entries they return. Callers saw nothing; the process read freed memory at its end.

Change: the account detaches its entries when it goes.

--- a/src/core/admission/receive_budget.cpp
+++ b/src/core/admission/receive_budget.cpp
@@ -7,6 +7,12 @@
 namespace roseworks
 {
 
+receive_budget::~receive_budget()
+{
+    for (entry* const one : this->entries)
+        one->owner = nullptr;
+}
+
 std::size_t receive_budget::max_bytes() const
 {
     return std::max(this->settings.max_bytes, this->largest_request);
@@ -125,18 +131,20 @@
 
 receive_budget::entry::entry(
     receive_budget& budget, std::function<bool()> displace)
-    : owner(budget)
+    : owner(&budget)
     , on_displace(std::move(displace))
     , serial(++budget.last_serial)
 {
-    this->owner.entries.insert(this);
+    this->owner->entries.insert(this);
 }
 
 receive_budget::entry::~entry()
 {
-    this->owner.entries.erase(this);
-    this->owner.used -= this->bytes;
-    this->owner.leaving_count -= this->is_leaving ? 1 : 0;
+    if (this->owner == nullptr)
+        return;
+    this->owner->entries.erase(this);
+    this->owner->used -= this->bytes;
+    this->owner->leaving_count -= this->is_leaving ? 1 : 0;
 }
 
 void receive_budget::entry::wait(instant now)
@@ -157,7 +165,7 @@
 void receive_budget::entry::received(std::size_t size, instant now)
 {
     this->fresh_bytes += size;
-    if (this->fresh_bytes < this->owner.settings.min_progress_bytes)
+    if (this->fresh_bytes < this->owner->settings.min_progress_bytes)
         return;
     this->last_progress = now;
     this->fresh_bytes = 0;
@@ -165,7 +173,7 @@
 
 bool receive_budget::entry::hold(std::size_t size, instant now)
 {
-    return this->owner.reserve(*this, size, now);
+    return this->owner->reserve(*this, size, now);
 }
 
 void receive_budget::entry::complete()
--- a/src/core/admission/receive_budget.hpp
+++ b/src/core/admission/receive_budget.hpp
@@ -66,6 +66,10 @@
     {
     }
 
+    /// Detaches the connections that still exist. An event loop may destroy
+    /// them later, without running them again.
+    ~receive_budget();
+
     receive_budget(const receive_budget&) = delete;
     receive_budget& operator=(const receive_budget&) = delete;
 
@@ -153,7 +157,7 @@
 
     void count(receive_limit limit)
     {
-        this->owner.count(limit);
+        this->owner->count(limit);
     }
 
 private:
@@ -167,7 +171,7 @@
         closing
     };
 
-    receive_budget& owner;
+    receive_budget* owner; ///< null: it is gone
     std::function<bool()> on_displace;
     std::uint64_t serial; ///< orders entries of the same time
     phase state = phase::complete;
--- a/tests/unit/forward/test_receive_budget.cpp
+++ b/tests/unit/forward/test_receive_budget.cpp
@@ -232,3 +232,14 @@
     cr_assert_not(all[0]->is_displaced);
     cr_assert(all[1]->is_displaced);
 }
+
+/// An event loop that is stopped destroys its connections last.
+Test(receive_budget, connections_may_outlive_it)
+{
+    connections all;
+    {
+        receive_budget budget(make_options());
+        add(all, budget, 3, small_request);
+    }
+    all.clear();
+}
