--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# A replica in need crashes and is back at its address: its Server-Limit is lost.
+# Brittle replicas: one crashes, is back at its address, and falls over again and again.
 set -u
 folder=$(cd "$(dirname "$0")" && pwd)
 . "$folder/../standins-2/run-case.sh"
-run_case limit "$folder"
+run_case brittle "$folder"
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/standins-2"
 out=../../target/review-2
 mkdir -p "$out"
-for name in limit parts headers; do
+for name in brittle limit parts headers; do
     g++ -std=c++20 -O1 -Wall -o "$out/$name" "$name.cpp" -lboost_json -pthread &
 done
 failed=0
--- a/review/standins-2/headers.cpp
+++ b/review/standins-2/headers.cpp
@@ -39,15 +39,18 @@
         "");
 }
 
-/// A head of under 16,384 bytes.
+/// @return A request with a head of that many bytes. With PLAIN=1 a head of the
+///         same size without a list of names, for comparison.
 std::string hostile_request(std::size_t head_bytes)
 {
+    const bool is_plain = std::getenv("PLAIN") != nullptr;
     std::string request = "GET /price/1 HTTP/1.1\r\nHost: shop.example\r\n"
                           "Attempt-Id: " +
-                          random_hex(16) + "\r\nDeadline-Ms: 1500\r\nConnection: ";
+                          random_hex(16) + "\r\nDeadline-Ms: 1500\r\n" +
+                          (is_plain ? "Note: " : "Connection: ");
     while (request.size() < head_bytes / 2)
-        request += "b,";
-    request += "keep-alive\r\n";
+        request += is_plain ? "b" : "b,";
+    request += is_plain ? "\r\n" : "keep-alive\r\n";
     while (request.size() < head_bytes - 10)
         request += "a:\r\n";
     return request + "\r\n";
--- a/review/standins-2/run-case.sh
+++ b/review/standins-2/run-case.sh
@@ -2,11 +2,11 @@
 # of the case. Exits with 0 if the rule held, 1 if it was broken, 2 if the case
 # couldn't run. The program starts the gateways; they end with it.
 run_case() {
-    local program=$1 folder=$2
+    local program=$1 folder=$2 record=${3:-record.txt}
     local root
     root=$(cd "$folder/../.." && pwd)
     export GATEWAY=$root/target/bin/roseworks-gateway
-    export RECORD=$folder/record.txt
+    export RECORD=$folder/$record
     export TROUBLE=${TROUBLE:-1}
     WORK_DIR=$(mktemp -d)
     export WORK_DIR
