--- a/review/standins-2/headers.cpp
+++ b/review/standins-2/headers.cpp
@@ -129,8 +129,10 @@
     for (int i = 0; i < 3; ++i)
         replicas.push_back(std::make_unique<replica>(
             platform,
-            replica::options{.service = "scan", .slots = 6, .run = answer_plainly}));
-    gateway one({.name = "edge-1", .ip = "127.0.0.1", .store = platform.address()});
+            replica::options{
+                .service = "scan", .slots = 6, .run = answer_plainly}));
+    gateway one(
+        {.name = "edge-1", .ip = "127.0.0.1", .store = platform.address()});
     one.run(true);
     const bool done_2 = co_await wait_ready(one, 20);
     if (!done_2)
@@ -157,7 +159,8 @@
     co_await ordinary_clients(one.requests(), during, until);
     co_await sleep_for(milliseconds(4000));
     note(
-        "during: %d of %d ordinary requests served; %d long heads sent; %d of %d "
+        "during: %d of %d ordinary requests served; %d long heads sent; %d of "
+        "%d "
         "readiness probes answered 200 within a second",
         during.served,
         during.asked,
--- a/review/standins-2/parts.cpp
+++ b/review/standins-2/parts.cpp
@@ -26,6 +26,34 @@
 std::vector<double> crashes; ///< of replicas, under such requests
 int sound_asked = 0;
 int sound_served = 0;
+/// Sound requests that ran at a replica when it crashed later than contact_ms
+/// after the fifth crash.
+int sound_lost_late = 0;
+
+/// Sound requests at a replica, by its life.
+std::map<std::pair<const replica*, int>, int> sound_running;
+
+/// Counts a sound request while it is at a replica.
+struct counted_run
+{
+    counted_run(const replica& self, bool is_sound)
+        : place(&self, self.life)
+        , size(is_sound ? 1 : 0)
+    {
+        sound_running[this->place] += this->size;
+    }
+
+    ~counted_run()
+    {
+        sound_running[this->place] -= this->size;
+    }
+
+    counted_run(const counted_run&) = delete;
+    counted_run& operator=(const counted_run&) = delete;
+
+    const std::pair<const replica*, int> place;
+    const int size;
+};
 
 bool names_part(const message& request)
 {
@@ -37,6 +65,7 @@
 {
     const int life = self.life;
     const bool is_deadly = names_part(request);
+    const counted_run counted(self, !is_deadly);
     if (is_deadly)
     {
         reached.push_back({now_s(), request.field("Attempt-Id"), self.id});
@@ -52,7 +81,14 @@
     if (is_deadly && has_trouble())
     {
         crashes.push_back(now_s());
-        note("crash %zu: %s", crashes.size(), self.id.c_str());
+        const int sound = sound_running[{&self, life}];
+        note(
+            "crash %zu: %s, with %d sound requests",
+            crashes.size(),
+            self.id.c_str(),
+            sound);
+        if (crashes.size() > 5 && now_s() > crashes[4] + contact_s)
+            sound_lost_late += sound;
         self.crash(down_time);
         co_return;
     }
@@ -248,12 +284,14 @@
     note(
         "%zu requests with the part reached replicas, %zu crashes, %d of them "
         "reached later than contact_ms after the fifth crash; %d of %d sound "
-        "requests served",
+        "requests served, %d were lost with replicas that such late requests "
+        "crashed",
         reached.size(),
         crashes.size(),
         late,
         sound_served,
-        sound_asked);
+        sound_asked,
+        sound_lost_late);
     finish(late > 3 ? 1 : 0);
 }
 
