--- a/review/standins-2/brittle.cpp
+++ b/review/standins-2/brittle.cpp
@@ -129,7 +129,13 @@
         "");
     const outcome got = co_await ask(to, request, milliseconds(1500));
     ++answers[got.answer.status()];
-    served += got.answer.status() == 200 && got.answer.complete ? 1 : 0;
+    const bool is_served = got.answer.status() == 200 && got.answer.complete;
+    served += is_served ? 1 : 0;
+    note(
+        "edge-%d answered %d, run by %s",
+        number + 1,
+        got.answer.status(),
+        is_served ? got.answer.field("Response-Seal").c_str() : "-");
 }
 
 task<> traffic(std::vector<tcp::endpoint> to, double until)
--- a/review/standins-2/headers.cpp
+++ b/review/standins-2/headers.cpp
@@ -64,6 +64,10 @@
     {
         const std::string request = ordinary_request();
         const outcome got = co_await ask(to, request, milliseconds(1500));
+        note(
+            "an ordinary request got %d, run by %s",
+            got.answer.status(),
+            got.answer.field("Response-Seal").c_str());
         if (got.answer.status() == 200 && got.answer.complete)
         {
             ++into.served;
@@ -98,6 +102,7 @@
             if (!head)
                 break;
             co_await one->read_body(*head, true);
+            note("a long head got %d", head->status());
         }
         co_await sleep_for(milliseconds(100));
     }
--- a/review/standins-2/parts.cpp
+++ b/review/standins-2/parts.cpp
@@ -161,9 +161,9 @@
     const bool is_served = got.answer.status() == 200 && got.answer.complete;
     sound_served += is_served ? 1 : 0;
     note(
-        "a sound request got %d%s",
+        "a sound request got %d, run by %s",
         got.answer.status(),
-        is_served ? "" : ", not served");
+        is_served ? got.answer.field("Response-Seal").c_str() : "-");
 }
 
 task<> deadly_client(tcp::endpoint to)
