--- a/review/standins-2/brittle.cpp
+++ b/review/standins-2/brittle.cpp
@@ -8,10 +8,10 @@
 {
 
 constexpr int gateway_count = 3;
-constexpr int replica_count = 3;
+constexpr int replica_count = 6;
 constexpr int slots = 6;
 constexpr int usual_queue = 18;
-constexpr double requests_per_s = 250; ///< of 300 that the replicas can run
+constexpr double requests_per_s = 550; ///< of 600 that the replicas can run
 constexpr std::size_t tolerated = 2;   ///< N of `Server-Brittle`
 constexpr double contact_s = 3;        ///< contact_ms
 constexpr double allowed_falls = 2 + 0.1 * replica_count;
@@ -76,8 +76,6 @@
     const int life = self.life;
     const double since = brittle_since.value_or(now_s());
     headers fields = self.common(request);
-    if (brittle_since)
-        fields.emplace_back("Server-Brittle", std::to_string(tolerated));
     const bool lets_wait = now_s() <= since + contact_s;
     if (self.running > slots + (lets_wait ? usual_queue : 0))
     {
@@ -165,7 +163,7 @@
     {
         replica::options made;
         made.service = "scan";
-        made.zone = "zone-" + std::string(1, static_cast<char>('a' + i));
+        made.zone = "zone-" + std::string(1, static_cast<char>('a' + i % 3));
         made.slots = slots;
         made.run = run_request;
         replicas.push_back(std::make_unique<replica>(platform, made));
@@ -176,8 +174,8 @@
     {
         gateway::options made;
         made.name = "edge-" + std::to_string(i + 1);
-        made.ip = "127.0.0." + std::to_string(i + 2);
-        made.zone = "zone-" + std::string(1, static_cast<char>('a' + i));
+        made.ip = "127.0.0." + std::to_string(i + 1);
+        made.zone = "zone-" + std::string(1, static_cast<char>('a' + i % 3));
         made.store = platform.address();
         gateways.push_back(std::make_unique<gateway>(made));
         gateways.back()->run(true);
@@ -194,6 +192,8 @@
     start(traffic(doors, end));
     co_await sleep_for(milliseconds(3000));
     brittle_since = now_s();
+    for (const auto& one : replicas)
+        one->notices = {{"Server-Brittle", std::to_string(tolerated)}};
     note("the replicas say that they are brittle");
     co_await sleep_for(milliseconds(6000));
     if (has_trouble())
--- a/review/standins-2/headers.cpp
+++ b/review/standins-2/headers.cpp
@@ -1,5 +1,6 @@
 // Case: a few clients whose request heads are inside the limits, with a long
-// Connection header and many fields. Ordinary clients ask meanwhile.
+// Connection header and many fields. Ordinary clients ask meanwhile. With
+// UNREAD=1, for a finding: clients that ask for large answers and read none.
 #include "standin.hpp"
 
 using namespace standin;
@@ -10,6 +11,10 @@
 constexpr double calm_s = 8;
 constexpr double trouble_s = 30;
 constexpr int hostile_clients = 40;
+constexpr int unread_clients = 60;
+constexpr int unread_requests = 50; ///< of one connection
+const bool is_unread = std::getenv("UNREAD") != nullptr;
+const std::size_t answer_bytes = is_unread ? 200'000 : 800;
 
 struct counts
 {
@@ -24,7 +29,8 @@
     co_await sleep_for(milliseconds(15));
     headers sealed = fields;
     sealed.emplace_back("Response-Seal", "s" + request.field("Attempt-Id"));
-    const std::string told = response_bytes(200, sealed, std::string(800, 'x'));
+    const std::string told =
+        response_bytes(200, sealed, std::string(answer_bytes, 'x'));
     co_await one->write(told);
 }
 
@@ -108,6 +114,30 @@
     }
 }
 
+/// Sends requests and reads nothing.
+task<> unread_client(tcp::endpoint to, double until)
+{
+    std::string requests;
+    for (int i = 0; i < unread_requests; ++i)
+        requests += ordinary_request();
+    while (now_s() < until)
+    {
+        tcp::socket socket(loop());
+        socket.open(tcp::v4());
+        socket.set_option(asio::socket_base::receive_buffer_size(2048));
+        const auto [error] = co_await socket.async_connect(to, as_tuple);
+        if (!error)
+        {
+            note("a client that reads nothing sends its requests");
+            const auto [failed, size] = co_await asio::async_write(
+                socket, asio::buffer(requests), as_tuple);
+            const auto [gone] =
+                co_await socket.async_wait(tcp::socket::wait_error, as_tuple);
+        }
+        co_await sleep_for(milliseconds(100));
+    }
+}
+
 task<> watch_ready(const gateway& one, double until, int& asked, int& answered)
 {
     const std::string request =
@@ -156,7 +186,12 @@
     int answered = 0;
     counts during;
     start(watch_ready(one, until, probes, answered));
-    if (has_trouble())
+    if (has_trouble() && is_unread)
+    {
+        for (int i = 0; i < unread_clients; ++i)
+            start(unread_client(one.requests(), until));
+    }
+    else if (has_trouble())
     {
         for (int i = 0; i < hostile_clients; ++i)
             start(hostile_client(one.requests(), until, sent));
--- a/review/standins-2/limit.cpp
+++ b/review/standins-2/limit.cpp
@@ -9,9 +9,9 @@
 {
 
 constexpr int gateway_count = 3;
-constexpr int replica_count = 3;
+constexpr int replica_count = 6;
 constexpr int slots = 6;
-constexpr double requests_per_s = 150;
+constexpr double requests_per_s = 240;
 constexpr double named_limit = 0.5; ///< requests a second
 constexpr double contact_s = 3;     ///< contact_ms
 constexpr double window_s = 4;
@@ -46,13 +46,12 @@
 task<> run_request(replica& self, channel_ptr one, const message& request)
 {
     const int life = self.life;
-    const bool names_limit = is_named && self.settings.zone == "zone-a";
+    const bool names_limit = is_named && !self.notices.empty();
     headers fields = self.common(request);
     fields.emplace_back(
         "Response-Seal", self.id + "." + request.field("Attempt-Id"));
     if (names_limit)
     {
-        fields.emplace_back("Server-Limit", "0.5");
         incarnation& known = in_need[self.id];
         known.arrivals.push_back({now_s(), gateway_of(request)});
         if (known.first_named < 0)
@@ -151,7 +150,7 @@
     {
         replica::options made;
         made.service = "scan";
-        made.zone = "zone-" + std::string(1, static_cast<char>('a' + i));
+        made.zone = "zone-" + std::string(1, static_cast<char>('a' + i % 3));
         made.slots = slots;
         made.run = run_request;
         replicas.push_back(std::make_unique<replica>(platform, made));
@@ -162,8 +161,8 @@
     {
         gateway::options made;
         made.name = "edge-" + std::to_string(i + 1);
-        made.ip = "127.0.0." + std::to_string(i + 2);
-        made.zone = "zone-" + std::string(1, static_cast<char>('a' + i));
+        made.ip = "127.0.0." + std::to_string(i + 1);
+        made.zone = "zone-" + std::string(1, static_cast<char>('a' + i % 3));
         made.store = platform.address();
         gateways.push_back(std::make_unique<gateway>(made));
         gateways.back()->run(true);
@@ -180,6 +179,7 @@
     start(traffic(doors, end));
     co_await sleep_for(milliseconds(3000));
     is_named = true;
+    replicas.front()->notices = {{"Server-Limit", "0.5"}};
     co_await sleep_for(milliseconds(10'000));
     if (has_trouble())
     {
--- a/review/standins-2/parts.cpp
+++ b/review/standins-2/parts.cpp
@@ -1,5 +1,6 @@
 // Case: one part of a prompt crashes each replica that begins to write an
-// answer on it. MODE: batches, late-part or herd.
+// answer on it. MODE: batches, late-part or herd; query, for a finding: one
+// request that crashes replicas comes again with another query each time.
 #include "standin.hpp"
 
 using namespace standin;
@@ -15,6 +16,9 @@
 constexpr milliseconds sound_interval{60};
 const std::string deadly_part = "dead0001";
 
+/// The crash from which the rule counts.
+const std::size_t first_counted = mode == "query" ? 3 : 5;
+
 struct reach
 {
     double at = 0;
@@ -57,6 +61,8 @@
 
 bool names_part(const message& request)
 {
+    if (mode == "query")
+        return request.target().starts_with("/batch/poison");
     const std::string list = request.field("Prompt-Prefix");
     return list.find(deadly_part + ":") != std::string::npos;
 }
@@ -87,7 +93,8 @@
             crashes.size(),
             self.id.c_str(),
             sound);
-        if (crashes.size() > 5 && now_s() > crashes[4] + contact_s)
+        if (crashes.size() > first_counted &&
+            now_s() > crashes[first_counted - 1] + contact_s)
             sound_lost_late += sound;
         self.crash(down_time);
         co_return;
@@ -117,40 +124,44 @@
         co_await one->write(end);
 }
 
-std::string stream_request(const std::string& parts)
+std::string stream_request(
+    const std::string& parts,
+    const std::string& target = "/batch/plan",
+    const std::string& body = "plan " + random_hex(24))
 {
     return request_bytes(
         "POST",
-        "/batch/plan",
+        target,
         {{"Host", "shop.example"},
          {"Attempt-Id", random_hex(16)},
          {"Model", "m0"},
          {"Token-Usage", "646,70"},
          {"Prompt-Prefix", parts},
          {"Deadline-Ms", "8000"}},
-        "plan " + random_hex(24));
+        body);
 }
 
-std::string own_part()
+/// All parts of a prompt together have 646 tokens.
+std::string own_part(int tokens = 91)
 {
-    return random_hex(8) + ":91";
+    return random_hex(8) + ":" + std::to_string(tokens);
 }
 
 std::string sound_parts()
 {
     return "5a5a0001:155,c0de000" + std::to_string(random_numbers()() % 8) +
-           ":200," + own_part();
+           ":400," + own_part();
 }
 
 std::string deadly_parts()
 {
     if (mode != "late-part")
-        return "5a5a0001:155," + deadly_part + ":200," + own_part();
+        return "5a5a0001:155," + deadly_part + ":400," + own_part();
     // A long session: forty parts, of which the 36th is the deadly one.
     std::string parts = "5a5a0001:155";
     for (int i = 2; i <= 39; ++i)
-        parts += "," + (i == 36 ? deadly_part : random_hex(8)) + ":12";
-    return parts + "," + own_part();
+        parts += "," + (i == 36 ? deadly_part : random_hex(8)) + ":10";
+    return parts + "," + own_part(111);
 }
 
 task<> sound_client(tcp::endpoint to)
@@ -168,7 +179,11 @@
 
 task<> deadly_client(tcp::endpoint to)
 {
-    const std::string request = stream_request(deadly_parts());
+    const std::string request =
+        mode == "query"
+            ? stream_request(
+                  sound_parts(), "/batch/poison?t=" + random_hex(8), "same")
+            : stream_request(deadly_parts());
     const outcome got = co_await ask(to, request, milliseconds(8000));
     note("a request with the part got %d", got.answer.status());
 }
@@ -186,7 +201,7 @@
 ///         after the fifth crash, but for `excused` times.
 int late_requests(const std::vector<std::pair<double, double>>& excused)
 {
-    if (crashes.size() < 5)
+    if (crashes.size() < first_counted)
         return 0;
     int count = 0;
     for (const reach& one : reached)
@@ -197,7 +212,7 @@
             {
                 return one.at >= span.first && one.at <= span.second;
             });
-        if (one.at > crashes[4] + contact_s && !is_excused)
+        if (one.at > crashes[first_counted - 1] + contact_s && !is_excused)
         {
             ++count;
             note("counts: %s at %.3f", one.id.c_str(), one.at);
@@ -231,7 +246,7 @@
     {
         gateway::options made;
         made.name = "edge-" + std::to_string(i + 1);
-        made.ip = "127.0.0." + std::to_string(i + 2);
+        made.ip = "127.0.0." + std::to_string(i + 1);
         made.zone = "zone-" + std::string(1, static_cast<char>('a' + i));
         made.store = platform.address();
         gateways.push_back(std::make_unique<gateway>(made));
@@ -283,12 +298,13 @@
     const int late = late_requests(excused);
     note(
         "%zu requests with the part reached replicas, %zu crashes, %d of them "
-        "reached later than contact_ms after the fifth crash; %d of %d sound "
+        "reached later than contact_ms after crash %zu; %d of %d sound "
         "requests served, %d were lost with replicas that such late requests "
         "crashed",
         reached.size(),
         crashes.size(),
         late,
+        first_counted,
         sound_served,
         sound_asked,
         sound_lost_late);
--- a/review/standins-2/standin.hpp
+++ b/review/standins-2/standin.hpp
@@ -111,22 +111,28 @@
     return text;
 }
 
-/// @return A port that is free for TCP and UDP at an address of loopback.
+inline bool is_free(const std::string& ip, unsigned short port)
+{
+    boost::system::error_code taken;
+    const auto where = asio::ip::make_address(ip);
+    tcp::acceptor connections(loop(), tcp::v4());
+    connections.bind({where, port}, taken);
+    udp::socket datagrams(loop(), udp::v4());
+    if (!taken)
+        datagrams.bind({where, port}, taken);
+    return !taken;
+}
+
+/// @return A port that is free for TCP and UDP at an address of loopback, and
+///         that no call before has returned.
 inline unsigned short free_port(const std::string& ip = "127.0.0.1")
 {
     static unsigned next = 10'000 + std::random_device{}() % 18'000;
     while (true)
     {
         next = next >= 29'000 ? 10'000 : next + 1;
-        boost::system::error_code taken;
-        const auto where = asio::ip::make_address(ip);
         const auto port = static_cast<unsigned short>(next);
-        tcp::acceptor connections(loop(), tcp::v4());
-        connections.bind({where, port}, taken);
-        udp::socket datagrams(loop(), udp::v4());
-        if (!taken)
-            datagrams.bind({where, port}, taken);
-        if (!taken)
+        if (is_free(ip, port))
             return port;
     }
 }
@@ -668,6 +674,8 @@
 
     const options settings;
     std::string id;
+    /// Headers in all its answers, also to health checks and other requests.
+    headers notices;
     bool is_up = false;
     int running = 0;
 
@@ -679,11 +687,13 @@
     /// Headers that all its answers have.
     headers common(const message& request) const
     {
-        return {
-            {"Attempt-Id", request.field("Attempt-Id")},
-            {"Replica-Load",
-             std::to_string(this->running) + ",0," +
-                 std::to_string(this->settings.slots)}};
+        headers all = this->notices;
+        all.emplace_back("Attempt-Id", request.field("Attempt-Id"));
+        all.emplace_back(
+            "Replica-Load",
+            std::to_string(this->running) + ",0," +
+                std::to_string(this->settings.slots));
+        return all;
     }
 
     /// Crashes, and starts again under a new id after the given time.
@@ -849,11 +859,8 @@
         const std::string wanted = request.field("Expect-Instance");
         if (!wanted.empty() && wanted != this->id)
         {
-            const std::string told = response_bytes(
-                421,
-                {{"Replica-Id", this->id},
-                 {"Attempt-Id", request.field("Attempt-Id")}},
-                "");
+            const std::string told =
+                response_bytes(421, this->own_headers(&request), "");
             co_await one->write(told);
             co_return true;
         }
@@ -861,7 +868,7 @@
         if (path == "/health")
         {
             const std::string told =
-                response_bytes(200, {{"Replica-Id", this->id}}, "");
+                response_bytes(200, this->own_headers(nullptr), "");
             co_await one->write(told);
             co_return true;
         }
@@ -879,22 +886,31 @@
             report["born"] = this->born;
             report["state"] = "ready";
             const std::string told = response_bytes(
-                200,
-                {{"Content-Type", "application/json"}},
-                json::serialize(report));
+                200, this->own_headers(nullptr), json::serialize(report));
             co_await one->write(told);
             co_return true;
         }
         if (path == "/order")
         {
             const int status = this->take_order(json::parse(request.body));
-            const std::string told = response_bytes(status, {}, "");
+            const std::string told =
+                response_bytes(status, this->own_headers(nullptr), "");
             co_await one->write(told);
             co_return true;
         }
         co_return false;
     }
 
+    /// @param request That an answer echoes; null: none.
+    headers own_headers(const message* request) const
+    {
+        headers all = this->notices;
+        all.emplace_back("Replica-Id", this->id);
+        if (request != nullptr)
+            all.emplace_back("Attempt-Id", request->field("Attempt-Id"));
+        return all;
+    }
+
     /// @return The status of the answer to an order.
     int take_order(const json::value& order)
     {
@@ -967,7 +983,7 @@
 
     explicit gateway(options chosen)
         : settings(std::move(chosen))
-        , ports(free_ports(settings.ip))
+        , ports(common_ports())
         , file(
               std::string(std::getenv("WORK_DIR")) + "/" + settings.name +
               ".ini")
@@ -1010,6 +1026,7 @@
             << "\n[listen]\nrequests = " << this->text(0)
             << "\nreadiness = " << this->text(1)
             << "\npeers = " << this->text(2) << "\nmetrics = " << this->text(3)
+            << "\nrelay_offset = 1"
             << "\n[store]\naddress = " << this->settings.store
             << "\nshortest_term_ms = 1000\n[bounds]\ngrace_s = 8"
                "\nleaving_ms = 2000\nheartbeat_ms = 1200"
@@ -1083,13 +1100,40 @@
         return this->settings.ip + ":" + std::to_string(this->ports[number]);
     }
 
-    static std::vector<unsigned short> free_ports(const std::string& ip)
+    /// @return Ports for requests, readiness, peers and metrics, the same on
+    /// all
+    ///         machines. The one after that of peers is for relays.
+    static const std::vector<unsigned short>& common_ports()
     {
-        constexpr int needed = 4;
-        std::vector<unsigned short> found;
-        for (int i = 0; i < needed; ++i)
-            found.push_back(free_port(ip));
-        return found;
+        static const std::vector<unsigned short> chosen = []
+        {
+            constexpr int in_row = 5;
+            while (true)
+            {
+                const unsigned short first = free_port();
+                bool are_free = true;
+                for (int i = 0; are_free && i < in_row; ++i)
+                {
+                    for (const char* ip :
+                         {"127.0.0.1", "127.0.0.2", "127.0.0.3"})
+                        are_free =
+                            are_free &&
+                            is_free(ip, static_cast<unsigned short>(first + i));
+                }
+                const auto port = [first](int number)
+                {
+                    return static_cast<unsigned short>(first + number);
+                };
+                if (are_free)
+                {
+                    for (int i = 1; i < in_row; ++i)
+                        free_port();
+                    return std::vector<unsigned short>{
+                        port(0), port(1), port(2), port(4)};
+                }
+            }
+        }();
+        return chosen;
     }
 
     const std::vector<unsigned short> ports;
@@ -1248,11 +1292,15 @@
 
 /// Writes the configuration as the operator does.
 inline void write_configuration(
-    store& platform, int version, json::array routes, json::array services)
+    store& platform,
+    int version,
+    json::array routes,
+    json::array services,
+    int max_body_bytes = 4'194'304)
 {
     const json::object limits{
         {"max_header_bytes", 16384},
-        {"max_body_bytes", 4194304},
+        {"max_body_bytes", max_body_bytes},
         {"header_timeout_ms", 3000},
         {"idle_timeout_ms", 15000}};
     platform.write(
