Requests with a crashing prompt part that come together are blocked after the first moment

Cause: ends of lives within 100 ms counted as one moment, and three moments were needed, however many servers had ended under however many requests with a part that had never run well. Trials of a blocked part were open to each router for itself, so requests that come together were several trials, whose ends counted as one again.

Change: three or more ends of one moment, under as many requests with a part that hadn't run well, count like three moments once 2 s have passed. The routers try such parts in a common order whose open part grows from one router. Ends under trials count one by one. Parts that ran well before are judged as they were, since a mass outage accuses them all.

The new tests failed before: crashing_parts.whose_requests_come_together_are_blocked, part_ledger.many_ends_at_one_moment_block_a_part_that_never_ran_well.

--- a/src/app/gateway/crash_controller.cpp
+++ b/src/app/gateway/crash_controller.cpp
@@ -93,13 +93,17 @@
 
 void crash_controller::routers_listed(std::span<const router_address> all)
 {
-    std::vector<std::string> addresses;
+    std::vector<std::string> others;
+    std::string own;
     for (const router_address& one : all)
     {
-        if (one.name != this->settings.router)
-            addresses.push_back(one.address);
+        if (one.name == this->settings.router)
+            own = one.address;
+        else
+            others.push_back(one.address);
     }
-    this->tracker.set_routers(addresses);
+    this->tracker.set_routers(std::move(others), std::move(own));
+    this->flush();
 }
 
 void crash_controller::servers_changed()
--- a/src/core/crashes/blocked_requests.hpp
+++ b/src/core/crashes/blocked_requests.hpp
@@ -20,6 +20,9 @@
     std::unordered_map<fingerprint, instant> blocked_until;
     /// Blocked ones that any router may try when the block ends.
     std::unordered_set<fingerprint> tried_at_once;
+    /// Time from the end of a block until this router may try, for those that
+    /// the routers try in an order.
+    std::unordered_map<fingerprint, duration> trial_delays;
     /// Those under which any life ended.
     std::unordered_set<fingerprint> suspects;
 };
--- a/src/core/crashes/crash_tracker.cpp
+++ b/src/core/crashes/crash_tracker.cpp
@@ -1,6 +1,9 @@
 #include "core/crashes/crash_tracker.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
+#include <bit>
 #include <limits>
 #include <memory>
 
@@ -20,6 +23,12 @@
     return made;
 }
 
+/// Highest random weight hashing: all routers choose the same one.
+std::uint64_t trial_weight(fingerprint part, std::string_view router)
+{
+    return XXH64(router.data(), router.size(), part.value);
+}
+
 } // namespace
 
 crash_tracker::crash_tracker(options chosen, instant now)
@@ -34,10 +43,14 @@
 {
 }
 
-void crash_tracker::set_routers(const std::vector<std::string>& addresses)
+void crash_tracker::set_routers(
+    std::vector<std::string> others, std::string own)
 {
-    this->exchange.set_routers(addresses);
-    this->part_exchange.set_routers(addresses);
+    this->exchange.set_routers(others);
+    this->part_exchange.set_routers(others);
+    this->other_routers = std::move(others);
+    this->own_address = std::move(own);
+    this->is_changed = this->is_changed || !this->parts.blamed().empty();
 }
 
 void crash_tracker::run_broken(
@@ -290,7 +303,28 @@
     auto result = std::make_shared<blocked_requests>();
     this->records.publish(*result);
     this->parts.publish(*result);
+    for (const auto& [part, blame] : this->parts.blamed())
+    {
+        if (!blame.tries_at_once)
+            result->trial_delays.emplace(part, this->trial_delay(part));
+    }
     return result;
 }
 
+duration crash_tracker::trial_delay(fingerprint part) const
+{
+    // Requests with the part may come to all routers at one moment, before any
+    // has heard of another's trial. So the number of routers that may try
+    // begins with one and doubles with each step.
+    constexpr duration step = std::chrono::seconds(10);
+    const std::uint64_t own = trial_weight(part, this->own_address);
+    const auto rank = std::ranges::count_if(
+        this->other_routers,
+        [part, own](const std::string& other)
+        {
+            return trial_weight(part, other) > own;
+        });
+    return step * std::bit_width(static_cast<std::size_t>(rank));
+}
+
 } // namespace roseworks
--- a/src/core/crashes/crash_tracker.hpp
+++ b/src/core/crashes/crash_tracker.hpp
@@ -44,8 +44,9 @@
     crash_tracker(const crash_tracker&) = delete;
     crash_tracker& operator=(const crash_tracker&) = delete;
 
-    /// @param addresses Addresses of all other routers.
-    void set_routers(const std::vector<std::string>& addresses);
+    /// @param others Addresses of all other routers.
+    /// @param own    Address of this one; empty: not listed yet.
+    void set_routers(std::vector<std::string> others, std::string own);
 
     /// @param sent When the request was sent to the server.
     void run_broken(
@@ -115,6 +116,8 @@
     bool add(const crash_record& record, std::string_view from, instant now);
     bool
     add(const part_crash_record& record, std::string_view from, instant now);
+    /// @return Time from the end of a part's block until this router may try.
+    duration trial_delay(fingerprint part) const;
     /// Lets the blocked parts explain ends of lives, and notes which parts have
     /// become blocked.
     void judge_parts(instant now);
@@ -128,6 +131,8 @@
     crash_detector detector;
     crash_ledger records;
     part_ledger parts;
+    std::vector<std::string> other_routers; ///< addresses
+    std::string own_address;
     crash_exchange<crash_ledger> exchange;
     crash_exchange<part_ledger> part_exchange;
     /// Blocked parts, with the number of moments at which lives ended.
--- a/src/core/crashes/part_ledger.cpp
+++ b/src/core/crashes/part_ledger.cpp
@@ -96,7 +96,7 @@
 
 bool part_ledger::tick(instant now)
 {
-    std::size_t changes = 0;
+    std::size_t changes = this->settle(now);
     for (auto place = this->suspects.begin(); place != this->suspects.end();)
     {
         suspect& one = place->second;
@@ -119,6 +119,26 @@
     return changes != 0;
 }
 
+std::size_t part_ledger::settle(instant now)
+{
+    const instant before =
+        std::exchange(this->settled_until, now - this->settings.settling);
+    std::size_t count = 0;
+    const auto is_newly_settled = [before, this](const auto& entry)
+    {
+        const instant when = entry.second.broken_at;
+        return when > before && when <= this->settled_until;
+    };
+    for (const auto& [part, one] : this->suspects)
+    {
+        const auto ends = std::ranges::count_if(one.ends, is_newly_settled);
+        const auto least =
+            static_cast<std::ptrdiff_t>(this->settings.block_threshold);
+        count += ends >= least ? 1 : 0;
+    }
+    return count;
+}
+
 bool part_ledger::is_expired(
     fingerprint part, const suspect& one, instant now) const
 {
@@ -133,36 +153,62 @@
 part_ledger::weight part_ledger::weigh(
     const suspect& one, const std::unordered_set<server_life>& explained) const
 {
-    std::vector<instant> times;
-    std::vector<fingerprint> requests;
+    std::vector<const known_end*> ends;
     for (const auto& [life, end] : one.ends)
     {
-        if (end.cleared || explained.contains(life))
-            continue;
-        times.push_back(end.broken_at);
-        requests.push_back(end.request);
+        if (!end.cleared && !explained.contains(life))
+            ends.push_back(&end);
     }
     weight result;
-    if (times.empty())
+    if (ends.empty())
         return result;
-    std::ranges::sort(times);
-    std::ranges::sort(requests);
-    result.lives = times.size();
-    result.last = times.back();
-    result.requests = static_cast<std::size_t>(std::distance(
-        requests.begin(), std::unique(requests.begin(), requests.end())));
-    instant moment = times.front();
-    result.moments = 1;
-    for (const instant when : times)
+    std::ranges::sort(ends, {}, &known_end::broken_at);
+    result.lives = ends.size();
+    result.last = ends.back()->broken_at;
+    result.requests = count_requests(ends);
+    const std::span<const known_end* const> all(ends);
+    instant blocked_from = instant::max();
+    std::size_t first = 0;
+    while (first < all.size())
     {
-        if (when - moment < this->settings.moment)
-            continue;
-        moment = when;
-        ++result.moments;
+        const instant moment_end =
+            all[first]->broken_at + this->settings.moment;
+        std::size_t next = first + 1;
+        while (next < all.size() && all[next]->broken_at < moment_end)
+            ++next;
+        // What ends while the part is blocked ends under trials: each counts.
+        const bool is_trial = all[first]->broken_at > blocked_from;
+        result.moments += is_trial ? next - first : 1;
+        if (!result.has_mass_end &&
+            this->is_mass_end(one, all.subspan(first, next - first)))
+        {
+            result.has_mass_end = true;
+            result.moments += this->settings.block_threshold - 1;
+            blocked_from = all[next - 1]->broken_at + this->settings.settling;
+        }
+        first = next;
     }
     return result;
 }
 
+bool part_ledger::is_mass_end(
+    const suspect& one, std::span<const known_end* const> ends) const
+{
+    return !one.ran_well && ends.size() >= this->settings.block_threshold &&
+           ends.back()->broken_at <= this->settled_until &&
+           count_requests(ends) >= this->settings.block_threshold;
+}
+
+std::size_t part_ledger::count_requests(std::span<const known_end* const> ends)
+{
+    std::vector<fingerprint> requests;
+    for (const known_end* end : ends)
+        requests.push_back(end->request);
+    std::ranges::sort(requests);
+    const auto repeated = std::ranges::unique(requests);
+    return requests.size() - repeated.size();
+}
+
 part_ledger::suspect_map::const_iterator
 part_ledger::worst(const judgement& so_far) const
 {
@@ -209,7 +255,7 @@
         counted.moments,
         counted.lives,
         counted.last + length,
-        length == duration::zero()};
+        length == duration::zero() && !counted.has_mass_end};
     for (const auto& [number, started] : one.trials)
         made.until =
             std::max(made.until, started + this->settings.trial_length);
--- a/src/core/crashes/part_ledger.hpp
+++ b/src/core/crashes/part_ledger.hpp
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <span>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -43,6 +44,10 @@
         std::size_t block_threshold = 3;
         /// Ends closer together than this are one moment.
         duration moment = std::chrono::milliseconds(100);
+        /// If as many servers end at one moment, under as many requests with a
+        /// part that hadn't run well before, it is blocked after this time. By
+        /// then most parts that aren't to blame have run well.
+        duration settling = std::chrono::seconds(2);
         /// Of this many requests at least. The request itself may be to blame.
         std::size_t min_requests = 2;
         /// Block after one end more than the threshold. With just as many, one
@@ -141,6 +146,8 @@
         std::size_t moments = 0;
         std::size_t lives = 0;
         std::size_t requests = 0;
+        /// So many ends are of one moment that they count like ends at several.
+        bool has_mass_end = false;
         instant last;
     };
 
@@ -154,6 +161,14 @@
     weight weigh(
         const suspect& one,
         const std::unordered_set<server_life>& explained) const;
+    /// @param ends Of one moment, in the order of time.
+    /// @return Whether they speak against the part as ends at several moments
+    ///         do.
+    bool is_mass_end(
+        const suspect& one, std::span<const known_end* const> ends) const;
+    /// @return Number of parts that may have a mass end from now on.
+    std::size_t settle(instant now);
+    static std::size_t count_requests(std::span<const known_end* const> ends);
     /// @return The part to blame next; end: none.
     suspect_map::const_iterator worst(const judgement& so_far) const;
     void blame_part(judgement& into, suspect_map::const_iterator part) const;
@@ -173,6 +188,7 @@
     options settings;
     suspect_map suspects;
     std::size_t record_count = 0;
+    instant settled_until = instant::min();
     mutable judgement last_judgement;
     mutable bool is_judged = true;
 };
--- a/src/core/crashes/request_gate.cpp
+++ b/src/core/crashes/request_gate.cpp
@@ -13,7 +13,17 @@
 {
 }
 
-duration request_gate::trial_delay(fingerprint request) const
+duration request_gate::trial_delay(
+    const blocked_requests& known, fingerprint request) const
+{
+    if (known.tried_at_once.contains(request))
+        return duration::zero();
+    const auto ordered = known.trial_delays.find(request);
+    return ordered == known.trial_delays.end() ? this->drawn_delay(request)
+                                               : ordered->second;
+}
+
+duration request_gate::drawn_delay(fingerprint request) const
 {
     const std::uint64_t hash =
         XXH64(&request.value, sizeof(request.value), this->settings.seed);
@@ -33,8 +43,7 @@
     const auto trial = this->trials.find(request);
     if (trial != this->trials.end())
         until = std::max(until, trial->second + this->settings.trial_length);
-    if (!known.tried_at_once.contains(request))
-        until += this->trial_delay(request);
+    until += this->trial_delay(known, request);
     return std::max(until - now, duration::zero());
 }
 
--- a/src/core/crashes/request_gate.hpp
+++ b/src/core/crashes/request_gate.hpp
@@ -70,7 +70,9 @@
 
 private:
     /// @return Time from the end of the request's block to a trial.
-    duration trial_delay(fingerprint request) const;
+    duration
+    trial_delay(const blocked_requests& known, fingerprint request) const;
+    duration drawn_delay(fingerprint request) const;
 
     options settings;
     recent_answers answers;
--- a/tests/unit/crashing_parts/test_crashing_parts.cpp
+++ b/tests/unit/crashing_parts/test_crashing_parts.cpp
@@ -44,7 +44,8 @@
     cr_expect_leq(
         fleet.late_prompt_sends(),
         allowed_sends,
-        "seed %zu: %zu late sends, %zu crashes",
+        "%zu routers, seed %zu: %zu late sends, %zu crashes",
+        settings.routers,
         seed,
         fleet.late_prompt_sends(),
         fleet.crashes());
@@ -142,6 +143,45 @@
     }
 }
 
+/// Guards against requests that come together, which end many servers' lives at
+/// one moment, being let through batch after batch.
+Test(crashing_parts, whose_requests_come_together_are_blocked)
+{
+    for (const std::size_t routers : {3, 7, 65})
+    {
+        crash_fleet::options settings = prompts(120);
+        settings.routers = routers;
+        settings.prompts.retries = 0;
+        settings.prompts.bad_share = 0;
+        settings.prompts.batch_size = 6;
+        expect_at_all_seeds(
+            settings,
+            [](crash_fleet& fleet)
+            {
+                fleet.send(100s);
+            });
+    }
+}
+
+/// Guards against innocent parts being refused after many servers have ended
+/// at one moment for another reason.
+Test(crashing_parts, are_not_found_in_servers_that_end_at_one_moment)
+{
+    for (const double share : {0.4, 1.0})
+    {
+        crash_fleet::options settings = prompts(120);
+        settings.prompts.bad_share = 0;
+        expect_few_refusals(
+            settings,
+            [share](crash_fleet& fleet)
+            {
+                fleet.send(15s);
+                fleet.crash_servers(share);
+                fleet.send(30s);
+            });
+    }
+}
+
 Test(crashing_parts, are_blocked_before_few_and_many_servers)
 {
     crash_fleet::options few = prompts(20);
--- a/tests/unit/crashing_parts/test_part_ledger.cpp
+++ b/tests/unit/crashing_parts/test_part_ledger.cpp
@@ -59,6 +59,35 @@
     cr_assert(ledger.blamed().empty());
 }
 
+/// Guards against requests with a bad part that come together: their ends are
+/// of one moment, however many there are.
+Test(part_ledger, many_ends_at_one_moment_block_a_part_that_never_ran_well)
+{
+    part_ledger ledger({});
+    for (std::uint64_t life = 1; life <= 6; ++life)
+        ledger.add(end_of(bad, life, life), start);
+    ledger.tick(start + 1900ms);
+    cr_assert(ledger.blamed().empty());
+    ledger.tick(start + 2s);
+    cr_assert_not(ledger.blamed().at(fingerprint(bad)).tries_at_once);
+    cr_assert_eq(ledger.blamed().at(fingerprint(bad)).until, start);
+    ledger.add(end_of(bad, 7, 7), start + 5s);
+    cr_assert_eq(ledger.blamed().at(fingerprint(bad)).until, start + 65s);
+}
+
+Test(part_ledger, many_ends_at_one_moment_leave_a_part_that_ran_well)
+{
+    part_ledger ledger({});
+    for (std::uint64_t life = 1; life <= 6; ++life)
+    {
+        part_crash_record record = end_of(shared, life, life);
+        record.ran_well = true;
+        ledger.add(record, start);
+    }
+    ledger.tick(start + 5s);
+    cr_assert(ledger.blamed().empty());
+}
+
 Test(part_ledger, ends_under_one_request_do_not_block_its_parts)
 {
     part_ledger ledger({});
--- a/tests/unit/crashing_requests/crash_fleet.cpp
+++ b/tests/unit/crashing_requests/crash_fleet.cpp
@@ -61,6 +61,7 @@
     : settings(config)
     , random(config.seed)
     , started_at(this->queue.now())
+    , next_batch(this->started_at + config.prompts.bad_from)
 {
     for (std::size_t i = 0; i < this->settings.servers; ++i)
     {
@@ -215,8 +216,7 @@
     if (!this->are_bad_ones_coming())
         return made;
     if (this->happens(prompts.bad_share))
-        made.parts[prompts.bad_position] =
-            this->bad_parts[this->random_below(prompts.bad_parts)].part;
+        this->spoil(made);
     made.is_crashing = std::ranges::any_of(
         this->bad_parts,
         [&made](const bad_part& bad)
@@ -228,6 +228,41 @@
     return made;
 }
 
+void crash_fleet::spoil(simulated_request& request)
+{
+    const std::size_t chosen = this->random_below(this->bad_parts.size());
+    request.parts[this->settings.prompts.bad_position] =
+        this->bad_parts[chosen].part;
+}
+
+void crash_fleet::schedule_batches(duration length)
+{
+    if (this->settings.prompts.batch_size == 0)
+        return;
+    for (const instant end = this->now() + length; this->next_batch < end;
+         this->next_batch += this->settings.prompts.batch_interval)
+        this->queue.schedule(
+            this->next_batch,
+            [this]
+            {
+                this->send_batch();
+            });
+}
+
+void crash_fleet::send_batch()
+{
+    for (std::size_t i = 0; i < this->settings.prompts.batch_size; ++i)
+    {
+        simulated_request made = this->make_prompt();
+        this->spoil(made);
+        made.is_crashing = true;
+        // Nothing is between them, so the servers end at one moment.
+        made.begins_after = this->random_time(25ms, 45ms);
+        made.ends_after = made.begins_after;
+        this->start_run(made, this->random_below(this->routers.size()));
+    }
+}
+
 void crash_fleet::crash_servers(double share)
 {
     std::vector<std::size_t> numbers(this->servers.size());
@@ -299,6 +334,7 @@
             this->count_arrival(made);
             this->arrive(made, this->random_below(this->routers.size()));
         });
+    this->schedule_batches(length);
     this->queue.run_until(this->now() + length);
 }
 
--- a/tests/unit/crashing_requests/crash_fleet.hpp
+++ b/tests/unit/crashing_requests/crash_fleet.hpp
@@ -34,6 +34,9 @@
         /// The bad part is one that ran well until bad requests come.
         bool ran_well_before = false;
         duration bad_from = 10s;
+        /// Besides, this many bad requests come at one moment, again and again.
+        std::size_t batch_size = 0;
+        duration batch_interval = 5s;
         int retries = 1; ///< after a broken run
     };
 
@@ -200,6 +203,10 @@
     simulated_request make_repeated();
     simulated_request make_innocent(fingerprint content);
     simulated_request make_prompt();
+    /// Puts a bad part into the prompt.
+    void spoil(simulated_request& request);
+    void schedule_batches(duration length);
+    void send_batch();
     bool are_bad_ones_coming() const;
     /// @return The part that makes the request crash servers; null: none.
     bad_part* bad_part_of(const simulated_request& request);
@@ -248,6 +255,7 @@
     std::vector<instant> crash_times;
     std::vector<instant> sends_in_touch; ///< of the crashing request
     std::vector<bad_part> bad_parts;
+    instant next_batch;
     begun_count before;
     begun_count after;
     std::uint64_t last_run = 0;
--- a/tests/unit/crashing_requests/crash_router.hpp
+++ b/tests/unit/crashing_requests/crash_router.hpp
@@ -53,7 +53,8 @@
             if (i != this->own_number)
                 others.push_back(std::to_string(i));
         }
-        this->tracker->set_routers(std::move(others));
+        this->tracker->set_routers(
+            std::move(others), std::to_string(this->own_number));
     }
 
     /// @param began When the first event was received; empty: not yet.
