Blocked requests and prompt parts outlive all routers, in the platform's store

Cause: the records were in the processes' memory only. A router that starts asks the others, and none was left that knew.

Change: what is blocked is written to keyed.crashes by three routers that highest random weight chooses, removed when the block ends or is cleared, and read once by each router at its start. Ages are kept, so a block ends when it would have.

--- a/src/adapters/events/event_catalogue.cpp
+++ b/src/adapters/events/event_catalogue.cpp
@@ -492,6 +492,11 @@
      "max_bytes",
      "Find out which callers send such requests; if they are ordinary ones, "
      "give the VM more memory."},
+    {crashes_restored, info, "crashes_restored",
+     "A router that has started has read from the platform's store which "
+     "requests and parts of prompts were blocked: blocks is their number. "
+     "crash_recorded and request_blocked name them, with from=archive.",
+     "blocks", no_action},
     {placement_owned, info, "placement_owned",
      "This router now owns placement and sends orders to the engines.",
      "fence", no_action},
--- a/src/app/gateway/crash_controller.cpp
+++ b/src/app/gateway/crash_controller.cpp
@@ -40,6 +40,7 @@
     const clock_port& time,
     event_sink& sink,
     gateway_peer_port& others,
+    crash_archive_port& stored,
     reach_opinion_port& opinions,
     const serving_view& servers,
     std::function<void()> blocked_handler)
@@ -48,9 +49,11 @@
     , clock(time)
     , events(sink)
     , peers(others)
+    , archive(stored)
     , view(servers)
     , on_blocked(std::move(blocked_handler))
     , tracker(tracker_options(this->settings), time.now())
+    , keeper(this->tracker)
     , examiner(
           context,
           opinions,
@@ -71,11 +74,24 @@
 void crash_controller::start()
 {
     this->schedule_tick();
+    this->archive.read(
+        [this](const std::vector<archived_block>& all)
+        {
+            this->restore(all);
+        });
+}
+
+void crash_controller::restore(const std::vector<archived_block>& all)
+{
+    this->keeper.restore(all, this->clock.wall(), this->clock.now());
+    this->events.report(event_id::crashes_restored, {{"blocks", all.size()}});
+    this->flush();
 }
 
 void crash_controller::stop()
 {
     this->stopped = true;
+    this->archive.stop();
     this->timer.cancel();
     this->examiner.stop();
 }
@@ -270,6 +286,7 @@
     if (!this->tracker.take_is_changed())
         return;
     this->published.put(this->tracker.blocked());
+    this->update_archive();
     bool is_any_blocked = false;
     for (const crash_change& change : this->tracker.take_changes())
     {
@@ -281,6 +298,16 @@
         this->on_blocked();
 }
 
+void crash_controller::update_archive()
+{
+    const crash_keeper::changes changes =
+        this->keeper.take_changes(this->clock.wall(), this->clock.now());
+    for (const archived_block& block : changes.written)
+        this->archive.write(block);
+    for (const std::uint64_t subject : changes.removed)
+        this->archive.remove(subject);
+}
+
 void crash_controller::log(const crash_change& change)
 {
     const std::string content = to_hex(change.request.value);
--- a/src/app/gateway/crash_controller.hpp
+++ b/src/app/gateway/crash_controller.hpp
@@ -2,9 +2,11 @@
 
 #include "app/gateway/life_examiner.hpp"
 #include "app/table_holder.hpp"
+#include "core/crashes/crash_keeper.hpp"
 #include "core/crashes/crash_tracker.hpp"
 #include "core/serving/serving_view.hpp"
 #include "ports/clock.hpp"
+#include "ports/crash_archive_port.hpp"
 #include "ports/crash_port.hpp"
 #include "ports/directory_port.hpp"
 #include "ports/event_sink.hpp"
@@ -30,6 +32,7 @@
     Evidence of a server's end is a refused connection just after a run broke,
     another server at its address, and its entry in the registry. What follows
     is published to the traffic threads at once, apart from the serving table.
+    What is blocked is archived, and read again at the start.
 
     The functions of `crash_port` are thread-safe; all others run on the control
     thread.
@@ -54,6 +57,7 @@
         const clock_port& clock,
         event_sink& events,
         gateway_peer_port& peers,
+        crash_archive_port& archive,
         reach_opinion_port& opinions,
         const serving_view& servers,
         std::function<void()> on_blocked);
@@ -94,6 +98,8 @@
     /// @return Whether the server of an ended run is worth a connection.
     bool is_examined(const broken_run_report& run);
     void find_ended_lives();
+    void restore(const std::vector<archived_block>& all);
+    void update_archive();
     void schedule_tick();
     /// Sends, logs and publishes what has changed.
     void flush();
@@ -104,9 +110,11 @@
     const clock_port& clock;
     event_sink& events;
     gateway_peer_port& peers;
+    crash_archive_port& archive;
     const serving_view& view;
     std::function<void()> on_blocked;
     crash_tracker tracker;
+    crash_keeper keeper;
     life_examiner examiner;
     newest_table<blocked_requests_ptr> published;
     std::map<std::string, listed_life, std::less<>> listed; ///< by id
--- a/src/app/gateway/gateway_control.cpp
+++ b/src/app/gateway/gateway_control.cpp
@@ -98,12 +98,17 @@
           sink,
           *this->peers))
     , opinions(this->loop, opinion_options())
+    , crash_archive(std::make_unique<users_platform::store_crash_archive>(
+          this->loop,
+          archive_options(initial_settings, time.wall()),
+          this->meter))
     , crashes(std::make_unique<crash_controller>(
           this->loop,
           crash_options(initial_settings),
           time,
           sink,
           *this->peers,
+          *this->crash_archive,
           this->opinions,
           this->serving->view(),
           this->notify.on_request_blocked))
--- a/src/app/gateway/gateway_control.hpp
+++ b/src/app/gateway/gateway_control.hpp
@@ -20,6 +20,7 @@
 #include "app/gateway/usage_counter.hpp"
 #include "app/table_holder.hpp"
 #include "ports/clock.hpp"
+#include "ports/crash_archive_port.hpp"
 #include "ports/directory_copy_port.hpp"
 #include "ports/directory_port.hpp"
 #include "ports/engine_command_port.hpp"
@@ -262,6 +263,7 @@
     std::unique_ptr<gateway_peer_port> peers;
     std::unique_ptr<quota_controller> quotas;
     relay::router_opinions opinions;
+    std::unique_ptr<crash_archive_port> crash_archive;
     std::unique_ptr<crash_controller> crashes;
     std::unique_ptr<origin_controller> origins;
     std::unique_ptr<server_limit_controller> limit_controller;
--- a/src/app/gateway/gateway_options.cpp
+++ b/src/app/gateway/gateway_options.cpp
@@ -106,6 +106,17 @@
     return made;
 }
 
+users_platform::store_crash_archive::options
+archive_options(const settings::gateway_settings& settings, stamp_ms wall)
+{
+    users_platform::store_crash_archive::options made;
+    made.server = tcp_endpoint(settings.store.address);
+    made.router = settings.vm.name;
+    made.run = static_cast<std::uint64_t>(std::max<stamp_ms>(wall, 1));
+    made.seed = std::random_device()();
+    return made;
+}
+
 origin_controller::options
 origin_options(const settings::gateway_settings& settings)
 {
--- a/src/app/gateway/gateway_options.hpp
+++ b/src/app/gateway/gateway_options.hpp
@@ -9,6 +9,7 @@
 #include "app/gateway/quota_controller.hpp"
 #include "app/gateway/server_limit_controller.hpp"
 #include "platform/engine_commands.hpp"
+#include "platform/store_crash_archive.hpp"
 #include "platform/store_directory.hpp"
 
 #include <roseworks/instant.hpp>
@@ -45,6 +46,11 @@
 crash_controller::options
 crash_options(const settings::gateway_settings& settings);
 
+/// @return Options of the archive of requests that crash servers.
+/// @param wall Time at the start; numbers the runs of the process.
+users_platform::store_crash_archive::options
+archive_options(const settings::gateway_settings& settings, stamp_ms wall);
+
 /// @return Options of the origins of streams.
 origin_controller::options
 origin_options(const settings::gateway_settings& settings);
--- a/src/core/crashes/crash_ledger.cpp
+++ b/src/core/crashes/crash_ledger.cpp
@@ -235,6 +235,17 @@
     return records;
 }
 
+std::vector<fingerprint> crash_ledger::blocked() const
+{
+    std::vector<fingerprint> requests;
+    for (const auto& [request, one] : this->suspects)
+    {
+        if (this->blocking_lives(one) != 0)
+            requests.push_back(request);
+    }
+    return requests;
+}
+
 std::vector<crash_record>
 crash_ledger::crashes_of(fingerprint request, instant now) const
 {
--- a/src/core/crashes/crash_ledger.hpp
+++ b/src/core/crashes/crash_ledger.hpp
@@ -90,6 +90,9 @@
         return this->crashes(now, this->settings.max_announced);
     }
 
+    /// @return The requests that are blocked.
+    std::vector<fingerprint> blocked() const;
+
     std::vector<crash_record>
     crashes_of(fingerprint request, instant now) const;
     std::vector<trial_record> trials(instant now) const;
--- a/src/core/crashes/crash_tracker.cpp
+++ b/src/core/crashes/crash_tracker.cpp
@@ -24,9 +24,9 @@
 }
 
 /// Highest random weight hashing: all routers choose the same one.
-std::uint64_t trial_weight(fingerprint part, std::string_view router)
+std::uint64_t router_weight(fingerprint subject, std::string_view router)
 {
-    return XXH64(router.data(), router.size(), part.value);
+    return XXH64(router.data(), router.size(), subject.value);
 }
 
 } // namespace
@@ -317,14 +317,63 @@
     // has heard of another's trial. So the number of routers that may try
     // begins with one and doubles with each step.
     constexpr duration step = std::chrono::seconds(10);
-    const std::uint64_t own = trial_weight(part, this->own_address);
-    const auto rank = std::ranges::count_if(
+    return step * std::bit_width(this->rank_for(part));
+}
+
+std::size_t crash_tracker::rank_for(fingerprint subject) const
+{
+    const std::uint64_t own = router_weight(subject, this->own_address);
+    const auto before = std::ranges::count_if(
         this->other_routers,
-        [part, own](const std::string& other)
+        [subject, own](const std::string& other)
         {
-            return trial_weight(part, other) > own;
+            return router_weight(subject, other) > own;
         });
-    return step * std::bit_width(static_cast<std::size_t>(rank));
+    return static_cast<std::size_t>(before);
+}
+
+bool crash_tracker::keeps(fingerprint subject) const
+{
+    // Some may be cut off from the archive, frozen, or about to end.
+    constexpr std::size_t keepers = 3;
+    return this->rank_for(subject) < keepers;
+}
+
+std::vector<archived_block> crash_tracker::blocked_records(instant now) const
+{
+    std::vector<archived_block> blocks;
+    for (const auto& [part, blame] : this->parts.blamed())
+    {
+        archived_block& block = blocks.emplace_back();
+        block.subject = part.value;
+        block.part_crashes = this->parts.crashes_of(part, now);
+    }
+    for (const fingerprint request : this->records.blocked())
+    {
+        archived_block& block = blocks.emplace_back();
+        block.subject = request.value;
+        block.crashes = this->records.crashes_of(request, now);
+    }
+    return blocks;
+}
+
+void crash_tracker::restore(
+    const archived_block& block, duration age, instant now)
+{
+    constexpr std::string_view source = "archive";
+    for (crash_record record : block.crashes)
+    {
+        record.age_us += age.count();
+        this->add(record, source, now);
+    }
+    for (part_crash_record record : block.part_crashes)
+    {
+        record.age_us += age.count();
+        this->add(record, source, now);
+    }
+    // Ends of one moment count if they are old enough.
+    this->parts.tick(now);
+    this->judge_parts(now);
 }
 
 } // namespace roseworks
--- a/src/core/crashes/crash_tracker.hpp
+++ b/src/core/crashes/crash_tracker.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/crashes/archived_block.hpp"
 #include "core/crashes/crash_change.hpp"
 #include "core/crashes/crash_detector.hpp"
 #include "core/crashes/crash_exchange.hpp"
@@ -78,6 +79,17 @@
 
     void tick(instant now);
 
+    /// Adds what an archive holds of a blocked request or part.
+    /// @param age Time since it was written.
+    void restore(const archived_block& block, duration age, instant now);
+
+    /// @return The records of all that is blocked, for an archive.
+    std::vector<archived_block> blocked_records(instant now) const;
+
+    /// @return Whether this router is one of those that write the archive's
+    ///         block of a subject.
+    bool keeps(fingerprint subject) const;
+
     std::vector<outgoing_report> take_reports()
     {
         return this->exchange.take_reports();
@@ -116,6 +128,9 @@
     bool add(const crash_record& record, std::string_view from, instant now);
     bool
     add(const part_crash_record& record, std::string_view from, instant now);
+    /// @return This router's place in the order of all routers that a subject
+    ///         determines, from 0.
+    std::size_t rank_for(fingerprint subject) const;
     /// @return Time from the end of a part's block until this router may try.
     duration trial_delay(fingerprint part) const;
     /// Lets the blocked parts explain ends of lives, and notes which parts have
--- a/src/ports/event_sink.hpp
+++ b/src/ports/event_sink.hpp
@@ -147,6 +147,7 @@
     server_pause_malformed = 1740,
     server_replaced = 1741,
     caller_limits_met = 1742,
+    crashes_restored = 1743,
 
     // 18xx: placement by the orders of a single owner.
     placement_owned = 1801,
--- a/tests/unit/crashing_parts/test_crashing_parts.cpp
+++ b/tests/unit/crashing_parts/test_crashing_parts.cpp
@@ -244,6 +244,27 @@
         });
 }
 
+/// Guards against routers that all end at one moment and forget which parts
+/// crash servers.
+Test(crashing_parts, stay_blocked_when_all_routers_restart)
+{
+    // So rare that what comes before a router counts as in touch again doesn't
+    // block the part.
+    crash_fleet::options settings = prompts(120);
+    settings.prompts.bad_share = 0.003;
+    expect_at_all_seeds(
+        settings,
+        [](crash_fleet& fleet)
+        {
+            fleet.send(40s);
+            for (int i = 0; i < 4; ++i)
+            {
+                fleet.restart_all();
+                fleet.send(20s);
+            }
+        });
+}
+
 Test(crashing_parts, are_tried_at_most_three_times_in_a_long_time)
 {
     crash_fleet::options settings = prompts(60);
--- a/tests/unit/crashing_requests/crash_fleet.cpp
+++ b/tests/unit/crashing_requests/crash_fleet.cpp
@@ -83,8 +83,12 @@
 void crash_fleet::make_router()
 {
     const std::size_t number = this->routers.size();
-    router& made = this->routers.emplace_back(
-        router{crash_router(number, number + 1, this->now()), {}, 1, {}, {}});
+    router& made = this->routers.emplace_back(router{
+        crash_router(number, number + 1, this->archive, this->now()),
+        {},
+        1,
+        {},
+        {}});
     for (const server& one : this->servers)
         made.registry.push_back({one.life, one.up});
     for (std::size_t i = 0; i < this->routers.size(); ++i)
@@ -102,13 +106,20 @@
 {
     router& target = this->routers[number];
     ++target.process;
-    target.knowledge = crash_router(number, this->routers.size(), this->now());
+    target.knowledge =
+        crash_router(number, this->routers.size(), this->archive, this->now());
     for (std::size_t i = 0; i < this->servers.size(); ++i)
         target.registry[i] = {this->servers[i].life, this->servers[i].up};
     this->lose_touch(number, duration::zero());
     this->tick(number, target.process);
 }
 
+void crash_fleet::restart_all()
+{
+    for (std::size_t i = 0; i < this->routers.size(); ++i)
+        this->restart(i);
+}
+
 void crash_fleet::freeze(std::size_t number, duration length)
 {
     this->routers[number].frozen_until = this->now() + length;
@@ -641,6 +652,7 @@
 
 void crash_fleet::flush(std::size_t number)
 {
+    this->routers[number].knowledge.update_archive(this->now());
     for (const crash_router::message& sent :
          this->routers[number].knowledge.take_messages())
     {
--- a/tests/unit/crashing_requests/crash_fleet.hpp
+++ b/tests/unit/crashing_requests/crash_fleet.hpp
@@ -83,6 +83,9 @@
     /// Restarts a router, which loses its state.
     void restart(std::size_t router);
 
+    /// Restarts all routers at one moment.
+    void restart_all();
+
     /// Suspends a router for a time.
     void freeze(std::size_t router, duration length);
 
@@ -250,6 +253,8 @@
     event_queue queue;
     std::mt19937_64 random;
     instant started_at;
+    /// What the platform's store keeps while all routers are restarted.
+    crash_router::archive archive;
     std::vector<router> routers;
     std::vector<server> servers;
     std::vector<instant> crash_times;
--- a/tests/unit/crashing_requests/crash_router.hpp
+++ b/tests/unit/crashing_requests/crash_router.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/crashes/crash_keeper.hpp"
 #include "core/crashes/crash_tracker.hpp"
 #include "core/crashes/request_gate.hpp"
 #include "simulated_request.hpp"
@@ -7,6 +8,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -36,13 +38,23 @@
         std::variant<crash_report, part_crash_report> content;
     };
 
-    crash_router(std::size_t number, std::size_t routers, instant now)
+    using archive = std::map<std::uint64_t, archived_block>; ///< by subject
+
+    /// @param kept What outlives the routers; has to outlive this one.
+    crash_router(
+        std::size_t number, std::size_t routers, archive& kept, instant now)
         : own_number(number)
+        , stored(&kept)
         , tracker(
               std::make_unique<crash_tracker>(make_options(number, now), now))
+        , keeper(std::make_unique<crash_keeper>(*this->tracker))
         , gate({.seed = number + 1})
     {
         this->set_routers(routers);
+        std::vector<archived_block> all;
+        for (const auto& [subject, block] : kept)
+            all.push_back(block);
+        this->keeper->restore(all, wall_of(now), now);
     }
 
     void set_routers(std::size_t count)
@@ -128,6 +140,20 @@
         this->tracker->tick(now);
     }
 
+    /// Writes what the archive lacks.
+    void update_archive(instant now)
+    {
+        crash_keeper::changes changes =
+            this->keeper->take_changes(wall_of(now), now);
+        for (archived_block& block : changes.written)
+        {
+            const std::uint64_t subject = block.subject;
+            (*this->stored)[subject] = std::move(block);
+        }
+        for (const std::uint64_t subject : changes.removed)
+            this->stored->erase(subject);
+    }
+
     std::vector<message> take_messages()
     {
         std::vector<message> messages;
@@ -184,13 +210,22 @@
         return made;
     }
 
+    static stamp_ms wall_of(instant now)
+    {
+        return std::chrono::floor<std::chrono::milliseconds>(
+                   now.time_since_epoch())
+            .count();
+    }
+
     static server_life hash_of(const simulated_life& life)
     {
         return life_of(life.server, life.born_ms);
     }
 
     std::size_t own_number;
+    archive* stored;
     std::unique_ptr<crash_tracker> tracker;
+    std::unique_ptr<crash_keeper> keeper;
     request_gate gate;
     recent_answers good_parts{4096, std::chrono::seconds(20)};
     blocked_requests_ptr published;
--- a/tests/unit/crashing_requests/test_crashing_requests.cpp
+++ b/tests/unit/crashing_requests/test_crashing_requests.cpp
@@ -129,6 +129,23 @@
     }
 }
 
+/// Guards against routers that all end at one moment and forget which requests
+/// crash servers.
+Test(crashing_requests, stay_blocked_when_all_routers_restart)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+    {
+        crash_fleet fleet(seeded(seed));
+        fleet.send(10s);
+        for (int i = 0; i < 4; ++i)
+        {
+            fleet.restart_all();
+            fleet.send(10s);
+        }
+        expect_few_late_sends(fleet, seed);
+    }
+}
+
 Test(crashing_requests, are_blocked_at_routers_that_restart)
 {
     for (std::uint64_t seed = 1; seed <= seeds; ++seed)
--- a/tests/unit/gateway/test_crash_controller.cpp
+++ b/tests/unit/gateway/test_crash_controller.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <chrono>
+#include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -66,6 +68,33 @@
     return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
 }
 
+/// An archive in memory.
+class memory_archive final : public crash_archive_port
+{
+public:
+    void read(std::function<void(std::vector<archived_block>)> on_read) override
+    {
+        std::vector<archived_block> all;
+        for (const auto& [subject, block] : this->blocks)
+            all.push_back(block);
+        on_read(std::move(all));
+    }
+
+    void write(const archived_block& block) override
+    {
+        this->blocks[block.subject] = block;
+    }
+
+    void remove(std::uint64_t subject) override
+    {
+        this->blocks.erase(subject);
+    }
+
+    void stop() override {}
+
+    std::map<std::uint64_t, archived_block> blocks; ///< by subject
+};
+
 struct one_router
 {
     one_router()
@@ -76,6 +105,7 @@
               this->clock,
               this->events,
               this->peers,
+              this->archive,
               this->opinions,
               this->view,
               [this]
@@ -157,6 +187,7 @@
     platform::system_clock clock;
     events::null_event_sink events;
     recording_peers peers;
+    memory_archive archive;
     roseworks::testing::fake_opinions opinions{this->loop};
     serving_view view;
     int blocks = 0;
@@ -275,6 +306,40 @@
     cr_assert(test.blocks_request());
 }
 
+/// Guards against routers that all end at one moment and forget what crashes
+/// servers.
+Test(crash_controller, a_block_that_is_archived_is_in_force_after_a_start)
+{
+    one_router before;
+    before.opinions.opinion = reach_opinion::refused;
+    before.break_connections(2);
+    cr_assert(before.run_until(
+        [&]
+        {
+            return !before.archive.blocks.empty();
+        }));
+    one_router after;
+    after.archive.blocks = before.archive.blocks;
+    cr_assert_not(after.blocks_request());
+    after.controller.start();
+    cr_assert(after.blocks_request());
+}
+
+Test(crash_controller, a_cleared_block_leaves_the_archive)
+{
+    one_router test;
+    test.opinions.opinion = reach_opinion::refused;
+    test.break_connections(2);
+    cr_assert(test.run_until(
+        [&]
+        {
+            return !test.archive.blocks.empty();
+        }));
+    test.controller.run_answered(bad);
+    test.loop.poll();
+    cr_assert(test.archive.blocks.empty());
+}
+
 Test(crash_controller, crashes_that_other_routers_report_block_at_once)
 {
     one_router test;
