A server that is back at its address keeps its own limits when its former entry goes

Cause: the controller knows servers by id, the dispatcher knows plain ones by address. While both entries are listed both ids apply to one place, and the end of the former took the limit, or the counting of places, off that place.

Evidence: both symptoms begin when the former entry goes; two unit tests with two entries at one address show them, and failed before.

Change: at a place one server has limits, the newest entry there. What another id left is taken off before. Draws and releases thus find the right account, too.

--- a/src/app/gateway/server_limit_controller.cpp
+++ b/src/app/gateway/server_limit_controller.cpp
@@ -181,15 +181,40 @@
     }
 }
 
+const serving_view::server*
+server_limit_controller::current_server(const std::string& id) const
+{
+    const auto found = this->view.servers().find(id);
+    const bool is_current =
+        found != this->view.servers().end() && !found->second.superseded;
+    return is_current ? &found->second : nullptr;
+}
+
+void server_limit_controller::remove_others_at(
+    const server_place& place, const std::string& server)
+{
+    std::vector<std::string> others;
+    for (const auto& [id, one] : this->limited_servers)
+    {
+        if (id != server && is_same_server(one.place, place))
+            others.push_back(id);
+    }
+    for (const std::string& id : others)
+    {
+        this->remove_limit(id);
+        this->set_counted(id, false);
+    }
+}
+
 void server_limit_controller::remove_moved()
 {
     std::vector<std::string> moved;
     for (const auto& [id, one] : this->limited_servers)
     {
-        const auto found = this->view.servers().find(id);
+        const serving_view::server* known = this->current_server(id);
         const bool is_unchanged =
-            found != this->view.servers().end() &&
-            is_same_server(this->place_of(found->second), one.place);
+            known != nullptr &&
+            is_same_server(this->place_of(*known), one.place);
         if (!is_unchanged)
             moved.push_back(id);
     }
@@ -283,7 +308,7 @@
     std::vector<std::string> added;
     for (const auto& [id, one] : this->view.servers())
     {
-        const double places = this->counted_places(one);
+        const double places = one.superseded ? 0 : this->counted_places(one);
         if (places == 0)
             continue;
         const std::string account = places_account(id);
@@ -310,10 +335,13 @@
 void server_limit_controller::set_counted(
     const std::string& server, bool counted)
 {
-    const auto known = this->view.servers().find(server);
-    if (counted && known != this->view.servers().end())
-        this->limited_servers.try_emplace(
-            server, this->loop, this->place_of(known->second));
+    const serving_view::server* known = this->current_server(server);
+    if (counted && known != nullptr)
+    {
+        const server_place place = this->place_of(*known);
+        this->remove_others_at(place, server);
+        this->limited_servers.try_emplace(server, this->loop, place);
+    }
     const auto found = this->limited_servers.find(server);
     if (found == this->limited_servers.end() ||
         std::exchange(found->second.counts_places, counted) == counted)
@@ -343,12 +371,14 @@
 
 void server_limit_controller::apply_limit(const server_limit& limit)
 {
-    const auto known = this->view.servers().find(limit.server);
-    if (known == this->view.servers().end())
+    const serving_view::server* known = this->current_server(limit.server);
+    if (known == nullptr)
         return;
-    this->start_times_ms[limit.server] = known->second.entry.born_ms;
-    const auto added = this->limited_servers.try_emplace(
-        limit.server, this->loop, this->place_of(known->second));
+    this->start_times_ms[limit.server] = known->entry.born_ms;
+    const server_place place = this->place_of(*known);
+    this->remove_others_at(place, limit.server);
+    const auto added =
+        this->limited_servers.try_emplace(limit.server, this->loop, place);
     added.first->second.has_rate_limit = true;
     this->dispatch.server_limited(added.first->second.place, limit.per_second);
 }
--- a/src/app/gateway/server_limit_controller.hpp
+++ b/src/app/gateway/server_limit_controller.hpp
@@ -138,6 +138,12 @@
     void withdraw_permit(const std::string& server);
     void flush();
     void limits_changed();
+    /// @return The server; null if it isn't known, or another one has been
+    ///         started at its address.
+    const serving_view::server* current_server(const std::string& id) const;
+    /// Ends what is known of other servers at a place, of which the dispatcher
+    /// knows one only.
+    void remove_others_at(const server_place& place, const std::string& server);
     /// @return The identity under which grants refer to the server.
     server_place place_of(const serving_view::server& one) const;
     void apply_limit(const server_limit& limit);
--- a/tests/unit/gateway/test_server_limit_controller.cpp
+++ b/tests/unit/gateway/test_server_limit_controller.cpp
@@ -114,9 +114,24 @@
         this->answer(server_notice{named, {}});
     }
 
-    void answer(const server_notice& notice)
+    void answer(const server_notice& notice, const std::string& server = "i-1")
     {
-        this->controller.answered("i-1", notice, this->clock.now());
+        this->controller.answered(server, notice, this->clock.now());
+        this->run_ready_handlers();
+    }
+
+    /// Starts another server at the address of the first one, whose entry goes
+    /// later.
+    void restart_at_address(const server_notice& notice)
+    {
+        server_entry entry = make_entry(2);
+        entry.id = "i-2";
+        entry.registry_revision = 2;
+        this->view.entry_read(entry);
+        this->publish();
+        this->answer(notice, "i-2");
+        this->view.entry_removed("i-1", this->clock.now());
+        this->publish();
         this->run_ready_handlers();
     }
 
@@ -246,6 +261,41 @@
     cr_assert_not(sent->has_value() && **sent);
 }
 
+/// Guards against a rate limit being lost with the former server's entry when a
+/// server is back at its address.
+Test(server_limit_controller, a_limit_outlives_the_former_entry_at_the_address)
+{
+    one_server test;
+    test.answer(0.01);
+    test.restart_at_address(server_notice{0.01, {}});
+    const auto sent = test.submit(20s);
+    test.loop.run_for(100ms);
+    cr_assert_not(sent->has_value() && **sent);
+    cr_assert_geq(test.permit_requests, 1);
+}
+
+/// Guards against a brittle server whose places aren't counted any more once
+/// the former server's entry at its address has gone.
+Test(server_limit_controller, places_outlive_the_former_entry_at_the_address)
+{
+    constexpr std::size_t requests = 12;
+    constexpr std::ptrdiff_t slots = 8; // of the servers' entries
+    one_server test;
+    test.answer(server_notice{{}, 4.0});
+    test.restart_at_address(server_notice{{}, 4.0});
+    std::vector<std::shared_ptr<std::optional<bool>>> sent;
+    for (std::size_t i = 0; i < requests; ++i)
+        sent.push_back(test.submit(20s));
+    test.loop.run_for(300ms);
+    const auto granted = std::ranges::count_if(
+        sent,
+        [](const auto& one)
+        {
+            return one->has_value();
+        });
+    cr_assert_eq(granted, slots);
+}
+
 /// Routers sent a brittle server more requests than it had room for, until it
 /// fell over.
 Test(
