Nothing is sent to servers late in a planned stop, and what runs at its end gets an answer

Cause: time left was no condition of a send; and the end of the process was handled as a caller that has left, who needs no answer.

Change: 3.4 s before the end of the grace period sends end; what waits or is read later is refused as not run.

--- a/src/adapters/forward/forward_call.cpp
+++ b/src/adapters/forward/forward_call.cpp
@@ -195,7 +195,8 @@
         if (const auto* refused_reply = std::get_if<refusal>(&*reply))
         {
             // The dispatcher still has a request that was refused here.
-            if (refused_reply->reason == refusal_reason::blocked)
+            if (refused_reply->reason == refusal_reason::blocked ||
+                refused_reply->reason == refusal_reason::draining)
                 this->context.ports.dispatch.abandon(this->admission_ticket);
             co_await this->finish_without_response(
                 {true,
@@ -221,6 +222,13 @@
 
 asio::awaitable<bool> forward_call::attempt(grant granted)
 {
+    if (!this->context.sends_requests)
+    {
+        this->context.ports.dispatch.abandon(this->admission_ticket);
+        co_await this->finish_without_response(
+            {true, verdict::not_run, refusal_reason::draining, {}});
+        co_return true;
+    }
     const bool may_send = co_await this->reserve_retry();
     if (!may_send)
         co_return true;
@@ -272,6 +280,9 @@
     {
         this->end = request_end::caller_left;
         this->connection_usable = false;
+        // At the end of the process the caller is still there.
+        if (this->inbox->interrupted() && !this->inbox->caller_has_left())
+            co_await this->finish_interrupted();
         co_return true;
     }
     const bool allowed = (!this->may_have_run || this->route.repeatable()) &&
--- a/src/adapters/forward/forward_call.hpp
+++ b/src/adapters/forward/forward_call.hpp
@@ -82,6 +82,9 @@
     /// Refuses the call if it waits for a server and its request is blocked.
     void refuse_if_blocked();
 
+    /// Refuses the call if it waits for a server.
+    void refuse_if_waiting(refusal_reason why, duration retry_after);
+
 private:
     enum class relay_outcome : std::uint8_t
     {
--- a/src/adapters/forward/forward_call_crashes.cpp
+++ b/src/adapters/forward/forward_call_crashes.cpp
@@ -113,15 +113,19 @@
 
 void forward_call::refuse_if_blocked()
 {
-    if (!this->is_waiting)
-        return;
     const duration retry_after = this->blocked_for();
-    if (retry_after <= duration::zero())
+    if (retry_after > duration::zero())
+        this->refuse_if_waiting(refusal_reason::blocked, retry_after);
+}
+
+void forward_call::refuse_if_waiting(refusal_reason why, duration retry_after)
+{
+    if (!this->is_waiting)
         return;
     const verdict outcome =
         this->may_have_run ? verdict::may_have_run : verdict::not_run;
-    this->inbox->post_reply(refusal{
-        this->admission_ticket, refusal_reason::blocked, outcome, retry_after});
+    this->inbox->post_reply(
+        refusal{this->admission_ticket, why, outcome, retry_after});
 }
 
 run_content forward_call::content_of_run() const
--- a/src/adapters/forward/forward_context.hpp
+++ b/src/adapters/forward/forward_context.hpp
@@ -143,6 +143,9 @@
     recent_answers good_parts{4096, std::chrono::seconds(20)};
     /// Whether this process ends.
     bool draining = false;
+    /// Whether requests are still sent to servers. Not when the process ends
+    /// before they could answer.
+    bool sends_requests = true;
     /// Whether this router has more connections than it keeps.
     bool sheds_connections = false;
 
--- a/src/adapters/forward/forward_server.cpp
+++ b/src/adapters/forward/forward_server.cpp
@@ -212,6 +212,13 @@
         session->refuse_blocked();
 }
 
+void forward_server::stop_sending()
+{
+    this->context.sends_requests = false;
+    for (forward_session* session : this->sessions)
+        session->refuse_waiting();
+}
+
 void forward_server::force_end()
 {
     const std::vector<forward_session*> open_sessions(
--- a/src/adapters/forward/forward_server.hpp
+++ b/src/adapters/forward/forward_server.hpp
@@ -44,6 +44,10 @@
     /// Refuses the waiting calls whose requests are blocked.
     void refuse_blocked();
 
+    /// From now on no request is sent to a server. Those that wait are refused,
+    /// and those that were sent go on.
+    void stop_sending();
+
     /// Interrupts all calls, and closes idle connections.
     void force_end();
 
--- a/src/adapters/forward/forward_session.cpp
+++ b/src/adapters/forward/forward_session.cpp
@@ -81,6 +81,13 @@
         this->active_call->refuse_if_blocked();
 }
 
+void forward_session::refuse_waiting()
+{
+    if (this->active_call != nullptr)
+        this->active_call->refuse_if_waiting(
+            refusal_reason::draining, duration::zero());
+}
+
 void forward_session::force_end()
 {
     if (this->active_call != nullptr)
@@ -153,6 +160,13 @@
 asio::awaitable<bool> forward_session::handle_request(forward_request request)
 {
     constexpr unsigned not_found = 404;
+    if (!this->context.sends_requests)
+    {
+        const bool reusable = co_await this->send_response(
+            make_local_response(refusal_reason::draining, verdict::not_run),
+            request);
+        co_return reusable;
+    }
     const serving_table_ptr table = this->context.ports.table();
     if (!table)
     {
--- a/src/adapters/forward/forward_session.hpp
+++ b/src/adapters/forward/forward_session.hpp
@@ -31,6 +31,9 @@
     /// Refuses the running call if it waits and its request is blocked.
     void refuse_blocked();
 
+    /// Refuses the call if it waits to be sent to a server.
+    void refuse_waiting();
+
     /// Interrupts the running call. Without one, closes the connection.
     void force_end();
 
--- a/src/app/gateway/gateway_app.cpp
+++ b/src/app/gateway/gateway_app.cpp
@@ -34,6 +34,10 @@
 /// aborted, to leave time for the last responses and the process exit.
 constexpr milliseconds shutdown_margin{800};
 
+/// From this long before that on, no request is sent to a server any more: few
+/// take longer, and callers are served by another router meanwhile.
+constexpr milliseconds last_answer_time{2600};
+
 constexpr milliseconds drain_check_interval{100};
 
 /// Maximum idle time of a pooled connection to a server that doesn't announce
@@ -490,6 +494,10 @@
     if (elapsed >= balancer_reaction_time &&
         !std::exchange(this->idle_closed, true))
         this->server.close_idle();
+    const duration last_send =
+        this->settings.bounds.grace - shutdown_margin - last_answer_time;
+    if (elapsed >= last_send && !std::exchange(this->sending_stopped, true))
+        this->server.stop_sending();
     const bool done = this->idle_closed && this->server.connections() == 0 &&
                       this->relays.connections() == 0;
     if (done || elapsed >= this->settings.bounds.grace - shutdown_margin)
--- a/src/app/gateway/gateway_app.hpp
+++ b/src/app/gateway/gateway_app.hpp
@@ -102,6 +102,7 @@
     instant drain_start;
     bool draining = false;
     bool idle_closed = false;
+    bool sending_stopped = false;
 };
 
 } // namespace roseworks::app
--- a/tests/unit/forward/forward_fixture.cpp
+++ b/tests/unit/forward/forward_fixture.cpp
@@ -365,6 +365,15 @@
     return count;
 }
 
+void forward_fixture::stop_sending()
+{
+    this->run_on_loop(
+        [this]
+        {
+            this->server.stop_sending();
+        });
+}
+
 void forward_fixture::start_drain()
 {
     this->run_on_loop(
--- a/tests/unit/forward/forward_fixture.hpp
+++ b/tests/unit/forward/forward_fixture.hpp
@@ -157,6 +157,9 @@
     /// From now on this router relays no further connections.
     void start_drain();
 
+    /// From now on this router sends no request to a server.
+    void stop_sending();
+
     /// @return Address where other routers ask for connections.
     boost::asio::ip::tcp::endpoint relay_endpoint() const
     {
