Answers without a valid status, or ended before their request was taken, are no answers

A server that began a 200 without a length while its upload was still written, ended its direction and then reset had the part passed on as a whole answer.

Cause: any number below 200 counted as interim and any other as final; the end of a connection counted as the end of a body whatever had become of the request. A reset without an end before it was recognised already.

Change: a status outside 100 to 599 breaks the exchange. A body that only its connection ends is complete only if the server's machine has acknowledged the whole request (SIOCOUTQ); RW1744 tells of others.

Both tests failed before: forwarding.an_answer_without_a_valid_status_is_no_answer, forwarding.an_early_answer_that_ends_with_a_reset_is_not_complete. Not covered: an upload that fits into the server's receive buffer, and connections through another router, where the queue shows what that router has taken.

--- a/src/adapters/events/event_catalogue.cpp
+++ b/src/adapters/events/event_catalogue.cpp
@@ -497,6 +497,12 @@
      "requests and parts of prompts were blocked: blocks is their number. "
      "crash_recorded and request_blocked name them, with from=archive.",
      "blocks", no_action},
+    {answer_without_request, warn, "answer_without_request",
+     "A backend server ended an answer that states no length before its "
+     "machine had received the whole request. The answer isn't taken for "
+     "complete.",
+     "server, address, received_bytes",
+     "If it repeats, find out why the server ends answers early."},
     {placement_owned, info, "placement_owned",
      "This router now owns placement and sends orders to the engines.",
      "fence", no_action},
--- a/src/adapters/forward/server_exchange.cpp
+++ b/src/adapters/forward/server_exchange.cpp
@@ -6,6 +6,8 @@
 #include <boost/beast/http/read.hpp>
 
 #include <algorithm>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <utility>
 
 namespace roseworks::forward
@@ -14,7 +16,9 @@
 namespace
 {
 
+constexpr unsigned first_status = 100;
 constexpr unsigned first_final_status = 200;
+constexpr unsigned last_status = 599;
 
 /// Maximum number of response heads read for one request. Interim responses and
 /// responses to other requests are skipped.
@@ -153,7 +157,10 @@
         const exchange_state state = co_await this->read_one_head(head_only);
         if (state != exchange_state::ok)
             co_return state;
-        if (this->head().result_int() < first_final_status)
+        const unsigned status = this->head().result_int();
+        if (status < first_status || status > last_status)
+            co_return exchange_state::broken;
+        if (status < first_final_status)
             continue;
         const std::string_view echoed =
             to_string_view(this->head()[names.request_id]);
@@ -230,7 +237,30 @@
         piece = {this->buffer.data(), received};
         co_return exchange_state::ok;
     }
-    co_return exchange_state::ok;
+    co_return this->end_of_body();
+}
+
+exchange_state server_exchange::end_of_body()
+{
+    // A server that ends its direction and then resets the connection looks
+    // like one that has finished. If it hasn't taken the request, it hasn't.
+    const bool is_doubtful = this->framing_of_body == body_framing::connection;
+    if (!is_doubtful || this->is_request_received())
+        return exchange_state::ok;
+    this->context.events.report(
+        event_id::answer_without_request,
+        {{"server", this->target.instance},
+         {"address", this->target.place.address},
+         {"received_bytes", this->body_bytes}});
+    return exchange_state::broken;
+}
+
+bool server_exchange::is_request_received()
+{
+    int unacknowledged = 0;
+    const int socket = this->connection->stream.socket().native_handle();
+    const bool is_known = ::ioctl(socket, SIOCOUTQ, &unacknowledged) == 0;
+    return !is_known || unacknowledged == 0;
 }
 
 asio::awaitable<exchange_state>
--- a/src/adapters/forward/server_exchange.hpp
+++ b/src/adapters/forward/server_exchange.hpp
@@ -157,6 +157,10 @@
     asio::awaitable<exchange_state> open(duration longest_idle);
     asio::awaitable<exchange_state> read_one_head(bool head_only);
     asio::awaitable<exchange_state> write(const outgoing_request& request);
+    /// @return Whether the body may be complete, as far as its framing tells.
+    exchange_state end_of_body();
+    /// @return Whether the server's machine has received the whole request.
+    bool is_request_received();
     exchange_state failure_state(beast::error_code error) const;
     void apply_deadline();
 
--- a/src/ports/event_sink.hpp
+++ b/src/ports/event_sink.hpp
@@ -148,6 +148,7 @@
     server_replaced = 1741,
     caller_limits_met = 1742,
     crashes_restored = 1743,
+    answer_without_request = 1744,
 
     // 18xx: placement by the orders of a single owner.
     placement_owned = 1801,
--- a/tests/unit/forward/test_forwarding.cpp
+++ b/tests/unit/forward/test_forwarding.cpp
@@ -1,8 +1,12 @@
 #include "forward_fixture.hpp"
 
+#include <boost/asio/read.hpp>
+
 #include <atomic>
+#include <chrono>
 #include <future>
 #include <string>
+#include <thread>
 
 #include <criterion/criterion.h>
 
@@ -18,7 +22,7 @@
 /// Sends the same bytes in response to each request.
 fake_backend::script send_always(std::string_view bytes)
 {
-    return [bytes](backend_peer& peer)
+    return [bytes = std::string(bytes)](backend_peer& peer)
     {
         while (!peer.read_request().empty())
             peer.send(bytes);
@@ -55,6 +59,56 @@
     cr_assert(response.ends_with("\r\n\r\nhello"));
 }
 
+/// Guards against an answer whose status HTTP doesn't have reaching a caller,
+/// or being taken for an interim one, after which the final one is awaited.
+Test(forwarding, an_answer_without_a_valid_status_is_no_answer)
+{
+    for (const std::string status : {"000", "099", "600", "999"})
+    {
+        fake_backend backend(send_always(
+            "HTTP/1.1 " + status +
+            " Odd\r\nAttempt-Id: 9c41\r\nContent-Length: 5\r\n\r\nhello"));
+        forward_fixture test({&backend});
+        const std::string response =
+            test.exchange(test.request("GET", "/once/x"));
+        cr_expect(
+            response.starts_with("HTTP/1.1 502 "),
+            "%s: %s",
+            status.c_str(),
+            response.c_str());
+    }
+}
+
+/// Guards against the beginning of an answer without a length being taken for
+/// all of it, if the server ends it and resets while it is still sent a body.
+Test(forwarding, an_early_answer_that_ends_with_a_reset_is_not_complete)
+{
+    fake_backend backend(
+        [](backend_peer& peer)
+        {
+            char byte = 0;
+            boost::asio::read(peer.socket, boost::asio::buffer(&byte, 1));
+            peer.send(
+                "HTTP/1.1 200 OK\r\nAttempt-Id: 9c41\r\nResponse-Seal: 3e1b"
+                "\r\n\r\npart");
+            boost::system::error_code ignored;
+            peer.socket.shutdown(
+                boost::asio::ip::tcp::socket::shutdown_send, ignored);
+            std::this_thread::sleep_for(std::chrono::milliseconds(200));
+            peer.socket.set_option(
+                boost::asio::socket_base::linger(true, 0), ignored);
+            peer.socket.close(ignored);
+        });
+    forward_fixture test({&backend});
+    const std::string body(std::size_t(3) << 20, 'x');
+    std::string request = test.request(
+        "POST",
+        "/once/x",
+        "Content-Length: " + std::to_string(body.size()) + "\r\n");
+    const std::string response = test.exchange(request + body);
+    cr_assert(response.starts_with("HTTP/1.1 502 "), "%s", response.c_str());
+}
+
 Test(forwarding, a_server_error_keeps_its_status_and_seal)
 {
     fake_backend backend(
