A router that nobody answers knows no origin of a stream

Cause: without a record and without any answer, a router with a registry at most a second old took the only version that it had seen for the origin. If the caller named no attempt, it didn't ask.

Change: at least one other router has to answer. If none does, more are asked, since those with the record may all have ended.

--- a/src/core/origins/origin_tracker.cpp
+++ b/src/core/origins/origin_tracker.cpp
@@ -168,11 +168,6 @@
     // A caller that names no attempt gives nothing to ask for but the versions.
     if (!asked.stream)
     {
-        if (const auto only = this->conclude(query, registry_age, now))
-        {
-            this->finish(asked, {*only, origin_source::only_version, {}});
-            return;
-        }
         const bool is_certain =
             asked.services.size() != 1 ||
             this->history.had_several(
@@ -201,6 +196,17 @@
     this->queries.emplace(number, std::move(query));
 }
 
+void origin_tracker::ask_more_routers(pending_query& query)
+{
+    for (std::string& address : this->random_routers(this->settings.holders))
+    {
+        if (std::ranges::find(query.missing, address) != query.missing.end())
+            continue;
+        query.missing.push_back(std::move(address));
+        ++query.recipients;
+    }
+}
+
 void origin_tracker::send_query(
     std::uint64_t number, const pending_query& query)
 {
@@ -328,6 +334,11 @@
 {
     if (query.asked.services.size() != 1)
         return std::nullopt;
+    // A router that nobody answers may be the one that is out of step: others
+    // may know of servers that registered since it last read the registry.
+    const bool is_in_touch = this->others.empty() || !query.received.empty();
+    if (!is_in_touch)
+        return std::nullopt;
     const duration max_age = this->settings.max_registry_age;
     bool is_recent = registry_age && *registry_age <= max_age;
     software_history seen = this->history;
@@ -448,6 +459,8 @@
         }
         if (now >= query.repeat_at)
         {
+            if (query.received.empty())
+                this->ask_more_routers(query);
             this->send_query(number, query);
             query.repeat_at = now + this->settings.repeat_delay;
         }
--- a/src/core/origins/origin_tracker.hpp
+++ b/src/core/origins/origin_tracker.hpp
@@ -183,6 +183,8 @@
 
     std::vector<std::string> holders_of(stream_key stream) const;
     bool holds(std::string_view router, stream_key stream) const;
+    /// Those that were asked may all have ended.
+    void ask_more_routers(pending_query& query);
     void send_query(std::uint64_t number, const pending_query& query);
     void send_answer(
         const origin_message& asked, std::string_view from, instant now);
