--- a/src/core/crashes/part_ledger.cpp
+++ b/src/core/crashes/part_ledger.cpp
@@ -205,8 +205,8 @@
     for (const known_end* end : ends)
         requests.push_back(end->request);
     std::ranges::sort(requests);
-    const auto repeated = std::ranges::unique(requests);
-    return requests.size() - repeated.size();
+    const auto end = std::unique(requests.begin(), requests.end());
+    return static_cast<std::size_t>(std::distance(requests.begin(), end));
 }
 
 part_ledger::suspect_map::const_iterator
