A test of blocked requests that wait doesn't race with the end of their wait

Traced: the fixture refuses each permit for an hour, so the dispatcher refuses the request soon (reason=deadline), and the test's thread has to come first; with a sleep of 300 ms in that thread it fails each time with that reason. Permits are withheld now, so the request waits until it is blocked. What is asserted is the same.

--- a/tests/unit/blocked_requests/test_blocked_requests.cpp
+++ b/tests/unit/blocked_requests/test_blocked_requests.cpp
@@ -159,6 +159,7 @@
             peer.send(ok_response);
         });
     forward_fixture test({&servers.first});
+    test.withhold_permits();
     test.limit_server(0);
     test.block_request("POST", "/once/x", -10s);
     std::thread blocking(
--- a/tests/unit/forward/forward_fixture.cpp
+++ b/tests/unit/forward/forward_fixture.cpp
@@ -141,6 +141,8 @@
            [this](const permit_wanted& what)
            {
                ++this->permits_requested;
+               if (this->permits_withheld)
+                   return;
                asio::post(
                    this->event_loop,
                    [this, what]
--- a/tests/unit/forward/forward_fixture.hpp
+++ b/tests/unit/forward/forward_fixture.hpp
@@ -142,6 +142,12 @@
     /// @param index Of the server, from 0.
     void limit_server(std::size_t index);
 
+    /// From now on permits are neither given nor refused.
+    void withhold_permits()
+    {
+        this->permits_withheld = true;
+    }
+
     /// Tells this router of another one, which has the same servers.
     void know_router(const forward_fixture& other)
     {
@@ -264,6 +270,7 @@
     std::vector<std::string> versions;
     serving_table_ptr table;
     std::atomic<int> permits_requested{0};
+    std::atomic<bool> permits_withheld{false};
     std::vector<std::string> unreachable_servers;
     std::vector<rate_limit_report> rate_limit_reports;
     std::shared_ptr<edge::shared_dispatcher> dispatch;
