--- a/src/app/gateway/gateway_app.cpp
+++ b/src/app/gateway/gateway_app.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <random>
@@ -35,7 +36,8 @@
 constexpr milliseconds shutdown_margin{800};
 
 /// From this long before that on, no request is sent to a server any more: few
-/// take longer, and callers are served by another router meanwhile.
+/// take longer, and callers are served by another router meanwhile. At most a
+/// third of the grace period.
 constexpr milliseconds last_answer_time{2600};
 
 constexpr milliseconds drain_check_interval{100};
@@ -494,8 +496,9 @@
     if (elapsed >= balancer_reaction_time &&
         !std::exchange(this->idle_closed, true))
         this->server.close_idle();
+    const milliseconds grace = this->settings.bounds.grace;
     const duration last_send =
-        this->settings.bounds.grace - shutdown_margin - last_answer_time;
+        grace - shutdown_margin - std::min(last_answer_time, grace / 3);
     if (elapsed >= last_send && !std::exchange(this->sending_stopped, true))
         this->server.stop_sending();
     const bool done = this->idle_closed && this->server.connections() == 0 &&
